--- /dev/null
+++ b/crates/dispatch/src/choose.rs
@@ -0,0 +1,170 @@
+//! Which upstream takes a request.
+
+use crate::{request::Request, upstream::Upstream};
+use std::collections::BTreeMap;
+use vanetally_ports::EngineSpec;
+use vanetally_types::{Name, Tick, rendezvous_rank};
+
+/// How long engines take, learned from what is observed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pace {
+    per_token_ms: BTreeMap<Name, f64>,
+    slowness: BTreeMap<Name, f64>,
+}
+
+/// Milliseconds for one prompt token before anything is learned.
+const FIRST_PER_TOKEN_MS: f64 = 0.06;
+/// Share of a new sample.
+const LEARN: f64 = 0.1;
+/// Bounds of an upstream's slowness.
+const SLOWNESS: std::ops::RangeInclusive<f64> = 0.5..=8.0;
+/// Part of the first token's time that does not depend on the prompt, in milliseconds.
+const BASE_MS: f64 = 15.0;
+/// Milliseconds that each running request adds.
+const PER_RUNNING_MS: f64 = 1.0;
+
+impl Pace {
+    fn per_token(&self, model: Option<&Name>) -> f64 {
+        model.and_then(|m| self.per_token_ms.get(m)).copied().unwrap_or(FIRST_PER_TOKEN_MS)
+    }
+
+    fn slowness(&self, upstream: &Name) -> f64 {
+        self.slowness.get(upstream).copied().unwrap_or(1.0)
+    }
+
+    /// The first piece came after `took_ms`, with `tokens` ahead of it.
+    pub(crate) fn learn(
+        &mut self,
+        upstream: &Name,
+        model: Option<&Name>,
+        tokens: u32,
+        took_ms: f64,
+    ) {
+        let expected = BASE_MS + f64::from(tokens) * self.per_token(model);
+        let ratio = (took_ms / expected).clamp(*SLOWNESS.start(), *SLOWNESS.end());
+        let slowness = self.slowness.entry(upstream.clone()).or_insert(1.0);
+        *slowness += LEARN * (ratio - *slowness);
+        if let Some(model) = model.filter(|_| tokens > 0) {
+            let sample = ((took_ms - BASE_MS) / f64::from(tokens)).max(0.0);
+            let pace = self.per_token_ms.entry(model.clone()).or_insert(FIRST_PER_TOKEN_MS);
+            *pace += LEARN * (sample.min(*pace * 4.0) - *pace);
+        }
+    }
+
+    pub(crate) fn forget(&mut self, upstream: &Name) {
+        self.slowness.remove(upstream);
+    }
+}
+
+/// What the choice looks at.
+pub(crate) struct View<'a> {
+    pub now: Tick,
+    pub zone: &'a Name,
+    pub engine: Option<&'a EngineSpec>,
+    pub pace: &'a Pace,
+}
+
+/// The upstream that was chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Choice {
+    pub upstream: Name,
+    /// Prompt tokens that it will have to read for this request.
+    pub unread: u32,
+    /// Prompt tokens to be read before the first piece.
+    pub ahead: u32,
+}
+
+/// Why there is none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Lack {
+    /// No upstream that may be used holds what is asked for.
+    Holder,
+    /// Those that hold it are full, ejected or not allowed.
+    Room,
+}
+
+/// Requests at a plain service beyond its slots.
+const SERVICE_QUEUE: f64 = 2.0;
+/// Requests at an engine, as a share of its slots.
+const ENGINE_FILL: f64 = 1.0;
+/// Worth of the same failure domain, in milliseconds of a plain service's load.
+const ZONE_MS: f64 = 2.0;
+/// Milliseconds that one running request adds at a plain service, spread over its slots.
+const SERVICE_WORK_MS: f64 = 30.0;
+/// Time left below which an upstream under notice gets nothing, in milliseconds.
+const NOTICE_MS: u64 = 200;
+
+/// Chooses among `upstreams` for `request`.
+pub(crate) fn choose<'a>(
+    view: &View<'_>,
+    request: &Request,
+    upstreams: impl Iterator<Item = (&'a Name, &'a Upstream)>,
+) -> Result<Choice, Lack> {
+    let mut lack = Lack::Holder;
+    let mut best: Option<(f64, Choice)> = None;
+    let mut suspect: Option<(f64, Choice)> = None;
+    for (id, upstream) in upstreams.filter(|(_, u)| is_usable(view, request, u)) {
+        lack = Lack::Room;
+        if !has_room(view, request, upstream) || !request.may_go_to(id) {
+            continue;
+        }
+        let (cost, choice) = cost(view, request, id, upstream);
+        let slot = if upstream.health.is_open(view.now) { &mut best } else { &mut suspect };
+        if slot.as_ref().is_none_or(|(least, _)| cost < *least) {
+            *slot = Some((cost, choice));
+        }
+    }
+    // The last one is never left out for being suspect.
+    best.or(suspect).map(|(_, choice)| choice).ok_or(lack)
+}
+
+fn is_usable(view: &View<'_>, request: &Request, upstream: &Upstream) -> bool {
+    let stays = upstream.gone_at.is_none_or(|gone| gone > view.now + NOTICE_MS);
+    let holds = request.head.model.as_ref().is_none_or(|m| upstream.holds(m, view.now));
+    !upstream.state.draining && stays && holds
+}
+
+fn has_room(view: &View<'_>, request: &Request, upstream: &Upstream) -> bool {
+    let load = upstream.total(view.now);
+    let slots = f64::from(upstream.state.slots);
+    if view.now < upstream.full_until {
+        return false;
+    }
+    match view.engine {
+        None => f64::from(load.running) < slots * SERVICE_QUEUE,
+        Some(engine) => {
+            let fits = u64::from(load.held_tokens + request.tokens()) <= engine.kv_tokens;
+            f64::from(load.running) < slots * ENGINE_FILL && (fits || load.running == 0)
+        }
+    }
+}
+
+fn cost(view: &View<'_>, request: &Request, id: &Name, upstream: &Upstream) -> (f64, Choice) {
+    let load = upstream.total(view.now);
+    let model = request.head.model.as_ref();
+    let cached = upstream.cached_tokens(model, &request.head.parts);
+    let unread = request.head.prompt_tokens.saturating_sub(cached);
+    let ahead = load.unread_tokens + unread;
+    let away = if upstream.state.zone == *view.zone { 0.0 } else { ZONE_MS };
+    let own_ms = match view.engine {
+        Some(_) => {
+            let reading = f64::from(ahead) * view.pace.per_token(model.map(|m| &m.model));
+            BASE_MS + reading + f64::from(load.running) * PER_RUNNING_MS
+        }
+        None => {
+            let slots = f64::from(upstream.state.slots);
+            SERVICE_WORK_MS * (1.0 + f64::from(load.running) / slots)
+        }
+    };
+    let tie = tie_break(request, id);
+    let cost = own_ms * view.pace.slowness(id) + away + tie;
+    (cost, Choice { upstream: id.clone(), unread, ahead })
+}
+
+/// A fraction of a millisecond that spreads equal choices.
+fn tie_break(request: &Request, id: &Name) -> f64 {
+    let key = vanetally_types::hash64(request.head.id.as_bytes());
+    let mark: Name = "~".into();
+    let first = rendezvous_rank(key, [id, &mark])[0];
+    if first == id { 0.0 } else { 0.5 }
+}
--- /dev/null
+++ b/crates/dispatch/src/event.rs
@@ -0,0 +1,184 @@
+//! What goes into the decisions and what comes out.
+
+use crate::{BudgetOptions, Digest};
+use std::{net::SocketAddr, rc::Rc};
+use vanetally_ports::{CallerRequest, Configuration, ModelRef, Refusal, UpstreamState};
+use vanetally_types::Name;
+
+/// A request in this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RequestId(pub u64);
+
+/// Bounds that the deployment states.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// This host's failure domain.
+    pub zone: Name,
+    /// Retries that all hosts together may make.
+    pub budget: BudgetOptions,
+    /// Milliseconds that a planned stop may take.
+    pub grace_ms: u64,
+}
+
+/// Whether a runner holds a model or an adapter, as the holder of orders tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It is there.
+    Present,
+    /// It is not there, or goes.
+    Absent,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptEnd {
+    /// The upstream's whole answer went to the caller.
+    Served,
+    /// The upstream's own failure went to the caller.
+    Failed,
+    /// No connection came about: nothing was sent.
+    Unreachable,
+    /// The upstream turned it away as full.
+    Full,
+    /// The upstream does not hold what was asked for, or is another incarnation.
+    Absent,
+    /// The answer broke off, made no sense or never came: it may have run.
+    Broken,
+}
+
+impl AttemptEnd {
+    /// The word for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Failed => "failed",
+            Self::Unreachable => "unreachable",
+            Self::Full => "full",
+            Self::Absent => "absent",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A newer configuration is in force.
+    Configured(Rc<Configuration>),
+    /// An upstream announced itself, or changed what it announces.
+    UpstreamSeen {
+        /// Its incarnation.
+        id: Name,
+        /// What it says.
+        state: UpstreamState,
+    },
+    /// An upstream's announcement is gone.
+    UpstreamGone {
+        /// Its incarnation.
+        id: Name,
+    },
+    /// The holder of orders told what a runner holds.
+    Placed {
+        /// The runner.
+        runner: Name,
+        /// What it is about.
+        subject: ModelRef,
+        /// Whether it is there.
+        presence: Presence,
+    },
+    /// Another host told its load.
+    PeerDigest {
+        /// The host.
+        host: Name,
+        /// Its load.
+        digest: Digest,
+    },
+    /// Another host is gone.
+    PeerGone {
+        /// The host.
+        host: Name,
+    },
+    /// How many hosts may live now, this one included.
+    Hosts(usize),
+    /// A request was read whole.
+    Arrived {
+        /// Its number in this process.
+        id: RequestId,
+        /// Its head.
+        request: CallerRequest,
+    },
+    /// The first piece of an answer came.
+    FirstPiece {
+        /// The request.
+        id: RequestId,
+    },
+    /// An attempt ended.
+    AttemptEnded {
+        /// The request.
+        id: RequestId,
+        /// How.
+        end: AttemptEnd,
+        /// Whether any part of an answer went to the caller.
+        answered: bool,
+    },
+    /// The caller has left.
+    CallerLeft {
+        /// The request.
+        id: RequestId,
+    },
+    /// The host begins a planned stop.
+    Stopping,
+    /// Time passed.
+    Tick,
+}
+
+/// One sending of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// The upstream's incarnation.
+    pub upstream: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Milliseconds left.
+    pub deadline_ms: u64,
+    /// Rank at the upstream.
+    pub priority: u8,
+    /// Most connections of this host to the upstream.
+    pub connections: usize,
+    /// Number of this sending, from 1.
+    pub number: u32,
+    /// Requests of this host at the upstream before this one.
+    pub own_load: usize,
+    /// Requests of other hosts there, by their digests.
+    pub peer_load: u32,
+    /// Whether the answer is a series of events.
+    pub is_stream: bool,
+    /// Whether the request may run more than once.
+    pub may_repeat: bool,
+}
+
+/// What has to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the request.
+    Send {
+        /// The request.
+        id: RequestId,
+        /// Where and how.
+        attempt: Attempt,
+    },
+    /// End the request with an answer of the product's own, or cut what has begun.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// Why, and whether it may have run.
+        refusal: Refusal,
+    },
+    /// A model or adapter is asked for that no runner holds.
+    Want {
+        /// The service.
+        service: Name,
+        /// What is missing.
+        subject: ModelRef,
+    },
+}
--- /dev/null
+++ b/crates/dispatch/src/health.rs
@@ -0,0 +1,95 @@
+//! How well an upstream has answered lately.
+
+use std::collections::VecDeque;
+use vanetally_types::Tick;
+
+/// Ends of attempts in the last seconds, and whether the upstream is ejected for them.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    ends: VecDeque<(Tick, bool)>,
+    ejected_until: Option<Tick>,
+    ejections: u32,
+    probing: bool,
+}
+
+/// How long an end counts, in milliseconds.
+const MEMORY_MS: u64 = 5_000;
+/// Bad ends below which nothing is concluded.
+const LEAST_BAD: u32 = 2;
+/// Share of bad ends from which an upstream is ejected.
+const EJECT_SHARE: f64 = 0.2;
+/// Length of a first ejection, in milliseconds; later ones double.
+const EJECT_MS: u64 = 1_500;
+/// Most doublings.
+const MOST_DOUBLINGS: u32 = 2;
+
+impl Health {
+    /// An attempt ended.
+    pub fn ended(&mut self, now: Tick, good: bool) {
+        self.forget(now);
+        self.ends.push_back((now, good));
+        if self.probing {
+            self.probing = false;
+            if good {
+                self.ends.retain(|(_, good)| *good);
+                self.ejections = 0;
+            } else {
+                self.eject(now);
+            }
+        }
+    }
+
+    /// Good and bad ends of the last seconds.
+    pub fn counts(&mut self, now: Tick) -> (u32, u32) {
+        self.forget(now);
+        let bad = self.ends.iter().filter(|(_, good)| !good).count() as u32;
+        (self.ends.len() as u32 - bad, bad)
+    }
+
+    /// Ejects the upstream if what this host and others saw speaks against it; tells whether it
+    /// was.
+    pub fn review(&mut self, now: Tick, others_good: u32, others_bad: u32) -> bool {
+        let (good, bad) = self.counts(now);
+        let (good, bad) = (good + others_good, bad + others_bad);
+        let is_bad = bad >= LEAST_BAD && f64::from(bad) > EJECT_SHARE * f64::from(good + bad);
+        if self.ejected_until.is_some() || !is_bad {
+            return false;
+        }
+        self.eject(now);
+        true
+    }
+
+    fn eject(&mut self, now: Tick) {
+        let length = EJECT_MS << self.ejections.min(MOST_DOUBLINGS);
+        self.ejections += 1;
+        self.ejected_until = Some(now + length);
+        self.ends.clear();
+    }
+
+    /// Whether requests may go there: it is not ejected, or a single one may probe it.
+    pub fn is_open(&self, now: Tick) -> bool {
+        match self.ejected_until {
+            None => true,
+            Some(until) => now >= until && !self.probing,
+        }
+    }
+
+    /// Whether it is ejected, or was and has not proved itself.
+    pub fn is_suspect(&self) -> bool {
+        self.ejected_until.is_some()
+    }
+
+    /// A request goes there: the first one after an ejection is the probe.
+    pub fn sent(&mut self, now: Tick) {
+        if self.ejected_until.is_some_and(|until| now >= until) {
+            self.ejected_until = None;
+            self.probing = true;
+        }
+    }
+
+    fn forget(&mut self, now: Tick) {
+        while self.ends.front().is_some_and(|(at, _)| now.since(*at) > MEMORY_MS) {
+            self.ends.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decisions about requests at one host: route, queue, choice of an upstream, retries, limits.
+//!
+//! [`Dispatch::handle`] is the only door: `handle(now, event) -> actions`. No clock, socket or
+//! random source inside.
+#![deny(missing_docs, unsafe_code)]
+
+mod budget;
+mod choose;
+/// What hosts tell each other of their load.
+pub mod digest;
+mod event;
+mod health;
+mod machine;
+mod queue;
+mod request;
+mod routes;
+mod upstream;
+
+pub use budget::{Budget, BudgetOptions};
+pub use digest::{DemandRow, Digest, LoadRow};
+pub use event::{Action, Attempt, AttemptEnd, Event, Options, Presence, RequestId};
+pub use health::Health;
+pub use machine::{Counts, Dispatch};
+pub use routes::RouteIndex;
--- /dev/null
+++ b/crates/dispatch/src/request.rs
@@ -0,0 +1,91 @@
+//! One request from its arrival to its end.
+
+use crate::upstream::Load;
+use std::rc::Rc;
+use vanetally_ports::{CallerRequest, Route};
+use vanetally_types::{Name, Tick, Verdict};
+
+/// Where a request is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// It waits for an upstream.
+    Waiting,
+    /// It is at an upstream.
+    Sent(Sending),
+}
+
+/// What is known of a sending that has not ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Sending {
+    pub upstream: Name,
+    pub at: Tick,
+    /// What it adds to the upstream's load.
+    pub load: Load,
+    /// Tokens to be read before its first piece, when it was sent.
+    pub ahead: u32,
+    pub has_begun: bool,
+}
+
+/// A request that has not ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub head: CallerRequest,
+    pub route: Rc<Route>,
+    pub service: Name,
+    pub arrived: Tick,
+    /// The latest moment for a final answer.
+    pub deadline: Tick,
+    /// The latest moment to be sent for the first time.
+    pub patience: Tick,
+    pub stage: Stage,
+    /// Upstreams that it was sent to.
+    pub tried: Vec<Name>,
+    pub sendings: u32,
+    pub verdict: Verdict,
+    /// No sending before this.
+    pub not_before: Tick,
+}
+
+/// A stream's caller leaves after a gap of this many milliseconds, or of some objectives.
+const LEAST_PATIENCE_MS: u64 = 2_000;
+/// Objectives after which a stream's caller leaves.
+const PATIENCE_TARGETS: u64 = 4;
+/// Kept back from the caller's patience, in milliseconds.
+const PATIENCE_MARGIN_MS: u64 = 100;
+
+impl Request {
+    pub(crate) fn new(head: CallerRequest, route: Rc<Route>, service: Name, now: Tick) -> Self {
+        let wait = head.wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+        let deadline = now + wait;
+        let patience = match route.kind {
+            vanetally_ports::RequestKind::Stream => {
+                let gap = LEAST_PATIENCE_MS.max(PATIENCE_TARGETS * route.target_ms);
+                deadline.min(now + gap) - PATIENCE_MARGIN_MS
+            }
+            _ => deadline - PATIENCE_MARGIN_MS,
+        };
+        Self {
+            head,
+            route,
+            service,
+            arrived: now,
+            deadline,
+            patience,
+            stage: Stage::Waiting,
+            tried: Vec::new(),
+            sendings: 0,
+            verdict: Verdict::NotRun,
+            not_before: now,
+        }
+    }
+
+    /// Tokens that it may come to hold at an engine.
+    pub(crate) fn tokens(&self) -> u32 {
+        self.head.prompt_tokens + self.head.output_tokens
+    }
+
+    /// Whether it may be sent to `upstream` without exceeding the upstreams allowed to it.
+    pub(crate) fn may_go_to(&self, upstream: &Name) -> bool {
+        self.tried.contains(upstream) || self.tried.len() < self.route.max_attempts as usize
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/upstream.rs
@@ -0,0 +1,211 @@
+//! What this host believes of one upstream.
+
+use crate::{Health, LoadRow, Presence};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use vanetally_ports::{ModelRef, PromptPart, UpstreamState};
+use vanetally_types::{Name, Tick, hash64};
+
+/// Requests at an upstream that have not ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Load {
+    pub running: u32,
+    pub unread_tokens: u32,
+    pub held_tokens: u32,
+}
+
+impl Load {
+    pub(crate) fn add(&mut self, other: Load) {
+        self.running += other.running;
+        self.unread_tokens += other.unread_tokens;
+        self.held_tokens += other.held_tokens;
+    }
+
+    pub(crate) fn take(&mut self, other: Load) {
+        self.running = self.running.saturating_sub(other.running);
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+        self.held_tokens = self.held_tokens.saturating_sub(other.held_tokens);
+    }
+}
+
+/// What another host has there, with its age.
+#[derive(Clone, Debug)]
+struct PeerLoad {
+    row: LoadRow,
+    at: Tick,
+}
+
+/// Beliefs about one upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Upstream {
+    pub state: UpstreamState,
+    /// Load of this host.
+    pub own: Load,
+    pub health: Health,
+    /// No request goes there before this, since it was full.
+    pub full_until: Tick,
+    /// When it will be gone, if it said so.
+    pub gone_at: Option<Tick>,
+    peers: BTreeMap<Name, PeerLoad>,
+    presence: HashMap<ModelRef, (Presence, Tick)>,
+    cached: PrefixCache,
+}
+
+/// A peer's load older than this is forgotten, in milliseconds.
+const PEER_LOAD_MS: u64 = 3_000;
+/// What the holder of orders told wins over the announcement for this long, in milliseconds.
+const PRESENCE_MS: u64 = 4_000;
+
+impl Upstream {
+    pub(crate) fn new(state: UpstreamState, now: Tick) -> Self {
+        let mut upstream = Self {
+            state,
+            own: Load::default(),
+            health: Health::default(),
+            full_until: Tick(0),
+            gone_at: None,
+            peers: BTreeMap::new(),
+            presence: HashMap::new(),
+            cached: PrefixCache::default(),
+        };
+        upstream.gone_at = upstream.state.remaining_ms.map(|ms| now + ms);
+        upstream
+    }
+
+    pub(crate) fn update(&mut self, state: UpstreamState, now: Tick) {
+        if let Some(ms) = state.remaining_ms {
+            self.gone_at.get_or_insert(now + ms);
+        }
+        self.state = state;
+    }
+
+    pub(crate) fn set_presence(&mut self, subject: ModelRef, presence: Presence, now: Tick) {
+        if presence == Presence::Absent && subject.adapter.is_none() {
+            self.cached.drop_model(&subject.model);
+        }
+        self.presence.insert(subject, (presence, now));
+    }
+
+    pub(crate) fn holds(&self, subject: &ModelRef, now: Tick) -> bool {
+        let base = ModelRef { model: subject.model.clone(), adapter: None };
+        self.told(&base, now).unwrap_or_else(|| self.announces(&base))
+            && self.told(subject, now).unwrap_or_else(|| self.announces(subject))
+    }
+
+    fn told(&self, subject: &ModelRef, now: Tick) -> Option<bool> {
+        let (presence, at) = self.presence.get(subject)?;
+        (now.since(*at) <= PRESENCE_MS).then_some(*presence == Presence::Present)
+    }
+
+    fn announces(&self, subject: &ModelRef) -> bool {
+        let model = self.state.models.iter().find(|held| held.name == subject.model);
+        match (&subject.adapter, model) {
+            (None, model) => model.is_some(),
+            (Some(adapter), Some(model)) => model.adapters.contains(adapter),
+            (Some(_), None) => false,
+        }
+    }
+
+    pub(crate) fn set_peer(&mut self, host: &Name, row: LoadRow, at: Tick) {
+        self.peers.insert(host.clone(), PeerLoad { row, at });
+    }
+
+    pub(crate) fn forget_peer(&mut self, host: &Name) {
+        self.peers.remove(host);
+    }
+
+    /// Load of all other hosts, by their digests.
+    pub(crate) fn peer_load(&self, now: Tick) -> Load {
+        let mut sum = Load::default();
+        for row in self.recent(now) {
+            sum.add(Load {
+                running: row.running,
+                unread_tokens: row.unread_tokens,
+                held_tokens: row.held_tokens,
+            });
+        }
+        sum
+    }
+
+    /// Good and bad ends that other hosts saw lately.
+    pub(crate) fn peer_ends(&self, now: Tick) -> (u32, u32) {
+        self.recent(now).fold((0, 0), |(good, bad), row| {
+            (good + u32::from(row.good), bad + u32::from(row.bad))
+        })
+    }
+
+    fn recent(&self, now: Tick) -> impl Iterator<Item = &LoadRow> {
+        let is_recent = move |peer: &&PeerLoad| now.since(peer.at) <= PEER_LOAD_MS;
+        self.peers.values().filter(is_recent).map(|peer| &peer.row)
+    }
+
+    pub(crate) fn total(&self, now: Tick) -> Load {
+        let mut sum = self.peer_load(now);
+        sum.add(self.own);
+        sum
+    }
+
+    /// Prompt tokens that the upstream is thought to keep already.
+    pub(crate) fn cached_tokens(&self, subject: Option<&ModelRef>, parts: &[PromptPart]) -> u32 {
+        subject.map_or(0, |subject| self.cached.tokens(subject, parts))
+    }
+
+    /// The upstream has read `parts`.
+    pub(crate) fn remember(&mut self, subject: Option<&ModelRef>, parts: &[PromptPart]) {
+        if let Some(subject) = subject {
+            self.cached.insert(subject, parts);
+        }
+    }
+}
+
+/// The shared beginnings of prompts that an upstream has read lately, oldest first.
+#[derive(Clone, Debug, Default)]
+struct PrefixCache {
+    known: HashMap<u64, Name>,
+    order: VecDeque<u64>,
+}
+
+/// Beginnings remembered for one upstream.
+const MOST_PREFIXES: usize = 1_024;
+
+impl PrefixCache {
+    fn tokens(&self, subject: &ModelRef, parts: &[PromptPart]) -> u32 {
+        let known = chain(subject, parts).take_while(|(key, _)| self.known.contains_key(key));
+        known.map(|(_, tokens)| tokens).sum()
+    }
+
+    fn insert(&mut self, subject: &ModelRef, parts: &[PromptPart]) {
+        // The last part belongs to the request itself.
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        for (key, _) in chain(subject, shared) {
+            if self.known.insert(key, subject.model.clone()).is_none() {
+                self.order.push_back(key);
+            }
+        }
+        while self.order.len() > MOST_PREFIXES {
+            if let Some(key) = self.order.pop_front() {
+                self.known.remove(&key);
+            }
+        }
+    }
+
+    fn drop_model(&mut self, model: &Name) {
+        self.known.retain(|_, of| of != model);
+        let known = &self.known;
+        self.order.retain(|key| known.contains_key(key));
+    }
+}
+
+/// Keys of the beginnings of a prompt, each with the tokens of its last part.
+fn chain<'a>(
+    subject: &ModelRef,
+    parts: &'a [PromptPart],
+) -> impl Iterator<Item = (u64, u32)> + 'a {
+    let mut key = hash64(subject.to_string().as_bytes());
+    parts.iter().map(move |part| {
+        let mut bytes = [0; 16];
+        bytes[..8].copy_from_slice(&key.to_le_bytes());
+        bytes[8..].copy_from_slice(&part.id.to_le_bytes());
+        key = hash64(&bytes);
+        (key, part.tokens)
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,56 @@
+//! Connections of callers.
+
+use crate::{
+    exchange,
+    hub::{Hub, Stage},
+    socket,
+};
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use std::{convert::Infallible, pin::pin, rc::Rc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Least room for the head of a request, in bytes.
+const LEAST_HEAD: usize = 65_536;
+
+/// Accepts callers for as long as the process lives.
+pub(crate) async fn accept(hub: Rc<Hub>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(hub.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(hub: Rc<Hub>, stream: TcpStream) {
+    if socket::watch_peer(&stream).is_err() {
+        return;
+    }
+    let mut stage = hub.stage.subscribe();
+    let head = hub.limits().header_bytes.max(LEAST_HEAD);
+    let service = service_fn(|request| {
+        let hub = hub.clone();
+        async move { Ok::<_, Infallible>(exchange::serve(hub, request).await) }
+    });
+    let connection =
+        http1::Builder::new().max_buf_size(head).serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    tokio::select! {
+        // A caller that leaves ends the connection with an error: nobody is left to tell.
+        _ = connection.as_mut() => return,
+        _ = stage.wait_for(|stage| *stage == Stage::Closing) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,29 @@
+//! The serving path as one event loop: sockets around the decisions of `vanetally-dispatch` and
+//! `vanetally-placement`, on one thread.
+//!
+//! What a deployment speaks comes in through the ports; this crate knows none of its names.
+#![deny(missing_docs, unsafe_code)]
+
+mod answer;
+mod call;
+mod clock;
+mod exchange;
+mod front;
+mod hub;
+/// Log lines on standard output that never block the caller.
+pub mod logging;
+mod peers;
+mod pool;
+mod relay;
+mod run;
+mod settings;
+mod socket;
+mod status;
+mod store;
+mod telemetry;
+mod tenure;
+mod upstreams;
+mod watch;
+
+pub use run::run;
+pub use settings::{Bounds, Settings, StoreSettings};
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,130 @@
+//! Calls to the store, with time-outs and typed answers.
+
+use crate::{
+    call::{self, Reply},
+    pool::Pool,
+    telemetry,
+};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use vanetally_ports::{
+    FormatError, Item, LeaseId, Revision, StoreAnswer, StoreProtocol, Transaction, WatchAnswer,
+};
+
+/// Why a call to the store brought nothing.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// No answer came.
+    #[error(transparent)]
+    Call(#[from] call::Error),
+    /// The answer makes no sense.
+    #[error(transparent)]
+    Format(#[from] FormatError),
+    /// The store refuses calls for now.
+    #[error("refused with {0}")]
+    Refused(StatusCode),
+}
+
+/// All keys of a prefix, at one revision or somewhat later.
+#[derive(Debug)]
+pub(crate) struct Snapshot {
+    pub items: Vec<Item>,
+    pub at: Revision,
+}
+
+/// The store as this process sees it.
+#[derive(Clone)]
+pub(crate) struct Store {
+    pool: Pool,
+    address: SocketAddr,
+    protocol: Rc<dyn StoreProtocol>,
+}
+
+/// For a short call.
+const CALL: Duration = Duration::from_millis(1_200);
+/// How long the store may hold a watch, in milliseconds.
+const WATCH_MS: u64 = 3_000;
+/// A watch that is silent for longer than this has broken.
+const WATCH: Duration = Duration::from_millis(WATCH_MS + 1_000);
+
+impl Store {
+    pub(crate) fn new(address: SocketAddr, protocol: Rc<dyn StoreProtocol>) -> Self {
+        Self { pool: Pool::default(), address, protocol }
+    }
+
+    async fn call(
+        &self,
+        name: &'static str,
+        request: Request<Bytes>,
+        within: Duration,
+    ) -> Result<Reply, Error> {
+        let reply = call::call(&self.pool, self.address, request, within).await;
+        telemetry::store_call(name, reply.is_ok());
+        Ok(reply?)
+    }
+
+    /// Closes connections that have rested too long.
+    pub(crate) fn sweep(&self) {
+        self.pool.sweep();
+    }
+
+    /// Reads all keys that begin with `prefix`.
+    pub(crate) async fn range(&self, prefix: &str) -> Result<Snapshot, Error> {
+        let mut snapshot = Snapshot { items: Vec::new(), at: Revision(0) };
+        loop {
+            let last = snapshot.items.last().map(|item| item.key.clone());
+            let request = self.protocol.range(prefix, last.as_deref());
+            let reply = self.call("range", request, CALL).await?;
+            if reply.status != StatusCode::OK {
+                return Err(Error::Refused(reply.status));
+            }
+            let page = self.protocol.read_range(&reply.body)?;
+            // Pages are no snapshot: the watch goes on from the first, and sees changes twice.
+            if last.is_none() {
+                snapshot.at = page.at;
+            }
+            let is_last = !page.more || page.items.is_empty();
+            snapshot.items.extend(page.items);
+            if is_last {
+                return Ok(snapshot);
+            }
+        }
+    }
+
+    /// Waits for changes of the keys that begin with `prefix`.
+    pub(crate) async fn watch(&self, prefix: &str, after: Revision) -> Result<WatchAnswer, Error> {
+        let request = self.protocol.watch(prefix, after, WATCH_MS);
+        let reply = self.call("watch", request, WATCH).await?;
+        let answer = self.protocol.read_watch(reply.status, &reply.body)?;
+        answer.ok_or(Error::Refused(reply.status))
+    }
+
+    /// Writes, if all expectations hold.
+    pub(crate) async fn transact(
+        &self,
+        transaction: &Transaction,
+    ) -> Result<StoreAnswer<Revision>, Error> {
+        let request = self.protocol.transaction(transaction);
+        let reply = self.call("transaction", request, CALL).await?;
+        Ok(self.protocol.read_transaction(reply.status, &reply.body)?)
+    }
+
+    /// Asks for a lease.
+    pub(crate) async fn grant(&self, ttl_ms: u64) -> Result<StoreAnswer<(LeaseId, u64)>, Error> {
+        let reply = self.call("grant", self.protocol.grant(ttl_ms), CALL).await?;
+        Ok(self.protocol.read_grant(reply.status, &reply.body)?)
+    }
+
+    /// Renews a lease.
+    pub(crate) async fn renew(&self, lease: LeaseId) -> Result<StoreAnswer<()>, Error> {
+        let reply = self.call("renew", self.protocol.renew(lease), CALL).await?;
+        Ok(self.protocol.judge_lease(reply.status))
+    }
+
+    /// Ends a lease, with its keys.
+    pub(crate) async fn end(&self, lease: LeaseId) -> Result<StoreAnswer<()>, Error> {
+        let reply = self.call("end", self.protocol.end(lease), CALL).await?;
+        Ok(self.protocol.judge_lease(reply.status))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/telemetry.rs
@@ -0,0 +1,76 @@
+//! Counters, gauges and latency histograms.
+
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use vanetally_dispatch::{AttemptEnd, Counts};
+use vanetally_ports::{OrderOutcome, RefusalCause};
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 14] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.8, 1.0, 2.0, 5.0, 10.0, 30.0];
+
+/// Installs the recorder of this process.
+///
+/// # Errors
+/// If another one is installed already.
+pub(crate) fn try_install() -> anyhow::Result<PrometheusHandle> {
+    let builder = PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".into()), &LATENCY_BUCKETS)?;
+    let recorder = builder.build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder)?;
+    Ok(handle)
+}
+
+/// A request arrived.
+pub(crate) fn arrived() {
+    counter!("vanetally_requests_total").increment(1);
+}
+
+/// The product itself ended a request.
+pub(crate) fn refused(cause: RefusalCause) {
+    counter!("vanetally_refusals_total", "cause" => cause.as_str()).increment(1);
+}
+
+/// A caller left before its answer was whole.
+pub(crate) fn caller_left() {
+    counter!("vanetally_callers_left_total").increment(1);
+}
+
+/// An attempt ended.
+pub(crate) fn attempt_ended(end: AttemptEnd) {
+    counter!("vanetally_attempts_total", "end" => end.as_str()).increment(1);
+}
+
+/// The first piece of an answer came after `seconds` since the request arrived.
+pub(crate) fn first_piece(seconds: f64) {
+    histogram!("vanetally_first_piece_seconds").record(seconds);
+}
+
+/// A whole answer went out after `seconds` since the request arrived.
+pub(crate) fn answered(seconds: f64) {
+    histogram!("vanetally_answer_seconds").record(seconds);
+}
+
+/// A runner answered an order.
+pub(crate) fn ordered(outcome: OrderOutcome) {
+    counter!("vanetally_orders_total", "outcome" => outcome.as_str()).increment(1);
+}
+
+/// A call to the store ended.
+pub(crate) fn store_call(call: &'static str, is_answered: bool) {
+    let outcome = if is_answered { "answered" } else { "failed" };
+    counter!("vanetally_store_calls_total", "call" => call, "outcome" => outcome).increment(1);
+}
+
+/// Figures that are read off now and then.
+pub(crate) fn gauges(counts: Counts, version: Option<u64>, is_ready: bool, is_holder: bool) {
+    gauge!("vanetally_requests_waiting").set(counts.waiting as f64);
+    gauge!("vanetally_requests_open").set(counts.open as f64);
+    gauge!("vanetally_upstreams").set(counts.upstreams as f64);
+    gauge!("vanetally_upstreams_suspect").set(counts.suspects as f64);
+    gauge!("vanetally_configuration_version").set(version.unwrap_or(0) as f64);
+    gauge!("vanetally_ready").set(f64::from(u8::from(is_ready)));
+    gauge!("vanetally_order_holder").set(f64::from(u8::from(is_holder)));
+    gauge!("vanetally_log_lines_dropped").set(crate::logging::dropped() as f64);
+}
--- /dev/null
+++ b/crates/placement/src/ceiling.rs
@@ -0,0 +1,40 @@
+//! How many loads from the weight store may begin within its window.
+
+use std::collections::VecDeque;
+use vanetally_types::Tick;
+
+/// Loads that began, or may yet begin, within a sliding window.
+#[derive(Clone, Debug)]
+pub struct Ceiling {
+    window_ms: u64,
+    most: usize,
+    begun: VecDeque<Tick>,
+}
+
+/// Share of the stated rate that is used, so that late loads find room.
+const SHARE: f64 = 0.9;
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+impl Ceiling {
+    /// A ceiling of `per_second` loads over windows of `window_ms`.
+    ///
+    /// It starts full: an earlier holder may have begun as many just now.
+    pub fn new(now: Tick, per_second: f64, window_ms: u64) -> Self {
+        let most = (per_second * window_ms as f64 / MILLIS_PER_SECOND * SHARE) as usize;
+        let most = most.max(1);
+        Self { window_ms, most, begun: std::iter::repeat_n(now, most).collect() }
+    }
+
+    /// Whether one more may begin beside `unsettled` ones that may begin at any moment.
+    pub fn has_room(&mut self, now: Tick, unsettled: usize) -> bool {
+        while self.begun.front().is_some_and(|at| now.since(*at) > self.window_ms) {
+            self.begun.pop_front();
+        }
+        self.begun.len() + unsettled < self.most
+    }
+
+    /// A load was ordered.
+    pub fn begin(&mut self, now: Tick) {
+        self.begun.push_back(now);
+    }
+}
--- /dev/null
+++ b/crates/placement/src/demand.rs
@@ -0,0 +1,73 @@
+//! How much each model and adapter is asked for.
+
+use crate::DemandSample;
+use std::collections::BTreeMap;
+use vanetally_ports::ModelRef;
+use vanetally_types::{Name, Tick};
+
+/// Requests for one model or adapter.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    /// Requests of the last seconds, older ones counted less.
+    recent: f64,
+    at: Tick,
+    last: Tick,
+}
+
+/// Demand of all models and adapters, from all hosts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DemandTable {
+    models: BTreeMap<(Name, Name), Rate>,
+    adapters: BTreeMap<(Name, ModelRef), Rate>,
+}
+
+/// The time in which a request's count falls to a third, in milliseconds.
+const DECAY_MS: f64 = 3_000.0;
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+impl Rate {
+    fn decayed(&self, now: Tick) -> f64 {
+        self.recent * (-(now.since(self.at) as f64) / DECAY_MS).exp()
+    }
+
+    fn add(&mut self, now: Tick, requests: f64) {
+        self.recent = self.decayed(now) + requests;
+        self.at = now;
+        self.last = now;
+    }
+}
+
+impl DemandTable {
+    pub(crate) fn add(&mut self, now: Tick, sample: &DemandSample) {
+        let requests = f64::from(sample.arrived);
+        self.touch(now, &sample.service, &sample.subject, requests);
+    }
+
+    /// Requests arrived; zero only notes that it is asked for.
+    pub(crate) fn touch(&mut self, now: Tick, service: &Name, subject: &ModelRef, requests: f64) {
+        let model = (service.clone(), subject.model.clone());
+        self.models.entry(model).or_default().add(now, requests);
+        if subject.adapter.is_some() {
+            let adapter = (service.clone(), subject.clone());
+            self.adapters.entry(adapter).or_default().add(now, requests);
+        }
+    }
+
+    /// Requests a second for the model.
+    pub(crate) fn model_rate(&self, now: Tick, service: &Name, model: &Name) -> f64 {
+        let rate = self.models.get(&(service.clone(), model.clone()));
+        rate.map_or(0.0, |rate| rate.decayed(now) * MILLIS_PER_SECOND / DECAY_MS)
+    }
+
+    /// When the model was last asked for.
+    pub(crate) fn model_last(&self, service: &Name, model: &Name) -> Tick {
+        let rate = self.models.get(&(service.clone(), model.clone()));
+        rate.map_or(Tick(0), |rate| rate.last)
+    }
+
+    /// When the adapter was last asked for.
+    pub(crate) fn adapter_last(&self, service: &Name, subject: &ModelRef) -> Tick {
+        let rate = self.adapters.get(&(service.clone(), subject.clone()));
+        rate.map_or(Tick(0), |rate| rate.last)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/event.rs
@@ -0,0 +1,107 @@
+//! What goes into the placement and what comes out.
+
+use std::{net::SocketAddr, rc::Rc};
+use vanetally_ports::{Configuration, ModelRef, Order, OrderOutcome, Report, Revision, UpstreamState};
+use vanetally_types::{Name, Tick};
+
+/// Bounds that the deployment states.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// This host, as runners are told.
+    pub holder: Name,
+    /// Window of the weight store's rate, in milliseconds.
+    pub window_ms: u64,
+}
+
+/// Requests for one model or adapter at one host, since its last sample.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DemandSample {
+    /// The service.
+    pub service: Name,
+    /// What is asked for.
+    pub subject: ModelRef,
+    /// Requests that arrived.
+    pub arrived: u32,
+    /// Tokens of their prompts and answers.
+    pub tokens: u32,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A newer configuration is in force.
+    Configured(Rc<Configuration>),
+    /// A runner announced itself, or changed what it announces.
+    UpstreamSeen {
+        /// Its incarnation.
+        id: Name,
+        /// What it says.
+        state: UpstreamState,
+    },
+    /// A runner's announcement is gone.
+    UpstreamGone {
+        /// Its incarnation.
+        id: Name,
+    },
+    /// A host told what is asked of it.
+    Demand(Vec<DemandSample>),
+    /// A host misses a model or an adapter.
+    Wanted {
+        /// The service.
+        service: Name,
+        /// What is missing.
+        subject: ModelRef,
+    },
+    /// A runner told what it holds.
+    Reported {
+        /// The runner.
+        runner: Name,
+        /// When it was asked.
+        asked: Tick,
+        /// What it said; none if it did not answer.
+        report: Option<Report>,
+    },
+    /// A runner answered an order.
+    Ordered {
+        /// The order.
+        order: Order,
+        /// The answer.
+        outcome: OrderOutcome,
+    },
+    /// The token under which orders may be given now.
+    Token(Option<Revision>),
+    /// Time passed.
+    Tick,
+}
+
+/// What has to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Give an order.
+    Order {
+        /// The order.
+        order: Order,
+        /// Where the runner listens.
+        address: SocketAddr,
+    },
+    /// Ask a runner for its report.
+    AskReport {
+        /// The runner.
+        runner: Name,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Tell all hosts what a runner holds.
+    Announce {
+        /// The runner.
+        runner: Name,
+        /// What it is about.
+        subject: ModelRef,
+        /// Whether it is there.
+        is_present: bool,
+        /// Not before this many milliseconds have passed.
+        delay_ms: u64,
+    },
+    /// A runner has seen a higher token: the tenure is over.
+    Resign,
+}
--- /dev/null
+++ b/crates/placement/src/ledger.rs
@@ -0,0 +1,310 @@
+//! What one runner holds, fetches and may be about to fetch.
+
+use std::collections::{BTreeMap, BTreeSet};
+use vanetally_ports::{EngineSpec, HeldModel, Operation, Order, Report, Subject, UpstreamState};
+use vanetally_types::{Name, Tick};
+
+/// Whether something fits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// It fits.
+    Fits,
+    /// It would fit if something made way.
+    Full,
+    /// It never fits there.
+    Never,
+}
+
+/// Weights on their way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Loading {
+    pub model: Name,
+    /// When they should be there.
+    pub due: Tick,
+}
+
+/// The books of one runner.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    pub(crate) state: UpstreamState,
+    /// Models with their adapters.
+    held: BTreeMap<Name, BTreeSet<Name>>,
+    /// Adapters on their way, or thought to be, with the time of the order.
+    coming: BTreeMap<Subject, Tick>,
+    loading: Option<Loading>,
+    unloading: Option<Loading>,
+    /// Orders taken; none until a report told.
+    count: Option<u64>,
+    /// An order whose answer is not known.
+    pending: Option<(Order, Tick)>,
+    at_hand: BTreeSet<Name>,
+    asked: Option<Tick>,
+    /// Whether a report is needed before the next order.
+    is_doubtful: bool,
+    last_report: Tick,
+}
+
+/// A report that is not answered for this long may be asked again, in milliseconds.
+const REPORT_TIMEOUT_MS: u64 = 1_000;
+/// Least time between two reports, in milliseconds.
+const REPORT_EVERY_MS: u64 = 250;
+/// An adapter's arrival that no report tells of is forgotten after this long, in milliseconds.
+const COMING_MS: u64 = 5_000;
+/// Adapters that may be on their way at once.
+const MOST_COMING: usize = 3;
+/// An order without an answer counts as lost after this long, in milliseconds.
+const ORDER_TIMEOUT_MS: u64 = 1_500;
+
+impl Ledger {
+    /// The books of a runner that announced `state`.
+    pub fn new(state: UpstreamState) -> Self {
+        let mut ledger = Self {
+            held: BTreeMap::new(),
+            coming: BTreeMap::new(),
+            loading: None,
+            unloading: None,
+            count: None,
+            pending: None,
+            at_hand: state.at_hand.iter().cloned().collect(),
+            asked: None,
+            is_doubtful: true,
+            last_report: Tick(0),
+            state,
+        };
+        let models = std::mem::take(&mut ledger.state.models);
+        ledger.set_held(&models);
+        ledger.state.models = models;
+        ledger
+    }
+
+    /// The runner announced itself anew.
+    pub fn announced(&mut self, state: UpstreamState) {
+        // An announcement may be older than orders that were answered since: only one that counts
+        // as many orders is believed.
+        if self.count.is_none_or(|count| state.orders_taken >= count) {
+            if self.count.is_some_and(|count| state.orders_taken > count) {
+                self.is_doubtful = true;
+            }
+            self.set_held(&state.models);
+            self.settle();
+        }
+        if !state.at_hand.is_empty() {
+            self.at_hand = state.at_hand.iter().cloned().collect();
+        }
+        self.state = state;
+    }
+
+    fn set_held(&mut self, models: &[HeldModel]) {
+        let sets = models.iter().map(|held| {
+            (held.name.clone(), held.adapters.iter().cloned().collect::<BTreeSet<_>>())
+        });
+        self.held = sets.collect();
+    }
+
+    /// Drops what has arrived or gone from the lists of what is on its way.
+    fn settle(&mut self) {
+        let held = &self.held;
+        if self.loading.as_ref().is_some_and(|loading| held.contains_key(&loading.model)) {
+            self.loading = None;
+        }
+        if self.unloading.as_ref().is_some_and(|gone| !held.contains_key(&gone.model)) {
+            self.unloading = None;
+        }
+        self.coming.retain(|subject, _| {
+            let adapters = held.get(&subject.model);
+            !adapters.zip(subject.adapter.as_ref()).is_some_and(|(set, name)| set.contains(name))
+        });
+    }
+
+    /// The runner answered the question of `asked`; tells whether the answer was believed.
+    pub fn reported(&mut self, now: Tick, asked: Tick, report: Option<Report>) -> bool {
+        self.asked = None;
+        let Some(report) = report else {
+            return false;
+        };
+        // A report is some time old: one that counts fewer orders than were answered is stale.
+        if self.count.is_some_and(|count| report.orders_taken < count) {
+            return false;
+        }
+        if let Some((order, sent)) = &self.pending {
+            let is_taken = report.orders_taken > order.expected_count;
+            if !is_taken && asked.since(*sent) < ORDER_TIMEOUT_MS {
+                return false;
+            }
+            self.pending = None;
+        }
+        self.count = Some(report.orders_taken);
+        self.set_held(&report.models);
+        self.coming = report.coming.iter().map(|subject| (subject.clone(), now)).collect();
+        if !report.busy {
+            self.loading = None;
+            self.unloading = None;
+        }
+        self.settle();
+        if !report.at_hand.is_empty() {
+            self.at_hand = report.at_hand.iter().cloned().collect();
+        }
+        self.is_doubtful = false;
+        self.last_report = now;
+        true
+    }
+
+    /// Whether a report should be asked for now; notes that it is.
+    pub fn try_ask(&mut self, now: Tick) -> bool {
+        let is_due = self.is_doubtful
+            || self.pending.as_ref().is_some_and(|(_, sent)| now.since(*sent) > ORDER_TIMEOUT_MS)
+            || self.loading.as_ref().is_some_and(|loading| now >= loading.due)
+            || self.unloading.as_ref().is_some_and(|gone| now >= gone.due)
+            || self.coming.values().any(|at| now.since(*at) > COMING_MS);
+        let is_open = self.asked.is_none_or(|at| now.since(at) > REPORT_TIMEOUT_MS);
+        let may_ask = is_due && is_open && now.since(self.last_report) >= REPORT_EVERY_MS;
+        if may_ask {
+            self.asked = Some(now);
+        }
+        may_ask
+    }
+
+    /// The count that the next order has to expect; none while one is open or the books are in
+    /// doubt.
+    pub fn next_count(&self) -> Option<u64> {
+        let is_clear = self.pending.is_none() && !self.is_doubtful && !self.state.draining;
+        self.count.filter(|_| is_clear)
+    }
+
+    /// Whether weights are on their way in or out.
+    pub fn is_busy(&self) -> bool {
+        self.loading.is_some() || self.unloading.is_some()
+    }
+
+    /// An order goes out.
+    pub fn order_sent(&mut self, now: Tick, order: Order) {
+        self.pending = Some((order, now));
+    }
+
+    /// The order was taken; `takes_ms` is how long it should take.
+    pub fn order_taken(&mut self, now: Tick, order: &Order, takes_ms: u64) {
+        self.close(order);
+        self.count = Some(order.expected_count + 1);
+        let due = now + takes_ms;
+        let model = order.subject.model.clone();
+        match (order.operation, &order.subject.adapter) {
+            (Operation::Load, None) => self.loading = Some(Loading { model, due }),
+            (Operation::Unload, None) => self.unloading = Some(Loading { model, due }),
+            (Operation::Load, Some(_)) => {
+                self.coming.insert(order.subject.clone(), now);
+            }
+            (Operation::Unload, Some(adapter)) => {
+                if let Some(adapters) = self.held.get_mut(&model) {
+                    adapters.remove(adapter);
+                }
+            }
+        }
+    }
+
+    /// An adapter should have arrived by now.
+    pub fn adapter_due(&mut self, subject: &Subject) {
+        if self.coming.remove(subject).is_some()
+            && let (Some(adapters), Some(adapter)) =
+                (self.held.get_mut(&subject.model), &subject.adapter)
+        {
+            adapters.insert(adapter.clone());
+        }
+    }
+
+    /// The order was not taken, and never will be.
+    pub fn order_refused(&mut self, order: &Order) {
+        self.close(order);
+        self.is_doubtful = true;
+    }
+
+    fn close(&mut self, order: &Order) {
+        if self.pending.as_ref().is_some_and(|(open, _)| open == order) {
+            self.pending = None;
+        }
+    }
+
+    /// The order was not answered: the next report settles it.
+    pub fn order_unknown(&mut self) {
+        self.is_doubtful = true;
+    }
+
+    /// Whether the runner holds the model's weights, and keeps them.
+    pub fn holds_model(&self, model: &Name) -> bool {
+        let leaves = self.unloading.as_ref().is_some_and(|gone| gone.model == *model);
+        self.held.contains_key(model) && !leaves
+    }
+
+    /// Whether the runner holds the model or is getting it.
+    pub fn will_hold(&self, model: &Name) -> bool {
+        self.holds_model(model) || self.loading.as_ref().is_some_and(|l| l.model == *model)
+    }
+
+    /// Whether the adapter is there or on its way.
+    pub fn will_hold_adapter(&self, subject: &Subject) -> bool {
+        let held = self.held.get(&subject.model).zip(subject.adapter.as_ref());
+        held.is_some_and(|(set, name)| set.contains(name)) || self.coming.contains_key(subject)
+    }
+
+    /// Models that are there or on their way.
+    pub fn models(&self) -> impl Iterator<Item = &Name> {
+        let loading = self.loading.as_ref().map(|loading| &loading.model);
+        self.held.keys().chain(loading.filter(|model| !self.held.contains_key(*model)))
+    }
+
+    /// Adapters that are there.
+    pub fn adapters(&self) -> impl Iterator<Item = Subject> + '_ {
+        self.held.iter().flat_map(|(model, adapters)| {
+            let subject = |adapter: &Name| Subject {
+                model: model.clone(),
+                adapter: Some(adapter.clone()),
+            };
+            adapters.iter().map(subject)
+        })
+    }
+
+    /// Whether the runner has a copy of the weights of its own.
+    pub fn has_at_hand(&self, model: &Name) -> bool {
+        self.at_hand.contains(model)
+    }
+
+    /// Whether the model's weights fit beside all that is there or on its way.
+    pub fn room_for_model(&self, engine: &EngineSpec, model: &Name) -> Room {
+        let Some(spec) = engine.models.get(model) else {
+            return Room::Never;
+        };
+        let size = |name: &Name| {
+            // What the configuration does not know may be of any size: nothing goes beside it.
+            engine.models.get(name).map_or(engine.weights_mb, |spec| spec.weights_mb)
+        };
+        let largest = engine.models.values().map(|spec| spec.adapter_mb).fold(0.0, f64::max);
+        let reserve = largest * f64::from(engine.max_adapters);
+        if spec.weights_mb + reserve > engine.weights_mb {
+            return Room::Never;
+        }
+        let taken: f64 = self.models().map(size).sum();
+        let fits = taken + reserve + spec.weights_mb <= engine.weights_mb;
+        if fits { Room::Fits } else { Room::Full }
+    }
+
+    /// Whether one more adapter fits beside all that are there or on their way.
+    pub fn room_for_adapter(&self, engine: &EngineSpec) -> Room {
+        let taken = self.adapters().count() + self.coming.len();
+        match (taken < engine.max_adapters as usize, self.coming.len() < MOST_COMING) {
+            (true, true) => Room::Fits,
+            (_, true) => Room::Full,
+            (_, false) => Room::Never,
+        }
+    }
+
+    /// How many adapters are there or on their way.
+    pub fn adapter_count(&self) -> usize {
+        self.adapters().count() + self.coming.len()
+    }
+
+    /// Whether a load of the model may be open at this runner without an answer.
+    pub(crate) fn has_open_load(&self) -> bool {
+        self.pending.as_ref().is_some_and(|(order, _)| {
+            order.operation == Operation::Load && order.subject.adapter.is_none()
+        })
+    }
+}
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,19 @@
+//! Which runner holds which models and adapters, decided by one holder of a lease at a time.
+//!
+//! [`Tenure`] says whether this host may give orders; [`Placement`] decides which. Both are state
+//! machines: `handle(now, event) -> actions`, without clock, socket or random source.
+#![deny(missing_docs, unsafe_code)]
+
+mod ceiling;
+mod demand;
+mod event;
+mod ledger;
+mod machine;
+mod plan;
+mod tenure;
+
+pub use ceiling::Ceiling;
+pub use event::{Action, DemandSample, Event, Options};
+pub use ledger::{Ledger, Room};
+pub use machine::Placement;
+pub use tenure::{Tenure, TenureAction, TenureEvent, TenureOptions};
--- /dev/null
+++ b/crates/placement/src/machine.rs
@@ -0,0 +1,421 @@
+//! The state machine of the holder of orders.
+
+use crate::{
+    Action, Ceiling, Event, Ledger, Options, Room,
+    demand::DemandTable,
+    plan::{Step, View},
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+};
+use vanetally_ports::{
+    Configuration, EngineSpec, ModelRef, Operation, Order, OrderOutcome, Revision, Subject,
+    UpstreamState,
+};
+use vanetally_types::{Name, Tick};
+
+/// Knows all runners; gives orders while it has a token.
+pub struct Placement {
+    options: Options,
+    configuration: Option<Rc<Configuration>>,
+    ledgers: BTreeMap<Name, Ledger>,
+    demand: DemandTable,
+    token: Option<Revision>,
+    ceilings: HashMap<Name, Ceiling>,
+    wanted: BTreeMap<(Name, ModelRef), Tick>,
+    /// Weights that get no new requests, and since when.
+    closing: BTreeMap<(Name, Subject), Tick>,
+    /// Adapters that should have arrived.
+    arrivals: Vec<(Tick, Name, Subject)>,
+}
+
+/// Something wanted is forgotten if it is not asked for again, in milliseconds.
+const WANTED_MS: u64 = 1_000;
+/// Between telling all hosts that weights go and the order, in milliseconds.
+const CLOSING_MS: u64 = 150;
+/// Least idle time of an adapter that makes way, in milliseconds.
+const ADAPTER_IDLE_MS: u64 = 1_000;
+/// An adapter's way, in milliseconds: a part that is always there and one for each megabyte.
+const ADAPTER_BASE_MS: f64 = 20.0;
+const ADAPTER_PER_MB_MS: f64 = 0.7;
+/// An unload waits for its runs; a report is asked for after this long, in milliseconds.
+const UNLOAD_MS: u64 = 400;
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+impl Placement {
+    /// Nothing is known yet.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            configuration: None,
+            ledgers: BTreeMap::new(),
+            demand: DemandTable::default(),
+            token: None,
+            ceilings: HashMap::new(),
+            wanted: BTreeMap::new(),
+            closing: BTreeMap::new(),
+            arrivals: Vec::new(),
+        }
+    }
+
+    /// Takes in what happened; tells what has to be done.
+    pub fn handle(&mut self, now: Tick, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Configured(configuration) => self.configure(configuration),
+            Event::UpstreamSeen { id, state } => self.upstream_seen(id, state),
+            Event::UpstreamGone { id } => {
+                self.ledgers.remove(&id);
+                self.closing.retain(|(runner, _), _| *runner != id);
+            }
+            Event::Demand(samples) => {
+                samples.iter().for_each(|sample| self.demand.add(now, sample));
+            }
+            Event::Wanted { service, subject } => {
+                self.demand.touch(now, &service, &subject, 0.0);
+                self.wanted.insert((service, subject), now);
+                self.order_all(now, &mut actions);
+            }
+            Event::Reported { runner, asked, report } => {
+                if let Some(ledger) = self.ledgers.get_mut(&runner)
+                    && ledger.reported(now, asked, report)
+                {
+                    self.order_all(now, &mut actions);
+                }
+            }
+            Event::Ordered { order, outcome } => self.ordered(now, &order, outcome, &mut actions),
+            Event::Token(token) => self.set_token(now, token),
+            Event::Tick => self.tick(now, &mut actions),
+        }
+        actions
+    }
+
+    fn configure(&mut self, configuration: Rc<Configuration>) {
+        let version = self.configuration.as_ref().map(|c| c.version);
+        if version.is_none_or(|version| version < configuration.version) {
+            self.configuration = Some(configuration);
+        }
+    }
+
+    fn upstream_seen(&mut self, id: Name, state: UpstreamState) {
+        match self.ledgers.get_mut(&id) {
+            Some(ledger) => ledger.announced(state),
+            None => {
+                self.ledgers.insert(id, Ledger::new(state));
+            }
+        }
+    }
+
+    fn set_token(&mut self, now: Tick, token: Option<Revision>) {
+        if token == self.token {
+            return;
+        }
+        self.token = token;
+        self.closing.clear();
+        // An earlier holder may have begun loads: the ceiling starts full, the books in doubt.
+        self.ceilings.clear();
+        let _ = now;
+        for ledger in self.ledgers.values_mut() {
+            *ledger = Ledger::new(ledger.state.clone());
+        }
+    }
+
+    fn tick(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        self.wanted.retain(|_, at| now.since(*at) < WANTED_MS);
+        let arrivals = std::mem::take(&mut self.arrivals);
+        for (due, runner, subject) in arrivals {
+            if now < due {
+                self.arrivals.push((due, runner, subject));
+            } else if let Some(ledger) = self.ledgers.get_mut(&runner) {
+                ledger.adapter_due(&subject);
+            }
+        }
+        if self.token.is_none() {
+            return;
+        }
+        self.ask_reports(now, actions);
+        self.order_all(now, actions);
+    }
+
+    fn ask_reports(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        let Some(configuration) = &self.configuration else {
+            return;
+        };
+        for (runner, ledger) in &mut self.ledgers {
+            let service = configuration.services.get(&ledger.state.service);
+            let is_engine = service.is_some_and(|service| service.engine.is_some());
+            if is_engine && !ledger.state.draining && ledger.try_ask(now) {
+                let address = ledger.state.address;
+                actions.push(Action::AskReport { runner: runner.clone(), address });
+            }
+        }
+    }
+
+    fn order_all(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        let (Some(token), Some(configuration)) = (self.token, self.configuration.clone()) else {
+            return;
+        };
+        self.order_closed(now, token, actions);
+        for (name, service) in &configuration.services {
+            if let Some(engine) = &service.engine {
+                self.order_adapters(now, token, name, engine, actions);
+                self.order_weights(now, token, name, engine, actions);
+            }
+        }
+    }
+
+    /// Orders the unloads that were told to all hosts long enough ago.
+    fn order_closed(&mut self, now: Tick, token: Revision, actions: &mut Vec<Action>) {
+        let due = self.closing.iter().filter(|(_, since)| now.since(**since) >= CLOSING_MS);
+        let due: Vec<(Name, Subject)> = due.map(|(key, _)| key.clone()).collect();
+        for (runner, subject) in due {
+            let is_open = self.ledgers.get(&runner).is_some_and(|ledger| {
+                ledger.next_count().is_some() && !ledger.is_busy()
+            });
+            if is_open {
+                self.closing.remove(&(runner.clone(), subject.clone()));
+                self.order(now, token, &runner, Operation::Unload, subject, actions);
+            }
+        }
+    }
+
+    /// Orders adapters that hosts miss.
+    fn order_adapters(
+        &mut self,
+        now: Tick,
+        token: Revision,
+        service: &Name,
+        engine: &EngineSpec,
+        actions: &mut Vec<Action>,
+    ) {
+        let missing = self.wanted.keys().filter(|(of, _)| of == service);
+        let missing: Vec<Subject> = missing
+            .filter_map(|(_, subject)| {
+                let adapter = Some(subject.adapter.clone()?);
+                Some(Subject { model: subject.model.clone(), adapter })
+            })
+            .collect();
+        for subject in missing {
+            if self.is_somewhere(service, &subject) {
+                continue;
+            }
+            if let Some(runner) = self.runner_for_adapter(service, engine, &subject, Room::Fits) {
+                self.order(now, token, &runner, Operation::Load, subject, actions);
+            } else if let Some(runner) =
+                self.runner_for_adapter(service, engine, &subject, Room::Full)
+                && let Some(victim) = self.idle_adapter(now, service, &runner)
+            {
+                self.order(now, token, &runner, Operation::Unload, victim, actions);
+            }
+        }
+    }
+
+    fn is_somewhere(&self, service: &Name, subject: &Subject) -> bool {
+        self.ledgers.values().any(|ledger| {
+            ledger.state.service == *service
+                && !ledger.state.draining
+                && ledger.will_hold_adapter(subject)
+        })
+    }
+
+    /// The runner with the fewest adapters among those that hold the model.
+    fn runner_for_adapter(
+        &self,
+        service: &Name,
+        engine: &EngineSpec,
+        subject: &Subject,
+        room: Room,
+    ) -> Option<Name> {
+        let fitting = self.ledgers.iter().filter(|(runner, ledger)| {
+            let closing = Subject { model: subject.model.clone(), adapter: None };
+            ledger.state.service == *service
+                && ledger.holds_model(&subject.model)
+                && ledger.next_count().is_some()
+                && ledger.room_for_adapter(engine) == room
+                && !self.closing.contains_key(&((*runner).clone(), closing))
+        });
+        let least = fitting.min_by_key(|(runner, ledger)| {
+            (ledger.adapter_count(), vanetally_types::hash64(runner.as_bytes()))
+        });
+        least.map(|(runner, _)| runner.clone())
+    }
+
+    /// The adapter of the runner that was not asked for the longest.
+    fn idle_adapter(&self, now: Tick, service: &Name, runner: &Name) -> Option<Subject> {
+        let last = |subject: &Subject| {
+            let key = ModelRef { model: subject.model.clone(), adapter: subject.adapter.clone() };
+            self.demand.adapter_last(service, &key)
+        };
+        let ledger = self.ledgers.get(runner)?;
+        let oldest = ledger.adapters().min_by_key(|subject| last(subject))?;
+        (now.since(last(&oldest)) > ADAPTER_IDLE_MS).then_some(oldest)
+    }
+
+    fn order_weights(
+        &mut self,
+        now: Tick,
+        token: Revision,
+        service: &Name,
+        engine: &EngineSpec,
+        actions: &mut Vec<Action>,
+    ) {
+        let window = self.options.window_ms;
+        loop {
+            let unsettled = self.ledgers.values().filter(|l| l.has_open_load()).count();
+            let ceiling = self.ceilings.entry(service.clone());
+            let ceiling = ceiling.or_insert_with(|| Ceiling::new(now, engine.loads_per_s, window));
+            let store_has_room = ceiling.has_room(now, unsettled);
+            let view = View {
+                now,
+                service,
+                engine,
+                demand: &self.demand,
+                ledgers: &self.ledgers,
+            };
+            let Some(step) = view.next(store_has_room) else {
+                return;
+            };
+            if !self.take_step(now, token, service, step, actions) {
+                return;
+            }
+        }
+    }
+
+    /// Carries a step out, or begins to; tells whether another one may follow at once.
+    fn take_step(
+        &mut self,
+        now: Tick,
+        token: Revision,
+        service: &Name,
+        step: Step,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        if step.operation == Operation::Unload {
+            let key = (step.runner.clone(), step.subject.clone());
+            if self.closing.contains_key(&key) {
+                return false;
+            }
+            self.closing.insert(key, now);
+            actions.push(announce(&step.runner, &step.subject, false, 0));
+            return false;
+        }
+        if step.from_store
+            && let Some(ceiling) = self.ceilings.get_mut(service)
+        {
+            ceiling.begin(now);
+        }
+        self.order(now, token, &step.runner, Operation::Load, step.subject, actions);
+        true
+    }
+
+    fn order(
+        &mut self,
+        now: Tick,
+        token: Revision,
+        runner: &Name,
+        operation: Operation,
+        subject: Subject,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(ledger) = self.ledgers.get_mut(runner) else {
+            return;
+        };
+        let Some(expected_count) = ledger.next_count() else {
+            return;
+        };
+        let order = Order {
+            runner: runner.clone(),
+            operation,
+            subject,
+            expected_count,
+            holder: self.options.holder.clone(),
+            token: token.0,
+        };
+        ledger.order_sent(now, order.clone());
+        if operation == Operation::Unload && order.subject.adapter.is_some() {
+            actions.push(announce(runner, &order.subject, false, 0));
+        }
+        actions.push(Action::Order { order, address: ledger.state.address });
+    }
+
+    fn ordered(
+        &mut self,
+        now: Tick,
+        order: &Order,
+        outcome: OrderOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        let takes_ms = self.takes_ms(order);
+        let Some(ledger) = self.ledgers.get_mut(&order.runner) else {
+            return;
+        };
+        match outcome {
+            OrderOutcome::Accepted => {
+                ledger.order_taken(now, order, takes_ms);
+                self.accepted(now, order, takes_ms, actions);
+            }
+            // Whether such an answer counts as an order taken is for the next report to tell.
+            OrderOutcome::Already => {
+                ledger.order_taken(now, order, 0);
+                ledger.order_unknown();
+                let is_present = order.operation == Operation::Load;
+                actions.push(announce(&order.runner, &order.subject, is_present, 0));
+            }
+            OrderOutcome::Conflict | OrderOutcome::WrongRunner | OrderOutcome::Invalid => {
+                ledger.order_refused(order);
+            }
+            OrderOutcome::NotSent => ledger.order_refused(order),
+            OrderOutcome::Unknown => ledger.order_unknown(),
+            OrderOutcome::Fenced => {
+                ledger.order_refused(order);
+                self.token = None;
+                actions.push(Action::Resign);
+            }
+        }
+        self.order_all(now, actions);
+    }
+
+    fn accepted(
+        &mut self,
+        now: Tick,
+        order: &Order,
+        takes_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if order.subject.adapter.is_none() {
+            return;
+        }
+        if order.operation == Operation::Load {
+            let arrival = (now + takes_ms, order.runner.clone(), order.subject.clone());
+            self.arrivals.push(arrival);
+            actions.push(announce(&order.runner, &order.subject, true, takes_ms));
+        }
+    }
+
+    /// How long the order should take, in milliseconds.
+    fn takes_ms(&self, order: &Order) -> u64 {
+        let ledger = self.ledgers.get(&order.runner);
+        let service = ledger.map(|ledger| &ledger.state.service);
+        let services = self.configuration.as_ref().map(|c| &c.services);
+        let service = service.and_then(|name| services?.get(name));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let Some(spec) = engine.and_then(|engine| engine.models.get(&order.subject.model)) else {
+            return UNLOAD_MS;
+        };
+        let is_near = ledger.is_some_and(|ledger| ledger.has_at_hand(&order.subject.model));
+        match (order.operation, &order.subject.adapter) {
+            (Operation::Load, Some(_)) => {
+                (ADAPTER_BASE_MS + ADAPTER_PER_MB_MS * spec.adapter_mb) as u64
+            }
+            (Operation::Load, None) if is_near => (spec.warm_s * MILLIS_PER_SECOND) as u64,
+            (Operation::Load, None) => (spec.load_s * MILLIS_PER_SECOND) as u64,
+            (Operation::Unload, _) => UNLOAD_MS,
+        }
+    }
+}
+
+fn announce(runner: &Name, subject: &Subject, is_present: bool, delay_ms: u64) -> Action {
+    let subject = ModelRef { model: subject.model.clone(), adapter: subject.adapter.clone() };
+    Action::Announce { runner: runner.clone(), subject, is_present, delay_ms }
+}
--- /dev/null
+++ b/crates/placement/src/tenure.rs
@@ -0,0 +1,258 @@
+//! The lease of the one host that gives orders.
+//!
+//! The holder's key lies in the store under a lease. Its fencing token is the revision at which
+//! the key was made, so that a later holder's token is always higher. A holder acts only while its
+//! last renewal, counted from when it was sent, still covers the moment.
+
+use vanetally_ports::{LeaseId, Revision};
+use vanetally_types::{Name, Tick};
+
+/// Lengths of a tenure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TenureOptions {
+    /// How long the store keeps the key after the last renewal, in milliseconds.
+    pub ttl_ms: u64,
+    /// How long a new holder waits before its first order, in milliseconds.
+    pub settle_ms: u64,
+}
+
+/// Something that happened to the tenure.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TenureEvent {
+    /// The store tells who holds the key now.
+    HolderSeen(Option<Name>),
+    /// The store can't be asked: what it told before may be old.
+    StoreLost,
+    /// A lease was granted; the call was sent at `sent`.
+    Granted {
+        /// When the call was sent.
+        sent: Tick,
+        /// The lease.
+        lease: LeaseId,
+        /// How long it lasts, in milliseconds.
+        ttl_ms: u64,
+    },
+    /// No lease was granted.
+    GrantFailed,
+    /// The key was written under the lease.
+    Taken(Revision),
+    /// The key was not written, or it is not known.
+    NotTaken,
+    /// The lease was renewed; the call was sent at `sent`.
+    Renewed {
+        /// When the call was sent.
+        sent: Tick,
+    },
+    /// The renewal was not answered.
+    RenewFailed,
+    /// The lease is over.
+    LeaseOver,
+    /// A runner has seen a higher token.
+    Fenced,
+    /// The host stops.
+    Stop,
+    /// Time passed.
+    Tick,
+}
+
+/// A call to the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TenureAction {
+    /// Ask for a lease.
+    Grant {
+        /// Its length in milliseconds.
+        ttl_ms: u64,
+    },
+    /// Write the key under the lease, if nobody holds it.
+    Take {
+        /// The lease.
+        lease: LeaseId,
+    },
+    /// Renew the lease.
+    Renew {
+        /// The lease.
+        lease: LeaseId,
+    },
+    /// End the lease.
+    End {
+        /// The lease.
+        lease: LeaseId,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum State {
+    Following,
+    Granting,
+    Taking { lease: LeaseId, covered: Tick },
+    Holding(Holding),
+    Stopped,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Holding {
+    lease: LeaseId,
+    token: Revision,
+    since: Tick,
+    /// Until when the last answered renewal covers.
+    covered: Tick,
+    /// When the next renewal is due; none while one is under way.
+    renew_at: Option<Tick>,
+}
+
+/// Whether this host is the holder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tenure {
+    options: TenureOptions,
+    state: State,
+    /// Who holds the key, as far as the store told; `None` until it did.
+    holder: Option<Option<Name>>,
+    next_try: Tick,
+    /// Order among the hosts that may try; the first tries at once.
+    rank: u64,
+}
+
+/// Renewals in one length of a lease.
+const RENEWALS: u64 = 4;
+/// Part of a lease's length that is kept back from its end.
+const MARGIN: u64 = 5;
+/// After a failed try, the next one waits this long, in milliseconds.
+const RETRY_MS: u64 = 300;
+/// Between the tries of two hosts, in milliseconds.
+const RANK_MS: u64 = 40;
+
+impl Tenure {
+    /// Nothing is known yet.
+    pub fn new(options: TenureOptions) -> Self {
+        Self { options, state: State::Following, holder: None, next_try: Tick(0), rank: 0 }
+    }
+
+    /// Sets how many other hosts try before this one.
+    pub fn set_rank(&mut self, rank: usize) {
+        self.rank = rank as u64;
+    }
+
+    /// The token under which orders may be given now.
+    pub fn token(&self, now: Tick) -> Option<Revision> {
+        match &self.state {
+            State::Holding(holding) => {
+                let is_settled = now >= holding.since + self.options.settle_ms;
+                (is_settled && now < holding.covered).then_some(holding.token)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether the key is held, settled or not.
+    pub fn is_holding(&self, now: Tick) -> bool {
+        matches!(&self.state, State::Holding(holding) if now < holding.covered)
+    }
+
+    /// Takes in what happened; tells which calls to make.
+    pub fn handle(&mut self, now: Tick, event: TenureEvent) -> Vec<TenureAction> {
+        match event {
+            TenureEvent::HolderSeen(holder) => self.holder_seen(now, holder),
+            TenureEvent::StoreLost => self.holder = None,
+            TenureEvent::Granted { sent, lease, ttl_ms } => {
+                return self.granted(sent, lease, ttl_ms);
+            }
+            TenureEvent::GrantFailed => self.retry_later(now),
+            TenureEvent::Taken(token) => self.taken(now, token),
+            TenureEvent::NotTaken | TenureEvent::LeaseOver | TenureEvent::Fenced => {
+                return self.leave(now);
+            }
+            TenureEvent::Renewed { sent } => self.renewed(sent),
+            TenureEvent::RenewFailed => self.renew_again(now),
+            TenureEvent::Stop => {
+                let actions = self.leave(now);
+                self.state = State::Stopped;
+                return actions;
+            }
+            TenureEvent::Tick => return self.tick(now),
+        }
+        Vec::new()
+    }
+
+    fn holder_seen(&mut self, now: Tick, holder: Option<Name>) {
+        let was_held = !matches!(self.holder, Some(None));
+        if holder.is_none() && was_held {
+            self.next_try = self.next_try.max(now + self.rank * RANK_MS);
+        }
+        self.holder = Some(holder);
+    }
+
+    fn granted(&mut self, sent: Tick, lease: LeaseId, ttl_ms: u64) -> Vec<TenureAction> {
+        if self.state != State::Granting {
+            return vec![TenureAction::End { lease }];
+        }
+        self.options.ttl_ms = ttl_ms;
+        self.state = State::Taking { lease, covered: self.covered_from(sent) };
+        vec![TenureAction::Take { lease }]
+    }
+
+    fn covered_from(&self, sent: Tick) -> Tick {
+        let ttl = self.options.ttl_ms;
+        sent + (ttl - ttl / MARGIN)
+    }
+
+    fn taken(&mut self, now: Tick, token: Revision) {
+        let State::Taking { lease, covered } = self.state else {
+            return;
+        };
+        let renew_at = Some(now);
+        self.state = State::Holding(Holding { lease, token, since: now, covered, renew_at });
+    }
+
+    fn renewed(&mut self, sent: Tick) {
+        let covered = self.covered_from(sent);
+        let period = self.options.ttl_ms / RENEWALS;
+        if let State::Holding(holding) = &mut self.state {
+            holding.covered = holding.covered.max(covered);
+            holding.renew_at = Some(sent + period);
+        }
+    }
+
+    fn renew_again(&mut self, now: Tick) {
+        let period = self.options.ttl_ms / (RENEWALS * 2);
+        if let State::Holding(holding) = &mut self.state {
+            holding.renew_at = Some(now + period);
+        }
+    }
+
+    fn retry_later(&mut self, now: Tick) {
+        if self.state == State::Granting {
+            self.state = State::Following;
+        }
+        self.next_try = now + RETRY_MS;
+    }
+
+    /// Gives up what is held or tried.
+    fn leave(&mut self, now: Tick) -> Vec<TenureAction> {
+        self.next_try = now + RETRY_MS + self.rank * RANK_MS;
+        match std::mem::replace(&mut self.state, State::Following) {
+            State::Taking { lease, .. } | State::Holding(Holding { lease, .. }) => {
+                vec![TenureAction::End { lease }]
+            }
+            State::Stopped => {
+                self.state = State::Stopped;
+                Vec::new()
+            }
+            State::Following | State::Granting => Vec::new(),
+        }
+    }
+
+    fn tick(&mut self, now: Tick) -> Vec<TenureAction> {
+        match &mut self.state {
+            State::Following if self.holder == Some(None) && now >= self.next_try => {
+                self.state = State::Granting;
+                vec![TenureAction::Grant { ttl_ms: self.options.ttl_ms }]
+            }
+            State::Holding(holding) if now >= holding.covered => self.leave(now),
+            State::Holding(holding) if holding.renew_at.is_some_and(|at| now >= at) => {
+                holding.renew_at = None;
+                vec![TenureAction::Renew { lease: holding.lease }]
+            }
+            _ => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ports/src/engine.rs
@@ -0,0 +1,160 @@
+//! Reports of runners and orders to them.
+
+use crate::{FormatError, upstream::HeldModel};
+use bytes::Bytes;
+use vanetally_types::Name;
+
+/// What an order is about.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Subject {
+    /// The model.
+    pub model: Name,
+    /// An adapter of it; none for the weights themselves.
+    pub adapter: Option<Name>,
+}
+
+/// What a runner is told to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Operation {
+    /// Hold it.
+    Load,
+    /// Hold it no more.
+    Unload,
+}
+
+impl Operation {
+    /// The word for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Load => "load",
+            Self::Unload => "unload",
+        }
+    }
+}
+
+/// One order to one runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The runner's incarnation.
+    pub runner: Name,
+    /// What to do.
+    pub operation: Operation,
+    /// With what.
+    pub subject: Subject,
+    /// Orders that the runner has taken before this one.
+    pub expected_count: u64,
+    /// Name of the process that gives it.
+    pub holder: Name,
+    /// Its fencing token.
+    pub token: u64,
+}
+
+/// How a runner answered an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It is being carried out.
+    Accepted,
+    /// The runner holds it already.
+    Already,
+    /// Another order is under way, or the count differs.
+    Conflict,
+    /// A higher fencing token was seen.
+    Fenced,
+    /// Another incarnation answered.
+    WrongRunner,
+    /// The order makes no sense there.
+    Invalid,
+    /// No answer: it may have been taken, or may be taken later.
+    Unknown,
+    /// It was not sent.
+    NotSent,
+}
+
+impl OrderOutcome {
+    /// The word for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Already => "already",
+            Self::Conflict => "conflict",
+            Self::Fenced => "fenced",
+            Self::WrongRunner => "wrong_runner",
+            Self::Invalid => "invalid",
+            Self::Unknown => "unknown",
+            Self::NotSent => "not_sent",
+        }
+    }
+}
+
+/// What a runner says of itself when asked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Models with their adapters.
+    pub models: Vec<HeldModel>,
+    /// Adapters on their way.
+    pub coming: Vec<Subject>,
+    /// Whether an order is under way.
+    pub busy: bool,
+    /// Orders taken.
+    pub orders_taken: u64,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that run there.
+    pub running: u32,
+    /// Models of which it has a copy in its own memory or on its disk.
+    pub at_hand: Vec<Name>,
+}
+
+/// What an attempt states beside the caller's own headers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptHead {
+    /// The incarnation that has to answer.
+    pub instance: Name,
+    /// Milliseconds left.
+    pub deadline_ms: u64,
+    /// Rank at the runner; 0 is the most urgent.
+    pub priority: u8,
+    /// Where a broken stream goes on.
+    pub resume_after: Option<Name>,
+}
+
+/// What the head of an upstream's answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerKind {
+    /// A success that carries the upstream's signature.
+    Success,
+    /// A success that lacks it: not to be passed on.
+    Unsigned,
+    /// A failure of a request that ran.
+    Failure,
+    /// The request did not run: the upstream is full.
+    Full,
+    /// The request did not run: what it asks for isn't there, or another incarnation answered.
+    Absent,
+    /// The answer belongs to another request.
+    Foreign,
+}
+
+/// What engines and services speak.
+pub trait EngineProtocol {
+    /// Sets what an attempt states beside the caller's own headers.
+    fn prepare(&self, headers: &mut http::HeaderMap, attempt: &AttemptHead);
+
+    /// Judges the head of the answer to the request `id`.
+    fn judge(&self, head: &http::response::Parts, id: &Name) -> AnswerKind;
+
+    /// The call that asks a runner for its report.
+    fn report_request(&self) -> http::Request<Bytes>;
+
+    /// Reads a report.
+    ///
+    /// # Errors
+    /// If the bytes are no report.
+    fn read_report(&self, body: &[u8]) -> Result<Report, FormatError>;
+
+    /// The call that gives an order.
+    fn order_request(&self, order: &Order) -> http::Request<Bytes>;
+
+    /// Judges the answer to an order.
+    fn judge_order(&self, status: http::StatusCode) -> OrderOutcome;
+}
--- /dev/null
+++ b/crates/ports/src/store.rs
@@ -0,0 +1,167 @@
+//! The key-value store of the deployment.
+
+use crate::FormatError;
+use bytes::Bytes;
+use vanetally_types::Name;
+
+/// Number of a change in the store; 0 is before the first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Revision(pub u64);
+
+/// A lease that the store granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct LeaseId(pub u64);
+
+/// One key with its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// The key.
+    pub key: Name,
+    /// The value.
+    pub value: Bytes,
+    /// Its last change.
+    pub revision: Revision,
+}
+
+/// Some keys of a prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Page {
+    /// The keys, in order.
+    pub items: Vec<Item>,
+    /// Whether more follow after the last.
+    pub more: bool,
+    /// The store's revision when it answered.
+    pub at: Revision,
+}
+
+/// One change of a watched prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A key was written.
+    Put(Item),
+    /// A key went.
+    Gone {
+        /// The key.
+        key: Name,
+        /// When it went.
+        revision: Revision,
+    },
+}
+
+/// How a watch was answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WatchAnswer {
+    /// Changes, oldest first.
+    Changes {
+        /// What changed.
+        changes: Vec<Change>,
+        /// Where the next watch goes on.
+        at: Revision,
+    },
+    /// The changes since then are forgotten: read anew.
+    HistoryGone,
+}
+
+/// A key that must not have changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Expectation {
+    /// The key.
+    pub key: Name,
+    /// Its last change; 0 if it must not exist.
+    pub revision: Revision,
+}
+
+/// A key to be written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// The key.
+    pub key: Name,
+    /// Its value.
+    pub value: Bytes,
+    /// The lease that it goes with.
+    pub lease: Option<LeaseId>,
+}
+
+/// Writes that happen together, if all expectations hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// What must hold.
+    pub expect: Vec<Expectation>,
+    /// What is written.
+    pub put: Vec<Write>,
+    /// What is removed.
+    pub remove: Vec<Name>,
+}
+
+/// How the store answered a writing call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreAnswer<T> {
+    /// Done.
+    Done(T),
+    /// Not done: an expectation does not hold.
+    Unmet,
+    /// Not done: there is no such lease.
+    NoLease,
+    /// Not done: the store refuses calls for now.
+    Busy,
+}
+
+/// What the store speaks.
+pub trait StoreProtocol {
+    /// The call that reads one page of the keys that begin with `prefix`, after the key `after`.
+    fn range(&self, prefix: &str, after: Option<&str>) -> http::Request<Bytes>;
+
+    /// Reads the answer to a range.
+    ///
+    /// # Errors
+    /// If the bytes are no page.
+    fn read_range(&self, body: &[u8]) -> Result<Page, FormatError>;
+
+    /// The call that waits for changes of the keys that begin with `prefix`, after `after`.
+    fn watch(&self, prefix: &str, after: Revision, wait_ms: u64) -> http::Request<Bytes>;
+
+    /// Reads the answer to a watch; `None` if the store refuses calls for now.
+    ///
+    /// # Errors
+    /// If the bytes are no changes.
+    fn read_watch(
+        &self,
+        status: http::StatusCode,
+        body: &[u8],
+    ) -> Result<Option<WatchAnswer>, FormatError>;
+
+    /// The call that writes.
+    fn transaction(&self, transaction: &Transaction) -> http::Request<Bytes>;
+
+    /// Reads the answer to a transaction: its revision.
+    ///
+    /// # Errors
+    /// If the answer makes no sense.
+    fn read_transaction(
+        &self,
+        status: http::StatusCode,
+        body: &[u8],
+    ) -> Result<StoreAnswer<Revision>, FormatError>;
+
+    /// The call that asks for a lease.
+    fn grant(&self, ttl_ms: u64) -> http::Request<Bytes>;
+
+    /// Reads the answer to a grant: the lease and the milliseconds that hold.
+    ///
+    /// # Errors
+    /// If the answer makes no sense.
+    fn read_grant(
+        &self,
+        status: http::StatusCode,
+        body: &[u8],
+    ) -> Result<StoreAnswer<(LeaseId, u64)>, FormatError>;
+
+    /// The call that renews a lease.
+    fn renew(&self, lease: LeaseId) -> http::Request<Bytes>;
+
+    /// Judges the answer to a renewal or an end of a lease.
+    fn judge_lease(&self, status: http::StatusCode) -> StoreAnswer<()>;
+
+    /// The call that ends a lease, with its keys.
+    fn end(&self, lease: LeaseId) -> http::Request<Bytes>;
+}
--- a/src/vanetallyd.rs
+++ b/src/vanetallyd.rs
@@ -1,15 +1,22 @@
 //! The daemon: the same program on every entry host.
 
-use anyhow::Context;
+use anyhow::bail;
 use lexopt::{Arg, ValueExt};
 use std::{path::PathBuf, process::ExitCode, sync::Arc, thread};
 use vanetally_config::Settings;
 use vanetally_daemon::Daemon;
+use vanetally_gateway::logging;
+use vanetally_platform::settings;
 
 const HELP: &str = "\
 Serves callers from many models on fewer accelerators.
 
 Usage: vanetallyd --settings FILE
+       vanetallyd gateway [--settings FILE]
+
+`gateway` serves on the users' platform: settings, store, engines and callers are spoken with as
+docs/PLATFORM.md says, and the log goes to standard output. Without --settings the file is the one
+that the platform names.
 
 Options:
   --settings FILE   the settings, JSON with comments
@@ -25,17 +32,27 @@
 const USAGE: u8 = 2;
 
 struct Args {
-    settings: PathBuf,
+    settings: Option<PathBuf>,
     check: bool,
+    is_gateway: bool,
+}
+
+/// What there is to do.
+enum Job {
+    /// Run with the product's own protocols.
+    Daemon(Box<Settings>),
+    /// Run on the platform, with the settings at this path.
+    Gateway(PathBuf),
 }
 
 fn parse() -> anyhow::Result<Option<Args>> {
-    let (mut settings, mut check) = (None, false);
+    let (mut settings, mut check, mut is_gateway) = (None, false, false);
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("settings") => settings = Some(PathBuf::from(parser.value()?.string()?)),
             Arg::Long("check") => check = true,
+            Arg::Value(value) if value == "gateway" => is_gateway = true,
             Arg::Long("help") => {
                 print!("{HELP}");
                 return Ok(None);
@@ -47,21 +64,23 @@
             other => return Err(other.unexpected().into()),
         }
     }
-    let settings = settings.context("--settings FILE is missing; see --help")?;
-    Ok(Some(Args { settings, check }))
+    Ok(Some(Args { settings, check, is_gateway }))
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let settings = match prepare() {
-        Ok(Some(settings)) => settings,
+    let job = match prepare() {
+        Ok(Some(job)) => job,
         Ok(None) => return ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("vanetallyd: {e:#}");
             return ExitCode::from(USAGE);
         }
     };
-    match run(settings) {
+    let outcome = match job {
+        Job::Daemon(settings) => run(*settings),
+        Job::Gateway(path) => run_gateway(path).map(|()| true),
+    };
+    match outcome {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
@@ -71,20 +90,37 @@
     }
 }
 
-/// The settings to run with, or `None` if there is nothing to run.
-fn prepare() -> anyhow::Result<Option<Settings>> {
+/// What to run, or `None` if there is nothing to run.
+fn prepare() -> anyhow::Result<Option<Job>> {
     let Some(args) = parse()? else {
         return Ok(None);
     };
-    let settings = Settings::at(&args.settings)?;
+    let path = match args.settings {
+        Some(path) => path,
+        None if args.is_gateway => settings::path()?,
+        None => bail!("--settings FILE is missing; see --help"),
+    };
+    let job = if args.is_gateway {
+        settings::at(&path)?;
+        Job::Gateway(path.clone())
+    } else {
+        Job::Daemon(Box::new(Settings::at(&path)?))
+    };
     if args.check {
-        println!("{}: sound", args.settings.display());
+        println!("{}: sound", path.display());
         return Ok(None);
     }
-    Ok(Some(settings))
+    Ok(Some(job))
+}
+
+fn run_gateway(path: PathBuf) -> anyhow::Result<()> {
+    logging::try_init()?;
+    let reload = move || settings::at(&path);
+    vanetally_gateway::run(reload()?, reload, vanetally_platform::ports())
 }
 
 fn run(settings: Settings) -> anyhow::Result<bool> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let daemon = Arc::new(Daemon::try_start(settings)?);
     let mut signals = signal_hook::iterator::Signals::new([
         signal_hook::consts::SIGTERM,
