fix: a runner's books come from its own reports; failed connects are backed off

Cause: announcements in the store may be older than they look, so weights on their way were forgotten and the next load went beyond the room; a refused connect was tried again at once, in a loop; reports were asked for every 20 ms while in doubt. Ruled out: late orders (the log shows each load accepted before the next).

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -91,6 +91,8 @@
 const ZONE_MS: f64 = 2.0;
 /// Milliseconds that one running request adds at a plain service, spread over its slots.
 const SERVICE_WORK_MS: f64 = 30.0;
+/// What speaks against an upstream that has failed the request already, in milliseconds.
+const TRIED_MS: f64 = 10_000.0;
 /// Time left below which an upstream under notice gets nothing, in milliseconds.
 const NOTICE_MS: u64 = 200;
 
@@ -157,7 +159,8 @@
         }
     };
     let tie = tie_break(request, id);
-    let cost = own_ms * view.pace.slowness(id) + away + tie;
+    let again = if request.tried.contains(id) { TRIED_MS } else { 0.0 };
+    let cost = own_ms * view.pace.slowness(id) + away + again + tie;
     (cost, Choice { upstream: id.clone(), unread, ahead })
 }
 
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -58,6 +58,8 @@
 const WANT_AGAIN_MS: u64 = 250;
 /// An upstream that was full is left alone for this long, in milliseconds.
 const FULL_MS: u64 = 60;
+/// An upstream that could not be reached is left alone for this long, in milliseconds.
+const UNREACHABLE_MS: u64 = 250;
 /// A request that was turned away waits this long before it is sent again, in milliseconds.
 const AGAIN_MS: u64 = 30;
 /// The final answer at the deadline leaves the upstream this long to give its own, in milliseconds.
@@ -307,9 +309,8 @@
             // The upstream's own failure went to the caller, unless it may be tried again.
             AttemptEnd::Failed if answered || !request.route.is_repeatable() => return,
             AttemptEnd::Failed => request.verdict = Verdict::Ran,
-            AttemptEnd::Unreachable => {
-                request.tried.retain(|tried| *tried != sending.upstream);
-            }
+            AttemptEnd::Unreachable if request.sendings == 1 => request.tried.clear(),
+            AttemptEnd::Unreachable => {}
             AttemptEnd::Broken => request.verdict = Verdict::MayHaveRun,
             AttemptEnd::Full | AttemptEnd::Absent => request.not_before = now + AGAIN_MS,
         }
@@ -329,8 +330,13 @@
         upstream.own.take(sending.load);
         match end {
             AttemptEnd::Served => upstream.health.ended(now, true),
-            AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Unreachable => {
+            // An upstream's own failure of a request that may be repeated says little: others that
+            // are asked fail as well, where the request is at fault.
+            AttemptEnd::Failed if request.route.kind == RequestKind::Idempotent => {}
+            AttemptEnd::Failed | AttemptEnd::Broken => upstream.health.ended(now, false),
+            AttemptEnd::Unreachable => {
                 upstream.health.ended(now, false);
+                upstream.full_until = now + UNREACHABLE_MS;
             }
             AttemptEnd::Full => {
                 upstream.full_until = now + FULL_MS;
@@ -364,6 +370,9 @@
         if !may_run_again {
             return Some(Refusal::may_have_run(cause));
         }
+        if end == AttemptEnd::Failed && request.sendings > 1 {
+            return Some(Refusal::may_have_run(cause));
+        }
         // The next sending is paid for here: one that never was sent costs nothing.
         let service = &request.service;
         let is_paid = end == AttemptEnd::Unreachable
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -180,10 +180,15 @@
 }
 
 async fn answer(mut caller: Caller, outgoing: Outgoing) -> Response<Answer> {
+    let mut failure = None;
     loop {
         let attempt = match caller.command().await {
             Command::Send(attempt) => attempt,
-            Command::Refuse(refusal) => return refused(&mut caller, &refusal),
+            Command::Refuse(refusal) => {
+                let own = refused(&mut caller, &refusal);
+                // What an upstream itself answered says more than that it failed.
+                return failure.unwrap_or(own);
+            }
         };
         let asked = tokio::select! {
             biased;
@@ -202,8 +207,10 @@
                 return relay::stream(caller, outgoing, attempt, *started);
             }
             Asked::Answer(started) => {
-                if let Some(response) = whole(&mut caller, &attempt, *started).await {
-                    return response;
+                match whole(&mut caller, &attempt, *started).await {
+                    Whole::Final(response) => return response,
+                    Whole::Failure(response) => failure = Some(response),
+                    Whole::Broken => {}
                 }
             }
         }
@@ -358,12 +365,18 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
-/// Reads an answer whole before any of it goes to the caller; `None` if it ended otherwise.
-async fn whole(
-    caller: &mut Caller,
-    attempt: &Attempt,
-    started: Started,
-) -> Option<Response<Answer>> {
+/// An answer that was read whole, or not.
+enum Whole {
+    /// It goes to the caller.
+    Final(Response<Answer>),
+    /// The upstream failed: it goes to the caller if nobody does better.
+    Failure(Response<Answer>),
+    /// It broke off.
+    Broken,
+}
+
+/// Reads an answer whole before any of it goes to the caller.
+async fn whole(caller: &mut Caller, attempt: &Attempt, started: Started) -> Whole {
     let Started { connection, response, is_success } = started;
     let rest = stated_rest(response.headers());
     let (mut head, body) = response.into_parts();
@@ -375,23 +388,24 @@
                 Some(Command::Refuse(refusal)) => refusal,
                 _ => Refusal::may_have_run(RefusalCause::UpstreamFailed),
             };
-            return Some(refused(caller, &refusal));
+            return Whole::Final(refused(caller, &refusal));
         }
         body = Limited::new(body, WHOLE_BYTES).collect() => body,
     };
     let Ok(body) = body else {
         caller.attempt_ended(attempt, AttemptEnd::Broken, false);
-        return None;
+        return Whole::Broken;
     };
     caller.hub.pool.put(connection, rest);
-    let end = if is_success { AttemptEnd::Served } else { AttemptEnd::Failed };
-    let is_own_failure = !is_success && attempt.may_repeat;
-    caller.attempt_ended(attempt, end, false);
-    if is_own_failure {
-        return None;
+    head.headers = end_to_end(&head.headers);
+    let response = Response::from_parts(head, Answer::Whole(Some(body.to_bytes())));
+    if !is_success && attempt.may_repeat {
+        caller.attempt_ended(attempt, AttemptEnd::Failed, false);
+        return Whole::Failure(response);
     }
+    let end = if is_success { AttemptEnd::Served } else { AttemptEnd::Failed };
+    caller.attempt_ended(attempt, end, true);
     telemetry::answered(caller.arrived.elapsed().as_secs_f64());
     caller.finish();
-    head.headers = end_to_end(&head.headers);
-    Some(Response::from_parts(head, Answer::Whole(Some(body.to_bytes()))))
+    Whole::Final(response)
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -494,5 +494,8 @@
         Ok(reply) => Err(vanetally_ports::FormatError::new("report", reply.status)),
         Err(error) => Err(vanetally_ports::FormatError::new("report", error)),
     };
+    if let Ok(report) = &report {
+        log::debug!("event=report runner={runner} report={report:?}");
+    }
     hub.placement_event(placement::Event::Reported { runner, asked, report: report.ok() });
 }
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -42,6 +42,8 @@
     /// Whether a report is needed before the next order.
     is_doubtful: bool,
     last_report: Tick,
+    /// When the last order was answered.
+    answered: Option<Tick>,
 }
 
 /// A report that is not answered for this long may be asked again, in milliseconds.
@@ -52,13 +54,15 @@
 const COMING_MS: u64 = 5_000;
 /// Adapters that may be on their way at once.
 const MOST_COMING: usize = 3;
+/// How old a report may be when it arrives, in milliseconds.
+const REPORT_AGE_MS: u64 = 400;
 /// An order without an answer counts as lost after this long, in milliseconds.
 const ORDER_TIMEOUT_MS: u64 = 1_500;
 
 impl Ledger {
     /// The books of a runner that announced `state`.
     pub fn new(state: UpstreamState) -> Self {
-        let mut ledger = Self {
+        Self {
             held: BTreeMap::new(),
             coming: BTreeMap::new(),
             loading: None,
@@ -69,27 +73,22 @@
             asked: None,
             is_doubtful: true,
             last_report: Tick(0),
+            answered: None,
             state,
-        };
-        let models = std::mem::take(&mut ledger.state.models);
-        ledger.set_held(&models);
-        ledger.state.models = models;
-        ledger
+        }
     }
 
     /// The runner announced itself anew.
+    ///
+    /// Announcements may be older than they look: what the runner holds is taken from its own
+    /// reports only, and a difference is a reason to ask for one.
     pub fn announced(&mut self, state: UpstreamState) {
-        // An announcement may be older than orders that were answered since: only one that counts
-        // as many orders is believed.
-        if self.count.is_none_or(|count| state.orders_taken >= count) {
-            if self.count.is_some_and(|count| state.orders_taken > count) {
-                self.is_doubtful = true;
-            }
-            self.set_held(&state.models);
-            self.settle();
-        }
-        if !state.at_hand.is_empty() {
-            self.at_hand = state.at_hand.iter().cloned().collect();
+        let count = self.count.unwrap_or(0);
+        let has_arrived = self.loading.as_ref().is_some_and(|loading| {
+            state.models.iter().any(|held| held.name == loading.model)
+        });
+        if state.orders_taken > count || has_arrived {
+            self.is_doubtful = true;
         }
         self.state = state;
     }
@@ -119,6 +118,7 @@
     /// The runner answered the question of `asked`; tells whether the answer was believed.
     pub fn reported(&mut self, now: Tick, asked: Tick, report: Option<Report>) -> bool {
         self.asked = None;
+        self.last_report = now;
         let Some(report) = report else {
             return false;
         };
@@ -131,12 +131,16 @@
             if !is_taken && asked.since(*sent) < ORDER_TIMEOUT_MS {
                 return false;
             }
+            // Not taken so far, it may yet be: every other order expects the same count, so that
+            // at most one of them is taken.
             self.pending = None;
         }
         self.count = Some(report.orders_taken);
         self.set_held(&report.models);
         self.coming = report.coming.iter().map(|subject| (subject.clone(), now)).collect();
-        if !report.busy {
+        // A report is some time old: it can't speak of an order that was answered just before.
+        let is_fresh = self.answered.is_none_or(|at| asked.since(at) > REPORT_AGE_MS);
+        if !report.busy && is_fresh {
             self.loading = None;
             self.unloading = None;
         }
@@ -145,7 +149,6 @@
             self.at_hand = report.at_hand.iter().cloned().collect();
         }
         self.is_doubtful = false;
-        self.last_report = now;
         true
     }
 
@@ -168,6 +171,8 @@
     /// doubt.
     pub fn next_count(&self) -> Option<u64> {
         let is_clear = self.pending.is_none() && !self.is_doubtful && !self.state.draining;
+        // A runner carries out one order about weights at a time, and refuses others meanwhile.
+        let is_clear = is_clear && !self.is_busy();
         self.count.filter(|_| is_clear)
     }
 
@@ -184,6 +189,7 @@
     /// The order was taken; `takes_ms` is how long it should take.
     pub fn order_taken(&mut self, now: Tick, order: &Order, takes_ms: u64) {
         self.close(order);
+        self.answered = Some(now);
         self.count = Some(order.expected_count + 1);
         let due = now + takes_ms;
         let model = order.subject.model.clone();
