fix: an unknown order under way at a runner blocks further ones

Cause: a new holder read a report that said 'busy' and ordered a load beside the one it did not know of; the runner fell over. Ruled out: stale announcements (mended before), late orders. With it, requests are refused from 0.3 of the grace on; not yet measured.

--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -67,7 +67,7 @@
 /// Least time left for a sending to make sense, in milliseconds.
 const LEAST_LEFT_MS: u64 = 20;
 /// A planned stop takes requests for this share of its time.
-const STOP_SHARE: f64 = 0.4;
+const STOP_SHARE: f64 = 0.3;
 /// When to come back after a refusal by a host that stops, in milliseconds.
 const STOP_RETRY_MS: u64 = 50;
 /// When to come back if nothing better is known, in milliseconds.
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -21,7 +21,7 @@
 use vanetally_dispatch::{self as dispatch, Attempt, Digest, Dispatch, Presence, RequestId};
 use vanetally_link::peer::Links;
 use vanetally_placement::{
-    self as placement, DemandSample, Placement, Tenure, TenureEvent, TenureOptions,
+    self as placement, Basis, DemandSample, Placement, Tenure, TenureEvent, TenureOptions,
 };
 use vanetally_ports::{
     Configuration, ModelRef, Order, OrderOutcome, Ports, Refusal, UpstreamState,
@@ -388,8 +388,8 @@
 
     fn place(self: &Rc<Self>, action: placement::Action) {
         match action {
-            placement::Action::Order { order, address } => {
-                tokio::task::spawn_local(give_order(self.clone(), order, address));
+            placement::Action::Order { order, address, basis } => {
+                tokio::task::spawn_local(give_order(self.clone(), order, address, basis));
             }
             placement::Action::AskReport { runner, address } => {
                 tokio::task::spawn_local(ask_report(self.clone(), runner, address));
@@ -459,7 +459,20 @@
     }
 }
 
-async fn give_order(hub: Rc<Hub>, order: Order, address: SocketAddr) {
+async fn give_order(hub: Rc<Hub>, order: Order, address: SocketAddr, basis: Basis) {
+    log::info!(
+        "event=order_sent runner={} operation={} model={} adapter={} count={} token={} \
+         held_models={} held_adapters={} report_age_ms={}",
+        order.runner,
+        order.operation.as_str(),
+        order.subject.model,
+        order.subject.adapter.as_deref().unwrap_or("-"),
+        order.expected_count,
+        order.token,
+        basis.models.join(","),
+        basis.adapters,
+        basis.report_age_ms
+    );
     let request = hub.ports.engine.order_request(&order);
     let outcome = match call::call(&hub.control, address, request, ORDER).await {
         Ok(reply) => hub.ports.engine.judge_order(reply.status),
@@ -467,11 +480,8 @@
         Err(call::Error::Unanswered(_)) => OrderOutcome::Unknown,
     };
     log::info!(
-        "event=order_given runner={} operation={} model={} adapter={} count={} token={} outcome={}",
+        "event=order_answered runner={} count={} token={} outcome={}",
         order.runner,
-        order.operation.as_str(),
-        order.subject.model,
-        order.subject.adapter.as_deref().unwrap_or("-"),
         order.expected_count,
         order.token,
         outcome.as_str()
@@ -482,7 +492,7 @@
 
 async fn ask_report(hub: Rc<Hub>, runner: Name, address: SocketAddr) {
     let asked = hub.clock.now();
-    let request = hub.ports.engine.report_request();
+    let request = hub.ports.engine.report_request(&runner);
     let reply = call::call(&hub.control, address, request, REPORT).await;
     let report = match reply {
         Ok(reply) if reply.status.is_success() => {
@@ -495,7 +505,7 @@
         Err(error) => Err(vanetally_ports::FormatError::new("report", error)),
     };
     if let Ok(report) = &report {
-        log::debug!("event=report runner={runner} report={report:?}");
+        log::info!("event=report runner={runner} report={report:?}");
     }
     hub.placement_event(placement::Event::Reported { runner, asked, report: report.ok() });
 }
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -74,6 +74,17 @@
     Tick,
 }
 
+/// What was believed of a runner when an order was given to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Basis {
+    /// Models that are there or on their way.
+    pub models: Vec<Name>,
+    /// Adapters that are there or on their way.
+    pub adapters: usize,
+    /// Milliseconds since its last report.
+    pub report_age_ms: u64,
+}
+
 /// What has to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -83,6 +94,8 @@
         order: Order,
         /// Where the runner listens.
         address: SocketAddr,
+        /// What the order rests on.
+        basis: Basis,
     },
     /// Ask a runner for its report.
     AskReport {
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -1,5 +1,6 @@
 //! What one runner holds, fetches and may be about to fetch.
 
+use crate::Basis;
 use std::collections::{BTreeMap, BTreeSet};
 use vanetally_ports::{EngineSpec, HeldModel, Operation, Order, Report, Subject, UpstreamState};
 use vanetally_types::{Name, Tick};
@@ -33,6 +34,9 @@
     coming: BTreeMap<Subject, Tick>,
     loading: Option<Loading>,
     unloading: Option<Loading>,
+    /// Whether the last report spoke of an order under way that is not known here: an earlier
+    /// holder's, or one whose answer was lost.
+    has_unknown_order: bool,
     /// Orders taken; none until a report told.
     count: Option<u64>,
     /// An order whose answer is not known.
@@ -67,6 +71,7 @@
             coming: BTreeMap::new(),
             loading: None,
             unloading: None,
+            has_unknown_order: false,
             count: None,
             pending: None,
             at_hand: state.at_hand.iter().cloned().collect(),
@@ -145,6 +150,8 @@
             self.unloading = None;
         }
         self.settle();
+        self.has_unknown_order =
+            report.busy && self.loading.is_none() && self.unloading.is_none();
         if !report.at_hand.is_empty() {
             self.at_hand = report.at_hand.iter().cloned().collect();
         }
@@ -155,6 +162,7 @@
     /// Whether a report should be asked for now; notes that it is.
     pub fn try_ask(&mut self, now: Tick) -> bool {
         let is_due = self.is_doubtful
+            || self.has_unknown_order
             || self.pending.as_ref().is_some_and(|(_, sent)| now.since(*sent) > ORDER_TIMEOUT_MS)
             || self.loading.as_ref().is_some_and(|loading| now >= loading.due)
             || self.unloading.as_ref().is_some_and(|gone| now >= gone.due)
@@ -178,7 +186,7 @@
 
     /// Whether weights are on their way in or out.
     pub fn is_busy(&self) -> bool {
-        self.loading.is_some() || self.unloading.is_some()
+        self.loading.is_some() || self.unloading.is_some() || self.has_unknown_order
     }
 
     /// An order goes out.
@@ -307,6 +315,15 @@
         self.adapters().count() + self.coming.len()
     }
 
+    /// What is believed now.
+    pub fn basis(&self, now: Tick) -> Basis {
+        Basis {
+            models: self.models().cloned().collect(),
+            adapters: self.adapter_count(),
+            report_age_ms: now.since(self.last_report),
+        }
+    }
+
     /// Whether a load of the model may be open at this runner without an answer.
     pub(crate) fn has_open_load(&self) -> bool {
         self.pending.as_ref().is_some_and(|(order, _)| {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -13,7 +13,7 @@
 mod tenure;
 
 pub use ceiling::Ceiling;
-pub use event::{Action, DemandSample, Event, Options};
+pub use event::{Action, Basis, DemandSample, Event, Options};
 pub use ledger::{Ledger, Room};
 pub use machine::Placement;
 pub use tenure::{Tenure, TenureAction, TenureEvent, TenureOptions};
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -332,11 +332,12 @@
             holder: self.options.holder.clone(),
             token: token.0,
         };
+        let basis = ledger.basis(now);
         ledger.order_sent(now, order.clone());
         if operation == Operation::Unload && order.subject.adapter.is_some() {
             actions.push(announce(runner, &order.subject, false, 0));
         }
-        actions.push(Action::Order { order, address: ledger.state.address });
+        actions.push(Action::Order { order, address: ledger.state.address, basis });
     }
 
     fn ordered(
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -143,8 +143,8 @@
     /// Judges the head of the answer to the request `id`.
     fn judge(&self, head: &http::response::Parts, id: &Name) -> AnswerKind;
 
-    /// The call that asks a runner for its report.
-    fn report_request(&self) -> http::Request<Bytes>;
+    /// The call that asks the incarnation `runner` for its report.
+    fn report_request(&self, runner: &Name) -> http::Request<Bytes>;
 
     /// Reads a report.
     ///
