--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -2,7 +2,7 @@
 
 use crate::{request::Request, upstream::Upstream};
 use std::collections::BTreeMap;
-use vanetally_ports::EngineSpec;
+use vanetally_ports::{CallerRequest, EngineSpec};
 use vanetally_types::{Name, Tick, rendezvous_rank};
 
 /// How long engines take, learned from what is observed.
@@ -16,6 +16,11 @@
 const FIRST_PER_TOKEN_MS: f64 = 0.06;
 /// Share of a new sample.
 const LEARN: f64 = 0.1;
+/// Share of a sample that shows a faster pace, and of one that shows a slower pace.
+const LEARN_FASTER: f64 = 0.1;
+const LEARN_SLOWER: f64 = 0.03;
+/// Share of the time for one prompt token that an output token takes in a full batch.
+const OUTPUT_TOKENS: f64 = 3.0;
 /// Bounds of an upstream's slowness.
 const SLOWNESS: std::ops::RangeInclusive<f64> = 0.5..=8.0;
 /// Part of the first token's time that does not depend on the prompt, in milliseconds.
@@ -28,6 +33,12 @@
         model.and_then(|m| self.per_token_ms.get(m)).copied().unwrap_or(FIRST_PER_TOKEN_MS)
     }
 
+    /// Milliseconds of an engine that the request should take.
+    pub(crate) fn work_ms(&self, model: &Name, head: &CallerRequest) -> f64 {
+        let tokens = f64::from(head.prompt_tokens) + OUTPUT_TOKENS * f64::from(head.output_tokens);
+        tokens * self.per_token(Some(model))
+    }
+
     fn slowness(&self, upstream: &Name) -> f64 {
         self.slowness.get(upstream).copied().unwrap_or(1.0)
     }
@@ -47,7 +58,9 @@
         if let Some(model) = model.filter(|_| tokens > 0) {
             let sample = ((took_ms - BASE_MS) / f64::from(tokens)).max(0.0);
             let pace = self.per_token_ms.entry(model.clone()).or_insert(FIRST_PER_TOKEN_MS);
-            *pace += LEARN * (sample.min(*pace * 4.0) - *pace);
+            // Waiting makes samples long: the short ones tell how fast the engine reads.
+            let share = if sample < *pace { LEARN_FASTER } else { LEARN_SLOWER };
+            *pace += share * (sample.min(*pace * 4.0) - *pace);
         }
     }
 
--- a/crates/dispatch/src/digest.rs
+++ b/crates/dispatch/src/digest.rs
@@ -50,7 +50,7 @@
     /// Requests that arrived since the last digest.
     #[serde(rename = "n")]
     pub arrived: u32,
-    /// Tokens of their prompts and answers.
-    #[serde(rename = "t")]
-    pub tokens: u32,
+    /// Milliseconds of a runner that they should take.
+    #[serde(rename = "w")]
+    pub work_ms: u32,
 }
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -38,7 +38,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Demand {
     arrived: u32,
-    tokens: u32,
+    work_ms: f64,
 }
 
 /// Figures for metrics.
@@ -180,7 +180,7 @@
             model: subject.model,
             adapter: subject.adapter,
             arrived: demand.arrived,
-            tokens: demand.tokens,
+            work_ms: demand.work_ms.round() as u32,
         });
         Digest { loads, demand: demand.collect() }
     }
@@ -256,7 +256,7 @@
             let demand = self.demand.entry((request.service.clone(), subject.clone()));
             let demand = demand.or_default();
             demand.arrived += 1;
-            demand.tokens += request.tokens();
+            demand.work_ms += self.pace.work_ms(&subject.model, &request.head);
         }
         self.queue.insert(id, &request);
         self.requests.insert(id, request);
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -310,7 +310,7 @@
             service: row.service.clone(),
             subject: ModelRef { model: row.model.clone(), adapter: row.adapter.clone() },
             arrived: row.arrived,
-            tokens: row.tokens,
+            work_ms: row.work_ms,
         });
         self.placement_event(placement::Event::Demand(samples.collect()));
         self.request_event(dispatch::Event::PeerDigest { host: host.clone(), digest });
@@ -325,7 +325,7 @@
             service: row.service.clone(),
             subject: ModelRef { model: row.model.clone(), adapter: row.adapter.clone() },
             arrived: row.arrived,
-            tokens: row.tokens,
+            work_ms: row.work_ms,
         });
         self.placement_event(placement::Event::Demand(samples.collect()));
         if is_new || !digest.loads.is_empty() {
--- a/crates/placement/src/demand.rs
+++ b/crates/placement/src/demand.rs
@@ -8,7 +8,7 @@
 /// Requests for one model or adapter.
 #[derive(Clone, Copy, Debug, Default)]
 struct Rate {
-    /// Requests of the last seconds, older ones counted less.
+    /// Runner-milliseconds asked for in the last seconds, older ones counted less.
     recent: f64,
     at: Tick,
     last: Tick,
@@ -23,15 +23,14 @@
 
 /// The time in which a request's count falls to a third, in milliseconds.
 const DECAY_MS: f64 = 3_000.0;
-const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 impl Rate {
     fn decayed(&self, now: Tick) -> f64 {
         self.recent * (-(now.since(self.at) as f64) / DECAY_MS).exp()
     }
 
-    fn add(&mut self, now: Tick, requests: f64) {
-        self.recent = self.decayed(now) + requests;
+    fn add(&mut self, now: Tick, work_ms: f64) {
+        self.recent = self.decayed(now) + work_ms;
         self.at = now;
         self.last = now;
     }
@@ -39,24 +38,23 @@
 
 impl DemandTable {
     pub(crate) fn add(&mut self, now: Tick, sample: &DemandSample) {
-        let requests = f64::from(sample.arrived);
-        self.touch(now, &sample.service, &sample.subject, requests);
+        self.touch(now, &sample.service, &sample.subject, f64::from(sample.work_ms));
     }
 
-    /// Requests arrived; zero only notes that it is asked for.
-    pub(crate) fn touch(&mut self, now: Tick, service: &Name, subject: &ModelRef, requests: f64) {
+    /// Requests for `work_ms` arrived; zero only notes that it is asked for.
+    pub(crate) fn touch(&mut self, now: Tick, service: &Name, subject: &ModelRef, work_ms: f64) {
         let model = (service.clone(), subject.model.clone());
-        self.models.entry(model).or_default().add(now, requests);
+        self.models.entry(model).or_default().add(now, work_ms);
         if subject.adapter.is_some() {
             let adapter = (service.clone(), subject.clone());
-            self.adapters.entry(adapter).or_default().add(now, requests);
+            self.adapters.entry(adapter).or_default().add(now, work_ms);
         }
     }
 
-    /// Requests a second for the model.
-    pub(crate) fn model_rate(&self, now: Tick, service: &Name, model: &Name) -> f64 {
+    /// Runner-seconds a second for the model.
+    pub(crate) fn model_load(&self, now: Tick, service: &Name, model: &Name) -> f64 {
         let rate = self.models.get(&(service.clone(), model.clone()));
-        rate.map_or(0.0, |rate| rate.decayed(now) * MILLIS_PER_SECOND / DECAY_MS)
+        rate.map_or(0.0, |rate| rate.decayed(now) / DECAY_MS)
     }
 
     /// When the model was last asked for.
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -22,8 +22,8 @@
     pub subject: ModelRef,
     /// Requests that arrived.
     pub arrived: u32,
-    /// Tokens of their prompts and answers.
-    pub tokens: u32,
+    /// Milliseconds of a runner that they should take.
+    pub work_ms: u32,
 }
 
 /// Something that happened.
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -25,12 +25,29 @@
     pub from_store: bool,
 }
 
-/// A model not asked for within this time may make way, in milliseconds.
+/// A model not asked for within this time may leave its last runner, in milliseconds.
 const IDLE_MS: u64 = 6_000;
 /// A model asked for within this time has to be somewhere, in milliseconds.
 const ASKED_MS: u64 = 20_000;
-/// Requests a second that one replica is planned for.
-const RATE_PER_REPLICA: f64 = 4.0;
+/// Runner-seconds a second that another replica has to take off the others.
+const LEAST_GAIN: f64 = 0.02;
+/// How many times what is gained must be worth what is lost when a model makes way.
+const SWAP_FACTOR: f64 = 2.5;
+/// The gain of a first replica.
+const FIRST_GAIN: f64 = 1.0e6;
+
+/// A way to bring a model to a runner; the greatest is taken.
+#[derive(Clone, Debug, PartialEq, PartialOrd)]
+struct Rank {
+    /// The runner has the weights itself: seconds instead of many.
+    is_at_hand: bool,
+    /// Nothing has to make way.
+    is_free: bool,
+    /// What is lost where something makes way, negative.
+    gain: f64,
+    /// The runner's present load, negative.
+    idleness: f64,
+}
 
 impl View<'_> {
     fn runners(&self) -> impl Iterator<Item = (&Name, &Ledger)> {
@@ -42,96 +59,93 @@
         self.runners().filter(|(_, ledger)| ledger.will_hold(model)).count()
     }
 
-    fn rate(&self, model: &Name) -> f64 {
-        self.demand.model_rate(self.now, self.service, model)
+    /// Runner-seconds a second that the model asks for.
+    fn load(&self, model: &Name) -> f64 {
+        self.demand.model_load(self.now, self.service, model)
+    }
+
+    fn idle_ms(&self, model: &Name) -> u64 {
+        self.now.since(self.demand.model_last(self.service, model))
+    }
+
+    /// What one more replica takes off the others.
+    fn gain(&self, model: &Name) -> f64 {
+        let replicas = self.replicas(model) as f64;
+        if replicas == 0.0 {
+            let is_asked = self.idle_ms(model) < ASKED_MS;
+            return if is_asked { FIRST_GAIN } else { 0.0 };
+        }
+        self.load(model) / (replicas * (replicas + 1.0))
+    }
+
+    /// What one replica fewer puts on the others; none if the last one has to stay.
+    fn loss(&self, model: &Name) -> Option<f64> {
+        let replicas = self.replicas(model) as f64;
+        if replicas <= 1.0 {
+            return (self.idle_ms(model) > IDLE_MS).then_some(LEAST_GAIN / SWAP_FACTOR);
+        }
+        Some(self.load(model) / (replicas * (replicas - 1.0)))
     }
 
-    /// How many replicas the model should have.
-    fn wanted(&self, model: &Name, runners: usize) -> usize {
-        let rate = self.rate(model);
-        let by_rate = (rate / RATE_PER_REPLICA).ceil() as usize;
-        let is_asked = self.now.since(self.demand.model_last(self.service, model)) < ASKED_MS
-            && self.demand.model_last(self.service, model) > Tick(0);
-        by_rate.max(usize::from(is_asked)).min(runners)
+    /// Runner-seconds a second that a runner's share of its models comes to.
+    fn runner_load(&self, ledger: &Ledger) -> f64 {
+        let share = |model: &Name| self.load(model) / self.replicas(model).max(1) as f64;
+        ledger.models().map(share).sum()
     }
 
     /// The next step, if any; loads from the weight store only if `store_has_room`.
     pub(crate) fn next(&self, store_has_room: bool) -> Option<Step> {
         let runners = self.runners().count();
-        let mut models: Vec<(&Name, f64)> = self.engine.models.keys().filter_map(|model| {
-            let replicas = self.replicas(model);
-            let wanted = self.wanted(model, runners);
-            // The model with the most demand for each replica comes first; those that are
-            // nowhere before all others.
-            let need = if replicas == 0 { f64::MAX } else { self.rate(model) / replicas as f64 };
-            (replicas < wanted).then_some((model, need))
-        }).collect();
-        models.sort_by(|a, b| b.1.total_cmp(&a.1));
-        models.into_iter().find_map(|(model, _)| self.bring(model, store_has_room))
+        let gains = self.engine.models.keys().map(|model| (model, self.gain(model)));
+        let mut needy: Vec<(&Name, f64)> = gains
+            .filter(|(model, gain)| *gain > LEAST_GAIN && self.replicas(model) < runners)
+            .collect();
+        needy.sort_by(|a, b| b.1.total_cmp(&a.1));
+        needy.into_iter().find_map(|(model, gain)| self.bring(model, gain, store_has_room))
     }
 
     /// A step that brings the model to one more runner.
-    fn bring(&self, model: &Name, store_has_room: bool) -> Option<Step> {
-        let subject = Subject { model: model.clone(), adapter: None };
-        let open = |(_, ledger): &(&Name, &Ledger)| {
-            !ledger.is_busy() && ledger.next_count().is_some() && !ledger.will_hold(model)
-        };
-        let reachable = |ledger: &Ledger| store_has_room || ledger.has_at_hand(model);
-        let fits = |ledger: &Ledger| ledger.room_for_model(self.engine, model) == Room::Fits;
-        let here = self.runners().filter(open).filter(|(_, l)| reachable(l) && fits(l));
-        let best = here.max_by_key(|(name, ledger)| {
-            (ledger.has_at_hand(model), std::cmp::Reverse(ledger.models().count()), (*name).clone())
-        });
-        if let Some((runner, ledger)) = best {
-            let from_store = !ledger.has_at_hand(model);
-            return Some(Step {
-                runner: runner.clone(),
-                operation: Operation::Load,
-                subject,
-                from_store,
-            });
-        }
-        self.make_room(model, store_has_room)
-    }
-
-    /// A step that takes from a runner what is worth least there.
-    fn make_room(&self, model: &Name, store_has_room: bool) -> Option<Step> {
-        let mut best: Option<((bool, bool, u64), Step)> = None;
+    fn bring(&self, model: &Name, gain: f64, store_has_room: bool) -> Option<Step> {
+        let mut best: Option<(Rank, Step)> = None;
         for (runner, ledger) in self.runners() {
-            let is_open = !ledger.is_busy() && ledger.next_count().is_some();
-            let may = store_has_room || ledger.has_at_hand(model);
-            let is_full = ledger.room_for_model(self.engine, model) == Room::Full;
-            if !is_open || !may || !is_full || ledger.will_hold(model) {
+            let is_at_hand = ledger.has_at_hand(model);
+            let is_open = ledger.next_count().is_some() && !ledger.will_hold(model);
+            if !is_open || !(store_has_room || is_at_hand) {
                 continue;
             }
-            for victim in ledger.models().filter(|victim| self.may_go(victim, model)) {
-                let idle = self.now.since(self.demand.model_last(self.service, victim));
-                let rank = (ledger.has_at_hand(model), self.replicas(victim) > 1, idle);
-                if best.as_ref().is_none_or(|(most, _)| rank > *most) {
-                    let subject = Subject { model: victim.clone(), adapter: None };
-                    let step = Step {
-                        runner: runner.clone(),
-                        operation: Operation::Unload,
-                        subject,
-                        from_store: false,
-                    };
-                    best = Some((rank, step));
-                }
+            let Some((loss, operation, subject)) = self.make_room(ledger, model, gain) else {
+                continue;
+            };
+            let rank = Rank {
+                is_at_hand,
+                is_free: operation == Operation::Load,
+                gain: -loss,
+                idleness: -self.runner_load(ledger),
+            };
+            if best.as_ref().is_none_or(|(most, _)| rank > *most) {
+                let from_store = operation == Operation::Load && !is_at_hand;
+                let subject = Subject { model: subject.clone(), adapter: None };
+                best = Some((rank, Step { runner: runner.clone(), operation, subject, from_store }));
             }
         }
         best.map(|(_, step)| step)
     }
 
-    /// Whether `victim` may make way for `model`: nobody asks for it, or it is on more runners
-    /// than it needs.
-    fn may_go(&self, victim: &Name, model: &Name) -> bool {
-        let runners = self.runners().count();
-        let replicas = self.replicas(victim);
-        let is_idle = self.now.since(self.demand.model_last(self.service, victim)) > IDLE_MS;
-        let wanted = self.wanted(victim, runners);
-        let is_spare = replicas > wanted.max(1) + 1;
-        let others = if self.replicas(model) == 0 { 0 } else { 1 };
-        (is_idle && replicas > others) || (is_spare && is_idle)
-            || (is_spare && self.rate(victim) * 2.0 < self.rate(model))
+    /// The order that brings the model nearer to the runner: its load, or the unload of what is
+    /// worth least there.
+    fn make_room<'a>(
+        &self,
+        ledger: &'a Ledger,
+        model: &'a Name,
+        gain: f64,
+    ) -> Option<(f64, Operation, &'a Name)> {
+        match ledger.room_for_model(self.engine, model) {
+            Room::Fits => return Some((0.0, Operation::Load, model)),
+            Room::Never => return None,
+            Room::Full => {}
+        }
+        let losses = ledger.models().filter_map(|victim| Some((self.loss(victim)?, victim)));
+        let (loss, victim) = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        (loss * SWAP_FACTOR < gain).then_some((loss, Operation::Unload, victim))
     }
 }
