feat: replicas by load, no herd on a new replica, those in time first

Cause: small loads asked for second replicas of rare models, which used up the weight store's rate while the hot model kept five replicas for six seconds; a new replica got all waiting requests of all hosts within one digest (129 requests, 125,180 tokens unread); a model's pace was learned from samples that were long for waiting.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -18,9 +18,9 @@
 const LEARN: f64 = 0.1;
 /// Share of a sample that shows a faster pace, and of one that shows a slower pace.
 const LEARN_FASTER: f64 = 0.1;
-const LEARN_SLOWER: f64 = 0.03;
+const LEARN_SLOWER: f64 = 0.01;
 /// Share of the time for one prompt token that an output token takes in a full batch.
-const OUTPUT_TOKENS: f64 = 3.0;
+const OUTPUT_TOKENS: f64 = 4.0;
 /// Bounds of an upstream's slowness.
 const SLOWNESS: std::ops::RangeInclusive<f64> = 0.5..=8.0;
 /// Part of the first token's time that does not depend on the prompt, in milliseconds.
@@ -60,7 +60,7 @@
             let pace = self.per_token_ms.entry(model.clone()).or_insert(FIRST_PER_TOKEN_MS);
             // Waiting makes samples long: the short ones tell how fast the engine reads.
             let share = if sample < *pace { LEARN_FASTER } else { LEARN_SLOWER };
-            *pace += share * (sample.min(*pace * 4.0) - *pace);
+            *pace += share * (sample.min(*pace * 2.0) - *pace);
         }
     }
 
@@ -75,6 +75,8 @@
     pub zone: &'a Name,
     pub engine: Option<&'a EngineSpec>,
     pub pace: &'a Pace,
+    /// Hosts that may send to the same upstreams.
+    pub hosts: usize,
 }
 
 /// The upstream that was chosen.
@@ -106,6 +108,10 @@
 const SERVICE_WORK_MS: f64 = 30.0;
 /// What speaks against an upstream that has failed the request already, in milliseconds.
 const TRIED_MS: f64 = 10_000.0;
+/// Share of the objective that a prompt may wait to be read at an upstream.
+const READ_SHARE: f64 = 0.5;
+/// How much of this host's sending the others are taken to do.
+const ALIKE: f64 = 0.5;
 /// Time left below which an upstream under notice gets nothing, in milliseconds.
 const NOTICE_MS: u64 = 200;
 
@@ -149,17 +155,34 @@
         None => f64::from(load.running) < slots * SERVICE_QUEUE,
         Some(engine) => {
             let fits = u64::from(load.held_tokens + request.tokens()) <= engine.kv_tokens;
-            f64::from(load.running) < slots * ENGINE_FILL && (fits || load.running == 0)
+            let has_slot = f64::from(load.running) < slots * ENGINE_FILL;
+            let ahead = view.ahead(upstream);
+            let model = request.head.model.as_ref().map(|m| &m.model);
+            let wait_ms = f64::from(ahead) * view.pace.per_token(model);
+            let is_read_soon = wait_ms < READ_SHARE * request.route.target_ms as f64;
+            load.running == 0 || (fits && has_slot && (ahead == 0 || is_read_soon))
         }
     }
 }
 
+impl View<'_> {
+    /// Prompt tokens that are read before a new request's own.
+    ///
+    /// What other hosts sent since their last digests is not known: they are taken to send as
+    /// much as this one.
+    fn ahead(&self, upstream: &Upstream) -> u32 {
+        let known = upstream.total(self.now).unread_tokens;
+        let likely = f64::from(upstream.own.unread_tokens) * self.hosts as f64 * ALIKE;
+        known.max(likely as u32)
+    }
+}
+
 fn cost(view: &View<'_>, request: &Request, id: &Name, upstream: &Upstream) -> (f64, Choice) {
     let load = upstream.total(view.now);
     let model = request.head.model.as_ref();
     let cached = upstream.cached_tokens(model, &request.head.parts);
     let unread = request.head.prompt_tokens.saturating_sub(cached);
-    let ahead = load.unread_tokens + unread;
+    let ahead = view.ahead(upstream) + unread;
     let away = if upstream.state.zone == *view.zone { 0.0 } else { ZONE_MS };
     let own_ms = match view.engine {
         Some(_) => {
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -159,6 +159,15 @@
         }
     }
 
+    /// Load of each upstream: its name, requests of all hosts there, prompt tokens not read.
+    pub fn loads(&self, now: Tick) -> Vec<(Name, u32, u32)> {
+        let loads = self.upstreams.iter().map(|(id, upstream)| {
+            let load = upstream.total(now);
+            (id.clone(), load.running, load.unread_tokens)
+        });
+        loads.collect()
+    }
+
     /// What other hosts have to know of this one's load; arrivals since the last call.
     pub fn digest(&mut self, now: Tick) -> Digest {
         let loads = self.upstreams.iter_mut().filter_map(|(id, upstream)| {
@@ -442,12 +451,22 @@
     fn pump(&mut self, now: Tick, actions: &mut Vec<Action>) {
         for service in self.queue.services() {
             let mut lacking: HashSet<Option<ModelRef>> = HashSet::new();
-            for id in self.queue.waiting(&service) {
+            for id in self.in_order(now, &service) {
                 self.try_send(now, &service, id, &mut lacking, actions);
             }
         }
     }
 
+    /// Waiting requests that can still be answered in time come before those that can't.
+    fn in_order(&self, now: Tick, service: &Name) -> Vec<RequestId> {
+        let mut waiting = self.queue.waiting(service);
+        let is_late = |id: &RequestId| {
+            self.requests.get(id).is_some_and(|r| now.since(r.arrived) > r.route.target_ms)
+        };
+        waiting.sort_by_key(is_late);
+        waiting
+    }
+
     fn try_send(
         &mut self,
         now: Tick,
@@ -484,6 +503,7 @@
             zone: &self.options.zone,
             engine: service.and_then(|service| service.engine.as_ref()),
             pace: &self.pace,
+            hosts: self.hosts,
         };
         let own = self.upstreams.iter().filter(|(_, u)| u.state.service == request.service);
         choose(&view, request, own)
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -437,10 +437,23 @@
         self.control.sweep();
         self.store.sweep();
         let is_holder = self.tenure.borrow().is_holding(self.clock.now());
+        if is_holder {
+            self.log_placement();
+        }
         let dispatch = self.dispatch.borrow();
         telemetry::gauges(dispatch.counts(), dispatch.version(), self.is_ready(), is_holder);
     }
 
+    fn log_placement(&self) {
+        let summary = self.placement.borrow().summary(self.clock.now());
+        let models = summary.iter().map(|model| {
+            let (load, holding, coming) = (model.load, model.holding, model.coming);
+            format!("{}:{load:.2}:{holding}+{coming}", model.model)
+        });
+        log::info!("event=placement models={}", models.collect::<Vec<_>>().join(","));
+        let l = self.dispatch.borrow().loads(self.clock.now()); log::info!("event=loads {}", l.iter().map(|(n,r,u)| format!("{}:{r}/{u}", &n[n.len()-4..])).collect::<Vec<_>>().join(" "));
+    }
+
     /// The state of the process, for people.
     pub(crate) fn dump(&self) -> String {
         let now = self.clock.now();
--- a/crates/placement/src/ceiling.rs
+++ b/crates/placement/src/ceiling.rs
@@ -11,8 +11,6 @@
     begun: VecDeque<Tick>,
 }
 
-/// Share of the stated rate that is used, so that late loads find room.
-const SHARE: f64 = 0.9;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 impl Ceiling {
@@ -20,7 +18,7 @@
     ///
     /// It starts full: an earlier holder may have begun as many just now.
     pub fn new(now: Tick, per_second: f64, window_ms: u64) -> Self {
-        let most = (per_second * window_ms as f64 / MILLIS_PER_SECOND * SHARE) as usize;
+        let most = (per_second * window_ms as f64 / MILLIS_PER_SECOND) as usize;
         let most = most.max(1);
         Self { window_ms, most, begun: std::iter::repeat_n(now, most).collect() }
     }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -15,5 +15,5 @@
 pub use ceiling::Ceiling;
 pub use event::{Action, Basis, DemandSample, Event, Options};
 pub use ledger::{Ledger, Room};
-pub use machine::Placement;
+pub use machine::{ModelSummary, Placement};
 pub use tenure::{Tenure, TenureAction, TenureEvent, TenureOptions};
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -30,6 +30,21 @@
     arrivals: Vec<(Tick, Name, Subject)>,
 }
 
+/// One model's demand and replicas.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelSummary {
+    /// The model.
+    pub model: Name,
+    /// Runner-seconds a second that are asked for.
+    pub load: f64,
+    /// Runners that hold it.
+    pub holding: usize,
+    /// Runners that are getting it.
+    pub coming: usize,
+}
+
+/// Models with less load are left out of a summary.
+const LEAST_LOAD: f64 = 0.005;
 /// Something wanted is forgotten if it is not asked for again, in milliseconds.
 const WANTED_MS: u64 = 1_000;
 /// Between telling all hosts that weights go and the order, in milliseconds.
@@ -91,6 +106,22 @@
         actions
     }
 
+    /// Each model that is asked for or on its way: what operators look at.
+    pub fn summary(&self, now: Tick) -> Vec<ModelSummary> {
+        let services = self.configuration.iter().flat_map(|c| c.services.iter());
+        let engines = services.filter_map(|(name, service)| Some((name, service.engine.as_ref()?)));
+        let models = engines.flat_map(|(service, engine)| {
+            engine.models.keys().map(move |model| {
+                let own = self.ledgers.values().filter(|l| l.state.service == *service);
+                let holding = own.clone().filter(|l| l.holds_model(model)).count();
+                let coming = own.filter(|l| l.will_hold(model)).count() - holding;
+                let load = self.demand.model_load(now, service, model);
+                ModelSummary { model: model.clone(), load, holding, coming }
+            })
+        });
+        models.filter(|summary| summary.load > LEAST_LOAD || summary.coming > 0).collect()
+    }
+
     fn configure(&mut self, configuration: Rc<Configuration>) {
         let version = self.configuration.as_ref().map(|c| c.version);
         if version.is_none_or(|version| version < configuration.version) {
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -29,8 +29,10 @@
 const IDLE_MS: u64 = 6_000;
 /// A model asked for within this time has to be somewhere, in milliseconds.
 const ASKED_MS: u64 = 20_000;
-/// Runner-seconds a second that another replica has to take off the others.
-const LEAST_GAIN: f64 = 0.02;
+/// Runner-seconds a second that one replica is planned for.
+const REPLICA_LOAD: f64 = 0.3;
+/// What the last replica of a model that nobody asks for is worth.
+const IDLE_LOSS: f64 = 0.01;
 /// How many times what is gained must be worth what is lost when a model makes way.
 const SWAP_FACTOR: f64 = 2.5;
 /// The gain of a first replica.
@@ -68,6 +70,12 @@
         self.now.since(self.demand.model_last(self.service, model))
     }
 
+    /// How many replicas the model should have.
+    fn wanted(&self, model: &Name, runners: usize) -> usize {
+        let by_load = (self.load(model) / REPLICA_LOAD).ceil() as usize;
+        by_load.max(1).min(runners)
+    }
+
     /// What one more replica takes off the others.
     fn gain(&self, model: &Name) -> f64 {
         let replicas = self.replicas(model) as f64;
@@ -82,7 +90,7 @@
     fn loss(&self, model: &Name) -> Option<f64> {
         let replicas = self.replicas(model) as f64;
         if replicas <= 1.0 {
-            return (self.idle_ms(model) > IDLE_MS).then_some(LEAST_GAIN / SWAP_FACTOR);
+            return (self.idle_ms(model) > IDLE_MS).then_some(IDLE_LOSS);
         }
         Some(self.load(model) / (replicas * (replicas - 1.0)))
     }
@@ -98,7 +106,7 @@
         let runners = self.runners().count();
         let gains = self.engine.models.keys().map(|model| (model, self.gain(model)));
         let mut needy: Vec<(&Name, f64)> = gains
-            .filter(|(model, gain)| *gain > LEAST_GAIN && self.replicas(model) < runners)
+            .filter(|(model, gain)| *gain > 0.0 && self.replicas(model) < self.wanted(model, runners))
             .collect();
         needy.sort_by(|a, b| b.1.total_cmp(&a.1));
         needy.into_iter().find_map(|(model, gain)| self.bring(model, gain, store_has_room))
