--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -416,8 +416,11 @@
 
     /// Ends what has no time left, and reviews the upstreams' health.
     fn expire(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        let is_leaving = self.is_late_in_stop(now);
         let late = self.requests.iter().filter_map(|(id, request)| {
             let is_late = match request.stage {
+                // What has not begun by now might not end before the process does.
+                Stage::Waiting if is_leaving => true,
                 Stage::Waiting if request.sendings == 0 => now >= request.patience,
                 Stage::Waiting => now + LEAST_LEFT_MS >= request.deadline,
                 Stage::Sent(_) => now >= request.deadline + DEADLINE_GRACE_MS,
@@ -437,6 +440,9 @@
     }
 
     fn late_refusal(&self, now: Tick, request: &Request) -> Refusal {
+        if request.stage == Stage::Waiting && self.is_late_in_stop(now) {
+            return self.refusal(request, RefusalCause::Stopping, Some(STOP_RETRY_MS));
+        }
         if matches!(request.stage, Stage::Sent(_)) {
             return Refusal::may_have_run(RefusalCause::TimedOut);
         }
--- /dev/null
+++ b/crates/dispatch/tests/support/mod.rs
@@ -0,0 +1,174 @@
+//! A small deployment for tests of the request decisions.
+#![allow(dead_code)]
+
+use std::{collections::BTreeMap, rc::Rc};
+use vanetally_dispatch::{
+    Action, Attempt, AttemptEnd, BudgetOptions, Dispatch, Event, Options, RequestId,
+};
+use vanetally_ports::{
+    CallerLimits, CallerRequest, Configuration, EngineSpec, HeldModel, ModelRef, ModelSpec,
+    Refusal, RequestKind, Route, Service, Target, UpstreamState,
+};
+use vanetally_types::{Name, Tick};
+
+/// The first moment of each test.
+pub const START: Tick = Tick(1_000_000);
+
+/// Bounds of the tests' deployment.
+pub fn options() -> Options {
+    Options {
+        zone: "z1".into(),
+        budget: BudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 30.0 },
+        grace_ms: 8_000,
+    }
+}
+
+/// A route `/NAME/` to the service `to`.
+pub fn route(name: &str, kind: RequestKind, to: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "site.example".into(),
+        prefix: format!("/{name}/").into(),
+        kind,
+        timeout_ms: 10_000,
+        target_ms: 1_000,
+        priority: 1,
+        targets: vec![Target { service: to.into(), weight: 1 }],
+        max_attempts: 2,
+        resumable: false,
+    }
+}
+
+/// A configuration with a plain service `desk` and a service of engines `llm`.
+pub fn configuration(version: u64, routes: Vec<Route>) -> Rc<Configuration> {
+    let model = ModelSpec {
+        weights_mb: 60.0,
+        load_s: 5.0,
+        warm_s: 1.0,
+        disk_s: 2.0,
+        adapters: 2,
+        adapter_mb: 1.0,
+    };
+    let engine = EngineSpec {
+        slots: 4,
+        kv_tokens: 10_000,
+        weights_mb: 200.0,
+        max_adapters: 2,
+        loads_per_s: 1.0,
+        models: BTreeMap::from([("m1".into(), model.clone()), ("m2".into(), model)]),
+    };
+    let service = |name: &str, engine| Service { name: name.into(), max_connections: 100, engine };
+    let services = [service("desk", None), service("llm", Some(engine))];
+    Rc::new(Configuration {
+        version,
+        routes,
+        services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
+        limits: CallerLimits::default(),
+    })
+}
+
+/// An upstream that announces itself.
+pub fn upstream(service: &str, port: u16, models: &[&str]) -> UpstreamState {
+    UpstreamState {
+        service: service.into(),
+        address: ([10, 0, 0, 1], port).into(),
+        zone: "z1".into(),
+        slots: 4,
+        draining: false,
+        remaining_ms: None,
+        orders_taken: 0,
+        models: models
+            .iter()
+            .map(|name| HeldModel { name: (*name).into(), adapters: Vec::new() })
+            .collect(),
+        at_hand: Vec::new(),
+    }
+}
+
+/// A request to the route `route`.
+pub fn request(id: &str, route: &str, model: Option<&str>) -> CallerRequest {
+    CallerRequest {
+        id: id.into(),
+        host: "site.example".into(),
+        path: format!("/{route}/x").into(),
+        wait_ms: Some(10_000),
+        model: model.map(|name| ModelRef { model: name.into(), adapter: None }),
+        prompt_tokens: 100,
+        output_tokens: 50,
+        parts: Vec::new(),
+        last_event: None,
+    }
+}
+
+/// The decisions of one host, with what they said.
+pub struct Host {
+    pub dispatch: Dispatch,
+    pub now: Tick,
+    next: u64,
+}
+
+impl Host {
+    /// A host that knows `routes` and nothing else.
+    pub fn new(routes: Vec<Route>) -> Self {
+        let mut host = Self { dispatch: Dispatch::new(options()), now: START, next: 0 };
+        host.tell(Event::Configured(configuration(1, routes)));
+        host
+    }
+
+    /// Tells an event.
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        self.dispatch.handle(self.now, event)
+    }
+
+    /// Lets `millis` pass, in steps like those of the event loop.
+    pub fn pass(&mut self, millis: u64) -> Vec<Action> {
+        let end = self.now + millis;
+        let mut actions = Vec::new();
+        while self.now < end {
+            self.now = (self.now + 20).min(end);
+            actions.extend(self.tell(Event::Tick));
+        }
+        actions
+    }
+
+    /// An upstream announces itself.
+    pub fn see(&mut self, id: &str, state: UpstreamState) -> Vec<Action> {
+        self.tell(Event::UpstreamSeen { id: id.into(), state })
+    }
+
+    /// A request arrives.
+    pub fn arrive(&mut self, request: CallerRequest) -> (RequestId, Vec<Action>) {
+        let id = RequestId(self.next);
+        self.next += 1;
+        (id, self.tell(Event::Arrived { id, request }))
+    }
+
+    /// An attempt ends before any of its answer went out.
+    pub fn end(&mut self, id: RequestId, end: AttemptEnd) -> Vec<Action> {
+        self.tell(Event::AttemptEnded { id, end, answered: false })
+    }
+}
+
+/// The sendings of `id` among `actions`.
+pub fn sent(actions: &[Action], id: RequestId) -> Vec<Attempt> {
+    let own = actions.iter().filter_map(|action| match action {
+        Action::Send { id: of, attempt } if *of == id => Some(attempt.clone()),
+        _ => None,
+    });
+    own.collect()
+}
+
+/// Where the one sending of `id` went.
+pub fn sent_to(actions: &[Action], id: RequestId) -> Name {
+    let attempts = sent(actions, id);
+    assert_eq!(attempts.len(), 1, "{actions:?}");
+    attempts[0].upstream.clone()
+}
+
+/// The refusal of `id` among `actions`.
+pub fn refusal(actions: &[Action], id: RequestId) -> Option<Refusal> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse { id: of, refusal } if *of == id => Some(*refusal),
+        _ => None,
+    })
+}
