test: process tests of the platform path; a replaced upstream is not asked again

Cause: an upstream whose address had changed hands answered 421, and a request without a model was sent there again until its deadline (14 times in the test address_reused, which failed first). Change: 421 of another incarnation is told apart from 'not here'; such an upstream gets nothing until it announces another address; one request is sent four times at most.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -142,7 +142,7 @@
 fn is_usable(view: &View<'_>, request: &Request, upstream: &Upstream) -> bool {
     let stays = upstream.gone_at.is_none_or(|gone| gone > view.now + NOTICE_MS);
     let holds = request.head.model.as_ref().is_none_or(|m| upstream.holds(m, view.now));
-    !upstream.state.draining && stays && holds
+    !upstream.state.draining && !upstream.is_replaced && stays && holds
 }
 
 fn has_room(view: &View<'_>, request: &Request, upstream: &Upstream) -> bool {
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -40,8 +40,10 @@
     Unreachable,
     /// The upstream turned it away as full.
     Full,
-    /// The upstream does not hold what was asked for, or is another incarnation.
+    /// The upstream does not hold what was asked for.
     Absent,
+    /// Another incarnation answered at the upstream's address.
+    Replaced,
     /// The answer broke off, made no sense or never came: it may have run.
     Broken,
 }
@@ -55,6 +57,7 @@
             Self::Unreachable => "unreachable",
             Self::Full => "full",
             Self::Absent => "absent",
+            Self::Replaced => "replaced",
             Self::Broken => "broken",
         }
     }
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -64,6 +64,8 @@
 const AGAIN_MS: u64 = 30;
 /// The final answer at the deadline leaves the upstream this long to give its own, in milliseconds.
 const DEADLINE_GRACE_MS: u64 = 120;
+/// Sendings of one request, those that were turned away included.
+const MOST_SENDINGS: u32 = 4;
 /// Least time left for a sending to make sense, in milliseconds.
 const LEAST_LEFT_MS: u64 = 20;
 /// A planned stop takes requests for this share of its time.
@@ -144,9 +146,7 @@
 
     /// Whether the host can serve requests: it knows a configuration and some upstream.
     pub fn is_ready(&self) -> bool {
-        self.configuration.is_some()
-            && !self.upstreams.is_empty()
-            && self.stopping_since.is_none()
+        self.configuration.is_some() && !self.upstreams.is_empty() && self.stopping_since.is_none()
     }
 
     /// Figures for metrics.
@@ -321,7 +321,9 @@
             AttemptEnd::Unreachable if request.sendings == 1 => request.tried.clear(),
             AttemptEnd::Unreachable => {}
             AttemptEnd::Broken => request.verdict = Verdict::MayHaveRun,
-            AttemptEnd::Full | AttemptEnd::Absent => request.not_before = now + AGAIN_MS,
+            AttemptEnd::Full | AttemptEnd::Absent | AttemptEnd::Replaced => {
+                request.not_before = now + AGAIN_MS;
+            }
         }
         match self.why_not_again(now, &request, end, answered) {
             Some(refusal) => actions.push(Action::Refuse { id, refusal }),
@@ -353,6 +355,7 @@
                 // An upstream with free places that says it is full is at fault.
                 upstream.health.ended(now, load.running * 2 >= upstream.state.slots);
             }
+            AttemptEnd::Replaced => upstream.is_replaced = true,
             AttemptEnd::Absent => {
                 if let Some(subject) = request.head.model.clone() {
                     upstream.set_presence(subject, crate::Presence::Absent, now);
@@ -379,8 +382,9 @@
         if !may_run_again {
             return Some(Refusal::may_have_run(cause));
         }
-        if end == AttemptEnd::Failed && request.sendings > 1 {
-            return Some(Refusal::may_have_run(cause));
+        let is_worn_out = request.sendings >= MOST_SENDINGS;
+        if is_worn_out || (end == AttemptEnd::Failed && request.sendings > 1) {
+            return Some(self.refusal(request, cause, Some(RETRY_MS)));
         }
         // The next sending is paid for here: one that never was sent costs nothing.
         let service = &request.service;
@@ -515,13 +519,7 @@
         choose(&view, request, own)
     }
 
-    fn want(
-        &mut self,
-        now: Tick,
-        service: &Name,
-        subject: ModelRef,
-        actions: &mut Vec<Action>,
-    ) {
+    fn want(&mut self, now: Tick, service: &Name, subject: ModelRef, actions: &mut Vec<Action>) {
         let last = self.wanted.get(&(service.clone(), subject.clone()));
         if last.is_some_and(|at| now.since(*at) < WANT_AGAIN_MS) {
             return;
@@ -535,11 +533,7 @@
         let request = self.requests.get_mut(&id)?;
         let upstream = self.upstreams.get_mut(&choice.upstream)?;
         self.queue.remove(id, request);
-        let load = Load {
-            running: 1,
-            unread_tokens: choice.unread,
-            held_tokens: request.tokens(),
-        };
+        let load = Load { running: 1, unread_tokens: choice.unread, held_tokens: request.tokens() };
         let attempt = Attempt {
             upstream: choice.upstream.clone(),
             address: upstream.state.address,
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -43,6 +43,8 @@
     pub health: Health,
     /// No request goes there before this, since it was full.
     pub full_until: Tick,
+    /// Another incarnation answers at its address: it is gone, whatever its announcement says.
+    pub is_replaced: bool,
     /// When it will be gone, if it said so.
     pub gone_at: Option<Tick>,
     peers: BTreeMap<Name, PeerLoad>,
@@ -62,6 +64,7 @@
             own: Load::default(),
             health: Health::default(),
             full_until: Tick(0),
+            is_replaced: false,
             gone_at: None,
             peers: BTreeMap::new(),
             presence: HashMap::new(),
@@ -75,6 +78,7 @@
         if let Some(ms) = state.remaining_ms {
             self.gone_at.get_or_insert(now + ms);
         }
+        self.is_replaced &= self.state.address == state.address;
         self.state = state;
     }
 
@@ -128,9 +132,8 @@
 
     /// Good and bad ends that other hosts saw lately.
     pub(crate) fn peer_ends(&self, now: Tick) -> (u32, u32) {
-        self.recent(now).fold((0, 0), |(good, bad), row| {
-            (good + u32::from(row.good), bad + u32::from(row.bad))
-        })
+        self.recent(now)
+            .fold((0, 0), |(good, bad), row| (good + u32::from(row.good), bad + u32::from(row.bad)))
     }
 
     fn recent(&self, now: Tick) -> impl Iterator<Item = &LoadRow> {
@@ -196,10 +199,7 @@
 }
 
 /// Keys of the beginnings of a prompt, each with the tokens of its last part.
-fn chain<'a>(
-    subject: &ModelRef,
-    parts: &'a [PromptPart],
-) -> impl Iterator<Item = (u64, u32)> + 'a {
+fn chain<'a>(subject: &ModelRef, parts: &'a [PromptPart]) -> impl Iterator<Item = (u64, u32)> + 'a {
     let mut key = hash64(subject.to_string().as_bytes());
     parts.iter().map(move |part| {
         let mut bytes = [0; 16];
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -206,13 +206,11 @@
             Asked::Answer(started) if attempt.is_stream => {
                 return relay::stream(caller, outgoing, attempt, *started);
             }
-            Asked::Answer(started) => {
-                match whole(&mut caller, &attempt, *started).await {
-                    Whole::Final(response) => return response,
-                    Whole::Failure(response) => failure = Some(response),
-                    Whole::Broken => {}
-                }
-            }
+            Asked::Answer(started) => match whole(&mut caller, &attempt, *started).await {
+                Whole::Final(response) => return response,
+                Whole::Failure(response) => failure = Some(response),
+                Whole::Broken => {}
+            },
         }
     }
 }
@@ -240,7 +238,7 @@
         Err(end) => return Asked::Ended(end),
     };
     let (head, body) = response.into_parts();
-    let kind = hub.ports.engine.judge(&head, name);
+    let kind = hub.ports.engine.judge(&head, name, &attempt.upstream);
     let response = Response::from_parts(head, body);
     match kind {
         AnswerKind::Success | AnswerKind::Failure => Asked::Answer(Box::new(Started {
@@ -256,6 +254,10 @@
             drain(hub, connection, response).await;
             Asked::Ended(AttemptEnd::Absent)
         }
+        AnswerKind::Replaced => {
+            hub.pool.distrust(attempt.address);
+            Asked::Ended(AttemptEnd::Replaced)
+        }
         AnswerKind::Foreign | AnswerKind::Unsigned => {
             hub.pool.distrust(attempt.address);
             log::warn!(
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -101,10 +101,8 @@
             ttl_ms: ORDER_TTL_MS.max(settings.store.least_ttl_ms),
             settle_ms: bounds.order_lease_ms,
         };
-        let placement = placement::Options {
-            holder: settings.host.clone(),
-            window_ms: bounds.load_window_ms,
-        };
+        let placement =
+            placement::Options { holder: settings.host.clone(), window_ms: bounds.load_window_ms };
         Rc::new(Self {
             clock: Clock::start(),
             pool: Pool::default(),
@@ -451,7 +449,14 @@
             format!("{}:{load:.2}:{holding}+{coming}", model.model)
         });
         log::info!("event=placement models={}", models.collect::<Vec<_>>().join(","));
-        let l = self.dispatch.borrow().loads(self.clock.now()); log::info!("event=loads {}", l.iter().map(|(n,r,u)| format!("{}:{r}/{u}", &n[n.len()-4..])).collect::<Vec<_>>().join(" "));
+        let l = self.dispatch.borrow().loads(self.clock.now());
+        log::info!(
+            "event=loads {}",
+            l.iter()
+                .map(|(n, r, u)| format!("{}:{r}/{u}", &n[n.len() - 4..]))
+                .collect::<Vec<_>>()
+                .join(" ")
+        );
     }
 
     /// The state of the process, for people.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -104,7 +104,8 @@
     messages: mpsc::UnboundedSender<(Name, PeerMessage)>,
 ) -> anyhow::Result<Links> {
     let address = SocketAddr::new(settings.ip, settings.link_port);
-    let listener = std::net::TcpListener::bind(address).with_context(|| format!("bind {address}"))?;
+    let listener =
+        std::net::TcpListener::bind(address).with_context(|| format!("bind {address}"))?;
     let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let me = HostId::new(settings.host.clone(), incarnation.as_millis() as u64);
     let options = peer::Options { me, key: settings.link_key.clone(), most: MOST_MESSAGE };
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -1,7 +1,9 @@
 //! What goes into the placement and what comes out.
 
 use std::{net::SocketAddr, rc::Rc};
-use vanetally_ports::{Configuration, ModelRef, Order, OrderOutcome, Report, Revision, UpstreamState};
+use vanetally_ports::{
+    Configuration, ModelRef, Order, OrderOutcome, Report, Revision, UpstreamState,
+};
 use vanetally_types::{Name, Tick};
 
 /// Bounds that the deployment states.
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -89,9 +89,10 @@
     /// reports only, and a difference is a reason to ask for one.
     pub fn announced(&mut self, state: UpstreamState) {
         let count = self.count.unwrap_or(0);
-        let has_arrived = self.loading.as_ref().is_some_and(|loading| {
-            state.models.iter().any(|held| held.name == loading.model)
-        });
+        let has_arrived = self
+            .loading
+            .as_ref()
+            .is_some_and(|loading| state.models.iter().any(|held| held.name == loading.model));
         if state.orders_taken > count || has_arrived {
             self.is_doubtful = true;
         }
@@ -150,8 +151,7 @@
             self.unloading = None;
         }
         self.settle();
-        self.has_unknown_order =
-            report.busy && self.loading.is_none() && self.unloading.is_none();
+        self.has_unknown_order = report.busy && self.loading.is_none() && self.unloading.is_none();
         if !report.at_hand.is_empty() {
             self.at_hand = report.at_hand.iter().cloned().collect();
         }
@@ -268,10 +268,8 @@
     /// Adapters that are there.
     pub fn adapters(&self) -> impl Iterator<Item = Subject> + '_ {
         self.held.iter().flat_map(|(model, adapters)| {
-            let subject = |adapter: &Name| Subject {
-                model: model.clone(),
-                adapter: Some(adapter.clone()),
-            };
+            let subject =
+                |adapter: &Name| Subject { model: model.clone(), adapter: Some(adapter.clone()) };
             adapters.iter().map(subject)
         })
     }
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -201,9 +201,10 @@
         let due = self.closing.iter().filter(|(_, since)| now.since(**since) >= CLOSING_MS);
         let due: Vec<(Name, Subject)> = due.map(|(key, _)| key.clone()).collect();
         for (runner, subject) in due {
-            let is_open = self.ledgers.get(&runner).is_some_and(|ledger| {
-                ledger.next_count().is_some() && !ledger.is_busy()
-            });
+            let is_open = self
+                .ledgers
+                .get(&runner)
+                .is_some_and(|ledger| ledger.next_count().is_some() && !ledger.is_busy());
             if is_open {
                 self.closing.remove(&(runner.clone(), subject.clone()));
                 self.order(now, token, &runner, Operation::Unload, subject, actions);
@@ -297,13 +298,7 @@
             let ceiling = self.ceilings.entry(service.clone());
             let ceiling = ceiling.or_insert_with(|| Ceiling::new(now, engine.loads_per_s, window));
             let store_has_room = ceiling.has_room(now, unsettled);
-            let view = View {
-                now,
-                service,
-                engine,
-                demand: &self.demand,
-                ledgers: &self.ledgers,
-            };
+            let view = View { now, service, engine, demand: &self.demand, ledgers: &self.ledgers };
             let Some(step) = view.next(store_has_room) else {
                 return;
             };
@@ -408,13 +403,7 @@
         self.order_all(now, actions);
     }
 
-    fn accepted(
-        &mut self,
-        now: Tick,
-        order: &Order,
-        takes_ms: u64,
-        actions: &mut Vec<Action>,
-    ) {
+    fn accepted(&mut self, now: Tick, order: &Order, takes_ms: u64, actions: &mut Vec<Action>) {
         if order.subject.adapter.is_none() {
             return;
         }
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -106,7 +106,9 @@
         let runners = self.runners().count();
         let gains = self.engine.models.keys().map(|model| (model, self.gain(model)));
         let mut needy: Vec<(&Name, f64)> = gains
-            .filter(|(model, gain)| *gain > 0.0 && self.replicas(model) < self.wanted(model, runners))
+            .filter(|(model, gain)| {
+                *gain > 0.0 && self.replicas(model) < self.wanted(model, runners)
+            })
             .collect();
         needy.sort_by(|a, b| b.1.total_cmp(&a.1));
         needy.into_iter().find_map(|(model, gain)| self.bring(model, gain, store_has_room))
@@ -133,7 +135,8 @@
             if best.as_ref().is_none_or(|(most, _)| rank > *most) {
                 let from_store = operation == Operation::Load && !is_at_hand;
                 let subject = Subject { model: subject.clone(), adapter: None };
-                best = Some((rank, Step { runner: runner.clone(), operation, subject, from_store }));
+                best =
+                    Some((rank, Step { runner: runner.clone(), operation, subject, from_store }));
             }
         }
         best.map(|(_, step)| step)
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -129,8 +129,10 @@
     Failure,
     /// The request did not run: the upstream is full.
     Full,
-    /// The request did not run: what it asks for isn't there, or another incarnation answered.
+    /// The request did not run: what it asks for isn't there.
     Absent,
+    /// The request did not run: another incarnation answered.
+    Replaced,
     /// The answer belongs to another request.
     Foreign,
 }
@@ -140,8 +142,8 @@
     /// Sets what an attempt states beside the caller's own headers.
     fn prepare(&self, headers: &mut http::HeaderMap, attempt: &AttemptHead);
 
-    /// Judges the head of the answer to the request `id`.
-    fn judge(&self, head: &http::response::Parts, id: &Name) -> AnswerKind;
+    /// Judges the head of the answer to the request `id`, sent to the incarnation `instance`.
+    fn judge(&self, head: &http::response::Parts, id: &Name, instance: &Name) -> AnswerKind;
 
     /// The call that asks the incarnation `runner` for its report.
     fn report_request(&self, runner: &Name) -> http::Request<Bytes>;
--- /dev/null
+++ b/tests/gateway/mod.rs
@@ -0,0 +1,202 @@
+//! A deployment of stand-ins on loopback, and the real program as separate processes.
+
+use serde_json::{Value, json};
+use std::{
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+use tempfile::TempDir;
+use vanetally_platform_standin::{Client, Runner, RunnerOptions, Store};
+
+/// The longest that a test waits for a condition.
+const PATIENCE: Duration = Duration::from_secs(30);
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Waits until `condition` holds.
+pub fn wait_for(what: &str, condition: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !condition() {
+        assert!(begun.elapsed() < PATIENCE, "waited in vain: {what}");
+        thread::sleep(LOOK);
+    }
+}
+
+/// Store, runners and settings of one test.
+pub struct Deployment {
+    pub store: Store,
+    pub engines: Vec<Runner>,
+    pub desks: Vec<Runner>,
+    directory: TempDir,
+}
+
+/// An address of the loopback range that no other process of the tests uses.
+fn fresh_ip() -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let process = std::process::id();
+    let next = NEXT.fetch_add(1, Ordering::Relaxed);
+    format!("127.{}.{}.{}", 1 + process / 250 % 250, 1 + process % 250, next)
+}
+
+impl Deployment {
+    /// A store with a configuration, one engine that holds `m1`, one plain service.
+    pub fn start() -> Self {
+        let ip = fresh_ip();
+        let runner = |id: &str, service: &str, models: &[&str]| {
+            let models = models.iter().map(|model| (*model).to_owned()).collect();
+            Runner::start(&ip, RunnerOptions { id: id.into(), service: service.into(), models })
+        };
+        let deployment = Self {
+            store: Store::start(&ip),
+            engines: vec![runner("i-engine-0", "llm", &["m1"])],
+            desks: vec![runner("i-desk-0", "desk", &[])],
+            directory: tempfile::tempdir().expect("a directory"),
+        };
+        deployment.configure(1, &[]);
+        for runner in deployment.engines.iter().chain(&deployment.desks) {
+            let (key, value) = runner.entry();
+            deployment.store.put(&key, &value);
+        }
+        deployment
+    }
+
+    /// The operator writes a configuration with `more` routes to the plain service.
+    pub fn configure(&self, version: u64, more: &[&str]) {
+        let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+            json!({
+                "name": name, "host": "site.example", "path_prefix": format!("/{name}/"),
+                "type": kind, "timeout_ms": 10000, "target_latency_ms": 1000, "priority": 1,
+                "service": service, "max_attempts": if resumable { 2 } else { 1 },
+                "resumable": resumable,
+            })
+        };
+        let mut routes = vec![
+            route("offer", "streaming", "llm", false),
+            route("draft", "streaming", "llm", true),
+            route("check", "idempotent", "desk", false),
+        ];
+        routes.extend(more.iter().map(|name| route(name, "idempotent", "desk", false)));
+        let model = json!({
+            "name": "m1", "weights_mb": 60000.0, "load_time_s": 1.0, "adapters": 4,
+            "adapter_mb": 10.0,
+        });
+        let engine = json!({
+            "slots": 8, "kv_capacity_tokens": 100000, "weights_mb": 200000.0, "max_adapters": 4,
+            "loads_per_s": 1.0, "models": [model],
+        });
+        let services = json!([
+            { "name": "llm", "max_connections": 100, "engine": engine },
+            { "name": "desk", "max_connections": 100 },
+        ]);
+        let configuration =
+            json!({ "version": version, "routes": routes, "services": services, "limits": {} });
+        self.store.put("op/config", &configuration);
+    }
+
+    /// Starts a host.
+    pub fn spawn(&self, name: &str) -> Host {
+        let ip = fresh_ip();
+        let path = self.directory.path().join(format!("{name}.json"));
+        std::fs::write(&path, settings(name, &ip, self.store.address()).to_string())
+            .expect("the settings can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_vanetallyd"))
+            .arg("gateway")
+            .env("VANETALLY_CONFIG", &path)
+            .stdout(log_file(&self.directory, name))
+            .spawn()
+            .expect("the program starts");
+        let address = |port: u16| format!("{ip}:{port}").parse().expect("an address");
+        Host { child, front: address(FRONT), ready: address(READY), metrics: address(METRICS) }
+    }
+
+    /// Starts a host and waits until it is ready.
+    pub fn host(&self, name: &str) -> Host {
+        let host = self.spawn(name);
+        wait_for("the host is ready", || host.readiness() == 200);
+        host
+    }
+}
+
+const FRONT: u16 = 8_149;
+const READY: u16 = 8_141;
+const METRICS: u16 = 9_464;
+
+fn settings(name: &str, ip: &str, store: SocketAddr) -> Value {
+    json!({
+        "node_name": name, "zone": "z1", "region": "r1", "ip": ip,
+        "internal_port_range": [7380, 7395], "a_new_field": { "of": ["any", "shape"] },
+        "listen_addrs": {
+            "front": format!("{ip}:{FRONT}"), "ready": format!("{ip}:{READY}"), "control": null,
+        },
+        "bounds": { "grace_s": 8, "retry_slack": 50, "lease_ms": 500 },
+        "platform": { "address": store.to_string(), "ttl_min_ms": 500 },
+    })
+}
+
+fn log_file(directory: &TempDir, name: &str) -> Stdio {
+    let path = directory.path().join(format!("{name}.log"));
+    std::fs::File::create(path).map_or_else(|_| Stdio::null(), Stdio::from)
+}
+
+/// Runs the program on settings that are no good; its exit code and what it says.
+pub fn check_settings(text: &str) -> (Option<i32>, String) {
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = directory.path().join("settings.json");
+    std::fs::write(&path, text).expect("the settings can be written");
+    let output = Command::new(env!("CARGO_BIN_EXE_vanetallyd"))
+        .args(["gateway", "--check", "--settings"])
+        .arg(&path)
+        .output()
+        .expect("the program starts");
+    (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
+/// A running host.
+pub struct Host {
+    child: Child,
+    pub front: SocketAddr,
+    ready: SocketAddr,
+    metrics: SocketAddr,
+}
+
+impl Host {
+    /// The status of the balancer's question; 0 if nobody answers.
+    pub fn readiness(&self) -> u16 {
+        Client::new("GET", "/-/readiness", "").send(self.ready).status
+    }
+
+    /// The value of a metric.
+    pub fn metric(&self, name: &str) -> Option<f64> {
+        let text = Client::new("GET", "/metrics", "").send(self.metrics).body;
+        let line = text.lines().find(|line| line.split(' ').next() == Some(name))?.to_owned();
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(status.is_ok_and(|status| status.success()));
+    }
+
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("it runs");
+        self.child.wait().expect("it has ended");
+    }
+
+    /// Waits for its end; its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().expect("it ends").code()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        // One that has ended needs no end.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/tests/platform_path.rs
@@ -0,0 +1,333 @@
+//! The whole path on the platform: the real program as a separate process, the platform's
+//! stand-ins around it.
+
+mod gateway;
+
+use gateway::{Deployment, wait_for};
+use rstest::rstest;
+use std::time::{Duration, Instant};
+use vanetally_platform_standin::{Behaviour, Client, StoreMode};
+
+const STREAM: Behaviour = Behaviour::Stream { events: 5, pause_ms: 5 };
+
+fn offer(id: &str) -> Client {
+    Client::new("POST", "/offer/1", id).with("X-Model", "m1").body(b"draft")
+}
+
+fn check(id: &str) -> Client {
+    Client::new("GET", "/check/1?unit=7", id)
+}
+
+#[test]
+fn whole_stream() {
+    let deployment = Deployment::start();
+    deployment.engines[0].set_behaviour(STREAM);
+    let host = deployment.host("front-1");
+    let answer = offer("a1").with("X-Token-Count", "100,20").send(host.front);
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(answer.header("x-server-seal"), Some("seal-1"));
+    assert_eq!(answer.header("x-attempt-id"), Some("a1"));
+    assert_eq!(answer.body.matches("data: piece").count(), 5);
+    let seen = deployment.engines[0].requests();
+    assert_eq!(seen.len(), 1);
+    assert_eq!((seen[0].method.as_str(), seen[0].path.as_str()), ("POST", "/offer/1"));
+    assert_eq!(seen[0].body, b"draft");
+    assert_eq!(seen[0].header("x-expect-instance"), Some("i-engine-0"));
+    assert_eq!(seen[0].header("x-token-count"), Some("100,20"));
+    assert_eq!(seen[0].header("x-request-priority"), Some("1"));
+    let deadline: u64 = seen[0].header("x-deadline-ms").and_then(|ms| ms.parse().ok()).unwrap();
+    assert!(deadline <= 10_000, "{deadline}");
+}
+
+#[test]
+fn whole_answer() {
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    let answer = check("b1").send(host.front);
+    assert_eq!((answer.status, answer.is_whole, answer.body.as_str()), (200, true, "whole"));
+    assert_eq!(deployment.desks[0].requests()[0].path, "/check/1?unit=7");
+}
+
+#[test]
+fn unknown_route() {
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    assert_eq!(Client::new("GET", "/nowhere/", "c1").send(host.front).status, 404);
+}
+
+#[test]
+fn caller_leaves() {
+    let deployment = Deployment::start();
+    deployment.engines[0].set_behaviour(Behaviour::Stream { events: 2_000, pause_ms: 10 });
+    let host = deployment.host("front-1");
+    offer("d1").send_and_leave(host.front, Duration::from_millis(300));
+    let left = Instant::now();
+    wait_for("the run is cancelled", || deployment.engines[0].cancelled() == 1);
+    assert!(left.elapsed() < Duration::from_millis(500), "{:?}", left.elapsed());
+}
+
+#[test]
+fn caller_leaves_early() {
+    let deployment = Deployment::start();
+    deployment.engines[0].set_behaviour(Behaviour::Mute);
+    let host = deployment.host("front-1");
+    offer("d2").send_and_leave(host.front, Duration::from_millis(300));
+    wait_for("the run is cancelled", || deployment.engines[0].cancelled() == 1);
+}
+
+/// Answers that must not reach the caller as a success.
+#[rstest]
+#[case(Behaviour::Crossed)]
+#[case(Behaviour::Unsealed)]
+fn bad_answer(#[case] behaviour: Behaviour) {
+    let deployment = Deployment::start();
+    deployment.engines[0].set_behaviour(behaviour);
+    let host = deployment.host("front-1");
+    let answer = offer("e1").send(host.front);
+    assert_eq!(answer.status, 502);
+    assert_eq!(answer.header("x-server-seal"), None);
+    assert_eq!(deployment.engines[0].requests().len(), 1, "run once at most");
+}
+
+/// Answers that broke off must not look whole.
+#[rstest]
+#[case(Behaviour::BreakAfter(3))]
+#[case(Behaviour::UnframedReset)]
+fn broken_answer(#[case] behaviour: Behaviour) {
+    let deployment = Deployment::start();
+    deployment.engines[0].set_behaviour(behaviour);
+    let host = deployment.host("front-1");
+    let answer = offer("f1").send(host.front);
+    assert!(answer.status != 200 || !answer.is_whole, "{answer:?}");
+    assert_eq!(deployment.engines[0].requests().len(), 1, "run once at most");
+}
+
+#[test]
+fn stream_resumed() {
+    let deployment = Deployment::start();
+    deployment.engines[0].set_behaviour(Behaviour::BreakAfter(3));
+    let host = deployment.host("front-1");
+    let client = Client::new("POST", "/draft/1", "g1").with("X-Model", "m1");
+    let engine = deployment.engines[0].clone();
+    let mend = std::thread::spawn(move || {
+        wait_for("the first run", || engine.requests().len() == 1);
+        engine.set_behaviour(STREAM);
+    });
+    let answer = client.send(host.front);
+    mend.join().unwrap();
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    let ids: Vec<&str> = answer.body.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+    assert_eq!(ids, ["1", "2", "3", "4", "5"]);
+    assert_eq!(deployment.engines[0].requests()[1].header("last-event-id"), Some("3"));
+}
+
+#[test]
+fn surplus_answer() {
+    let deployment = Deployment::start();
+    deployment.desks[0].set_behaviour(Behaviour::Surplus);
+    let host = deployment.host("front-1");
+    for number in 0..5 {
+        let id = format!("h{number}");
+        let answer = check(&id).send(host.front);
+        assert!(answer.status != 200 || answer.header("x-attempt-id") == Some(&id), "{answer:?}");
+    }
+}
+
+#[test]
+fn address_reused() {
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    deployment.desks[0].set_id("i-somebody-else");
+    let answer = check("i1").send(host.front);
+    assert_eq!(answer.status, 503, "it has not run, and the promise says so");
+    assert_eq!(deployment.desks[0].requests().len(), 1, "it is not asked again");
+    assert!(answer.header("retry-after").is_some());
+}
+
+#[test]
+fn own_failure_passes() {
+    let deployment = Deployment::start();
+    deployment.engines[0].set_behaviour(Behaviour::Failing);
+    let host = deployment.host("front-1");
+    let answer = offer("j1").send(host.front);
+    assert_eq!((answer.status, answer.body.as_str()), (500, "failed"));
+    assert_eq!(answer.header("x-server-seal"), Some("seal-1"));
+}
+
+#[test]
+fn full_runner() {
+    let deployment = Deployment::start();
+    deployment.engines[0].set_behaviour(Behaviour::Full);
+    let host = deployment.host("front-1");
+    let answer = offer("k1").with("X-Deadline-Ms", "1000").send(host.front);
+    assert_eq!(answer.status, 503);
+}
+
+#[rstest]
+#[case(StoreMode::Busy)]
+#[case(StoreMode::Silent)]
+fn store_down_at_start(#[case] mode: StoreMode) {
+    let deployment = Deployment::start();
+    deployment.store.set_mode(mode);
+    let host = deployment.spawn("front-1");
+    wait_for("the host answers", || host.readiness() == 503);
+    assert_eq!(check("l1").send(host.front).status, 503);
+    deployment.store.set_mode(StoreMode::Serving);
+    wait_for("the host is ready", || host.readiness() == 200);
+    assert_eq!(check("l2").send(host.front).status, 200);
+}
+
+#[test]
+fn configuration_follows() {
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    assert_eq!(Client::new("GET", "/later/1", "m1").send(host.front).status, 404);
+    deployment.configure(2, &["later"]);
+    wait_for("the route is there", || {
+        Client::new("GET", "/later/1", "m2").send(host.front).status == 200
+    });
+}
+
+#[test]
+fn history_forgotten() {
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    deployment.store.set_mode(StoreMode::DeafWatches);
+    deployment.configure(2, &["later"]);
+    deployment.store.forget_history();
+    deployment.store.set_mode(StoreMode::Serving);
+    wait_for("the route is there", || {
+        Client::new("GET", "/later/1", "n1").send(host.front).status == 200
+    });
+}
+
+#[test]
+fn unreadable_configuration() {
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    deployment.store.put("op/config", &serde_json::json!({ "version": "nine" }));
+    deployment.store.put("servers/i-strange", &serde_json::json!([1, 2]));
+    deployment.configure(3, &["later"]);
+    wait_for("the next good one is in force", || {
+        Client::new("GET", "/later/1", "o1").send(host.front).status == 200
+    });
+    assert_eq!(check("o2").send(host.front).status, 200);
+}
+
+#[test]
+fn stop_finishes_streams() {
+    let deployment = Deployment::start();
+    deployment.engines[0].set_behaviour(Behaviour::Stream { events: 60, pause_ms: 25 });
+    let mut host = deployment.host("front-1");
+    let front = host.front;
+    let caller = std::thread::spawn(move || offer("p1").send(front));
+    wait_for("the stream runs", || deployment.engines[0].requests().len() == 1);
+    host.signal("TERM");
+    wait_for("the host is not ready", || host.readiness() != 200);
+    let answer = caller.join().unwrap();
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(host.wait(), Some(0));
+    assert_eq!(deployment.store.get("vanetally/hosts/front-1"), None, "it took its key along");
+}
+
+#[test]
+fn hang_up_survived() {
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    host.signal("HUP");
+    assert_eq!(check("q1").send(host.front).status, 200);
+}
+
+#[test]
+fn adapter_ordered() {
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    let client = Client::new("POST", "/offer/1", "r1").with("X-Model", "m1/a1");
+    let answer = client.send(host.front);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let orders = deployment.engines[0].orders();
+    assert!(orders.iter().any(|order| order.adapter.as_deref() == Some("a1")), "{orders:?}");
+}
+
+#[test]
+fn one_holder() {
+    let deployment = Deployment::start();
+    let hosts = [deployment.host("front-1"), deployment.host("front-2")];
+    for (number, host) in hosts.iter().enumerate() {
+        let model = format!("m1/a{}", number + 1);
+        let id = format!("s{number}");
+        let answer = Client::new("POST", "/offer/1", &id).with("X-Model", &model).send(host.front);
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    let orders = deployment.engines[0].orders();
+    let first = &orders[0];
+    assert!(
+        orders.iter().all(|o| (&o.holder, o.token) == (&first.holder, first.token)),
+        "{orders:?}"
+    );
+}
+
+/// A holder that a runner refuses as outdated gives up its tenure, and never uses that token again.
+#[test]
+fn fenced_holder() {
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    wait_for("somebody holds the orders", || deployment.store.get("vanetally/orders").is_some());
+    deployment.engines[0].see_token(1_000_000);
+    let client = Client::new("POST", "/offer/1", "t1").with("X-Model", "m1/a1");
+    client.send_and_leave(host.front, Duration::from_millis(4_500));
+    wait_for("the order was refused", || !deployment.engines[0].orders().is_empty());
+    wait_for("the key was written anew", || deployment.store.writes_of("vanetally/orders") >= 2);
+    let orders = deployment.engines[0].orders();
+    assert_eq!(orders[0].status, 412);
+    let again = orders.iter().filter(|order| order.token == orders[0].token).count();
+    assert_eq!(again, 1, "{orders:?}");
+}
+
+#[test]
+fn holder_replaced() {
+    let deployment = Deployment::start();
+    let mut first = deployment.host("front-1");
+    wait_for("the first holds the orders", || {
+        deployment.store.get("vanetally/orders").as_deref() == Some("front-1")
+    });
+    let second = deployment.host("front-2");
+    first.kill();
+    wait_for("the second holds the orders", || {
+        deployment.store.get("vanetally/orders").as_deref() == Some("front-2")
+    });
+    let client = Client::new("POST", "/offer/1", "u1").with("X-Model", "m1/a2");
+    wait_for("an adapter is served", || client.send(second.front).status == 200);
+}
+
+/// A host that the store turns away takes the configuration from another host.
+#[test]
+fn configuration_from_peer() {
+    let deployment = Deployment::start();
+    let _first = deployment.host("front-1");
+    let cut_off = Deployment::start();
+    cut_off.store.remove("op/config");
+    let second = cut_off.spawn("front-2");
+    // Each knows where the other's links listen.
+    for (name, from, to) in [
+        ("front-1", &deployment.store, &cut_off.store),
+        ("front-2", &cut_off.store, &deployment.store),
+    ] {
+        let key = format!("vanetally/hosts/{name}");
+        wait_for("the host wrote its key", || from.get(&key).is_some());
+        let entry = from.get(&key).unwrap();
+        to.put(&key, &serde_json::from_str(&entry).unwrap());
+    }
+    // A host tells its load, and with it its version, when that changes.
+    offer("v1").send(_first.front);
+    wait_for("the configuration came from the peer", || {
+        second.metric("vanetally_configuration_version") == Some(1.0)
+    });
+}
+
+#[test]
+fn settings_checked() {
+    let (status, text) = gateway::check_settings("{ \"node_name\": 7 }");
+    assert_eq!(status, Some(2));
+    assert!(text.contains("node_name") || text.contains("invalid type"), "{text}");
+}
