--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -108,8 +108,11 @@
 const SERVICE_WORK_MS: f64 = 30.0;
 /// What speaks against an upstream that has failed the request already, in milliseconds.
 const TRIED_MS: f64 = 10_000.0;
-/// Share of the objective that a prompt may wait to be read at an upstream.
-const READ_SHARE: f64 = 0.5;
+/// Share of the longest pause between events that reading prompts may take at an engine: it reads
+/// them between the tokens of those that run.
+const GAP_SHARE: f64 = 0.6;
+/// The longest pause between events where the route states none, in milliseconds.
+const GAP_MS: u64 = 300;
 /// How much of this host's sending the others are taken to do.
 const ALIKE: f64 = 0.5;
 /// Time left below which an upstream under notice gets nothing, in milliseconds.
@@ -157,9 +160,12 @@
             let fits = u64::from(load.held_tokens + request.tokens()) <= engine.kv_tokens;
             let has_slot = f64::from(load.running) < slots * ENGINE_FILL;
             let ahead = view.ahead(upstream);
-            let model = request.head.model.as_ref().map(|m| &m.model);
-            let wait_ms = f64::from(ahead) * view.pace.per_token(model);
-            let is_read_soon = wait_ms < READ_SHARE * request.route.target_ms as f64;
+            let model = request.head.model.as_ref();
+            let cached = upstream.cached_tokens(model, &request.head.parts);
+            let unread = ahead + request.head.prompt_tokens.saturating_sub(cached);
+            let reading_ms = f64::from(unread) * view.pace.per_token(model.map(|m| &m.model));
+            let gap_ms = request.route.gap_ms.unwrap_or(GAP_MS) as f64;
+            let is_read_soon = reading_ms < GAP_SHARE * gap_ms;
             load.running == 0 || (fits && has_slot && (ahead == 0 || is_read_soon))
         }
     }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -32,6 +32,7 @@
         kind,
         timeout_ms: 10_000,
         target_ms: 1_000,
+        gap_ms: Some(300),
         priority: 1,
         targets: vec![Target { service: to.into(), weight: 1 }],
         max_attempts: 2,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -214,8 +214,8 @@
         };
         let whole = self.partial.split_to(end + EVENT_END.len()).freeze();
         let text = String::from_utf8_lossy(&whole);
-        let ids = text.lines().filter_map(|line| line.strip_prefix(ID_FIELD));
-        if let Some(id) = ids.last() {
+        let mut ids = text.lines().rev().filter_map(|line| line.strip_prefix(ID_FIELD));
+        if let Some(id) = ids.next() {
             self.last_id = Some(id.trim().into());
         }
         whole
--- a/crates/ports/src/configuration.rs
+++ b/crates/ports/src/configuration.rs
@@ -43,6 +43,8 @@
     pub timeout_ms: u64,
     /// Within this time an answer is in time, in milliseconds.
     pub target_ms: u64,
+    /// The longest pause between events of a stream that still is in time, in milliseconds.
+    pub gap_ms: Option<u64>,
     /// Rank of its requests; 0 is the most urgent.
     pub priority: u8,
     /// The services that take its requests, with shares.
