feat: a new holder orders after 0.3 s; changes in the store are gathered

Cause: after each change of the holder no orders were given for 3 s, though only a host that held them before can take turns with the one between; each change of a runner's entry cost every host a call.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -79,6 +79,9 @@
 
 /// Length of the order lease, in milliseconds; the store may grant more.
 const ORDER_TTL_MS: u64 = 2_000;
+/// A holder waits this long before its first order, in milliseconds: the last ones of an earlier
+/// holder are on their way no longer.
+const SETTLE_MS: u64 = 300;
 /// For a runner to answer a report.
 const REPORT: Duration = Duration::from_millis(800);
 /// For a runner to answer an order.
@@ -99,12 +102,14 @@
         };
         let tenure = TenureOptions {
             ttl_ms: ORDER_TTL_MS.max(settings.store.least_ttl_ms),
-            settle_ms: bounds.order_lease_ms,
+            settle_ms: SETTLE_MS,
+            resettle_ms: bounds.order_lease_ms + SETTLE_MS,
         };
         let placement =
             placement::Options { holder: settings.host.clone(), window_ms: bounds.load_window_ms };
+        let clock = Clock::start();
         Rc::new(Self {
-            clock: Clock::start(),
+            clock,
             pool: Pool::default(),
             control: Pool::default(),
             store: Store::new(settings.store.address, ports.store.clone()),
@@ -113,7 +118,7 @@
             links,
             dispatch: RefCell::new(Dispatch::new(options)),
             placement: RefCell::new(Placement::new(placement)),
-            tenure: RefCell::new(Tenure::new(tenure)),
+            tenure: RefCell::new(Tenure::new(clock.now(), tenure)),
             holder: RefCell::new(None),
             peers: RefCell::new(BTreeMap::new()),
             waiters: RefCell::new(HashMap::new()),
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -18,6 +18,8 @@
     fn lost(&self);
 }
 
+/// After changes the next watch waits this long, to find more at once.
+const GATHER: Duration = Duration::from_millis(300);
 /// The first pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
 /// The longest pause after failures.
@@ -69,7 +71,12 @@
         match store.watch(prefix, after).await {
             Ok(WatchAnswer::Changes { changes, at }) => {
                 after = after.max(at);
+                let is_change = !changes.is_empty();
                 changes.into_iter().for_each(|change| follower.changed(change));
+                if is_change {
+                    // Changes come in groups: one call takes what follows soon.
+                    sleep(GATHER).await;
+                }
             }
             Ok(WatchAnswer::HistoryGone) => {
                 log::info!("event=watch_history_gone prefix={prefix} after={}", after.0);
--- a/crates/placement/src/tenure.rs
+++ b/crates/placement/src/tenure.rs
@@ -12,8 +12,11 @@
 pub struct TenureOptions {
     /// How long the store keeps the key after the last renewal, in milliseconds.
     pub ttl_ms: u64,
-    /// How long a new holder waits before its first order, in milliseconds.
+    /// How long a holder waits before its first order, in milliseconds.
     pub settle_ms: u64,
+    /// How long a host that may have been the holder before waits, in milliseconds: it must not
+    /// take turns with the one between.
+    pub resettle_ms: u64,
 }
 
 /// Something that happened to the tenure.
@@ -110,6 +113,10 @@
     next_try: Tick,
     /// Order among the hosts that may try; the first tries at once.
     rank: u64,
+    /// Since when this host, in this life or an earlier one, can't have been the holder.
+    clear_from: Tick,
+    /// Whether this process was the holder before.
+    has_held: bool,
 }
 
 /// Renewals in one length of a lease.
@@ -122,9 +129,18 @@
 const RANK_MS: u64 = 40;
 
 impl Tenure {
-    /// Nothing is known yet.
-    pub fn new(options: TenureOptions) -> Self {
-        Self { options, state: State::Following, holder: None, next_try: Tick(0), rank: 0 }
+    /// A process that starts at `now` and knows nothing yet: an earlier life of this host may have
+    /// been the holder until just before.
+    pub fn new(now: Tick, options: TenureOptions) -> Self {
+        Self {
+            options,
+            state: State::Following,
+            holder: None,
+            next_try: Tick(0),
+            rank: 0,
+            clear_from: now + options.resettle_ms,
+            has_held: false,
+        }
     }
 
     /// Sets how many other hosts try before this one.
@@ -136,7 +152,8 @@
     pub fn token(&self, now: Tick) -> Option<Revision> {
         match &self.state {
             State::Holding(holding) => {
-                let is_settled = now >= holding.since + self.options.settle_ms;
+                let settled = (holding.since + self.options.settle_ms).max(self.clear_from);
+                let is_settled = now >= settled;
                 (is_settled && now < holding.covered).then_some(holding.token)
             }
             _ => None,
@@ -200,6 +217,10 @@
             return;
         };
         let renew_at = Some(now);
+        if self.has_held {
+            self.clear_from = now + self.options.resettle_ms;
+        }
+        self.has_held = true;
         self.state = State::Holding(Holding { lease, token, since: now, covered, renew_at });
     }
 
