--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -43,7 +43,7 @@
 /// Share of a planned stop after which connections at rest are closed.
 const CLOSE_SHARE: f64 = 0.55;
 /// Share of a planned stop after which the process ends, whatever still runs.
-const END_SHARE: f64 = 0.97;
+const END_SHARE: f64 = 0.95;
 
 /// Runs until a planned stop. `reload` reads the settings anew.
 ///
@@ -201,6 +201,14 @@
     }
 }
 
+/// Takes this host's key out of the store.
+async fn end_host_lease(hub: Rc<Hub>) {
+    if let Some(lease) = hub.host_lease.get() {
+        // If it can't be ended it runs out.
+        let _ = hub.store.end(lease).await;
+    }
+}
+
 /// Waits for a termination signal, then stops as planned.
 async fn planned_stop(hub: &Rc<Hub>) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
@@ -217,14 +225,11 @@
     hub.tenure_event(TenureEvent::Stop);
     sleep_until(begun + grace.mul_f64(CLOSE_SHARE)).await;
     hub.stage.send_replace(Stage::Closing);
+    spawn_local(end_host_lease(hub.clone()));
     let end = begun + grace.mul_f64(END_SHARE);
     while hub.open_requests() > 0 && Instant::now() < end {
         sleep(TICK).await;
     }
-    if let Some(lease) = hub.host_lease.get() {
-        // If it can't be ended it runs out.
-        let _ = tokio::time::timeout(UPKEEP, hub.store.end(lease)).await;
-    }
     log::info!("event=stop_ended open_requests={}", hub.open_requests());
     // Answers that were just finished leave their sockets, and lines the log.
     sleep(TICK * 2).await;
--- a/crates/placement/src/ceiling.rs
+++ b/crates/placement/src/ceiling.rs
@@ -14,13 +14,13 @@
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 impl Ceiling {
-    /// A ceiling of `per_second` loads over windows of `window_ms`.
-    ///
-    /// It starts full: an earlier holder may have begun as many just now.
-    pub fn new(now: Tick, per_second: f64, window_ms: u64) -> Self {
+    /// A ceiling of `per_second` loads over windows of `window_ms`, of which `begun` may have begun
+    /// just now; all of them if that is not known.
+    pub fn new(now: Tick, per_second: f64, window_ms: u64, begun: Option<usize>) -> Self {
         let most = (per_second * window_ms as f64 / MILLIS_PER_SECOND) as usize;
         let most = most.max(1);
-        Self { window_ms, most, begun: std::iter::repeat_n(now, most).collect() }
+        let begun = begun.unwrap_or(most).min(most);
+        Self { window_ms, most, begun: std::iter::repeat_n(now, begun).collect() }
     }
 
     /// Whether one more may begin beside `unsettled` ones that may begin at any moment.
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -184,6 +184,16 @@
         self.count.filter(|_| is_clear)
     }
 
+    /// Whether a report has told what the runner holds.
+    pub fn is_known(&self) -> bool {
+        self.count.is_some()
+    }
+
+    /// Whether the runner carries out an order that is not known here.
+    pub fn has_unknown_order(&self) -> bool {
+        self.has_unknown_order
+    }
+
     /// Whether weights are on their way in or out.
     pub fn is_busy(&self) -> bool {
         self.loading.is_some() || self.unloading.is_some() || self.has_unknown_order
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -22,6 +22,8 @@
     ledgers: BTreeMap<Name, Ledger>,
     demand: DemandTable,
     token: Option<Revision>,
+    /// Since when the token holds.
+    token_since: Tick,
     ceilings: HashMap<Name, Ceiling>,
     wanted: BTreeMap<(Name, ModelRef), Tick>,
     /// Weights that get no new requests, and since when.
@@ -49,6 +51,8 @@
 const WANTED_MS: u64 = 1_000;
 /// Between telling all hosts that weights go and the order, in milliseconds.
 const CLOSING_MS: u64 = 150;
+/// A new holder waits this long for the reports of all runners, in milliseconds.
+const REPORTS_MS: u64 = 700;
 /// Least idle time of an adapter that makes way, in milliseconds.
 const ADAPTER_IDLE_MS: u64 = 1_000;
 /// An adapter's way, in milliseconds: a part that is always there and one for each megabyte.
@@ -67,6 +71,7 @@
             ledgers: BTreeMap::new(),
             demand: DemandTable::default(),
             token: None,
+            token_since: Tick(0),
             ceilings: HashMap::new(),
             wanted: BTreeMap::new(),
             closing: BTreeMap::new(),
@@ -144,9 +149,9 @@
         }
         self.token = token;
         self.closing.clear();
-        // An earlier holder may have begun loads: the ceiling starts full, the books in doubt.
+        // An earlier holder may have begun loads: the books are in doubt.
         self.ceilings.clear();
-        let _ = now;
+        self.token_since = now;
         for ledger in self.ledgers.values_mut() {
             *ledger = Ledger::new(ledger.state.clone());
         }
@@ -295,9 +300,13 @@
         let window = self.options.window_ms;
         loop {
             let unsettled = self.ledgers.values().filter(|l| l.has_open_load()).count();
-            let ceiling = self.ceilings.entry(service.clone());
-            let ceiling = ceiling.or_insert_with(|| Ceiling::new(now, engine.loads_per_s, window));
-            let store_has_room = ceiling.has_room(now, unsettled);
+            if !self.ceilings.contains_key(service)
+                && let Some(ceiling) = self.first_ceiling(now, service, engine, window)
+            {
+                self.ceilings.insert(service.clone(), ceiling);
+            }
+            let ceiling = self.ceilings.get_mut(service);
+            let store_has_room = ceiling.is_some_and(|c| c.has_room(now, unsettled));
             let view = View { now, service, engine, demand: &self.demand, ledgers: &self.ledgers };
             let Some(step) = view.next(store_has_room) else {
                 return;
@@ -308,6 +317,29 @@
         }
     }
 
+    /// The ceiling of a new holder; none while too few runners have reported.
+    ///
+    /// What an earlier holder began is seen from the runners: where loads from the weight store take
+    /// longer than its window, those of the window are still under way.
+    fn first_ceiling(
+        &self,
+        now: Tick,
+        service: &Name,
+        engine: &EngineSpec,
+        window_ms: u64,
+    ) -> Option<Ceiling> {
+        let own = || self.ledgers.values().filter(|l| l.state.service == *service);
+        let silent = own().filter(|ledger| !ledger.is_known() && !ledger.state.draining).count();
+        if silent > 0 && now.since(self.token_since) < REPORTS_MS {
+            return None;
+        }
+        let shortest = engine.models.values().map(|spec| spec.load_s).fold(f64::MAX, f64::min);
+        let outlasts = shortest * MILLIS_PER_SECOND > (window_ms + REPORTS_MS) as f64;
+        let begun = own().filter(|ledger| ledger.has_unknown_order()).count() + silent;
+        let begun = outlasts.then_some(begun);
+        Some(Ceiling::new(now, engine.loads_per_s, window_ms, begun))
+    }
+
     /// Carries a step out, or begins to; tells whether another one may follow at once.
     fn take_step(
         &mut self,
