fix: an ordered load counts as coming

Cause: between an order and its answer the runner did not count as getting the model, so each model that needed one replica was ordered at two or more runners at once (test missing_model_ordered failed with 2).

--- /dev/null
+++ b/crates/dispatch/tests/choice.rs
@@ -0,0 +1,192 @@
+//! Which upstream takes a request, and which never does.
+
+mod support;
+
+use rstest::rstest;
+use support::{Host, options, refusal, request, route, sent, sent_to, upstream};
+use vanetally_dispatch::{
+    Action, AttemptEnd, Digest, Dispatch, Event, LoadRow, Presence, RequestId,
+};
+use vanetally_ports::{ModelRef, RefusalCause, RequestKind, UpstreamState};
+use vanetally_types::Verdict;
+
+fn routes() -> Vec<vanetally_ports::Route> {
+    vec![
+        route("offer", RequestKind::Stream, "llm"),
+        route("check", RequestKind::Idempotent, "desk"),
+    ]
+}
+
+fn host() -> Host {
+    let mut host = Host::new(routes());
+    host.see("i-1", upstream("llm", 1, &["m1"]));
+    host.see("i-2", upstream("llm", 2, &["m1", "m2"]));
+    host
+}
+
+#[test]
+fn nothing_configured() {
+    let mut dispatch = Dispatch::new(options());
+    let head = request("a", "offer", None);
+    let arrived = Event::Arrived { id: RequestId(0), request: head };
+    let refused = refusal(&dispatch.handle(support::START, arrived), RequestId(0)).unwrap();
+    assert_eq!((refused.cause, refused.verdict), (RefusalCause::NotConfigured, Verdict::NotRun));
+}
+
+#[test]
+fn no_route() {
+    let mut host = host();
+    let (id, actions) = host.arrive(request("a", "nowhere", None));
+    assert_eq!(refusal(&actions, id).unwrap().cause, RefusalCause::NoRoute);
+}
+
+#[test]
+fn only_where_it_is() {
+    let mut host = host();
+    for number in 0..3 {
+        let (id, actions) = host.arrive(request(&format!("a{number}"), "offer", Some("m2")));
+        assert_eq!(&*sent_to(&actions, id), "i-2");
+        host.tell(Event::FirstPiece { id });
+    }
+}
+
+#[test]
+fn load_is_spread() {
+    let mut host = host();
+    let mut counts = [0, 0];
+    for number in 0..6 {
+        let (id, actions) = host.arrive(request(&format!("a{number}"), "offer", Some("m1")));
+        counts[usize::from(&*sent_to(&actions, id) == "i-2")] += 1;
+    }
+    assert_eq!(counts, [3, 3]);
+}
+
+#[test]
+fn load_of_others_counts() {
+    let mut host = host();
+    let row = LoadRow {
+        upstream: "i-1".into(),
+        running: 3,
+        unread_tokens: 5_000,
+        held_tokens: 500,
+        good: 0,
+        bad: 0,
+    };
+    let digest = Digest { loads: vec![row], demand: Vec::new() };
+    host.tell(Event::PeerDigest { host: "front-2".into(), digest });
+    let (id, actions) = host.arrive(request("a", "offer", Some("m1")));
+    assert_eq!(&*sent_to(&actions, id), "i-2");
+}
+
+/// An upstream that leaves gets nothing from the moment that is known.
+#[rstest]
+#[case(|state| UpstreamState { draining: true, ..state })]
+#[case(|state| UpstreamState { remaining_ms: Some(100), ..state })]
+fn leaving_gets_nothing(#[case] change: fn(UpstreamState) -> UpstreamState) {
+    let mut host = host();
+    host.see("i-1", change(upstream("llm", 1, &["m1"])));
+    for number in 0..3 {
+        let (id, actions) = host.arrive(request(&format!("a{number}"), "offer", Some("m1")));
+        assert_eq!(&*sent_to(&actions, id), "i-2");
+        host.tell(Event::FirstPiece { id });
+    }
+}
+
+#[test]
+fn gone_gets_nothing() {
+    let mut host = host();
+    host.tell(Event::UpstreamGone { id: "i-2".into() });
+    let (id, actions) = host.arrive(request("a", "offer", Some("m2")));
+    assert!(sent(&actions, id).is_empty());
+    assert!(actions.iter().any(|action| matches!(action, Action::Want { .. })));
+}
+
+/// What the holder of orders tells counts before the announcement catches up.
+#[test]
+fn told_presence_counts() {
+    let mut host = host();
+    let subject = ModelRef { model: "m2".into(), adapter: None };
+    let told = |runner: &str, presence| Event::Placed {
+        runner: runner.into(),
+        subject: subject.clone(),
+        presence,
+    };
+    host.tell(told("i-2", Presence::Absent));
+    let (id, actions) = host.arrive(request("a", "offer", Some("m2")));
+    assert!(sent(&actions, id).is_empty());
+    let actions = host.tell(told("i-1", Presence::Present));
+    assert_eq!(&*sent_to(&actions, id), "i-1");
+}
+
+#[test]
+fn missing_is_wanted_again() {
+    let mut host = host();
+    let (_, first) = host.arrive(request("a", "offer", Some("m3")));
+    let wants = |actions: &[Action]| {
+        actions.iter().filter(|action| matches!(action, Action::Want { .. })).count()
+    };
+    assert_eq!(wants(&first), 1);
+    let later = wants(&host.pass(1_000));
+    assert!((2..=5).contains(&later), "{later} times in a second");
+}
+
+/// A new replica does not get all that waits at once.
+#[test]
+fn no_herd() {
+    let mut host = Host::new(routes());
+    host.tell(Event::Hosts(8));
+    let waiting: Vec<RequestId> = (0..20)
+        .map(|number| {
+            let mut head = request(&format!("a{number}"), "offer", Some("m1"));
+            head.prompt_tokens = 1_500;
+            host.arrive(head).0
+        })
+        .collect();
+    let actions = host.see("i-1", upstream("llm", 1, &["m1"]));
+    let sendings: usize = waiting.iter().map(|id| sent(&actions, *id).len()).sum();
+    assert!((1..=2).contains(&sendings), "{sendings}");
+}
+
+/// Requests that can still be in time go before those that can't, then by rank.
+#[test]
+fn waiting_in_order() {
+    let mut urgent = route("urgent", RequestKind::Stream, "llm");
+    urgent.priority = 0;
+    let mut routes = routes();
+    routes.push(urgent);
+    let mut host = Host::new(routes);
+    let big = |id: &str, route: &str| {
+        let mut head = request(id, route, Some("m1"));
+        head.prompt_tokens = 4_000;
+        head
+    };
+    let (late, _) = host.arrive(big("late", "urgent"));
+    host.pass(1_500);
+    let (plain, _) = host.arrive(big("plain", "offer"));
+    let (first, _) = host.arrive(big("first", "urgent"));
+    let actions = host.see("i-1", upstream("llm", 1, &["m1"]));
+    assert_eq!(sent(&actions, first).len(), 1);
+    assert!(sent(&actions, plain).is_empty() && sent(&actions, late).is_empty());
+}
+
+/// One that fails is left alone, unless it is the last.
+#[test]
+fn failing_is_ejected() {
+    let mut host = host();
+    for number in 0..6 {
+        let (id, actions) = host.arrive(request(&format!("a{number}"), "offer", Some("m1")));
+        let end = match &*sent_to(&actions, id) {
+            "i-1" => AttemptEnd::Broken,
+            _ => AttemptEnd::Served,
+        };
+        host.end(id, end);
+    }
+    for number in 0..4 {
+        let (id, actions) = host.arrive(request(&format!("b{number}"), "offer", Some("m1")));
+        assert_eq!(&*sent_to(&actions, id), "i-2");
+        host.tell(Event::FirstPiece { id });
+    }
+    host.tell(Event::UpstreamGone { id: "i-2".into() });
+    let (id, actions) = host.arrive(request("c", "offer", Some("m1")));
+    assert_eq!(&*sent_to(&actions, id), "i-1", "never the last");
+}
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -258,15 +258,21 @@
         self.held.contains_key(model) && !leaves
     }
 
-    /// Whether the runner holds the model or is getting it.
+    /// Whether the runner holds the model, is getting it or was ordered to.
     pub fn will_hold(&self, model: &Name) -> bool {
-        self.holds_model(model) || self.loading.as_ref().is_some_and(|l| l.model == *model)
+        let is_ordered = self.open_load().is_some_and(|subject| subject.model == *model);
+        let is_loading = self.loading.as_ref().is_some_and(|l| l.model == *model);
+        self.holds_model(model) || is_loading || is_ordered
     }
 
     /// Whether the adapter is there or on its way.
     pub fn will_hold_adapter(&self, subject: &Subject) -> bool {
         let held = self.held.get(&subject.model).zip(subject.adapter.as_ref());
-        held.is_some_and(|(set, name)| set.contains(name)) || self.coming.contains_key(subject)
+        let is_ordered = self.pending.as_ref().is_some_and(|(order, _)| {
+            order.operation == Operation::Load && order.subject == *subject
+        });
+        let is_held = held.is_some_and(|(set, name)| set.contains(name));
+        is_held || is_ordered || self.coming.contains_key(subject)
     }
 
     /// Models that are there or on their way.
@@ -332,10 +338,15 @@
         }
     }
 
-    /// Whether a load of the model may be open at this runner without an answer.
-    pub(crate) fn has_open_load(&self) -> bool {
-        self.pending.as_ref().is_some_and(|(order, _)| {
-            order.operation == Operation::Load && order.subject.adapter.is_none()
-        })
+    /// Whether a load of weights was ordered and no answer came: it may begin at any moment.
+    pub(crate) fn has_lost_load(&self) -> bool {
+        self.is_doubtful && self.open_load().is_some()
+    }
+
+    /// The load of weights whose answer is not known.
+    pub(crate) fn open_load(&self) -> Option<&Subject> {
+        let (order, _) = self.pending.as_ref()?;
+        let is_load = order.operation == Operation::Load && order.subject.adapter.is_none();
+        is_load.then_some(&order.subject)
     }
 }
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -299,7 +299,7 @@
     ) {
         let window = self.options.window_ms;
         loop {
-            let unsettled = self.ledgers.values().filter(|l| l.has_open_load()).count();
+            let unsettled = self.ledgers.values().filter(|l| l.has_lost_load()).count();
             if !self.ceilings.contains_key(service)
                 && let Some(ceiling) = self.first_ceiling(now, service, engine, window)
             {
--- /dev/null
+++ b/crates/placement/tests/orders.rs
@@ -0,0 +1,304 @@
+//! Which orders the holder gives, and what it believes of the runners.
+
+use rstest::rstest;
+use std::{collections::BTreeMap, rc::Rc};
+use vanetally_placement::{Action, DemandSample, Event, Options, Placement};
+use vanetally_ports::{
+    CallerLimits, Configuration, EngineSpec, HeldModel, ModelRef, ModelSpec, Operation, Order,
+    OrderOutcome, Report, Revision, Service, UpstreamState,
+};
+use vanetally_types::{Name, Tick};
+
+const START: Tick = Tick(1_000_000);
+
+/// The holder, with the orders that it gave.
+struct Holder {
+    placement: Placement,
+    now: Tick,
+    orders: Vec<Order>,
+    asked: Vec<Name>,
+    resigned: bool,
+}
+
+impl Holder {
+    /// A holder that knows `runners`, each with the models it holds.
+    fn new(runners: &[(&str, &[&str])]) -> Self {
+        let options = Options { holder: "front-1".into(), window_ms: 5_000 };
+        let mut holder = Self {
+            placement: Placement::new(options),
+            now: START,
+            orders: Vec::new(),
+            asked: Vec::new(),
+            resigned: false,
+        };
+        holder.tell(Event::Configured(configuration()));
+        for (id, models) in runners {
+            holder.tell(Event::UpstreamSeen { id: (*id).into(), state: state(models, 0) });
+        }
+        holder.tell(Event::Token(Some(Revision(9))));
+        holder.tell(Event::Tick);
+        for (id, models) in runners {
+            holder.report(id, report(models, 0));
+        }
+        holder.orders.clear();
+        holder
+    }
+
+    fn tell(&mut self, event: Event) {
+        for action in self.placement.handle(self.now, event) {
+            match action {
+                Action::Order { order, .. } => self.orders.push(order),
+                Action::AskReport { runner, .. } => self.asked.push(runner),
+                Action::Resign => self.resigned = true,
+                Action::Announce { .. } => {}
+            }
+        }
+    }
+
+    fn report(&mut self, runner: &str, report: Report) {
+        let asked = self.now;
+        self.tell(Event::Reported { runner: runner.into(), asked, report: Some(report) });
+    }
+
+    fn answer(&mut self, order: Order, outcome: OrderOutcome) {
+        self.tell(Event::Ordered { order, outcome });
+    }
+
+    fn want(&mut self, model: &str, adapter: Option<&str>) {
+        let subject = ModelRef { model: model.into(), adapter: adapter.map(Name::from) };
+        self.tell(Event::Wanted { service: "llm".into(), subject });
+    }
+
+    fn demand(&mut self, model: &str, work_ms: u32) {
+        self.tell(Event::Demand(vec![DemandSample {
+            service: "llm".into(),
+            subject: ModelRef { model: model.into(), adapter: None },
+            arrived: 10,
+            work_ms,
+        }]));
+    }
+
+    fn pass(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now = self.now + 20;
+            self.tell(Event::Tick);
+        }
+    }
+
+    fn loads(&self, model: &str) -> Vec<&Order> {
+        let own = self.orders.iter().filter(|order| order.operation == Operation::Load);
+        own.filter(|order| &*order.subject.model == model).collect()
+    }
+}
+
+fn configuration() -> Rc<Configuration> {
+    let model = ModelSpec {
+        weights_mb: 60.0,
+        load_s: 8.0,
+        warm_s: 1.0,
+        disk_s: 2.0,
+        adapters: 8,
+        adapter_mb: 1.0,
+    };
+    let models = ["m1", "m2", "m3", "m4"].map(|name| (Name::from(name), model.clone()));
+    let engine = EngineSpec {
+        slots: 8,
+        kv_tokens: 10_000,
+        weights_mb: 130.0,
+        max_adapters: 3,
+        loads_per_s: 1.0,
+        models: BTreeMap::from(models),
+    };
+    let service = Service { name: "llm".into(), max_connections: 9, engine: Some(engine) };
+    Rc::new(Configuration {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::from([("llm".into(), service)]),
+        limits: CallerLimits::default(),
+    })
+}
+
+fn held(models: &[&str]) -> Vec<HeldModel> {
+    let held = |name: &&str| HeldModel { name: (*name).into(), adapters: Vec::new() };
+    models.iter().map(held).collect()
+}
+
+fn state(models: &[&str], orders_taken: u64) -> UpstreamState {
+    UpstreamState {
+        service: "llm".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        zone: "z1".into(),
+        slots: 8,
+        draining: false,
+        remaining_ms: None,
+        orders_taken,
+        models: held(models),
+        at_hand: Vec::new(),
+    }
+}
+
+fn report(models: &[&str], orders_taken: u64) -> Report {
+    Report { models: held(models), orders_taken, ..Report::default() }
+}
+
+#[test]
+fn missing_adapter_ordered() {
+    let mut holder = Holder::new(&[("r1", &["m1"]), ("r2", &["m2"])]);
+    holder.want("m1", Some("a1"));
+    assert_eq!(holder.orders.len(), 1);
+    let order = &holder.orders[0];
+    assert_eq!((&*order.runner, order.operation), ("r1", Operation::Load));
+    assert_eq!((order.expected_count, order.token), (0, 9));
+}
+
+#[test]
+fn missing_model_ordered() {
+    let mut holder = Holder::new(&[("r1", &["m1"]), ("r2", &["m1"])]);
+    holder.want("m2", None);
+    assert_eq!(holder.loads("m2").len(), 1);
+}
+
+#[test]
+fn nothing_without_token() {
+    let mut holder = Holder::new(&[("r1", &["m1"])]);
+    holder.tell(Event::Token(None));
+    holder.want("m1", Some("a1"));
+    holder.pass(500);
+    assert!(holder.orders.is_empty());
+}
+
+#[test]
+fn fence_ends_it() {
+    let mut holder = Holder::new(&[("r1", &["m1"])]);
+    holder.want("m1", Some("a1"));
+    let order = holder.orders[0].clone();
+    holder.answer(order, OrderOutcome::Fenced);
+    assert!(holder.resigned);
+    holder.want("m1", Some("a2"));
+    assert_eq!(holder.orders.len(), 1, "that token is used no more");
+}
+
+/// Adapters that are there, coming or ordered never exceed the places.
+#[test]
+fn adapter_places() {
+    let mut holder = Holder::new(&[("r1", &["m1"])]);
+    for number in 1..=6 {
+        holder.want("m1", Some(&format!("a{number}")));
+        while let Some(order) = holder.orders.pop() {
+            if order.operation == Operation::Load {
+                holder.answer(order, OrderOutcome::Accepted);
+            }
+        }
+    }
+    let taken = 3;
+    holder.want("m1", Some("a9"));
+    let loads = holder.orders.iter().filter(|o| o.operation == Operation::Load).count();
+    assert_eq!(loads, 0, "all {taken} places are taken");
+}
+
+/// Found on a played day: a new holder did not know of the load under way and ordered another one,
+/// beyond the runner's room.
+#[test]
+fn unknown_order_blocks() {
+    let mut holder = Holder::new(&[("r1", &["m1"])]);
+    holder.tell(Event::Token(Some(Revision(11))));
+    holder.tell(Event::Tick);
+    holder.report("r1", Report { busy: true, ..report(&["m1"], 4) });
+    holder.want("m2", None);
+    holder.pass(400);
+    assert!(holder.orders.is_empty(), "{:?}", holder.orders);
+    holder.report("r1", report(&["m1", "m3"], 4));
+    holder.want("m2", None);
+    assert!(holder.loads("m2").is_empty(), "m1 and m3 fill the runner");
+}
+
+/// Found on a played day: an announcement older than it looked made the holder forget weights.
+#[test]
+fn old_announcement() {
+    let mut holder = Holder::new(&[("r1", &["m1", "m2"])]);
+    holder.tell(Event::UpstreamSeen { id: "r1".into(), state: state(&["m1"], 0) });
+    holder.want("m3", None);
+    assert!(holder.loads("m3").is_empty(), "{:?}", holder.orders);
+}
+
+/// An order without an answer may be carried out later: until a report settles it, nothing else is
+/// ordered there; after that only with the same count, so that one of both is taken at most.
+#[test]
+fn unanswered_order() {
+    let mut holder = Holder::new(&[("r1", &["m1"])]);
+    holder.want("m1", Some("a1"));
+    let order = holder.orders.pop().unwrap();
+    holder.answer(order, OrderOutcome::Unknown);
+    holder.want("m1", Some("a2"));
+    assert!(holder.orders.is_empty());
+    holder.pass(2_000);
+    holder.report("r1", report(&["m1"], 0));
+    holder.want("m1", Some("a2"));
+    assert!(!holder.orders.is_empty());
+    assert!(holder.orders.iter().all(|order| order.expected_count == 0));
+}
+
+#[test]
+fn stale_report_ignored() {
+    let mut holder = Holder::new(&[("r1", &["m1"])]);
+    holder.want("m1", Some("a1"));
+    let order = holder.orders.pop().unwrap();
+    holder.answer(order, OrderOutcome::Accepted);
+    holder.report("r1", report(&["m1"], 0));
+    holder.want("m1", Some("a2"));
+    assert_eq!(holder.orders[0].expected_count, 1, "one order was answered since");
+}
+
+/// Loads from the weight store within any window stay below its rate.
+#[test]
+fn store_rate_kept() {
+    let names: Vec<String> = (0..12).map(|number| format!("r{number}")).collect();
+    let runners: Vec<(&str, &[&str])> =
+        names.iter().map(|name| (name.as_str(), &["m1"] as &[&str])).collect();
+    let mut holder = Holder::new(&runners);
+    let mut begun = Vec::new();
+    for _ in 0..100 {
+        holder.demand("m2", 2_000);
+        holder.pass(100);
+        for order in std::mem::take(&mut holder.orders) {
+            if order.operation == Operation::Load {
+                begun.push(holder.now);
+                holder.answer(order, OrderOutcome::Accepted);
+            }
+        }
+    }
+    assert!(begun.len() >= 8, "it does load: {}", begun.len());
+    for (number, at) in begun.iter().enumerate() {
+        let within = begun[number..].iter().filter(|later| later.since(*at) < 4_900).count();
+        assert!(within <= 5, "{within} loads begin within a window");
+    }
+}
+
+/// A model asked for takes the place of one that nobody asks for, never the other way round.
+#[rstest]
+#[case("m2", true)]
+#[case("m1", false)]
+fn idle_makes_way(#[case] busy: &str, #[case] m1_goes: bool) {
+    let mut holder = Holder::new(&[("r1", &["m1", "m2"]), ("r2", &["m1", "m2"])]);
+    for _ in 0..20 {
+        holder.demand(busy, 300);
+        holder.pass(400);
+    }
+    holder.want("m3", None);
+    holder.pass(400);
+    let unloads: Vec<&Order> =
+        holder.orders.iter().filter(|order| order.operation == Operation::Unload).collect();
+    assert!(!unloads.is_empty());
+    assert!(unloads.iter().all(|order| (&*order.subject.model == "m1") == m1_goes), "{unloads:?}");
+}
+
+#[test]
+fn leaving_runner_left_alone() {
+    let mut holder = Holder::new(&[("r1", &["m1"])]);
+    let leaving = UpstreamState { draining: true, ..state(&["m1"], 0) };
+    holder.tell(Event::UpstreamSeen { id: "r1".into(), state: leaving });
+    holder.want("m1", Some("a1"));
+    holder.pass(500);
+    assert!(holder.orders.is_empty());
+}
--- /dev/null
+++ b/crates/placement/tests/tenure.rs
@@ -0,0 +1,148 @@
+//! The lease of the host that gives orders.
+
+use rstest::rstest;
+use vanetally_placement::{Tenure, TenureAction, TenureEvent, TenureOptions};
+use vanetally_ports::{LeaseId, Revision};
+use vanetally_types::Tick;
+
+const START: Tick = Tick(1_000_000);
+const OPTIONS: TenureOptions = TenureOptions { ttl_ms: 2_000, settle_ms: 300, resettle_ms: 3_300 };
+const LEASE: LeaseId = LeaseId(7);
+
+/// A process that started long ago and hears that nobody holds the key.
+fn follower() -> Tenure {
+    let mut tenure = Tenure::new(Tick(0), OPTIONS);
+    tenure.handle(START, TenureEvent::HolderSeen(None));
+    tenure
+}
+
+/// Takes the key at `now`.
+fn take(tenure: &mut Tenure, now: Tick, token: u64) {
+    assert_eq!(tenure.handle(now, TenureEvent::Tick), [TenureAction::Grant { ttl_ms: 2_000 }]);
+    let granted = TenureEvent::Granted { sent: now, lease: LEASE, ttl_ms: 2_000 };
+    assert_eq!(tenure.handle(now, granted), [TenureAction::Take { lease: LEASE }]);
+    tenure.handle(now, TenureEvent::Taken(Revision(token)));
+}
+
+fn holder() -> Tenure {
+    let mut tenure = follower();
+    take(&mut tenure, START, 40);
+    tenure
+}
+
+#[test]
+fn unknown_holder_waits() {
+    let mut tenure = Tenure::new(Tick(0), OPTIONS);
+    assert!(tenure.handle(START, TenureEvent::Tick).is_empty(), "nobody told whether one lives");
+    tenure.handle(START, TenureEvent::HolderSeen(Some("other".into())));
+    assert!(tenure.handle(START, TenureEvent::Tick).is_empty());
+}
+
+#[test]
+fn lost_store_waits() {
+    let mut tenure = follower();
+    tenure.handle(START, TenureEvent::StoreLost);
+    assert!(tenure.handle(START, TenureEvent::Tick).is_empty());
+}
+
+#[test]
+fn settles_first() {
+    let tenure = holder();
+    assert_eq!(tenure.token(START + 299), None);
+    assert_eq!(tenure.token(START + 300), Some(Revision(40)));
+}
+
+#[test]
+fn young_process_settles_longer() {
+    let mut tenure = Tenure::new(START, OPTIONS);
+    tenure.handle(START, TenureEvent::HolderSeen(None));
+    take(&mut tenure, START, 40);
+    tenure.handle(START + 1_000, TenureEvent::Renewed { sent: START + 1_000 });
+    tenure.handle(START + 2_000, TenureEvent::Renewed { sent: START + 2_000 });
+    assert_eq!(tenure.token(START + 3_200), None, "an earlier life may have ordered just before");
+    assert_eq!(tenure.token(START + 3_300), Some(Revision(40)));
+}
+
+#[test]
+fn retaken_settles_longer() {
+    let mut tenure = holder();
+    assert_eq!(
+        tenure.handle(START + 500, TenureEvent::LeaseOver),
+        [TenureAction::End { lease: LEASE }]
+    );
+    let again = START + 1_000;
+    take(&mut tenure, again, 50);
+    tenure.handle(again, TenureEvent::Renewed { sent: again + 1_500 });
+    tenure.handle(again, TenureEvent::Renewed { sent: again + 3_000 });
+    assert_eq!(tenure.token(again + 3_200), None, "it must not take turns with the one between");
+    assert_eq!(tenure.token(again + 3_300), Some(Revision(50)));
+}
+
+/// A holder that is paused, or whose renewals go unanswered, stops before the store ends its lease.
+#[rstest]
+#[case(1_599, true)]
+#[case(1_600, false)]
+#[case(60_000, false)]
+fn unrenewed_stops(#[case] after: u64, #[case] may_order: bool) {
+    let tenure = holder();
+    assert_eq!(tenure.token(START + after).is_some(), may_order);
+}
+
+#[test]
+fn renewal_counts_from_sending() {
+    let mut tenure = holder();
+    let late = TenureEvent::Renewed { sent: START + 100 };
+    tenure.handle(START + 1_500, late);
+    assert!(tenure.token(START + 1_699).is_some());
+    assert!(tenure.token(START + 1_700).is_none());
+}
+
+#[rstest]
+#[case(TenureEvent::Fenced)]
+#[case(TenureEvent::LeaseOver)]
+#[case(TenureEvent::Stop)]
+fn ends_at_once(#[case] event: TenureEvent) {
+    let mut tenure = holder();
+    let actions = tenure.handle(START + 400, event);
+    assert_eq!(actions, [TenureAction::End { lease: LEASE }]);
+    assert_eq!(tenure.token(START + 400), None);
+}
+
+#[test]
+fn stopped_stays_out() {
+    let mut tenure = holder();
+    tenure.handle(START + 400, TenureEvent::Stop);
+    tenure.handle(START + 400, TenureEvent::HolderSeen(None));
+    assert!(tenure.handle(START + 10_000, TenureEvent::Tick).is_empty());
+}
+
+/// Without an answer the key may be written later: its lease is given back, the token never used.
+#[test]
+fn unanswered_take() {
+    let mut tenure = follower();
+    tenure.handle(START, TenureEvent::Tick);
+    tenure.handle(START, TenureEvent::Granted { sent: START, lease: LEASE, ttl_ms: 2_000 });
+    let actions = tenure.handle(START + 1_200, TenureEvent::NotTaken);
+    assert_eq!(actions, [TenureAction::End { lease: LEASE }]);
+    tenure.handle(START + 1_300, TenureEvent::Taken(Revision(60)));
+    assert_eq!(tenure.token(START + 1_700), None);
+}
+
+#[test]
+fn late_grant_given_back() {
+    let mut tenure = follower();
+    tenure.handle(START, TenureEvent::Tick);
+    tenure.handle(START + 1_200, TenureEvent::GrantFailed);
+    let late = TenureEvent::Granted { sent: START, lease: LEASE, ttl_ms: 2_000 };
+    assert_eq!(tenure.handle(START + 1_300, late), [TenureAction::End { lease: LEASE }]);
+}
+
+#[test]
+fn ranks_try_in_turn() {
+    let mut tenure = Tenure::new(Tick(0), OPTIONS);
+    tenure.set_rank(5);
+    tenure.handle(START, TenureEvent::HolderSeen(Some("other".into())));
+    tenure.handle(START, TenureEvent::HolderSeen(None));
+    assert!(tenure.handle(START + 100, TenureEvent::Tick).is_empty());
+    assert!(!tenure.handle(START + 200, TenureEvent::Tick).is_empty());
+}
