--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -51,6 +51,8 @@
 const WANTED_MS: u64 = 1_000;
 /// Between telling all hosts that weights go and the order, in milliseconds.
 const CLOSING_MS: u64 = 150;
+/// An unload that can't be ordered within this time is given up, in milliseconds.
+const CLOSING_LIMIT_MS: u64 = 600;
 /// A new holder waits this long for the reports of all runners, in milliseconds.
 const REPORTS_MS: u64 = 700;
 /// Least idle time of an adapter that makes way, in milliseconds.
@@ -203,6 +205,14 @@
 
     /// Orders the unloads that were told to all hosts long enough ago.
     fn order_closed(&mut self, now: Tick, token: Revision, actions: &mut Vec<Action>) {
+        // What could not be ordered in time is kept: the demand may have changed since.
+        let is_old = |since: &Tick| now.since(*since) > CLOSING_LIMIT_MS;
+        let old = self.closing.iter().filter(|(_, since)| is_old(since));
+        let kept: Vec<(Name, Subject)> = old.map(|(key, _)| key.clone()).collect();
+        for (runner, subject) in kept {
+            actions.push(announce(&runner, &subject, true, 0));
+            self.closing.remove(&(runner, subject));
+        }
         let due = self.closing.iter().filter(|(_, since)| now.since(**since) >= CLOSING_MS);
         let due: Vec<(Name, Subject)> = due.map(|(key, _)| key.clone()).collect();
         for (runner, subject) in due {
@@ -307,7 +317,14 @@
             }
             let ceiling = self.ceilings.get_mut(service);
             let store_has_room = ceiling.is_some_and(|c| c.has_room(now, unsettled));
-            let view = View { now, service, engine, demand: &self.demand, ledgers: &self.ledgers };
+            let view = View {
+                now,
+                service,
+                engine,
+                demand: &self.demand,
+                ledgers: &self.ledgers,
+                closing: &self.closing,
+            };
             let Some(step) = view.next(store_has_room) else {
                 return;
             };
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -13,6 +13,8 @@
     pub demand: &'a DemandTable,
     /// Runners that may be ordered to, with their books.
     pub ledgers: &'a BTreeMap<Name, Ledger>,
+    /// Runners from which something is about to go.
+    pub closing: &'a BTreeMap<(Name, Subject), Tick>,
 }
 
 /// One step: an order that brings the placement nearer to the demand.
@@ -26,10 +28,14 @@
 }
 
 /// A model not asked for within this time may leave its last runner, in milliseconds.
-const IDLE_MS: u64 = 6_000;
-/// A model asked for within this time has to be somewhere, in milliseconds.
-const ASKED_MS: u64 = 20_000;
-/// Runner-seconds a second that one replica is planned for.
+const IDLE_MS: u64 = 15_000;
+/// A model that is nowhere is brought if it was asked for within this time, in milliseconds: its
+/// callers ask again while they wait.
+const ASKED_MS: u64 = 2_000;
+/// Runner-seconds a second that a model's only replica may be asked for: other models of its runner
+/// are served elsewhere.
+const SINGLE_LOAD: f64 = 0.7;
+/// Runner-seconds a second that one of several replicas is planned for.
 const REPLICA_LOAD: f64 = 0.3;
 /// What the last replica of a model that nobody asks for is worth.
 const IDLE_LOSS: f64 = 0.01;
@@ -72,10 +78,16 @@
 
     /// How many replicas the model should have.
     fn wanted(&self, model: &Name, runners: usize) -> usize {
-        let by_load = (self.load(model) / REPLICA_LOAD).ceil() as usize;
+        let load = self.load(model);
+        let by_load = if load < SINGLE_LOAD { 1 } else { (load / REPLICA_LOAD).ceil() as usize };
         by_load.max(1).min(runners)
     }
 
+    /// Runners that hold the model now.
+    fn holders(&self, model: &Name) -> usize {
+        self.runners().filter(|(_, ledger)| ledger.holds_model(model)).count()
+    }
+
     /// What one more replica takes off the others.
     fn gain(&self, model: &Name) -> f64 {
         let replicas = self.replicas(model) as f64;
@@ -88,7 +100,8 @@
 
     /// What one replica fewer puts on the others; none if the last one has to stay.
     fn loss(&self, model: &Name) -> Option<f64> {
-        let replicas = self.replicas(model) as f64;
+        // One that is on its way can't serve for seconds.
+        let replicas = self.holders(model) as f64;
         if replicas <= 1.0 {
             return (self.idle_ms(model) > IDLE_MS).then_some(IDLE_LOSS);
         }
@@ -119,7 +132,8 @@
         let mut best: Option<(Rank, Step)> = None;
         for (runner, ledger) in self.runners() {
             let is_at_hand = ledger.has_at_hand(model);
-            let is_open = ledger.next_count().is_some() && !ledger.will_hold(model);
+            let is_closing = self.closing.keys().any(|(closing, _)| closing == runner);
+            let is_open = ledger.next_count().is_some() && !ledger.will_hold(model) && !is_closing;
             if !is_open || !(store_has_room || is_at_hand) {
                 continue;
             }
