--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -138,6 +138,16 @@
 /// One sending of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Attempt {
+    /// The caller's name for the request.
+    pub request: Name,
+    /// The route that takes it.
+    pub route: Name,
+    /// The configuration in force.
+    pub version: u64,
+    /// Milliseconds since the request arrived.
+    pub waited_ms: u64,
+    /// Prompt tokens that the upstream was thought to read before the first piece.
+    pub ahead_tokens: u32,
     /// The upstream's incarnation.
     pub upstream: Name,
     /// Where it listens.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,5 +20,5 @@
 pub use digest::{DemandRow, Digest, LoadRow};
 pub use event::{Action, Attempt, AttemptEnd, Event, Options, Presence, RequestId};
 pub use health::Health;
-pub use machine::{Counts, Dispatch};
+pub use machine::{Counts, Dispatch, UpstreamSummary};
 pub use routes::RouteIndex;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -41,6 +41,21 @@
     work_ms: f64,
 }
 
+/// What is believed of one upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamSummary {
+    /// Its incarnation.
+    pub upstream: Name,
+    /// Requests of all hosts there.
+    pub running: u32,
+    /// Prompt tokens that it has not read.
+    pub unread_tokens: u32,
+    /// Whether it is leaving.
+    pub is_draining: bool,
+    /// Whether it is ejected.
+    pub is_suspect: bool,
+}
+
 /// Figures for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -64,6 +79,8 @@
 const AGAIN_MS: u64 = 30;
 /// The final answer at the deadline leaves the upstream this long to give its own, in milliseconds.
 const DEADLINE_GRACE_MS: u64 = 120;
+/// A request that was turned away by all upstreams allowed to it waits this long for one of them.
+const EXHAUSTED_MS: u64 = 150;
 /// Sendings of one request, those that were turned away included.
 const MOST_SENDINGS: u32 = 4;
 /// Least time left for a sending to make sense, in milliseconds.
@@ -159,11 +176,17 @@
         }
     }
 
-    /// Load of each upstream: its name, requests of all hosts there, prompt tokens not read.
-    pub fn loads(&self, now: Tick) -> Vec<(Name, u32, u32)> {
+    /// What is believed of each upstream, for people.
+    pub fn loads(&self, now: Tick) -> Vec<UpstreamSummary> {
         let loads = self.upstreams.iter().map(|(id, upstream)| {
             let load = upstream.total(now);
-            (id.clone(), load.running, load.unread_tokens)
+            UpstreamSummary {
+                upstream: id.clone(),
+                running: load.running,
+                unread_tokens: load.unread_tokens,
+                is_draining: upstream.state.draining,
+                is_suspect: upstream.health.is_suspect(),
+            }
         });
         loads.collect()
     }
@@ -325,6 +348,10 @@
                 request.not_before = now + AGAIN_MS;
             }
         }
+        if request.verdict == Verdict::NotRun && request.is_exhausted() {
+            // Only where it was turned away may it be sent again: its caller does better elsewhere.
+            request.patience = request.patience.min(now + EXHAUSTED_MS);
+        }
         match self.why_not_again(now, &request, end, answered) {
             Some(refusal) => actions.push(Action::Refuse { id, refusal }),
             None => {
@@ -425,7 +452,7 @@
             let is_late = match request.stage {
                 // What has not begun by now might not end before the process does.
                 Stage::Waiting if is_leaving => true,
-                Stage::Waiting if request.sendings == 0 => now >= request.patience,
+                Stage::Waiting if request.verdict == Verdict::NotRun => now >= request.patience,
                 Stage::Waiting => now + LEAST_LEFT_MS >= request.deadline,
                 Stage::Sent(_) => now >= request.deadline + DEADLINE_GRACE_MS,
             };
@@ -453,7 +480,11 @@
         let is_held = request.head.model.as_ref().is_none_or(|subject| {
             self.upstreams.values().any(|upstream| upstream.holds(subject, now))
         });
-        let retry = if is_held { RETRY_MS } else { LOAD_RETRY_MS };
+        let retry = match is_held {
+            true if request.is_exhausted() => EXHAUSTED_MS,
+            true => RETRY_MS,
+            false => LOAD_RETRY_MS,
+        };
         self.refusal(request, RefusalCause::Overloaded, Some(retry))
     }
 
@@ -530,11 +561,17 @@
 
     fn send(&mut self, now: Tick, id: RequestId, choice: Choice) -> Option<Action> {
         let connections = self.connections(&choice.upstream);
+        let version = self.version().unwrap_or(0);
         let request = self.requests.get_mut(&id)?;
         let upstream = self.upstreams.get_mut(&choice.upstream)?;
         self.queue.remove(id, request);
         let load = Load { running: 1, unread_tokens: choice.unread, held_tokens: request.tokens() };
         let attempt = Attempt {
+            request: request.head.id.clone(),
+            route: request.route.name.clone(),
+            version,
+            waited_ms: now.since(request.arrived),
+            ahead_tokens: choice.ahead,
             upstream: choice.upstream.clone(),
             address: upstream.state.address,
             deadline_ms: request.deadline.since(now),
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -84,8 +84,13 @@
         self.head.prompt_tokens + self.head.output_tokens
     }
 
+    /// Whether it was sent to as many upstreams as are allowed to it.
+    pub(crate) fn is_exhausted(&self) -> bool {
+        self.tried.len() >= self.route.max_attempts as usize
+    }
+
     /// Whether it may be sent to `upstream` without exceeding the upstreams allowed to it.
     pub(crate) fn may_go_to(&self, upstream: &Name) -> bool {
-        self.tried.contains(upstream) || self.tried.len() < self.route.max_attempts as usize
+        self.tried.contains(upstream) || !self.is_exhausted()
     }
 }
--- a/crates/dispatch/tests/retries.rs
+++ b/crates/dispatch/tests/retries.rs
@@ -175,3 +175,18 @@
     let spent = (0..1_000).filter(|_| budget.try_spend(Tick(1))).count();
     assert!((15..=25).contains(&spent), "{spent}");
 }
+
+/// Found on a played day: a request whose only upstream was full waited there until its caller left.
+#[test]
+fn exhausted_is_refused() {
+    let mut host = host(Route { max_attempts: 1, ..route("check", RequestKind::Once, "desk") });
+    let (id, actions) = host.arrive(request("a", "check", None));
+    let first = sent_to(&actions, id);
+    host.see(&first, upstream("desk", 9, &[]));
+    let mut actions = host.end(id, AttemptEnd::Full);
+    host.tell(Event::UpstreamGone { id: first });
+    actions.extend(host.pass(400));
+    let refused = refusal(&actions, id).expect("refused soon, to come back elsewhere");
+    assert_eq!(refused.verdict, Verdict::NotRun);
+    assert!(refused.retry_after_ms.is_some_and(|ms| ms <= 500));
+}
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -157,7 +157,10 @@
         let actions = self.dispatch.borrow_mut().handle(now, event);
         for action in actions {
             match action {
-                dispatch::Action::Send { id, attempt } => self.command(id, Command::Send(attempt)),
+                dispatch::Action::Send { id, attempt } => {
+                    log_sending(&attempt);
+                    self.command(id, Command::Send(attempt));
+                }
                 dispatch::Action::Refuse { id, refusal } => {
                     self.command(id, Command::Refuse(refusal));
                 }
@@ -454,14 +457,6 @@
             format!("{}:{load:.2}:{holding}+{coming}", model.model)
         });
         log::info!("event=placement models={}", models.collect::<Vec<_>>().join(","));
-        let l = self.dispatch.borrow().loads(self.clock.now());
-        log::info!(
-            "event=loads {}",
-            l.iter()
-                .map(|(n, r, u)| format!("{}:{r}/{u}", &n[n.len() - 4..]))
-                .collect::<Vec<_>>()
-                .join(" ")
-        );
     }
 
     /// The state of the process, for people.
@@ -469,8 +464,10 @@
         let now = self.clock.now();
         let dispatch = self.dispatch.borrow();
         let peers = self.peers.borrow();
+        let loads = dispatch.loads(now).into_iter().map(|load| format!("{load:?}\n"));
+        let loads: String = loads.collect();
         format!(
-            "host={}\nversion={:?}\ncounts={:?}\nstage={:?}\nholder={:?}\ntoken={:?}\npeers={:?}\n",
+            "host={}\nversion={:?}\ncounts={:?}\nstage={:?}\nholder={:?}\ntoken={:?}\npeers={:?}\n{loads}",
             self.settings.host,
             dispatch.version(),
             dispatch.counts(),
@@ -482,6 +479,23 @@
     }
 }
 
+fn log_sending(attempt: &Attempt) {
+    log::info!(
+        "event=request_sent request={} route={} upstream={} number={} waited_ms={} deadline_ms={} \
+         own_load={} peer_load={} ahead_tokens={} version={}",
+        attempt.request,
+        attempt.route,
+        attempt.upstream,
+        attempt.number,
+        attempt.waited_ms,
+        attempt.deadline_ms,
+        attempt.own_load,
+        attempt.peer_load,
+        attempt.ahead_tokens,
+        attempt.version
+    );
+}
+
 async fn give_order(hub: Rc<Hub>, order: Order, address: SocketAddr, basis: Basis) {
     log::info!(
         "event=order_sent runner={} operation={} model={} adapter={} count={} token={} \
@@ -528,7 +542,7 @@
         Err(error) => Err(vanetally_ports::FormatError::new("report", error)),
     };
     if let Ok(report) = &report {
-        log::info!("event=report runner={runner} report={report:?}");
+        log::debug!("event=report runner={runner} report={report:?}");
     }
     hub.placement_event(placement::Event::Reported { runner, asked, report: report.ok() });
 }
