feat: weights that go stay left; the cheapest runner takes a load

A rare model took the place of the busiest one because that runner had a copy at hand. Tests: going_stays_left (failed before).

--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -54,6 +54,9 @@
 
 /// A peer's load older than this is forgotten, in milliseconds.
 const PEER_LOAD_MS: u64 = 3_000;
+/// Weights that go are announced until their last run has ended: what the holder of orders told wins
+/// for this long, in milliseconds.
+const GOING_MS: u64 = 30_000;
 /// What the holder of orders told wins over the announcement for this long, in milliseconds.
 const PRESENCE_MS: u64 = 4_000;
 
@@ -80,6 +83,12 @@
         }
         self.is_replaced &= self.state.address == state.address;
         self.state = state;
+        // Weights that the announcement lists no more have gone: from now on it is believed again.
+        let listed = &self.state.models;
+        self.presence.retain(|subject, (presence, _)| {
+            let is_listed = listed.iter().any(|held| held.name == subject.model);
+            is_listed || *presence == Presence::Present
+        });
     }
 
     pub(crate) fn set_presence(&mut self, subject: ModelRef, presence: Presence, now: Tick) {
@@ -97,7 +106,9 @@
 
     fn told(&self, subject: &ModelRef, now: Tick) -> Option<bool> {
         let (presence, at) = self.presence.get(subject)?;
-        (now.since(*at) <= PRESENCE_MS).then_some(*presence == Presence::Present)
+        let is_going = *presence == Presence::Absent && subject.adapter.is_none();
+        let limit = if is_going { GOING_MS } else { PRESENCE_MS };
+        (now.since(*at) <= limit).then_some(*presence == Presence::Present)
     }
 
     fn announces(&self, subject: &ModelRef) -> bool {
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -190,3 +190,26 @@
     let (id, actions) = host.arrive(request("c", "offer", Some("m1")));
     assert_eq!(&*sent_to(&actions, id), "i-1", "never the last");
 }
+
+/// Found on a played day: weights that go stay in the announcement until their last run has ended, and
+/// requests went there again after four seconds, to be turned away.
+#[test]
+fn going_stays_left() {
+    let mut host = host();
+    let subject = ModelRef { model: "m1".into(), adapter: None };
+    let told =
+        |presence| Event::Placed { runner: "i-1".into(), subject: subject.clone(), presence };
+    host.tell(told(Presence::Absent));
+    for number in 0..10 {
+        host.pass(1_000);
+        host.see("i-1", upstream("llm", 1, &["m1"]));
+        let (id, actions) = host.arrive(request(&format!("a{number}"), "offer", Some("m1")));
+        assert_eq!(&*sent_to(&actions, id), "i-2");
+        host.end(id, AttemptEnd::Served);
+    }
+    host.see("i-1", upstream("llm", 1, &[]));
+    host.see("i-1", upstream("llm", 1, &["m1"]));
+    host.tell(Event::UpstreamGone { id: "i-2".into() });
+    let (id, actions) = host.arrive(request("b", "offer", Some("m1")));
+    assert_eq!(&*sent_to(&actions, id), "i-1", "brought anew");
+}
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -275,6 +275,11 @@
         is_held || is_ordered || self.coming.contains_key(subject)
     }
 
+    /// Models whose weights are there and stay.
+    pub fn held_models(&self) -> Vec<Name> {
+        self.held.keys().filter(|model| self.holds_model(model)).cloned().collect()
+    }
+
     /// Models that are there or on their way.
     pub fn models(&self) -> impl Iterator<Item = &Name> {
         let loading = self.loading.as_ref().map(|loading| &loading.model);
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -10,7 +10,7 @@
     rc::Rc,
 };
 use vanetally_ports::{
-    Configuration, EngineSpec, ModelRef, Operation, Order, OrderOutcome, Revision, Subject,
+    Configuration, EngineSpec, ModelRef, Operation, Order, OrderOutcome, Report, Revision, Subject,
     UpstreamState,
 };
 use vanetally_types::{Name, Tick};
@@ -100,11 +100,7 @@
                 self.order_all(now, &mut actions);
             }
             Event::Reported { runner, asked, report } => {
-                if let Some(ledger) = self.ledgers.get_mut(&runner)
-                    && ledger.reported(now, asked, report)
-                {
-                    self.order_all(now, &mut actions);
-                }
+                self.reported(now, &runner, asked, report, &mut actions);
             }
             Event::Ordered { order, outcome } => self.ordered(now, &order, outcome, &mut actions),
             Event::Token(token) => self.set_token(now, token),
@@ -145,6 +141,28 @@
         }
     }
 
+    fn reported(
+        &mut self,
+        now: Tick,
+        runner: &Name,
+        asked: Tick,
+        report: Option<Report>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(ledger) = self.ledgers.get_mut(runner) else {
+            return;
+        };
+        let old = ledger.held_models();
+        if !ledger.reported(now, asked, report) {
+            return;
+        }
+        let arrived = ledger.held_models().into_iter().filter(|model| !old.contains(model));
+        for model in arrived.filter(|_| self.token.is_some()) {
+            actions.push(announce(runner, &Subject { model, adapter: None }, true, 0));
+        }
+        self.order_all(now, actions);
+    }
+
     fn set_token(&mut self, now: Tick, token: Option<Revision>) {
         if token == self.token {
             return;
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -42,20 +42,15 @@
 /// How many times what is gained must be worth what is lost when a model makes way.
 const SWAP_FACTOR: f64 = 2.5;
 /// The gain of a first replica.
-const FIRST_GAIN: f64 = 1.0e6;
-
-/// A way to bring a model to a runner; the greatest is taken.
-#[derive(Clone, Debug, PartialEq, PartialOrd)]
-struct Rank {
-    /// The runner has the weights itself: seconds instead of many.
-    is_at_hand: bool,
-    /// Nothing has to make way.
-    is_free: bool,
-    /// What is lost where something makes way, negative.
-    gain: f64,
-    /// The runner's present load, negative.
-    idleness: f64,
-}
+const FIRST_GAIN: f64 = 1.0;
+
+/// What a load from the weight store costs beside one at hand: seconds that the runner is bound.
+const STORE_COST: f64 = 0.05;
+/// What an unload costs for each runner-second a second that the model's runs there come to: it waits
+/// for them, and binds the runner meanwhile.
+const RUNS_COST: f64 = 0.5;
+/// What a runner's present load costs: among equals the idle one is taken.
+const LOAD_COST: f64 = 0.05;
 
 impl View<'_> {
     fn runners(&self) -> impl Iterator<Item = (&Name, &Ledger)> {
@@ -127,9 +122,9 @@
         needy.into_iter().find_map(|(model, gain)| self.bring(model, gain, store_has_room))
     }
 
-    /// A step that brings the model to one more runner.
+    /// The cheapest step that brings the model to one more runner.
     fn bring(&self, model: &Name, gain: f64, store_has_room: bool) -> Option<Step> {
-        let mut best: Option<(Rank, Step)> = None;
+        let mut best: Option<(f64, Step)> = None;
         for (runner, ledger) in self.runners() {
             let is_at_hand = ledger.has_at_hand(model);
             let is_closing = self.closing.keys().any(|(closing, _)| closing == runner);
@@ -137,20 +132,16 @@
             if !is_open || !(store_has_room || is_at_hand) {
                 continue;
             }
-            let Some((loss, operation, subject)) = self.make_room(ledger, model, gain) else {
+            let Some((room_cost, operation, subject)) = self.make_room(ledger, model, gain) else {
                 continue;
             };
-            let rank = Rank {
-                is_at_hand,
-                is_free: operation == Operation::Load,
-                gain: -loss,
-                idleness: -self.runner_load(ledger),
-            };
-            if best.as_ref().is_none_or(|(most, _)| rank > *most) {
+            let store_cost = if is_at_hand { 0.0 } else { STORE_COST };
+            let cost = room_cost + store_cost + LOAD_COST * self.runner_load(ledger);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let from_store = operation == Operation::Load && !is_at_hand;
                 let subject = Subject { model: subject.clone(), adapter: None };
                 best =
-                    Some((rank, Step { runner: runner.clone(), operation, subject, from_store }));
+                    Some((cost, Step { runner: runner.clone(), operation, subject, from_store }));
             }
         }
         best.map(|(_, step)| step)
@@ -169,8 +160,12 @@
             Room::Never => return None,
             Room::Full => {}
         }
-        let losses = ledger.models().filter_map(|victim| Some((self.loss(victim)?, victim)));
-        let (loss, victim) = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        (loss * SWAP_FACTOR < gain).then_some((loss, Operation::Unload, victim))
+        let costs = ledger.models().filter_map(|victim| {
+            let loss = self.loss(victim)? * SWAP_FACTOR;
+            let runs = self.load(victim) / self.holders(victim).max(1) as f64;
+            (loss < gain).then_some((loss + RUNS_COST * runs, victim))
+        });
+        let (cost, victim) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        Some((cost, Operation::Unload, victim))
     }
 }
