test: model check of the order lease, with each guard switched off

Two hosts, a store that loses answers and does calls late, pauses, restarts, around the real Tenure.

--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod claims;
 /// Configuration: two operators, a platform, hosts that follow.
 pub mod config;
+/// The lease of orders: two hosts, a store that loses answers, pauses, restarts.
+pub mod orders;
 /// Memory of a runner: two stewards, orders that are lost or late.
 pub mod runner;
 mod search;
--- a/crates/placement/src/tenure.rs
+++ b/crates/placement/src/tenure.rs
@@ -8,7 +8,7 @@
 use vanetally_types::{Name, Tick};
 
 /// Lengths of a tenure.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct TenureOptions {
     /// How long the store keeps the key after the last renewal, in milliseconds.
     pub ttl_ms: u64,
@@ -20,7 +20,7 @@
 }
 
 /// Something that happened to the tenure.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum TenureEvent {
     /// The store tells who holds the key now.
     HolderSeen(Option<Name>),
@@ -59,7 +59,7 @@
 }
 
 /// A call to the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum TenureAction {
     /// Ask for a lease.
     Grant {
@@ -83,7 +83,7 @@
     },
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum State {
     Following,
     Granting,
@@ -92,7 +92,7 @@
     Stopped,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Holding {
     lease: LeaseId,
     token: Revision,
@@ -104,7 +104,7 @@
 }
 
 /// Whether this host is the holder.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Tenure {
     options: TenureOptions,
     state: State,
