--- /dev/null
+++ b/crates/dispatch/src/ending.rs
@@ -0,0 +1,184 @@
+//! How attempts and requests end: what is learned, what may be sent again, what the caller is told.
+
+use crate::{
+    Action, AttemptEnd, Dispatch, RequestId,
+    machine::STOP_RETRY_MS,
+    request::{Request, Sending, Stage},
+    sending::WANT_AGAIN_MS,
+};
+use vanetally_ports::{Refusal, RefusalCause, RequestKind};
+use vanetally_types::{Tick, Verdict};
+
+/// An upstream that was full is left alone for this long, in milliseconds.
+const FULL_MS: u64 = 60;
+/// An upstream that could not be reached is left alone for this long, in milliseconds.
+const UNREACHABLE_MS: u64 = 250;
+/// A request that was turned away waits this long before it is sent again, in milliseconds.
+const AGAIN_MS: u64 = 30;
+/// The final answer at the deadline leaves the upstream this long to give its own, in milliseconds.
+const DEADLINE_GRACE_MS: u64 = 120;
+/// A request that was turned away by all upstreams allowed to it waits this long for one of them.
+const EXHAUSTED_MS: u64 = 150;
+/// Sendings of one request, those that were turned away included.
+const MOST_SENDINGS: u32 = 4;
+/// Least time left for a sending to make sense, in milliseconds.
+const LEAST_LEFT_MS: u64 = 20;
+/// When to come back if nothing better is known, in milliseconds.
+pub(crate) const RETRY_MS: u64 = 500;
+/// When to come back for a model that nobody holds, in milliseconds.
+const LOAD_RETRY_MS: u64 = 3_000;
+
+impl Dispatch {
+    pub(crate) fn attempt_ended(
+        &mut self,
+        now: Tick,
+        id: RequestId,
+        end: AttemptEnd,
+        answered: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(mut request) = self.requests.remove(&id) else {
+            return;
+        };
+        let Stage::Sent(sending) = std::mem::replace(&mut request.stage, Stage::Waiting) else {
+            self.requests.insert(id, request);
+            return;
+        };
+        self.learn_end(now, &request, &sending, end);
+        match end {
+            AttemptEnd::Served => return,
+            // The upstream's own failure went to the caller, unless it may be tried again.
+            AttemptEnd::Failed if answered || !request.route.is_repeatable() => return,
+            AttemptEnd::Failed => request.verdict = Verdict::Ran,
+            AttemptEnd::Unreachable if request.sendings == 1 => request.tried.clear(),
+            AttemptEnd::Unreachable => {}
+            AttemptEnd::Broken => request.verdict = Verdict::MayHaveRun,
+            AttemptEnd::Full | AttemptEnd::Absent | AttemptEnd::Replaced => {
+                request.not_before = now + AGAIN_MS;
+            }
+        }
+        if request.verdict == Verdict::NotRun && request.is_exhausted() {
+            // Only where it was turned away may it be sent again: its caller does better elsewhere.
+            request.patience = request.patience.min(now + EXHAUSTED_MS);
+        }
+        match self.why_not_again(now, &request, end, answered) {
+            Some(refusal) => actions.push(Action::Refuse { id, refusal }),
+            None => {
+                self.queue.insert(id, &request);
+                self.requests.insert(id, request);
+            }
+        }
+    }
+
+    fn learn_end(&mut self, now: Tick, request: &Request, sending: &Sending, end: AttemptEnd) {
+        let Some(upstream) = self.upstreams.get_mut(&sending.upstream) else {
+            return;
+        };
+        upstream.own.take(sending.load);
+        match end {
+            AttemptEnd::Served => upstream.health.ended(now, true),
+            // An upstream's own failure of a request that may be repeated says little: others that
+            // are asked fail as well, where the request is at fault.
+            AttemptEnd::Failed if request.route.kind == RequestKind::Idempotent => {}
+            AttemptEnd::Failed | AttemptEnd::Broken => upstream.health.ended(now, false),
+            AttemptEnd::Unreachable => {
+                upstream.health.ended(now, false);
+                upstream.full_until = now + UNREACHABLE_MS;
+            }
+            AttemptEnd::Full => {
+                upstream.full_until = now + FULL_MS;
+                let load = upstream.total(now);
+                // An upstream with free places that says it is full is at fault.
+                upstream.health.ended(now, load.running * 2 >= upstream.state.slots);
+            }
+            AttemptEnd::Replaced => upstream.is_replaced = true,
+            AttemptEnd::Absent => {
+                if let Some(subject) = request.head.model.clone() {
+                    upstream.set_presence(subject, crate::Presence::Absent, now);
+                }
+            }
+        }
+        let (good, bad) = upstream.peer_ends(now);
+        upstream.health.review(now, good, bad);
+    }
+
+    /// The final answer to a request that may not be sent again.
+    fn why_not_again(
+        &mut self,
+        now: Tick,
+        request: &Request,
+        end: AttemptEnd,
+        answered: bool,
+    ) -> Option<Refusal> {
+        let cause = RefusalCause::UpstreamFailed;
+        let may_run_again = request.verdict == Verdict::NotRun || request.route.is_repeatable();
+        if answered && !(request.route.kind == RequestKind::Stream && request.route.resumable) {
+            return Some(Refusal::may_have_run(cause));
+        }
+        if !may_run_again {
+            return Some(Refusal::may_have_run(cause));
+        }
+        let is_worn_out = request.sendings >= MOST_SENDINGS;
+        if is_worn_out || (end == AttemptEnd::Failed && request.sendings > 1) {
+            return Some(self.refusal(request, cause, Some(RETRY_MS)));
+        }
+        // The next sending is paid for here: one that never was sent costs nothing.
+        let service = &request.service;
+        let is_paid = end == AttemptEnd::Unreachable
+            || self.budgets.get_mut(service).is_some_and(|budget| budget.try_spend(now));
+        if !is_paid || now + LEAST_LEFT_MS >= request.deadline {
+            return Some(self.refusal(request, cause, Some(RETRY_MS)));
+        }
+        None
+    }
+
+    fn refusal(&self, request: &Request, cause: RefusalCause, retry: Option<u64>) -> Refusal {
+        match request.verdict {
+            Verdict::NotRun => Refusal::not_run(cause, retry),
+            _ => Refusal::may_have_run(cause),
+        }
+    }
+
+    /// Ends what has no time left, and reviews the upstreams' health.
+    pub(crate) fn expire(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        let is_leaving = self.is_late_in_stop(now);
+        let late = self.requests.iter().filter_map(|(id, request)| {
+            let is_late = match request.stage {
+                // What has not begun by now might not end before the process does.
+                Stage::Waiting if is_leaving => true,
+                Stage::Waiting if request.verdict == Verdict::NotRun => now >= request.patience,
+                Stage::Waiting => now + LEAST_LEFT_MS >= request.deadline,
+                Stage::Sent(_) => now >= request.deadline + DEADLINE_GRACE_MS,
+            };
+            is_late.then(|| (*id, self.late_refusal(now, request)))
+        });
+        let late: Vec<(RequestId, Refusal)> = late.collect();
+        for (id, refusal) in late {
+            self.end(id);
+            actions.push(Action::Refuse { id, refusal });
+        }
+        for upstream in self.upstreams.values_mut() {
+            let (good, bad) = upstream.peer_ends(now);
+            upstream.health.review(now, good, bad);
+        }
+        self.wanted.retain(|_, at| now.since(*at) < WANT_AGAIN_MS);
+    }
+
+    fn late_refusal(&self, now: Tick, request: &Request) -> Refusal {
+        if request.stage == Stage::Waiting && self.is_late_in_stop(now) {
+            return self.refusal(request, RefusalCause::Stopping, Some(STOP_RETRY_MS));
+        }
+        if matches!(request.stage, Stage::Sent(_)) {
+            return Refusal::may_have_run(RefusalCause::TimedOut);
+        }
+        let is_held = request.head.model.as_ref().is_none_or(|subject| {
+            self.upstreams.values().any(|upstream| upstream.holds(subject, now))
+        });
+        let retry = match is_held {
+            true if request.is_exhausted() => EXHAUSTED_MS,
+            true => RETRY_MS,
+            false => LOAD_RETRY_MS,
+        };
+        self.refusal(request, RefusalCause::Overloaded, Some(retry))
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,12 +8,14 @@
 mod choose;
 /// What hosts tell each other of their load.
 pub mod digest;
+mod ending;
 mod event;
 mod health;
 mod machine;
 mod queue;
 mod request;
 mod routes;
+mod sending;
 mod upstream;
 
 pub use budget::{Budget, BudgetOptions};
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -1,37 +1,37 @@
 //! The state machine of one host's requests.
 
 use crate::{
-    Action, Attempt, AttemptEnd, Budget, DemandRow, Digest, Event, LoadRow, Options, RequestId,
-    RouteIndex,
-    choose::{Choice, Lack, Pace, View, choose},
+    Action, Budget, DemandRow, Digest, Event, LoadRow, Options, RequestId, RouteIndex,
+    choose::Pace,
+    ending::RETRY_MS,
     queue::Queue,
-    request::{Request, Sending, Stage},
+    request::{Request, Stage},
     routes,
     upstream::{Load, Upstream},
 };
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     rc::Rc,
 };
 use vanetally_ports::{
-    CallerRequest, Configuration, ModelRef, Refusal, RefusalCause, RequestKind, UpstreamState,
+    CallerRequest, Configuration, ModelRef, Refusal, RefusalCause, UpstreamState,
 };
 use vanetally_types::{Name, Tick, Verdict};
 
 /// All decisions about requests of one host.
 pub struct Dispatch {
-    options: Options,
-    configuration: Option<Rc<Configuration>>,
-    routes: RouteIndex,
-    upstreams: BTreeMap<Name, Upstream>,
-    requests: HashMap<RequestId, Request>,
-    queue: Queue,
-    budgets: BTreeMap<Name, Budget>,
-    pace: Pace,
-    hosts: usize,
-    stopping_since: Option<Tick>,
+    pub(crate) options: Options,
+    pub(crate) configuration: Option<Rc<Configuration>>,
+    pub(crate) routes: RouteIndex,
+    pub(crate) upstreams: BTreeMap<Name, Upstream>,
+    pub(crate) requests: HashMap<RequestId, Request>,
+    pub(crate) queue: Queue,
+    pub(crate) budgets: BTreeMap<Name, Budget>,
+    pub(crate) pace: Pace,
+    pub(crate) hosts: usize,
+    pub(crate) stopping_since: Option<Tick>,
     demand: BTreeMap<(Name, ModelRef), Demand>,
-    wanted: HashMap<(Name, ModelRef), Tick>,
+    pub(crate) wanted: HashMap<(Name, ModelRef), Tick>,
 }
 
 /// Requests since the last digest.
@@ -69,32 +69,10 @@
     pub suspects: usize,
 }
 
-/// The same thing is wanted again after this long, in milliseconds.
-const WANT_AGAIN_MS: u64 = 250;
-/// An upstream that was full is left alone for this long, in milliseconds.
-const FULL_MS: u64 = 60;
-/// An upstream that could not be reached is left alone for this long, in milliseconds.
-const UNREACHABLE_MS: u64 = 250;
-/// A request that was turned away waits this long before it is sent again, in milliseconds.
-const AGAIN_MS: u64 = 30;
-/// The final answer at the deadline leaves the upstream this long to give its own, in milliseconds.
-const DEADLINE_GRACE_MS: u64 = 120;
-/// A request that was turned away by all upstreams allowed to it waits this long for one of them.
-const EXHAUSTED_MS: u64 = 150;
-/// Sendings of one request, those that were turned away included.
-const MOST_SENDINGS: u32 = 4;
-/// Least time left for a sending to make sense, in milliseconds.
-const LEAST_LEFT_MS: u64 = 20;
 /// A planned stop takes requests for this share of its time.
 const STOP_SHARE: f64 = 0.3;
 /// When to come back after a refusal by a host that stops, in milliseconds.
-const STOP_RETRY_MS: u64 = 50;
-/// When to come back if nothing better is known, in milliseconds.
-const RETRY_MS: u64 = 500;
-/// When to come back for a model that nobody holds, in milliseconds.
-const LOAD_RETRY_MS: u64 = 3_000;
-/// Connections that all hosts together leave free.
-const CONNECTION_SHARE: f64 = 0.8;
+pub(crate) const STOP_RETRY_MS: u64 = 50;
 
 impl Dispatch {
     /// Nothing is known yet.
@@ -294,7 +272,7 @@
         self.requests.insert(id, request);
     }
 
-    fn is_late_in_stop(&self, now: Tick) -> bool {
+    pub(crate) fn is_late_in_stop(&self, now: Tick) -> bool {
         let most = (self.options.grace_ms as f64 * STOP_SHARE) as u64;
         self.stopping_since.is_some_and(|since| now.since(since) > most)
     }
@@ -320,118 +298,8 @@
         }
     }
 
-    fn attempt_ended(
-        &mut self,
-        now: Tick,
-        id: RequestId,
-        end: AttemptEnd,
-        answered: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(mut request) = self.requests.remove(&id) else {
-            return;
-        };
-        let Stage::Sent(sending) = std::mem::replace(&mut request.stage, Stage::Waiting) else {
-            self.requests.insert(id, request);
-            return;
-        };
-        self.learn_end(now, &request, &sending, end);
-        match end {
-            AttemptEnd::Served => return,
-            // The upstream's own failure went to the caller, unless it may be tried again.
-            AttemptEnd::Failed if answered || !request.route.is_repeatable() => return,
-            AttemptEnd::Failed => request.verdict = Verdict::Ran,
-            AttemptEnd::Unreachable if request.sendings == 1 => request.tried.clear(),
-            AttemptEnd::Unreachable => {}
-            AttemptEnd::Broken => request.verdict = Verdict::MayHaveRun,
-            AttemptEnd::Full | AttemptEnd::Absent | AttemptEnd::Replaced => {
-                request.not_before = now + AGAIN_MS;
-            }
-        }
-        if request.verdict == Verdict::NotRun && request.is_exhausted() {
-            // Only where it was turned away may it be sent again: its caller does better elsewhere.
-            request.patience = request.patience.min(now + EXHAUSTED_MS);
-        }
-        match self.why_not_again(now, &request, end, answered) {
-            Some(refusal) => actions.push(Action::Refuse { id, refusal }),
-            None => {
-                self.queue.insert(id, &request);
-                self.requests.insert(id, request);
-            }
-        }
-    }
-
-    fn learn_end(&mut self, now: Tick, request: &Request, sending: &Sending, end: AttemptEnd) {
-        let Some(upstream) = self.upstreams.get_mut(&sending.upstream) else {
-            return;
-        };
-        upstream.own.take(sending.load);
-        match end {
-            AttemptEnd::Served => upstream.health.ended(now, true),
-            // An upstream's own failure of a request that may be repeated says little: others that
-            // are asked fail as well, where the request is at fault.
-            AttemptEnd::Failed if request.route.kind == RequestKind::Idempotent => {}
-            AttemptEnd::Failed | AttemptEnd::Broken => upstream.health.ended(now, false),
-            AttemptEnd::Unreachable => {
-                upstream.health.ended(now, false);
-                upstream.full_until = now + UNREACHABLE_MS;
-            }
-            AttemptEnd::Full => {
-                upstream.full_until = now + FULL_MS;
-                let load = upstream.total(now);
-                // An upstream with free places that says it is full is at fault.
-                upstream.health.ended(now, load.running * 2 >= upstream.state.slots);
-            }
-            AttemptEnd::Replaced => upstream.is_replaced = true,
-            AttemptEnd::Absent => {
-                if let Some(subject) = request.head.model.clone() {
-                    upstream.set_presence(subject, crate::Presence::Absent, now);
-                }
-            }
-        }
-        let (good, bad) = upstream.peer_ends(now);
-        upstream.health.review(now, good, bad);
-    }
-
-    /// The final answer to a request that may not be sent again.
-    fn why_not_again(
-        &mut self,
-        now: Tick,
-        request: &Request,
-        end: AttemptEnd,
-        answered: bool,
-    ) -> Option<Refusal> {
-        let cause = RefusalCause::UpstreamFailed;
-        let may_run_again = request.verdict == Verdict::NotRun || request.route.is_repeatable();
-        if answered && !(request.route.kind == RequestKind::Stream && request.route.resumable) {
-            return Some(Refusal::may_have_run(cause));
-        }
-        if !may_run_again {
-            return Some(Refusal::may_have_run(cause));
-        }
-        let is_worn_out = request.sendings >= MOST_SENDINGS;
-        if is_worn_out || (end == AttemptEnd::Failed && request.sendings > 1) {
-            return Some(self.refusal(request, cause, Some(RETRY_MS)));
-        }
-        // The next sending is paid for here: one that never was sent costs nothing.
-        let service = &request.service;
-        let is_paid = end == AttemptEnd::Unreachable
-            || self.budgets.get_mut(service).is_some_and(|budget| budget.try_spend(now));
-        if !is_paid || now + LEAST_LEFT_MS >= request.deadline {
-            return Some(self.refusal(request, cause, Some(RETRY_MS)));
-        }
-        None
-    }
-
-    fn refusal(&self, request: &Request, cause: RefusalCause, retry: Option<u64>) -> Refusal {
-        match request.verdict {
-            Verdict::NotRun => Refusal::not_run(cause, retry),
-            _ => Refusal::may_have_run(cause),
-        }
-    }
-
     /// Forgets a request; its upstream is free of it.
-    fn end(&mut self, id: RequestId) {
+    pub(crate) fn end(&mut self, id: RequestId) {
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
@@ -444,168 +312,4 @@
             }
         }
     }
-
-    /// Ends what has no time left, and reviews the upstreams' health.
-    fn expire(&mut self, now: Tick, actions: &mut Vec<Action>) {
-        let is_leaving = self.is_late_in_stop(now);
-        let late = self.requests.iter().filter_map(|(id, request)| {
-            let is_late = match request.stage {
-                // What has not begun by now might not end before the process does.
-                Stage::Waiting if is_leaving => true,
-                Stage::Waiting if request.verdict == Verdict::NotRun => now >= request.patience,
-                Stage::Waiting => now + LEAST_LEFT_MS >= request.deadline,
-                Stage::Sent(_) => now >= request.deadline + DEADLINE_GRACE_MS,
-            };
-            is_late.then(|| (*id, self.late_refusal(now, request)))
-        });
-        let late: Vec<(RequestId, Refusal)> = late.collect();
-        for (id, refusal) in late {
-            self.end(id);
-            actions.push(Action::Refuse { id, refusal });
-        }
-        for upstream in self.upstreams.values_mut() {
-            let (good, bad) = upstream.peer_ends(now);
-            upstream.health.review(now, good, bad);
-        }
-        self.wanted.retain(|_, at| now.since(*at) < WANT_AGAIN_MS);
-    }
-
-    fn late_refusal(&self, now: Tick, request: &Request) -> Refusal {
-        if request.stage == Stage::Waiting && self.is_late_in_stop(now) {
-            return self.refusal(request, RefusalCause::Stopping, Some(STOP_RETRY_MS));
-        }
-        if matches!(request.stage, Stage::Sent(_)) {
-            return Refusal::may_have_run(RefusalCause::TimedOut);
-        }
-        let is_held = request.head.model.as_ref().is_none_or(|subject| {
-            self.upstreams.values().any(|upstream| upstream.holds(subject, now))
-        });
-        let retry = match is_held {
-            true if request.is_exhausted() => EXHAUSTED_MS,
-            true => RETRY_MS,
-            false => LOAD_RETRY_MS,
-        };
-        self.refusal(request, RefusalCause::Overloaded, Some(retry))
-    }
-
-    /// Sends what waits and can go.
-    fn pump(&mut self, now: Tick, actions: &mut Vec<Action>) {
-        for service in self.queue.services() {
-            let mut lacking: HashSet<Option<ModelRef>> = HashSet::new();
-            for id in self.in_order(now, &service) {
-                self.try_send(now, &service, id, &mut lacking, actions);
-            }
-        }
-    }
-
-    /// Waiting requests that can still be answered in time come before those that can't.
-    fn in_order(&self, now: Tick, service: &Name) -> Vec<RequestId> {
-        let mut waiting = self.queue.waiting(service);
-        let is_late = |id: &RequestId| {
-            self.requests.get(id).is_some_and(|r| now.since(r.arrived) > r.route.target_ms)
-        };
-        waiting.sort_by_key(is_late);
-        waiting
-    }
-
-    fn try_send(
-        &mut self,
-        now: Tick,
-        service: &Name,
-        id: RequestId,
-        lacking: &mut HashSet<Option<ModelRef>>,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let subject = request.head.model.clone();
-        if now < request.not_before || lacking.contains(&subject) {
-            return;
-        }
-        match self.choose(now, request) {
-            Ok(choice) => actions.extend(self.send(now, id, choice)),
-            Err(lack) => {
-                if request.tried.is_empty() {
-                    lacking.insert(subject.clone());
-                }
-                if let (Lack::Holder, Some(subject)) = (lack, subject) {
-                    self.want(now, service, subject, actions);
-                }
-            }
-        }
-    }
-
-    fn choose(&self, now: Tick, request: &Request) -> Result<Choice, Lack> {
-        let services = self.configuration.as_ref().map(|c| &c.services);
-        let service = services.and_then(|services| services.get(&request.service));
-        let view = View {
-            now,
-            zone: &self.options.zone,
-            engine: service.and_then(|service| service.engine.as_ref()),
-            pace: &self.pace,
-            hosts: self.hosts,
-        };
-        let own = self.upstreams.iter().filter(|(_, u)| u.state.service == request.service);
-        choose(&view, request, own)
-    }
-
-    fn want(&mut self, now: Tick, service: &Name, subject: ModelRef, actions: &mut Vec<Action>) {
-        let last = self.wanted.get(&(service.clone(), subject.clone()));
-        if last.is_some_and(|at| now.since(*at) < WANT_AGAIN_MS) {
-            return;
-        }
-        self.wanted.insert((service.clone(), subject.clone()), now);
-        actions.push(Action::Want { service: service.clone(), subject });
-    }
-
-    fn send(&mut self, now: Tick, id: RequestId, choice: Choice) -> Option<Action> {
-        let connections = self.connections(&choice.upstream);
-        let version = self.version().unwrap_or(0);
-        let request = self.requests.get_mut(&id)?;
-        let upstream = self.upstreams.get_mut(&choice.upstream)?;
-        self.queue.remove(id, request);
-        let load = Load { running: 1, unread_tokens: choice.unread, held_tokens: request.tokens() };
-        let attempt = Attempt {
-            request: request.head.id.clone(),
-            route: request.route.name.clone(),
-            version,
-            waited_ms: now.since(request.arrived),
-            ahead_tokens: choice.ahead,
-            upstream: choice.upstream.clone(),
-            address: upstream.state.address,
-            deadline_ms: request.deadline.since(now),
-            priority: request.route.priority,
-            connections,
-            number: request.sendings + 1,
-            own_load: upstream.own.running as usize,
-            peer_load: upstream.peer_load(now).running,
-            is_stream: request.route.kind == RequestKind::Stream,
-            may_repeat: request.route.is_repeatable(),
-        };
-        upstream.own.add(load);
-        upstream.health.sent(now);
-        upstream.remember(request.head.model.as_ref(), &request.head.parts);
-        request.sendings += 1;
-        if !request.tried.contains(&choice.upstream) {
-            request.tried.push(choice.upstream.clone());
-        }
-        request.stage = Stage::Sent(Sending {
-            upstream: choice.upstream,
-            at: now,
-            load,
-            ahead: choice.ahead,
-            has_begun: false,
-        });
-        Some(Action::Send { id, attempt })
-    }
-
-    /// This host's share of the connections to an upstream.
-    fn connections(&self, upstream: &Name) -> usize {
-        let service = self.upstreams.get(upstream).map(|u| &u.state.service);
-        let services = self.configuration.as_ref().map(|c| &c.services);
-        let most = service.and_then(|name| services?.get(name)).map(|s| s.max_connections);
-        let share = f64::from(most.unwrap_or(1)) * CONNECTION_SHARE / self.hosts as f64;
-        (share as usize).max(1)
-    }
 }
--- /dev/null
+++ b/crates/dispatch/src/sending.rs
@@ -0,0 +1,139 @@
+//! What waits is sent where it may go, in order.
+
+use crate::{
+    Action, Attempt, Dispatch, RequestId,
+    choose::{Choice, Lack, View, choose},
+    request::{Request, Sending, Stage},
+    upstream::Load,
+};
+use std::collections::HashSet;
+use vanetally_ports::{ModelRef, RequestKind};
+use vanetally_types::{Name, Tick};
+
+/// Connections that all hosts together leave free.
+const CONNECTION_SHARE: f64 = 0.8;
+/// The same thing is wanted again after this long, in milliseconds.
+pub(crate) const WANT_AGAIN_MS: u64 = 250;
+
+impl Dispatch {
+    /// Sends what waits and can go.
+    pub(crate) fn pump(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        for service in self.queue.services() {
+            let mut lacking: HashSet<Option<ModelRef>> = HashSet::new();
+            for id in self.in_order(now, &service) {
+                self.try_send(now, &service, id, &mut lacking, actions);
+            }
+        }
+    }
+
+    /// Waiting requests that can still be answered in time come before those that can't.
+    fn in_order(&self, now: Tick, service: &Name) -> Vec<RequestId> {
+        let mut waiting = self.queue.waiting(service);
+        let is_late = |id: &RequestId| {
+            self.requests.get(id).is_some_and(|r| now.since(r.arrived) > r.route.target_ms)
+        };
+        waiting.sort_by_key(is_late);
+        waiting
+    }
+
+    fn try_send(
+        &mut self,
+        now: Tick,
+        service: &Name,
+        id: RequestId,
+        lacking: &mut HashSet<Option<ModelRef>>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let subject = request.head.model.clone();
+        if now < request.not_before || lacking.contains(&subject) {
+            return;
+        }
+        match self.choose(now, request) {
+            Ok(choice) => actions.extend(self.send(now, id, choice)),
+            Err(lack) => {
+                if request.tried.is_empty() {
+                    lacking.insert(subject.clone());
+                }
+                if let (Lack::Holder, Some(subject)) = (lack, subject) {
+                    self.want(now, service, subject, actions);
+                }
+            }
+        }
+    }
+
+    fn choose(&self, now: Tick, request: &Request) -> Result<Choice, Lack> {
+        let services = self.configuration.as_ref().map(|c| &c.services);
+        let service = services.and_then(|services| services.get(&request.service));
+        let view = View {
+            now,
+            zone: &self.options.zone,
+            engine: service.and_then(|service| service.engine.as_ref()),
+            pace: &self.pace,
+            hosts: self.hosts,
+        };
+        let own = self.upstreams.iter().filter(|(_, u)| u.state.service == request.service);
+        choose(&view, request, own)
+    }
+
+    fn want(&mut self, now: Tick, service: &Name, subject: ModelRef, actions: &mut Vec<Action>) {
+        let last = self.wanted.get(&(service.clone(), subject.clone()));
+        if last.is_some_and(|at| now.since(*at) < WANT_AGAIN_MS) {
+            return;
+        }
+        self.wanted.insert((service.clone(), subject.clone()), now);
+        actions.push(Action::Want { service: service.clone(), subject });
+    }
+
+    fn send(&mut self, now: Tick, id: RequestId, choice: Choice) -> Option<Action> {
+        let connections = self.connections(&choice.upstream);
+        let version = self.version().unwrap_or(0);
+        let request = self.requests.get_mut(&id)?;
+        let upstream = self.upstreams.get_mut(&choice.upstream)?;
+        self.queue.remove(id, request);
+        let load = Load { running: 1, unread_tokens: choice.unread, held_tokens: request.tokens() };
+        let attempt = Attempt {
+            request: request.head.id.clone(),
+            route: request.route.name.clone(),
+            version,
+            waited_ms: now.since(request.arrived),
+            ahead_tokens: choice.ahead,
+            upstream: choice.upstream.clone(),
+            address: upstream.state.address,
+            deadline_ms: request.deadline.since(now),
+            priority: request.route.priority,
+            connections,
+            number: request.sendings + 1,
+            own_load: upstream.own.running as usize,
+            peer_load: upstream.peer_load(now).running,
+            is_stream: request.route.kind == RequestKind::Stream,
+            may_repeat: request.route.is_repeatable(),
+        };
+        upstream.own.add(load);
+        upstream.health.sent(now);
+        upstream.remember(request.head.model.as_ref(), &request.head.parts);
+        request.sendings += 1;
+        if !request.tried.contains(&choice.upstream) {
+            request.tried.push(choice.upstream.clone());
+        }
+        request.stage = Stage::Sent(Sending {
+            upstream: choice.upstream,
+            at: now,
+            load,
+            ahead: choice.ahead,
+            has_begun: false,
+        });
+        Some(Action::Send { id, attempt })
+    }
+
+    /// This host's share of the connections to an upstream.
+    fn connections(&self, upstream: &Name) -> usize {
+        let service = self.upstreams.get(upstream).map(|u| &u.state.service);
+        let services = self.configuration.as_ref().map(|c| &c.services);
+        let most = service.and_then(|name| services?.get(name)).map(|s| s.max_connections);
+        let share = f64::from(most.unwrap_or(1)) * CONNECTION_SHARE / self.hosts as f64;
+        (share as usize).max(1)
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,9 +9,11 @@
 mod clock;
 mod exchange;
 mod front;
+mod hosts;
 mod hub;
 /// Log lines on standard output that never block the caller.
 pub mod logging;
+mod orders;
 mod peers;
 mod pool;
 mod relay;
--- /dev/null
+++ b/crates/gateway/src/orders.rs
@@ -0,0 +1,150 @@
+//! The holder's part: tenure, placement, orders and reports.
+
+use crate::{call, hub::Hub, peers::PeerMessage, telemetry, tenure};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use vanetally_dispatch::{self as dispatch, Presence};
+use vanetally_placement::{self as placement, Basis, TenureEvent};
+use vanetally_ports::{FormatError, ModelRef, Order, OrderOutcome};
+use vanetally_types::Name;
+
+/// For a runner to answer a report.
+const REPORT: Duration = Duration::from_millis(800);
+/// For a runner to answer an order.
+const ORDER: Duration = Duration::from_millis(1_200);
+
+impl Hub {
+    pub(crate) fn want(self: &Rc<Self>, service: Name, subject: ModelRef) {
+        let is_holder = self.tenure.borrow().is_holding(self.clock.now());
+        let holder = self.holder.borrow().clone();
+        log::info!(
+            "event=model_wanted service={service} subject={subject} holder={}",
+            holder.as_deref().unwrap_or("-")
+        );
+        if is_holder {
+            self.placement_event(placement::Event::Wanted { service, subject });
+        } else if let Some(holder) = holder {
+            let ModelRef { model, adapter } = subject;
+            self.send(&holder, &PeerMessage::Want { service, model, adapter });
+        }
+    }
+
+    /// The store tells who holds the orders' key.
+    pub(crate) fn holder_seen(self: &Rc<Self>, holder: Option<Name>) {
+        if *self.holder.borrow() != holder {
+            log::info!("event=order_holder_seen holder={}", holder.as_deref().unwrap_or("-"));
+        }
+        *self.holder.borrow_mut() = holder.clone();
+        self.tenure_event(TenureEvent::HolderSeen(holder));
+    }
+
+    /// Tells the tenure what happened, and makes the calls that it asks for.
+    pub(crate) fn tenure_event(self: &Rc<Self>, event: TenureEvent) {
+        let now = self.clock.now();
+        let actions = self.tenure.borrow_mut().handle(now, event);
+        for action in actions {
+            tokio::task::spawn_local(tenure::carry_out(self.clone(), action));
+        }
+    }
+
+    /// Tells the placement what happened, and does what it says.
+    pub(crate) fn placement_event(self: &Rc<Self>, event: placement::Event) {
+        let now = self.clock.now();
+        let token = self.tenure.borrow().token(now);
+        let mut actions = {
+            let mut placement = self.placement.borrow_mut();
+            let mut actions = placement.handle(now, placement::Event::Token(token));
+            actions.extend(placement.handle(now, event));
+            actions
+        };
+        for action in actions.drain(..) {
+            self.place(action);
+        }
+    }
+
+    fn place(self: &Rc<Self>, action: placement::Action) {
+        match action {
+            placement::Action::Order { order, address, basis } => {
+                tokio::task::spawn_local(give_order(self.clone(), order, address, basis));
+            }
+            placement::Action::AskReport { runner, address } => {
+                tokio::task::spawn_local(ask_report(self.clone(), runner, address));
+            }
+            placement::Action::Announce { runner, subject, is_present, delay_ms } => {
+                let hub = self.clone();
+                tokio::task::spawn_local(async move {
+                    if delay_ms > 0 {
+                        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                    }
+                    hub.announce(runner, subject, is_present);
+                });
+            }
+            placement::Action::Resign => self.tenure_event(TenureEvent::Fenced),
+        }
+    }
+
+    fn announce(self: &Rc<Self>, runner: Name, subject: ModelRef, is_present: bool) {
+        self.broadcast(&PeerMessage::Placed {
+            runner: runner.clone(),
+            model: subject.model.clone(),
+            adapter: subject.adapter.clone(),
+            is_present,
+        });
+        self.placed(runner, subject, is_present);
+    }
+
+    pub(crate) fn placed(self: &Rc<Self>, runner: Name, subject: ModelRef, is_present: bool) {
+        let presence = if is_present { Presence::Present } else { Presence::Absent };
+        self.request_event(dispatch::Event::Placed { runner, subject, presence });
+    }
+}
+
+async fn give_order(hub: Rc<Hub>, order: Order, address: SocketAddr, basis: Basis) {
+    log::info!(
+        "event=order_sent runner={} operation={} model={} adapter={} count={} token={} \
+         held_models={} held_adapters={} report_age_ms={}",
+        order.runner,
+        order.operation.as_str(),
+        order.subject.model,
+        order.subject.adapter.as_deref().unwrap_or("-"),
+        order.orders_before,
+        order.token,
+        basis.models.join(","),
+        basis.adapters,
+        basis.report_age_ms
+    );
+    let request = hub.ports.engine.order_request(&order);
+    let outcome = match call::call(&hub.control, address, request, ORDER).await {
+        Ok(reply) => hub.ports.engine.judge_order(reply.status),
+        Err(call::Error::NotSent(_)) => OrderOutcome::NotSent,
+        Err(call::Error::Unanswered(_)) => OrderOutcome::Unknown,
+    };
+    log::info!(
+        "event=order_answered runner={} count={} token={} outcome={}",
+        order.runner,
+        order.orders_before,
+        order.token,
+        outcome.as_str()
+    );
+    telemetry::ordered(outcome);
+    hub.placement_event(placement::Event::Ordered { order, outcome });
+}
+
+async fn ask_report(hub: Rc<Hub>, runner: Name, address: SocketAddr) {
+    let asked = hub.clock.now();
+    let request = hub.ports.engine.report_request(&runner);
+    let reply = call::call(&hub.control, address, request, REPORT).await;
+    let report = match reply {
+        Ok(reply) if reply.status.is_success() => {
+            let report = hub.ports.engine.read_report(&reply.body);
+            report.inspect_err(|e| {
+                log::warn!("event=report_unreadable runner={runner} error=\"{e}\"");
+            })
+        }
+        Ok(reply) => Err(FormatError::new("report", reply.status)),
+        Err(error) => Err(FormatError::new("report", error)),
+    };
+    if let Ok(report) = &report {
+        log::debug!("event=report runner={runner} report={report:?}");
+    }
+    hub.placement_event(placement::Event::Reported { runner, asked, report: report.ok() });
+}
--- /dev/null
+++ b/crates/placement/src/adapters.rs
@@ -0,0 +1,82 @@
+//! Adapters that hosts miss are brought to a runner that holds their model.
+
+use crate::{Action, Placement, Room};
+use vanetally_ports::{EngineSpec, ModelRef, Operation, Revision, Subject};
+use vanetally_types::{Name, Tick};
+
+/// Least idle time of an adapter that makes way, in milliseconds.
+const ADAPTER_IDLE_MS: u64 = 1_000;
+
+impl Placement {
+    /// Orders adapters that hosts miss.
+    pub(crate) fn order_adapters(
+        &mut self,
+        now: Tick,
+        token: Revision,
+        service: &Name,
+        engine: &EngineSpec,
+        actions: &mut Vec<Action>,
+    ) {
+        let missing = self.wanted.keys().filter(|(of, _)| of == service);
+        let missing: Vec<Subject> = missing
+            .filter_map(|(_, subject)| {
+                let adapter = Some(subject.adapter.clone()?);
+                Some(Subject { model: subject.model.clone(), adapter })
+            })
+            .collect();
+        for subject in missing {
+            if self.is_somewhere(service, &subject) {
+                continue;
+            }
+            if let Some(runner) = self.runner_for_adapter(service, engine, &subject, Room::Fits) {
+                self.order(now, token, &runner, Operation::Load, subject, actions);
+            } else if let Some(runner) =
+                self.runner_for_adapter(service, engine, &subject, Room::Full)
+                && let Some(victim) = self.idle_adapter(now, service, &runner)
+            {
+                self.order(now, token, &runner, Operation::Unload, victim, actions);
+            }
+        }
+    }
+
+    fn is_somewhere(&self, service: &Name, subject: &Subject) -> bool {
+        self.ledgers.values().any(|ledger| {
+            ledger.state.service == *service
+                && !ledger.state.draining
+                && ledger.will_hold_adapter(subject)
+        })
+    }
+
+    /// The runner with the fewest adapters among those that hold the model.
+    fn runner_for_adapter(
+        &self,
+        service: &Name,
+        engine: &EngineSpec,
+        subject: &Subject,
+        room: Room,
+    ) -> Option<Name> {
+        let fitting = self.ledgers.iter().filter(|(runner, ledger)| {
+            let closing = Subject { model: subject.model.clone(), adapter: None };
+            ledger.state.service == *service
+                && ledger.holds_model(&subject.model)
+                && ledger.next_count().is_some()
+                && ledger.room_for_adapter(engine) == room
+                && !self.closing.contains_key(&((*runner).clone(), closing))
+        });
+        let least = fitting.min_by_key(|(runner, ledger)| {
+            (ledger.adapter_count(), vanetally_types::hash64(runner.as_bytes()))
+        });
+        least.map(|(runner, _)| runner.clone())
+    }
+
+    /// The adapter of the runner that was not asked for the longest.
+    fn idle_adapter(&self, now: Tick, service: &Name, runner: &Name) -> Option<Subject> {
+        let last = |subject: &Subject| {
+            let key = ModelRef { model: subject.model.clone(), adapter: subject.adapter.clone() };
+            self.demand.adapter_last(service, &key)
+        };
+        let ledger = self.ledgers.get(runner)?;
+        let oldest = ledger.adapters().min_by_key(|subject| last(subject))?;
+        (now.since(last(&oldest)) > ADAPTER_IDLE_MS).then_some(oldest)
+    }
+}
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -133,7 +133,7 @@
             return false;
         }
         if let Some((order, sent)) = &self.pending {
-            let is_taken = report.orders_taken > order.expected_count;
+            let is_taken = report.orders_taken > order.orders_before;
             if !is_taken && asked.since(*sent) < ORDER_TIMEOUT_MS {
                 return false;
             }
@@ -208,7 +208,7 @@
     pub fn order_taken(&mut self, now: Tick, order: &Order, takes_ms: u64) {
         self.close(order);
         self.answered = Some(now);
-        self.count = Some(order.expected_count + 1);
+        self.count = Some(order.orders_before + 1);
         let due = now + takes_ms;
         let model = order.subject.model.clone();
         match (order.operation, &order.subject.adapter) {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,6 +4,7 @@
 //! machines: `handle(now, event) -> actions`, without clock, socket or random source.
 #![deny(missing_docs, unsafe_code)]
 
+mod adapters;
 mod ceiling;
 mod demand;
 mod event;
@@ -11,6 +12,7 @@
 mod machine;
 mod plan;
 mod tenure;
+mod weights;
 
 pub use ceiling::Ceiling;
 pub use event::{Action, Basis, DemandSample, Event, Options};
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -1,35 +1,31 @@
 //! The state machine of the holder of orders.
 
-use crate::{
-    Action, Ceiling, Event, Ledger, Options, Room,
-    demand::DemandTable,
-    plan::{Step, View},
-};
+use crate::{Action, Ceiling, Event, Ledger, Options, demand::DemandTable};
 use std::{
     collections::{BTreeMap, HashMap},
     rc::Rc,
 };
 use vanetally_ports::{
-    Configuration, EngineSpec, ModelRef, Operation, Order, OrderOutcome, Report, Revision, Subject,
+    Configuration, ModelRef, Operation, Order, OrderOutcome, Report, Revision, Subject,
     UpstreamState,
 };
 use vanetally_types::{Name, Tick};
 
 /// Knows all runners; gives orders while it has a token.
 pub struct Placement {
-    options: Options,
-    configuration: Option<Rc<Configuration>>,
-    ledgers: BTreeMap<Name, Ledger>,
-    demand: DemandTable,
-    token: Option<Revision>,
+    pub(crate) options: Options,
+    pub(crate) configuration: Option<Rc<Configuration>>,
+    pub(crate) ledgers: BTreeMap<Name, Ledger>,
+    pub(crate) demand: DemandTable,
+    pub(crate) token: Option<Revision>,
     /// Since when the token holds.
-    token_since: Tick,
-    ceilings: HashMap<Name, Ceiling>,
-    wanted: BTreeMap<(Name, ModelRef), Tick>,
+    pub(crate) token_since: Tick,
+    pub(crate) ceilings: HashMap<Name, Ceiling>,
+    pub(crate) wanted: BTreeMap<(Name, ModelRef), Tick>,
     /// Weights that get no new requests, and since when.
-    closing: BTreeMap<(Name, Subject), Tick>,
+    pub(crate) closing: BTreeMap<(Name, Subject), Tick>,
     /// Adapters that should have arrived.
-    arrivals: Vec<(Tick, Name, Subject)>,
+    pub(crate) arrivals: Vec<(Tick, Name, Subject)>,
 }
 
 /// One model's demand and replicas.
@@ -53,10 +49,6 @@
 const CLOSING_MS: u64 = 150;
 /// An unload that can't be ordered within this time is given up, in milliseconds.
 const CLOSING_LIMIT_MS: u64 = 600;
-/// A new holder waits this long for the reports of all runners, in milliseconds.
-const REPORTS_MS: u64 = 700;
-/// Least idle time of an adapter that makes way, in milliseconds.
-const ADAPTER_IDLE_MS: u64 = 1_000;
 /// An adapter's way, in milliseconds: a part that is always there and one for each megabyte.
 const ADAPTER_BASE_MS: f64 = 20.0;
 const ADAPTER_PER_MB_MS: f64 = 0.7;
@@ -245,164 +237,7 @@
         }
     }
 
-    /// Orders adapters that hosts miss.
-    fn order_adapters(
-        &mut self,
-        now: Tick,
-        token: Revision,
-        service: &Name,
-        engine: &EngineSpec,
-        actions: &mut Vec<Action>,
-    ) {
-        let missing = self.wanted.keys().filter(|(of, _)| of == service);
-        let missing: Vec<Subject> = missing
-            .filter_map(|(_, subject)| {
-                let adapter = Some(subject.adapter.clone()?);
-                Some(Subject { model: subject.model.clone(), adapter })
-            })
-            .collect();
-        for subject in missing {
-            if self.is_somewhere(service, &subject) {
-                continue;
-            }
-            if let Some(runner) = self.runner_for_adapter(service, engine, &subject, Room::Fits) {
-                self.order(now, token, &runner, Operation::Load, subject, actions);
-            } else if let Some(runner) =
-                self.runner_for_adapter(service, engine, &subject, Room::Full)
-                && let Some(victim) = self.idle_adapter(now, service, &runner)
-            {
-                self.order(now, token, &runner, Operation::Unload, victim, actions);
-            }
-        }
-    }
-
-    fn is_somewhere(&self, service: &Name, subject: &Subject) -> bool {
-        self.ledgers.values().any(|ledger| {
-            ledger.state.service == *service
-                && !ledger.state.draining
-                && ledger.will_hold_adapter(subject)
-        })
-    }
-
-    /// The runner with the fewest adapters among those that hold the model.
-    fn runner_for_adapter(
-        &self,
-        service: &Name,
-        engine: &EngineSpec,
-        subject: &Subject,
-        room: Room,
-    ) -> Option<Name> {
-        let fitting = self.ledgers.iter().filter(|(runner, ledger)| {
-            let closing = Subject { model: subject.model.clone(), adapter: None };
-            ledger.state.service == *service
-                && ledger.holds_model(&subject.model)
-                && ledger.next_count().is_some()
-                && ledger.room_for_adapter(engine) == room
-                && !self.closing.contains_key(&((*runner).clone(), closing))
-        });
-        let least = fitting.min_by_key(|(runner, ledger)| {
-            (ledger.adapter_count(), vanetally_types::hash64(runner.as_bytes()))
-        });
-        least.map(|(runner, _)| runner.clone())
-    }
-
-    /// The adapter of the runner that was not asked for the longest.
-    fn idle_adapter(&self, now: Tick, service: &Name, runner: &Name) -> Option<Subject> {
-        let last = |subject: &Subject| {
-            let key = ModelRef { model: subject.model.clone(), adapter: subject.adapter.clone() };
-            self.demand.adapter_last(service, &key)
-        };
-        let ledger = self.ledgers.get(runner)?;
-        let oldest = ledger.adapters().min_by_key(|subject| last(subject))?;
-        (now.since(last(&oldest)) > ADAPTER_IDLE_MS).then_some(oldest)
-    }
-
-    fn order_weights(
-        &mut self,
-        now: Tick,
-        token: Revision,
-        service: &Name,
-        engine: &EngineSpec,
-        actions: &mut Vec<Action>,
-    ) {
-        let window = self.options.window_ms;
-        loop {
-            let unsettled = self.ledgers.values().filter(|l| l.has_lost_load()).count();
-            if !self.ceilings.contains_key(service)
-                && let Some(ceiling) = self.first_ceiling(now, service, engine, window)
-            {
-                self.ceilings.insert(service.clone(), ceiling);
-            }
-            let ceiling = self.ceilings.get_mut(service);
-            let store_has_room = ceiling.is_some_and(|c| c.has_room(now, unsettled));
-            let view = View {
-                now,
-                service,
-                engine,
-                demand: &self.demand,
-                ledgers: &self.ledgers,
-                closing: &self.closing,
-            };
-            let Some(step) = view.next(store_has_room) else {
-                return;
-            };
-            if !self.take_step(now, token, service, step, actions) {
-                return;
-            }
-        }
-    }
-
-    /// The ceiling of a new holder; none while too few runners have reported.
-    ///
-    /// What an earlier holder began is seen from the runners: where loads from the weight store take
-    /// longer than its window, those of the window are still under way.
-    fn first_ceiling(
-        &self,
-        now: Tick,
-        service: &Name,
-        engine: &EngineSpec,
-        window_ms: u64,
-    ) -> Option<Ceiling> {
-        let own = || self.ledgers.values().filter(|l| l.state.service == *service);
-        let silent = own().filter(|ledger| !ledger.is_known() && !ledger.state.draining).count();
-        if silent > 0 && now.since(self.token_since) < REPORTS_MS {
-            return None;
-        }
-        let shortest = engine.models.values().map(|spec| spec.load_s).fold(f64::MAX, f64::min);
-        let outlasts = shortest * MILLIS_PER_SECOND > (window_ms + REPORTS_MS) as f64;
-        let begun = own().filter(|ledger| ledger.has_unknown_order()).count() + silent;
-        let begun = outlasts.then_some(begun);
-        Some(Ceiling::new(now, engine.loads_per_s, window_ms, begun))
-    }
-
-    /// Carries a step out, or begins to; tells whether another one may follow at once.
-    fn take_step(
-        &mut self,
-        now: Tick,
-        token: Revision,
-        service: &Name,
-        step: Step,
-        actions: &mut Vec<Action>,
-    ) -> bool {
-        if step.operation == Operation::Unload {
-            let key = (step.runner.clone(), step.subject.clone());
-            if self.closing.contains_key(&key) {
-                return false;
-            }
-            self.closing.insert(key, now);
-            actions.push(announce(&step.runner, &step.subject, false, 0));
-            return false;
-        }
-        if step.from_store
-            && let Some(ceiling) = self.ceilings.get_mut(service)
-        {
-            ceiling.begin(now);
-        }
-        self.order(now, token, &step.runner, Operation::Load, step.subject, actions);
-        true
-    }
-
-    fn order(
+    pub(crate) fn order(
         &mut self,
         now: Tick,
         token: Revision,
@@ -414,14 +249,14 @@
         let Some(ledger) = self.ledgers.get_mut(runner) else {
             return;
         };
-        let Some(expected_count) = ledger.next_count() else {
+        let Some(orders_before) = ledger.next_count() else {
             return;
         };
         let order = Order {
             runner: runner.clone(),
             operation,
             subject,
-            expected_count,
+            orders_before,
             holder: self.options.holder.clone(),
             token: token.0,
         };
@@ -503,7 +338,12 @@
     }
 }
 
-fn announce(runner: &Name, subject: &Subject, is_present: bool, delay_ms: u64) -> Action {
+pub(crate) fn announce(
+    runner: &Name,
+    subject: &Subject,
+    is_present: bool,
+    delay_ms: u64,
+) -> Action {
     let subject = ModelRef { model: subject.model.clone(), adapter: subject.adapter.clone() };
     Action::Announce { runner: runner.clone(), subject, is_present, delay_ms }
 }
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -149,7 +149,7 @@
     assert_eq!(holder.orders.len(), 1);
     let order = &holder.orders[0];
     assert_eq!((&*order.runner, order.operation), ("r1", Operation::Load));
-    assert_eq!((order.expected_count, order.token), (0, 9));
+    assert_eq!((order.orders_before, order.token), (0, 9));
 }
 
 #[test]
@@ -236,7 +236,7 @@
     holder.report("r1", report(&["m1"], 0));
     holder.want("m1", Some("a2"));
     assert!(!holder.orders.is_empty());
-    assert!(holder.orders.iter().all(|order| order.expected_count == 0));
+    assert!(holder.orders.iter().all(|order| order.orders_before == 0));
 }
 
 #[test]
@@ -247,7 +247,7 @@
     holder.answer(order, OrderOutcome::Accepted);
     holder.report("r1", report(&["m1"], 0));
     holder.want("m1", Some("a2"));
-    assert_eq!(holder.orders[0].expected_count, 1, "one order was answered since");
+    assert_eq!(holder.orders[0].orders_before, 1, "one order was answered since");
 }
 
 /// Loads from the weight store within any window stay below its rate.
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -42,7 +42,7 @@
     /// With what.
     pub subject: Subject,
     /// Orders that the runner has taken before this one.
-    pub expected_count: u64,
+    pub orders_before: u64,
     /// Name of the process that gives it.
     pub holder: Name,
     /// Its fencing token.
