feat: digests become rarer with the number of hosts

Cause: every host tells every other its load ten times a second; at 300 hosts that is 3,000 messages a second to each. Above 24 hosts the interval grows with their number, so a host hears at most 240 a second. Ruled out: a hub for digests (one more thing that fails). At today's sites nothing changes (8 to 12 hosts). Measured at larger sizes: not yet.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -49,6 +49,11 @@
         self.request_event(dispatch::Event::Hosts(hosts));
     }
 
+    /// Hosts that have keys.
+    pub(crate) fn host_count(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
     /// Tells all other hosts.
     pub(crate) fn broadcast(&self, message: &PeerMessage) {
         for (host, entry) in &*self.peers.borrow() {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -32,8 +32,10 @@
 
 /// Time passes for the decisions this often.
 const TICK: Duration = Duration::from_millis(20);
-/// Hosts tell each other their load this often.
+/// Hosts tell each other their load this often, where they are few.
 const DIGEST: Duration = Duration::from_millis(100);
+/// Hosts from which on digests become rarer, so that what a host hears does not grow with the fleet.
+const FEW_HOSTS: usize = 24;
 /// Housekeeping.
 const UPKEEP: Duration = Duration::from_secs(1);
 /// Largest message between hosts, in bytes.
@@ -176,7 +178,7 @@
         hub.tick();
         let now = Instant::now();
         if now >= digest_at {
-            digest_at = now + DIGEST;
+            digest_at = now + digest_interval(hub.host_count());
             hub.tell_load();
         }
         if now >= upkeep_at {
@@ -187,6 +189,11 @@
     }
 }
 
+/// How often a host tells its load to `hosts` hosts.
+fn digest_interval(hosts: usize) -> Duration {
+    DIGEST.mul_f64((hosts as f64 / FEW_HOSTS as f64).max(1.0))
+}
+
 /// Reads the settings anew on a hang-up signal. What needs new sockets waits for a restart.
 async fn hang_ups(settings: Settings, reload: impl Fn() -> anyhow::Result<Settings>) {
     let Ok(mut signals) = signal(SignalKind::hangup()) else {
