--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -36,7 +36,7 @@
 /// are served elsewhere.
 const SINGLE_LOAD: f64 = 0.7;
 /// Runner-seconds a second that one of several replicas is planned for.
-const REPLICA_LOAD: f64 = 0.3;
+const REPLICA_LOAD: f64 = 0.2;
 /// What the last replica of a model that nobody asks for is worth.
 const IDLE_LOSS: f64 = 0.01;
 /// How many times what is gained must be worth what is lost when a model makes way.
