change!: digests every 50 ms

Cause: hosts that don't know of each other's last sendings put several prompts at one engine. Above 12 hosts the interval grows with their number (240 digests a second at most to a host).

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -33,9 +33,9 @@
 /// Time passes for the decisions this often.
 const TICK: Duration = Duration::from_millis(20);
 /// Hosts tell each other their load this often, where they are few.
-const DIGEST: Duration = Duration::from_millis(100);
+const DIGEST: Duration = Duration::from_millis(50);
 /// Hosts from which on digests become rarer, so that what a host hears does not grow with the fleet.
-const FEW_HOSTS: usize = 24;
+const FEW_HOSTS: usize = 12;
 /// Housekeeping.
 const UPKEEP: Duration = Duration::from_secs(1);
 /// Largest message between hosts, in bytes.
