--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -93,13 +93,7 @@
         if self.dispatch.borrow().version().unwrap_or(0) < version {
             self.send(host, &PeerMessage::AskConfiguration);
         }
-        let samples = digest.demand.iter().map(|row| DemandSample {
-            service: row.service.clone(),
-            subject: ModelRef { model: row.model.clone(), adapter: row.adapter.clone() },
-            arrived: row.arrived,
-            work_ms: row.work_ms,
-        });
-        self.placement_event(placement::Event::Demand(samples.collect()));
+        self.placement_event(placement::Event::Demand(samples(&digest)));
         self.request_event(dispatch::Event::PeerDigest { host: host.clone(), digest });
     }
 
@@ -108,13 +102,7 @@
         let now = self.clock.now();
         let digest = self.dispatch.borrow_mut().digest(now);
         let is_new = *self.last_digest.borrow() != digest;
-        let samples = digest.demand.iter().map(|row| DemandSample {
-            service: row.service.clone(),
-            subject: ModelRef { model: row.model.clone(), adapter: row.adapter.clone() },
-            arrived: row.arrived,
-            work_ms: row.work_ms,
-        });
-        self.placement_event(placement::Event::Demand(samples.collect()));
+        self.placement_event(placement::Event::Demand(samples(&digest)));
         if is_new || !digest.loads.is_empty() {
             let version = self.dispatch.borrow().version().unwrap_or(0);
             let message = PeerMessage::Digest { version, digest: digest.clone() };
@@ -123,3 +111,14 @@
         }
     }
 }
+
+/// What a digest tells of the demand.
+fn samples(digest: &Digest) -> Vec<DemandSample> {
+    let samples = digest.demand.iter().map(|row| DemandSample {
+        service: row.service.clone(),
+        subject: ModelRef { model: row.model.clone(), adapter: row.adapter.clone() },
+        arrived: row.arrived,
+        work_ms: row.work_ms,
+    });
+    samples.collect()
+}
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -335,15 +335,23 @@
 fn no_turning() {
     let mut holder = Holder::new(&[("r1", &["m1", "m2"])]);
     holder.demand("m1", 10);
-    holder.pass(16_000);
+    holder.demand("m2", 10);
+    holder.pass(15_200);
     holder.want("m3", None);
     holder.pass(400);
     let unload = holder.orders.pop().expect("something makes way");
     let gone = unload.subject.model.clone();
-    holder.answer(unload, OrderOutcome::Accepted);
-    holder.pass(1_000);
     let rest = if &*gone == "m1" { "m2" } else { "m1" };
+    holder.answer(unload, OrderOutcome::Accepted);
+    holder.pass(600);
+    holder.want("m3", None);
     holder.report("r1", report(&[rest], 1));
-    holder.pass(500);
+    let load = holder.orders.pop().expect("what was asked for comes");
+    assert_eq!(&*load.subject.model, "m3");
     assert!(holder.loads(&gone).is_empty(), "{:?}", holder.orders);
+    holder.answer(load, OrderOutcome::Accepted);
+    holder.pass(600);
+    holder.report("r1", report(&[rest, "m3"], 2));
+    holder.pass(1_000);
+    assert!(holder.orders.is_empty(), "{:?}", holder.orders);
 }
