feat: in a large deployment one host of each failure domain reads the store for the others

Ruled out: rarer watches alone (the calls still grow with the fleet; DRAIN and CONFIG bound the pause). Change: crate vanetally-fanout. Up to 12 hosts nothing changes. A message to many is encoded once. A first try let a holder wait before it takes unasked models for idle: three placement tests showed that it also brought models that nobody asked for; dropped.

--- /dev/null
+++ b/crates/fanout/src/lib.rs
@@ -0,0 +1,18 @@
+//! Which hosts follow the store for the others of their failure domain, and gather their loads.
+//!
+//! In a large deployment one host of each failure domain, the aggregator, watches the store and
+//! passes on what it reads; the other hosts report their load to it and hear the sum of all. The
+//! calls to the store and the messages of a host do not grow with the number of hosts. No
+//! agreement is needed: any host may be asked to be an aggregator, and a host that doubts its own
+//! reads the store itself. State machines only: no clock, no socket.
+#![deny(missing_docs, unsafe_code)]
+
+mod candidate;
+mod follow;
+mod mirror;
+mod totals;
+
+pub use candidate::{Candidate, FEW_HOSTS, aggregators};
+pub use follow::{Action, Event, Follow, Source};
+pub use mirror::{Gap, Mirror};
+pub use totals::{Reported, Totals};
--- /dev/null
+++ b/crates/fanout/tests/aggregators.rs
@@ -0,0 +1,43 @@
+//! Which hosts are aggregators.
+
+use rstest::rstest;
+use vanetally_fanout::{Candidate, FEW_HOSTS, aggregators};
+
+fn candidates(zones: &[(&str, usize, u32)]) -> Vec<Candidate> {
+    let rows = zones.iter().flat_map(|(zone, count, capacity)| {
+        (0..*count).map(move |number| Candidate {
+            host: format!("{zone}-{capacity}-{number}").into(),
+            zone: (*zone).into(),
+            capacity: *capacity,
+        })
+    });
+    rows.collect()
+}
+
+#[test]
+fn few_all() {
+    let hosts = candidates(&[("a", FEW_HOSTS / 2, 12), ("b", FEW_HOSTS / 2, 50)]);
+    assert_eq!(aggregators(&hosts).len(), FEW_HOSTS);
+}
+
+#[rstest]
+#[case(&[("a", 23, 12), ("b", 18, 12), ("c", 24, 12)], 3)]
+#[case(&[("a", 300, 12), ("b", 1, 12)], 2)]
+fn one_each(#[case] zones: &[(&str, usize, u32)], #[case] expected: usize) {
+    assert_eq!(aggregators(&candidates(zones)).len(), expected);
+}
+
+#[test]
+fn strongest_first() {
+    let hosts = candidates(&[("a", 20, 12), ("a", 2, 50)]);
+    assert!(aggregators(&hosts)[0].starts_with("a-50-"));
+}
+
+#[test]
+fn order_irrelevant() {
+    let mut hosts = candidates(&[("a", 20, 12), ("b", 20, 12)]);
+    let first: Vec<String> = aggregators(&hosts).iter().map(ToString::to_string).collect();
+    hosts.reverse();
+    let again: Vec<String> = aggregators(&hosts).iter().map(ToString::to_string).collect();
+    assert_eq!(first, again);
+}
--- /dev/null
+++ b/crates/fanout/tests/mirror.rs
@@ -0,0 +1,69 @@
+//! What a host knows of one prefix of the store.
+
+use vanetally_fanout::{Gap, Mirror};
+use vanetally_ports::{Change, Item, Revision};
+
+fn item(key: &str, revision: u64) -> Item {
+    Item { key: key.into(), value: b"v".to_vec().into(), revision: Revision(revision) }
+}
+
+fn gone(key: &str, revision: u64) -> Change {
+    Change::Gone { key: key.into(), revision: Revision(revision) }
+}
+
+fn keys(mirror: &Mirror) -> Vec<String> {
+    mirror.items().map(|item| item.key.to_string()).collect()
+}
+
+fn read_at(at: u64, items: &[Item]) -> Mirror {
+    let mut mirror = Mirror::default();
+    assert!(mirror.try_replace(Revision(at), items));
+    mirror
+}
+
+#[test]
+fn changes_applied() {
+    let mut mirror = read_at(5, &[item("a", 3)]);
+    let changes = vec![Change::Put(item("b", 6)), gone("a", 7)];
+    let news = mirror.try_apply(Revision(5), Revision(8), changes.clone()).unwrap();
+    assert_eq!(news, changes);
+    assert_eq!(keys(&mirror), ["b"]);
+    assert_eq!(mirror.at(), Some(Revision(8)));
+}
+
+#[test]
+fn gap_refused() {
+    let mut mirror = read_at(5, &[]);
+    let changes = vec![Change::Put(item("b", 9))];
+    assert_eq!(mirror.try_apply(Revision(6), Revision(9), changes), Err(Gap));
+    assert_eq!(Mirror::default().try_apply(Revision(0), Revision(1), Vec::new()), Err(Gap));
+}
+
+/// Changes that are told twice, by two sources, are news once.
+#[test]
+fn overlap_told_once() {
+    let mut mirror = read_at(5, &[item("a", 3)]);
+    mirror.try_apply(Revision(5), Revision(8), vec![gone("a", 7)]).unwrap();
+    let late = vec![Change::Put(item("a", 6)), gone("a", 7), Change::Put(item("c", 9))];
+    let news = mirror.try_apply(Revision(4), Revision(9), late).unwrap();
+    assert_eq!(news, [Change::Put(item("c", 9))]);
+    assert_eq!(keys(&mirror), ["c"]);
+}
+
+/// A reading older than what is known would bring back what has gone.
+#[test]
+fn old_reading_refused() {
+    let mut mirror = read_at(5, &[item("a", 3)]);
+    mirror.try_apply(Revision(5), Revision(8), vec![gone("a", 7)]).unwrap();
+    assert!(!mirror.try_replace(Revision(6), &[item("a", 3)]));
+    assert_eq!(keys(&mirror), [] as [&str; 0]);
+    assert!(mirror.try_replace(Revision(7), &[]), "nothing was known beyond it");
+}
+
+/// Pages of one reading are no snapshot: a later one may hold changes beyond its revision.
+#[test]
+fn later_page() {
+    let mut mirror = read_at(5, &[item("a", 6)]);
+    let news = mirror.try_apply(Revision(5), Revision(7), vec![Change::Put(item("a", 6))]);
+    assert_eq!(news, Ok(Vec::new()));
+}
--- /dev/null
+++ b/crates/fanout/tests/totals.rs
@@ -0,0 +1,97 @@
+//! Loads of many hosts, added up.
+
+use vanetally_dispatch::{DemandRow, Digest, LoadRow};
+use vanetally_fanout::Totals;
+use vanetally_types::Tick;
+
+const NOW: Tick = Tick(1_000_000);
+
+fn load(upstream: &str, running: u32) -> LoadRow {
+    LoadRow {
+        upstream: upstream.into(),
+        running,
+        unread_tokens: running * 100,
+        held_tokens: running * 1_000,
+        good: 1,
+        bad: 0,
+    }
+}
+
+fn digest(loads: &[LoadRow]) -> Digest {
+    Digest { loads: loads.to_vec(), demand: Vec::new() }
+}
+
+fn demand(model: &str, arrived: u32) -> DemandRow {
+    DemandRow {
+        service: "llm".into(),
+        model: model.into(),
+        adapter: None,
+        arrived,
+        work_ms: arrived * 10,
+    }
+}
+
+fn running(loads: &[LoadRow]) -> Vec<(String, u32)> {
+    loads.iter().map(|row| (row.upstream.to_string(), row.running)).collect()
+}
+
+/// What a subscriber believes of the others is the sum without its own part in it.
+#[test]
+fn own_part_left_out() {
+    let mut aggregator = Totals::default();
+    let mut first = Totals::default();
+    let own = digest(&[load("r1", 2)]);
+    let number = first.number(NOW, &own);
+    aggregator.take_report(NOW, "h1".into(), number, own);
+    aggregator.take_report(NOW, "h2".into(), 7, digest(&[load("r1", 3), load("r2", 1)]));
+    let sum = aggregator.take_own_sum(&digest(&[load("r2", 4)]));
+    let (reported, total) = aggregator.total(&sum);
+    assert_eq!(running(&total), [("r1".into(), 5), ("r2".into(), 5)]);
+    let included = reported.iter().find(|one| &*one.host == "h1").unwrap();
+    assert_eq!(included.number, number);
+    // It has sent more since: what the sum includes is what counts.
+    first.number(NOW + 100, &digest(&[load("r1", 9)]));
+    let others = first.others(included.number, total);
+    assert_eq!(running(&others), [("r1".into(), 3), ("r2".into(), 5)]);
+}
+
+/// A report that is not remembered takes nothing off: load is rather believed twice than lost.
+#[test]
+fn forgotten_report() {
+    let mut totals = Totals::default();
+    let others = totals.others(3, vec![load("r1", 2)]);
+    assert_eq!(running(&others), [("r1".into(), 2)]);
+}
+
+/// Sums of other aggregators go to subscribers, never back to aggregators.
+#[test]
+fn elsewhere_not_echoed() {
+    let mut aggregator = Totals::default();
+    aggregator.take_sum(NOW, "far".into(), vec![load("r1", 8)]);
+    let sum = aggregator.take_own_sum(&digest(&[load("r1", 1)]));
+    assert_eq!(running(&sum.loads), [("r1".into(), 1)]);
+    assert_eq!(running(&aggregator.total(&sum).1), [("r1".into(), 9)]);
+}
+
+#[test]
+fn demand_passed_once() {
+    let mut aggregator = Totals::default();
+    let report = Digest { loads: Vec::new(), demand: vec![demand("m1", 2), demand("m2", 1)] };
+    aggregator.take_report(NOW, "h1".into(), 0, report);
+    aggregator.add_demand(vec![demand("m1", 3)]);
+    let sum = aggregator.take_own_sum(&Digest::default());
+    assert_eq!(sum.demand, [demand("m1", 5), demand("m2", 1)]);
+    assert_eq!(aggregator.take_own_sum(&Digest::default()).demand, []);
+}
+
+#[test]
+fn silent_forgotten() {
+    let mut aggregator = Totals::default();
+    aggregator.subscribe(NOW, "h1".into());
+    aggregator.take_sum(NOW, "far".into(), vec![load("r1", 8)]);
+    assert_eq!(aggregator.forget_silent(NOW + 1_000).len(), 0);
+    let silent: Vec<String> =
+        aggregator.forget_silent(NOW + 3_000).iter().map(ToString::to_string).collect();
+    assert_eq!(silent, ["h1", "far"]);
+    assert_eq!(aggregator.subscribers().count(), 0);
+}
--- /dev/null
+++ b/crates/gateway/src/feed.rs
@@ -0,0 +1,257 @@
+//! What this host knows of the store's keys, from the store itself or from an aggregator.
+
+use crate::{
+    hub::Hub,
+    peers::PeerMessage,
+    store::{Snapshot, Store},
+    watch::{self, Follower},
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+use vanetally_fanout::{Action, Event, Gap, Mirror, Source};
+use vanetally_ports::{Change, Item, Revision};
+use vanetally_types::{Name, Tick};
+
+/// The keys of one prefix.
+pub(crate) struct Feed {
+    pub prefix: Name,
+    follower: Rc<dyn Follower>,
+    mirror: RefCell<Mirror>,
+    /// When the store last confirmed what is known.
+    confirmed: Cell<Option<Tick>>,
+    /// Up to where subscribers were told changes.
+    told: Cell<Revision>,
+}
+
+/// All keys of one prefix, as an aggregator passes them on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct PrefixSnapshot {
+    /// The prefix.
+    pub prefix: Name,
+    /// Up to where all changes are known.
+    pub at: Revision,
+    /// The keys.
+    pub items: Vec<Item>,
+}
+
+/// Changes of one prefix, as an aggregator passes them on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct PrefixChanges {
+    /// The prefix.
+    pub prefix: Name,
+    /// What was told before this.
+    pub after: Revision,
+    /// Up to where all changes are known now.
+    pub at: Revision,
+    /// What changed in between.
+    pub changes: Vec<Change>,
+}
+
+impl Feed {
+    /// Knows nothing yet; `follower` hears what comes.
+    pub(crate) fn new(prefix: Name, follower: Rc<dyn Follower>) -> Self {
+        Self {
+            prefix,
+            follower,
+            mirror: RefCell::default(),
+            confirmed: Cell::new(None),
+            told: Cell::new(Revision(0)),
+        }
+    }
+
+    /// All keys were read; tells whether the reading was news enough to be taken.
+    fn replace(&self, snapshot: Snapshot) -> bool {
+        let is_taken = self.mirror.borrow_mut().try_replace(snapshot.at, &snapshot.items);
+        if is_taken {
+            self.follower.replaced(snapshot);
+        }
+        is_taken
+    }
+
+    /// Some keys changed.
+    fn change(&self, after: Revision, at: Revision, changes: Vec<Change>) -> Result<(), Gap> {
+        let news = self.mirror.borrow_mut().try_apply(after, at, changes)?;
+        news.into_iter().for_each(|change| self.follower.changed(change));
+        Ok(())
+    }
+
+    fn snapshot(&self) -> Option<PrefixSnapshot> {
+        let mirror = self.mirror.borrow();
+        let items = mirror.items().cloned().collect();
+        Some(PrefixSnapshot { prefix: self.prefix.clone(), at: mirror.at()?, items })
+    }
+
+    /// Milliseconds since the store confirmed what is known.
+    fn age_ms(&self, now: Tick) -> Option<u64> {
+        self.confirmed.get().map(|at| now.since(at))
+    }
+}
+
+/// Reads `feed` from the store while that is this host's source, for as long as the process lives.
+pub(crate) async fn run(hub: Rc<Hub>, feed: Rc<Feed>, store: Store) {
+    let mut source = hub.source.subscribe();
+    let mut reader = Reader { hub: hub.clone(), feed };
+    loop {
+        // The sender lives as long as the hub.
+        let _ = source.wait_for(|source| *source == Source::Store).await;
+        tokio::select! {
+            _ = source.wait_for(|source| *source != Source::Store) => {}
+            () = watch::follow(&store, &mut reader) => {}
+        }
+    }
+}
+
+/// Takes in what the store says of one feed.
+pub(crate) struct Reader {
+    hub: Rc<Hub>,
+    feed: Rc<Feed>,
+}
+
+impl Reader {
+    pub(crate) fn prefix(&self) -> &str {
+        &self.feed.prefix
+    }
+
+    /// How long the store may hold a watch: others rest on this one where it is an aggregator.
+    pub(crate) fn watch_ms(&self) -> u64 {
+        if self.hub.is_fleet() { SHORT_WATCH_MS } else { WATCH_MS }
+    }
+
+    /// All keys were read.
+    pub(crate) fn read(&mut self, snapshot: Snapshot) {
+        let at = snapshot.at;
+        self.feed.confirmed.set(Some(self.hub.clock.now()));
+        if self.feed.replace(snapshot) {
+            self.hub.resend(&self.feed, at);
+        }
+    }
+
+    /// The store told changes up to `at`.
+    pub(crate) fn changed(&mut self, after: Revision, at: Revision, changes: Vec<Change>) {
+        self.feed.confirmed.set(Some(self.hub.clock.now()));
+        let is_change = !changes.is_empty();
+        // What was read here lies before what is watched: nothing can be missing.
+        let _ = self.feed.change(after, at, changes.clone());
+        if is_change {
+            self.hub.pass_on(&self.feed, at, changes);
+        }
+    }
+
+    /// The store can't be asked.
+    pub(crate) fn lost(&mut self) {
+        self.feed.follower.lost();
+    }
+}
+
+/// How long the store may hold a watch, in milliseconds.
+const WATCH_MS: u64 = 3_000;
+/// The same in a large deployment, where an aggregator's silence must be told from the store's.
+const SHORT_WATCH_MS: u64 = 500;
+
+impl Hub {
+    /// Tells the choice of a source what happened, and does what it says.
+    pub(crate) fn follow_event(self: &Rc<Self>, event: Event) {
+        let now = self.clock.now();
+        let actions = self.follow.borrow_mut().handle(now, event);
+        for action in actions {
+            match action {
+                Action::Subscribe(to) => self.send(&to, &PeerMessage::Subscribe),
+                Action::Unsubscribe(to) => self.send(&to, &PeerMessage::Unsubscribe),
+                Action::Probe => {
+                    tokio::task::spawn_local(probe(self.clone()));
+                }
+                Action::Switch(source) => self.switch(source),
+            }
+        }
+    }
+
+    fn switch(self: &Rc<Self>, source: Source) {
+        let name = match &source {
+            Source::Store => "store",
+            Source::Aggregator(host) => host,
+        };
+        log::info!("event=source_changed source={name}");
+        self.source.send_replace(source);
+        // The loads of the earlier source are of no use beside those of the new one.
+        let hosts: Vec<Name> = self.peers.borrow().keys().cloned().collect();
+        for host in hosts {
+            self.request_event(vanetally_dispatch::Event::PeerGone { host });
+        }
+    }
+
+    /// Milliseconds since the store confirmed the oldest of what is known here.
+    pub(crate) fn age_ms(&self) -> Option<u64> {
+        let now = self.clock.now();
+        let ages = self.feeds.borrow().iter().map(|feed| feed.age_ms(now)).collect();
+        let ages: Option<Vec<u64>> = ages;
+        ages?.into_iter().max()
+    }
+
+    /// All that this host knows, if it reads the store and has read all of it.
+    pub(crate) fn snapshots(&self) -> Option<Vec<PrefixSnapshot>> {
+        let is_reader = *self.source.borrow() == Source::Store;
+        let feeds = self.feeds.borrow();
+        let snapshots: Option<Vec<PrefixSnapshot>> =
+            feeds.iter().map(|feed| feed.snapshot()).collect();
+        snapshots.filter(|_| is_reader)
+    }
+
+    /// An aggregator told all that it knows.
+    pub(crate) fn take_snapshots(self: &Rc<Self>, from: &Name, snapshots: Vec<PrefixSnapshot>) {
+        let feeds = self.feeds.borrow().clone();
+        let mut taken = 0;
+        for snapshot in snapshots {
+            let PrefixSnapshot { prefix, at, items } = snapshot;
+            if let Some(feed) = feeds.iter().find(|feed| feed.prefix == prefix) {
+                taken += usize::from(feed.replace(Snapshot { items, at }));
+            }
+        }
+        if taken == feeds.len() {
+            self.follow_event(Event::Synced { from: from.clone() });
+        }
+    }
+
+    /// An aggregator told changes.
+    pub(crate) fn take_changes(self: &Rc<Self>, from: &Name, changes: PrefixChanges) {
+        if *self.source.borrow() != Source::Aggregator(from.clone()) {
+            return;
+        }
+        let feeds = self.feeds.borrow().clone();
+        let PrefixChanges { prefix, after, at, changes } = changes;
+        let feed = feeds.iter().find(|feed| feed.prefix == prefix);
+        if feed.is_some_and(|feed| feed.change(after, at, changes).is_err()) {
+            log::info!("event=changes_missed from={from} prefix={prefix} after={}", after.0);
+            self.follow_event(Event::Missed);
+        }
+    }
+
+    /// Passes changes on to the subscribers.
+    fn pass_on(&self, feed: &Feed, at: Revision, changes: Vec<Change>) {
+        let after = feed.told.replace(at);
+        let prefix = feed.prefix.clone();
+        let message = PeerMessage::Changes(PrefixChanges { prefix, after, at, changes });
+        let subscribers: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
+        subscribers.iter().for_each(|host| self.send(host, &message));
+    }
+
+    /// All keys were read anew: subscribers start from there as well.
+    fn resend(&self, feed: &Feed, at: Revision) {
+        feed.told.set(at);
+        let subscribers: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
+        let Some(snapshots) = self.snapshots().filter(|_| !subscribers.is_empty()) else {
+            return;
+        };
+        let message = PeerMessage::Snapshots(snapshots);
+        subscribers.iter().for_each(|host| self.send(host, &message));
+    }
+}
+
+/// Reads something small from the store.
+async fn probe(hub: Rc<Hub>) {
+    let prefix = hub.ports.configuration.key().to_owned();
+    let is_answered = hub.store.range(&prefix).await.is_ok();
+    hub.follow_event(Event::Probed(is_answered));
+}
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -1,4 +1,4 @@
-//! What this host hears of other hosts, and tells them.
+//! Which other hosts live, and sending to them.
 
 use crate::{
     hub::Hub,
@@ -6,9 +6,8 @@
     tenure,
 };
 use std::{collections::BTreeMap, rc::Rc};
-use vanetally_dispatch::{self as dispatch, Digest};
-use vanetally_placement::{self as placement, DemandSample};
-use vanetally_ports::ModelRef;
+use vanetally_dispatch as dispatch;
+use vanetally_fanout::{Candidate, Event as FollowEvent, FEW_HOSTS};
 use vanetally_types::{Name, rendezvous_rank};
 
 impl Hub {
@@ -36,12 +35,16 @@
     }
 
     fn count_peers(self: &Rc<Self>) {
+        self.follow_event(FollowEvent::Candidates(self.candidates()));
         let (hosts, rank) = {
             let peers = self.peers.borrow();
             let own = &self.settings.host;
             let key = vanetally_types::hash64(tenure::HOLDER_KEY.as_bytes());
             let others = peers.keys().filter(|host| *host != own);
-            let ranked = rendezvous_rank(key, others.chain([own]));
+            let mut ranked = rendezvous_rank(key, others.chain([own]));
+            // Aggregators know the demand of all: they try first.
+            let aggregators = self.follow.borrow().aggregators();
+            ranked.sort_by_key(|host| !aggregators.contains(host));
             let rank = ranked.iter().position(|host| *host == own).unwrap_or(0);
             (ranked.len(), rank)
         };
@@ -49,6 +52,22 @@
         self.request_event(dispatch::Event::Hosts(hosts));
     }
 
+    /// The hosts that may be aggregators.
+    fn candidates(&self) -> Vec<Candidate> {
+        let peers = self.peers.borrow();
+        let candidates = peers.iter().map(|(host, entry)| Candidate {
+            host: host.clone(),
+            zone: entry.zone.clone(),
+            capacity: entry.capacity,
+        });
+        candidates.collect()
+    }
+
+    /// Whether the hosts are too many for each one to watch the store and tell all others.
+    pub(crate) fn is_fleet(&self) -> bool {
+        self.host_count() > FEW_HOSTS
+    }
+
     /// Hosts that have keys.
     pub(crate) fn host_count(&self) -> usize {
         self.peers.borrow().len()
@@ -56,11 +75,19 @@
 
     /// Tells all other hosts.
     pub(crate) fn broadcast(&self, message: &PeerMessage) {
-        for (host, entry) in &*self.peers.borrow() {
-            if *host != self.settings.host {
-                self.links.send(host, entry.link, message);
-            }
-        }
+        let peers = self.peers.borrow();
+        self.send_all(peers.keys().filter(|host| **host != self.settings.host), message);
+    }
+
+    /// Tells `hosts`; the message is encoded once.
+    pub(crate) fn send_all<'a>(
+        &self,
+        hosts: impl Iterator<Item = &'a Name>,
+        message: &PeerMessage,
+    ) {
+        let peers = self.peers.borrow();
+        let known = hosts.filter_map(|host| Some((host, peers.get(host)?.link)));
+        self.links.send_all(known, message);
     }
 
     pub(crate) fn send(&self, host: &Name, message: &PeerMessage) {
@@ -68,57 +95,4 @@
             self.links.send(host, entry.link, message);
         }
     }
-
-    /// Another host told something.
-    pub(crate) fn peer_message(self: &Rc<Self>, from: &Name, message: PeerMessage) {
-        match message {
-            PeerMessage::Digest { version, digest } => self.peer_digest(from, version, digest),
-            PeerMessage::Want { service, model, adapter } => {
-                let subject = ModelRef { model, adapter };
-                self.placement_event(placement::Event::Wanted { service, subject });
-            }
-            PeerMessage::Placed { runner, model, adapter, is_present } => {
-                self.placed(runner, ModelRef { model, adapter }, is_present);
-            }
-            PeerMessage::AskConfiguration => {
-                if let Some(bytes) = &*self.raw_configuration.borrow() {
-                    self.send(from, &PeerMessage::Configuration(bytes.to_vec()));
-                }
-            }
-            PeerMessage::Configuration(bytes) => self.configuration_seen(&bytes.into(), "peer"),
-        }
-    }
-
-    fn peer_digest(self: &Rc<Self>, host: &Name, version: u64, digest: Digest) {
-        if self.dispatch.borrow().version().unwrap_or(0) < version {
-            self.send(host, &PeerMessage::AskConfiguration);
-        }
-        self.placement_event(placement::Event::Demand(samples(&digest)));
-        self.request_event(dispatch::Event::PeerDigest { host: host.clone(), digest });
-    }
-
-    /// Tells all hosts this one's load.
-    pub(crate) fn tell_load(self: &Rc<Self>) {
-        let now = self.clock.now();
-        let digest = self.dispatch.borrow_mut().digest(now);
-        let is_new = *self.last_digest.borrow() != digest;
-        self.placement_event(placement::Event::Demand(samples(&digest)));
-        if is_new || !digest.loads.is_empty() {
-            let version = self.dispatch.borrow().version().unwrap_or(0);
-            let message = PeerMessage::Digest { version, digest: digest.clone() };
-            self.broadcast(&message);
-            *self.last_digest.borrow_mut() = digest;
-        }
-    }
-}
-
-/// What a digest tells of the demand.
-fn samples(digest: &Digest) -> Vec<DemandSample> {
-    let samples = digest.demand.iter().map(|row| DemandSample {
-        service: row.service.clone(),
-        subject: ModelRef { model: row.model.clone(), adapter: row.adapter.clone() },
-        arrived: row.arrived,
-        work_ms: row.work_ms,
-    });
-    samples.collect()
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -1,7 +1,8 @@
 //! Where events meet decisions, and actions become calls and messages.
 
 use crate::{
-    clock::Clock, peers::HostEntry, pool::Pool, settings::Settings, store::Store, telemetry,
+    clock::Clock, feed::Feed, peers::HostEntry, pool::Pool, settings::Settings, store::Store,
+    telemetry,
 };
 use bytes::Bytes;
 use std::{
@@ -11,6 +12,7 @@
 };
 use tokio::sync::{mpsc, watch};
 use vanetally_dispatch::{self as dispatch, Attempt, Digest, Dispatch, RequestId};
+use vanetally_fanout::{Event as FollowEvent, Follow, Source, Totals};
 use vanetally_link::peer::Links;
 use vanetally_placement::{self as placement, Placement, Tenure, TenureEvent, TenureOptions};
 use vanetally_ports::{Configuration, Ports, Refusal, UpstreamState};
@@ -63,6 +65,11 @@
     pub next_id: Cell<u64>,
     pub raw_configuration: RefCell<Option<Bytes>>,
     pub last_digest: RefCell<Digest>,
+    /// Where this host reads what lies in the store.
+    pub source: watch::Sender<Source>,
+    pub follow: RefCell<Follow>,
+    pub feeds: RefCell<Vec<Rc<Feed>>>,
+    pub totals: RefCell<Totals>,
 }
 
 /// Length of the order lease, in milliseconds; the store may grant more.
@@ -109,6 +116,10 @@
             next_id: Cell::new(0),
             raw_configuration: RefCell::new(None),
             last_digest: RefCell::new(Digest::default()),
+            source: watch::Sender::new(Source::Store),
+            follow: RefCell::new(Follow::new(settings.host.clone(), settings.zone.clone())),
+            feeds: RefCell::default(),
+            totals: RefCell::default(),
             settings,
             ports,
         })
@@ -218,6 +229,7 @@
     pub(crate) fn tick(self: &Rc<Self>) {
         self.request_event(dispatch::Event::Tick);
         self.tenure_event(TenureEvent::Tick);
+        self.follow_event(FollowEvent::Tick);
         self.placement_event(placement::Event::Tick);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,9 +8,11 @@
 mod call;
 mod clock;
 mod exchange;
+mod feed;
 mod front;
 mod hosts;
 mod hub;
+mod load;
 /// Log lines on standard output that never block the caller.
 pub mod logging;
 mod orders;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,10 +1,15 @@
 //! Other hosts: their keys in the store, and what hosts tell each other over links.
 
-use crate::{hub::Hub, tenure::HOLDER_KEY, watch::Follower};
+use crate::{
+    feed::{PrefixChanges, PrefixSnapshot},
+    hub::Hub,
+    tenure::HOLDER_KEY,
+    watch::Follower,
+};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::sleep;
-use vanetally_dispatch::Digest;
+use vanetally_dispatch::{Digest, LoadRow};
 use vanetally_placement::TenureEvent;
 use vanetally_ports::{Change, Item, LeaseId, StoreAnswer, Transaction, Write};
 use vanetally_types::Name;
@@ -19,18 +24,44 @@
 pub(crate) struct HostEntry {
     /// Where its links listen.
     pub link: SocketAddr,
+    /// Its failure domain.
+    #[serde(default)]
+    pub zone: Name,
+    /// Its share of a processor, in percent.
+    #[serde(default)]
+    pub capacity: u32,
 }
 
 /// What hosts tell each other.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
-    /// The sender's load, and the version of its configuration.
+    /// From one aggregator to others: the load of the sender and its subscribers, and the version
+    /// of its configuration.
     Digest {
         /// The version, 0 if none.
         version: u64,
         /// The load.
         digest: Digest,
     },
+    /// To an aggregator: the sender's load, and the version of its configuration.
+    Report {
+        /// The number of this report.
+        number: u64,
+        /// The version, 0 if none.
+        version: u64,
+        /// The load.
+        digest: Digest,
+    },
+    /// From an aggregator to its subscribers.
+    Total(Total),
+    /// To an aggregator: the sender wants to hear all that it knows, and changes from then on.
+    Subscribe,
+    /// To an aggregator: the sender needs no more.
+    Unsubscribe,
+    /// From an aggregator: all that it knows.
+    Snapshots(Vec<PrefixSnapshot>),
+    /// From an aggregator: what changed.
+    Changes(PrefixChanges),
     /// To the holder of orders: something is missing.
     Want {
         /// The service.
@@ -57,6 +88,21 @@
     Configuration(Vec<u8>),
 }
 
+/// What an aggregator tells its subscribers, now and then.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Total {
+    /// The reports that the loads include.
+    pub reported: Vec<(Name, u64)>,
+    /// The version of the configuration, 0 if none.
+    pub version: u64,
+    /// Milliseconds since the store confirmed what the aggregator passes on.
+    pub age_ms: Option<u64>,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+    /// The load of all hosts.
+    pub loads: Vec<LoadRow>,
+}
+
 /// Follows the product's own keys.
 pub(crate) struct PeerFollower {
     pub hub: Rc<Hub>,
@@ -128,7 +174,8 @@
 
 async fn write_key(hub: &Hub, lease: LeaseId) -> bool {
     let link = SocketAddr::new(hub.settings.ip, hub.settings.link_port);
-    let Ok(value) = serde_json::to_vec(&HostEntry { link }) else {
+    let (zone, capacity) = (hub.settings.zone.clone(), hub.settings.capacity);
+    let Ok(value) = serde_json::to_vec(&HostEntry { link, zone, capacity }) else {
         return false;
     };
     let key = format!("{HOSTS}{}", hub.settings.host).into();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! The life of the process: start, reload, planned stop.
 
 use crate::{
+    feed::{self, Feed},
     front,
     hub::{Hub, Parts, Stage},
     peers::{self, PeerFollower, PeerMessage},
@@ -9,7 +10,7 @@
     store::Snapshot,
     telemetry,
     upstreams::UpstreamFollower,
-    watch::{Follower, follow},
+    watch::Follower,
 };
 use anyhow::Context;
 use socket2::{Domain, Protocol, Socket, Type};
@@ -32,10 +33,6 @@
 
 /// Time passes for the decisions this often.
 const TICK: Duration = Duration::from_millis(20);
-/// Hosts tell each other their load this often, where they are few.
-const DIGEST: Duration = Duration::from_millis(50);
-/// Hosts from which on digests become rarer, so that what a host hears does not grow with the fleet.
-const FEW_HOSTS: usize = 12;
 /// Housekeeping.
 const UPKEEP: Duration = Duration::from_secs(1);
 /// Largest message between hosts, in bytes.
@@ -123,15 +120,17 @@
 }
 
 fn follow_store(hub: &Rc<Hub>) {
-    let configuration = hub.ports.configuration.key().to_owned();
-    let upstreams = hub.ports.upstreams.prefix().to_owned();
-    let followers: [(String, Rc<dyn Follower>); 3] = [
+    let configuration = hub.ports.configuration.key().into();
+    let upstreams = hub.ports.upstreams.prefix().into();
+    let followers: [(Name, Rc<dyn Follower>); 3] = [
         (configuration, Rc::new(ConfigurationFollower { hub: hub.clone() })),
         (upstreams, Rc::new(UpstreamFollower::new(hub.clone()))),
-        (peers::PREFIX.to_owned(), Rc::new(PeerFollower { hub: hub.clone() })),
+        (peers::PREFIX.into(), Rc::new(PeerFollower { hub: hub.clone() })),
     ];
     for (prefix, follower) in followers {
-        spawn_local(follow(hub.store.clone(), prefix, follower));
+        let feed = Rc::new(Feed::new(prefix, follower));
+        hub.feeds.borrow_mut().push(feed.clone());
+        spawn_local(feed::run(hub.clone(), feed, hub.store.clone()));
     }
 }
 
@@ -178,7 +177,7 @@
         hub.tick();
         let now = Instant::now();
         if now >= digest_at {
-            digest_at = now + digest_interval(hub.host_count());
+            digest_at = now + hub.digest_interval();
             hub.tell_load();
         }
         if now >= upkeep_at {
@@ -189,11 +188,6 @@
     }
 }
 
-/// How often a host tells its load to `hosts` hosts.
-fn digest_interval(hosts: usize) -> Duration {
-    DIGEST.mul_f64((hosts as f64 / FEW_HOSTS as f64).max(1.0))
-}
-
 /// Reads the settings anew on a hang-up signal. What needs new sockets waits for a restart.
 async fn hang_ups(settings: Settings, reload: impl Fn() -> anyhow::Result<Settings>) {
     let Ok(mut signals) = signal(SignalKind::hangup()) else {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,6 +10,8 @@
     pub host: Name,
     /// The host's failure domain.
     pub zone: Name,
+    /// The host's share of a processor, in percent.
+    pub capacity: u32,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where the balancer asks for readiness.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -43,10 +43,8 @@
 
 /// For a short call.
 const CALL: Duration = Duration::from_millis(1_200);
-/// How long the store may hold a watch, in milliseconds.
-const WATCH_MS: u64 = 3_000;
-/// A watch that is silent for longer than this has broken.
-const WATCH: Duration = Duration::from_millis(WATCH_MS + 1_000);
+/// A watch that is silent for longer than it may be held and this has broken.
+const WATCH_MARGIN: Duration = Duration::from_millis(1_000);
 
 impl Store {
     pub(crate) fn new(address: SocketAddr, protocol: Rc<dyn StoreProtocol>) -> Self {
@@ -92,10 +90,16 @@
         }
     }
 
-    /// Waits for changes of the keys that begin with `prefix`.
-    pub(crate) async fn watch(&self, prefix: &str, after: Revision) -> Result<WatchAnswer, Error> {
-        let request = self.protocol.watch(prefix, after, WATCH_MS);
-        let reply = self.call("watch", request, WATCH).await?;
+    /// Waits for changes of the keys that begin with `prefix`, `wait_ms` at most.
+    pub(crate) async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait_ms: u64,
+    ) -> Result<WatchAnswer, Error> {
+        let request = self.protocol.watch(prefix, after, wait_ms);
+        let within = Duration::from_millis(wait_ms) + WATCH_MARGIN;
+        let reply = self.call("watch", request, within).await?;
         let answer = self.protocol.read_watch(reply.status, &reply.body)?;
         answer.ok_or(Error::Refused(reply.status))
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,10 +1,13 @@
 //! Following the keys of a prefix in the store.
 
-use crate::store::{Snapshot, Store};
+use crate::{
+    feed::Reader,
+    store::{Snapshot, Store},
+};
 use rand::RngExt;
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 use tokio::time::sleep;
-use vanetally_ports::{Change, WatchAnswer};
+use vanetally_ports::{Change, Revision, WatchAnswer};
 
 /// Who hears of a prefix.
 pub(crate) trait Follower {
@@ -25,24 +28,25 @@
 /// The longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_millis(700);
 
-/// Reads `prefix` and watches it, for as long as the process lives.
-pub(crate) async fn follow(store: Store, prefix: String, follower: Rc<dyn Follower>) {
+/// Reads a prefix and watches it, for as long as it is polled.
+pub(crate) async fn follow(store: &Store, reader: &mut Reader) {
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
     loop {
-        let error = match store.range(&prefix).await {
+        let error = match store.range(reader.prefix()).await {
             Ok(snapshot) => {
-                let count = snapshot.items.len();
                 let revision = snapshot.at;
                 if std::mem::take(&mut is_lost) {
+                    let items = snapshot.items.len();
+                    let prefix = reader.prefix();
                     log::info!(
-                        "event=store_regained prefix={prefix} revision={} items={count}",
+                        "event=store_regained prefix={prefix} revision={} items={items}",
                         revision.0
                     );
                 }
                 pause = FIRST_PAUSE;
-                follower.replaced(snapshot);
-                watch(&store, &prefix, revision, &*follower).await
+                reader.read(snapshot);
+                watch(store, reader, revision).await
             }
             Err(error) => Some(error),
         };
@@ -51,34 +55,31 @@
             continue;
         };
         if !std::mem::replace(&mut is_lost, true) {
-            log::warn!("event=store_lost prefix={prefix} error=\"{error}\"");
+            log::warn!("event=store_lost prefix={} error=\"{error}\"", reader.prefix());
         }
-        follower.lost();
+        reader.lost();
         sleep(jittered(pause)).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
     }
 }
 
 /// Watches until something goes wrong; `None` if the store has forgotten the history.
-async fn watch(
-    store: &Store,
-    prefix: &str,
-    from: vanetally_ports::Revision,
-    follower: &dyn Follower,
-) -> Option<crate::store::Error> {
+async fn watch(store: &Store, reader: &mut Reader, from: Revision) -> Option<crate::store::Error> {
     let mut after = from;
     loop {
-        match store.watch(prefix, after).await {
+        match store.watch(reader.prefix(), after, reader.watch_ms()).await {
             Ok(WatchAnswer::Changes { changes, at }) => {
-                after = after.max(at);
                 let is_change = !changes.is_empty();
-                changes.into_iter().for_each(|change| follower.changed(change));
+                let at = after.max(at);
+                reader.changed(after, at, changes);
+                after = at;
                 if is_change {
                     // Changes come in groups: one call takes what follows soon.
                     sleep(GATHER).await;
                 }
             }
             Ok(WatchAnswer::HistoryGone) => {
+                let prefix = reader.prefix();
                 log::info!("event=watch_history_gone prefix={prefix} after={}", after.0);
                 return None;
             }
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -5,6 +5,7 @@
 //! an answer repeats.
 
 use crate::proof::{Hello, Side, prove, verify};
+use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{
@@ -76,7 +77,7 @@
 /// The sending side of all links.
 #[derive(Clone)]
 pub struct Links {
-    commands: mpsc::UnboundedSender<(Name, SocketAddr, Vec<u8>)>,
+    commands: mpsc::UnboundedSender<(Name, SocketAddr, Bytes)>,
     traffic: Arc<Traffic>,
 }
 
@@ -123,12 +124,24 @@
 
     /// Sends `message` to the peer `to` at `address`, or drops it.
     pub fn send(&self, to: &Name, address: SocketAddr, message: &impl Serialize) {
+        self.send_all([(to, address)].into_iter(), message);
+    }
+
+    /// Sends `message` to all of `peers`, or drops it; it is encoded once.
+    pub fn send_all<'a>(
+        &self,
+        peers: impl Iterator<Item = (&'a Name, SocketAddr)>,
+        message: &impl Serialize,
+    ) {
         let mut bytes = Vec::new();
         if let Err(e) = ciborium::into_writer(message, &mut bytes) {
-            return log::error!("event=encode-failed to={to} error=\"{e}\"");
+            return log::error!("event=encode-failed error=\"{e}\"");
         }
-        if self.commands.send((to.clone(), address, bytes)).is_err() {
-            self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
+        let bytes = Bytes::from(bytes);
+        for (to, address) in peers {
+            if self.commands.send((to.clone(), address, bytes.clone())).is_err() {
+                self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
+            }
         }
     }
 
@@ -163,8 +176,8 @@
 }
 
 /// Hands messages to the task of their peer.
-async fn route(mut inbox: mpsc::UnboundedReceiver<(Name, SocketAddr, Vec<u8>)>, shared: Shared) {
-    let mut peers: HashMap<(Name, SocketAddr), mpsc::Sender<Vec<u8>>> = HashMap::new();
+async fn route(mut inbox: mpsc::UnboundedReceiver<(Name, SocketAddr, Bytes)>, shared: Shared) {
+    let mut peers: HashMap<(Name, SocketAddr), mpsc::Sender<Bytes>> = HashMap::new();
     while let Some((to, address, bytes)) = inbox.recv().await {
         let sender = peers.entry((to.clone(), address)).or_insert_with(|| {
             let (sender, queue) = mpsc::channel(WAITING);
@@ -178,7 +191,7 @@
 }
 
 /// Owns the link to one peer.
-async fn feed(to: Name, address: SocketAddr, mut queue: mpsc::Receiver<Vec<u8>>, shared: Shared) {
+async fn feed(to: Name, address: SocketAddr, mut queue: mpsc::Receiver<Bytes>, shared: Shared) {
     let mut link = None;
     while let Some(bytes) = queue.recv().await {
         if link.is_none() {
@@ -188,7 +201,7 @@
         let sent = match &mut link {
             None => false,
             Some(socket) => {
-                let send = socket.send(Message::Binary(bytes.into()));
+                let send = socket.send(Message::Binary(bytes));
                 matches!(timeout(HANDSHAKE, send).await, Ok(Ok(())))
             }
         };
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -2,10 +2,13 @@
 
 use crate::FormatError;
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use vanetally_types::Name;
 
 /// Number of a change in the store; 0 is before the first.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 pub struct Revision(pub u64);
 
 /// A lease that the store granted.
@@ -13,7 +16,7 @@
 pub struct LeaseId(pub u64);
 
 /// One key with its value.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
     /// The key.
     pub key: Name,
@@ -35,7 +38,7 @@
 }
 
 /// One change of a watched prefix.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// A key was written.
     Put(Item),
@@ -48,6 +51,24 @@
     },
 }
 
+impl Change {
+    /// The key that changed.
+    pub fn key(&self) -> &Name {
+        match self {
+            Self::Put(item) => &item.key,
+            Self::Gone { key, .. } => key,
+        }
+    }
+
+    /// When it changed.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Self::Put(item) => item.revision,
+            Self::Gone { revision, .. } => *revision,
+        }
+    }
+}
+
 /// How a watch was answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchAnswer {
