feat: room is made on one runner for one model; the plan counts replicas once

The plan did not count a runner that makes room: until its unload was done, each turn (20 ms) chose one more runner for the same model. Change: a runner on which room is made is reserved for its model and counts as a replica to be; room is given up when it fails, nobody asks any more, or after 10 s. Replicas are counted in one pass. A missing adapter is looked up alone, not with all others. Tests: room_made_once failed before (4 unloads for 1); needless_room_given_up passed before too.

--- a/crates/placement/src/adapters.rs
+++ b/crates/placement/src/adapters.rs
@@ -25,17 +25,29 @@
             })
             .collect();
         for subject in missing {
-            if self.is_somewhere(service, &subject) {
-                continue;
-            }
-            if let Some(runner) = self.runner_for_adapter(service, engine, &subject, Room::Fits) {
-                self.order(now, token, &runner, Operation::Load, subject, actions);
-            } else if let Some(runner) =
-                self.runner_for_adapter(service, engine, &subject, Room::Full)
-                && let Some(victim) = self.idle_adapter(now, service, &runner)
-            {
-                self.order(now, token, &runner, Operation::Unload, victim, actions);
-            }
+            self.order_adapter(now, token, service, engine, subject, actions);
+        }
+    }
+
+    /// Orders one adapter, unless it is somewhere or on its way.
+    pub(crate) fn order_adapter(
+        &mut self,
+        now: Tick,
+        token: Revision,
+        service: &Name,
+        engine: &EngineSpec,
+        subject: Subject,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.is_somewhere(service, &subject) {
+            return;
+        }
+        if let Some(runner) = self.runner_for_adapter(service, engine, &subject, Room::Fits) {
+            self.order(now, token, &runner, Operation::Load, subject, actions);
+        } else if let Some(runner) = self.runner_for_adapter(service, engine, &subject, Room::Full)
+            && let Some(victim) = self.idle_adapter(now, service, &runner)
+        {
+            self.order(now, token, &runner, Operation::Unload, victim, actions);
         }
     }
 
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -277,7 +277,19 @@
 
     /// Models whose weights are there and stay.
     pub fn held_models(&self) -> Vec<Name> {
-        self.held.keys().filter(|model| self.holds_model(model)).cloned().collect()
+        self.held_names().cloned().collect()
+    }
+
+    /// Models whose weights are there and stay.
+    pub(crate) fn held_names(&self) -> impl Iterator<Item = &Name> {
+        self.held.keys().filter(|model| self.holds_model(model))
+    }
+
+    /// The model that is on its way here, or was ordered.
+    pub(crate) fn coming_model(&self) -> Option<&Name> {
+        let ordered = self.open_load().map(|subject| &subject.model);
+        let loading = self.loading.as_ref().map(|loading| &loading.model);
+        loading.or(ordered).filter(|model| !self.holds_model(model))
     }
 
     /// Models that are there or on their way.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -18,4 +18,6 @@
 pub use event::{Action, Basis, DemandSample, Event, Options};
 pub use ledger::{Ledger, Room};
 pub use machine::{ModelSummary, Placement};
+pub(crate) use weights::Reservation;
+
 pub use tenure::{Tenure, TenureAction, TenureEvent, TenureOptions};
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -1,6 +1,6 @@
 //! The state machine of the holder of orders.
 
-use crate::{Action, Ceiling, Event, Ledger, Options, demand::DemandTable};
+use crate::{Action, Ceiling, Event, Ledger, Options, Reservation, demand::DemandTable};
 use std::{
     collections::{BTreeMap, HashMap},
     rc::Rc,
@@ -24,6 +24,8 @@
     pub(crate) wanted: BTreeMap<(Name, ModelRef), Tick>,
     /// Weights that get no new requests, and since when.
     pub(crate) closing: BTreeMap<(Name, Subject), Tick>,
+    /// Runners on which room is being made.
+    pub(crate) reserved: BTreeMap<Name, Reservation>,
     /// Adapters that should have arrived.
     pub(crate) arrivals: Vec<(Tick, Name, Subject)>,
 }
@@ -69,6 +71,7 @@
             ceilings: HashMap::new(),
             wanted: BTreeMap::new(),
             closing: BTreeMap::new(),
+            reserved: BTreeMap::new(),
             arrivals: Vec::new(),
         }
     }
@@ -88,8 +91,8 @@
             }
             Event::Wanted { service, subject } => {
                 self.demand.touch(now, &service, &subject, 0.0);
-                self.wanted.insert((service, subject), now);
-                self.order_all(now, &mut actions);
+                self.wanted.insert((service.clone(), subject.clone()), now);
+                self.order_wanted(now, &service, &subject, &mut actions);
             }
             Event::Reported { runner, asked, report } => {
                 self.reported(now, &runner, asked, report, &mut actions);
@@ -161,6 +164,7 @@
         }
         self.token = token;
         self.closing.clear();
+        self.reserved.clear();
         // An earlier holder may have begun loads: the books are in doubt.
         self.ceilings.clear();
         self.token_since = now;
@@ -213,6 +217,29 @@
         }
     }
 
+    /// Orders what a host has just missed.
+    fn order_wanted(
+        &mut self,
+        now: Tick,
+        service: &Name,
+        subject: &ModelRef,
+        actions: &mut Vec<Action>,
+    ) {
+        let (Some(token), Some(configuration)) = (self.token, self.configuration.clone()) else {
+            return;
+        };
+        let engine = configuration.services.get(service).and_then(|known| known.engine.as_ref());
+        let Some(engine) = engine else {
+            return;
+        };
+        let subject = Subject { model: subject.model.clone(), adapter: subject.adapter.clone() };
+        if subject.adapter.is_some() {
+            self.order_adapter(now, token, service, engine, subject, actions);
+        } else {
+            self.order_weights(now, token, service, engine, actions);
+        }
+    }
+
     /// Orders the unloads that were told to all hosts long enough ago.
     fn order_closed(&mut self, now: Tick, token: Revision, actions: &mut Vec<Action>) {
         // What could not be ordered in time is kept: the demand may have changed since.
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,12 +1,13 @@
 //! Which weights should come where next.
 
-use crate::{Ledger, Room, demand::DemandTable};
-use std::collections::BTreeMap;
+use crate::{Ledger, Reservation, Room, demand::DemandTable};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use vanetally_ports::{EngineSpec, Operation, Subject};
 use vanetally_types::{Name, Tick};
 
-/// What the plan looks at: the runners of one service.
-pub(crate) struct View<'a> {
+/// What the plan rests on: the runners of one service.
+#[derive(Clone, Copy)]
+pub(crate) struct Basis<'a> {
     pub now: Tick,
     pub service: &'a Name,
     pub engine: &'a EngineSpec,
@@ -15,6 +16,26 @@
     pub ledgers: &'a BTreeMap<Name, Ledger>,
     /// Runners from which something is about to go.
     pub closing: &'a BTreeMap<(Name, Subject), Tick>,
+    /// Runners on which room is being made, and for what.
+    pub reserved: &'a BTreeMap<Name, Reservation>,
+}
+
+/// Replicas of one model.
+#[derive(Clone, Copy, Debug, Default)]
+struct Replicas {
+    /// Runners that hold it and keep it.
+    held: usize,
+    /// Those, and runners that are getting it or make room for it.
+    planned: usize,
+}
+
+/// What the plan looks at, counted once.
+pub(crate) struct View<'a> {
+    basis: Basis<'a>,
+    runners: Vec<(&'a Name, &'a Ledger)>,
+    replicas: HashMap<&'a Name, Replicas>,
+    /// Runners on which something is under way that the plan must not disturb.
+    occupied: HashSet<&'a Name>,
 }
 
 /// One step: an order that brings the placement nearer to the demand.
@@ -23,6 +44,8 @@
     pub runner: Name,
     pub operation: Operation,
     pub subject: Subject,
+    /// The model that the step is for.
+    pub model: Name,
     /// Whether the weights come from the weight store.
     pub from_store: bool,
 }
@@ -52,35 +75,61 @@
 /// What a runner's present load costs: among equals the idle one is taken.
 const LOAD_COST: f64 = 0.05;
 
-impl View<'_> {
-    fn runners(&self) -> impl Iterator<Item = (&Name, &Ledger)> {
-        let own = self.ledgers.iter().filter(|(_, l)| l.state.service == *self.service);
-        own.filter(|(_, ledger)| !ledger.state.draining)
+impl<'a> View<'a> {
+    /// Counts what `basis` holds.
+    pub(crate) fn new(basis: Basis<'a>) -> Self {
+        let own = basis.ledgers.iter().filter(|(_, l)| l.state.service == *basis.service);
+        let runners: Vec<_> = own.filter(|(_, ledger)| !ledger.state.draining).collect();
+        let mut replicas: HashMap<&Name, Replicas> = HashMap::new();
+        for (runner, ledger) in &runners {
+            for model in ledger.held_names() {
+                let count = replicas.entry(model).or_default();
+                count.held += 1;
+                count.planned += 1;
+            }
+            let coming = ledger.coming_model();
+            let reserved = basis.reserved.get(*runner).map(|reservation| &reservation.model);
+            let reserved = reserved.filter(|model| !ledger.will_hold(model));
+            for model in coming.into_iter().chain(reserved) {
+                replicas.entry(model).or_default().planned += 1;
+            }
+        }
+        let closing = basis.closing.keys().map(|(runner, _)| runner);
+        let occupied = closing.chain(basis.reserved.keys()).collect();
+        Self { basis, runners, replicas, occupied }
     }
 
     fn replicas(&self, model: &Name) -> usize {
-        self.runners().filter(|(_, ledger)| ledger.will_hold(model)).count()
+        self.replicas.get(model).map_or(0, |count| count.planned)
     }
 
     /// Runner-seconds a second that the model asks for.
     fn load(&self, model: &Name) -> f64 {
-        self.demand.model_load(self.now, self.service, model)
+        self.basis.demand.model_load(self.basis.now, self.basis.service, model)
     }
 
     fn idle_ms(&self, model: &Name) -> u64 {
-        self.now.since(self.demand.model_last(self.service, model))
+        self.basis.now.since(self.basis.demand.model_last(self.basis.service, model))
     }
 
     /// How many replicas the model should have.
-    fn wanted(&self, model: &Name, runners: usize) -> usize {
+    fn wanted(&self, model: &Name) -> usize {
         let load = self.load(model);
         let by_load = if load < SINGLE_LOAD { 1 } else { (load / REPLICA_LOAD).ceil() as usize };
-        by_load.max(1).min(runners)
+        by_load.max(1).min(self.runners.len())
+    }
+
+    /// Whether the model should have more replicas than are there and planned, not counting
+    /// `but` of them.
+    pub(crate) fn is_needy(&self, model: &Name, but: usize) -> bool {
+        let replicas = self.replicas(model).saturating_sub(but);
+        let is_asked = replicas > 0 || self.idle_ms(model) < ASKED_MS;
+        is_asked && replicas < self.wanted(model)
     }
 
     /// Runners that hold the model now.
     fn holders(&self, model: &Name) -> usize {
-        self.runners().filter(|(_, ledger)| ledger.holds_model(model)).count()
+        self.replicas.get(model).map_or(0, |count| count.held)
     }
 
     /// What one more replica takes off the others.
@@ -111,13 +160,10 @@
 
     /// The next step, if any; loads from the weight store only if `store_has_room`.
     pub(crate) fn next(&self, store_has_room: bool) -> Option<Step> {
-        let runners = self.runners().count();
-        let gains = self.engine.models.keys().map(|model| (model, self.gain(model)));
-        let mut needy: Vec<(&Name, f64)> = gains
-            .filter(|(model, gain)| {
-                *gain > 0.0 && self.replicas(model) < self.wanted(model, runners)
-            })
-            .collect();
+        let models = self.basis.engine.models.keys();
+        let needy = models.filter(|model| self.is_needy(model, 0));
+        let gains = needy.map(|model| (model, self.gain(model)));
+        let mut needy: Vec<(&Name, f64)> = gains.filter(|(_, gain)| *gain > 0.0).collect();
         needy.sort_by(|a, b| b.1.total_cmp(&a.1));
         needy.into_iter().find_map(|(model, gain)| self.bring(model, gain, store_has_room))
     }
@@ -125,10 +171,10 @@
     /// The cheapest step that brings the model to one more runner.
     fn bring(&self, model: &Name, gain: f64, store_has_room: bool) -> Option<Step> {
         let mut best: Option<(f64, Step)> = None;
-        for (runner, ledger) in self.runners() {
+        for (runner, ledger) in &self.runners {
             let is_at_hand = ledger.has_at_hand(model);
-            let is_closing = self.closing.keys().any(|(closing, _)| closing == runner);
-            let is_open = ledger.next_count().is_some() && !ledger.will_hold(model) && !is_closing;
+            let is_free = !self.occupied.contains(*runner);
+            let is_open = is_free && ledger.next_count().is_some() && !ledger.will_hold(model);
             if !is_open || !(store_has_room || is_at_hand) {
                 continue;
             }
@@ -140,8 +186,9 @@
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let from_store = operation == Operation::Load && !is_at_hand;
                 let subject = Subject { model: subject.clone(), adapter: None };
-                best =
-                    Some((cost, Step { runner: runner.clone(), operation, subject, from_store }));
+                let runner = Name::clone(runner);
+                let model = model.clone();
+                best = Some((cost, Step { runner, operation, subject, model, from_store }));
             }
         }
         best.map(|(_, step)| step)
@@ -149,13 +196,13 @@
 
     /// The order that brings the model nearer to the runner: its load, or the unload of what is
     /// worth least there.
-    fn make_room<'a>(
+    fn make_room<'b>(
         &self,
-        ledger: &'a Ledger,
-        model: &'a Name,
+        ledger: &'b Ledger,
+        model: &'b Name,
         gain: f64,
-    ) -> Option<(f64, Operation, &'a Name)> {
-        match ledger.room_for_model(self.engine, model) {
+    ) -> Option<(f64, Operation, &'b Name)> {
+        match ledger.room_for_model(self.basis.engine, model) {
             Room::Fits => return Some((0.0, Operation::Load, model)),
             Room::Never => return None,
             Room::Full => {}
--- a/crates/placement/src/weights.rs
+++ b/crates/placement/src/weights.rs
@@ -1,17 +1,32 @@
 //! Weights come and go as the plan says, within the weight store's rate.
 
 use crate::{
-    Action, Ceiling, Placement,
+    Action, Ceiling, Placement, Room,
     machine::announce,
-    plan::{Step, View},
+    plan::{Basis, Step, View},
 };
-use vanetally_ports::{EngineSpec, Operation, Revision};
+use vanetally_ports::{EngineSpec, Operation, Revision, Subject};
 use vanetally_types::{Name, Tick};
 
 /// A new holder waits this long for the reports of all runners, in milliseconds.
 const REPORTS_MS: u64 = 700;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
+/// Steps of one round of the plan.
+const MOST_STEPS: usize = 16;
+/// Room that could not be made within this time is given up, in milliseconds: an unload waits for
+/// its runs.
+const RESERVED_MS: u64 = 10_000;
+
+/// Room that is being made on a runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Reservation {
+    /// The model that it is for.
+    pub model: Name,
+    /// Since when.
+    pub since: Tick,
+}
+
 impl Placement {
     pub(crate) fn order_weights(
         &mut self,
@@ -21,29 +36,79 @@
         engine: &EngineSpec,
         actions: &mut Vec<Action>,
     ) {
-        let window = self.options.window_ms;
-        loop {
-            let unsettled = self.ledgers.values().filter(|l| l.has_lost_load()).count();
-            if !self.ceilings.contains_key(service)
-                && let Some(ceiling) = self.first_ceiling(now, service, engine, window)
-            {
-                self.ceilings.insert(service.clone(), ceiling);
-            }
-            let ceiling = self.ceilings.get_mut(service);
-            let store_has_room = ceiling.is_some_and(|c| c.has_room(now, unsettled));
-            let view = View {
-                now,
-                service,
-                engine,
-                demand: &self.demand,
-                ledgers: &self.ledgers,
-                closing: &self.closing,
-            };
-            let Some(step) = view.next(store_has_room) else {
+        self.use_reserved(now, token, service, engine, actions);
+        for _ in 0..MOST_STEPS {
+            let store_has_room = self.store_has_room(now, service, engine);
+            let Some(step) = View::new(self.basis(now, service, engine)).next(store_has_room)
+            else {
                 return;
             };
-            if !self.take_step(now, token, service, step, actions) {
-                return;
+            self.take_step(now, token, service, step, actions);
+        }
+    }
+
+    fn basis<'a>(&'a self, now: Tick, service: &'a Name, engine: &'a EngineSpec) -> Basis<'a> {
+        Basis {
+            now,
+            service,
+            engine,
+            demand: &self.demand,
+            ledgers: &self.ledgers,
+            closing: &self.closing,
+            reserved: &self.reserved,
+        }
+    }
+
+    /// Whether one more load from the weight store may begin.
+    fn store_has_room(&mut self, now: Tick, service: &Name, engine: &EngineSpec) -> bool {
+        let unsettled = self.ledgers.values().filter(|l| l.has_lost_load()).count();
+        let window = self.options.window_ms;
+        if !self.ceilings.contains_key(service)
+            && let Some(ceiling) = self.first_ceiling(now, service, engine, window)
+        {
+            self.ceilings.insert(service.clone(), ceiling);
+        }
+        let ceiling = self.ceilings.get_mut(service);
+        ceiling.is_some_and(|ceiling| ceiling.has_room(now, unsettled))
+    }
+
+    /// Orders the loads for which room was made; gives up the room that is not needed any more.
+    fn use_reserved(
+        &mut self,
+        now: Tick,
+        token: Revision,
+        service: &Name,
+        engine: &EngineSpec,
+        actions: &mut Vec<Action>,
+    ) {
+        let reserved: Vec<(Name, Reservation)> =
+            self.reserved.iter().map(|(runner, one)| (runner.clone(), one.clone())).collect();
+        let view = View::new(self.basis(now, service, engine));
+        let is_needed = |one: &Reservation| view.is_needy(&one.model, 1);
+        let reserved: Vec<_> =
+            reserved.into_iter().map(|(runner, one)| (runner, is_needed(&one), one)).collect();
+        for (runner, is_needed, Reservation { model, since }) in reserved {
+            let Some(ledger) = self.ledgers.get(&runner) else {
+                self.reserved.remove(&runner);
+                continue;
+            };
+            let is_closing = self.closing.keys().any(|(closing, _)| *closing == runner);
+            if ledger.state.service != *service || is_closing {
+                continue;
+            }
+            let is_open = ledger.next_count().is_some();
+            let has_room = ledger.room_for_model(engine, &model) == Room::Fits;
+            let is_at_hand = ledger.has_at_hand(&model);
+            // Room that was not made, or is not needed any more, is given up.
+            let is_failed = is_open && !has_room;
+            if is_failed || !is_needed || now.since(since) > RESERVED_MS {
+                self.reserved.remove(&runner);
+            } else if is_open && (is_at_hand || self.store_has_room(now, service, engine)) {
+                self.reserved.remove(&runner);
+                let subject = Subject { model: model.clone(), adapter: None };
+                let from_store = !is_at_hand;
+                let step = Step { runner, operation: Operation::Load, subject, model, from_store };
+                self.take_step(now, token, service, step, actions);
             }
         }
     }
@@ -71,7 +136,7 @@
         Some(Ceiling::new(now, engine.loads_per_s, window_ms, begun))
     }
 
-    /// Carries a step out, or begins to; tells whether another one may follow at once.
+    /// Carries a step out, or begins to.
     fn take_step(
         &mut self,
         now: Tick,
@@ -79,15 +144,13 @@
         service: &Name,
         step: Step,
         actions: &mut Vec<Action>,
-    ) -> bool {
+    ) {
         if step.operation == Operation::Unload {
-            let key = (step.runner.clone(), step.subject.clone());
-            if self.closing.contains_key(&key) {
-                return false;
-            }
-            self.closing.insert(key, now);
             actions.push(announce(&step.runner, &step.subject, false, 0));
-            return false;
+            let reservation = Reservation { model: step.model, since: now };
+            self.reserved.insert(step.runner.clone(), reservation);
+            self.closing.insert((step.runner, step.subject), now);
+            return;
         }
         if step.from_store
             && let Some(ceiling) = self.ceilings.get_mut(service)
@@ -95,6 +158,5 @@
             ceiling.begin(now);
         }
         self.order(now, token, &step.runner, Operation::Load, step.subject, actions);
-        true
     }
 }
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -355,3 +355,43 @@
     holder.pass(1_000);
     assert!(holder.orders.is_empty(), "{:?}", holder.orders);
 }
+
+/// Found on a played day with 112 runners: until the first unload was done, every turn of the plan
+/// made room for the same model on one more runner.
+#[test]
+fn room_made_once() {
+    let full: &[&str] = &["m1", "m2"];
+    let mut holder = Holder::new(&[("r1", full), ("r2", full), ("r3", full), ("r4", full)]);
+    for _ in 0..10 {
+        holder.want("m3", None);
+        holder.pass(60);
+    }
+    let unloads = holder.orders.iter().filter(|o| o.operation == Operation::Unload).count();
+    assert_eq!(unloads, 1, "{:?}", holder.orders);
+    // The room is used for what it was made for.
+    let unload = holder.orders.pop().unwrap();
+    let (runner, gone) = (unload.runner.clone(), unload.subject.model.clone());
+    holder.answer(unload, OrderOutcome::Accepted);
+    holder.pass(600);
+    holder.want("m3", None);
+    let rest: Vec<&str> = full.iter().filter(|model| **model != &*gone).copied().collect();
+    holder.report(&runner, report(&rest, 1));
+    holder.pass(40);
+    assert_eq!(holder.loads("m3").len(), 1, "{:?}", holder.orders);
+    assert_eq!(holder.loads("m3")[0].runner, runner);
+}
+
+/// Room that is being made is given up when nobody asks any more.
+#[test]
+fn needless_room_given_up() {
+    let mut holder = Holder::new(&[("r1", &["m1", "m2"])]);
+    holder.want("m3", None);
+    holder.pass(400);
+    let unload = holder.orders.pop().expect("something makes way");
+    let rest = if &*unload.subject.model == "m1" { "m2" } else { "m1" };
+    holder.answer(unload, OrderOutcome::Accepted);
+    holder.pass(3_000);
+    holder.report("r1", report(&[rest], 1));
+    holder.pass(1_000);
+    assert!(holder.loads("m3").is_empty(), "{:?}", holder.orders);
+}
