feat: the line of each sending names the model or adapter

An engineer who asks which models wait could not tell from the log.

A failed try, reverted: requests for models that nobody holds refused at once, with the time at which the load ends.

--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -142,6 +142,8 @@
     pub request: Name,
     /// The route that takes it.
     pub route: Name,
+    /// The model or adapter that it asks for.
+    pub subject: Option<ModelRef>,
     /// The configuration in force.
     pub version: u64,
     /// Milliseconds since the request arrived.
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -97,6 +97,7 @@
         let attempt = Attempt {
             request: request.head.id.clone(),
             route: request.route.name.clone(),
+            subject: request.head.model.clone(),
             version,
             waited_ms: now.since(request.arrived),
             ahead_tokens: choice.ahead,
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -276,8 +276,9 @@
 }
 
 fn log_sending(attempt: &Attempt) {
+    let subject = attempt.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string);
     log::info!(
-        "event=request_sent request={} route={} upstream={} number={} waited_ms={} deadline_ms={} \
+        "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} deadline_ms={} \
          own_load={} peer_load={} ahead_tokens={} version={}",
         attempt.request,
         attempt.route,
