feat: upstreams whose keys lapsed while the store was away are waited for; a fault soak of our own

A host that read the list just then dropped all of them and answered 503 until they were back. Change: after an outage (failures for a second, or no answer for 4.5 s) a missing key is waited for for 2.2 s, then taken for gone. A call that fails alone changes nothing, so that DRAIN's two seconds hold.

Checked: run once, refusals kept, own and whole answers, events in order, no way back behind a configuration, one holder for a token, places for adapters, recovery, planned stops.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -103,7 +103,7 @@
             clock,
             pool: Pool::default(),
             control: Pool::default(),
-            store: Store::new(settings.store.address, ports.store.clone()),
+            store: Store::new(settings.store.address, ports.store.clone(), clock),
             stage: watch::Sender::new(Stage::Serving),
             host_lease: Cell::new(None),
             links,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -2,12 +2,14 @@
 
 use crate::{
     call::{self, Reply},
+    clock::Clock,
     pool::Pool,
     telemetry,
 };
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use vanetally_fanout::Outage;
 use vanetally_ports::{
     FormatError, Item, LeaseId, Revision, StoreAnswer, StoreProtocol, Transaction, WatchAnswer,
 };
@@ -39,6 +41,8 @@
     pool: Pool,
     address: SocketAddr,
     protocol: Rc<dyn StoreProtocol>,
+    clock: Clock,
+    outage: Rc<RefCell<Outage>>,
 }
 
 /// For a short call.
@@ -46,9 +50,28 @@
 /// A watch that is silent for longer than it may be held and this has broken.
 const WATCH_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// Whether the store did nothing, for now.
+fn is_refusal(status: StatusCode) -> bool {
+    status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error()
+}
+
 impl Store {
-    pub(crate) fn new(address: SocketAddr, protocol: Rc<dyn StoreProtocol>) -> Self {
-        Self { pool: Pool::default(), address, protocol }
+    pub(crate) fn new(address: SocketAddr, protocol: Rc<dyn StoreProtocol>, clock: Clock) -> Self {
+        Self { pool: Pool::default(), address, protocol, clock, outage: Rc::default() }
+    }
+
+    /// Whether the store was away lately.
+    pub(crate) fn outage(&self) -> Outage {
+        *self.outage.borrow()
+    }
+
+    fn note(&self, reply: &Result<Reply, call::Error>) {
+        let now = self.clock.now();
+        let mut outage = self.outage.borrow_mut();
+        match reply {
+            Ok(reply) if !is_refusal(reply.status) => outage.answered(now),
+            Ok(_) | Err(_) => outage.failed(now),
+        }
     }
 
     async fn call(
@@ -59,6 +82,7 @@
     ) -> Result<Reply, Error> {
         let reply = call::call(&self.pool, self.address, request, within).await;
         telemetry::store_call(name, reply.is_ok());
+        self.note(&reply);
         Ok(reply?)
     }
 
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -1,19 +1,28 @@
 //! Following the upstreams' announcements in the store.
 
 use crate::{hub::Hub, store::Snapshot, watch::Follower};
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::time::sleep;
 use vanetally_ports::{Change, Item};
-use vanetally_types::Name;
+use vanetally_types::{Name, Tick};
 
 /// Follows the keys of all upstreams.
 pub(crate) struct UpstreamFollower {
     hub: Rc<Hub>,
-    known: RefCell<BTreeSet<Name>>,
+    known: Rc<RefCell<BTreeSet<Name>>>,
+    /// Those whose keys went while the store was away, and until when they are waited for: most
+    /// write them again soon.
+    lapsed: Rc<RefCell<BTreeMap<Name, Tick>>>,
 }
 
 impl UpstreamFollower {
     pub(crate) fn new(hub: Rc<Hub>) -> Self {
-        Self { hub, known: RefCell::new(BTreeSet::new()) }
+        Self { hub, known: Rc::default(), lapsed: Rc::default() }
     }
 
     fn id(&self, key: &str) -> Option<Name> {
@@ -26,6 +35,9 @@
         };
         match self.hub.ports.upstreams.read(&item.value) {
             Ok(state) => {
+                if self.lapsed.borrow_mut().remove(&id).is_some() {
+                    log::info!("event=upstream_returned upstream={id}");
+                }
                 let is_new = self.known.borrow_mut().insert(id.clone());
                 if is_new || state.draining {
                     log::info!(
@@ -46,14 +58,43 @@
         }
     }
 
+    /// The key of an upstream is gone; the upstream is too, unless the store has lost keys.
     fn gone(&self, id: &Name) {
-        if self.known.borrow_mut().remove(id) {
-            log::info!("event=upstream_gone upstream={id}");
-            self.hub.upstream_gone(id.clone());
+        let outage = self.hub.store.outage();
+        if !outage.is_recent(self.hub.clock.now()) {
+            return forget(&self.hub, &self.known, id);
+        }
+        if !self.known.borrow().contains(id) || self.lapsed.borrow().contains_key(id) {
+            return;
+        }
+        let wait_ms = outage.wait_ms();
+        log::info!("event=upstream_lapsed upstream={id} wait_ms={wait_ms}");
+        self.lapsed.borrow_mut().insert(id.clone(), self.hub.clock.now() + wait_ms);
+        tokio::task::spawn_local(self.wait_for_return(id.clone(), wait_ms));
+    }
+
+    fn wait_for_return(&self, id: Name, wait_ms: u64) -> impl Future<Output = ()> + use<> {
+        let (hub, known, lapsed) = (self.hub.clone(), self.known.clone(), self.lapsed.clone());
+        async move {
+            sleep(Duration::from_millis(wait_ms)).await;
+            let now = hub.clock.now();
+            // It may have returned and lapsed once more: then another wait goes on.
+            let is_over = lapsed.borrow().get(&id).is_some_and(|until| now >= *until);
+            if is_over {
+                lapsed.borrow_mut().remove(&id);
+                forget(&hub, &known, &id);
+            }
         }
     }
 }
 
+fn forget(hub: &Rc<Hub>, known: &RefCell<BTreeSet<Name>>, id: &Name) {
+    if known.borrow_mut().remove(id) {
+        log::info!("event=upstream_gone upstream={id}");
+        hub.upstream_gone(id.clone());
+    }
+}
+
 impl Follower for UpstreamFollower {
     fn replaced(&self, snapshot: Snapshot) {
         let listed: BTreeSet<Name> =
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -1,5 +1,8 @@
 //! A deployment of stand-ins on loopback, and the real program as separate processes.
 
+// Not every test uses all of it.
+#![allow(dead_code)]
+
 use serde_json::{Value, json};
 use std::{
     net::SocketAddr,
@@ -32,12 +35,16 @@
     directory: TempDir,
 }
 
+/// Addresses of one test process.
+const ADDRESSES: u32 = 254;
+
 /// An address of the loopback range that no other process of the tests uses.
-fn fresh_ip() -> String {
+pub fn fresh_ip() -> String {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let process = std::process::id();
     let next = NEXT.fetch_add(1, Ordering::Relaxed);
-    format!("127.{}.{}.{}", 1 + process / 250 % 250, 1 + process % 250, next)
+    // One is used again after so many others that nobody listens there any more.
+    format!("127.{}.{}.{}", 1 + process / 250 % 250, 1 + process % 250, 1 + next % ADDRESSES)
 }
 
 impl Deployment {
@@ -62,6 +69,23 @@
         deployment
     }
 
+    /// The logs of all hosts, by name.
+    pub fn logs(&self) -> Vec<(String, String)> {
+        let files = std::fs::read_dir(self.directory.path()).into_iter().flatten().flatten();
+        let logs = files.filter(|file| file.path().extension().is_some_and(|kind| kind == "log"));
+        let text = |path| std::fs::read_to_string(path).unwrap_or_default();
+        let named = |file: std::fs::DirEntry| {
+            (file.file_name().to_string_lossy().into_owned(), text(file.path()))
+        };
+        logs.map(named).collect()
+    }
+
+    /// The log of one host.
+    pub fn log(&self, host: &str) -> String {
+        let name = format!("{host}.log");
+        self.logs().into_iter().find(|(file, _)| *file == name).map_or(String::new(), |log| log.1)
+    }
+
     /// The operator writes a configuration with `more` routes to the plain service.
     pub fn configure(&self, version: u64, more: &[&str]) {
         let route = |name: &str, kind: &str, service: &str, resumable: bool| {
@@ -97,9 +121,13 @@
 
     /// Starts a host.
     pub fn spawn(&self, name: &str) -> Host {
-        let ip = fresh_ip();
+        self.spawn_at(name, &fresh_ip(), self.store.address())
+    }
+
+    /// Starts a host at `ip` that finds the store at `store`.
+    pub fn spawn_at(&self, name: &str, ip: &str, store: SocketAddr) -> Host {
         let path = self.directory.path().join(format!("{name}.json"));
-        std::fs::write(&path, settings(name, &ip, self.store.address()).to_string())
+        std::fs::write(&path, settings(name, ip, store).to_string())
             .expect("the settings can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_vanetallyd"))
             .arg("gateway")
@@ -137,7 +165,8 @@
 
 fn log_file(directory: &TempDir, name: &str) -> Stdio {
     let path = directory.path().join(format!("{name}.log"));
-    std::fs::File::create(path).map_or_else(|_| Stdio::null(), Stdio::from)
+    let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
+    file.map_or_else(|_| Stdio::null(), Stdio::from)
 }
 
 /// Runs the program on settings that are no good; its exit code and what it says.
@@ -187,6 +216,11 @@
         self.child.wait().expect("it has ended");
     }
 
+    /// Its exit code, if it has ended.
+    pub fn try_wait(&mut self) -> Option<i32> {
+        self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
+    }
+
     /// Waits for its end; its exit code.
     pub fn wait(&mut self) -> Option<i32> {
         self.child.wait().expect("it ends").code()
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -3,7 +3,7 @@
 
 mod gateway;
 
-use gateway::{Deployment, wait_for};
+use gateway::{Deployment, Host, wait_for};
 use rstest::rstest;
 use std::time::{Duration, Instant};
 use vanetally_platform_standin::{Behaviour, Client, StoreMode};
@@ -296,6 +296,41 @@
     wait_for("an adapter is served", || client.send(second.front).status == 200);
 }
 
+/// A store that is away for longer than single calls fail, and loses the key of a runner meanwhile.
+fn lose_key(deployment: &Deployment, host: &Host) {
+    deployment.store.set_mode(StoreMode::Busy);
+    deployment.store.remove("servers/i-desk-0");
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(check("x1").send(host.front).status, 200, "serving goes on");
+    deployment.store.set_mode(StoreMode::Serving);
+    let lapsed = "event=upstream_lapsed upstream=i-desk-0";
+    wait_for("the key is missed", || deployment.log("front-1").contains(lapsed));
+}
+
+#[test]
+fn lapsed_key_returns() {
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    lose_key(&deployment, &host);
+    assert_eq!(check("x2").send(host.front).status, 200, "it lives, whatever the store lists");
+    let (key, value) = deployment.desks[0].entry();
+    deployment.store.put(&key, &value);
+    let returned = "event=upstream_returned upstream=i-desk-0";
+    wait_for("it wrote its key", || deployment.log("front-1").contains(returned));
+    assert_eq!(check("x3").send(host.front).status, 200);
+    assert!(!deployment.log("front-1").contains("event=upstream_gone upstream=i-desk-0"));
+}
+
+#[test]
+fn lapsed_key_missing() {
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    lose_key(&deployment, &host);
+    let gone = "event=upstream_gone upstream=i-desk-0";
+    wait_for("it is gone", || deployment.log("front-1").contains(gone));
+    assert_eq!(check("x2").send(host.front).status, 503);
+}
+
 /// A host that the store turns away takes the configuration from another host.
 #[test]
 fn configuration_from_peer() {
--- /dev/null
+++ b/tests/soak/faults.rs
@@ -0,0 +1,103 @@
+//! Faults, drawn one after the other; they overlap until something heals them.
+
+use crate::site::{Site, Slot};
+use rand::{RngExt, rngs::StdRng};
+use std::{thread, time::Duration};
+use vanetally_platform_standin::{Behaviour, ProxyMode, Runner, StoreMode};
+
+/// Events of a whole stream.
+pub const EVENTS: u32 = 5;
+/// How a sound engine answers.
+pub const SOUND_ENGINE: Behaviour = Behaviour::Stream { events: EVENTS, pause_ms: 2 };
+/// How a sound service answers.
+pub const SOUND_DESK: Behaviour = Behaviour::Whole;
+
+const ENGINE_FAULTS: [Behaviour; 7] = [
+    Behaviour::Stream { events: EVENTS, pause_ms: 60 },
+    Behaviour::BreakAfter(3),
+    Behaviour::BreakFirst { after: 2, events: EVENTS },
+    Behaviour::Crossed,
+    Behaviour::Unsealed,
+    Behaviour::Full,
+    Behaviour::Mute,
+];
+const DESK_FAULTS: [Behaviour; 6] = [
+    Behaviour::Failing,
+    Behaviour::Surplus,
+    Behaviour::UnframedReset,
+    Behaviour::Crossed,
+    Behaviour::Full,
+    Behaviour::Mute,
+];
+const STORE_FAULTS: [StoreMode; 4] =
+    [StoreMode::Busy, StoreMode::Silent, StoreMode::DeafWatches, StoreMode::LosingAnswers];
+const LINK_FAULTS: [ProxyMode; 4] =
+    [ProxyMode::Delay(40), ProxyMode::Reset, ProxyMode::Silent, ProxyMode::OneWay];
+
+/// Strikes once, then waits a little.
+pub fn strike(rng: &mut StdRng, site: &mut Site) {
+    let host = rng.random_range(0..site.slots.len());
+    match rng.random_range(0..16) {
+        0 | 1 => site.slots[host].kill(),
+        2 | 3 => site.slots[host].pause(),
+        4 => site.slots[host].signal("TERM"),
+        5 => site.slots[host].signal("HUP"),
+        6 => site.deployment.store.set_mode(any(rng, &STORE_FAULTS)),
+        7 => site.slots[host].store_link.set_mode(any(rng, &LINK_FAULTS)),
+        8 => {
+            let runner = rng.random_range(0..site.runner_links.len());
+            site.runner_links[runner].set_mode(any(rng, &LINK_FAULTS));
+        }
+        9 => any_runner(rng, &site.deployment.engines).set_behaviour(any(rng, &ENGINE_FAULTS)),
+        10 => any_runner(rng, &site.deployment.desks).set_behaviour(any(rng, &DESK_FAULTS)),
+        11 => site.configure(),
+        12 => site.deployment.store.forget_history(),
+        13 => site.announce(rng.random_range(0..site.runner_links.len()), "draining"),
+        14 => site.withdraw(rng.random_range(0..site.runner_links.len())),
+        _ => heal_some(rng, site),
+    }
+    if rng.random_bool(0.4) {
+        heal_some(rng, site);
+    }
+    thread::sleep(Duration::from_millis(rng.random_range(20..250)));
+}
+
+/// Heals one thing.
+fn heal_some(rng: &mut StdRng, site: &mut Site) {
+    let host = rng.random_range(0..site.slots.len());
+    match rng.random_range(0..5) {
+        0 => site.slots[host].revive(&site.deployment, &site.shared),
+        1 => site.deployment.store.set_mode(StoreMode::Serving),
+        2 => site.slots[host].store_link.set_mode(ProxyMode::Pass),
+        3 => site.runner_links.iter().for_each(|link| link.set_mode(ProxyMode::Pass)),
+        _ => {
+            sound(site);
+            site.announce_all();
+        }
+    }
+}
+
+/// Heals all.
+pub fn heal(site: &mut Site) {
+    sound(site);
+    site.deployment.store.set_mode(StoreMode::Serving);
+    site.runner_links.iter().for_each(|link| link.set_mode(ProxyMode::Pass));
+    for slot in &mut site.slots {
+        slot.store_link.set_mode(ProxyMode::Pass);
+        Slot::revive(slot, &site.deployment, &site.shared);
+    }
+    site.announce_all();
+}
+
+fn sound(site: &Site) {
+    site.deployment.engines.iter().for_each(|engine| engine.set_behaviour(SOUND_ENGINE));
+    site.deployment.desks.iter().for_each(|desk| desk.set_behaviour(SOUND_DESK));
+}
+
+fn any<T: Copy>(rng: &mut StdRng, choices: &[T]) -> T {
+    choices[rng.random_range(0..choices.len())]
+}
+
+fn any_runner<'a>(rng: &mut StdRng, runners: &'a [Runner]) -> &'a Runner {
+    &runners[rng.random_range(0..runners.len())]
+}
--- /dev/null
+++ b/tests/soak/promises.rs
@@ -0,0 +1,137 @@
+//! What must hold, from what callers and runners saw.
+
+use crate::{
+    callers::{Kind, Seen},
+    faults::EVENTS,
+    gateway::Deployment,
+};
+use std::collections::{BTreeMap, HashMap};
+use vanetally_platform_standin::{ClientAnswer, Runner};
+
+/// A promise that was broken.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum Broken {
+    /// A request that may run once ran more often.
+    #[error("ran_twice request={id} runs={runs}")]
+    RanTwice { id: String, runs: u32 },
+    /// A request ran although its answer says that it has not.
+    #[error("ran_refused request={id} status={status}")]
+    RanRefused { id: String, status: u16 },
+    /// A success that is not the caller's own, or is not signed.
+    #[error("foreign_answer request={id}")]
+    Foreign { id: String },
+    /// Events of a whole stream that are not all there, once and in order.
+    #[error("bad_events request={id} events={events:?}")]
+    BadEvents { id: String, events: Vec<String> },
+    /// A host went back behind a configuration that it had followed.
+    #[error("went_back request={id} host={host} version={version}")]
+    WentBack { id: String, host: usize, version: u64 },
+    /// Two hosts gave orders under one token.
+    #[error("shared_token token={token}")]
+    SharedToken { token: u64 },
+    /// A runner held more adapters than it has places for.
+    #[error("too_many_adapters held={held}")]
+    TooManyAdapters { held: usize },
+    /// A site that was whole again did not serve.
+    #[error("not_recovered what=\"{0}\"")]
+    NotRecovered(String),
+    /// A planned stop did not end well.
+    #[error("bad_stop host={host} code={code:?}")]
+    BadStop { host: String, code: Option<i32> },
+}
+
+/// Statuses that promise that a request has not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// Places for adapters at each runner.
+const PLACES: usize = 4;
+
+/// All promises that were broken.
+pub fn check(deployment: &Deployment, seen: &[Seen]) -> Vec<Broken> {
+    let runners: Vec<&Runner> = deployment.engines.iter().chain(&deployment.desks).collect();
+    let mut runs: HashMap<String, u32> = HashMap::new();
+    for (id, count) in runners.iter().flat_map(|runner| runner.runs()) {
+        *runs.entry(id).or_default() += count;
+    }
+    let ran = |seen: &Seen| runs.get(&seen.id).copied().unwrap_or(0);
+    let mut broken = Vec::new();
+    broken.extend(seen.iter().filter_map(|seen| run_once(seen, ran(seen))));
+    broken.extend(seen.iter().filter_map(|seen| refusal_kept(seen, ran(seen))));
+    broken.extend(seen.iter().filter_map(own_answer));
+    broken.extend(seen.iter().filter_map(events_whole));
+    broken.extend(never_back(seen));
+    broken.extend(one_holder(&runners));
+    broken.extend(runners.iter().filter_map(|runner| {
+        let held = runner.most_adapters();
+        (held > PLACES).then_some(Broken::TooManyAdapters { held })
+    }));
+    broken
+}
+
+fn run_once(seen: &Seen, runs: u32) -> Option<Broken> {
+    let is_broken = seen.kind == Kind::Offer && runs > 1;
+    is_broken.then(|| Broken::RanTwice { id: seen.id.clone(), runs })
+}
+
+fn refusal_kept(seen: &Seen, runs: u32) -> Option<Broken> {
+    let status = seen.answer.as_ref()?.status;
+    let is_broken = seen.kind == Kind::Offer && PROMISES.contains(&status) && runs > 0;
+    is_broken.then(|| Broken::RanRefused { id: seen.id.clone(), status })
+}
+
+fn own_answer(seen: &Seen) -> Option<Broken> {
+    let answer = seen.answer.as_ref().filter(|answer| answer.status == 200)?;
+    let is_own = answer.header("x-attempt-id") == Some(&seen.id);
+    let is_signed = answer.header("x-server-seal").is_some();
+    (!is_own || !is_signed).then(|| Broken::Foreign { id: seen.id.clone() })
+}
+
+fn events_whole(seen: &Seen) -> Option<Broken> {
+    let is_stream = matches!(seen.kind, Kind::Offer | Kind::Draft);
+    let is_whole = |answer: &&ClientAnswer| answer.status == 200 && answer.is_whole;
+    let answer = seen.answer.as_ref().filter(is_whole).filter(|_| is_stream)?;
+    let ids = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
+    let events: Vec<String> = ids.map(str::to_owned).collect();
+    let expected: Vec<String> = (1..=EVENTS).map(|number| number.to_string()).collect();
+    (events != expected).then(|| Broken::BadEvents { id: seen.id.clone(), events })
+}
+
+/// Within one life, a host that followed a version knows its route from then on.
+fn never_back(seen: &[Seen]) -> Vec<Broken> {
+    let added = |seen: &Seen| match seen.kind {
+        Kind::Added(version) => Some(version),
+        _ => None,
+    };
+    let status = |seen: &Seen| seen.answer.as_ref().map_or(0, |answer| answer.status);
+    let followed: Vec<(&Seen, u64)> = seen
+        .iter()
+        .filter(|seen| status(seen) == 200)
+        .filter_map(|seen| Some((seen, added(seen)?)))
+        .collect();
+    let unknown = seen.iter().filter(|seen| status(seen) == 404);
+    let is_back = |late: &&Seen| {
+        followed.iter().any(|(early, version)| {
+            (early.host, early.life) == (late.host, late.life)
+                && early.ended < late.began
+                && added(late).is_some_and(|other| other <= *version)
+        })
+    };
+    let back = unknown.filter(is_back);
+    back.map(|seen| Broken::WentBack {
+        id: seen.id.clone(),
+        host: seen.host,
+        version: added(seen).unwrap_or(0),
+    })
+    .collect()
+}
+
+fn one_holder(runners: &[&Runner]) -> Vec<Broken> {
+    let mut holders: BTreeMap<u64, String> = BTreeMap::new();
+    let mut broken = Vec::new();
+    for order in runners.iter().flat_map(|runner| runner.orders()) {
+        let holder = holders.entry(order.token).or_insert_with(|| order.holder.clone());
+        if *holder != order.holder {
+            broken.push(Broken::SharedToken { token: order.token });
+        }
+    }
+    broken
+}
--- /dev/null
+++ b/tests/soak/site.rs
@@ -0,0 +1,260 @@
+//! One play of one seed: hosts as processes, stand-ins around them, proxies between.
+
+use crate::{
+    callers::{Callers, Shared, added_route},
+    faults,
+    gateway::{Deployment, Host, fresh_ip},
+    promises::{self, Broken},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{
+    fmt,
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+use vanetally_platform_standin::{Client, Proxy, Runner, RunnerOptions};
+
+/// Faults of one play.
+const FAULTS: usize = 30;
+/// Each so many seeds one is played with more hosts, so that some read the store for others.
+const LARGE_EVERY: u64 = 8;
+const LARGE_HOSTS: usize = 14;
+/// A site that is whole again serves within this time.
+const RECOVERY: Duration = Duration::from_secs(20);
+/// A planned stop ends within this time.
+const STOP: Duration = Duration::from_secs(9);
+const LOOK: Duration = Duration::from_millis(50);
+
+/// A host's place: it may run, be paused or have ended.
+pub struct Slot {
+    name: String,
+    ip: String,
+    number: usize,
+    pub store_link: Proxy,
+    host: Option<Host>,
+    is_paused: bool,
+}
+
+impl Slot {
+    fn start(&mut self, deployment: &Deployment) {
+        let host = deployment.spawn_at(&self.name, &self.ip, self.store_link.address());
+        self.host = Some(host);
+        self.is_paused = false;
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut host) = self.host.take() {
+            host.kill();
+        }
+    }
+
+    /// Stops the process in its tracks.
+    pub fn pause(&mut self) {
+        self.signal("STOP");
+        self.is_paused = self.host.is_some();
+    }
+
+    /// Sends a signal, if the process runs.
+    pub fn signal(&mut self, name: &str) {
+        let Some(host) = &mut self.host else {
+            return;
+        };
+        if host.try_wait().is_none() {
+            host.signal(name);
+        }
+    }
+
+    /// Lets a paused process go on, and starts one that has ended.
+    pub fn revive(&mut self, deployment: &Deployment, shared: &Shared) {
+        if std::mem::take(&mut self.is_paused) {
+            self.signal("CONT");
+        }
+        let has_ended = self.host.as_mut().is_none_or(|host| host.try_wait().is_some());
+        if has_ended {
+            shared.lives[self.number].fetch_add(1, Ordering::Relaxed);
+            self.start(deployment);
+        }
+    }
+}
+
+/// Everything of one play.
+pub struct Site {
+    pub deployment: Deployment,
+    pub slots: Vec<Slot>,
+    /// Before the engines, then before the plain services.
+    pub runner_links: Vec<Proxy>,
+    pub shared: Arc<Shared>,
+}
+
+impl Site {
+    fn start(rng: &mut StdRng, seed: u64) -> Self {
+        let mut deployment = Deployment::start();
+        let ip = fresh_ip();
+        let runner = |id: &str, service: &str, models: &[&str]| {
+            let models = models.iter().map(|model| (*model).to_owned()).collect();
+            Runner::start(&ip, RunnerOptions { id: id.into(), service: service.into(), models })
+        };
+        deployment.engines.push(runner("i-engine-1", "llm", &["m1"]));
+        deployment.engines.push(runner("i-engine-2", "llm", &["m1"]));
+        deployment.desks.push(runner("i-desk-1", "desk", &[]));
+        let runners = deployment.engines.iter().chain(&deployment.desks);
+        let runner_links = runners.map(|runner| Proxy::start(&ip, runner.address())).collect();
+        let is_large = seed.is_multiple_of(LARGE_EVERY);
+        let hosts = if is_large { LARGE_HOSTS } else { rng.random_range(2..6) };
+        let mut slots: Vec<Slot> = (0..hosts)
+            .map(|number| Slot {
+                name: format!("front-{number}"),
+                ip: fresh_ip(),
+                number,
+                store_link: Proxy::start(&ip, deployment.store.address()),
+                host: None,
+                is_paused: false,
+            })
+            .collect();
+        slots.iter_mut().for_each(|slot| slot.start(&deployment));
+        let fronts = slots.iter().filter_map(|slot| Some(slot.host.as_ref()?.front)).collect();
+        let shared = Arc::new(Shared::new(fronts));
+        let site = Self { deployment, slots, runner_links, shared };
+        site.announce_all();
+        site
+    }
+
+    fn runner(&self, number: usize) -> &Runner {
+        let engines = &self.deployment.engines;
+        engines.get(number).unwrap_or_else(|| &self.deployment.desks[number - engines.len()])
+    }
+
+    /// A runner writes its entry, with this state.
+    pub fn announce(&self, number: usize, state: &str) {
+        let (key, mut value) = self.runner(number).entry_at(self.runner_links[number].address());
+        value["state"] = state.into();
+        self.deployment.store.put(&key, &value);
+    }
+
+    /// All runners write that they are ready.
+    pub fn announce_all(&self) {
+        (0..self.runner_links.len()).for_each(|number| self.announce(number, "ready"));
+    }
+
+    /// A runner's entry goes.
+    pub fn withdraw(&self, number: usize) {
+        let (key, _) = self.runner(number).entry();
+        self.deployment.store.remove(&key);
+    }
+
+    /// The operator adds a route.
+    pub fn configure(&self) {
+        let version = self.shared.version.load(Ordering::Relaxed) + 1;
+        let routes: Vec<String> = (1..=version).map(added_route).collect();
+        let routes: Vec<&str> = routes.iter().map(String::as_str).collect();
+        self.deployment.configure(version, &routes);
+        self.shared.version.store(version, Ordering::Relaxed);
+    }
+
+    /// Whether each host serves all kinds of requests under the newest configuration.
+    fn is_whole(&self) -> Result<(), String> {
+        let newest = format!("/{}/1", added_route(self.shared.version.load(Ordering::Relaxed)));
+        for slot in &self.slots {
+            let front = self.shared.fronts[slot.number];
+            let id = |kind: &str| format!("w{}-{kind}", slot.number);
+            let offer = Client::new("POST", "/offer/1", &id("offer")).with("X-Model", "m1");
+            let adapter = Client::new("POST", "/draft/1", &id("draft")).with("X-Model", "m1/a1");
+            let added = Client::new("GET", &newest, &id("added"));
+            for client in [offer, adapter, added] {
+                let client = client.deadline(2_000);
+                let status = client.send(front).status;
+                if status != 200 {
+                    return Err(format!("{} answers {status} to {}", slot.name, client.id()));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn recover(&mut self) -> Option<Broken> {
+        let begun = Instant::now();
+        loop {
+            // A planned stop that was under way may end only now.
+            for slot in &mut self.slots {
+                slot.revive(&self.deployment, &self.shared);
+            }
+            match self.is_whole() {
+                Ok(()) => return None,
+                Err(what) if begun.elapsed() > RECOVERY => return Some(Broken::NotRecovered(what)),
+                Err(_) => thread::sleep(LOOK),
+            }
+        }
+    }
+
+    /// Stops all hosts as planned.
+    fn stop(&mut self) -> Vec<Broken> {
+        self.slots.iter_mut().for_each(|slot| slot.signal("TERM"));
+        let begun = Instant::now();
+        let ended = |slot: &mut Slot| slot.host.as_mut().and_then(Host::try_wait);
+        while begun.elapsed() < STOP && self.slots.iter_mut().any(|slot| ended(slot).is_none()) {
+            thread::sleep(LOOK);
+        }
+        let codes = self.slots.iter_mut().map(|slot| (slot.name.clone(), ended(slot)));
+        let bad = codes.filter(|(_, code)| *code != Some(0));
+        bad.map(|(host, code)| Broken::BadStop { host, code }).collect()
+    }
+}
+
+/// How a play went.
+pub struct Report {
+    seed: u64,
+    hosts: usize,
+    requests: usize,
+    served: usize,
+    pub broken: Vec<Broken>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { seed, hosts, requests, served, broken } = self;
+        write!(f, "seed={seed} hosts={hosts} requests={requests} served={served}")?;
+        write!(f, " broken={}", broken.len())?;
+        broken.iter().try_for_each(|broken| write!(f, "\n    {broken}"))
+    }
+}
+
+/// Plays one seed.
+pub fn play(seed: u64) -> Report {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut site = Site::start(&mut rng, seed);
+    faults::heal(&mut site);
+    site.configure();
+    let mut broken: Vec<Broken> = site.recover().into_iter().collect();
+    let callers = Callers::start(&site.shared, seed);
+    for _ in 0..FAULTS {
+        faults::strike(&mut rng, &mut site);
+    }
+    faults::heal(&mut site);
+    broken.extend(site.recover());
+    callers.stop();
+    broken.extend(site.stop());
+    let seen = site.shared.seen.lock().expect("no thread panicked").clone();
+    broken.extend(promises::check(&site.deployment, &seen));
+    if !broken.is_empty() {
+        keep_logs(seed, &site.deployment);
+    }
+    let is_served = |seen: &&crate::callers::Seen| {
+        seen.answer.as_ref().is_some_and(|answer| answer.status == 200)
+    };
+    let served = seen.iter().filter(is_served).count();
+    Report { seed, hosts: site.slots.len(), requests: seen.len(), served, broken }
+}
+
+fn keep_logs(seed: u64, deployment: &Deployment) {
+    let Ok(directory) = std::env::var("SOAK_LOGS") else {
+        return;
+    };
+    for (name, text) in deployment.logs() {
+        let path = std::path::Path::new(&directory).join(format!("{seed}-{name}"));
+        if let Err(error) = std::fs::write(&path, text) {
+            println!("{}: {error}", path.display());
+        }
+    }
+}
