feat: load that replicas can't serve in time counts in what one more replica is worth

Ruled out: the weight store's rate, reports, lost orders alone (other models got theirs meanwhile). Change: what callers bear is the use of each replica and the load beyond 0.35 of each; gain and loss are its differences. Tests: overload_makes_room failed before ('nothing makes way for m1').

--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -67,6 +67,15 @@
 /// The gain of a first replica.
 const FIRST_GAIN: f64 = 1.0;
 
+/// Runner-seconds a second that a replica serves in time; what is beyond waits or is lost.
+const REPLICA_CAPACITY: f64 = 0.35;
+
+/// What callers of a model bear: how busy each of its replicas is, and the load that all of them
+/// together can't serve in time.
+fn burden(load: f64, replicas: f64) -> f64 {
+    load / replicas + (load - REPLICA_CAPACITY * replicas).max(0.0)
+}
+
 /// What a load from the weight store costs beside one at hand: seconds that the runner is bound.
 const STORE_COST: f64 = 0.05;
 /// What an unload costs for each runner-second a second that the model's runs there come to: it waits
@@ -139,7 +148,8 @@
             let is_asked = self.idle_ms(model) < ASKED_MS;
             return if is_asked { FIRST_GAIN } else { 0.0 };
         }
-        self.load(model) / (replicas * (replicas + 1.0))
+        let load = self.load(model);
+        burden(load, replicas) - burden(load, replicas + 1.0)
     }
 
     /// What one replica fewer puts on the others; none if the last one has to stay.
@@ -149,7 +159,8 @@
         if replicas <= 1.0 {
             return (self.idle_ms(model) > IDLE_MS).then_some(IDLE_LOSS);
         }
-        Some(self.load(model) / (replicas * (replicas - 1.0)))
+        let load = self.load(model);
+        Some(burden(load, replicas - 1.0) - burden(load, replicas))
     }
 
     /// Runner-seconds a second that a runner's share of its models comes to.
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -395,3 +395,25 @@
     holder.pass(1_000);
     assert!(holder.loads("m3").is_empty(), "{:?}", holder.orders);
 }
+
+/// Found on a played day: a model whose callers waited for seconds got no more replicas, since each
+/// one took little off the others, as the measure had it; what they can't serve at all counted nothing.
+#[test]
+fn overload_makes_room() {
+    let names: Vec<String> = (10..23).map(|number| format!("r{number}")).collect();
+    let held = |number: usize| -> &[&str] { if number < 6 { &["m1"] } else { &["m2", "m3"] } };
+    let runners: Vec<(&str, &[&str])> =
+        names.iter().enumerate().map(|(number, name)| (name.as_str(), held(number))).collect();
+    let mut holder = Holder::new(&runners);
+    for _ in 0..40 {
+        // Four runner-seconds a second on six replicas, two on seven.
+        holder.demand("m1", 400);
+        holder.demand("m2", 200);
+        holder.demand("m3", 200);
+        holder.pass(100);
+    }
+    let unloads = holder.orders.iter().filter(|order| order.operation == Operation::Unload);
+    let gone: Vec<&Name> = unloads.map(|order| &order.subject.model).collect();
+    assert!(!gone.is_empty(), "nothing makes way for m1");
+    assert!(gone.iter().all(|model| &***model != "m1"), "{gone:?}");
+}
