--- a/crates/fanout/src/follow.rs
+++ b/crates/fanout/src/follow.rs
@@ -114,8 +114,12 @@
 
     /// The hosts that this one takes for aggregators.
     pub fn aggregators(&self) -> Vec<Name> {
-        let usable = self.candidates.iter().filter(|c| !self.suspects.contains_key(&c.host));
-        aggregators(usable).into_iter().cloned().collect()
+        aggregators(self.usable()).into_iter().cloned().collect()
+    }
+
+    /// The candidates that are not suspected.
+    fn usable(&self) -> impl Iterator<Item = &Candidate> {
+        self.candidates.iter().filter(|c| !self.suspects.contains_key(&c.host))
     }
 
     /// Takes in what happened; tells what has to be done.
@@ -222,16 +226,15 @@
 
     /// The aggregator that this host should hear from.
     fn best(&self) -> Option<Name> {
-        let usable = self.candidates.iter().filter(|c| !self.suspects.contains_key(&c.host));
-        let usable: Vec<&Candidate> = usable.collect();
+        let usable: Vec<&Candidate> = self.usable().collect();
         if usable.len() <= FEW_HOSTS {
             return Some(self.me.clone());
         }
-        let own_zone = aggregators(usable.iter().copied());
-        let is_own = |host: &Name| {
+        let is_near = |host: &Name| {
             usable.iter().any(|candidate| candidate.host == *host && candidate.zone == self.zone)
         };
-        own_zone.into_iter().find(|host| is_own(host)).cloned()
+        let all_zones = aggregators(usable.iter().copied());
+        all_zones.into_iter().find(|host| is_near(host)).cloned()
     }
 
     fn ask(&mut self, now: Tick, best: Name, actions: &mut Vec<Action>) {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -232,20 +232,14 @@
     fn pass_on(&self, feed: &Feed, at: Revision, changes: Vec<Change>) {
         let after = feed.told.replace(at);
         let prefix = feed.prefix.clone();
-        let message = PeerMessage::Changes(PrefixChanges { prefix, after, at, changes });
-        let subscribers: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
-        subscribers.iter().for_each(|host| self.send(host, &message));
+        let changes = PrefixChanges { prefix, after, at, changes };
+        self.tell_subscribers(|| Some(PeerMessage::Changes(changes)));
     }
 
     /// All keys were read anew: subscribers start from there as well.
     fn resend(&self, feed: &Feed, at: Revision) {
         feed.told.set(at);
-        let subscribers: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
-        let Some(snapshots) = self.snapshots().filter(|_| !subscribers.is_empty()) else {
-            return;
-        };
-        let message = PeerMessage::Snapshots(snapshots);
-        subscribers.iter().for_each(|host| self.send(host, &message));
+        self.tell_subscribers(|| self.snapshots().map(PeerMessage::Snapshots));
     }
 }
 
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -163,8 +163,7 @@
             let is_leaving = *self.stage.borrow() != Stage::Serving;
             let age_ms = self.age_ms();
             let total = Total { reported, version, age_ms, is_leaving, loads };
-            let subscribers: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
-            self.send_all(subscribers.iter(), &PeerMessage::Total(total));
+            self.tell_subscribers(|| Some(PeerMessage::Total(total)));
         }
         let is_new = *self.last_digest.borrow() != sum;
         if is_new || !sum.loads.is_empty() {
@@ -174,6 +173,17 @@
         }
     }
 
+    /// Tells all subscribers what `message` gives; it is made only if there are any.
+    pub(crate) fn tell_subscribers(&self, message: impl FnOnce() -> Option<PeerMessage>) {
+        let subscribers: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
+        if subscribers.is_empty() {
+            return;
+        }
+        if let Some(message) = message() {
+            self.send_all(subscribers.iter(), &message);
+        }
+    }
+
     /// The hosts that need this one's sum: the other aggregators, and who gives the orders.
     fn sum_readers(&self) -> BTreeSet<Name> {
         let mut hosts: BTreeSet<Name> = self.follow.borrow().aggregators().into_iter().collect();
