--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -29,7 +29,7 @@
 const PER_RUNNING_MS: f64 = 1.0;
 
 impl Pace {
-    fn per_token(&self, model: Option<&Name>) -> f64 {
+    pub(crate) fn per_token(&self, model: Option<&Name>) -> f64 {
         model.and_then(|m| self.per_token_ms.get(m)).copied().unwrap_or(FIRST_PER_TOKEN_MS)
     }
 
@@ -43,6 +43,12 @@
         self.slowness.get(upstream).copied().unwrap_or(1.0)
     }
 
+    /// Milliseconds from a sending to its first piece, with `tokens` to be read.
+    pub(crate) fn first_piece_ms(&self, upstream: &Name, model: &Name, tokens: u32) -> f64 {
+        let reading = f64::from(tokens) * self.per_token(Some(model));
+        (BASE_MS + reading) * self.slowness(upstream)
+    }
+
     /// The first piece came after `took_ms`, with `tokens` ahead of it.
     pub(crate) fn learn(
         &mut self,
@@ -111,8 +117,6 @@
 /// Share of the longest pause between events that reading prompts may take at an engine: it reads
 /// them between the tokens of those that run.
 const GAP_SHARE: f64 = 0.6;
-/// The longest pause between events where the route states none, in milliseconds.
-const GAP_MS: u64 = 300;
 /// How much of this host's sending the others are taken to do.
 const ALIKE: f64 = 0.5;
 /// Time left below which an upstream under notice gets nothing, in milliseconds.
@@ -164,8 +168,7 @@
             let cached = upstream.cached_tokens(model, &request.head.parts);
             let unread = ahead + request.head.prompt_tokens.saturating_sub(cached);
             let reading_ms = f64::from(unread) * view.pace.per_token(model.map(|m| &m.model));
-            let gap_ms = request.route.gap_ms.unwrap_or(GAP_MS) as f64;
-            let is_read_soon = reading_ms < GAP_SHARE * gap_ms;
+            let is_read_soon = reading_ms < GAP_SHARE * request.gap_ms() as f64;
             load.running == 0 || (fits && has_slot && (ahead == 0 || is_read_soon))
         }
     }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -166,6 +166,8 @@
     pub own_load: usize,
     /// Requests of other hosts there, by their digests.
     pub peer_load: u32,
+    /// Longest pause between events that the operators want, in milliseconds.
+    pub gap_ms: u64,
     /// Whether the answer is a series of events.
     pub is_stream: bool,
     /// Whether the request may run more than once.
@@ -196,4 +198,28 @@
         /// What is missing.
         subject: ModelRef,
     },
+    /// Note how well the first piece was predicted.
+    Predicted {
+        /// The request.
+        id: RequestId,
+        /// What was expected and what came.
+        prediction: Prediction,
+    },
+}
+
+/// The first piece of an answer, as it was expected when the request was sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Prediction {
+    /// The caller's name for the request.
+    pub request: Name,
+    /// The upstream's incarnation.
+    pub upstream: Name,
+    /// Milliseconds from the sending to the first piece, as expected.
+    pub expected_ms: f64,
+    /// Milliseconds that it took.
+    pub took_ms: f64,
+    /// Prompt tokens that were thought to be read first.
+    pub ahead_tokens: u32,
+    /// Microseconds that the upstream was thought to read one of them.
+    pub per_token_us: f64,
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use budget::{Budget, BudgetOptions};
 pub use digest::{DemandRow, Digest, LoadRow};
-pub use event::{Action, Attempt, AttemptEnd, Event, Options, Presence, RequestId};
+pub use event::{Action, Attempt, AttemptEnd, Event, Options, Prediction, Presence, RequestId};
 pub use health::Health;
 pub use machine::{Counts, Dispatch, UpstreamSummary};
 pub use routes::RouteIndex;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -1,7 +1,7 @@
 //! The state machine of one host's requests.
 
 use crate::{
-    Action, Budget, DemandRow, Digest, Event, LoadRow, Options, RequestId, RouteIndex,
+    Action, Budget, DemandRow, Digest, Event, LoadRow, Options, Prediction, RequestId, RouteIndex,
     choose::Pace,
     ending::RETRY_MS,
     queue::Queue,
@@ -71,6 +71,7 @@
 
 /// A planned stop takes requests for this share of its time.
 const STOP_SHARE: f64 = 0.3;
+const MICROS_PER_MILLI: f64 = 1_000.0;
 /// When to come back after a refusal by a host that stops, in milliseconds.
 pub(crate) const STOP_RETRY_MS: u64 = 50;
 
@@ -115,7 +116,7 @@
                 self.budgets.values_mut().for_each(|budget| budget.share_among(hosts));
             }
             Event::Arrived { id, request } => self.arrived(now, id, request, &mut actions),
-            Event::FirstPiece { id } => self.first_piece(now, id),
+            Event::FirstPiece { id } => self.first_piece(now, id, &mut actions),
             Event::AttemptEnded { id, end, answered } => {
                 self.attempt_ended(now, id, end, answered, &mut actions);
             }
@@ -277,7 +278,7 @@
         self.stopping_since.is_some_and(|since| now.since(since) > most)
     }
 
-    fn first_piece(&mut self, now: Tick, id: RequestId) {
+    fn first_piece(&mut self, now: Tick, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -290,9 +291,20 @@
         }
         let read = Load { unread_tokens: sending.load.unread_tokens, ..Load::default() };
         sending.load.unread_tokens = 0;
-        let model = request.head.model.as_ref();
-        let took = now.since(sending.at) as f64;
-        self.pace.learn(&sending.upstream, model.map(|m| &m.model), sending.ahead, took);
+        let model = request.head.model.as_ref().map(|subject| &subject.model);
+        let took_ms = now.since(sending.at) as f64;
+        if let Some(model) = model {
+            let prediction = Prediction {
+                request: request.head.id.clone(),
+                upstream: sending.upstream.clone(),
+                expected_ms: self.pace.first_piece_ms(&sending.upstream, model, sending.ahead),
+                took_ms,
+                ahead_tokens: sending.ahead,
+                per_token_us: self.pace.per_token(Some(model)) * MICROS_PER_MILLI,
+            };
+            actions.push(Action::Predicted { id, prediction });
+        }
+        self.pace.learn(&sending.upstream, model, sending.ahead, took_ms);
         if let Some(upstream) = self.upstreams.get_mut(&sending.upstream) {
             upstream.own.take(read);
         }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -53,6 +53,9 @@
 /// Kept back from the caller's patience, in milliseconds.
 const PATIENCE_MARGIN_MS: u64 = 100;
 
+/// The longest pause between events where the route states none, in milliseconds.
+const GAP_MS: u64 = 300;
+
 impl Request {
     pub(crate) fn new(head: CallerRequest, route: Rc<Route>, service: Name, now: Tick) -> Self {
         let wait = head.wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
@@ -84,6 +87,11 @@
         self.head.prompt_tokens + self.head.output_tokens
     }
 
+    /// The longest pause between events that the operators want, in milliseconds.
+    pub(crate) fn gap_ms(&self) -> u64 {
+        self.route.gap_ms.unwrap_or(GAP_MS)
+    }
+
     /// Whether it was sent to as many upstreams as are allowed to it.
     pub(crate) fn is_exhausted(&self) -> bool {
         self.tried.len() >= self.route.max_attempts as usize
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -109,6 +109,7 @@
             number: request.sendings + 1,
             own_load: upstream.own.running as usize,
             peer_load: upstream.peer_load(now).running,
+            gap_ms: request.gap_ms(),
             is_stream: request.route.kind == RequestKind::Stream,
             may_repeat: request.route.is_repeatable(),
         };
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -11,7 +11,7 @@
     rc::Rc,
 };
 use tokio::sync::{mpsc, watch};
-use vanetally_dispatch::{self as dispatch, Attempt, Digest, Dispatch, RequestId};
+use vanetally_dispatch::{self as dispatch, Attempt, Digest, Dispatch, Prediction, RequestId};
 use vanetally_fanout::{Event as FollowEvent, Follow, Source, Totals};
 use vanetally_link::peer::Links;
 use vanetally_placement::{self as placement, Placement, Tenure, TenureEvent, TenureOptions};
@@ -158,6 +158,7 @@
                     self.command(id, Command::Refuse(refusal));
                 }
                 dispatch::Action::Want { service, subject } => self.want(service, subject),
+                dispatch::Action::Predicted { prediction, .. } => note_prediction(&prediction),
             }
         }
     }
@@ -275,6 +276,19 @@
     }
 }
 
+fn note_prediction(prediction: &Prediction) {
+    telemetry::predicted(prediction.took_ms / prediction.expected_ms);
+    log::debug!(
+        "event=first_piece request={} upstream={} took_ms={} expected_ms={:.0} ahead_tokens={} per_token_us={:.0}",
+        prediction.request,
+        prediction.upstream,
+        prediction.took_ms,
+        prediction.expected_ms,
+        prediction.ahead_tokens,
+        prediction.per_token_us
+    );
+}
+
 fn log_sending(attempt: &Attempt) {
     let subject = attempt.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string);
     log::info!(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event};
 use vanetally_types::Name;
@@ -37,7 +37,8 @@
         head.headers.remove(CONTENT_LENGTH);
     }
     let (sender, pieces) = mpsc::channel(WAITING_PIECES);
-    let relay = Relay { caller, outgoing, attempt, sender, events, is_success, has_begun: false };
+    let relay =
+        Relay { caller, outgoing, attempt, sender, events, is_success, pauses: Pauses::default() };
     tokio::task::spawn_local(relay.run(Source { connection, body, rest }));
     Response::from_parts(head, Answer::Relayed(pieces))
 }
@@ -57,7 +58,7 @@
     /// Whole events only go on where the stream may be taken up elsewhere.
     events: Option<Events>,
     is_success: bool,
-    has_begun: bool,
+    pauses: Pauses,
 }
 
 /// How the reading of one upstream's answer ended.
@@ -78,6 +79,7 @@
                 Read::Whole => {
                     let end = if self.is_success { AttemptEnd::Served } else { AttemptEnd::Failed };
                     self.caller.attempt_ended(&self.attempt, end, true);
+                    self.note_pauses();
                     self.caller.hub.pool.put(source.connection, source.rest);
                     telemetry::answered(self.caller.arrived.elapsed().as_secs_f64());
                     self.caller.finish();
@@ -129,7 +131,7 @@
 
     /// Passes one piece on; tells whether the caller is still there.
     async fn pass(&mut self, frame: Frame<Bytes>) -> bool {
-        if !std::mem::replace(&mut self.has_begun, true) {
+        if self.pauses.note_piece(Instant::now()) {
             self.caller.hub.request_event(Event::FirstPiece { id: self.caller.id });
             telemetry::first_piece(self.caller.arrived.elapsed().as_secs_f64());
         }
@@ -187,6 +189,24 @@
         }
     }
 
+    /// Tells how evenly the stream came: one with too long a pause is late, whole as it is.
+    fn note_pauses(&self) {
+        let longest = self.pauses.longest;
+        telemetry::longest_pause(longest.as_secs_f64());
+        let is_late = longest.as_millis() as u64 > self.attempt.gap_ms;
+        let level = if is_late { log::Level::Info } else { log::Level::Debug };
+        log::log!(
+            level,
+            "event=stream_ended request={} upstream={} number={} pieces={} longest_pause_ms={} allowed_ms={}",
+            self.caller.name,
+            self.attempt.upstream,
+            self.attempt.number,
+            self.pauses.pieces,
+            longest.as_millis(),
+            self.attempt.gap_ms
+        );
+    }
+
     /// Ends the answer so that it can't be taken for whole.
     async fn cut(&mut self) {
         // A caller that has left needs no end.
@@ -194,6 +214,26 @@
     }
 }
 
+/// The pieces of a stream and the pauses between them.
+#[derive(Default)]
+struct Pauses {
+    pieces: u32,
+    last: Option<Instant>,
+    longest: Duration,
+}
+
+impl Pauses {
+    /// A piece came; tells whether it is the first one.
+    fn note_piece(&mut self, now: Instant) -> bool {
+        let last = self.last.replace(now);
+        self.pieces += 1;
+        if let Some(last) = last {
+            self.longest = self.longest.max(now - last);
+        }
+        last.is_none()
+    }
+}
+
 /// Splits a stream into events, and knows the last one that went on.
 #[derive(Default)]
 struct Events {
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -9,13 +9,17 @@
 const LATENCY_BUCKETS: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.8, 1.0, 2.0, 5.0, 10.0, 30.0];
 
+/// Bounds of the histograms of ratios.
+const RATIO_BUCKETS: [f64; 10] = [0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.5, 2.0, 4.0, 8.0];
+
 /// Installs the recorder of this process.
 ///
 /// # Errors
 /// If another one is installed already.
 pub(crate) fn try_install() -> anyhow::Result<PrometheusHandle> {
     let builder = PrometheusBuilder::new()
-        .set_buckets_for_metric(Matcher::Suffix("_seconds".into()), &LATENCY_BUCKETS)?;
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".into()), &LATENCY_BUCKETS)?
+        .set_buckets_for_metric(Matcher::Suffix("_ratio".into()), &RATIO_BUCKETS)?;
     let recorder = builder.build_recorder();
     let handle = recorder.handle();
     metrics::set_global_recorder(recorder)?;
@@ -47,6 +51,16 @@
     histogram!("vanetally_first_piece_seconds").record(seconds);
 }
 
+/// A first piece took `ratio` times as long as it was expected to.
+pub(crate) fn predicted(ratio: f64) {
+    histogram!("vanetally_first_piece_prediction_ratio").record(ratio);
+}
+
+/// The longest pause between two pieces of a whole stream lasted `seconds`.
+pub(crate) fn longest_pause(seconds: f64) {
+    histogram!("vanetally_longest_pause_seconds").record(seconds);
+}
+
 /// A whole answer went out after `seconds` since the request arrived.
 pub(crate) fn answered(seconds: f64) {
     histogram!("vanetally_answer_seconds").record(seconds);
