feat: one host paces the prompts of each engine

Cause: hosts that decide for themselves send together.

Change: for each engine one host, by rendezvous hash over the hosts that live, gives out the moments for prompts (vanetally-pacing: a leaky bucket of reading time). A host asks it before sending; one that does not answer within 40 ms is passed over for a second. Two messages for a request whatever the number of hosts, so it grows with requests only. Nothing but pauses rests on it.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -43,10 +43,14 @@
         self.slowness.get(upstream).copied().unwrap_or(1.0)
     }
 
+    /// Milliseconds for an engine to read `tokens` of a prompt.
+    pub(crate) fn reading_ms(&self, model: Option<&Name>, tokens: u32) -> f64 {
+        f64::from(tokens) * self.per_token(model)
+    }
+
     /// Milliseconds from a sending to its first piece, with `tokens` to be read.
     pub(crate) fn first_piece_ms(&self, upstream: &Name, model: &Name, tokens: u32) -> f64 {
-        let reading = f64::from(tokens) * self.per_token(Some(model));
-        (BASE_MS + reading) * self.slowness(upstream)
+        (BASE_MS + self.reading_ms(Some(model), tokens)) * self.slowness(upstream)
     }
 
     /// The first piece came after `took_ms`, with `tokens` ahead of it.
@@ -119,8 +123,6 @@
 const GAP_SHARE: f64 = 0.6;
 /// How much of this host's sending the others are taken to do.
 const ALIKE: f64 = 0.5;
-/// Time left below which an upstream under notice gets nothing, in milliseconds.
-const NOTICE_MS: u64 = 200;
 
 /// Chooses among `upstreams` for `request`.
 pub(crate) fn choose<'a>(
@@ -147,15 +149,14 @@
 }
 
 fn is_usable(view: &View<'_>, request: &Request, upstream: &Upstream) -> bool {
-    let stays = upstream.gone_at.is_none_or(|gone| gone > view.now + NOTICE_MS);
     let holds = request.head.model.as_ref().is_none_or(|m| upstream.holds(m, view.now));
-    !upstream.state.draining && !upstream.is_replaced && stays && holds
+    upstream.takes_new(view.now) && holds
 }
 
 fn has_room(view: &View<'_>, request: &Request, upstream: &Upstream) -> bool {
     let load = upstream.total(view.now);
     let slots = f64::from(upstream.state.slots);
-    if view.now < upstream.full_until {
+    if view.now < upstream.full_until.max(upstream.paced_until) {
         return false;
     }
     match view.engine {
@@ -167,7 +168,7 @@
             let model = request.head.model.as_ref();
             let cached = upstream.cached_tokens(model, &request.head.parts);
             let unread = ahead + request.head.prompt_tokens.saturating_sub(cached);
-            let reading_ms = f64::from(unread) * view.pace.per_token(model.map(|m| &m.model));
+            let reading_ms = view.pace.reading_ms(model.map(|m| &m.model), unread);
             let is_read_soon = reading_ms < GAP_SHARE * request.gap_ms() as f64;
             load.running == 0 || (fits && has_slot && (ahead == 0 || is_read_soon))
         }
@@ -195,8 +196,9 @@
     let away = if upstream.state.zone == *view.zone { 0.0 } else { ZONE_MS };
     let own_ms = match view.engine {
         Some(_) => {
-            let reading = f64::from(ahead) * view.pace.per_token(model.map(|m| &m.model));
-            BASE_MS + reading + f64::from(load.running) * PER_RUNNING_MS
+            BASE_MS
+                + view.pace.reading_ms(model.map(|m| &m.model), ahead)
+                + f64::from(load.running) * PER_RUNNING_MS
         }
         None => {
             let slots = f64::from(upstream.state.slots);
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -144,11 +144,11 @@
         let is_leaving = self.is_late_in_stop(now);
         let late = self.requests.iter().filter_map(|(id, request)| {
             let is_late = match request.stage {
-                // What has not begun by now might not end before the process does.
-                Stage::Waiting if is_leaving => true,
-                Stage::Waiting if request.verdict == Verdict::NotRun => now >= request.patience,
-                Stage::Waiting => now + LEAST_LEFT_MS >= request.deadline,
                 Stage::Sent(_) => now >= request.deadline + DEADLINE_GRACE_MS,
+                // What has not begun by now might not end before the process does.
+                _ if is_leaving => true,
+                _ if request.verdict == Verdict::NotRun => now >= request.patience,
+                _ => now + LEAST_LEFT_MS >= request.deadline,
             };
             is_late.then(|| (*id, self.late_refusal(now, request)))
         });
@@ -165,10 +165,10 @@
     }
 
     fn late_refusal(&self, now: Tick, request: &Request) -> Refusal {
-        if request.stage == Stage::Waiting && self.is_late_in_stop(now) {
+        if !request.stage.is_sent() && self.is_late_in_stop(now) {
             return self.refusal(request, RefusalCause::Stopping, Some(STOP_RETRY_MS));
         }
-        if matches!(request.stage, Stage::Sent(_)) {
+        if request.stage.is_sent() {
             return Refusal::may_have_run(RefusalCause::TimedOut);
         }
         let is_held = request.head.model.as_ref().is_none_or(|subject| {
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -2,6 +2,7 @@
 
 use crate::{BudgetOptions, Digest};
 use std::{net::SocketAddr, rc::Rc};
+use vanetally_pacing::{Prompt, Slot};
 use vanetally_ports::{CallerRequest, Configuration, ModelRef, Refusal, UpstreamState};
 use vanetally_types::Name;
 
@@ -110,6 +111,15 @@
         /// Its head.
         request: CallerRequest,
     },
+    /// The engine's pacer answered.
+    Reserved {
+        /// The request.
+        id: RequestId,
+        /// The reservation that was asked for.
+        turn: u32,
+        /// What it said.
+        slot: Slot,
+    },
     /// The first piece of an answer came.
     FirstPiece {
         /// The request.
@@ -154,6 +164,8 @@
     pub upstream: Name,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Milliseconds to wait before it is sent, as the engine's pacer said.
+    pub delay_ms: u32,
     /// Milliseconds left.
     pub deadline_ms: u64,
     /// Rank at the upstream.
@@ -184,6 +196,15 @@
         /// Where and how.
         attempt: Attempt,
     },
+    /// Ask the engine's pacer when the request may be sent.
+    Reserve {
+        /// The request.
+        id: RequestId,
+        /// The number of this reservation among those of the request.
+        turn: u32,
+        /// Its prompt.
+        prompt: Prompt,
+    },
     /// End the request with an answer of the product's own, or cut what has begun.
     Refuse {
         /// The request.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod machine;
 mod queue;
 mod request;
+mod reserving;
 mod routes;
 mod sending;
 mod upstream;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -116,6 +116,9 @@
                 self.budgets.values_mut().for_each(|budget| budget.share_among(hosts));
             }
             Event::Arrived { id, request } => self.arrived(now, id, request, &mut actions),
+            Event::Reserved { id, turn, slot } => {
+                self.reserved(now, id, turn, slot, &mut actions);
+            }
             Event::FirstPiece { id } => self.first_piece(now, id, &mut actions),
             Event::AttemptEnded { id, end, answered } => {
                 self.attempt_ended(now, id, end, answered, &mut actions);
@@ -310,6 +313,12 @@
         }
     }
 
+    fn free(&mut self, upstream: &Name, load: Load) {
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.own.take(load);
+        }
+    }
+
     /// Forgets a request; its upstream is free of it.
     pub(crate) fn end(&mut self, id: RequestId) {
         let Some(request) = self.requests.remove(&id) else {
@@ -317,11 +326,8 @@
         };
         match &request.stage {
             Stage::Waiting => self.queue.remove(id, &request),
-            Stage::Sent(sending) => {
-                if let Some(upstream) = self.upstreams.get_mut(&sending.upstream) {
-                    upstream.own.take(sending.load);
-                }
-            }
+            Stage::Reserving(open) => self.free(&open.choice.upstream, open.load),
+            Stage::Sent(sending) => self.free(&sending.upstream, sending.load),
         }
     }
 }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,19 +1,38 @@
 //! One request from its arrival to its end.
 
-use crate::upstream::Load;
+use crate::{choose::Choice, upstream::Load};
 use std::rc::Rc;
 use vanetally_ports::{CallerRequest, Route};
 use vanetally_types::{Name, Tick, Verdict};
 
 /// Where a request is.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Stage {
     /// It waits for an upstream.
     Waiting,
+    /// An engine was chosen; its pacer is asked for the moment.
+    Reserving(Reservation),
     /// It is at an upstream.
     Sent(Sending),
 }
 
+impl Stage {
+    /// Whether it is at an upstream.
+    pub(crate) fn is_sent(&self) -> bool {
+        matches!(self, Self::Sent(_))
+    }
+}
+
+/// A moment that was asked for and not given yet.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Reservation {
+    pub turn: u32,
+    pub choice: Choice,
+    /// What it adds to the engine's load.
+    pub load: Load,
+    pub asked: Tick,
+}
+
 /// What is known of a sending that has not ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Sending {
@@ -41,6 +60,8 @@
     /// Upstreams that it was sent to.
     pub tried: Vec<Name>,
     pub sendings: u32,
+    /// Moments asked for.
+    pub reservations: u32,
     pub verdict: Verdict,
     /// No sending before this.
     pub not_before: Tick,
@@ -77,6 +98,7 @@
             stage: Stage::Waiting,
             tried: Vec::new(),
             sendings: 0,
+            reservations: 0,
             verdict: Verdict::NotRun,
             not_before: now,
         }
--- /dev/null
+++ b/crates/dispatch/src/reserving.rs
@@ -0,0 +1,64 @@
+//! The moment for a prompt is asked for before it is sent to an engine.
+
+use crate::{
+    Action, Dispatch, RequestId,
+    choose::Choice,
+    request::{Reservation, Stage},
+    upstream::Load,
+};
+use vanetally_pacing::{Prompt, Slot};
+use vanetally_types::Tick;
+
+impl Dispatch {
+    /// Asks the engine's pacer for the moment; the request counts as the engine's load meanwhile.
+    pub(crate) fn reserve(&mut self, now: Tick, id: RequestId, choice: Choice) -> Option<Action> {
+        let request = self.requests.get_mut(&id)?;
+        let upstream = self.upstreams.get_mut(&choice.upstream)?;
+        self.queue.remove(id, request);
+        let load = Load { running: 1, unread_tokens: choice.unread, held_tokens: request.tokens() };
+        upstream.own.add(load);
+        request.reservations += 1;
+        let turn = request.reservations;
+        let model = request.head.model.as_ref().map(|subject| &subject.model);
+        let prompt = Prompt {
+            upstream: choice.upstream.clone(),
+            reading_ms: self.pace.reading_ms(model, choice.unread).round() as u32,
+            gap_ms: request.gap_ms() as u32,
+        };
+        request.stage = Stage::Reserving(Reservation { turn, choice, load, asked: now });
+        Some(Action::Reserve { id, turn, prompt })
+    }
+
+    /// The pacer answered: the request goes, or waits for this or another engine.
+    pub(crate) fn reserved(
+        &mut self,
+        now: Tick,
+        id: RequestId,
+        turn: u32,
+        slot: Slot,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if !matches!(&request.stage, Stage::Reserving(open) if open.turn == turn) {
+            return;
+        }
+        let stage = std::mem::replace(&mut request.stage, Stage::Waiting);
+        let Stage::Reserving(Reservation { choice, load, .. }) = stage else {
+            return;
+        };
+        self.queue.insert(id, request);
+        let upstream = self.upstreams.get_mut(&choice.upstream);
+        // One that has gone or leaves takes nothing new, whatever its pacer says.
+        let Some(upstream) = upstream else {
+            return;
+        };
+        upstream.own.take(load);
+        match slot {
+            Slot::Granted { .. } if !upstream.takes_new(now) => {}
+            Slot::Granted { delay_ms } => actions.extend(self.send(now, id, choice, delay_ms)),
+            Slot::Busy { retry_ms } => upstream.paced_until = now + u64::from(retry_ms),
+        }
+    }
+}
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -52,7 +52,8 @@
             return;
         }
         match self.choose(now, request) {
-            Ok(choice) => actions.extend(self.send(now, id, choice)),
+            Ok(choice) if self.is_engine(service) => actions.extend(self.reserve(now, id, choice)),
+            Ok(choice) => actions.extend(self.send(now, id, choice, 0)),
             Err(lack) => {
                 if request.tried.is_empty() {
                     lacking.insert(subject.clone());
@@ -64,6 +65,11 @@
         }
     }
 
+    fn is_engine(&self, service: &Name) -> bool {
+        let services = self.configuration.as_ref().map(|c| &c.services);
+        services.and_then(|known| known.get(service)).is_some_and(|known| known.engine.is_some())
+    }
+
     fn choose(&self, now: Tick, request: &Request) -> Result<Choice, Lack> {
         let services = self.configuration.as_ref().map(|c| &c.services);
         let service = services.and_then(|services| services.get(&request.service));
@@ -87,7 +93,14 @@
         actions.push(Action::Want { service: service.clone(), subject });
     }
 
-    fn send(&mut self, now: Tick, id: RequestId, choice: Choice) -> Option<Action> {
+    pub(crate) fn send(
+        &mut self,
+        now: Tick,
+        id: RequestId,
+        choice: Choice,
+        delay_ms: u32,
+    ) -> Option<Action> {
+        let sent_at = now + u64::from(delay_ms);
         let connections = self.connections(&choice.upstream);
         let version = self.version().unwrap_or(0);
         let request = self.requests.get_mut(&id)?;
@@ -103,7 +116,8 @@
             ahead_tokens: choice.ahead,
             upstream: choice.upstream.clone(),
             address: upstream.state.address,
-            deadline_ms: request.deadline.since(now),
+            delay_ms,
+            deadline_ms: request.deadline.since(sent_at),
             priority: request.route.priority,
             connections,
             number: request.sendings + 1,
@@ -122,7 +136,7 @@
         }
         request.stage = Stage::Sent(Sending {
             upstream: choice.upstream,
-            at: now,
+            at: sent_at,
             load,
             ahead: choice.ahead,
             has_begun: false,
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -43,6 +43,8 @@
     pub health: Health,
     /// No request goes there before this, since it was full.
     pub full_until: Tick,
+    /// Its pacer has no moment for this host before this.
+    pub paced_until: Tick,
     /// Another incarnation answers at its address: it is gone, whatever its announcement says.
     pub is_replaced: bool,
     /// When it will be gone, if it said so.
@@ -60,6 +62,9 @@
 /// What the holder of orders told wins over the announcement for this long, in milliseconds.
 const PRESENCE_MS: u64 = 4_000;
 
+/// Time left below which an upstream under notice gets nothing, in milliseconds.
+const NOTICE_MS: u64 = 200;
+
 impl Upstream {
     pub(crate) fn new(state: UpstreamState, now: Tick) -> Self {
         let mut upstream = Self {
@@ -67,6 +72,7 @@
             own: Load::default(),
             health: Health::default(),
             full_until: Tick(0),
+            paced_until: Tick(0),
             is_replaced: false,
             gone_at: None,
             peers: BTreeMap::new(),
@@ -91,6 +97,12 @@
         });
     }
 
+    /// Whether new requests may go there at all.
+    pub(crate) fn takes_new(&self, now: Tick) -> bool {
+        let stays = self.gone_at.is_none_or(|gone| gone > now + NOTICE_MS);
+        !self.state.draining && !self.is_replaced && stays
+    }
+
     pub(crate) fn set_presence(&mut self, subject: ModelRef, presence: Presence, now: Tick) {
         if presence == Presence::Absent && subject.adapter.is_none() {
             self.cached.drop_model(&subject.model);
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,10 +1,14 @@
 //! A small deployment for tests of the request decisions.
 #![allow(dead_code)]
 
-use std::{collections::BTreeMap, rc::Rc};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+};
 use vanetally_dispatch::{
     Action, Attempt, AttemptEnd, BudgetOptions, Dispatch, Event, Options, RequestId,
 };
+use vanetally_pacing::Slot;
 use vanetally_ports::{
     CallerLimits, CallerRequest, Configuration, EngineSpec, HeldModel, ModelRef, ModelSpec,
     Refusal, RequestKind, Route, Service, Target, UpstreamState,
@@ -117,8 +121,22 @@
     }
 
     /// Tells an event.
+    ///
+    /// Pacers give each prompt its moment at once.
     pub fn tell(&mut self, event: Event) -> Vec<Action> {
-        self.dispatch.handle(self.now, event)
+        let mut actions = Vec::new();
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            for action in self.dispatch.handle(self.now, event) {
+                if let Action::Reserve { id, turn, .. } = action {
+                    let slot = Slot::Granted { delay_ms: 0 };
+                    events.push_back(Event::Reserved { id, turn, slot });
+                } else {
+                    actions.push(action);
+                }
+            }
+        }
+        actions
     }
 
     /// Lets `millis` pass, in steps like those of the event loop.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -199,7 +199,7 @@
                 };
                 return refused(&mut caller, &refusal);
             }
-            asked = ask(&caller.hub, &caller.name, &outgoing, &attempt, None) => asked,
+            asked = ask_in_time(&caller.hub, &caller.name, &outgoing, &attempt, None) => asked,
         };
         match asked {
             Asked::Ended(end) => caller.attempt_ended(&attempt, end, false),
@@ -224,8 +224,22 @@
     hub.ports.caller.refuse(name, refusal).map(|body| Answer::Whole(Some(body)))
 }
 
+/// Sends the request at the moment that was found for it.
+pub(crate) async fn ask_in_time(
+    hub: &Hub,
+    name: &Name,
+    outgoing: &Outgoing,
+    attempt: &Attempt,
+    resume_after: Option<Name>,
+) -> Asked {
+    if attempt.delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(attempt.delay_ms.into())).await;
+    }
+    ask(hub, name, outgoing, attempt, resume_after).await
+}
+
 /// Sends the request once, and reads the head of the answer.
-pub(crate) async fn ask(
+async fn ask(
     hub: &Hub,
     name: &Name,
     outgoing: &Outgoing,
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -49,9 +49,15 @@
             (ranked.len(), rank)
         };
         self.tenure.borrow_mut().set_rank(rank);
+        self.pacing.borrow_mut().set_others(self.other_hosts());
         self.request_event(dispatch::Event::Hosts(hosts));
     }
 
+    fn other_hosts(&self) -> Vec<Name> {
+        let peers = self.peers.borrow();
+        peers.keys().filter(|host| **host != self.settings.host).cloned().collect()
+    }
+
     /// The hosts that may be aggregators.
     fn candidates(&self) -> Vec<Candidate> {
         let peers = self.peers.borrow();
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -1,8 +1,8 @@
 //! Where events meet decisions, and actions become calls and messages.
 
 use crate::{
-    clock::Clock, feed::Feed, peers::HostEntry, pool::Pool, settings::Settings, store::Store,
-    telemetry,
+    clock::Clock, feed::Feed, pacing::Pacing, peers::HostEntry, pool::Pool, settings::Settings,
+    store::Store, telemetry,
 };
 use bytes::Bytes;
 use std::{
@@ -67,6 +67,7 @@
     pub last_digest: RefCell<Digest>,
     /// Where this host reads what lies in the store.
     pub source: watch::Sender<Source>,
+    pub pacing: RefCell<Pacing>,
     pub follow: RefCell<Follow>,
     pub feeds: RefCell<Vec<Rc<Feed>>>,
     pub totals: RefCell<Totals>,
@@ -117,6 +118,7 @@
             raw_configuration: RefCell::new(None),
             last_digest: RefCell::new(Digest::default()),
             source: watch::Sender::new(Source::Store),
+            pacing: RefCell::new(Pacing::new(settings.host.clone())),
             follow: RefCell::new(Follow::new(settings.host.clone(), settings.zone.clone())),
             feeds: RefCell::default(),
             totals: RefCell::default(),
@@ -157,6 +159,7 @@
                 dispatch::Action::Refuse { id, refusal } => {
                     self.command(id, Command::Refuse(refusal));
                 }
+                dispatch::Action::Reserve { id, turn, prompt } => self.reserve(id, turn, prompt),
                 dispatch::Action::Want { service, subject } => self.want(service, subject),
                 dispatch::Action::Predicted { prediction, .. } => note_prediction(&prediction),
             }
@@ -228,6 +231,7 @@
 
     /// Time passed.
     pub(crate) fn tick(self: &Rc<Self>) {
+        self.check_pacers();
         self.request_event(dispatch::Event::Tick);
         self.tenure_event(TenureEvent::Tick);
         self.follow_event(FollowEvent::Tick);
@@ -293,7 +297,7 @@
     let subject = attempt.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string);
     log::info!(
         "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} deadline_ms={} \
-         own_load={} peer_load={} ahead_tokens={} version={}",
+         own_load={} peer_load={} ahead_tokens={} delay_ms={} version={}",
         attempt.request,
         attempt.route,
         attempt.upstream,
@@ -303,6 +307,7 @@
         attempt.own_load,
         attempt.peer_load,
         attempt.ahead_tokens,
+        attempt.delay_ms,
         attempt.version
     );
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 /// Log lines on standard output that never block the caller.
 pub mod logging;
 mod orders;
+mod pacing;
 mod peers;
 mod pool;
 mod relay;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -34,6 +34,8 @@
             }
             PeerMessage::Snapshots(snapshots) => self.take_snapshots(from, snapshots),
             PeerMessage::Changes(changes) => self.take_changes(from, changes),
+            PeerMessage::Reserve { number, prompt } => self.reserve_for(from, number, &prompt),
+            PeerMessage::Reserved { number, slot } => self.reserved(number, slot),
             PeerMessage::Want { service, model, adapter } => {
                 let subject = ModelRef { model, adapter };
                 self.placement_event(placement::Event::Wanted { service, subject });
--- /dev/null
+++ b/crates/gateway/src/pacing.rs
@@ -0,0 +1,112 @@
+//! Asking pacers for the moments of prompts, and answering as one.
+
+use crate::{hub::Hub, peers::PeerMessage};
+use std::{collections::HashMap, rc::Rc, time::Duration, time::Instant};
+use vanetally_dispatch::{self as dispatch, RequestId};
+use vanetally_pacing::{Pacer, Pacers, Prompt, Slot};
+use vanetally_types::Name;
+
+/// For a pacer to answer: after that this host decides alone.
+const ANSWER: Duration = Duration::from_millis(40);
+
+/// A question that another host has not answered.
+struct Question {
+    id: RequestId,
+    turn: u32,
+    prompt: Prompt,
+    host: Name,
+    asked: Instant,
+}
+
+/// This host's part in pacing.
+pub(crate) struct Pacing {
+    pacer: Pacer,
+    pacers: Pacers,
+    questions: HashMap<u64, Question>,
+    next_number: u64,
+}
+
+impl Pacing {
+    /// Only this host is known.
+    pub(crate) fn new(me: Name) -> Self {
+        Self {
+            pacer: Pacer::default(),
+            pacers: Pacers::new(me),
+            questions: HashMap::new(),
+            next_number: 0,
+        }
+    }
+
+    /// The other hosts that live.
+    pub(crate) fn set_others(&mut self, others: Vec<Name>) {
+        self.pacers.set_others(others);
+    }
+
+    /// Notes a question, and numbers it.
+    fn ask(&mut self, question: Question) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.questions.insert(number, question);
+        number
+    }
+
+    /// Takes out the questions that were not answered in time.
+    fn take_unanswered(&mut self) -> Vec<Question> {
+        let late = self.questions.extract_if(|_, question| question.asked.elapsed() > ANSWER);
+        late.map(|(_, question)| question).collect()
+    }
+}
+
+impl Hub {
+    /// Asks the pacer of the prompt's engine for its moment.
+    pub(crate) fn reserve(self: &Rc<Self>, id: RequestId, turn: u32, prompt: Prompt) {
+        let now = self.clock.now();
+        let host = self.pacing.borrow_mut().pacers.pacer_of(now, &prompt.upstream).clone();
+        if host == self.settings.host {
+            return self.reserve_here(id, turn, &prompt);
+        }
+        let question = Question { id, turn, prompt: prompt.clone(), host, asked: Instant::now() };
+        let host = question.host.clone();
+        let number = self.pacing.borrow_mut().ask(question);
+        self.send(&host, &PeerMessage::Reserve { number, prompt });
+    }
+
+    fn reserve_here(self: &Rc<Self>, id: RequestId, turn: u32, prompt: &Prompt) {
+        let slot = self.pacing.borrow_mut().pacer.reserve(self.clock.now(), prompt);
+        self.request_event(dispatch::Event::Reserved { id, turn, slot });
+    }
+
+    /// Another host asks for a moment.
+    pub(crate) fn reserve_for(&self, host: &Name, number: u64, prompt: &Prompt) {
+        let slot = self.pacing.borrow_mut().pacer.reserve(self.clock.now(), prompt);
+        self.send(host, &PeerMessage::Reserved { number, slot });
+    }
+
+    /// A pacer answered.
+    pub(crate) fn reserved(self: &Rc<Self>, number: u64, slot: Slot) {
+        let question = self.pacing.borrow_mut().questions.remove(&number);
+        if let Some(Question { id, turn, .. }) = question {
+            self.request_event(dispatch::Event::Reserved { id, turn, slot });
+        }
+    }
+
+    /// Decides alone what pacers did not answer.
+    pub(crate) fn check_pacers(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let unanswered = {
+            let mut pacing = self.pacing.borrow_mut();
+            pacing.pacer.sweep(now);
+            pacing.take_unanswered()
+        };
+        for question in unanswered {
+            log::info!(
+                "event=pacer_silent host={} upstream={} after_ms={}",
+                question.host,
+                question.prompt.upstream,
+                question.asked.elapsed().as_millis()
+            );
+            self.pacing.borrow_mut().pacers.note_silent(now, &question.host);
+            self.reserve_here(question.id, question.turn, &question.prompt);
+        }
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::sleep;
 use vanetally_dispatch::{Digest, LoadRow};
+use vanetally_pacing::{Prompt, Slot};
 use vanetally_placement::TenureEvent;
 use vanetally_ports::{Change, Item, LeaseId, StoreAnswer, Transaction, Write};
 use vanetally_types::Name;
@@ -62,6 +63,20 @@
     Snapshots(Vec<PrefixSnapshot>),
     /// From an aggregator: what changed.
     Changes(PrefixChanges),
+    /// To the pacer of an engine: when may this prompt be sent?
+    Reserve {
+        /// The number of this question.
+        number: u64,
+        /// The prompt.
+        prompt: Prompt,
+    },
+    /// From the pacer of an engine.
+    Reserved {
+        /// The number of the question.
+        number: u64,
+        /// When.
+        slot: Slot,
+    },
     /// To the holder of orders: something is missing.
     Want {
         /// The service.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     answer::{Answer, Cut, Piece},
-    exchange::{Asked, Caller, Outgoing, Started, ask, end_to_end, stated_rest},
+    exchange::{Asked, Caller, Outgoing, Started, ask_in_time, end_to_end, stated_rest},
     hub::Command,
     pool::Connection,
     telemetry,
@@ -172,7 +172,7 @@
             let asked = tokio::select! {
                 biased;
                 () = self.sender.closed() => return None,
-                asked = ask(&self.caller.hub, &name, &self.outgoing, &attempt, after) => asked,
+                asked = ask_in_time(&self.caller.hub, &name, &self.outgoing, &attempt, after) => asked,
             };
             self.attempt = attempt;
             match asked {
--- /dev/null
+++ b/crates/pacing/tests/spacing.rs
@@ -0,0 +1,78 @@
+//! Prompts for one engine are spaced, whoever sends them.
+
+use proptest::prelude::*;
+use vanetally_pacing::{Pacer, Prompt, Slot};
+use vanetally_types::Tick;
+
+const GAP_MS: u32 = 300;
+
+fn prompt(upstream: &str, reading_ms: u32) -> Prompt {
+    Prompt { upstream: upstream.into(), reading_ms, gap_ms: GAP_MS }
+}
+
+fn granted(slot: Slot) -> Option<u32> {
+    match slot {
+        Slot::Granted { delay_ms } => Some(delay_ms),
+        Slot::Busy { .. } => None,
+    }
+}
+
+#[test]
+fn idle_at_once() {
+    let mut pacer = Pacer::default();
+    assert_eq!(pacer.reserve(Tick(5), &prompt("i-1", 60)), Slot::Granted { delay_ms: 0 });
+    assert_eq!(pacer.reserve(Tick(5), &prompt("i-2", 60)), Slot::Granted { delay_ms: 0 });
+}
+
+#[test]
+fn long_prompt_goes_alone() {
+    let mut pacer = Pacer::default();
+    assert_eq!(granted(pacer.reserve(Tick(5), &prompt("i-1", 900))), Some(0));
+    assert_eq!(granted(pacer.reserve(Tick(5), &prompt("i-1", 10))), None);
+}
+
+#[test]
+fn later_ones_wait_their_turn() {
+    let mut pacer = Pacer::default();
+    let slots: Vec<Slot> = (0..5).map(|_| pacer.reserve(Tick(5), &prompt("i-1", 60))).collect();
+    let delays: Vec<u32> = slots.iter().filter_map(|slot| granted(*slot)).collect();
+    assert!(delays.windows(2).all(|pair| pair[0] <= pair[1]), "{slots:?}");
+    assert!(delays.len() < 5, "{slots:?}");
+    let Some(Slot::Busy { retry_ms }) = slots.last() else {
+        panic!("{slots:?}");
+    };
+    let later = Tick(5) + u64::from(*retry_ms);
+    assert!(granted(pacer.reserve(later, &prompt("i-1", 60))).is_some());
+}
+
+#[test]
+fn swept_when_idle() {
+    let mut pacer = Pacer::default();
+    pacer.reserve(Tick(0), &prompt("i-1", 60));
+    pacer.sweep(Tick(10_000));
+    assert_eq!(granted(pacer.reserve(Tick(10_000), &prompt("i-1", 60))), Some(0));
+}
+
+proptest! {
+    /// Within any pause that operators allow, an engine gets to read no more than it can while its
+    /// streams keep their pace, unless one prompt alone is longer.
+    #[test]
+    fn pauses_are_kept(arrivals in prop::collection::vec((0_u64..60, 5_u32..120), 1..200)) {
+        let mut pacer = Pacer::default();
+        let mut now = Tick(0);
+        let mut sent = Vec::new();
+        for (pause, reading_ms) in arrivals {
+            now = now + pause;
+            if let Some(delay) = granted(pacer.reserve(now, &prompt("i-1", reading_ms))) {
+                sent.push((now + u64::from(delay), reading_ms));
+            }
+        }
+        for (start, _) in &sent {
+            let end = *start + u64::from(GAP_MS);
+            let within = sent.iter().filter(|(at, _)| start <= at && *at < end);
+            let longest = within.clone().map(|(_, ms)| *ms).max().unwrap_or(0);
+            let sum: u32 = within.map(|(_, ms)| ms).sum();
+            prop_assert!(sum <= GAP_MS + longest, "{sum} ms at {start:?}");
+        }
+    }
+}
