feat: the pacer knows what its engine has read; the reading pace is learned from prompts read alone

Cause: each host knew only the shared parts that it had sent itself, so it took prompts for longer than they were, and learned a reading pace between 36 and 77 us a token for one model, by host.

Change: a host tells the pacer the parts of a prompt; the pacer sees all prompts of its engine, and says what is unread and how much reading lies ahead. Only prompts with nothing ahead teach the pace.

The tests' pacer says that a prompt is unread, as a real one does; the assertions stay.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -14,6 +14,8 @@
 
 /// Milliseconds for one prompt token before anything is learned.
 const FIRST_PER_TOKEN_MS: f64 = 0.06;
+/// Least tokens of a prompt that tells how fast an engine reads.
+const LEAST_SAMPLE: u32 = 200;
 /// Share of a new sample.
 const LEARN: f64 = 0.1;
 /// Share of a sample that shows a faster pace, and of one that shows a slower pace.
@@ -48,27 +50,31 @@
         f64::from(tokens) * self.per_token(model)
     }
 
-    /// Milliseconds from a sending to its first piece, with `tokens` to be read.
-    pub(crate) fn first_piece_ms(&self, upstream: &Name, model: &Name, tokens: u32) -> f64 {
-        (BASE_MS + self.reading_ms(Some(model), tokens)) * self.slowness(upstream)
+    /// Milliseconds from a sending to its first piece.
+    pub(crate) fn first_piece_ms(&self, upstream: &Name, model: &Name, expected: Expected) -> f64 {
+        let reading = f64::from(expected.ahead_ms) + self.reading_ms(Some(model), expected.unread);
+        (BASE_MS + reading) * self.slowness(upstream)
     }
 
-    /// The first piece came after `took_ms`, with `tokens` ahead of it.
+    /// The first piece came after `took_ms`.
     pub(crate) fn learn(
         &mut self,
         upstream: &Name,
         model: Option<&Name>,
-        tokens: u32,
+        expected: Expected,
         took_ms: f64,
     ) {
-        let expected = BASE_MS + f64::from(tokens) * self.per_token(model);
+        let Expected { unread, ahead_ms } = expected;
+        let expected = BASE_MS + f64::from(ahead_ms) + self.reading_ms(model, unread);
         let ratio = (took_ms / expected).clamp(*SLOWNESS.start(), *SLOWNESS.end());
         let slowness = self.slowness.entry(upstream.clone()).or_insert(1.0);
         *slowness += LEARN * (ratio - *slowness);
-        if let Some(model) = model.filter(|_| tokens > 0) {
-            let sample = ((took_ms - BASE_MS) / f64::from(tokens)).max(0.0);
+        // Only what is read alone tells how fast the engine reads.
+        let is_alone = ahead_ms == 0 && unread >= LEAST_SAMPLE;
+        if let Some(model) = model.filter(|_| is_alone) {
+            let sample = ((took_ms - BASE_MS) / f64::from(unread)).max(0.0);
             let pace = self.per_token_ms.entry(model.clone()).or_insert(FIRST_PER_TOKEN_MS);
-            // Waiting makes samples long: the short ones tell how fast the engine reads.
+            // Waiting makes samples long: the short ones tell more.
             let share = if sample < *pace { LEARN_FASTER } else { LEARN_SLOWER };
             *pace += share * (sample.min(*pace * 2.0) - *pace);
         }
@@ -93,10 +99,17 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Choice {
     pub upstream: Name,
-    /// Prompt tokens that it will have to read for this request.
+    /// What is expected there.
+    pub expected: Expected,
+}
+
+/// What an upstream has to read before a request's first piece.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Expected {
+    /// Tokens of the request's own prompt that the upstream has not read before.
     pub unread: u32,
-    /// Prompt tokens to be read before the first piece.
-    pub ahead: u32,
+    /// Milliseconds of reading for others.
+    pub ahead_ms: u32,
 }
 
 /// Why there is none.
@@ -166,7 +179,7 @@
             let has_slot = f64::from(load.running) < slots * ENGINE_FILL;
             let ahead = view.ahead(upstream);
             let model = request.head.model.as_ref();
-            let cached = upstream.cached_tokens(model, &request.head.parts);
+            let cached = upstream.cached_tokens(&request.shared);
             let unread = ahead + request.head.prompt_tokens.saturating_sub(cached);
             let reading_ms = view.pace.reading_ms(model.map(|m| &m.model), unread);
             let is_read_soon = reading_ms < GAP_SHARE * request.gap_ms() as f64;
@@ -190,15 +203,15 @@
 fn cost(view: &View<'_>, request: &Request, id: &Name, upstream: &Upstream) -> (f64, Choice) {
     let load = upstream.total(view.now);
     let model = request.head.model.as_ref();
-    let cached = upstream.cached_tokens(model, &request.head.parts);
+    let model = model.map(|subject| &subject.model);
+    let cached = upstream.cached_tokens(&request.shared);
     let unread = request.head.prompt_tokens.saturating_sub(cached);
-    let ahead = view.ahead(upstream) + unread;
+    let ahead_ms = view.pace.reading_ms(model, view.ahead(upstream));
     let away = if upstream.state.zone == *view.zone { 0.0 } else { ZONE_MS };
     let own_ms = match view.engine {
         Some(_) => {
-            BASE_MS
-                + view.pace.reading_ms(model.map(|m| &m.model), ahead)
-                + f64::from(load.running) * PER_RUNNING_MS
+            let reading_ms = ahead_ms + view.pace.reading_ms(model, unread);
+            BASE_MS + reading_ms + f64::from(load.running) * PER_RUNNING_MS
         }
         None => {
             let slots = f64::from(upstream.state.slots);
@@ -208,7 +221,8 @@
     let tie = tie_break(request, id);
     let again = if request.tried.contains(id) { TRIED_MS } else { 0.0 };
     let cost = own_ms * view.pace.slowness(id) + away + again + tie;
-    (cost, Choice { upstream: id.clone(), unread, ahead })
+    let expected = Expected { unread, ahead_ms: ahead_ms as u32 };
+    (cost, Choice { upstream: id.clone(), expected })
 }
 
 /// A fraction of a millisecond that spreads equal choices.
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -158,8 +158,10 @@
     pub version: u64,
     /// Milliseconds since the request arrived.
     pub waited_ms: u64,
-    /// Prompt tokens that the upstream was thought to read before the first piece.
-    pub ahead_tokens: u32,
+    /// Tokens of the prompt that the upstream was thought not to have read before.
+    pub unread_tokens: u32,
+    /// Milliseconds of reading that it was thought to do first, for others.
+    pub ahead_ms: u32,
     /// The upstream's incarnation.
     pub upstream: Name,
     /// Where it listens.
@@ -239,8 +241,10 @@
     pub expected_ms: f64,
     /// Milliseconds that it took.
     pub took_ms: f64,
-    /// Prompt tokens that were thought to be read first.
-    pub ahead_tokens: u32,
+    /// Tokens of the prompt that the upstream was thought not to have read before.
+    pub unread_tokens: u32,
+    /// Milliseconds of reading that it was thought to do first, for others.
+    pub ahead_ms: u32,
     /// Microseconds that the upstream was thought to read one of them.
     pub per_token_us: f64,
 }
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -71,7 +71,7 @@
 
 /// A planned stop takes requests for this share of its time.
 const STOP_SHARE: f64 = 0.3;
-const MICROS_PER_MILLI: f64 = 1_000.0;
+pub(crate) const MICROS_PER_MILLI: f64 = 1_000.0;
 /// When to come back after a refusal by a host that stops, in milliseconds.
 pub(crate) const STOP_RETRY_MS: u64 = 50;
 
@@ -300,14 +300,15 @@
             let prediction = Prediction {
                 request: request.head.id.clone(),
                 upstream: sending.upstream.clone(),
-                expected_ms: self.pace.first_piece_ms(&sending.upstream, model, sending.ahead),
+                expected_ms: self.pace.first_piece_ms(&sending.upstream, model, sending.expected),
                 took_ms,
-                ahead_tokens: sending.ahead,
+                unread_tokens: sending.expected.unread,
+                ahead_ms: sending.expected.ahead_ms,
                 per_token_us: self.pace.per_token(Some(model)) * MICROS_PER_MILLI,
             };
             actions.push(Action::Predicted { id, prediction });
         }
-        self.pace.learn(&sending.upstream, model, sending.ahead, took_ms);
+        self.pace.learn(&sending.upstream, model, sending.expected, took_ms);
         if let Some(upstream) = self.upstreams.get_mut(&sending.upstream) {
             upstream.own.take(read);
         }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,7 +1,11 @@
 //! One request from its arrival to its end.
 
-use crate::{choose::Choice, upstream::Load};
+use crate::{
+    choose::{Choice, Expected},
+    upstream::{Load, shared_prefixes},
+};
 use std::rc::Rc;
+use vanetally_pacing::Prefix;
 use vanetally_ports::{CallerRequest, Route};
 use vanetally_types::{Name, Tick, Verdict};
 
@@ -40,8 +44,8 @@
     pub at: Tick,
     /// What it adds to the upstream's load.
     pub load: Load,
-    /// Tokens to be read before its first piece, when it was sent.
-    pub ahead: u32,
+    /// What was expected when it was sent.
+    pub expected: Expected,
     pub has_begun: bool,
 }
 
@@ -50,6 +54,8 @@
 pub(crate) struct Request {
     pub head: CallerRequest,
     pub route: Rc<Route>,
+    /// The parts of its prompt that others may share.
+    pub shared: Vec<Prefix>,
     pub service: Name,
     pub arrived: Tick,
     /// The latest moment for a final answer.
@@ -88,7 +94,10 @@
             }
             _ => deadline - PATIENCE_MARGIN_MS,
         };
+        let subject = head.model.as_ref();
+        let shared = subject.map(|subject| shared_prefixes(subject, &head.parts));
         Self {
+            shared: shared.unwrap_or_default(),
             head,
             route,
             service,
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -2,11 +2,12 @@
 
 use crate::{
     Action, Dispatch, RequestId,
-    choose::Choice,
+    choose::{Choice, Expected},
+    machine::MICROS_PER_MILLI,
     request::{Reservation, Stage},
     upstream::Load,
 };
-use vanetally_pacing::{Prompt, Slot};
+use vanetally_pacing::{Moment, Prompt, Slot};
 use vanetally_types::Tick;
 
 impl Dispatch {
@@ -15,14 +16,22 @@
         let request = self.requests.get_mut(&id)?;
         let upstream = self.upstreams.get_mut(&choice.upstream)?;
         self.queue.remove(id, request);
-        let load = Load { running: 1, unread_tokens: choice.unread, held_tokens: request.tokens() };
+        let load = Load {
+            running: 1,
+            unread_tokens: choice.expected.unread,
+            held_tokens: request.tokens(),
+        };
         upstream.own.add(load);
         request.reservations += 1;
         let turn = request.reservations;
-        let model = request.head.model.as_ref().map(|subject| &subject.model);
+        let model = request.head.model.as_ref().map(|subject| subject.model.clone());
+        let per_token_us = self.pace.per_token(model.as_ref()) * MICROS_PER_MILLI;
         let prompt = Prompt {
             upstream: choice.upstream.clone(),
-            reading_ms: self.pace.reading_ms(model, choice.unread).round() as u32,
+            model: model.unwrap_or_else(|| "".into()),
+            shared: request.shared.clone(),
+            tokens: request.head.prompt_tokens,
+            per_token_us: per_token_us.round() as u32,
             gap_ms: request.gap_ms() as u32,
         };
         request.stage = Stage::Reserving(Reservation { turn, choice, load, asked: now });
@@ -56,8 +65,12 @@
         };
         upstream.own.take(load);
         match slot {
-            Slot::Granted { .. } if !upstream.takes_new(now) => {}
-            Slot::Granted { delay_ms } => actions.extend(self.send(now, id, choice, delay_ms)),
+            Slot::Granted(_) if !upstream.takes_new(now) => {}
+            Slot::Granted(Moment { delay_ms, unread, ahead_ms }) => {
+                let expected = Expected { unread, ahead_ms };
+                let choice = Choice { expected, ..choice };
+                actions.extend(self.send(now, id, choice, delay_ms));
+            }
             Slot::Busy { retry_ms } => upstream.paced_until = now + u64::from(retry_ms),
         }
     }
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -106,14 +106,19 @@
         let request = self.requests.get_mut(&id)?;
         let upstream = self.upstreams.get_mut(&choice.upstream)?;
         self.queue.remove(id, request);
-        let load = Load { running: 1, unread_tokens: choice.unread, held_tokens: request.tokens() };
+        let load = Load {
+            running: 1,
+            unread_tokens: choice.expected.unread,
+            held_tokens: request.tokens(),
+        };
         let attempt = Attempt {
             request: request.head.id.clone(),
             route: request.route.name.clone(),
             subject: request.head.model.clone(),
             version,
             waited_ms: now.since(request.arrived),
-            ahead_tokens: choice.ahead,
+            unread_tokens: choice.expected.unread,
+            ahead_ms: choice.expected.ahead_ms,
             upstream: choice.upstream.clone(),
             address: upstream.state.address,
             delay_ms,
@@ -129,7 +134,9 @@
         };
         upstream.own.add(load);
         upstream.health.sent(now);
-        upstream.remember(request.head.model.as_ref(), &request.head.parts);
+        if let Some(subject) = &request.head.model {
+            upstream.remember(&subject.model, &request.shared);
+        }
         request.sendings += 1;
         if !request.tried.contains(&choice.upstream) {
             request.tried.push(choice.upstream.clone());
@@ -138,7 +145,7 @@
             upstream: choice.upstream,
             at: sent_at,
             load,
-            ahead: choice.ahead,
+            expected: choice.expected,
             has_begun: false,
         });
         Some(Action::Send { id, attempt })
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -1,7 +1,8 @@
 //! What this host believes of one upstream.
 
 use crate::{Health, LoadRow, Presence};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
+use vanetally_pacing::{Prefix, PrefixCache};
 use vanetally_ports::{ModelRef, PromptPart, UpstreamState};
 use vanetally_types::{Name, Tick, hash64};
 
@@ -171,64 +172,28 @@
     }
 
     /// Prompt tokens that the upstream is thought to keep already.
-    pub(crate) fn cached_tokens(&self, subject: Option<&ModelRef>, parts: &[PromptPart]) -> u32 {
-        subject.map_or(0, |subject| self.cached.tokens(subject, parts))
+    pub(crate) fn cached_tokens(&self, shared: &[Prefix]) -> u32 {
+        self.cached.tokens(shared)
     }
 
-    /// The upstream has read `parts`.
-    pub(crate) fn remember(&mut self, subject: Option<&ModelRef>, parts: &[PromptPart]) {
-        if let Some(subject) = subject {
-            self.cached.insert(subject, parts);
-        }
-    }
-}
-
-/// The shared beginnings of prompts that an upstream has read lately, oldest first.
-#[derive(Clone, Debug, Default)]
-struct PrefixCache {
-    known: HashMap<u64, Name>,
-    order: VecDeque<u64>,
-}
-
-/// Beginnings remembered for one upstream.
-const MOST_PREFIXES: usize = 1_024;
-
-impl PrefixCache {
-    fn tokens(&self, subject: &ModelRef, parts: &[PromptPart]) -> u32 {
-        let known = chain(subject, parts).take_while(|(key, _)| self.known.contains_key(key));
-        known.map(|(_, tokens)| tokens).sum()
-    }
-
-    fn insert(&mut self, subject: &ModelRef, parts: &[PromptPart]) {
-        // The last part belongs to the request itself.
-        let shared = &parts[..parts.len().saturating_sub(1)];
-        for (key, _) in chain(subject, shared) {
-            if self.known.insert(key, subject.model.clone()).is_none() {
-                self.order.push_back(key);
-            }
-        }
-        while self.order.len() > MOST_PREFIXES {
-            if let Some(key) = self.order.pop_front() {
-                self.known.remove(&key);
-            }
-        }
-    }
-
-    fn drop_model(&mut self, model: &Name) {
-        self.known.retain(|_, of| of != model);
-        let known = &self.known;
-        self.order.retain(|key| known.contains_key(key));
+    /// The upstream reads a prompt for `model`.
+    pub(crate) fn remember(&mut self, model: &Name, shared: &[Prefix]) {
+        self.cached.insert(model, shared);
     }
 }
 
-/// Keys of the beginnings of a prompt, each with the tokens of its last part.
-fn chain<'a>(subject: &ModelRef, parts: &'a [PromptPart]) -> impl Iterator<Item = (u64, u32)> + 'a {
+/// The parts of a prompt that other requests may share, as engines tell them apart.
+///
+/// The last part belongs to the request itself.
+pub(crate) fn shared_prefixes(subject: &ModelRef, parts: &[PromptPart]) -> Vec<Prefix> {
+    let shared = &parts[..parts.len().saturating_sub(1)];
     let mut key = hash64(subject.to_string().as_bytes());
-    parts.iter().map(move |part| {
+    let prefixes = shared.iter().map(|part| {
         let mut bytes = [0; 16];
         bytes[..8].copy_from_slice(&key.to_le_bytes());
         bytes[8..].copy_from_slice(&part.id.to_le_bytes());
         key = hash64(&bytes);
-        (key, part.tokens)
-    })
+        Prefix { key, tokens: part.tokens }
+    });
+    prefixes.collect()
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use vanetally_dispatch::{
     Action, Attempt, AttemptEnd, BudgetOptions, Dispatch, Event, Options, RequestId,
 };
-use vanetally_pacing::Slot;
+use vanetally_pacing::{Moment, Slot};
 use vanetally_ports::{
     CallerLimits, CallerRequest, Configuration, EngineSpec, HeldModel, ModelRef, ModelSpec,
     Refusal, RequestKind, Route, Service, Target, UpstreamState,
@@ -128,8 +128,9 @@
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
             for action in self.dispatch.handle(self.now, event) {
-                if let Action::Reserve { id, turn, .. } = action {
-                    let slot = Slot::Granted { delay_ms: 0 };
+                if let Action::Reserve { id, turn, prompt } = action {
+                    let moment = Moment { unread: prompt.tokens, ..Moment::default() };
+                    let slot = Slot::Granted(moment);
                     events.push_back(Event::Reserved { id, turn, slot });
                 } else {
                     actions.push(action);
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -225,6 +225,7 @@
 
     /// An upstream's announcement is gone.
     pub(crate) fn upstream_gone(self: &Rc<Self>, id: Name) {
+        self.pacing.borrow_mut().forget(&id);
         self.placement_event(placement::Event::UpstreamGone { id: id.clone() });
         self.request_event(dispatch::Event::UpstreamGone { id });
     }
@@ -283,12 +284,13 @@
 fn note_prediction(prediction: &Prediction) {
     telemetry::predicted(prediction.took_ms / prediction.expected_ms);
     log::debug!(
-        "event=first_piece request={} upstream={} took_ms={} expected_ms={:.0} ahead_tokens={} per_token_us={:.0}",
+        "event=first_piece request={} upstream={} took_ms={} expected_ms={:.0} unread_tokens={} ahead_ms={} per_token_us={:.0}",
         prediction.request,
         prediction.upstream,
         prediction.took_ms,
         prediction.expected_ms,
-        prediction.ahead_tokens,
+        prediction.unread_tokens,
+        prediction.ahead_ms,
         prediction.per_token_us
     );
 }
@@ -297,7 +299,7 @@
     let subject = attempt.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string);
     log::info!(
         "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} deadline_ms={} \
-         own_load={} peer_load={} ahead_tokens={} delay_ms={} version={}",
+         own_load={} peer_load={} unread_tokens={} ahead_ms={} delay_ms={} version={}",
         attempt.request,
         attempt.route,
         attempt.upstream,
@@ -306,7 +308,8 @@
         attempt.deadline_ms,
         attempt.own_load,
         attempt.peer_load,
-        attempt.ahead_tokens,
+        attempt.unread_tokens,
+        attempt.ahead_ms,
         attempt.delay_ms,
         attempt.version
     );
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -93,6 +93,9 @@
     }
 
     pub(crate) fn placed(self: &Rc<Self>, runner: Name, subject: ModelRef, is_present: bool) {
+        if !is_present && subject.adapter.is_none() {
+            self.pacing.borrow_mut().drop_model(&runner, &subject.model);
+        }
         let presence = if is_present { Presence::Present } else { Presence::Absent };
         self.request_event(dispatch::Event::Placed { runner, subject, presence });
     }
--- a/crates/gateway/src/pacing.rs
+++ b/crates/gateway/src/pacing.rs
@@ -42,6 +42,16 @@
         self.pacers.set_others(others);
     }
 
+    /// An engine let go of a model.
+    pub(crate) fn drop_model(&mut self, upstream: &Name, model: &Name) {
+        self.pacer.drop_model(upstream, model);
+    }
+
+    /// An engine has gone.
+    pub(crate) fn forget(&mut self, upstream: &Name) {
+        self.pacer.forget(upstream);
+    }
+
     /// Notes a question, and numbers it.
     fn ask(&mut self, question: Question) -> u64 {
         let number = self.next_number;
@@ -93,11 +103,7 @@
     /// Decides alone what pacers did not answer.
     pub(crate) fn check_pacers(self: &Rc<Self>) {
         let now = self.clock.now();
-        let unanswered = {
-            let mut pacing = self.pacing.borrow_mut();
-            pacing.pacer.sweep(now);
-            pacing.take_unanswered()
-        };
+        let unanswered = self.pacing.borrow_mut().take_unanswered();
         for question in unanswered {
             log::info!(
                 "event=pacer_silent host={} upstream={} after_ms={}",
--- a/crates/pacing/src/bucket.rs
+++ b/crates/pacing/src/bucket.rs
@@ -2,12 +2,14 @@
 
 use vanetally_types::Tick;
 
-/// Reading that an engine was given and has not had time for, in milliseconds; it drains at
-/// [`SHARE`].
+/// Reading that an engine was given.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Bucket {
+    /// What it has not had time for, in milliseconds, if it reads in a share of its time.
     level_ms: f64,
     at: Tick,
+    /// When it has read all, if it reads at full speed.
+    read_at: Tick,
 }
 
 /// Share of an engine's time in which it may read prompts; the rest makes tokens.
@@ -23,14 +25,14 @@
         excess.max(0.0) / SHARE
     }
 
-    /// A prompt of `reading_ms` is sent, now or after its delay.
-    pub(crate) fn fill(&mut self, now: Tick, reading_ms: f64) {
+    /// A prompt of `reading_ms` is sent at `moment`; gives back the milliseconds of reading that lie
+    /// before it then.
+    pub(crate) fn fill(&mut self, now: Tick, moment: Tick, reading_ms: f64) -> f64 {
         self.level_ms = self.level(now) + reading_ms;
         self.at = now;
-    }
-
-    pub(crate) fn is_empty(&self, now: Tick) -> bool {
-        self.level(now) == 0.0
+        let ahead_ms = self.read_at.since(moment);
+        self.read_at = self.read_at.max(moment) + reading_ms as u64;
+        ahead_ms as f64
     }
 
     fn level(&self, now: Tick) -> f64 {
--- a/crates/pacing/src/lib.rs
+++ b/crates/pacing/src/lib.rs
@@ -10,6 +10,8 @@
 mod bucket;
 mod pacer;
 mod pacers;
+mod prefixes;
 
-pub use pacer::{Pacer, Prompt, Slot};
+pub use pacer::{Moment, Pacer, Prompt, Slot};
 pub use pacers::Pacers;
+pub use prefixes::{Prefix, PrefixCache};
--- a/crates/pacing/src/pacer.rs
+++ b/crates/pacing/src/pacer.rs
@@ -1,6 +1,6 @@
 //! Gives out the moments for prompts.
 
-use crate::bucket::Bucket;
+use crate::{Prefix, PrefixCache, bucket::Bucket};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use vanetally_types::{Name, Tick};
@@ -11,9 +11,18 @@
     /// The engine's incarnation.
     #[serde(rename = "u")]
     pub upstream: Name,
-    /// Milliseconds that it takes to read.
+    /// The model.
+    #[serde(rename = "m")]
+    pub model: Name,
+    /// The parts that others may share, in order.
+    #[serde(rename = "s")]
+    pub shared: Vec<Prefix>,
+    /// All its tokens.
+    #[serde(rename = "t")]
+    pub tokens: u32,
+    /// Microseconds that the engine takes to read one of them.
     #[serde(rename = "r")]
-    pub reading_ms: u32,
+    pub per_token_us: u32,
     /// The longest pause that operators want between two events of a stream, in milliseconds.
     #[serde(rename = "g")]
     pub gap_ms: u32,
@@ -22,11 +31,8 @@
 /// What a host is told about a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Slot {
-    /// It may be sent after a delay.
-    Granted {
-        /// Milliseconds from now.
-        delay_ms: u32,
-    },
+    /// It may be sent.
+    Granted(Moment),
     /// Too many others go first.
     Busy {
         /// Milliseconds after which it is worth to ask again.
@@ -34,10 +40,27 @@
     },
 }
 
+/// The moment for a prompt, and what the engine does then.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Moment {
+    /// Milliseconds from now.
+    pub delay_ms: u32,
+    /// Tokens that the engine has not read before.
+    pub unread: u32,
+    /// Milliseconds of reading that it has yet to do then for others.
+    pub ahead_ms: u32,
+}
+
 /// The engines that this host paces.
 #[derive(Clone, Debug, Default)]
 pub struct Pacer {
-    buckets: BTreeMap<Name, Bucket>,
+    engines: BTreeMap<Name, Engine>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    bucket: Bucket,
+    prefixes: PrefixCache,
 }
 
 /// Share of the longest pause that prompts sent together may take.
@@ -47,24 +70,36 @@
 const AHEAD_SHARE: f64 = 0.3;
 /// Least wait of one that was told to ask again, in milliseconds.
 const LEAST_RETRY_MS: f64 = 10.0;
+const MICROS_PER_MILLI: f64 = 1_000.0;
 
 impl Pacer {
     /// Finds the moment for a prompt.
     pub fn reserve(&mut self, now: Tick, prompt: &Prompt) -> Slot {
-        let bucket = self.buckets.entry(prompt.upstream.clone()).or_default();
-        let (reading_ms, gap_ms) = (f64::from(prompt.reading_ms), f64::from(prompt.gap_ms));
+        let Engine { bucket, prefixes } = self.engines.entry(prompt.upstream.clone()).or_default();
+        let unread = prompt.tokens.saturating_sub(prefixes.tokens(&prompt.shared));
+        let reading_ms = f64::from(unread) * f64::from(prompt.per_token_us) / MICROS_PER_MILLI;
+        let gap_ms = f64::from(prompt.gap_ms);
         let delay_ms = bucket.delay_ms(now, reading_ms, BURST_SHARE * gap_ms);
-        let ahead_ms = AHEAD_SHARE * gap_ms;
-        if delay_ms > ahead_ms {
-            let retry_ms = (delay_ms - ahead_ms / 2.0).max(LEAST_RETRY_MS);
+        let most_ms = AHEAD_SHARE * gap_ms;
+        if delay_ms > most_ms {
+            let retry_ms = (delay_ms - most_ms / 2.0).max(LEAST_RETRY_MS);
             return Slot::Busy { retry_ms: retry_ms as u32 };
         }
-        bucket.fill(now, reading_ms);
-        Slot::Granted { delay_ms: delay_ms as u32 }
+        let delay_ms = delay_ms as u32;
+        let ahead_ms = bucket.fill(now, now + u64::from(delay_ms), reading_ms) as u32;
+        prefixes.insert(&prompt.model, &prompt.shared);
+        Slot::Granted(Moment { delay_ms, unread, ahead_ms })
+    }
+
+    /// An engine let go of a model, and of what it read for it.
+    pub fn drop_model(&mut self, upstream: &Name, model: &Name) {
+        if let Some(engine) = self.engines.get_mut(upstream) {
+            engine.prefixes.drop_model(model);
+        }
     }
 
-    /// Forgets engines that have nothing left to read.
-    pub fn sweep(&mut self, now: Tick) {
-        self.buckets.retain(|_, bucket| !bucket.is_empty(now));
+    /// An engine has gone.
+    pub fn forget(&mut self, upstream: &Name) {
+        self.engines.remove(upstream);
     }
 }
--- a/crates/pacing/tests/spacing.rs
+++ b/crates/pacing/tests/spacing.rs
@@ -1,18 +1,25 @@
 //! Prompts for one engine are spaced, whoever sends them.
 
 use proptest::prelude::*;
-use vanetally_pacing::{Pacer, Prompt, Slot};
+use vanetally_pacing::{Moment, Pacer, Prefix, Prompt, Slot};
 use vanetally_types::Tick;
 
 const GAP_MS: u32 = 300;
 
 fn prompt(upstream: &str, reading_ms: u32) -> Prompt {
-    Prompt { upstream: upstream.into(), reading_ms, gap_ms: GAP_MS }
+    Prompt {
+        upstream: upstream.into(),
+        model: "m1".into(),
+        shared: Vec::new(),
+        tokens: reading_ms,
+        per_token_us: 1_000,
+        gap_ms: GAP_MS,
+    }
 }
 
 fn granted(slot: Slot) -> Option<u32> {
     match slot {
-        Slot::Granted { delay_ms } => Some(delay_ms),
+        Slot::Granted(moment) => Some(moment.delay_ms),
         Slot::Busy { .. } => None,
     }
 }
@@ -20,8 +27,9 @@
 #[test]
 fn idle_at_once() {
     let mut pacer = Pacer::default();
-    assert_eq!(pacer.reserve(Tick(5), &prompt("i-1", 60)), Slot::Granted { delay_ms: 0 });
-    assert_eq!(pacer.reserve(Tick(5), &prompt("i-2", 60)), Slot::Granted { delay_ms: 0 });
+    let idle = Slot::Granted(Moment { delay_ms: 0, unread: 60, ahead_ms: 0 });
+    assert_eq!(pacer.reserve(Tick(5), &prompt("i-1", 60)), idle);
+    assert_eq!(pacer.reserve(Tick(5), &prompt("i-2", 60)), idle);
 }
 
 #[test]
@@ -46,11 +54,27 @@
 }
 
 #[test]
-fn swept_when_idle() {
+fn gone_engine_forgotten() {
+    let mut pacer = Pacer::default();
+    pacer.reserve(Tick(0), &prompt("i-1", 900));
+    pacer.forget(&"i-1".into());
+    assert_eq!(granted(pacer.reserve(Tick(0), &prompt("i-1", 60))), Some(0));
+}
+
+/// What the engine read for any host is not read again.
+#[test]
+fn shared_parts_read_once() {
     let mut pacer = Pacer::default();
-    pacer.reserve(Tick(0), &prompt("i-1", 60));
-    pacer.sweep(Tick(10_000));
-    assert_eq!(granted(pacer.reserve(Tick(10_000), &prompt("i-1", 60))), Some(0));
+    let shared = vec![Prefix { key: 7, tokens: 40 }];
+    let prompt = Prompt { shared, ..prompt("i-1", 60) };
+    let unread = |slot| match slot {
+        Slot::Granted(moment) => moment.unread,
+        Slot::Busy { .. } => panic!("busy"),
+    };
+    assert_eq!(unread(pacer.reserve(Tick(0), &prompt)), 60);
+    assert_eq!(unread(pacer.reserve(Tick(1_000), &prompt)), 20);
+    pacer.drop_model(&"i-1".into(), &"m1".into());
+    assert_eq!(unread(pacer.reserve(Tick(2_000), &prompt)), 60);
 }
 
 proptest! {
