--- a/crates/fanout/tests/follow.rs
+++ b/crates/fanout/tests/follow.rs
@@ -69,6 +69,17 @@
     assert_eq!(follow.handle(START + 600, Event::Tick), [Action::Subscribe(best())]);
 }
 
+/// Found by counting calls to the store: a host that stops keeps its key for a while, and whoever asked
+/// it in vain read the store meanwhile.
+#[test]
+fn leaving_not_asked_again() {
+    let mut follow = follower(START);
+    follow.handle(START, Event::Tick);
+    follow.handle(START + 5, Event::Told { from: best(), age_ms: None, is_leaving: true });
+    let next = follow.handle(START + 20, Event::Tick);
+    assert!(matches!(&next[..], [Action::Subscribe(other)] if *other != best()), "{next:?}");
+}
+
 #[test]
 fn unasked_ignored() {
     let mut follow = follower(START);
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -104,7 +104,7 @@
 
     fn subscribed(self: &Rc<Self>, from: &Name) {
         if *self.stage.borrow() != Stage::Serving {
-            return;
+            return self.send(from, &PeerMessage::Total(self.leaving()));
         }
         self.totals.borrow_mut().subscribe(self.clock.now(), from.clone());
         self.count_subscribers();
@@ -113,6 +113,17 @@
         }
     }
 
+    /// What a host that stops tells whoever would hear from it.
+    fn leaving(&self) -> Total {
+        Total {
+            reported: Vec::new(),
+            version: self.version(),
+            age_ms: self.age_ms(),
+            is_leaving: true,
+            loads: Vec::new(),
+        }
+    }
+
     fn count_subscribers(self: &Rc<Self>) {
         let count = self.totals.borrow().subscribers().count();
         self.follow_event(FollowEvent::Subscribers(count));
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -87,6 +87,8 @@
 const HANDSHAKE: Duration = Duration::from_secs(2);
 /// Messages waiting for one peer.
 const WAITING: usize = 1_024;
+/// Bytes that each link reads at once: hosts have links to all others, and messages are short.
+const READ_BUFFER: usize = 4 << 10;
 /// After a link broke, no new one is dialed for this long.
 const REDIAL: Duration = Duration::from_millis(300);
 
@@ -170,6 +172,7 @@
 impl Shared {
     fn config(&self) -> WebSocketConfig {
         WebSocketConfig::default()
+            .read_buffer_size(READ_BUFFER)
             .max_message_size(Some(self.options.most))
             .max_frame_size(Some(self.options.most))
     }
