fix: large answers on slow links may take their time; a configuration is asked for once

Its reads of the store were given up after 1.2 s, three times, with most of the answer there; and each message of each aggregator made it ask for the whole configuration again, so that copies of it filled its 10 Mbit/s link.

Change: a call's time limit holds for the beginning of the answer and for each further piece of it; vanetally-fanout's Pull asks for a version once, and again after 1.5 s.

--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -11,10 +11,12 @@
 mod follow;
 mod mirror;
 mod outage;
+mod pull;
 mod totals;
 
 pub use candidate::{Candidate, FEW_HOSTS, aggregators};
 pub use follow::{Action, Event, Follow, Source};
 pub use mirror::{Gap, Mirror};
 pub use outage::Outage;
+pub use pull::Pull;
 pub use totals::{Reported, Totals};
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,9 +1,10 @@
 //! Short calls: to the store, for reports, with orders.
 
 use crate::pool::{self, Connection, Pool};
-use bytes::Bytes;
-use http::{Request, StatusCode, header::HOST};
+use bytes::{Bytes, BytesMut};
+use http::{Request, Response, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::timeout;
 
@@ -30,7 +31,12 @@
 /// Connections for short calls to one address.
 const CONNECTIONS: usize = 64;
 
+/// The rest of a large answer on a slow link takes this long at most.
+const WHOLE: Duration = Duration::from_secs(8);
+
 /// Makes one call on a connection of its own or a kept one.
+///
+/// The answer has to begin `within` that time, and each further piece of it to come within it.
 pub(crate) async fn call(
     pool: &Pool,
     address: SocketAddr,
@@ -40,18 +46,18 @@
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(HOST, host);
     }
-    let exchange = exchange(pool, address, request.map(Full::new));
-    match timeout(within, exchange).await {
-        Ok(reply) => reply,
-        Err(_) => Err(Error::Unanswered(format!("silent for {} ms", within.as_millis()))),
-    }
+    let silent = || Error::Unanswered(format!("silent for {} ms", within.as_millis()));
+    let head = timeout(within, ask(pool, address, request.map(Full::new))).await;
+    let (connection, response) = head.map_err(|_| silent())??;
+    let body = timeout(WHOLE, read(pool, connection, response, within)).await;
+    body.map_err(|_| Error::Unanswered("too slow".into()))?
 }
 
-async fn exchange(
+async fn ask(
     pool: &Pool,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-) -> Result<Reply, Error> {
+) -> Result<(Connection, Response<Incoming>), Error> {
     let mut connection = pool.get(address, CONNECTIONS).await?;
     let response = match connection.sender.try_send_request(request).await {
         Ok(response) => response,
@@ -65,17 +71,26 @@
             None => return Err(Error::Unanswered(error.into_error().to_string())),
         },
     };
-    read(pool, connection, response).await
+    Ok((connection, response))
 }
 
 async fn read(
     pool: &Pool,
     connection: Connection,
-    response: http::Response<hyper::body::Incoming>,
+    response: Response<Incoming>,
+    within: Duration,
 ) -> Result<Reply, Error> {
     let status = response.status();
-    let body = Limited::new(response.into_body(), MOST_BYTES).collect().await;
-    let body = body.map_err(|e| Error::Unanswered(e.to_string()))?.to_bytes();
+    let mut pieces = Limited::new(response.into_body(), MOST_BYTES);
+    let mut body = BytesMut::new();
+    loop {
+        let piece = timeout(within, pieces.frame()).await;
+        match piece.map_err(|_| Error::Unanswered("it stopped in the middle".into()))? {
+            None => break,
+            Some(Ok(frame)) => body.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Some(Err(error)) => return Err(Error::Unanswered(error.to_string())),
+        }
+    }
     pool.put(connection, None);
-    Ok(Reply { status, body })
+    Ok(Reply { status, body: body.freeze() })
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -12,7 +12,7 @@
 };
 use tokio::sync::{mpsc, watch};
 use vanetally_dispatch::{self as dispatch, Attempt, Digest, Dispatch, Prediction, RequestId};
-use vanetally_fanout::{Event as FollowEvent, Follow, Source, Totals};
+use vanetally_fanout::{Event as FollowEvent, Follow, Pull, Source, Totals};
 use vanetally_link::peer::Links;
 use vanetally_placement::{self as placement, Placement, Tenure, TenureEvent, TenureOptions};
 use vanetally_ports::{Configuration, Ports, Refusal, UpstreamState};
@@ -69,6 +69,8 @@
     pub source: watch::Sender<Source>,
     pub pacing: RefCell<Pacing>,
     pub follow: RefCell<Follow>,
+    /// The configuration that another host was asked for.
+    pub pull: RefCell<Pull>,
     pub feeds: RefCell<Vec<Rc<Feed>>>,
     pub totals: RefCell<Totals>,
 }
@@ -120,6 +122,7 @@
             source: watch::Sender::new(Source::Store),
             pacing: RefCell::new(Pacing::new(settings.host.clone())),
             follow: RefCell::new(Follow::new(settings.host.clone(), settings.zone.clone())),
+            pull: RefCell::default(),
             feeds: RefCell::default(),
             totals: RefCell::default(),
             settings,
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -57,7 +57,8 @@
     }
 
     fn compare_version(&self, host: &Name, version: u64) {
-        if self.version() < version {
+        let is_newer = self.version() < version;
+        if is_newer && self.pull.borrow_mut().should_ask(self.clock.now(), version) {
             self.send(host, &PeerMessage::AskConfiguration);
         }
     }
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -173,6 +173,17 @@
     assert_eq!(check("l2").send(host.front).status, 200);
 }
 
+/// Found in a played day: an answer that took longer than 1.2 s on a slow link was given up and asked for
+/// anew, again and again.
+#[test]
+fn slow_link() {
+    let deployment = Deployment::start();
+    deployment.store.set_mode(StoreMode::Slow);
+    let host = deployment.spawn("front-1");
+    wait_for("the host is ready", || host.readiness() == 200);
+    assert_eq!(check("w1").send(host.front).status, 200);
+}
+
 #[test]
 fn configuration_follows() {
     let deployment = Deployment::start();
