fix: a key that goes after an outage is waited for since the store's return

Keys that lapsed are back within two seconds of the store's return, so the wait ends 2.2 s after the return, not after the loss. Test: waited_for_since_the_return (failed before).

--- a/crates/fanout/src/outage.rs
+++ b/crates/fanout/src/outage.rs
@@ -45,8 +45,12 @@
         self.is_away(now) || self.ended.is_some_and(|at| now.since(at) < RETURN_MS)
     }
 
-    /// How long a key that is missing is waited for, in milliseconds.
-    pub fn wait_ms(&self) -> u64 {
-        RETURN_MS
+    /// How long a key that is missing is waited for, in milliseconds: until all that live have had
+    /// the time to write theirs.
+    pub fn wait_ms(&self, now: Tick) -> u64 {
+        match self.ended {
+            Some(ended) if !self.is_away(now) => RETURN_MS.saturating_sub(now.since(ended)),
+            _ => RETURN_MS,
+        }
     }
 }
--- a/crates/fanout/tests/outage.rs
+++ b/crates/fanout/tests/outage.rs
@@ -46,3 +46,21 @@
     outage.answered(START + 6_000);
     assert!(outage.is_recent(START + 6_100));
 }
+
+/// Found by a hunt (trouble-1 --seed 575190724891): a key that went 1.4 s after the store's return was
+/// waited for until 3.6 s after it, and the upstream got new work for 2.05 s after it had left.
+#[test]
+fn waited_for_since_the_return() {
+    let mut outage = answering();
+    outage.failed(START + 100);
+    outage.answered(START + 3_000);
+    assert_eq!(outage.wait_ms(START + 3_000), 2_200);
+    assert_eq!(outage.wait_ms(START + 4_400), 800);
+}
+
+#[test]
+fn store_still_away() {
+    let mut outage = answering();
+    outage.failed(START + 100);
+    assert_eq!(outage.wait_ms(START + 1_500), 2_200);
+}
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -61,15 +61,16 @@
     /// The key of an upstream is gone; the upstream is too, unless the store has lost keys.
     fn gone(&self, id: &Name) {
         let outage = self.hub.store.outage();
-        if !outage.is_recent(self.hub.clock.now()) {
+        let now = self.hub.clock.now();
+        if !outage.is_recent(now) {
             return forget(&self.hub, &self.known, id);
         }
         if !self.known.borrow().contains(id) || self.lapsed.borrow().contains_key(id) {
             return;
         }
-        let wait_ms = outage.wait_ms();
+        let wait_ms = outage.wait_ms(now);
         log::info!("event=upstream_lapsed upstream={id} wait_ms={wait_ms}");
-        self.lapsed.borrow_mut().insert(id.clone(), self.hub.clock.now() + wait_ms);
+        self.lapsed.borrow_mut().insert(id.clone(), now + wait_ms);
         tokio::task::spawn_local(self.wait_for_return(id.clone(), wait_ms));
     }
 
