--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -118,6 +118,11 @@
         if !may_run_again {
             return Some(Refusal::may_have_run(cause));
         }
+        let is_over_there = matches!(end, AttemptEnd::Absent | AttemptEnd::Replaced);
+        if is_over_there && request.is_exhausted() && request.verdict == Verdict::NotRun {
+            // Nobody is left who may take it: its caller comes back as a new request.
+            return Some(self.refusal(request, RefusalCause::NoUpstream, Some(STOP_RETRY_MS)));
+        }
         let is_worn_out = request.sendings >= MOST_SENDINGS;
         if is_worn_out || (end == AttemptEnd::Failed && request.sendings > 1) {
             return Some(self.refusal(request, cause, Some(RETRY_MS)));
--- a/crates/dispatch/tests/retries.rs
+++ b/crates/dispatch/tests/retries.rs
@@ -190,3 +190,17 @@
     assert_eq!(refused.verdict, Verdict::NotRun);
     assert!(refused.retry_after_ms.is_some_and(|ms| ms <= 500));
 }
+
+/// A request that may go to one upstream only, which turned out to be another one or without the model,
+/// waited 150 ms for nothing.
+#[rstest]
+#[case(AttemptEnd::Replaced)]
+#[case(AttemptEnd::Absent)]
+fn hopeless_is_refused_at_once(#[case] end: AttemptEnd) {
+    let mut host = host(Route { max_attempts: 1, ..route("check", RequestKind::Once, "desk") });
+    let (id, actions) = host.arrive(request("a", "check", None));
+    sent_to(&actions, id);
+    let refused = refusal(&host.end(id, end), id).expect("refused at once");
+    assert_eq!(refused.verdict, Verdict::NotRun);
+    assert!(refused.retry_after_ms.is_some_and(|ms| ms <= 100));
+}
