revert: one watch tells of all keys

In a storm of configurations one watch answers with each version whole, and what runners announce waits behind them on a slow link. With a watch of its own it does not.

Ruled out: an aggregator on that host (none had it as its source).

Next: a watch for the configuration and one for the rest, once their keys share a beginning that leaves it out.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -128,9 +128,10 @@
         (peers::PREFIX.into(), Rc::new(PeerFollower { hub: hub.clone() })),
     ];
     for (prefix, follower) in followers {
-        hub.feeds.borrow_mut().push(Rc::new(Feed::new(prefix, follower)));
+        let feed = Rc::new(Feed::new(prefix, follower));
+        hub.feeds.borrow_mut().push(feed.clone());
+        spawn_local(feed::run(hub.clone(), feed, hub.store.clone()));
     }
-    spawn_local(feed::run(hub.clone()));
 }
 
 /// Follows the one key of the configuration.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,8 +1,8 @@
-//! Following keys in the store.
+//! Following the keys of a prefix in the store.
 
 use crate::{
     feed::Reader,
-    store::{Error, Snapshot, Store},
+    store::{Snapshot, Store},
 };
 use rand::RngExt;
 use std::time::Duration;
@@ -28,17 +28,24 @@
 /// The longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_millis(700);
 
-/// Reads all prefixes and watches them together, for as long as it is polled.
+/// Reads a prefix and watches it, for as long as it is polled.
 pub(crate) async fn follow(store: &Store, reader: &mut Reader) {
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
     loop {
-        let error = match read_all(store, reader).await {
-            Ok(revision) => {
+        let error = match store.range(reader.prefix()).await {
+            Ok(snapshot) => {
+                let revision = snapshot.at;
                 if std::mem::take(&mut is_lost) {
-                    log::info!("event=store_regained revision={}", revision.0);
+                    let items = snapshot.items.len();
+                    let prefix = reader.prefix();
+                    log::info!(
+                        "event=store_regained prefix={prefix} revision={} items={items}",
+                        revision.0
+                    );
                 }
                 pause = FIRST_PAUSE;
+                reader.read(snapshot);
                 watch(store, reader, revision).await
             }
             Err(error) => Some(error),
@@ -48,7 +55,7 @@
             continue;
         };
         if !std::mem::replace(&mut is_lost, true) {
-            log::warn!("event=store_lost error=\"{error}\"");
+            log::warn!("event=store_lost prefix={} error=\"{error}\"", reader.prefix());
         }
         reader.lost();
         sleep(jittered(pause)).await;
@@ -56,24 +63,11 @@
     }
 }
 
-/// Reads all prefixes; gives back the revision from which they have to be watched.
-async fn read_all(store: &Store, reader: &mut Reader) -> Result<Revision, Error> {
-    let mut from = Revision(u64::MAX);
-    for feed in reader.feeds() {
-        let snapshot = store.range(&feed.prefix).await?;
-        // Later readings see some changes twice.
-        from = from.min(snapshot.at);
-        reader.read(&feed, snapshot);
-    }
-    Ok(from)
-}
-
 /// Watches until something goes wrong; `None` if the store has forgotten the history.
-async fn watch(store: &Store, reader: &mut Reader, from: Revision) -> Option<Error> {
-    let prefix = reader.common_prefix();
+async fn watch(store: &Store, reader: &mut Reader, from: Revision) -> Option<crate::store::Error> {
     let mut after = from;
     loop {
-        match store.watch(&prefix, after, reader.watch_ms()).await {
+        match store.watch(reader.prefix(), after, reader.watch_ms()).await {
             Ok(WatchAnswer::Changes { changes, at }) => {
                 let is_change = !changes.is_empty();
                 let at = after.max(at);
@@ -85,7 +79,8 @@
                 }
             }
             Ok(WatchAnswer::HistoryGone) => {
-                log::info!("event=watch_history_gone after={}", after.0);
+                let prefix = reader.prefix();
+                log::info!("event=watch_history_gone prefix={prefix} after={}", after.0);
                 return None;
             }
             Err(error) => return Some(error),
