--- a/crates/fanout/src/follow.rs
+++ b/crates/fanout/src/follow.rs
@@ -61,6 +61,15 @@
     Aggregator { host: Name, heard: Tick, is_stale: bool },
 }
 
+/// A subscription that was asked for.
+#[derive(Clone, Debug)]
+struct Asked {
+    host: Name,
+    at: Tick,
+    /// How often it was repeated.
+    repeats: u32,
+}
+
 /// The choice of one host.
 #[derive(Clone, Debug)]
 pub struct Follow {
@@ -71,8 +80,8 @@
     suspects: BTreeMap<Name, Tick>,
     state: State,
     subscribers: usize,
-    /// The last subscription that was asked for.
-    asked: Option<(Name, Tick)>,
+    /// The subscription that was asked for and has brought nothing.
+    asked: Option<Asked>,
     probed: Option<Tick>,
 }
 
@@ -84,8 +93,11 @@
 const SUSPECT_MS: u64 = 3_000;
 /// A host that leaves is left alone for this long, in milliseconds.
 const LEAVING_MS: u64 = 15_000;
-/// A subscription that brought nothing is asked for again after this long, in milliseconds.
+/// A subscription that brought nothing is asked for again after this long, in milliseconds, and after
+/// twice as long each time: its answer is large, and may be on its way on a slow link.
 const ASK_MS: u64 = 500;
+/// Most doublings.
+const MOST_DOUBLINGS: u32 = 4;
 /// Between two probes of the store, in milliseconds.
 const PROBE_MS: u64 = 900;
 
@@ -168,7 +180,7 @@
     }
 
     fn synced(&mut self, now: Tick, from: Name, actions: &mut Vec<Action>) {
-        let is_asked = self.asked.as_ref().is_some_and(|(host, _)| *host == from);
+        let is_asked = self.asked.as_ref().is_some_and(|asked| asked.host == from);
         if !is_asked || self.subscribers > 0 {
             return;
         }
@@ -238,11 +250,14 @@
     }
 
     fn ask(&mut self, now: Tick, best: Name, actions: &mut Vec<Action>) {
-        let is_recent = |(host, at): &(Name, Tick)| *host == best && now.since(*at) < ASK_MS;
-        if self.asked.as_ref().is_some_and(is_recent) {
+        let earlier = self.asked.as_ref().filter(|asked| asked.host == best);
+        let is_recent =
+            |asked: &&Asked| now.since(asked.at) < ASK_MS << asked.repeats.min(MOST_DOUBLINGS);
+        if earlier.filter(is_recent).is_some() {
             return;
         }
-        self.asked = Some((best.clone(), now));
+        let repeats = earlier.map_or(0, |asked| asked.repeats + 1);
+        self.asked = Some(Asked { host: best.clone(), at: now, repeats });
         actions.push(Action::Subscribe(best));
     }
 }
--- a/crates/fanout/tests/follow.rs
+++ b/crates/fanout/tests/follow.rs
@@ -69,6 +69,17 @@
     assert_eq!(follow.handle(START + 600, Event::Tick), [Action::Subscribe(best())]);
 }
 
+/// Found by a hunt: a host on a slow link asked twice a second for all that its aggregator knows; the
+/// answers filled its link for the rest of the day, and it heard of leaving upstreams 5.6 s late.
+#[test]
+fn repeated_ever_more_rarely() {
+    let mut follow = follower(START);
+    let asked =
+        |follow: &mut Follow, millis| !follow.handle(START + millis, Event::Tick).is_empty();
+    let times: Vec<u64> = (0..200).map(|n| n * 100).filter(|at| asked(&mut follow, *at)).collect();
+    assert_eq!(times, [0, 500, 1_500, 3_500, 7_500, 15_500]);
+}
+
 /// Found by counting calls to the store: a host that stops keeps its key for a while, and whoever asked
 /// it in vain read the store meanwhile.
 #[test]
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -3,7 +3,7 @@
 use crate::{
     hub::Hub,
     peers::PeerMessage,
-    store::{Snapshot, Store},
+    store::Snapshot,
     watch::{self, Follower},
 };
 use serde::{Deserialize, Serialize};
@@ -78,6 +78,10 @@
         Ok(())
     }
 
+    fn has(&self, change: &Change) -> bool {
+        change.key().starts_with(&*self.prefix)
+    }
+
     fn snapshot(&self) -> Option<PrefixSnapshot> {
         let mirror = self.mirror.borrow();
         let items = mirror.items().cloned().collect();
@@ -90,10 +94,12 @@
     }
 }
 
-/// Reads `feed` from the store while that is this host's source, for as long as the process lives.
-pub(crate) async fn run(hub: Rc<Hub>, feed: Rc<Feed>, store: Store) {
+/// Reads all feeds from the store while that is this host's source, for as long as the process lives.
+pub(crate) async fn run(hub: Rc<Hub>) {
     let mut source = hub.source.subscribe();
-    let mut reader = Reader { hub: hub.clone(), feed };
+    let store = hub.store.clone();
+    let feeds = hub.feeds.borrow().clone();
+    let mut reader = Reader { hub, feeds };
     loop {
         // The sender lives as long as the hub.
         let _ = source.wait_for(|source| *source == Source::Store).await;
@@ -104,15 +110,21 @@
     }
 }
 
-/// Takes in what the store says of one feed.
+/// Takes in what the store says.
 pub(crate) struct Reader {
     hub: Rc<Hub>,
-    feed: Rc<Feed>,
+    feeds: Vec<Rc<Feed>>,
 }
 
 impl Reader {
-    pub(crate) fn prefix(&self) -> &str {
-        &self.feed.prefix
+    pub(crate) fn feeds(&self) -> Vec<Rc<Feed>> {
+        self.feeds.clone()
+    }
+
+    /// The beginning that the keys of all feeds share: one watch tells of all changes.
+    pub(crate) fn common_prefix(&self) -> Name {
+        let prefixes = self.feeds.iter().map(|feed| &*feed.prefix);
+        prefixes.reduce(common_beginning).unwrap_or_default().into()
     }
 
     /// How long the store may hold a watch: others rest on this one where it is an aggregator.
@@ -120,32 +132,42 @@
         if self.hub.is_fleet() { SHORT_WATCH_MS } else { WATCH_MS }
     }
 
-    /// All keys were read.
-    pub(crate) fn read(&mut self, snapshot: Snapshot) {
+    /// All keys of `feed` were read.
+    pub(crate) fn read(&mut self, feed: &Feed, snapshot: Snapshot) {
         let at = snapshot.at;
-        self.feed.confirmed.set(Some(self.hub.clock.now()));
-        if self.feed.replace(snapshot) {
-            self.hub.resend(&self.feed, at);
+        feed.confirmed.set(Some(self.hub.clock.now()));
+        if feed.replace(snapshot) {
+            self.hub.resend(feed, at);
         }
     }
 
     /// The store told changes up to `at`.
-    pub(crate) fn changed(&mut self, after: Revision, at: Revision, changes: Vec<Change>) {
-        self.feed.confirmed.set(Some(self.hub.clock.now()));
-        let is_change = !changes.is_empty();
-        // What was read here lies before what is watched: nothing can be missing.
-        let _ = self.feed.change(after, at, changes.clone());
-        if is_change {
-            self.hub.pass_on(&self.feed, at, changes);
+    pub(crate) fn changed(&mut self, after: Revision, at: Revision, mut changes: Vec<Change>) {
+        let now = self.hub.clock.now();
+        for feed in &self.feeds {
+            feed.confirmed.set(Some(now));
+            let own: Vec<Change> = changes.extract_if(.., |change| feed.has(change)).collect();
+            let is_change = !own.is_empty();
+            // What was read here lies before what is watched: nothing can be missing.
+            let _ = feed.change(after, at, own.clone());
+            if is_change {
+                self.hub.pass_on(feed, at, own);
+            }
         }
     }
 
     /// The store can't be asked.
     pub(crate) fn lost(&mut self) {
-        self.feed.follower.lost();
+        self.feeds.iter().for_each(|feed| feed.follower.lost());
     }
 }
 
+fn common_beginning<'a>(one: &'a str, other: &'a str) -> &'a str {
+    let same = one.char_indices().zip(other.chars()).take_while(|((_, a), b)| a == b);
+    let end = same.last().map_or(0, |((at, last), _)| at + last.len_utf8());
+    &one[..end]
+}
+
 /// How long the store may hold a watch, in milliseconds.
 const WATCH_MS: u64 = 3_000;
 /// The same in a large deployment, where an aggregator's silence must be told from the store's.
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -58,7 +58,7 @@
 
     fn compare_version(&self, host: &Name, version: u64) {
         let is_newer = self.version() < version;
-        if is_newer && self.pull.borrow_mut().should_ask(self.clock.now(), version) {
+        if is_newer && self.pull.borrow_mut().should_ask(self.clock.now()) {
             self.send(host, &PeerMessage::AskConfiguration);
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -128,10 +128,9 @@
         (peers::PREFIX.into(), Rc::new(PeerFollower { hub: hub.clone() })),
     ];
     for (prefix, follower) in followers {
-        let feed = Rc::new(Feed::new(prefix, follower));
-        hub.feeds.borrow_mut().push(feed.clone());
-        spawn_local(feed::run(hub.clone(), feed, hub.store.clone()));
+        hub.feeds.borrow_mut().push(Rc::new(Feed::new(prefix, follower)));
     }
+    spawn_local(feed::run(hub.clone()));
 }
 
 /// Follows the one key of the configuration.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,8 +1,8 @@
-//! Following the keys of a prefix in the store.
+//! Following keys in the store.
 
 use crate::{
     feed::Reader,
-    store::{Snapshot, Store},
+    store::{Error, Snapshot, Store},
 };
 use rand::RngExt;
 use std::time::Duration;
@@ -28,24 +28,17 @@
 /// The longest pause after failures.
 const LONGEST_PAUSE: Duration = Duration::from_millis(700);
 
-/// Reads a prefix and watches it, for as long as it is polled.
+/// Reads all prefixes and watches them together, for as long as it is polled.
 pub(crate) async fn follow(store: &Store, reader: &mut Reader) {
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
     loop {
-        let error = match store.range(reader.prefix()).await {
-            Ok(snapshot) => {
-                let revision = snapshot.at;
+        let error = match read_all(store, reader).await {
+            Ok(revision) => {
                 if std::mem::take(&mut is_lost) {
-                    let items = snapshot.items.len();
-                    let prefix = reader.prefix();
-                    log::info!(
-                        "event=store_regained prefix={prefix} revision={} items={items}",
-                        revision.0
-                    );
+                    log::info!("event=store_regained revision={}", revision.0);
                 }
                 pause = FIRST_PAUSE;
-                reader.read(snapshot);
                 watch(store, reader, revision).await
             }
             Err(error) => Some(error),
@@ -55,7 +48,7 @@
             continue;
         };
         if !std::mem::replace(&mut is_lost, true) {
-            log::warn!("event=store_lost prefix={} error=\"{error}\"", reader.prefix());
+            log::warn!("event=store_lost error=\"{error}\"");
         }
         reader.lost();
         sleep(jittered(pause)).await;
@@ -63,11 +56,24 @@
     }
 }
 
+/// Reads all prefixes; gives back the revision from which they have to be watched.
+async fn read_all(store: &Store, reader: &mut Reader) -> Result<Revision, Error> {
+    let mut from = Revision(u64::MAX);
+    for feed in reader.feeds() {
+        let snapshot = store.range(&feed.prefix).await?;
+        // Later readings see some changes twice.
+        from = from.min(snapshot.at);
+        reader.read(&feed, snapshot);
+    }
+    Ok(from)
+}
+
 /// Watches until something goes wrong; `None` if the store has forgotten the history.
-async fn watch(store: &Store, reader: &mut Reader, from: Revision) -> Option<crate::store::Error> {
+async fn watch(store: &Store, reader: &mut Reader, from: Revision) -> Option<Error> {
+    let prefix = reader.common_prefix();
     let mut after = from;
     loop {
-        match store.watch(reader.prefix(), after, reader.watch_ms()).await {
+        match store.watch(&prefix, after, reader.watch_ms()).await {
             Ok(WatchAnswer::Changes { changes, at }) => {
                 let is_change = !changes.is_empty();
                 let at = after.max(at);
@@ -79,8 +85,7 @@
                 }
             }
             Ok(WatchAnswer::HistoryGone) => {
-                let prefix = reader.prefix();
-                log::info!("event=watch_history_gone prefix={prefix} after={}", after.0);
+                log::info!("event=watch_history_gone after={}", after.0);
                 return None;
             }
             Err(error) => return Some(error),
