refactor: a request says what it adds to an upstream's load; an unread field goes

Cause: reserving.rs and sending.rs built the same Load, and Reservation kept when it was asked, which nothing read. Behaviour stays.

--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -34,7 +34,6 @@
     pub choice: Choice,
     /// What it adds to the engine's load.
     pub load: Load,
-    pub asked: Tick,
 }
 
 /// What is known of a sending that has not ended.
@@ -113,6 +112,11 @@
         }
     }
 
+    /// What it adds to the load of an upstream that has to read `unread_tokens` of its prompt.
+    pub(crate) fn load(&self, unread_tokens: u32) -> Load {
+        Load { running: 1, unread_tokens, held_tokens: self.tokens() }
+    }
+
     /// Tokens that it may come to hold at an engine.
     pub(crate) fn tokens(&self) -> u32 {
         self.head.prompt_tokens + self.head.output_tokens
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -5,22 +5,17 @@
     choose::{Choice, Expected},
     machine::MICROS_PER_MILLI,
     request::{Reservation, Stage},
-    upstream::Load,
 };
 use vanetally_pacing::{Moment, Prompt, Slot};
 use vanetally_types::Tick;
 
 impl Dispatch {
     /// Asks the engine's pacer for the moment; the request counts as the engine's load meanwhile.
-    pub(crate) fn reserve(&mut self, now: Tick, id: RequestId, choice: Choice) -> Option<Action> {
+    pub(crate) fn reserve(&mut self, id: RequestId, choice: Choice) -> Option<Action> {
         let request = self.requests.get_mut(&id)?;
         let upstream = self.upstreams.get_mut(&choice.upstream)?;
         self.queue.remove(id, request);
-        let load = Load {
-            running: 1,
-            unread_tokens: choice.expected.unread,
-            held_tokens: request.tokens(),
-        };
+        let load = request.load(choice.expected.unread);
         upstream.own.add(load);
         request.reservations += 1;
         let turn = request.reservations;
@@ -34,7 +29,7 @@
             per_token_us: per_token_us.round() as u32,
             gap_ms: request.gap_ms() as u32,
         };
-        request.stage = Stage::Reserving(Reservation { turn, choice, load, asked: now });
+        request.stage = Stage::Reserving(Reservation { turn, choice, load });
         Some(Action::Reserve { id, turn, prompt })
     }
 
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -4,7 +4,6 @@
     Action, Attempt, Dispatch, RequestId,
     choose::{Choice, Lack, View, choose},
     request::{Request, Sending, Stage},
-    upstream::Load,
 };
 use std::collections::HashSet;
 use vanetally_ports::{ModelRef, RequestKind};
@@ -52,7 +51,7 @@
             return;
         }
         match self.choose(now, request) {
-            Ok(choice) if self.is_engine(service) => actions.extend(self.reserve(now, id, choice)),
+            Ok(choice) if self.is_engine(service) => actions.extend(self.reserve(id, choice)),
             Ok(choice) => actions.extend(self.send(now, id, choice, 0)),
             Err(lack) => {
                 if request.tried.is_empty() {
@@ -106,11 +105,7 @@
         let request = self.requests.get_mut(&id)?;
         let upstream = self.upstreams.get_mut(&choice.upstream)?;
         self.queue.remove(id, request);
-        let load = Load {
-            running: 1,
-            unread_tokens: choice.expected.unread,
-            held_tokens: request.tokens(),
-        };
+        let load = request.load(choice.expected.unread);
         let attempt = Attempt {
             request: request.head.id.clone(),
             route: request.route.name.clone(),
