--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -9,6 +9,7 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
     rc::Rc,
+    time::Instant,
 };
 use tokio::sync::{mpsc, watch};
 use vanetally_dispatch::{self as dispatch, Attempt, Digest, Dispatch, Prediction, RequestId};
@@ -193,6 +194,7 @@
 
     /// The configuration lies in the store as `bytes`.
     pub(crate) fn configuration_seen(self: &Rc<Self>, bytes: &Bytes, source: &str) {
+        let begun = Instant::now();
         let configuration = match self.ports.configuration.read(bytes) {
             Ok(configuration) => Rc::new(configuration),
             Err(error) => {
@@ -204,14 +206,16 @@
         if old.is_some_and(|old| old >= configuration.version) {
             return;
         }
+        let (version, routes) = (configuration.version, configuration.routes.len());
+        *self.raw_configuration.borrow_mut() = Some(bytes.clone());
+        self.configure(configuration);
         log::info!(
-            "event=configuration_in_force version={} old={} source={source} routes={}",
-            configuration.version,
+            "event=configuration_in_force version={version} old={} source={source} routes={routes} \
+             bytes={} took_us={}",
             old.unwrap_or(0),
-            configuration.routes.len()
+            bytes.len(),
+            begun.elapsed().as_micros()
         );
-        *self.raw_configuration.borrow_mut() = Some(bytes.clone());
-        self.configure(configuration);
     }
 
     fn configure(self: &Rc<Self>, configuration: Rc<Configuration>) {
@@ -253,6 +257,7 @@
         }
         let dispatch = self.dispatch.borrow();
         telemetry::gauges(dispatch.counts(), dispatch.version(), self.is_ready(), is_holder);
+        telemetry::links(self.links.traffic());
     }
 
     fn log_placement(&self) {
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -2,7 +2,9 @@
 
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use std::sync::atomic::{AtomicU64, Ordering};
 use vanetally_dispatch::{AttemptEnd, Counts};
+use vanetally_link::peer::Traffic;
 use vanetally_ports::{OrderOutcome, RefusalCause};
 
 /// Bounds of the latency histograms, in seconds.
@@ -88,3 +90,12 @@
     gauge!("vanetally_order_holder").set(f64::from(u8::from(is_holder)));
     gauge!("vanetally_log_lines_dropped").set(crate::logging::dropped() as f64);
 }
+
+/// What went over the links to other hosts so far.
+pub(crate) fn links(traffic: &Traffic) {
+    let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+    counter!("vanetally_link_sent_messages_total").absolute(read(&traffic.sent));
+    counter!("vanetally_link_sent_bytes_total").absolute(read(&traffic.sent_bytes));
+    counter!("vanetally_link_received_bytes_total").absolute(read(&traffic.received_bytes));
+    counter!("vanetally_link_dropped_messages_total").absolute(read(&traffic.dropped));
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -119,6 +119,13 @@
         self.store.put("op/config", &configuration);
     }
 
+    /// The operator writes a configuration with `count` routes more.
+    pub fn configure_large(&self, version: u64, count: usize) {
+        let names: Vec<String> = (0..count).map(|number| format!("more{number}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        self.configure(version, &names);
+    }
+
     /// Starts a host.
     pub fn spawn(&self, name: &str) -> Host {
         self.spawn_at(name, &fresh_ip(), self.store.address())
