fix: after an outage all waiting counts from the store's return, found by quick probes

Cause: a host waited 2.2 s for keys that went during an outage, counted from its own first answer; that answer came after whatever call hung (1.2 s) and paused (0.7 s) at that moment. Spans that each begin where the last one ended added up to 3.9 s, and a host is bound again 3.0 s (contact_ms) after the trouble's end. Class: time limits chained on what a host happens to notice instead of counted from the event that all are judged by. Mend: Contact (fanout, was Outage) asks the store with a small read that costs a tenth, each second while it answers and each 0.2 s while calls are lost; its first answer is the end of the outage, and a watch or pause that hangs since before is given up at once. The wait stays within contact_ms of the settings. Aggregators tell their followers the same, which counted from their own renewals (2 s apart) before. The probe of followers read the whole configuration.

--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -8,15 +8,15 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod candidate;
+mod contact;
 mod follow;
 mod mirror;
-mod outage;
 mod pull;
 mod totals;
 
 pub use candidate::{Candidate, FEW_HOSTS, aggregators};
+pub use contact::{Contact, StoreState};
 pub use follow::{Action, Event, Follow, Source};
 pub use mirror::{Gap, Mirror};
-pub use outage::Outage;
 pub use pull::Pull;
 pub use totals::{Reported, Totals};
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -4,6 +4,7 @@
     hub::Hub,
     peers::PeerMessage,
     store::Snapshot,
+    tenure::HOLDER_KEY,
     watch::{self, Follower},
 };
 use serde::{Deserialize, Serialize};
@@ -11,7 +12,7 @@
     cell::{Cell, RefCell},
     rc::Rc,
 };
-use vanetally_fanout::{Action, Event, Gap, Mirror, Source};
+use vanetally_fanout::{Action, Event, Gap, Mirror, Source, StoreState};
 use vanetally_ports::{Change, Item, Revision};
 use vanetally_types::{Name, Tick};
 
@@ -204,6 +205,13 @@
         }
     }
 
+    /// A host that reads the store asks it now and then whether it answers.
+    pub(crate) fn probe_store(self: &Rc<Self>) {
+        if self.reads_store() && self.store.should_probe() {
+            tokio::task::spawn_local(probe(self.clone()));
+        }
+    }
+
     /// Milliseconds since the store confirmed the oldest of what is known here.
     pub(crate) fn age_ms(&self) -> Option<u64> {
         let now = self.clock.now();
@@ -213,12 +221,12 @@
     }
 
     /// All that this host knows, if it reads the store and has read all of it.
-    pub(crate) fn snapshots(&self) -> Option<Vec<PrefixSnapshot>> {
-        let is_reader = *self.source.borrow() == Source::Store;
+    pub(crate) fn snapshots(&self) -> Option<PeerMessage> {
         let feeds = self.feeds.borrow();
-        let snapshots: Option<Vec<PrefixSnapshot>> =
+        let prefixes: Option<Vec<PrefixSnapshot>> =
             feeds.iter().map(|feed| feed.snapshot()).collect();
-        snapshots.filter(|_| is_reader)
+        let prefixes = prefixes.filter(|_| self.reads_store())?;
+        Some(PeerMessage::Snapshots { store: self.store.state(), prefixes })
     }
 
     /// An aggregator told all that it knows.
@@ -237,10 +245,16 @@
     }
 
     /// An aggregator told changes.
-    pub(crate) fn take_changes(self: &Rc<Self>, from: &Name, changes: PrefixChanges) {
+    pub(crate) fn take_changes(
+        self: &Rc<Self>,
+        from: &Name,
+        store: StoreState,
+        changes: PrefixChanges,
+    ) {
         if *self.source.borrow() != Source::Aggregator(from.clone()) {
             return;
         }
+        self.store.told(store);
         let feeds = self.feeds.borrow().clone();
         let PrefixChanges { prefix, after, at, changes } = changes;
         let feed = feeds.iter().find(|feed| feed.prefix == prefix);
@@ -255,19 +269,19 @@
         let after = feed.told.replace(at);
         let prefix = feed.prefix.clone();
         let changes = PrefixChanges { prefix, after, at, changes };
-        self.tell_subscribers(|| Some(PeerMessage::Changes(changes)));
+        let store = self.store.state();
+        self.tell_subscribers(|| Some(PeerMessage::Changes { store, changes }));
     }
 
     /// All keys were read anew: subscribers start from there as well.
     fn resend(&self, feed: &Feed, at: Revision) {
         feed.told.set(at);
-        self.tell_subscribers(|| self.snapshots().map(PeerMessage::Snapshots));
+        self.tell_subscribers(|| self.snapshots());
     }
 }
 
-/// Reads something small from the store.
+/// Sees whether the store answers this host.
 async fn probe(hub: Rc<Hub>) {
-    let prefix = hub.ports.configuration.key().to_owned();
-    let is_answered = hub.store.range(&prefix).await.is_ok();
+    let is_answered = hub.store.probe(HOLDER_KEY).await;
     hub.follow_event(Event::Probed(is_answered));
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -107,7 +107,7 @@
             clock,
             pool: Pool::default(),
             control: Pool::default(),
-            store: Store::new(settings.store.address, ports.store.clone(), clock),
+            store: Store::new(&settings.store, bounds.contact_ms, ports.store.clone(), clock),
             stage: watch::Sender::new(Stage::Serving),
             host_lease: Cell::new(None),
             links,
@@ -243,6 +243,7 @@
         self.request_event(dispatch::Event::Tick);
         self.tenure_event(TenureEvent::Tick);
         self.follow_event(FollowEvent::Tick);
+        self.probe_store();
         self.placement_event(placement::Event::Tick);
     }
 
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -32,8 +32,11 @@
                 self.totals.borrow_mut().unsubscribe(from);
                 self.peer_left(from.clone());
             }
-            PeerMessage::Snapshots(snapshots) => self.take_snapshots(from, snapshots),
-            PeerMessage::Changes(changes) => self.take_changes(from, changes),
+            PeerMessage::Snapshots { store, prefixes } => {
+                self.store.told(store);
+                self.take_snapshots(from, prefixes);
+            }
+            PeerMessage::Changes { store, changes } => self.take_changes(from, store, changes),
             PeerMessage::Reserve { number, prompt } => self.reserve_for(from, number, &prompt),
             PeerMessage::Reserved { number, slot } => self.reserved(number, slot),
             PeerMessage::Want { service, model, adapter } => {
@@ -63,7 +66,7 @@
         }
     }
 
-    fn reads_store(&self) -> bool {
+    pub(crate) fn reads_store(&self) -> bool {
         *self.source.borrow() == Source::Store
     }
 
@@ -90,8 +93,9 @@
 
     /// An aggregator told the load of all.
     fn peer_total(self: &Rc<Self>, from: &Name, total: Total) {
-        let Total { reported, version, age_ms, is_leaving, loads } = total;
+        let Total { reported, version, age_ms, store, is_leaving, loads } = total;
         if *self.source.borrow() == Source::Aggregator(from.clone()) {
+            self.store.told(store);
             self.compare_version(from, version);
             let own = reported.iter().find(|(host, _)| *host == self.settings.host);
             if let Some((_, number)) = own {
@@ -109,8 +113,8 @@
         }
         self.totals.borrow_mut().subscribe(self.clock.now(), from.clone());
         self.count_subscribers();
-        if let Some(snapshots) = self.snapshots() {
-            self.send(from, &PeerMessage::Snapshots(snapshots));
+        if let Some(message) = self.snapshots() {
+            self.send(from, &message);
         }
     }
 
@@ -120,6 +124,7 @@
             reported: Vec::new(),
             version: self.version(),
             age_ms: self.age_ms(),
+            store: self.store.state(),
             is_leaving: true,
             loads: Vec::new(),
         }
@@ -175,8 +180,8 @@
         if !reported.is_empty() {
             let reported = reported.into_iter().map(|one| (one.host, one.number)).collect();
             let is_leaving = *self.stage.borrow() != Stage::Serving;
-            let age_ms = self.age_ms();
-            let total = Total { reported, version, age_ms, is_leaving, loads };
+            let (age_ms, store) = (self.age_ms(), self.store.state());
+            let total = Total { reported, version, age_ms, store, is_leaving, loads };
             self.tell_subscribers(|| Some(PeerMessage::Total(total)));
         }
         let is_new = *self.last_digest.borrow() != sum;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::sleep;
 use vanetally_dispatch::{Digest, LoadRow};
+use vanetally_fanout::StoreState;
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_placement::TenureEvent;
 use vanetally_ports::{Change, Item, LeaseId, StoreAnswer, Transaction, Write};
@@ -60,9 +61,19 @@
     /// To an aggregator: the sender needs no more.
     Unsubscribe,
     /// From an aggregator: all that it knows.
-    Snapshots(Vec<PrefixSnapshot>),
+    Snapshots {
+        /// Its contact with the store.
+        store: StoreState,
+        /// The keys.
+        prefixes: Vec<PrefixSnapshot>,
+    },
     /// From an aggregator: what changed.
-    Changes(PrefixChanges),
+    Changes {
+        /// Its contact with the store.
+        store: StoreState,
+        /// The changes.
+        changes: PrefixChanges,
+    },
     /// To the pacer of an engine: when may this prompt be sent?
     Reserve {
         /// The number of this question.
@@ -112,6 +123,8 @@
     pub version: u64,
     /// Milliseconds since the store confirmed what the aggregator passes on.
     pub age_ms: Option<u64>,
+    /// The aggregator's contact with the store.
+    pub store: StoreState,
     /// Whether it is about to stop.
     pub is_leaving: bool,
     /// The load of all hosts.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -56,6 +56,9 @@
     pub order_lease_ms: u64,
     /// Window of the weight store's rate, in milliseconds.
     pub load_window_ms: u64,
+    /// Milliseconds after trouble of the store or of the way to it within which a host has to know
+    /// again what lies there.
+    pub contact_ms: u64,
 }
 
 impl Default for Bounds {
@@ -67,6 +70,7 @@
             retry_slack: 10.0,
             order_lease_ms: 3_000,
             load_window_ms: 5_000,
+            contact_ms: 3_000,
         }
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,15 +4,18 @@
     call::{self, Reply},
     clock::Clock,
     pool::Pool,
+    settings::StoreSettings,
     telemetry,
 };
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
-use vanetally_fanout::Outage;
+use tokio::sync::watch;
+use vanetally_fanout::{Contact, StoreState};
 use vanetally_ports::{
     FormatError, Item, LeaseId, Revision, StoreAnswer, StoreProtocol, Transaction, WatchAnswer,
 };
+use vanetally_types::Tick;
 
 /// Why a call to the store brought nothing.
 #[derive(Debug, thiserror::Error)]
@@ -42,7 +45,9 @@
     address: SocketAddr,
     protocol: Rc<dyn StoreProtocol>,
     clock: Clock,
-    outage: Rc<RefCell<Outage>>,
+    contact: Rc<RefCell<Contact>>,
+    /// Counts how often the way to the store opened again.
+    returns: Rc<watch::Sender<u64>>,
 }
 
 /// For a short call.
@@ -56,22 +61,67 @@
 }
 
 impl Store {
-    pub(crate) fn new(address: SocketAddr, protocol: Rc<dyn StoreProtocol>, clock: Clock) -> Self {
-        Self { pool: Pool::default(), address, protocol, clock, outage: Rc::default() }
+    pub(crate) fn new(
+        settings: &StoreSettings,
+        contact_ms: u64,
+        protocol: Rc<dyn StoreProtocol>,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            pool: Pool::default(),
+            address: settings.address,
+            protocol,
+            clock,
+            contact: Rc::new(RefCell::new(Contact::new(contact_ms))),
+            returns: Rc::new(watch::Sender::new(0)),
+        }
     }
 
     /// Whether the store was away lately.
-    pub(crate) fn outage(&self) -> Outage {
-        *self.outage.borrow()
+    pub(crate) fn contact(&self) -> Contact {
+        *self.contact.borrow()
+    }
+
+    /// What other hosts may rest on.
+    pub(crate) fn state(&self) -> StoreState {
+        self.contact.borrow().state(self.clock.now())
+    }
+
+    /// Another host told what it knows of the store.
+    pub(crate) fn told(&self, state: StoreState) {
+        self.contact.borrow_mut().told(self.clock.now(), state);
+    }
+
+    /// Changes whenever the way to the store opens again: what hangs should be begun anew.
+    pub(crate) fn returns(&self) -> watch::Receiver<u64> {
+        self.returns.subscribe()
+    }
+
+    /// Whether to send a probe now.
+    pub(crate) fn should_probe(&self) -> bool {
+        self.contact.borrow_mut().should_probe(self.clock.now())
+    }
+
+    /// Sees whether the store answers, on a connection of its own: what was lost on a kept one may be
+    /// repeated only much later.
+    pub(crate) async fn probe(&self, key: &str) -> bool {
+        let sent = self.clock.now();
+        let request = self.protocol.probe(key);
+        let reply = call::call(&Pool::default(), self.address, request, CALL).await;
+        telemetry::store_call("probe", reply.is_ok());
+        self.note(sent, &reply)
     }
 
-    fn note(&self, reply: &Result<Reply, call::Error>) {
-        let now = self.clock.now();
-        let mut outage = self.outage.borrow_mut();
-        match reply {
-            Ok(reply) if !is_refusal(reply.status) => outage.answered(now),
-            Ok(_) | Err(_) => outage.failed(now),
+    /// Takes in how a call went; tells whether the store did what it was asked.
+    fn note(&self, sent: Tick, reply: &Result<Reply, call::Error>) -> bool {
+        let is_answered = reply.as_ref().is_ok_and(|reply| !is_refusal(reply.status));
+        let mut contact = self.contact.borrow_mut();
+        if !is_answered {
+            contact.failed(sent);
+        } else if contact.answered(sent, self.clock.now()) {
+            self.returns.send_modify(|count| *count += 1);
         }
+        is_answered
     }
 
     async fn call(
@@ -80,9 +130,10 @@
         request: Request<Bytes>,
         within: Duration,
     ) -> Result<Reply, Error> {
+        let sent = self.clock.now();
         let reply = call::call(&self.pool, self.address, request, within).await;
         telemetry::store_call(name, reply.is_ok());
-        self.note(&reply);
+        self.note(sent, &reply);
         Ok(reply?)
     }
 
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -60,15 +60,15 @@
 
     /// The key of an upstream is gone; the upstream is too, unless the store has lost keys.
     fn gone(&self, id: &Name) {
-        let outage = self.hub.store.outage();
+        let contact = self.hub.store.contact();
         let now = self.hub.clock.now();
-        if !outage.is_recent(now) {
+        if !contact.is_recent(now) {
             return forget(&self.hub, &self.known, id);
         }
         if !self.known.borrow().contains(id) || self.lapsed.borrow().contains_key(id) {
             return;
         }
-        let wait_ms = outage.wait_ms(now);
+        let wait_ms = contact.wait_ms(now);
         log::info!("event=upstream_lapsed upstream={id} wait_ms={wait_ms}");
         self.lapsed.borrow_mut().insert(id.clone(), now + wait_ms);
         tokio::task::spawn_local(self.wait_for_return(id.clone(), wait_ms));
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -29,19 +29,17 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(700);
 
 /// Reads all prefixes and watches them together, for as long as it is polled.
+///
+/// A call that hangs when the way to the store opens again is given up, and a pause ends there.
 pub(crate) async fn follow(store: &Store, reader: &mut Reader) {
+    let mut returns = store.returns();
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
     loop {
-        let error = match read_all(store, reader).await {
-            Ok(revision) => {
-                if std::mem::take(&mut is_lost) {
-                    log::info!("event=store_regained revision={}", revision.0);
-                }
-                pause = FIRST_PAUSE;
-                watch(store, reader, revision).await
-            }
-            Err(error) => Some(error),
+        returns.mark_unchanged();
+        let error = tokio::select! {
+            error = read_and_watch(store, reader, &mut is_lost, &mut pause) => error,
+            _ = returns.changed() => None,
         };
         // History that is gone is no failure: read anew at once.
         let Some(error) = error else {
@@ -51,11 +49,32 @@
             log::warn!("event=store_lost error=\"{error}\"");
         }
         reader.lost();
-        sleep(jittered(pause)).await;
+        tokio::select! {
+            () = sleep(jittered(pause)) => {}
+            _ = returns.changed() => {}
+        }
         pause = (pause * 2).min(LONGEST_PAUSE);
     }
 }
 
+/// Reads and watches until something goes wrong; `None` if the store has forgotten the history.
+async fn read_and_watch(
+    store: &Store,
+    reader: &mut Reader,
+    is_lost: &mut bool,
+    pause: &mut Duration,
+) -> Option<Error> {
+    let revision = match read_all(store, reader).await {
+        Ok(revision) => revision,
+        Err(error) => return Some(error),
+    };
+    if std::mem::take(is_lost) {
+        log::info!("event=store_regained revision={}", revision.0);
+    }
+    *pause = FIRST_PAUSE;
+    watch(store, reader, revision).await
+}
+
 /// Reads all prefixes; gives back the revision from which they have to be watched.
 async fn read_all(store: &Store, reader: &mut Reader) -> Result<Revision, Error> {
     let mut from = Revision(u64::MAX);
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -129,6 +129,9 @@
 
 /// What the store speaks.
 pub trait StoreProtocol {
+    /// The cheapest call that shows whether the store answers; `key` is a small one, there or not.
+    fn probe(&self, key: &str) -> http::Request<Bytes>;
+
     /// The call that reads one page of the keys that begin with `prefix`, after the key `after`.
     fn range(&self, prefix: &str, after: Option<&str>) -> http::Request<Bytes>;
 
