fix: configurations travel between hosts as patches on request, apart from what is urgent

Cause: an aggregator passed each version whole to each host of its failure domain, in line with changes of upstreams and loads; 550 KB for each of 71 hosts, on links of 10 Mbit/s. Loads then came late, hosts took their aggregator for silent (0.6 s), read the store whole, subscribed anew and got all of it once more; sends that took 2 s broke links. Requests, and the operator's own writes, waited behind these bytes. Class: bulk on the path of what has a time limit, with limits on that path that answer slowness by sending the bulk again. Mend: upstreams' and hosts' keys are passed on as before, configurations never are. Hosts tell their version with each load; who is behind asks, says what it has, and gets a patch (zstd with that version as dictionary: 68 bytes for one line of 513 KB in 2.7 ms; bsdiff-like libraries sort suffixes and cost too much on 0.12 cores). Versions in between are skipped; an answer frees the next question at once (it was held for 1.5 s). The configuration is read last. Ruled out: processor time (6 to 44 ms a version); message form alone (CBOR lists of bytes doubled answers to questions, but most copies went as byte strings).

--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -13,6 +13,7 @@
 mod mirror;
 mod pull;
 mod totals;
+mod versions;
 
 pub use candidate::{Candidate, FEW_HOSTS, aggregators};
 pub use contact::{Contact, StoreState};
@@ -20,3 +21,4 @@
 pub use mirror::{Gap, Mirror};
 pub use pull::Pull;
 pub use totals::{Reported, Totals};
+pub use versions::{Error, Patch, Versions};
--- a/crates/fanout/src/pull.rs
+++ b/crates/fanout/src/pull.rs
@@ -8,7 +8,8 @@
     asked: Option<Tick>,
 }
 
-/// A large value on a slow link takes as long: asking for it again would only slow it down.
+/// A whole value on a slow link takes as long: asking for it again would only slow it down, in
+/// milliseconds.
 const AGAIN_MS: u64 = 1_500;
 
 impl Pull {
@@ -23,4 +24,9 @@
         self.asked = Some(now);
         true
     }
+
+    /// What was asked for came: the next version may be asked for at once.
+    pub fn came(&mut self) {
+        self.asked = None;
+    }
 }
--- a/crates/fanout/tests/pull.rs
+++ b/crates/fanout/tests/pull.rs
@@ -19,3 +19,12 @@
     assert!(pull.should_ask(Tick(1_500)));
     assert!(!pull.should_ask(Tick(1_600)));
 }
+
+/// What came is no reason to wait: the next version of a quick series is asked for at once.
+#[test]
+fn next_one_at_once() {
+    let mut pull = Pull::default();
+    pull.should_ask(Tick(0));
+    pull.came();
+    assert!(pull.should_ask(Tick(100)));
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -19,6 +19,8 @@
 /// The keys of one prefix.
 pub(crate) struct Feed {
     pub prefix: Name,
+    /// Whether aggregators pass its keys on.
+    is_shared: bool,
     follower: Rc<dyn Follower>,
     mirror: RefCell<Mirror>,
     /// When the store last confirmed what is known.
@@ -52,10 +54,16 @@
 }
 
 impl Feed {
-    /// Knows nothing yet; `follower` hears what comes.
-    pub(crate) fn new(prefix: Name, follower: Rc<dyn Follower>) -> Self {
+    /// Knows nothing yet; `follower` hears what comes, from the store or an aggregator.
+    pub(crate) fn shared(prefix: Name, follower: Rc<dyn Follower>) -> Self {
+        Self { is_shared: true, ..Self::own(prefix, follower) }
+    }
+
+    /// The same, but only the store tells: what other hosts need of it they ask for in another way.
+    pub(crate) fn own(prefix: Name, follower: Rc<dyn Follower>) -> Self {
         Self {
             prefix,
+            is_shared: false,
             follower,
             mirror: RefCell::default(),
             confirmed: Cell::new(None),
@@ -137,7 +145,7 @@
     pub(crate) fn read(&mut self, feed: &Feed, snapshot: Snapshot) {
         let at = snapshot.at;
         feed.confirmed.set(Some(self.hub.clock.now()));
-        if feed.replace(snapshot) {
+        if feed.replace(snapshot) && feed.is_shared {
             self.hub.resend(feed, at);
         }
     }
@@ -151,7 +159,7 @@
             let is_change = !own.is_empty();
             // What was read here lies before what is watched: nothing can be missing.
             let _ = feed.change(after, at, own.clone());
-            if is_change {
+            if is_change && feed.is_shared {
                 self.hub.pass_on(feed, at, own);
             }
         }
@@ -220,9 +228,15 @@
         ages?.into_iter().max()
     }
 
+    /// The feeds that aggregators pass on.
+    fn shared_feeds(&self) -> Vec<Rc<Feed>> {
+        let feeds = self.feeds.borrow();
+        feeds.iter().filter(|feed| feed.is_shared).cloned().collect()
+    }
+
     /// All that this host knows, if it reads the store and has read all of it.
     pub(crate) fn snapshots(&self) -> Option<PeerMessage> {
-        let feeds = self.feeds.borrow();
+        let feeds = self.shared_feeds();
         let prefixes: Option<Vec<PrefixSnapshot>> =
             feeds.iter().map(|feed| feed.snapshot()).collect();
         let prefixes = prefixes.filter(|_| self.reads_store())?;
@@ -231,7 +245,7 @@
 
     /// An aggregator told all that it knows.
     pub(crate) fn take_snapshots(self: &Rc<Self>, from: &Name, snapshots: Vec<PrefixSnapshot>) {
-        let feeds = self.feeds.borrow().clone();
+        let feeds = self.shared_feeds();
         let mut taken = 0;
         for snapshot in snapshots {
             let PrefixSnapshot { prefix, at, items } = snapshot;
@@ -255,7 +269,7 @@
             return;
         }
         self.store.told(store);
-        let feeds = self.feeds.borrow().clone();
+        let feeds = self.shared_feeds();
         let PrefixChanges { prefix, after, at, changes } = changes;
         let feed = feeds.iter().find(|feed| feed.prefix == prefix);
         if feed.is_some_and(|feed| feed.change(after, at, changes).is_err()) {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -13,7 +13,7 @@
 };
 use tokio::sync::{mpsc, watch};
 use vanetally_dispatch::{self as dispatch, Attempt, Digest, Dispatch, Prediction, RequestId};
-use vanetally_fanout::{Event as FollowEvent, Follow, Pull, Source, Totals};
+use vanetally_fanout::{Event as FollowEvent, Follow, Pull, Source, Totals, Versions};
 use vanetally_link::peer::Links;
 use vanetally_placement::{self as placement, Placement, Tenure, TenureEvent, TenureOptions};
 use vanetally_ports::{Configuration, Ports, Refusal, UpstreamState};
@@ -64,7 +64,8 @@
     pub peers: RefCell<BTreeMap<Name, HostEntry>>,
     pub waiters: RefCell<HashMap<RequestId, mpsc::UnboundedSender<Command>>>,
     pub next_id: Cell<u64>,
-    pub raw_configuration: RefCell<Option<Bytes>>,
+    /// The last configurations as they lay in the store.
+    pub versions: RefCell<Versions>,
     pub last_digest: RefCell<Digest>,
     /// Where this host reads what lies in the store.
     pub source: watch::Sender<Source>,
@@ -118,7 +119,7 @@
             peers: RefCell::new(BTreeMap::new()),
             waiters: RefCell::new(HashMap::new()),
             next_id: Cell::new(0),
-            raw_configuration: RefCell::new(None),
+            versions: RefCell::default(),
             last_digest: RefCell::new(Digest::default()),
             source: watch::Sender::new(Source::Store),
             pacing: RefCell::new(Pacing::new(settings.host.clone())),
@@ -207,7 +208,7 @@
             return;
         }
         let (version, routes) = (configuration.version, configuration.routes.len());
-        *self.raw_configuration.borrow_mut() = Some(bytes.clone());
+        self.versions.borrow_mut().insert(version, bytes.clone());
         self.configure(configuration);
         log::info!(
             "event=configuration_in_force version={version} old={} source={source} routes={routes} \
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod call;
 mod clock;
+mod configuration;
 mod exchange;
 mod feed;
 mod front;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -46,23 +46,8 @@
             PeerMessage::Placed { runner, model, adapter, is_present } => {
                 self.placed(runner, ModelRef { model, adapter }, is_present);
             }
-            PeerMessage::AskConfiguration => {
-                if let Some(bytes) = &*self.raw_configuration.borrow() {
-                    self.send(from, &PeerMessage::Configuration(bytes.to_vec()));
-                }
-            }
-            PeerMessage::Configuration(bytes) => self.configuration_seen(&bytes.into(), "peer"),
-        }
-    }
-
-    fn version(&self) -> u64 {
-        self.dispatch.borrow().version().unwrap_or(0)
-    }
-
-    fn compare_version(&self, host: &Name, version: u64) {
-        let is_newer = self.version() < version;
-        if is_newer && self.pull.borrow_mut().should_ask(self.clock.now()) {
-            self.send(host, &PeerMessage::AskConfiguration);
+            PeerMessage::AskConfiguration { have } => self.tell_configuration(from, have),
+            PeerMessage::Configuration(patch) => self.take_configuration(from, &patch),
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,7 +10,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::sleep;
 use vanetally_dispatch::{Digest, LoadRow};
-use vanetally_fanout::StoreState;
+use vanetally_fanout::{Patch, StoreState};
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_placement::TenureEvent;
 use vanetally_ports::{Change, Item, LeaseId, StoreAnswer, Transaction, Write};
@@ -108,10 +108,13 @@
         /// Whether it is there.
         is_present: bool,
     },
-    /// The sender asks for the configuration, since it can't ask the store.
-    AskConfiguration,
+    /// The sender asks for the configuration.
+    AskConfiguration {
+        /// The version that it has.
+        have: Option<u64>,
+    },
     /// The configuration as it lay in the store.
-    Configuration(Vec<u8>),
+    Configuration(Patch),
 }
 
 /// What an aggregator tells its subscribers, now and then.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -120,16 +120,16 @@
 }
 
 fn follow_store(hub: &Rc<Hub>) {
-    let configuration = hub.ports.configuration.key().into();
-    let upstreams = hub.ports.upstreams.prefix().into();
-    let followers: [(Name, Rc<dyn Follower>); 3] = [
-        (configuration, Rc::new(ConfigurationFollower { hub: hub.clone() })),
-        (upstreams, Rc::new(UpstreamFollower::new(hub.clone()))),
-        (peers::PREFIX.into(), Rc::new(PeerFollower { hub: hub.clone() })),
+    let upstreams = Rc::new(UpstreamFollower::new(hub.clone()));
+    let peers = Rc::new(PeerFollower { hub: hub.clone() });
+    let configuration = Rc::new(ConfigurationFollower { hub: hub.clone() });
+    // The configuration may be large: it is read last.
+    let feeds = [
+        Feed::shared(hub.ports.upstreams.prefix().into(), upstreams),
+        Feed::shared(peers::PREFIX.into(), peers),
+        Feed::own(hub.ports.configuration.key().into(), configuration),
     ];
-    for (prefix, follower) in followers {
-        hub.feeds.borrow_mut().push(Rc::new(Feed::new(prefix, follower)));
-    }
+    hub.feeds.borrow_mut().extend(feeds.map(Rc::new));
     spawn_local(feed::run(hub.clone()));
 }
 
