fix: whether an upstream stays, and how much time is left, is looked at once more before the first byte

Mend: with the connection in hand, Dispatch::may_send says whether the upstream still takes new requests; if not, the attempt ends as withdrawn, costs nothing and goes elsewhere at once. The deadline passed on is what is left then.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -50,8 +50,10 @@
             // The upstream's own failure went to the caller, unless it may be tried again.
             AttemptEnd::Failed if answered || !request.route.is_repeatable() => return,
             AttemptEnd::Failed => request.verdict = Verdict::Ran,
-            AttemptEnd::Unreachable if request.sendings == 1 => request.tried.clear(),
-            AttemptEnd::Unreachable => {}
+            AttemptEnd::Unreachable | AttemptEnd::Withdrawn if request.sendings == 1 => {
+                request.tried.clear();
+            }
+            AttemptEnd::Unreachable | AttemptEnd::Withdrawn => {}
             AttemptEnd::Broken => request.verdict = Verdict::MayHaveRun,
             AttemptEnd::Full | AttemptEnd::Absent | AttemptEnd::Replaced => {
                 request.not_before = now + AGAIN_MS;
@@ -80,6 +82,7 @@
             // An upstream's own failure of a request that may be repeated says little: others that
             // are asked fail as well, where the request is at fault.
             AttemptEnd::Failed if request.route.kind == RequestKind::Idempotent => {}
+            AttemptEnd::Withdrawn => {}
             AttemptEnd::Failed | AttemptEnd::Broken => upstream.health.ended(now, false),
             AttemptEnd::Unreachable => {
                 upstream.health.ended(now, false);
@@ -129,8 +132,9 @@
         }
         // The next sending is paid for here: one that never was sent costs nothing.
         let service = &request.service;
-        let is_paid = end == AttemptEnd::Unreachable
-            || self.budgets.get_mut(service).is_some_and(|budget| budget.try_spend(now));
+        let is_unsent = matches!(end, AttemptEnd::Unreachable | AttemptEnd::Withdrawn);
+        let is_paid =
+            is_unsent || self.budgets.get_mut(service).is_some_and(|budget| budget.try_spend(now));
         if !is_paid || now + LEAST_LEFT_MS >= request.deadline {
             return Some(self.refusal(request, cause, Some(RETRY_MS)));
         }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -39,6 +39,8 @@
     Failed,
     /// No connection came about: nothing was sent.
     Unreachable,
+    /// It left before anything was sent.
+    Withdrawn,
     /// The upstream turned it away as full.
     Full,
     /// The upstream does not hold what was asked for.
@@ -56,6 +58,7 @@
             Self::Served => "served",
             Self::Failed => "failed",
             Self::Unreachable => "unreachable",
+            Self::Withdrawn => "withdrawn",
             Self::Full => "full",
             Self::Absent => "absent",
             Self::Replaced => "replaced",
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -146,6 +146,17 @@
         Some(Action::Send { id, attempt })
     }
 
+    /// Whether the request `id` may still go to the upstream that was chosen for it: between the choice
+    /// and the first byte lie the pacer's delay and the making of a connection, and the upstream may
+    /// have left by then.
+    pub fn may_send(&self, now: Tick, id: RequestId) -> bool {
+        let Some(Stage::Sent(sending)) = self.requests.get(&id).map(|request| &request.stage)
+        else {
+            return false;
+        };
+        self.upstreams.get(&sending.upstream).is_some_and(|upstream| upstream.takes_new(now))
+    }
+
     /// This host's share of the connections to an upstream.
     fn connections(&self, upstream: &Name) -> usize {
         let service = self.upstreams.get(upstream).map(|u| &u.state.service);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -190,6 +190,14 @@
                 return failure.unwrap_or(own);
             }
         };
+        let sending = Sending {
+            hub: &caller.hub,
+            id: caller.id,
+            name: &caller.name,
+            outgoing: &outgoing,
+            attempt: &attempt,
+            resume_after: None,
+        };
         let asked = tokio::select! {
             biased;
             command = caller.commands.recv() => {
@@ -199,7 +207,7 @@
                 };
                 return refused(&mut caller, &refusal);
             }
-            asked = ask_in_time(&caller.hub, &caller.name, &outgoing, &attempt, None) => asked,
+            asked = ask_in_time(sending) => asked,
         };
         match asked {
             Asked::Ended(end) => caller.attempt_ended(&attempt, end, false),
@@ -224,30 +232,33 @@
     hub.ports.caller.refuse(name, refusal).map(|body| Answer::Whole(Some(body)))
 }
 
+/// Which request goes where: what one sending needs to know.
+#[derive(Clone, Copy)]
+pub(crate) struct Sending<'a> {
+    pub hub: &'a Hub,
+    pub id: RequestId,
+    pub name: &'a Name,
+    pub outgoing: &'a Outgoing,
+    pub attempt: &'a Attempt,
+    /// The last event of a stream that goes on, if it does.
+    pub resume_after: Option<&'a Name>,
+}
+
 /// Sends the request at the moment that was found for it.
-pub(crate) async fn ask_in_time(
-    hub: &Hub,
-    name: &Name,
-    outgoing: &Outgoing,
-    attempt: &Attempt,
-    resume_after: Option<Name>,
-) -> Asked {
-    if attempt.delay_ms > 0 {
-        tokio::time::sleep(Duration::from_millis(attempt.delay_ms.into())).await;
+pub(crate) async fn ask_in_time(sending: Sending<'_>) -> Asked {
+    let chosen = Instant::now();
+    let delay = Duration::from_millis(sending.attempt.delay_ms.into());
+    if !delay.is_zero() {
+        tokio::time::sleep(delay).await;
     }
-    ask(hub, name, outgoing, attempt, resume_after).await
+    ask(sending, chosen + delay).await
 }
 
-/// Sends the request once, and reads the head of the answer.
-async fn ask(
-    hub: &Hub,
-    name: &Name,
-    outgoing: &Outgoing,
-    attempt: &Attempt,
-    resume_after: Option<Name>,
-) -> Asked {
-    let request = upstream_request(hub, outgoing, attempt, resume_after);
-    let (connection, response) = match send(hub, attempt, request).await {
+/// Sends the request once, and reads the head of the answer. The attempt's deadline counts from
+/// `planned`.
+async fn ask(sending: Sending<'_>, planned: Instant) -> Asked {
+    let Sending { hub, name, attempt, .. } = sending;
+    let (connection, response) = match send(sending, planned).await {
         Ok(sent) => sent,
         Err(end) => return Asked::Ended(end),
     };
@@ -294,22 +305,25 @@
 }
 
 async fn send(
-    hub: &Hub,
-    attempt: &Attempt,
-    mut request: Request<Full<Bytes>>,
+    sending: Sending<'_>,
+    planned: Instant,
 ) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
+    let Sending { hub, attempt, .. } = sending;
     let (address, most) = (attempt.address, attempt.connections);
     let mut connection = match hub.pool.get(address, most).await {
         Ok(connection) => connection,
         Err(error) => return Err(unreachable_end(attempt, &error)),
     };
     loop {
+        if !hub.dispatch.borrow().may_send(hub.clock.now(), sending.id) {
+            return Err(AttemptEnd::Withdrawn);
+        }
+        let request = upstream_request(sending, planned);
         match connection.sender.try_send_request(request).await {
             Ok(response) => return Ok((connection, response)),
             Err(mut error) => match error.take_message() {
                 // A kept connection had just closed: the request was never sent.
-                Some(unsent) if connection.is_used => {
-                    request = unsent;
+                Some(_) if connection.is_used => {
                     connection = match hub.pool.connect(address, most).await {
                         Ok(connection) => connection,
                         Err(error) => return Err(unreachable_end(attempt, &error)),
@@ -335,12 +349,10 @@
     AttemptEnd::Unreachable
 }
 
-fn upstream_request(
-    hub: &Hub,
-    outgoing: &Outgoing,
-    attempt: &Attempt,
-    resume_after: Option<Name>,
-) -> Request<Full<Bytes>> {
+fn upstream_request(sending: Sending<'_>, planned: Instant) -> Request<Full<Bytes>> {
+    let Sending { hub, outgoing, attempt, .. } = sending;
+    // Making a connection took some of the time.
+    let spent_ms = planned.elapsed().as_millis() as u64;
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.parts.method.clone();
     if let Some(path) = outgoing.parts.uri.path_and_query() {
@@ -350,9 +362,9 @@
     request.headers_mut().remove(CONTENT_LENGTH);
     let head = AttemptHead {
         instance: attempt.upstream.clone(),
-        deadline_ms: attempt.deadline_ms,
+        deadline_ms: attempt.deadline_ms.saturating_sub(spent_ms),
         priority: attempt.priority,
-        resume_after,
+        resume_after: sending.resume_after.cloned(),
     };
     hub.ports.engine.prepare(request.headers_mut(), &head);
     request
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     answer::{Answer, Cut, Piece},
-    exchange::{Asked, Caller, Outgoing, Started, ask_in_time, end_to_end, stated_rest},
+    exchange::{Asked, Caller, Outgoing, Sending, Started, ask_in_time, end_to_end, stated_rest},
     hub::Command,
     pool::Connection,
     telemetry,
@@ -168,11 +168,18 @@
                 attempt.upstream,
                 after.as_deref().unwrap_or("-")
             );
-            let name = self.caller.name.clone();
+            let sending = Sending {
+                hub: &self.caller.hub,
+                id: self.caller.id,
+                name: &self.caller.name,
+                outgoing: &self.outgoing,
+                attempt: &attempt,
+                resume_after: after.as_ref(),
+            };
             let asked = tokio::select! {
                 biased;
                 () = self.sender.closed() => return None,
-                asked = ask_in_time(&self.caller.hub, &name, &self.outgoing, &attempt, after) => asked,
+                asked = ask_in_time(sending) => asked,
             };
             self.attempt = attempt;
             match asked {
