test: the soak cuts hosts from the store, loses what they sent, and watches an upstream that has left

Also: another host that has a newer configuration is asked after 0.4 s, where one was cut off 1.5 s passed.

--- a/crates/fanout/src/pull.rs
+++ b/crates/fanout/src/pull.rs
@@ -1,28 +1,33 @@
 //! When to ask another host for what it holds in a newer version.
 
-use vanetally_types::Tick;
+use vanetally_types::{Name, Tick};
 
 /// What was asked for and has not come yet.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Pull {
-    asked: Option<Tick>,
+    asked: Option<(Name, Tick)>,
 }
 
-/// A whole value on a slow link takes as long: asking for it again would only slow it down, in
+/// A whole value on a slow link takes as long: asking the same host again would only slow it down, in
 /// milliseconds.
 const AGAIN_MS: u64 = 1_500;
+/// Another host is asked after this long, in milliseconds: a patch takes a tenth of it, and the first
+/// one may be cut off.
+const OTHER_MS: u64 = 400;
 
 impl Pull {
-    /// Another host holds a newer version than this one; tells whether to ask for it now, and takes
+    /// The host `of` holds a newer version than this one; tells whether to ask for it now, and takes
     /// it as asked. What is under way is waited for, however many versions follow: the answer brings
     /// the newest one.
-    pub fn should_ask(&mut self, now: Tick) -> bool {
-        let is_under_way = |at: Tick| now.since(at) < AGAIN_MS;
-        if self.asked.is_some_and(is_under_way) {
-            return false;
+    pub fn should_ask(&mut self, now: Tick, of: &Name) -> bool {
+        let is_under_way = self.asked.as_ref().is_some_and(|(host, at)| {
+            let limit = if host == of { AGAIN_MS } else { OTHER_MS };
+            now.since(*at) < limit
+        });
+        if !is_under_way {
+            self.asked = Some((of.clone(), now));
         }
-        self.asked = Some(now);
-        true
+        !is_under_way
     }
 
     /// What was asked for came: the next version may be asked for at once.
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -17,7 +17,7 @@
     /// Another host has `version`: if it is newer, it is asked for it.
     pub(crate) fn compare_version(&self, host: &Name, version: u64) {
         let have = self.version();
-        if have < version && self.pull.borrow_mut().should_ask(self.clock.now()) {
+        if have < version && self.pull.borrow_mut().should_ask(self.clock.now(), host) {
             log::info!("event=configuration_asked of={host} version={version} have={have}");
             let have = self.versions.borrow().newest();
             self.send(host, &PeerMessage::AskConfiguration { have });
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -31,8 +31,8 @@
 ];
 const STORE_FAULTS: [StoreMode; 4] =
     [StoreMode::Busy, StoreMode::Silent, StoreMode::DeafWatches, StoreMode::LosingAnswers];
-const LINK_FAULTS: [ProxyMode; 4] =
-    [ProxyMode::Delay(40), ProxyMode::Reset, ProxyMode::Silent, ProxyMode::OneWay];
+const LINK_FAULTS: [ProxyMode; 5] =
+    [ProxyMode::Delay(40), ProxyMode::Reset, ProxyMode::Silent, ProxyMode::OneWay, ProxyMode::Lost];
 
 /// Strikes once, then waits a little.
 pub fn strike(rng: &mut StdRng, site: &mut Site) {
@@ -52,8 +52,11 @@
         10 => any_runner(rng, &site.deployment.desks).set_behaviour(any(rng, &DESK_FAULTS)),
         11 => site.configure(),
         12 => site.deployment.store.forget_history(),
-        13 => site.announce(rng.random_range(0..site.runner_links.len()), "draining"),
-        14 => site.withdraw(rng.random_range(0..site.runner_links.len())),
+        13 => {
+            let number = site.any_present(rng);
+            site.announce(number, "draining");
+        }
+        14 => site.withdraw(site.any_present(rng)),
         _ => heal_some(rng, site),
     }
     if rng.random_bool(0.4) {
@@ -62,6 +65,16 @@
     thread::sleep(Duration::from_millis(rng.random_range(20..250)));
 }
 
+/// Cuts most hosts from the store for a while in which an upstream may leave.
+pub fn cut_store(rng: &mut StdRng, site: &Site) {
+    for slot in &site.slots {
+        if rng.random_bool(0.7) {
+            slot.store_link.set_mode(any(rng, &[ProxyMode::Lost, ProxyMode::Silent]));
+        }
+    }
+    thread::sleep(Duration::from_millis(rng.random_range(1_000..4_000)));
+}
+
 /// Heals one thing.
 fn heal_some(rng: &mut StdRng, site: &mut Site) {
     let host = rng.random_range(0..site.slots.len());
--- a/tests/soak/promises.rs
+++ b/tests/soak/promises.rs
@@ -26,6 +26,9 @@
     /// A host went back behind a configuration that it had followed.
     #[error("went_back request={id} host={host} version={version}")]
     WentBack { id: String, host: usize, version: u64 },
+    /// An upstream that had left got requests when all hosts had to know it.
+    #[error("still_used requests={requests}")]
+    StillUsed { requests: usize },
     /// Two hosts gave orders under one token.
     #[error("shared_token token={token}")]
     SharedToken { token: u64 },
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -25,6 +25,13 @@
 /// A planned stop ends within this time, far beyond what it takes: speed is judged elsewhere.
 const STOP: Duration = Duration::from_secs(25);
 const LOOK: Duration = Duration::from_millis(50);
+/// So long after the end of all trouble hosts know which upstreams have left; what is under way then may
+/// arrive a little later.
+const CONTACT: Duration = Duration::from_millis(3_000 + 200);
+/// So long nobody may send to an upstream that has left.
+const WATCHED: Duration = Duration::from_millis(1_200);
+/// Faults that strike after an upstream has left.
+const LATER_FAULTS: usize = 4;
 
 /// A host's place: it may run, be paused or have ended.
 pub struct Slot {
@@ -86,6 +93,8 @@
     /// Before the engines, then before the plain services.
     pub runner_links: Vec<Proxy>,
     pub shared: Arc<Shared>,
+    /// The runner that has left, if one has.
+    left: Option<usize>,
 }
 
 impl Site {
@@ -116,7 +125,7 @@
         slots.iter_mut().for_each(|slot| slot.start(&deployment));
         let fronts = slots.iter().filter_map(|slot| Some(slot.host.as_ref()?.front)).collect();
         let shared = Arc::new(Shared::new(fronts));
-        let site = Self { deployment, slots, runner_links, shared };
+        let site = Self { deployment, slots, runner_links, shared, left: None };
         site.announce_all();
         site
     }
@@ -133,9 +142,38 @@
         self.deployment.store.put(&key, &value);
     }
 
-    /// All runners write that they are ready.
+    /// All runners write that they are ready, but for one that has left.
     pub fn announce_all(&self) {
-        (0..self.runner_links.len()).for_each(|number| self.announce(number, "ready"));
+        let stay = (0..self.runner_links.len()).filter(|number| self.left != Some(*number));
+        stay.for_each(|number| self.announce(number, "ready"));
+    }
+
+    /// The last plain service leaves for good, with or without a word.
+    fn leave(&mut self, rng: &mut StdRng) {
+        let number = self.runner_links.len() - 1;
+        if rng.random_bool(0.5) {
+            self.announce(number, "draining");
+        } else {
+            self.withdraw(number);
+        }
+        self.left = Some(number);
+    }
+
+    /// Nobody sends to the runner that has left, once all hosts had the time to hear of it.
+    fn is_left_alone(&mut self) -> Option<Broken> {
+        let number = self.left.take()?;
+        let runner = self.runner(number);
+        thread::sleep(CONTACT);
+        let before = runner.requests().len();
+        thread::sleep(WATCHED);
+        let requests = runner.requests().len() - before;
+        (requests > 0).then_some(Broken::StillUsed { requests })
+    }
+
+    /// Any runner that has not left for good.
+    pub fn any_present(&self, rng: &mut StdRng) -> usize {
+        let present = self.runner_links.len() - usize::from(self.left.is_some());
+        rng.random_range(0..present)
     }
 
     /// A runner's entry goes.
@@ -231,7 +269,18 @@
     for _ in 0..FAULTS {
         faults::strike(&mut rng, &mut site);
     }
+    // It leaves as the way to the store is cut, or before.
+    if rng.random_bool(0.5) {
+        faults::cut_store(&mut rng, &site);
+    }
+    site.leave(&mut rng);
+    for _ in 0..LATER_FAULTS {
+        faults::strike(&mut rng, &mut site);
+    }
+    faults::cut_store(&mut rng, &site);
     faults::heal(&mut site);
+    broken.extend(site.is_left_alone());
+    site.announce_all();
     broken.extend(site.recover());
     callers.stop();
     broken.extend(site.stop());
