refactor: the caller's side, one sending and headers leave exchange.rs; exchange and relay no longer import each other

Moved as they were, but for the constructor of Caller and the bound on bytes of an answer that turns a request away, which has its own name now (same figure).

--- /dev/null
+++ b/crates/gateway/src/caller.rs
@@ -0,0 +1,94 @@
+//! A request that has no whole answer yet, as its caller's side sees it.
+
+use crate::{
+    hub::{Command, Hub},
+    telemetry,
+};
+use std::{rc::Rc, time::Instant};
+use tokio::sync::mpsc;
+use vanetally_dispatch::{Attempt, AttemptEnd, Event, RequestId};
+use vanetally_ports::{Refusal, RefusalCause};
+use vanetally_types::Name;
+
+/// A request that has no whole answer yet. Dropped before its end, it tells that its caller left.
+pub(crate) struct Caller {
+    pub hub: Rc<Hub>,
+    pub id: RequestId,
+    /// The caller's name for the request.
+    pub name: Name,
+    pub arrived: Instant,
+    pub commands: mpsc::UnboundedReceiver<Command>,
+    is_over: bool,
+}
+
+impl Caller {
+    /// The request `id` has just been admitted.
+    pub(crate) fn new(
+        hub: Rc<Hub>,
+        id: RequestId,
+        name: Name,
+        commands: mpsc::UnboundedReceiver<Command>,
+    ) -> Self {
+        Self { hub, id, name, arrived: Instant::now(), commands, is_over: false }
+    }
+
+    /// The request has its final answer.
+    pub(crate) fn finish(&mut self) {
+        self.is_over = true;
+        self.hub.forget(self.id);
+    }
+
+    /// An attempt ended; the decisions answer with a command unless it was served.
+    pub(crate) fn attempt_ended(&self, attempt: &Attempt, end: AttemptEnd, answered: bool) {
+        telemetry::attempt_ended(end);
+        if end != AttemptEnd::Served {
+            log::info!(
+                "event=attempt_ended request={} upstream={} number={} end={} answered={answered} \
+                 after_ms={}",
+                self.name,
+                attempt.upstream,
+                attempt.number,
+                end.as_str(),
+                self.arrived.elapsed().as_millis()
+            );
+        }
+        self.hub.request_event(Event::AttemptEnded { id: self.id, end, answered });
+    }
+
+    /// The next command.
+    pub(crate) async fn command(&mut self) -> Command {
+        // The sender lives until the request is forgotten, which only its end does.
+        let lost = Refusal::may_have_run(RefusalCause::UpstreamFailed);
+        self.commands.recv().await.unwrap_or(Command::Refuse(lost))
+    }
+
+    /// Notes the final answer of the product's own.
+    pub(crate) fn refused(&mut self, refusal: &Refusal) {
+        telemetry::refused(refusal.cause);
+        log::info!(
+            "event=request_refused request={} cause={} verdict={} retry_after_ms={} after_ms={}",
+            self.name,
+            refusal.cause.as_str(),
+            refusal.verdict,
+            refusal.retry_after_ms.unwrap_or(0),
+            self.arrived.elapsed().as_millis()
+        );
+        self.finish();
+    }
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        telemetry::caller_left();
+        log::info!(
+            "event=caller_left request={} after_ms={}",
+            self.name,
+            self.arrived.elapsed().as_millis()
+        );
+        self.hub.forget(self.id);
+        self.hub.request_event(Event::CallerLeft { id: self.id });
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,11 +6,13 @@
 
 mod answer;
 mod call;
+mod caller;
 mod clock;
 mod configuration;
 mod exchange;
 mod feed;
 mod front;
+mod headers;
 mod hosts;
 mod hub;
 mod load;
@@ -22,6 +24,7 @@
 mod pool;
 mod relay;
 mod run;
+mod sending;
 mod settings;
 mod socket;
 mod status;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,9 +2,11 @@
 
 use crate::{
     answer::{Answer, Cut, Piece},
-    exchange::{Asked, Caller, Outgoing, Sending, Started, ask_in_time, end_to_end, stated_rest},
+    caller::Caller,
+    headers::{end_to_end, stated_rest},
     hub::Command,
     pool::Connection,
+    sending::{Asked, Outgoing, Sending, Started, ask_in_time},
     telemetry,
 };
 use bytes::{Bytes, BytesMut};
