fix: an older reading never takes back what is known; a gap in what the store tells is no longer passed over

The next watch answer then began beyond that revision: a gap, whose error Reader::changed dropped (`let _ =`). Every change of the runners' keys was lost from there until the next whole reading. Mend: a reading moves the known revision only forward; a gap from the store is logged and all is read anew. Ruled out: links (no link_broken), slow answers (watch answers 0.45 s apart), the lapsed wait (the keys were there). Test: older_reading_is_no_step_back, red before (left 705, right 716).

--- a/crates/fanout/src/mirror.rs
+++ b/crates/fanout/src/mirror.rs
@@ -37,7 +37,8 @@
         }
         self.newest = at;
         self.items = items.iter().map(|item| (item.key.clone(), item.clone())).collect();
-        self.at = Some(at);
+        // Nothing changed between this reading and what is known: that stays known.
+        self.at = self.at.max(Some(at));
         true
     }
 
--- a/crates/fanout/tests/mirror.rs
+++ b/crates/fanout/tests/mirror.rs
@@ -67,3 +67,18 @@
     let news = mirror.try_apply(Revision(5), Revision(7), vec![Change::Put(item("a", 6))]);
     assert_eq!(news, Ok(Vec::new()));
 }
+
+/// Found in a played day (crd-bidfloor-grown trouble-1): a host that read the store itself got an older
+/// reading from an aggregator that it had asked before. It took it, everything after seemed to miss
+/// something, and for three seconds it heard of no change: an upstream that had left got requests.
+#[test]
+fn older_reading_is_no_step_back() {
+    let mut mirror = Mirror::default();
+    assert!(mirror.try_replace(Revision(700), &[item("servers/a", 700)]));
+    assert!(mirror.try_apply(Revision(700), Revision(716), Vec::new()).is_ok());
+    mirror.try_replace(Revision(705), &[item("servers/a", 700)]);
+    assert_eq!(mirror.at(), Some(Revision(716)), "what is known stays known");
+    let change = Change::Put(item("servers/a", 718));
+    let news = mirror.try_apply(Revision(716), Revision(718), vec![change]);
+    assert_eq!(news.map(|news| news.len()), Ok(1), "nothing was missing");
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -151,18 +151,26 @@
     }
 
     /// The store told changes up to `at`.
-    pub(crate) fn changed(&mut self, after: Revision, at: Revision, mut changes: Vec<Change>) {
+    ///
+    /// # Errors
+    /// If something before them is missing: all has to be read anew.
+    pub(crate) fn changed(
+        &mut self,
+        after: Revision,
+        at: Revision,
+        mut changes: Vec<Change>,
+    ) -> Result<(), Gap> {
         let now = self.hub.clock.now();
         for feed in &self.feeds {
-            feed.confirmed.set(Some(now));
             let own: Vec<Change> = changes.extract_if(.., |change| feed.has(change)).collect();
             let is_change = !own.is_empty();
-            // What was read here lies before what is watched: nothing can be missing.
-            let _ = feed.change(after, at, own.clone());
+            feed.change(after, at, own.clone())?;
+            feed.confirmed.set(Some(now));
             if is_change && feed.is_shared {
                 self.hub.pass_on(feed, at, own);
             }
         }
+        Ok(())
     }
 
     /// The store can't be asked.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -41,7 +41,7 @@
             error = read_and_watch(store, reader, &mut is_lost, &mut pause) => error,
             _ = returns.changed() => None,
         };
-        // History that is gone is no failure: read anew at once.
+        // No failure: read anew at once.
         let Some(error) = error else {
             continue;
         };
@@ -57,7 +57,7 @@
     }
 }
 
-/// Reads and watches until something goes wrong; `None` if the store has forgotten the history.
+/// Reads and watches until something goes wrong; `None` if all has to be read anew.
 async fn read_and_watch(
     store: &Store,
     reader: &mut Reader,
@@ -87,7 +87,8 @@
     Ok(from)
 }
 
-/// Watches until something goes wrong; `None` if the store has forgotten the history.
+/// Watches until something goes wrong; `None` if all has to be read anew: the store has forgotten the
+/// history, or changes are missing.
 async fn watch(store: &Store, reader: &mut Reader, from: Revision) -> Option<Error> {
     let prefix = reader.common_prefix();
     let mut after = from;
@@ -96,7 +97,10 @@
             Ok(WatchAnswer::Changes { changes, at }) => {
                 let is_change = !changes.is_empty();
                 let at = after.max(at);
-                reader.changed(after, at, changes);
+                if reader.changed(after, at, changes).is_err() {
+                    log::warn!("event=changes_missed from=store after={}", after.0);
+                    return None;
+                }
                 after = at;
                 if is_change {
                     // Changes come in groups: one call takes what follows soon.
