--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -173,7 +173,13 @@
 
 fn entry(item: &Item) -> Option<(Name, HostEntry)> {
     let host = item.key.strip_prefix(HOSTS)?;
-    Some((host.into(), serde_json::from_slice(&item.value).ok()?))
+    match serde_json::from_slice(&item.value) {
+        Ok(entry) => Some((host.into(), entry)),
+        Err(error) => {
+            log::error!("event=host_unreadable host={host} error=\"{error}\"");
+            None
+        }
+    }
 }
 
 fn holder_name(item: &Item) -> Option<Name> {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -110,10 +110,16 @@
     let options = peer::Options { me, key: settings.link_key.clone(), most: MOST_MESSAGE };
     Links::try_start(listener, options, move |event| match event {
         peer::Event::Message { from, bytes } => {
-            if let Some(message) = peer::decode(&bytes) {
-                // The loop that reads ends with the process.
-                let _ = messages.send((from.name, message));
-            }
+            let Some(message) = peer::decode(&bytes) else {
+                // As during a change to a version that speaks otherwise.
+                return log::warn!(
+                    "event=message_unreadable from={} bytes={}",
+                    from.name,
+                    bytes.len()
+                );
+            };
+            // The loop that reads ends with the process.
+            let _ = messages.send((from.name, message));
         }
         peer::Event::Broken { to } => log::info!("event=link_broken to={to}"),
     })
