fix: a message with changes that is lost with its link is missed at the next load, not at the next change

Found by reading the diff: a follower noticed a lost message of its aggregator only when another change followed, and in a quiet time that may be long. Totals say now up to where changes were told; messages of one link come in order, so whoever has less reads the store. Also: a small configuration that changed during an outage no longer costs a second reading.

--- a/crates/fanout/src/mirror.rs
+++ b/crates/fanout/src/mirror.rs
@@ -24,6 +24,11 @@
         self.at
     }
 
+    /// Whether something is missing of what was told up to `told`.
+    pub fn lacks(&self, told: Revision) -> bool {
+        self.at.is_none_or(|at| at < told)
+    }
+
     /// All keys.
     pub fn items(&self) -> impl Iterator<Item = &Item> {
         self.items.values()
--- a/crates/fanout/tests/mirror.rs
+++ b/crates/fanout/tests/mirror.rs
@@ -96,3 +96,14 @@
     assert_eq!(keys(&follower), keys(&reader));
     assert_eq!(reader.changes_to(Revision(9), &after), []);
 }
+
+/// A message with changes that was lost on its way is missed even if no other follows.
+#[test]
+fn lost_message() {
+    let mut follower = read_at(5, &[]);
+    assert!(!follower.lacks(Revision(5)));
+    assert!(follower.lacks(Revision(7)));
+    follower.try_apply(Revision(5), Revision(7), vec![Change::Put(item("a", 7))]).unwrap();
+    assert!(!follower.lacks(Revision(7)));
+    assert!(Mirror::default().lacks(Revision(0)), "nothing was read");
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -305,6 +305,26 @@
         }
     }
 
+    /// Up to where subscribers were told changes.
+    pub(crate) fn told(&self) -> Vec<(Name, Revision)> {
+        let feeds = self.shared_feeds();
+        feeds.iter().map(|feed| (feed.prefix.clone(), feed.told.get())).collect()
+    }
+
+    /// An aggregator said up to where it has told changes: messages of one link come in order, so
+    /// what is missing was lost with a link.
+    pub(crate) fn check_told(self: &Rc<Self>, from: &Name, told: &[(Name, Revision)]) {
+        let feeds = self.shared_feeds();
+        let lacks = |(prefix, told): &&(Name, Revision)| {
+            let feed = feeds.iter().find(|feed| feed.prefix == *prefix);
+            feed.is_some_and(|feed| feed.mirror.borrow().lacks(*told))
+        };
+        if let Some((prefix, told)) = told.iter().find(lacks) {
+            log::info!("event=changes_missed from={from} prefix={prefix} told={}", told.0);
+            self.follow_event(Event::Missed);
+        }
+    }
+
     /// Passes changes on to the subscribers.
     fn pass_on(&self, feed: &Feed, at: Revision, changes: Vec<Change>) {
         let after = feed.told.replace(at);
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -78,9 +78,10 @@
 
     /// An aggregator told the load of all.
     fn peer_total(self: &Rc<Self>, from: &Name, total: Total) {
-        let Total { reported, version, age_ms, store, is_leaving, loads } = total;
+        let Total { reported, version, age_ms, store, told, is_leaving, loads } = total;
         if *self.source.borrow() == Source::Aggregator(from.clone()) {
             self.store.told(store);
+            self.check_told(from, &told);
             self.compare_version(from, version);
             let own = reported.iter().find(|(host, _)| *host == self.settings.host);
             if let Some((_, number)) = own {
@@ -110,6 +111,7 @@
             version: self.version(),
             age_ms: self.age_ms(),
             store: self.store.state(),
+            told: Vec::new(),
             is_leaving: true,
             loads: Vec::new(),
         }
@@ -166,7 +168,8 @@
             let reported = reported.into_iter().map(|one| (one.host, one.number)).collect();
             let is_leaving = *self.stage.borrow() != Stage::Serving;
             let (age_ms, store) = (self.age_ms(), self.store.state());
-            let total = Total { reported, version, age_ms, store, is_leaving, loads };
+            let told = self.told();
+            let total = Total { reported, version, age_ms, store, told, is_leaving, loads };
             self.tell_subscribers(|| Some(PeerMessage::Total(total)));
         }
         let is_new = *self.last_digest.borrow() != sum;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 use vanetally_fanout::{Patch, StoreState};
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_placement::TenureEvent;
-use vanetally_ports::{Change, Item, LeaseId, StoreAnswer, Transaction, Write};
+use vanetally_ports::{Change, Item, LeaseId, Revision, StoreAnswer, Transaction, Write};
 use vanetally_types::Name;
 
 /// The beginning of all keys of the product.
@@ -128,6 +128,8 @@
     pub age_ms: Option<u64>,
     /// The aggregator's contact with the store.
     pub store: StoreState,
+    /// Up to where changes were told before this, by prefix: what is missing then was lost.
+    pub told: Vec<(Name, Revision)>,
     /// Whether it is about to stop.
     pub is_leaving: bool,
     /// The load of all hosts.
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -67,6 +67,7 @@
     is_lost: &mut bool,
     pause: &mut Duration,
 ) -> Option<Error> {
+    let mut is_bulk = false;
     loop {
         let before = reader.bulk_revision();
         let revision = match read_all(store, reader).await {
@@ -79,11 +80,11 @@
         *pause = FIRST_PAUSE;
         // Large values that follow each other are read one at a time, the newest; once it stays the
         // same, changes are waited for.
-        if before.is_none() || reader.bulk_revision() == before {
+        if !is_bulk || reader.bulk_revision() == before {
             match watch(store, reader, revision).await {
                 End::Lost(error) => return Some(error),
                 End::Gap => return None,
-                End::Bulk => {}
+                End::Bulk => is_bulk = true,
             }
         }
         sleep(GATHER).await;
