fix: a reading under way is not given up when the store's way opens again, only a watch is

Found by reading the diff: on a link that loses packets the way may open again several times a second, and a large reading begun anew each time might never end.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -6,7 +6,7 @@
 };
 use rand::RngExt;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::{sync::watch::Receiver, time::sleep};
 use vanetally_ports::{Change, Revision, WatchAnswer};
 
 /// Who hears of a prefix.
@@ -33,17 +33,14 @@
 
 /// Reads all prefixes and watches them together, for as long as it is polled.
 ///
-/// A call that hangs when the way to the store opens again is given up, and a pause ends there.
+/// A watch that hangs when the way to the store opens again is given up, and a pause ends there. A
+/// reading has shorter limits of its own, and may be large: it goes on.
 pub(crate) async fn follow(store: &Store, reader: &mut Reader) {
     let mut returns = store.returns();
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
     loop {
-        returns.mark_unchanged();
-        let error = tokio::select! {
-            error = read_and_watch(store, reader, &mut is_lost, &mut pause) => error,
-            _ = returns.changed() => None,
-        };
+        let error = read_and_watch(store, reader, &mut returns, &mut is_lost, &mut pause).await;
         // No failure: read anew at once.
         let Some(error) = error else {
             continue;
@@ -64,6 +61,7 @@
 async fn read_and_watch(
     store: &Store,
     reader: &mut Reader,
+    returns: &mut Receiver<u64>,
     is_lost: &mut bool,
     pause: &mut Duration,
 ) -> Option<Error> {
@@ -81,7 +79,12 @@
         // Large values that follow each other are read one at a time, the newest; once it stays the
         // same, changes are waited for.
         if !is_bulk || reader.bulk_revision() == before {
-            match watch(store, reader, revision).await {
+            returns.mark_unchanged();
+            let end = tokio::select! {
+                end = watch(store, reader, revision) => end,
+                _ = returns.changed() => End::Gap,
+            };
+            match end {
                 End::Lost(error) => return Some(error),
                 End::Gap => return None,
                 End::Bulk => is_bulk = true,
@@ -95,7 +98,7 @@
 enum End {
     /// The store can't be asked.
     Lost(Error),
-    /// The store has forgotten the history, or changes are missing.
+    /// The store has forgotten the history, or changes are or may be missing.
     Gap,
     /// A large value came: a watch would tell each version of it, superseded or not.
     Bulk,
