--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     Action, AttemptEnd, Dispatch, RequestId,
-    machine::STOP_RETRY_MS,
     request::{Request, Sending, Stage},
     sending::WANT_AGAIN_MS,
 };
@@ -25,6 +24,8 @@
 const LEAST_LEFT_MS: u64 = 20;
 /// When to come back if nothing better is known, in milliseconds.
 pub(crate) const RETRY_MS: u64 = 500;
+/// When to come back after a refusal by a host that stops, in milliseconds.
+pub(crate) const STOP_RETRY_MS: u64 = 50;
 /// When to come back for a model that nobody holds, in milliseconds.
 const LOAD_RETRY_MS: u64 = 3_000;
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod budget;
+mod choice;
 mod choose;
 /// What hosts tell each other of their load.
 pub mod digest;
@@ -12,6 +13,7 @@
 mod event;
 mod health;
 mod machine;
+mod pace;
 mod queue;
 mod request;
 mod reserving;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     Action, Budget, DemandRow, Digest, Event, LoadRow, Options, Prediction, RequestId, RouteIndex,
-    choose::Pace,
-    ending::RETRY_MS,
+    ending::{RETRY_MS, STOP_RETRY_MS},
+    pace::Pace,
     queue::Queue,
     request::{Request, Stage},
     routes,
@@ -72,8 +72,6 @@
 /// A planned stop takes requests for this share of its time.
 const STOP_SHARE: f64 = 0.3;
 pub(crate) const MICROS_PER_MILLI: f64 = 1_000.0;
-/// When to come back after a refusal by a host that stops, in milliseconds.
-pub(crate) const STOP_RETRY_MS: u64 = 50;
 
 impl Dispatch {
     /// Nothing is known yet.
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,7 +1,7 @@
 //! One request from its arrival to its end.
 
 use crate::{
-    choose::{Choice, Expected},
+    choice::{Choice, Expected},
     upstream::{Load, shared_prefixes},
 };
 use std::rc::Rc;
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Action, Dispatch, RequestId,
-    choose::{Choice, Expected},
+    choice::{Choice, Expected},
     machine::MICROS_PER_MILLI,
     request::{Reservation, Stage},
 };
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     Action, Attempt, Dispatch, RequestId,
-    choose::{Choice, Lack, View, choose},
+    choice::Choice,
+    choose::{Lack, View, choose},
     request::{Request, Sending, Stage},
 };
 use std::collections::HashSet;
