--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -19,7 +19,7 @@
     pub hosts: usize,
 }
 
-/// Why there is none.
+/// Why there is no choice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Lack {
     /// No upstream that may be used holds what is asked for.
