refactor: failure domains are called domain again in the crates of the users' platform

A mechanical change of names; a host's key is still read under its earlier name, so that versions can run side by side, and the log's field is domain= now.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -12,7 +12,7 @@
 /// What the choice looks at.
 pub(crate) struct View<'a> {
     pub now: Tick,
-    pub zone: &'a Name,
+    pub domain: &'a Name,
     pub engine: Option<&'a EngineSpec>,
     pub pace: &'a Pace,
     /// Hosts that may send to the same upstreams.
@@ -35,7 +35,7 @@
 /// Requests at an engine, as a share of its slots.
 const ENGINE_FILL: f64 = 1.0;
 /// Worth of the same failure domain, in milliseconds of a plain service's load.
-const ZONE_MS: f64 = 2.0;
+const DOMAIN_MS: f64 = 2.0;
 /// Milliseconds that one running request adds at a plain service, spread over its slots.
 const SERVICE_WORK_MS: f64 = 30.0;
 /// What speaks against an upstream that has failed the request already, in milliseconds.
@@ -116,7 +116,7 @@
     let cached = upstream.cached_tokens(&request.shared);
     let unread = request.head.prompt_tokens.saturating_sub(cached);
     let ahead_ms = view.pace.reading_ms(model, view.ahead(upstream));
-    let away = if upstream.state.zone == *view.zone { 0.0 } else { ZONE_MS };
+    let away = if upstream.state.domain == *view.domain { 0.0 } else { DOMAIN_MS };
     let own_ms = match view.engine {
         Some(_) => {
             let reading_ms = ahead_ms + view.pace.reading_ms(model, unread);
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug)]
 pub struct Options {
     /// This host's failure domain.
-    pub zone: Name,
+    pub domain: Name,
     /// Retries that all hosts together may make.
     pub budget: BudgetOptions,
     /// Milliseconds that a planned stop may take.
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -75,7 +75,7 @@
         let service = services.and_then(|services| services.get(&request.service));
         let view = View {
             now,
-            zone: &self.options.zone,
+            domain: &self.options.domain,
             engine: service.and_then(|service| service.engine.as_ref()),
             pace: &self.pace,
             hosts: self.hosts,
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -21,7 +21,7 @@
 /// Bounds of the tests' deployment.
 pub fn options() -> Options {
     Options {
-        zone: "z1".into(),
+        domain: "z1".into(),
         budget: BudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 30.0 },
         grace_ms: 8_000,
     }
@@ -77,7 +77,7 @@
     UpstreamState {
         service: service.into(),
         address: ([10, 0, 0, 1], port).into(),
-        zone: "z1".into(),
+        domain: "z1".into(),
         slots: 4,
         draining: false,
         remaining_ms: None,
--- a/crates/fanout/src/candidate.rs
+++ b/crates/fanout/src/candidate.rs
@@ -9,7 +9,7 @@
     /// The host.
     pub host: Name,
     /// Its failure domain.
-    pub zone: Name,
+    pub domain: Name,
     /// Its share of a processor, in percent.
     pub capacity: u32,
 }
@@ -24,15 +24,15 @@
     if candidates.len() <= FEW_HOSTS {
         return candidates.into_iter().map(|candidate| &candidate.host).collect();
     }
-    let mut zones: BTreeMap<&Name, Vec<&Candidate>> = BTreeMap::new();
+    let mut domains: BTreeMap<&Name, Vec<&Candidate>> = BTreeMap::new();
     for candidate in candidates {
-        zones.entry(&candidate.zone).or_default().push(candidate);
+        domains.entry(&candidate.domain).or_default().push(candidate);
     }
-    zones.into_iter().filter_map(|(zone, hosts)| strongest(zone, &hosts)).collect()
+    domains.into_iter().filter_map(|(domain, hosts)| strongest(domain, &hosts)).collect()
 }
 
-fn strongest<'a>(zone: &Name, hosts: &[&'a Candidate]) -> Option<&'a Name> {
+fn strongest<'a>(domain: &Name, hosts: &[&'a Candidate]) -> Option<&'a Name> {
     let most = hosts.iter().map(|host| host.capacity).max()?;
     let strong = hosts.iter().filter(|host| host.capacity == most).map(|host| &host.host);
-    rendezvous_rank(hash64(zone.as_bytes()), strong).first().copied()
+    rendezvous_rank(hash64(domain.as_bytes()), strong).first().copied()
 }
--- a/crates/fanout/src/follow.rs
+++ b/crates/fanout/src/follow.rs
@@ -74,7 +74,7 @@
 #[derive(Clone, Debug)]
 pub struct Follow {
     me: Name,
-    zone: Name,
+    domain: Name,
     candidates: Vec<Candidate>,
     /// Hosts that fell silent, and until when they are left alone.
     suspects: BTreeMap<Name, Tick>,
@@ -102,11 +102,11 @@
 const PROBE_MS: u64 = 900;
 
 impl Follow {
-    /// The host `me` of the failure domain `zone`, which reads the store itself so far.
-    pub fn new(me: Name, zone: Name) -> Self {
+    /// The host `me` of the failure domain `domain`, which reads the store itself so far.
+    pub fn new(me: Name, domain: Name) -> Self {
         Self {
             me,
-            zone,
+            domain,
             candidates: Vec::new(),
             suspects: BTreeMap::new(),
             state: State::Store,
@@ -243,10 +243,12 @@
             return Some(self.me.clone());
         }
         let is_near = |host: &Name| {
-            usable.iter().any(|candidate| candidate.host == *host && candidate.zone == self.zone)
+            usable
+                .iter()
+                .any(|candidate| candidate.host == *host && candidate.domain == self.domain)
         };
-        let all_zones = aggregators(usable.iter().copied());
-        all_zones.into_iter().find(|host| is_near(host)).cloned()
+        let all = aggregators(usable.iter().copied());
+        all.into_iter().find(|host| is_near(host)).cloned()
     }
 
     fn ask(&mut self, now: Tick, best: Name, actions: &mut Vec<Action>) {
--- a/crates/fanout/tests/aggregators.rs
+++ b/crates/fanout/tests/aggregators.rs
@@ -3,11 +3,11 @@
 use rstest::rstest;
 use vanetally_fanout::{Candidate, FEW_HOSTS, aggregators};
 
-fn candidates(zones: &[(&str, usize, u32)]) -> Vec<Candidate> {
-    let rows = zones.iter().flat_map(|(zone, count, capacity)| {
+fn candidates(domains: &[(&str, usize, u32)]) -> Vec<Candidate> {
+    let rows = domains.iter().flat_map(|(domain, count, capacity)| {
         (0..*count).map(move |number| Candidate {
-            host: format!("{zone}-{capacity}-{number}").into(),
-            zone: (*zone).into(),
+            host: format!("{domain}-{capacity}-{number}").into(),
+            domain: (*domain).into(),
             capacity: *capacity,
         })
     });
@@ -23,8 +23,8 @@
 #[rstest]
 #[case(&[("a", 23, 12), ("b", 18, 12), ("c", 24, 12)], 3)]
 #[case(&[("a", 300, 12), ("b", 1, 12)], 2)]
-fn one_each(#[case] zones: &[(&str, usize, u32)], #[case] expected: usize) {
-    assert_eq!(aggregators(&candidates(zones)).len(), expected);
+fn one_each(#[case] domains: &[(&str, usize, u32)], #[case] expected: usize) {
+    assert_eq!(aggregators(&candidates(domains)).len(), expected);
 }
 
 #[test]
--- a/crates/fanout/tests/follow.rs
+++ b/crates/fanout/tests/follow.rs
@@ -8,7 +8,7 @@
 fn candidates() -> Vec<Candidate> {
     let one = |number: usize| Candidate {
         host: format!("h{number}").into(),
-        zone: "z1".into(),
+        domain: "z1".into(),
         capacity: 12,
     };
     (0..HOSTS).map(one).collect()
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -63,7 +63,7 @@
         let peers = self.peers.borrow();
         let candidates = peers.iter().map(|(host, entry)| Candidate {
             host: host.clone(),
-            zone: entry.zone.clone(),
+            domain: entry.domain.clone(),
             capacity: entry.capacity,
         });
         candidates.collect()
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -88,7 +88,7 @@
         let Parts { settings, ports, links } = parts;
         let bounds = &settings.bounds;
         let options = dispatch::Options {
-            zone: settings.zone.clone(),
+            domain: settings.domain.clone(),
             budget: dispatch::BudgetOptions {
                 ratio: bounds.retry_ratio,
                 window_ms: bounds.retry_window_ms,
@@ -123,7 +123,7 @@
             last_digest: RefCell::new(Digest::default()),
             source: watch::Sender::new(Source::Store),
             pacing: RefCell::new(Pacing::new(settings.host.clone())),
-            follow: RefCell::new(Follow::new(settings.host.clone(), settings.zone.clone())),
+            follow: RefCell::new(Follow::new(settings.host.clone(), settings.domain.clone())),
             pull: RefCell::default(),
             feeds: RefCell::default(),
             totals: RefCell::default(),
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -133,7 +133,7 @@
             return DIGEST;
         }
         let peers = self.peers.borrow();
-        let near = peers.values().filter(|entry| entry.zone == self.settings.zone).count();
+        let near = peers.values().filter(|entry| entry.domain == self.settings.domain).count();
         FLEET_DIGEST.mul_f64((near as f64 / FULL_FANOUT).max(1.0))
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,8 +27,8 @@
     /// Where its links listen.
     pub link: SocketAddr,
     /// Its failure domain.
-    #[serde(default)]
-    pub zone: Name,
+    #[serde(default, alias = "zone")]
+    pub domain: Name,
     /// Its share of a processor, in percent.
     #[serde(default)]
     pub capacity: u32,
@@ -213,8 +213,8 @@
 
 async fn write_key(hub: &Hub, lease: LeaseId) -> bool {
     let link = SocketAddr::new(hub.settings.ip, hub.settings.link_port);
-    let (zone, capacity) = (hub.settings.zone.clone(), hub.settings.capacity);
-    let Ok(value) = serde_json::to_vec(&HostEntry { link, zone, capacity }) else {
+    let (domain, capacity) = (hub.settings.domain.clone(), hub.settings.capacity);
+    let Ok(value) = serde_json::to_vec(&HostEntry { link, domain, capacity }) else {
         return false;
     };
     let key = format!("{HOSTS}{}", hub.settings.host).into();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -68,9 +68,9 @@
     let front = listen(settings.listen).context("callers")?;
     let status_addresses = [settings.ready, settings.metrics];
     log::info!(
-        "event=start host={} zone={} listen={} version={}",
+        "event=start host={} domain={} listen={} version={}",
         settings.host,
-        settings.zone,
+        settings.domain,
         settings.listen,
         env!("CARGO_PKG_VERSION")
     );
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -9,7 +9,7 @@
     /// The host's name, unique in the deployment.
     pub host: Name,
     /// The host's failure domain.
-    pub zone: Name,
+    pub domain: Name,
     /// The host's share of a processor, in percent.
     pub capacity: u32,
     /// Where callers connect.
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -128,7 +128,7 @@
     UpstreamState {
         service: "llm".into(),
         address: ([10, 0, 0, 1], 80).into(),
-        zone: "z1".into(),
+        domain: "z1".into(),
         slots: 8,
         draining: false,
         remaining_ms: None,
--- a/crates/ports/src/upstream.rs
+++ b/crates/ports/src/upstream.rs
@@ -21,7 +21,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     /// Its failure domain.
-    pub zone: Name,
+    pub domain: Name,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it is leaving.
