--- a/crates/fanout/src/contact.rs
+++ b/crates/fanout/src/contact.rs
@@ -127,6 +127,11 @@
         ended.map_or(StoreState::Steady, |ms_ago| StoreState::Returned { ms_ago })
     }
 
+    /// Milliseconds since the first call that was lost, or may be; 0 if none was.
+    pub fn silent_ms(&self, now: Tick) -> u64 {
+        self.unanswered.map_or(0, |since| now.since(since))
+    }
+
     fn is_doubtful(&self, now: Tick) -> bool {
         self.unanswered.is_some_and(|since| now.since(since) >= DOUBT_MS)
     }
--- a/crates/fanout/tests/contact.rs
+++ b/crates/fanout/tests/contact.rs
@@ -40,6 +40,7 @@
     let mut contact = answering();
     contact.failed(START + 100);
     contact.failed(START + 900);
+    assert_eq!(contact.silent_ms(START + 1_200), 1_100);
     assert!(contact.is_recent(START + 1_200));
     contact.answered(START + 3_000, START + 3_000);
     assert!(contact.is_recent(START + 5_000));
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -115,10 +115,13 @@
     /// Takes in how a call went; tells whether the store did what it was asked.
     fn note(&self, sent: Tick, reply: &Result<Reply, call::Error>) -> bool {
         let is_answered = reply.as_ref().is_ok_and(|reply| !is_refusal(reply.status));
+        let now = self.clock.now();
         let mut contact = self.contact.borrow_mut();
+        let silent_ms = contact.silent_ms(now);
         if !is_answered {
             contact.failed(sent);
-        } else if contact.answered(sent, self.clock.now()) {
+        } else if contact.answered(sent, now) {
+            log::info!("event=store_returned silent_ms={silent_ms}");
             self.returns.send_modify(|count| *count += 1);
         }
         is_answered
--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -23,11 +23,7 @@
 fn start_fleet(deployment: &Deployment) -> Vec<Host> {
     let hosts: Vec<Host> = (1..=HOSTS).map(|number| deployment.spawn(&name(number))).collect();
     let hears = |number: &usize| {
-        let log = deployment.log(&name(*number));
-        log.lines()
-            .rev()
-            .find_map(|line| line.split("event=source_changed source=front-").nth(1))
-            .is_some()
+        deployment.log(&name(*number)).contains("event=source_changed source=front-")
     };
     wait_for("all but one hear from an aggregator", || {
         (1..=HOSTS).filter(hears).count() == HOSTS - 1
