refactor: a configuration that is in force already is not decoded again; twins in the new code made one

What a reading changes was worked out for keys that nobody is told of. Twins: a probe repeated the body of a store call, the time since the store's return and the silence stood three times in Contact, two arms of attempt_ended had one body.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -51,10 +51,11 @@
             // The upstream's own failure went to the caller, unless it may be tried again.
             AttemptEnd::Failed if answered || !request.route.is_repeatable() => return,
             AttemptEnd::Failed => request.verdict = Verdict::Ran,
-            AttemptEnd::Unreachable | AttemptEnd::Withdrawn if request.sendings == 1 => {
-                request.tried.clear();
+            AttemptEnd::Unreachable | AttemptEnd::Withdrawn => {
+                if request.sendings == 1 {
+                    request.tried.clear();
+                }
             }
-            AttemptEnd::Unreachable | AttemptEnd::Withdrawn => {}
             AttemptEnd::Broken => request.verdict = Verdict::MayHaveRun,
             AttemptEnd::Full | AttemptEnd::Absent | AttemptEnd::Replaced => {
                 request.not_before = now + AGAIN_MS;
--- a/crates/fanout/src/contact.rs
+++ b/crates/fanout/src/contact.rs
@@ -123,7 +123,7 @@
         if self.is_away(now) {
             return StoreState::Away;
         }
-        let ended = self.ended.map(|at| now.since(at)).filter(|ms_ago| *ms_ago < self.return_ms);
+        let ended = self.since_return(now);
         ended.map_or(StoreState::Steady, |ms_ago| StoreState::Returned { ms_ago })
     }
 
@@ -133,11 +133,11 @@
     }
 
     fn is_doubtful(&self, now: Tick) -> bool {
-        self.unanswered.is_some_and(|since| now.since(since) >= DOUBT_MS)
+        self.silent_ms(now) >= DOUBT_MS
     }
 
     fn is_away(&self, now: Tick) -> bool {
-        let is_failing = self.unanswered.is_some_and(|since| now.since(since) >= FAILING_MS);
+        let is_failing = self.silent_ms(now) >= FAILING_MS;
         let is_silent = self.answered.is_some_and(|at| now.since(at) >= SILENT_MS);
         let is_told = self.told_away.is_some_and(|until| now < until);
         is_failing || is_silent || is_told
@@ -145,7 +145,12 @@
 
     /// Whether keys may be missing of those that live: the store is away, or came back just now.
     pub fn is_recent(&self, now: Tick) -> bool {
-        self.is_away(now) || self.ended.is_some_and(|at| now.since(at) < self.return_ms)
+        self.is_away(now) || self.since_return(now).is_some()
+    }
+
+    /// Milliseconds since the store came back, while missing keys are waited for.
+    fn since_return(&self, now: Tick) -> Option<u64> {
+        self.ended.map(|at| now.since(at)).filter(|ms_ago| *ms_ago < self.return_ms)
     }
 
     /// How long a key that is missing is waited for, in milliseconds: until all that live have had
--- a/crates/fanout/src/versions.rs
+++ b/crates/fanout/src/versions.rs
@@ -69,6 +69,11 @@
         self.kept.back().map(|(version, _)| *version)
     }
 
+    /// Whether `value` is the newest version, byte for byte: then it need not be read again.
+    pub fn is_newest(&self, value: &[u8]) -> bool {
+        self.kept.back().is_some_and(|(_, newest)| **newest == *value)
+    }
+
     /// Keeps `value` if its version is higher than all before.
     pub fn insert(&mut self, version: u64, value: Bytes) {
         if self.newest().is_some_and(|newest| newest >= version) {
--- a/crates/fanout/tests/versions.rs
+++ b/crates/fanout/tests/versions.rs
@@ -63,6 +63,7 @@
     let mut kept = keeping([7]);
     kept.insert(5, value(5));
     assert_eq!(kept.newest(), Some(7));
+    assert!(kept.is_newest(&value(7)) && !kept.is_newest(&value(5)));
 }
 
 #[test]
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -152,8 +152,12 @@
     pub(crate) fn read(&mut self, feed: &Feed, snapshot: Snapshot) {
         let at = snapshot.at;
         feed.confirmed.set(Some(self.hub.clock.now()));
+        if !feed.is_shared {
+            feed.replace(snapshot);
+            return;
+        }
         let changes = feed.changes_to(&snapshot);
-        if !feed.replace(snapshot) || !feed.is_shared {
+        if !feed.replace(snapshot) {
             return;
         }
         match changes {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -195,6 +195,9 @@
 
     /// The configuration lies in the store as `bytes`.
     pub(crate) fn configuration_seen(self: &Rc<Self>, bytes: &Bytes, source: &str) {
+        if self.versions.borrow().is_newest(bytes) {
+            return;
+        }
         let begun = Instant::now();
         let configuration = match self.ports.configuration.read(bytes) {
             Ok(configuration) => Rc::new(configuration),
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -105,15 +105,13 @@
     /// Sees whether the store answers, on a connection of its own: what was lost on a kept one may be
     /// repeated only much later.
     pub(crate) async fn probe(&self, key: &str) -> bool {
-        let sent = self.clock.now();
         let request = self.protocol.probe(key);
-        let reply = call::call(&Pool::default(), self.address, request, CALL).await;
-        telemetry::store_call("probe", reply.is_ok());
-        self.note(sent, &reply)
+        let reply = self.call_on(&Pool::default(), "probe", request, CALL).await;
+        reply.is_ok_and(|reply| !is_refusal(reply.status))
     }
 
-    /// Takes in how a call went; tells whether the store did what it was asked.
-    fn note(&self, sent: Tick, reply: &Result<Reply, call::Error>) -> bool {
+    /// Takes in how a call went.
+    fn note(&self, sent: Tick, reply: &Result<Reply, call::Error>) {
         let is_answered = reply.as_ref().is_ok_and(|reply| !is_refusal(reply.status));
         let now = self.clock.now();
         let mut contact = self.contact.borrow_mut();
@@ -124,7 +122,6 @@
             log::info!("event=store_returned silent_ms={silent_ms}");
             self.returns.send_modify(|count| *count += 1);
         }
-        is_answered
     }
 
     async fn call(
@@ -132,9 +129,19 @@
         name: &'static str,
         request: Request<Bytes>,
         within: Duration,
+    ) -> Result<Reply, Error> {
+        self.call_on(&self.pool, name, request, within).await
+    }
+
+    async fn call_on(
+        &self,
+        pool: &Pool,
+        name: &'static str,
+        request: Request<Bytes>,
+        within: Duration,
     ) -> Result<Reply, Error> {
         let sent = self.clock.now();
-        let reply = call::call(&self.pool, self.address, request, within).await;
+        let reply = call::call(pool, self.address, request, within).await;
         telemetry::store_call(name, reply.is_ok());
         self.note(sent, &reply);
         Ok(reply?)
