fix: headers that are the product's to set are not taken over from callers

Cause: all end-to-end headers of a caller went on to the engine, and only the four that an attempt sets itself were replaced. A caller could state an expected version, a reservation, a pin, a backup or a copy to fetch, and the engine obeyed it. Ruled out: retries and resumptions build their head anew from the caller's, so one place is enough; the tests cover both. Change: the adapter lists the headers that are the product's, the product strips them before it prepares a sending.

--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -168,6 +168,9 @@
     }
     *request.headers_mut() = end_to_end(&outgoing.parts.headers);
     request.headers_mut().remove(CONTENT_LENGTH);
+    for name in hub.ports.engine.own_headers() {
+        request.headers_mut().remove(name);
+    }
     let head = AttemptHead {
         instance: attempt.upstream.clone(),
         deadline_ms: attempt.deadline_ms.saturating_sub(spent_ms),
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -139,6 +139,9 @@
 
 /// What engines and services speak.
 pub trait EngineProtocol {
+    /// The headers by which the product itself speaks to engines: a caller's are not passed on.
+    fn own_headers(&self) -> &[http::HeaderName];
+
     /// Sets what an attempt states beside the caller's own headers.
     fn prepare(&self, headers: &mut http::HeaderMap, attempt: &AttemptHead);
 
