feat: refused and delayed requests tell what they lacked

Cause: request_refused named neither the model nor what was lacking, so the log could not say why a request waited in vain. Change: the choice tells the lack that came nearest to a sending, of nine kinds, and the count of holders; the refusal, the sending after a wait and the metric of refusals carry it. Behaviour of the choice is the same. Test: crates/dispatch/tests/shortage.rs, 7 cases.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -4,9 +4,10 @@
     choice::{Choice, Expected},
     pace::{BASE_MS, Pace},
     request::Request,
+    shortage::{Lack, Shortage},
     upstream::Upstream,
 };
-use vanetally_ports::EngineSpec;
+use vanetally_ports::{EngineSpec, ModelRef};
 use vanetally_types::{Name, Tick, rendezvous_rank};
 
 /// What the choice looks at.
@@ -19,15 +20,6 @@
     pub hosts: usize,
 }
 
-/// Why there is no choice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Lack {
-    /// No upstream that may be used holds what is asked for.
-    Holder,
-    /// Those that hold it are full, ejected or not allowed.
-    Room,
-}
-
 /// Milliseconds that each running request adds.
 const PER_RUNNING_MS: f64 = 1.0;
 /// Requests at a plain service beyond its slots.
@@ -51,13 +43,15 @@
     view: &View<'_>,
     request: &Request,
     upstreams: impl Iterator<Item = (&'a Name, &'a Upstream)>,
-) -> Result<Choice, Lack> {
-    let mut lack = Lack::Holder;
+) -> Result<Choice, Shortage> {
+    let mut shortage = Shortage { lack: Lack::Upstream, holders: 0 };
     let mut best: Option<(f64, Choice)> = None;
     let mut suspect: Option<(f64, Choice)> = None;
-    for (id, upstream) in upstreams.filter(|(_, u)| is_usable(view, request, u)) {
-        lack = Lack::Room;
-        if !has_room(view, request, upstream) || !request.may_go_to(id) {
+    for (id, upstream) in upstreams.filter(|(_, upstream)| upstream.takes_new(view.now)) {
+        let lack = lack(view, request, id, upstream);
+        shortage.holders += u32::from(!lack.is_some_and(Lack::is_missing));
+        if let Some(lack) = lack {
+            shortage.lack = shortage.lack.max(lack);
             continue;
         }
         let (cost, choice) = cost(view, request, id, upstream);
@@ -67,34 +61,58 @@
         }
     }
     // The last one is never left out for being suspect.
-    best.or(suspect).map(|(_, choice)| choice).ok_or(lack)
+    best.or(suspect).map(|(_, choice)| choice).ok_or(shortage)
 }
 
-fn is_usable(view: &View<'_>, request: &Request, upstream: &Upstream) -> bool {
-    let holds = request.head.model.as_ref().is_none_or(|m| upstream.holds(m, view.now));
-    upstream.takes_new(view.now) && holds
+/// What keeps the request from going to an upstream that takes new ones, if anything does.
+fn lack(view: &View<'_>, request: &Request, id: &Name, upstream: &Upstream) -> Option<Lack> {
+    if let Some(subject) = &request.head.model
+        && !upstream.holds(subject, view.now)
+    {
+        let base = ModelRef { model: subject.model.clone(), adapter: None };
+        let has_model = subject.adapter.is_some() && upstream.holds(&base, view.now);
+        return Some(if has_model { Lack::Adapter } else { Lack::Model });
+    }
+    if !request.may_go_to(id) {
+        return Some(Lack::Attempt);
+    }
+    if view.now < upstream.full_until {
+        return Some(Lack::TurnedAway);
+    }
+    if view.now < upstream.paced_until {
+        return Some(Lack::Moment);
+    }
+    let load = upstream.total(view.now);
+    let slots = f64::from(upstream.state.slots);
+    match view.engine {
+        None => (f64::from(load.running) >= slots * SERVICE_QUEUE).then_some(Lack::Slot),
+        Some(_) if load.running == 0 => None,
+        Some(engine) => engine_lack(view, engine, request, upstream),
+    }
 }
 
-fn has_room(view: &View<'_>, request: &Request, upstream: &Upstream) -> bool {
+/// What a busy engine lacks for the request.
+fn engine_lack(
+    view: &View<'_>,
+    engine: &EngineSpec,
+    request: &Request,
+    upstream: &Upstream,
+) -> Option<Lack> {
     let load = upstream.total(view.now);
     let slots = f64::from(upstream.state.slots);
-    if view.now < upstream.full_until.max(upstream.paced_until) {
-        return false;
+    if f64::from(load.running) >= slots * ENGINE_FILL {
+        return Some(Lack::Slot);
     }
-    match view.engine {
-        None => f64::from(load.running) < slots * SERVICE_QUEUE,
-        Some(engine) => {
-            let fits = u64::from(load.held_tokens + request.tokens()) <= engine.kv_tokens;
-            let has_slot = f64::from(load.running) < slots * ENGINE_FILL;
-            let ahead = view.ahead(upstream);
-            let model = request.head.model.as_ref();
-            let cached = upstream.cached_tokens(&request.shared);
-            let unread = ahead + request.head.prompt_tokens.saturating_sub(cached);
-            let reading_ms = view.pace.reading_ms(model.map(|m| &m.model), unread);
-            let is_read_soon = reading_ms < GAP_SHARE * request.gap_ms() as f64;
-            load.running == 0 || (fits && has_slot && (ahead == 0 || is_read_soon))
-        }
+    if u64::from(load.held_tokens + request.tokens()) > engine.kv_tokens {
+        return Some(Lack::Memory);
     }
+    let ahead = view.ahead(upstream);
+    let model = request.head.model.as_ref();
+    let cached = upstream.cached_tokens(&request.shared);
+    let unread = ahead + request.head.prompt_tokens.saturating_sub(cached);
+    let reading_ms = view.pace.reading_ms(model.map(|m| &m.model), unread);
+    let is_read_soon = reading_ms < GAP_SHARE * request.gap_ms() as f64;
+    (ahead > 0 && !is_read_soon).then_some(Lack::Reading)
 }
 
 impl View<'_> {
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -1,7 +1,7 @@
 //! How attempts and requests end: what is learned, what may be sent again, what the caller is told.
 
 use crate::{
-    Action, AttemptEnd, Dispatch, RequestId,
+    Action, AttemptEnd, Dispatch, RequestId, Standing,
     request::{Request, Sending, Stage},
     sending::WANT_AGAIN_MS,
 };
@@ -66,7 +66,10 @@
             request.patience = request.patience.min(now + EXHAUSTED_MS);
         }
         match self.why_not_again(now, &request, end, answered) {
-            Some(refusal) => actions.push(Action::Refuse { id, refusal }),
+            Some(refusal) => {
+                let standing = Standing::from(&request);
+                actions.push(Action::Refuse { id, refusal, standing });
+            }
             None => {
                 self.queue.insert(id, &request);
                 self.requests.insert(id, request);
@@ -161,12 +164,12 @@
                 _ if request.verdict == Verdict::NotRun => now >= request.patience,
                 _ => now + LEAST_LEFT_MS >= request.deadline,
             };
-            is_late.then(|| (*id, self.late_refusal(now, request)))
+            is_late.then(|| (*id, self.late_refusal(now, request), Standing::from(request)))
         });
-        let late: Vec<(RequestId, Refusal)> = late.collect();
-        for (id, refusal) in late {
+        let late: Vec<(RequestId, Refusal, Standing)> = late.collect();
+        for (id, refusal, standing) in late {
             self.end(id);
-            actions.push(Action::Refuse { id, refusal });
+            actions.push(Action::Refuse { id, refusal, standing });
         }
         for upstream in self.upstreams.values_mut() {
             let (good, bad) = upstream.peer_ends(now);
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -1,6 +1,6 @@
 //! What goes into the decisions and what comes out.
 
-use crate::{BudgetOptions, Digest};
+use crate::{BudgetOptions, Digest, Lack, Standing};
 use std::{net::SocketAddr, rc::Rc};
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_ports::{CallerRequest, Configuration, ModelRef, Refusal, UpstreamState};
@@ -161,6 +161,8 @@
     pub version: u64,
     /// Milliseconds since the request arrived.
     pub waited_ms: u64,
+    /// What it lacked before, if it had to wait.
+    pub lacked: Option<Lack>,
     /// Tokens of the prompt that the upstream was thought not to have read before.
     pub unread_tokens: u32,
     /// Milliseconds of reading that it was thought to do first, for others.
@@ -216,6 +218,8 @@
         id: RequestId,
         /// Why, and whether it may have run.
         refusal: Refusal,
+        /// What stood in its way.
+        standing: Standing,
     },
     /// A model or adapter is asked for that no runner holds.
     Want {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 mod reserving;
 mod routes;
 mod sending;
+mod shortage;
 mod upstream;
 
 pub use budget::{Budget, BudgetOptions};
@@ -27,3 +28,4 @@
 pub use health::Health;
 pub use machine::{Counts, Dispatch, UpstreamSummary};
 pub use routes::RouteIndex;
+pub use shortage::{Lack, Shortage, Standing};
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Action, Budget, DemandRow, Digest, Event, LoadRow, Options, Prediction, RequestId, RouteIndex,
+    Standing,
     ending::{RETRY_MS, STOP_RETRY_MS},
     pace::Pace,
     queue::Queue,
@@ -246,7 +247,11 @@
         head: CallerRequest,
         actions: &mut Vec<Action>,
     ) {
-        let refuse = |cause, retry| Action::Refuse { id, refusal: Refusal::not_run(cause, retry) };
+        let refuse = |cause, retry| Action::Refuse {
+            id,
+            refusal: Refusal::not_run(cause, retry),
+            standing: Standing::default(),
+        };
         if self.configuration.is_none() {
             return actions.push(refuse(RefusalCause::NotConfigured, Some(RETRY_MS)));
         }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     choice::{Choice, Expected},
+    shortage::Shortage,
     upstream::{Load, shared_prefixes},
 };
 use std::rc::Rc;
@@ -70,6 +71,8 @@
     pub verdict: Verdict,
     /// No sending before this.
     pub not_before: Tick,
+    /// What it lacked when it last looked for an upstream in vain.
+    pub shortage: Option<Shortage>,
 }
 
 /// A stream's caller leaves after a gap of this many milliseconds, or of some objectives.
@@ -109,6 +112,7 @@
             reservations: 0,
             verdict: Verdict::NotRun,
             not_before: now,
+            shortage: None,
         }
     }
 
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -3,10 +3,11 @@
 use crate::{
     Action, Attempt, Dispatch, RequestId,
     choice::Choice,
-    choose::{Lack, View, choose},
+    choose::{View, choose},
     request::{Request, Sending, Stage},
+    shortage::Shortage,
 };
-use std::collections::HashSet;
+use std::collections::HashMap;
 use vanetally_ports::{ModelRef, RequestKind};
 use vanetally_types::{Name, Tick};
 
@@ -19,7 +20,7 @@
     /// Sends what waits and can go.
     pub(crate) fn pump(&mut self, now: Tick, actions: &mut Vec<Action>) {
         for service in self.queue.services() {
-            let mut lacking: HashSet<Option<ModelRef>> = HashSet::new();
+            let mut lacking = HashMap::new();
             for id in self.in_order(now, &service) {
                 self.try_send(now, &service, id, &mut lacking, actions);
             }
@@ -41,24 +42,33 @@
         now: Tick,
         service: &Name,
         id: RequestId,
-        lacking: &mut HashSet<Option<ModelRef>>,
+        lacking: &mut HashMap<Option<ModelRef>, Shortage>,
         actions: &mut Vec<Action>,
     ) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
         let subject = request.head.model.clone();
-        if now < request.not_before || lacking.contains(&subject) {
+        if now < request.not_before {
+            return;
+        }
+        if let Some(shortage) = lacking.get(&subject).copied() {
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.shortage = Some(shortage);
+            }
             return;
         }
         match self.choose(now, request) {
             Ok(choice) if self.is_engine(service) => actions.extend(self.reserve(id, choice)),
             Ok(choice) => actions.extend(self.send(now, id, choice, 0)),
-            Err(lack) => {
+            Err(shortage) => {
                 if request.tried.is_empty() {
-                    lacking.insert(subject.clone());
+                    lacking.insert(subject.clone(), shortage);
+                }
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.shortage = Some(shortage);
                 }
-                if let (Lack::Holder, Some(subject)) = (lack, subject) {
+                if let Some(subject) = subject.filter(|_| shortage.lack.is_missing()) {
                     self.want(now, service, subject, actions);
                 }
             }
@@ -70,7 +80,7 @@
         services.and_then(|known| known.get(service)).is_some_and(|known| known.engine.is_some())
     }
 
-    fn choose(&self, now: Tick, request: &Request) -> Result<Choice, Lack> {
+    fn choose(&self, now: Tick, request: &Request) -> Result<Choice, Shortage> {
         let services = self.configuration.as_ref().map(|c| &c.services);
         let service = services.and_then(|services| services.get(&request.service));
         let view = View {
@@ -113,6 +123,7 @@
             subject: request.head.model.clone(),
             version,
             waited_ms: now.since(request.arrived),
+            lacked: request.shortage.map(|shortage| shortage.lack),
             unread_tokens: choice.expected.unread,
             ahead_ms: choice.expected.ahead_ms,
             upstream: choice.upstream.clone(),
--- /dev/null
+++ b/crates/dispatch/tests/shortage.rs
@@ -0,0 +1,99 @@
+//! What a refused request lacked is told with its refusal.
+
+mod support;
+
+use rstest::rstest;
+use support::{Host, request, route, upstream};
+use vanetally_dispatch::{
+    Action, AttemptEnd, Digest, Event, Lack, LoadRow, RequestId, Shortage, Standing,
+};
+use vanetally_ports::{ModelRef, RequestKind};
+
+/// Longer than any request waits here.
+const LONG_MS: u64 = 12_000;
+
+fn host() -> Host {
+    let routes = vec![
+        route("offer", RequestKind::Stream, "llm"),
+        route("check", RequestKind::Idempotent, "desk"),
+    ];
+    Host::new(routes)
+}
+
+fn standing(actions: &[Action], id: RequestId) -> Option<Standing> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse { id: of, standing, .. } if *of == id => Some(standing.clone()),
+        _ => None,
+    })
+}
+
+/// The standing of a request for `model` that waits in vain.
+fn waited(host: &mut Host, model: &str) -> Standing {
+    let mut head = request("a", "offer", Some(model));
+    if let Some((base, adapter)) = model.split_once('/') {
+        head.model = Some(ModelRef { model: base.into(), adapter: Some(adapter.into()) });
+    }
+    let (id, mut actions) = host.arrive(head);
+    actions.extend(host.pass(LONG_MS));
+    standing(&actions, id).expect("refused")
+}
+
+fn others_at(upstream: &str, running: u32, held_tokens: u32, unread_tokens: u32) -> Event {
+    let row =
+        LoadRow { upstream: upstream.into(), running, unread_tokens, held_tokens, good: 0, bad: 0 };
+    let digest = Digest { loads: vec![row], demand: Vec::new() };
+    Event::PeerDigest { host: "front-2".into(), digest }
+}
+
+#[test]
+fn nobody_there() {
+    let mut host = host();
+    let told = waited(&mut host, "m1");
+    assert_eq!(told.shortage, Some(Shortage { lack: Lack::Upstream, holders: 0 }));
+    assert_eq!((&*told.route, told.sendings), ("offer", 0));
+    assert_eq!(told.subject.unwrap().to_string(), "m1");
+}
+
+#[rstest]
+#[case("m2", Lack::Model)]
+#[case("m1/a1", Lack::Adapter)]
+fn not_held(#[case] model: &str, #[case] lack: Lack) {
+    let mut host = host();
+    host.see("i-1", upstream("llm", 1, &["m1"]));
+    assert_eq!(waited(&mut host, model).shortage, Some(Shortage { lack, holders: 0 }));
+}
+
+#[rstest]
+#[case(4, 500, 0, Lack::Slot)]
+#[case(2, 9_950, 0, Lack::Memory)]
+#[case(2, 500, 50_000, Lack::Reading)]
+fn no_room(#[case] running: u32, #[case] held: u32, #[case] unread: u32, #[case] lack: Lack) {
+    let mut host = host();
+    host.see("i-1", upstream("llm", 1, &["m1"]));
+    host.tell(others_at("i-1", running, held, unread));
+    let (id, mut actions) = host.arrive(request("a", "offer", Some("m1")));
+    // Others tell their load again and again.
+    for _ in 0..12 {
+        actions.extend(host.pass(1_000));
+        actions.extend(host.tell(others_at("i-1", running, held, unread)));
+    }
+    let told = standing(&actions, id).expect("refused");
+    assert_eq!(told.shortage, Some(Shortage { lack, holders: 1 }));
+}
+
+#[test]
+fn turned_away() {
+    let mut host = host();
+    host.see("s-1", upstream("desk", 1, &[]));
+    let (id, mut actions) = host.arrive(request("a", "check", None));
+    actions.extend(host.end(id, AttemptEnd::Full));
+    while standing(&actions, id).is_none() {
+        actions.extend(host.pass(20));
+        if actions.iter().any(|action| matches!(action, Action::Send { .. })) {
+            actions = host.end(id, AttemptEnd::Full);
+        }
+    }
+    let told = standing(&actions, id).unwrap();
+    assert!(told.sendings > 1, "{told:?}");
+    assert_eq!(told.shortage, Some(Shortage { lack: Lack::TurnedAway, holders: 1 }));
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -188,7 +188,7 @@
 /// The refusal of `id` among `actions`.
 pub fn refusal(actions: &[Action], id: RequestId) -> Option<Refusal> {
     actions.iter().find_map(|action| match action {
-        Action::Refuse { id: of, refusal } if *of == id => Some(*refusal),
+        Action::Refuse { id: of, refusal, .. } if *of == id => Some(*refusal),
         _ => None,
     })
 }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,7 +1,7 @@
 //! A request that has no whole answer yet, as its caller's side sees it.
 
 use crate::{
-    hub::{Command, Hub},
+    hub::{Command, Hub, Refused},
     telemetry,
 };
 use std::{rc::Rc, time::Instant};
@@ -58,16 +58,23 @@
     /// The next command.
     pub(crate) async fn command(&mut self) -> Command {
         // The sender lives until the request is forgotten, which only its end does.
-        let lost = Refusal::may_have_run(RefusalCause::UpstreamFailed);
+        let lost = Refusal::may_have_run(RefusalCause::UpstreamFailed).into();
         self.commands.recv().await.unwrap_or(Command::Refuse(lost))
     }
 
     /// Notes the final answer of the product's own.
-    pub(crate) fn refused(&mut self, refusal: &Refusal) {
-        telemetry::refused(refusal.cause);
+    pub(crate) fn refused(&mut self, refused: &Refused) {
+        let Refused { refusal, standing } = refused;
+        let lack = standing.shortage.map_or("-", |shortage| shortage.lack.as_str());
+        telemetry::refused(refusal.cause, lack);
         log::info!(
-            "event=request_refused request={} cause={} verdict={} retry_after_ms={} after_ms={}",
+            "event=request_refused request={} route={} subject={} lack={lack} holders={} sendings={} \
+             cause={} verdict={} retry_after_ms={} after_ms={}",
             self.name,
+            standing.route,
+            standing.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string),
+            standing.shortage.map_or(0, |shortage| shortage.holders),
+            standing.sendings,
             refusal.cause.as_str(),
             refusal.verdict,
             refusal.retry_after_ms.unwrap_or(0),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,7 @@
     answer::Answer,
     caller::Caller,
     headers::{end_to_end, stated_rest},
-    hub::{Command, Hub, Stage},
+    hub::{Command, Hub, Refused, Stage},
     relay,
     sending::{Asked, Outgoing, Sending, Started, ask_in_time},
     telemetry,
@@ -62,8 +62,8 @@
     loop {
         let attempt = match caller.command().await {
             Command::Send(attempt) => attempt,
-            Command::Refuse(refusal) => {
-                let own = refused(&mut caller, &refusal);
+            Command::Refuse(refused) => {
+                let own = refuse_caller(&mut caller, &refused);
                 // What an upstream itself answered says more than that it failed.
                 return failure.unwrap_or(own);
             }
@@ -79,11 +79,11 @@
         let asked = tokio::select! {
             biased;
             command = caller.commands.recv() => {
-                let refusal = match command {
-                    Some(Command::Refuse(refusal)) => refusal,
-                    _ => Refusal::may_have_run(RefusalCause::UpstreamFailed),
+                let refused = match command {
+                    Some(Command::Refuse(refused)) => refused,
+                    _ => Refusal::may_have_run(RefusalCause::UpstreamFailed).into(),
                 };
-                return refused(&mut caller, &refusal);
+                return refuse_caller(&mut caller, &refused);
             }
             asked = ask_in_time(sending) => asked,
         };
@@ -101,9 +101,9 @@
     }
 }
 
-fn refused(caller: &mut Caller, refusal: &Refusal) -> Response<Answer> {
-    caller.refused(refusal);
-    refuse(&caller.hub, Some(&caller.name), refusal)
+fn refuse_caller(caller: &mut Caller, refused: &Refused) -> Response<Answer> {
+    caller.refused(refused);
+    refuse(&caller.hub, Some(&caller.name), &refused.refusal)
 }
 
 fn refuse(hub: &Hub, name: Option<&Name>, refusal: &Refusal) -> Response<Answer> {
@@ -129,11 +129,11 @@
     let body = tokio::select! {
         biased;
         command = caller.commands.recv() => {
-            let refusal = match command {
-                Some(Command::Refuse(refusal)) => refusal,
-                _ => Refusal::may_have_run(RefusalCause::UpstreamFailed),
+            let refused = match command {
+                Some(Command::Refuse(refused)) => refused,
+                _ => Refusal::may_have_run(RefusalCause::UpstreamFailed).into(),
             };
-            return Whole::Final(refused(caller, &refusal));
+            return Whole::Final(refuse_caller(caller, &refused));
         }
         body = Limited::new(body, WHOLE_BYTES).collect() => body,
     };
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -12,7 +12,9 @@
     time::Instant,
 };
 use tokio::sync::{mpsc, watch};
-use vanetally_dispatch::{self as dispatch, Attempt, Digest, Dispatch, Prediction, RequestId};
+use vanetally_dispatch::{
+    self as dispatch, Attempt, Digest, Dispatch, Lack, Prediction, RequestId, Standing,
+};
 use vanetally_fanout::{Event as FollowEvent, Follow, Pull, Source, Totals, Versions};
 use vanetally_link::peer::Links;
 use vanetally_placement::{self as placement, Placement, Tenure, TenureEvent, TenureOptions};
@@ -25,7 +27,20 @@
     /// Send it.
     Send(Attempt),
     /// End it.
-    Refuse(Refusal),
+    Refuse(Refused),
+}
+
+/// A final answer of the product's own, and what stood in the request's way.
+#[derive(Debug)]
+pub(crate) struct Refused {
+    pub refusal: Refusal,
+    pub standing: Standing,
+}
+
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        Self { refusal, standing: Standing::default() }
+    }
 }
 
 /// How far a planned stop has come.
@@ -161,8 +176,8 @@
                     log_sending(&attempt);
                     self.command(id, Command::Send(attempt));
                 }
-                dispatch::Action::Refuse { id, refusal } => {
-                    self.command(id, Command::Refuse(refusal));
+                dispatch::Action::Refuse { id, refusal, standing } => {
+                    self.command(id, Command::Refuse(Refused { refusal, standing }));
                 }
                 dispatch::Action::Reserve { id, turn, prompt } => self.reserve(id, turn, prompt),
                 dispatch::Action::Want { service, subject } => self.want(service, subject),
@@ -311,13 +326,14 @@
 fn log_sending(attempt: &Attempt) {
     let subject = attempt.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string);
     log::info!(
-        "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} deadline_ms={} \
+        "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} lacked={} deadline_ms={} \
          own_load={} peer_load={} unread_tokens={} ahead_ms={} delay_ms={} version={}",
         attempt.request,
         attempt.route,
         attempt.upstream,
         attempt.number,
         attempt.waited_ms,
+        attempt.lacked.map_or("-", Lack::as_str),
         attempt.deadline_ms,
         attempt.own_load,
         attempt.peer_load,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -107,8 +107,8 @@
                 biased;
                 () = self.sender.closed() => return Read::Over,
                 command = self.caller.commands.recv() => {
-                    if let Some(Command::Refuse(refusal)) = command {
-                        self.caller.refused(&refusal);
+                    if let Some(Command::Refuse(refused)) = command {
+                        self.caller.refused(&refused);
                     }
                     self.cut().await;
                     return Read::Over;
@@ -156,8 +156,8 @@
         loop {
             let attempt = match self.caller.command().await {
                 Command::Send(attempt) => attempt,
-                Command::Refuse(refusal) => {
-                    self.caller.refused(&refusal);
+                Command::Refuse(refused) => {
+                    self.caller.refused(&refused);
                     return None;
                 }
             };
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -34,8 +34,8 @@
 }
 
 /// The product itself ended a request.
-pub(crate) fn refused(cause: RefusalCause) {
-    counter!("vanetally_refusals_total", "cause" => cause.as_str()).increment(1);
+pub(crate) fn refused(cause: RefusalCause, lack: &'static str) {
+    counter!("vanetally_refusals_total", "cause" => cause.as_str(), "lack" => lack).increment(1);
 }
 
 /// A caller left before its answer was whole.
