fix: the plan of weights is made in spaced rounds and counts everything once; books outlive a moment's doubt

Cause: the holder of orders made the plan anew for each report, answer and missed model, and each of up to 16 steps counted all runners and looked at every runner for every model. Each lapse threw all books away: 'holding' fell from 221 to 33 and to 0. Ruled out: renewals lost on the way (grants and takes of the same seconds were answered), a slow store. Change: rounds at least 40 ms apart; one count for a round, steps from sorted candidates; the books hold when the same token comes back, and begin with what runners announce in the store. Tests: rounds_are_spaced, books_survive_a_doubt, books_end_with_another_token, announced_models_count. no_turning now lets one round pass between a report and the order that it expects; it asserts the same.

--- a/crates/placement/src/ceiling.rs
+++ b/crates/placement/src/ceiling.rs
@@ -23,12 +23,12 @@
         Self { window_ms, most, begun: std::iter::repeat_n(now, begun).collect() }
     }
 
-    /// Whether one more may begin beside `unsettled` ones that may begin at any moment.
-    pub fn has_room(&mut self, now: Tick, unsettled: usize) -> bool {
+    /// How many more may begin beside `unsettled` ones that may begin at any moment.
+    pub fn room(&mut self, now: Tick, unsettled: usize) -> usize {
         while self.begun.front().is_some_and(|at| now.since(*at) > self.window_ms) {
             self.begun.pop_front();
         }
-        self.begun.len() + unsettled < self.most
+        self.most.saturating_sub(self.begun.len() + unsettled)
     }
 
     /// A load was ordered.
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -24,6 +24,29 @@
     pub due: Tick,
 }
 
+/// Room for weights on a runner of one service.
+pub(crate) struct Capacity<'a> {
+    engine: &'a EngineSpec,
+    /// Megabytes for models: what adapters may need is kept back.
+    models_mb: f64,
+}
+
+impl<'a> Capacity<'a> {
+    pub(crate) fn of(engine: &'a EngineSpec) -> Self {
+        let largest = engine.models.values().map(|spec| spec.adapter_mb).fold(0.0, f64::max);
+        let reserve = largest * f64::from(engine.max_adapters);
+        Self { engine, models_mb: engine.weights_mb - reserve }
+    }
+
+    /// Megabytes beside all that is there or on its way.
+    pub(crate) fn free_mb(&self, ledger: &Ledger) -> f64 {
+        // What the configuration does not know may be of any size: nothing goes beside it.
+        let engine = self.engine;
+        let size = |name| engine.models.get(name).map_or(engine.weights_mb, |spec| spec.weights_mb);
+        self.models_mb - ledger.models().map(size).sum::<f64>()
+    }
+}
+
 /// The books of one runner.
 #[derive(Clone, Debug)]
 pub struct Ledger {
@@ -64,8 +87,21 @@
 const ORDER_TIMEOUT_MS: u64 = 1_500;
 
 impl Ledger {
-    /// The books of a runner that announced `state`.
+    /// The books of a runner that announced `state`: until it reports, it is thought to hold what it
+    /// announces, and gets no order.
     pub fn new(state: UpstreamState) -> Self {
+        let mut ledger = Self::empty(state);
+        ledger.take_announced();
+        ledger
+    }
+
+    fn take_announced(&mut self) {
+        let models = std::mem::take(&mut self.state.models);
+        self.set_held(&models);
+        self.state.models = models;
+    }
+
+    fn empty(state: UpstreamState) -> Self {
         Self {
             held: BTreeMap::new(),
             coming: BTreeMap::new(),
@@ -86,7 +122,7 @@
     /// The runner announced itself anew.
     ///
     /// Announcements may be older than they look: what the runner holds is taken from its own
-    /// reports only, and a difference is a reason to ask for one.
+    /// reports, once there is one, and a difference is a reason to ask for another.
     pub fn announced(&mut self, state: UpstreamState) {
         let count = self.count.unwrap_or(0);
         let has_arrived = self
@@ -97,6 +133,9 @@
             self.is_doubtful = true;
         }
         self.state = state;
+        if !self.is_known() {
+            self.take_announced();
+        }
     }
 
     fn set_held(&mut self, models: &[HeldModel]) {
@@ -307,6 +346,11 @@
         })
     }
 
+    /// Models of which the runner has a copy of its own.
+    pub(crate) fn copies(&self) -> impl Iterator<Item = &Name> {
+        self.at_hand.iter()
+    }
+
     /// Whether the runner has a copy of the weights of its own.
     pub fn has_at_hand(&self, model: &Name) -> bool {
         self.at_hand.contains(model)
@@ -317,17 +361,11 @@
         let Some(spec) = engine.models.get(model) else {
             return Room::Never;
         };
-        let size = |name: &Name| {
-            // What the configuration does not know may be of any size: nothing goes beside it.
-            engine.models.get(name).map_or(engine.weights_mb, |spec| spec.weights_mb)
-        };
-        let largest = engine.models.values().map(|spec| spec.adapter_mb).fold(0.0, f64::max);
-        let reserve = largest * f64::from(engine.max_adapters);
-        if spec.weights_mb + reserve > engine.weights_mb {
+        let capacity = Capacity::of(engine);
+        if spec.weights_mb > capacity.models_mb {
             return Room::Never;
         }
-        let taken: f64 = self.models().map(size).sum();
-        let fits = taken + reserve + spec.weights_mb <= engine.weights_mb;
+        let fits = spec.weights_mb <= capacity.free_mb(self);
         if fits { Room::Fits } else { Room::Full }
     }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod tenure;
 mod weights;
+mod worth;
 
 pub use ceiling::Ceiling;
 pub use event::{Action, Basis, DemandSample, Event, Options};
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -20,6 +20,10 @@
     pub(crate) token: Option<Revision>,
     /// Since when the token holds.
     pub(crate) token_since: Tick,
+    /// The last token: while no other host had one, the books hold.
+    last_token: Option<Revision>,
+    /// When the next round of the plan may begin.
+    round_at: Tick,
     pub(crate) ceilings: HashMap<Name, Ceiling>,
     pub(crate) wanted: BTreeMap<(Name, ModelRef), Tick>,
     /// Weights that get no new requests, and since when.
@@ -57,6 +61,9 @@
 /// An unload waits for its runs; a report is asked for after this long, in milliseconds.
 const UNLOAD_MS: u64 = 400;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
+/// Least time between two rounds of the plan, in milliseconds: on a deployment of 90 runners and 196
+/// models a round for each report and answer took the holder's whole processor, and its lease ran out.
+const ROUND_MS: u64 = 40;
 
 impl Placement {
     /// Nothing is known yet.
@@ -68,6 +75,8 @@
             demand: DemandTable::default(),
             token: None,
             token_since: Tick(0),
+            last_token: None,
+            round_at: Tick(0),
             ceilings: HashMap::new(),
             wanted: BTreeMap::new(),
             closing: BTreeMap::new(),
@@ -91,8 +100,11 @@
             }
             Event::Wanted { service, subject } => {
                 self.demand.touch(now, &service, &subject, 0.0);
-                self.wanted.insert((service.clone(), subject.clone()), now);
-                self.order_wanted(now, &service, &subject, &mut actions);
+                let last = self.wanted.insert((service.clone(), subject.clone()), now);
+                // What is missed again and again waits for the next round.
+                if last.is_none() {
+                    self.order_wanted(now, &service, &subject, &mut actions);
+                }
             }
             Event::Reported { runner, asked, report } => {
                 self.reported(now, &runner, asked, report, &mut actions);
@@ -163,6 +175,11 @@
             return;
         }
         self.token = token;
+        // The lease was in doubt for a while, and nobody else had it: what is known still holds.
+        if token.is_none() || token == self.last_token {
+            return;
+        }
+        self.last_token = token;
         self.closing.clear();
         self.reserved.clear();
         // An earlier holder may have begun loads: the books are in doubt.
@@ -209,6 +226,10 @@
             return;
         };
         self.order_closed(now, token, actions);
+        if now < self.round_at {
+            return;
+        }
+        self.round_at = now + ROUND_MS;
         for (name, service) in &configuration.services {
             if let Some(engine) = &service.engine {
                 self.order_adapters(now, token, name, engine, actions);
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,7 +1,12 @@
 //! Which weights should come where next.
 
-use crate::{Ledger, Reservation, Room, demand::DemandTable};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use crate::{
+    Ledger, Reservation,
+    demand::DemandTable,
+    ledger::Capacity,
+    worth::{self, Replicas},
+};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use vanetally_ports::{EngineSpec, Operation, Subject};
 use vanetally_types::{Name, Tick};
 
@@ -20,24 +25,6 @@
     pub reserved: &'a BTreeMap<Name, Reservation>,
 }
 
-/// Replicas of one model.
-#[derive(Clone, Copy, Debug, Default)]
-struct Replicas {
-    /// Runners that hold it and keep it.
-    held: usize,
-    /// Those, and runners that are getting it or make room for it.
-    planned: usize,
-}
-
-/// What the plan looks at, counted once.
-pub(crate) struct View<'a> {
-    basis: Basis<'a>,
-    runners: Vec<(&'a Name, &'a Ledger)>,
-    replicas: HashMap<&'a Name, Replicas>,
-    /// Runners on which something is under way that the plan must not disturb.
-    occupied: HashSet<&'a Name>,
-}
-
 /// One step: an order that brings the placement nearer to the demand.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Step {
@@ -50,32 +37,80 @@
     pub from_store: bool,
 }
 
-/// A model not asked for within this time may leave its last runner, in milliseconds.
-const IDLE_MS: u64 = 15_000;
-/// A model that is nowhere is brought if it was asked for within this time, in milliseconds: its
-/// callers ask again while they wait.
-const ASKED_MS: u64 = 2_000;
-/// Runner-seconds a second that a model's only replica may be asked for: other models of its runner
-/// are served elsewhere.
-const SINGLE_LOAD: f64 = 0.7;
-/// Runner-seconds a second that one of several replicas is planned for.
-const REPLICA_LOAD: f64 = 0.2;
-/// What the last replica of a model that nobody asks for is worth.
-const IDLE_LOSS: f64 = 0.01;
-/// How many times what is gained must be worth what is lost when a model makes way.
-const SWAP_FACTOR: f64 = 2.5;
-/// The gain of a first replica.
-const FIRST_GAIN: f64 = 1.0;
-
-/// Runner-seconds a second that a replica serves in time; what is beyond waits or is lost.
-const REPLICA_CAPACITY: f64 = 0.35;
-
-/// What callers of a model bear: how busy each of its replicas is, and the load that all of them
-/// together can't serve in time.
-fn burden(load: f64, replicas: f64) -> f64 {
-    load / replicas + (load - REPLICA_CAPACITY * replicas).max(0.0)
+/// A model of the service, as one round of the plan sees it.
+struct Model<'a> {
+    name: &'a Name,
+    weights_mb: f64,
+    /// Runner-seconds a second that it is asked for.
+    load: f64,
+    /// Since it was last asked for, in milliseconds.
+    idle_ms: u64,
+    replicas: Replicas,
+    /// Open runners that have a copy of their own, as indices.
+    at_hand: Vec<usize>,
+}
+
+/// A runner that may be given an order about weights.
+struct Runner<'a> {
+    name: &'a Name,
+    ledger: &'a Ledger,
+    free_mb: f64,
+    /// What its models are asked for there, in runner-seconds a second.
+    load: f64,
+    /// Whether the round has not used it yet.
+    is_open: bool,
 }
 
+/// One round of the plan. Everything is counted once; a step costs no more than a look at the runners
+/// that have a copy of its model, and at the few cheapest others.
+pub(crate) struct Round<'a> {
+    basis: Basis<'a>,
+    models: Vec<Model<'a>>,
+    index: HashMap<&'a Name, usize>,
+    runners: Vec<Runner<'a>>,
+    runner_count: usize,
+    /// Open runners with free room, the least loaded first.
+    roomy: Vec<usize>,
+    /// Open runners without, the one whose cheapest model is worth least first.
+    full: Vec<usize>,
+}
+
+/// A model and what one more replica of it gains, ordered by the gain.
+struct Need {
+    gain: f64,
+    model: usize,
+}
+
+impl PartialEq for Need {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Need {}
+
+impl PartialOrd for Need {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Need {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.gain.total_cmp(&other.gain).then_with(|| other.model.cmp(&self.model))
+    }
+}
+
+/// A way to bring a model to a runner.
+struct Way {
+    cost: f64,
+    runner: usize,
+    /// The model that has to go first, if one has to.
+    victim: Option<usize>,
+}
+
+/// How many of the cheapest runners a step looks at.
+const MOST_LOOKED_AT: usize = 24;
 /// What a load from the weight store costs beside one at hand: seconds that the runner is bound.
 const STORE_COST: f64 = 0.05;
 /// What an unload costs for each runner-second a second that the model's runs there come to: it waits
@@ -84,146 +119,214 @@
 /// What a runner's present load costs: among equals the idle one is taken.
 const LOAD_COST: f64 = 0.05;
 
-impl<'a> View<'a> {
+impl<'a> Round<'a> {
     /// Counts what `basis` holds.
     pub(crate) fn new(basis: Basis<'a>) -> Self {
-        let own = basis.ledgers.iter().filter(|(_, l)| l.state.service == *basis.service);
-        let runners: Vec<_> = own.filter(|(_, ledger)| !ledger.state.draining).collect();
-        let mut replicas: HashMap<&Name, Replicas> = HashMap::new();
-        for (runner, ledger) in &runners {
+        let mut round = Self {
+            basis,
+            models: basis
+                .engine
+                .models
+                .iter()
+                .map(|(name, spec)| Model {
+                    name,
+                    weights_mb: spec.weights_mb,
+                    load: basis.demand.model_load(basis.now, basis.service, name),
+                    idle_ms: basis.now.since(basis.demand.model_last(basis.service, name)),
+                    replicas: Replicas::default(),
+                    at_hand: Vec::new(),
+                })
+                .collect(),
+            index: HashMap::new(),
+            runners: Vec::new(),
+            runner_count: 0,
+            roomy: Vec::new(),
+            full: Vec::new(),
+        };
+        round.index = basis.engine.models.keys().enumerate().map(|(i, name)| (name, i)).collect();
+        round.count_replicas();
+        round.find_open();
+        round.sort_open();
+        round
+    }
+
+    fn own_ledgers(&self) -> impl Iterator<Item = (&'a Name, &'a Ledger)> + use<'a> {
+        let service = self.basis.service;
+        self.basis
+            .ledgers
+            .iter()
+            .filter(move |(_, ledger)| ledger.state.service == *service && !ledger.state.draining)
+    }
+
+    fn count_replicas(&mut self) {
+        for (runner, ledger) in self.own_ledgers() {
+            self.runner_count += 1;
             for model in ledger.held_names() {
-                let count = replicas.entry(model).or_default();
-                count.held += 1;
-                count.planned += 1;
+                if let Some(&index) = self.index.get(model) {
+                    self.models[index].replicas.held += 1;
+                    self.models[index].replicas.planned += 1;
+                }
             }
             let coming = ledger.coming_model();
-            let reserved = basis.reserved.get(*runner).map(|reservation| &reservation.model);
+            let reserved = self.basis.reserved.get(runner).map(|reservation| &reservation.model);
             let reserved = reserved.filter(|model| !ledger.will_hold(model));
             for model in coming.into_iter().chain(reserved) {
-                replicas.entry(model).or_default().planned += 1;
+                if let Some(&index) = self.index.get(model) {
+                    self.models[index].replicas.planned += 1;
+                }
             }
         }
-        let closing = basis.closing.keys().map(|(runner, _)| runner);
-        let occupied = closing.chain(basis.reserved.keys()).collect();
-        Self { basis, runners, replicas, occupied }
     }
 
-    fn replicas(&self, model: &Name) -> usize {
-        self.replicas.get(model).map_or(0, |count| count.planned)
-    }
-
-    /// Runner-seconds a second that the model asks for.
-    fn load(&self, model: &Name) -> f64 {
-        self.basis.demand.model_load(self.basis.now, self.basis.service, model)
+    /// Runners on which nothing is under way that the plan must not disturb.
+    fn find_open(&mut self) {
+        let closing = self.basis.closing.keys().map(|(runner, _)| runner);
+        let occupied: HashSet<&Name> = closing.chain(self.basis.reserved.keys()).collect();
+        let capacity = Capacity::of(self.basis.engine);
+        for (name, ledger) in self.own_ledgers() {
+            if occupied.contains(name) || ledger.next_count().is_none() {
+                continue;
+            }
+            let index = self.runners.len();
+            for model in ledger.copies() {
+                if let Some(&model) = self.index.get(model) {
+                    self.models[model].at_hand.push(index);
+                }
+            }
+            let load = ledger.models().filter_map(|model| self.index.get(model)).map(|&model| {
+                let Model { load, replicas, .. } = &self.models[model];
+                load / replicas.planned.max(1) as f64
+            });
+            let load = load.sum();
+            let free_mb = capacity.free_mb(ledger);
+            self.runners.push(Runner { name, ledger, free_mb, load, is_open: true });
+        }
     }
 
-    fn idle_ms(&self, model: &Name) -> u64 {
-        self.basis.now.since(self.basis.demand.model_last(self.basis.service, model))
+    fn sort_open(&mut self) {
+        let least = self.models.iter().map(|model| model.weights_mb).fold(f64::MAX, f64::min);
+        let all = 0..self.runners.len();
+        let (mut roomy, full): (Vec<usize>, Vec<usize>) =
+            all.partition(|&index| self.runners[index].free_mb >= least);
+        roomy.sort_by(|&a, &b| self.runners[a].load.total_cmp(&self.runners[b].load));
+        let costs =
+            full.into_iter().filter_map(|index| Some((self.cheapest(index, 0.0)?.0, index)));
+        let mut costs: Vec<(f64, usize)> = costs.collect();
+        costs.sort_by(|a, b| a.0.total_cmp(&b.0));
+        self.roomy = roomy;
+        self.full = costs.into_iter().map(|(_, index)| index).collect();
     }
 
-    /// How many replicas the model should have.
-    fn wanted(&self, model: &Name) -> usize {
-        let load = self.load(model);
-        let by_load = if load < SINGLE_LOAD { 1 } else { (load / REPLICA_LOAD).ceil() as usize };
-        by_load.max(1).min(self.runners.len())
+    /// The model of at least `least_mb` of a runner that is worth least there: what its going loses,
+    /// what its runs cost besides, and its index.
+    fn cheapest(&self, runner: usize, least_mb: f64) -> Option<(f64, f64, usize)> {
+        let held = self.runners[runner].ledger.models();
+        let known = held.filter_map(|model| self.index.get(model).copied());
+        let large = known.filter(|&index| self.models[index].weights_mb >= least_mb);
+        let costs = large.filter_map(|index| {
+            let model = &self.models[index];
+            let loss = worth::loss(model.load, model.idle_ms, model.replicas)?;
+            let runs = model.load / model.replicas.held.max(1) as f64;
+            Some((loss, RUNS_COST * runs, index))
+        });
+        costs.min_by(|a, b| (a.0 + a.1).total_cmp(&(b.0 + b.1)))
     }
 
-    /// Whether the model should have more replicas than are there and planned, not counting
-    /// `but` of them.
+    /// Whether the model should have more replicas than are there and planned, not counting `but` of
+    /// them.
     pub(crate) fn is_needy(&self, model: &Name, but: usize) -> bool {
-        let replicas = self.replicas(model).saturating_sub(but);
-        let is_asked = replicas > 0 || self.idle_ms(model) < ASKED_MS;
-        is_asked && replicas < self.wanted(model)
+        self.index.get(model).is_some_and(|&index| self.lacks(index, but))
     }
 
-    /// Runners that hold the model now.
-    fn holders(&self, model: &Name) -> usize {
-        self.replicas.get(model).map_or(0, |count| count.held)
+    fn lacks(&self, index: usize, but: usize) -> bool {
+        let Model { load, idle_ms, replicas, .. } = &self.models[index];
+        let planned = replicas.planned.saturating_sub(but);
+        let wanted = worth::wanted(*load).min(self.runner_count);
+        (planned > 0 || worth::is_asked(*idle_ms)) && planned < wanted
     }
 
-    /// What one more replica takes off the others.
-    fn gain(&self, model: &Name) -> f64 {
-        let replicas = self.replicas(model) as f64;
-        if replicas == 0.0 {
-            let is_asked = self.idle_ms(model) < ASKED_MS;
-            return if is_asked { FIRST_GAIN } else { 0.0 };
+    fn need(&self, index: usize) -> Option<Need> {
+        if !self.lacks(index, 0) {
+            return None;
         }
-        let load = self.load(model);
-        burden(load, replicas) - burden(load, replicas + 1.0)
+        let Model { load, idle_ms, replicas, .. } = &self.models[index];
+        let gain = worth::gain(*load, *idle_ms, *replicas);
+        (gain > 0.0).then_some(Need { gain, model: index })
     }
 
-    /// What one replica fewer puts on the others; none if the last one has to stay.
-    fn loss(&self, model: &Name) -> Option<f64> {
-        // One that is on its way can't serve for seconds.
-        let replicas = self.holders(model) as f64;
-        if replicas <= 1.0 {
-            return (self.idle_ms(model) > IDLE_MS).then_some(IDLE_LOSS);
-        }
-        let load = self.load(model);
-        Some(burden(load, replicas - 1.0) - burden(load, replicas))
-    }
-
-    /// Runner-seconds a second that a runner's share of its models comes to.
-    fn runner_load(&self, ledger: &Ledger) -> f64 {
-        let share = |model: &Name| self.load(model) / self.replicas(model).max(1) as f64;
-        ledger.models().map(share).sum()
-    }
-
-    /// The next step, if any; loads from the weight store only if `store_has_room`.
-    pub(crate) fn next(&self, store_has_room: bool) -> Option<Step> {
-        let models = self.basis.engine.models.keys();
-        let needy = models.filter(|model| self.is_needy(model, 0));
-        let gains = needy.map(|model| (model, self.gain(model)));
-        let mut needy: Vec<(&Name, f64)> = gains.filter(|(_, gain)| *gain > 0.0).collect();
-        needy.sort_by(|a, b| b.1.total_cmp(&a.1));
-        needy.into_iter().find_map(|(model, gain)| self.bring(model, gain, store_has_room))
-    }
-
-    /// The cheapest step that brings the model to one more runner.
-    fn bring(&self, model: &Name, gain: f64, store_has_room: bool) -> Option<Step> {
-        let mut best: Option<(f64, Step)> = None;
-        for (runner, ledger) in &self.runners {
-            let is_at_hand = ledger.has_at_hand(model);
-            let is_free = !self.occupied.contains(*runner);
-            let is_open = is_free && ledger.next_count().is_some() && !ledger.will_hold(model);
-            if !is_open || !(store_has_room || is_at_hand) {
-                continue;
-            }
-            let Some((room_cost, operation, subject)) = self.make_room(ledger, model, gain) else {
+    /// At most `most` steps, with at most `from_store` loads from the weight store among them.
+    pub(crate) fn steps(mut self, most: usize, mut from_store: usize) -> Vec<Step> {
+        let needs = (0..self.models.len()).filter_map(|index| self.need(index));
+        let mut needs: BinaryHeap<Need> = needs.collect();
+        let mut steps = Vec::new();
+        while steps.len() < most
+            && let Some(Need { gain, model }) = needs.pop()
+        {
+            let Some(way) = self.cheapest_way(model, gain, from_store > 0) else {
                 continue;
             };
-            let store_cost = if is_at_hand { 0.0 } else { STORE_COST };
-            let cost = room_cost + store_cost + LOAD_COST * self.runner_load(ledger);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let from_store = operation == Operation::Load && !is_at_hand;
-                let subject = Subject { model: subject.clone(), adapter: None };
-                let runner = Name::clone(runner);
-                let model = model.clone();
-                best = Some((cost, Step { runner, operation, subject, model, from_store }));
-            }
+            let step = self.take(model, way);
+            from_store -= usize::from(step.from_store);
+            steps.push(step);
+            needs.extend(self.need(model));
+        }
+        steps
+    }
+
+    /// The cheapest way to bring the model to one more runner.
+    fn cheapest_way(&self, model: usize, gain: f64, may_use_store: bool) -> Option<Way> {
+        let at_hand = self.models[model].at_hand.iter();
+        let near = at_hand.filter_map(|&runner| self.way(model, runner, gain, 0.0));
+        let is_open = |&&runner: &&usize| self.runners[runner].is_open;
+        let others = |sorted: &'_ [usize]| -> Vec<Way> {
+            let open = sorted.iter().filter(is_open).take(MOST_LOOKED_AT);
+            open.filter_map(|&runner| self.way(model, runner, gain, STORE_COST)).collect()
+        };
+        let far = if may_use_store {
+            others(&self.roomy).into_iter().chain(others(&self.full)).collect()
+        } else {
+            Vec::new()
+        };
+        near.chain(far).min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
+    /// The way to bring the model to this runner, if that is allowed and worth it.
+    fn way(&self, model: usize, runner: usize, gain: f64, store_cost: f64) -> Option<Way> {
+        let Runner { ledger, free_mb, load, is_open, .. } = &self.runners[runner];
+        let Model { name, weights_mb, .. } = &self.models[model];
+        if !is_open || ledger.will_hold(name) {
+            return None;
         }
-        best.map(|(_, step)| step)
-    }
-
-    /// The order that brings the model nearer to the runner: its load, or the unload of what is
-    /// worth least there.
-    fn make_room<'b>(
-        &self,
-        ledger: &'b Ledger,
-        model: &'b Name,
-        gain: f64,
-    ) -> Option<(f64, Operation, &'b Name)> {
-        match ledger.room_for_model(self.basis.engine, model) {
-            Room::Fits => return Some((0.0, Operation::Load, model)),
-            Room::Never => return None,
-            Room::Full => {}
+        let cost = store_cost + LOAD_COST * load;
+        if free_mb >= weights_mb {
+            return Some(Way { cost, runner, victim: None });
+        }
+        let (loss, runs, victim) = self.cheapest(runner, weights_mb - free_mb)?;
+        (loss < gain).then_some(Way { cost: cost + loss + runs, runner, victim: Some(victim) })
+    }
+
+    /// Notes a step, so that the next ones count with it.
+    fn take(&mut self, model: usize, way: Way) -> Step {
+        self.models[model].replicas.planned += 1;
+        let Runner { name: runner, ledger, is_open, .. } = &mut self.runners[way.runner];
+        *is_open = false;
+        let name = self.models[model].name;
+        let from_store = way.victim.is_none() && !ledger.has_at_hand(name);
+        let (operation, subject) = match way.victim {
+            None => (Operation::Load, name),
+            Some(victim) => {
+                let replicas = &mut self.models[victim].replicas;
+                replicas.held = replicas.held.saturating_sub(1);
+                replicas.planned = replicas.planned.saturating_sub(1);
+                (Operation::Unload, self.models[victim].name)
+            }
+        };
+        Step {
+            runner: Name::clone(runner),
+            operation,
+            subject: Subject { model: subject.clone(), adapter: None },
+            model: name.clone(),
+            from_store,
         }
-        let costs = ledger.models().filter_map(|victim| {
-            let loss = self.loss(victim)? * SWAP_FACTOR;
-            let runs = self.load(victim) / self.holders(victim).max(1) as f64;
-            (loss < gain).then_some((loss + RUNS_COST * runs, victim))
-        });
-        let (cost, victim) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        Some((cost, Operation::Unload, victim))
     }
 }
--- a/crates/placement/src/weights.rs
+++ b/crates/placement/src/weights.rs
@@ -3,7 +3,7 @@
 use crate::{
     Action, Ceiling, Placement, Room,
     machine::announce,
-    plan::{Basis, Step, View},
+    plan::{Basis, Round, Step},
 };
 use vanetally_ports::{EngineSpec, Operation, Revision, Subject};
 use vanetally_types::{Name, Tick};
@@ -37,12 +37,9 @@
         actions: &mut Vec<Action>,
     ) {
         self.use_reserved(now, token, service, engine, actions);
-        for _ in 0..MOST_STEPS {
-            let store_has_room = self.store_has_room(now, service, engine);
-            let Some(step) = View::new(self.basis(now, service, engine)).next(store_has_room)
-            else {
-                return;
-            };
+        let from_store = self.store_room(now, service, engine);
+        let round = Round::new(self.basis(now, service, engine));
+        for step in round.steps(MOST_STEPS, from_store) {
             self.take_step(now, token, service, step, actions);
         }
     }
@@ -59,8 +56,8 @@
         }
     }
 
-    /// Whether one more load from the weight store may begin.
-    fn store_has_room(&mut self, now: Tick, service: &Name, engine: &EngineSpec) -> bool {
+    /// How many more loads from the weight store may begin.
+    fn store_room(&mut self, now: Tick, service: &Name, engine: &EngineSpec) -> usize {
         let unsettled = self.ledgers.values().filter(|l| l.has_lost_load()).count();
         let window = self.options.window_ms;
         if !self.ceilings.contains_key(service)
@@ -69,7 +66,7 @@
             self.ceilings.insert(service.clone(), ceiling);
         }
         let ceiling = self.ceilings.get_mut(service);
-        ceiling.is_some_and(|ceiling| ceiling.has_room(now, unsettled))
+        ceiling.map_or(0, |ceiling| ceiling.room(now, unsettled))
     }
 
     /// Orders the loads for which room was made; gives up the room that is not needed any more.
@@ -81,10 +78,13 @@
         engine: &EngineSpec,
         actions: &mut Vec<Action>,
     ) {
+        if self.reserved.is_empty() {
+            return;
+        }
         let reserved: Vec<(Name, Reservation)> =
             self.reserved.iter().map(|(runner, one)| (runner.clone(), one.clone())).collect();
-        let view = View::new(self.basis(now, service, engine));
-        let is_needed = |one: &Reservation| view.is_needy(&one.model, 1);
+        let round = Round::new(self.basis(now, service, engine));
+        let is_needed = |one: &Reservation| round.is_needy(&one.model, 1);
         let reserved: Vec<_> =
             reserved.into_iter().map(|(runner, one)| (runner, is_needed(&one), one)).collect();
         for (runner, is_needed, Reservation { model, since }) in reserved {
@@ -103,7 +103,7 @@
             let is_failed = is_open && !has_room;
             if is_failed || !is_needed || now.since(since) > RESERVED_MS {
                 self.reserved.remove(&runner);
-            } else if is_open && (is_at_hand || self.store_has_room(now, service, engine)) {
+            } else if is_open && (is_at_hand || self.store_room(now, service, engine) > 0) {
                 self.reserved.remove(&runner);
                 let subject = Subject { model: model.clone(), adapter: None };
                 let from_store = !is_at_hand;
--- /dev/null
+++ b/crates/placement/src/worth.rs
@@ -0,0 +1,64 @@
+//! What replicas of a model are worth to its callers.
+
+/// Replicas of one model.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Replicas {
+    /// Runners that hold it and keep it.
+    pub held: usize,
+    /// Those, and runners that are getting it or make room for it.
+    pub planned: usize,
+}
+
+/// A model not asked for within this time may leave its last runner, in milliseconds.
+const IDLE_MS: u64 = 15_000;
+/// A model that is nowhere is brought if it was asked for within this time, in milliseconds: its
+/// callers ask again while they wait.
+const ASKED_MS: u64 = 2_000;
+/// Runner-seconds a second that a model's only replica may be asked for: other models of its runner
+/// are served elsewhere.
+const SINGLE_LOAD: f64 = 0.7;
+/// Runner-seconds a second that one of several replicas is planned for.
+const REPLICA_LOAD: f64 = 0.2;
+/// What the last replica of a model that nobody asks for is worth.
+const IDLE_LOSS: f64 = 0.01;
+/// How many times what is gained must be worth what is lost when a model makes way.
+const SWAP_FACTOR: f64 = 2.5;
+/// The gain of a first replica.
+const FIRST_GAIN: f64 = 1.0;
+/// Runner-seconds a second that a replica serves in time; what is beyond waits or is lost.
+const REPLICA_CAPACITY: f64 = 0.35;
+
+/// What callers of a model bear: how busy each of its replicas is, and the load that all of them
+/// together can't serve in time.
+fn burden(load: f64, replicas: f64) -> f64 {
+    load / replicas + (load - REPLICA_CAPACITY * replicas).max(0.0)
+}
+
+/// Whether a model that was last asked for so long ago is asked for now.
+pub(crate) fn is_asked(idle_ms: u64) -> bool {
+    idle_ms < ASKED_MS
+}
+
+/// How many replicas a model should have that is asked for `load` runner-seconds a second.
+pub(crate) fn wanted(load: f64) -> usize {
+    if load < SINGLE_LOAD { 1 } else { (load / REPLICA_LOAD).ceil() as usize }
+}
+
+/// What one more replica takes off the others.
+pub(crate) fn gain(load: f64, idle_ms: u64, replicas: Replicas) -> f64 {
+    if replicas.planned == 0 {
+        return if is_asked(idle_ms) { FIRST_GAIN } else { 0.0 };
+    }
+    let planned = replicas.planned as f64;
+    burden(load, planned) - burden(load, planned + 1.0)
+}
+
+/// What must be gained for one replica to go; none if the last one has to stay.
+pub(crate) fn loss(load: f64, idle_ms: u64, replicas: Replicas) -> Option<f64> {
+    // One that is on its way can't serve for seconds.
+    let held = replicas.held as f64;
+    if held <= 1.0 {
+        return (idle_ms > IDLE_MS).then_some(SWAP_FACTOR * IDLE_LOSS);
+    }
+    Some(SWAP_FACTOR * (burden(load, held - 1.0) - burden(load, held)))
+}
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -10,6 +10,8 @@
 use vanetally_types::{Name, Tick};
 
 const START: Tick = Tick(1_000_000);
+/// The plan takes what changed into account within this time, in milliseconds.
+const ROUND_MS: u64 = 40;
 
 /// The holder, with the orders that it gave.
 struct Holder {
@@ -346,6 +348,7 @@
     holder.pass(600);
     holder.want("m3", None);
     holder.report("r1", report(&[rest], 1));
+    holder.pass(ROUND_MS);
     let load = holder.orders.pop().expect("what was asked for comes");
     assert_eq!(&*load.subject.model, "m3");
     assert!(holder.loads(&gone).is_empty(), "{:?}", holder.orders);
@@ -417,3 +420,75 @@
     assert!(!gone.is_empty(), "nothing makes way for m1");
     assert!(gone.iter().all(|model| &***model != "m1"), "{gone:?}");
 }
+
+/// Found on a played day with 90 runners: the plan was made anew for each report and each answer, which
+/// took the holder's whole processor, until its lease ran out.
+#[test]
+fn rounds_are_spaced() {
+    let names: Vec<String> = (0..60).map(|number| format!("r{number}")).collect();
+    let runners: Vec<(&str, &[&str])> =
+        names.iter().map(|name| (name.as_str(), &["m1"] as &[&str])).collect();
+    let mut holder = Holder::new(&runners);
+    let (mut bursts, mut last) = (Vec::new(), holder.now);
+    for step in 0..200_u64 {
+        holder.now = START + 1 + step;
+        holder.demand("m1", 4_000);
+        holder.demand("m2", 4_000);
+        holder.report(&names[step as usize % 60], report(&["m1"], 0));
+        if !std::mem::take(&mut holder.orders).is_empty() {
+            bursts.push(holder.now.since(last));
+            last = holder.now;
+        }
+    }
+    assert!(!bursts.is_empty(), "it does order");
+    assert!(bursts[1..].iter().all(|pause| *pause >= ROUND_MS), "{bursts:?}");
+}
+
+/// Found on the same day: the lease was in doubt for a moment, and all books were thrown away with it.
+#[test]
+fn books_survive_a_doubt() {
+    let mut holder = Holder::new(&[("r1", &["m1"]), ("r2", &["m1"])]);
+    holder.tell(Event::Token(None));
+    holder.tell(Event::Token(Some(Revision(9))));
+    holder.asked.clear();
+    holder.pass(20);
+    assert!(holder.asked.is_empty(), "nothing is in doubt: {:?}", holder.asked);
+    assert!(holder.placement.summary(holder.now).iter().all(|one| one.holding == 2));
+}
+
+/// Another holder may have changed everything in between.
+#[test]
+fn books_end_with_another_token() {
+    let mut holder = Holder::new(&[("r1", &["m1"]), ("r2", &["m1"])]);
+    holder.tell(Event::Token(None));
+    holder.tell(Event::Token(Some(Revision(12))));
+    holder.asked.clear();
+    holder.pass(20);
+    assert_eq!(holder.asked.len(), 2);
+}
+
+/// Before the runners have reported, what they announce in the store tells where models are.
+#[test]
+fn announced_models_count() {
+    let options = Options { holder: "front-1".into(), window_ms: 5_000 };
+    let mut holder = Holder {
+        placement: Placement::new(options),
+        now: START,
+        orders: Vec::new(),
+        asked: Vec::new(),
+        resigned: false,
+    };
+    holder.tell(Event::Configured(configuration()));
+    for id in ["r1", "r2", "r3"] {
+        holder.tell(Event::UpstreamSeen { id: id.into(), state: state(&["m1"], 4) });
+    }
+    holder.tell(Event::Token(Some(Revision(9))));
+    holder.tell(Event::Tick);
+    holder.demand("m1", 300);
+    let summary = holder.placement.summary(holder.now);
+    assert_eq!(summary.iter().map(|one| one.holding).collect::<Vec<_>>(), [3]);
+    holder.report("r3", report(&["m1"], 4));
+    holder.want("m1", None);
+    holder.pass(ROUND_MS);
+    assert!(holder.orders.is_empty(), "it is there three times: {:?}", holder.orders);
+}
