change!: demand is told in time that engines can give; how long they take is fitted by a line

Cause: what an engine takes for a prompt token was learned as (time to the first piece - 15 ms) / tokens. Pacers spaced prompts three times too far, and the demand (100 to 190 runner-seconds a second for 90 runners) could not be met. Second cause, same place: each host took all 62 others to send half as much as itself at the same moment, so that one unread prompt of its own closed an engine to it. That is the pacer's to know. Change: a base and a part for each token are fitted by least squares over all models, a model's share of them is learned for each; a run's length after its first piece is learned for each model. Work is a request's part of the places or of the reading time, whichever is more. What others may have sent is left to the pacer. Ruled out: herding.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     choice::{Choice, Expected},
-    pace::{BASE_MS, Pace},
+    pace::Pace,
     request::Request,
     shortage::{Lack, Shortage},
     upstream::Upstream,
@@ -16,8 +16,6 @@
     pub domain: &'a Name,
     pub engine: Option<&'a EngineSpec>,
     pub pace: &'a Pace,
-    /// Hosts that may send to the same upstreams.
-    pub hosts: usize,
 }
 
 /// Milliseconds that each running request adds.
@@ -35,8 +33,6 @@
 /// Share of the longest pause between events that reading prompts may take at an engine: it reads
 /// them between the tokens of those that run.
 const GAP_SHARE: f64 = 0.6;
-/// How much of this host's sending the others are taken to do.
-const ALIKE: f64 = 0.5;
 
 /// Chooses among `upstreams` for `request`.
 pub(crate) fn choose<'a>(
@@ -106,7 +102,7 @@
     if u64::from(load.held_tokens + request.tokens()) > engine.kv_tokens {
         return Some(Lack::Memory);
     }
-    let ahead = view.ahead(upstream);
+    let ahead = load.unread_tokens;
     let model = request.head.model.as_ref();
     let cached = upstream.cached_tokens(&request.shared);
     let unread = ahead + request.head.prompt_tokens.saturating_sub(cached);
@@ -115,30 +111,18 @@
     (ahead > 0 && !is_read_soon).then_some(Lack::Reading)
 }
 
-impl View<'_> {
-    /// Prompt tokens that are read before a new request's own.
-    ///
-    /// What other hosts sent since their last digests is not known: they are taken to send as
-    /// much as this one.
-    fn ahead(&self, upstream: &Upstream) -> u32 {
-        let known = upstream.total(self.now).unread_tokens;
-        let likely = f64::from(upstream.own.unread_tokens) * self.hosts as f64 * ALIKE;
-        known.max(likely as u32)
-    }
-}
-
 fn cost(view: &View<'_>, request: &Request, id: &Name, upstream: &Upstream) -> (f64, Choice) {
     let load = upstream.total(view.now);
     let model = request.head.model.as_ref();
     let model = model.map(|subject| &subject.model);
     let cached = upstream.cached_tokens(&request.shared);
     let unread = request.head.prompt_tokens.saturating_sub(cached);
-    let ahead_ms = view.pace.reading_ms(model, view.ahead(upstream));
+    let ahead_ms = view.pace.reading_ms(model, load.unread_tokens);
     let away = if upstream.state.domain == *view.domain { 0.0 } else { DOMAIN_MS };
     let own_ms = match view.engine {
         Some(_) => {
             let reading_ms = ahead_ms + view.pace.reading_ms(model, unread);
-            BASE_MS + reading_ms + f64::from(load.running) * PER_RUNNING_MS
+            view.pace.base_ms(model) + reading_ms + f64::from(load.running) * PER_RUNNING_MS
         }
         None => {
             let slots = f64::from(upstream.state.slots);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod digest;
 mod ending;
 mod event;
+mod fit;
 mod health;
 mod machine;
 mod pace;
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -46,7 +46,8 @@
     pub load: Load,
     /// What was expected when it was sent.
     pub expected: Expected,
-    pub has_begun: bool,
+    /// When its first piece came.
+    pub begun: Option<Tick>,
 }
 
 /// A request that has not ended.
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -88,7 +88,6 @@
             domain: &self.options.domain,
             engine: service.and_then(|service| service.engine.as_ref()),
             pace: &self.pace,
-            hosts: self.hosts,
         };
         let own = self.upstreams.iter().filter(|(_, u)| u.state.service == request.service);
         choose(&view, request, own)
@@ -153,7 +152,7 @@
             at: sent_at,
             load,
             expected: choice.expected,
-            has_begun: false,
+            begun: None,
         });
         Some(Action::Send { id, attempt })
     }
