feat: free room is filled from copies at hand, and some runners stay open to follow the demand

In the first two seconds 60 swaps began at once; for 7 s no runner could follow the demand as it moved.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -286,7 +286,17 @@
             let (load, holding, coming) = (model.load, model.holding, model.coming);
             format!("{}:{load:.2}:{holding}+{coming}", model.model)
         });
-        log::info!("event=placement models={}", models.collect::<Vec<_>>().join(","));
+        let runners = self.placement.borrow().runners();
+        let obstacles = runners.obstacles.iter();
+        let obstacles = obstacles.map(|(why, count)| format!("{}:{count}", why.as_str()));
+        log::info!(
+            "event=placement open={} making_room={} obstacles={} free_places={} models={}",
+            runners.open,
+            runners.making_room,
+            obstacles.collect::<Vec<_>>().join(","),
+            runners.free_places,
+            models.collect::<Vec<_>>().join(",")
+        );
     }
 
     /// The state of the process, for people.
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -16,6 +16,37 @@
     Never,
 }
 
+/// Why a runner can't be given an order about weights now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Obstacle {
+    /// It is leaving.
+    Leaving,
+    /// An order to it was not answered.
+    Unanswered,
+    /// A report is needed first.
+    Doubtful,
+    /// It carries out an order that is not known here.
+    UnknownOrder,
+    /// Weights come.
+    Loading,
+    /// Weights go.
+    Unloading,
+}
+
+impl Obstacle {
+    /// The word for the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Unanswered => "unanswered",
+            Self::Doubtful => "doubtful",
+            Self::UnknownOrder => "unknown_order",
+            Self::Loading => "loading",
+            Self::Unloading => "unloading",
+        }
+    }
+}
+
 /// Weights on their way.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Loading {
@@ -217,10 +248,27 @@
     /// The count that the next order has to expect; none while one is open or the books are in
     /// doubt.
     pub fn next_count(&self) -> Option<u64> {
-        let is_clear = self.pending.is_none() && !self.is_doubtful && !self.state.draining;
         // A runner carries out one order about weights at a time, and refuses others meanwhile.
-        let is_clear = is_clear && !self.is_busy();
-        self.count.filter(|_| is_clear)
+        self.count.filter(|_| self.obstacle().is_none())
+    }
+
+    /// What keeps the runner from being given an order about weights.
+    pub(crate) fn obstacle(&self) -> Option<Obstacle> {
+        if self.state.draining {
+            Some(Obstacle::Leaving)
+        } else if self.pending.is_some() {
+            Some(Obstacle::Unanswered)
+        } else if self.count.is_none() || self.is_doubtful {
+            Some(Obstacle::Doubtful)
+        } else if self.has_unknown_order {
+            Some(Obstacle::UnknownOrder)
+        } else if self.loading.is_some() {
+            Some(Obstacle::Loading)
+        } else if self.unloading.is_some() {
+            Some(Obstacle::Unloading)
+        } else {
+            None
+        }
     }
 
     /// Whether a report has told what the runner holds.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -17,8 +17,8 @@
 
 pub use ceiling::Ceiling;
 pub use event::{Action, Basis, DemandSample, Event, Options};
-pub use ledger::{Ledger, Room};
-pub use machine::{ModelSummary, Placement};
+pub use ledger::{Ledger, Obstacle, Room};
+pub use machine::{ModelSummary, Placement, RunnerSummary};
 pub(crate) use weights::Reservation;
 
 pub use tenure::{Tenure, TenureAction, TenureEvent, TenureOptions};
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -1,6 +1,9 @@
 //! The state machine of the holder of orders.
 
-use crate::{Action, Ceiling, Event, Ledger, Options, Reservation, demand::DemandTable};
+use crate::{
+    Action, Ceiling, Event, Ledger, Obstacle, Options, Reservation, demand::DemandTable,
+    ledger::Capacity,
+};
 use std::{
     collections::{BTreeMap, HashMap},
     rc::Rc,
@@ -47,6 +50,19 @@
     pub coming: usize,
 }
 
+/// Runners that can and can't be given orders about weights.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RunnerSummary {
+    /// Those that can.
+    pub open: usize,
+    /// Those on which room is being made.
+    pub making_room: usize,
+    /// Those that can't, by the reason.
+    pub obstacles: BTreeMap<Obstacle, usize>,
+    /// Room for how many more of the smallest models there is on all of them.
+    pub free_places: usize,
+}
+
 /// Models with less load are left out of a summary.
 const LEAST_LOAD: f64 = 0.005;
 /// Something wanted is forgotten if it is not asked for again, in milliseconds.
@@ -132,6 +148,30 @@
         models.filter(|summary| summary.load > LEAST_LOAD || summary.coming > 0).collect()
     }
 
+    /// Which runners can be given orders, and why others can't.
+    pub fn runners(&self) -> RunnerSummary {
+        let mut summary = RunnerSummary::default();
+        let services = self.configuration.as_ref().map(|c| &c.services);
+        for (name, ledger) in &self.ledgers {
+            let service = services.and_then(|services| services.get(&ledger.state.service));
+            let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+                continue;
+            };
+            let is_making_room = self.closing.keys().any(|(runner, _)| runner == name);
+            match ledger.obstacle() {
+                Some(obstacle) => *summary.obstacles.entry(obstacle).or_default() += 1,
+                None if is_making_room || self.reserved.contains_key(name) => {
+                    summary.making_room += 1;
+                }
+                None => summary.open += 1,
+            }
+            let least = engine.models.values().map(|spec| spec.weights_mb).fold(f64::MAX, f64::min);
+            let free_mb = Capacity::of(engine).free_mb(ledger).max(0.0);
+            summary.free_places += (free_mb / least) as usize;
+        }
+        summary
+    }
+
     fn configure(&mut self, configuration: Rc<Configuration>) {
         let version = self.configuration.as_ref().map(|c| c.version);
         if version.is_none_or(|version| version < configuration.version) {
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -41,6 +41,9 @@
 struct Model<'a> {
     name: &'a Name,
     weights_mb: f64,
+    /// Seconds of a load from the weight store, and of one from a copy at hand.
+    load_s: f64,
+    near_s: f64,
     /// Runner-seconds a second that it is asked for.
     load: f64,
     /// Since it was last asked for, in milliseconds.
@@ -111,8 +114,10 @@
 
 /// How many of the cheapest runners a step looks at.
 const MOST_LOOKED_AT: usize = 24;
-/// What a load from the weight store costs beside one at hand: seconds that the runner is bound.
-const STORE_COST: f64 = 0.05;
+/// Share of the runners that may be busy with weights at once, so that others can follow the demand.
+const MOST_BUSY: f64 = 0.4;
+/// What each second costs for which a load binds its runner.
+const SECOND_COST: f64 = 0.03;
 /// What an unload costs for each runner-second a second that the model's runs there come to: it waits
 /// for them, and binds the runner meanwhile.
 const RUNS_COST: f64 = 0.5;
@@ -131,6 +136,8 @@
                 .map(|(name, spec)| Model {
                     name,
                     weights_mb: spec.weights_mb,
+                    load_s: spec.load_s,
+                    near_s: spec.disk_s.min(spec.load_s),
                     load: basis.demand.model_load(basis.now, basis.service, name),
                     idle_ms: basis.now.since(basis.demand.model_last(basis.service, name)),
                     replicas: Replicas::default(),
@@ -239,10 +246,10 @@
     }
 
     fn lacks(&self, index: usize, but: usize) -> bool {
-        let Model { load, idle_ms, replicas, .. } = &self.models[index];
+        let Model { load, replicas, .. } = &self.models[index];
         let planned = replicas.planned.saturating_sub(but);
         let wanted = worth::wanted(*load).min(self.runner_count);
-        (planned > 0 || worth::is_asked(*idle_ms)) && planned < wanted
+        planned < wanted
     }
 
     fn need(&self, index: usize) -> Option<Need> {
@@ -258,10 +265,17 @@
     pub(crate) fn steps(mut self, most: usize, mut from_store: usize) -> Vec<Step> {
         let needs = (0..self.models.len()).filter_map(|index| self.need(index));
         let mut needs: BinaryHeap<Need> = needs.collect();
-        let mut steps = Vec::new();
+        let mut steps = self.fill_from_copies(most, needs.peek().map_or(0.0, |need| need.gain));
+        let busy = self.runner_count - self.runners.len();
+        let most_busy = (self.runner_count as f64 * MOST_BUSY).ceil() as usize;
         while steps.len() < most
             && let Some(Need { gain, model }) = needs.pop()
         {
+            // A model that is nowhere is brought in any case.
+            let is_extra = self.models[model].replicas.planned > 0;
+            if is_extra && busy + steps.len() >= most_busy {
+                break;
+            }
             let Some(way) = self.cheapest_way(model, gain, from_store > 0) else {
                 continue;
             };
@@ -273,14 +287,37 @@
         steps
     }
 
+    /// Steps for free room on runners that have copies of their own: a load from one binds the runner
+    /// for a fraction of the time, so it may gain less than the `best_gain` of any other.
+    fn fill_from_copies(&mut self, most: usize, best_gain: f64) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for runner in self.roomy.clone() {
+            if steps.len() == most {
+                break;
+            }
+            let known = self.runners[runner].ledger.copies();
+            let known = known.filter_map(|model| self.index.get(model).copied());
+            let gains = known.filter_map(|model| {
+                let way = self.way(model, runner, 0.0)?;
+                let Model { load, idle_ms, replicas, load_s, near_s, .. } = &self.models[model];
+                let gain = worth::gain(*load, *idle_ms, *replicas);
+                (gain / near_s > best_gain / load_s && gain > 0.0).then_some((gain, model, way))
+            });
+            if let Some((_, model, way)) = gains.max_by(|a, b| a.0.total_cmp(&b.0)) {
+                steps.push(self.take(model, way));
+            }
+        }
+        steps
+    }
+
     /// The cheapest way to bring the model to one more runner.
     fn cheapest_way(&self, model: usize, gain: f64, may_use_store: bool) -> Option<Way> {
         let at_hand = self.models[model].at_hand.iter();
-        let near = at_hand.filter_map(|&runner| self.way(model, runner, gain, 0.0));
+        let near = at_hand.filter_map(|&runner| self.way(model, runner, gain));
         let is_open = |&&runner: &&usize| self.runners[runner].is_open;
         let others = |sorted: &'_ [usize]| -> Vec<Way> {
             let open = sorted.iter().filter(is_open).take(MOST_LOOKED_AT);
-            open.filter_map(|&runner| self.way(model, runner, gain, STORE_COST)).collect()
+            open.filter_map(|&runner| self.way(model, runner, gain)).collect()
         };
         let far = if may_use_store {
             others(&self.roomy).into_iter().chain(others(&self.full)).collect()
@@ -291,18 +328,23 @@
     }
 
     /// The way to bring the model to this runner, if that is allowed and worth it.
-    fn way(&self, model: usize, runner: usize, gain: f64, store_cost: f64) -> Option<Way> {
+    fn way(&self, model: usize, runner: usize, gain: f64) -> Option<Way> {
         let Runner { ledger, free_mb, load, is_open, .. } = &self.runners[runner];
-        let Model { name, weights_mb, .. } = &self.models[model];
+        let Model { name, weights_mb, load_s, near_s, .. } = &self.models[model];
         if !is_open || ledger.will_hold(name) {
             return None;
         }
-        let cost = store_cost + LOAD_COST * load;
+        let seconds = if ledger.has_at_hand(name) { near_s } else { load_s };
+        let cost = SECOND_COST * seconds + LOAD_COST * load;
         if free_mb >= weights_mb {
             return Some(Way { cost, runner, victim: None });
         }
         let (loss, runs, victim) = self.cheapest(runner, weights_mb - free_mb)?;
-        (loss < gain).then_some(Way { cost: cost + loss + runs, runner, victim: Some(victim) })
+        (loss < gain && gain > worth::FILL_GAIN).then_some(Way {
+            cost: cost + loss + runs,
+            runner,
+            victim: Some(victim),
+        })
     }
 
     /// Notes a step, so that the next ones count with it.
--- a/crates/placement/src/worth.rs
+++ b/crates/placement/src/worth.rs
@@ -16,7 +16,7 @@
 const ASKED_MS: u64 = 2_000;
 /// Runner-seconds a second that a model's only replica may be asked for: other models of its runner
 /// are served elsewhere.
-const SINGLE_LOAD: f64 = 0.7;
+const SINGLE_LOAD: f64 = 0.4;
 /// Runner-seconds a second that one of several replicas is planned for.
 const REPLICA_LOAD: f64 = 0.2;
 /// What the last replica of a model that nobody asks for is worth.
@@ -25,8 +25,10 @@
 const SWAP_FACTOR: f64 = 2.5;
 /// The gain of a first replica.
 const FIRST_GAIN: f64 = 1.0;
+/// The same for a model that nobody asks for now: it only fills free room, nothing makes way for it.
+pub(crate) const FILL_GAIN: f64 = 0.02;
 /// Runner-seconds a second that a replica serves in time; what is beyond waits or is lost.
-const REPLICA_CAPACITY: f64 = 0.35;
+const REPLICA_CAPACITY: f64 = 0.25;
 
 /// What callers of a model bear: how busy each of its replicas is, and the load that all of them
 /// together can't serve in time.
@@ -34,11 +36,6 @@
     load / replicas + (load - REPLICA_CAPACITY * replicas).max(0.0)
 }
 
-/// Whether a model that was last asked for so long ago is asked for now.
-pub(crate) fn is_asked(idle_ms: u64) -> bool {
-    idle_ms < ASKED_MS
-}
-
 /// How many replicas a model should have that is asked for `load` runner-seconds a second.
 pub(crate) fn wanted(load: f64) -> usize {
     if load < SINGLE_LOAD { 1 } else { (load / REPLICA_LOAD).ceil() as usize }
@@ -47,7 +44,7 @@
 /// What one more replica takes off the others.
 pub(crate) fn gain(load: f64, idle_ms: u64, replicas: Replicas) -> f64 {
     if replicas.planned == 0 {
-        return if is_asked(idle_ms) { FIRST_GAIN } else { 0.0 };
+        return if idle_ms < ASKED_MS { FIRST_GAIN } else { FILL_GAIN };
     }
     let planned = replicas.planned as f64;
     burden(load, planned) - burden(load, planned + 1.0)
