fix: readings that hang when the store returns begin anew; successors, crowded adapters and starts

All 63 hosts heard the store again at 37.5 to 37.7 s by a probe, but the readings that they had begun before hung until 1.2 s were over (store_lost 'silent for 1200 ms' at 37.95 to 38.31); the configuration was in force from 38.07 to 38.43. A call whose answer has not begun when the way opens again is made anew. What has begun to arrive goes on, as before. 2. For as long as the announcements of crashed runners lasted, 296 requests went to them and were turned away by the incarnations that had taken their addresses. An incarnation at the address of one that has just failed is its successor; without a failure it may be a late announcement and changes nothing. 3. An adapter was at one runner only; its callers waited there for a place while other runners of its model were free. Hosts ask for one more copy where all that hold it are crowded, at most one in 500 ms. 4. A host without a configuration asked callers back after 0.5 s, and most found the same: 1 s, about a start.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -24,6 +24,9 @@
 const LEAST_LEFT_MS: u64 = 20;
 /// When to come back if nothing better is known, in milliseconds.
 pub(crate) const RETRY_MS: u64 = 500;
+/// When to come back to a host that knows no configuration yet, in milliseconds: a start takes about so
+/// long, and most of those that come back earlier find the same.
+pub(crate) const START_RETRY_MS: u64 = 1_000;
 /// When to come back after a refusal by a host that stops, in milliseconds.
 pub(crate) const STOP_RETRY_MS: u64 = 50;
 /// When to come back for a model that nobody holds, in milliseconds.
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -221,12 +221,14 @@
         /// What stood in its way.
         standing: Standing,
     },
-    /// A model or adapter is asked for that no runner holds.
+    /// A model or adapter is asked for that no runner holds, or an adapter at none with room.
     Want {
         /// The service.
         service: Name,
         /// What is missing.
         subject: ModelRef,
+        /// Whether it is held, and one more copy is wanted.
+        is_crowded: bool,
     },
     /// Note how well the first piece was predicted.
     Predicted {
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -3,7 +3,7 @@
 use crate::{
     Action, Budget, DemandRow, Digest, Event, LoadRow, Options, Prediction, RequestId, RouteIndex,
     Standing,
-    ending::{RETRY_MS, STOP_RETRY_MS},
+    ending::{RETRY_MS, START_RETRY_MS, STOP_RETRY_MS},
     pace::Pace,
     queue::Queue,
     request::{Request, Stage},
@@ -102,6 +102,7 @@
             Event::UpstreamGone { id } => {
                 self.upstreams.remove(&id);
                 self.pace.forget(&id);
+                self.upstreams.values_mut().for_each(|upstream| upstream.successor_gone(&id));
             }
             Event::Placed { runner, subject, presence } => {
                 if let Some(upstream) = self.upstreams.get_mut(&runner) {
@@ -218,6 +219,9 @@
         match self.upstreams.get_mut(&id) {
             Some(upstream) => upstream.update(state, now),
             None => {
+                for upstream in self.upstreams.values_mut() {
+                    upstream.successor_seen(&id, &state, now);
+                }
                 self.upstreams.insert(id, Upstream::new(state, now));
             }
         }
@@ -253,7 +257,7 @@
             standing: Standing::default(),
         };
         if self.configuration.is_none() {
-            return actions.push(refuse(RefusalCause::NotConfigured, Some(RETRY_MS)));
+            return actions.push(refuse(RefusalCause::NotConfigured, Some(START_RETRY_MS)));
         }
         let Some(route) = self.routes.find(&head.host, &head.path).cloned() else {
             return actions.push(refuse(RefusalCause::NoRoute, None));
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -68,8 +68,12 @@
                 if let Some(request) = self.requests.get_mut(&id) {
                     request.shortage = Some(shortage);
                 }
-                if let Some(subject) = subject.filter(|_| shortage.lack.is_missing()) {
-                    self.want(now, service, subject, actions);
+                let Some(subject) = subject else {
+                    return;
+                };
+                let is_crowded = subject.adapter.is_some() && shortage.lack.is_crowd();
+                if is_crowded || shortage.lack.is_missing() {
+                    self.want(now, service, subject, is_crowded, actions);
                 }
             }
         }
@@ -93,13 +97,20 @@
         choose(&view, request, own)
     }
 
-    fn want(&mut self, now: Tick, service: &Name, subject: ModelRef, actions: &mut Vec<Action>) {
+    fn want(
+        &mut self,
+        now: Tick,
+        service: &Name,
+        subject: ModelRef,
+        is_crowded: bool,
+        actions: &mut Vec<Action>,
+    ) {
         let last = self.wanted.get(&(service.clone(), subject.clone()));
         if last.is_some_and(|at| now.since(*at) < WANT_AGAIN_MS) {
             return;
         }
         self.wanted.insert((service.clone(), subject.clone()), now);
-        actions.push(Action::Want { service: service.clone(), subject });
+        actions.push(Action::Want { service: service.clone(), subject, is_crowded });
     }
 
     pub(crate) fn send(
--- a/crates/dispatch/src/shortage.rs
+++ b/crates/dispatch/src/shortage.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Whether those that hold what is asked for have no room.
+    pub(crate) fn is_crowd(self) -> bool {
+        matches!(self, Self::Moment | Self::Slot | Self::Memory | Self::Reading)
+    }
+
     /// Whether nobody holds what is asked for.
     pub(crate) fn is_missing(self) -> bool {
         matches!(self, Self::Upstream | Self::Model | Self::Adapter)
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -48,6 +48,8 @@
     pub paced_until: Tick,
     /// Another incarnation answers at its address: it is gone, whatever its announcement says.
     pub is_replaced: bool,
+    /// An incarnation that announced the same address after this one had failed.
+    successor: Option<Name>,
     /// When it will be gone, if it said so.
     pub gone_at: Option<Tick>,
     peers: BTreeMap<Name, PeerLoad>,
@@ -75,6 +77,7 @@
             full_until: Tick(0),
             paced_until: Tick(0),
             is_replaced: false,
+            successor: None,
             gone_at: None,
             peers: BTreeMap::new(),
             presence: HashMap::new(),
@@ -101,7 +104,27 @@
     /// Whether new requests may go there at all.
     pub(crate) fn takes_new(&self, now: Tick) -> bool {
         let stays = self.gone_at.is_none_or(|gone| gone > now + NOTICE_MS);
-        !self.state.draining && !self.is_replaced && stays
+        !self.state.draining && !self.is_replaced && self.successor.is_none() && stays
+    }
+
+    /// Another incarnation announced itself. At the address of one that has just failed it is what came
+    /// after it; while nothing failed it may be a late announcement of one that went before.
+    pub(crate) fn successor_seen(&mut self, id: &Name, state: &UpstreamState, now: Tick) {
+        if state.address == self.state.address && self.has_failed(now) {
+            self.successor = Some(id.clone());
+        }
+    }
+
+    /// An incarnation's announcement is gone.
+    pub(crate) fn successor_gone(&mut self, id: &Name) {
+        self.successor.take_if(|successor| successor == id);
+    }
+
+    /// Whether attempts failed there lately, here or at other hosts.
+    fn has_failed(&mut self, now: Tick) -> bool {
+        let (_, own) = self.health.counts(now);
+        let (_, others) = self.peer_ends(now);
+        own + others > 0 || self.health.is_suspect()
     }
 
     pub(crate) fn set_presence(&mut self, subject: ModelRef, presence: Presence, now: Tick) {
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -213,3 +213,59 @@
     let (id, actions) = host.arrive(request("b", "offer", Some("m1")));
     assert_eq!(&*sent_to(&actions, id), "i-1", "brought anew");
 }
+
+fn adapter_request(id: &str) -> vanetally_ports::CallerRequest {
+    let subject = ModelRef { model: "m1".into(), adapter: Some("a1".into()) };
+    vanetally_ports::CallerRequest { model: Some(subject), ..request(id, "offer", None) }
+}
+
+/// An adapter that is held where there is no room is asked for once more; a model's replicas follow its
+/// demand.
+#[rstest]
+#[case(adapter_request("a"), true)]
+#[case(request("a", "offer", Some("m1")), false)]
+fn crowded_adapter_wanted(
+    #[case] request: vanetally_ports::CallerRequest,
+    #[case] is_wanted: bool,
+) {
+    let mut host = host();
+    let mut state = upstream("llm", 1, &["m1"]);
+    state.models[0].adapters.push("a1".into());
+    host.see("i-1", state);
+    host.tell(Event::UpstreamGone { id: "i-2".into() });
+    let row = LoadRow {
+        upstream: "i-1".into(),
+        running: 4,
+        unread_tokens: 0,
+        held_tokens: 500,
+        good: 0,
+        bad: 0,
+    };
+    let digest = Digest { loads: vec![row], demand: Vec::new() };
+    host.tell(Event::PeerDigest { host: "front-2".into(), digest });
+    let (_, actions) = host.arrive(request);
+    let wants = |action: &Action| matches!(action, Action::Want { is_crowded: true, .. });
+    assert_eq!(actions.iter().any(wants), is_wanted, "{actions:?}");
+}
+
+/// Found on a played day: 22 runners crashed and came back at their addresses as others; for as long as the
+/// old announcements lasted, 296 requests went to them and were turned away.
+#[rstest]
+#[case::after_a_failure(true)]
+#[case::without_one(false)]
+fn successor_takes_over(#[case] has_failed: bool) {
+    let mut host = Host::new(routes());
+    host.see("i-1", upstream("llm", 1, &["m1"]));
+    if has_failed {
+        let (id, _) = host.arrive(request("a", "offer", Some("m1")));
+        host.end(id, AttemptEnd::Broken);
+        host.pass(2_000);
+    }
+    host.see("i-9", upstream("llm", 1, &[]));
+    let (id, actions) = host.arrive(request("b", "offer", Some("m1")));
+    assert_eq!(sent(&actions, id).is_empty(), has_failed);
+    // It was no successor, but the late announcement of one that went before.
+    host.tell(Event::UpstreamGone { id: "i-9".into() });
+    let (id, actions) = host.arrive(request("c", "offer", Some("m1")));
+    assert_eq!(sent(&actions, id).len(), 1);
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -24,6 +24,9 @@
     /// The call may have been carried out.
     #[error("no answer: {0}")]
     Unanswered(String),
+    /// It was begun when nothing was answered, and others are answered now.
+    #[error("it hung while the way was closed")]
+    Hung,
 }
 
 /// Largest answer to a short call, in bytes.
@@ -38,16 +41,31 @@
 ///
 /// The answer has to begin `within` that time, and each further piece of it to come within it.
 pub(crate) async fn call(
+    pool: &Pool,
+    address: SocketAddr,
+    request: Request<Bytes>,
+    within: Duration,
+) -> Result<Reply, Error> {
+    call_unless(pool, address, request, within, std::future::pending()).await
+}
+
+/// The same, but it is given up if `hopeless` comes before the answer begins.
+pub(crate) async fn call_unless(
     pool: &Pool,
     address: SocketAddr,
     mut request: Request<Bytes>,
     within: Duration,
+    hopeless: impl Future<Output = ()>,
 ) -> Result<Reply, Error> {
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(HOST, host);
     }
     let silent = || Error::Unanswered(format!("silent for {} ms", within.as_millis()));
-    let head = timeout(within, ask(pool, address, request.map(Full::new))).await;
+    let head = tokio::select! {
+        biased;
+        head = timeout(within, ask(pool, address, request.map(Full::new))) => head,
+        () = hopeless => return Err(Error::Hung),
+    };
     let (connection, response) = head.map_err(|_| silent())??;
     let body = timeout(WHOLE, read(pool, connection, response, within)).await;
     body.map_err(|_| Error::Unanswered("too slow".into()))?
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -180,7 +180,9 @@
                     self.command(id, Command::Refuse(Refused { refusal, standing }));
                 }
                 dispatch::Action::Reserve { id, turn, prompt } => self.reserve(id, turn, prompt),
-                dispatch::Action::Want { service, subject } => self.want(service, subject),
+                dispatch::Action::Want { service, subject, is_crowded } => {
+                    self.want(service, subject, is_crowded);
+                }
                 dispatch::Action::Predicted { prediction, .. } => note_prediction(&prediction),
             }
         }
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -39,9 +39,9 @@
             PeerMessage::Changes { store, changes } => self.take_changes(from, store, changes),
             PeerMessage::Reserve { number, prompt } => self.reserve_for(from, number, &prompt),
             PeerMessage::Reserved { number, slot } => self.reserved(number, slot),
-            PeerMessage::Want { service, model, adapter } => {
+            PeerMessage::Want { service, model, adapter, is_crowded } => {
                 let subject = ModelRef { model, adapter };
-                self.placement_event(placement::Event::Wanted { service, subject });
+                self.placement_event(placement::Event::Wanted { service, subject, is_crowded });
             }
             PeerMessage::Placed { runner, model, adapter, is_present } => {
                 self.placed(runner, ModelRef { model, adapter }, is_present);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -13,18 +13,18 @@
 const ORDER: Duration = Duration::from_millis(1_200);
 
 impl Hub {
-    pub(crate) fn want(self: &Rc<Self>, service: Name, subject: ModelRef) {
+    pub(crate) fn want(self: &Rc<Self>, service: Name, subject: ModelRef, is_crowded: bool) {
         let is_holder = self.tenure.borrow().is_holding(self.clock.now());
         let holder = self.holder.borrow().clone();
         log::info!(
-            "event=model_wanted service={service} subject={subject} holder={}",
+            "event=model_wanted service={service} subject={subject} crowded={is_crowded} holder={}",
             holder.as_deref().unwrap_or("-")
         );
         if is_holder {
-            self.placement_event(placement::Event::Wanted { service, subject });
+            self.placement_event(placement::Event::Wanted { service, subject, is_crowded });
         } else if let Some(holder) = holder {
             let ModelRef { model, adapter } = subject;
-            self.send(&holder, &PeerMessage::Want { service, model, adapter });
+            self.send(&holder, &PeerMessage::Want { service, model, adapter, is_crowded });
         }
     }
 
@@ -119,7 +119,7 @@
     let outcome = match call::call(&hub.control, address, request, ORDER).await {
         Ok(reply) => hub.ports.engine.judge_order(reply.status),
         Err(call::Error::NotSent(_)) => OrderOutcome::NotSent,
-        Err(call::Error::Unanswered(_)) => OrderOutcome::Unknown,
+        Err(call::Error::Unanswered(_) | call::Error::Hung) => OrderOutcome::Unknown,
     };
     log::info!(
         "event=order_answered runner={} count={} token={} outcome={}",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -96,6 +96,9 @@
         model: Name,
         /// An adapter of it.
         adapter: Option<Name>,
+        /// Whether it is held, and one more copy is wanted.
+        #[serde(default)]
+        is_crowded: bool,
     },
     /// From the holder of orders: what a runner holds.
     Placed {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -157,8 +157,7 @@
         let mut snapshot = Snapshot { items: Vec::new(), at: Revision(0) };
         loop {
             let last = snapshot.items.last().map(|item| item.key.clone());
-            let request = self.protocol.range(prefix, last.as_deref());
-            let reply = self.call("range", request, CALL).await?;
+            let reply = self.read_page(prefix, last.as_deref()).await?;
             if reply.status != StatusCode::OK {
                 return Err(Error::Refused(reply.status));
             }
@@ -175,6 +174,27 @@
         }
     }
 
+    /// Reads one page. A call that hangs when the way to the store opens again is made anew at once: its
+    /// answer may never come, while an answer that has begun may be large and goes on.
+    async fn read_page(&self, prefix: &str, after: Option<&str>) -> Result<Reply, Error> {
+        let mut returns = self.returns();
+        loop {
+            let returned = async {
+                // The sender lives as long as the store.
+                let _ = returns.changed().await;
+            };
+            let request = self.protocol.range(prefix, after);
+            let sent = self.clock.now();
+            let reply = call::call_unless(&self.pool, self.address, request, CALL, returned).await;
+            if matches!(reply, Err(call::Error::Hung)) {
+                continue;
+            }
+            telemetry::store_call("range", reply.is_ok());
+            self.note(sent, &reply);
+            return Ok(reply?);
+        }
+    }
+
     /// Waits for changes of the keys that begin with `prefix`, `wait_ms` at most.
     pub(crate) async fn watch(
         &self,
--- a/crates/placement/src/adapters.rs
+++ b/crates/placement/src/adapters.rs
@@ -51,6 +51,21 @@
         }
     }
 
+    /// Orders one more copy of an adapter, where there is room for it.
+    pub(crate) fn copy_adapter(
+        &mut self,
+        now: Tick,
+        token: Revision,
+        service: &Name,
+        engine: &EngineSpec,
+        subject: Subject,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(runner) = self.runner_for_adapter(service, engine, &subject, Room::Fits) {
+            self.order(now, token, &runner, Operation::Load, subject, actions);
+        }
+    }
+
     fn is_somewhere(&self, service: &Name, subject: &Subject) -> bool {
         self.ledgers.values().any(|ledger| {
             ledger.state.service == *service
@@ -71,6 +86,7 @@
             let closing = Subject { model: subject.model.clone(), adapter: None };
             ledger.state.service == *service
                 && ledger.holds_model(&subject.model)
+                && !ledger.will_hold_adapter(subject)
                 && ledger.next_count().is_some()
                 && ledger.room_for_adapter(engine) == room
                 && !self.closing.contains_key(&((*runner).clone(), closing))
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -53,6 +53,8 @@
         service: Name,
         /// What is missing.
         subject: ModelRef,
+        /// Whether it is held, and one more copy is wanted.
+        is_crowded: bool,
     },
     /// A runner told what it holds.
     Reported {
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -29,6 +29,8 @@
     round_at: Tick,
     pub(crate) ceilings: HashMap<Name, Ceiling>,
     pub(crate) wanted: BTreeMap<(Name, ModelRef), Tick>,
+    /// Adapters of which one more copy was asked for, and when.
+    copied: BTreeMap<(Name, ModelRef), Tick>,
     /// Weights that get no new requests, and since when.
     pub(crate) closing: BTreeMap<(Name, Subject), Tick>,
     /// Runners on which room is being made.
@@ -67,6 +69,8 @@
 const LEAST_LOAD: f64 = 0.005;
 /// Something wanted is forgotten if it is not asked for again, in milliseconds.
 const WANTED_MS: u64 = 1_000;
+/// Between two more copies of one adapter, in milliseconds: hosts hear of the first within this time.
+const COPY_MS: u64 = 500;
 /// Between telling all hosts that weights go and the order, in milliseconds.
 const CLOSING_MS: u64 = 150;
 /// An unload that can't be ordered within this time is given up, in milliseconds.
@@ -95,6 +99,7 @@
             round_at: Tick(0),
             ceilings: HashMap::new(),
             wanted: BTreeMap::new(),
+            copied: BTreeMap::new(),
             closing: BTreeMap::new(),
             reserved: BTreeMap::new(),
             arrivals: Vec::new(),
@@ -114,7 +119,10 @@
             Event::Demand(samples) => {
                 samples.iter().for_each(|sample| self.demand.add(now, sample));
             }
-            Event::Wanted { service, subject } => {
+            Event::Wanted { service, subject, is_crowded: true } => {
+                self.order_copy(now, &service, &subject, &mut actions);
+            }
+            Event::Wanted { service, subject, is_crowded: false } => {
                 self.demand.touch(now, &service, &subject, 0.0);
                 let last = self.wanted.insert((service.clone(), subject.clone()), now);
                 // What is missed again and again waits for the next round.
@@ -232,6 +240,7 @@
 
     fn tick(&mut self, now: Tick, actions: &mut Vec<Action>) {
         self.wanted.retain(|_, at| now.since(*at) < WANTED_MS);
+        self.copied.retain(|_, at| now.since(*at) < COPY_MS);
         let arrivals = std::mem::take(&mut self.arrivals);
         for (due, runner, subject) in arrivals {
             if now < due {
@@ -301,6 +310,28 @@
         }
     }
 
+    /// Orders one more copy of an adapter where all runners that have one are crowded.
+    fn order_copy(
+        &mut self,
+        now: Tick,
+        service: &Name,
+        subject: &ModelRef,
+        actions: &mut Vec<Action>,
+    ) {
+        let (Some(token), Some(configuration)) = (self.token, self.configuration.clone()) else {
+            return;
+        };
+        let engine = configuration.services.get(service).and_then(|known| known.engine.as_ref());
+        let key = (service.clone(), subject.clone());
+        let is_recent = self.copied.get(&key).is_some_and(|at| now.since(*at) < COPY_MS);
+        if let Some(engine) = engine.filter(|_| !is_recent) {
+            self.copied.insert(key, now);
+            let subject =
+                Subject { model: subject.model.clone(), adapter: subject.adapter.clone() };
+            self.copy_adapter(now, token, service, engine, subject, actions);
+        }
+    }
+
     /// Orders the unloads that were told to all hosts long enough ago.
     fn order_closed(&mut self, now: Tick, token: Revision, actions: &mut Vec<Action>) {
         // What could not be ordered in time is kept: the demand may have changed since.
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -68,7 +68,7 @@
 
     fn want(&mut self, model: &str, adapter: Option<&str>) {
         let subject = ModelRef { model: model.into(), adapter: adapter.map(Name::from) };
-        self.tell(Event::Wanted { service: "llm".into(), subject });
+        self.tell(Event::Wanted { service: "llm".into(), subject, is_crowded: false });
     }
 
     fn demand(&mut self, model: &str, work_ms: u32) {
@@ -551,3 +551,25 @@
     holder.pass(ROUND_MS);
     assert!(holder.orders.is_empty(), "it is there three times: {:?}", holder.orders);
 }
+
+/// Found on a played day: an adapter was at one runner only, and its callers waited there while others
+/// that hold its model were free.
+#[test]
+fn crowded_adapter_copied() {
+    let full = [("r1", &["m1", "m3"] as &[&str]), ("r2", &["m1", "m4"]), ("r3", &["m2", "m4"])];
+    let mut holder = Holder::new(&full);
+    holder.want("m1", Some("a1"));
+    let order = holder.orders.pop().expect("an order");
+    let first = order.runner.clone();
+    holder.answer(order, OrderOutcome::Accepted);
+    holder.pass(100);
+    let subject = ModelRef { model: "m1".into(), adapter: Some("a1".into()) };
+    for _ in 0..3 {
+        let subject = subject.clone();
+        holder.tell(Event::Wanted { service: "llm".into(), subject, is_crowded: true });
+    }
+    let copies: Vec<&Order> =
+        holder.orders.iter().filter(|o| o.subject.adapter.is_some()).collect();
+    assert_eq!(copies.len(), 1, "{copies:?}");
+    assert!(copies[0].runner != first && &*copies[0].runner != "r3", "{copies:?}");
+}
--- a/tests/store_return.rs
+++ b/tests/store_return.rs
@@ -16,6 +16,9 @@
 /// Upstreams that live are back in the store within this time after its return.
 const BACK: Duration = Duration::from_millis(2_000);
 const HOSTS: usize = 3;
+/// A host that starts while the store is away is ready within this time after its return: probes every
+/// 200 ms at most, then three short readings.
+const READY: Duration = Duration::from_millis(700);
 
 fn start_hosts(deployment: &Deployment) -> Vec<Host> {
     (1..=HOSTS).map(|number| deployment.host(&name(number))).collect()
@@ -71,3 +74,22 @@
     assert!((1..=HOSTS).all(|number| !is_gone(&deployment, number)));
     assert_eq!(Client::new("GET", "/check/1", "b1").send(hosts[0].front).status, 200);
 }
+
+/// Found on a played day that ended with a loss of power while the store was silent: what hosts had asked just
+/// before its return hung for 1.2 s, and callers were refused meanwhile.
+#[test]
+fn hung_reading_begins_anew() {
+    let deployment = Deployment::start();
+    deployment.store.set_mode(StoreMode::Silent);
+    let host = deployment.spawn("front-1");
+    let reads = deployment.store.calls();
+    wait_for("it asks the store", || deployment.store.calls() > reads);
+    // Readings that were lost are made anew, with pauses: the store returns just after one.
+    sleep(Duration::from_millis(1_500));
+    let calls = deployment.store.calls();
+    wait_for("it asks again", || deployment.store.calls() > calls);
+    deployment.store.set_mode(StoreMode::Serving);
+    let returned = Instant::now();
+    wait_for("it is ready", || host.readiness() == 200);
+    assert!(returned.elapsed() < READY, "ready after {:?}", returned.elapsed());
+}
