feat: late requests leave the last quarter of an engine's places to those that can be in time

Hypothesis: in a crunch requests that are late already compete at 63 hosts with fresh ones for the same places, and make these late as well. Change: a late request goes only to engines that are filled to 0.75 or less. Test: late_ones_leave_room.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -24,6 +24,8 @@
 const SERVICE_QUEUE: f64 = 2.0;
 /// Requests at an engine, as a share of its slots.
 const ENGINE_FILL: f64 = 1.0;
+/// The same for a request that is late already: the last places are for those that can be in time.
+const LATE_FILL: f64 = 0.75;
 /// Worth of the same failure domain, in milliseconds of a plain service's load.
 const DOMAIN_MS: f64 = 2.0;
 /// Milliseconds that one running request adds at a plain service, spread over its slots.
@@ -96,7 +98,8 @@
 ) -> Option<Lack> {
     let load = upstream.total(view.now);
     let slots = f64::from(upstream.state.slots);
-    if f64::from(load.running) >= slots * ENGINE_FILL {
+    let fill = if request.is_late(view.now) { LATE_FILL } else { ENGINE_FILL };
+    if f64::from(load.running) >= slots * fill {
         return Some(Lack::Slot);
     }
     if u64::from(load.held_tokens + request.tokens()) > engine.kv_tokens {
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -132,6 +132,11 @@
         self.route.gap_ms.unwrap_or(GAP_MS)
     }
 
+    /// Whether its answer would come after the time that the operators want.
+    pub(crate) fn is_late(&self, now: Tick) -> bool {
+        now.since(self.arrived) > self.route.target_ms
+    }
+
     /// Whether it was sent to as many upstreams as are allowed to it.
     pub(crate) fn is_exhausted(&self) -> bool {
         self.tried.len() >= self.route.max_attempts as usize
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -30,9 +30,7 @@
     /// Waiting requests that can still be answered in time come before those that can't.
     fn in_order(&self, now: Tick, service: &Name) -> Vec<RequestId> {
         let mut waiting = self.queue.waiting(service);
-        let is_late = |id: &RequestId| {
-            self.requests.get(id).is_some_and(|r| now.since(r.arrived) > r.route.target_ms)
-        };
+        let is_late = |id: &RequestId| self.requests.get(id).is_some_and(|r| r.is_late(now));
         waiting.sort_by_key(is_late);
         waiting
     }
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -269,3 +269,33 @@
     let (id, actions) = host.arrive(request("c", "offer", Some("m1")));
     assert_eq!(sent(&actions, id).len(), 1);
 }
+
+/// The last places of an engine are for those that can still be in time.
+#[rstest]
+#[case::in_time(500, 1)]
+#[case::late(1_200, 0)]
+fn late_ones_leave_room(#[case] waited_ms: u64, #[case] sendings: usize) {
+    let mut host = Host::new(routes());
+    host.see("i-1", upstream("llm", 1, &["m1"]));
+    let busy = |running: u32| {
+        let row = LoadRow {
+            upstream: "i-1".into(),
+            running,
+            unread_tokens: 0,
+            held_tokens: 500,
+            good: 0,
+            bad: 0,
+        };
+        let digest = Digest { loads: vec![row], demand: Vec::new() };
+        Event::PeerDigest { host: "front-2".into(), digest }
+    };
+    host.tell(busy(4));
+    let (id, actions) = host.arrive(request("a", "offer", Some("m1")));
+    assert!(sent(&actions, id).is_empty());
+    host.pass(waited_ms);
+    // One of four places is free: a quarter.
+    let actions = host.tell(busy(3));
+    assert_eq!(sent(&actions, id).len(), sendings, "{actions:?}");
+    let actions = host.tell(busy(2));
+    assert_eq!(sent(&actions, id).len(), 1 - sendings, "{actions:?}");
+}
