fix: links between hosts notice a peer that falls silent without a reset

Cause: links had no time-out of the system's own. A connection that goes silent for good was seen only once its buffers were full; until then loads, changes and a pacer's answers were lost, and each pacer passed over for a second again and again. Calls to the store and to upstreams, and callers' connections, had such time-outs already. Change: the socket options of calls serve links as well (one copy, in the link crate): unacknowledged bytes end a link after 2 s, one at rest is probed every 10 s. Before: links had neither option.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -3,7 +3,6 @@
 use crate::{
     exchange,
     hub::{Hub, Stage},
-    socket,
 };
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -12,6 +11,7 @@
     net::{TcpListener, TcpStream},
     time::sleep,
 };
+use vanetally_link::socket;
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,7 +26,6 @@
 mod run;
 mod sending;
 mod settings;
-mod socket;
 mod status;
 mod store;
 mod telemetry;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,5 @@
 //! Connections to upstreams, kept between requests.
 
-use crate::socket;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -13,6 +12,7 @@
     rc::Rc,
     time::{Duration, Instant},
 };
+use vanetally_link::socket;
 
 /// A connection that carries no request now.
 pub(crate) struct Connection {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -12,4 +12,6 @@
 pub mod platform;
 /// Proof that both ends of a link know the shared key.
 pub mod proof;
+/// TCP connections that notice a silent peer.
+pub mod socket;
 mod workers;
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -4,7 +4,10 @@
 //! again after it broke. Messages that can't be sent soon are dropped and counted: whoever needs
 //! an answer repeats.
 
-use crate::proof::{Hello, Side, prove, verify};
+use crate::{
+    proof::{Hello, Side, prove, verify},
+    socket::watch_link,
+};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use serde::{Serialize, de::DeserializeOwned};
@@ -229,7 +232,7 @@
     shared: &Shared,
 ) -> Option<WebSocketStream<TcpStream>> {
     let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
+    watch_link(&stream).ok()?;
     let url = format!("ws://{address}/link");
     let connected = client_async_with_config(url, stream, Some(shared.config())).await;
     let (mut socket, _) = connected.ok()?;
@@ -278,7 +281,7 @@
 }
 
 async fn greet(stream: TcpStream, shared: &Shared) -> Option<(WebSocketStream<TcpStream>, HostId)> {
-    stream.set_nodelay(true).ok()?;
+    watch_link(&stream).ok()?;
     let mut socket = accept_async_with_config(stream, Some(shared.config())).await.ok()?;
     let options = &shared.options;
     let mine = Hello::new(options.me.clone());
