--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -1,7 +1,7 @@
 //! How attempts and requests end: what is learned, what may be sent again, what the caller is told.
 
 use crate::{
-    Action, AttemptEnd, Dispatch, RequestId,
+    Action, AttemptEnd, Dispatch, RequestId, Standing,
     request::{Request, Sending, Stage},
     sending::WANT_AGAIN_MS,
 };
@@ -24,6 +24,9 @@
 const LEAST_LEFT_MS: u64 = 20;
 /// When to come back if nothing better is known, in milliseconds.
 pub(crate) const RETRY_MS: u64 = 500;
+/// When to come back to a host that knows no configuration yet, in milliseconds: a start takes about so
+/// long, and most of those that come back earlier find the same.
+pub(crate) const START_RETRY_MS: u64 = 1_000;
 /// When to come back after a refusal by a host that stops, in milliseconds.
 pub(crate) const STOP_RETRY_MS: u64 = 50;
 /// When to come back for a model that nobody holds, in milliseconds.
@@ -66,7 +69,10 @@
             request.patience = request.patience.min(now + EXHAUSTED_MS);
         }
         match self.why_not_again(now, &request, end, answered) {
-            Some(refusal) => actions.push(Action::Refuse { id, refusal }),
+            Some(refusal) => {
+                let standing = Standing::from(&request);
+                actions.push(Action::Refuse { id, refusal, standing });
+            }
             None => {
                 self.queue.insert(id, &request);
                 self.requests.insert(id, request);
@@ -79,6 +85,12 @@
             return;
         };
         upstream.own.take(sending.load);
+        if let (AttemptEnd::Served, Some(begun), Some(subject)) =
+            (end, sending.begun, &request.head.model)
+        {
+            let took_ms = now.since(begun) as f64;
+            self.pace.learn_run(&subject.model, request.head.output_tokens, took_ms);
+        }
         match end {
             AttemptEnd::Served => upstream.health.ended(now, true),
             // An upstream's own failure of a request that may be repeated says little: others that
@@ -161,12 +173,12 @@
                 _ if request.verdict == Verdict::NotRun => now >= request.patience,
                 _ => now + LEAST_LEFT_MS >= request.deadline,
             };
-            is_late.then(|| (*id, self.late_refusal(now, request)))
+            is_late.then(|| (*id, self.late_refusal(now, request), Standing::from(request)))
         });
-        let late: Vec<(RequestId, Refusal)> = late.collect();
-        for (id, refusal) in late {
+        let late: Vec<(RequestId, Refusal, Standing)> = late.collect();
+        for (id, refusal, standing) in late {
             self.end(id);
-            actions.push(Action::Refuse { id, refusal });
+            actions.push(Action::Refuse { id, refusal, standing });
         }
         for upstream in self.upstreams.values_mut() {
             let (good, bad) = upstream.peer_ends(now);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod digest;
 mod ending;
 mod event;
+mod fit;
 mod health;
 mod machine;
 mod pace;
@@ -19,6 +20,7 @@
 mod reserving;
 mod routes;
 mod sending;
+mod shortage;
 mod upstream;
 
 pub use budget::{Budget, BudgetOptions};
@@ -27,3 +29,4 @@
 pub use health::Health;
 pub use machine::{Counts, Dispatch, UpstreamSummary};
 pub use routes::RouteIndex;
+pub use shortage::{Lack, Shortage, Standing};
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     Action, Budget, DemandRow, Digest, Event, LoadRow, Options, Prediction, RequestId, RouteIndex,
-    ending::{RETRY_MS, STOP_RETRY_MS},
+    Standing,
+    ending::{RETRY_MS, START_RETRY_MS, STOP_RETRY_MS},
     pace::Pace,
     queue::Queue,
     request::{Request, Stage},
@@ -101,6 +102,7 @@
             Event::UpstreamGone { id } => {
                 self.upstreams.remove(&id);
                 self.pace.forget(&id);
+                self.upstreams.values_mut().for_each(|upstream| upstream.successor_gone(&id));
             }
             Event::Placed { runner, subject, presence } => {
                 if let Some(upstream) = self.upstreams.get_mut(&runner) {
@@ -217,6 +219,9 @@
         match self.upstreams.get_mut(&id) {
             Some(upstream) => upstream.update(state, now),
             None => {
+                for upstream in self.upstreams.values_mut() {
+                    upstream.successor_seen(&id, &state, now);
+                }
                 self.upstreams.insert(id, Upstream::new(state, now));
             }
         }
@@ -246,9 +251,13 @@
         head: CallerRequest,
         actions: &mut Vec<Action>,
     ) {
-        let refuse = |cause, retry| Action::Refuse { id, refusal: Refusal::not_run(cause, retry) };
+        let refuse = |cause, retry| Action::Refuse {
+            id,
+            refusal: Refusal::not_run(cause, retry),
+            standing: Standing::default(),
+        };
         if self.configuration.is_none() {
-            return actions.push(refuse(RefusalCause::NotConfigured, Some(RETRY_MS)));
+            return actions.push(refuse(RefusalCause::NotConfigured, Some(START_RETRY_MS)));
         }
         let Some(route) = self.routes.find(&head.host, &head.path).cloned() else {
             return actions.push(refuse(RefusalCause::NoRoute, None));
@@ -264,16 +273,23 @@
             budget.earn(now);
         }
         let request = Request::new(head, route, service, now);
+        let slots = self.slots(&request.service);
         if let Some(subject) = &request.head.model {
             let demand = self.demand.entry((request.service.clone(), subject.clone()));
             let demand = demand.or_default();
             demand.arrived += 1;
-            demand.work_ms += self.pace.work_ms(&subject.model, &request.head);
+            demand.work_ms += self.pace.work_ms(&subject.model, &request.head, slots);
         }
         self.queue.insert(id, &request);
         self.requests.insert(id, request);
     }
 
+    /// Requests that one engine of the service works on at once.
+    fn slots(&self, service: &Name) -> u32 {
+        let known = self.configuration.as_ref().and_then(|c| c.services.get(service));
+        known.and_then(|service| service.engine.as_ref()).map_or(1, |engine| engine.slots)
+    }
+
     pub(crate) fn is_late_in_stop(&self, now: Tick) -> bool {
         let most = (self.options.grace_ms as f64 * STOP_SHARE) as u64;
         self.stopping_since.is_some_and(|since| now.since(since) > most)
@@ -287,7 +303,7 @@
         let Stage::Sent(sending) = &mut request.stage else {
             return;
         };
-        if std::mem::replace(&mut sending.has_begun, true) {
+        if sending.begun.replace(now).is_some() {
             return;
         }
         let read = Load { unread_tokens: sending.load.unread_tokens, ..Load::default() };
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     choice::{Choice, Expected},
+    shortage::Shortage,
     upstream::{Load, shared_prefixes},
 };
 use std::rc::Rc;
@@ -45,7 +46,8 @@
     pub load: Load,
     /// What was expected when it was sent.
     pub expected: Expected,
-    pub has_begun: bool,
+    /// When its first piece came.
+    pub begun: Option<Tick>,
 }
 
 /// A request that has not ended.
@@ -70,6 +72,8 @@
     pub verdict: Verdict,
     /// No sending before this.
     pub not_before: Tick,
+    /// What it lacked when it last looked for an upstream in vain.
+    pub shortage: Option<Shortage>,
 }
 
 /// A stream's caller leaves after a gap of this many milliseconds, or of some objectives.
@@ -109,6 +113,7 @@
             reservations: 0,
             verdict: Verdict::NotRun,
             not_before: now,
+            shortage: None,
         }
     }
 
@@ -127,6 +132,11 @@
         self.route.gap_ms.unwrap_or(GAP_MS)
     }
 
+    /// Whether its answer would come after the time that the operators want.
+    pub(crate) fn is_late(&self, now: Tick) -> bool {
+        now.since(self.arrived) > self.route.target_ms
+    }
+
     /// Whether it was sent to as many upstreams as are allowed to it.
     pub(crate) fn is_exhausted(&self) -> bool {
         self.tried.len() >= self.route.max_attempts as usize
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -3,10 +3,11 @@
 use crate::{
     Action, Attempt, Dispatch, RequestId,
     choice::Choice,
-    choose::{Lack, View, choose},
+    choose::{View, choose},
     request::{Request, Sending, Stage},
+    shortage::Shortage,
 };
-use std::collections::HashSet;
+use std::collections::HashMap;
 use vanetally_ports::{ModelRef, RequestKind};
 use vanetally_types::{Name, Tick};
 
@@ -19,7 +20,7 @@
     /// Sends what waits and can go.
     pub(crate) fn pump(&mut self, now: Tick, actions: &mut Vec<Action>) {
         for service in self.queue.services() {
-            let mut lacking: HashSet<Option<ModelRef>> = HashSet::new();
+            let mut lacking = HashMap::new();
             for id in self.in_order(now, &service) {
                 self.try_send(now, &service, id, &mut lacking, actions);
             }
@@ -29,9 +30,7 @@
     /// Waiting requests that can still be answered in time come before those that can't.
     fn in_order(&self, now: Tick, service: &Name) -> Vec<RequestId> {
         let mut waiting = self.queue.waiting(service);
-        let is_late = |id: &RequestId| {
-            self.requests.get(id).is_some_and(|r| now.since(r.arrived) > r.route.target_ms)
-        };
+        let is_late = |id: &RequestId| self.requests.get(id).is_some_and(|r| r.is_late(now));
         waiting.sort_by_key(is_late);
         waiting
     }
@@ -41,25 +40,38 @@
         now: Tick,
         service: &Name,
         id: RequestId,
-        lacking: &mut HashSet<Option<ModelRef>>,
+        lacking: &mut HashMap<Option<ModelRef>, Shortage>,
         actions: &mut Vec<Action>,
     ) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
         let subject = request.head.model.clone();
-        if now < request.not_before || lacking.contains(&subject) {
+        if now < request.not_before {
+            return;
+        }
+        if let Some(shortage) = lacking.get(&subject).copied() {
+            if let Some(request) = self.requests.get_mut(&id) {
+                request.shortage = Some(shortage);
+            }
             return;
         }
         match self.choose(now, request) {
             Ok(choice) if self.is_engine(service) => actions.extend(self.reserve(id, choice)),
             Ok(choice) => actions.extend(self.send(now, id, choice, 0)),
-            Err(lack) => {
+            Err(shortage) => {
                 if request.tried.is_empty() {
-                    lacking.insert(subject.clone());
+                    lacking.insert(subject.clone(), shortage);
+                }
+                if let Some(request) = self.requests.get_mut(&id) {
+                    request.shortage = Some(shortage);
                 }
-                if let (Lack::Holder, Some(subject)) = (lack, subject) {
-                    self.want(now, service, subject, actions);
+                let Some(subject) = subject else {
+                    return;
+                };
+                let is_crowded = subject.adapter.is_some() && shortage.lack.is_crowd();
+                if is_crowded || shortage.lack.is_missing() {
+                    self.want(now, service, subject, is_crowded, actions);
                 }
             }
         }
@@ -70,7 +82,7 @@
         services.and_then(|known| known.get(service)).is_some_and(|known| known.engine.is_some())
     }
 
-    fn choose(&self, now: Tick, request: &Request) -> Result<Choice, Lack> {
+    fn choose(&self, now: Tick, request: &Request) -> Result<Choice, Shortage> {
         let services = self.configuration.as_ref().map(|c| &c.services);
         let service = services.and_then(|services| services.get(&request.service));
         let view = View {
@@ -78,19 +90,25 @@
             domain: &self.options.domain,
             engine: service.and_then(|service| service.engine.as_ref()),
             pace: &self.pace,
-            hosts: self.hosts,
         };
         let own = self.upstreams.iter().filter(|(_, u)| u.state.service == request.service);
         choose(&view, request, own)
     }
 
-    fn want(&mut self, now: Tick, service: &Name, subject: ModelRef, actions: &mut Vec<Action>) {
+    fn want(
+        &mut self,
+        now: Tick,
+        service: &Name,
+        subject: ModelRef,
+        is_crowded: bool,
+        actions: &mut Vec<Action>,
+    ) {
         let last = self.wanted.get(&(service.clone(), subject.clone()));
         if last.is_some_and(|at| now.since(*at) < WANT_AGAIN_MS) {
             return;
         }
         self.wanted.insert((service.clone(), subject.clone()), now);
-        actions.push(Action::Want { service: service.clone(), subject });
+        actions.push(Action::Want { service: service.clone(), subject, is_crowded });
     }
 
     pub(crate) fn send(
@@ -113,6 +131,7 @@
             subject: request.head.model.clone(),
             version,
             waited_ms: now.since(request.arrived),
+            lacked: request.shortage.map(|shortage| shortage.lack),
             unread_tokens: choice.expected.unread,
             ahead_ms: choice.expected.ahead_ms,
             upstream: choice.upstream.clone(),
@@ -142,7 +161,7 @@
             at: sent_at,
             load,
             expected: choice.expected,
-            has_begun: false,
+            begun: None,
         });
         Some(Action::Send { id, attempt })
     }
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -1,6 +1,9 @@
 //! The state machine of the holder of orders.
 
-use crate::{Action, Ceiling, Event, Ledger, Options, Reservation, demand::DemandTable};
+use crate::{
+    Action, Ceiling, Event, Ledger, Obstacle, Options, Reservation, demand::DemandTable,
+    ledger::Capacity,
+};
 use std::{
     collections::{BTreeMap, HashMap},
     rc::Rc,
@@ -20,8 +23,14 @@
     pub(crate) token: Option<Revision>,
     /// Since when the token holds.
     pub(crate) token_since: Tick,
+    /// The last token: while no other host had one, the books hold.
+    last_token: Option<Revision>,
+    /// When the next round of the plan may begin.
+    round_at: Tick,
     pub(crate) ceilings: HashMap<Name, Ceiling>,
     pub(crate) wanted: BTreeMap<(Name, ModelRef), Tick>,
+    /// Adapters of which one more copy was asked for, and when.
+    copied: BTreeMap<(Name, ModelRef), Tick>,
     /// Weights that get no new requests, and since when.
     pub(crate) closing: BTreeMap<(Name, Subject), Tick>,
     /// Runners on which room is being made.
@@ -43,10 +52,25 @@
     pub coming: usize,
 }
 
+/// Runners that can and can't be given orders about weights.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RunnerSummary {
+    /// Those that can.
+    pub open: usize,
+    /// Those on which room is being made.
+    pub making_room: usize,
+    /// Those that can't, by the reason.
+    pub obstacles: BTreeMap<Obstacle, usize>,
+    /// Room for how many more of the smallest models there is on all of them.
+    pub free_places: usize,
+}
+
 /// Models with less load are left out of a summary.
 const LEAST_LOAD: f64 = 0.005;
 /// Something wanted is forgotten if it is not asked for again, in milliseconds.
 const WANTED_MS: u64 = 1_000;
+/// Between two more copies of one adapter, in milliseconds: hosts hear of the first within this time.
+const COPY_MS: u64 = 500;
 /// Between telling all hosts that weights go and the order, in milliseconds.
 const CLOSING_MS: u64 = 150;
 /// An unload that can't be ordered within this time is given up, in milliseconds.
@@ -57,6 +81,9 @@
 /// An unload waits for its runs; a report is asked for after this long, in milliseconds.
 const UNLOAD_MS: u64 = 400;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
+/// Least time between two rounds of the plan, in milliseconds: on a deployment of 90 runners and 196
+/// models a round for each report and answer took the holder's whole processor, and its lease ran out.
+const ROUND_MS: u64 = 40;
 
 impl Placement {
     /// Nothing is known yet.
@@ -68,8 +95,11 @@
             demand: DemandTable::default(),
             token: None,
             token_since: Tick(0),
+            last_token: None,
+            round_at: Tick(0),
             ceilings: HashMap::new(),
             wanted: BTreeMap::new(),
+            copied: BTreeMap::new(),
             closing: BTreeMap::new(),
             reserved: BTreeMap::new(),
             arrivals: Vec::new(),
@@ -89,10 +119,16 @@
             Event::Demand(samples) => {
                 samples.iter().for_each(|sample| self.demand.add(now, sample));
             }
-            Event::Wanted { service, subject } => {
+            Event::Wanted { service, subject, is_crowded: true } => {
+                self.order_copy(now, &service, &subject, &mut actions);
+            }
+            Event::Wanted { service, subject, is_crowded: false } => {
                 self.demand.touch(now, &service, &subject, 0.0);
-                self.wanted.insert((service.clone(), subject.clone()), now);
-                self.order_wanted(now, &service, &subject, &mut actions);
+                let last = self.wanted.insert((service.clone(), subject.clone()), now);
+                // What is missed again and again waits for the next round.
+                if last.is_none() {
+                    self.order_wanted(now, &service, &subject, &mut actions);
+                }
             }
             Event::Reported { runner, asked, report } => {
                 self.reported(now, &runner, asked, report, &mut actions);
@@ -120,6 +156,30 @@
         models.filter(|summary| summary.load > LEAST_LOAD || summary.coming > 0).collect()
     }
 
+    /// Which runners can be given orders, and why others can't.
+    pub fn runners(&self) -> RunnerSummary {
+        let mut summary = RunnerSummary::default();
+        let services = self.configuration.as_ref().map(|c| &c.services);
+        for (name, ledger) in &self.ledgers {
+            let service = services.and_then(|services| services.get(&ledger.state.service));
+            let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+                continue;
+            };
+            let is_making_room = self.closing.keys().any(|(runner, _)| runner == name);
+            match ledger.obstacle() {
+                Some(obstacle) => *summary.obstacles.entry(obstacle).or_default() += 1,
+                None if is_making_room || self.reserved.contains_key(name) => {
+                    summary.making_room += 1;
+                }
+                None => summary.open += 1,
+            }
+            let least = engine.models.values().map(|spec| spec.weights_mb).fold(f64::MAX, f64::min);
+            let free_mb = Capacity::of(engine).free_mb(ledger).max(0.0);
+            summary.free_places += (free_mb / least) as usize;
+        }
+        summary
+    }
+
     fn configure(&mut self, configuration: Rc<Configuration>) {
         let version = self.configuration.as_ref().map(|c| c.version);
         if version.is_none_or(|version| version < configuration.version) {
@@ -163,6 +223,11 @@
             return;
         }
         self.token = token;
+        // The lease was in doubt for a while, and nobody else had it: what is known still holds.
+        if token.is_none() || token == self.last_token {
+            return;
+        }
+        self.last_token = token;
         self.closing.clear();
         self.reserved.clear();
         // An earlier holder may have begun loads: the books are in doubt.
@@ -175,6 +240,7 @@
 
     fn tick(&mut self, now: Tick, actions: &mut Vec<Action>) {
         self.wanted.retain(|_, at| now.since(*at) < WANTED_MS);
+        self.copied.retain(|_, at| now.since(*at) < COPY_MS);
         let arrivals = std::mem::take(&mut self.arrivals);
         for (due, runner, subject) in arrivals {
             if now < due {
@@ -209,6 +275,10 @@
             return;
         };
         self.order_closed(now, token, actions);
+        if now < self.round_at {
+            return;
+        }
+        self.round_at = now + ROUND_MS;
         for (name, service) in &configuration.services {
             if let Some(engine) = &service.engine {
                 self.order_adapters(now, token, name, engine, actions);
@@ -240,6 +310,28 @@
         }
     }
 
+    /// Orders one more copy of an adapter where all runners that have one are crowded.
+    fn order_copy(
+        &mut self,
+        now: Tick,
+        service: &Name,
+        subject: &ModelRef,
+        actions: &mut Vec<Action>,
+    ) {
+        let (Some(token), Some(configuration)) = (self.token, self.configuration.clone()) else {
+            return;
+        };
+        let engine = configuration.services.get(service).and_then(|known| known.engine.as_ref());
+        let key = (service.clone(), subject.clone());
+        let is_recent = self.copied.get(&key).is_some_and(|at| now.since(*at) < COPY_MS);
+        if let Some(engine) = engine.filter(|_| !is_recent) {
+            self.copied.insert(key, now);
+            let subject =
+                Subject { model: subject.model.clone(), adapter: subject.adapter.clone() };
+            self.copy_adapter(now, token, service, engine, subject, actions);
+        }
+    }
+
     /// Orders the unloads that were told to all hosts long enough ago.
     fn order_closed(&mut self, now: Tick, token: Revision, actions: &mut Vec<Action>) {
         // What could not be ordered in time is kept: the demand may have changed since.
