refactor: the count of a round, room on runners, obstacles and summaries have files of their own

Change: census (what is there), plan (which steps follow), capacity, obstacle and summary; one way for what hosts want. Behaviour is the same; crowded_adapter_copied now also asserts that the next copy comes, not before 500 ms.

--- /dev/null
+++ b/crates/placement/src/capacity.rs
@@ -0,0 +1,38 @@
+//! Room for weights and adapters on a runner.
+
+use crate::Ledger;
+use vanetally_ports::EngineSpec;
+
+/// Whether something fits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// It fits.
+    Fits,
+    /// It would fit if something made way.
+    Full,
+    /// It never fits there.
+    Never,
+}
+
+/// Room for weights on a runner of one service.
+pub(crate) struct Capacity<'a> {
+    engine: &'a EngineSpec,
+    /// Megabytes for models: what adapters may need is kept back.
+    pub models_mb: f64,
+}
+
+impl<'a> Capacity<'a> {
+    pub(crate) fn of(engine: &'a EngineSpec) -> Self {
+        let largest = engine.models.values().map(|spec| spec.adapter_mb).fold(0.0, f64::max);
+        let reserve = largest * f64::from(engine.max_adapters);
+        Self { engine, models_mb: engine.weights_mb - reserve }
+    }
+
+    /// Megabytes beside all that is there or on its way.
+    pub(crate) fn free_mb(&self, ledger: &Ledger) -> f64 {
+        // What the configuration does not know may be of any size: nothing goes beside it.
+        let engine = self.engine;
+        let size = |name| engine.models.get(name).map_or(engine.weights_mb, |spec| spec.weights_mb);
+        self.models_mb - ledger.models().map(size).sum::<f64>()
+    }
+}
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -1,52 +1,10 @@
 //! What one runner holds, fetches and may be about to fetch.
 
-use crate::Basis;
+use crate::{Basis, Obstacle, Room, capacity::Capacity};
 use std::collections::{BTreeMap, BTreeSet};
 use vanetally_ports::{EngineSpec, HeldModel, Operation, Order, Report, Subject, UpstreamState};
 use vanetally_types::{Name, Tick};
 
-/// Whether something fits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Room {
-    /// It fits.
-    Fits,
-    /// It would fit if something made way.
-    Full,
-    /// It never fits there.
-    Never,
-}
-
-/// Why a runner can't be given an order about weights now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Obstacle {
-    /// It is leaving.
-    Leaving,
-    /// An order to it was not answered.
-    Unanswered,
-    /// A report is needed first.
-    Doubtful,
-    /// It carries out an order that is not known here.
-    UnknownOrder,
-    /// Weights come.
-    Loading,
-    /// Weights go.
-    Unloading,
-}
-
-impl Obstacle {
-    /// The word for the log.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Leaving => "leaving",
-            Self::Unanswered => "unanswered",
-            Self::Doubtful => "doubtful",
-            Self::UnknownOrder => "unknown_order",
-            Self::Loading => "loading",
-            Self::Unloading => "unloading",
-        }
-    }
-}
-
 /// Weights on their way.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Loading {
@@ -55,29 +13,6 @@
     pub due: Tick,
 }
 
-/// Room for weights on a runner of one service.
-pub(crate) struct Capacity<'a> {
-    engine: &'a EngineSpec,
-    /// Megabytes for models: what adapters may need is kept back.
-    models_mb: f64,
-}
-
-impl<'a> Capacity<'a> {
-    pub(crate) fn of(engine: &'a EngineSpec) -> Self {
-        let largest = engine.models.values().map(|spec| spec.adapter_mb).fold(0.0, f64::max);
-        let reserve = largest * f64::from(engine.max_adapters);
-        Self { engine, models_mb: engine.weights_mb - reserve }
-    }
-
-    /// Megabytes beside all that is there or on its way.
-    pub(crate) fn free_mb(&self, ledger: &Ledger) -> f64 {
-        // What the configuration does not know may be of any size: nothing goes beside it.
-        let engine = self.engine;
-        let size = |name| engine.models.get(name).map_or(engine.weights_mb, |spec| spec.weights_mb);
-        self.models_mb - ledger.models().map(size).sum::<f64>()
-    }
-}
-
 /// The books of one runner.
 #[derive(Clone, Debug)]
 pub struct Ledger {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,20 +5,27 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod adapters;
+mod capacity;
 mod ceiling;
+mod census;
 mod demand;
 mod event;
 mod ledger;
 mod machine;
+mod obstacle;
 mod plan;
+mod summary;
 mod tenure;
 mod weights;
 mod worth;
 
+pub use capacity::Room;
 pub use ceiling::Ceiling;
 pub use event::{Action, Basis, DemandSample, Event, Options};
-pub use ledger::{Ledger, Obstacle, Room};
-pub use machine::{ModelSummary, Placement, RunnerSummary};
+pub use ledger::Ledger;
+pub use machine::Placement;
+pub use obstacle::Obstacle;
+pub use summary::{ModelSummary, RunnerSummary};
 pub(crate) use weights::Reservation;
 
 pub use tenure::{Tenure, TenureAction, TenureEvent, TenureOptions};
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -1,9 +1,6 @@
 //! The state machine of the holder of orders.
 
-use crate::{
-    Action, Ceiling, Event, Ledger, Obstacle, Options, Reservation, demand::DemandTable,
-    ledger::Capacity,
-};
+use crate::{Action, Ceiling, Event, Ledger, Options, Reservation, demand::DemandTable};
 use std::{
     collections::{BTreeMap, HashMap},
     rc::Rc,
@@ -39,34 +36,6 @@
     pub(crate) arrivals: Vec<(Tick, Name, Subject)>,
 }
 
-/// One model's demand and replicas.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ModelSummary {
-    /// The model.
-    pub model: Name,
-    /// Runner-seconds a second that are asked for.
-    pub load: f64,
-    /// Runners that hold it.
-    pub holding: usize,
-    /// Runners that are getting it.
-    pub coming: usize,
-}
-
-/// Runners that can and can't be given orders about weights.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RunnerSummary {
-    /// Those that can.
-    pub open: usize,
-    /// Those on which room is being made.
-    pub making_room: usize,
-    /// Those that can't, by the reason.
-    pub obstacles: BTreeMap<Obstacle, usize>,
-    /// Room for how many more of the smallest models there is on all of them.
-    pub free_places: usize,
-}
-
-/// Models with less load are left out of a summary.
-const LEAST_LOAD: f64 = 0.005;
 /// Something wanted is forgotten if it is not asked for again, in milliseconds.
 const WANTED_MS: u64 = 1_000;
 /// Between two more copies of one adapter, in milliseconds: hosts hear of the first within this time.
@@ -120,14 +89,18 @@
                 samples.iter().for_each(|sample| self.demand.add(now, sample));
             }
             Event::Wanted { service, subject, is_crowded: true } => {
-                self.order_copy(now, &service, &subject, &mut actions);
+                let key = (service.clone(), subject.clone());
+                if !self.copied.contains_key(&key) {
+                    self.copied.insert(key, now);
+                    self.order_wanted(now, &service, &subject, true, &mut actions);
+                }
             }
             Event::Wanted { service, subject, is_crowded: false } => {
                 self.demand.touch(now, &service, &subject, 0.0);
                 let last = self.wanted.insert((service.clone(), subject.clone()), now);
                 // What is missed again and again waits for the next round.
                 if last.is_none() {
-                    self.order_wanted(now, &service, &subject, &mut actions);
+                    self.order_wanted(now, &service, &subject, false, &mut actions);
                 }
             }
             Event::Reported { runner, asked, report } => {
@@ -140,46 +113,6 @@
         actions
     }
 
-    /// Each model that is asked for or on its way: what operators look at.
-    pub fn summary(&self, now: Tick) -> Vec<ModelSummary> {
-        let services = self.configuration.iter().flat_map(|c| c.services.iter());
-        let engines = services.filter_map(|(name, service)| Some((name, service.engine.as_ref()?)));
-        let models = engines.flat_map(|(service, engine)| {
-            engine.models.keys().map(move |model| {
-                let own = self.ledgers.values().filter(|l| l.state.service == *service);
-                let holding = own.clone().filter(|l| l.holds_model(model)).count();
-                let coming = own.filter(|l| l.will_hold(model)).count() - holding;
-                let load = self.demand.model_load(now, service, model);
-                ModelSummary { model: model.clone(), load, holding, coming }
-            })
-        });
-        models.filter(|summary| summary.load > LEAST_LOAD || summary.coming > 0).collect()
-    }
-
-    /// Which runners can be given orders, and why others can't.
-    pub fn runners(&self) -> RunnerSummary {
-        let mut summary = RunnerSummary::default();
-        let services = self.configuration.as_ref().map(|c| &c.services);
-        for (name, ledger) in &self.ledgers {
-            let service = services.and_then(|services| services.get(&ledger.state.service));
-            let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
-                continue;
-            };
-            let is_making_room = self.closing.keys().any(|(runner, _)| runner == name);
-            match ledger.obstacle() {
-                Some(obstacle) => *summary.obstacles.entry(obstacle).or_default() += 1,
-                None if is_making_room || self.reserved.contains_key(name) => {
-                    summary.making_room += 1;
-                }
-                None => summary.open += 1,
-            }
-            let least = engine.models.values().map(|spec| spec.weights_mb).fold(f64::MAX, f64::min);
-            let free_mb = Capacity::of(engine).free_mb(ledger).max(0.0);
-            summary.free_places += (free_mb / least) as usize;
-        }
-        summary
-    }
-
     fn configure(&mut self, configuration: Rc<Configuration>) {
         let version = self.configuration.as_ref().map(|c| c.version);
         if version.is_none_or(|version| version < configuration.version) {
@@ -287,12 +220,14 @@
         }
     }
 
-    /// Orders what a host has just missed.
+    /// Orders what a host has just missed, or one more copy of an adapter where all runners that have one
+    /// are crowded.
     fn order_wanted(
         &mut self,
         now: Tick,
         service: &Name,
         subject: &ModelRef,
+        is_crowded: bool,
         actions: &mut Vec<Action>,
     ) {
         let (Some(token), Some(configuration)) = (self.token, self.configuration.clone()) else {
@@ -303,32 +238,10 @@
             return;
         };
         let subject = Subject { model: subject.model.clone(), adapter: subject.adapter.clone() };
-        if subject.adapter.is_some() {
-            self.order_adapter(now, token, service, engine, subject, actions);
-        } else {
-            self.order_weights(now, token, service, engine, actions);
-        }
-    }
-
-    /// Orders one more copy of an adapter where all runners that have one are crowded.
-    fn order_copy(
-        &mut self,
-        now: Tick,
-        service: &Name,
-        subject: &ModelRef,
-        actions: &mut Vec<Action>,
-    ) {
-        let (Some(token), Some(configuration)) = (self.token, self.configuration.clone()) else {
-            return;
-        };
-        let engine = configuration.services.get(service).and_then(|known| known.engine.as_ref());
-        let key = (service.clone(), subject.clone());
-        let is_recent = self.copied.get(&key).is_some_and(|at| now.since(*at) < COPY_MS);
-        if let Some(engine) = engine.filter(|_| !is_recent) {
-            self.copied.insert(key, now);
-            let subject =
-                Subject { model: subject.model.clone(), adapter: subject.adapter.clone() };
-            self.copy_adapter(now, token, service, engine, subject, actions);
+        match (&subject.adapter, is_crowded) {
+            (Some(_), true) => self.copy_adapter(now, token, service, engine, subject, actions),
+            (Some(_), false) => self.order_adapter(now, token, service, engine, subject, actions),
+            (None, _) => self.order_weights(now, token, service, engine, actions),
         }
     }
 
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,29 +1,12 @@
 //! Which weights should come where next.
 
 use crate::{
-    Ledger, Reservation,
-    demand::DemandTable,
-    ledger::Capacity,
-    worth::{self, Replicas},
+    census::{Basis, Census, Model, Runner},
+    worth,
 };
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
-use vanetally_ports::{EngineSpec, Operation, Subject};
-use vanetally_types::{Name, Tick};
-
-/// What the plan rests on: the runners of one service.
-#[derive(Clone, Copy)]
-pub(crate) struct Basis<'a> {
-    pub now: Tick,
-    pub service: &'a Name,
-    pub engine: &'a EngineSpec,
-    pub demand: &'a DemandTable,
-    /// Runners that may be ordered to, with their books.
-    pub ledgers: &'a BTreeMap<Name, Ledger>,
-    /// Runners from which something is about to go.
-    pub closing: &'a BTreeMap<(Name, Subject), Tick>,
-    /// Runners on which room is being made, and for what.
-    pub reserved: &'a BTreeMap<Name, Reservation>,
-}
+use std::collections::{BinaryHeap, HashMap};
+use vanetally_ports::{Operation, Subject};
+use vanetally_types::Name;
 
 /// One step: an order that brings the placement nearer to the demand.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -37,37 +20,9 @@
     pub from_store: bool,
 }
 
-/// A model of the service, as one round of the plan sees it.
-struct Model<'a> {
-    name: &'a Name,
-    weights_mb: f64,
-    /// Seconds of a load from the weight store, and of one from a copy at hand.
-    load_s: f64,
-    near_s: f64,
-    /// Runner-seconds a second that it is asked for.
-    load: f64,
-    /// Since it was last asked for, in milliseconds.
-    idle_ms: u64,
-    replicas: Replicas,
-    /// Open runners that have a copy of their own, as indices.
-    at_hand: Vec<usize>,
-}
-
-/// A runner that may be given an order about weights.
-struct Runner<'a> {
-    name: &'a Name,
-    ledger: &'a Ledger,
-    free_mb: f64,
-    /// What its models are asked for there, in runner-seconds a second.
-    load: f64,
-    /// Whether the round has not used it yet.
-    is_open: bool,
-}
-
 /// One round of the plan. Everything is counted once; a step costs no more than a look at the runners
 /// that have a copy of its model, and at the few cheapest others.
 pub(crate) struct Round<'a> {
-    basis: Basis<'a>,
     models: Vec<Model<'a>>,
     index: HashMap<&'a Name, usize>,
     runners: Vec<Runner<'a>>,
@@ -127,89 +82,13 @@
 impl<'a> Round<'a> {
     /// Counts what `basis` holds.
     pub(crate) fn new(basis: Basis<'a>) -> Self {
-        let mut round = Self {
-            basis,
-            models: basis
-                .engine
-                .models
-                .iter()
-                .map(|(name, spec)| Model {
-                    name,
-                    weights_mb: spec.weights_mb,
-                    load_s: spec.load_s,
-                    near_s: spec.disk_s.min(spec.load_s),
-                    load: basis.demand.model_load(basis.now, basis.service, name),
-                    idle_ms: basis.now.since(basis.demand.model_last(basis.service, name)),
-                    replicas: Replicas::default(),
-                    at_hand: Vec::new(),
-                })
-                .collect(),
-            index: HashMap::new(),
-            runners: Vec::new(),
-            runner_count: 0,
-            roomy: Vec::new(),
-            full: Vec::new(),
-        };
-        round.index = basis.engine.models.keys().enumerate().map(|(i, name)| (name, i)).collect();
-        round.count_replicas();
-        round.find_open();
+        let Census { models, index, runners, runner_count } = Census::new(basis);
+        let mut round =
+            Self { models, index, runners, runner_count, roomy: Vec::new(), full: Vec::new() };
         round.sort_open();
         round
     }
 
-    fn own_ledgers(&self) -> impl Iterator<Item = (&'a Name, &'a Ledger)> + use<'a> {
-        let service = self.basis.service;
-        self.basis
-            .ledgers
-            .iter()
-            .filter(move |(_, ledger)| ledger.state.service == *service && !ledger.state.draining)
-    }
-
-    fn count_replicas(&mut self) {
-        for (runner, ledger) in self.own_ledgers() {
-            self.runner_count += 1;
-            for model in ledger.held_names() {
-                if let Some(&index) = self.index.get(model) {
-                    self.models[index].replicas.held += 1;
-                    self.models[index].replicas.planned += 1;
-                }
-            }
-            let coming = ledger.coming_model();
-            let reserved = self.basis.reserved.get(runner).map(|reservation| &reservation.model);
-            let reserved = reserved.filter(|model| !ledger.will_hold(model));
-            for model in coming.into_iter().chain(reserved) {
-                if let Some(&index) = self.index.get(model) {
-                    self.models[index].replicas.planned += 1;
-                }
-            }
-        }
-    }
-
-    /// Runners on which nothing is under way that the plan must not disturb.
-    fn find_open(&mut self) {
-        let closing = self.basis.closing.keys().map(|(runner, _)| runner);
-        let occupied: HashSet<&Name> = closing.chain(self.basis.reserved.keys()).collect();
-        let capacity = Capacity::of(self.basis.engine);
-        for (name, ledger) in self.own_ledgers() {
-            if occupied.contains(name) || ledger.next_count().is_none() {
-                continue;
-            }
-            let index = self.runners.len();
-            for model in ledger.copies() {
-                if let Some(&model) = self.index.get(model) {
-                    self.models[model].at_hand.push(index);
-                }
-            }
-            let load = ledger.models().filter_map(|model| self.index.get(model)).map(|&model| {
-                let Model { load, replicas, .. } = &self.models[model];
-                load / replicas.planned.max(1) as f64
-            });
-            let load = load.sum();
-            let free_mb = capacity.free_mb(ledger);
-            self.runners.push(Runner { name, ledger, free_mb, load, is_open: true });
-        }
-    }
-
     fn sort_open(&mut self) {
         let least = self.models.iter().map(|model| model.weights_mb).fold(f64::MAX, f64::min);
         let all = 0..self.runners.len();
--- /dev/null
+++ b/crates/placement/src/summary.rs
@@ -0,0 +1,76 @@
+//! What operators are shown of the placement.
+
+use crate::{Obstacle, Placement, capacity::Capacity};
+use std::collections::BTreeMap;
+use vanetally_types::{Name, Tick};
+
+/// One model's demand and replicas.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelSummary {
+    /// The model.
+    pub model: Name,
+    /// Runner-seconds a second that are asked for.
+    pub load: f64,
+    /// Runners that hold it.
+    pub holding: usize,
+    /// Runners that are getting it.
+    pub coming: usize,
+}
+
+/// Runners that can and can't be given orders about weights.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RunnerSummary {
+    /// Those that can.
+    pub open: usize,
+    /// Those on which room is being made.
+    pub making_room: usize,
+    /// Those that can't, by the reason.
+    pub obstacles: BTreeMap<Obstacle, usize>,
+    /// Room for how many more of the smallest models there is on all of them.
+    pub free_places: usize,
+}
+
+/// Models with less load are left out of a summary.
+const LEAST_LOAD: f64 = 0.005;
+
+impl Placement {
+    /// Each model that is asked for or on its way: what operators look at.
+    pub fn summary(&self, now: Tick) -> Vec<ModelSummary> {
+        let services = self.configuration.iter().flat_map(|c| c.services.iter());
+        let engines = services.filter_map(|(name, service)| Some((name, service.engine.as_ref()?)));
+        let models = engines.flat_map(|(service, engine)| {
+            engine.models.keys().map(move |model| {
+                let own = self.ledgers.values().filter(|l| l.state.service == *service);
+                let holding = own.clone().filter(|l| l.holds_model(model)).count();
+                let coming = own.filter(|l| l.will_hold(model)).count() - holding;
+                let load = self.demand.model_load(now, service, model);
+                ModelSummary { model: model.clone(), load, holding, coming }
+            })
+        });
+        models.filter(|summary| summary.load > LEAST_LOAD || summary.coming > 0).collect()
+    }
+
+    /// Which runners can be given orders, and why others can't.
+    pub fn runners(&self) -> RunnerSummary {
+        let mut summary = RunnerSummary::default();
+        let services = self.configuration.as_ref().map(|c| &c.services);
+        for (name, ledger) in &self.ledgers {
+            let service = services.and_then(|services| services.get(&ledger.state.service));
+            let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+                continue;
+            };
+            let is_making_room = self.closing.keys().any(|(runner, _)| runner == name);
+            match ledger.obstacle() {
+                Some(obstacle) => *summary.obstacles.entry(obstacle).or_default() += 1,
+                None if is_making_room || self.reserved.contains_key(name) => {
+                    summary.making_room += 1;
+                }
+                None => summary.open += 1,
+            }
+            let least = engine.models.values().map(|spec| spec.weights_mb).fold(f64::MAX, f64::min);
+            let free_mb = Capacity::of(engine).free_mb(ledger).max(0.0);
+            summary.free_places += (free_mb / least) as usize;
+        }
+        summary
+    }
+}
--- a/crates/placement/src/weights.rs
+++ b/crates/placement/src/weights.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     Action, Ceiling, Placement, Room,
+    census::Basis,
     machine::announce,
-    plan::{Basis, Round, Step},
+    plan::{Round, Step},
 };
 use vanetally_ports::{EngineSpec, Operation, Revision, Subject};
 use vanetally_types::{Name, Tick};
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -571,5 +571,18 @@
     let copies: Vec<&Order> =
         holder.orders.iter().filter(|o| o.subject.adapter.is_some()).collect();
     assert_eq!(copies.len(), 1, "{copies:?}");
+    let second = copies[0].clone();
     assert!(copies[0].runner != first && &*copies[0].runner != "r3", "{copies:?}");
+    // Callers go on asking while it comes; the next copy is not before half a second.
+    holder.orders.clear();
+    holder.answer(second, OrderOutcome::Accepted);
+    holder.tell(Event::UpstreamSeen { id: "r4".into(), state: state(&["m1", "m4"], 0) });
+    for _ in 0..30 {
+        holder.pass(20);
+        holder.report("r4", report(&["m1", "m4"], 0));
+        let subject = subject.clone();
+        holder.tell(Event::Wanted { service: "llm".into(), subject, is_crowded: true });
+    }
+    let copies = holder.orders.iter().filter(|o| o.subject.adapter.is_some()).count();
+    assert_eq!(copies, 1, "{:?}", holder.orders);
 }
