--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -2,7 +2,7 @@
 
 use crate::{Action, Ceiling, Event, Ledger, Options, Reservation, demand::DemandTable};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, btree_map::Entry},
     rc::Rc,
 };
 use vanetally_ports::{
@@ -89,9 +89,9 @@
                 samples.iter().for_each(|sample| self.demand.add(now, sample));
             }
             Event::Wanted { service, subject, is_crowded: true } => {
-                let key = (service.clone(), subject.clone());
-                if !self.copied.contains_key(&key) {
-                    self.copied.insert(key, now);
+                if let Entry::Vacant(entry) = self.copied.entry((service.clone(), subject.clone()))
+                {
+                    entry.insert(now);
                     self.order_wanted(now, &service, &subject, true, &mut actions);
                 }
             }
