change: demand is measured as before; few hosts allow for each other again; 0.55 of the runners may be busy

Change: demand counts what a first piece takes, waiting and all, as before; the fitted pace is for pacers and the choice; up to eight hosts allow for each other's unread prompts again; 0.55 of the runners may be busy (0.4 before).

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -16,6 +16,8 @@
     pub domain: &'a Name,
     pub engine: Option<&'a EngineSpec>,
     pub pace: &'a Pace,
+    /// Hosts that may send to the same upstreams.
+    pub hosts: usize,
 }
 
 /// Milliseconds that each running request adds.
@@ -30,6 +32,9 @@
 const DOMAIN_MS: f64 = 2.0;
 /// Milliseconds that one running request adds at a plain service, spread over its slots.
 const SERVICE_WORK_MS: f64 = 30.0;
+/// How much of this host's sending others are taken to do, and how many of them at most.
+const ALIKE: f64 = 0.5;
+const MOST_ALIKE: usize = 8;
 /// What speaks against an upstream that has failed the request already, in milliseconds.
 const TRIED_MS: f64 = 10_000.0;
 /// Share of the longest pause between events that reading prompts may take at an engine: it reads
@@ -105,7 +110,7 @@
     if u64::from(load.held_tokens + request.tokens()) > engine.kv_tokens {
         return Some(Lack::Memory);
     }
-    let ahead = load.unread_tokens;
+    let ahead = view.ahead(upstream);
     let model = request.head.model.as_ref();
     let cached = upstream.cached_tokens(&request.shared);
     let unread = ahead + request.head.prompt_tokens.saturating_sub(cached);
@@ -114,13 +119,25 @@
     (ahead > 0 && !is_read_soon).then_some(Lack::Reading)
 }
 
+impl View<'_> {
+    /// Prompt tokens that are read before a new request's own.
+    ///
+    /// What a few others sent since their last digests is not known: they are taken to send as much as
+    /// this host. Where hosts are many each sends little, and the engine's pacer knows.
+    fn ahead(&self, upstream: &Upstream) -> u32 {
+        let known = upstream.total(self.now).unread_tokens;
+        let others = self.hosts.min(MOST_ALIKE) as f64 * ALIKE;
+        known.max((f64::from(upstream.own.unread_tokens) * others) as u32)
+    }
+}
+
 fn cost(view: &View<'_>, request: &Request, id: &Name, upstream: &Upstream) -> (f64, Choice) {
     let load = upstream.total(view.now);
     let model = request.head.model.as_ref();
     let model = model.map(|subject| &subject.model);
     let cached = upstream.cached_tokens(&request.shared);
     let unread = request.head.prompt_tokens.saturating_sub(cached);
-    let ahead_ms = view.pace.reading_ms(model, load.unread_tokens);
+    let ahead_ms = view.pace.reading_ms(model, view.ahead(upstream));
     let away = if upstream.state.domain == *view.domain { 0.0 } else { DOMAIN_MS };
     let own_ms = match view.engine {
         Some(_) => {
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -85,12 +85,6 @@
             return;
         };
         upstream.own.take(sending.load);
-        if let (AttemptEnd::Served, Some(begun), Some(subject)) =
-            (end, sending.begun, &request.head.model)
-        {
-            let took_ms = now.since(begun) as f64;
-            self.pace.learn_run(&subject.model, request.head.output_tokens, took_ms);
-        }
         match end {
             AttemptEnd::Served => upstream.health.ended(now, true),
             // An upstream's own failure of a request that may be repeated says little: others that
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -273,23 +273,16 @@
             budget.earn(now);
         }
         let request = Request::new(head, route, service, now);
-        let slots = self.slots(&request.service);
         if let Some(subject) = &request.head.model {
             let demand = self.demand.entry((request.service.clone(), subject.clone()));
             let demand = demand.or_default();
             demand.arrived += 1;
-            demand.work_ms += self.pace.work_ms(&subject.model, &request.head, slots);
+            demand.work_ms += self.pace.work_ms(&subject.model, &request.head);
         }
         self.queue.insert(id, &request);
         self.requests.insert(id, request);
     }
 
-    /// Requests that one engine of the service works on at once.
-    fn slots(&self, service: &Name) -> u32 {
-        let known = self.configuration.as_ref().and_then(|c| c.services.get(service));
-        known.and_then(|service| service.engine.as_ref()).map_or(1, |engine| engine.slots)
-    }
-
     pub(crate) fn is_late_in_stop(&self, now: Tick) -> bool {
         let most = (self.options.grace_ms as f64 * STOP_SHARE) as u64;
         self.stopping_since.is_some_and(|since| now.since(since) > most)
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -13,8 +13,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Pace {
     reading: Fit,
-    /// Runs of all models, as if all were as fast.
-    runs: Runs,
     models: BTreeMap<Name, ModelPace>,
     slowness: BTreeMap<Name, f64>,
 }
@@ -22,21 +20,23 @@
 /// What is assumed before anything is learned, in milliseconds.
 const FIRST_BASE_MS: f64 = 15.0;
 const FIRST_PER_TOKEN_MS: f64 = 0.06;
-const FIRST_PER_OUTPUT_MS: f64 = 4.0;
-/// How many tokens the assumption about runs counts for: about two runs.
-const FIRST_TOKENS: f64 = 500.0;
 /// Share of a new sample.
 const LEARN: f64 = 0.1;
 /// A sample that took this many times what was expected was held up by something else.
 const MOST_RATIO: f64 = 2.0;
 /// Bounds of a model's share.
 const MODEL_SHARE: std::ops::RangeInclusive<f64> = 0.05..=8.0;
-/// What older runs still count when a new one ends.
-const RUNS_KEPT: f64 = 0.99;
 /// Bounds of an upstream's slowness.
 const SLOWNESS: std::ops::RangeInclusive<f64> = 0.5..=8.0;
-/// Share of an engine's time in which it reads prompts where it also makes tokens.
-const READING_SHARE: f64 = 0.6;
+/// Part of a first piece's time that demand leaves out, in milliseconds.
+const DEMAND_BASE_MS: f64 = 15.0;
+/// Least tokens of a prompt that tells what demand comes to.
+const LEAST_SAMPLE: u32 = 200;
+/// Share of a sample that makes demand smaller, and of one that makes it larger: short ones tell more.
+const DEMAND_SMALLER: f64 = 0.1;
+const DEMAND_LARGER: f64 = 0.01;
+/// Share of the time for one prompt token that an output token takes in a full batch.
+const OUTPUT_TOKENS: f64 = 4.0;
 
 /// How fast one model is.
 #[derive(Clone, Copy, Debug)]
@@ -44,13 +44,14 @@
     /// Time to its first pieces, as a share of the fitted one.
     share: f64,
     samples: u32,
-    /// Its own runs.
-    runs: Runs,
+    /// Milliseconds to a first piece for each unread token, with what does not depend on the prompt and what
+    /// it waited for: the unit of demand.
+    whole_ms: f64,
 }
 
 impl Default for ModelPace {
     fn default() -> Self {
-        Self { share: 1.0, samples: 0, runs: Runs::NONE }
+        Self { share: 1.0, samples: 0, whole_ms: FIRST_PER_TOKEN_MS }
     }
 }
 
@@ -64,32 +65,10 @@
     }
 }
 
-/// The last runs: milliseconds after their first pieces, and the tokens that they might make.
-#[derive(Clone, Copy, Debug)]
-struct Runs {
-    millis: f64,
-    tokens: f64,
-}
-
-impl Runs {
-    const NONE: Self = Self { millis: 0.0, tokens: 0.0 };
-
-    fn add(&mut self, millis: f64, tokens: f64) {
-        self.millis = self.millis * RUNS_KEPT + millis;
-        self.tokens = self.tokens * RUNS_KEPT + tokens;
-    }
-
-    /// Milliseconds for each token, where `assumed_ms` counts like a few runs.
-    fn per_token_ms(&self, assumed_ms: f64) -> f64 {
-        (self.millis + assumed_ms * FIRST_TOKENS) / (self.tokens + FIRST_TOKENS)
-    }
-}
-
 impl Default for Pace {
     fn default() -> Self {
         Self {
             reading: Fit::new(FIRST_BASE_MS, FIRST_PER_TOKEN_MS),
-            runs: Runs::NONE,
             models: BTreeMap::new(),
             slowness: BTreeMap::new(),
         }
@@ -111,13 +90,11 @@
         self.share(model) * self.reading.line().1
     }
 
-    /// Milliseconds of an engine with `slots` places that the request should take: its part of the
-    /// places, or of the time for reading, whichever is more.
-    pub(crate) fn work_ms(&self, model: &Name, head: &CallerRequest, slots: u32) -> f64 {
-        let reading_ms = self.reading_ms(Some(model), head.prompt_tokens);
-        let making_ms = self.per_output_ms(model) * f64::from(head.output_tokens);
-        let run_ms = self.base_ms(Some(model)) + reading_ms + making_ms;
-        (run_ms / f64::from(slots.max(1))).max(reading_ms / READING_SHARE)
+    /// Milliseconds of an engine that the request should take, as demand is measured.
+    pub(crate) fn work_ms(&self, model: &Name, head: &CallerRequest) -> f64 {
+        let tokens = f64::from(head.prompt_tokens) + OUTPUT_TOKENS * f64::from(head.output_tokens);
+        let whole_ms = self.models.get(model).map_or(FIRST_PER_TOKEN_MS, |pace| pace.whole_ms);
+        tokens * whole_ms
     }
 
     pub(crate) fn slowness(&self, upstream: &Name) -> f64 {
@@ -156,6 +133,7 @@
         // Only what is read alone tells how fast the engine reads.
         if let Some(model) = model.filter(|_| expected.ahead_ms == 0) {
             self.learn_reading(model, expected.unread, expected_ms, ratio);
+            self.learn_demand(model, expected.unread, took_ms);
         }
     }
 
@@ -167,24 +145,14 @@
         self.reading.observe(f64::from(unread), typical_ms);
     }
 
-    /// A run that might make `output_tokens` took `took_ms` after its first piece.
-    pub(crate) fn learn_run(&mut self, model: &Name, output_tokens: u32, took_ms: f64) {
-        if output_tokens == 0 {
+    fn learn_demand(&mut self, model: &Name, unread: u32, took_ms: f64) {
+        if unread < LEAST_SAMPLE {
             return;
         }
-        let tokens = f64::from(output_tokens);
-        let pace = self.models.entry(model.clone()).or_default();
-        pace.runs.add(took_ms, tokens);
-        self.runs.add(took_ms / pace.share, tokens);
-    }
-
-    /// Milliseconds of a run of the model for each token that it may make.
-    fn per_output_ms(&self, model: &Name) -> f64 {
-        let typical_ms = self.runs.per_token_ms(FIRST_PER_OUTPUT_MS);
-        let Some(pace) = self.models.get(model) else {
-            return typical_ms;
-        };
-        pace.runs.per_token_ms(typical_ms * pace.share)
+        let sample = ((took_ms - DEMAND_BASE_MS) / f64::from(unread)).max(0.0);
+        let whole_ms = &mut self.models.entry(model.clone()).or_default().whole_ms;
+        let share = if sample < *whole_ms { DEMAND_SMALLER } else { DEMAND_LARGER };
+        *whole_ms += share * (sample.min(*whole_ms * MOST_RATIO) - *whole_ms);
     }
 
     pub(crate) fn forget(&mut self, upstream: &Name) {
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -90,6 +90,7 @@
             domain: &self.options.domain,
             engine: service.and_then(|service| service.engine.as_ref()),
             pace: &self.pace,
+            hosts: self.hosts,
         };
         let own = self.upstreams.iter().filter(|(_, u)| u.state.service == request.service);
         choose(&view, request, own)
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -70,7 +70,7 @@
 /// How many of the cheapest runners a step looks at.
 const MOST_LOOKED_AT: usize = 24;
 /// Share of the runners that may be busy with weights at once, so that others can follow the demand.
-const MOST_BUSY: f64 = 0.4;
+const MOST_BUSY: f64 = 0.55;
 /// What each second costs for which a load binds its runner.
 const SECOND_COST: f64 = 0.03;
 /// What an unload costs for each runner-second a second that the model's runs there come to: it waits
