fix: an adapter that is nowhere takes the place of another's copy

An adapter that nobody held was wanted without pause (lack=adapter, holders=0) and no order was given, since nothing idle could make way. Ruled out: the holder's lease, which was held and gave other orders in the same seconds; load, since the log shows the full places. Change: where all places are taken, an adapter that another runner holds as well makes way first. Test: copy_makes_way, red before.

--- a/crates/placement/src/adapters.rs
+++ b/crates/placement/src/adapters.rs
@@ -45,7 +45,8 @@
         if let Some(runner) = self.runner_for_adapter(service, engine, &subject, Room::Fits) {
             self.order(now, token, &runner, Operation::Load, subject, actions);
         } else if let Some(runner) = self.runner_for_adapter(service, engine, &subject, Room::Full)
-            && let Some(victim) = self.idle_adapter(now, service, &runner)
+            && let Some(victim) =
+                self.spare_adapter(&runner).or_else(|| self.idle_adapter(now, service, &runner))
         {
             self.order(now, token, &runner, Operation::Unload, victim, actions);
         }
@@ -97,6 +98,21 @@
         least.map(|(runner, _)| runner.clone())
     }
 
+    /// An adapter of the runner that another runner of its service holds as well.
+    fn spare_adapter(&self, runner: &Name) -> Option<Subject> {
+        let ledger = self.ledgers.get(runner)?;
+        let others = || {
+            self.ledgers.iter().filter(|(name, other)| {
+                *name != runner && other.state.service == ledger.state.service
+            })
+        };
+        ledger.adapters().find(|subject| {
+            others().any(|(_, other)| {
+                !other.state.draining && other.adapters().any(|held| held == *subject)
+            })
+        })
+    }
+
     /// The adapter of the runner that was not asked for the longest.
     fn idle_adapter(&self, now: Tick, service: &Name, runner: &Name) -> Option<Subject> {
         let last = |subject: &Subject| {
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -586,3 +586,31 @@
     let copies = holder.orders.iter().filter(|o| o.subject.adapter.is_some()).count();
     assert_eq!(copies, 1, "{:?}", holder.orders);
 }
+
+/// Found in the soak (seed 1796243945000): copies of crowded adapters took the last places, and one that was
+/// nowhere never came, since all others were asked for without pause.
+#[test]
+fn copy_makes_way() {
+    let mut holder = Holder::new(&[]);
+    let full = |names: &[&str]| {
+        let adapters = names.iter().map(|name| Name::from(*name)).collect();
+        vec![HeldModel { name: "m1".into(), adapters }]
+    };
+    for (id, names) in [("r1", ["a1", "a2", "a3"]), ("r2", ["a1", "a4", "a5"])] {
+        holder.tell(Event::UpstreamSeen { id: id.into(), state: state(&["m1"], 0) });
+        holder.pass(20);
+        holder.report(id, Report { models: full(&names), ..report(&["m1"], 0) });
+    }
+    holder.orders.clear();
+    for _ in 0..20 {
+        for adapter in ["a1", "a2", "a3", "a4", "a5"] {
+            let subject = ModelRef { model: "m1".into(), adapter: Some(adapter.into()) };
+            let sample = DemandSample { service: "llm".into(), subject, arrived: 1, work_ms: 1 };
+            holder.tell(Event::Demand(vec![sample]));
+        }
+        holder.want("m1", Some("a6"));
+        holder.pass(100);
+    }
+    let unload = holder.orders.iter().find(|order| order.operation == Operation::Unload);
+    assert_eq!(unload.expect("a copy goes").subject.adapter.as_deref(), Some("a1"));
+}
