--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -296,7 +296,7 @@
         let Stage::Sent(sending) = &mut request.stage else {
             return;
         };
-        if sending.begun.replace(now).is_some() {
+        if std::mem::replace(&mut sending.has_begun, true) {
             return;
         }
         let read = Load { unread_tokens: sending.load.unread_tokens, ..Load::default() };
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -46,8 +46,7 @@
     pub load: Load,
     /// What was expected when it was sent.
     pub expected: Expected,
-    /// When its first piece came.
-    pub begun: Option<Tick>,
+    pub has_begun: bool,
 }
 
 /// A request that has not ended.
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -162,7 +162,7 @@
             at: sent_at,
             load,
             expected: choice.expected,
-            begun: None,
+            has_begun: false,
         });
         Some(Action::Send { id, attempt })
     }
