--- a/crates/fanout/src/contact.rs
+++ b/crates/fanout/src/contact.rs
@@ -50,6 +50,9 @@
 const DETECT_MS: u64 = 550;
 /// The store is asked this often while it answers and nothing else shows it, in milliseconds.
 const STEADY_PROBE_MS: u64 = 1_000;
+/// The same where other hosts rest on the answers: twice within the time after which they look for another
+/// source.
+const RELIED_PROBE_MS: u64 = 500;
 /// The same while calls are lost, in milliseconds.
 const DOUBT_PROBE_MS: u64 = 200;
 /// A probe without an answer for this long may be lost, in milliseconds; the store answers in a few.
@@ -72,11 +75,13 @@
         }
     }
 
-    /// Time passed; tells whether to send a probe now, and takes it as sent.
-    pub fn should_probe(&mut self, now: Tick) -> bool {
+    /// Time passed; tells whether to send a probe now, and takes it as sent. Where other hosts rest on
+    /// this one, it asks more often.
+    pub fn should_probe(&mut self, now: Tick, is_relied_on: bool) -> bool {
+        let steady_ms = if is_relied_on { RELIED_PROBE_MS } else { STEADY_PROBE_MS };
         let is_doubtful = self.is_doubtful(now);
         let last = if is_doubtful { self.probed } else { self.probed.max(self.answered) };
-        let interval = if is_doubtful { DOUBT_PROBE_MS } else { STEADY_PROBE_MS };
+        let interval = if is_doubtful { DOUBT_PROBE_MS } else { steady_ms };
         if last.is_some_and(|at| now.since(at) < interval) {
             return false;
         }
--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -1,10 +1,10 @@
 //! Which hosts follow the store for the others of their failure domain, and gather their loads.
 //!
-//! In a large deployment one host of each failure domain, the aggregator, watches the store and
-//! passes on what it reads; the other hosts report their load to it and hear the sum of all. The
-//! calls to the store and the messages of a host do not grow with the number of hosts. No
-//! agreement is needed: any host may be asked to be an aggregator, and a host that doubts its own
-//! reads the store itself. State machines only: no clock, no socket.
+//! In a large deployment one host, the root, watches the store and passes on what it reads to one host
+//! of each failure domain, the aggregator, and that one to the others, which report their load to it and
+//! hear the sum of all. The calls to the store and the messages of a host do not grow with the number of
+//! hosts. No agreement is needed: any host may be asked, and one that is passes on what it knows and how
+//! old that is. State machines only: no clock, no socket.
 #![deny(missing_docs, unsafe_code)]
 
 mod candidate;
@@ -15,9 +15,9 @@
 mod totals;
 mod versions;
 
-pub use candidate::{Candidate, FEW_HOSTS, aggregators};
+pub use candidate::{Candidate, FEW_HOSTS, aggregators, root};
 pub use contact::{Contact, StoreState};
-pub use follow::{Action, Event, Follow, Source};
+pub use follow::{Action, Event, Follow, Reason, Source};
 pub use mirror::{Gap, Mirror};
 pub use pull::Pull;
 pub use totals::{Reported, Totals};
--- a/crates/fanout/src/mirror.rs
+++ b/crates/fanout/src/mirror.rs
@@ -1,6 +1,6 @@
 //! What lies in the store under one prefix, as far as this host knows.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use vanetally_ports::{Change, Item, Revision};
 use vanetally_types::Name;
 
@@ -16,8 +16,15 @@
     at: Option<Revision>,
     /// No older reading may be taken: the last reading, or the last change since.
     newest: Revision,
+    /// Keys that went, oldest first.
+    gone: VecDeque<(Revision, Name)>,
+    /// All keys that went after this are among them.
+    gone_since: Revision,
 }
 
+/// Keys that went and are remembered, to tell other hosts what has changed.
+const MOST_GONE: usize = 4_096;
+
 impl Mirror {
     /// The revision up to which all changes are known.
     pub fn at(&self) -> Option<Revision> {
@@ -41,12 +48,52 @@
             return false;
         }
         self.newest = at;
+        match self.at {
+            None => self.gone_since = at,
+            Some(_) => self.note_unlisted(at, items),
+        }
         self.items = items.iter().map(|item| (item.key.clone(), item.clone())).collect();
         // Nothing changed between this reading and what is known: that stays known.
         self.at = self.at.max(Some(at));
         true
     }
 
+    /// Nothing beyond what is known changed up to `at`.
+    pub fn advance(&mut self, at: Revision) {
+        self.at = self.at.map(|known| known.max(at));
+    }
+
+    /// What changed after `have`, for a host that knows everything up to there; `None` if what went since
+    /// then is not remembered, or nothing was read.
+    pub fn changes_since(&self, have: Revision) -> Option<Vec<Change>> {
+        self.at?;
+        if have < self.gone_since {
+            return None;
+        }
+        let gone = self.gone.iter().filter(|(revision, _)| *revision > have);
+        let gone = gone.filter(|(_, key)| !self.items.contains_key(key));
+        let gone =
+            gone.map(|(revision, key)| Change::Gone { key: key.clone(), revision: *revision });
+        let put = self.items.values().filter(|item| item.revision > have);
+        Some(gone.chain(put.cloned().map(Change::Put)).collect())
+    }
+
+    fn note_unlisted(&mut self, at: Revision, items: &[Item]) {
+        let listed: BTreeSet<&Name> = items.iter().map(|item| &item.key).collect();
+        let gone: Vec<Name> =
+            self.items.keys().filter(|key| !listed.contains(key)).cloned().collect();
+        gone.into_iter().for_each(|key| self.note_gone(at, key));
+    }
+
+    fn note_gone(&mut self, revision: Revision, key: Name) {
+        self.gone.push_back((revision, key));
+        if self.gone.len() > MOST_GONE
+            && let Some((revision, _)) = self.gone.pop_front()
+        {
+            self.gone_since = self.gone_since.max(revision);
+        }
+    }
+
     /// What a reading at `at` changes: keys that are new, were written since, or have gone.
     pub fn changes_to(&self, at: Revision, items: &[Item]) -> Vec<Change> {
         let is_newer = |item: &&Item| {
@@ -79,8 +126,10 @@
                 Change::Put(item) => {
                     self.items.insert(item.key.clone(), item.clone());
                 }
-                Change::Gone { key, .. } => {
-                    self.items.remove(key);
+                Change::Gone { key, revision } => {
+                    if self.items.remove(key).is_some() {
+                        self.note_gone(*revision, key.clone());
+                    }
                 }
             }
         }
--- a/crates/fanout/src/totals.rs
+++ b/crates/fanout/src/totals.rs
@@ -26,7 +26,10 @@
     /// Own reports that a sum may yet include, oldest first.
     sent: VecDeque<Report>,
     next_number: u64,
+    /// Hosts that report to this one.
     subscribers: BTreeMap<Name, Report>,
+    /// Aggregators that hear from this one what lies in the store, and when they last said so.
+    listeners: BTreeMap<Name, Tick>,
     /// Sums of other aggregators.
     elsewhere: BTreeMap<Name, (Vec<LoadRow>, Tick)>,
     demand: Vec<DemandRow>,
@@ -54,6 +57,7 @@
     /// A host reported to this one.
     pub fn take_report(&mut self, now: Tick, host: Name, number: u64, digest: Digest) {
         self.add_demand(digest.demand);
+        self.listeners.remove(&host);
         self.subscribers.insert(host, Report { number, loads: digest.loads, at: now });
     }
 
@@ -65,16 +69,28 @@
             .at = now;
     }
 
+    /// An aggregator hears from this host.
+    pub fn listen(&mut self, now: Tick, host: Name) {
+        self.subscribers.remove(&host);
+        self.listeners.insert(host, now);
+    }
+
     /// A host needs to hear no more.
     pub fn unsubscribe(&mut self, host: &Name) {
         self.subscribers.remove(host);
+        self.listeners.remove(host);
     }
 
-    /// The hosts that hear from this one.
+    /// The hosts that report to this one and hear from it.
     pub fn subscribers(&self) -> impl Iterator<Item = &Name> {
         self.subscribers.keys()
     }
 
+    /// The aggregators that hear from this host.
+    pub fn listeners(&self) -> impl Iterator<Item = &Name> {
+        self.listeners.keys()
+    }
+
     /// Another aggregator told its sum.
     pub fn take_sum(&mut self, now: Tick, from: Name, loads: Vec<LoadRow>) {
         self.elsewhere.insert(from, (loads, now));
@@ -149,6 +165,7 @@
         let gone = elsewhere.filter(|(_, (_, at))| is_silent(*at, ELSEWHERE_MS));
         let left = left.map(|(host, _)| host);
         let silent: Vec<Name> = left.chain(gone.map(|(host, _)| host)).cloned().collect();
+        self.listeners.retain(|_, at| !is_silent(*at, SUBSCRIBER_MS));
         for host in &silent {
             self.subscribers.remove(host);
             self.elsewhere.remove(host);
--- a/crates/fanout/tests/contact.rs
+++ b/crates/fanout/tests/contact.rs
@@ -98,7 +98,7 @@
     let mut returned = None;
     for at in (0..20_000).step_by(TICK_MS as usize) {
         let now = START + at;
-        let is_probe = contact.should_probe(now);
+        let is_probe = contact.should_probe(now, false);
         if is_probe && !(lost..back).contains(&at) && contact.answered(now, now + 5) {
             returned.get_or_insert(at);
         }
@@ -128,7 +128,7 @@
     let mut contact = answering();
     for second in 1..5 {
         let sent = START + second * 1_000;
-        contact.should_probe(sent);
+        contact.should_probe(sent, false);
         assert!(!contact.answered(sent, sent + 800));
     }
 }
@@ -139,7 +139,7 @@
     let mut probes = 0;
     for at in (0..10_000).step_by(TICK_MS as usize) {
         let now = START + at;
-        if contact.should_probe(now) {
+        if contact.should_probe(now, false) {
             probes += 1;
             contact.answered(now, now + 5);
         }
--- a/crates/fanout/tests/mirror.rs
+++ b/crates/fanout/tests/mirror.rs
@@ -107,3 +107,46 @@
     assert!(!follower.lacks(Revision(7)));
     assert!(Mirror::default().lacks(Revision(0)), "nothing was read");
 }
+
+/// A host that was away a while is told what changed meanwhile, and not everything.
+#[test]
+fn difference_told() {
+    let mut reader = read_at(5, &[item("a", 3), item("b", 4), item("c", 5)]);
+    let mut follower = reader.clone();
+    let later = vec![Change::Put(item("d", 6)), gone("a", 7), Change::Put(item("b", 8))];
+    reader.try_apply(Revision(5), Revision(9), later).unwrap();
+    let changes = reader.changes_since(Revision(5)).unwrap();
+    assert_eq!(changes, [gone("a", 7), Change::Put(item("b", 8)), Change::Put(item("d", 6))]);
+    follower.try_apply(Revision(5), Revision(9), changes).unwrap();
+    assert_eq!(keys(&follower), keys(&reader));
+    assert_eq!(reader.changes_since(Revision(9)), Some(Vec::new()));
+}
+
+/// What went before the first reading is not known: who is further behind needs everything.
+#[test]
+fn difference_unknown() {
+    let reader = read_at(5, &[item("a", 3)]);
+    assert_eq!(reader.changes_since(Revision(4)), None);
+    assert_eq!(Mirror::default().changes_since(Revision(0)), None);
+}
+
+/// A key that a later reading lists no more went, and one that came back is there.
+#[test]
+fn difference_of_readings() {
+    let mut reader = read_at(5, &[item("a", 3), item("b", 4)]);
+    assert!(reader.try_replace(Revision(9), &[item("b", 4)]));
+    assert_eq!(reader.changes_since(Revision(5)), Some(vec![gone("a", 9)]));
+    reader.try_apply(Revision(9), Revision(12), vec![Change::Put(item("a", 12))]).unwrap();
+    assert_eq!(reader.changes_since(Revision(5)), Some(vec![Change::Put(item("a", 12))]));
+}
+
+/// A word that nothing more has changed brings a host up to date without a change.
+#[test]
+fn advanced() {
+    let mut follower = read_at(5, &[item("a", 3)]);
+    follower.advance(Revision(20));
+    assert_eq!(follower.at(), Some(Revision(20)));
+    let mut unread = Mirror::default();
+    unread.advance(Revision(20));
+    assert_eq!(unread.at(), None, "nothing was read");
+}
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     hub::Hub,
-    peers::PeerMessage,
+    peers::{self, PeerMessage, Told, Word},
     store::Snapshot,
     tenure::HOLDER_KEY,
     watch::{self, Follower},
@@ -12,8 +12,8 @@
     cell::{Cell, RefCell},
     rc::Rc,
 };
-use vanetally_fanout::{Action, Event, Gap, Mirror, Source, StoreState};
-use vanetally_ports::{Change, Item, Revision};
+use vanetally_fanout::{Action, Event, Gap, Mirror, Reason, Source, StoreState};
+use vanetally_ports::{Change, Freshness, Item, Revision};
 use vanetally_types::{Name, Tick};
 
 /// The keys of one prefix.
@@ -40,6 +40,15 @@
     pub items: Vec<Item>,
 }
 
+/// What is new to a subscriber of one prefix.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum PrefixSync {
+    /// All keys.
+    Whole(PrefixSnapshot),
+    /// What changed since it last heard.
+    Since(PrefixChanges),
+}
+
 /// Changes of one prefix, as an aggregator passes them on.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct PrefixChanges {
@@ -71,6 +80,11 @@
         }
     }
 
+    /// Whether other hosts pass its keys on.
+    pub(crate) fn is_shared(&self) -> bool {
+        self.is_shared
+    }
+
     /// All keys were read; tells whether the reading was news enough to be taken.
     fn replace(&self, snapshot: Snapshot) -> bool {
         let is_taken = self.mirror.borrow_mut().try_replace(snapshot.at, &snapshot.items);
@@ -98,10 +112,37 @@
         change.key().starts_with(&*self.prefix)
     }
 
-    fn snapshot(&self) -> Option<PrefixSnapshot> {
+    /// What is new to a host that knows all changes up to `have`; `None` if nothing is known here.
+    fn sync(&self, have: Option<Revision>) -> Option<PrefixSync> {
         let mirror = self.mirror.borrow();
-        let items = mirror.items().cloned().collect();
-        Some(PrefixSnapshot { prefix: self.prefix.clone(), at: mirror.at()?, items })
+        let (prefix, at) = (self.prefix.clone(), mirror.at()?);
+        let since = have.and_then(|have| Some((have, mirror.changes_since(have)?)));
+        Some(match since {
+            Some((after, changes)) => {
+                PrefixSync::Since(PrefixChanges { prefix, after, at, changes })
+            }
+            None => {
+                let items = mirror.items().cloned().collect();
+                PrefixSync::Whole(PrefixSnapshot { prefix, at, items })
+            }
+        })
+    }
+
+    /// Up to where subscribers were told changes.
+    fn told(&self) -> Told {
+        let last = self.told.get();
+        let at = self.mirror.borrow().at().unwrap_or(last);
+        Told { prefix: self.prefix.clone(), last, at }
+    }
+
+    /// The source told all changes up to `told`; tells whether something of it is missing.
+    fn lacks(&self, told: &Told) -> bool {
+        let mut mirror = self.mirror.borrow_mut();
+        let lacks = mirror.lacks(told.last);
+        if !lacks {
+            mirror.advance(told.at);
+        }
+        lacks
     }
 
     /// Milliseconds since the store confirmed what is known.
@@ -143,9 +184,21 @@
         prefixes.reduce(common_beginning).unwrap_or_default().into()
     }
 
-    /// How long the store may hold a watch: others rest on this one where it is an aggregator.
+    /// How long the store may hold a watch.
     pub(crate) fn watch_ms(&self) -> u64 {
-        if self.hub.is_fleet() { SHORT_WATCH_MS } else { WATCH_MS }
+        if self.hub.is_fleet() { FLEET_WATCH_MS } else { WATCH_MS }
+    }
+
+    /// Notes whether a watch waits, so that an answered probe shows that nothing has changed.
+    pub(crate) fn set_watching(&self, is_watching: bool) {
+        self.hub.is_watching.set(is_watching);
+    }
+
+    /// From where all shared feeds are known, as other hosts passed them on; a watch may go on from there.
+    pub(crate) fn known(&self) -> Option<Revision> {
+        let shared = self.feeds.iter().filter(|feed| feed.is_shared);
+        let known: Option<Vec<Revision>> = shared.map(|feed| feed.mirror.borrow().at()).collect();
+        known?.into_iter().min()
     }
 
     /// All keys of `feed` were read.
@@ -210,8 +263,10 @@
 
 /// How long the store may hold a watch, in milliseconds.
 const WATCH_MS: u64 = 3_000;
-/// The same in a large deployment, where an aggregator's silence must be told from the store's.
-const SHORT_WATCH_MS: u64 = 500;
+/// The same in a large deployment, where others rest on one host's watch: a connection that has gone silent
+/// is noticed within this time and a margin, which stays below the three seconds that deployments allow
+/// for it. Probes show sooner whether the way to the store is open.
+const FLEET_WATCH_MS: u64 = 1_500;
 
 impl Hub {
     /// Tells the choice of a source what happened, and does what it says.
@@ -220,33 +275,52 @@
         let actions = self.follow.borrow_mut().handle(now, event);
         for action in actions {
             match action {
-                Action::Subscribe(to) => self.send(&to, &PeerMessage::Subscribe),
+                Action::Subscribe(to) => self.subscribe(&to),
                 Action::Unsubscribe(to) => self.send(&to, &PeerMessage::Unsubscribe),
+                Action::Survey => {
+                    tokio::task::spawn_local(survey(self.clone()));
+                }
                 Action::Probe => {
                     tokio::task::spawn_local(probe(self.clone()));
                 }
-                Action::Switch(source) => self.switch(source),
+                Action::Switch { to, reason } => self.switch(to, reason),
             }
         }
     }
 
-    fn switch(self: &Rc<Self>, source: Source) {
+    fn subscribe(&self, to: &Name) {
+        let feeds = self.shared_feeds();
+        let have =
+            feeds.iter().filter_map(|feed| Some((feed.prefix.clone(), feed.mirror.borrow().at()?)));
+        let subscribe = PeerMessage::Subscribe {
+            entry: self.own_entry(),
+            have: have.collect(),
+            is_aggregator: self.is_aggregator(),
+        };
+        self.send(to, &subscribe);
+    }
+
+    fn switch(self: &Rc<Self>, source: Source, reason: Reason) {
         let name = match &source {
+            Source::Nobody => "-",
             Source::Store => "store",
-            Source::Aggregator(host) => host,
+            Source::Host(host) => host,
         };
-        log::info!("event=source_changed source={name}");
+        let age_ms = self.age_ms().map_or_else(|| "-".into(), |ms| ms.to_string());
+        let reason = reason.as_str();
+        log::info!("event=source_changed source={name} reason={reason} age_ms={age_ms}");
         self.source.send_replace(source);
-        // The loads of the earlier source are of no use beside those of the new one.
-        let hosts: Vec<Name> = self.peers.borrow().keys().cloned().collect();
-        for host in hosts {
-            self.request_event(vanetally_dispatch::Event::PeerGone { host });
-        }
+        self.review_loads();
     }
 
     /// A host that reads the store asks it now and then whether it answers.
     pub(crate) fn probe_store(self: &Rc<Self>) {
-        if self.reads_store() && self.store.should_probe() {
+        if !self.reads_store() {
+            return;
+        }
+        let age_ms = self.age_ms();
+        self.follow_event(Event::Confirmed(age_ms));
+        if self.store.should_probe(self.is_fleet()) {
             tokio::task::spawn_local(probe(self.clone()));
         }
     }
@@ -254,38 +328,98 @@
     /// Milliseconds since the store confirmed the oldest of what is known here.
     pub(crate) fn age_ms(&self) -> Option<u64> {
         let now = self.clock.now();
-        let ages = self.feeds.borrow().iter().map(|feed| feed.age_ms(now)).collect();
-        let ages: Option<Vec<u64>> = ages;
+        let reads_store = self.reads_store();
+        let feeds = self.feeds.borrow();
+        let relied = feeds.iter().filter(|feed| feed.is_shared || reads_store);
+        let ages: Option<Vec<u64>> = relied.map(|feed| feed.age_ms(now)).collect();
         ages?.into_iter().max()
     }
 
+    /// The store confirmed at `at` what the feeds know.
+    fn confirmed(&self, at: Tick) {
+        for feed in self.feeds.borrow().iter().filter(|feed| feed.confirmed.get().is_some()) {
+            feed.confirmed.set(feed.confirmed.get().max(Some(at)));
+        }
+    }
+
+    /// The source told how old its word is.
+    fn take_age(&self, age_ms: Option<u64>) {
+        let at = age_ms.map(|age| self.clock.now() - age);
+        self.shared_feeds().iter().for_each(|feed| feed.confirmed.set(at));
+    }
+
     /// The feeds that aggregators pass on.
     fn shared_feeds(&self) -> Vec<Rc<Feed>> {
         let feeds = self.feeds.borrow();
         feeds.iter().filter(|feed| feed.is_shared).cloned().collect()
     }
 
-    /// All that this host knows, if it reads the store and has read all of it.
-    pub(crate) fn snapshots(&self) -> Option<PeerMessage> {
+    /// What is new to a host that knows all changes up to `have`; `None` while something is not known here.
+    pub(crate) fn sync(&self, have: &[(Name, Revision)]) -> Option<PeerMessage> {
         let feeds = self.shared_feeds();
-        let prefixes: Option<Vec<PrefixSnapshot>> =
-            feeds.iter().map(|feed| feed.snapshot()).collect();
-        let prefixes = prefixes.filter(|_| self.reads_store())?;
-        Some(PeerMessage::Snapshots { store: self.store.state(), prefixes })
+        let prefixes = feeds.iter().map(|feed| {
+            let known = have.iter().find(|(prefix, _)| *prefix == feed.prefix);
+            feed.sync(known.map(|(_, at)| *at))
+        });
+        let prefixes: Option<Vec<PrefixSync>> = prefixes.collect();
+        let (store, age_ms) = (self.store.state(), self.age_ms());
+        Some(PeerMessage::Sync { store, age_ms, prefixes: prefixes? })
     }
 
-    /// An aggregator told all that it knows.
-    pub(crate) fn take_snapshots(self: &Rc<Self>, from: &Name, snapshots: Vec<PrefixSnapshot>) {
+    /// Another host told what is new to this one.
+    pub(crate) fn take_sync(
+        self: &Rc<Self>,
+        from: &Name,
+        age_ms: Option<u64>,
+        prefixes: Vec<PrefixSync>,
+    ) {
         let feeds = self.shared_feeds();
+        let is_first = feeds.iter().any(|feed| feed.mirror.borrow().at().is_none());
         let mut taken = 0;
-        for snapshot in snapshots {
-            let PrefixSnapshot { prefix, at, items } = snapshot;
-            if let Some(feed) = feeds.iter().find(|feed| feed.prefix == prefix) {
-                taken += usize::from(feed.replace(Snapshot { items, at }));
-            }
+        for sync in prefixes {
+            taken += usize::from(self.take_prefix(&feeds, sync));
         }
-        if taken == feeds.len() {
-            self.follow_event(Event::Synced { from: from.clone() });
+        if taken < feeds.len() {
+            return log::info!("event=sync_incomplete from={from} taken={taken}");
+        }
+        self.follow_event(Event::Synced { from: from.clone(), age_ms });
+        if *self.source.borrow() == Source::Host(from.clone()) {
+            self.take_age(age_ms);
+        }
+        if is_first {
+            self.tell_subscribers(|| self.sync(&[]));
+        }
+    }
+
+    /// Takes in what is new under one prefix and passes it on; tells whether it was news enough.
+    fn take_prefix(&self, feeds: &[Rc<Feed>], sync: PrefixSync) -> bool {
+        let prefix = match &sync {
+            PrefixSync::Whole(snapshot) => &snapshot.prefix,
+            PrefixSync::Since(changes) => &changes.prefix,
+        };
+        let Some(feed) = feeds.iter().find(|feed| feed.prefix == *prefix) else {
+            return false;
+        };
+        match sync {
+            PrefixSync::Whole(PrefixSnapshot { at, items, .. }) => {
+                let snapshot = Snapshot { items, at };
+                let changes = feed.changes_to(&snapshot);
+                if !feed.replace(snapshot) {
+                    return false;
+                }
+                match changes {
+                    Some(changes) => self.pass_on(feed, at, changes),
+                    None => feed.told.set(at),
+                }
+                true
+            }
+            PrefixSync::Since(PrefixChanges { after, at, changes, .. }) => {
+                let is_taken = feed.change(after, at, changes.clone()).is_ok();
+                if is_taken {
+                    self.pass_on(feed, at, changes);
+                }
+                is_taken
+            }
         }
     }
 
@@ -296,42 +430,64 @@
         store: StoreState,
         changes: PrefixChanges,
     ) {
-        if *self.source.borrow() != Source::Aggregator(from.clone()) {
+        if *self.source.borrow() != Source::Host(from.clone()) {
             return;
         }
         self.store.told(store);
         let feeds = self.shared_feeds();
         let PrefixChanges { prefix, after, at, changes } = changes;
-        let feed = feeds.iter().find(|feed| feed.prefix == prefix);
-        if feed.is_some_and(|feed| feed.change(after, at, changes).is_err()) {
-            log::info!("event=changes_missed from={from} prefix={prefix} after={}", after.0);
-            self.follow_event(Event::Missed);
+        let Some(feed) = feeds.iter().find(|feed| feed.prefix == prefix) else {
+            return;
+        };
+        if feed.change(after, at, changes.clone()).is_ok() {
+            return self.pass_on(feed, at, changes);
         }
+        log::info!("event=changes_missed from={from} prefix={prefix} after={}", after.0);
+        self.follow_event(Event::Missed);
     }
 
-    /// Up to where subscribers were told changes.
-    pub(crate) fn told(&self) -> Vec<(Name, Revision)> {
-        let feeds = self.shared_feeds();
-        feeds.iter().map(|feed| (feed.prefix.clone(), feed.told.get())).collect()
+    /// How this host stands, for those that hear from it.
+    pub(crate) fn word(&self) -> Word {
+        Word {
+            version: self.version(),
+            age_ms: self.age_ms(),
+            store: self.store.state(),
+            told: self.shared_feeds().iter().map(|feed| feed.told()).collect(),
+            is_leaving: self.is_leaving(),
+        }
     }
 
-    /// An aggregator said up to where it has told changes: messages of one link come in order, so
-    /// what is missing was lost with a link.
-    pub(crate) fn check_told(self: &Rc<Self>, from: &Name, told: &[(Name, Revision)]) {
+    /// A host that passes on what lies in the store told how it stands.
+    pub(crate) fn take_word(self: &Rc<Self>, from: &Name, word: &Word) {
+        if *self.source.borrow() == Source::Host(from.clone()) {
+            self.store.told(word.store);
+            self.take_age(word.age_ms);
+            self.check_told(from, &word.told);
+            self.compare_version(from, word.version);
+        }
+        let (age_ms, is_leaving) = (word.age_ms, word.is_leaving);
+        self.follow_event(Event::Told { from: from.clone(), age_ms, is_leaving });
+    }
+
+    /// Messages of one link come in order: what is missing of what was told was lost with a link.
+    fn check_told(self: &Rc<Self>, from: &Name, told: &[Told]) {
         let feeds = self.shared_feeds();
-        let lacks = |(prefix, told): &&(Name, Revision)| {
-            let feed = feeds.iter().find(|feed| feed.prefix == *prefix);
-            feed.is_some_and(|feed| feed.mirror.borrow().lacks(*told))
+        let lacks = |told: &&Told| {
+            let feed = feeds.iter().find(|feed| feed.prefix == told.prefix);
+            feed.is_some_and(|feed| feed.lacks(told))
         };
-        if let Some((prefix, told)) = told.iter().find(lacks) {
-            log::info!("event=changes_missed from={from} prefix={prefix} told={}", told.0);
+        if let Some(Told { prefix, last, .. }) = told.iter().find(lacks) {
+            log::info!("event=changes_missed from={from} prefix={prefix} told={}", last.0);
             self.follow_event(Event::Missed);
         }
     }
 
     /// Passes changes on to the subscribers.
     fn pass_on(&self, feed: &Feed, at: Revision, changes: Vec<Change>) {
-        let after = feed.told.replace(at);
+        let after = feed.told.replace(feed.told.get().max(at));
+        if changes.is_empty() {
+            return;
+        }
         let prefix = feed.prefix.clone();
         let changes = PrefixChanges { prefix, after, at, changes };
         let store = self.store.state();
@@ -341,12 +497,27 @@
     /// All keys were read for the first time: subscribers start from there as well.
     fn resend(&self, feed: &Feed, at: Revision) {
         feed.told.set(at);
-        self.tell_subscribers(|| self.snapshots());
+        self.tell_subscribers(|| self.sync(&[]));
     }
 }
 
 /// Sees whether the store answers this host.
 async fn probe(hub: Rc<Hub>) {
+    let sent = hub.clock.now();
     let is_answered = hub.store.probe(HOLDER_KEY).await;
+    // What a watch that waits has not told has not happened.
+    if is_answered && hub.reads_store() && hub.is_watching.get() {
+        hub.confirmed(sent);
+    }
     hub.follow_event(Event::Probed(is_answered));
 }
+
+/// Reads the list of hosts, however old, to find one to hear from.
+async fn survey(hub: Rc<Hub>) {
+    let Ok(snapshot) = hub.store.range(peers::HOSTS, Freshness::MayBeOld).await else {
+        return;
+    };
+    if *hub.source.borrow() == Source::Nobody {
+        hub.set_peers(snapshot.items.iter().filter_map(peers::entry).collect());
+    }
+}
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -5,9 +5,9 @@
     peers::{HostEntry, PeerMessage},
     tenure,
 };
-use std::{collections::BTreeMap, rc::Rc};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 use vanetally_dispatch as dispatch;
-use vanetally_fanout::{Candidate, Event as FollowEvent, FEW_HOSTS};
+use vanetally_fanout::{Candidate, Event as FollowEvent};
 use vanetally_types::{Name, rendezvous_rank};
 
 impl Hub {
@@ -21,14 +21,14 @@
 
     /// A host wrote its key.
     pub(crate) fn peer_seen(self: &Rc<Self>, host: Name, entry: HostEntry) {
-        log::info!("event=host_seen host={host} link={}", entry.link);
+        log::log!(self.hearsay(), "event=host_seen host={host} link={}", entry.link);
         self.peers.borrow_mut().insert(host, entry);
         self.count_peers();
     }
 
     /// A host's key is gone.
     pub(crate) fn peer_gone(self: &Rc<Self>, host: &Name) {
-        log::info!("event=host_gone host={host}");
+        log::log!(self.hearsay(), "event=host_gone host={host}");
         self.peers.borrow_mut().remove(host);
         self.request_event(dispatch::Event::PeerGone { host: host.clone() });
         self.count_peers();
@@ -42,9 +42,12 @@
             let key = vanetally_types::hash64(tenure::HOLDER_KEY.as_bytes());
             let others = peers.keys().filter(|host| *host != own);
             let mut ranked = rendezvous_rank(key, others.chain([own]));
-            // Aggregators know the demand of all: they try first.
+            // Aggregators know the demand of all: they try first, the one that reads the store for the
+            // others last of them, so that the loss of one host is not the loss of both.
             let aggregators = self.follow.borrow().aggregators();
-            ranked.sort_by_key(|host| !aggregators.contains(host));
+            let candidates = self.candidates();
+            let root = vanetally_fanout::root(&candidates);
+            ranked.sort_by_key(|host| (!aggregators.contains(host), root == Some(*host)));
             let rank = ranked.iter().position(|host| *host == own).unwrap_or(0);
             (ranked.len(), rank)
         };
@@ -58,6 +61,29 @@
         peers.keys().filter(|host| **host != self.settings.host).cloned().collect()
     }
 
+    /// What this host's key says.
+    pub(crate) fn own_entry(&self) -> HostEntry {
+        let settings = &self.settings;
+        HostEntry {
+            link: SocketAddr::new(settings.ip, settings.link_port),
+            domain: settings.domain.clone(),
+            capacity: settings.capacity,
+        }
+    }
+
+    /// A host that is not known yet said where it is.
+    pub(crate) fn introduced(self: &Rc<Self>, host: &Name, entry: HostEntry) {
+        let is_new = !self.peers.borrow().contains_key(host);
+        if is_new {
+            self.peer_seen(host.clone(), entry);
+        }
+    }
+
+    /// At which level to log what all hosts hear alike: only who reads it first tells all of it.
+    pub(crate) fn hearsay(&self) -> log::Level {
+        if self.reads_store() { log::Level::Info } else { log::Level::Debug }
+    }
+
     /// The hosts that may be aggregators.
     fn candidates(&self) -> Vec<Candidate> {
         let peers = self.peers.borrow();
@@ -71,12 +97,7 @@
 
     /// Whether the hosts are too many for each one to watch the store and tell all others.
     pub(crate) fn is_fleet(&self) -> bool {
-        self.host_count() > FEW_HOSTS
-    }
-
-    /// Hosts that have keys.
-    pub(crate) fn host_count(&self) -> usize {
-        self.peers.borrow().len()
+        self.follow.borrow().is_fleet()
     }
 
     /// Tells all other hosts.
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -84,6 +84,10 @@
     pub last_digest: RefCell<Digest>,
     /// Where this host reads what lies in the store.
     pub source: watch::Sender<Source>,
+    /// Whether a watch of the store waits.
+    pub is_watching: Cell<bool>,
+    /// The aggregator whose sums this host rests on; none if it is one itself.
+    pub gatherer: RefCell<Option<Name>>,
     pub pacing: RefCell<Pacing>,
     pub follow: RefCell<Follow>,
     /// The configuration that another host was asked for.
@@ -136,9 +140,15 @@
             next_id: Cell::new(0),
             versions: RefCell::default(),
             last_digest: RefCell::new(Digest::default()),
-            source: watch::Sender::new(Source::Store),
+            source: watch::Sender::new(Source::Nobody),
+            is_watching: Cell::new(false),
+            gatherer: RefCell::new(None),
             pacing: RefCell::new(Pacing::new(settings.host.clone())),
-            follow: RefCell::new(Follow::new(settings.host.clone(), settings.domain.clone())),
+            follow: RefCell::new(Follow::new(
+                clock.now(),
+                settings.host.clone(),
+                settings.domain.clone(),
+            )),
             pull: RefCell::default(),
             feeds: RefCell::default(),
             totals: RefCell::default(),
@@ -195,6 +205,11 @@
         }
     }
 
+    /// Whether a planned stop has begun.
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.stage.borrow() != Stage::Serving
+    }
+
     /// Whether the balancer may send callers here.
     pub(crate) fn is_ready(&self) -> bool {
         *self.stage.borrow() == Stage::Serving && self.dispatch.borrow().is_ready()
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -1,14 +1,14 @@
 //! What hosts tell each other: loads, demand, and what lies in the store.
 
 use crate::{
-    hub::{Hub, Stage},
-    peers::{PeerMessage, Total},
+    hub::Hub,
+    peers::{HostEntry, PeerMessage, Total},
 };
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 use vanetally_dispatch::{self as dispatch, Digest};
 use vanetally_fanout::{Event as FollowEvent, Source};
 use vanetally_placement::{self as placement, DemandSample};
-use vanetally_ports::ModelRef;
+use vanetally_ports::{ModelRef, Revision};
 use vanetally_types::Name;
 
 /// Hosts tell each other their load this often, where they are few.
@@ -27,14 +27,21 @@
                 self.peer_report(from, number, version, digest);
             }
             PeerMessage::Total(total) => self.peer_total(from, total),
-            PeerMessage::Subscribe => self.subscribed(from),
+            PeerMessage::Word(word) => self.take_word(from, &word),
+            PeerMessage::Subscribe { entry, have, is_aggregator } => {
+                self.subscribed(from, entry, &have, is_aggregator);
+            }
+            PeerMessage::Listening => {
+                self.totals.borrow_mut().listen(self.clock.now(), from.clone());
+                self.review_subscribers();
+            }
             PeerMessage::Unsubscribe => {
                 self.totals.borrow_mut().unsubscribe(from);
                 self.peer_left(from.clone());
             }
-            PeerMessage::Snapshots { store, prefixes } => {
+            PeerMessage::Sync { store, age_ms, prefixes } => {
                 self.store.told(store);
-                self.take_snapshots(from, prefixes);
+                self.take_sync(from, age_ms, prefixes);
             }
             PeerMessage::Changes { store, changes } => self.take_changes(from, store, changes),
             PeerMessage::Reserve { number, prompt } => self.reserve_for(from, number, &prompt),
@@ -55,15 +62,36 @@
         *self.source.borrow() == Source::Store
     }
 
+    /// Whether this host gathers loads for others.
+    pub(crate) fn is_aggregator(&self) -> bool {
+        self.follow.borrow_mut().is_aggregator()
+    }
+
+    /// The loads of an earlier aggregator are of no use beside those of a new one.
+    pub(crate) fn review_loads(self: &Rc<Self>) {
+        let gatherer = match &*self.source.borrow() {
+            Source::Host(host) if !self.is_aggregator() => Some(host.clone()),
+            _ => None,
+        };
+        if *self.gatherer.borrow() == gatherer {
+            return;
+        }
+        *self.gatherer.borrow_mut() = gatherer;
+        let hosts: Vec<Name> = self.peers.borrow().keys().cloned().collect();
+        for host in hosts {
+            self.request_event(dispatch::Event::PeerGone { host });
+        }
+    }
+
     /// Another aggregator told its sum.
     fn peer_digest(self: &Rc<Self>, host: &Name, version: u64, digest: Digest) {
         self.compare_version(host, version);
         self.placement_event(placement::Event::Demand(samples(&digest)));
-        if !self.reads_store() {
-            return;
-        }
         let now = self.clock.now();
         self.totals.borrow_mut().take_sum(now, host.clone(), digest.loads.clone());
+        if !self.is_aggregator() {
+            return;
+        }
         self.request_event(dispatch::Event::PeerDigest { host: host.clone(), digest });
     }
 
@@ -72,17 +100,14 @@
         self.compare_version(host, version);
         let now = self.clock.now();
         self.totals.borrow_mut().take_report(now, host.clone(), number, digest.clone());
-        self.count_subscribers();
+        self.review_subscribers();
         self.request_event(dispatch::Event::PeerDigest { host: host.clone(), digest });
     }
 
     /// An aggregator told the load of all.
     fn peer_total(self: &Rc<Self>, from: &Name, total: Total) {
-        let Total { reported, version, age_ms, store, told, is_leaving, loads } = total;
-        if *self.source.borrow() == Source::Aggregator(from.clone()) {
-            self.store.told(store);
-            self.check_told(from, &told);
-            self.compare_version(from, version);
+        let Total { word, reported, loads } = total;
+        if self.gatherer.borrow().as_ref() == Some(from) {
             let own = reported.iter().find(|(host, _)| *host == self.settings.host);
             if let Some((_, number)) = own {
                 let loads = self.totals.borrow_mut().others(*number, loads);
@@ -90,40 +115,56 @@
                 self.request_event(dispatch::Event::PeerDigest { host: from.clone(), digest });
             }
         }
-        self.follow_event(FollowEvent::Told { from: from.clone(), age_ms, is_leaving });
+        self.take_word(from, &word);
     }
 
-    fn subscribed(self: &Rc<Self>, from: &Name) {
-        if *self.stage.borrow() != Stage::Serving {
-            return self.send(from, &PeerMessage::Total(self.leaving()));
+    /// A host wants to hear from this one: the first word shows that it will.
+    fn subscribed(
+        self: &Rc<Self>,
+        from: &Name,
+        entry: HostEntry,
+        have: &[(Name, Revision)],
+        is_aggregator: bool,
+    ) {
+        self.introduced(from, entry);
+        self.send(from, &PeerMessage::Word(self.word()));
+        if self.is_leaving() {
+            return;
         }
-        self.totals.borrow_mut().subscribe(self.clock.now(), from.clone());
-        self.count_subscribers();
-        if let Some(message) = self.snapshots() {
-            self.send(from, &message);
+        let now = self.clock.now();
+        if is_aggregator {
+            self.totals.borrow_mut().listen(now, from.clone());
+        } else {
+            self.totals.borrow_mut().subscribe(now, from.clone());
         }
-    }
-
-    /// What a host that stops tells whoever would hear from it.
-    fn leaving(&self) -> Total {
-        Total {
-            reported: Vec::new(),
-            version: self.version(),
-            age_ms: self.age_ms(),
-            store: self.store.state(),
-            told: Vec::new(),
-            is_leaving: true,
-            loads: Vec::new(),
+        self.review_subscribers();
+        if let Some(message) = self.sync(have) {
+            self.send(from, &message);
         }
     }
 
-    fn count_subscribers(self: &Rc<Self>) {
-        let count = self.totals.borrow().subscribers().count();
-        self.follow_event(FollowEvent::Subscribers(count));
+    /// Tells the choice of a source who hears from this host, if that has changed.
+    fn review_subscribers(self: &Rc<Self>) {
+        let hosts = {
+            let totals = self.totals.borrow();
+            let count = totals.subscribers().count() + totals.listeners().count();
+            let follow = self.follow.borrow();
+            let is_same = count == follow.subscribers().len()
+                && totals
+                    .subscribers()
+                    .chain(totals.listeners())
+                    .all(|host| follow.subscribers().contains(host));
+            if is_same {
+                return;
+            }
+            totals.subscribers().chain(totals.listeners()).cloned().collect()
+        };
+        self.follow_event(FollowEvent::Subscribers(hosts));
+        self.review_loads();
     }
 
     fn peer_left(self: &Rc<Self>, host: Name) {
-        self.count_subscribers();
+        self.review_subscribers();
         self.request_event(dispatch::Event::PeerGone { host });
     }
 
@@ -142,16 +183,22 @@
         let now = self.clock.now();
         let digest = self.dispatch.borrow_mut().digest(now);
         let source = self.source.borrow().clone();
+        self.review_loads();
         match source {
-            Source::Store => self.tell_sums(digest),
-            Source::Aggregator(host) => {
+            Source::Host(host) if self.is_aggregator() => {
+                self.send(&host, &PeerMessage::Listening);
+                self.tell_sums(digest);
+            }
+            Source::Host(host) => {
                 let number = self.totals.borrow_mut().number(now, &digest);
                 let version = self.version();
                 self.send(&host, &PeerMessage::Report { number, version, digest });
             }
+            Source::Store | Source::Nobody => self.tell_sums(digest),
         }
         let silent = self.totals.borrow_mut().forget_silent(now);
         silent.into_iter().for_each(|host| self.peer_left(host));
+        self.review_subscribers();
     }
 
     fn tell_sums(self: &Rc<Self>, mut own: Digest) {
@@ -166,11 +213,13 @@
         let version = self.version();
         if !reported.is_empty() {
             let reported = reported.into_iter().map(|one| (one.host, one.number)).collect();
-            let is_leaving = *self.stage.borrow() != Stage::Serving;
-            let (age_ms, store) = (self.age_ms(), self.store.state());
-            let told = self.told();
-            let total = Total { reported, version, age_ms, store, told, is_leaving, loads };
-            self.tell_subscribers(|| Some(PeerMessage::Total(total)));
+            let total = PeerMessage::Total(Total { word: self.word(), reported, loads });
+            let subscribers: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
+            self.send_all(subscribers.iter(), &total);
+        }
+        let listeners: Vec<Name> = self.totals.borrow().listeners().cloned().collect();
+        if !listeners.is_empty() {
+            self.send_all(listeners.iter(), &PeerMessage::Word(self.word()));
         }
         let is_new = *self.last_digest.borrow() != sum;
         if is_new || !sum.loads.is_empty() {
@@ -182,7 +231,10 @@
 
     /// Tells all subscribers what `message` gives; it is made only if there are any.
     pub(crate) fn tell_subscribers(&self, message: impl FnOnce() -> Option<PeerMessage>) {
-        let subscribers: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
+        let subscribers: Vec<Name> = {
+            let totals = self.totals.borrow();
+            totals.subscribers().chain(totals.listeners()).cloned().collect()
+        };
         if subscribers.is_empty() {
             return;
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,7 +1,7 @@
 //! Other hosts: their keys in the store, and what hosts tell each other over links.
 
 use crate::{
-    feed::{PrefixChanges, PrefixSnapshot},
+    feed::{PrefixChanges, PrefixSync},
     hub::Hub,
     tenure::HOLDER_KEY,
     watch::Follower,
@@ -19,7 +19,7 @@
 /// The beginning of all keys of the product.
 pub(crate) const PREFIX: &str = "vanetally/";
 /// The beginning of the hosts' keys.
-const HOSTS: &str = "vanetally/hosts/";
+pub(crate) const HOSTS: &str = "vanetally/hosts/";
 
 /// What a host's key says.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -56,16 +56,29 @@
     },
     /// From an aggregator to its subscribers.
     Total(Total),
-    /// To an aggregator: the sender wants to hear all that it knows, and changes from then on.
-    Subscribe,
-    /// To an aggregator: the sender needs no more.
+    /// The sender passes on what lies in the store; how it stands.
+    Word(Word),
+    /// The sender wants to hear what is new to it, and changes from then on.
+    Subscribe {
+        /// The sender's key, which the receiver may not have heard of.
+        entry: HostEntry,
+        /// Up to where the sender knows all changes, by prefix.
+        have: Vec<(Name, Revision)>,
+        /// Whether the sender is an aggregator itself.
+        is_aggregator: bool,
+    },
+    /// The sender, an aggregator, still hears from the receiver.
+    Listening,
+    /// The sender needs no more.
     Unsubscribe,
-    /// From an aggregator: all that it knows.
-    Snapshots {
-        /// Its contact with the store.
+    /// What is new to a subscriber.
+    Sync {
+        /// The sender's contact with the store.
         store: StoreState,
-        /// The keys.
-        prefixes: Vec<PrefixSnapshot>,
+        /// Milliseconds since the store confirmed it.
+        age_ms: Option<u64>,
+        /// What is new, by prefix.
+        prefixes: Vec<PrefixSync>,
     },
     /// From an aggregator: what changed.
     Changes {
@@ -120,21 +133,39 @@
     Configuration(Patch),
 }
 
-/// What an aggregator tells its subscribers, now and then.
+/// How a host stands that passes on what lies in the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Total {
-    /// The reports that the loads include.
-    pub reported: Vec<(Name, u64)>,
+pub(crate) struct Word {
     /// The version of the configuration, 0 if none.
     pub version: u64,
-    /// Milliseconds since the store confirmed what the aggregator passes on.
+    /// Milliseconds since the store confirmed what the host passes on.
     pub age_ms: Option<u64>,
-    /// The aggregator's contact with the store.
+    /// The host's contact with the store.
     pub store: StoreState,
-    /// Up to where changes were told before this, by prefix: what is missing then was lost.
-    pub told: Vec<(Name, Revision)>,
+    /// What was told before this.
+    pub told: Vec<Told>,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+}
+
+/// Up to where the changes of a prefix were told: what is missing of them was lost.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Told {
+    /// The prefix.
+    pub prefix: Name,
+    /// The last that was told.
+    pub last: Revision,
+    /// There was no other up to here.
+    pub at: Revision,
+}
+
+/// What an aggregator tells its subscribers, now and then.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Total {
+    /// How it stands.
+    pub word: Word,
+    /// The reports that the loads include.
+    pub reported: Vec<(Name, u64)>,
     /// The load of all hosts.
     pub loads: Vec<LoadRow>,
 }
@@ -176,7 +207,8 @@
     }
 }
 
-fn entry(item: &Item) -> Option<(Name, HostEntry)> {
+/// The host and its entry, if `item` is a host's key.
+pub(crate) fn entry(item: &Item) -> Option<(Name, HostEntry)> {
     let host = item.key.strip_prefix(HOSTS)?;
     match serde_json::from_slice(&item.value) {
         Ok(entry) => Some((host.into(), entry)),
@@ -193,8 +225,8 @@
 
 /// Length of a host key's lease, in milliseconds.
 const HOST_TTL_MS: u64 = 6_000;
-/// Renewals in one length of the lease.
-const RENEWALS: u32 = 3;
+/// Renewals in one length of the lease: one that fails is repeated after `RETRY`, again and again.
+const RENEWALS: u32 = 2;
 /// Pause after a failure.
 const RETRY: Duration = Duration::from_millis(400);
 
@@ -215,9 +247,7 @@
 }
 
 async fn write_key(hub: &Hub, lease: LeaseId) -> bool {
-    let link = SocketAddr::new(hub.settings.ip, hub.settings.link_port);
-    let (domain, capacity) = (hub.settings.domain.clone(), hub.settings.capacity);
-    let Ok(value) = serde_json::to_vec(&HostEntry { link, domain, capacity }) else {
+    let Ok(value) = serde_json::to_vec(&hub.own_entry()) else {
         return false;
     };
     let key = format!("{HOSTS}{}", hub.settings.host).into();
@@ -228,11 +258,16 @@
 
 /// Renews until the lease is over.
 async fn renew(hub: &Hub, lease: LeaseId, ttl: Duration) {
+    let mut pause = ttl / RENEWALS;
     loop {
-        sleep(ttl / RENEWALS).await;
-        if let Ok(StoreAnswer::NoLease) = hub.store.renew(lease).await {
-            log::info!("event=host_lease_over lease={}", lease.0);
-            return;
-        }
+        sleep(pause).await;
+        pause = match hub.store.renew(lease).await {
+            Ok(StoreAnswer::Done(())) => ttl / RENEWALS,
+            Ok(StoreAnswer::NoLease) => {
+                log::info!("event=host_lease_over lease={}", lease.0);
+                return;
+            }
+            _ => crate::watch::jittered(RETRY),
+        };
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -35,6 +35,8 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Housekeeping.
 const UPKEEP: Duration = Duration::from_secs(1);
+/// Between two log lines on the calls to the store.
+const LOG_CALLS: Duration = Duration::from_secs(5);
 /// Largest message between hosts, in bytes.
 const MOST_MESSAGE: usize = 4 << 20;
 /// Connections that may wait to be accepted.
@@ -177,6 +179,7 @@
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let (mut digest_at, mut upkeep_at) = (Instant::now(), Instant::now());
+    let mut calls_at = Instant::now() + LOG_CALLS;
     loop {
         tick.tick().await;
         hub.tick();
@@ -190,6 +193,10 @@
             hub.upkeep();
             status.metrics.run_upkeep();
         }
+        if now >= calls_at {
+            calls_at = now + LOG_CALLS;
+            hub.store.log_calls();
+        }
     }
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -9,11 +9,12 @@
 };
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::sync::watch;
 use vanetally_fanout::{Contact, StoreState};
 use vanetally_ports::{
-    FormatError, Item, LeaseId, Revision, StoreAnswer, StoreProtocol, Transaction, WatchAnswer,
+    FormatError, Freshness, Item, LeaseId, Revision, StoreAnswer, StoreProtocol, Transaction,
+    WatchAnswer,
 };
 use vanetally_types::Tick;
 
@@ -48,12 +49,15 @@
     contact: Rc<RefCell<Contact>>,
     /// Counts how often the way to the store opened again.
     returns: Rc<watch::Sender<u64>>,
+    /// Calls since they were last logged, by name.
+    calls: Rc<RefCell<BTreeMap<&'static str, u32>>>,
 }
 
 /// For a short call.
 const CALL: Duration = Duration::from_millis(1_200);
-/// A watch that is silent for longer than it may be held and this has broken.
-const WATCH_MARGIN: Duration = Duration::from_millis(1_000);
+/// A watch that is silent for longer than it may be held and this has broken: the store answers in a few
+/// milliseconds, in fifty times as many when it is slow.
+const WATCH_MARGIN: Duration = Duration::from_millis(500);
 
 /// Whether the store did nothing, for now.
 fn is_refusal(status: StatusCode) -> bool {
@@ -74,6 +78,7 @@
             clock,
             contact: Rc::new(RefCell::new(Contact::new(contact_ms))),
             returns: Rc::new(watch::Sender::new(0)),
+            calls: Rc::default(),
         }
     }
 
@@ -97,9 +102,9 @@
         self.returns.subscribe()
     }
 
-    /// Whether to send a probe now.
-    pub(crate) fn should_probe(&self) -> bool {
-        self.contact.borrow_mut().should_probe(self.clock.now())
+    /// Whether to send a probe now; other hosts may rest on what this one knows.
+    pub(crate) fn should_probe(&self, is_relied_on: bool) -> bool {
+        self.contact.borrow_mut().should_probe(self.clock.now(), is_relied_on)
     }
 
     /// Sees whether the store answers, on a connection of its own: what was lost on a kept one may be
@@ -110,6 +115,22 @@
         reply.is_ok_and(|reply| !is_refusal(reply.status))
     }
 
+    fn count(&self, name: &'static str, is_answered: bool) {
+        telemetry::store_call(name, is_answered);
+        *self.calls.borrow_mut().entry(name).or_default() += 1;
+    }
+
+    /// Logs the calls since the last time, by name.
+    pub(crate) fn log_calls(&self) {
+        let calls = std::mem::take(&mut *self.calls.borrow_mut());
+        if calls.is_empty() {
+            return;
+        }
+        let calls: Vec<String> =
+            calls.iter().map(|(name, count)| format!("{name}={count}")).collect();
+        log::info!("event=store_calls {}", calls.join(" "));
+    }
+
     /// Takes in how a call went.
     fn note(&self, sent: Tick, reply: &Result<Reply, call::Error>) {
         let is_answered = reply.as_ref().is_ok_and(|reply| !is_refusal(reply.status));
@@ -142,7 +163,7 @@
     ) -> Result<Reply, Error> {
         let sent = self.clock.now();
         let reply = call::call(pool, self.address, request, within).await;
-        telemetry::store_call(name, reply.is_ok());
+        self.count(name, reply.is_ok());
         self.note(sent, &reply);
         Ok(reply?)
     }
@@ -153,11 +174,15 @@
     }
 
     /// Reads all keys that begin with `prefix`.
-    pub(crate) async fn range(&self, prefix: &str) -> Result<Snapshot, Error> {
+    pub(crate) async fn range(
+        &self,
+        prefix: &str,
+        freshness: Freshness,
+    ) -> Result<Snapshot, Error> {
         let mut snapshot = Snapshot { items: Vec::new(), at: Revision(0) };
         loop {
             let last = snapshot.items.last().map(|item| item.key.clone());
-            let reply = self.read_page(prefix, last.as_deref()).await?;
+            let reply = self.read_page(prefix, last.as_deref(), freshness).await?;
             if reply.status != StatusCode::OK {
                 return Err(Error::Refused(reply.status));
             }
@@ -176,20 +201,29 @@
 
     /// Reads one page. A call that hangs when the way to the store opens again is made anew at once: its
     /// answer may never come, while an answer that has begun may be large and goes on.
-    async fn read_page(&self, prefix: &str, after: Option<&str>) -> Result<Reply, Error> {
+    async fn read_page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        freshness: Freshness,
+    ) -> Result<Reply, Error> {
         let mut returns = self.returns();
         loop {
             let returned = async {
                 // The sender lives as long as the store.
                 let _ = returns.changed().await;
             };
-            let request = self.protocol.range(prefix, after);
+            let request = self.protocol.range(prefix, after, freshness);
             let sent = self.clock.now();
             let reply = call::call_unless(&self.pool, self.address, request, CALL, returned).await;
             if matches!(reply, Err(call::Error::Hung)) {
                 continue;
             }
-            telemetry::store_call("range", reply.is_ok());
+            let name = match freshness {
+                Freshness::Newest => "range",
+                Freshness::MayBeOld => "survey",
+            };
+            self.count(name, reply.is_ok());
             self.note(sent, &reply);
             return Ok(reply?);
         }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -36,11 +36,12 @@
         match self.hub.ports.upstreams.read(&item.value) {
             Ok(state) => {
                 if self.lapsed.borrow_mut().remove(&id).is_some() {
-                    log::info!("event=upstream_returned upstream={id}");
+                    log::log!(self.hub.hearsay(), "event=upstream_returned upstream={id}");
                 }
                 let is_new = self.known.borrow_mut().insert(id.clone());
                 if is_new || state.draining {
-                    log::info!(
+                    log::log!(
+                        self.hub.hearsay(),
                         "event=upstream_seen upstream={id} service={} address={} draining={} \
                          remaining_ms={} revision={}",
                         state.service,
@@ -69,7 +70,7 @@
             return;
         }
         let wait_ms = contact.wait_ms(now);
-        log::info!("event=upstream_lapsed upstream={id} wait_ms={wait_ms}");
+        log::log!(self.hub.hearsay(), "event=upstream_lapsed upstream={id} wait_ms={wait_ms}");
         self.lapsed.borrow_mut().insert(id.clone(), now + wait_ms);
         tokio::task::spawn_local(self.wait_for_return(id.clone(), wait_ms));
     }
@@ -91,7 +92,7 @@
 
 fn forget(hub: &Rc<Hub>, known: &RefCell<BTreeSet<Name>>, id: &Name) {
     if known.borrow_mut().remove(id) {
-        log::info!("event=upstream_gone upstream={id}");
+        log::log!(hub.hearsay(), "event=upstream_gone upstream={id}");
         hub.upstream_gone(id.clone());
     }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 use std::time::Duration;
 use tokio::{sync::watch::Receiver, time::sleep};
-use vanetally_ports::{Change, Revision, WatchAnswer};
+use vanetally_ports::{Change, Freshness, Revision, WatchAnswer};
 
 /// Who hears of a prefix.
 pub(crate) trait Follower {
@@ -39,8 +39,13 @@
     let mut returns = store.returns();
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
+    // What other hosts passed on need not be read: the watch goes on from there.
+    let mut known = reader.known();
     loop {
-        let error = read_and_watch(store, reader, &mut returns, &mut is_lost, &mut pause).await;
+        let error =
+            read_and_watch(store, reader, known.take(), &mut returns, &mut is_lost, &mut pause)
+                .await;
+        reader.set_watching(false);
         // No failure: read anew at once.
         let Some(error) = error else {
             continue;
@@ -57,10 +62,12 @@
     }
 }
 
-/// Reads and watches until something goes wrong; `None` if all has to be read anew.
+/// Reads and watches until something goes wrong; `None` if all has to be read anew. What is `known` is
+/// not read at first.
 async fn read_and_watch(
     store: &Store,
     reader: &mut Reader,
+    mut known: Option<Revision>,
     returns: &mut Receiver<u64>,
     is_lost: &mut bool,
     pause: &mut Duration,
@@ -68,7 +75,7 @@
     let mut is_bulk = false;
     loop {
         let before = reader.bulk_revision();
-        let revision = match read_all(store, reader).await {
+        let revision = match read_all(store, reader, known.take()).await {
             Ok(revision) => revision,
             Err(error) => return Some(error),
         };
@@ -104,11 +111,19 @@
     Bulk,
 }
 
-/// Reads all prefixes; gives back the revision from which they have to be watched.
-async fn read_all(store: &Store, reader: &mut Reader) -> Result<Revision, Error> {
-    let mut from = Revision(u64::MAX);
+/// Reads all prefixes, without the shared ones if they are `known` up to some revision; gives back the
+/// revision from which all have to be watched.
+async fn read_all(
+    store: &Store,
+    reader: &mut Reader,
+    known: Option<Revision>,
+) -> Result<Revision, Error> {
+    let mut from = known.unwrap_or(Revision(u64::MAX));
     for feed in reader.feeds() {
-        let snapshot = store.range(&feed.prefix).await?;
+        if known.is_some() && feed.is_shared() {
+            continue;
+        }
+        let snapshot = store.range(&feed.prefix, Freshness::Newest).await?;
         // Later readings see some changes twice.
         from = from.min(snapshot.at);
         reader.read(&feed, snapshot);
@@ -121,7 +136,10 @@
     let prefix = reader.common_prefix();
     let mut after = from;
     loop {
-        match store.watch(&prefix, after, reader.watch_ms()).await {
+        reader.set_watching(true);
+        let answer = store.watch(&prefix, after, reader.watch_ms()).await;
+        reader.set_watching(false);
+        match answer {
             Ok(WatchAnswer::Changes { changes, at }) => {
                 let (is_change, is_bulk) = (!changes.is_empty(), bytes(&changes) > BULK_BYTES);
                 let at = after.max(at);
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -24,8 +24,8 @@
     AnswerKind, AttemptHead, EngineProtocol, Operation, Order, OrderOutcome, Report, Subject,
 };
 pub use store::{
-    Change, Expectation, Item, LeaseId, Page, Revision, StoreAnswer, StoreProtocol, Transaction,
-    WatchAnswer, Write,
+    Change, Expectation, Freshness, Item, LeaseId, Page, Revision, StoreAnswer, StoreProtocol,
+    Transaction, WatchAnswer, Write,
 };
 pub use upstream::{HeldModel, UpstreamFormat, UpstreamState};
 
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -26,6 +26,15 @@
     pub revision: Revision,
 }
 
+/// How new a reading has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// All that was written before it.
+    Newest,
+    /// It may be seconds old, and costs less.
+    MayBeOld,
+}
+
 /// Some keys of a prefix.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page {
@@ -133,7 +142,12 @@
     fn probe(&self, key: &str) -> http::Request<Bytes>;
 
     /// The call that reads one page of the keys that begin with `prefix`, after the key `after`.
-    fn range(&self, prefix: &str, after: Option<&str>) -> http::Request<Bytes>;
+    fn range(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        freshness: Freshness,
+    ) -> http::Request<Bytes>;
 
     /// Reads the answer to a range.
     ///
