fix: engines are told no rank, so that no stream is put back for another

Cause: with a rank engines put a running stream back for a more urgent one and read it anew; the pause is longer than the route allows, and a stream that had begun in time came late. Order is kept where requests wait, at the hosts.

--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -175,8 +175,6 @@
     pub delay_ms: u32,
     /// Milliseconds left.
     pub deadline_ms: u64,
-    /// Rank at the upstream.
-    pub priority: u8,
     /// Most connections of this host to the upstream.
     pub connections: usize,
     /// Number of this sending, from 1.
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -139,7 +139,6 @@
             address: upstream.state.address,
             delay_ms,
             deadline_ms: request.deadline.since(sent_at),
-            priority: request.route.priority,
             connections,
             number: request.sendings + 1,
             own_load: upstream.own.running as usize,
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -174,7 +174,6 @@
     let head = AttemptHead {
         instance: attempt.upstream.clone(),
         deadline_ms: attempt.deadline_ms.saturating_sub(spent_ms),
-        priority: attempt.priority,
         resume_after: sending.resume_after.cloned(),
     };
     hub.ports.engine.prepare(request.headers_mut(), &head);
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -112,8 +112,6 @@
     pub instance: Name,
     /// Milliseconds left.
     pub deadline_ms: u64,
-    /// Rank at the runner; 0 is the most urgent.
-    pub priority: u8,
     /// Where a broken stream goes on.
     pub resume_after: Option<Name>,
 }
