fix: an upstream that dies under load is left by all hosts at once

Cause: hosts told each other the good and bad ends of the last five seconds. Now a host tells its last two ends of the last second, and the sum over all hosts is judged beside its own five seconds.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -14,6 +14,11 @@
 
 /// How long an end counts, in milliseconds.
 const MEMORY_MS: u64 = 5_000;
+/// How long an end counts that other hosts are told of, in milliseconds, and how many of them at most: what
+/// all hosts tell is enough to see within a second that an upstream has died, while a longer memory of what
+/// it served before hides it for seconds.
+const TOLD_MS: u64 = 1_000;
+const MOST_TOLD: usize = 2;
 /// Bad ends below which nothing is concluded.
 const LEAST_BAD: u32 = 2;
 /// Share of bad ends from which an upstream is ejected.
@@ -42,16 +47,21 @@
     /// Good and bad ends of the last seconds.
     pub fn counts(&mut self, now: Tick) -> (u32, u32) {
         self.forget(now);
-        let bad = self.ends.iter().filter(|(_, good)| !good).count() as u32;
-        (self.ends.len() as u32 - bad, bad)
+        count(self.ends.iter())
     }
 
-    /// Ejects the upstream if what this host and others saw speaks against it; tells whether it
-    /// was.
+    /// The last good and bad ends, for other hosts.
+    pub fn recent(&self, now: Tick) -> (u32, u32) {
+        let recent = self.ends.iter().rev().take(MOST_TOLD);
+        count(recent.filter(|(at, _)| now.since(*at) <= TOLD_MS))
+    }
+
+    /// Ejects the upstream if what this host saw in the last seconds speaks against it, or what all hosts saw
+    /// just now; tells whether it was.
     pub fn review(&mut self, now: Tick, others_good: u32, others_bad: u32) -> bool {
-        let (good, bad) = self.counts(now);
-        let (good, bad) = (good + others_good, bad + others_bad);
-        let is_bad = bad >= LEAST_BAD && f64::from(bad) > EJECT_SHARE * f64::from(good + bad);
+        let (good, bad) = self.recent(now);
+        let all = (good + others_good, bad + others_bad);
+        let is_bad = is_bad(self.counts(now)) || is_bad(all);
         if self.ejected_until.is_some() || !is_bad {
             return false;
         }
@@ -93,3 +103,15 @@
         }
     }
 }
+
+/// Whether so many good and bad ends speak against an upstream.
+fn is_bad((good, bad): (u32, u32)) -> bool {
+    bad >= LEAST_BAD && f64::from(bad) > EJECT_SHARE * f64::from(good + bad)
+}
+
+fn count<'a>(ends: impl Iterator<Item = &'a (Tick, bool)>) -> (u32, u32) {
+    ends.fold((0, 0), |(good, bad), (_, is_good)| match is_good {
+        true => (good + 1, bad),
+        false => (good, bad + 1),
+    })
+}
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -176,7 +176,7 @@
     /// What other hosts have to know of this one's load; arrivals since the last call.
     pub fn digest(&mut self, now: Tick) -> Digest {
         let loads = self.upstreams.iter_mut().filter_map(|(id, upstream)| {
-            let (good, bad) = upstream.health.counts(now);
+            let (good, bad) = upstream.health.recent(now);
             let own = upstream.own;
             (own.running > 0 || good + bad > 0).then(|| LoadRow {
                 upstream: id.clone(),
