feat: callers that wait for a place make their model come first in the plan

Load pattern: the demand for one model rises fivefold within eight seconds, as long as a load takes.

A host that has a request waiting for 200 ms for a place tells the holder of orders; a model counts as crowded for a second after that. Crowded models come first, may use 85 of 100 runners, and may be doubled. Limits: 200 ms is longer than bursts of callers, doubling bounds what stale evidence can cost while the first loads are on their way.

--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -5,7 +5,7 @@
     choice::Choice,
     choose::{View, choose},
     request::{Request, Sending, Stage},
-    shortage::Shortage,
+    shortage::{Lack, Shortage},
 };
 use std::collections::HashMap;
 use vanetally_ports::{ModelRef, RequestKind};
@@ -13,6 +13,9 @@
 
 /// Connections that all hosts together leave free.
 const CONNECTION_SHARE: f64 = 0.8;
+/// A request that has waited this long for a place shows that the replicas of its model are too few, in
+/// milliseconds: shorter waits come and go with the bursts of callers.
+const CROWDED_MS: u64 = 200;
 /// The same thing is wanted again after this long, in milliseconds.
 pub(crate) const WANT_AGAIN_MS: u64 = 250;
 
@@ -63,20 +66,38 @@
                 if request.tried.is_empty() {
                     lacking.insert(subject.clone(), shortage);
                 }
-                if let Some(request) = self.requests.get_mut(&id) {
-                    request.shortage = Some(shortage);
-                }
-                let Some(subject) = subject else {
+                let Some(request) = self.requests.get_mut(&id) else {
                     return;
                 };
-                let is_crowded = subject.adapter.is_some() && shortage.lack.is_crowd();
-                if is_crowded || shortage.lack.is_missing() {
-                    self.want(now, service, subject, is_crowded, actions);
+                request.shortage = Some(shortage);
+                let waited_ms = now.since(request.arrived);
+                if let Some(subject) = subject {
+                    self.tell_shortage(now, service, subject, shortage.lack, waited_ms, actions);
                 }
             }
         }
     }
 
+    /// Tells the holder of orders what a request lacks, if weights or an adapter would help.
+    fn tell_shortage(
+        &mut self,
+        now: Tick,
+        service: &Name,
+        subject: ModelRef,
+        lack: Lack,
+        waited_ms: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        if lack.is_crowd() && waited_ms >= CROWDED_MS {
+            let model = ModelRef { model: subject.model.clone(), adapter: None };
+            self.want(now, service, model, true, actions);
+        }
+        let is_crowded = subject.adapter.is_some() && lack.is_crowd();
+        if is_crowded || lack.is_missing() {
+            self.want(now, service, subject, is_crowded, actions);
+        }
+    }
+
     fn is_engine(&self, service: &Name) -> bool {
         let services = self.configuration.as_ref().map(|c| &c.services);
         services.and_then(|known| known.get(service)).is_some_and(|known| known.engine.is_some())
--- a/crates/dispatch/tests/shortage.rs
+++ b/crates/dispatch/tests/shortage.rs
@@ -97,3 +97,25 @@
     assert!(told.sendings > 1, "{told:?}");
     assert_eq!(told.shortage, Some(Shortage { lack: Lack::TurnedAway, holders: 1 }));
 }
+
+/// A request that waits shows that the replicas of its model are too few; the holder of orders is told of the
+/// model, whatever adapter was asked for.
+#[test]
+fn crowd_told() {
+    let mut host = Host::new(vec![route("offer", RequestKind::Stream, "llm")]);
+    host.see("i-1", upstream("llm", 1, &["m1"]));
+    let mut told = |host: &mut Host, millis| {
+        let actions = host.pass(millis);
+        actions.into_iter().any(|action| {
+            let base = ModelRef { model: "m1".into(), adapter: None };
+            matches!(action, Action::Want { subject, is_crowded: true, .. } if subject == base)
+        })
+    };
+    for number in 0..40 {
+        host.arrive(request(&format!("a{number}"), "offer", Some("m1")));
+    }
+    assert!(!told(&mut host, 180), "short waits come and go");
+    assert!(told(&mut host, 60));
+    assert!(!told(&mut host, 200), "not at every turn");
+    assert!(told(&mut host, 100));
+}
--- a/crates/placement/src/census.rs
+++ b/crates/placement/src/census.rs
@@ -12,6 +12,8 @@
     pub service: &'a Name,
     pub engine: &'a EngineSpec,
     pub demand: &'a DemandTable,
+    /// Models of which all replicas are taken while callers wait.
+    pub crowded: &'a BTreeMap<(Name, Name), Tick>,
     /// Runners that may be ordered to, with their books.
     pub ledgers: &'a BTreeMap<Name, Ledger>,
     /// Runners from which something is about to go.
@@ -32,6 +34,8 @@
     /// Since it was last asked for, in milliseconds.
     pub idle_ms: u64,
     pub replicas: Replicas,
+    /// Whether callers wait though it is held.
+    pub is_crowded: bool,
     /// Open runners that have a copy of their own, as indices.
     pub at_hand: Vec<usize>,
 }
@@ -135,6 +139,7 @@
             load: basis.demand.model_load(basis.now, basis.service, name),
             idle_ms: basis.now.since(basis.demand.model_last(basis.service, name)),
             replicas: Replicas::default(),
+            is_crowded: basis.crowded.contains_key(&(basis.service.clone(), name.clone())),
             at_hand: Vec::new(),
         }
     }
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -26,6 +26,8 @@
     round_at: Tick,
     pub(crate) ceilings: HashMap<Name, Ceiling>,
     pub(crate) wanted: BTreeMap<(Name, ModelRef), Tick>,
+    /// Models of which all replicas are taken while callers wait, and when that was last told.
+    pub(crate) crowded: BTreeMap<(Name, Name), Tick>,
     /// Adapters of which one more copy was asked for, and when.
     copied: BTreeMap<(Name, ModelRef), Tick>,
     /// Weights that get no new requests, and since when.
@@ -38,6 +40,9 @@
 
 /// Something wanted is forgotten if it is not asked for again, in milliseconds.
 const WANTED_MS: u64 = 1_000;
+/// A model counts as crowded for this long after a host told so, in milliseconds: hosts repeat it four times
+/// a second while requests wait.
+const CROWDED_MS: u64 = 1_000;
 /// Between two more copies of one adapter, in milliseconds: hosts hear of the first within this time.
 const COPY_MS: u64 = 500;
 /// Between telling all hosts that weights go and the order, in milliseconds.
@@ -68,6 +73,7 @@
             round_at: Tick(0),
             ceilings: HashMap::new(),
             wanted: BTreeMap::new(),
+            crowded: BTreeMap::new(),
             copied: BTreeMap::new(),
             closing: BTreeMap::new(),
             reserved: BTreeMap::new(),
@@ -89,7 +95,10 @@
                 samples.iter().for_each(|sample| self.demand.add(now, sample));
             }
             Event::Wanted { service, subject, is_crowded: true } => {
-                if let Entry::Vacant(entry) = self.copied.entry((service.clone(), subject.clone()))
+                if subject.adapter.is_none() {
+                    self.crowded.insert((service, subject.model), now);
+                } else if let Entry::Vacant(entry) =
+                    self.copied.entry((service.clone(), subject.clone()))
                 {
                     entry.insert(now);
                     self.order_wanted(now, &service, &subject, true, &mut actions);
@@ -173,6 +182,7 @@
 
     fn tick(&mut self, now: Tick, actions: &mut Vec<Action>) {
         self.wanted.retain(|_, at| now.since(*at) < WANTED_MS);
+        self.crowded.retain(|_, at| now.since(*at) < CROWDED_MS);
         self.copied.retain(|_, at| now.since(*at) < COPY_MS);
         let arrivals = std::mem::take(&mut self.arrivals);
         for (due, runner, subject) in arrivals {
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -33,8 +33,9 @@
     full: Vec<usize>,
 }
 
-/// A model and what one more replica of it gains, ordered by the gain.
+/// A model and what one more replica of it gains, ordered by that; those for which callers wait come first.
 struct Need {
+    is_crowded: bool,
     gain: f64,
     model: usize,
 }
@@ -55,7 +56,9 @@
 
 impl Ord for Need {
     fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.gain.total_cmp(&other.gain).then_with(|| other.model.cmp(&self.model))
+        let waits = self.is_crowded.cmp(&other.is_crowded);
+        let gains = waits.then_with(|| self.gain.total_cmp(&other.gain));
+        gains.then_with(|| other.model.cmp(&self.model))
     }
 }
 
@@ -71,6 +74,9 @@
 const MOST_LOOKED_AT: usize = 24;
 /// Share of the runners that may be busy with weights at once, so that others can follow the demand.
 const MOST_BUSY: f64 = 0.55;
+/// The same where callers wait for a model: the demand for one model may rise fivefold within seconds, and
+/// waits until others that are served have all replicas that they could use.
+const MOST_BUSY_CROWDED: f64 = 0.85;
 /// What each second costs for which a load binds its runner.
 const SECOND_COST: f64 = 0.03;
 /// What an unload costs for each runner-second a second that the model's runs there come to: it waits
@@ -125,9 +131,10 @@
     }
 
     fn lacks(&self, index: usize, but: usize) -> bool {
-        let Model { load, replicas, .. } = &self.models[index];
+        let Model { load, replicas, is_crowded, .. } = &self.models[index];
         let planned = replicas.planned.saturating_sub(but);
-        let wanted = worth::wanted(*load).min(self.runner_count);
+        let crowded = if *is_crowded { worth::wanted_crowded(*replicas) } else { 0 };
+        let wanted = worth::wanted(*load).max(crowded).min(self.runner_count);
         planned < wanted
     }
 
@@ -135,9 +142,9 @@
         if !self.lacks(index, 0) {
             return None;
         }
-        let Model { load, idle_ms, replicas, .. } = &self.models[index];
+        let Model { load, idle_ms, replicas, is_crowded, .. } = &self.models[index];
         let gain = worth::gain(*load, *idle_ms, *replicas);
-        (gain > 0.0).then_some(Need { gain, model: index })
+        (gain > 0.0).then_some(Need { is_crowded: *is_crowded, gain, model: index })
     }
 
     /// At most `most` steps, with at most `from_store` loads from the weight store among them.
@@ -146,14 +153,16 @@
         let mut needs: BinaryHeap<Need> = needs.collect();
         let mut steps = self.fill_from_copies(most, needs.peek().map_or(0.0, |need| need.gain));
         let busy = self.runner_count - self.runners.len();
-        let most_busy = (self.runner_count as f64 * MOST_BUSY).ceil() as usize;
+        let most_busy = |share: f64| (self.runner_count as f64 * share).ceil() as usize;
+        let (usual, crowded) = (most_busy(MOST_BUSY), most_busy(MOST_BUSY_CROWDED));
         while steps.len() < most
-            && let Some(Need { gain, model }) = needs.pop()
+            && let Some(Need { is_crowded, gain, model }) = needs.pop()
         {
             // A model that is nowhere is brought in any case.
             let is_extra = self.models[model].replicas.planned > 0;
-            if is_extra && busy + steps.len() >= most_busy {
-                break;
+            let limit = if is_crowded { crowded } else { usual };
+            if is_extra && busy + steps.len() >= limit {
+                continue;
             }
             let Some(way) = self.cheapest_way(model, gain, from_store > 0) else {
                 continue;
--- a/crates/placement/src/weights.rs
+++ b/crates/placement/src/weights.rs
@@ -51,6 +51,7 @@
             service,
             engine,
             demand: &self.demand,
+            crowded: &self.crowded,
             ledgers: &self.ledgers,
             closing: &self.closing,
             reserved: &self.reserved,
--- a/crates/placement/src/worth.rs
+++ b/crates/placement/src/worth.rs
@@ -41,6 +41,12 @@
     if load < SINGLE_LOAD { 1 } else { (load / REPLICA_LOAD).ceil() as usize }
 }
 
+/// The same for a model for which callers wait though `replicas` hold it: they may be doubled while the next
+/// ones come, whatever the demand was measured to be.
+pub(crate) fn wanted_crowded(replicas: Replicas) -> usize {
+    2 * replicas.held + 2
+}
+
 /// What one more replica takes off the others.
 pub(crate) fn gain(load: f64, idle_ms: u64, replicas: Replicas) -> f64 {
     if replicas.planned == 0 {
