--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -218,7 +218,7 @@
     let mut group = c.benchmark_group("pace");
     for (hosts, runners) in [(9, 12), (71, 112), (370, 4_800)] {
         let mut pacers = Pacers::new(name("entry", 0));
-        pacers.set_others((1..hosts).map(|n| name("entry", n)).collect());
+        pacers.set_hosts((0..hosts).map(|n| (name("entry", n), 12)).collect());
         let mut pacer = Pacer::default();
         let mut number = 0;
         group.bench_function(BenchmarkId::from_parameter(runners), |b| {
--- a/crates/dispatch/tests/shortage.rs
+++ b/crates/dispatch/tests/shortage.rs
@@ -104,7 +104,7 @@
 fn crowd_told() {
     let mut host = Host::new(vec![route("offer", RequestKind::Stream, "llm")]);
     host.see("i-1", upstream("llm", 1, &["m1"]));
-    let mut told = |host: &mut Host, millis| {
+    let told = |host: &mut Host, millis| {
         let actions = host.pass(millis);
         actions.into_iter().any(|action| {
             let base = ModelRef { model: "m1".into(), adapter: None };
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -52,13 +52,16 @@
             (ranked.len(), rank)
         };
         self.tenure.borrow_mut().set_rank(rank);
-        self.pacing.borrow_mut().set_others(self.other_hosts());
+        self.pacing.borrow_mut().set_hosts(self.capacities());
         self.request_event(dispatch::Event::Hosts(hosts));
     }
 
-    fn other_hosts(&self) -> Vec<Name> {
+    /// The hosts that live, this one included, with their shares of a processor.
+    fn capacities(&self) -> Vec<(Name, u32)> {
         let peers = self.peers.borrow();
-        peers.keys().filter(|host| **host != self.settings.host).cloned().collect()
+        let others = peers.iter().filter(|(host, _)| **host != self.settings.host);
+        let own = (self.settings.host.clone(), self.settings.capacity);
+        others.map(|(host, entry)| (host.clone(), entry.capacity)).chain([own]).collect()
     }
 
     /// What this host's key says.
--- a/crates/gateway/src/pacing.rs
+++ b/crates/gateway/src/pacing.rs
@@ -37,9 +37,9 @@
         }
     }
 
-    /// The other hosts that live.
-    pub(crate) fn set_others(&mut self, others: Vec<Name>) {
-        self.pacers.set_others(others);
+    /// The hosts that live, with their capacities.
+    pub(crate) fn set_hosts(&mut self, hosts: Vec<(Name, u32)>) {
+        self.pacers.set_hosts(hosts);
     }
 
     /// An engine let go of a model.
--- a/crates/pacing/tests/who_paces.rs
+++ b/crates/pacing/tests/who_paces.rs
@@ -5,7 +5,8 @@
 
 fn pacers(me: &str, others: &[&str]) -> Pacers {
     let mut pacers = Pacers::new(me.into());
-    pacers.set_others(others.iter().map(|host| Name::from(*host)).collect());
+    let hosts = others.iter().chain([&me]).map(|host| (Name::from(*host), 12));
+    pacers.set_hosts(hosts.collect());
     pacers
 }
 
@@ -34,3 +35,26 @@
     assert_ne!(*other.pacer_of(Tick(500), &upstream), pacer);
     assert_eq!(*other.pacer_of(Tick(2_000), &upstream), pacer);
 }
+
+/// Where a few hosts are much stronger than all others, every host asks one of them.
+#[test]
+fn strong_pace() {
+    let hosts = |strong: usize| {
+        let one = |number: usize| {
+            let capacity = if number < strong { 50 } else { 12 };
+            (Name::from(format!("h{number:03}")), capacity)
+        };
+        (0..295).map(one).collect::<Vec<_>>()
+    };
+    let paced_by = |strong: usize| {
+        let mut pacers = Pacers::new("h294".into());
+        pacers.set_hosts(hosts(strong));
+        let engines = (0..240).map(|number| Name::from(format!("i-{number}")));
+        let by = engines.map(|engine| pacers.pacer_of(Tick(0), &engine).clone());
+        by.collect::<std::collections::BTreeSet<Name>>()
+    };
+    let by = paced_by(15);
+    assert!(by.iter().all(|host| &**host < "h015"), "{by:?}");
+    assert_eq!(by.len(), 15, "each of them paces some");
+    assert!(paced_by(2).len() > 100, "two would have to answer all");
+}
