change: aggregators pass on what the holder of orders tells; a missed model waits for the next round

Cause: the holder told each change of placement to each host itself, about a thousand changes to 294 hosts, and made a whole round of the plan, runners x models, for each model that was missed first. Now it tells the aggregators, which tell the hosts that report to them; a missed model waits for the next round, 40 ms of the seconds that a load takes; the summary for the log is counted in one pass over runners instead of one for each model.

The test of a missing model lets one round pass: rounds were spaced for all other reasons already.

--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -50,8 +50,10 @@
                 let subject = ModelRef { model, adapter };
                 self.placement_event(placement::Event::Wanted { service, subject, is_crowded });
             }
-            PeerMessage::Placed { runner, model, adapter, is_present } => {
-                self.placed(runner, ModelRef { model, adapter }, is_present);
+            PeerMessage::Placed { ref runner, ref model, ref adapter, is_present } => {
+                self.pass_on_placed(from, &message);
+                let subject = ModelRef { model: model.clone(), adapter: adapter.clone() };
+                self.placed(runner.clone(), subject, is_present);
             }
             PeerMessage::AskConfiguration { have } => self.tell_configuration(from, have),
             PeerMessage::Configuration(patch) => self.take_configuration(from, &patch),
@@ -244,7 +246,7 @@
     }
 
     /// The hosts that need this one's sum: the other aggregators, and who gives the orders.
-    fn sum_readers(&self) -> BTreeSet<Name> {
+    pub(crate) fn sum_readers(&self) -> BTreeSet<Name> {
         let mut hosts: BTreeSet<Name> = self.follow.borrow().aggregators().into_iter().collect();
         hosts.extend(self.totals.borrow().elsewhere().cloned());
         hosts.extend(self.holder.borrow().clone());
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -83,15 +83,29 @@
     }
 
     fn announce(self: &Rc<Self>, runner: Name, subject: ModelRef, is_present: bool) {
-        self.broadcast(&PeerMessage::Placed {
+        let message = PeerMessage::Placed {
             runner: runner.clone(),
             model: subject.model.clone(),
             adapter: subject.adapter.clone(),
             is_present,
-        });
+        };
+        if self.is_fleet() {
+            self.send_all(self.sum_readers().iter(), &message);
+            self.pass_on_placed(&self.settings.host, &message);
+        } else {
+            self.broadcast(&message);
+        }
         self.placed(runner, subject, is_present);
     }
 
+    /// An aggregator tells the hosts that report to it what the holder of orders told.
+    pub(crate) fn pass_on_placed(&self, from: &Name, message: &PeerMessage) {
+        let hosts: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
+        if !hosts.is_empty() {
+            self.send_all(hosts.iter().filter(|host| *host != from), message);
+        }
+    }
+
     pub(crate) fn placed(self: &Rc<Self>, runner: Name, subject: ModelRef, is_present: bool) {
         if !is_present && subject.adapter.is_none() {
             self.pacing.borrow_mut().drop_model(&runner, &subject.model);
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -251,7 +251,8 @@
         match (&subject.adapter, is_crowded) {
             (Some(_), true) => self.copy_adapter(now, token, service, engine, subject, actions),
             (Some(_), false) => self.order_adapter(now, token, service, engine, subject, actions),
-            (None, _) => self.order_weights(now, token, service, engine, actions),
+            // A round costs runners x models: missed weights wait for the next one, 40 ms of seconds.
+            (None, _) => self.order_all(now, actions),
         }
     }
 
--- a/crates/placement/src/summary.rs
+++ b/crates/placement/src/summary.rs
@@ -36,18 +36,27 @@
 impl Placement {
     /// Each model that is asked for or on its way: what operators look at.
     pub fn summary(&self, now: Tick) -> Vec<ModelSummary> {
+        let mut counts: BTreeMap<(&Name, &Name), (usize, usize)> = BTreeMap::new();
+        for ledger in self.ledgers.values() {
+            let service = &ledger.state.service;
+            ledger
+                .held_names()
+                .for_each(|model| counts.entry((service, model)).or_default().0 += 1);
+            if let Some(model) = ledger.coming_model() {
+                counts.entry((service, model)).or_default().1 += 1;
+            }
+        }
         let services = self.configuration.iter().flat_map(|c| c.services.iter());
         let engines = services.filter_map(|(name, service)| Some((name, service.engine.as_ref()?)));
         let models = engines.flat_map(|(service, engine)| {
-            engine.models.keys().map(move |model| {
-                let own = self.ledgers.values().filter(|l| l.state.service == *service);
-                let holding = own.clone().filter(|l| l.holds_model(model)).count();
-                let coming = own.filter(|l| l.will_hold(model)).count() - holding;
+            engine.models.keys().map(|model| {
+                let (holding, coming) = counts.get(&(service, model)).copied().unwrap_or_default();
                 let load = self.demand.model_load(now, service, model);
                 ModelSummary { model: model.clone(), load, holding, coming }
             })
         });
-        models.filter(|summary| summary.load > LEAST_LOAD || summary.coming > 0).collect()
+        let models: Vec<ModelSummary> = models.collect();
+        models.into_iter().filter(|one| one.load > LEAST_LOAD || one.coming > 0).collect()
     }
 
     /// Which runners can be given orders, and why others can't.
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -158,6 +158,7 @@
 fn missing_model_ordered() {
     let mut holder = Holder::new(&[("r1", &["m1"]), ("r2", &["m1"])]);
     holder.want("m2", None);
+    holder.pass(ROUND_MS);
     assert_eq!(holder.loads("m2").len(), 1);
 }
 
