fix: a request for a service without any instance waits no longer than its answer may take

Cause, found by a fleet of processes on loopback: a service had lost its only instance, and its requests were held for 9.9 of the ten seconds that the route allows, though nobody was there to take them. They now wait for an instance that may start for the latency objective, then their caller is told when to come back.

tests/fleet.rs drives fourteen real processes: one reads the store for all and the calls stay within those of one reader and the leases; it is killed while the configuration changes, or frozen while an upstream leaves; what the holder of orders tells comes to all hosts.

A test of the planned stop waited for a model without any upstream; it now has one without the model, as its comment says: such a request still waits until the stop.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -164,7 +164,9 @@
                 Stage::Sent(_) => now >= request.deadline + DEADLINE_GRACE_MS,
                 // What has not begun by now might not end before the process does.
                 _ if is_leaving => true,
-                _ if request.verdict == Verdict::NotRun => now >= request.patience,
+                _ if request.verdict == Verdict::NotRun => {
+                    now >= request.patience || request.waits_for_nobody(now)
+                }
                 _ => now + LEAST_LEFT_MS >= request.deadline,
             };
             is_late.then(|| (*id, self.late_refusal(now, request), Standing::from(request)))
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     choice::{Choice, Expected},
-    shortage::Shortage,
+    shortage::{Lack, Shortage},
     upstream::{Load, shared_prefixes},
 };
 use std::rc::Rc;
@@ -136,6 +136,13 @@
         now.since(self.arrived) > self.route.target_ms
     }
 
+    /// Whether no upstream of its service is there, and it has waited as long as its answer may take: a wait
+    /// until its deadline would only keep its caller from asking again.
+    pub(crate) fn waits_for_nobody(&self, now: Tick) -> bool {
+        let is_nobody = self.shortage.is_some_and(|shortage| shortage.lack == Lack::Upstream);
+        is_nobody && self.is_late(now)
+    }
+
     /// Whether it was sent to as many upstreams as are allowed to it.
     pub(crate) fn is_exhausted(&self) -> bool {
         self.tried.len() >= self.route.max_attempts as usize
--- a/crates/dispatch/tests/planned_stop.rs
+++ b/crates/dispatch/tests/planned_stop.rs
@@ -15,6 +15,7 @@
 #[test]
 fn waiting_is_refused() {
     let mut host = host();
+    host.see("i-1", upstream("llm", 1, &["m2"]));
     let (id, actions) = host.arrive(request("a", "offer", Some("m1")));
     assert!(sent(&actions, id).is_empty() && refusal(&actions, id).is_none());
     host.tell(Event::Stopping);
--- a/crates/dispatch/tests/shortage.rs
+++ b/crates/dispatch/tests/shortage.rs
@@ -119,3 +119,17 @@
     assert!(!told(&mut host, 200), "not at every turn");
     assert!(told(&mut host, 100));
 }
+
+/// Found with a fleet of processes: requests for a service without any instance were held for 9.9 s of a route's
+/// ten. They wait for one that starts as long as their answer may take, and their callers are told.
+#[test]
+fn nobody_waited_for() {
+    let mut host = host();
+    let (id, actions) = host.arrive(request("a1", "check", None));
+    assert_eq!(actions, []);
+    let refused = |actions: &[Action]| support::refusal(actions, id);
+    assert_eq!(refused(&host.pass(900)), None, "one may start meanwhile");
+    let refusal = refused(&host.pass(200)).unwrap();
+    assert_eq!(refusal.cause, vanetally_ports::RefusalCause::Overloaded);
+    assert!(refusal.retry_after_ms.is_some());
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,118 @@
+//! A fleet of real processes: one of them reads the store for all.
+
+mod gateway;
+
+use gateway::{Deployment, Host, wait_for};
+use std::{
+    thread::sleep,
+    time::{Duration, Instant},
+};
+use vanetally_platform_standin::Client;
+
+/// More hosts than those that each read the store.
+const HOSTS: usize = 14;
+/// A change has to be in force within this time, also while the host that reads the store is lost: two seconds,
+/// and a fifth of a second for each host that is asked whether it is.
+const BOUND: Duration = Duration::from_millis(5_000);
+/// Time in which the store's calls are counted.
+const COUNTED: Duration = Duration::from_secs(6);
+
+fn name(number: usize) -> String {
+    format!("front-{number}")
+}
+
+fn start_hosts(deployment: &Deployment) -> Vec<Host> {
+    let hosts: Vec<Host> = (0..HOSTS).map(|number| deployment.spawn(&name(number))).collect();
+    wait_for("all are ready", || hosts.iter().all(|host| host.readiness() == 200));
+    wait_for("one reads for all", || readers(deployment).len() == 1);
+    hosts
+}
+
+/// The hosts whose last word on their source is the store.
+fn readers(deployment: &Deployment) -> Vec<usize> {
+    let reads = |number: &usize| {
+        let log = deployment.log(&name(*number));
+        let last = log.lines().rfind(|line| line.contains("event=source_changed"));
+        last.is_some_and(|line| line.contains("source=store "))
+    };
+    (0..HOSTS).filter(reads).collect()
+}
+
+/// Whether the host serves the route that was added.
+fn serves(host: &Host, path: &str) -> bool {
+    Client::new("GET", path, "a1").deadline(200).send(host.front).status == 200
+}
+
+/// Fourteen hosts cost the store as many calls as one, but for their leases.
+#[test]
+fn one_reads() {
+    let deployment = Deployment::start();
+    let hosts = start_hosts(&deployment);
+    sleep(Duration::from_secs(2));
+    let before = deployment.store.calls();
+    sleep(COUNTED);
+    let calls = deployment.store.calls() - before;
+    // Two renewals in six seconds each, four in two seconds for the orders, two probes a second, a watch
+    // each one and a half seconds or after a change.
+    let most = HOSTS * 2 + 12 + 12 + 20;
+    assert!(calls <= most, "{calls} calls");
+    assert_eq!(readers(&deployment).len(), 1);
+    drop(hosts);
+}
+
+/// The host that reads for all is killed, and the configuration changes at that moment.
+#[test]
+fn reader_killed() {
+    let deployment = Deployment::start();
+    let mut hosts = start_hosts(&deployment);
+    let reader = readers(&deployment)[0];
+    hosts[reader].kill();
+    let changed = Instant::now();
+    deployment.configure(2, &["added"]);
+    let left: Vec<&Host> =
+        hosts.iter().enumerate().filter(|(n, _)| *n != reader).map(|(_, host)| host).collect();
+    wait_for("it is in force", || left.iter().all(|host| serves(host, "/added/1")));
+    assert!(changed.elapsed() < BOUND, "in force after {:?}", changed.elapsed());
+    let turned = |number: usize| {
+        let log = deployment.log(&name(number));
+        log.lines().filter(|line| line.contains("source=store reason=silent")).count()
+    };
+    let turned: usize = (0..HOSTS).map(turned).sum();
+    assert!(turned <= 2, "{turned} turned to the store");
+}
+
+/// The host that reads for all is frozen and wakes up again: no runner that left meanwhile is believed in.
+#[test]
+fn reader_frozen() {
+    let deployment = Deployment::start();
+    let hosts = start_hosts(&deployment);
+    let reader = readers(&deployment)[0];
+    hosts[reader].signal("STOP");
+    deployment.store.remove("servers/i-desk-0");
+    let left = Instant::now();
+    let awake: Vec<&Host> =
+        hosts.iter().enumerate().filter(|(n, _)| *n != reader).map(|(_, host)| host).collect();
+    wait_for("it is gone", || awake.iter().all(|host| !serves(host, "/check/1")));
+    assert!(left.elapsed() < BOUND, "gone after {:?}", left.elapsed());
+    hosts[reader].signal("CONT");
+    wait_for("the frozen host knows", || !serves(&hosts[reader], "/check/2"));
+    wait_for("one reads for all", || readers(&deployment).len() == 1);
+}
+
+/// What the holder of orders tells comes to all hosts: a missing adapter is served everywhere.
+#[test]
+fn placed_everywhere() {
+    let deployment = Deployment::start();
+    let hosts = start_hosts(&deployment);
+    for (number, host) in hosts.iter().enumerate() {
+        let call = Client::new("POST", "/offer/1", &format!("p{number}"))
+            .with("X-Model", "m1/a1")
+            .with("X-Token-Count", "10,5")
+            .with("X-Prompt-Prefix", "a1:10")
+            .deadline(9_000);
+        assert_eq!(call.send(host.front).status, 200, "host {number}");
+    }
+    let loads = deployment.engines[0].orders();
+    let loads = loads.iter().filter(|order| order.adapter.as_deref() == Some("a1")).count();
+    assert_eq!(loads, 1, "one order is enough for all");
+}
