fix: at a first start hosts wait for the list of hosts before they count as few

The settings say when a deployment starts for the first time; then a short list is read again for 0.4 s.

Test: fanout/tests/follow.rs, first_start_settles.

--- a/crates/fanout/src/follow.rs
+++ b/crates/fanout/src/follow.rs
@@ -108,11 +108,8 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum State {
-    /// Since when a host is looked for, and when the list of hosts was last asked for.
-    Starting {
-        since: Tick,
-        surveyed: Option<Tick>,
-    },
+    /// A host is looked for.
+    Starting(Search),
     /// The store is read since then; when it last confirmed what is known, if it did.
     Store {
         since: Tick,
@@ -121,6 +118,16 @@
     Host(Heard),
 }
 
+/// The search of a host that starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Search {
+    since: Tick,
+    /// Until then all hosts may be starting: the list may lack most of them.
+    settled: Tick,
+    /// When the list of hosts was last asked for.
+    surveyed: Option<Tick>,
+}
+
 /// The host that this one hears from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Heard {
@@ -212,21 +219,26 @@
 /// allow for a change to be followed.
 const ALONE_MS: u64 = 900;
 const SPREAD_MS: f64 = 400.0;
+/// At the first start of a deployment hosts start within 0.3 s of each other, by the platform's word; before that
+/// and the time to write a key has passed, a short list does not mean that hosts are few, in milliseconds.
+const SETTLE_MS: u64 = 400;
 /// Between two readings of the list of hosts, in milliseconds.
 const SURVEY_MS: u64 = 200;
 /// Between two probes of the store, in milliseconds.
 const PROBE_MS: u64 = 500;
 
 impl Follow {
-    /// The host `me` of the failure domain `domain`, which starts at `now` and knows nothing.
-    pub fn new(now: Tick, me: Name, domain: Name) -> Self {
+    /// The host `me` of the failure domain `domain`, which starts at `now` and knows nothing; at a first start
+    /// all others start as well.
+    pub fn new(now: Tick, me: Name, domain: Name, is_first_start: bool) -> Self {
+        let settled = if is_first_start { now + SETTLE_MS } else { now };
         Self {
             me,
             domain,
             candidates: Vec::new(),
             fleet: Fleet::default(),
             suspects: BTreeMap::new(),
-            state: State::Starting { since: now, surveyed: None },
+            state: State::Starting(Search { since: now, settled, surveyed: None }),
             subscribers: BTreeSet::new(),
             asked: None,
             probed: None,
@@ -237,7 +249,7 @@
     /// Where this host reads now.
     pub fn source(&self) -> Source {
         match &self.state {
-            State::Starting { .. } => Source::Nobody,
+            State::Starting(_) => Source::Nobody,
             State::Store { .. } => Source::Store,
             State::Host(heard) => Source::Host(heard.host.clone()),
         }
@@ -268,7 +280,7 @@
             return true;
         }
         match self.parent(None) {
-            Parent::Store => !matches!(self.state, State::Starting { .. }),
+            Parent::Store => !matches!(self.state, State::Starting(_)),
             Parent::Host(host) => !self.is_near(&host),
         }
     }
@@ -361,7 +373,7 @@
 
     fn synced(&mut self, now: Tick, from: Name, age_ms: Option<u64>, actions: &mut Vec<Action>) {
         let has_source = match &self.state {
-            State::Starting { .. } => false,
+            State::Starting(_) => false,
             State::Store { .. } => true,
             State::Host(heard) => heard.lost.is_none() && heard.host != from,
         };
@@ -383,7 +395,7 @@
                 }
                 actions.push(Action::Unsubscribe(old.host));
             }
-            State::Starting { .. } | State::Store { .. } => {}
+            State::Starting(_) | State::Store { .. } => {}
         }
         actions.push(Action::Switch { to: Source::Host(from), reason });
     }
@@ -452,7 +464,7 @@
             self.parents.clear();
         }
         match self.state.clone() {
-            State::Starting { since, surveyed } => self.start(now, since, surveyed, actions),
+            State::Starting(search) => self.start(now, search, actions),
             State::Store { since, confirmed } => {
                 let is_stale = is_unconfirmed(now, since, confirmed);
                 self.review_store(now, is_stale, actions);
@@ -461,18 +473,19 @@
         }
     }
 
-    fn start(&mut self, now: Tick, since: Tick, surveyed: Option<Tick>, actions: &mut Vec<Action>) {
-        if !self.candidates.is_empty() {
+    fn start(&mut self, now: Tick, search: Search, actions: &mut Vec<Action>) {
+        let is_list_whole = self.is_fleet() || now >= search.settled;
+        if !self.candidates.is_empty() && is_list_whole {
             match self.parent(None) {
                 Parent::Store => return self.read_store(now, Reason::Order, actions),
                 Parent::Host(host) => self.ask_next(now, host, actions),
             }
         }
-        if now.since(since) > self.alone_ms() {
+        if now.since(search.since) > self.alone_ms() {
             return self.read_store(now, Reason::Nobody, actions);
         }
-        if surveyed.is_none_or(|at| now.since(at) >= SURVEY_MS) {
-            self.state = State::Starting { since, surveyed: Some(now) };
+        if search.surveyed.is_none_or(|at| now.since(at) >= SURVEY_MS) {
+            self.state = State::Starting(Search { surveyed: Some(now), ..search });
             actions.push(Action::Survey);
         }
     }
--- a/crates/fanout/tests/fleet_trouble.rs
+++ b/crates/fanout/tests/fleet_trouble.rs
@@ -60,7 +60,7 @@
         for number in 0..DOMAINS * HOSTS {
             let (host, domain): (Name, Name) =
                 (format!("h{number}").into(), format!("z{}", number % DOMAINS).into());
-            let follow = Follow::new(Tick(START), host.clone(), domain.clone());
+            let follow = Follow::new(Tick(START), host.clone(), domain.clone(), false);
             fleet.listed.insert(host.clone());
             fleet.domains.insert(host.clone(), domain);
             let one = Host {
--- a/crates/fanout/tests/follow.rs
+++ b/crates/fanout/tests/follow.rs
@@ -55,7 +55,7 @@
 }
 
 fn host(me: &Name, domain: &str) -> Follow {
-    let mut follow = Follow::new(START, me.clone(), domain.into());
+    let mut follow = Follow::new(START, me.clone(), domain.into(), false);
     follow.handle(START, Event::Candidates(candidates()));
     follow
 }
@@ -95,7 +95,7 @@
 
 #[test]
 fn survey_first() {
-    let mut follow = Follow::new(START, "h1".into(), "z1".into());
+    let mut follow = Follow::new(START, "h1".into(), "z1".into(), false);
     assert_eq!(follow.handle(START, Event::Tick), [Action::Survey]);
     assert_eq!(follow.source(), Source::Nobody);
     assert_eq!(follow.handle(START + 100, Event::Tick), []);
@@ -105,7 +105,7 @@
 /// A host that finds nobody is not left without: it reads the store itself.
 #[test]
 fn nobody_reads_store() {
-    let mut follow = Follow::new(START, "h1".into(), "z1".into());
+    let mut follow = Follow::new(START, "h1".into(), "z1".into(), false);
     let switched = (0..100u64).map(|n| n * 20).find(|at| {
         let actions = follow.handle(START + *at, Event::Tick);
         actions.contains(&switch(Source::Store, Reason::Nobody))
@@ -134,7 +134,7 @@
 
 #[test]
 fn few_read_store() {
-    let mut follow = Follow::new(START, "h1".into(), "z1".into());
+    let mut follow = Follow::new(START, "h1".into(), "z1".into(), false);
     follow.handle(START, Event::Candidates(candidates()[..FEW_HOSTS].to_vec()));
     assert_eq!(follow.handle(START, Event::Tick), [switch(Source::Store, Reason::Order)]);
 }
@@ -372,3 +372,19 @@
         [Action::Unsubscribe(order[0].clone()), switch(Source::Store, Reason::Silent)]
     );
 }
+
+/// Found by counting calls to the store: at the first start each of 18 hosts saw at most twelve others in the
+/// list and read everything.
+#[test]
+fn first_start_settles() {
+    let mut follow = Follow::new(START, "h1".into(), "z1".into(), true);
+    let few = candidates()[..FEW_HOSTS].to_vec();
+    follow.handle(START + 10, Event::Candidates(few.clone()));
+    assert_eq!(follow.handle(START + 20, Event::Tick), [Action::Survey]);
+    assert_eq!(follow.handle(START + 240, Event::Tick), [Action::Survey]);
+    assert_eq!(follow.source(), Source::Nobody);
+    let mut all = follow.clone();
+    all.handle(START + 250, Event::Candidates(candidates()));
+    assert!(matches!(all.handle(START + 260, Event::Tick)[..], [Action::Subscribe(_), ..]));
+    assert_eq!(follow.handle(START + 420, Event::Tick), [switch(Source::Store, Reason::Order)]);
+}
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -148,6 +148,7 @@
                 clock.now(),
                 settings.host.clone(),
                 settings.domain.clone(),
+                settings.is_first_start,
             )),
             pull: RefCell::default(),
             feeds: RefCell::default(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,8 @@
     pub link_port: u16,
     /// The key that all hosts share.
     pub link_key: Name,
+    /// Whether all hosts of the deployment start now, for the first time.
+    pub is_first_start: bool,
     /// The store.
     pub store: StoreSettings,
     /// Figures that the deployment promises or demands.
