fix: after a loss of all hosts a large fleet finds its sources again sooner

A host of 20 Mbit/s sent all keys, half a megabyte, to each of nineteen others; hosts that had asked one that listened only 50 ms later passed it over; and a word without the configuration's age, which is read last, counted as stale, so that hosts moved on to others.

Now all keys are packed, once for all that ask; the age that is passed on is that of the keys; a host that starts asks the first one twice; links are dialed again after 100 ms.

--- a/crates/fanout/src/follow.rs
+++ b/crates/fanout/src/follow.rs
@@ -552,6 +552,12 @@
         let Some(silent) = silent else {
             return self.ask(now, host, actions);
         };
+        // Where all start at once, it may not have listened yet.
+        let is_starting = matches!(self.state, State::Starting(_));
+        if is_starting && silent.repeats == 0 && silent.host == host {
+            self.asked = Some(Asked { repeats: 1, ..Asked::new(now, host.clone()) });
+            return actions.push(Action::Subscribe(host));
+        }
         self.suspect(silent.host, now + SUSPECT_MS);
         if let Parent::Host(next) = self.parent(None) {
             self.ask(now, next, actions);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -12,7 +12,8 @@
     cell::{Cell, RefCell},
     rc::Rc,
 };
-use vanetally_fanout::{Action, Event, Gap, Mirror, Reason, Source, StoreState};
+use vanetally_fanout::{Action, Event, Gap, Mirror, Packed, Reason, Source, StoreState};
+use vanetally_link::peer;
 use vanetally_ports::{Change, Freshness, Item, Revision};
 use vanetally_types::{Name, Tick};
 
@@ -27,6 +28,8 @@
     confirmed: Cell<Option<Tick>>,
     /// Up to where subscribers were told changes.
     told: Cell<Revision>,
+    /// All keys as they are sent to hosts that start, until one changes: many ask at the same time.
+    packed: RefCell<Option<Packed>>,
 }
 
 /// All keys of one prefix, as an aggregator passes them on.
@@ -43,8 +46,8 @@
 /// What is new to a subscriber of one prefix.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum PrefixSync {
-    /// All keys.
-    Whole(PrefixSnapshot),
+    /// All keys: a [`PrefixSnapshot`].
+    Whole(Packed),
     /// What changed since it last heard.
     Since(PrefixChanges),
 }
@@ -77,6 +80,7 @@
             mirror: RefCell::default(),
             confirmed: Cell::new(None),
             told: Cell::new(Revision(0)),
+            packed: RefCell::default(),
         }
     }
 
@@ -89,6 +93,7 @@
     fn replace(&self, snapshot: Snapshot) -> bool {
         let is_taken = self.mirror.borrow_mut().try_replace(snapshot.at, &snapshot.items);
         if is_taken {
+            self.packed.take();
             self.follower.replaced(snapshot);
         }
         is_taken
@@ -104,6 +109,9 @@
     /// Some keys changed.
     fn change(&self, after: Revision, at: Revision, changes: Vec<Change>) -> Result<(), Gap> {
         let news = self.mirror.borrow_mut().try_apply(after, at, changes)?;
+        if !news.is_empty() {
+            self.packed.take();
+        }
         news.into_iter().for_each(|change| self.follower.changed(change));
         Ok(())
     }
@@ -115,17 +123,18 @@
     /// What is new to a host that knows all changes up to `have`; `None` if nothing is known here.
     fn sync(&self, have: Option<Revision>) -> Option<PrefixSync> {
         let mirror = self.mirror.borrow();
-        let (prefix, at) = (self.prefix.clone(), mirror.at()?);
+        let at = mirror.at()?;
         let since = have.and_then(|have| Some((have, mirror.changes_since(have)?)));
-        Some(match since {
-            Some((after, changes)) => {
-                PrefixSync::Since(PrefixChanges { prefix, after, at, changes })
-            }
-            None => {
-                let items = mirror.items().cloned().collect();
-                PrefixSync::Whole(PrefixSnapshot { prefix, at, items })
-            }
-        })
+        if let Some((after, changes)) = since {
+            let prefix = self.prefix.clone();
+            return Some(PrefixSync::Since(PrefixChanges { prefix, after, at, changes }));
+        }
+        let mut packed = self.packed.borrow_mut();
+        if packed.is_none() {
+            let items = mirror.items().cloned().collect();
+            *packed = pack(&PrefixSnapshot { prefix: self.prefix.clone(), at, items });
+        }
+        packed.clone().map(PrefixSync::Whole)
     }
 
     /// Up to where subscribers were told changes.
@@ -255,6 +264,23 @@
     }
 }
 
+fn pack(snapshot: &PrefixSnapshot) -> Option<Packed> {
+    let bytes = peer::encode(snapshot).map_err(|error| error.to_string());
+    let packed =
+        bytes.and_then(|bytes| Packed::try_from_bytes(&bytes).map_err(|error| error.to_string()));
+    packed.inspect_err(|error| log::error!("event=keys_not_packed error=\"{error}\"")).ok()
+}
+
+fn unpack(packed: &Packed) -> Option<PrefixSnapshot> {
+    match packed.try_unpack() {
+        Ok(bytes) => peer::decode(&bytes),
+        Err(error) => {
+            log::warn!("event=keys_not_unpacked error=\"{error}\"");
+            None
+        }
+    }
+}
+
 fn common_beginning<'a>(one: &'a str, other: &'a str) -> &'a str {
     let same = one.char_indices().zip(other.chars()).take_while(|((_, a), b)| a == b);
     let end = same.last().map_or(0, |((at, last), _)| at + last.len_utf8());
@@ -318,20 +344,29 @@
         if !self.reads_store() {
             return;
         }
-        let age_ms = self.age_ms();
+        let age_ms = self.read_age_ms();
         self.follow_event(Event::Confirmed(age_ms));
         if self.store.should_probe(self.is_fleet()) {
             tokio::task::spawn_local(probe(self.clone()));
         }
     }
 
-    /// Milliseconds since the store confirmed the oldest of what is known here.
+    /// Milliseconds since the store confirmed the oldest of what this host reads there.
+    fn read_age_ms(&self) -> Option<u64> {
+        self.oldest_ms(|_| true)
+    }
+
+    /// Milliseconds since the store confirmed the oldest of what this host passes on. The configuration is not
+    /// part of that: it travels in another way, and may be read much later than the keys.
     pub(crate) fn age_ms(&self) -> Option<u64> {
+        self.oldest_ms(|feed| feed.is_shared)
+    }
+
+    fn oldest_ms(&self, is_meant: impl Fn(&Feed) -> bool) -> Option<u64> {
         let now = self.clock.now();
-        let reads_store = self.reads_store();
         let feeds = self.feeds.borrow();
-        let relied = feeds.iter().filter(|feed| feed.is_shared || reads_store);
-        let ages: Option<Vec<u64>> = relied.map(|feed| feed.age_ms(now)).collect();
+        let meant = feeds.iter().filter(|feed| is_meant(feed));
+        let ages: Option<Vec<u64>> = meant.map(|feed| feed.age_ms(now)).collect();
         ages?.into_iter().max()
     }
 
@@ -393,27 +428,18 @@
 
     /// Takes in what is new under one prefix and passes it on; tells whether it was news enough.
     fn take_prefix(&self, feeds: &[Rc<Feed>], sync: PrefixSync) -> bool {
-        let prefix = match &sync {
-            PrefixSync::Whole(snapshot) => &snapshot.prefix,
-            PrefixSync::Since(changes) => &changes.prefix,
-        };
-        let Some(feed) = feeds.iter().find(|feed| feed.prefix == *prefix) else {
-            return false;
-        };
+        let find = |prefix: &Name| feeds.iter().find(|feed| feed.prefix == *prefix);
         match sync {
-            PrefixSync::Whole(PrefixSnapshot { at, items, .. }) => {
-                let snapshot = Snapshot { items, at };
-                let changes = feed.changes_to(&snapshot);
-                if !feed.replace(snapshot) {
+            PrefixSync::Whole(packed) => {
+                let Some(PrefixSnapshot { prefix, at, items }) = unpack(&packed) else {
                     return false;
-                }
-                match changes {
-                    Some(changes) => self.pass_on(feed, at, changes),
-                    None => feed.told.set(at),
-                }
-                true
+                };
+                find(&prefix).is_some_and(|feed| self.take_whole(feed, Snapshot { items, at }))
             }
-            PrefixSync::Since(PrefixChanges { after, at, changes, .. }) => {
+            PrefixSync::Since(PrefixChanges { prefix, after, at, changes }) => {
+                let Some(feed) = find(&prefix) else {
+                    return false;
+                };
                 let is_taken = feed.change(after, at, changes.clone()).is_ok();
                 if is_taken {
                     self.pass_on(feed, at, changes);
@@ -423,6 +449,18 @@
         }
     }
 
+    fn take_whole(&self, feed: &Feed, snapshot: Snapshot) -> bool {
+        let (at, changes) = (snapshot.at, feed.changes_to(&snapshot));
+        if !feed.replace(snapshot) {
+            return false;
+        }
+        match changes {
+            Some(changes) => self.pass_on(feed, at, changes),
+            None => feed.told.set(at),
+        }
+        true
+    }
+
     /// An aggregator told changes.
     pub(crate) fn take_changes(
         self: &Rc<Self>,
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -92,8 +92,9 @@
 const WAITING: usize = 1_024;
 /// Bytes that each link reads at once: hosts have links to all others, and messages are short.
 const READ_BUFFER: usize = 4 << 10;
-/// After a link broke, no new one is dialed for this long.
-const REDIAL: Duration = Duration::from_millis(300);
+/// After a link broke, no new one is dialed for this long: where all hosts start at once, some dial others that
+/// listen a few tens of milliseconds later.
+const REDIAL: Duration = Duration::from_millis(100);
 
 impl Links {
     /// Accepts links at `listener` and hands what arrives to `sink`.
@@ -138,11 +139,10 @@
         peers: impl Iterator<Item = (&'a Name, SocketAddr)>,
         message: &impl Serialize,
     ) {
-        let mut bytes = Vec::new();
-        if let Err(e) = ciborium::into_writer(message, &mut bytes) {
-            return log::error!("event=encode-failed error=\"{e}\"");
-        }
-        let bytes = Bytes::from(bytes);
+        let bytes = match encode(message) {
+            Ok(bytes) => Bytes::from(bytes),
+            Err(e) => return log::error!("event=encode-failed error=\"{e}\""),
+        };
         for (to, address) in peers {
             if self.commands.send((to.clone(), address, bytes.clone())).is_err() {
                 self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
@@ -156,6 +156,16 @@
     }
 }
 
+/// The bytes of a message.
+///
+/// # Errors
+/// If it can't be written.
+pub fn encode(message: &impl Serialize) -> Result<Vec<u8>, ciborium::ser::Error<std::io::Error>> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes)?;
+    Ok(bytes)
+}
+
 /// Reads a message; `None` for bytes that are none.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
     // The recursion limit keeps a hostile frame from exhausting the stack.
