fix: a host that did not run doubts no other host until it has heard what was told meanwhile

Hosts measure the silence of a source by the clock, also over time in which they did not run themselves. With the whole machine frozen for 0.7 s, three times in a row, 8 hosts logged a source left as silent, others as stale, and readers changed each time (tests/fleet.rs, all_frozen, fails on the code before).

--- a/crates/fanout/src/event.rs
+++ b/crates/fanout/src/event.rs
@@ -44,6 +44,8 @@
     Probed(bool),
     /// The hosts that hear from this one.
     Subscribers(BTreeSet<Name>),
+    /// This host did not run for a while, though it is not told so: what others said meanwhile comes now.
+    Stalled,
     /// Time passed.
     Tick,
 }
--- a/crates/fanout/src/follow.rs
+++ b/crates/fanout/src/follow.rs
@@ -96,6 +96,8 @@
     probed: Option<Tick>,
     /// The parents worked out last, by the host that was left out.
     parents: BTreeMap<Option<Name>, Parent>,
+    /// Until then no source is doubted, since this host did not run.
+    respite: Tick,
 }
 
 /// A source that says nothing for this long is suspected, in milliseconds.
@@ -132,6 +134,10 @@
 const SETTLE_MS: u64 = 400;
 /// Between two readings of the list of hosts, in milliseconds.
 const SURVEY_MS: u64 = 200;
+/// After a stall of its own a host doubts no source for this long, in milliseconds: what was told meanwhile lies in
+/// its sockets, and words come every tenth of a second. Without it a stall of 0.7 s of a whole machine made the
+/// hosts there take each other for silent, and three read the store where one does.
+const RESPITE_MS: u64 = 300;
 /// Between two probes of the store, in milliseconds.
 const PROBE_MS: u64 = 500;
 
@@ -151,6 +157,7 @@
             asked: None,
             probed: None,
             parents: BTreeMap::new(),
+            respite: now,
         }
     }
 
@@ -245,11 +252,19 @@
             }
             Event::Probed(is_answered) => self.probed(now, is_answered, &mut actions),
             Event::Subscribers(hosts) => self.subscribers = hosts,
+            Event::Stalled => self.stalled(now),
             Event::Tick => self.tick(now, &mut actions),
         }
         actions
     }
 
+    /// A host that stalls again and again must not rest on a dead source for ever.
+    fn stalled(&mut self, now: Tick) {
+        if now >= self.respite + SILENT_MS {
+            self.respite = now + RESPITE_MS;
+        }
+    }
+
     fn told(
         &mut self,
         now: Tick,
@@ -373,6 +388,7 @@
         }
         match self.state.clone() {
             State::Starting(search) => self.start(now, search, actions),
+            _ if now < self.respite => {}
             State::Store { since, confirmed } => {
                 let is_stale = is_unconfirmed(now, since, confirmed);
                 self.review_store(now, is_stale, actions);
--- a/crates/fanout/tests/follow.rs
+++ b/crates/fanout/tests/follow.rs
@@ -248,6 +248,35 @@
     assert_eq!(actions, expected);
 }
 
+/// A host that did not run hears first what was told meanwhile.
+#[test]
+fn own_stall() {
+    let mut follow = subscribed();
+    let order = order();
+    follow.handle(START + 900, Event::Stalled);
+    assert_eq!(follow.handle(START + 900, Event::Tick), []);
+    follow.handle(START + 905, told(&order[0], Some(1_200)));
+    assert_eq!(follow.handle(START + 920, Event::Tick), [], "its source stalled as well");
+    follow.handle(START + 1_000, told(&order[0], Some(10)));
+    assert_eq!(follow.handle(START + 1_220, Event::Tick), []);
+    assert_eq!(follow.source(), Source::Host(order[0].clone()));
+}
+
+/// One that stalls again and again still leaves a silent source.
+#[test]
+fn stalled_often() {
+    let mut follow = subscribed();
+    let mut left = None;
+    for at in (300..3_000).step_by(300).map(|ms| START + ms) {
+        follow.handle(at, Event::Stalled);
+        let actions = follow.handle(at, Event::Tick);
+        if actions.contains(&Action::Subscribe(order()[1].clone())) {
+            left.get_or_insert(at);
+        }
+    }
+    assert!(left.is_some_and(|at| at <= START + 1_500), "{left:?}");
+}
+
 /// The next host in the order takes over from a silent one at once.
 #[test]
 fn next_takes_over() {
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -7,7 +7,7 @@
     store::Snapshot,
     tenure::HOLDER_KEY,
 };
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 use vanetally_fanout::{Action, Event, Reason, Source, StoreState};
 use vanetally_ports::{Change, Freshness, Revision};
 use vanetally_types::{Name, Tick};
@@ -32,6 +32,12 @@
         }
     }
 
+    /// The process did not run for `gap`.
+    pub(crate) fn stalled(self: &Rc<Self>, gap: Duration) {
+        log::warn!("event=host_stalled gap_ms={}", gap.as_millis());
+        self.follow_event(Event::Stalled);
+    }
+
     fn subscribe(&self, to: &Name) {
         let feeds = self.shared_feeds();
         let have =
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -16,6 +16,11 @@
 const BOUND: Duration = Duration::from_millis(5_000);
 /// Time in which the store's calls are counted.
 const COUNTED: Duration = Duration::from_secs(6);
+/// How long and how often all hosts are frozen: longer than a source may be silent.
+const FROZEN: Duration = Duration::from_millis(700);
+const FREEZES: usize = 3;
+/// Time in which hosts that misjudge each other change their sources.
+const THAWED: Duration = Duration::from_millis(1_000);
 
 fn name(number: usize) -> String {
     format!("front-{number}")
@@ -38,6 +43,17 @@
     (0..HOSTS).filter(reads).collect()
 }
 
+/// The changes of source that all hosts logged.
+fn source_changes(deployment: &Deployment) -> String {
+    let mut changes = String::new();
+    for (file, log) in deployment.logs() {
+        for line in log.lines().filter(|line| line.contains("event=source_changed")) {
+            changes += &format!("\n{file}: {line}");
+        }
+    }
+    changes
+}
+
 /// Whether the host serves the route that was added.
 fn serves(host: &Host, path: &str) -> bool {
     Client::new("GET", path, "a1").deadline(200).send(host.front).status == 200
@@ -73,7 +89,8 @@
     // each one and a half seconds or after a change.
     let most = HOSTS * 2 + 12 + 12 + 20;
     assert!(calls <= most, "{calls} calls: {kinds:?}");
-    assert_eq!(readers(&deployment).len(), 1);
+    let reading = readers(&deployment);
+    assert_eq!(reading.len(), 1, "{reading:?} read the store: {}", source_changes(&deployment));
     drop(hosts);
 }
 
@@ -116,6 +133,24 @@
     wait_for("one reads for all", || readers(&deployment).len() == 1);
 }
 
+/// The whole machine stands still for a moment: nobody takes the hosts before it for silent because of that.
+#[test]
+fn all_frozen() {
+    let deployment = Deployment::start();
+    let hosts = start_hosts(&deployment);
+    let reader = readers(&deployment);
+    let turned = || source_changes(&deployment).lines().filter(|l| l.contains("=silent")).count();
+    let before = turned();
+    for _ in 0..FREEZES {
+        hosts.iter().for_each(|host| host.signal("STOP"));
+        sleep(FROZEN);
+        hosts.iter().for_each(|host| host.signal("CONT"));
+        sleep(THAWED);
+    }
+    assert_eq!(turned(), before, "{}", source_changes(&deployment));
+    assert_eq!(readers(&deployment), reader, "{}", source_changes(&deployment));
+}
+
 /// What the holder of orders tells comes to all hosts: a missing adapter is served everywhere.
 #[test]
 fn placed_everywhere() {
