feat: the pacer of an engine keeps requests off it while it breaks them off

Each of 295 hosts sends there once in some seconds, so its own ejection comes too late, and the ends that hosts tell with their loads take three hops of up to 0.2 s. A sole replica was sent to all the while, since the last one is never left out. Change: a circuit breaker at the pacer, which is asked before each sending anyway.

--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -237,7 +237,7 @@
     };
     println!("bytes frame=prompt value={}", size(&prompt(4_000)));
     let mut bytes = Vec::new();
-    let moment = Moment { delay_ms: 40, unread: 1_110, ahead_ms: 60 };
+    let moment = Moment { delay_ms: 40, unread: 1_110, ahead_ms: 60, is_trial: false };
     let written = ciborium::into_writer(&moment, &mut bytes).map_or(0, |()| bytes.len());
     println!("bytes frame=moment value={written}");
 }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -8,6 +8,8 @@
     pub upstream: Name,
     /// What is expected there.
     pub expected: Expected,
+    /// Whether the engine's pacer has to hear of the answer.
+    pub is_trial: bool,
 }
 
 /// What an upstream has to read before a request's first piece.
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -153,7 +153,7 @@
     let again = if request.tried.contains(id) { TRIED_MS } else { 0.0 };
     let cost = own_ms * view.pace.slowness(id) + away + again + tie;
     let expected = Expected { unread, ahead_ms: ahead_ms as u32 };
-    (cost, Choice { upstream: id.clone(), expected })
+    (cost, Choice { upstream: id.clone(), expected, is_trial: false })
 }
 
 /// A fraction of a millisecond that spreads equal choices.
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -49,6 +49,7 @@
             return;
         };
         self.learn_end(now, &request, &sending, end);
+        self.tell_end(&request, &sending, end, actions);
         match end {
             AttemptEnd::Served => return,
             // The upstream's own failure went to the caller, unless it may be tried again.
@@ -113,6 +114,28 @@
         upstream.health.review(now, good, bad);
     }
 
+    /// The engine's pacer hears of bad ends, so that other hosts stop sending there at once, and how a trial
+    /// ended. One that turned the request away has answered.
+    fn tell_end(
+        &self,
+        request: &Request,
+        sending: &Sending,
+        end: AttemptEnd,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_good = match end {
+            AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Unreachable => false,
+            AttemptEnd::Withdrawn => return,
+            AttemptEnd::Served | AttemptEnd::Full | AttemptEnd::Absent | AttemptEnd::Replaced => {
+                true
+            }
+        };
+        let is_news = !is_good || (sending.is_trial && !sending.has_begun);
+        if is_news && self.is_engine(&request.service) {
+            actions.push(Action::Tell { upstream: sending.upstream.clone(), is_good });
+        }
+    }
+
     /// The final answer to a request that may not be sent again.
     fn why_not_again(
         &mut self,
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -228,6 +228,13 @@
         /// Whether it is held, and one more copy is wanted.
         is_crowded: bool,
     },
+    /// Tell the engine's pacer how a request ended there.
+    Tell {
+        /// The engine's incarnation.
+        upstream: Name,
+        /// Whether it answered.
+        is_good: bool,
+    },
     /// Note how well the first piece was predicted.
     Predicted {
         /// The request.
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -299,6 +299,9 @@
         if std::mem::replace(&mut sending.has_begun, true) {
             return;
         }
+        if sending.is_trial {
+            actions.push(Action::Tell { upstream: sending.upstream.clone(), is_good: true });
+        }
         let read = Load { unread_tokens: sending.load.unread_tokens, ..Load::default() };
         sending.load.unread_tokens = 0;
         let model = request.head.model.as_ref().map(|subject| &subject.model);
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -47,6 +47,8 @@
     /// What was expected when it was sent.
     pub expected: Expected,
     pub has_begun: bool,
+    /// Whether the engine's pacer has to hear of its answer.
+    pub is_trial: bool,
 }
 
 /// A request that has not ended.
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -61,9 +61,9 @@
         upstream.own.take(load);
         match slot {
             Slot::Granted(_) if !upstream.takes_new(now) => {}
-            Slot::Granted(Moment { delay_ms, unread, ahead_ms }) => {
+            Slot::Granted(Moment { delay_ms, unread, ahead_ms, is_trial }) => {
                 let expected = Expected { unread, ahead_ms };
-                let choice = Choice { expected, ..choice };
+                let choice = Choice { expected, is_trial, ..choice };
                 actions.extend(self.send(now, id, choice, delay_ms));
             }
             Slot::Busy { retry_ms } => upstream.paced_until = now + u64::from(retry_ms),
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -98,7 +98,7 @@
         }
     }
 
-    fn is_engine(&self, service: &Name) -> bool {
+    pub(crate) fn is_engine(&self, service: &Name) -> bool {
         let services = self.configuration.as_ref().map(|c| &c.services);
         services.and_then(|known| known.get(service)).is_some_and(|known| known.engine.is_some())
     }
@@ -183,6 +183,7 @@
             load,
             expected: choice.expected,
             has_begun: false,
+            is_trial: choice.is_trial,
         });
         Some(Action::Send { id, attempt })
     }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -194,6 +194,7 @@
                 dispatch::Action::Want { service, subject, is_crowded } => {
                     self.want(service, subject, is_crowded);
                 }
+                dispatch::Action::Tell { upstream, is_good } => self.tell_pacer(upstream, is_good),
                 dispatch::Action::Predicted { prediction, .. } => note_prediction(&prediction),
             }
         }
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -46,6 +46,7 @@
             PeerMessage::Changes { store, changes } => self.take_changes(from, store, changes),
             PeerMessage::Reserve { number, prompt } => self.reserve_for(from, number, &prompt),
             PeerMessage::Reserved { number, slot } => self.reserved(number, slot),
+            PeerMessage::Ended { upstream, is_good } => self.told_end(from, &upstream, is_good),
             PeerMessage::Want { service, model, adapter, is_crowded } => {
                 let subject = ModelRef { model, adapter };
                 self.placement_event(placement::Event::Wanted { service, subject, is_crowded });
--- a/crates/gateway/src/pacing.rs
+++ b/crates/gateway/src/pacing.rs
@@ -3,7 +3,7 @@
 use crate::{hub::Hub, peers::PeerMessage};
 use std::{collections::HashMap, rc::Rc, time::Duration, time::Instant};
 use vanetally_dispatch::{self as dispatch, RequestId};
-use vanetally_pacing::{Pacer, Pacers, Prompt, Slot};
+use vanetally_pacing::{Pacer, Pacers, Prompt, Slot, Turn};
 use vanetally_types::Name;
 
 /// For a pacer to answer: after that this host decides alone.
@@ -100,6 +100,30 @@
         }
     }
 
+    /// Tells the pacer of an engine how a request ended there.
+    pub(crate) fn tell_pacer(&self, upstream: Name, is_good: bool) {
+        let now = self.clock.now();
+        let host = self.pacing.borrow_mut().pacers.pacer_of(now, &upstream).clone();
+        if host == self.settings.host {
+            return self.told_end(&host, &upstream, is_good);
+        }
+        self.send(&host, &PeerMessage::Ended { upstream, is_good });
+    }
+
+    /// A host told how a request ended at an engine that this one paces.
+    pub(crate) fn told_end(&self, from: &Name, upstream: &Name, is_good: bool) {
+        let turn = self.pacing.borrow_mut().pacer.told(self.clock.now(), upstream, is_good);
+        match turn {
+            None => {}
+            Some(Turn::Opened { pause_ms }) => {
+                log::info!(
+                    "event=engine_avoided upstream={upstream} by={from} pause_ms={pause_ms}"
+                );
+            }
+            Some(Turn::Closed) => log::info!("event=engine_answers upstream={upstream} by={from}"),
+        }
+    }
+
     /// Decides alone what pacers did not answer.
     pub(crate) fn check_pacers(self: &Rc<Self>) {
         let now = self.clock.now();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -101,6 +101,13 @@
         /// When.
         slot: Slot,
     },
+    /// To the pacer of an engine: how a request ended there.
+    Ended {
+        /// The engine's incarnation.
+        upstream: Name,
+        /// Whether it answered.
+        is_good: bool,
+    },
     /// To the holder of orders: something is missing.
     Want {
         /// The service.
--- a/crates/pacing/src/pacer.rs
+++ b/crates/pacing/src/pacer.rs
@@ -1,6 +1,6 @@
 //! Gives out the moments for prompts.
 
-use crate::{Prefix, PrefixCache, bucket::Bucket};
+use crate::{Prefix, PrefixCache, Turn, breaker::Breaker, bucket::Bucket};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use vanetally_types::{Name, Tick};
@@ -49,6 +49,9 @@
     pub unread: u32,
     /// Milliseconds of reading that it has yet to do then for others.
     pub ahead_ms: u32,
+    /// Whether the pacer has to hear of its answer: others wait to see whether there is one.
+    #[serde(default)]
+    pub is_trial: bool,
 }
 
 /// The engines that this host paces.
@@ -60,6 +63,7 @@
 #[derive(Clone, Debug, Default)]
 struct Engine {
     bucket: Bucket,
+    breaker: Breaker,
     prefixes: PrefixCache,
 }
 
@@ -75,7 +79,11 @@
 impl Pacer {
     /// Finds the moment for a prompt.
     pub fn reserve(&mut self, now: Tick, prompt: &Prompt) -> Slot {
-        let Engine { bucket, prefixes } = self.engines.entry(prompt.upstream.clone()).or_default();
+        let Engine { bucket, breaker, prefixes } =
+            self.engines.entry(prompt.upstream.clone()).or_default();
+        if let Some(retry_ms) = breaker.wait_ms(now) {
+            return Slot::Busy { retry_ms };
+        }
         let unread = prompt.tokens.saturating_sub(prefixes.tokens(&prompt.shared));
         let reading_ms = f64::from(unread) * f64::from(prompt.per_token_us) / MICROS_PER_MILLI;
         let gap_ms = f64::from(prompt.gap_ms);
@@ -88,7 +96,14 @@
         let delay_ms = delay_ms as u32;
         let ahead_ms = bucket.fill(now, now + u64::from(delay_ms), reading_ms) as u32;
         prefixes.insert(&prompt.model, &prompt.shared);
-        Slot::Granted(Moment { delay_ms, unread, ahead_ms })
+        let is_trial = breaker.sent(now);
+        Slot::Granted(Moment { delay_ms, unread, ahead_ms, is_trial })
+    }
+
+    /// A host told how a request ended at an engine: badly, or well if it was a trial.
+    pub fn told(&mut self, now: Tick, upstream: &Name, is_good: bool) -> Option<Turn> {
+        // One that was never asked for here, or has gone, needs no breaker.
+        self.engines.get_mut(upstream)?.breaker.told(now, is_good)
     }
 
     /// An engine let go of a model, and of what it read for it.
--- a/crates/pacing/tests/spacing.rs
+++ b/crates/pacing/tests/spacing.rs
@@ -27,7 +27,7 @@
 #[test]
 fn idle_at_once() {
     let mut pacer = Pacer::default();
-    let idle = Slot::Granted(Moment { delay_ms: 0, unread: 60, ahead_ms: 0 });
+    let idle = Slot::Granted(Moment { delay_ms: 0, unread: 60, ahead_ms: 0, is_trial: false });
     assert_eq!(pacer.reserve(Tick(5), &prompt("i-1", 60)), idle);
     assert_eq!(pacer.reserve(Tick(5), &prompt("i-2", 60)), idle);
 }
