change: a host that starts tells callers to come back when it will know a configuration

Change: the time is what is left of 0.55 s since the start, 0.25 s at least; a host without a configuration for longer has a store that is away, and says a second as before.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -24,14 +24,30 @@
 const LEAST_LEFT_MS: u64 = 20;
 /// When to come back if nothing better is known, in milliseconds.
 pub(crate) const RETRY_MS: u64 = 500;
-/// When to come back to a host that knows no configuration yet, in milliseconds: a start takes about so
-/// long, and most of those that come back earlier find the same.
-pub(crate) const START_RETRY_MS: u64 = 1_000;
+/// A host knows a configuration this long after its start, in milliseconds: 0.27 to 0.55 s where all of 295 hosts
+/// start together.
+const START_MS: u64 = 550;
+/// When to come back to a host that knows no configuration yet, in milliseconds, at least: it is late already, and
+/// the store may be away.
+const LEAST_START_RETRY_MS: u64 = 250;
+/// The same for a host that has no configuration long after its start: the store is away.
+const STORE_RETRY_MS: u64 = 1_000;
 /// When to come back after a refusal by a host that stops, in milliseconds.
 pub(crate) const STOP_RETRY_MS: u64 = 50;
 /// When to come back for a model that nobody holds, in milliseconds.
 const LOAD_RETRY_MS: u64 = 3_000;
 
+/// When to come back to a host that knows no configuration `age_ms` after its start, in milliseconds.
+///
+/// Callers that were refused while all hosts started are then served within their objective of a second; with a
+/// whole second for all of them 820 of 1,885 were late.
+pub(crate) fn start_retry_ms(age_ms: u64) -> u64 {
+    if age_ms > START_MS + LEAST_START_RETRY_MS {
+        return STORE_RETRY_MS;
+    }
+    START_MS.saturating_sub(age_ms).max(LEAST_START_RETRY_MS)
+}
+
 impl Dispatch {
     pub(crate) fn attempt_ended(
         &mut self,
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -3,7 +3,7 @@
 use crate::{
     Action, Budget, DemandRow, Digest, Event, LoadRow, Options, Prediction, RequestId, RouteIndex,
     Standing,
-    ending::{RETRY_MS, START_RETRY_MS, STOP_RETRY_MS},
+    ending::{RETRY_MS, STOP_RETRY_MS, start_retry_ms},
     pace::Pace,
     queue::Queue,
     request::{Request, Stage},
@@ -22,6 +22,7 @@
 /// All decisions about requests of one host.
 pub struct Dispatch {
     pub(crate) options: Options,
+    started: Tick,
     pub(crate) configuration: Option<Rc<Configuration>>,
     pub(crate) routes: RouteIndex,
     pub(crate) upstreams: BTreeMap<Name, Upstream>,
@@ -75,10 +76,11 @@
 pub(crate) const MICROS_PER_MILLI: f64 = 1_000.0;
 
 impl Dispatch {
-    /// Nothing is known yet.
-    pub fn new(options: Options) -> Self {
+    /// Nothing is known yet; the process starts at `now`.
+    pub fn new(now: Tick, options: Options) -> Self {
         Self {
             options,
+            started: now,
             configuration: None,
             routes: RouteIndex::default(),
             upstreams: BTreeMap::new(),
@@ -257,7 +259,8 @@
             standing: Standing::default(),
         };
         if self.configuration.is_none() {
-            return actions.push(refuse(RefusalCause::NotConfigured, Some(START_RETRY_MS)));
+            let retry_ms = start_retry_ms(now.since(self.started));
+            return actions.push(refuse(RefusalCause::NotConfigured, Some(retry_ms)));
         }
         let Some(route) = self.routes.find(&head.host, &head.path).cloned() else {
             return actions.push(refuse(RefusalCause::NoRoute, None));
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -26,7 +26,7 @@
 
 #[test]
 fn nothing_configured() {
-    let mut dispatch = Dispatch::new(options());
+    let mut dispatch = Dispatch::new(support::START, options());
     let head = request("a", "offer", None);
     let arrived = Event::Arrived { id: RequestId(0), request: head };
     let refused = refusal(&dispatch.handle(support::START, arrived), RequestId(0)).unwrap();
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -115,7 +115,7 @@
 impl Host {
     /// A host that knows `routes` and nothing else.
     pub fn new(routes: Vec<Route>) -> Self {
-        let mut host = Self { dispatch: Dispatch::new(options()), now: START, next: 0 };
+        let mut host = Self { dispatch: Dispatch::new(START, options()), now: START, next: 0 };
         host.tell(Event::Configured(configuration(1, routes)));
         host
     }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -131,7 +131,7 @@
             stage: watch::Sender::new(Stage::Serving),
             host_lease: Cell::new(None),
             links,
-            dispatch: RefCell::new(Dispatch::new(options)),
+            dispatch: RefCell::new(Dispatch::new(clock.now(), options)),
             placement: RefCell::new(Placement::new(placement)),
             tenure: RefCell::new(Tenure::new(clock.now(), tenure)),
             holder: RefCell::new(None),
