change: a holder of orders whose renewals were not answered goes on asking instead of leaving its lease

The holder left its lease at 19.4 s, when its last renewal no longer covered the moment; the key stayed in the store until two seconds after its return, and the next holder took it at 28.13 s and had all reports by 29 s: three seconds without orders while a release took runners and 221 requests were refused because nobody held their model. Ruled out: that the holder had ended; it took the key again at 36 s in the same place of the order. Change: it gives no order while uncovered, as before, and renews again and again; the first answer resumes under the same token, and one that says that the lease is over ends it as before. Test: outlives_outage (fails on the code before: the lease is ended after 1.6 s); the model check of the order lease passes.

--- a/crates/placement/src/tenure.rs
+++ b/crates/placement/src/tenure.rs
@@ -2,7 +2,9 @@
 //!
 //! The holder's key lies in the store under a lease. Its fencing token is the revision at which
 //! the key was made, so that a later holder's token is always higher. A holder acts only while its
-//! last renewal, counted from when it was sent, still covers the moment.
+//! last renewal, counted from when it was sent, still covers the moment. It goes on asking for the next renewal
+//! after that: where the store was away and has kept its lease, the key is its own still, and orders go on with
+//! the first answer and not when the lease has run out, two seconds later.
 
 use vanetally_ports::{LeaseId, Revision};
 use vanetally_types::{Name, Tick};
@@ -268,7 +270,6 @@
                 self.state = State::Granting;
                 vec![TenureAction::Grant { ttl_ms: self.options.ttl_ms }]
             }
-            State::Holding(holding) if now >= holding.covered => self.leave(now),
             State::Holding(holding) if holding.renew_at.is_some_and(|at| now >= at) => {
                 holding.renew_at = None;
                 vec![TenureAction::Renew { lease: holding.lease }]
--- a/crates/placement/tests/tenure.rs
+++ b/crates/placement/tests/tenure.rs
@@ -88,6 +88,30 @@
     assert_eq!(tenure.token(START + after).is_some(), may_order);
 }
 
+/// The store is away for eight seconds and no lease runs out meanwhile: the first renewal that it answers is enough.
+#[test]
+fn outlives_outage() {
+    let mut tenure = holder();
+    let mut renewals = 0;
+    for at in (0..8_000).step_by(20).map(|ms| START + ms) {
+        for action in tenure.handle(at, TenureEvent::Tick) {
+            assert_eq!(action, TenureAction::Renew { lease: LEASE });
+            renewals += 1;
+            tenure.handle(at, TenureEvent::RenewFailed);
+        }
+        assert_eq!(
+            tenure.token(at).is_some(),
+            (START + 300..START + 1_600).contains(&at),
+            "{at:?}"
+        );
+    }
+    assert!(renewals <= 33, "{renewals} calls");
+    tenure.handle(START + 8_010, TenureEvent::Renewed { sent: START + 8_000 });
+    assert_eq!(tenure.token(START + 8_010), Some(Revision(40)));
+    let actions = tenure.handle(START + 8_020, TenureEvent::LeaseOver);
+    assert_eq!(actions, [TenureAction::End { lease: LEASE }], "another one may have the key");
+}
+
 #[test]
 fn renewal_counts_from_sending() {
     let mut tenure = holder();
