feat: the choice for a request looks only at upstreams that may hold its model

Change: a directory of upstreams by service and model; what was announced or told once stays listed until the next announcement, and whether it holds now is judged as before. Only a request for which no holder takes new ones looks further, to tell a missing model from a missing service.

--- /dev/null
+++ b/crates/dispatch/src/directory.rs
@@ -0,0 +1,86 @@
+//! Which upstreams may take a request, without a look at all of them.
+
+use std::collections::{BTreeSet, HashMap};
+use vanetally_ports::UpstreamState;
+use vanetally_types::Name;
+
+/// The upstreams of each service, and of each model those that may hold it.
+///
+/// With 4,800 runners of which five hold a model, the choice for a request looks at these five. Whether an
+/// upstream holds it now is for [`crate::upstream::Upstream::holds`] to say: what was announced or told once
+/// stays here until the next announcement, and only what was never announced nor told is missing.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Directory {
+    services: HashMap<Name, Service>,
+    upstreams: HashMap<Name, Listed>,
+}
+
+/// Where an upstream stands.
+#[derive(Clone, Debug)]
+struct Listed {
+    service: Name,
+    models: BTreeSet<Name>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Service {
+    upstreams: BTreeSet<Name>,
+    holders: HashMap<Name, BTreeSet<Name>>,
+}
+
+impl Directory {
+    /// An upstream announced itself. `told` are the models that it was told to hold beside.
+    pub(crate) fn announced<'a>(
+        &mut self,
+        id: &Name,
+        state: &'a UpstreamState,
+        told: impl Iterator<Item = &'a Name>,
+    ) {
+        self.gone(id);
+        let service = self.services.entry(state.service.clone()).or_default();
+        service.upstreams.insert(id.clone());
+        let listed = Listed { service: state.service.clone(), models: BTreeSet::new() };
+        self.upstreams.insert(id.clone(), listed);
+        for model in state.models.iter().map(|held| &held.name).chain(told) {
+            self.told(id, model);
+        }
+    }
+
+    /// An upstream that announced itself was told to hold a model.
+    pub(crate) fn told(&mut self, id: &Name, model: &Name) {
+        let Some(listed) = self.upstreams.get_mut(id) else {
+            return;
+        };
+        listed.models.insert(model.clone());
+        if let Some(service) = self.services.get_mut(&listed.service) {
+            service.holders.entry(model.clone()).or_default().insert(id.clone());
+        }
+    }
+
+    /// An upstream's announcement is gone.
+    pub(crate) fn gone(&mut self, id: &Name) {
+        let Some(listed) = self.upstreams.remove(id) else {
+            return;
+        };
+        let Some(service) = self.services.get_mut(&listed.service) else {
+            return;
+        };
+        service.upstreams.remove(id);
+        for model in &listed.models {
+            if let Some(holders) = service.holders.get_mut(model) {
+                holders.remove(id);
+            }
+        }
+    }
+
+    /// The upstreams of a service, in the order of their names.
+    pub(crate) fn of_service(&self, service: &Name) -> impl Iterator<Item = &Name> {
+        self.services.get(service).into_iter().flat_map(|service| &service.upstreams)
+    }
+
+    /// Those that may hold a model, in the same order.
+    pub(crate) fn holders(&self, service: &Name, model: &Name) -> impl Iterator<Item = &Name> {
+        let service = self.services.get(service);
+        service.and_then(|service| service.holders.get(model)).into_iter().flatten()
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod choose;
 /// What hosts tell each other of their load.
 pub mod digest;
+mod directory;
 mod ending;
 mod event;
 mod fit;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -1,8 +1,9 @@
 //! The state machine of one host's requests.
 
 use crate::{
-    Action, Budget, DemandRow, Digest, Event, LoadRow, Options, Prediction, RequestId, RouteIndex,
-    Standing,
+    Action, Budget, DemandRow, Digest, Event, LoadRow, Options, Prediction, Presence, RequestId,
+    RouteIndex, Standing,
+    directory::Directory,
     ending::{RETRY_MS, STOP_RETRY_MS, start_retry_ms},
     pace::Pace,
     queue::Queue,
@@ -26,6 +27,7 @@
     pub(crate) configuration: Option<Rc<Configuration>>,
     pub(crate) routes: RouteIndex,
     pub(crate) upstreams: BTreeMap<Name, Upstream>,
+    pub(crate) directory: Directory,
     pub(crate) requests: HashMap<RequestId, Request>,
     pub(crate) queue: Queue,
     pub(crate) budgets: BTreeMap<Name, Budget>,
@@ -84,6 +86,7 @@
             configuration: None,
             routes: RouteIndex::default(),
             upstreams: BTreeMap::new(),
+            directory: Directory::default(),
             requests: HashMap::new(),
             queue: Queue::default(),
             budgets: BTreeMap::new(),
@@ -103,10 +106,14 @@
             Event::UpstreamSeen { id, state } => self.upstream_seen(now, id, state),
             Event::UpstreamGone { id } => {
                 self.upstreams.remove(&id);
+                self.directory.gone(&id);
                 self.pace.forget(&id);
                 self.upstreams.values_mut().for_each(|upstream| upstream.successor_gone(&id));
             }
             Event::Placed { runner, subject, presence } => {
+                if presence == Presence::Present {
+                    self.directory.told(&runner, &subject.model);
+                }
                 if let Some(upstream) = self.upstreams.get_mut(&runner) {
                     upstream.set_presence(subject, presence, now);
                 }
@@ -218,6 +225,8 @@
     }
 
     fn upstream_seen(&mut self, now: Tick, id: Name, state: UpstreamState) {
+        let told = self.upstreams.get(&id).into_iter().flat_map(Upstream::told_present);
+        self.directory.announced(&id, &state, told);
         match self.upstreams.get_mut(&id) {
             Some(upstream) => upstream.update(state, now),
             None => {
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -6,6 +6,7 @@
     choose::{View, choose},
     request::{Request, Sending, Stage},
     shortage::{Lack, Shortage},
+    upstream::Upstream,
 };
 use std::collections::HashMap;
 use vanetally_ports::{ModelRef, RequestKind};
@@ -113,8 +114,25 @@
             pace: &self.pace,
             hosts: self.hosts,
         };
-        let own = self.upstreams.iter().filter(|(_, u)| u.state.service == request.service);
-        choose(&view, request, own)
+        let (service, directory) = (&request.service, &self.directory);
+        let Some(subject) = &request.head.model else {
+            return choose(&view, request, self.known(directory.of_service(service)));
+        };
+        let holders = directory.holders(service, &subject.model);
+        choose(&view, request, self.known(holders)).map_err(|shortage| {
+            // Where no holder takes requests, others tell whether it is the model that is missing.
+            let is_nobody = shortage.lack == Lack::Upstream;
+            let others = || self.known(directory.of_service(service));
+            let is_missing = is_nobody && others().any(|(_, upstream)| upstream.takes_new(now));
+            if is_missing { Shortage { lack: Lack::Model, ..shortage } } else { shortage }
+        })
+    }
+
+    fn known<'a>(
+        &'a self,
+        ids: impl Iterator<Item = &'a Name>,
+    ) -> impl Iterator<Item = (&'a Name, &'a Upstream)> {
+        ids.filter_map(|id| self.upstreams.get_key_value(id))
     }
 
     fn want(
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -140,6 +140,12 @@
             && self.told(subject, now).unwrap_or_else(|| self.announces(subject))
     }
 
+    /// The models that it was told to hold, some of them long ago.
+    pub(crate) fn told_present(&self) -> impl Iterator<Item = &Name> {
+        let present = self.presence.iter().filter(|(_, (told, _))| *told == Presence::Present);
+        present.map(|(subject, _)| &subject.model)
+    }
+
     fn told(&self, subject: &ModelRef, now: Tick) -> Option<bool> {
         let (presence, at) = self.presence.get(subject)?;
         let is_going = *presence == Presence::Absent && subject.adapter.is_none();
