refactor: following a source in three files: what was heard, what time brings, the choice itself

Code moved, visibility widened within the crate, nothing else: the 36 tests of the crate pass unchanged.

--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -11,9 +11,11 @@
 mod contact;
 mod event;
 mod follow;
+mod heard;
 mod mirror;
 mod pack;
 mod pull;
+mod review;
 mod totals;
 mod versions;
 
