fix: a host that starts while the store is away tells callers to come back in a second

Change: the short time is given only where the store has answered the process, or has had less than 60 ms to do so. Tests: starting.rs, store_away and store_unknown.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -30,7 +30,9 @@
 /// When to come back to a host that knows no configuration yet, in milliseconds, at least: it is late already, and
 /// the store may be away.
 const LEAST_START_RETRY_MS: u64 = 250;
-/// The same for a host that has no configuration long after its start: the store is away.
+/// A store that is there has answered the first call of a process by now, in milliseconds.
+const STORE_ANSWER_MS: u64 = 60;
+/// When to come back to a host whose store is away, in milliseconds.
 const STORE_RETRY_MS: u64 = 1_000;
 /// When to come back after a refusal by a host that stops, in milliseconds.
 pub(crate) const STOP_RETRY_MS: u64 = 50;
@@ -40,9 +42,11 @@
 /// When to come back to a host that knows no configuration `age_ms` after its start, in milliseconds.
 ///
 /// Callers that were refused while all hosts started are then served within their objective of a second; with a
-/// whole second for all of them 820 of 1,885 were late.
-pub(crate) fn start_retry_ms(age_ms: u64) -> u64 {
-    if age_ms > START_MS + LEAST_START_RETRY_MS {
+/// whole second for all of them 820 of 1,885 were late. Where the store is away, those that come back that soon
+/// are refused again.
+pub(crate) fn start_retry_ms(age_ms: u64, has_store: bool) -> u64 {
+    let is_store_late = age_ms > STORE_ANSWER_MS && !has_store;
+    if is_store_late || age_ms > START_MS + LEAST_START_RETRY_MS {
         return STORE_RETRY_MS;
     }
     START_MS.saturating_sub(age_ms).max(LEAST_START_RETRY_MS)
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -144,6 +144,8 @@
     },
     /// The host begins a planned stop.
     Stopping,
+    /// The store has answered this process for the first time.
+    StoreAnswered,
     /// Time passed.
     Tick,
 }
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -24,6 +24,7 @@
 pub struct Dispatch {
     pub(crate) options: Options,
     started: Tick,
+    has_store: bool,
     pub(crate) configuration: Option<Rc<Configuration>>,
     pub(crate) routes: RouteIndex,
     pub(crate) upstreams: BTreeMap<Name, Upstream>,
@@ -83,6 +84,7 @@
         Self {
             options,
             started: now,
+            has_store: false,
             configuration: None,
             routes: RouteIndex::default(),
             upstreams: BTreeMap::new(),
@@ -136,6 +138,7 @@
             Event::Stopping => {
                 self.stopping_since.get_or_insert(now);
             }
+            Event::StoreAnswered => self.has_store = true,
             Event::Tick => self.expire(now, &mut actions),
         }
         self.pump(now, &mut actions);
@@ -268,7 +271,7 @@
             standing: Standing::default(),
         };
         if self.configuration.is_none() {
-            let retry_ms = start_retry_ms(now.since(self.started));
+            let retry_ms = start_retry_ms(now.since(self.started), self.has_store);
             return actions.push(refuse(RefusalCause::NotConfigured, Some(retry_ms)));
         }
         let Some(route) = self.routes.find(&head.host, &head.path).cloned() else {
--- a/crates/dispatch/tests/starting.rs
+++ b/crates/dispatch/tests/starting.rs
@@ -7,8 +7,11 @@
 use vanetally_ports::RefusalCause;
 
 /// What a caller is told that comes `age_ms` after the start.
-fn retry_ms(age_ms: u64) -> Option<u64> {
+fn retry_ms(age_ms: u64, has_store: bool) -> Option<u64> {
     let mut dispatch = Dispatch::new(START, options());
+    if has_store {
+        dispatch.handle(START, Event::StoreAnswered);
+    }
     let head = request("a", "offer", None);
     let arrived = Event::Arrived { id: RequestId(0), request: head };
     let refused = refusal(&dispatch.handle(START + age_ms, arrived), RequestId(0)).unwrap();
@@ -21,13 +24,21 @@
 #[test]
 fn back_in_time() {
     for age_ms in (0..=400).step_by(50) {
-        let back_ms = age_ms + retry_ms(age_ms).unwrap();
+        let back_ms = age_ms + retry_ms(age_ms, true).unwrap();
         assert!((550..=650).contains(&back_ms), "{age_ms} ms old: back at {back_ms} ms");
     }
 }
 
-/// A host that is long without one has a store that is away: nothing is gained by coming back at once.
+/// The first call to the store takes a while.
+#[test]
+fn store_unknown() {
+    assert_eq!(retry_ms(20, false), retry_ms(20, true));
+}
+
+/// Hosts start while the store is away: nothing is gained by coming back at once.
 #[test]
 fn store_away() {
-    assert_eq!(retry_ms(5_000), Some(1_000));
+    assert_eq!(retry_ms(200, false), Some(1_000));
+    assert_eq!(retry_ms(5_000, false), Some(1_000));
+    assert_eq!(retry_ms(5_000, true), Some(1_000));
 }
--- a/crates/fanout/src/contact.rs
+++ b/crates/fanout/src/contact.rs
@@ -103,6 +103,11 @@
         is_return
     }
 
+    /// Whether the store has answered any call of this process.
+    pub fn has_answered(&self) -> bool {
+        self.answered.is_some()
+    }
+
     /// A call sent at `sent` was refused or not answered.
     pub fn failed(&mut self, sent: Tick) {
         // What was answered since says more.
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -73,6 +73,8 @@
     pub control: Pool,
     pub links: Links,
     pub dispatch: RefCell<Dispatch>,
+    /// Whether the decisions know that the store has answered.
+    has_store: Cell<bool>,
     pub placement: RefCell<Placement>,
     pub tenure: RefCell<Tenure>,
     pub holder: RefCell<Option<Name>>,
@@ -132,6 +134,7 @@
             host_lease: Cell::new(None),
             links,
             dispatch: RefCell::new(Dispatch::new(clock.now(), options)),
+            has_store: Cell::new(false),
             placement: RefCell::new(Placement::new(placement)),
             tenure: RefCell::new(Tenure::new(clock.now(), tenure)),
             holder: RefCell::new(None),
@@ -278,6 +281,10 @@
     /// Time passed.
     pub(crate) fn tick(self: &Rc<Self>) {
         self.check_pacers();
+        if !self.has_store.get() && self.store.contact().has_answered() {
+            self.has_store.set(true);
+            self.request_event(dispatch::Event::StoreAnswered);
+        }
         self.request_event(dispatch::Event::Tick);
         self.tenure_event(TenureEvent::Tick);
         self.follow_event(FollowEvent::Tick);
