--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -1,6 +1,6 @@
 //! Costs of the decisions on the users' platform against the number of runners.
 
-use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use std::{collections::BTreeMap, hint::black_box, rc::Rc, time::Duration};
 use vanetally_dispatch::{
     Action, BudgetOptions, Digest, Dispatch, Event, LoadRow, Options, RequestId,
@@ -160,13 +160,19 @@
         let mut totals = Totals::default();
         let mut running = 0;
         group.bench_function(BenchmarkId::from_parameter(runners), |b| {
-            b.iter(|| {
+            let next = || {
                 running = running % SLOTS + 1;
-                let digest = sum(runners, running);
-                totals.take_sum(NOW, "front-2".into(), digest.loads.clone());
-                let event = Event::PeerDigest { host: "front-2".into(), digest };
-                black_box(dispatch.handle(NOW, event))
-            });
+                sum(runners, running)
+            };
+            b.iter_batched(
+                next,
+                |digest| {
+                    totals.take_sum(NOW, "front-2".into(), digest.loads.clone());
+                    let event = Event::PeerDigest { host: "front-2".into(), digest };
+                    black_box(dispatch.handle(NOW, event))
+                },
+                BatchSize::SmallInput,
+            );
         });
     }
     group.finish();
