docs: where the figures of the circuit breaker and of a start come from

Comments only: two figures named a source that was not measured (the longest first piece, the least time of a restart); they say what was seen now. No behaviour changes.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -27,10 +27,11 @@
 /// A host knows a configuration this long after its start, in milliseconds: 0.27 to 0.55 s where all of 295 hosts
 /// start together.
 const START_MS: u64 = 550;
-/// When to come back to a host that knows no configuration yet, in milliseconds, at least: it is late already, and
-/// the store may be away.
+/// When to come back to a host that knows no configuration yet, in milliseconds, at least: one that is late already
+/// is seldom ready sooner.
 const LEAST_START_RETRY_MS: u64 = 250;
-/// A store that is there has answered the first call of a process by now, in milliseconds.
+/// A store that is there has answered the first call of a process by now, in milliseconds: the call goes out with
+/// the first tick, after 20 ms, and answers take four and the way.
 const STORE_ANSWER_MS: u64 = 60;
 /// When to come back to a host whose store is away, in milliseconds.
 const STORE_RETRY_MS: u64 = 1_000;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -23,7 +23,9 @@
 /// All decisions about requests of one host.
 pub struct Dispatch {
     pub(crate) options: Options,
+    /// When the process started.
     started: Tick,
+    /// Whether the store has answered it.
     has_store: bool,
     pub(crate) configuration: Option<Rc<Configuration>>,
     pub(crate) routes: RouteIndex,
--- a/crates/pacing/src/breaker.rs
+++ b/crates/pacing/src/breaker.rs
@@ -42,19 +42,19 @@
     failures: u32,
 }
 
-/// The time in which a request's count falls to a third, in milliseconds: some requests of each engine.
+/// The time in which a request's count falls to a third, in milliseconds: an engine gets five requests in it.
 const MEMORY_MS: f64 = 1_000.0;
 /// Bad ends below which nothing is concluded: one that breaks off may be at fault itself.
 const LEAST_BAD: f64 = 1.5;
 /// Share of bad ends from which it opens, the same as for the ejection by one host.
 const OPEN_SHARE: f64 = 0.2;
-/// The first pause, in milliseconds; it doubles with each trial that fails. Engines that restart are back after
-/// half a second at the earliest, and each trial may be a lost request.
+/// The first pause, in milliseconds; it doubles with each trial that fails. Each trial may be a lost request: three
+/// go within the two seconds for which engines were seen to be down.
 const PAUSE_MS: u64 = 200;
 /// Most doublings: an engine that is back is tried within 0.8 s.
 const MOST_DOUBLINGS: u32 = 2;
-/// A trial that nothing is heard of is given up after this long, in milliseconds: the longest that the first
-/// piece of an answer took at engines that were not overloaded.
+/// A trial that nothing is heard of is given up after this long, in milliseconds: six times the median of 0.1 s in
+/// which first pieces came.
 const TRIAL_MS: u64 = 600;
 /// Whoever is turned away asks again after at most this long, in milliseconds: a trial's first piece takes a
 /// tenth of a second.
