fix: connections that come at once to the own HTTP server are all taken up

The HTTP library hands connections that come together to fewer threads than they are; what is left over waits until another connection closes, and kept ones stay open. Change: a nudge, a connection to oneself that is closed at once, 5 ms after the first request of a new connection and each second; it makes the library start one more thread, which takes up one that waits. The users' platform does not use this server.

--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -3,7 +3,7 @@
 //! One thread accepts, each exchange runs on a thread of its own, and their number is bounded:
 //! beyond it the answer is 503 at once.
 
-use crate::workers::Workers;
+use crate::{nudge::Nudge, workers::Workers};
 use std::{
     io::{Read, Write},
     net::SocketAddr,
@@ -78,8 +78,10 @@
         let handler = Arc::new(handler);
         let busy = Arc::new(AtomicUsize::new(0));
         let mut workers = Workers::new(name, options.stack);
+        let mut nudge = Nudge::start(name, self.address);
         let run = move || {
             for request in server.incoming_requests() {
+                nudge.request_from(request.remote_addr());
                 dispatch(&mut workers, options, &busy, &handler, Exchange { request });
             }
         };
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod call;
 /// HTTP towards callers and operators.
 pub mod http;
+mod nudge;
 /// Authenticated links between daemons.
 pub mod peer;
 /// The platform's key-value service and list of hosts.
