change: an aggregator keeps the sums that it tells to a fifth of its own link

The sum of 100 engines' loads to 24 hosts ten times a second is 1.1 MB/s, nine tenths of a link of 10 Mbit/s; whatever came beside it made their words late. Change: the size of the own link is read from the settings; between two sums that are spaced by it, only the word (age and version) is told. Links of 200 Mbit/s are as before.

--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -16,6 +16,7 @@
 mod pack;
 mod pull;
 mod review;
+mod spacing;
 mod totals;
 mod versions;
 
@@ -26,5 +27,6 @@
 pub use mirror::{Gap, Mirror};
 pub use pack::Packed;
 pub use pull::Pull;
+pub use spacing::Spacing;
 pub use totals::{Reported, Totals};
 pub use versions::{Error, Patch, Versions};
--- /dev/null
+++ b/crates/fanout/src/spacing.rs
@@ -0,0 +1,38 @@
+//! How often a host tells many others what is large.
+
+use vanetally_types::Tick;
+
+/// Keeps what a host tells regularly to a share of its own link.
+///
+/// The sum of 100 engines' loads to 24 hosts ten times a second is nine of the ten megabits that a weak host's link
+/// carries. With nothing else under way it passed; one large configuration beside it, and hosts took their
+/// aggregator for silent from then on.
+#[derive(Clone, Debug)]
+pub struct Spacing {
+    /// Bytes in a millisecond that may be used; none if the link's size is not known.
+    per_ms: Option<f64>,
+    due: Tick,
+}
+
+/// Share of a host's own link that regular messages may take.
+const SHARE: f64 = 0.2;
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+impl Spacing {
+    /// For a link that carries `link_bytes` a second, if that is known.
+    pub fn new(link_bytes: Option<u64>) -> Self {
+        let per_ms = link_bytes.map(|bytes| bytes as f64 * SHARE / MILLIS_PER_SECOND);
+        Self { per_ms: per_ms.filter(|bytes| *bytes > 0.0), due: Tick(0) }
+    }
+
+    /// Whether the next message may be sent.
+    pub fn is_due(&self, now: Tick) -> bool {
+        now >= self.due
+    }
+
+    /// So many bytes were sent, to all hosts together.
+    pub fn sent(&mut self, now: Tick, bytes: usize) {
+        let pause_ms = self.per_ms.map_or(0.0, |per_ms| bytes as f64 / per_ms);
+        self.due = now + pause_ms as u64;
+    }
+}
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -114,10 +114,10 @@
         &self,
         hosts: impl Iterator<Item = &'a Name>,
         message: &PeerMessage,
-    ) {
+    ) -> usize {
         let peers = self.peers.borrow();
         let known = hosts.filter_map(|host| Some((host, peers.get(host)?.link)));
-        self.links.send_all(known, message);
+        self.links.send_all(known, message)
     }
 
     pub(crate) fn send(&self, host: &Name, message: &PeerMessage) {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -15,7 +15,7 @@
 use vanetally_dispatch::{
     self as dispatch, Attempt, Digest, Dispatch, Lack, Prediction, RequestId, Standing,
 };
-use vanetally_fanout::{Follow, Pull, Source, Totals, Versions};
+use vanetally_fanout::{Follow, Pull, Source, Spacing, Totals, Versions};
 use vanetally_link::peer::Links;
 use vanetally_placement::{self as placement, Placement, Tenure, TenureEvent, TenureOptions};
 use vanetally_ports::{Configuration, Ports, Refusal, UpstreamState};
@@ -96,6 +96,8 @@
     pub pull: RefCell<Pull>,
     pub feeds: RefCell<Vec<Rc<Feed>>>,
     pub totals: RefCell<Totals>,
+    /// How often this host, as an aggregator, tells the sum of all loads.
+    pub sum_spacing: RefCell<Spacing>,
 }
 
 /// Length of the order lease, in milliseconds; the store may grant more.
@@ -156,6 +158,7 @@
             pull: RefCell::default(),
             feeds: RefCell::default(),
             totals: RefCell::default(),
+            sum_spacing: RefCell::new(Spacing::new(settings.link_bytes)),
             settings,
             ports,
         })
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -214,13 +214,20 @@
         };
         self.placement_event(placement::Event::Demand(samples(&sum)));
         let version = self.version();
+        let now = self.clock.now();
+        let mut listeners: Vec<Name> = self.totals.borrow().listeners().cloned().collect();
         if !reported.is_empty() {
-            let reported = reported.into_iter().map(|one| (one.host, one.number)).collect();
-            let total = PeerMessage::Total(Total { word: self.word(), reported, loads });
             let subscribers: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
-            self.send_all(subscribers.iter(), &total);
+            if self.sum_spacing.borrow().is_due(now) {
+                let reported = reported.into_iter().map(|one| (one.host, one.number)).collect();
+                let total = PeerMessage::Total(Total { word: self.word(), reported, loads });
+                let bytes = self.send_all(subscribers.iter(), &total);
+                self.sum_spacing.borrow_mut().sent(now, bytes);
+            } else {
+                // They hear that their source lives and how old its keys are, without the loads.
+                listeners.extend(subscribers);
+            }
         }
-        let listeners: Vec<Name> = self.totals.borrow().listeners().cloned().collect();
         if !listeners.is_empty() {
             self.send_all(listeners.iter(), &PeerMessage::Word(self.word()));
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,6 +12,8 @@
     pub domain: Name,
     /// The host's share of a processor, in percent.
     pub capacity: u32,
+    /// Bytes a second that the host's own link carries, if that is stated.
+    pub link_bytes: Option<u64>,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where the balancer asks for readiness.
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -133,21 +133,27 @@
         self.send_all([(to, address)].into_iter(), message);
     }
 
-    /// Sends `message` to all of `peers`, or drops it; it is encoded once.
+    /// Sends `message` to all of `peers`, or drops it; it is encoded once. Gives back the bytes for all together.
     pub fn send_all<'a>(
         &self,
         peers: impl Iterator<Item = (&'a Name, SocketAddr)>,
         message: &impl Serialize,
-    ) {
+    ) -> usize {
         let bytes = match encode(message) {
             Ok(bytes) => Bytes::from(bytes),
-            Err(e) => return log::error!("event=encode-failed error=\"{e}\""),
+            Err(e) => {
+                log::error!("event=encode-failed error=\"{e}\"");
+                return 0;
+            }
         };
+        let mut sum = 0;
         for (to, address) in peers {
+            sum += bytes.len();
             if self.commands.send((to.clone(), address, bytes.clone())).is_err() {
                 self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
             }
         }
+        sum
     }
 
     /// What went over the links so far.
