change: an aggregator tells as often as its share of a processor allows

Cause: with 0.12 of a processor a round of words to 25 hosts takes a tenth of a second (the hosts heard one 4 ms after the other), and ten rounds a second were due: the ages that they told were late, and hosts changed their source. Tests: spacing.rs. What is left lies around the configurations.

--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -27,6 +27,6 @@
 pub use mirror::{Gap, Mirror};
 pub use pack::Packed;
 pub use pull::Pull;
-pub use spacing::Spacing;
+pub use spacing::{Spacing, telling_ms};
 pub use totals::{Reported, Totals};
 pub use versions::{Error, Patch, Versions};
--- a/crates/fanout/tests/spacing.rs
+++ b/crates/fanout/tests/spacing.rs
@@ -2,7 +2,7 @@
 //! times a second: 4.5 KB, 1.1 MB a second, nine tenths of its link. From the first large configuration on the
 //! hosts changed their source 65 times a second, in calm times too.
 
-use vanetally_fanout::Spacing;
+use vanetally_fanout::{Spacing, telling_ms};
 use vanetally_types::Tick;
 
 /// Ten megabits a second.
@@ -39,3 +39,26 @@
     assert_eq!(sent(None), 100 * SUM, "a link of unknown size");
     assert_eq!(sent(Some(0)), 100 * SUM, "a link of no stated size");
 }
+
+/// With 0.12 of a processor a word to each of 24 hosts takes an aggregator a tenth of a second, and they were told
+/// ten times a second: words came late, and their age made hosts look for another source.
+#[test]
+fn weak_processor_spared() {
+    assert_eq!(telling_ms(25, 12), 250);
+    assert_eq!(telling_ms(10, 12), 138);
+    assert_eq!(telling_ms(5, 12), 100);
+}
+
+#[test]
+fn strong_processor_unspaced() {
+    assert_eq!(telling_ms(25, 50), 100);
+    assert_eq!(telling_ms(58, 50), 193);
+    assert_eq!(telling_ms(58, 0), 193, "a share that is not stated");
+}
+
+/// Where hosts are very many, a weak aggregator can do no better than a strong one.
+#[test]
+fn many_hosts() {
+    assert_eq!(telling_ms(120, 50), 400);
+    assert_eq!(telling_ms(120, 12), 400);
+}
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -6,17 +6,13 @@
 };
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 use vanetally_dispatch::{self as dispatch, Digest};
-use vanetally_fanout::{Event as FollowEvent, Source};
+use vanetally_fanout::{Event as FollowEvent, Source, telling_ms};
 use vanetally_placement::{self as placement, DemandSample};
 use vanetally_ports::{ModelRef, Revision};
 use vanetally_types::Name;
 
 /// Hosts tell each other their load this often, where they are few.
 const DIGEST: Duration = Duration::from_millis(50);
-/// The same in a large deployment, where two hosts pass it on.
-const FLEET_DIGEST: Duration = Duration::from_millis(100);
-/// Hosts of one failure domain above which an aggregator tells them less often.
-const FULL_FANOUT: f64 = 30.0;
 
 impl Hub {
     /// Another host told something.
@@ -178,7 +174,10 @@
         }
         let peers = self.peers.borrow();
         let near = peers.values().filter(|entry| entry.domain == self.settings.domain).count();
-        FLEET_DIGEST.mul_f64((near as f64 / FULL_FANOUT).max(1.0))
+        let gatherer = self.gatherer.borrow();
+        let gatherer = gatherer.as_ref().and_then(|host| peers.get(host));
+        let capacity = gatherer.map_or(self.settings.capacity, |entry| entry.capacity);
+        Duration::from_millis(telling_ms(near, capacity))
     }
 
     /// Tells other hosts this one's load.
