--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -204,7 +204,7 @@
 /// A prompt of 3 parts whose moment a pacer is asked for.
 fn prompt(runner: usize) -> Prompt {
     Prompt {
-        upstream: name("runner", runner),
+        upstream: name("runner", runner).into(),
         model: name("model", runner % 16),
         shared: vec![Prefix { key: 7, tokens: 210 }, Prefix { key: 8, tokens: 140 }],
         tokens: 1_460,
@@ -225,7 +225,7 @@
             b.iter(|| {
                 number += 1;
                 let prompt = prompt(number % runners);
-                black_box(pacers.pacer_of(NOW, &prompt.upstream).clone());
+                black_box(pacers.pacer_of(NOW, &prompt.upstream.id).clone());
                 pacer.reserve(Tick(NOW.0 + number as u64), &prompt)
             });
         });
--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -12,7 +12,7 @@
     CallerLimits, CallerRequest, Configuration, EngineSpec, HeldModel, ModelRef, ModelSpec, Report,
     RequestKind, Revision, Route, Service, Target, UpstreamState,
 };
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Name, Tick};
 
 const NOW: Tick = Tick(1_000_000);
 /// Runners today, at the sizes between, and in two years.
@@ -25,7 +25,7 @@
     (runners / 5).max(96)
 }
 
-fn runner(number: usize) -> Name {
+fn runner(number: usize) -> Incarnation {
     format!("r-{number}").into()
 }
 
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -1,11 +1,11 @@
 //! The upstream that was chosen for a request, and what is expected there.
 
-use vanetally_types::Name;
+use vanetally_types::Incarnation;
 
 /// The upstream that was chosen.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Choice {
-    pub upstream: Name,
+    pub upstream: Incarnation,
     /// What is expected there.
     pub expected: Expected,
     /// Whether the engine's pacer has to hear of the answer.
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -8,7 +8,7 @@
     upstream::Upstream,
 };
 use vanetally_ports::{EngineSpec, ModelRef};
-use vanetally_types::{Name, Tick, rendezvous_rank};
+use vanetally_types::{Incarnation, Name, Tick, rendezvous_rank};
 
 /// What the choice looks at.
 pub(crate) struct View<'a> {
@@ -45,7 +45,7 @@
 pub(crate) fn choose<'a>(
     view: &View<'_>,
     request: &Request,
-    upstreams: impl Iterator<Item = (&'a Name, &'a Upstream)>,
+    upstreams: impl Iterator<Item = (&'a Incarnation, &'a Upstream)>,
 ) -> Result<Choice, Shortage> {
     let mut shortage = Shortage { lack: Lack::Upstream, holders: 0 };
     let mut best: Option<(f64, Choice)> = None;
@@ -68,7 +68,7 @@
 }
 
 /// What keeps the request from going to an upstream that takes new ones, if anything does.
-fn lack(view: &View<'_>, request: &Request, id: &Name, upstream: &Upstream) -> Option<Lack> {
+fn lack(view: &View<'_>, request: &Request, id: &Incarnation, upstream: &Upstream) -> Option<Lack> {
     if let Some(subject) = &request.head.model
         && !upstream.holds(subject, view.now)
     {
@@ -131,7 +131,12 @@
     }
 }
 
-fn cost(view: &View<'_>, request: &Request, id: &Name, upstream: &Upstream) -> (f64, Choice) {
+fn cost(
+    view: &View<'_>,
+    request: &Request,
+    id: &Incarnation,
+    upstream: &Upstream,
+) -> (f64, Choice) {
     let load = upstream.total(view.now);
     let model = request.head.model.as_ref();
     let model = model.map(|subject| &subject.model);
@@ -157,9 +162,9 @@
 }
 
 /// A fraction of a millisecond that spreads equal choices.
-fn tie_break(request: &Request, id: &Name) -> f64 {
+fn tie_break(request: &Request, id: &Incarnation) -> f64 {
     let key = vanetally_types::hash64(request.head.id.as_bytes());
     let mark: Name = "~".into();
-    let first = rendezvous_rank(key, [id, &mark])[0];
-    if first == id { 0.0 } else { 0.5 }
+    let first = rendezvous_rank(key, [&id.id, &mark])[0];
+    if *first == id.id { 0.0 } else { 0.5 }
 }
--- a/crates/dispatch/src/digest.rs
+++ b/crates/dispatch/src/digest.rs
@@ -1,7 +1,7 @@
 //! What hosts tell each other of their load.
 
 use serde::{Deserialize, Serialize};
-use vanetally_types::Name;
+use vanetally_types::{Incarnation, Name};
 
 /// One host's load, whole: a later digest replaces an earlier one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -17,7 +17,7 @@
 pub struct LoadRow {
     /// The upstream's incarnation.
     #[serde(rename = "u")]
-    pub upstream: Name,
+    pub upstream: Incarnation,
     /// Requests sent and not ended.
     #[serde(rename = "r")]
     pub running: u32,
--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use vanetally_ports::UpstreamState;
-use vanetally_types::Name;
+use vanetally_types::{Incarnation, Name};
 
 /// The upstreams of each service, and of each model those that may hold it.
 ///
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Directory {
     services: HashMap<Name, Service>,
-    upstreams: HashMap<Name, Listed>,
+    upstreams: HashMap<Incarnation, Listed>,
 }
 
 /// Where an upstream stands.
@@ -24,15 +24,15 @@
 
 #[derive(Clone, Debug, Default)]
 struct Service {
-    upstreams: BTreeSet<Name>,
-    holders: HashMap<Name, BTreeSet<Name>>,
+    upstreams: BTreeSet<Incarnation>,
+    holders: HashMap<Name, BTreeSet<Incarnation>>,
 }
 
 impl Directory {
     /// An upstream announced itself. `told` are the models that it was told to hold beside.
     pub(crate) fn announced<'a>(
         &mut self,
-        id: &Name,
+        id: &Incarnation,
         state: &'a UpstreamState,
         told: impl Iterator<Item = &'a Name>,
     ) {
@@ -47,7 +47,7 @@
     }
 
     /// An upstream that announced itself was told to hold a model.
-    pub(crate) fn told(&mut self, id: &Name, model: &Name) {
+    pub(crate) fn told(&mut self, id: &Incarnation, model: &Name) {
         let Some(listed) = self.upstreams.get_mut(id) else {
             return;
         };
@@ -58,7 +58,7 @@
     }
 
     /// An upstream's announcement is gone.
-    pub(crate) fn gone(&mut self, id: &Name) {
+    pub(crate) fn gone(&mut self, id: &Incarnation) {
         let Some(listed) = self.upstreams.remove(id) else {
             return;
         };
@@ -74,12 +74,16 @@
     }
 
     /// The upstreams of a service, in the order of their names.
-    pub(crate) fn of_service(&self, service: &Name) -> impl Iterator<Item = &Name> {
+    pub(crate) fn of_service(&self, service: &Name) -> impl Iterator<Item = &Incarnation> {
         self.services.get(service).into_iter().flat_map(|service| &service.upstreams)
     }
 
     /// Those that may hold a model, in the same order.
-    pub(crate) fn holders(&self, service: &Name, model: &Name) -> impl Iterator<Item = &Name> {
+    pub(crate) fn holders(
+        &self,
+        service: &Name,
+        model: &Name,
+    ) -> impl Iterator<Item = &Incarnation> {
         let service = self.services.get(service);
         service.and_then(|service| service.holders.get(model)).into_iter().flatten()
     }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, rc::Rc};
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_ports::{CallerRequest, Configuration, ModelRef, Refusal, UpstreamState};
-use vanetally_types::Name;
+use vanetally_types::{Incarnation, Name};
 
 /// A request in this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -75,19 +75,29 @@
     /// An upstream announced itself, or changed what it announces.
     UpstreamSeen {
         /// Its incarnation.
-        id: Name,
+        id: Incarnation,
         /// What it says.
         state: UpstreamState,
     },
+    /// What an upstream announces can't be read: it gets nothing new until it can.
+    UpstreamUnreadable {
+        /// Its incarnation.
+        id: Incarnation,
+    },
+    /// Another life is announced under an upstream's id: what it had under way will not be answered.
+    UpstreamEnded {
+        /// The incarnation that has ended.
+        id: Incarnation,
+    },
     /// An upstream's announcement is gone.
     UpstreamGone {
         /// Its incarnation.
-        id: Name,
+        id: Incarnation,
     },
     /// The holder of orders told what a runner holds.
     Placed {
         /// The runner.
-        runner: Name,
+        runner: Incarnation,
         /// What it is about.
         subject: ModelRef,
         /// Whether it is there.
@@ -170,7 +180,7 @@
     /// Milliseconds of reading that it was thought to do first, for others.
     pub ahead_ms: u32,
     /// The upstream's incarnation.
-    pub upstream: Name,
+    pub upstream: Incarnation,
     /// Where it listens.
     pub address: SocketAddr,
     /// Milliseconds to wait before it is sent, as the engine's pacer said.
@@ -203,6 +213,13 @@
         /// Where and how.
         attempt: Attempt,
     },
+    /// Give up the attempt at an upstream that has ended: it ends as a broken one.
+    Abandon {
+        /// The request.
+        id: RequestId,
+        /// The number of the attempt.
+        number: u32,
+    },
     /// Ask the engine's pacer when the request may be sent.
     Reserve {
         /// The request.
@@ -233,7 +250,7 @@
     /// Tell the engine's pacer how a request ended there.
     Tell {
         /// The engine's incarnation.
-        upstream: Name,
+        upstream: Incarnation,
         /// Whether it answered.
         is_good: bool,
     },
@@ -252,7 +269,7 @@
     /// The caller's name for the request.
     pub request: Name,
     /// The upstream's incarnation.
-    pub upstream: Name,
+    pub upstream: Incarnation,
     /// Milliseconds from the sending to the first piece, as expected.
     pub expected_ms: f64,
     /// Milliseconds that it took.
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -18,7 +18,7 @@
 use vanetally_ports::{
     CallerRequest, Configuration, ModelRef, Refusal, RefusalCause, UpstreamState,
 };
-use vanetally_types::{Name, Tick, Verdict};
+use vanetally_types::{Incarnation, Name, Tick, Verdict};
 
 /// All decisions about requests of one host.
 pub struct Dispatch {
@@ -29,7 +29,7 @@
     has_store: bool,
     pub(crate) configuration: Option<Rc<Configuration>>,
     pub(crate) routes: RouteIndex,
-    pub(crate) upstreams: BTreeMap<Name, Upstream>,
+    pub(crate) upstreams: BTreeMap<Incarnation, Upstream>,
     pub(crate) directory: Directory,
     pub(crate) requests: HashMap<RequestId, Request>,
     pub(crate) queue: Queue,
@@ -52,7 +52,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamSummary {
     /// Its incarnation.
-    pub upstream: Name,
+    pub upstream: Incarnation,
     /// Requests of all hosts there.
     pub running: u32,
     /// Prompt tokens that it has not read.
@@ -108,12 +108,16 @@
         match event {
             Event::Configured(configuration) => self.configure(configuration),
             Event::UpstreamSeen { id, state } => self.upstream_seen(now, id, state),
-            Event::UpstreamGone { id } => {
-                self.upstreams.remove(&id);
-                self.directory.gone(&id);
-                self.pace.forget(&id);
-                self.upstreams.values_mut().for_each(|upstream| upstream.successor_gone(&id));
+            Event::UpstreamUnreadable { id } => {
+                if let Some(upstream) = self.upstreams.get_mut(&id) {
+                    upstream.is_unreadable = true;
+                }
+            }
+            Event::UpstreamEnded { id } => {
+                self.upstream_gone(&id);
+                actions.extend(self.abandon(&id));
             }
+            Event::UpstreamGone { id } => self.upstream_gone(&id),
             Event::Placed { runner, subject, presence } => {
                 if presence == Presence::Present {
                     self.directory.told(&runner, &subject.model);
@@ -229,7 +233,7 @@
         self.configuration = Some(configuration);
     }
 
-    fn upstream_seen(&mut self, now: Tick, id: Name, state: UpstreamState) {
+    fn upstream_seen(&mut self, now: Tick, id: Incarnation, state: UpstreamState) {
         let told = self.upstreams.get(&id).into_iter().flat_map(Upstream::told_present);
         self.directory.announced(&id, &state, told);
         match self.upstreams.get_mut(&id) {
@@ -243,8 +247,25 @@
         }
     }
 
+    fn upstream_gone(&mut self, id: &Incarnation) {
+        self.upstreams.remove(id);
+        self.directory.gone(id);
+        self.pace.forget(id);
+        self.upstreams.values_mut().for_each(|upstream| upstream.successor_gone(id));
+    }
+
+    /// Gives up the attempts that are at an upstream now.
+    fn abandon<'a>(&'a self, upstream: &'a Incarnation) -> impl Iterator<Item = Action> + 'a {
+        let is_there = move |request: &Request| match &request.stage {
+            Stage::Sent(sending) => sending.upstream == *upstream,
+            Stage::Waiting | Stage::Reserving(_) => false,
+        };
+        let there = self.requests.iter().filter(move |(_, request)| is_there(request));
+        there.map(|(id, request)| Action::Abandon { id: *id, number: request.sendings })
+    }
+
     fn peer_digest(&mut self, now: Tick, host: &Name, digest: Digest) {
-        let mut rows: HashMap<Name, LoadRow> =
+        let mut rows: HashMap<Incarnation, LoadRow> =
             digest.loads.into_iter().map(|row| (row.upstream.clone(), row)).collect();
         for (id, upstream) in &mut self.upstreams {
             match rows.remove(id) {
@@ -341,7 +362,7 @@
         }
     }
 
-    fn free(&mut self, upstream: &Name, load: Load) {
+    fn free(&mut self, upstream: &Incarnation, load: Load) {
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.own.take(load);
         }
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -3,7 +3,7 @@
 use crate::{choice::Expected, fit::Fit};
 use std::collections::BTreeMap;
 use vanetally_ports::CallerRequest;
-use vanetally_types::Name;
+use vanetally_types::{Incarnation, Name};
 
 /// How long engines take, learned from what is observed.
 ///
@@ -14,7 +14,7 @@
 pub(crate) struct Pace {
     reading: Fit,
     models: BTreeMap<Name, ModelPace>,
-    slowness: BTreeMap<Name, f64>,
+    slowness: BTreeMap<Incarnation, f64>,
 }
 
 /// What is assumed before anything is learned, in milliseconds.
@@ -97,7 +97,7 @@
         tokens * whole_ms
     }
 
-    pub(crate) fn slowness(&self, upstream: &Name) -> f64 {
+    pub(crate) fn slowness(&self, upstream: &Incarnation) -> f64 {
         self.slowness.get(upstream).copied().unwrap_or(1.0)
     }
 
@@ -114,14 +114,19 @@
     }
 
     /// Milliseconds from a sending to its first piece.
-    pub(crate) fn first_piece_ms(&self, upstream: &Name, model: &Name, expected: Expected) -> f64 {
+    pub(crate) fn first_piece_ms(
+        &self,
+        upstream: &Incarnation,
+        model: &Name,
+        expected: Expected,
+    ) -> f64 {
         self.expected_ms(Some(model), expected) * self.slowness(upstream)
     }
 
     /// The first piece came after `took_ms`.
     pub(crate) fn learn(
         &mut self,
-        upstream: &Name,
+        upstream: &Incarnation,
         model: Option<&Name>,
         expected: Expected,
         took_ms: f64,
@@ -155,7 +160,7 @@
         *whole_ms += share * (sample.min(*whole_ms * MOST_RATIO) - *whole_ms);
     }
 
-    pub(crate) fn forget(&mut self, upstream: &Name) {
+    pub(crate) fn forget(&mut self, upstream: &Incarnation) {
         self.slowness.remove(upstream);
     }
 }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use vanetally_pacing::Prefix;
 use vanetally_ports::{CallerRequest, Route};
-use vanetally_types::{Name, Tick, Verdict};
+use vanetally_types::{Incarnation, Name, Tick, Verdict};
 
 /// Where a request is.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,7 +40,7 @@
 /// What is known of a sending that has not ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Sending {
-    pub upstream: Name,
+    pub upstream: Incarnation,
     pub at: Tick,
     /// What it adds to the upstream's load.
     pub load: Load,
@@ -66,7 +66,7 @@
     pub patience: Tick,
     pub stage: Stage,
     /// Upstreams that it was sent to.
-    pub tried: Vec<Name>,
+    pub tried: Vec<Incarnation>,
     pub sendings: u32,
     /// Moments asked for.
     pub reservations: u32,
@@ -151,7 +151,7 @@
     }
 
     /// Whether it may be sent to `upstream` without exceeding the upstreams allowed to it.
-    pub(crate) fn may_go_to(&self, upstream: &Name) -> bool {
+    pub(crate) fn may_go_to(&self, upstream: &Incarnation) -> bool {
         self.tried.contains(upstream) || !self.is_exhausted()
     }
 }
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -10,7 +10,7 @@
 };
 use std::collections::HashMap;
 use vanetally_ports::{ModelRef, RequestKind};
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// Connections that all hosts together leave free.
 const CONNECTION_SHARE: f64 = 0.8;
@@ -130,8 +130,8 @@
 
     fn known<'a>(
         &'a self,
-        ids: impl Iterator<Item = &'a Name>,
-    ) -> impl Iterator<Item = (&'a Name, &'a Upstream)> {
+        ids: impl Iterator<Item = &'a Incarnation>,
+    ) -> impl Iterator<Item = (&'a Incarnation, &'a Upstream)> {
         ids.filter_map(|id| self.upstreams.get_key_value(id))
     }
 
@@ -218,7 +218,7 @@
     }
 
     /// This host's share of the connections to an upstream.
-    fn connections(&self, upstream: &Name) -> usize {
+    fn connections(&self, upstream: &Incarnation) -> usize {
         let service = self.upstreams.get(upstream).map(|u| &u.state.service);
         let services = self.configuration.as_ref().map(|c| &c.services);
         let most = service.and_then(|name| services?.get(name)).map(|s| s.max_connections);
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use vanetally_pacing::{Prefix, PrefixCache};
 use vanetally_ports::{ModelRef, PromptPart, UpstreamState};
-use vanetally_types::{Name, Tick, hash64};
+use vanetally_types::{Incarnation, Name, Tick, hash64};
 
 /// Requests at an upstream that have not ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,8 +48,10 @@
     pub paced_until: Tick,
     /// Another incarnation answers at its address: it is gone, whatever its announcement says.
     pub is_replaced: bool,
+    /// What it announces now can't be read.
+    pub is_unreadable: bool,
     /// An incarnation that announced the same address after this one had failed.
-    successor: Option<Name>,
+    successor: Option<Incarnation>,
     /// When it will be gone, if it said so.
     pub gone_at: Option<Tick>,
     peers: BTreeMap<Name, PeerLoad>,
@@ -77,6 +79,7 @@
             full_until: Tick(0),
             paced_until: Tick(0),
             is_replaced: false,
+            is_unreadable: false,
             successor: None,
             gone_at: None,
             peers: BTreeMap::new(),
@@ -92,6 +95,7 @@
             self.gone_at.get_or_insert(now + ms);
         }
         self.is_replaced &= self.state.address == state.address;
+        self.is_unreadable = false;
         self.state = state;
         // Weights that the announcement lists no more have gone: from now on it is believed again.
         let listed = &self.state.models;
@@ -104,19 +108,20 @@
     /// Whether new requests may go there at all.
     pub(crate) fn takes_new(&self, now: Tick) -> bool {
         let stays = self.gone_at.is_none_or(|gone| gone > now + NOTICE_MS);
-        !self.state.draining && !self.is_replaced && self.successor.is_none() && stays
+        let is_sound = !self.is_unreadable && !self.is_replaced && self.successor.is_none();
+        !self.state.draining && is_sound && stays
     }
 
     /// Another incarnation announced itself. At the address of one that has just failed it is what came
     /// after it; while nothing failed it may be a late announcement of one that went before.
-    pub(crate) fn successor_seen(&mut self, id: &Name, state: &UpstreamState, now: Tick) {
+    pub(crate) fn successor_seen(&mut self, id: &Incarnation, state: &UpstreamState, now: Tick) {
         if state.address == self.state.address && self.has_failed(now) {
             self.successor = Some(id.clone());
         }
     }
 
     /// An incarnation's announcement is gone.
-    pub(crate) fn successor_gone(&mut self, id: &Name) {
+    pub(crate) fn successor_gone(&mut self, id: &Incarnation) {
         self.successor.take_if(|successor| successor == id);
     }
 
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -45,7 +45,7 @@
     let mut host = host();
     for number in 0..3 {
         let (id, actions) = host.arrive(request(&format!("a{number}"), "offer", Some("m2")));
-        assert_eq!(&*sent_to(&actions, id), "i-2");
+        assert_eq!(&*sent_to(&actions, id).id, "i-2");
         host.tell(Event::FirstPiece { id });
     }
 }
@@ -56,7 +56,7 @@
     let mut counts = [0, 0];
     for number in 0..6 {
         let (id, actions) = host.arrive(request(&format!("a{number}"), "offer", Some("m1")));
-        counts[usize::from(&*sent_to(&actions, id) == "i-2")] += 1;
+        counts[usize::from(&*sent_to(&actions, id).id == "i-2")] += 1;
     }
     assert_eq!(counts, [3, 3]);
 }
@@ -75,7 +75,7 @@
     let digest = Digest { loads: vec![row], demand: Vec::new() };
     host.tell(Event::PeerDigest { host: "front-2".into(), digest });
     let (id, actions) = host.arrive(request("a", "offer", Some("m1")));
-    assert_eq!(&*sent_to(&actions, id), "i-2");
+    assert_eq!(&*sent_to(&actions, id).id, "i-2");
 }
 
 /// An upstream that leaves gets nothing from the moment that is known.
@@ -87,7 +87,7 @@
     host.see("i-1", change(upstream("llm", 1, &["m1"])));
     for number in 0..3 {
         let (id, actions) = host.arrive(request(&format!("a{number}"), "offer", Some("m1")));
-        assert_eq!(&*sent_to(&actions, id), "i-2");
+        assert_eq!(&*sent_to(&actions, id).id, "i-2");
         host.tell(Event::FirstPiece { id });
     }
 }
@@ -115,7 +115,7 @@
     let (id, actions) = host.arrive(request("a", "offer", Some("m2")));
     assert!(sent(&actions, id).is_empty());
     let actions = host.tell(told("i-1", Presence::Present));
-    assert_eq!(&*sent_to(&actions, id), "i-1");
+    assert_eq!(&*sent_to(&actions, id).id, "i-1");
 }
 
 #[test]
@@ -175,7 +175,7 @@
     let mut host = host();
     for number in 0..6 {
         let (id, actions) = host.arrive(request(&format!("a{number}"), "offer", Some("m1")));
-        let end = match &*sent_to(&actions, id) {
+        let end = match &*sent_to(&actions, id).id {
             "i-1" => AttemptEnd::Broken,
             _ => AttemptEnd::Served,
         };
@@ -183,12 +183,12 @@
     }
     for number in 0..4 {
         let (id, actions) = host.arrive(request(&format!("b{number}"), "offer", Some("m1")));
-        assert_eq!(&*sent_to(&actions, id), "i-2");
+        assert_eq!(&*sent_to(&actions, id).id, "i-2");
         host.tell(Event::FirstPiece { id });
     }
     host.tell(Event::UpstreamGone { id: "i-2".into() });
     let (id, actions) = host.arrive(request("c", "offer", Some("m1")));
-    assert_eq!(&*sent_to(&actions, id), "i-1", "never the last");
+    assert_eq!(&*sent_to(&actions, id).id, "i-1", "never the last");
 }
 
 /// Found on a played day: weights that go stay in the announcement until their last run has ended, and
@@ -204,14 +204,14 @@
         host.pass(1_000);
         host.see("i-1", upstream("llm", 1, &["m1"]));
         let (id, actions) = host.arrive(request(&format!("a{number}"), "offer", Some("m1")));
-        assert_eq!(&*sent_to(&actions, id), "i-2");
+        assert_eq!(&*sent_to(&actions, id).id, "i-2");
         host.end(id, AttemptEnd::Served);
     }
     host.see("i-1", upstream("llm", 1, &[]));
     host.see("i-1", upstream("llm", 1, &["m1"]));
     host.tell(Event::UpstreamGone { id: "i-2".into() });
     let (id, actions) = host.arrive(request("b", "offer", Some("m1")));
-    assert_eq!(&*sent_to(&actions, id), "i-1", "brought anew");
+    assert_eq!(&*sent_to(&actions, id).id, "i-1", "brought anew");
 }
 
 fn adapter_request(id: &str) -> vanetally_ports::CallerRequest {
--- a/crates/dispatch/tests/ejection.rs
+++ b/crates/dispatch/tests/ejection.rs
@@ -5,7 +5,7 @@
 use support::{Host, request, route, sent_to, upstream};
 use vanetally_dispatch::{AttemptEnd, Digest, Event, LoadRow};
 use vanetally_ports::RequestKind;
-use vanetally_types::Name;
+use vanetally_types::Incarnation;
 
 const SERVICES: u16 = 3;
 const HOSTS: usize = 12;
@@ -18,7 +18,7 @@
     hosts: Vec<Host>,
     sent: usize,
     /// The upstream that breaks every request off.
-    dead: Option<Name>,
+    dead: Option<Incarnation>,
 }
 
 impl Fleet {
@@ -103,7 +103,7 @@
     fleet.dead = None;
     fleet.play(4_000);
     let host = &mut fleet.hosts[0];
-    let to: Vec<Name> = (0..30)
+    let to: Vec<Incarnation> = (0..30)
         .map(|number| {
             let (id, actions) = host.arrive(request(&format!("late{number}"), "quote", None));
             let to = sent_to(&actions, id);
--- a/crates/dispatch/tests/holders.rs
+++ b/crates/dispatch/tests/holders.rs
@@ -7,7 +7,7 @@
 use support::{Host, refusal, request, route, upstream};
 use vanetally_dispatch::{Action, Event, Lack, Presence};
 use vanetally_ports::{ModelRef, RequestKind};
-use vanetally_types::Name;
+use vanetally_types::Incarnation;
 
 const UPSTREAMS: u16 = 4;
 const MODELS: [&str; 2] = ["m1", "m2"];
@@ -35,7 +35,7 @@
     ]
 }
 
-fn name(number: u16) -> Name {
+fn name(number: u16) -> Incarnation {
     format!("i-{number}").into()
 }
 
@@ -47,7 +47,7 @@
 }
 
 impl Known {
-    fn holders(&self, model: &'static str, now: u64) -> Vec<Name> {
+    fn holders(&self, model: &'static str, now: u64) -> Vec<Incarnation> {
         let holds = |number: &u16| {
             let told = self.told.get(&(*number, model));
             let is_told = told.is_some_and(|at| now - at <= TOLD_MS);
@@ -65,7 +65,7 @@
         for (number, step) in steps.into_iter().enumerate() {
             match step {
                 Step::Seen { upstream: id, models } => {
-                    host.see(&name(id), upstream("llm", 1 + id, &models));
+                    host.see(&name(id).id, upstream("llm", 1 + id, &models));
                     known.announced.insert(id, models);
                 }
                 Step::Gone { upstream } => {
--- a/crates/dispatch/tests/pacing.rs
+++ b/crates/dispatch/tests/pacing.rs
@@ -40,7 +40,7 @@
     let mut host = host();
     host.see("s-1", upstream("desk", 9, &[]));
     let (id, actions) = host.arrive(request("a", "check", None));
-    assert_eq!(&*sent_to(&actions, id), "s-1");
+    assert_eq!(&*sent_to(&actions, id).id, "s-1");
 }
 
 #[test]
@@ -71,7 +71,7 @@
     let actions = host.dispatch.handle(host.now, Event::Reserved { id, turn, slot: busy });
     assert_eq!(asked(&actions, id), None);
     assert!(sent(&host.pass(80), id).is_empty());
-    assert_eq!(&*sent_to(&host.pass(40), id), "i-1");
+    assert_eq!(&*sent_to(&host.pass(40), id).id, "i-1");
 }
 
 #[test]
--- a/crates/dispatch/tests/retries.rs
+++ b/crates/dispatch/tests/retries.rs
@@ -182,7 +182,7 @@
     let mut host = host(Route { max_attempts: 1, ..route("check", RequestKind::Once, "desk") });
     let (id, actions) = host.arrive(request("a", "check", None));
     let first = sent_to(&actions, id);
-    host.see(&first, upstream("desk", 9, &[]));
+    host.see(&first.id, upstream("desk", 9, &[]));
     let mut actions = host.end(id, AttemptEnd::Full);
     host.tell(Event::UpstreamGone { id: first });
     actions.extend(host.pass(400));
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -13,7 +13,7 @@
     CallerLimits, CallerRequest, Configuration, EngineSpec, HeldModel, ModelRef, ModelSpec,
     Refusal, RequestKind, Route, Service, Target, UpstreamState,
 };
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Tick};
 
 /// The first moment of each test.
 pub const START: Tick = Tick(1_000_000);
@@ -179,7 +179,7 @@
 }
 
 /// Where the one sending of `id` went.
-pub fn sent_to(actions: &[Action], id: RequestId) -> Name {
+pub fn sent_to(actions: &[Action], id: RequestId) -> Incarnation {
     let attempts = sent(actions, id);
     assert_eq!(attempts.len(), 1, "{actions:?}");
     attempts[0].upstream.clone()
--- a/crates/dispatch/tests/withdrawn.rs
+++ b/crates/dispatch/tests/withdrawn.rs
@@ -30,12 +30,12 @@
 fn leaves_meanwhile(#[case] event: Event) {
     let mut host = host();
     let (id, actions) = host.arrive(request("a", "check", None));
-    assert_eq!(&*sent_to(&actions, id), "s-1");
+    assert_eq!(&*sent_to(&actions, id).id, "s-1");
     host.see("s-2", upstream("desk", 2, &[]));
     host.tell(event);
     assert!(!host.dispatch.may_send(host.now, id));
     let actions = host.end(id, AttemptEnd::Withdrawn);
-    assert_eq!(&*sent_to(&actions, id), "s-2", "at once, though it may run only once");
+    assert_eq!(&*sent_to(&actions, id).id, "s-2", "at once, though it may run only once");
 }
 
 /// What was withdrawn spends nothing of the budget for repeats, and speaks against nobody.
--- a/crates/fanout/src/totals.rs
+++ b/crates/fanout/src/totals.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use vanetally_dispatch::{DemandRow, Digest, LoadRow};
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// Which of a host's reports a sum includes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -145,7 +145,7 @@
         let Some(own) = self.sent.front().filter(|report| report.number == number) else {
             return total;
         };
-        let own: BTreeMap<&Name, &LoadRow> =
+        let own: BTreeMap<&Incarnation, &LoadRow> =
             own.loads.iter().map(|row| (&row.upstream, row)).collect();
         for row in &mut total {
             if let Some(own) = own.get(&row.upstream) {
@@ -175,7 +175,7 @@
 }
 
 fn add_up<'a>(parts: impl Iterator<Item = &'a Vec<LoadRow>>) -> Vec<LoadRow> {
-    let mut sums: BTreeMap<Name, LoadRow> = BTreeMap::new();
+    let mut sums: BTreeMap<Incarnation, LoadRow> = BTreeMap::new();
     for row in parts.flatten() {
         match sums.get_mut(&row.upstream) {
             Some(sum) => add(sum, row),
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -10,6 +10,37 @@
 use vanetally_ports::{Refusal, RefusalCause};
 use vanetally_types::Name;
 
+/// What ends an attempt from this side.
+pub(crate) enum Interrupt {
+    /// Its upstream has ended: it counts as broken off.
+    Abandoned,
+    /// The request has its final answer.
+    Refused(Refused),
+}
+
+/// Waits for what ends `attempt`.
+pub(crate) async fn interrupted(
+    commands: &mut mpsc::UnboundedReceiver<Command>,
+    attempt: &Attempt,
+) -> Interrupt {
+    loop {
+        match commands.recv().await {
+            Some(Command::Refuse(refused)) => return Interrupt::Refused(refused),
+            Some(Command::Abandon { number }) if number == attempt.number => {
+                return Interrupt::Abandoned;
+            }
+            // An earlier attempt had ended by itself when it was to be given up.
+            Some(Command::Abandon { .. }) => {}
+            Some(Command::Send(_)) | None => return Interrupt::Refused(lost()),
+        }
+    }
+}
+
+/// For a request whose commands make no sense any more.
+fn lost() -> Refused {
+    Refusal::may_have_run(RefusalCause::UpstreamFailed).into()
+}
+
 /// A request that has no whole answer yet. Dropped before its end, it tells that its caller left.
 pub(crate) struct Caller {
     pub hub: Rc<Hub>,
@@ -55,11 +86,18 @@
         self.hub.request_event(Event::AttemptEnded { id: self.id, end, answered });
     }
 
-    /// The next command.
-    pub(crate) async fn command(&mut self) -> Command {
-        // The sender lives until the request is forgotten, which only its end does.
-        let lost = Refusal::may_have_run(RefusalCause::UpstreamFailed).into();
-        self.commands.recv().await.unwrap_or(Command::Refuse(lost))
+    /// The next sending, or the final answer.
+    pub(crate) async fn command(&mut self) -> Result<Attempt, Refused> {
+        loop {
+            match self.commands.recv().await {
+                Some(Command::Send(attempt)) => return Ok(attempt),
+                Some(Command::Refuse(refused)) => return Err(refused),
+                // The attempt had ended by itself.
+                Some(Command::Abandon { .. }) => {}
+                // The sender lives until the request is forgotten, which only its end does.
+                None => return Err(lost()),
+            }
+        }
     }
 
     /// Notes the final answer of the product's own.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     answer::Answer,
-    caller::Caller,
+    caller::{Caller, Interrupt, interrupted},
     headers::{end_to_end, stated_rest},
-    hub::{Command, Hub, Refused, Stage},
+    hub::{Hub, Refused, Stage},
     relay,
     sending::{Asked, Outgoing, Sending, Started, ask_in_time},
     telemetry,
@@ -61,8 +61,8 @@
     let mut failure = None;
     loop {
         let attempt = match caller.command().await {
-            Command::Send(attempt) => attempt,
-            Command::Refuse(refused) => {
+            Ok(attempt) => attempt,
+            Err(refused) => {
                 let own = refuse_caller(&mut caller, &refused);
                 // What an upstream itself answered says more than that it failed.
                 return failure.unwrap_or(own);
@@ -78,13 +78,10 @@
         };
         let asked = tokio::select! {
             biased;
-            command = caller.commands.recv() => {
-                let refused = match command {
-                    Some(Command::Refuse(refused)) => refused,
-                    _ => Refusal::may_have_run(RefusalCause::UpstreamFailed).into(),
-                };
-                return refuse_caller(&mut caller, &refused);
-            }
+            interrupt = interrupted(&mut caller.commands, &attempt) => match interrupt {
+                Interrupt::Abandoned => Asked::Ended(AttemptEnd::Broken),
+                Interrupt::Refused(refused) => return refuse_caller(&mut caller, &refused),
+            },
             asked = ask_in_time(sending) => asked,
         };
         match asked {
@@ -128,16 +125,15 @@
     caller.hub.request_event(Event::FirstPiece { id: caller.id });
     let body = tokio::select! {
         biased;
-        command = caller.commands.recv() => {
-            let refused = match command {
-                Some(Command::Refuse(refused)) => refused,
-                _ => Refusal::may_have_run(RefusalCause::UpstreamFailed).into(),
-            };
-            return Whole::Final(refuse_caller(caller, &refused));
-        }
-        body = Limited::new(body, WHOLE_BYTES).collect() => body,
+        interrupt = interrupted(&mut caller.commands, attempt) => match interrupt {
+            Interrupt::Abandoned => None,
+            Interrupt::Refused(refused) => {
+                return Whole::Final(refuse_caller(caller, &refused));
+            }
+        },
+        body = Limited::new(body, WHOLE_BYTES).collect() => body.ok(),
     };
-    let Ok(body) = body else {
+    let Some(body) = body else {
         caller.attempt_ended(attempt, AttemptEnd::Broken, false);
         return Whole::Broken;
     };
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -19,13 +19,18 @@
 use vanetally_link::peer::Links;
 use vanetally_placement::{self as placement, Placement, Tenure, TenureEvent, TenureOptions};
 use vanetally_ports::{Configuration, Ports, Refusal, UpstreamState};
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// What the decisions tell a request.
 #[derive(Debug)]
 pub(crate) enum Command {
     /// Send it.
     Send(Attempt),
+    /// Give up the attempt that is under way: its upstream has ended.
+    Abandon {
+        /// The number of the attempt.
+        number: u32,
+    },
     /// End it.
     Refuse(Refused),
 }
@@ -196,6 +201,9 @@
                 dispatch::Action::Refuse { id, refusal, standing } => {
                     self.command(id, Command::Refuse(Refused { refusal, standing }));
                 }
+                dispatch::Action::Abandon { id, number } => {
+                    self.command(id, Command::Abandon { number });
+                }
                 dispatch::Action::Reserve { id, turn, prompt } => self.reserve(id, turn, prompt),
                 dispatch::Action::Want { service, subject, is_crowded } => {
                     self.want(service, subject, is_crowded);
@@ -268,14 +276,27 @@
     }
 
     /// An upstream announced itself.
-    pub(crate) fn upstream_seen(self: &Rc<Self>, id: Name, state: UpstreamState) {
+    pub(crate) fn upstream_seen(self: &Rc<Self>, id: Incarnation, state: UpstreamState) {
         let seen = placement::Event::UpstreamSeen { id: id.clone(), state: state.clone() };
         self.placement_event(seen);
         self.request_event(dispatch::Event::UpstreamSeen { id, state });
     }
 
+    /// What an upstream announces can't be read.
+    pub(crate) fn upstream_unreadable(self: &Rc<Self>, id: Incarnation) {
+        self.placement_event(placement::Event::UpstreamUnreadable { id: id.clone() });
+        self.request_event(dispatch::Event::UpstreamUnreadable { id });
+    }
+
+    /// Another life is announced under an upstream's id.
+    pub(crate) fn upstream_ended(self: &Rc<Self>, id: Incarnation) {
+        self.pacing.borrow_mut().forget(&id);
+        self.placement_event(placement::Event::UpstreamGone { id: id.clone() });
+        self.request_event(dispatch::Event::UpstreamEnded { id });
+    }
+
     /// An upstream's announcement is gone.
-    pub(crate) fn upstream_gone(self: &Rc<Self>, id: Name) {
+    pub(crate) fn upstream_gone(self: &Rc<Self>, id: Incarnation) {
         self.pacing.borrow_mut().forget(&id);
         self.placement_event(placement::Event::UpstreamGone { id: id.clone() });
         self.request_event(dispatch::Event::UpstreamGone { id });
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -5,7 +5,7 @@
 use vanetally_dispatch::{self as dispatch, Presence};
 use vanetally_placement::{self as placement, Basis, TenureEvent};
 use vanetally_ports::{FormatError, ModelRef, Order, OrderOutcome};
-use vanetally_types::Name;
+use vanetally_types::{Incarnation, Name};
 
 /// For a runner to answer a report.
 const REPORT: Duration = Duration::from_millis(800);
@@ -82,7 +82,7 @@
         }
     }
 
-    fn announce(self: &Rc<Self>, runner: Name, subject: ModelRef, is_present: bool) {
+    fn announce(self: &Rc<Self>, runner: Incarnation, subject: ModelRef, is_present: bool) {
         let message = PeerMessage::Placed {
             runner: runner.clone(),
             model: subject.model.clone(),
@@ -106,7 +106,12 @@
         }
     }
 
-    pub(crate) fn placed(self: &Rc<Self>, runner: Name, subject: ModelRef, is_present: bool) {
+    pub(crate) fn placed(
+        self: &Rc<Self>,
+        runner: Incarnation,
+        subject: ModelRef,
+        is_present: bool,
+    ) {
         if !is_present && subject.adapter.is_none() {
             self.pacing.borrow_mut().drop_model(&runner, &subject.model);
         }
@@ -146,7 +151,7 @@
     hub.placement_event(placement::Event::Ordered { order, outcome });
 }
 
-async fn ask_report(hub: Rc<Hub>, runner: Name, address: SocketAddr) {
+async fn ask_report(hub: Rc<Hub>, runner: Incarnation, address: SocketAddr) {
     let asked = hub.clock.now();
     let request = hub.ports.engine.report_request(&runner);
     let reply = call::call(&hub.control, address, request, REPORT).await;
@@ -162,6 +167,9 @@
     };
     if let Ok(report) = &report {
         log::debug!("event=report runner={runner} report={report:?}");
+        if let Some(born) = report.born.filter(|born| Some(*born) != runner.born) {
+            log::info!("event=report_of_another runner={runner} born={born}");
+        }
     }
     hub.placement_event(placement::Event::Reported { runner, asked, report: report.ok() });
 }
--- a/crates/gateway/src/pacing.rs
+++ b/crates/gateway/src/pacing.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration, time::Instant};
 use vanetally_dispatch::{self as dispatch, RequestId};
 use vanetally_pacing::{Pacer, Pacers, Prompt, Slot, Turn};
-use vanetally_types::Name;
+use vanetally_types::{Incarnation, Name};
 
 /// For a pacer to answer: after that this host decides alone.
 const ANSWER: Duration = Duration::from_millis(40);
@@ -43,12 +43,12 @@
     }
 
     /// An engine let go of a model.
-    pub(crate) fn drop_model(&mut self, upstream: &Name, model: &Name) {
+    pub(crate) fn drop_model(&mut self, upstream: &Incarnation, model: &Name) {
         self.pacer.drop_model(upstream, model);
     }
 
     /// An engine has gone.
-    pub(crate) fn forget(&mut self, upstream: &Name) {
+    pub(crate) fn forget(&mut self, upstream: &Incarnation) {
         self.pacer.forget(upstream);
     }
 
@@ -71,7 +71,7 @@
     /// Asks the pacer of the prompt's engine for its moment.
     pub(crate) fn reserve(self: &Rc<Self>, id: RequestId, turn: u32, prompt: Prompt) {
         let now = self.clock.now();
-        let host = self.pacing.borrow_mut().pacers.pacer_of(now, &prompt.upstream).clone();
+        let host = self.pacing.borrow_mut().pacers.pacer_of(now, &prompt.upstream.id).clone();
         if host == self.settings.host {
             return self.reserve_here(id, turn, &prompt);
         }
@@ -101,9 +101,9 @@
     }
 
     /// Tells the pacer of an engine how a request ended there.
-    pub(crate) fn tell_pacer(&self, upstream: Name, is_good: bool) {
+    pub(crate) fn tell_pacer(&self, upstream: Incarnation, is_good: bool) {
         let now = self.clock.now();
-        let host = self.pacing.borrow_mut().pacers.pacer_of(now, &upstream).clone();
+        let host = self.pacing.borrow_mut().pacers.pacer_of(now, &upstream.id).clone();
         if host == self.settings.host {
             return self.told_end(&host, &upstream, is_good);
         }
@@ -111,7 +111,7 @@
     }
 
     /// A host told how a request ended at an engine that this one paces.
-    pub(crate) fn told_end(&self, from: &Name, upstream: &Name, is_good: bool) {
+    pub(crate) fn told_end(&self, from: &Name, upstream: &Incarnation, is_good: bool) {
         let turn = self.pacing.borrow_mut().pacer.told(self.clock.now(), upstream, is_good);
         match turn {
             None => {}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,7 +14,7 @@
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_placement::TenureEvent;
 use vanetally_ports::{Change, Item, LeaseId, Revision, StoreAnswer, Transaction, Write};
-use vanetally_types::Name;
+use vanetally_types::{Incarnation, Name};
 
 /// The beginning of all keys of the product.
 pub(crate) const PREFIX: &str = "vanetally/";
@@ -104,7 +104,7 @@
     /// To the pacer of an engine: how a request ended there.
     Ended {
         /// The engine's incarnation.
-        upstream: Name,
+        upstream: Incarnation,
         /// Whether it answered.
         is_good: bool,
     },
@@ -123,7 +123,7 @@
     /// From the holder of orders: what a runner holds.
     Placed {
         /// The runner.
-        runner: Name,
+        runner: Incarnation,
         /// The model.
         model: Name,
         /// An adapter of it.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,9 +2,8 @@
 
 use crate::{
     answer::{Answer, Cut, Piece},
-    caller::Caller,
+    caller::{Caller, Interrupt, interrupted},
     headers::{end_to_end, stated_rest},
-    hub::Command,
     pool::Connection,
     sending::{Asked, Outgoing, Sending, Started, ask_in_time},
     telemetry,
@@ -106,13 +105,14 @@
             let frame = tokio::select! {
                 biased;
                 () = self.sender.closed() => return Read::Over,
-                command = self.caller.commands.recv() => {
-                    if let Some(Command::Refuse(refused)) = command {
+                interrupt = interrupted(&mut self.caller.commands, &self.attempt) => match interrupt {
+                    Interrupt::Abandoned => return Read::Broken,
+                    Interrupt::Refused(refused) => {
                         self.caller.refused(&refused);
+                        self.cut().await;
+                        return Read::Over;
                     }
-                    self.cut().await;
-                    return Read::Over;
-                }
+                },
                 frame = body.frame() => frame,
             };
             match frame {
@@ -155,8 +155,8 @@
     async fn resume(&mut self) -> Option<Source> {
         loop {
             let attempt = match self.caller.command().await {
-                Command::Send(attempt) => attempt,
-                Command::Refuse(refused) => {
+                Ok(attempt) => attempt,
+                Err(refused) => {
                     self.caller.refused(&refused);
                     return None;
                 }
@@ -181,6 +181,13 @@
             let asked = tokio::select! {
                 biased;
                 () = self.sender.closed() => return None,
+                interrupt = interrupted(&mut self.caller.commands, &attempt) => match interrupt {
+                    Interrupt::Abandoned => Asked::Ended(AttemptEnd::Broken),
+                    Interrupt::Refused(refused) => {
+                        self.caller.refused(&refused);
+                        return None;
+                    }
+                },
                 asked = ask_in_time(sending) => asked,
             };
             self.attempt = attempt;
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use vanetally_dispatch::{AttemptEnd, Counts};
 use vanetally_link::peer::Traffic;
-use vanetally_ports::{OrderOutcome, RefusalCause};
+use vanetally_ports::{AnnouncementError, OrderOutcome, RefusalCause};
 
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 14] =
@@ -38,6 +38,16 @@
     counter!("vanetally_refusals_total", "cause" => cause.as_str(), "lack" => lack).increment(1);
 }
 
+/// What an upstream announces can't be read.
+pub(crate) fn announcement_unreadable(error: &AnnouncementError) {
+    counter!("vanetally_announcements_unreadable_total", "reason" => error.as_str()).increment(1);
+}
+
+/// Another life of an upstream was announced under its id.
+pub(crate) fn upstream_reborn() {
+    counter!("vanetally_upstreams_reborn_total").increment(1);
+}
+
 /// A caller left before its answer was whole.
 pub(crate) fn caller_left() {
     counter!("vanetally_callers_left_total").increment(1);
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -1,6 +1,6 @@
 //! Following the upstreams' announcements in the store.
 
-use crate::{hub::Hub, store::Snapshot, watch::Follower};
+use crate::{hub::Hub, store::Snapshot, telemetry, watch::Follower};
 use std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
@@ -8,13 +8,14 @@
     time::Duration,
 };
 use tokio::time::sleep;
-use vanetally_ports::{Change, Item};
-use vanetally_types::{Name, Tick};
+use vanetally_dispatch::{News, Roster};
+use vanetally_ports::{Change, Item, Revision, UpstreamState};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// Follows the keys of all upstreams.
 pub(crate) struct UpstreamFollower {
     hub: Rc<Hub>,
-    known: Rc<RefCell<BTreeSet<Name>>>,
+    roster: Rc<RefCell<Roster>>,
     /// Those whose keys went while the store was away, and until when they are waited for: most
     /// write them again soon.
     lapsed: Rc<RefCell<BTreeMap<Name, Tick>>>,
@@ -22,7 +23,7 @@
 
 impl UpstreamFollower {
     pub(crate) fn new(hub: Rc<Hub>) -> Self {
-        Self { hub, known: Rc::default(), lapsed: Rc::default() }
+        Self { hub, roster: Rc::default(), lapsed: Rc::default() }
     }
 
     fn id(&self, key: &str) -> Option<Name> {
@@ -33,40 +34,69 @@
         let Some(id) = self.id(&item.key) else {
             return;
         };
-        match self.hub.ports.upstreams.read(&item.value) {
-            Ok(state) => {
-                if self.lapsed.borrow_mut().remove(&id).is_some() {
-                    log::log!(self.hub.hearsay(), "event=upstream_returned upstream={id}");
-                }
-                let is_new = self.known.borrow_mut().insert(id.clone());
+        if self.lapsed.borrow_mut().remove(&id).is_some() {
+            log::log!(self.hub.hearsay(), "event=upstream_returned upstream={id}");
+        }
+        let read = self.hub.ports.upstreams.read(id.clone(), &item.value);
+        let now = self.hub.clock.now();
+        let news = self.roster.borrow_mut().announced(now, &id, item.revision, read);
+        for news in news {
+            self.take(&id, item.revision, news);
+        }
+    }
+
+    fn take(&self, id: &Name, revision: Revision, news: News) {
+        let revision = revision.0;
+        match news {
+            News::Seen { life, state, is_new } => {
                 if is_new || state.draining {
-                    log::log!(
-                        self.hub.hearsay(),
-                        "event=upstream_seen upstream={id} service={} address={} draining={} \
-                         remaining_ms={} revision={}",
-                        state.service,
-                        state.address,
-                        state.draining,
-                        state.remaining_ms.map_or_else(|| "-".into(), |ms| ms.to_string()),
-                        item.revision.0
-                    );
+                    self.log_seen(&life, &state, revision);
                 }
-                self.hub.upstream_seen(id, state);
+                self.hub.upstream_seen(life, state);
             }
-            Err(error) => {
-                log::error!("event=upstream_unreadable upstream={id} error=\"{error}\"");
+            News::Unreadable { life, error } => {
+                telemetry::announcement_unreadable(&error);
+                log::error!(
+                    "event=upstream_unreadable upstream={id} revision={revision} reason={} error=\"{error}\"",
+                    error.as_str()
+                );
+                if let Some(life) = life {
+                    self.hub.upstream_unreadable(life);
+                }
+            }
+            News::Ended { life, next } => {
+                telemetry::upstream_reborn();
+                log::log!(
+                    self.hub.hearsay(),
+                    "event=upstream_reborn upstream={id} born_before={} born={} revision={revision}",
+                    start(&life),
+                    start(&next)
+                );
+                self.hub.upstream_ended(life);
             }
         }
     }
 
+    fn log_seen(&self, life: &Incarnation, state: &UpstreamState, revision: u64) {
+        log::log!(
+            self.hub.hearsay(),
+            "event=upstream_seen upstream={life} service={} address={} draining={} remaining_ms={} \
+             revision={revision}",
+            state.service,
+            state.address,
+            state.draining,
+            state.remaining_ms.map_or_else(|| "-".into(), |ms| ms.to_string()),
+        );
+    }
+
     /// The key of an upstream is gone; the upstream is too, unless the store has lost keys.
     fn gone(&self, id: &Name) {
         let contact = self.hub.store.contact();
         let now = self.hub.clock.now();
         if !contact.is_recent(now) {
-            return forget(&self.hub, &self.known, id);
+            return forget(&self.hub, &self.roster, id);
         }
-        if !self.known.borrow().contains(id) || self.lapsed.borrow().contains_key(id) {
+        if !self.roster.borrow().knows(id) || self.lapsed.borrow().contains_key(id) {
             return;
         }
         let wait_ms = contact.wait_ms(now);
@@ -76,7 +106,7 @@
     }
 
     fn wait_for_return(&self, id: Name, wait_ms: u64) -> impl Future<Output = ()> + use<> {
-        let (hub, known, lapsed) = (self.hub.clone(), self.known.clone(), self.lapsed.clone());
+        let (hub, roster, lapsed) = (self.hub.clone(), self.roster.clone(), self.lapsed.clone());
         async move {
             sleep(Duration::from_millis(wait_ms)).await;
             let now = hub.clock.now();
@@ -84,24 +114,30 @@
             let is_over = lapsed.borrow().get(&id).is_some_and(|until| now >= *until);
             if is_over {
                 lapsed.borrow_mut().remove(&id);
-                forget(&hub, &known, &id);
+                forget(&hub, &roster, &id);
             }
         }
     }
 }
 
-fn forget(hub: &Rc<Hub>, known: &RefCell<BTreeSet<Name>>, id: &Name) {
-    if known.borrow_mut().remove(id) {
-        log::log!(hub.hearsay(), "event=upstream_gone upstream={id}");
-        hub.upstream_gone(id.clone());
+fn forget(hub: &Rc<Hub>, roster: &RefCell<Roster>, id: &Name) {
+    let life = roster.borrow_mut().gone(id);
+    if let Some(life) = life {
+        log::log!(hub.hearsay(), "event=upstream_gone upstream={life}");
+        hub.upstream_gone(life);
     }
 }
 
+fn start(life: &Incarnation) -> String {
+    life.born.map_or_else(|| "-".into(), |born| born.to_string())
+}
+
 impl Follower for UpstreamFollower {
     fn replaced(&self, snapshot: Snapshot) {
         let listed: BTreeSet<Name> =
             snapshot.items.iter().filter_map(|item| self.id(&item.key)).collect();
-        let missing: Vec<Name> = self.known.borrow().difference(&listed).cloned().collect();
+        let missing: Vec<Name> =
+            self.roster.borrow().ids().filter(|id| !listed.contains(*id)).cloned().collect();
         missing.iter().for_each(|id| self.gone(id));
         snapshot.items.iter().for_each(|item| self.seen(item));
     }
--- a/crates/pacing/src/pacer.rs
+++ b/crates/pacing/src/pacer.rs
@@ -3,14 +3,14 @@
 use crate::{Prefix, PrefixCache, Turn, breaker::Breaker, bucket::Bucket};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// A prompt that is to be read by an engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Prompt {
     /// The engine's incarnation.
     #[serde(rename = "u")]
-    pub upstream: Name,
+    pub upstream: Incarnation,
     /// The model.
     #[serde(rename = "m")]
     pub model: Name,
@@ -57,7 +57,7 @@
 /// The engines that this host paces.
 #[derive(Clone, Debug, Default)]
 pub struct Pacer {
-    engines: BTreeMap<Name, Engine>,
+    engines: BTreeMap<Incarnation, Engine>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -101,20 +101,20 @@
     }
 
     /// A host told how a request ended at an engine: badly, or well if it was a trial.
-    pub fn told(&mut self, now: Tick, upstream: &Name, is_good: bool) -> Option<Turn> {
+    pub fn told(&mut self, now: Tick, upstream: &Incarnation, is_good: bool) -> Option<Turn> {
         // One that was never asked for here, or has gone, needs no breaker.
         self.engines.get_mut(upstream)?.breaker.told(now, is_good)
     }
 
     /// An engine let go of a model, and of what it read for it.
-    pub fn drop_model(&mut self, upstream: &Name, model: &Name) {
+    pub fn drop_model(&mut self, upstream: &Incarnation, model: &Name) {
         if let Some(engine) = self.engines.get_mut(upstream) {
             engine.prefixes.drop_model(model);
         }
     }
 
     /// An engine has gone.
-    pub fn forget(&mut self, upstream: &Name) {
+    pub fn forget(&mut self, upstream: &Incarnation) {
         self.engines.remove(upstream);
     }
 }
--- a/crates/pacing/src/pacers.rs
+++ b/crates/pacing/src/pacers.rs
@@ -43,12 +43,12 @@
         self.silent.insert(host.clone(), now + SILENT_MS);
     }
 
-    /// The host that paces `upstream`; this one if no other does.
-    pub fn pacer_of(&mut self, now: Tick, upstream: &Name) -> &Name {
+    /// The host that paces the upstream `id`, in all its lives; this one if no other does.
+    pub fn pacer_of(&mut self, now: Tick, id: &Name) -> &Name {
         self.silent.retain(|_, until| now < *until);
         let silent = &self.silent;
         let hosts = self.hosts.iter().filter(|host| !silent.contains_key(*host));
-        let ranked = rendezvous_rank(hash64(upstream.as_bytes()), hosts);
+        let ranked = rendezvous_rank(hash64(id.as_bytes()), hosts);
         ranked.first().copied().unwrap_or(&self.me)
     }
 }
--- a/crates/pacing/tests/breaker.rs
+++ b/crates/pacing/tests/breaker.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, collections::BinaryHeap};
 use vanetally_pacing::{Moment, Pacer, Prompt, Slot, Turn};
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Tick};
 
 /// Arrivals at one engine, each at another host, in milliseconds: recorded while it went down and up twice and
 /// held one of few replicas of a busy model. All of those in `DOWN` were lost.
@@ -48,7 +48,7 @@
 
 fn play(arrivals: &[u64], is_lost: impl Fn(u64) -> bool) -> Played {
     let mut pacer = Pacer::default();
-    let upstream: Name = "i-1".into();
+    let upstream: Incarnation = "i-1".into();
     let asks = arrivals.iter().map(|at| Reverse((*at, Event::Ask { arrived: *at })));
     let mut events: BinaryHeap<_> = asks.collect();
     let mut played = Played::default();
@@ -104,7 +104,7 @@
 /// A bad end alone says little; the second one opens the breaker, and a good trial closes it.
 #[test]
 fn opens_and_closes() {
-    let upstream: Name = "i-1".into();
+    let upstream: Incarnation = "i-1".into();
     let mut pacer = Pacer::default();
     pacer.reserve(Tick(0), &prompt());
     pacer.reserve(Tick(10), &prompt());
@@ -124,7 +124,7 @@
 /// A host that took the trial may be gone: another one may try later.
 #[test]
 fn trial_unheard() {
-    let upstream: Name = "i-1".into();
+    let upstream: Incarnation = "i-1".into();
     let mut pacer = Pacer::default();
     pacer.reserve(Tick(0), &prompt());
     pacer.told(Tick(10), &upstream, false);
--- a/crates/placement/src/adapters.rs
+++ b/crates/placement/src/adapters.rs
@@ -2,7 +2,7 @@
 
 use crate::{Action, Placement, Room};
 use vanetally_ports::{EngineSpec, ModelRef, Operation, Revision, Subject};
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// Least idle time of an adapter that makes way, in milliseconds.
 const ADAPTER_IDLE_MS: u64 = 1_000;
@@ -85,7 +85,7 @@
         engine: &EngineSpec,
         subject: &Subject,
         room: Room,
-    ) -> Option<Name> {
+    ) -> Option<Incarnation> {
         let fitting = self.ledgers.iter().filter(|(runner, ledger)| {
             let closing = Subject { model: subject.model.clone(), adapter: None };
             ledger.state.service == *service
@@ -96,13 +96,13 @@
                 && !self.closing.contains_key(&((*runner).clone(), closing))
         });
         let least = fitting.min_by_key(|(runner, ledger)| {
-            (ledger.adapter_count(), vanetally_types::hash64(runner.as_bytes()))
+            (ledger.adapter_count(), vanetally_types::hash64(runner.id.as_bytes()))
         });
         least.map(|(runner, _)| runner.clone())
     }
 
     /// An adapter of the runner that another runner of its service holds as well.
-    fn spare_adapter(&self, runner: &Name) -> Option<Subject> {
+    fn spare_adapter(&self, runner: &Incarnation) -> Option<Subject> {
         let ledger = self.ledgers.get(runner)?;
         let others = || {
             self.ledgers.iter().filter(|(name, other)| {
@@ -117,7 +117,7 @@
     }
 
     /// The adapter of the runner that was not asked for the longest.
-    fn idle_adapter(&self, now: Tick, service: &Name, runner: &Name) -> Option<Subject> {
+    fn idle_adapter(&self, now: Tick, service: &Name, runner: &Incarnation) -> Option<Subject> {
         let last = |subject: &Subject| {
             let key = ModelRef { model: subject.model.clone(), adapter: subject.adapter.clone() };
             self.demand.adapter_last(service, &key)
--- a/crates/placement/src/census.rs
+++ b/crates/placement/src/census.rs
@@ -3,7 +3,7 @@
 use crate::{Ledger, Reservation, capacity::Capacity, demand::DemandTable, worth::Replicas};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use vanetally_ports::{EngineSpec, ModelSpec, Subject};
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// What the plan rests on: the runners of one service.
 #[derive(Clone, Copy)]
@@ -15,11 +15,11 @@
     /// Models of which all replicas are taken while callers wait.
     pub crowded: &'a BTreeMap<(Name, Name), Tick>,
     /// Runners that may be ordered to, with their books.
-    pub ledgers: &'a BTreeMap<Name, Ledger>,
+    pub ledgers: &'a BTreeMap<Incarnation, Ledger>,
     /// Runners from which something is about to go.
-    pub closing: &'a BTreeMap<(Name, Subject), Tick>,
+    pub closing: &'a BTreeMap<(Incarnation, Subject), Tick>,
     /// Runners on which room is being made, and for what.
-    pub reserved: &'a BTreeMap<Name, Reservation>,
+    pub reserved: &'a BTreeMap<Incarnation, Reservation>,
 }
 
 /// A model of the service, as one round of the plan sees it.
@@ -42,7 +42,7 @@
 
 /// A runner that may be given an order about weights.
 pub(crate) struct Runner<'a> {
-    pub name: &'a Name,
+    pub name: &'a Incarnation,
     pub ledger: &'a Ledger,
     pub free_mb: f64,
     /// What its models are asked for there, in runner-seconds a second.
@@ -98,7 +98,7 @@
     /// Runners on which nothing is under way that the plan must not disturb.
     fn find_open(&mut self, basis: Basis<'a>) {
         let closing = basis.closing.keys().map(|(runner, _)| runner);
-        let occupied: HashSet<&Name> = closing.chain(basis.reserved.keys()).collect();
+        let occupied: HashSet<&Incarnation> = closing.chain(basis.reserved.keys()).collect();
         let capacity = Capacity::of(basis.engine);
         for (name, ledger) in own_ledgers(basis) {
             if occupied.contains(name) || ledger.next_count().is_none() {
@@ -122,7 +122,7 @@
 }
 
 /// The runners of the service that stay.
-fn own_ledgers(basis: Basis<'_>) -> impl Iterator<Item = (&Name, &Ledger)> {
+fn own_ledgers(basis: Basis<'_>) -> impl Iterator<Item = (&Incarnation, &Ledger)> {
     basis
         .ledgers
         .iter()
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -4,7 +4,7 @@
 use vanetally_ports::{
     Configuration, ModelRef, Order, OrderOutcome, Report, Revision, UpstreamState,
 };
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// Bounds that the deployment states.
 #[derive(Clone, Debug)]
@@ -36,14 +36,19 @@
     /// A runner announced itself, or changed what it announces.
     UpstreamSeen {
         /// Its incarnation.
-        id: Name,
+        id: Incarnation,
         /// What it says.
         state: UpstreamState,
     },
-    /// A runner's announcement is gone.
+    /// What a runner announces can't be read: it gets no order until it can.
+    UpstreamUnreadable {
+        /// Its incarnation.
+        id: Incarnation,
+    },
+    /// A runner's announcement is gone, or another life is announced under its id.
     UpstreamGone {
         /// Its incarnation.
-        id: Name,
+        id: Incarnation,
     },
     /// A host told what is asked of it.
     Demand(Vec<DemandSample>),
@@ -59,7 +64,7 @@
     /// A runner told what it holds.
     Reported {
         /// The runner.
-        runner: Name,
+        runner: Incarnation,
         /// When it was asked.
         asked: Tick,
         /// What it said; none if it did not answer.
@@ -104,14 +109,14 @@
     /// Ask a runner for its report.
     AskReport {
         /// The runner.
-        runner: Name,
+        runner: Incarnation,
         /// Where it listens.
         address: SocketAddr,
     },
     /// Tell all hosts what a runner holds.
     Announce {
         /// The runner.
-        runner: Name,
+        runner: Incarnation,
         /// What it is about.
         subject: ModelRef,
         /// Whether it is there.
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -34,6 +34,8 @@
     asked: Option<Tick>,
     /// Whether a report is needed before the next order.
     is_doubtful: bool,
+    /// Whether what the runner announces now can't be read.
+    is_unreadable: bool,
     last_report: Tick,
     /// When the last order was answered.
     answered: Option<Tick>,
@@ -79,6 +81,7 @@
             at_hand: state.at_hand.iter().cloned().collect(),
             asked: None,
             is_doubtful: true,
+            is_unreadable: false,
             last_report: Tick(0),
             answered: None,
             state,
@@ -90,6 +93,7 @@
     /// Announcements may be older than they look: what the runner holds is taken from its own
     /// reports, once there is one, and a difference is a reason to ask for another.
     pub fn announced(&mut self, state: UpstreamState) {
+        self.is_unreadable = false;
         let count = self.count.unwrap_or(0);
         let has_arrived = self
             .loading
@@ -104,6 +108,11 @@
         }
     }
 
+    /// What the runner announces can't be read: no order goes there until it can.
+    pub fn unreadable(&mut self) {
+        self.is_unreadable = true;
+    }
+
     fn set_held(&mut self, models: &[HeldModel]) {
         let sets = models.iter().map(|held| {
             (held.name.clone(), held.adapters.iter().cloned().collect::<BTreeSet<_>>())
@@ -191,6 +200,8 @@
     pub(crate) fn obstacle(&self) -> Option<Obstacle> {
         if self.state.draining {
             Some(Obstacle::Leaving)
+        } else if self.is_unreadable {
+            Some(Obstacle::Unreadable)
         } else if self.pending.is_some() {
             Some(Obstacle::Unanswered)
         } else if self.count.is_none() || self.is_doubtful {
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -9,13 +9,13 @@
     Configuration, ModelRef, Operation, Order, OrderOutcome, Report, Revision, Subject,
     UpstreamState,
 };
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// Knows all runners; gives orders while it has a token.
 pub struct Placement {
     pub(crate) options: Options,
     pub(crate) configuration: Option<Rc<Configuration>>,
-    pub(crate) ledgers: BTreeMap<Name, Ledger>,
+    pub(crate) ledgers: BTreeMap<Incarnation, Ledger>,
     pub(crate) demand: DemandTable,
     pub(crate) token: Option<Revision>,
     /// Since when the token holds.
@@ -31,11 +31,11 @@
     /// Adapters of which one more copy was asked for, and when.
     copied: BTreeMap<(Name, ModelRef), Tick>,
     /// Weights that get no new requests, and since when.
-    pub(crate) closing: BTreeMap<(Name, Subject), Tick>,
+    pub(crate) closing: BTreeMap<(Incarnation, Subject), Tick>,
     /// Runners on which room is being made.
-    pub(crate) reserved: BTreeMap<Name, Reservation>,
+    pub(crate) reserved: BTreeMap<Incarnation, Reservation>,
     /// Adapters that should have arrived.
-    pub(crate) arrivals: Vec<(Tick, Name, Subject)>,
+    pub(crate) arrivals: Vec<(Tick, Incarnation, Subject)>,
 }
 
 /// Something wanted is forgotten if it is not asked for again, in milliseconds.
@@ -87,8 +87,14 @@
         match event {
             Event::Configured(configuration) => self.configure(configuration),
             Event::UpstreamSeen { id, state } => self.upstream_seen(id, state),
+            Event::UpstreamUnreadable { id } => {
+                if let Some(ledger) = self.ledgers.get_mut(&id) {
+                    ledger.unreadable();
+                }
+            }
             Event::UpstreamGone { id } => {
                 self.ledgers.remove(&id);
+                self.reserved.remove(&id);
                 self.closing.retain(|(runner, _), _| *runner != id);
             }
             Event::Demand(samples) => {
@@ -129,7 +135,7 @@
         }
     }
 
-    fn upstream_seen(&mut self, id: Name, state: UpstreamState) {
+    fn upstream_seen(&mut self, id: Incarnation, state: UpstreamState) {
         match self.ledgers.get_mut(&id) {
             Some(ledger) => ledger.announced(state),
             None => {
@@ -141,7 +147,7 @@
     fn reported(
         &mut self,
         now: Tick,
-        runner: &Name,
+        runner: &Incarnation,
         asked: Tick,
         report: Option<Report>,
         actions: &mut Vec<Action>,
@@ -149,6 +155,8 @@
         let Some(ledger) = self.ledgers.get_mut(runner) else {
             return;
         };
+        // The answer of another life says nothing of this one, whose end will be told.
+        let report = report.filter(|report| report.born.is_none() || report.born == runner.born);
         let old = ledger.held_models();
         if !ledger.reported(now, asked, report) {
             return;
@@ -264,13 +272,13 @@
         // What could not be ordered in time is kept: the demand may have changed since.
         let is_old = |since: &Tick| now.since(*since) > CLOSING_LIMIT_MS;
         let old = self.closing.iter().filter(|(_, since)| is_old(since));
-        let kept: Vec<(Name, Subject)> = old.map(|(key, _)| key.clone()).collect();
+        let kept: Vec<(Incarnation, Subject)> = old.map(|(key, _)| key.clone()).collect();
         for (runner, subject) in kept {
             actions.push(announce(&runner, &subject, true, 0));
             self.closing.remove(&(runner, subject));
         }
         let due = self.closing.iter().filter(|(_, since)| now.since(**since) >= CLOSING_MS);
-        let due: Vec<(Name, Subject)> = due.map(|(key, _)| key.clone()).collect();
+        let due: Vec<(Incarnation, Subject)> = due.map(|(key, _)| key.clone()).collect();
         for (runner, subject) in due {
             let is_open = self
                 .ledgers
@@ -287,7 +295,7 @@
         &mut self,
         now: Tick,
         token: Revision,
-        runner: &Name,
+        runner: &Incarnation,
         operation: Operation,
         subject: Subject,
         actions: &mut Vec<Action>,
@@ -385,7 +393,7 @@
 }
 
 pub(crate) fn announce(
-    runner: &Name,
+    runner: &Incarnation,
     subject: &Subject,
     is_present: bool,
     delay_ms: u64,
--- a/crates/placement/src/obstacle.rs
+++ b/crates/placement/src/obstacle.rs
@@ -5,6 +5,8 @@
 pub enum Obstacle {
     /// It is leaving.
     Leaving,
+    /// What it announces can't be read.
+    Unreadable,
     /// An order to it was not answered.
     Unanswered,
     /// A report is needed first.
@@ -22,6 +24,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Leaving => "leaving",
+            Self::Unreadable => "unreadable",
             Self::Unanswered => "unanswered",
             Self::Doubtful => "doubtful",
             Self::UnknownOrder => "unknown_order",
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -6,12 +6,12 @@
 };
 use std::collections::{BinaryHeap, HashMap};
 use vanetally_ports::{Operation, Subject};
-use vanetally_types::Name;
+use vanetally_types::{Incarnation, Name};
 
 /// One step: an order that brings the placement nearer to the demand.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Step {
-    pub runner: Name,
+    pub runner: Incarnation,
     pub operation: Operation,
     pub subject: Subject,
     /// The model that the step is for.
@@ -252,7 +252,7 @@
             }
         };
         Step {
-            runner: Name::clone(runner),
+            runner: Incarnation::clone(runner),
             operation,
             subject: Subject { model: subject.clone(), adapter: None },
             model: name.clone(),
--- a/crates/placement/src/weights.rs
+++ b/crates/placement/src/weights.rs
@@ -7,7 +7,7 @@
     plan::{Round, Step},
 };
 use vanetally_ports::{EngineSpec, Operation, Revision, Subject};
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// A new holder waits this long for the reports of all runners, in milliseconds.
 const REPORTS_MS: u64 = 700;
@@ -83,7 +83,7 @@
         if self.reserved.is_empty() {
             return;
         }
-        let reserved: Vec<(Name, Reservation)> =
+        let reserved: Vec<(Incarnation, Reservation)> =
             self.reserved.iter().map(|(runner, one)| (runner.clone(), one.clone())).collect();
         let round = Round::new(self.basis(now, service, engine));
         let is_needed = |one: &Reservation| round.is_needy(&one.model, 1);
--- a/crates/placement/tests/crowding.rs
+++ b/crates/placement/tests/crowding.rs
@@ -6,7 +6,7 @@
     CallerLimits, Configuration, EngineSpec, HeldModel, ModelRef, ModelSpec, Operation, Order,
     OrderOutcome, Report, Revision, Service, UpstreamState,
 };
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Incarnation, Name, Tick};
 
 const RUNNERS: usize = 40;
 /// Models that are asked for, the rising one first; each is held by three runners.
@@ -19,7 +19,7 @@
     placement: Placement,
     now: Tick,
     orders: Vec<Order>,
-    taken: BTreeMap<Name, u64>,
+    taken: BTreeMap<Incarnation, u64>,
 }
 
 impl Fleet {
@@ -94,7 +94,7 @@
     format!("m{number}").into()
 }
 
-fn runner(number: usize) -> Name {
+fn runner(number: usize) -> Incarnation {
     format!("r{number:02}").into()
 }
 
--- a/crates/placement/tests/orders.rs
+++ b/crates/placement/tests/orders.rs
@@ -1,154 +1,14 @@
 //! Which orders the holder gives, and what it believes of the runners.
 
+mod support;
+
 use rstest::rstest;
-use std::{collections::BTreeMap, rc::Rc};
-use vanetally_placement::{Action, DemandSample, Event, Options, Placement};
+use support::{Holder, ROUND_MS, START, report, state};
+use vanetally_placement::{DemandSample, Event};
 use vanetally_ports::{
-    CallerLimits, Configuration, EngineSpec, HeldModel, ModelRef, ModelSpec, Operation, Order,
-    OrderOutcome, Report, Revision, Service, UpstreamState,
+    HeldModel, ModelRef, Operation, Order, OrderOutcome, Report, Revision, UpstreamState,
 };
-use vanetally_types::{Name, Tick};
-
-const START: Tick = Tick(1_000_000);
-/// The plan takes what changed into account within this time, in milliseconds.
-const ROUND_MS: u64 = 40;
-
-/// The holder, with the orders that it gave.
-struct Holder {
-    placement: Placement,
-    now: Tick,
-    orders: Vec<Order>,
-    asked: Vec<Name>,
-    resigned: bool,
-}
-
-impl Holder {
-    /// A holder that knows the configuration and no runner.
-    fn configured() -> Self {
-        let options = Options { holder: "front-1".into(), window_ms: 5_000 };
-        let mut holder = Self {
-            placement: Placement::new(options),
-            now: START,
-            orders: Vec::new(),
-            asked: Vec::new(),
-            resigned: false,
-        };
-        holder.tell(Event::Configured(configuration()));
-        holder
-    }
-
-    /// A holder that knows `runners`, each with the models it holds.
-    fn new(runners: &[(&str, &[&str])]) -> Self {
-        let mut holder = Self::configured();
-        for (id, models) in runners {
-            holder.tell(Event::UpstreamSeen { id: (*id).into(), state: state(models, 0) });
-        }
-        holder.tell(Event::Token(Some(Revision(9))));
-        holder.tell(Event::Tick);
-        for (id, models) in runners {
-            holder.report(id, report(models, 0));
-        }
-        holder.orders.clear();
-        holder
-    }
-
-    fn tell(&mut self, event: Event) {
-        for action in self.placement.handle(self.now, event) {
-            match action {
-                Action::Order { order, .. } => self.orders.push(order),
-                Action::AskReport { runner, .. } => self.asked.push(runner),
-                Action::Resign => self.resigned = true,
-                Action::Announce { .. } => {}
-            }
-        }
-    }
-
-    fn report(&mut self, runner: &str, report: Report) {
-        let asked = self.now;
-        self.tell(Event::Reported { runner: runner.into(), asked, report: Some(report) });
-    }
-
-    fn answer(&mut self, order: Order, outcome: OrderOutcome) {
-        self.tell(Event::Ordered { order, outcome });
-    }
-
-    fn want(&mut self, model: &str, adapter: Option<&str>) {
-        let subject = ModelRef { model: model.into(), adapter: adapter.map(Name::from) };
-        self.tell(Event::Wanted { service: "llm".into(), subject, is_crowded: false });
-    }
-
-    fn demand(&mut self, model: &str, work_ms: u32) {
-        self.tell(Event::Demand(vec![DemandSample {
-            service: "llm".into(),
-            subject: ModelRef { model: model.into(), adapter: None },
-            arrived: 10,
-            work_ms,
-        }]));
-    }
-
-    fn pass(&mut self, millis: u64) {
-        let end = self.now + millis;
-        while self.now < end {
-            self.now = self.now + 20;
-            self.tell(Event::Tick);
-        }
-    }
-
-    fn loads(&self, model: &str) -> Vec<&Order> {
-        let own = self.orders.iter().filter(|order| order.operation == Operation::Load);
-        own.filter(|order| &*order.subject.model == model).collect()
-    }
-}
-
-fn configuration() -> Rc<Configuration> {
-    let model = ModelSpec {
-        weights_mb: 60.0,
-        load_s: 8.0,
-        warm_s: 1.0,
-        disk_s: 2.0,
-        adapters: 8,
-        adapter_mb: 1.0,
-    };
-    let models = ["m1", "m2", "m3", "m4"].map(|name| (Name::from(name), model.clone()));
-    let engine = EngineSpec {
-        slots: 8,
-        kv_tokens: 10_000,
-        weights_mb: 130.0,
-        max_adapters: 3,
-        loads_per_s: 1.0,
-        models: BTreeMap::from(models),
-    };
-    let service = Service { name: "llm".into(), max_connections: 9, engine: Some(engine) };
-    Rc::new(Configuration {
-        version: 1,
-        routes: Vec::new(),
-        services: BTreeMap::from([("llm".into(), service)]),
-        limits: CallerLimits::default(),
-    })
-}
-
-fn held(models: &[&str]) -> Vec<HeldModel> {
-    let held = |name: &&str| HeldModel { name: (*name).into(), adapters: Vec::new() };
-    models.iter().map(held).collect()
-}
-
-fn state(models: &[&str], orders_taken: u64) -> UpstreamState {
-    UpstreamState {
-        service: "llm".into(),
-        address: ([10, 0, 0, 1], 80).into(),
-        domain: "z1".into(),
-        slots: 8,
-        draining: false,
-        remaining_ms: None,
-        orders_taken,
-        models: held(models),
-        at_hand: Vec::new(),
-    }
-}
-
-fn report(models: &[&str], orders_taken: u64) -> Report {
-    Report { models: held(models), orders_taken, ..Report::default() }
-}
+use vanetally_types::{Incarnation, Name, Tick};
 
 #[test]
 fn missing_adapter_ordered() {
@@ -156,7 +16,7 @@
     holder.want("m1", Some("a1"));
     assert_eq!(holder.orders.len(), 1);
     let order = &holder.orders[0];
-    assert_eq!((&*order.runner, order.operation), ("r1", Operation::Load));
+    assert_eq!((&*order.runner.id, order.operation), ("r1", Operation::Load));
     assert_eq!((order.orders_before, order.token), (0, 9));
 }
 
@@ -282,7 +142,7 @@
         let now = holder.now;
         for (_, order) in coming.extract_if(.., |(at, _)| now >= *at) {
             let held = ["m1", &*order.subject.model];
-            holder.report(&order.runner, report(&held, order.orders_before + 1));
+            holder.report(&order.runner.id, report(&held, order.orders_before + 1));
         }
     }
     assert!(begun.len() >= 8, "it does load: {}", begun.len());
@@ -393,7 +253,7 @@
     holder.pass(600);
     holder.want("m3", None);
     let rest: Vec<&str> = full.iter().filter(|model| **model != &*gone).copied().collect();
-    holder.report(&runner, report(&rest, 1));
+    holder.report(&runner.id, report(&rest, 1));
     holder.pass(40);
     assert_eq!(holder.loads("m3").len(), 1, "{:?}", holder.orders);
     assert_eq!(holder.loads("m3")[0].runner, runner);
@@ -407,14 +267,14 @@
     holder.pass(400);
     let unload = holder.orders.pop().expect("something makes way");
     let runner = unload.runner.clone();
-    let (rest, other) = if &*runner == "r1" { ("m2", "r2") } else { ("m4", "r1") };
+    let (rest, other) = if &*runner.id == "r1" { ("m2", "r2") } else { ("m4", "r1") };
     assert_eq!(&*unload.subject.model, "m1", "the one that is there twice");
     holder.answer(unload, OrderOutcome::Accepted);
     holder.tell(Event::UpstreamSeen { id: other.into(), state: state(&["m1", "m3"], 1) });
     holder.pass(20);
     holder.report(other, report(&["m1", "m3"], 1));
     holder.pass(600);
-    holder.report(&runner, report(&[rest], 1));
+    holder.report(&runner.id, report(&[rest], 1));
     holder.pass(1_000);
     assert!(holder.loads("m3").is_empty(), "{:?}", holder.orders);
 }
@@ -443,7 +303,7 @@
     holder.demand("m2", 10);
     holder.report("r3", Report { at_hand: vec!["m2".into()], ..report(&[], 0) });
     holder.pass(ROUND_MS);
-    let order = holder.orders.iter().find(|order| &*order.runner == "r3");
+    let order = holder.orders.iter().find(|order| &*order.runner.id == "r3");
     assert_eq!(&*order.expect("an order").subject.model, "m2");
 }
 
@@ -459,7 +319,7 @@
         holder.demand("m2", 9_000);
         holder.pass(100);
     }
-    let mut busy: Vec<&Name> = holder.orders.iter().map(|order| &order.runner).collect();
+    let mut busy: Vec<&Incarnation> = holder.orders.iter().map(|order| &order.runner).collect();
     busy.sort();
     busy.dedup();
     assert!(!busy.is_empty() && busy.len() <= 11, "of 20 at most 0.55: {busy:?}");
@@ -571,7 +431,7 @@
         holder.orders.iter().filter(|o| o.subject.adapter.is_some()).collect();
     assert_eq!(copies.len(), 1, "{copies:?}");
     let second = copies[0].clone();
-    assert!(copies[0].runner != first && &*copies[0].runner != "r3", "{copies:?}");
+    assert!(copies[0].runner != first && &*copies[0].runner.id != "r3", "{copies:?}");
     // Callers go on asking while it comes; the next copy is not before half a second.
     holder.orders.clear();
     holder.answer(second, OrderOutcome::Accepted);
--- /dev/null
+++ b/crates/placement/tests/support/mod.rs
@@ -0,0 +1,153 @@
+//! A holder of orders and the runners that it knows.
+
+// Not every test uses all of it.
+#![allow(dead_code)]
+
+use std::{collections::BTreeMap, rc::Rc};
+use vanetally_placement::{Action, DemandSample, Event, Options, Placement};
+use vanetally_ports::{
+    CallerLimits, Configuration, EngineSpec, HeldModel, ModelRef, ModelSpec, Operation, Order,
+    OrderOutcome, Report, Revision, Service, UpstreamState,
+};
+use vanetally_types::{Incarnation, Name, Tick};
+
+pub const START: Tick = Tick(1_000_000);
+/// The plan takes what changed into account within this time, in milliseconds.
+pub const ROUND_MS: u64 = 40;
+
+/// The holder, with the orders that it gave.
+pub struct Holder {
+    pub placement: Placement,
+    pub now: Tick,
+    pub orders: Vec<Order>,
+    pub asked: Vec<Incarnation>,
+    pub resigned: bool,
+}
+
+impl Holder {
+    /// A holder that knows the configuration and no runner.
+    pub fn configured() -> Self {
+        let options = Options { holder: "front-1".into(), window_ms: 5_000 };
+        let mut holder = Self {
+            placement: Placement::new(options),
+            now: START,
+            orders: Vec::new(),
+            asked: Vec::new(),
+            resigned: false,
+        };
+        holder.tell(Event::Configured(configuration()));
+        holder
+    }
+
+    /// A holder that knows `runners`, each with the models it holds.
+    pub fn new(runners: &[(&str, &[&str])]) -> Self {
+        let mut holder = Self::configured();
+        for (id, models) in runners {
+            holder.tell(Event::UpstreamSeen { id: (*id).into(), state: state(models, 0) });
+        }
+        holder.tell(Event::Token(Some(Revision(9))));
+        holder.tell(Event::Tick);
+        for (id, models) in runners {
+            holder.report(id, report(models, 0));
+        }
+        holder.orders.clear();
+        holder
+    }
+
+    pub fn tell(&mut self, event: Event) {
+        for action in self.placement.handle(self.now, event) {
+            match action {
+                Action::Order { order, .. } => self.orders.push(order),
+                Action::AskReport { runner, .. } => self.asked.push(runner),
+                Action::Resign => self.resigned = true,
+                Action::Announce { .. } => {}
+            }
+        }
+    }
+
+    pub fn report(&mut self, runner: &str, report: Report) {
+        let asked = self.now;
+        self.tell(Event::Reported { runner: runner.into(), asked, report: Some(report) });
+    }
+
+    pub fn answer(&mut self, order: Order, outcome: OrderOutcome) {
+        self.tell(Event::Ordered { order, outcome });
+    }
+
+    pub fn want(&mut self, model: &str, adapter: Option<&str>) {
+        let subject = ModelRef { model: model.into(), adapter: adapter.map(Name::from) };
+        self.tell(Event::Wanted { service: "llm".into(), subject, is_crowded: false });
+    }
+
+    pub fn demand(&mut self, model: &str, work_ms: u32) {
+        self.tell(Event::Demand(vec![DemandSample {
+            service: "llm".into(),
+            subject: ModelRef { model: model.into(), adapter: None },
+            arrived: 10,
+            work_ms,
+        }]));
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now = self.now + 20;
+            self.tell(Event::Tick);
+        }
+    }
+
+    pub fn loads(&self, model: &str) -> Vec<&Order> {
+        let own = self.orders.iter().filter(|order| order.operation == Operation::Load);
+        own.filter(|order| &*order.subject.model == model).collect()
+    }
+}
+
+pub fn configuration() -> Rc<Configuration> {
+    let model = ModelSpec {
+        weights_mb: 60.0,
+        load_s: 8.0,
+        warm_s: 1.0,
+        disk_s: 2.0,
+        adapters: 8,
+        adapter_mb: 1.0,
+    };
+    let models = ["m1", "m2", "m3", "m4"].map(|name| (Name::from(name), model.clone()));
+    let engine = EngineSpec {
+        slots: 8,
+        kv_tokens: 10_000,
+        weights_mb: 130.0,
+        max_adapters: 3,
+        loads_per_s: 1.0,
+        models: BTreeMap::from(models),
+    };
+    let service = Service { name: "llm".into(), max_connections: 9, engine: Some(engine) };
+    Rc::new(Configuration {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::from([("llm".into(), service)]),
+        limits: CallerLimits::default(),
+    })
+}
+
+pub fn held(models: &[&str]) -> Vec<HeldModel> {
+    let held = |name: &&str| HeldModel { name: (*name).into(), adapters: Vec::new() };
+    models.iter().map(held).collect()
+}
+
+pub fn state(models: &[&str], orders_taken: u64) -> UpstreamState {
+    UpstreamState {
+        service: "llm".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        domain: "z1".into(),
+        slots: 8,
+        draining: false,
+        remaining_ms: None,
+        orders_taken,
+        models: held(models),
+        at_hand: Vec::new(),
+    }
+}
+
+pub fn report(models: &[&str], orders_taken: u64) -> Report {
+    Report { models: held(models), orders_taken, ..Report::default() }
+}
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::{FormatError, upstream::HeldModel};
 use bytes::Bytes;
-use vanetally_types::Name;
+use vanetally_types::{Incarnation, Name};
 
 /// What an order is about.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
     /// The runner's incarnation.
-    pub runner: Name,
+    pub runner: Incarnation,
     /// What to do.
     pub operation: Operation,
     /// With what.
@@ -89,6 +89,8 @@
 /// What a runner says of itself when asked.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
+    /// Unix milliseconds of the start of the life that reports, if it says so.
+    pub born: Option<u64>,
     /// Models with their adapters.
     pub models: Vec<HeldModel>,
     /// Adapters on their way.
@@ -109,7 +111,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AttemptHead {
     /// The incarnation that has to answer.
-    pub instance: Name,
+    pub instance: Incarnation,
     /// Milliseconds left.
     pub deadline_ms: u64,
     /// Where a broken stream goes on.
@@ -144,10 +146,10 @@
     fn prepare(&self, headers: &mut http::HeaderMap, attempt: &AttemptHead);
 
     /// Judges the head of the answer to the request `id`, sent to the incarnation `instance`.
-    fn judge(&self, head: &http::response::Parts, id: &Name, instance: &Name) -> AnswerKind;
+    fn judge(&self, head: &http::response::Parts, id: &Name, instance: &Incarnation) -> AnswerKind;
 
     /// The call that asks the incarnation `runner` for its report.
-    fn report_request(&self, runner: &Name) -> http::Request<Bytes>;
+    fn report_request(&self, runner: &Incarnation) -> http::Request<Bytes>;
 
     /// Reads a report.
     ///
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -27,7 +27,7 @@
     Change, Expectation, Freshness, Item, LeaseId, Page, Revision, StoreAnswer, StoreProtocol,
     Transaction, WatchAnswer, Write,
 };
-pub use upstream::{HeldModel, UpstreamFormat, UpstreamState};
+pub use upstream::{Announcement, AnnouncementError, HeldModel, UpstreamFormat, UpstreamState};
 
 /// Why bytes from outside could not be understood.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
--- a/crates/ports/src/upstream.rs
+++ b/crates/ports/src/upstream.rs
@@ -1,8 +1,7 @@
 //! Runners and plain services that requests are sent to.
 
-use crate::FormatError;
 use std::net::SocketAddr;
-use vanetally_types::Name;
+use vanetally_types::{Incarnation, Name};
 
 /// A model that a runner holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,14 +35,52 @@
     pub at_hand: Vec<Name>,
 }
 
+/// What lies in the store under the id of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// The life that speaks.
+    pub life: Incarnation,
+    /// What it says.
+    pub state: UpstreamState,
+}
+
+/// Why an announcement can't be read: it names no upstream to use.
+#[derive(Clone, Debug, thiserror::Error, PartialEq, Eq)]
+pub enum AnnouncementError {
+    /// The bytes are no text of the expected form.
+    #[error("malformed: {0}")]
+    Malformed(String),
+    /// A field is missing, of another type or out of range.
+    #[error("field: {0}")]
+    Field(String),
+    /// The state is none that is known.
+    #[error("state {0:?}")]
+    State(String),
+    /// The start is not told, though it was told before under the same id.
+    #[error("start not told")]
+    Unborn,
+}
+
+impl AnnouncementError {
+    /// The word for logs and metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Malformed(_) => "malformed",
+            Self::Field(_) => "field",
+            Self::State(_) => "state",
+            Self::Unborn => "unborn",
+        }
+    }
+}
+
 /// The form in which upstreams announce themselves in the store.
 pub trait UpstreamFormat {
-    /// The beginning of their keys; the rest is the incarnation's name.
+    /// The beginning of their keys; the rest is the upstream's id.
     fn prefix(&self) -> &str;
 
-    /// Reads an announcement.
+    /// Reads what lies under `id`.
     ///
     /// # Errors
-    /// If the bytes are none.
-    fn read(&self, bytes: &[u8]) -> Result<UpstreamState, FormatError>;
+    /// If the bytes are no announcement, or one that lacks something.
+    fn read(&self, id: Name, bytes: &[u8]) -> Result<Announcement, AnnouncementError>;
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod hash;
 mod host;
+mod incarnation;
 mod label;
 mod tick;
 mod verdict;
@@ -13,6 +14,7 @@
 
 pub use hash::{hash64, hash128, rendezvous, rendezvous_rank};
 pub use host::HostId;
+pub use incarnation::Incarnation;
 pub use label::Labels;
 pub use selector::Selector;
 pub use tick::Tick;
