feat: room is kept for orders that a former life of a runner did not answer

Cause: an order on its way since before a runner started again under its id is taken by the new life when that comes to the count that the order expects; neither id nor fence tells the lives apart. The new books knew nothing of it. Change: orders that were not answered are kept for a minute (the latest that is known came after 12 s), over lives and tenures of one holder; while the count has not passed theirs, their weights and adapters count as coming. A next holder of orders does not know the lost orders of the one before it.

--- a/crates/placement/src/capacity.rs
+++ b/crates/placement/src/capacity.rs
@@ -2,6 +2,7 @@
 
 use crate::Ledger;
 use vanetally_ports::EngineSpec;
+use vanetally_types::Name;
 
 /// Whether something fits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,11 +29,16 @@
         Self { engine, models_mb: engine.weights_mb - reserve }
     }
 
+    /// Megabytes of a model's weights. What the configuration does not know may be of any size: nothing goes
+    /// beside it.
+    fn size(&self, model: &Name) -> f64 {
+        let spec = self.engine.models.get(model);
+        spec.map_or(self.engine.weights_mb, |spec| spec.weights_mb)
+    }
+
     /// Megabytes beside all that is there or on its way.
     pub(crate) fn free_mb(&self, ledger: &Ledger) -> f64 {
-        // What the configuration does not know may be of any size: nothing goes beside it.
-        let engine = self.engine;
-        let size = |name| engine.models.get(name).map_or(engine.weights_mb, |spec| spec.weights_mb);
-        self.models_mb - ledger.models().map(size).sum::<f64>()
+        let expected = ledger.models().chain(ledger.stray_models());
+        self.models_mb - expected.map(|model| self.size(model)).sum::<f64>()
     }
 }
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -1,6 +1,6 @@
 //! What one runner holds, fetches and may be about to fetch.
 
-use crate::{Basis, Obstacle, Room, capacity::Capacity};
+use crate::{Basis, Obstacle, Room, capacity::Capacity, strays::Strays};
 use std::collections::{BTreeMap, BTreeSet};
 use vanetally_ports::{EngineSpec, HeldModel, Operation, Order, Report, Subject, UpstreamState};
 use vanetally_types::{Name, Tick};
@@ -30,6 +30,10 @@
     count: Option<u64>,
     /// An order whose answer is not known.
     pending: Option<(Order, Tick)>,
+    /// Orders of this life that were not answered.
+    unanswered: Strays,
+    /// Orders to former lives that may yet be carried out by this one.
+    strays: Strays,
     at_hand: BTreeSet<Name>,
     asked: Option<Tick>,
     /// Whether a report is needed before the next order.
@@ -63,6 +67,29 @@
         ledger
     }
 
+    /// The books of this runner anew, as a holder of orders that knows nothing of it begins them; what may yet be
+    /// carried out there is not forgotten.
+    pub(crate) fn begin_anew(&mut self, now: Tick) {
+        let strays = self.take_strays(now);
+        *self = Self::new(self.state.clone());
+        self.expect(now, strays);
+    }
+
+    /// Orders that may yet be carried out where this runner is, by this life or one after it.
+    pub(crate) fn take_strays(&mut self, now: Tick) -> Strays {
+        let mut strays = std::mem::take(&mut self.strays);
+        strays.extend(now, &std::mem::take(&mut self.unanswered));
+        if let Some((order, sent)) = self.pending.take() {
+            strays.add(sent, order);
+        }
+        strays
+    }
+
+    /// Orders to former lives may yet be carried out by this one.
+    pub(crate) fn expect(&mut self, now: Tick, strays: Strays) {
+        self.strays.extend(now, &strays);
+    }
+
     fn take_announced(&mut self) {
         let models = std::mem::take(&mut self.state.models);
         self.set_held(&models);
@@ -78,6 +105,8 @@
             has_unknown_order: false,
             count: None,
             pending: None,
+            unanswered: Strays::default(),
+            strays: Strays::default(),
             at_hand: state.at_hand.iter().cloned().collect(),
             asked: None,
             is_doubtful: true,
@@ -152,7 +181,8 @@
                 return false;
             }
             // Not taken so far, it may yet be: every other order expects the same count, so that
-            // at most one of them is taken.
+            // at most one of them is taken. Of two such orders the count does not tell which one was.
+            self.unanswered.add(*sent, order.clone());
             self.pending = None;
         }
         self.count = Some(report.orders_taken);
@@ -274,14 +304,22 @@
         self.is_doubtful = true;
     }
 
+    /// The order was answered.
     fn close(&mut self, order: &Order) {
+        self.unanswered.settle(order);
         if self.pending.as_ref().is_some_and(|(open, _)| open == order) {
             self.pending = None;
         }
     }
 
-    /// The order was not answered: the next report settles it.
-    pub fn order_unknown(&mut self) {
+    /// The order was not answered: the next report settles it for this life.
+    pub fn order_unknown(&mut self, now: Tick, order: &Order) {
+        self.unanswered.add(now, order.clone());
+        self.doubt();
+    }
+
+    /// The next report has to tell how things stand.
+    pub(crate) fn doubt(&mut self) {
         self.is_doubtful = true;
     }
 
@@ -340,6 +378,11 @@
         })
     }
 
+    /// Models whose weights may yet come by an order to a former life.
+    pub(crate) fn stray_models(&self) -> impl Iterator<Item = &Name> {
+        self.strays.models(self.count)
+    }
+
     /// Models of which the runner has a copy of its own.
     pub(crate) fn copies(&self) -> impl Iterator<Item = &Name> {
         self.at_hand.iter()
@@ -365,7 +408,8 @@
 
     /// Whether one more adapter fits beside all that are there or on their way.
     pub fn room_for_adapter(&self, engine: &EngineSpec) -> Room {
-        let taken = self.adapters().count() + self.coming.len();
+        let strays = self.strays.adapter_count(self.count);
+        let taken = self.adapters().count() + self.coming.len() + strays;
         match (taken < engine.max_adapters as usize, self.coming.len() < MOST_COMING) {
             (true, true) => Room::Fits,
             (_, true) => Room::Full,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,6 +14,7 @@
 mod machine;
 mod obstacle;
 mod plan;
+mod strays;
 mod summary;
 mod tenure;
 mod weights;
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -1,6 +1,8 @@
 //! The state machine of the holder of orders.
 
-use crate::{Action, Ceiling, Event, Ledger, Options, Reservation, demand::DemandTable};
+use crate::{
+    Action, Ceiling, Event, Ledger, Options, Reservation, demand::DemandTable, strays::Strays,
+};
 use std::{
     collections::{BTreeMap, HashMap, btree_map::Entry},
     rc::Rc,
@@ -16,6 +18,8 @@
     pub(crate) options: Options,
     pub(crate) configuration: Option<Rc<Configuration>>,
     pub(crate) ledgers: BTreeMap<Incarnation, Ledger>,
+    /// Orders to lives that have ended, by the id under which another one may begin.
+    strays: BTreeMap<Name, Strays>,
     pub(crate) demand: DemandTable,
     pub(crate) token: Option<Revision>,
     /// Since when the token holds.
@@ -66,6 +70,7 @@
             options,
             configuration: None,
             ledgers: BTreeMap::new(),
+            strays: BTreeMap::new(),
             demand: DemandTable::default(),
             token: None,
             token_since: Tick(0),
@@ -86,17 +91,13 @@
         let mut actions = Vec::new();
         match event {
             Event::Configured(configuration) => self.configure(configuration),
-            Event::UpstreamSeen { id, state } => self.upstream_seen(id, state),
+            Event::UpstreamSeen { id, state } => self.upstream_seen(now, id, state),
             Event::UpstreamUnreadable { id } => {
                 if let Some(ledger) = self.ledgers.get_mut(&id) {
                     ledger.unreadable();
                 }
             }
-            Event::UpstreamGone { id } => {
-                self.ledgers.remove(&id);
-                self.reserved.remove(&id);
-                self.closing.retain(|(runner, _), _| *runner != id);
-            }
+            Event::UpstreamGone { id } => self.upstream_gone(now, id),
             Event::Demand(samples) => {
                 samples.iter().for_each(|sample| self.demand.add(now, sample));
             }
@@ -135,12 +136,26 @@
         }
     }
 
-    fn upstream_seen(&mut self, id: Incarnation, state: UpstreamState) {
-        match self.ledgers.get_mut(&id) {
-            Some(ledger) => ledger.announced(state),
-            None => {
-                self.ledgers.insert(id, Ledger::new(state));
-            }
+    fn upstream_seen(&mut self, now: Tick, id: Incarnation, state: UpstreamState) {
+        if let Some(ledger) = self.ledgers.get_mut(&id) {
+            return ledger.announced(state);
+        }
+        let mut ledger = Ledger::new(state);
+        if let Some(strays) = self.strays.remove(&id.id) {
+            ledger.expect(now, strays);
+        }
+        self.ledgers.insert(id, ledger);
+    }
+
+    fn upstream_gone(&mut self, now: Tick, id: Incarnation) {
+        self.reserved.remove(&id);
+        self.closing.retain(|(runner, _), _| *runner != id);
+        let Some(mut ledger) = self.ledgers.remove(&id) else {
+            return;
+        };
+        let strays = ledger.take_strays(now);
+        if !strays.is_empty() {
+            self.strays.entry(id.id).or_default().extend(now, &strays);
         }
     }
 
@@ -184,7 +199,7 @@
         self.ceilings.clear();
         self.token_since = now;
         for ledger in self.ledgers.values_mut() {
-            *ledger = Ledger::new(ledger.state.clone());
+            ledger.begin_anew(now);
         }
     }
 
@@ -192,6 +207,8 @@
         self.wanted.retain(|_, at| now.since(*at) < WANTED_MS);
         self.crowded.retain(|_, at| now.since(*at) < CROWDED_MS);
         self.copied.retain(|_, at| now.since(*at) < COPY_MS);
+        self.strays.values_mut().for_each(|strays| strays.extend(now, &Strays::default()));
+        self.strays.retain(|_, strays| !strays.is_empty());
         let arrivals = std::mem::take(&mut self.arrivals);
         for (due, runner, subject) in arrivals {
             if now < due {
@@ -341,7 +358,7 @@
             // Whether such an answer counts as an order taken is for the next report to tell.
             OrderOutcome::Already => {
                 ledger.order_taken(now, order, 0);
-                ledger.order_unknown();
+                ledger.doubt();
                 let is_present = order.operation == Operation::Load;
                 actions.push(announce(&order.runner, &order.subject, is_present, 0));
             }
@@ -349,7 +366,7 @@
                 ledger.order_refused(order);
             }
             OrderOutcome::NotSent => ledger.order_refused(order),
-            OrderOutcome::Unknown => ledger.order_unknown(),
+            OrderOutcome::Unknown => ledger.order_unknown(now, order),
             OrderOutcome::Fenced => {
                 ledger.order_refused(order);
                 self.token = None;
--- /dev/null
+++ b/crates/placement/src/strays.rs
@@ -0,0 +1,70 @@
+//! Orders that were not answered and may yet be carried out, by the life of a runner that they were sent to or by
+//! one after it.
+
+use vanetally_ports::{Operation, Order};
+use vanetally_types::{Name, Tick};
+
+/// Orders that may yet be carried out.
+///
+/// A runner takes an order if it has taken as many before as the order expects. A runner that starts again under its
+/// id counts anew, and the fencing tokens that it saw are forgotten: an order on its way since before is taken when the
+/// new life has come to the same count. What it would bring is kept room for until that count has passed. While the
+/// count is the expected one, the next order expects the same, and at most one of the two is taken.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Strays {
+    orders: Vec<Stray>,
+}
+
+#[derive(Clone, Debug)]
+struct Stray {
+    order: Order,
+    sent: Tick,
+}
+
+/// An order is not carried out later than this after it was sent, in milliseconds: five times the latest that is
+/// known, 12 s.
+const STRAY_MS: u64 = 60_000;
+
+impl Strays {
+    /// An order was not answered.
+    pub(crate) fn add(&mut self, sent: Tick, order: Order) {
+        if !self.orders.iter().any(|stray| stray.order == order) {
+            self.orders.push(Stray { order, sent });
+        }
+    }
+
+    /// An order was answered after all.
+    pub(crate) fn settle(&mut self, order: &Order) {
+        self.orders.retain(|stray| stray.order != *order);
+    }
+
+    /// Takes in those of a former life, and forgets what can't be carried out any more.
+    pub(crate) fn extend(&mut self, now: Tick, other: &Strays) {
+        for stray in &other.orders {
+            self.add(stray.sent, stray.order.clone());
+        }
+        self.orders.retain(|stray| now.since(stray.sent) < STRAY_MS);
+    }
+
+    /// Whether there is none.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.orders.is_empty()
+    }
+
+    /// Models whose weights may yet come to a runner that has taken `count` orders.
+    pub(crate) fn models(&self, count: Option<u64>) -> impl Iterator<Item = &Name> {
+        let weights = self.loads(count).filter(|order| order.subject.adapter.is_none());
+        weights.map(|order| &order.subject.model)
+    }
+
+    /// How many adapters may yet come there.
+    pub(crate) fn adapter_count(&self, count: Option<u64>) -> usize {
+        self.loads(count).filter(|order| order.subject.adapter.is_some()).count()
+    }
+
+    fn loads(&self, count: Option<u64>) -> impl Iterator<Item = &Order> {
+        let is_ahead = move |order: &&Order| count.is_none_or(|count| order.orders_before > count);
+        let orders = self.orders.iter().map(|stray| &stray.order);
+        orders.filter(|order| order.operation == Operation::Load).filter(is_ahead)
+    }
+}
--- a/crates/placement/tests/lives.rs
+++ b/crates/placement/tests/lives.rs
@@ -4,7 +4,7 @@
 
 use support::{Holder, report, state};
 use vanetally_placement::Event;
-use vanetally_ports::{Order, OrderOutcome, Report, Revision, UpstreamState};
+use vanetally_ports::{Operation, Order, OrderOutcome, Report, Revision, UpstreamState};
 use vanetally_types::Incarnation;
 
 fn life(born: u64) -> Incarnation {
@@ -38,12 +38,16 @@
     Report { born: Some(born), ..report }
 }
 
-/// The order that follows if `m1` is missed now.
-fn order_for_m1(holder: &mut Holder) -> Option<Order> {
+/// The order that follows if `model` is missed now.
+fn order_for(holder: &mut Holder, model: &str) -> Option<Order> {
     holder.orders.clear();
-    holder.want("m1", None);
+    holder.want(model, None);
     holder.pass(100);
-    holder.loads("m1").last().copied().cloned()
+    holder.loads(model).last().copied().cloned()
+}
+
+fn order_for_m1(holder: &mut Holder) -> Option<Order> {
+    order_for(holder, "m1")
 }
 
 /// Its reports were dropped for as long as the holder lived, since they count fewer orders than were known.
@@ -117,3 +121,33 @@
     answer(&mut holder, 1, report(&[], 0));
     assert!(order_for_m1(&mut holder).is_some());
 }
+
+/// Two models fill a runner. An order to load a third one, sent to the former life when that had taken two orders, is
+/// carried out when the new one has taken two: room is kept for it until then.
+#[test]
+fn stray_order() {
+    let mut holder = holder();
+    see(&mut holder, 1, state(&[], 2));
+    answer(&mut holder, 1, by(1, report(&[], 2)));
+    let stray = order_for_m1(&mut holder).expect("an order");
+    assert_eq!(stray.orders_before, 2);
+    holder.answer(stray, OrderOutcome::Unknown);
+    end(&mut holder, 1);
+    see(&mut holder, 2, state(&[], 0));
+    answer(&mut holder, 2, by(2, report(&["m2"], 1)));
+    holder.orders.clear();
+    // The weight store's rate allows another load.
+    holder.pass(6_000);
+    holder.want("m3", None);
+    holder.pass(100);
+    let is_load = |order: &Order| order.operation == Operation::Load;
+    assert!(!holder.orders.iter().any(is_load), "m1 may yet come beside m2: {:?}", holder.orders);
+    holder.orders.clear();
+    answer(&mut holder, 2, by(2, report(&["m2"], 3)));
+    holder.want("m3", None);
+    holder.pass(100);
+    assert!(
+        holder.orders.iter().any(is_load),
+        "two orders were taken since: it can't come any more"
+    );
+}
