test: runners that start again under their id and spoiled entries in the soak

Drawn apart from the other faults, so that what a seed draws of those stays; seeds that failed once stay wholly as they were.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -34,6 +34,17 @@
 const LINK_FAULTS: [ProxyMode; 5] =
     [ProxyMode::Delay(40), ProxyMode::Reset, ProxyMode::Silent, ProxyMode::OneWay, ProxyMode::Lost];
 
+/// Share of the strikes after which something happens to an entry.
+const ENTRY_SHARE: f64 = 0.2;
+/// Fields of an entry, and what another writer makes of them.
+const SPOILED: [(&str, &str); 5] = [
+    ("state", "resting"),
+    ("slots", "many"),
+    ("address", "nowhere"),
+    ("born", "lately"),
+    ("service", ""),
+];
+
 /// Strikes once, then waits a little.
 pub fn strike(rng: &mut StdRng, site: &mut Site) {
     let host = rng.random_range(0..site.slots.len());
@@ -65,6 +76,22 @@
     thread::sleep(Duration::from_millis(rng.random_range(20..250)));
 }
 
+/// Now and then a runner starts again under its id, or another writer spoils its entry.
+pub fn strike_entry(rng: &mut StdRng, site: &Site) {
+    if !rng.random_bool(ENTRY_SHARE) {
+        return;
+    }
+    let number = site.any_present(rng);
+    match rng.random_range(0..3) {
+        0 => site.start_again(number),
+        1 => {
+            // It is announced only later, with its next heartbeat.
+            site.runner(number).start_again();
+        }
+        _ => site.spoil(number, any(rng, &SPOILED)),
+    }
+}
+
 /// Cuts most hosts from the store for a while in which an upstream may leave.
 pub fn cut_store(rng: &mut StdRng, site: &Site) {
     for slot in &site.slots {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -55,7 +55,8 @@
             let Some(seed) = next else {
                 return;
             };
-            let report = site::play(seed);
+            // Seeds that failed once stay as they were.
+            let report = site::play(seed, !known_seeds().contains(&seed));
             println!("{report}");
             if !report.broken.is_empty() {
                 broken.lock().expect("no thread panicked").push(report);
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -130,7 +130,7 @@
         site
     }
 
-    fn runner(&self, number: usize) -> &Runner {
+    pub fn runner(&self, number: usize) -> &Runner {
         let engines = &self.deployment.engines;
         engines.get(number).unwrap_or_else(|| &self.deployment.desks[number - engines.len()])
     }
@@ -142,6 +142,19 @@
         self.deployment.store.put(&key, &value);
     }
 
+    /// A runner starts again under its id, and says so.
+    pub fn start_again(&self, number: usize) {
+        self.runner(number).start_again();
+        self.announce(number, "ready");
+    }
+
+    /// Another writer puts `value` into a field of a runner's entry.
+    pub fn spoil(&self, number: usize, (field, value): (&str, &str)) {
+        let (key, mut entry) = self.runner(number).entry_at(self.runner_links[number].address());
+        entry[field] = value.into();
+        self.deployment.store.put(&key, &entry);
+    }
+
     /// All runners write that they are ready, but for one that has left.
     pub fn announce_all(&self) {
         let stay = (0..self.runner_links.len()).filter(|number| self.left != Some(*number));
@@ -258,9 +271,11 @@
     }
 }
 
-/// Plays one seed.
-pub fn play(seed: u64) -> Report {
+/// Plays one seed; `has_entries` says whether runners start again and their entries are spoiled as well, drawn apart
+/// from the other faults.
+pub fn play(seed: u64, has_entries: bool) -> Report {
     let mut rng = StdRng::seed_from_u64(seed);
+    let mut entries = StdRng::seed_from_u64(!seed);
     let mut site = Site::start(&mut rng, seed);
     faults::heal(&mut site);
     site.configure();
@@ -268,6 +283,9 @@
     let callers = Callers::start(&site.shared, seed);
     for _ in 0..FAULTS {
         faults::strike(&mut rng, &mut site);
+        if has_entries {
+            faults::strike_entry(&mut entries, &site);
+        }
     }
     // It leaves as the way to the store is cut, or before.
     if rng.random_bool(0.5) {
