--- a/tests/store_return.rs
+++ b/tests/store_return.rs
@@ -8,7 +8,7 @@
     thread::sleep,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, StoreMode};
+use vanetally_platform_standin::{Client, Proxy, ProxyMode, StoreMode};
 
 /// So long after the store's return a host must know which upstreams have left; as in the settings
 /// of the tests.
@@ -93,3 +93,43 @@
     wait_for("it is ready", || host.readiness() == 200);
     assert!(returned.elapsed() < READY, "ready after {:?}", returned.elapsed());
 }
+
+/// A watch that was sent just after a change waits this long for the next, so that it has hardly begun.
+const BEGUN: Duration = Duration::from_millis(450);
+/// The way to the store loses what is sent for so long; open connections that it struck stay silent.
+const LOSING: Duration = Duration::from_millis(120);
+/// A probe that happens to be lost as well shows the trouble sooner: it is tried so often.
+const TRIES: u64 = 4;
+
+/// The connection of a watch went silent for good while new ones worked. In a deployment of eight hosts that each read
+/// the store a watch was given up only 3.5 s after it was sent, and a host is bound again earlier: 2.5 s after the end of
+/// the trouble two hosts refused a route that had been added 2.9 s before with 404.
+#[test]
+fn silent_watch() {
+    let deployment = Deployment::start();
+    let ip = gateway::fresh_ip();
+    let link = Proxy::start(&ip, deployment.store.address());
+    let host = deployment.spawn_at("front-1", &ip, link.address());
+    let in_force = |version: u64| {
+        let wanted = Some(version as f64);
+        wait_for("it is in force", || host.metric("vanetally_configuration_version") == wanted);
+    };
+    in_force(1);
+    let mut worst = Duration::ZERO;
+    for number in 1..=TRIES {
+        deployment.configure(2 * number, &["added"]);
+        in_force(2 * number);
+        // Metrics are read off once a second: the watch after that change has waited for long.
+        deployment.store.put("servers/i-desk-0", &deployment.desks[0].entry().1);
+        sleep(BEGUN);
+        link.set_mode(ProxyMode::Lost);
+        deployment.configure(2 * number + 1, &["added", "more"]);
+        sleep(LOSING);
+        link.set_mode(ProxyMode::Pass);
+        let healed = Instant::now();
+        let marked = format!("configuration_in_force version={} ", 2 * number + 1);
+        wait_for("it is in force", || deployment.log("front-1").contains(&marked));
+        worst = worst.max(healed.elapsed());
+    }
+    assert!(worst < CONTACT, "in force {worst:?} after the end of the trouble");
+}
