refactor: the length of a watch stands where watches are made

Since small deployments hold a watch as long as fleets do, a method of the reader only gave back a constant. The constant moves to its one user; behaviour as before.

--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -6,11 +6,6 @@
 use vanetally_ports::{Change, Revision};
 use vanetally_types::Name;
 
-/// How long the store may hold a watch, in milliseconds: a connection that has gone silent is noticed within this
-/// time and a margin of half a second, and read anew within the 2.5 s or more that deployments allow for it. Probes
-/// show sooner whether the way to the store is open, not whether this connection lives.
-const WATCH_MS: u64 = 1_500;
-
 /// Reads all feeds from the store while that is this host's source, for as long as the process lives.
 pub(crate) async fn run(hub: Rc<Hub>) {
     let mut source = hub.source.subscribe();
@@ -95,11 +90,6 @@
         self.feeds.iter().for_each(|feed| feed.is_watched.set(false));
     }
 
-    /// How long the store may hold a watch.
-    pub(crate) fn watch_ms(&self) -> u64 {
-        WATCH_MS
-    }
-
     /// From where the shared feeds of `scope` are known, as other hosts or an earlier watch told them; a watch
     /// may go on from there.
     pub(crate) fn known(&self, scope: &Scope) -> Option<Revision> {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -22,6 +22,10 @@
     fn lost(&self);
 }
 
+/// How long the store may hold a watch, in milliseconds: a connection that has gone silent is noticed within this
+/// time and a margin of half a second, and read anew within the 2.5 s or more that deployments allow for it. Probes
+/// show sooner whether the way to the store is open, not whether this connection lives.
+const WATCH_MS: u64 = 1_500;
 /// After changes the next watch waits this long, to find more at once.
 const GATHER: Duration = Duration::from_millis(300);
 /// A value larger than this is read and watched by itself, in bytes: on a link of 10 Mbit/s it takes a tenth of a
@@ -182,7 +186,7 @@
     let mut after = from;
     loop {
         scope.set_watching(true);
-        let answer = store.watch(&scope.prefix, after, reader.watch_ms()).await;
+        let answer = store.watch(&scope.prefix, after, WATCH_MS).await;
         scope.set_watching(false);
         match answer {
             Ok(WatchAnswer::Changes { changes, at }) => {
