feat: how much organisations may ask for over all hosts

Cause: quotas of organisations bind the sum over all hosts, in touch or not; nothing kept them. Change: a crate of state machines. One host, which holds a lease, keeps a token bucket for each organisation and is asked for every request; its successor begins with empty buckets. A host that can't ask spends a share of its own; all shares together are what the operators allow beyond the quota. Measured: tests/grants (ten times the quota over 8 s: within one request of it, and nothing below it refused; grantor replaced; any load, by proptest), tests/alone (all of 69 hosts cut off at 12 times the quota; a sixth cut off beside a grantor that goes on; a calm organisation keeps 0.85 of its requests).

--- /dev/null
+++ b/crates/quota/src/grantor.rs
@@ -0,0 +1,88 @@
+//! The one host that grants what organisations ask for.
+
+use crate::bucket::Bucket;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use vanetally_ports::Quota;
+use vanetally_types::{Name, Tick};
+
+/// What the grantor says to one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// It is within the quota.
+    Granted {
+        /// Whether the organisation stays far below its quota.
+        is_calm: bool,
+    },
+    /// It is beyond the quota.
+    Refused {
+        /// After this time there is room for it, in milliseconds.
+        retry_ms: u64,
+    },
+    /// This host does not grant now.
+    NotGranting,
+}
+
+/// The buckets of all organisations.
+///
+/// A host that begins to grant knows nothing of what its predecessor granted: its buckets begin empty. The
+/// predecessor had granted at most the burst and the rate up to then, so both together keep to the quota.
+#[derive(Clone, Debug, Default)]
+pub struct Grantor {
+    quotas: HashMap<Name, Quota>,
+    buckets: HashMap<Name, Bucket>,
+    is_granting: bool,
+}
+
+impl Grantor {
+    /// The quotas in force; an organisation that is not named has none.
+    pub fn configure(&mut self, now: Tick, quotas: HashMap<Name, Quota>) {
+        self.buckets.retain(|name, _| quotas.contains_key(name));
+        for (name, quota) in &quotas {
+            let known = self.quotas.get(name).filter(|known| known.unit == quota.unit);
+            match self.buckets.get_mut(name).filter(|_| known.is_some()) {
+                Some(bucket) => bucket.resize(now, quota.rate, quota.burst),
+                None => {
+                    // Nothing was granted to an organisation that is new.
+                    let bucket = Bucket::new(now, quota.burst, quota.rate, quota.burst);
+                    self.buckets.insert(name.clone(), bucket);
+                }
+            }
+        }
+        self.quotas = quotas;
+    }
+
+    /// Whether this host may grant now, by its lease.
+    pub fn set_granting(&mut self, now: Tick, is_granting: bool) {
+        if is_granting && !self.is_granting {
+            for (name, quota) in &self.quotas {
+                self.buckets.insert(name.clone(), Bucket::new(now, 0.0, quota.rate, quota.burst));
+            }
+        }
+        self.is_granting = is_granting;
+    }
+
+    /// Whether `organisation` may spend `cost` now; takes it if so.
+    ///
+    /// A request is granted while anything is left: the last one may overdraw, and is paid for by the next.
+    pub fn spend(&mut self, now: Tick, organisation: &Name, cost: u32) -> Answer {
+        if !self.is_granting {
+            return Answer::NotGranting;
+        }
+        let Some(bucket) = self.buckets.get_mut(organisation) else {
+            return Answer::Granted { is_calm: true };
+        };
+        if bucket.level(now) <= 0.0 {
+            return Answer::Refused { retry_ms: bucket.wait_ms(now, f64::from(cost)) };
+        }
+        bucket.take(f64::from(cost));
+        Answer::Granted { is_calm: bucket.is_half_full(now) }
+    }
+
+    /// What was granted did not run.
+    pub fn give_back(&mut self, organisation: &Name, cost: u32) {
+        if let Some(bucket) = self.buckets.get_mut(organisation) {
+            bucket.give_back(f64::from(cost));
+        }
+    }
+}
--- /dev/null
+++ b/crates/quota/tests/alone.rs
@@ -0,0 +1,100 @@
+//! What hosts decide alone, where nobody can be asked.
+
+use std::collections::HashMap;
+use vanetally_ports::{Quota, QuotaUnit};
+use vanetally_quota::{Answer, Ask, Asker, Bounds, Decision};
+use vanetally_types::{Name, Tick};
+
+const START: Tick = Tick(1_000_000);
+const HOSTS: usize = 69;
+const RATE: f64 = 100_000.0;
+const BOUNDS: Bounds = Bounds { window_ms: 8_000, excess: 0.1, slack: 11_000.0 };
+/// What the operators allow beyond the quota of one window.
+const BEYOND: f64 = RATE * 9.0 * 0.1 + 11_000.0;
+const COST: u32 = 1_500;
+
+fn quotas() -> HashMap<Name, Quota> {
+    let unit = QuotaUnit::Tokens { plain: 200 };
+    HashMap::from([("o".into(), Quota { unit, rate: RATE, burst: RATE })])
+}
+
+fn hosts(count: usize) -> Vec<Asker> {
+    let host = || {
+        let mut asker = Asker::new(BOUNDS);
+        asker.set_hosts(HOSTS);
+        asker.configure(START, &quotas());
+        asker
+    };
+    (0..count).map(|_| host()).collect()
+}
+
+/// Each host gets a request of `COST` each `every_ms`; what all of them let go without a grantor.
+fn press(hosts: &mut [Asker], from: Tick, millis: u64, every_ms: u64) -> f64 {
+    let mut spent = 0.0;
+    for ms in (0..millis).step_by(every_ms as usize) {
+        for asker in hosts.iter_mut() {
+            if asker.decide_alone(from + ms, &"o".into(), COST) == Decision::Granted {
+                spent += f64::from(COST);
+            }
+        }
+    }
+    spent
+}
+
+/// An organisation sends 12 times its quota while all hosts are cut off from the grantor for a whole window, and that
+/// one grants nothing: they keep to the quota and what is allowed beyond it, and go on serving.
+#[test]
+fn all_cut_off() {
+    let mut hosts = hosts(HOSTS);
+    let spent = press(&mut hosts, START, 8_000, 86);
+    assert!(spent <= RATE * 9.0 + BEYOND, "{spent}");
+    assert!(spent >= RATE * 2.0, "they go on serving: {spent}");
+}
+
+/// A sixth of the hosts is cut off for 5.5 s while the grantor goes on granting the whole quota to the others.
+#[test]
+fn some_cut_off() {
+    let mut hosts = hosts(HOSTS / 6);
+    let spent = press(&mut hosts, START, 5_500, 86);
+    assert!(spent <= BEYOND, "{spent} of {BEYOND}");
+}
+
+/// The grantor is killed while the organisation asks for half of its quota: until there is another one, nearly all
+/// of its requests go on.
+#[test]
+fn calm_organisation() {
+    let mut hosts = hosts(HOSTS);
+    for asker in &mut hosts {
+        asker.answered(START, &"o".into(), COST, Answer::Granted { is_calm: true });
+    }
+    // One request of each host in 2 s: 69 times 1,500 tokens, half of the rate.
+    let asked = HOSTS as f64 * f64::from(COST);
+    let spent = press(&mut hosts, START + 1_000, 2_000, 2_000);
+    assert!(spent >= asked * 0.85, "{spent} of {asked}");
+}
+
+#[test]
+fn silent_grantor() {
+    let mut asker = hosts(1).remove(0);
+    let organisation: Name = "o".into();
+    assert_eq!(asker.ask(START, &organisation), Ask::Alone, "nobody grants yet");
+    asker.set_grantor(Some("h1".into()));
+    assert_eq!(asker.ask(START, &organisation), Ask::Host("h1".into()));
+    let _ = asker.unanswered(START, &"h1".into(), &organisation, COST);
+    assert_eq!(asker.ask(START + 100, &organisation), Ask::Alone);
+    assert_eq!(asker.ask(START + 300, &organisation), Ask::Host("h1".into()), "asked again");
+    let _ = asker.unanswered(START + 300, &"h1".into(), &organisation, COST);
+    asker.set_grantor(Some("h2".into()));
+    assert_eq!(asker.ask(START + 301, &organisation), Ask::Host("h2".into()), "its successor");
+}
+
+#[test]
+fn costs() {
+    let mut asker = hosts(1).remove(0);
+    assert_eq!(asker.cost(&"o".into(), Some(1_630)), Some(1_630));
+    assert_eq!(asker.cost(&"o".into(), None), Some(200), "a request that states no tokens");
+    assert_eq!(asker.cost(&"other".into(), None), None, "no quota");
+    assert_eq!(asker.ask(START, &"other".into()), Ask::Nobody);
+    asker.configure(START, &HashMap::new());
+    assert_eq!(asker.cost(&"o".into(), None), None, "the quota was taken away");
+}
--- /dev/null
+++ b/crates/quota/tests/grants.rs
@@ -0,0 +1,130 @@
+//! What the grantor grants, alone and across its successors.
+
+use proptest::prelude::*;
+use std::collections::HashMap;
+use vanetally_ports::{Quota, QuotaUnit};
+use vanetally_quota::{Answer, Grantor};
+use vanetally_types::{Name, Tick};
+
+const START: Tick = Tick(1_000_000);
+const RATE: f64 = 10_000.0;
+const UNIT: QuotaUnit = QuotaUnit::Tokens { plain: 200 };
+
+fn quota(rate: f64) -> HashMap<Name, Quota> {
+    HashMap::from([("o".into(), Quota { unit: UNIT, rate, burst: rate })])
+}
+
+fn grantor(at: Tick, rate: f64) -> Grantor {
+    let mut grantor = Grantor::default();
+    grantor.configure(at, quota(rate));
+    grantor.set_granting(at, true);
+    grantor
+}
+
+/// Spends requests of 1,000 tokens, one each 10 ms: ten times the quota. Gives back what was granted, by time.
+fn press(grantor: &mut Grantor, from: Tick, millis: u64) -> Vec<(Tick, u32)> {
+    let mut granted = Vec::new();
+    for ms in (0..millis).step_by(10) {
+        let now = from + ms;
+        if let Answer::Granted { .. } = grantor.spend(now, &"o".into(), 1_000) {
+            granted.push((now, 1_000));
+        }
+    }
+    granted
+}
+
+fn total(granted: &[(Tick, u32)]) -> f64 {
+    granted.iter().map(|(_, cost)| f64::from(*cost)).sum()
+}
+
+#[test]
+fn ten_times_the_quota() {
+    let mut grantor = grantor(START, RATE);
+    let first = press(&mut grantor, START, 8_000);
+    let most = RATE * 8.0 + 1_000.0;
+    assert!(total(&first) <= most, "{}", total(&first));
+    assert!(total(&first) >= RATE * 7.8, "nothing below the quota is refused: {}", total(&first));
+}
+
+#[test]
+fn refusal_tells_the_time() {
+    let mut grantor = grantor(START, RATE);
+    let _ = press(&mut grantor, START, 1_000);
+    let Answer::Refused { retry_ms } = grantor.spend(START + 1_001, &"o".into(), 1_000) else {
+        panic!("the quota is spent");
+    };
+    assert!((50..=300).contains(&retry_ms), "{retry_ms}");
+    let later = grantor.spend(START + 1_001 + retry_ms, &"o".into(), 1_000);
+    assert!(matches!(later, Answer::Granted { .. }), "{later:?}");
+}
+
+/// The holder of the lease is killed and another one takes over: what both grant keeps to the quota.
+#[test]
+fn successor_begins_empty() {
+    let mut first = Grantor::default();
+    first.configure(START, quota(RATE));
+    first.set_granting(START, true);
+    let mut granted = press(&mut first, START, 4_000);
+    let mut second = grantor(START + 4_000, RATE);
+    granted.extend(press(&mut second, START + 4_000, 4_000));
+    assert!(total(&granted) <= RATE * 8.0 + RATE + 2_000.0, "{}", total(&granted));
+}
+
+#[test]
+fn no_lease_no_grant() {
+    let mut grantor = grantor(START, RATE);
+    grantor.set_granting(START + 10, false);
+    assert_eq!(grantor.spend(START + 20, &"o".into(), 1), Answer::NotGranting);
+}
+
+#[test]
+fn what_did_not_run_comes_back() {
+    let mut grantor = grantor(START, RATE);
+    let now = START + 1_000;
+    let mut count = 0;
+    while let Answer::Granted { .. } = grantor.spend(now, &"o".into(), 1_000) {
+        count += 1;
+    }
+    assert_eq!(count, 10);
+    grantor.give_back(&"o".into(), 1_000);
+    assert!(matches!(grantor.spend(now, &"o".into(), 1_000), Answer::Granted { .. }));
+    assert!(matches!(grantor.spend(now, &"o".into(), 1_000), Answer::Refused { .. }));
+}
+
+/// A quota that is lowered binds what is left of the earlier one at once.
+#[test]
+fn lowered_quota() {
+    let mut grantor = grantor(START, RATE);
+    let now = START + 2_000;
+    grantor.configure(now, quota(RATE / 10.0));
+    let granted = press(&mut grantor, now, 8_000);
+    assert!(total(&granted) <= RATE / 10.0 * 9.0 + 1_000.0, "{}", total(&granted));
+}
+
+#[test]
+fn unlimited_organisation() {
+    let mut grantor = grantor(START, RATE);
+    let answer = grantor.spend(START, &"other".into(), 1_000_000);
+    assert_eq!(answer, Answer::Granted { is_calm: true });
+}
+
+proptest! {
+    /// Whatever is asked for, in each window no more is granted than the quota and one request.
+    #[test]
+    fn any_load(asked in proptest::collection::vec((0_u64..200, 1_u32..4_000), 1..400)) {
+        let mut grantor = grantor(START, RATE);
+        let mut now = START;
+        let mut granted: Vec<(Tick, u32)> = Vec::new();
+        for (pause, cost) in asked {
+            now = now + pause;
+            if let Answer::Granted { .. } = grantor.spend(now, &"o".into(), cost) {
+                granted.push((now, cost));
+            }
+        }
+        for (first, (from, _)) in granted.iter().enumerate() {
+            let window: Vec<(Tick, u32)> =
+                granted[first..].iter().copied().filter(|(at, _)| at.since(*from) <= 8_000).collect();
+            prop_assert!(total(&window) <= RATE * 9.0 + 4_000.0);
+        }
+    }
+}
