--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -82,6 +82,7 @@
         targets: vec![Target { service: "llm".into(), weight: 1 }],
         max_attempts: 1,
         resumable: false,
+        is_open: false,
     };
     let service = Service { name: "llm".into(), max_connections: 1_900, engine: Some(engine) };
     Rc::new(Configuration {
@@ -89,6 +90,7 @@
         routes: vec![route],
         services: BTreeMap::from([("llm".into(), service)]),
         limits: CallerLimits::default(),
+        organisations: None,
     })
 }
 
@@ -97,6 +99,7 @@
         domain: "z1".into(),
         budget: BudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 630.0 },
         grace_ms: 8_000,
+        revoke_ms: None,
     };
     let mut dispatch = Dispatch::new(NOW, options);
     dispatch.handle(NOW, Event::Configured(configuration(models(runners))));
@@ -113,6 +116,8 @@
         host: "site.example".into(),
         path: "/offer/1".into(),
         wait_ms: Some(15_000),
+        credential: vanetally_ports::Credential::Missing,
+        has_tokens: true,
         model: Some(ModelRef { model: model(number as usize % models), adapter: None }),
         prompt_tokens: 1_460,
         output_tokens: 174,
@@ -131,7 +136,7 @@
             b.iter(|| {
                 number += 1;
                 let (id, request) = (RequestId(number), request(number, models(runners)));
-                let actions = dispatch.handle(NOW, Event::Arrived { id, request });
+                let actions = dispatch.handle(NOW, Event::Arrived { id, request, content: 0 });
                 assert!(matches!(actions[..], [Action::Reserve { .. }]), "{actions:?}");
                 dispatch.handle(NOW, Event::CallerLeft { id })
             });
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -71,6 +71,7 @@
         };
         self.learn_end(now, &request, &sending, end);
         self.tell_end(&request, &sending, end, actions);
+        self.weigh_content(&request, &sending, end, actions);
         match end {
             AttemptEnd::Served => return,
             // The upstream's own failure went to the caller, unless it may be tried again.
@@ -90,7 +91,8 @@
             // Only where it was turned away may it be sent again: its caller does better elsewhere.
             request.patience = request.patience.min(now + EXHAUSTED_MS);
         }
-        match self.why_not_again(now, &request, end, answered) {
+        let barred = self.bar(now, &request).map(|bar| bar.with_verdict(request.verdict));
+        match barred.or_else(|| self.why_not_again(now, &request, end, answered)) {
             Some(refusal) => {
                 let standing = Standing::from(&request);
                 actions.push(Action::Refuse { id, refusal, standing });
@@ -102,6 +104,24 @@
         }
     }
 
+    /// An attempt that broke off speaks against its content, unless such requests are answered elsewhere.
+    fn weigh_content(
+        &mut self,
+        request: &Request,
+        sending: &Sending,
+        end: AttemptEnd,
+        actions: &mut Vec<Action>,
+    ) {
+        let content = request.content;
+        match end {
+            AttemptEnd::Served => self.held.answered(content),
+            AttemptEnd::Broken if !self.held.was_answered(content) => {
+                actions.push(Action::Accuse { content, upstream: sending.upstream.clone() });
+            }
+            _ => {}
+        }
+    }
+
     fn learn_end(&mut self, now: Tick, request: &Request, sending: &Sending, end: AttemptEnd) {
         let Some(upstream) = self.upstreams.get_mut(&sending.upstream) else {
             return;
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -3,8 +3,9 @@
 use crate::{BudgetOptions, Digest, Lack, Standing};
 use std::{net::SocketAddr, rc::Rc};
 use vanetally_pacing::{Prompt, Slot};
-use vanetally_ports::{CallerRequest, Configuration, ModelRef, Refusal, UpstreamState};
-use vanetally_types::{Incarnation, Name};
+use vanetally_ports::{CallerRequest, Configuration, ModelRef, Origin, Refusal, UpstreamState};
+use vanetally_quarantine::{Content, Sentence};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// A request in this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -19,6 +20,9 @@
     pub budget: BudgetOptions,
     /// Milliseconds that a planned stop may take.
     pub grace_ms: u64,
+    /// Milliseconds after a key was taken away within which it must not be used any more; none if hosts serve on
+    /// with the last configuration that they know.
+    pub revoke_ms: Option<u64>,
 }
 
 /// Whether a runner holds a model or an adapter, as the holder of orders tells it.
@@ -72,6 +76,10 @@
 pub enum Event {
     /// A newer configuration is in force.
     Configured(Rc<Configuration>),
+    /// The configuration in force was the newest at this moment, by the store's word.
+    Confirmed(Tick),
+    /// A content was found to end upstreams.
+    Sentenced(Sentence),
     /// An upstream announced itself, or changed what it announces.
     UpstreamSeen {
         /// Its incarnation.
@@ -123,6 +131,8 @@
         id: RequestId,
         /// Its head.
         request: CallerRequest,
+        /// Its content.
+        content: Content,
     },
     /// The engine's pacer answered.
     Reserved {
@@ -201,6 +211,8 @@
     pub is_stream: bool,
     /// Whether the request may run more than once.
     pub may_repeat: bool,
+    /// On whose behalf it is sent.
+    pub origin: Origin,
 }
 
 /// What has to be done.
@@ -254,6 +266,13 @@
         /// Whether it answered.
         is_good: bool,
     },
+    /// Tell the judge of a content that an attempt of it broke off.
+    Accuse {
+        /// The content.
+        content: Content,
+        /// The upstream's incarnation.
+        upstream: Incarnation,
+    },
     /// Note how well the first piece was predicted.
     Predicted {
         /// The request.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! random source inside.
 #![deny(missing_docs, unsafe_code)]
 
+mod access;
 mod budget;
 mod choice;
 mod choose;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -3,6 +3,7 @@
 use crate::{
     Action, Budget, DemandRow, Digest, Event, LoadRow, Options, Prediction, Presence, RequestId,
     RouteIndex, Standing,
+    access::KeyIndex,
     directory::Directory,
     ending::{RETRY_MS, STOP_RETRY_MS, start_retry_ms},
     pace::Pace,
@@ -16,8 +17,9 @@
     rc::Rc,
 };
 use vanetally_ports::{
-    CallerRequest, Configuration, ModelRef, Refusal, RefusalCause, UpstreamState,
+    CallerRequest, Configuration, ModelRef, Refusal, RefusalCause, Route, UpstreamState,
 };
+use vanetally_quarantine::{Content, Held, Sentence};
 use vanetally_types::{Incarnation, Name, Tick, Verdict};
 
 /// All decisions about requests of one host.
@@ -29,6 +31,10 @@
     has_store: bool,
     pub(crate) configuration: Option<Rc<Configuration>>,
     pub(crate) routes: RouteIndex,
+    pub(crate) keys: KeyIndex,
+    /// When the configuration in force was the newest, by the store's word.
+    pub(crate) confirmed: Option<Tick>,
+    pub(crate) held: Held,
     pub(crate) upstreams: BTreeMap<Incarnation, Upstream>,
     pub(crate) directory: Directory,
     pub(crate) requests: HashMap<RequestId, Request>,
@@ -76,6 +82,9 @@
     pub suspects: usize,
 }
 
+/// A sentence that ends so much later than the one that is known is another one, in milliseconds: the same one
+/// comes by several ways.
+const NEWS_MS: u64 = 5_000;
 /// A planned stop takes requests for this share of its time.
 const STOP_SHARE: f64 = 0.3;
 pub(crate) const MICROS_PER_MILLI: f64 = 1_000.0;
@@ -89,6 +98,9 @@
             has_store: false,
             configuration: None,
             routes: RouteIndex::default(),
+            keys: KeyIndex::default(),
+            confirmed: None,
+            held: Held::default(),
             upstreams: BTreeMap::new(),
             directory: Directory::default(),
             requests: HashMap::new(),
@@ -107,6 +119,10 @@
         let mut actions = Vec::new();
         match event {
             Event::Configured(configuration) => self.configure(configuration),
+            Event::Confirmed(at) => self.confirmed = self.confirmed.max(Some(at)),
+            Event::Sentenced(sentence) => {
+                self.held.hold(now, sentence);
+            }
             Event::UpstreamSeen { id, state } => self.upstream_seen(now, id, state),
             Event::UpstreamUnreadable { id } => {
                 if let Some(upstream) = self.upstreams.get_mut(&id) {
@@ -132,7 +148,9 @@
                 self.hosts = hosts.max(1);
                 self.budgets.values_mut().for_each(|budget| budget.share_among(hosts));
             }
-            Event::Arrived { id, request } => self.arrived(now, id, request, &mut actions),
+            Event::Arrived { id, request, content } => {
+                self.arrived(now, id, request, content, &mut actions);
+            }
             Event::Reserved { id, turn, slot } => {
                 self.reserved(now, id, turn, slot, &mut actions);
             }
@@ -162,8 +180,20 @@
     }
 
     /// Whether the host can serve requests: it knows a configuration and some upstream.
-    pub fn is_ready(&self) -> bool {
-        self.configuration.is_some() && !self.upstreams.is_empty() && self.stopping_since.is_none()
+    pub fn is_ready(&self, now: Tick) -> bool {
+        let knows = self.configuration.is_some() && !self.upstreams.is_empty();
+        knows && self.stopping_since.is_none() && self.serves_keys(now)
+    }
+
+    /// Whether a sentence says more than what is known.
+    pub fn is_news(&self, now: Tick, sentence: &Sentence) -> bool {
+        let known = self.held.rest_ms(now, sentence.content);
+        known.is_none_or(|rest_ms| rest_ms + NEWS_MS < sentence.for_ms)
+    }
+
+    /// The contents that are kept back, for a host that starts.
+    pub fn sentences(&self, now: Tick) -> Vec<Sentence> {
+        self.held.sentences(now)
     }
 
     /// Figures for metrics.
@@ -222,6 +252,7 @@
             return;
         }
         self.routes = RouteIndex::new(&configuration);
+        self.keys = KeyIndex::new(&configuration);
         for service in configuration.services.keys() {
             let (options, hosts) = (self.options.budget, self.hosts);
             self.budgets.entry(service.clone()).or_insert_with(|| {
@@ -286,19 +317,22 @@
         now: Tick,
         id: RequestId,
         head: CallerRequest,
+        content: Content,
         actions: &mut Vec<Action>,
     ) {
+        let standing = Standing::default();
         let refuse = |cause, retry| Action::Refuse {
             id,
             refusal: Refusal::not_run(cause, retry),
             standing: Standing::default(),
         };
-        if self.configuration.is_none() {
-            let retry_ms = start_retry_ms(now.since(self.started), self.has_store);
-            return actions.push(refuse(RefusalCause::NotConfigured, Some(retry_ms)));
-        }
-        let Some(route) = self.routes.find(&head.host, &head.path).cloned() else {
-            return actions.push(refuse(RefusalCause::NoRoute, None));
+        let admitted = self.route(now, &head).and_then(|route| {
+            let access = self.access(now, &route, &head)?;
+            Ok((route, access))
+        });
+        let (route, access) = match admitted {
+            Ok(admitted) => admitted,
+            Err(refusal) => return actions.push(Action::Refuse { id, refusal, standing }),
         };
         if self.is_late_in_stop(now) {
             return actions.push(refuse(RefusalCause::Stopping, Some(STOP_RETRY_MS)));
@@ -310,7 +344,7 @@
         if let Some(budget) = self.budgets.get_mut(&service) {
             budget.earn(now);
         }
-        let request = Request::new(head, route, service, now);
+        let request = Request { content, ..Request::new(head, route, access, service, now) };
         if let Some(subject) = &request.head.model {
             let demand = self.demand.entry((request.service.clone(), subject.clone()));
             let demand = demand.or_default();
@@ -321,6 +355,16 @@
         self.requests.insert(id, request);
     }
 
+    /// The route that takes a request.
+    pub(crate) fn route(&self, now: Tick, head: &CallerRequest) -> Result<Rc<Route>, Refusal> {
+        if self.configuration.is_none() {
+            let retry_ms = start_retry_ms(now.since(self.started), self.has_store);
+            return Err(Refusal::not_run(RefusalCause::NotConfigured, Some(retry_ms)));
+        }
+        let route = self.routes.find(&head.host, &head.path).cloned();
+        route.ok_or(Refusal::not_run(RefusalCause::NoRoute, None))
+    }
+
     pub(crate) fn is_late_in_stop(&self, now: Tick) -> bool {
         let most = (self.options.grace_ms as f64 * STOP_SHARE) as u64;
         self.stopping_since.is_some_and(|since| now.since(since) > most)
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -6,14 +6,14 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
-    priority: u8,
+    priority: (u8, u8),
     deadline: Tick,
     id: RequestId,
 }
 
 impl Rank {
     fn of(id: RequestId, request: &Request) -> Self {
-        Self { priority: request.route.priority, deadline: request.deadline, id }
+        Self { priority: request.rank(), deadline: request.deadline, id }
     }
 }
 
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,6 +1,7 @@
 //! One request from its arrival to its end.
 
 use crate::{
+    access::Access,
     choice::{Choice, Expected},
     shortage::{Lack, Shortage},
     upstream::{Load, shared_prefixes},
@@ -8,6 +9,7 @@
 use std::rc::Rc;
 use vanetally_pacing::Prefix;
 use vanetally_ports::{CallerRequest, Route};
+use vanetally_quarantine::Content;
 use vanetally_types::{Incarnation, Name, Tick, Verdict};
 
 /// Where a request is.
@@ -56,6 +58,8 @@
 pub(crate) struct Request {
     pub head: CallerRequest,
     pub route: Rc<Route>,
+    pub access: Access,
+    pub content: Content,
     /// The parts of its prompt that others may share.
     pub shared: Vec<Prefix>,
     pub service: Name,
@@ -88,7 +92,13 @@
 const GAP_MS: u64 = 300;
 
 impl Request {
-    pub(crate) fn new(head: CallerRequest, route: Rc<Route>, service: Name, now: Tick) -> Self {
+    pub(crate) fn new(
+        head: CallerRequest,
+        route: Rc<Route>,
+        access: Access,
+        service: Name,
+        now: Tick,
+    ) -> Self {
         let wait = head.wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let deadline = now + wait;
         let patience = match route.kind {
@@ -104,6 +114,8 @@
             shared: shared.unwrap_or_default(),
             head,
             route,
+            access,
+            content: 0,
             service,
             arrived: now,
             deadline,
@@ -118,6 +130,12 @@
         }
     }
 
+    /// Its rank among waiting requests: its organisation's goes before its route's.
+    pub(crate) fn rank(&self) -> (u8, u8) {
+        let own = self.route.priority;
+        (self.access.priority.unwrap_or(own), own)
+    }
+
     /// What it adds to the load of an upstream that has to read `unread_tokens` of its prompt.
     pub(crate) fn load(&self, unread_tokens: u32) -> Load {
         Load { running: 1, unread_tokens, held_tokens: self.tokens() }
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -1,7 +1,7 @@
 //! What waits is sent where it may go, in order.
 
 use crate::{
-    Action, Attempt, Dispatch, RequestId,
+    Action, Attempt, Dispatch, RequestId, Standing,
     choice::Choice,
     choose::{View, choose},
     request::{Request, Sending, Stage},
@@ -50,6 +50,12 @@
         let Some(request) = self.requests.get(&id) else {
             return;
         };
+        if let Some(refusal) = self.bar(now, request) {
+            let standing = Standing::from(request);
+            let refusal = refusal.with_verdict(request.verdict);
+            self.end(id);
+            return actions.push(Action::Refuse { id, refusal, standing });
+        }
         let subject = request.head.model.clone();
         if now < request.not_before {
             return;
@@ -185,6 +191,7 @@
             gap_ms: request.gap_ms(),
             is_stream: request.route.kind == RequestKind::Stream,
             may_repeat: request.route.is_repeatable(),
+            origin: request.access.origin.clone(),
         };
         upstream.own.add(load);
         upstream.health.sent(now);
@@ -208,10 +215,12 @@
 
     /// Whether the request `id` may still go to the upstream that was chosen for it: between the choice
     /// and the first byte lie the pacer's delay and the making of a connection, and the upstream may
-    /// have left by then.
+    /// have left by then, or the key of the request have been taken away.
     pub fn may_send(&self, now: Tick, id: RequestId) -> bool {
-        let Some(Stage::Sent(sending)) = self.requests.get(&id).map(|request| &request.stage)
-        else {
+        let Some(request) = self.requests.get(&id).filter(|r| self.bar(now, r).is_none()) else {
+            return false;
+        };
+        let Stage::Sent(sending) = &request.stage else {
             return false;
         };
         self.upstreams.get(&sending.upstream).is_some_and(|upstream| upstream.takes_new(now))
--- /dev/null
+++ b/crates/dispatch/tests/deadly.rs
@@ -0,0 +1,118 @@
+//! Requests under which upstreams end are not sent on.
+
+mod support;
+
+use support::{Host, START, refusal, request, route, sent, upstream};
+use vanetally_dispatch::{Action, AttemptEnd, Event, RequestId};
+use vanetally_ports::{RefusalCause, RequestKind};
+use vanetally_quarantine::{Judge, Sentence};
+use vanetally_types::{Tick, Verdict};
+
+const CONTENT: u64 = 7;
+const SENTENCE: Sentence = Sentence { content: CONTENT, for_ms: 60_000, ended: 2 };
+
+fn host() -> Host {
+    let mut host = Host::new(vec![route("offer", RequestKind::Stream, "llm")]);
+    for port in 1..=8 {
+        host.see(&format!("i-{port}"), upstream("llm", port, &["m1"]));
+    }
+    host
+}
+
+fn arrive(host: &mut Host, number: u64, content: u64) -> (RequestId, Vec<Action>) {
+    let id = RequestId(1_000 + number);
+    let request = request(&format!("r{number}"), "offer", Some("m1"));
+    (id, host.tell(Event::Arrived { id, request, content }))
+}
+
+/// Played: the same content came back about once a second, under a new id and at another host each time, and each
+/// runner that began it ended within a second. Log lines of one end:
+///
+/// `event=attempt_ended request=04f1.. upstream=i-9046ff59e0 number=1 end=broken answered=true after_ms=4732`
+/// (of 9 to 66 requests that were there, by all hosts; only one content was the same each time).
+///
+/// Replayed with two hosts and the judge: how many upstreams does it end?
+#[test]
+fn same_content_again() {
+    let mut hosts = [host(), host()];
+    let mut judge = Judge::default();
+    let mut ended = 0;
+    for round in 0..25 {
+        let now = START + round * 800;
+        let host = &mut hosts[round as usize % 2];
+        host.now = now;
+        let (id, actions) = arrive(host, round, CONTENT);
+        let Some(attempt) = sent(&actions, id).pop() else {
+            let refusal = refusal(&actions, id).expect("an answer at once");
+            assert_eq!(refusal.cause, RefusalCause::Quarantined);
+            assert_eq!(refusal.verdict, Verdict::NotRun, "this one has not run");
+            continue;
+        };
+        ended += 1;
+        let actions =
+            host.tell(Event::AttemptEnded { id, end: AttemptEnd::Broken, answered: true });
+        let accused = actions.iter().find_map(|action| match action {
+            Action::Accuse { content, upstream } => Some((*content, upstream.clone())),
+            _ => None,
+        });
+        let (content, upstream) = accused.expect("the judge hears of it");
+        assert_eq!((content, &upstream), (CONTENT, &attempt.upstream));
+        // Its next life announces itself under another incarnation.
+        for host in &mut hosts {
+            host.tell(Event::UpstreamGone { id: upstream.clone() });
+        }
+        if let Some(sentence) = judge.ended(now, content, upstream) {
+            hosts.iter_mut().for_each(|host| drop(host.tell(Event::Sentenced(sentence))));
+        }
+    }
+    assert_eq!(ended, 2, "of 25 requests");
+}
+
+#[test]
+fn others_go_on() {
+    let mut host = host();
+    host.tell(Event::Sentenced(SENTENCE));
+    let (id, actions) = arrive(&mut host, 1, CONTENT + 1);
+    assert_eq!(sent(&actions, id).len(), 1);
+}
+
+#[test]
+fn waiting_request() {
+    let mut host = Host::new(vec![route("offer", RequestKind::Stream, "llm")]);
+    let (id, _) = arrive(&mut host, 1, CONTENT);
+    let actions = host.tell(Event::Sentenced(SENTENCE));
+    assert_eq!(refusal(&actions, id).map(|r| r.cause), Some(RefusalCause::Quarantined));
+}
+
+#[test]
+fn chosen_but_not_sent() {
+    let mut host = host();
+    let (id, _) = arrive(&mut host, 1, CONTENT);
+    assert!(host.dispatch.may_send(host.now, id));
+    host.tell(Event::Sentenced(SENTENCE));
+    assert!(!host.dispatch.may_send(host.now, id));
+}
+
+#[test]
+fn after_its_time() {
+    let mut host = host();
+    host.tell(Event::Sentenced(SENTENCE));
+    host.now = Tick(host.now.0 + SENTENCE.for_ms + 1);
+    let (id, actions) = arrive(&mut host, 1, CONTENT);
+    assert_eq!(sent(&actions, id).len(), 1, "it is tried again");
+}
+
+/// A content that is answered again and again is a bystander when upstreams crash under it.
+#[test]
+fn popular_content() {
+    let mut host = host();
+    let (id, _) = arrive(&mut host, 1, CONTENT);
+    host.tell(Event::AttemptEnded { id, end: AttemptEnd::Served, answered: true });
+    let (id, _) = arrive(&mut host, 2, CONTENT);
+    let actions = host.tell(Event::AttemptEnded { id, end: AttemptEnd::Broken, answered: true });
+    let accuses = |action: &Action| matches!(action, Action::Accuse { .. });
+    assert!(!actions.iter().any(accuses), "{actions:?}");
+    host.tell(Event::Sentenced(SENTENCE));
+    let (id, actions) = arrive(&mut host, 3, CONTENT);
+    assert_eq!(sent(&actions, id).len(), 1);
+}
--- a/crates/dispatch/tests/pacing.rs
+++ b/crates/dispatch/tests/pacing.rs
@@ -28,7 +28,7 @@
 /// A request whose pacer has not answered.
 fn open(host: &mut Host) -> (RequestId, u32) {
     let id = RequestId(100);
-    let arrived = Event::Arrived { id, request: request("a", "offer", Some("m1")) };
+    let arrived = Event::Arrived { id, request: request("a", "offer", Some("m1")), content: 0 };
     let actions = host.dispatch.handle(host.now, arrived);
     let (turn, _) = asked(&actions, id).expect("asked");
     assert!(sent(&actions, id).is_empty());
--- a/crates/dispatch/tests/planned_stop.rs
+++ b/crates/dispatch/tests/planned_stop.rs
@@ -33,7 +33,7 @@
     host.pass(1_000);
     let (id, actions) = host.arrive(request("a", "offer", Some("m1")));
     assert_eq!(sent(&actions, id).len(), 1);
-    assert!(!host.dispatch.is_ready());
+    assert!(!host.dispatch.is_ready(host.now));
 }
 
 #[test]
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -10,8 +10,8 @@
 };
 use vanetally_pacing::{Moment, Slot};
 use vanetally_ports::{
-    CallerLimits, CallerRequest, Configuration, EngineSpec, HeldModel, ModelRef, ModelSpec,
-    Refusal, RequestKind, Route, Service, Target, UpstreamState,
+    CallerLimits, CallerRequest, Configuration, Credential, EngineSpec, HeldModel, ModelRef,
+    ModelSpec, Refusal, RequestKind, Route, Service, Target, UpstreamState,
 };
 use vanetally_types::{Incarnation, Tick};
 
@@ -24,6 +24,7 @@
         domain: "z1".into(),
         budget: BudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 30.0 },
         grace_ms: 8_000,
+        revoke_ms: None,
     }
 }
 
@@ -41,6 +42,7 @@
         targets: vec![Target { service: to.into(), weight: 1 }],
         max_attempts: 2,
         resumable: false,
+        is_open: false,
     }
 }
 
@@ -69,6 +71,7 @@
         routes,
         services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
         limits: CallerLimits::default(),
+        organisations: None,
     })
 }
 
@@ -97,6 +100,8 @@
         host: "site.example".into(),
         path: format!("/{route}/x").into(),
         wait_ms: Some(10_000),
+        credential: Credential::Missing,
+        has_tokens: true,
         model: model.map(|name| ModelRef { model: name.into(), adapter: None }),
         prompt_tokens: 100,
         output_tokens: 50,
@@ -160,7 +165,7 @@
     pub fn arrive(&mut self, request: CallerRequest) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next);
         self.next += 1;
-        (id, self.tell(Event::Arrived { id, request }))
+        (id, self.tell(Event::Arrived { id, request, content: 0 }))
     }
 
     /// An attempt ends before any of its answer went out.
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     hub::{Command, Hub, Refused},
+    quotas::Charge,
     telemetry,
 };
 use std::{rc::Rc, time::Instant};
@@ -49,6 +50,8 @@
     pub name: Name,
     pub arrived: Instant,
     pub commands: mpsc::UnboundedReceiver<Command>,
+    /// What it took of its organisation's quota.
+    charge: Option<Charge>,
     is_over: bool,
 }
 
@@ -59,8 +62,9 @@
         id: RequestId,
         name: Name,
         commands: mpsc::UnboundedReceiver<Command>,
+        charge: Option<Charge>,
     ) -> Self {
-        Self { hub, id, name, arrived: Instant::now(), commands, is_over: false }
+        Self { hub, id, name, arrived: Instant::now(), commands, charge, is_over: false }
     }
 
     /// The request has its final answer.
@@ -72,6 +76,9 @@
     /// An attempt ended; the decisions answer with a command unless it was served.
     pub(crate) fn attempt_ended(&self, attempt: &Attempt, end: AttemptEnd, answered: bool) {
         telemetry::attempt_ended(end);
+        if let Some(charge) = &self.charge {
+            charge.attempt_ended(end);
+        }
         if end != AttemptEnd::Served {
             log::info!(
                 "event=attempt_ended request={} upstream={} number={} end={} answered={answered} \
@@ -90,7 +97,12 @@
     pub(crate) async fn command(&mut self) -> Result<Attempt, Refused> {
         loop {
             match self.commands.recv().await {
-                Some(Command::Send(attempt)) => return Ok(attempt),
+                Some(Command::Send(attempt)) => {
+                    if let Some(charge) = &self.charge {
+                        charge.sent();
+                    }
+                    return Ok(attempt);
+                }
                 Some(Command::Refuse(refused)) => return Err(refused),
                 // The attempt had ended by itself.
                 Some(Command::Abandon { .. }) => {}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,18 +5,20 @@
     caller::{Caller, Interrupt, interrupted},
     headers::{end_to_end, stated_rest},
     hub::{Hub, Refused, Stage},
+    quotas::Charge,
     relay,
     sending::{Asked, Outgoing, Sending, Started, ask_in_time},
     telemetry,
 };
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header::CONNECTION};
+use http::{HeaderValue, Request, Response, header::CONNECTION, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use std::rc::Rc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event};
-use vanetally_ports::{Refusal, RefusalCause};
-use vanetally_types::Name;
+use vanetally_ports::{CallerRequest, Refusal, RefusalCause};
+use vanetally_quarantine::Content;
+use vanetally_types::{Name, hash64};
 
 /// Answers of up to this many bytes are read whole before they go on, where they are no stream.
 const WHOLE_BYTES: usize = 256 << 10;
@@ -39,8 +41,21 @@
             return refuse(&hub, Some(&name), &Refusal::not_run(cause, None));
         }
     };
-    let (id, commands) = hub.admit(head);
-    let caller = Caller::new(hub.clone(), id, name, commands);
+    let charge = match admission(&hub, &head).await {
+        Ok(charge) => charge,
+        Err(refusal) => {
+            telemetry::refused(refusal.cause, "-");
+            let cause = refusal.cause.as_str();
+            log::info!(
+                "event=request_refused request={name} cause={cause} version={} retry_after_ms={}",
+                hub.version(),
+                refusal.retry_after_ms.unwrap_or(0)
+            );
+            return refuse(&hub, Some(&name), &refusal);
+        }
+    };
+    let (id, commands) = hub.admit(head, content(&parts, &body));
+    let caller = Caller::new(hub.clone(), id, name, commands, charge);
     let mut response = answer(caller, Outgoing { parts, body }).await;
     if *hub.stage.borrow() > Stage::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -48,6 +63,25 @@
     response
 }
 
+/// Whether the caller may send the request at all; what it takes of its organisation's quota.
+async fn admission(hub: &Rc<Hub>, head: &CallerRequest) -> Result<Option<Charge>, Refusal> {
+    let identity = hub.dispatch.borrow().identify(hub.clock.now(), head)?;
+    match identity {
+        Some(organisation) => hub.charge(organisation, head).await,
+        None => Ok(None),
+    }
+}
+
+/// What is common to requests that say the same.
+fn content(parts: &Parts, body: &Bytes) -> Content {
+    let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+    let mut bytes = Vec::with_capacity(path.len() + body.len() + 8);
+    bytes.extend_from_slice(parts.method.as_str().as_bytes());
+    bytes.extend_from_slice(path.as_bytes());
+    bytes.extend_from_slice(body);
+    hash64(&bytes)
+}
+
 async fn read_body(hub: &Hub, body: Incoming) -> Result<Bytes, RefusalCause> {
     let limited = Limited::new(body, hub.limits().body_bytes);
     match limited.collect().await {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -1,8 +1,8 @@
 //! Where events meet decisions, and actions become calls and messages.
 
 use crate::{
-    clock::Clock, feed::Feed, pacing::Pacing, peers::HostEntry, pool::Pool, settings::Settings,
-    store::Store, telemetry,
+    clock::Clock, feed::Feed, pacing::Pacing, peers::HostEntry, pool::Pool, quotas::Quotas,
+    settings::Settings, store::Store, telemetry,
 };
 use bytes::Bytes;
 use std::{
@@ -15,10 +15,11 @@
 use vanetally_dispatch::{
     self as dispatch, Attempt, Digest, Dispatch, Lack, Prediction, RequestId, Standing,
 };
-use vanetally_fanout::{Follow, Pull, Source, Spacing, Totals, Versions};
+use vanetally_fanout::{Follow, Freshness, Life, Pull, Source, Spacing, Totals, Versions};
 use vanetally_link::peer::Links;
 use vanetally_placement::{self as placement, Placement, Tenure, TenureEvent, TenureOptions};
 use vanetally_ports::{Configuration, Ports, Refusal, UpstreamState};
+use vanetally_quarantine::{Content, Judge};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// What the decisions tell a request.
@@ -100,6 +101,13 @@
     /// The configuration that another host was asked for.
     pub pull: RefCell<Pull>,
     pub feeds: RefCell<Vec<Rc<Feed>>>,
+    /// Tells this life of the process from others.
+    pub life: Life,
+    /// How certainly this host has the newest configuration.
+    pub freshness: RefCell<Freshness>,
+    pub quotas: RefCell<Quotas>,
+    /// Evidence against the contents that this host judges.
+    pub judge: RefCell<Judge>,
     pub totals: RefCell<Totals>,
     /// How often this host, as an aggregator, tells the sum of all loads.
     pub sum_spacing: RefCell<Spacing>,
@@ -123,6 +131,7 @@
                 slack: bounds.retry_slack,
             },
             grace_ms: bounds.grace_ms,
+            revoke_ms: bounds.revoke_ms,
         };
         let tenure = TenureOptions {
             ttl_ms: ORDER_TTL_MS.max(settings.store.least_ttl_ms),
@@ -162,6 +171,10 @@
             followed: Cell::new(clock.now()),
             pull: RefCell::default(),
             feeds: RefCell::default(),
+            life: rand::random(),
+            freshness: RefCell::default(),
+            quotas: RefCell::new(Quotas::new(bounds.quota, rand::random())),
+            judge: RefCell::default(),
             totals: RefCell::default(),
             sum_spacing: RefCell::new(Spacing::new(settings.link_bytes)),
             settings,
@@ -173,13 +186,14 @@
     pub(crate) fn admit(
         self: &Rc<Self>,
         request: vanetally_ports::CallerRequest,
+        content: Content,
     ) -> (RequestId, mpsc::UnboundedReceiver<Command>) {
         let id = RequestId(self.next_id.get());
         self.next_id.set(id.0 + 1);
         let (sender, commands) = mpsc::unbounded_channel();
         self.waiters.borrow_mut().insert(id, sender);
         telemetry::arrived();
-        self.request_event(dispatch::Event::Arrived { id, request });
+        self.request_event(dispatch::Event::Arrived { id, request, content });
         (id, commands)
     }
 
@@ -209,6 +223,7 @@
                     self.want(service, subject, is_crowded);
                 }
                 dispatch::Action::Tell { upstream, is_good } => self.tell_pacer(upstream, is_good),
+                dispatch::Action::Accuse { content, upstream } => self.accuse(content, upstream),
                 dispatch::Action::Predicted { prediction, .. } => note_prediction(&prediction),
             }
         }
@@ -228,7 +243,7 @@
 
     /// Whether the balancer may send callers here.
     pub(crate) fn is_ready(&self) -> bool {
-        *self.stage.borrow() == Stage::Serving && self.dispatch.borrow().is_ready()
+        *self.stage.borrow() == Stage::Serving && self.dispatch.borrow().is_ready(self.clock.now())
     }
 
     /// Requests that have not ended.
@@ -271,6 +286,7 @@
     }
 
     fn configure(self: &Rc<Self>, configuration: Rc<Configuration>) {
+        self.quotas.borrow_mut().configure(self.clock.now(), &configuration);
         self.placement_event(placement::Event::Configured(configuration.clone()));
         self.request_event(dispatch::Event::Configured(configuration));
     }
@@ -305,6 +321,7 @@
     /// Time passed.
     pub(crate) fn tick(self: &Rc<Self>) {
         self.check_pacers();
+        self.review_granting();
         if !self.has_store.get() && self.store.contact().has_answered() {
             self.has_store.set(true);
             self.request_event(dispatch::Event::StoreAnswered);
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -52,6 +52,17 @@
                 let subject = ModelRef { model: model.clone(), adapter: adapter.clone() };
                 self.placed(runner.clone(), subject, is_present);
             }
+            PeerMessage::AskClock { asked } => self.tell_clock(from, asked),
+            PeerMessage::Clock { asked, word } => self.take_clock(from, asked, word),
+            PeerMessage::Spend { number, organisation, cost } => {
+                self.spend_for(from, number, &organisation, cost);
+            }
+            PeerMessage::Spent { number, answer } => self.spent(number, answer),
+            PeerMessage::GiveBack { organisation, cost } => {
+                self.quotas.borrow_mut().grantor.give_back(&organisation, cost);
+            }
+            PeerMessage::Accuse { content, upstream } => self.judge(content, upstream),
+            PeerMessage::Sentenced(sentences) => self.sentenced(from, sentences),
             PeerMessage::AskConfiguration { have } => self.tell_configuration(from, have),
             PeerMessage::Configuration(patch) => self.take_configuration(from, &patch),
         }
@@ -127,6 +138,7 @@
     ) {
         self.introduced(from, entry);
         self.send(from, &PeerMessage::Word(self.word()));
+        self.tell_sentences(from);
         if self.is_leaving() {
             return;
         }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -34,6 +34,7 @@
             log::info!("event=order_holder_seen holder={}", holder.as_deref().unwrap_or("-"));
         }
         *self.holder.borrow_mut() = holder.clone();
+        self.quotas.borrow_mut().asker.set_grantor(holder.clone());
         self.tenure_event(TenureEvent::HolderSeen(holder));
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,11 +10,13 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::sleep;
 use vanetally_dispatch::{Digest, LoadRow};
-use vanetally_fanout::{Patch, StoreState};
+use vanetally_fanout::{Life, Patch, StoreState};
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_placement::TenureEvent;
 use vanetally_ports::{Change, Item, LeaseId, Revision, StoreAnswer, Transaction, Write};
-use vanetally_types::{Incarnation, Name};
+use vanetally_quarantine::{Content, Sentence};
+use vanetally_quota::Answer;
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// The beginning of all keys of the product.
 pub(crate) const PREFIX: &str = "vanetally/";
@@ -131,6 +133,50 @@
         /// Whether it is there.
         is_present: bool,
     },
+    /// The sender asks for the receiver's clock.
+    AskClock {
+        /// When it was asked, by the sender's clock.
+        asked: Tick,
+    },
+    /// The sender's clock, and how it stands.
+    Clock {
+        /// When it was asked for, by the receiver's clock.
+        asked: Tick,
+        /// How the sender stands.
+        word: ConfigurationWord,
+    },
+    /// To the grantor of quotas: may this be spent?
+    Spend {
+        /// The number of this question.
+        number: u64,
+        /// The organisation.
+        organisation: Name,
+        /// What the request counts as.
+        cost: u32,
+    },
+    /// From the grantor of quotas.
+    Spent {
+        /// The number of the question.
+        number: u64,
+        /// What it says.
+        answer: Answer,
+    },
+    /// To the grantor of quotas: what was granted did not run.
+    GiveBack {
+        /// The organisation.
+        organisation: Name,
+        /// What the request counted as.
+        cost: u32,
+    },
+    /// To the judge of a content: an attempt of it broke off.
+    Accuse {
+        /// The content.
+        content: Content,
+        /// The upstream's incarnation.
+        upstream: Incarnation,
+    },
+    /// Contents that must not be sent.
+    Sentenced(Vec<Sentence>),
     /// The sender asks for the configuration.
     AskConfiguration {
         /// The version that it has.
@@ -147,6 +193,8 @@
     pub version: u64,
     /// Milliseconds since the store confirmed what the host passes on.
     pub age_ms: Option<u64>,
+    /// The same for the configuration.
+    pub configuration: ConfigurationWord,
     /// The host's contact with the store.
     pub store: StoreState,
     /// What was told before this.
@@ -155,6 +203,23 @@
     pub is_leaving: bool,
 }
 
+/// How certainly a host has the newest configuration.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct ConfigurationWord {
+    /// The life of the host's process.
+    #[serde(rename = "l")]
+    pub life: Life,
+    /// When this was written, by the host's clock.
+    #[serde(rename = "t")]
+    pub stated: Tick,
+    /// Milliseconds since its configuration was certainly the newest; none if that is not known.
+    #[serde(rename = "a")]
+    pub age_ms: Option<u64>,
+    /// The version.
+    #[serde(rename = "v")]
+    pub version: u64,
+}
+
 /// Up to where the changes of a prefix were told: what is missing of them was lost.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Told {
--- /dev/null
+++ b/crates/gateway/src/quotas.rs
@@ -0,0 +1,212 @@
+//! Asking the grantor whether a request is within its organisation's quota, and answering as one.
+
+use crate::{hub::Hub, peers::PeerMessage};
+use std::{cell::Cell, collections::HashMap, rc::Rc, time::Duration};
+use tokio::{sync::oneshot, time::timeout};
+use vanetally_dispatch::AttemptEnd;
+use vanetally_ports::{CallerRequest, Configuration, Quota, Refusal, RefusalCause};
+use vanetally_quota::{Answer, Ask, Asker, Bounds, Decision, Grantor};
+use vanetally_types::{Name, Tick};
+
+/// For the grantor to answer: after that this host decides alone. Weak hosts are held back for up to a tenth of a
+/// second at a time; those that grant are strong.
+const ANSWER: Duration = Duration::from_millis(60);
+/// When to come back where it is not known whether a request is within its quota, in milliseconds: a new grantor is
+/// there within two or three seconds.
+const UNKNOWN_RETRY_MS: u64 = 1_000;
+
+/// This host's part in the quotas.
+pub(crate) struct Quotas {
+    pub grantor: Grantor,
+    pub asker: Asker,
+    questions: HashMap<u64, oneshot::Sender<Answer>>,
+    next_number: u64,
+}
+
+impl Quotas {
+    /// No quota is known.
+    pub(crate) fn new(bounds: Bounds, seed: u64) -> Self {
+        Self {
+            grantor: Grantor::default(),
+            asker: Asker::new(bounds, seed),
+            questions: HashMap::new(),
+            next_number: 0,
+        }
+    }
+
+    /// Takes in the quotas of a configuration.
+    pub(crate) fn configure(&mut self, now: Tick, configuration: &Configuration) {
+        let organisations = configuration.organisations.iter().flatten();
+        let quotas: HashMap<Name, Quota> =
+            organisations.filter_map(|one| Some((one.name.clone(), one.quota?))).collect();
+        self.asker.configure(now, &quotas);
+        self.grantor.configure(now, quotas);
+    }
+
+    fn ask(&mut self) -> (u64, oneshot::Receiver<Answer>) {
+        let number = self.next_number;
+        self.next_number += 1;
+        let (sender, answer) = oneshot::channel();
+        self.questions.insert(number, sender);
+        (number, answer)
+    }
+}
+
+/// What a request took of its organisation's quota; given back unless it may have run.
+pub(crate) struct Charge {
+    hub: Rc<Hub>,
+    organisation: Name,
+    cost: u32,
+    /// Whether the request is at an upstream.
+    is_out: Cell<bool>,
+    /// Whether an attempt may have run.
+    has_run: Cell<bool>,
+}
+
+impl Charge {
+    /// The request goes to an upstream.
+    pub(crate) fn sent(&self) {
+        self.is_out.set(true);
+    }
+
+    /// An attempt ended.
+    pub(crate) fn attempt_ended(&self, end: AttemptEnd) {
+        self.is_out.set(false);
+        let may_have_run =
+            matches!(end, AttemptEnd::Served | AttemptEnd::Failed | AttemptEnd::Broken);
+        self.has_run.set(self.has_run.get() || may_have_run);
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if !self.is_out.get() && !self.has_run.get() {
+            self.hub.give_back(&self.organisation, self.cost);
+        }
+    }
+}
+
+impl Hub {
+    /// Takes what `head`, a request of `organisation`, counts as; or tells why it can't be sent.
+    pub(crate) async fn charge(
+        self: &Rc<Self>,
+        organisation: Name,
+        head: &CallerRequest,
+    ) -> Result<Option<Charge>, Refusal> {
+        let tokens = head.has_tokens.then_some(head.prompt_tokens + head.output_tokens);
+        let Some(cost) = self.quotas.borrow().asker.cost(&organisation, tokens) else {
+            return Ok(None);
+        };
+        let (decision, by) = self.decide(&organisation, cost).await;
+        let refusal = match decision {
+            Decision::Granted => {
+                log::debug!(
+                    "event=quota_granted request={} organisation={organisation} cost={cost} by={by}",
+                    head.id
+                );
+                let hub = self.clone();
+                let (is_out, has_run) = (Cell::new(false), Cell::new(false));
+                return Ok(Some(Charge { hub, organisation, cost, is_out, has_run }));
+            }
+            Decision::Refused { retry_ms } => {
+                Refusal::not_run(RefusalCause::OverQuota, Some(retry_ms))
+            }
+            Decision::Unknown => {
+                Refusal::not_run(RefusalCause::QuotaUnknown, Some(UNKNOWN_RETRY_MS))
+            }
+        };
+        log::info!(
+            "event=quota_refused request={} organisation={organisation} cost={cost} by={by} cause={} retry_after_ms={}",
+            head.id,
+            refusal.cause.as_str(),
+            refusal.retry_after_ms.unwrap_or(0)
+        );
+        Err(refusal)
+    }
+
+    /// Decides on a request, and tells who did.
+    async fn decide(self: &Rc<Self>, organisation: &Name, cost: u32) -> (Decision, Name) {
+        let own = &self.settings.host;
+        let now = self.clock.now();
+        let ask = self.quotas.borrow().asker.ask(now, organisation);
+        let host = match ask {
+            Ask::Nobody => return (Decision::Granted, own.clone()),
+            Ask::Alone => {
+                let decision = self.quotas.borrow_mut().asker.decide_alone(now, organisation, cost);
+                return (decision, own.clone());
+            }
+            Ask::Host(host) => host,
+        };
+        let answer = if host == *own {
+            Some(self.spend(organisation, cost))
+        } else {
+            self.ask_grantor(&host, organisation, cost).await
+        };
+        let now = self.clock.now();
+        let asker = &mut self.quotas.borrow_mut().asker;
+        let decision = match answer {
+            Some(answer) => asker.answered(now, organisation, cost, answer),
+            None => asker.unanswered(now, &host, organisation, cost),
+        };
+        let by = if matches!(answer, None | Some(Answer::NotGranting)) { own } else { &host };
+        (decision, by.clone())
+    }
+
+    async fn ask_grantor(&self, host: &Name, organisation: &Name, cost: u32) -> Option<Answer> {
+        let (number, answer) = self.quotas.borrow_mut().ask();
+        let organisation = organisation.clone();
+        self.send(host, &PeerMessage::Spend { number, organisation, cost });
+        let answer = timeout(ANSWER, answer).await;
+        self.quotas.borrow_mut().questions.remove(&number);
+        let answer = answer.ok().and_then(Result::ok);
+        if answer.is_none() {
+            log::info!("event=grantor_silent host={host} after_ms={}", ANSWER.as_millis());
+        }
+        answer
+    }
+
+    /// Takes `cost` from the quota, as the grantor.
+    fn spend(&self, organisation: &Name, cost: u32) -> Answer {
+        let now = self.clock.now();
+        let is_holder = self.tenure.borrow().is_holding(now);
+        let grantor = &mut self.quotas.borrow_mut().grantor;
+        grantor.set_granting(now, is_holder);
+        grantor.spend(now, organisation, cost)
+    }
+
+    /// Another host asks.
+    pub(crate) fn spend_for(&self, host: &Name, number: u64, organisation: &Name, cost: u32) {
+        let answer = self.spend(organisation, cost);
+        self.send(host, &PeerMessage::Spent { number, answer });
+    }
+
+    /// The grantor answered.
+    pub(crate) fn spent(&self, number: u64, answer: Answer) {
+        if let Some(question) = self.quotas.borrow_mut().questions.remove(&number) {
+            // Its caller may have left.
+            let _ = question.send(answer);
+        }
+    }
+
+    fn give_back(&self, organisation: &Name, cost: u32) {
+        let holder = self.holder.borrow().clone();
+        match holder {
+            Some(host) if host == self.settings.host => {
+                self.quotas.borrow_mut().grantor.give_back(organisation, cost);
+            }
+            Some(host) => {
+                let organisation = organisation.clone();
+                self.send(&host, &PeerMessage::GiveBack { organisation, cost });
+            }
+            // Nobody keeps the count that it was taken from.
+            None => {}
+        }
+    }
+
+    /// Notes whether this host grants, by its lease.
+    pub(crate) fn review_granting(&self) {
+        let now = self.clock.now();
+        let is_holder = self.tenure.borrow().is_holding(now);
+        self.quotas.borrow_mut().grantor.set_granting(now, is_holder);
+    }
+}
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -4,7 +4,10 @@
 use std::rc::Rc;
 use vanetally_fanout::{Gap, Source};
 use vanetally_ports::{Change, Revision};
-use vanetally_types::Name;
+use vanetally_types::{Name, Tick};
+
+/// Watches in the time after which a key that was taken away must not be used any more.
+const CONFIRMATIONS: u64 = 8;
 
 /// Reads all feeds from the store while that is this host's source, for as long as the process lives.
 pub(crate) async fn run(hub: Rc<Hub>) {
@@ -98,12 +101,30 @@
         known?.into_iter().min()
     }
 
-    /// All keys of `feed` were read.
-    pub(crate) fn read(&self, feed: &Feed, snapshot: Snapshot) {
+    /// How long the store may hold a watch of `scope`, in milliseconds.
+    ///
+    /// Each answer confirms the configuration as of the watch's sending. Where keys that were taken away must not be
+    /// used, hosts serve for most of the time allowed from there: longer watches would eat into the time for which
+    /// they can go on while the store is away.
+    pub(crate) fn watch_ms(&self, scope: &Scope) -> u64 {
+        match self.hub.settings.bounds.revoke_ms {
+            Some(revoke_ms) if scope.has_bulk() => (revoke_ms / CONFIRMATIONS).min(watch::WATCH_MS),
+            _ => watch::WATCH_MS,
+        }
+    }
+
+    /// The moment, for a question to the store.
+    pub(crate) fn now(&self) -> Tick {
+        self.hub.clock.now()
+    }
+
+    /// All keys of `feed` were read, with calls from `asked` on.
+    pub(crate) fn read(&self, feed: &Feed, snapshot: Snapshot, asked: Tick) {
         let at = snapshot.at;
         feed.confirmed.set(Some(self.hub.clock.now()));
         if !feed.is_shared() {
             feed.replace(snapshot);
+            self.hub.configuration_read(feed, asked);
             return;
         }
         let changes = feed.changes_to(&snapshot);
@@ -127,6 +148,7 @@
         after: Revision,
         at: Revision,
         mut changes: Vec<Change>,
+        asked: Tick,
     ) -> Result<(), Gap> {
         let now = self.hub.clock.now();
         for feed in scope.feeds() {
@@ -134,7 +156,9 @@
             let is_change = !own.is_empty();
             feed.change(after, at, own.clone())?;
             feed.confirmed.set(Some(now));
-            if is_change && feed.is_shared() {
+            if !feed.is_shared() {
+                self.hub.configuration_read(feed, asked);
+            } else if is_change {
                 self.hub.pass_on(feed, at, own);
             }
         }
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -175,6 +175,7 @@
         instance: attempt.upstream.clone(),
         deadline_ms: attempt.deadline_ms.saturating_sub(spent_ms),
         resume_after: sending.resume_after.cloned(),
+        origin: attempt.origin.clone(),
     };
     hub.ports.engine.prepare(request.headers_mut(), &head);
     request
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -63,6 +63,11 @@
     /// Milliseconds after trouble of the store or of the way to it within which a host has to know
     /// again what lies there.
     pub contact_ms: u64,
+    /// Milliseconds after a key was taken away within which no host may use it any more; none if hosts serve on
+    /// with the last configuration that they know.
+    pub revoke_ms: Option<u64>,
+    /// What the quotas of organisations leave for hosts that can't be asked.
+    pub quota: vanetally_quota::Bounds,
 }
 
 impl Default for Bounds {
@@ -75,6 +80,8 @@
             order_lease_ms: 3_000,
             load_window_ms: 5_000,
             contact_ms: 3_000,
+            revoke_ms: None,
+            quota: vanetally_quota::Bounds::default(),
         }
     }
 }
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -73,6 +73,7 @@
         let reason = reason.as_str();
         log::info!("event=source_changed source={name} reason={reason} age_ms={age_ms}");
         self.source.send_replace(source);
+        self.ask_clock();
         self.review_loads();
     }
 
@@ -215,6 +216,7 @@
         Word {
             version: self.version(),
             age_ms: self.age_ms(),
+            configuration: self.configuration_word(),
             store: self.store.state(),
             told: self.shared_feeds().iter().map(|feed| feed.told()).collect(),
             is_leaving: self.is_leaving(),
@@ -228,6 +230,7 @@
             self.take_age(word.age_ms);
             self.check_told(from, &word.told);
             self.compare_version(from, word.version);
+            self.take_configuration_word(from, word.configuration);
         }
         let (age_ms, is_leaving) = (word.age_ms, word.is_leaving);
         self.follow_event(Event::Told { from: from.clone(), age_ms, is_leaving });
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -38,6 +38,11 @@
     counter!("vanetally_refusals_total", "cause" => cause.as_str(), "lack" => lack).increment(1);
 }
 
+/// A content was found to end upstreams.
+pub(crate) fn sentenced() {
+    counter!("vanetally_contents_sentenced_total").increment(1);
+}
+
 /// What an upstream announces can't be read.
 pub(crate) fn announcement_unreadable(error: &AnnouncementError) {
     counter!("vanetally_announcements_unreadable_total", "reason" => error.as_str()).increment(1);
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -25,7 +25,7 @@
 /// How long the store may hold a watch, in milliseconds: a connection that has gone silent is noticed within this
 /// time and a margin of half a second, and read anew within the 2.5 s or more that deployments allow for it. Probes
 /// show sooner whether the way to the store is open, not whether this connection lives.
-const WATCH_MS: u64 = 1_500;
+pub(crate) const WATCH_MS: u64 = 1_500;
 /// After changes the next watch waits this long, to find more at once.
 const GATHER: Duration = Duration::from_millis(300);
 /// A value larger than this is read and watched by itself, in bytes: on a link of 10 Mbit/s it takes a tenth of a
@@ -173,10 +173,11 @@
         if known.is_some() && feed.is_shared() {
             continue;
         }
+        let asked = reader.now();
         let snapshot = store.range(&feed.prefix, Freshness::Newest).await?;
         // Later readings see some changes twice.
         from = from.min(snapshot.at);
-        reader.read(feed, snapshot);
+        reader.read(feed, snapshot, asked);
     }
     Ok(from)
 }
@@ -186,13 +187,14 @@
     let mut after = from;
     loop {
         scope.set_watching(true);
-        let answer = store.watch(&scope.prefix, after, WATCH_MS).await;
+        let asked = reader.now();
+        let answer = store.watch(&scope.prefix, after, reader.watch_ms(scope)).await;
         scope.set_watching(false);
         match answer {
             Ok(WatchAnswer::Changes { changes, at }) => {
                 let (is_change, is_bulk) = (!changes.is_empty(), bytes(&changes) > BULK_BYTES);
                 let at = after.max(at);
-                if reader.changed(scope, after, at, changes).is_err() {
+                if reader.changed(scope, after, at, changes, asked).is_err() {
                     log::warn!("event=changes_missed from=store after={}", after.0);
                     return End::Gap;
                 }
--- a/crates/placement/tests/crowding.rs
+++ b/crates/placement/tests/crowding.rs
@@ -144,6 +144,7 @@
         routes: Vec::new(),
         services: BTreeMap::from([("llm".into(), service)]),
         limits: CallerLimits::default(),
+        organisations: None,
     })
 }
 
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -126,6 +126,7 @@
         routes: Vec::new(),
         services: BTreeMap::from([("llm".into(), service)]),
         limits: CallerLimits::default(),
+        organisations: None,
     })
 }
 
--- a/crates/ports/src/caller.rs
+++ b/crates/ports/src/caller.rs
@@ -1,6 +1,6 @@
 //! What callers send and what they are told.
 
-use crate::FormatError;
+use crate::{Credential, FormatError};
 use bytes::Bytes;
 use vanetally_types::{Name, Verdict};
 
@@ -42,6 +42,10 @@
     pub path: Name,
     /// Milliseconds that the caller will wait.
     pub wait_ms: Option<u64>,
+    /// What it shows of who sends it.
+    pub credential: Credential,
+    /// Whether it states its tokens.
+    pub has_tokens: bool,
     /// The model that it asks for.
     pub model: Option<ModelRef>,
     /// Tokens of its prompt.
@@ -61,6 +65,16 @@
     NotConfigured,
     /// No route takes it.
     NoRoute,
+    /// It bears no key that an organisation holds.
+    Unauthorized,
+    /// Its organisation has asked for as much as it may.
+    OverQuota,
+    /// Whether its key still holds is not known here: the configuration may be out of date.
+    Unconfirmed,
+    /// Its organisation's quota could not be asked for.
+    QuotaUnknown,
+    /// Upstreams ended under requests of the same content.
+    Quarantined,
     /// Its head or body can't be understood.
     Malformed,
     /// Its body is too long.
@@ -83,6 +97,11 @@
         match self {
             Self::NotConfigured => "not_configured",
             Self::NoRoute => "no_route",
+            Self::Unauthorized => "unauthorized",
+            Self::OverQuota => "over_quota",
+            Self::Unconfirmed => "unconfirmed",
+            Self::QuotaUnknown => "quota_unknown",
+            Self::Quarantined => "quarantined",
             Self::Malformed => "malformed",
             Self::TooLong => "too_long",
             Self::NoUpstream => "no_upstream",
@@ -111,6 +130,14 @@
         Self { cause, verdict: Verdict::NotRun, retry_after_ms }
     }
 
+    /// The same refusal of a request with this verdict: one that may have run is not asked to come back.
+    pub fn with_verdict(self, verdict: Verdict) -> Self {
+        match verdict {
+            Verdict::NotRun => self,
+            _ => Self { verdict, retry_after_ms: None, ..self },
+        }
+    }
+
     /// The end of a request that may have run.
     pub fn may_have_run(cause: RefusalCause) -> Self {
         Self { cause, verdict: Verdict::MayHaveRun, retry_after_ms: None }
--- a/crates/ports/src/configuration.rs
+++ b/crates/ports/src/configuration.rs
@@ -1,6 +1,6 @@
 //! Routes, services and limits, as operators configure them.
 
-use crate::FormatError;
+use crate::{FormatError, Organisation};
 use std::collections::BTreeMap;
 use vanetally_types::Name;
 
@@ -15,6 +15,8 @@
     pub services: BTreeMap<Name, Service>,
     /// Bounds on what callers may send.
     pub limits: CallerLimits,
+    /// Whose callers may send requests; none if requests need no key.
+    pub organisations: Option<Vec<Organisation>>,
 }
 
 /// How often a request may run.
@@ -53,6 +55,8 @@
     pub max_attempts: u32,
     /// Whether a broken stream may go on at another upstream.
     pub resumable: bool,
+    /// Whether its requests need no key.
+    pub is_open: bool,
 }
 
 impl Route {
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -1,6 +1,6 @@
 //! Reports of runners and orders to them.
 
-use crate::{FormatError, upstream::HeldModel};
+use crate::{FormatError, Origin, upstream::HeldModel};
 use bytes::Bytes;
 use vanetally_types::{Incarnation, Name};
 
@@ -116,6 +116,8 @@
     pub deadline_ms: u64,
     /// Where a broken stream goes on.
     pub resume_after: Option<Name>,
+    /// On whose behalf it is sent.
+    pub origin: Origin,
 }
 
 /// What the head of an upstream's answer says.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod configuration;
 /// Reports of runners and orders to them.
 pub mod engine;
+/// Organisations, the keys that their callers bear, and how much they may ask for.
+pub mod organisation;
 /// The key-value store of the deployment.
 pub mod store;
 /// Runners and plain services that requests are sent to.
@@ -23,6 +25,7 @@
 pub use engine::{
     AnswerKind, AttemptHead, EngineProtocol, Operation, Order, OrderOutcome, Report, Subject,
 };
+pub use organisation::{CallerKey, Credential, Organisation, Origin, Quota, QuotaUnit};
 pub use store::{
     Change, Expectation, Freshness, Item, LeaseId, Page, Revision, StoreAnswer, StoreProtocol,
     Transaction, WatchAnswer, Write,
--- a/crates/quota/src/asker.rs
+++ b/crates/quota/src/asker.rs
@@ -33,19 +33,28 @@
 /// A grantor that did not answer is asked again after this long, in milliseconds: its successor is known within
 /// two or three seconds, and each request that asks in vain waits for the answer.
 const SILENT_MS: u64 = 200;
-/// What the grantor said of an organisation holds for this long, in milliseconds: a lease that is lost has a new
-/// holder by then.
-const CALM_MS: u64 = 3_000;
+/// What the grantor said of an organisation holds for this long, in milliseconds: on one host of 69 a small
+/// organisation's requests come seconds apart.
+const CALM_MS: u64 = 10_000;
+/// A host saves up its part of a calm organisation's rate since the grantor's last answer for this long, in
+/// milliseconds: a lease that is lost has a new holder by then. Without it 438 of 900 requests were refused in the
+/// 2.3 s after the grantor froze.
+const SAVED_MS: u64 = 3_000;
 /// Share of the quota that all hosts together spend without a grantor, where it may still grant to others: with
 /// a third of the hosts cut off for a whole window, a tenth of the quota.
 const CUT_SHARE: f64 = 0.3;
-/// Share of what the operators allow beyond the quota that hosts use: their counts of hosts differ.
-const EXCESS_SHARE: f64 = 0.9;
+/// The same while the organisation is calm: more than it asks for, less than the quota, so that with what the next
+/// grantor adds a window stays within the bound even if it is calm no more.
+const CALM_SHARE: f64 = 0.8;
+/// Share of what the operators allow beyond the quota that hosts spend at once: each one may overdraw by half of a
+/// request, and their counts of hosts differ.
+const EXCESS_SHARE: f64 = 0.5;
 
 /// What one host knows of the quotas.
 #[derive(Clone, Debug)]
 pub struct Asker {
     bounds: Bounds,
+    seed: u64,
     hosts: usize,
     grantor: Option<Name>,
     silent_until: Tick,
@@ -59,14 +68,28 @@
     bucket: Bucket,
     /// When the grantor last said that the organisation stays far below its quota.
     calm_at: Option<Tick>,
-    /// Requests decided alone, to spread the decisions.
-    decided: u64,
+    /// Units spent alone since then.
+    spent: f64,
+    /// Part of a request that has to be there for the next one, from 0 to 1.
+    threshold: f64,
+    /// When it was drawn, and how often before.
+    drawn: Tick,
+    draws: u64,
 }
 
 impl Asker {
     /// No quota and no grantor are known.
-    pub fn new(bounds: Bounds) -> Self {
-        Self { bounds, hosts: 1, grantor: None, silent_until: Tick(0), shares: HashMap::new() }
+    ///
+    /// Hosts differ in `seed`.
+    pub fn new(bounds: Bounds, seed: u64) -> Self {
+        Self {
+            bounds,
+            seed,
+            hosts: 1,
+            grantor: None,
+            silent_until: Tick(0),
+            shares: HashMap::new(),
+        }
     }
 
     /// The quotas in force.
@@ -74,8 +97,9 @@
         self.shares.retain(|name, share| quotas.get(name) == Some(&share.quota));
         for (name, quota) in quotas {
             let depth = self.depth(quota);
-            let bucket = Bucket::new(now, depth, self.rate(quota, false), depth);
-            let share = Share { quota: *quota, bucket, calm_at: None, decided: 0 };
+            let bucket = Bucket::new(now, depth, self.rate(quota) * CUT_SHARE, depth);
+            let mut share = Share::new(now, *quota, bucket);
+            share.draw(now, self.seed, name);
             self.shares.entry(name.clone()).or_insert(share);
         }
     }
@@ -119,6 +143,7 @@
             Answer::Granted { is_calm } => {
                 if let Some(share) = self.shares.get_mut(organisation) {
                     share.calm_at = is_calm.then_some(now);
+                    share.spent = 0.0;
                 }
                 Decision::Granted
             }
@@ -151,32 +176,38 @@
 
     /// Decides by this host's own share.
     ///
-    /// A share is often smaller than one request: each goes with the chance that its part of it is there, so that
-    /// on average as much is spent as comes in.
+    /// A share is often smaller than one request: a part of the next one, drawn anew each time, has to be there. Then
+    /// some hosts of many let one go at once, and on average as much is spent as comes in.
     pub fn decide_alone(&mut self, now: Tick, organisation: &Name, cost: u32) -> Decision {
         let Some(share) = self.shares.get(organisation) else {
             return Decision::Granted;
         };
-        let quota = share.quota;
-        let is_calm = share.calm_at.is_some_and(|at| now.since(at) <= CALM_MS);
-        let (rate, depth) = (self.rate(&quota, is_calm), self.depth(&quota));
+        let (rate, depth) = (self.rate(&share.quota), self.depth(&share.quota));
+        let seed = self.seed;
         let Some(share) = self.shares.get_mut(organisation) else {
             return Decision::Granted;
         };
-        share.bucket.resize(now, rate, depth);
-        share.decided += 1;
-        let chance = share.bucket.level(now) / f64::from(cost.max(1));
-        if chance <= draw(organisation, share.decided) {
+        let saved = share.saved(now, rate * CALM_SHARE);
+        let cut_rate = if saved.is_some() { 0.0 } else { rate * CUT_SHARE };
+        share.bucket.resize(now, cut_rate, depth);
+        let saved = saved.unwrap_or(0.0);
+        let cost = f64::from(cost);
+        // A part that is more than the host may ever have would bar it for good.
+        if now.since(share.drawn) as f64 >= depth / (rate * CUT_SHARE) * MILLIS_PER_SECOND {
+            share.draw(now, seed, organisation);
+        }
+        if saved + share.bucket.level(now) <= cost * share.threshold {
             return Decision::Unknown;
         }
-        share.bucket.take(f64::from(cost));
+        share.draw(now, seed, organisation);
+        share.spent += cost.min(saved);
+        share.bucket.take(cost - cost.min(saved));
         Decision::Granted
     }
 
-    /// Units a second of this host's own share. While nobody grants, all shares together may be the whole rate.
-    fn rate(&self, quota: &Quota, is_calm: bool) -> f64 {
-        let share = if is_calm { 1.0 } else { CUT_SHARE };
-        quota.rate * share / self.hosts as f64
+    /// Units a second of this host's part of the quota.
+    fn rate(&self, quota: &Quota) -> f64 {
+        quota.rate / self.hosts as f64
     }
 
     /// Units that this host may spend at once: its part of what is allowed beyond the quota.
@@ -187,9 +218,29 @@
     }
 }
 
+impl Share {
+    fn new(now: Tick, quota: Quota, bucket: Bucket) -> Self {
+        Self { quota, bucket, calm_at: None, spent: 0.0, threshold: 0.0, drawn: now, draws: 0 }
+    }
+
+    fn draw(&mut self, now: Tick, seed: u64, organisation: &Name) {
+        self.draws += 1;
+        self.drawn = now;
+        self.threshold = draw(seed, organisation, self.draws);
+    }
+
+    /// What the host has saved of `rate` units a second since the grantor's last answer, if the organisation is calm.
+    fn saved(&self, now: Tick, rate: f64) -> Option<f64> {
+        let since_ms = self.calm_at.map(|at| now.since(at)).filter(|ms| *ms <= CALM_MS)?;
+        let saved = rate * since_ms.min(SAVED_MS) as f64 / MILLIS_PER_SECOND;
+        Some((saved - self.spent).max(0.0))
+    }
+}
+
 /// A number from 0 to 1 that is as good as random.
-fn draw(organisation: &Name, number: u64) -> f64 {
+fn draw(seed: u64, organisation: &Name, number: u64) -> f64 {
     let mut bytes = organisation.as_bytes().to_vec();
+    bytes.extend_from_slice(&seed.to_le_bytes());
     bytes.extend_from_slice(&number.to_le_bytes());
     hash64(&bytes) as f64 / u64::MAX as f64
 }
--- a/crates/quota/tests/alone.rs
+++ b/crates/quota/tests/alone.rs
@@ -19,13 +19,13 @@
 }
 
 fn hosts(count: usize) -> Vec<Asker> {
-    let host = || {
-        let mut asker = Asker::new(BOUNDS);
+    let host = |seed| {
+        let mut asker = Asker::new(BOUNDS, seed);
         asker.set_hosts(HOSTS);
         asker.configure(START, &quotas());
         asker
     };
-    (0..count).map(|_| host()).collect()
+    (0..count as u64).map(host).collect()
 }
 
 /// Each host gets a request of `COST` each `every_ms`; what all of them let go without a grantor.
@@ -70,7 +70,42 @@
     // One request of each host in 2 s: 69 times 1,500 tokens, half of the rate.
     let asked = HOSTS as f64 * f64::from(COST);
     let spent = press(&mut hosts, START + 1_000, 2_000, 2_000);
-    assert!(spent >= asked * 0.85, "{spent} of {asked}");
+    assert!(spent >= asked * 0.95, "{spent} of {asked}");
+}
+
+/// Played: 69 hosts, 16 organisations, the smallest with 36,000 tokens a second; the grantor froze for 7 s, and until
+/// it had a successor 438 of 900 requests were refused as not known to be within the quota:
+///
+/// `event=grantor_silent host=front-pdx-a-2 after_ms=60`
+/// `event=quota_refused .. cost=1630 by=front-spk-c-16 cause=quota_unknown retry_after_ms=1000`
+///
+/// A host has some thousand tokens of a calm organisation's rate in the seconds between its requests.
+#[test]
+fn calm_and_small() {
+    let mut hosts = hosts(HOSTS);
+    for asker in &mut hosts {
+        let unit = QuotaUnit::Tokens { plain: 200 };
+        let quota = Quota { unit, rate: 36_000.0, burst: 36_000.0 };
+        asker.configure(START, &HashMap::from([("o".into(), quota)]));
+        asker.answered(START, &"o".into(), COST, Answer::Granted { is_calm: true });
+    }
+    let spent = press(&mut hosts, START + 3_000, 2_300, 4_000);
+    let asked = HOSTS as f64 * f64::from(COST);
+    assert!(spent >= asked * 0.95, "{spent} of {asked}");
+}
+
+/// It turns out to send 12 times its quota just as the grantor is lost: with what was granted before and is granted
+/// after, a window stays within the bound.
+#[test]
+fn calm_no_more() {
+    let mut hosts = hosts(HOSTS);
+    for asker in &mut hosts {
+        asker.answered(START, &"o".into(), COST, Answer::Granted { is_calm: true });
+    }
+    let gap_ms = 2_300;
+    let spent = press(&mut hosts, START, gap_ms, 86);
+    let granted = RATE + RATE * (BOUNDS.window_ms - gap_ms) as f64 / 1_000.0;
+    assert!(spent + granted <= RATE * 9.0 + BEYOND, "{spent} beside {granted}");
 }
 
 #[test]
--- a/crates/quota/tests/grants.rs
+++ b/crates/quota/tests/grants.rs
@@ -49,12 +49,14 @@
 #[test]
 fn refusal_tells_the_time() {
     let mut grantor = grantor(START, RATE);
-    let _ = press(&mut grantor, START, 1_000);
-    let Answer::Refused { retry_ms } = grantor.spend(START + 1_001, &"o".into(), 1_000) else {
-        panic!("the quota is spent");
-    };
+    let now = START + 1_000;
+    let refused = (0..20).find_map(|_| match grantor.spend(now, &"o".into(), 1_000) {
+        Answer::Refused { retry_ms } => Some(retry_ms),
+        _ => None,
+    });
+    let retry_ms = refused.expect("the quota is spent");
     assert!((50..=300).contains(&retry_ms), "{retry_ms}");
-    let later = grantor.spend(START + 1_001 + retry_ms, &"o".into(), 1_000);
+    let later = grantor.spend(now + retry_ms, &"o".into(), 1_000);
     assert!(matches!(later, Answer::Granted { .. }), "{later:?}");
 }
 
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -88,34 +88,16 @@
 
     /// The operator writes a configuration with `more` routes to the plain service.
     pub fn configure(&self, version: u64, more: &[&str]) {
-        let route = |name: &str, kind: &str, service: &str, resumable: bool| {
-            json!({
-                "name": name, "host": "site.example", "path_prefix": format!("/{name}/"),
-                "type": kind, "timeout_ms": 10000, "target_latency_ms": 1000, "priority": 1,
-                "service": service, "max_attempts": if resumable { 2 } else { 1 },
-                "resumable": resumable,
-            })
-        };
-        let mut routes = vec![
-            route("offer", "streaming", "llm", false),
-            route("draft", "streaming", "llm", true),
-            route("check", "idempotent", "desk", false),
-        ];
-        routes.extend(more.iter().map(|name| route(name, "idempotent", "desk", false)));
-        let model = json!({
-            "name": "m1", "weights_mb": 60000.0, "load_time_s": 1.0, "adapters": 4,
-            "adapter_mb": 10.0,
-        });
-        let engine = json!({
-            "slots": 8, "kv_capacity_tokens": 100000, "weights_mb": 200000.0, "max_adapters": 4,
-            "loads_per_s": 1.0, "models": [model],
-        });
-        let services = json!([
-            { "name": "llm", "max_connections": 100, "engine": engine },
-            { "name": "desk", "max_connections": 100 },
-        ]);
-        let configuration =
-            json!({ "version": version, "routes": routes, "services": services, "limits": {} });
+        self.store.put("op/config", &configuration(version, more));
+    }
+
+    /// The operator writes a configuration with organisations, and a route `open` that needs no key.
+    pub fn configure_organisations(&self, version: u64, organisations: &[Value]) {
+        let mut configuration = configuration(version, &["open"]);
+        if let Some(open) = configuration["routes"].as_array_mut().and_then(|all| all.last_mut()) {
+            open["auth_exempt"] = true.into();
+        }
+        configuration["tenants"] = organisations.into();
         self.store.put("op/config", &configuration);
     }
 
@@ -133,9 +115,23 @@
 
     /// Starts a host at `ip` that finds the store at `store`.
     pub fn spawn_at(&self, name: &str, ip: &str, store: SocketAddr) -> Host {
+        self.spawn_with(name, ip, &settings(name, ip, store))
+    }
+
+    /// Starts a host that may not use a key five seconds after it was taken away, and waits until it is ready.
+    pub fn strict_host(&self, name: &str) -> Host {
+        let ip = fresh_ip();
+        let mut settings = settings(name, &ip, self.store.address());
+        settings["bounds"]["strict_revocation"] = true.into();
+        settings["bounds"]["revoke_ms"] = 5_000.into();
+        let host = self.spawn_with(name, &ip, &settings);
+        wait_for("the host is ready", || host.readiness() == 200);
+        host
+    }
+
+    fn spawn_with(&self, name: &str, ip: &str, settings: &Value) -> Host {
         let path = self.directory.path().join(format!("{name}.json"));
-        std::fs::write(&path, settings(name, ip, store).to_string())
-            .expect("the settings can be written");
+        std::fs::write(&path, settings.to_string()).expect("the settings can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_vanetallyd"))
             .arg("gateway")
             .env("VANETALLY_CONFIG", &path)
@@ -154,6 +150,37 @@
     }
 }
 
+/// A configuration with `more` routes to the plain service.
+fn configuration(version: u64, more: &[&str]) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+        json!({
+            "name": name, "host": "site.example", "path_prefix": format!("/{name}/"),
+            "type": kind, "timeout_ms": 10000, "target_latency_ms": 1000, "priority": 1,
+            "service": service, "max_attempts": if resumable { 2 } else { 1 },
+            "resumable": resumable,
+        })
+    };
+    let mut routes = vec![
+        route("offer", "streaming", "llm", false),
+        route("draft", "streaming", "llm", true),
+        route("check", "idempotent", "desk", false),
+    ];
+    routes.extend(more.iter().map(|name| route(name, "idempotent", "desk", false)));
+    let model = json!({
+        "name": "m1", "weights_mb": 60000.0, "load_time_s": 1.0, "adapters": 4,
+        "adapter_mb": 10.0,
+    });
+    let engine = json!({
+        "slots": 8, "kv_capacity_tokens": 100000, "weights_mb": 200000.0, "max_adapters": 4,
+        "loads_per_s": 1.0, "models": [model],
+    });
+    let services = json!([
+        { "name": "llm", "max_connections": 100, "engine": engine },
+        { "name": "desk", "max_connections": 100 },
+    ]);
+    json!({ "version": version, "routes": routes, "services": services, "limits": {} })
+}
+
 const FRONT: u16 = 8_149;
 const READY: u16 = 8_141;
 const METRICS: u16 = 9_464;
@@ -203,6 +230,16 @@
         Client::new("GET", "/-/readiness", "").send(self.ready).status
     }
 
+    /// Whether the balancer may send callers to it.
+    pub fn is_ready(&self) -> bool {
+        self.readiness() == 200
+    }
+
+    /// Whether it gives the orders.
+    pub fn is_order_holder(&self) -> bool {
+        self.metric("vanetally_order_holder") == Some(1.0)
+    }
+
     /// The value of a metric.
     pub fn metric(&self, name: &str) -> Option<f64> {
         let text = Client::new("GET", "/metrics", "").send(self.metrics).body;
--- /dev/null
+++ b/tests/organisations.rs
@@ -0,0 +1,130 @@
+//! Organisations on the users' platform: keys, keys that are taken away, quotas; what callers and runners see.
+
+mod gateway;
+
+use gateway::{Deployment, Host, wait_for};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+use vanetally_platform_standin::{Client, ClientAnswer, StoreMode};
+
+/// Keys that no log line may show.
+const KEYS: [&str; 3] = ["key-of-acme-1f00", "key-of-acme-2f00", "key-of-other-3f00"];
+
+fn acme(keys: &[&str], rate: u32) -> Value {
+    json!({
+        "name": "acme", "api_keys": keys, "priority": 1, "unit": "tokens", "plain_tokens": 200,
+        "rate_per_s": rate, "burst_size": rate,
+    })
+}
+
+fn other() -> Value {
+    json!({ "name": "other", "api_keys": [KEYS[2]], "priority": 1 })
+}
+
+fn check(host: &Host, id: &str, key: Option<&str>) -> ClientAnswer {
+    let client = Client::new("GET", "/check/1", id).with("X-Tenant", "mallory");
+    let client = match key {
+        Some(key) => client.with("authorization", &format!("bearer {key}")),
+        None => client,
+    };
+    client.send(host.front)
+}
+
+fn statuses(answers: &[ClientAnswer], status: u16) -> usize {
+    answers.iter().filter(|answer| answer.status == status).count()
+}
+
+fn assert_no_key_shows(deployment: &Deployment) {
+    for (name, log) in deployment.logs() {
+        for key in KEYS {
+            assert!(!log.contains(key), "{name} shows a key");
+        }
+    }
+}
+
+#[test]
+fn keys() {
+    let deployment = Deployment::start();
+    deployment.configure_organisations(2, &[acme(&KEYS[..2], 0), other()]);
+    let host = deployment.host("front-0");
+    let served = check(&host, "a", Some(KEYS[0]));
+    assert_eq!(served.status, 200);
+    let seen =
+        deployment.desks[0].requests().into_iter().find(|r| r.header("x-attempt-id") == Some("a"));
+    let seen = seen.expect("the runner's request");
+    assert_eq!(seen.header("x-tenant"), Some("acme"), "whatever the caller said");
+    assert_eq!(seen.header("authorization"), None);
+    let unknown = check(&host, "b", Some("no-such-key"));
+    assert_eq!(unknown.status, 401);
+    assert_eq!(unknown.header("www-authenticate"), Some("Bearer"));
+    assert_eq!(check(&host, "c", None).status, 401);
+    assert_eq!(Client::new("GET", "/open/1", "d").send(host.front).status, 200);
+    drop(host);
+    assert_no_key_shows(&deployment);
+}
+
+#[test]
+fn taken_away() {
+    let deployment = Deployment::start();
+    deployment.configure_organisations(2, &[acme(&KEYS[..2], 0)]);
+    let host = deployment.host("front-0");
+    assert_eq!(check(&host, "a", Some(KEYS[1])).status, 200);
+    deployment.configure_organisations(3, &[acme(&KEYS[..1], 0)]);
+    wait_for("the change", || check(&host, "b", Some(KEYS[1])).status == 401);
+    assert_eq!(check(&host, "c", Some(KEYS[0])).status, 200, "the other key holds");
+}
+
+/// The store falls silent and a key is taken away meanwhile: the host may not use any key longer than the bound,
+/// says so, and serves again within a second of the store's return.
+#[test]
+fn silent_store() {
+    let deployment = Deployment::start();
+    deployment.configure_organisations(2, &[acme(&KEYS[..2], 0)]);
+    let host = deployment.strict_host("front-0");
+    assert_eq!(check(&host, "a", Some(KEYS[0])).status, 200);
+    deployment.store.set_mode(StoreMode::Silent);
+    let silent = Instant::now();
+    wait_for("the bound", || !host.is_ready());
+    assert!(silent.elapsed() < Duration::from_millis(5_000), "{:?}", silent.elapsed());
+    assert!(silent.elapsed() > Duration::from_millis(2_000), "{:?}", silent.elapsed());
+    let refused = check(&host, "b", Some(KEYS[0]));
+    assert_eq!(refused.status, 503);
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!(check(&host, "c", Some("no-such-key")).status, 503, "it may be a new one");
+    assert_eq!(Client::new("GET", "/open/1", "d").send(host.front).status, 200);
+    deployment.store.set_mode(StoreMode::Serving);
+    let back = Instant::now();
+    wait_for("the return", || check(&host, "e", Some(KEYS[0])).status == 200);
+    assert!(back.elapsed() < Duration::from_millis(1_500), "{:?}", back.elapsed());
+}
+
+/// Three hosts, one organisation far above its quota: in sum it gets the quota, and others are not touched.
+#[test]
+fn quota_over_hosts() {
+    let deployment = Deployment::start();
+    deployment.configure_organisations(2, &[acme(&KEYS[..2], 4_000), other()]);
+    let hosts = ["front-0", "front-1", "front-2"].map(|name| deployment.host(name));
+    let grants = || hosts.iter().any(|host| host.is_order_holder());
+    wait_for("a host that grants", grants);
+    std::thread::sleep(Duration::from_millis(500));
+    let begun = Instant::now();
+    let mut answers = Vec::new();
+    let mut others = Vec::new();
+    for number in 0..150 {
+        let host = &hosts[number % hosts.len()];
+        answers.push(check(host, &format!("a{number}"), Some(KEYS[0])));
+        if number % 10 == 0 {
+            others.push(check(host, &format!("o{number}"), Some(KEYS[2])));
+        }
+    }
+    let most = (begun.elapsed().as_secs_f64() + 1.0) * 4_000.0 / 200.0 + 3.0;
+    let (served, refused) = (statuses(&answers, 200), statuses(&answers, 429));
+    assert!(served as f64 <= most, "{served} of at most {most}");
+    assert!(served >= 15, "{served}: the burst is theirs");
+    assert_eq!(served + refused, answers.len(), "{answers:?}");
+    let refusal = answers.iter().find(|answer| answer.status == 429).expect("one beyond the quota");
+    assert!(refusal.header("retry-after").is_some());
+    assert_eq!(statuses(&others, 200), others.len(), "no quota binds them");
+    drop(hosts);
+    assert_no_key_shows(&deployment);
+}
