fix: room is kept for orders that several lives of a runner left unanswered

Cause: lost loads that expect counts 0, 1, 2 can be carried out one after the other by a next life that was ordered nothing; the life in which each was sent kept room only for those ahead of its own count. Change: a load is ordered only if all unanswered loads, the largest for each other count, fit beside it. What is ordered now expects the count that is left out: of those that expect the same at most one is taken.

--- a/crates/placement/src/capacity.rs
+++ b/crates/placement/src/capacity.rs
@@ -1,6 +1,7 @@
 //! Room for weights and adapters on a runner.
 
 use crate::Ledger;
+use std::collections::BTreeMap;
 use vanetally_ports::EngineSpec;
 use vanetally_types::Name;
 
@@ -39,6 +40,17 @@
     /// Megabytes beside all that is there or on its way.
     pub(crate) fn free_mb(&self, ledger: &Ledger) -> f64 {
         let expected = ledger.models().chain(ledger.stray_models());
-        self.models_mb - expected.map(|model| self.size(model)).sum::<f64>()
+        let here = expected.map(|model| self.size(model)).sum::<f64>();
+        self.models_mb - here.max(self.chain_mb(ledger))
+    }
+
+    /// Megabytes that a life after this one may come to hold by orders alone that were never answered.
+    fn chain_mb(&self, ledger: &Ledger) -> f64 {
+        let mut largest: BTreeMap<u64, f64> = BTreeMap::new();
+        for (count, model) in ledger.unanswered_loads() {
+            let size = largest.entry(count).or_default();
+            *size = size.max(self.size(model));
+        }
+        largest.values().sum()
     }
 }
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -383,6 +383,15 @@
         self.strays.models(self.count)
     }
 
+    /// Loads of weights without an answer, of this life and former ones, that a life after this one may carry out one
+    /// after the other, by the count that they expect. The next order of this life expects the count that is left out:
+    /// of those that expect the same at most one is taken.
+    pub(crate) fn unanswered_loads(&self) -> impl Iterator<Item = (u64, &Name)> {
+        let own = self.count;
+        let all = self.strays.weights().chain(self.unanswered.weights());
+        all.filter(move |(count, _)| Some(*count) != own)
+    }
+
     /// Models of which the runner has a copy of its own.
     pub(crate) fn copies(&self) -> impl Iterator<Item = &Name> {
         self.at_hand.iter()
--- a/crates/placement/src/strays.rs
+++ b/crates/placement/src/strays.rs
@@ -57,6 +57,12 @@
         weights.map(|order| &order.subject.model)
     }
 
+    /// Loads of weights, by the count that they expect.
+    pub(crate) fn weights(&self) -> impl Iterator<Item = (u64, &Name)> {
+        let weights = self.loads(None).filter(|order| order.subject.adapter.is_none());
+        weights.map(|order| (order.orders_before, &order.subject.model))
+    }
+
     /// How many adapters may yet come there.
     pub(crate) fn adapter_count(&self, count: Option<u64>) -> usize {
         self.loads(count).filter(|order| order.subject.adapter.is_some()).count()
