fix: a model whose holders have no place for a missed adapter comes to one more runner

Cause: where all adapters at the one holder are asked for, none makes way, and nothing told the plan that another replica would have places. Change: such a model counts as cramped for a second; one more replica of it gains more than a model that nobody asks for and less than any that is asked for.

--- a/crates/placement/src/adapters.rs
+++ b/crates/placement/src/adapters.rs
@@ -44,11 +44,19 @@
         {
             return;
         }
-        if let Some(runner) = self.runner_for_adapter(service, engine, &subject, Room::Full)
-            && let Some(victim) =
-                self.spare_adapter(&runner).or_else(|| self.idle_adapter(now, service, &runner))
-        {
-            self.order(now, token, &runner, Operation::Unload, victim, actions);
+        let Some(runner) = self.runner_for_adapter(service, engine, &subject, Room::Full) else {
+            return;
+        };
+        let victim =
+            self.spare_adapter(&runner).or_else(|| self.idle_adapter(now, service, &runner));
+        match victim {
+            Some(victim) => {
+                self.order(now, token, &runner, Operation::Unload, victim, actions);
+            }
+            // All that are there are asked for: one more holder has places for the rest.
+            None => {
+                self.cramped.insert((service.clone(), subject.model), now);
+            }
         }
     }
 
--- a/crates/placement/src/census.rs
+++ b/crates/placement/src/census.rs
@@ -14,6 +14,8 @@
     pub demand: &'a DemandTable,
     /// Models of which all replicas are taken while callers wait.
     pub crowded: &'a BTreeMap<(Name, Name), Tick>,
+    /// Models whose holders have no place for an adapter that is missed.
+    pub cramped: &'a BTreeMap<(Name, Name), Tick>,
     /// Runners that may be ordered to, with their books.
     pub ledgers: &'a BTreeMap<Incarnation, Ledger>,
     /// Runners from which something is about to go.
@@ -36,6 +38,8 @@
     pub replicas: Replicas,
     /// Whether callers wait though it is held.
     pub is_crowded: bool,
+    /// Whether its holders have no place for an adapter that is missed.
+    pub is_cramped: bool,
     /// Open runners that have a copy of their own, as indices.
     pub at_hand: Vec<usize>,
 }
@@ -140,6 +144,7 @@
             idle_ms: basis.now.since(basis.demand.model_last(basis.service, name)),
             replicas: Replicas::default(),
             is_crowded: basis.crowded.contains_key(&(basis.service.clone(), name.clone())),
+            is_cramped: basis.cramped.contains_key(&(basis.service.clone(), name.clone())),
             at_hand: Vec::new(),
         }
     }
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -32,6 +32,8 @@
     pub(crate) wanted: BTreeMap<(Name, ModelRef), Tick>,
     /// Models of which all replicas are taken while callers wait, and when that was last told.
     pub(crate) crowded: BTreeMap<(Name, Name), Tick>,
+    /// Models whose holders have no place for an adapter that is missed, and when that was last seen.
+    pub(crate) cramped: BTreeMap<(Name, Name), Tick>,
     /// Adapters of which one more copy was asked for, and when.
     copied: BTreeMap<(Name, ModelRef), Tick>,
     /// Weights that get no new requests, and since when.
@@ -79,6 +81,7 @@
             ceilings: HashMap::new(),
             wanted: BTreeMap::new(),
             crowded: BTreeMap::new(),
+            cramped: BTreeMap::new(),
             copied: BTreeMap::new(),
             closing: BTreeMap::new(),
             reserved: BTreeMap::new(),
@@ -206,6 +209,7 @@
     fn tick(&mut self, now: Tick, actions: &mut Vec<Action>) {
         self.wanted.retain(|_, at| now.since(*at) < WANTED_MS);
         self.crowded.retain(|_, at| now.since(*at) < CROWDED_MS);
+        self.cramped.retain(|_, at| now.since(*at) < CROWDED_MS);
         self.copied.retain(|_, at| now.since(*at) < COPY_MS);
         self.strays.values_mut().for_each(|strays| strays.extend(now, &Strays::default()));
         self.strays.retain(|_, strays| !strays.is_empty());
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -131,10 +131,11 @@
     }
 
     fn lacks(&self, index: usize, but: usize) -> bool {
-        let Model { load, replicas, is_crowded, .. } = &self.models[index];
+        let Model { load, replicas, is_crowded, is_cramped, .. } = &self.models[index];
         let planned = replicas.planned.saturating_sub(but);
         let crowded = if *is_crowded { worth::wanted_crowded(*replicas) } else { 0 };
-        let wanted = worth::wanted(*load).max(crowded).min(self.runner_count);
+        let cramped = if *is_cramped { replicas.held + 1 } else { 0 };
+        let wanted = worth::wanted(*load).max(crowded).max(cramped).min(self.runner_count);
         planned < wanted
     }
 
@@ -142,8 +143,9 @@
         if !self.lacks(index, 0) {
             return None;
         }
-        let Model { load, idle_ms, replicas, is_crowded, .. } = &self.models[index];
+        let Model { load, idle_ms, replicas, is_crowded, is_cramped, .. } = &self.models[index];
         let gain = worth::gain(*load, *idle_ms, *replicas);
+        let gain = if *is_cramped { gain.max(worth::CRAMPED_GAIN) } else { gain };
         (gain > 0.0).then_some(Need { is_crowded: *is_crowded, gain, model: index })
     }
 
--- a/crates/placement/src/weights.rs
+++ b/crates/placement/src/weights.rs
@@ -52,6 +52,7 @@
             engine,
             demand: &self.demand,
             crowded: &self.crowded,
+            cramped: &self.cramped,
             ledgers: &self.ledgers,
             closing: &self.closing,
             reserved: &self.reserved,
--- a/crates/placement/src/worth.rs
+++ b/crates/placement/src/worth.rs
@@ -27,6 +27,9 @@
 const FIRST_GAIN: f64 = 1.0;
 /// The same for a model that nobody asks for now: it only fills free room, nothing makes way for it.
 pub(crate) const FILL_GAIN: f64 = 0.02;
+/// The gain of one more replica of a model whose holders have no place for an adapter that callers wait for: more
+/// than a model that nobody asks for is worth, less than any that is asked for.
+pub(crate) const CRAMPED_GAIN: f64 = 0.05;
 /// Runner-seconds a second that a replica serves in time; what is beyond waits or is lost.
 const REPLICA_CAPACITY: f64 = 0.25;
 
