fix: the books keep the second copy of an order that was sent twice

Change: a refusal strikes only what was sent once; a repeated order is kept room for until it can't come any more.

--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -264,6 +264,7 @@
 
     /// An order goes out.
     pub fn order_sent(&mut self, now: Tick, order: Order) {
+        self.unanswered.note_sent(now, &order);
         self.pending = Some((order, now));
     }
 
--- a/crates/placement/src/strays.rs
+++ b/crates/placement/src/strays.rs
@@ -19,6 +19,8 @@
 struct Stray {
     order: Order,
     sent: Tick,
+    /// Whether the same order was sent again: an answer does not tell which copy is still on its way.
+    is_repeated: bool,
 }
 
 /// An order is not carried out later than this after it was sent, in milliseconds: five times the latest that is
@@ -29,19 +31,30 @@
     /// An order was not answered.
     pub(crate) fn add(&mut self, sent: Tick, order: Order) {
         if !self.orders.iter().any(|stray| stray.order == order) {
-            self.orders.push(Stray { order, sent });
+            self.orders.push(Stray { order, sent, is_repeated: false });
+        }
+    }
+
+    /// An order is sent; one that was not answered may be the same.
+    pub(crate) fn note_sent(&mut self, now: Tick, order: &Order) {
+        if let Some(stray) = self.orders.iter_mut().find(|stray| stray.order == *order) {
+            stray.is_repeated = true;
+            stray.sent = now;
         }
     }
 
     /// An order was answered after all.
     pub(crate) fn settle(&mut self, order: &Order) {
-        self.orders.retain(|stray| stray.order != *order);
+        self.orders.retain(|stray| stray.is_repeated || stray.order != *order);
     }
 
     /// Takes in those of a former life, and forgets what can't be carried out any more.
     pub(crate) fn extend(&mut self, now: Tick, other: &Strays) {
         for stray in &other.orders {
             self.add(stray.sent, stray.order.clone());
+            if stray.is_repeated {
+                self.note_sent(stray.sent, &stray.order);
+            }
         }
         self.orders.retain(|stray| now.since(stray.sent) < STRAY_MS);
     }
--- a/crates/placement/tests/stray_walk.rs
+++ b/crates/placement/tests/stray_walk.rs
@@ -147,21 +147,44 @@
     }
 }
 
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 3_000,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+fn config(cases: u32, seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(seed),
         failure_persistence: None,
         ..ProptestConfig::default()
-    })]
+    }
+}
+
+fn walk(steps: Vec<Step>) -> Result<(), TestCaseError> {
+    let mut world = World::new();
+    for step in steps {
+        world.go(step);
+        let held = world.models();
+        prop_assert!(held.len() <= FIT, "{held:?} after {step:?}");
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(config(3_000, 7))]
 
     #[test]
     fn never_overcommitted(steps in prop::collection::vec(step(), 60..160)) {
-        let mut world = World::new();
-        for step in steps {
-            world.go(step);
-            let held = world.models();
-            prop_assert!(held.len() <= FIT, "{held:?} after {step:?}");
-        }
+        walk(steps)?;
+    }
+}
+
+proptest! {
+    #![proptest_config(config(600, 23))]
+
+    /// Found by this seed: an order that was not answered was sent again, the same in all it says. One copy was
+    /// refused, for which both were struck from the books; the other one was carried out by a later life:
+    ///
+    /// `t13200 sent Load m1 @1` (twice), `t14500 Deliver` of one of them, refused at count 2,
+    /// `t22100 sent Load m2 @0` beside `late ["Load m1 @1", "Load m3 @2"]`: three models where two fit.
+    #[test]
+    fn same_order_twice(steps in prop::collection::vec(step(), 60..160)) {
+        walk(steps)?;
     }
 }
