change: those that can be answered in time go first, by the time that an answer takes

Cause: two of three upstreams of a plain service had left, the last can answer 100 of 165 requests a second. The oldest went first, was nearly late when it went and late when it was answered; what was refused had been held for 1.4 of its 1.5 s; 69 hosts that each came back 60 ms after being turned away used up what may be repeated (1,755 requests ended so). Change: a request counts as late if its answer would be, by the mean of the last answers; one that is no stream is refused after two objectives; the pause after being turned away doubles up to eightfold, until an answer.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -10,6 +10,9 @@
 
 /// An upstream that was full is left alone for this long, in milliseconds.
 const FULL_MS: u64 = 60;
+/// Most doublings of that, where it turns one after the other away: 69 hosts that each come back after 60 ms ask one
+/// upstream a thousand times a second, and use up what they may repeat.
+const MOST_DOUBLINGS: u32 = 3;
 /// An upstream that could not be reached is left alone for this long, in milliseconds.
 const UNREACHABLE_MS: u64 = 250;
 /// A request that was turned away waits this long before it is sent again, in milliseconds.
@@ -123,12 +126,19 @@
     }
 
     fn learn_end(&mut self, now: Tick, request: &Request, sending: &Sending, end: AttemptEnd) {
+        if end == AttemptEnd::Served && !self.is_engine(&request.service) {
+            let answers = self.answers.entry(request.service.clone()).or_default();
+            answers.learn(now.since(sending.at));
+        }
         let Some(upstream) = self.upstreams.get_mut(&sending.upstream) else {
             return;
         };
         upstream.own.take(sending.load);
         match end {
-            AttemptEnd::Served => upstream.health.ended(now, true),
+            AttemptEnd::Served => {
+                upstream.health.ended(now, true);
+                upstream.refusals = 0;
+            }
             // An upstream's own failure of a request that may be repeated says little: others that
             // are asked fail as well, where the request is at fault.
             AttemptEnd::Failed if request.route.kind == RequestKind::Idempotent => {}
@@ -139,7 +149,8 @@
                 upstream.full_until = now + UNREACHABLE_MS;
             }
             AttemptEnd::Full => {
-                upstream.full_until = now + FULL_MS;
+                upstream.full_until = now + (FULL_MS << upstream.refusals.min(MOST_DOUBLINGS));
+                upstream.refusals += 1;
                 let load = upstream.total(now);
                 // An upstream with free places that says it is full is at fault.
                 upstream.health.ended(now, load.running * 2 >= upstream.state.slots);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod access;
+mod answers;
 mod budget;
 mod choice;
 mod choose;
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -85,6 +85,9 @@
 const LEAST_PATIENCE_MS: u64 = 2_000;
 /// Objectives after which a stream's caller leaves.
 const PATIENCE_TARGETS: u64 = 4;
+/// A request that is no stream is refused if it was not sent within this many objectives: beyond that two of three
+/// waited for nothing, at the cost of all that their callers could still have done.
+const LATE_TARGETS: u64 = 2;
 /// Kept back from the caller's patience, in milliseconds.
 const PATIENCE_MARGIN_MS: u64 = 100;
 
@@ -106,7 +109,10 @@
                 let gap = LEAST_PATIENCE_MS.max(PATIENCE_TARGETS * route.target_ms);
                 deadline.min(now + gap) - PATIENCE_MARGIN_MS
             }
-            _ => deadline - PATIENCE_MARGIN_MS,
+            _ => {
+                let late = now + LATE_TARGETS * route.target_ms;
+                late.min(deadline - PATIENCE_MARGIN_MS).max(now)
+            }
         };
         let subject = head.model.as_ref();
         let shared = subject.map(|subject| shared_prefixes(subject, &head.parts));
@@ -153,7 +159,12 @@
 
     /// Whether its answer would come after the time that the operators want.
     pub(crate) fn is_late(&self, now: Tick) -> bool {
-        now.since(self.arrived) > self.route.target_ms
+        self.is_late_after(now, 0)
+    }
+
+    /// Whether an answer that takes `answer_ms` from now on would come after the time that the operators want.
+    pub(crate) fn is_late_after(&self, now: Tick, answer_ms: u64) -> bool {
+        now.since(self.arrived) + answer_ms > self.route.target_ms
     }
 
     /// Whether no upstream of its service is there, and it has waited as long as its answer may take: a wait
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Action, Attempt, Dispatch, RequestId, Standing,
+    answers::Answers,
     choice::Choice,
     choose::{View, choose},
     request::{Request, Sending, Stage},
@@ -34,7 +35,10 @@
     /// Waiting requests that can still be answered in time come before those that can't.
     fn in_order(&self, now: Tick, service: &Name) -> Vec<RequestId> {
         let mut waiting = self.queue.waiting(service);
-        let is_late = |id: &RequestId| self.requests.get(id).is_some_and(|r| r.is_late(now));
+        let answer_ms = self.answers.get(service).map_or(0, Answers::mean_ms);
+        let is_late = |id: &RequestId| {
+            self.requests.get(id).is_some_and(|request| request.is_late_after(now, answer_ms))
+        };
         waiting.sort_by_key(is_late);
         waiting
     }
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -44,6 +44,8 @@
     pub health: Health,
     /// No request goes there before this, since it was full.
     pub full_until: Tick,
+    /// How often it turned requests away since it last answered one.
+    pub refusals: u32,
     /// Its pacer has no moment for this host before this.
     pub paced_until: Tick,
     /// Another incarnation answers at its address: it is gone, whatever its announcement says.
@@ -77,6 +79,7 @@
             own: Load::default(),
             health: Health::default(),
             full_until: Tick(0),
+            refusals: 0,
             paced_until: Tick(0),
             is_replaced: false,
             is_unreadable: false,
