fix: only what an upstream ended under speaks against a content

Change: after a break the host looks whether anybody listens at the upstream, and accuses only if the connection is refused; single ends are forgotten after ten minutes; a host that answered the content lately has it acquitted, and all hear that it is free.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -119,7 +119,10 @@
         match end {
             AttemptEnd::Served => self.held.answered(content),
             AttemptEnd::Broken if !self.held.was_answered(content) => {
-                actions.push(Action::Accuse { content, upstream: sending.upstream.clone() });
+                let upstream = sending.upstream.clone();
+                let address = self.upstreams.get(&upstream).map(|known| known.state.address);
+                let accuse = |address| Action::Accuse { content, upstream, address };
+                actions.extend(address.map(accuse));
             }
             _ => {}
         }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -266,12 +266,14 @@
         /// Whether it answered.
         is_good: bool,
     },
-    /// Tell the judge of a content that an attempt of it broke off.
+    /// An attempt broke off: if its upstream has ended, the judge of its content has to know.
     Accuse {
         /// The content.
         content: Content,
         /// The upstream's incarnation.
         upstream: Incarnation,
+        /// Where it listened.
+        address: SocketAddr,
     },
     /// Note how well the first piece was predicted.
     Predicted {
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -189,9 +189,17 @@
         knows && self.stopping_since.is_none() && self.serves_keys(now)
     }
 
+    /// Whether a request of this content was answered here lately.
+    pub fn was_answered(&self, content: Content) -> bool {
+        self.held.was_answered(content)
+    }
+
     /// Whether a sentence says more than what is known.
     pub fn is_news(&self, now: Tick, sentence: &Sentence) -> bool {
         let known = self.held.rest_ms(now, sentence.content);
+        if sentence.for_ms == 0 {
+            return known.is_some();
+        }
         known.is_none_or(|rest_ms| rest_ms + NEWS_MS < sentence.for_ms)
     }
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -1,8 +1,8 @@
 //! Where events meet decisions, and actions become calls and messages.
 
 use crate::{
-    clock::Clock, feed::Feed, pacing::Pacing, peers::HostEntry, pool::Pool, quotas::Quotas,
-    settings::Settings, store::Store, telemetry,
+    clock::Clock, feed::Feed, judging, pacing::Pacing, peers::HostEntry, pool::Pool,
+    quotas::Quotas, settings::Settings, store::Store, telemetry,
 };
 use bytes::Bytes;
 use std::{
@@ -223,7 +223,14 @@
                     self.want(service, subject, is_crowded);
                 }
                 dispatch::Action::Tell { upstream, is_good } => self.tell_pacer(upstream, is_good),
-                dispatch::Action::Accuse { content, upstream } => self.accuse(content, upstream),
+                dispatch::Action::Accuse { content, upstream, address } => {
+                    tokio::task::spawn_local(judging::look_and_accuse(
+                        self.clone(),
+                        content,
+                        upstream,
+                        address,
+                    ));
+                }
                 dispatch::Action::Predicted { prediction, .. } => note_prediction(&prediction),
             }
         }
--- a/crates/gateway/src/judging.rs
+++ b/crates/gateway/src/judging.rs
@@ -1,25 +1,56 @@
 //! Contents under which upstreams end: telling their judge, judging, and telling all hosts.
 
 use crate::{hub::Hub, peers::PeerMessage, telemetry};
-use std::rc::Rc;
+use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::timeout;
 use vanetally_dispatch as dispatch;
+use vanetally_link::socket;
 use vanetally_quarantine::{Content, Sentence};
 use vanetally_types::{Incarnation, Name, rendezvous_rank};
 
+/// For an upstream that lives to take a connection.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Accuses a content if nobody listens at the upstream any more. An answer that breaks off shows no end: a way that was
+/// cut, or an answer that was spoiled, looks the same, and speaks against no content.
+pub(crate) async fn look_and_accuse(
+    hub: Rc<Hub>,
+    content: Content,
+    upstream: Incarnation,
+    address: SocketAddr,
+) {
+    let connected = timeout(LOOK, socket::connect(address)).await;
+    let has_ended =
+        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused);
+    if has_ended {
+        hub.accuse(content, upstream);
+    }
+}
+
 impl Hub {
     /// Tells the judge of a content that an attempt of it broke off.
-    pub(crate) fn accuse(self: &Rc<Self>, content: Content, upstream: Incarnation) {
-        let judge = {
-            let peers = self.peers.borrow();
-            let own = &self.settings.host;
-            let others = peers.keys().filter(|host| *host != own);
-            rendezvous_rank(content, others.chain([own])).first().map(|host| (*host).clone())
-        };
-        match judge {
-            Some(host) if host != self.settings.host => {
-                self.send(&host, &PeerMessage::Accuse { content, upstream });
-            }
-            _ => self.judge(content, upstream),
+    fn accuse(self: &Rc<Self>, content: Content, upstream: Incarnation) {
+        match self.judge_of(content) {
+            Some(host) => self.send(&host, &PeerMessage::Accuse { content, upstream }),
+            None => self.judge(content, upstream),
+        }
+    }
+
+    /// The host that judges a content; none if it is this one.
+    fn judge_of(&self, content: Content) -> Option<Name> {
+        let peers = self.peers.borrow();
+        let own = &self.settings.host;
+        let others = peers.keys().filter(|host| *host != own);
+        let first = rendezvous_rank(content, others.chain([own])).first().copied()?;
+        (first != own).then(|| first.clone())
+    }
+
+    /// A request of a content that this host judges was answered whole.
+    pub(crate) fn acquit(self: &Rc<Self>, content: Content) {
+        let freed = self.judge.borrow_mut().acquit(content);
+        if let Some(freed) = freed {
+            log::info!("event=content_freed content={content:016x} ended={}", freed.ended);
+            self.sentenced(&self.settings.host.clone(), vec![freed]);
         }
     }
 
@@ -45,7 +76,16 @@
         let dispatch = self.dispatch.borrow();
         let news: Vec<Sentence> =
             sentences.into_iter().filter(|one| dispatch.is_news(now, one)).collect();
+        let is_answered = |one: &&Sentence| one.for_ms > 0 && dispatch.was_answered(one.content);
+        let answered: Vec<Content> =
+            news.iter().filter(is_answered).map(|one| one.content).collect();
         drop(dispatch);
+        for content in answered {
+            match self.judge_of(content) {
+                Some(judge) => self.send(&judge, &PeerMessage::Acquit(content)),
+                None => self.acquit(content),
+            }
+        }
         if news.is_empty() {
             return;
         }
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -62,6 +62,7 @@
                 self.quotas.borrow_mut().grantor.give_back(&organisation, cost);
             }
             PeerMessage::Accuse { content, upstream } => self.judge(content, upstream),
+            PeerMessage::Acquit(content) => self.acquit(content),
             PeerMessage::Sentenced(sentences) => self.sentenced(from, sentences),
             PeerMessage::AskConfiguration { have } => self.tell_configuration(from, have),
             PeerMessage::Configuration(patch) => self.take_configuration(from, &patch),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -175,6 +175,8 @@
         /// The upstream's incarnation.
         upstream: Incarnation,
     },
+    /// To the judge of a content: a request of it was answered whole.
+    Acquit(Content),
     /// Contents that must not be sent.
     Sentenced(Vec<Sentence>),
     /// The sender asks for the configuration.
--- a/crates/quarantine/src/held.rs
+++ b/crates/quarantine/src/held.rs
@@ -22,8 +22,11 @@
 impl Held {
     /// Takes in a sentence; tells whether it is news.
     ///
-    /// What was answered here lately was a bystander, unless upstreams go on ending under it.
+    /// One for no time frees the content. What was answered here lately was a bystander, unless upstreams go on ending under it.
     pub fn hold(&mut self, now: Tick, sentence: Sentence) -> bool {
+        if sentence.for_ms == 0 {
+            return self.until.remove(&sentence.content).is_some();
+        }
         let known = self.until.get(&sentence.content);
         let is_known = known.is_some_and(|(_, ended)| *ended >= sentence.ended);
         let is_bystander = sentence.ended < ENOUGH_DESPITE && self.was_answered(sentence.content);
--- a/crates/quarantine/src/judge.rs
+++ b/crates/quarantine/src/judge.rs
@@ -24,6 +24,13 @@
     at: Tick,
 }
 
+impl Evidence {
+    fn is_forgotten(&self, now: Tick) -> bool {
+        let limit = if self.ended.len() < ENOUGH { MEMORY_MS } else { SENTENCED_MS };
+        now.since(self.at) >= limit
+    }
+}
+
 /// Evidence of one host.
 #[derive(Clone, Debug, Default)]
 pub struct Judge {
@@ -37,8 +44,11 @@
 const SENTENCE_MS: u64 = 60_000;
 /// Most doublings: an hour.
 const MOST_DOUBLINGS: u32 = 6;
-/// Evidence is forgotten after this long without more, in milliseconds.
-const MEMORY_MS: u64 = 2 * (SENTENCE_MS << MOST_DOUBLINGS);
+/// Evidence against a content without a sentence is forgotten after this long, in milliseconds: two crashes that are
+/// further apart have nothing to do with each other.
+const MEMORY_MS: u64 = 600_000;
+/// The same for one that was sentenced: twice the longest sentence.
+const SENTENCED_MS: u64 = 2 * (SENTENCE_MS << MOST_DOUBLINGS);
 /// Contents that are remembered; callers may send any number of them.
 const MOST_CONTENTS: usize = 8_192;
 /// Upstreams that are remembered for each.
@@ -53,6 +63,9 @@
         upstream: Incarnation,
     ) -> Option<Sentence> {
         self.make_room(now, content);
+        if self.evidence.get(&content).is_some_and(|known| known.is_forgotten(now)) {
+            self.evidence.remove(&content);
+        }
         let evidence =
             self.evidence.entry(content).or_insert_with(|| Evidence { ended: vec![], at: now });
         evidence.at = now;
@@ -69,9 +82,12 @@
         })
     }
 
-    /// A request of this content was answered whole: it ends no upstream.
-    pub fn answered(&mut self, content: Content) {
-        self.evidence.remove(&content);
+    /// A request of this content was answered whole: it ends no upstream. Gives back what frees it, if it was
+    /// sentenced.
+    pub fn acquit(&mut self, content: Content) -> Option<Sentence> {
+        let evidence = self.evidence.remove(&content)?;
+        let ended = evidence.ended.len();
+        (ended >= ENOUGH).then_some(Sentence { content, for_ms: 0, ended: ended as u32 })
     }
 
     /// Contents with evidence against them.
@@ -88,7 +104,7 @@
         if self.evidence.len() < MOST_CONTENTS || self.evidence.contains_key(&content) {
             return;
         }
-        self.evidence.retain(|_, evidence| now.since(evidence.at) < MEMORY_MS);
+        self.evidence.retain(|_, evidence| !evidence.is_forgotten(now));
         // Single ends are what bystanders leave behind: they go first.
         let weight = |evidence: &Evidence| (evidence.ended.len(), evidence.at);
         let least = self.evidence.iter().min_by_key(|(_, evidence)| weight(evidence));
