--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -9,9 +9,11 @@
 use vanetally_pacing::{Pacer, Prompt};
 use vanetally_placement::{self as placement, DemandSample, Placement};
 use vanetally_ports::{
-    CallerLimits, CallerRequest, Configuration, EngineSpec, HeldModel, ModelRef, ModelSpec, Report,
-    RequestKind, Revision, Route, Service, Target, UpstreamState,
+    CallerKey, CallerLimits, CallerRequest, Configuration, Credential, EngineSpec, HeldModel,
+    ModelRef, ModelSpec, Organisation, Report, RequestKind, Revision, Route, Service, Target,
+    UpstreamState,
 };
+use vanetally_quarantine::Sentence;
 use vanetally_types::{Incarnation, Name, Tick};
 
 const NOW: Tick = Tick(1_000_000);
@@ -145,6 +147,51 @@
     group.finish();
 }
 
+/// Organisations in two years, by the word of this page only: today they are 16.
+const ORGANISATIONS: usize = 10_000;
+/// Contents that are kept back meanwhile.
+const KEPT_BACK: u64 = 4_000;
+
+fn key(number: usize) -> CallerKey {
+    CallerKey::new(&format!("key-{number}"))
+}
+
+/// The same with a key that is looked up twice, and a content that is none of those kept back.
+fn choose_with_keys(c: &mut Criterion) {
+    let mut group = c.benchmark_group("choose a runner, keys of 10,000 organisations");
+    for runners in RUNNERS {
+        let mut dispatch = dispatch(runners);
+        let organisation = |number| Organisation {
+            name: format!("o-{number}").into(),
+            keys: vec![key(number)],
+            priority: Some(1),
+            quota: None,
+        };
+        let organisations = (0..ORGANISATIONS).map(organisation).collect();
+        let plain = configuration(models(runners));
+        let keyed =
+            Configuration { version: 2, organisations: Some(organisations), ..(*plain).clone() };
+        dispatch.handle(NOW, Event::Configured(Rc::new(keyed)));
+        for content in 1..=KEPT_BACK {
+            let sentence = Sentence { content, for_ms: 60_000, ended: 2 };
+            dispatch.handle(NOW, Event::Sentenced(sentence));
+        }
+        let mut number = 0;
+        group.bench_function(BenchmarkId::from_parameter(runners), |b| {
+            b.iter(|| {
+                number += 1;
+                let id = RequestId(number);
+                let credential = Credential::Key(key(number as usize % ORGANISATIONS));
+                let request = CallerRequest { credential, ..request(number, models(runners)) };
+                let actions = dispatch.handle(NOW, Event::Arrived { id, request, content: 0 });
+                assert!(matches!(actions[..], [Action::Reserve { .. }]), "{actions:?}");
+                dispatch.handle(NOW, Event::CallerLeft { id })
+            });
+        });
+    }
+    group.finish();
+}
+
 fn sum(runners: usize, running: u32) -> Digest {
     let row = |number| LoadRow {
         upstream: runner(number),
@@ -257,6 +304,6 @@
 criterion_group! {
     name = fleet;
     config = config();
-    targets = choose, take_sum, plan, breaker
+    targets = choose, choose_with_keys, take_sum, plan, breaker
 }
 criterion_main!(fleet);
