fix: words of hosts of an earlier version are still understood; refused requests are counted

Cause: found on reading: a word without the part about the configuration could not be read, so that hosts of two versions would have taken each other for silent while one replaces the other; requests that are refused for their key or quota were missing among those that arrived, and their log line lacked the verdict. Change: the part may be missing (nothing is confirmed by it); they are counted and say their verdict.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -44,10 +44,12 @@
     let charge = match admission(&hub, &head).await {
         Ok(charge) => charge,
         Err(refusal) => {
+            telemetry::arrived();
             telemetry::refused(refusal.cause, "-");
-            let cause = refusal.cause.as_str();
             log::info!(
-                "event=request_refused request={name} cause={cause} version={} retry_after_ms={}",
+                "event=request_refused request={name} cause={} verdict={} version={} retry_after_ms={}",
+                refusal.cause.as_str(),
+                refusal.verdict,
                 hub.version(),
                 refusal.retry_after_ms.unwrap_or(0)
             );
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -195,7 +195,8 @@
     pub version: u64,
     /// Milliseconds since the store confirmed what the host passes on.
     pub age_ms: Option<u64>,
-    /// The same for the configuration.
+    /// The same for the configuration; hosts of earlier versions say nothing of it.
+    #[serde(default)]
     pub configuration: ConfigurationWord,
     /// The host's contact with the store.
     pub store: StoreState,
@@ -206,7 +207,7 @@
 }
 
 /// How certainly a host has the newest configuration.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct ConfigurationWord {
     /// The life of the host's process.
     #[serde(rename = "l")]
