test: a specification of keys that are taken away, searched whole

Cause: that no host uses a key too late rests on clocks that differ and words that are late; random tests don't show the shortest way to a failure. Change: check::revocation drives the real Freshness: a reader of the store, a follower, messages late by any time.

--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod config;
 /// The lease of orders: two hosts, a store that loses answers, pauses, restarts.
 pub mod orders;
+/// Keys that are taken away: a host that reads the store, one that hears from it, clocks that differ, late messages.
+pub mod revocation;
 /// Memory of a runner: two stewards, orders that are lost or late.
 pub mod runner;
 mod search;
--- a/crates/fanout/src/freshness.rs
+++ b/crates/fanout/src/freshness.rs
@@ -12,7 +12,7 @@
 pub type Life = u64;
 
 /// What one host knows.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Freshness {
     confirmed: Option<Tick>,
     clock: Option<SourceClock>,
@@ -21,7 +21,7 @@
 }
 
 /// The clock of another host: when it showed `stated`, this host's showed `asked` or more.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct SourceClock {
     host: Name,
     life: Life,
@@ -37,7 +37,7 @@
 }
 
 /// A word of a host that passes on what it knows.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Word {
     /// The host.
     pub host: Name,
