fix: quotas go on while the store is away, and shares stay small where hosts are forgotten

Cause: found on reading. While the store is away nobody holds the lease and nobody grants: organisations got three tenths of their quota, or nothing where the operators allow no excess, for as long as the outage lasts. When a store forgets the keys of all hosts, each would have taken the share of a small deployment. Change: a grantor whose lease can't be renewed since the store is away goes on while nine tenths of the hosts asked it within two seconds; shares count the most hosts known within a minute, eight at least.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -53,7 +53,8 @@
         };
         self.tenure.borrow_mut().set_rank(rank);
         self.pacing.borrow_mut().set_hosts(self.capacities());
-        self.quotas.borrow_mut().asker.set_hosts(hosts);
+        let now = self.clock.now();
+        self.quotas.borrow_mut().asker.set_hosts(now, hosts);
         self.request_event(dispatch::Event::Hosts(hosts));
     }
 
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -4,6 +4,7 @@
 use std::{cell::Cell, collections::HashMap, rc::Rc, time::Duration};
 use tokio::{sync::oneshot, time::timeout};
 use vanetally_dispatch::AttemptEnd;
+use vanetally_fanout::StoreState;
 use vanetally_ports::{CallerRequest, Configuration, Quota, Refusal, RefusalCause};
 use vanetally_quota::{Answer, Ask, Asker, Bounds, Decision, Grantor};
 use vanetally_types::{Name, Tick};
@@ -138,7 +139,7 @@
             Ask::Host(host) => host,
         };
         let answer = if host == *own {
-            Some(self.spend(organisation, cost))
+            Some(self.spend(own, organisation, cost))
         } else {
             self.ask_grantor(&host, organisation, cost).await
         };
@@ -166,17 +167,17 @@
     }
 
     /// Takes `cost` from the quota, as the grantor.
-    fn spend(&self, organisation: &Name, cost: u32) -> Answer {
+    fn spend(&self, host: &Name, organisation: &Name, cost: u32) -> Answer {
+        self.review_granting();
         let now = self.clock.now();
-        let is_holder = self.tenure.borrow().is_holding(now);
         let grantor = &mut self.quotas.borrow_mut().grantor;
-        grantor.set_granting(now, is_holder);
+        grantor.note_asker(now, host);
         grantor.spend(now, organisation, cost)
     }
 
     /// Another host asks.
     pub(crate) fn spend_for(&self, host: &Name, number: u64, organisation: &Name, cost: u32) {
-        let answer = self.spend(organisation, cost);
+        let answer = self.spend(host, organisation, cost);
         self.send(host, &PeerMessage::Spent { number, answer });
     }
 
@@ -203,10 +204,15 @@
         }
     }
 
-    /// Notes whether this host grants, by its lease.
+    /// Notes whether this host grants: by its lease, or while the store is away and nobody else can have it.
     pub(crate) fn review_granting(&self) {
         let now = self.clock.now();
         let is_holder = self.tenure.borrow().is_holding(now);
-        self.quotas.borrow_mut().grantor.set_granting(now, is_holder);
+        let is_last = *self.holder.borrow() == Some(self.settings.host.clone());
+        let is_away = is_last && self.store.state() == StoreState::Away;
+        let hosts = self.peers.borrow().len();
+        let grantor = &mut self.quotas.borrow_mut().grantor;
+        let goes_on = !is_holder && is_away && grantor.may_go_on(now, hosts);
+        grantor.set_granting(now, is_holder || goes_on);
     }
 }
--- a/crates/quota/src/asker.rs
+++ b/crates/quota/src/asker.rs
@@ -50,12 +50,19 @@
 /// request, and their counts of hosts differ.
 const EXCESS_SHARE: f64 = 0.5;
 
+/// Shares are never larger than if there were so many hosts: one that has just started knows of no other, and the
+/// smallest deployments have eight.
+const LEAST_HOSTS: usize = 8;
+/// Hosts that are known no more are counted for this long, in milliseconds: when a store forgets the keys of all hosts
+/// they live on, and would each take the share of all.
+const HOSTS_MS: u64 = 60_000;
+
 /// What one host knows of the quotas.
 #[derive(Clone, Debug)]
 pub struct Asker {
     bounds: Bounds,
     seed: u64,
-    hosts: usize,
+    hosts: Hosts,
     grantor: Option<Name>,
     silent_until: Tick,
     shares: HashMap<Name, Share>,
@@ -85,7 +92,7 @@
         Self {
             bounds,
             seed,
-            hosts: 1,
+            hosts: Hosts::default(),
             grantor: None,
             silent_until: Tick(0),
             shares: HashMap::new(),
@@ -104,9 +111,9 @@
         }
     }
 
-    /// So many hosts may live, this one included.
-    pub fn set_hosts(&mut self, hosts: usize) {
-        self.hosts = hosts.max(1);
+    /// So many hosts are known, this one included.
+    pub fn set_hosts(&mut self, now: Tick, hosts: usize) {
+        self.hosts.note(now, hosts);
     }
 
     /// The host that grants, if one is known.
@@ -207,14 +214,37 @@
 
     /// Units a second of this host's part of the quota.
     fn rate(&self, quota: &Quota) -> f64 {
-        quota.rate / self.hosts as f64
+        quota.rate / self.hosts.most as f64
     }
 
     /// Units that this host may spend at once: its part of what is allowed beyond the quota.
     fn depth(&self, quota: &Quota) -> f64 {
         let window = self.bounds.window_ms as f64 / MILLIS_PER_SECOND;
         let beyond = (quota.rate * window + quota.burst) * self.bounds.excess + self.bounds.slack;
-        beyond * EXCESS_SHARE / self.hosts as f64
+        beyond * EXCESS_SHARE / self.hosts.most as f64
+    }
+}
+
+/// How many hosts may spend shares.
+#[derive(Clone, Copy, Debug)]
+struct Hosts {
+    most: usize,
+    /// When as many were last known.
+    at: Tick,
+}
+
+impl Default for Hosts {
+    fn default() -> Self {
+        Self { most: LEAST_HOSTS, at: Tick(0) }
+    }
+}
+
+impl Hosts {
+    fn note(&mut self, now: Tick, hosts: usize) {
+        let hosts = hosts.max(LEAST_HOSTS);
+        if hosts >= self.most || now.since(self.at) >= HOSTS_MS {
+            *self = Self { most: hosts, at: now };
+        }
     }
 }
 
--- a/crates/quota/src/grantor.rs
+++ b/crates/quota/src/grantor.rs
@@ -23,6 +23,16 @@
     NotGranting,
 }
 
+/// Share of the known hosts that have to ask a grantor whose lease can't be renewed: those that don't may ask another
+/// one, and what that grants them stays within a tenth of the quota.
+const OUTAGE_SHARE: f64 = 0.9;
+/// A grantor may go on this long after its lease was last held, in milliseconds: a second passes until it is sure that
+/// the store is away.
+const PAUSE_MS: u64 = 3_000;
+/// A host that asked so long ago may ask another one now, in milliseconds: with a third of the hosts cut off beside it, a
+/// grantor that has a successor ends before they have two thirds of a second of the quota.
+const ASKED_MS: u64 = 2_000;
+
 /// The buckets of all organisations.
 ///
 /// A host that begins to grant knows nothing of what its predecessor granted: its buckets begin empty. The
@@ -32,6 +42,10 @@
     quotas: HashMap<Name, Quota>,
     buckets: HashMap<Name, Bucket>,
     is_granting: bool,
+    /// When it granted last.
+    granted: Option<Tick>,
+    /// When each host last asked.
+    askers: HashMap<Name, Tick>,
 }
 
 impl Grantor {
@@ -60,6 +74,27 @@
             }
         }
         self.is_granting = is_granting;
+        if is_granting {
+            self.granted = Some(now);
+        }
+    }
+
+    /// A host asked; this one itself counts as well.
+    pub fn note_asker(&mut self, now: Tick, host: &Name) {
+        match self.askers.get_mut(host) {
+            Some(at) => *at = now,
+            None => {
+                self.askers.insert(host.clone(), now);
+            }
+        }
+    }
+
+    /// Whether a grantor whose lease ran out because the store is away may go on: nearly all of `hosts` still ask it, so
+    /// that hardly any can have another one.
+    pub fn may_go_on(&mut self, now: Tick, hosts: usize) -> bool {
+        self.askers.retain(|_, at| now.since(*at) <= ASKED_MS);
+        let has_just_granted = self.granted.is_some_and(|at| now.since(at) <= PAUSE_MS);
+        has_just_granted && self.askers.len() as f64 >= hosts as f64 * OUTAGE_SHARE
     }
 
     /// Whether `organisation` may spend `cost` now; takes it if so.
--- a/crates/quota/tests/alone.rs
+++ b/crates/quota/tests/alone.rs
@@ -21,7 +21,7 @@
 fn hosts(count: usize) -> Vec<Asker> {
     let host = |seed| {
         let mut asker = Asker::new(BOUNDS, seed);
-        asker.set_hosts(HOSTS);
+        asker.set_hosts(START - 1_000, HOSTS);
         asker.configure(START, &quotas());
         asker
     };
@@ -133,3 +133,23 @@
     asker.configure(START, &HashMap::new());
     assert_eq!(asker.cost(&"o".into(), None), None, "the quota was taken away");
 }
+
+/// The store forgets the keys of all hosts while the grantor is lost: each host knows only itself, and lives on with all
+/// the others.
+#[test]
+fn others_forgotten() {
+    let mut hosts = hosts(HOSTS);
+    hosts.iter_mut().for_each(|asker| asker.set_hosts(START, 1));
+    let spent = press(&mut hosts, START, 8_000, 86);
+    assert!(spent <= RATE * 9.0 + BEYOND, "{spent}");
+}
+
+/// A host that has just started knows of no other one.
+#[test]
+fn just_started() {
+    let mut asker = Asker::new(BOUNDS, 1);
+    asker.set_hosts(START, 1);
+    asker.configure(START, &quotas());
+    let spent = press(std::slice::from_mut(&mut asker), START, 8_000, 10);
+    assert!(spent <= (RATE * 8.0 * 0.3 + BEYOND) / 8.0 + f64::from(COST), "{spent}");
+}
--- a/crates/quota/tests/grants.rs
+++ b/crates/quota/tests/grants.rs
@@ -79,6 +79,27 @@
     assert_eq!(grantor.spend(START + 20, &"o".into(), 1), Answer::NotGranting);
 }
 
+/// The store is away for all: the lease can't be renewed, nobody else can take it, and all hosts go on asking.
+#[test]
+fn store_away_for_all() {
+    let mut grantor = grantor(START, RATE);
+    let hosts: Vec<Name> = (0..20).map(|number| format!("h{number}").as_str().into()).collect();
+    hosts.iter().for_each(|host| grantor.note_asker(START, host));
+    assert!(grantor.may_go_on(START + 1_500, 20));
+    assert!(grantor.may_go_on(START + 1_500, 22));
+    assert!(!grantor.may_go_on(START + 1_500, 23), "three may have another grantor");
+    assert!(!grantor.may_go_on(START + 2_001, 20), "they ask no more");
+}
+
+/// One that never held the lease grants nothing, whoever asks.
+#[test]
+fn asked_by_mistake() {
+    let mut grantor = Grantor::default();
+    grantor.configure(START, quota(RATE));
+    grantor.note_asker(START, &"h1".into());
+    assert!(!grantor.may_go_on(START, 1));
+}
+
 #[test]
 fn what_did_not_run_comes_back() {
     let mut grantor = grantor(START, RATE);
--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -128,3 +128,26 @@
     drop(hosts);
     assert_no_key_shows(&deployment);
 }
+
+/// The store falls silent for longer than the lease of who grants: nobody else can take it, and the quotas go on.
+#[test]
+fn quota_without_store() {
+    let deployment = Deployment::start();
+    deployment.configure_organisations(2, &[acme(&KEYS[..2], 4_000)]);
+    let hosts = ["front-0", "front-1"].map(|name| deployment.host(name));
+    wait_for("a host that grants", || hosts.iter().any(|host| host.is_order_holder()));
+    deployment.store.set_mode(StoreMode::Silent);
+    let silent = Instant::now();
+    let mut last = Vec::new();
+    let mut number = 0;
+    while silent.elapsed() < Duration::from_secs(6) {
+        number += 1;
+        let answer = check(&hosts[number % 2], &format!("a{number}"), Some(KEYS[0]));
+        if silent.elapsed() > Duration::from_secs(4) {
+            last.push(answer);
+        }
+        std::thread::sleep(Duration::from_millis(120));
+    }
+    let served = statuses(&last, 200);
+    assert!(served * 10 >= last.len() * 9, "{served} of {} within the quota", last.len());
+}
