fix: what is there is told again to hosts that miss it

Hosts believe the holder of orders for four seconds and then the entry; they missed the adapter and asked for it, and the holder did nothing, since it was there. The same holds while the store is away. Change: the holder tells hosts again what they miss and a runner has, by its books, twice a second at most.

--- a/crates/placement/src/adapters.rs
+++ b/crates/placement/src/adapters.rs
@@ -1,6 +1,6 @@
 //! Adapters that hosts miss are brought to a runner that holds their model.
 
-use crate::{Action, Placement, Room};
+use crate::{Action, Placement, Room, machine::announce};
 use vanetally_ports::{EngineSpec, ModelRef, Operation, Revision, Subject};
 use vanetally_types::{Incarnation, Name, Tick};
 
@@ -78,6 +78,34 @@
         true
     }
 
+    /// Tells hosts again what they miss though it is there.
+    ///
+    /// They believe what they were told for some seconds, and then what the runner announces. Where its entry is not
+    /// written in time, as while the store is away, a model or an adapter that came just before would be missed for as
+    /// long as that lasts.
+    pub(crate) fn tell_present(
+        &mut self,
+        now: Tick,
+        service: &Name,
+        missed: &ModelRef,
+        actions: &mut Vec<Action>,
+    ) {
+        let key = (service.clone(), missed.clone());
+        if self.told.contains_key(&key) {
+            return;
+        }
+        let subject = Subject { model: missed.model.clone(), adapter: missed.adapter.clone() };
+        let holders = self.ledgers.iter().filter(|(_, ledger)| {
+            ledger.state.service == *service && !ledger.state.draining && ledger.holds(&subject)
+        });
+        let told: Vec<Action> =
+            holders.map(|(runner, _)| announce(runner, &subject, true, 0)).collect();
+        if !told.is_empty() {
+            self.told.insert(key, now);
+            actions.extend(told);
+        }
+    }
+
     fn is_somewhere(&self, service: &Name, subject: &Subject) -> bool {
         self.ledgers.values().any(|ledger| {
             ledger.state.service == *service
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -330,6 +330,13 @@
         self.held.contains_key(model) && !leaves
     }
 
+    /// Whether the subject is there, and stays.
+    pub fn holds(&self, subject: &Subject) -> bool {
+        let adapters = self.held.get(&subject.model).filter(|_| self.holds_model(&subject.model));
+        let has = |adapter: &Name| adapters.is_some_and(|set| set.contains(adapter));
+        subject.adapter.as_ref().map_or(adapters.is_some(), has)
+    }
+
     /// Whether the runner holds the model, is getting it or was ordered to.
     pub fn will_hold(&self, model: &Name) -> bool {
         let is_ordered = self.open_load().is_some_and(|subject| subject.model == *model);
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -34,6 +34,8 @@
     pub(crate) crowded: BTreeMap<(Name, Name), Tick>,
     /// Models whose holders have no place for an adapter that is missed, and when that was last seen.
     pub(crate) cramped: BTreeMap<(Name, Name), Tick>,
+    /// What hosts missed though it is there, and when they were last told again.
+    pub(crate) told: HashMap<(Name, ModelRef), Tick>,
     /// Adapters of which one more copy was asked for, and when.
     copied: BTreeMap<(Name, ModelRef), Tick>,
     /// Weights that get no new requests, and since when.
@@ -55,6 +57,8 @@
 const CLOSING_MS: u64 = 150;
 /// An unload that can't be ordered within this time is given up, in milliseconds.
 const CLOSING_LIMIT_MS: u64 = 600;
+/// Between telling hosts twice what is there though they miss it, in milliseconds.
+pub(crate) const TELL_MS: u64 = 500;
 /// An adapter's way, in milliseconds: a part that is always there and one for each megabyte.
 const ADAPTER_BASE_MS: f64 = 20.0;
 const ADAPTER_PER_MB_MS: f64 = 0.7;
@@ -82,6 +86,7 @@
             wanted: BTreeMap::new(),
             crowded: BTreeMap::new(),
             cramped: BTreeMap::new(),
+            told: HashMap::new(),
             copied: BTreeMap::new(),
             closing: BTreeMap::new(),
             reserved: BTreeMap::new(),
@@ -116,6 +121,7 @@
             }
             Event::Wanted { service, subject, is_crowded: false } => {
                 self.demand.touch(now, &service, &subject, 0.0);
+                self.tell_present(now, &service, &subject, &mut actions);
                 let last = self.wanted.insert((service.clone(), subject.clone()), now);
                 // What is missed again and again waits for the next round.
                 if last.is_none() {
@@ -210,6 +216,7 @@
         self.wanted.retain(|_, at| now.since(*at) < WANTED_MS);
         self.crowded.retain(|_, at| now.since(*at) < CROWDED_MS);
         self.cramped.retain(|_, at| now.since(*at) < CROWDED_MS);
+        self.told.retain(|_, at| now.since(*at) < TELL_MS);
         self.copied.retain(|_, at| now.since(*at) < COPY_MS);
         self.strays.values_mut().for_each(|strays| strays.extend(now, &Strays::default()));
         self.strays.retain(|_, strays| !strays.is_empty());
