feat: what upstreams in need say that they take is read, told to all hosts and logged

Callers saw nothing of it: the incident's logs and metrics could not tell whether hosts overlook what a runner names, or keep it each for itself, or send refused requests again. Sight first; no choice of an upstream changes yet.

--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -200,6 +200,7 @@
         held_tokens: 9_000,
         good: 2,
         bad: 0,
+        limit: None,
     };
     Digest { loads: (0..runners).map(row).collect(), demand: Vec::new() }
 }
--- a/crates/dispatch/src/digest.rs
+++ b/crates/dispatch/src/digest.rs
@@ -33,6 +33,31 @@
     /// Attempts that ended badly in the last seconds.
     #[serde(rename = "b")]
     pub bad: u16,
+    /// What the upstream said that it takes; hosts of earlier builds say nothing of it.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<LimitRow>,
+}
+
+/// What an upstream said last of the requests that it takes from all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitRow {
+    /// Requests a second; none if it takes all.
+    #[serde(rename = "n")]
+    pub rate: Option<f64>,
+    /// Milliseconds since a host heard it.
+    #[serde(rename = "a")]
+    pub age_ms: u32,
+}
+
+impl LimitRow {
+    /// The one that was heard later.
+    pub fn newer(one: Option<Self>, other: Option<Self>) -> Option<Self> {
+        match (one, other) {
+            (Some(one), Some(other)) if other.age_ms < one.age_ms => Some(other),
+            (Some(one), _) => Some(one),
+            (None, other) => other,
+        }
+    }
 }
 
 /// Requests for one model or adapter at one host.
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -2,6 +2,7 @@
 
 use crate::{BudgetOptions, Digest, Lack, Standing};
 use std::{net::SocketAddr, rc::Rc};
+use vanetally_limit::News;
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_ports::{CallerRequest, Configuration, ModelRef, Origin, Refusal, UpstreamState};
 use vanetally_quarantine::{Content, Sentence};
@@ -148,6 +149,15 @@
         /// The request.
         id: RequestId,
     },
+    /// The head of an answer came.
+    Stated {
+        /// The upstream's incarnation.
+        upstream: Incarnation,
+        /// When the request was sent.
+        sent: Tick,
+        /// Requests a second that it takes from all hosts; none if it names no limit.
+        rate: Option<f64>,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// The request.
@@ -266,6 +276,15 @@
         /// Whether it answered.
         is_good: bool,
     },
+    /// Note that an upstream names another limit than before, or none any more.
+    Limited {
+        /// The upstream's incarnation.
+        upstream: Incarnation,
+        /// What changed.
+        news: News,
+        /// The host that told it; none if this one heard it.
+        by: Option<Name>,
+    },
     /// An attempt broke off: if its upstream has ended, the judge of its content has to know.
     Accuse {
         /// The content.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod event;
 mod fit;
 mod health;
+mod limits;
 mod machine;
 mod pace;
 mod queue;
@@ -28,7 +29,7 @@
 mod upstream;
 
 pub use budget::{Budget, BudgetOptions};
-pub use digest::{DemandRow, Digest, LoadRow};
+pub use digest::{DemandRow, Digest, LimitRow, LoadRow};
 pub use event::{Action, Attempt, AttemptEnd, Event, Options, Prediction, Presence, RequestId};
 pub use health::Health;
 pub use machine::{Counts, Dispatch, UpstreamSummary};
--- /dev/null
+++ b/crates/dispatch/src/limits.rs
@@ -0,0 +1,46 @@
+//! What upstreams in need take from all hosts: what answers and other hosts say of it.
+
+use crate::{Action, Digest, Dispatch, LimitRow};
+use vanetally_limit::Statement;
+use vanetally_types::{Incarnation, Name, Tick};
+
+impl Dispatch {
+    /// An answer stated a limit, or none.
+    pub(crate) fn stated(
+        &mut self,
+        now: Tick,
+        id: Incarnation,
+        sent: Tick,
+        rate: Option<f64>,
+        actions: &mut Vec<Action>,
+    ) {
+        let upstream = self.upstreams.get_mut(&id);
+        let news = upstream.and_then(|upstream| upstream.limit.answered(now, sent, rate));
+        actions.extend(news.map(|news| Action::Limited { upstream: id, news, by: None }));
+    }
+
+    /// Another host told what upstreams stated.
+    pub(crate) fn peer_limits(
+        &mut self,
+        now: Tick,
+        host: &Name,
+        digest: &Digest,
+        actions: &mut Vec<Action>,
+    ) {
+        let rows = digest.loads.iter().filter_map(|row| Some((&row.upstream, row.limit?)));
+        for (id, row) in rows {
+            let at = Tick(now.0.saturating_sub(u64::from(row.age_ms)));
+            let upstream = self.upstreams.get_mut(id);
+            let news =
+                upstream.and_then(|known| known.limit.told(Statement { rate: row.rate, at }));
+            let limited =
+                |news| Action::Limited { upstream: id.clone(), news, by: Some(host.clone()) };
+            actions.extend(news.map(limited));
+        }
+    }
+}
+
+/// What a digest tells of a statement.
+pub(crate) fn row(now: Tick, told: Statement) -> LimitRow {
+    LimitRow { rate: told.rate, age_ms: now.since(told.at) as u32 }
+}
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -7,6 +7,7 @@
     answers::Answers,
     directory::Directory,
     ending::{RETRY_MS, STOP_RETRY_MS, start_retry_ms},
+    limits::row,
     pace::Pace,
     queue::Queue,
     request::{Request, Stage},
@@ -83,6 +84,8 @@
     pub upstreams: usize,
     /// Upstreams ejected.
     pub suspects: usize,
+    /// Upstreams in need.
+    pub limited: usize,
 }
 
 /// A sentence that ends so much later than the one that is known is another one, in milliseconds: the same one
@@ -146,7 +149,13 @@
                     upstream.set_presence(subject, presence, now);
                 }
             }
-            Event::PeerDigest { host, digest } => self.peer_digest(now, &host, digest),
+            Event::PeerDigest { host, digest } => {
+                self.peer_limits(now, &host, &digest, &mut actions);
+                self.peer_digest(now, &host, digest);
+            }
+            Event::Stated { upstream, sent, rate } => {
+                self.stated(now, upstream, sent, rate, &mut actions);
+            }
             Event::PeerGone { host } => self.peer_gone(&host),
             Event::Hosts(hosts) => {
                 self.hosts = hosts.max(1);
@@ -215,6 +224,7 @@
             open: self.requests.len(),
             upstreams: self.upstreams.len(),
             suspects: self.upstreams.values().filter(|u| u.health.is_suspect()).count(),
+            limited: self.upstreams.values().filter(|u| u.limit.rate().is_some()).count(),
         }
     }
 
@@ -238,7 +248,9 @@
         let loads = self.upstreams.iter_mut().filter_map(|(id, upstream)| {
             let (good, bad) = upstream.health.recent(now);
             let own = upstream.own;
-            (own.running > 0 || good + bad > 0).then(|| LoadRow {
+            let limit = upstream.limit.to_tell(now);
+            (own.running > 0 || good + bad > 0 || limit.is_some()).then(|| LoadRow {
+                limit: limit.map(|told| row(now, told)),
                 upstream: id.clone(),
                 running: own.running,
                 unread_tokens: own.unread_tokens,
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::{Health, LoadRow, Presence};
 use std::collections::{BTreeMap, HashMap};
+use vanetally_limit::Belief;
 use vanetally_pacing::{Prefix, PrefixCache};
 use vanetally_ports::{ModelRef, PromptPart, UpstreamState};
 use vanetally_types::{Incarnation, Name, Tick, hash64};
@@ -46,6 +47,8 @@
     pub full_until: Tick,
     /// How often it turned requests away since it last answered one.
     pub refusals: u32,
+    /// What it takes from all hosts while it is in need.
+    pub limit: Belief,
     /// Its pacer has no moment for this host before this.
     pub paced_until: Tick,
     /// Another incarnation answers at its address: it is gone, whatever its announcement says.
@@ -80,6 +83,7 @@
             health: Health::default(),
             full_until: Tick(0),
             refusals: 0,
+            limit: Belief::default(),
             paced_until: Tick(0),
             is_replaced: false,
             is_unreadable: false,
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -71,6 +71,7 @@
         held_tokens: 500,
         good: 0,
         bad: 0,
+        limit: None,
     };
     let digest = Digest { loads: vec![row], demand: Vec::new() };
     host.tell(Event::PeerDigest { host: "front-2".into(), digest });
@@ -240,6 +241,7 @@
         held_tokens: 500,
         good: 0,
         bad: 0,
+        limit: None,
     };
     let digest = Digest { loads: vec![row], demand: Vec::new() };
     host.tell(Event::PeerDigest { host: "front-2".into(), digest });
@@ -285,6 +287,7 @@
             held_tokens: 500,
             good: 0,
             bad: 0,
+            limit: None,
         };
         let digest = Digest { loads: vec![row], demand: Vec::new() };
         Event::PeerDigest { host: "front-2".into(), digest }
--- a/crates/dispatch/tests/lives.rs
+++ b/crates/dispatch/tests/lives.rs
@@ -78,6 +78,7 @@
         held_tokens: 0,
         good: 0,
         bad: 40,
+        limit: None,
     };
     let digest = Digest { loads: vec![row], demand: Vec::new() };
     host.tell(Event::PeerDigest { host: "front-2".into(), digest });
--- a/crates/dispatch/tests/shortage.rs
+++ b/crates/dispatch/tests/shortage.rs
@@ -39,8 +39,15 @@
 }
 
 fn others_at(upstream: &str, running: u32, held_tokens: u32, unread_tokens: u32) -> Event {
-    let row =
-        LoadRow { upstream: upstream.into(), running, unread_tokens, held_tokens, good: 0, bad: 0 };
+    let row = LoadRow {
+        upstream: upstream.into(),
+        running,
+        unread_tokens,
+        held_tokens,
+        good: 0,
+        bad: 0,
+        limit: None,
+    };
     let digest = Digest { loads: vec![row], demand: Vec::new() };
     Event::PeerDigest { host: "front-2".into(), digest }
 }
--- a/crates/fanout/src/totals.rs
+++ b/crates/fanout/src/totals.rs
@@ -1,7 +1,7 @@
 //! Loads of many hosts, added up.
 
 use std::collections::{BTreeMap, VecDeque};
-use vanetally_dispatch::{DemandRow, Digest, LoadRow};
+use vanetally_dispatch::{DemandRow, Digest, LimitRow, LoadRow};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Which of a host's reports a sum includes.
@@ -152,7 +152,7 @@
                 subtract(row, own);
             }
         }
-        total.retain(|row| row.running > 0 || row.good > 0 || row.bad > 0);
+        total.retain(|row| row.running > 0 || row.good > 0 || row.bad > 0 || row.limit.is_some());
         total
     }
 
@@ -193,6 +193,7 @@
     sum.held_tokens += row.held_tokens;
     sum.good = sum.good.saturating_add(row.good);
     sum.bad = sum.bad.saturating_add(row.bad);
+    sum.limit = LimitRow::newer(sum.limit, row.limit);
 }
 
 fn subtract(sum: &mut LoadRow, row: &LoadRow) {
--- a/crates/fanout/tests/messages.rs
+++ b/crates/fanout/tests/messages.rs
@@ -1,7 +1,7 @@
 //! What hosts tell each other is read from bytes: whatever arrives, reading it ends in a value or in nothing.
 
 use proptest::prelude::*;
-use vanetally_dispatch::{Digest, LoadRow};
+use vanetally_dispatch::{Digest, LimitRow, LoadRow};
 use vanetally_fanout::{Packed, Patch, Versions};
 use vanetally_link::peer::{decode, encode};
 use vanetally_pacing::{Prompt, Slot};
@@ -15,6 +15,7 @@
         held_tokens: 900,
         good: 4,
         bad: 1,
+        limit: Some(LimitRow { rate: Some(1.8), age_ms: 250 }),
     };
     Digest { loads: (0..4).map(row).collect(), demand: Vec::new() }
 }
--- a/crates/fanout/tests/totals.rs
+++ b/crates/fanout/tests/totals.rs
@@ -1,6 +1,6 @@
 //! Loads of many hosts, added up.
 
-use vanetally_dispatch::{DemandRow, Digest, LoadRow};
+use vanetally_dispatch::{DemandRow, Digest, LimitRow, LoadRow};
 use vanetally_fanout::Totals;
 use vanetally_types::Tick;
 
@@ -14,6 +14,7 @@
         held_tokens: running * 1_000,
         good: 1,
         bad: 0,
+        limit: None,
     }
 }
 
@@ -95,3 +96,19 @@
     assert_eq!(silent, ["h1", "far"]);
     assert_eq!(aggregator.subscribers().count(), 0);
 }
+
+/// A sum says what was heard last of an upstream, also to those that have nothing there, and what it says is no load.
+#[test]
+fn newest_limit() {
+    let row = |rate, age_ms| LoadRow { limit: Some(LimitRow { rate, age_ms }), ..load("r1", 0) };
+    let mut aggregator = Totals::default();
+    aggregator.take_report(NOW, "h1".into(), 1, digest(&[row(Some(1.5), 900)]));
+    aggregator.take_report(NOW, "h2".into(), 1, digest(&[row(None, 100)]));
+    let sum = aggregator.take_own_sum(&digest(&[row(Some(1.5), 400)]));
+    let (_, total) = aggregator.total(&sum);
+    let newest = LimitRow { rate: None, age_ms: 100 };
+    assert_eq!(total[0].limit, Some(newest));
+    let mut host = Totals::default();
+    let number = host.number(NOW, &digest(&[LoadRow { good: 3, ..load("r1", 0) }]));
+    assert_eq!(host.others(number, total)[0].limit, Some(newest), "its own part is taken off");
+}
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -16,6 +16,7 @@
     self as dispatch, Attempt, Digest, Dispatch, Lack, Prediction, RequestId, Standing,
 };
 use vanetally_fanout::{Follow, Freshness, Life, Pull, Source, Spacing, Totals, Versions};
+use vanetally_limit::News;
 use vanetally_link::peer::Links;
 use vanetally_placement::{self as placement, Placement, Tenure, TenureEvent, TenureOptions};
 use vanetally_ports::{Configuration, Ports, Refusal, UpstreamState};
@@ -231,6 +232,9 @@
                         address,
                     ));
                 }
+                dispatch::Action::Limited { upstream, news, by } => {
+                    note_limit(&upstream, news, by.as_ref());
+                }
                 dispatch::Action::Predicted { prediction, .. } => note_prediction(&prediction),
             }
         }
@@ -393,6 +397,17 @@
     }
 }
 
+fn note_limit(upstream: &Incarnation, news: News, by: Option<&Name>) {
+    telemetry::limit_stated(news);
+    let by = by.map_or("answer", |host| host);
+    match news {
+        News::Named(rate) => {
+            log::info!("event=limit_named upstream={upstream} per_s={rate} by={by}");
+        }
+        News::Ended => log::info!("event=limit_ended upstream={upstream} by={by}"),
+    }
+}
+
 fn note_prediction(prediction: &Prediction) {
     telemetry::predicted(prediction.took_ms / prediction.expected_ms);
     log::debug!(
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -4,6 +4,7 @@
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use std::sync::atomic::{AtomicU64, Ordering};
 use vanetally_dispatch::{AttemptEnd, Counts};
+use vanetally_limit::News;
 use vanetally_link::peer::Traffic;
 use vanetally_ports::{AnnouncementError, OrderOutcome, RefusalCause};
 
@@ -43,6 +44,15 @@
     counter!("vanetally_contents_sentenced_total").increment(1);
 }
 
+/// An upstream named another limit, or none any more.
+pub(crate) fn limit_stated(news: News) {
+    let change = match news {
+        News::Named(_) => "named",
+        News::Ended => "ended",
+    };
+    counter!("vanetally_limits_total", "change" => change).increment(1);
+}
+
 /// What an upstream announces can't be read.
 pub(crate) fn announcement_unreadable(error: &AnnouncementError) {
     counter!("vanetally_announcements_unreadable_total", "reason" => error.as_str()).increment(1);
@@ -100,6 +110,7 @@
     gauge!("vanetally_requests_open").set(counts.open as f64);
     gauge!("vanetally_upstreams").set(counts.upstreams as f64);
     gauge!("vanetally_upstreams_suspect").set(counts.suspects as f64);
+    gauge!("vanetally_upstreams_limited").set(counts.limited as f64);
     gauge!("vanetally_configuration_version").set(version.unwrap_or(0) as f64);
     gauge!("vanetally_ready").set(f64::from(u8::from(is_ready)));
     gauge!("vanetally_order_holder").set(f64::from(u8::from(is_holder)));
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -139,6 +139,17 @@
     Foreign,
 }
 
+/// What the head of an answer says of how much its upstream takes from all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StatedLimit {
+    /// It names no limit.
+    Nothing,
+    /// Requests a second, zero or more.
+    Rate(f64),
+    /// It names something that is no such number.
+    Unreadable,
+}
+
 /// What engines and services speak.
 pub trait EngineProtocol {
     /// The headers by which the product itself speaks to engines: a caller's are not passed on.
@@ -150,6 +161,9 @@
     /// Judges the head of the answer to the request `id`, sent to the incarnation `instance`.
     fn judge(&self, head: &http::response::Parts, id: &Name, instance: &Incarnation) -> AnswerKind;
 
+    /// Reads how much the upstream says that it takes.
+    fn stated_limit(&self, head: &http::response::Parts) -> StatedLimit;
+
     /// The call that asks the incarnation `runner` for its report.
     fn report_request(&self, runner: &Incarnation) -> http::Request<Bytes>;
 
