test: limits of runners in need, over all hosts (red)

What callers and runners saw: a runner that names what it takes gets as much as before. Reproduced with real processes and the stand-in that names a limit: 304 requests within 4 s where 2.5 a second were named, 616 in 8 s where 0.5 were.

--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,179 @@
+//! Upstreams in need: what they take from all hosts together, as they and callers see it.
+//!
+//! A runner in need named 1.3 requests a second in its answers and got 26 within four seconds, as many as before: no
+//! host read what it named. All were first sendings (29 lines `event=request_sent ... number=1` of five hosts,
+//! none `event=attempt_ended`), so neither retries nor hosts that each keep the limit for themselves were the cause;
+//! one host alone sent 11. What names the limit was dropped where answers are judged.
+
+mod gateway;
+
+use gateway::{Deployment, Host, fresh_ip, wait_for};
+use std::{
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+use vanetally_platform_standin::{Client, ClientAnswer, Runner, RunnerOptions};
+
+/// The window in which what arrives is counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// So long after an upstream first named its limit, all hosts keep to it.
+const SETTLED: Duration = Duration::from_secs(1);
+/// A limit over all hosts lets one request go that waited, and one a little early.
+const SLACK: f64 = 2.0;
+
+/// What callers got, and when.
+#[derive(Debug)]
+struct Seen {
+    began: Instant,
+    took: Duration,
+    answer: ClientAnswer,
+}
+
+/// Calls all hosts in turn from several threads, each with a pause, until `scene` returns.
+fn under_load(
+    hosts: &[Host],
+    request: impl Fn(&str) -> Client + Sync,
+    callers: usize,
+    pause: Duration,
+    scene: impl FnOnce(),
+) -> Vec<Seen> {
+    let seen = Mutex::new(Vec::new());
+    let is_over = AtomicBool::new(false);
+    let next = AtomicU64::new(0);
+    let call = || {
+        while !is_over.load(Ordering::Relaxed) {
+            let number = next.fetch_add(1, Ordering::Relaxed);
+            let began = Instant::now();
+            let front = hosts[number as usize % hosts.len()].front;
+            let answer = request(&format!("r{number}")).send(front);
+            let one = Seen { began, took: began.elapsed(), answer };
+            seen.lock().expect("no thread panicked").push(one);
+            thread::sleep(pause);
+        }
+    };
+    thread::scope(|scope| {
+        (0..callers).for_each(|_| drop(scope.spawn(call)));
+        scene();
+        is_over.store(true, Ordering::Relaxed);
+    });
+    seen.into_inner().expect("no thread panicked")
+}
+
+/// The most requests that arrived within one window, from `since` on.
+fn most_in_window(runner: &Runner, since: Instant) -> usize {
+    let arrivals: Vec<Instant> = runner.arrivals().into_iter().filter(|at| *at >= since).collect();
+    let within =
+        |from: &Instant| arrivals.iter().filter(|at| *at >= from && **at - *from < WINDOW).count();
+    arrivals.iter().map(within).max().unwrap_or(0)
+}
+
+fn arrived_since(runner: &Runner, since: Instant) -> usize {
+    runner.arrivals().iter().filter(|at| **at >= since).count()
+}
+
+fn offer(id: &str) -> Client {
+    Client::new("POST", "/offer/1", id).with("X-Model", "m1").body(b"draft").deadline(5_000)
+}
+
+fn check(id: &str) -> Client {
+    Client::new("GET", "/check/1", id).deadline(5_000)
+}
+
+/// Hosts of a deployment that know who grants.
+fn hosts(deployment: &Deployment, count: usize) -> Vec<Host> {
+    let hosts: Vec<Host> =
+        (0..count).map(|number| deployment.spawn(&format!("front-{number}"))).collect();
+    for host in &hosts {
+        wait_for("the host is ready", || host.is_ready());
+    }
+    wait_for("a host that grants", || hosts.iter().any(Host::is_order_holder));
+    hosts
+}
+
+/// A second engine that holds the same model.
+fn second_engine(deployment: &mut Deployment) {
+    let options =
+        RunnerOptions { id: "i-engine-1".into(), service: "llm".into(), models: vec!["m1".into()] };
+    let engine = Runner::start(&fresh_ip(), options);
+    let (key, value) = engine.entry();
+    deployment.store.put(&key, &value);
+    deployment.engines.push(engine);
+}
+
+/// Six hosts, two engines with one model, one of them in need: it gets what it names in sum, and nearly all of that;
+/// the rest goes to the other one, and callers see nothing of it.
+#[test]
+fn limit_over_hosts() {
+    let mut deployment = Deployment::start();
+    second_engine(&mut deployment);
+    let hosts = hosts(&deployment, 6);
+    let engine = deployment.engines[0].clone();
+    engine.set_limit(Some("2.5"));
+    let mut settled = Instant::now();
+    let seen = under_load(&hosts, offer, 8, Duration::from_millis(50), || {
+        thread::sleep(SETTLED);
+        settled = Instant::now();
+        thread::sleep(2 * WINDOW);
+    });
+    let most = most_in_window(&engine, settled);
+    let allowed = 2.5 * WINDOW.as_secs_f64() + SLACK;
+    assert!(most as f64 <= allowed, "{most} of {allowed} within the window");
+    let all = arrived_since(&engine, settled) as f64;
+    let offered = 2.5 * 2.0 * WINDOW.as_secs_f64();
+    assert!(all >= 0.8 * offered, "{all} of {offered} were used");
+    let failed: Vec<&Seen> = seen.iter().filter(|one| one.answer.status != 200).collect();
+    assert!(failed.is_empty(), "{failed:?}");
+}
+
+/// The only upstream of a service takes less than one request a second. What it can't take is refused at once, with
+/// a time to come back; when it is in need no more, all are served again within a second.
+#[test]
+fn limit_of_only_upstream() {
+    let deployment = Deployment::start();
+    let hosts = hosts(&deployment, 3);
+    let desk = deployment.desks[0].clone();
+    desk.set_limit(Some("0.5"));
+    let (mut settled, mut ended) = (Instant::now(), Instant::now());
+    let seen = under_load(&hosts, check, 4, Duration::from_millis(50), || {
+        thread::sleep(SETTLED);
+        settled = Instant::now();
+        thread::sleep(2 * WINDOW);
+        desk.set_limit(None);
+        ended = Instant::now();
+        // The next request that it takes shows that it is in need no more.
+        thread::sleep(Duration::from_secs(2) + SETTLED + Duration::from_secs(1));
+    });
+    let arrivals = desk.arrivals();
+    let during = arrivals.iter().filter(|at| **at >= settled && **at < ended).count();
+    assert!((3..=6).contains(&during), "{during} in {WINDOW:?} twice");
+    let refused: Vec<&Seen> =
+        seen.iter().filter(|one| one.began >= settled && one.answer.status == 503).collect();
+    assert!(refused.len() > 50, "{} were refused", refused.len());
+    for one in &refused {
+        assert!(one.took < Duration::from_millis(500), "{one:?}");
+        let seconds = one.answer.header("retry-after").and_then(|text| text.parse::<f64>().ok());
+        assert!(seconds.is_some_and(|seconds| seconds > 0.0 && seconds < 60.0), "{one:?}");
+    }
+    let later = ended + Duration::from_secs(2) + SETTLED;
+    let late: Vec<&Seen> = seen.iter().filter(|one| one.began >= later).collect();
+    assert!(!late.is_empty() && late.iter().all(|one| one.answer.status == 200), "{late:?}");
+}
+
+/// What is no number names no limit.
+#[test]
+fn spoiled_limits() {
+    let deployment = Deployment::start();
+    let hosts = hosts(&deployment, 2);
+    for spoiled in ["nan", "-1", "", "1e-3", "0.5 a second"] {
+        deployment.desks[0].set_limit(Some(spoiled));
+        let seen = under_load(&hosts, check, 2, Duration::from_millis(10), || {
+            thread::sleep(Duration::from_millis(500));
+        });
+        let failed: Vec<&Seen> = seen.iter().filter(|one| one.answer.status != 200).collect();
+        assert!(failed.is_empty() && seen.len() > 20, "{spoiled:?}: {failed:?}");
+    }
+}
