refactor: contact with the grantor is a piece of its own

Limits of upstreams are granted by the same host as quotas: who that is, how long it counts as silent and among how many hosts shares are divided is needed twice. Behaviour as it was; quota's tests as they were, green.

--- a/crates/quota/src/asker.rs
+++ b/crates/quota/src/asker.rs
@@ -1,6 +1,6 @@
 //! A host that asks the grantor, and what it does where that one can't be asked.
 
-use crate::{Answer, Bounds, MILLIS_PER_SECOND, bucket::Bucket};
+use crate::{Answer, Bounds, Contact, MILLIS_PER_SECOND, bucket::Bucket};
 use std::collections::HashMap;
 use vanetally_ports::Quota;
 use vanetally_types::{Name, Tick, hash64};
@@ -30,9 +30,6 @@
     Unknown,
 }
 
-/// A grantor that did not answer is asked again after this long, in milliseconds: its successor is known within
-/// two or three seconds, and each request that asks in vain waits for the answer.
-const SILENT_MS: u64 = 200;
 /// What the grantor said of an organisation holds for this long, in milliseconds: on one host of 69 a small
 /// organisation's requests come seconds apart.
 const CALM_MS: u64 = 10_000;
@@ -50,21 +47,12 @@
 /// request, and their counts of hosts differ.
 const EXCESS_SHARE: f64 = 0.5;
 
-/// Shares are never larger than if there were so many hosts: one that has just started knows of no other, and the
-/// smallest deployments have eight.
-const LEAST_HOSTS: usize = 8;
-/// Hosts that are known no more are counted for this long, in milliseconds: when a store forgets the keys of all hosts
-/// they live on, and would each take the share of all.
-const HOSTS_MS: u64 = 60_000;
-
 /// What one host knows of the quotas.
 #[derive(Clone, Debug)]
 pub struct Asker {
     bounds: Bounds,
     seed: u64,
-    hosts: Hosts,
-    grantor: Option<Name>,
-    silent_until: Tick,
+    contact: Contact,
     shares: HashMap<Name, Share>,
 }
 
@@ -89,14 +77,7 @@
     ///
     /// Hosts differ in `seed`.
     pub fn new(bounds: Bounds, seed: u64) -> Self {
-        Self {
-            bounds,
-            seed,
-            hosts: Hosts::default(),
-            grantor: None,
-            silent_until: Tick(0),
-            shares: HashMap::new(),
-        }
+        Self { bounds, seed, contact: Contact::default(), shares: HashMap::new() }
     }
 
     /// The quotas in force.
@@ -113,23 +94,20 @@
 
     /// So many hosts are known, this one included.
     pub fn set_hosts(&mut self, now: Tick, hosts: usize) {
-        self.hosts.note(now, hosts);
+        self.contact.set_hosts(now, hosts);
     }
 
     /// The host that grants, if one is known.
     pub fn set_grantor(&mut self, grantor: Option<Name>) {
-        if self.grantor != grantor {
-            self.silent_until = Tick(0);
-        }
-        self.grantor = grantor;
+        self.contact.set_grantor(grantor);
     }
 
     /// Whom to ask for `organisation`.
     pub fn ask(&self, now: Tick, organisation: &Name) -> Ask {
-        match &self.grantor {
+        match self.contact.host(now) {
             _ if !self.shares.contains_key(organisation) => Ask::Nobody,
-            Some(host) if now >= self.silent_until => Ask::Host(host.clone()),
-            _ => Ask::Alone,
+            Some(host) => Ask::Host(host.clone()),
+            None => Ask::Alone,
         }
     }
 
@@ -161,7 +139,7 @@
                 Decision::Refused { retry_ms }
             }
             Answer::NotGranting => {
-                self.silent_until = now + SILENT_MS;
+                self.contact.not_granting(now);
                 self.decide_alone(now, organisation, cost)
             }
         }
@@ -175,9 +153,7 @@
         organisation: &Name,
         cost: u32,
     ) -> Decision {
-        if self.grantor.as_ref() == Some(host) {
-            self.silent_until = now + SILENT_MS;
-        }
+        self.contact.unanswered(now, host);
         self.decide_alone(now, organisation, cost)
     }
 
@@ -214,37 +190,14 @@
 
     /// Units a second of this host's part of the quota.
     fn rate(&self, quota: &Quota) -> f64 {
-        quota.rate / self.hosts.most as f64
+        quota.rate / self.contact.most_hosts() as f64
     }
 
     /// Units that this host may spend at once: its part of what is allowed beyond the quota.
     fn depth(&self, quota: &Quota) -> f64 {
         let window = self.bounds.window_ms as f64 / MILLIS_PER_SECOND;
         let beyond = (quota.rate * window + quota.burst) * self.bounds.excess + self.bounds.slack;
-        beyond * EXCESS_SHARE / self.hosts.most as f64
-    }
-}
-
-/// How many hosts may spend shares.
-#[derive(Clone, Copy, Debug)]
-struct Hosts {
-    most: usize,
-    /// When as many were last known.
-    at: Tick,
-}
-
-impl Default for Hosts {
-    fn default() -> Self {
-        Self { most: LEAST_HOSTS, at: Tick(0) }
-    }
-}
-
-impl Hosts {
-    fn note(&mut self, now: Tick, hosts: usize) {
-        let hosts = hosts.max(LEAST_HOSTS);
-        if hosts >= self.most || now.since(self.at) >= HOSTS_MS {
-            *self = Self { most: hosts, at: now };
-        }
+        beyond * EXCESS_SHARE / self.contact.most_hosts() as f64
     }
 }
 
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -8,9 +8,11 @@
 
 mod asker;
 mod bucket;
+mod contact;
 mod grantor;
 
 pub use asker::{Ask, Asker, Decision};
+pub use contact::Contact;
 pub use grantor::{Answer, Grantor};
 
 /// What the operators allow beyond a quota.
