fix: one limit over all hosts for upstreams that name what they take

Callers of a runner in need saw it fall behind: it named 1.3 requests a second and got 26 in 4 s, as many as before. Cause: nothing read what runners name; requests went by load and cost alone. Its class: a bound that the other side states and that only all hosts together can keep, like quotas; found nowhere else unread among the headers of the protocol. Change: what an answer states is a belief of each host (crates/limit); each sending to an upstream in need takes a moment from the holder of the orders' lease, which spaces them by the rate; a request that others can take goes there at once, one that only upstreams in need could take waits in line up to 1.5 s or is refused at once with its own time. Hosts that can't ask keep to 0.3 of the limit in sum; a new grantor waits until its predecessor's moments have gone; a moment lapses after a second. Why it holds: one grantor by lease, 0.3 beside it at most, both below 1.5 of the limit.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -1,5 +1,6 @@
 //! The upstream that was chosen for a request, and what is expected there.
 
+use crate::Action;
 use vanetally_types::Incarnation;
 
 /// The upstream that was chosen.
@@ -10,6 +11,35 @@
     pub expected: Expected,
     /// Whether the engine's pacer has to hear of the answer.
     pub is_trial: bool,
+    /// What it takes from all hosts, if it is in need.
+    pub limit: Option<Limit>,
+}
+
+impl Choice {
+    /// Gives back the moment at an upstream in need that the request does not use.
+    pub(crate) fn unused_permit(&self) -> Option<Action> {
+        let limit = self.limit.filter(|limit| limit.is_granted)?;
+        Some(Action::ReturnPermit { upstream: self.upstream.clone(), rate: limit.rate })
+    }
+
+    /// The same choice; whether the request would wait for it if it is in need.
+    pub(crate) fn waiting(mut self, may_wait: bool) -> Self {
+        if let Some(limit) = &mut self.limit {
+            limit.may_wait = may_wait;
+        }
+        self
+    }
+}
+
+/// An upstream in need that was chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Limit {
+    /// Requests a second that it takes.
+    pub rate: f64,
+    /// Whether the request would wait for it: nobody else could take it.
+    pub may_wait: bool,
+    /// Whether the request has its moment there.
+    pub is_granted: bool,
 }
 
 /// What an upstream has to read before a request's first piece.
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -1,7 +1,7 @@
 //! Which upstream takes a request.
 
 use crate::{
-    choice::{Choice, Expected},
+    choice::{Choice, Expected, Limit},
     pace::Pace,
     request::Request,
     shortage::{Lack, Shortage},
@@ -50,21 +50,40 @@
     let mut shortage = Shortage { lack: Lack::Upstream, holders: 0 };
     let mut best: Option<(f64, Choice)> = None;
     let mut suspect: Option<(f64, Choice)> = None;
+    // Upstreams in need that have no moment for this host just now.
+    let mut limited: Option<(f64, Choice)> = None;
+    let mut usable = 0;
     for (id, upstream) in upstreams.filter(|(_, upstream)| upstream.takes_new(view.now)) {
         let lack = lack(view, request, id, upstream);
         shortage.holders += u32::from(!lack.is_some_and(Lack::is_missing));
+        usable += u32::from(!lack.is_some_and(|lack| lack.is_missing() || lack == Lack::Attempt));
         if let Some(lack) = lack {
             shortage.lack = shortage.lack.max(lack);
             continue;
         }
+        let is_limited = upstream.is_limited(view.now);
+        if is_limited {
+            shortage.lack = shortage.lack.max(Lack::Limit);
+        }
         let (cost, choice) = cost(view, request, id, upstream);
-        let slot = if upstream.health.is_open(view.now) { &mut best } else { &mut suspect };
+        let wait_ms = upstream.limited_until.since(view.now) as f64;
+        let slot = match upstream.health.is_open(view.now) {
+            _ if is_limited => &mut limited,
+            true => &mut best,
+            false => &mut suspect,
+        };
+        let cost = if is_limited { wait_ms } else { cost };
         if slot.as_ref().is_none_or(|(least, _)| cost < *least) {
             *slot = Some((cost, choice));
         }
     }
+    // Where all that could take it are in need, the request waits in line for one of them.
+    let is_all_limited = shortage.lack == Lack::Limit && usable > 0;
+    let is_only = usable == 1;
     // The last one is never left out for being suspect.
-    best.or(suspect).map(|(_, choice)| choice).ok_or(shortage)
+    let chosen = best.or(suspect).map(|(_, choice)| choice.waiting(is_only));
+    let in_line = || limited.filter(|_| is_all_limited).map(|(_, choice)| choice.waiting(true));
+    chosen.or_else(in_line).ok_or(shortage)
 }
 
 /// What keeps the request from going to an upstream that takes new ones, if anything does.
@@ -158,7 +177,9 @@
     let again = if request.tried.contains(id) { TRIED_MS } else { 0.0 };
     let cost = own_ms * view.pace.slowness(id) + away + again + tie;
     let expected = Expected { unread, ahead_ms: ahead_ms as u32 };
-    (cost, Choice { upstream: id.clone(), expected, is_trial: false })
+    let limit = upstream.limit.rate();
+    let limit = limit.map(|rate| Limit { rate, may_wait: false, is_granted: false });
+    (cost, Choice { upstream: id.clone(), expected, is_trial: false, limit })
 }
 
 /// A fraction of a millisecond that spreads equal choices.
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -72,6 +72,10 @@
             self.requests.insert(id, request);
             return;
         };
+        if matches!(end, AttemptEnd::Unreachable | AttemptEnd::Withdrawn) {
+            let upstream = sending.upstream.clone();
+            actions.extend(sending.permit.map(|rate| Action::ReturnPermit { upstream, rate }));
+        }
         self.learn_end(now, &request, &sending, end);
         self.tell_end(&request, &sending, end, actions);
         self.weigh_content(&request, &sending, end, actions);
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -2,7 +2,7 @@
 
 use crate::{BudgetOptions, Digest, Lack, Standing};
 use std::{net::SocketAddr, rc::Rc};
-use vanetally_limit::News;
+use vanetally_limit::{Answer as Permit, News, Question};
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_ports::{CallerRequest, Configuration, ModelRef, Origin, Refusal, UpstreamState};
 use vanetally_quarantine::{Content, Sentence};
@@ -144,6 +144,17 @@
         /// What it said.
         slot: Slot,
     },
+    /// Who grants said when the request may go to an upstream in need.
+    Permitted {
+        /// The request.
+        id: RequestId,
+        /// The reservation that was asked for.
+        turn: u32,
+        /// What was asked.
+        question: Question,
+        /// What was said.
+        answer: Permit,
+    },
     /// The first piece of an answer came.
     FirstPiece {
         /// The request.
@@ -276,6 +287,22 @@
         /// Whether it answered.
         is_good: bool,
     },
+    /// Ask who grants when the request may go to an upstream in need.
+    Permit {
+        /// The request.
+        id: RequestId,
+        /// The number of this reservation among those of the request.
+        turn: u32,
+        /// What to ask.
+        question: Question,
+    },
+    /// What was granted did not go: give it back.
+    ReturnPermit {
+        /// The upstream's incarnation.
+        upstream: Incarnation,
+        /// The rate by which it was granted, in requests a second.
+        rate: f64,
+    },
     /// Note that an upstream names another limit than before, or none any more.
     Limited {
         /// The upstream's incarnation.
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -153,6 +153,9 @@
                 self.peer_limits(now, &host, &digest, &mut actions);
                 self.peer_digest(now, &host, digest);
             }
+            Event::Permitted { id, turn, question, answer } => {
+                self.permitted(now, (id, turn), question, answer, &mut actions);
+            }
             Event::Stated { upstream, sent, rate } => {
                 self.stated(now, upstream, sent, rate, &mut actions);
             }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -40,7 +40,7 @@
 }
 
 /// What is known of a sending that has not ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Sending {
     pub upstream: Incarnation,
     pub at: Tick,
@@ -51,6 +51,8 @@
     pub has_begun: bool,
     /// Whether the engine's pacer has to hear of its answer.
     pub is_trial: bool,
+    /// The rate by which it got its moment, if the upstream is in need.
+    pub permit: Option<f64>,
 }
 
 /// A request that has not ended.
@@ -174,6 +176,12 @@
         is_nobody && self.is_late(now)
     }
 
+    /// Milliseconds that it may yet wait to be sent.
+    pub(crate) fn waits_ms(&self, now: Tick) -> u64 {
+        let until = if self.verdict == Verdict::NotRun { self.patience } else { self.deadline };
+        until.since(now)
+    }
+
     /// Whether it was sent to as many upstreams as are allowed to it.
     pub(crate) fn is_exhausted(&self) -> bool {
         self.tried.len() >= self.route.max_attempts as usize
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -1,12 +1,16 @@
-//! The moment for a prompt is asked for before it is sent to an engine.
+//! The moment for a request is asked for before it is sent to an upstream in need, and before its prompt is sent to an
+//! engine.
 
 use crate::{
-    Action, Dispatch, RequestId,
+    Action, Dispatch, Lack, RequestId, Shortage, Standing,
     choice::{Choice, Expected},
     machine::MICROS_PER_MILLI,
     request::{Reservation, Stage},
+    sending::CROWDED_MS,
 };
+use vanetally_limit::{Answer as Permit, Question};
 use vanetally_pacing::{Moment, Prompt, Slot};
+use vanetally_ports::{Refusal, RefusalCause};
 use vanetally_types::Tick;
 
 impl Dispatch {
@@ -42,31 +46,135 @@
         slot: Slot,
         actions: &mut Vec<Action>,
     ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        if !matches!(&request.stage, Stage::Reserving(open) if open.turn == turn) {
-            return;
-        }
-        let stage = std::mem::replace(&mut request.stage, Stage::Waiting);
-        let Stage::Reserving(Reservation { choice, load, .. }) = stage else {
+        let Some(choice) = self.take_reservation(id, turn) else {
             return;
         };
-        self.queue.insert(id, request);
-        let upstream = self.upstreams.get_mut(&choice.upstream);
         // One that has gone or leaves takes nothing new, whatever its pacer says.
-        let Some(upstream) = upstream else {
+        let Some(upstream) = self.upstreams.get_mut(&choice.upstream) else {
             return;
         };
-        upstream.own.take(load);
+        let is_open = upstream.takes_new(now) && upstream.is_permitted(&choice);
         match slot {
-            Slot::Granted(_) if !upstream.takes_new(now) => {}
-            Slot::Granted(Moment { delay_ms, unread, ahead_ms, is_trial }) => {
+            Slot::Granted(Moment { delay_ms, unread, ahead_ms, is_trial }) if is_open => {
                 let expected = Expected { unread, ahead_ms };
                 let choice = Choice { expected, is_trial, ..choice };
                 actions.extend(self.send(now, id, choice, delay_ms));
+                return;
             }
+            Slot::Granted(_) => {}
             Slot::Busy { retry_ms } => upstream.paced_until = now + u64::from(retry_ms),
         }
+        actions.extend(choice.unused_permit());
+    }
+
+    /// Asks when the request may go to an upstream in need; it counts as the upstream's load meanwhile.
+    pub(crate) fn ask_permit(
+        &mut self,
+        now: Tick,
+        id: RequestId,
+        choice: Choice,
+    ) -> Option<Action> {
+        let limit = choice.limit?;
+        let request = self.requests.get_mut(&id)?;
+        let upstream = self.upstreams.get_mut(&choice.upstream)?;
+        self.queue.remove(id, request);
+        let load = request.load(choice.expected.unread);
+        upstream.own.add(load);
+        request.reservations += 1;
+        let turn = request.reservations;
+        let most_ms = if limit.may_wait { request.waits_ms(now).max(1) } else { 0 };
+        let question = Question {
+            upstream: choice.upstream.clone(),
+            rate: limit.rate,
+            most_ms: most_ms.try_into().unwrap_or(u32::MAX),
+        };
+        request.stage = Stage::Reserving(Reservation { turn, choice, load });
+        Some(Action::Permit { id, turn, question })
+    }
+
+    /// Who grants answered: the request goes, goes elsewhere, or is refused with the time at which there is room.
+    pub(crate) fn permitted(
+        &mut self,
+        now: Tick,
+        (id, turn): (RequestId, u32),
+        question: Question,
+        answer: Permit,
+        actions: &mut Vec<Action>,
+    ) {
+        let granted = match answer {
+            Permit::Granted { delay_ms } => Some(delay_ms),
+            Permit::Busy { .. } | Permit::NotGranting => None,
+        };
+        let Some(mut choice) = self.take_reservation(id, turn) else {
+            let Question { upstream, rate, .. } = question;
+            actions.extend(granted.map(|_| Action::ReturnPermit { upstream, rate }));
+            return;
+        };
+        let is_engine = self.is_engine_of(id);
+        let Some(upstream) = self.upstreams.get_mut(&choice.upstream) else {
+            return;
+        };
+        if let (Some(_), Some(limit)) = (granted, &mut choice.limit) {
+            limit.is_granted = true;
+        }
+        let is_open = upstream.takes_new(now);
+        match answer {
+            Permit::Granted { .. } if !is_open => actions.extend(choice.unused_permit()),
+            Permit::Granted { delay_ms: 0 } if is_engine => {
+                actions.extend(self.reserve(id, choice));
+            }
+            // In line its prompt meets few others.
+            Permit::Granted { delay_ms } => actions.extend(self.send(now, id, choice, delay_ms)),
+            Permit::Busy { retry_ms } if question.most_ms > 0 => {
+                self.refuse_limited(now, id, retry_ms, actions);
+            }
+            Permit::Busy { retry_ms } => upstream.limited_until = now + u64::from(retry_ms),
+            Permit::NotGranting => {}
+        }
+    }
+
+    /// Refuses a request that only upstreams in need could take.
+    fn refuse_limited(
+        &mut self,
+        now: Tick,
+        id: RequestId,
+        retry_ms: u32,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let holders = request.shortage.map_or(1, |shortage| shortage.holders);
+        request.shortage = Some(Shortage { lack: Lack::Limit, holders });
+        let (service, subject) = (request.service.clone(), request.head.model.clone());
+        let refusal = Refusal::not_run(RefusalCause::Limited, Some(retry_ms.into()));
+        let refusal = refusal.with_verdict(request.verdict);
+        let standing = Standing::from(&*request);
+        self.end(id);
+        actions.push(Action::Refuse { id, refusal, standing });
+        if let Some(subject) = subject {
+            self.tell_shortage(now, &service, subject, Lack::Limit, CROWDED_MS, actions);
+        }
+    }
+
+    /// Ends the reservation `turn` of a request, if it is open: the request waits again.
+    fn take_reservation(&mut self, id: RequestId, turn: u32) -> Option<Choice> {
+        let request = self.requests.get_mut(&id)?;
+        if !matches!(&request.stage, Stage::Reserving(open) if open.turn == turn) {
+            return None;
+        }
+        let stage = std::mem::replace(&mut request.stage, Stage::Waiting);
+        let Stage::Reserving(Reservation { choice, load, .. }) = stage else {
+            return None;
+        };
+        self.queue.insert(id, request);
+        if let Some(upstream) = self.upstreams.get_mut(&choice.upstream) {
+            upstream.own.take(load);
+        }
+        Some(choice)
+    }
+
+    fn is_engine_of(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|request| self.is_engine(&request.service))
     }
 }
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -17,7 +17,10 @@
 const CONNECTION_SHARE: f64 = 0.8;
 /// A request that has waited this long for a place shows that the replicas of its model are too few, in
 /// milliseconds: shorter waits come and go with the bursts of callers.
-const CROWDED_MS: u64 = 200;
+pub(crate) const CROWDED_MS: u64 = 200;
+/// A moment at an upstream in need lapses after this long, in milliseconds: a host that stood still would send into
+/// moments that others were given.
+const PERMIT_MS: u64 = 1_000;
 /// The same thing is wanted again after this long, in milliseconds.
 pub(crate) const WANT_AGAIN_MS: u64 = 250;
 
@@ -71,6 +74,9 @@
             return;
         }
         match self.choose(now, request) {
+            Ok(choice) if choice.limit.is_some() => {
+                actions.extend(self.ask_permit(now, id, choice));
+            }
             Ok(choice) if self.is_engine(service) => actions.extend(self.reserve(id, choice)),
             Ok(choice) => actions.extend(self.send(now, id, choice, 0)),
             Err(shortage) => {
@@ -90,7 +96,7 @@
     }
 
     /// Tells the holder of orders what a request lacks, if weights or an adapter would help.
-    fn tell_shortage(
+    pub(crate) fn tell_shortage(
         &mut self,
         now: Tick,
         service: &Name,
@@ -213,6 +219,7 @@
             expected: choice.expected,
             has_begun: false,
             is_trial: choice.is_trial,
+            permit: choice.limit.filter(|limit| limit.is_granted).map(|limit| limit.rate),
         });
         Some(Action::Send { id, attempt })
     }
@@ -227,7 +234,14 @@
         let Stage::Sent(sending) = &request.stage else {
             return false;
         };
-        self.upstreams.get(&sending.upstream).is_some_and(|upstream| upstream.takes_new(now))
+        let Some(upstream) = self.upstreams.get(&sending.upstream) else {
+            return false;
+        };
+        let is_permitted = match sending.permit {
+            Some(_) => now <= sending.at + PERMIT_MS,
+            None => upstream.limit.rate().is_none(),
+        };
+        is_permitted && upstream.takes_new(now)
     }
 
     /// This host's share of the connections to an upstream.
--- a/crates/dispatch/src/shortage.rs
+++ b/crates/dispatch/src/shortage.rs
@@ -17,6 +17,8 @@
     Attempt,
     /// The upstream turned requests away, or could not be reached, just before.
     TurnedAway,
+    /// The upstream is in need and takes no more now.
+    Limit,
     /// The engine's pacer has no moment for its prompt.
     Moment,
     /// All places of the upstream are taken.
@@ -36,6 +38,7 @@
             Self::Adapter => "adapter",
             Self::Attempt => "attempt",
             Self::TurnedAway => "turned_away",
+            Self::Limit => "limit",
             Self::Moment => "moment",
             Self::Slot => "slot",
             Self::Memory => "memory",
@@ -45,7 +48,7 @@
 
     /// Whether those that hold what is asked for have no room.
     pub(crate) fn is_crowd(self) -> bool {
-        matches!(self, Self::Moment | Self::Slot | Self::Memory | Self::Reading)
+        matches!(self, Self::Limit | Self::Moment | Self::Slot | Self::Memory | Self::Reading)
     }
 
     /// Whether nobody holds what is asked for.
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -1,6 +1,6 @@
 //! What this host believes of one upstream.
 
-use crate::{Health, LoadRow, Presence};
+use crate::{Health, LoadRow, Presence, choice::Choice};
 use std::collections::{BTreeMap, HashMap};
 use vanetally_limit::Belief;
 use vanetally_pacing::{Prefix, PrefixCache};
@@ -49,6 +49,8 @@
     pub refusals: u32,
     /// What it takes from all hosts while it is in need.
     pub limit: Belief,
+    /// It takes no more from this host before this, while it is in need.
+    pub limited_until: Tick,
     /// Its pacer has no moment for this host before this.
     pub paced_until: Tick,
     /// Another incarnation answers at its address: it is gone, whatever its announcement says.
@@ -84,6 +86,7 @@
             full_until: Tick(0),
             refusals: 0,
             limit: Belief::default(),
+            limited_until: Tick(0),
             paced_until: Tick(0),
             is_replaced: false,
             is_unreadable: false,
@@ -112,6 +115,16 @@
         });
     }
 
+    /// Whether it is in need and takes no more from this host just now.
+    pub(crate) fn is_limited(&self, now: Tick) -> bool {
+        self.limit.rate().is_some() && now < self.limited_until
+    }
+
+    /// Whether the request of `choice` may go there: it has its moment, or none is needed.
+    pub(crate) fn is_permitted(&self, choice: &Choice) -> bool {
+        self.limit.rate().is_none() || choice.limit.is_some_and(|limit| limit.is_granted)
+    }
+
     /// Whether new requests may go there at all.
     pub(crate) fn takes_new(&self, now: Tick) -> bool {
         let stays = self.gone_at.is_none_or(|gone| gone > now + NOTICE_MS);
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -55,6 +55,7 @@
         self.pacing.borrow_mut().set_hosts(self.capacities());
         let now = self.clock.now();
         self.quotas.borrow_mut().asker.set_hosts(now, hosts);
+        self.limits.borrow_mut().contact.set_hosts(now, hosts);
         self.request_event(dispatch::Event::Hosts(hosts));
     }
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -1,8 +1,8 @@
 //! Where events meet decisions, and actions become calls and messages.
 
 use crate::{
-    clock::Clock, feed::Feed, judging, pacing::Pacing, peers::HostEntry, pool::Pool,
-    quotas::Quotas, settings::Settings, store::Store, telemetry,
+    clock::Clock, feed::Feed, judging, limits::Limits, pacing::Pacing, peers::HostEntry,
+    pool::Pool, quotas::Quotas, settings::Settings, store::Store, telemetry,
 };
 use bytes::Bytes;
 use std::{
@@ -107,6 +107,7 @@
     /// How certainly this host has the newest configuration.
     pub freshness: RefCell<Freshness>,
     pub quotas: RefCell<Quotas>,
+    pub limits: RefCell<Limits>,
     /// Evidence against the contents that this host judges.
     pub judge: RefCell<Judge>,
     pub totals: RefCell<Totals>,
@@ -175,6 +176,7 @@
             life: rand::random(),
             freshness: RefCell::default(),
             quotas: RefCell::new(Quotas::new(bounds.quota, rand::random())),
+            limits: RefCell::new(Limits::new(rand::random())),
             judge: RefCell::default(),
             totals: RefCell::default(),
             sum_spacing: RefCell::new(Spacing::new(settings.link_bytes)),
@@ -232,6 +234,12 @@
                         address,
                     ));
                 }
+                dispatch::Action::Permit { id, turn, question } => {
+                    tokio::task::spawn_local(self.clone().permit(id, turn, question));
+                }
+                dispatch::Action::ReturnPermit { upstream, rate } => {
+                    self.return_permit(upstream, rate);
+                }
                 dispatch::Action::Limited { upstream, news, by } => {
                     note_limit(&upstream, news, by.as_ref());
                 }
@@ -318,6 +326,7 @@
     /// Another life is announced under an upstream's id.
     pub(crate) fn upstream_ended(self: &Rc<Self>, id: Incarnation) {
         self.pacing.borrow_mut().forget(&id);
+        self.limits.borrow_mut().forget(&id);
         self.placement_event(placement::Event::UpstreamGone { id: id.clone() });
         self.request_event(dispatch::Event::UpstreamEnded { id });
     }
@@ -325,6 +334,7 @@
     /// An upstream's announcement is gone.
     pub(crate) fn upstream_gone(self: &Rc<Self>, id: Incarnation) {
         self.pacing.borrow_mut().forget(&id);
+        self.limits.borrow_mut().forget(&id);
         self.placement_event(placement::Event::UpstreamGone { id: id.clone() });
         self.request_event(dispatch::Event::UpstreamGone { id });
     }
@@ -333,6 +343,7 @@
     pub(crate) fn tick(self: &Rc<Self>) {
         self.check_pacers();
         self.review_granting();
+        self.follow_grantor();
         if !self.has_store.get() && self.store.contact().has_answered() {
             self.has_store.set(true);
             self.request_event(dispatch::Event::StoreAnswered);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod hosts;
 mod hub;
 mod judging;
+mod limits;
 mod load;
 /// Log lines on standard output that never block the caller.
 pub mod logging;
@@ -24,6 +25,7 @@
 mod pacing;
 mod peers;
 mod pool;
+mod questions;
 mod quotas;
 mod reader;
 mod relay;
--- /dev/null
+++ b/crates/gateway/src/limits.rs
@@ -0,0 +1,156 @@
+//! Asking when requests may go to upstreams in need, and answering as the host that grants.
+
+use crate::{
+    hub::Hub,
+    peers::PeerMessage,
+    questions::{GRANTOR_ANSWER, Questions, grantor_answer},
+    telemetry,
+};
+use std::rc::Rc;
+use vanetally_dispatch::{self as dispatch, RequestId};
+use vanetally_fanout::StoreState;
+use vanetally_limit::{Answer, Grantor, Question, Shares};
+use vanetally_quota::Contact;
+use vanetally_types::{Incarnation, Name, Tick};
+
+/// While the store is away hosts tell the last grantor this often that they still ask it and nobody else, in
+/// milliseconds: it goes on while nearly all of them do, and counts whom it heard within two seconds.
+const FOLLOW_MS: u64 = 900;
+
+/// This host's part in the limits of upstreams.
+pub(crate) struct Limits {
+    pub grantor: Grantor,
+    pub contact: Contact,
+    shares: Shares,
+    questions: Questions<Answer>,
+    /// When the last grantor was told that this host still asks it.
+    followed: Tick,
+}
+
+impl Limits {
+    /// No limit is known.
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            grantor: Grantor::default(),
+            contact: Contact::default(),
+            shares: Shares::new(seed),
+            questions: Questions::default(),
+            followed: Tick(0),
+        }
+    }
+
+    /// An upstream has gone.
+    pub(crate) fn forget(&mut self, upstream: &Incarnation) {
+        self.grantor.forget(upstream);
+        self.shares.forget(upstream);
+    }
+
+    fn ask_alone(&mut self, now: Tick, question: &Question) -> Answer {
+        let hosts = self.contact.most_hosts();
+        self.shares.ask(now, question, hosts)
+    }
+}
+
+impl Hub {
+    /// Finds out when a request may go to an upstream in need, and tells the decisions.
+    pub(crate) async fn permit(self: Rc<Self>, id: RequestId, turn: u32, question: Question) {
+        let (answer, by) = self.decide_permit(&question).await;
+        telemetry::permitted(answer);
+        log::debug!(
+            "event=permit upstream={} per_s={} most_ms={} answer={} by={by}",
+            question.upstream,
+            question.rate,
+            question.most_ms,
+            answer.as_str()
+        );
+        self.request_event(dispatch::Event::Permitted { id, turn, question, answer });
+    }
+
+    /// Decides on a question, and tells who did.
+    async fn decide_permit(&self, question: &Question) -> (Answer, Name) {
+        let own = &self.settings.host;
+        let host = self.limits.borrow().contact.host(self.clock.now()).cloned();
+        let answer = match &host {
+            Some(host) if host == own => Some(self.permit_here(own, question)),
+            Some(host) => self.ask_permit(host, question).await,
+            None => None,
+        };
+        let now = self.clock.now();
+        let mut limits = self.limits.borrow_mut();
+        match (answer, host) {
+            (Some(answer), Some(host)) if answer != Answer::NotGranting => return (answer, host),
+            (Some(_), _) => limits.contact.not_granting(now),
+            (None, Some(host)) => limits.contact.unanswered(now, &host),
+            (None, None) => {}
+        }
+        (limits.ask_alone(now, question), own.clone())
+    }
+
+    async fn ask_permit(&self, host: &Name, question: &Question) -> Option<Answer> {
+        let (number, answer) = self.limits.borrow_mut().questions.ask();
+        let question = question.clone();
+        self.send(host, &PeerMessage::Permit { number, question });
+        let answer = grantor_answer(answer).await;
+        if answer.is_none() {
+            log::info!("event=grantor_silent host={host} after_ms={}", GRANTOR_ANSWER.as_millis());
+        }
+        answer
+    }
+
+    /// Decides on a question of `host`, as the one that grants.
+    fn permit_here(&self, host: &Name, question: &Question) -> Answer {
+        self.review_granting();
+        let now = self.clock.now();
+        self.quotas.borrow_mut().grantor.note_asker(now, host);
+        self.limits.borrow_mut().grantor.ask(now, question)
+    }
+
+    /// Another host asks.
+    pub(crate) fn permit_for(&self, host: &Name, number: u64, question: &Question) {
+        let answer = self.permit_here(host, question);
+        self.send(host, &PeerMessage::Permitted { number, question: question.clone(), answer });
+    }
+
+    /// The grantor answered: what comes too late goes back to it.
+    pub(crate) fn permitted(&self, number: u64, question: &Question, answer: Answer) {
+        let late = self.limits.borrow_mut().questions.answered(number, answer);
+        if matches!(late, Some(Answer::Granted { .. })) {
+            self.return_permit(question.upstream.clone(), question.rate);
+        }
+    }
+
+    /// What was granted did not go.
+    pub(crate) fn return_permit(&self, upstream: Incarnation, rate: f64) {
+        let holder = self.holder.borrow().clone();
+        match holder {
+            Some(host) if host == self.settings.host => {
+                self.limits.borrow_mut().grantor.give_back(&upstream, rate);
+            }
+            Some(host) => self.send(&host, &PeerMessage::ReturnPermit { upstream, rate }),
+            // Nobody keeps the line that it stood in.
+            None => {}
+        }
+    }
+
+    /// While the store is away, tells the last grantor that this host asks nobody else.
+    pub(crate) fn follow_grantor(&self) {
+        let now = self.clock.now();
+        let is_due = now.since(self.limits.borrow().followed) >= FOLLOW_MS;
+        if !is_due || self.store.state() != StoreState::Away {
+            return;
+        }
+        self.limits.borrow_mut().followed = now;
+        let holder = self.holder.borrow().clone();
+        match holder {
+            Some(host) if host == self.settings.host => self.followed_by(&host),
+            Some(host) => self.send(&host, &PeerMessage::Follows),
+            None => {}
+        }
+    }
+
+    /// A host asks this one and nobody else.
+    pub(crate) fn followed_by(&self, host: &Name) {
+        let now = self.clock.now();
+        self.quotas.borrow_mut().grantor.note_asker(now, host);
+    }
+}
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -61,6 +61,14 @@
             PeerMessage::GiveBack { organisation, cost } => {
                 self.quotas.borrow_mut().grantor.give_back(&organisation, cost);
             }
+            PeerMessage::Permit { number, question } => self.permit_for(from, number, &question),
+            PeerMessage::Permitted { number, question, answer } => {
+                self.permitted(number, &question, answer);
+            }
+            PeerMessage::ReturnPermit { upstream, rate } => {
+                self.limits.borrow_mut().grantor.give_back(&upstream, rate);
+            }
+            PeerMessage::Follows => self.followed_by(from),
             PeerMessage::Accuse { content, upstream } => self.judge(content, upstream),
             PeerMessage::Acquit(content) => self.acquit(content),
             PeerMessage::Sentenced(sentences) => self.sentenced(from, sentences),
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -35,6 +35,7 @@
         }
         *self.holder.borrow_mut() = holder.clone();
         self.quotas.borrow_mut().asker.set_grantor(holder.clone());
+        self.limits.borrow_mut().contact.set_grantor(holder.clone());
         self.tenure_event(TenureEvent::HolderSeen(holder));
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 use vanetally_dispatch::{Digest, LoadRow};
 use vanetally_fanout::{Life, Patch, StoreState};
+use vanetally_limit::{Answer as Permit, Question};
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_placement::TenureEvent;
 use vanetally_ports::{Change, Item, LeaseId, Revision, StoreAnswer, Transaction, Write};
@@ -168,6 +169,31 @@
         /// What the request counted as.
         cost: u32,
     },
+    /// To the grantor: when may this request go to an upstream in need?
+    Permit {
+        /// The number of this question.
+        number: u64,
+        /// The question.
+        question: Question,
+    },
+    /// From the grantor.
+    Permitted {
+        /// The number of the question.
+        number: u64,
+        /// The question: what comes too late is given back.
+        question: Question,
+        /// What it says.
+        answer: Permit,
+    },
+    /// To the grantor: what was granted did not go.
+    ReturnPermit {
+        /// The upstream's incarnation.
+        upstream: Incarnation,
+        /// The rate by which it was granted, in requests a second.
+        rate: f64,
+    },
+    /// To the last grantor, while the store is away: the sender asks it and nobody else.
+    Follows,
     /// To the judge of a content: an attempt of it broke off.
     Accuse {
         /// The content.
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -1,17 +1,17 @@
 //! Asking the grantor whether a request is within its organisation's quota, and answering as one.
 
-use crate::{hub::Hub, peers::PeerMessage};
-use std::{cell::Cell, collections::HashMap, rc::Rc, time::Duration};
-use tokio::{sync::oneshot, time::timeout};
+use crate::{
+    hub::Hub,
+    peers::PeerMessage,
+    questions::{GRANTOR_ANSWER, Questions, grantor_answer},
+};
+use std::{cell::Cell, collections::HashMap, rc::Rc};
 use vanetally_dispatch::AttemptEnd;
 use vanetally_fanout::StoreState;
 use vanetally_ports::{CallerRequest, Configuration, Quota, Refusal, RefusalCause};
 use vanetally_quota::{Answer, Ask, Asker, Bounds, Decision, Grantor};
 use vanetally_types::{Name, Tick};
 
-/// For the grantor to answer: after that this host decides alone. Weak hosts are held back for up to a tenth of a
-/// second at a time; those that grant are strong.
-const ANSWER: Duration = Duration::from_millis(60);
 /// When to come back where it is not known whether a request is within its quota, in milliseconds: a new grantor is
 /// there within two or three seconds.
 const UNKNOWN_RETRY_MS: u64 = 1_000;
@@ -20,8 +20,7 @@
 pub(crate) struct Quotas {
     pub grantor: Grantor,
     pub asker: Asker,
-    questions: HashMap<u64, oneshot::Sender<Answer>>,
-    next_number: u64,
+    questions: Questions<Answer>,
 }
 
 impl Quotas {
@@ -30,8 +29,7 @@
         Self {
             grantor: Grantor::default(),
             asker: Asker::new(bounds, seed),
-            questions: HashMap::new(),
-            next_number: 0,
+            questions: Questions::default(),
         }
     }
 
@@ -43,14 +41,6 @@
         self.asker.configure(now, &quotas);
         self.grantor.configure(now, quotas);
     }
-
-    fn ask(&mut self) -> (u64, oneshot::Receiver<Answer>) {
-        let number = self.next_number;
-        self.next_number += 1;
-        let (sender, answer) = oneshot::channel();
-        self.questions.insert(number, sender);
-        (number, answer)
-    }
 }
 
 /// What a request took of its organisation's quota; given back unless it may have run.
@@ -154,14 +144,13 @@
     }
 
     async fn ask_grantor(&self, host: &Name, organisation: &Name, cost: u32) -> Option<Answer> {
-        let (number, answer) = self.quotas.borrow_mut().ask();
+        let (number, answer) = self.quotas.borrow_mut().questions.ask();
         let organisation = organisation.clone();
         self.send(host, &PeerMessage::Spend { number, organisation, cost });
-        let answer = timeout(ANSWER, answer).await;
-        self.quotas.borrow_mut().questions.remove(&number);
-        let answer = answer.ok().and_then(Result::ok);
+        let answer = grantor_answer(answer).await;
+        self.quotas.borrow_mut().questions.forget(number);
         if answer.is_none() {
-            log::info!("event=grantor_silent host={host} after_ms={}", ANSWER.as_millis());
+            log::info!("event=grantor_silent host={host} after_ms={}", GRANTOR_ANSWER.as_millis());
         }
         answer
     }
@@ -183,10 +172,8 @@
 
     /// The grantor answered.
     pub(crate) fn spent(&self, number: u64, answer: Answer) {
-        if let Some(question) = self.quotas.borrow_mut().questions.remove(&number) {
-            // Its caller may have left.
-            let _ = question.send(answer);
-        }
+        // One that comes late is of no use: the host has decided alone.
+        let _ = self.quotas.borrow_mut().questions.answered(number, answer);
     }
 
     fn give_back(&self, organisation: &Name, cost: u32) {
@@ -214,5 +201,6 @@
         let grantor = &mut self.quotas.borrow_mut().grantor;
         let goes_on = !is_holder && is_away && grantor.may_go_on(now, hosts);
         grantor.set_granting(now, is_holder || goes_on);
+        self.limits.borrow_mut().grantor.set_granting(now, is_holder || goes_on);
     }
 }
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -4,7 +4,7 @@
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use std::sync::atomic::{AtomicU64, Ordering};
 use vanetally_dispatch::{AttemptEnd, Counts};
-use vanetally_limit::News;
+use vanetally_limit::{Answer, News};
 use vanetally_link::peer::Traffic;
 use vanetally_ports::{AnnouncementError, OrderOutcome, RefusalCause};
 
@@ -53,6 +53,11 @@
     counter!("vanetally_limits_total", "change" => change).increment(1);
 }
 
+/// A request to an upstream in need got its moment, or did not.
+pub(crate) fn permitted(answer: Answer) {
+    counter!("vanetally_permits_total", "answer" => answer.as_str()).increment(1);
+}
+
 /// What an upstream announces can't be read.
 pub(crate) fn announcement_unreadable(error: &AnnouncementError) {
     counter!("vanetally_announcements_unreadable_total", "reason" => error.as_str()).increment(1);
--- /dev/null
+++ b/crates/limit/tests/grants.rs
@@ -0,0 +1,142 @@
+//! One host gives out the moments at which requests go to an upstream in need.
+
+use proptest::prelude::*;
+use vanetally_limit::{Answer, Grantor, Question};
+use vanetally_types::Tick;
+
+const START: Tick = Tick(1_000_000);
+/// A grantor that begins gives out nothing before.
+const BEGUN: Tick = Tick(1_001_500);
+const WINDOW_MS: u64 = 4_000;
+
+fn grantor() -> Grantor {
+    let mut grantor = Grantor::default();
+    grantor.set_granting(START, true);
+    grantor
+}
+
+fn question(rate: f64, most_ms: u32) -> Question {
+    Question { upstream: "r1".into(), rate, most_ms }
+}
+
+/// The most moments within one window.
+fn most_in_window(sent: &[u64]) -> usize {
+    let within =
+        |from: &u64| sent.iter().filter(|at| *at >= from && **at < from + WINDOW_MS).count();
+    sent.iter().map(within).max().unwrap_or(0)
+}
+
+/// When the requests go that ask every `pause_ms` for `for_ms`.
+fn play(grantor: &mut Grantor, rate: f64, most_ms: u32, pause_ms: u64, for_ms: u64) -> Vec<u64> {
+    let moments = (0..for_ms).step_by(pause_ms as usize).filter_map(|at| {
+        let now = BEGUN + at;
+        match grantor.ask(now, &question(rate, most_ms)) {
+            Answer::Granted { delay_ms } => Some((now + u64::from(delay_ms)).0),
+            Answer::Busy { .. } | Answer::NotGranting => None,
+        }
+    });
+    moments.collect()
+}
+
+#[test]
+fn rate_kept_and_used() {
+    for rate in [0.2, 0.5, 1.3, 1.8, 10.0, 120.0] {
+        for most_ms in [0, 800] {
+            let sent = play(&mut grantor(), rate, most_ms, 5, 60_000);
+            let most = most_in_window(&sent) as f64;
+            let window = rate * WINDOW_MS as f64 / 1_000.0;
+            assert!(most <= window + rate * 0.25 + 1.0, "{rate}: {most} in a window");
+            assert!(sent.len() as f64 >= 0.95 * rate * 60.0, "{rate}: {} in a minute", sent.len());
+        }
+    }
+}
+
+/// One that names nothing at all is still asked now and then: only its answers tell when the need is over.
+#[test]
+fn zero_asked_seldom() {
+    let sent = play(&mut grantor(), 0.0, 0, 10, 60_000);
+    assert!((5..=7).contains(&sent.len()), "{sent:?}");
+}
+
+/// Those that wait go one behind the other; those that can't are told when there will be room, each its own time.
+#[test]
+fn told_true_times() {
+    let mut grantor = grantor();
+    let ask = |grantor: &mut Grantor, most_ms| grantor.ask(BEGUN, &question(2.0, most_ms));
+    assert_eq!(ask(&mut grantor, 800), Answer::Granted { delay_ms: 0 });
+    assert_eq!(ask(&mut grantor, 800), Answer::Granted { delay_ms: 500 });
+    assert_eq!(ask(&mut grantor, 800), Answer::Busy { retry_ms: 1_000 });
+    assert_eq!(ask(&mut grantor, 800), Answer::Busy { retry_ms: 1_500 });
+    let back = grantor.ask(BEGUN + 1_000, &question(2.0, 800));
+    assert_eq!(back, Answer::Granted { delay_ms: 0 });
+}
+
+/// A grantor that follows another one gives out nothing until what that one gave out has gone.
+#[test]
+fn successor_waits() {
+    let mut first = grantor();
+    let sent = play(&mut first, 5.0, 5_000, 1, 100);
+    let mut second = Grantor::default();
+    let begun = BEGUN + 100;
+    second.set_granting(begun, true);
+    let answer = second.ask(begun, &question(5.0, 5_000));
+    let Answer::Granted { delay_ms } = answer else {
+        panic!("{answer:?}");
+    };
+    let next = (begun + u64::from(delay_ms)).0;
+    assert!(sent.iter().all(|at| *at <= next), "{sent:?}, then {next}");
+    second.set_granting(begun + 10, false);
+    assert_eq!(second.ask(begun + 20, &question(5.0, 0)), Answer::NotGranting);
+}
+
+#[test]
+fn given_back() {
+    let mut grantor = grantor();
+    assert_eq!(grantor.ask(BEGUN, &question(1.0, 0)), Answer::Granted { delay_ms: 0 });
+    assert!(matches!(grantor.ask(BEGUN, &question(1.0, 0)), Answer::Busy { .. }));
+    grantor.give_back(&"r1".into(), 1.0);
+    assert_eq!(grantor.ask(BEGUN, &question(1.0, 0)), Answer::Granted { delay_ms: 0 });
+}
+
+/// Hosts whose requests go elsewhere ask again when told: however many they are, each moment is used and few ask in
+/// vain.
+#[test]
+fn many_hosts_ask() {
+    let mut grantor = grantor();
+    let mut next = vec![0_u64; 300];
+    let (mut asked, mut granted) = (0, 0);
+    for at in 0..60_000 {
+        for turn in next.iter_mut().filter(|turn| **turn <= at) {
+            asked += 1;
+            match grantor.ask(BEGUN + at, &question(1.8, 0)) {
+                Answer::Granted { .. } => {
+                    granted += 1;
+                    *turn = at + 50;
+                }
+                Answer::Busy { retry_ms } => *turn = at + u64::from(retry_ms).max(1),
+                Answer::NotGranting => panic!("it grants"),
+            }
+        }
+    }
+    assert!(granted >= 102, "{granted} of 108");
+    assert!(asked <= 60 * 120, "{asked} in a minute");
+}
+
+proptest! {
+    /// Whatever rates are named, and whoever asks when, a window never holds more than the highest of them allows.
+    #[test]
+    fn never_beyond(asks in prop::collection::vec((0_u64..400, 1_u32..80, 0_u32..3_000), 1..300)) {
+        let mut grantor = grantor();
+        let mut now = BEGUN;
+        let mut sent = Vec::new();
+        for (pause, tenths, most_ms) in asks {
+            now = now + pause;
+            let rate = f64::from(tenths) / 10.0;
+            if let Answer::Granted { delay_ms } = grantor.ask(now, &question(rate, most_ms)) {
+                prop_assert!(delay_ms <= most_ms);
+                sent.push((now + u64::from(delay_ms)).0);
+            }
+        }
+        prop_assert!(most_in_window(&sent) as f64 <= 8.0 * 4.0 + 8.0 * 0.25 + 1.0);
+    }
+}
--- a/crates/ports/src/caller.rs
+++ b/crates/ports/src/caller.rs
@@ -83,6 +83,8 @@
     NoUpstream,
     /// It would not be answered in time.
     Overloaded,
+    /// Those that could take it are in need, and take no more for now.
+    Limited,
     /// Its time is over.
     TimedOut,
     /// The upstream failed.
@@ -106,6 +108,7 @@
             Self::TooLong => "too_long",
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
+            Self::Limited => "limited",
             Self::TimedOut => "timed_out",
             Self::UpstreamFailed => "upstream_failed",
             Self::Stopping => "stopping",
