test: requests and upstreams in need, by the decisions and in the soak

The soak ends each seed with ten seconds in which an engine names what it takes while hosts, the store and the ways to it are struck; what hosts that knew it sent is counted as the operators do (1.5 of the limit and 5 in any 4 s), without the excuse for cut, paused or restarted hosts but for what a new life does not know yet. Known seeds keep their earlier draws.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -76,6 +76,24 @@
     thread::sleep(Duration::from_millis(rng.random_range(20..250)));
 }
 
+/// Strikes a host, the store or a way to it, then waits a little; each other time something heals.
+pub fn strike_hosts(rng: &mut StdRng, site: &mut Site) {
+    let host = rng.random_range(0..site.slots.len());
+    match rng.random_range(0..8) {
+        0 => site.slots[host].kill(),
+        1 | 2 => site.slots[host].pause(),
+        3 => site.slots[host].signal("TERM"),
+        4 => site.deployment.store.set_mode(any(rng, &STORE_FAULTS)),
+        5 => site.slots[host].store_link.set_mode(any(rng, &LINK_FAULTS)),
+        6 => site.configure(),
+        _ => site.deployment.store.forget_history(),
+    }
+    if rng.random_bool(0.5) {
+        heal_some(rng, site);
+    }
+    thread::sleep(Duration::from_millis(rng.random_range(100..700)));
+}
+
 /// Now and then a runner starts again under its id, or another writer spoils its entry.
 pub fn strike_entry(rng: &mut StdRng, site: &Site) {
     if !rng.random_bool(ENTRY_SHARE) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,7 @@
 mod faults;
 #[path = "../gateway/mod.rs"]
 mod gateway;
+mod need;
 mod promises;
 mod site;
 
--- a/tests/soak/promises.rs
+++ b/tests/soak/promises.rs
@@ -38,6 +38,12 @@
     /// A log shows a key.
     #[error("key_logged host={host}")]
     KeyLogged { host: String },
+    /// A runner in need got more than it had named, from hosts that knew it.
+    #[error("over_limit rate={rate} most={most} allowed={allowed}")]
+    OverLimit { rate: f64, most: usize, allowed: f64 },
+    /// A runner that was in need no more got no more than before.
+    #[error("still_limited rate={rate}")]
+    StillLimited { rate: f64 },
     /// Two hosts gave orders under one token.
     #[error("shared_token token={token}")]
     SharedToken { token: u64 },
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -4,6 +4,7 @@
     callers::{Callers, KEY, ORGANISATION, Shared, added_route},
     faults,
     gateway::{Deployment, Host, fresh_ip},
+    need::Need,
     promises::{self, Broken},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -315,9 +316,14 @@
     broken.extend(site.is_left_alone());
     site.announce_all();
     broken.extend(site.recover());
+    let mut needs = StdRng::seed_from_u64(seed.rotate_left(32));
+    let need = Need::play(&mut needs, &mut site);
+    broken.extend(site.recover());
+    broken.extend(need.is_over());
     callers.stop();
     broken.extend(site.stop());
     let seen = site.shared.seen.lock().expect("no thread panicked").clone();
+    broken.extend(need.kept(&seen));
     broken.extend(promises::check(&site.deployment, &seen, site.shared.has_keys));
     if !broken.is_empty() {
         keep_logs(seed, &site.deployment);
