--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -76,7 +76,7 @@
     thread::sleep(Duration::from_millis(rng.random_range(20..250)));
 }
 
-/// Strikes a host, the store or a way to it, then waits a little; each other time something heals.
+/// Strikes a host, the store or a way to it, then waits a little; a host goes on again, and mostly something else heals.
 pub fn strike_hosts(rng: &mut StdRng, site: &mut Site) {
     let host = rng.random_range(0..site.slots.len());
     match rng.random_range(0..8) {
@@ -88,7 +88,9 @@
         6 => site.configure(),
         _ => site.deployment.store.forget_history(),
     }
-    if rng.random_bool(0.5) {
+    let back = rng.random_range(0..site.slots.len());
+    site.slots[back].revive(&site.deployment, &site.shared);
+    if rng.random_bool(0.7) {
         heal_some(rng, site);
     }
     thread::sleep(Duration::from_millis(rng.random_range(100..700)));
--- a/tests/soak/need.rs
+++ b/tests/soak/need.rs
@@ -12,7 +12,7 @@
 /// Requests a second that it may name.
 const RATES: [f64; 5] = [0.4, 1.0, 1.8, 4.0, 12.0];
 /// How long it is in need.
-const NEED: Duration = Duration::from_secs(10);
+const NEED: Duration = Duration::from_secs(12);
 /// So long after it first named a limit hosts need not keep to it.
 const CONTACT: Duration = Duration::from_secs(3);
 /// So long after a host passed on an answer that names it, the host has to count.
@@ -28,7 +28,7 @@
 /// A time in which a runner was in need.
 pub struct Need {
     runner: Runner,
-    rate: f64,
+    pub rate: f64,
     began: Instant,
     ended: Instant,
 }
@@ -40,6 +40,8 @@
         let rate = RATES[rng.random_range(0..RATES.len())];
         runner.set_limit(Some(&rate.to_string()));
         let began = Instant::now();
+        // Most hosts hear of it before they are struck.
+        thread::sleep(CONTACT);
         while began.elapsed() < NEED {
             faults::strike_hosts(rng, site);
         }
@@ -64,7 +66,13 @@
     }
 
     /// Whether hosts that knew of the limit kept to it, all together, whatever struck them.
-    pub fn kept(&self, seen: &[Seen]) -> Option<Broken> {
+    pub fn kept(&self, most: usize) -> Option<Broken> {
+        let allowed = EXCESS * self.rate * WINDOW.as_secs_f64() + SLACK;
+        (most as f64 > allowed).then_some(Broken::OverLimit { rate: self.rate, most, allowed })
+    }
+
+    /// The most requests that the runner got within one window from hosts that knew of the limit.
+    pub fn most(&self, seen: &[Seen]) -> usize {
         let told = told_hosts(seen);
         let senders: HashMap<&str, (usize, u64)> =
             seen.iter().map(|one| (one.id.as_str(), (one.host, one.life))).collect();
@@ -84,9 +92,7 @@
         let within = |from: &Instant| {
             arrivals.iter().filter(|at| *at >= from && **at - *from < WINDOW).count()
         };
-        let most = arrivals.iter().map(within).max().unwrap_or(0);
-        let allowed = EXCESS * self.rate * WINDOW.as_secs_f64() + SLACK;
-        (most as f64 > allowed).then_some(Broken::OverLimit { rate: self.rate, most, allowed })
+        arrivals.iter().map(within).max().unwrap_or(0)
     }
 }
 
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -275,13 +275,17 @@
     hosts: usize,
     requests: usize,
     served: usize,
+    /// What the runner in need named, and the most that it got within a window.
+    rate: f64,
+    most: usize,
     pub broken: Vec<Broken>,
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { seed, hosts, requests, served, broken } = self;
+        let Self { seed, hosts, requests, served, rate, most, broken } = self;
         write!(f, "seed={seed} hosts={hosts} requests={requests} served={served}")?;
+        write!(f, " limit={rate} most={most}")?;
         write!(f, " broken={}", broken.len())?;
         broken.iter().try_for_each(|broken| write!(f, "\n    {broken}"))
     }
@@ -323,7 +327,8 @@
     callers.stop();
     broken.extend(site.stop());
     let seen = site.shared.seen.lock().expect("no thread panicked").clone();
-    broken.extend(need.kept(&seen));
+    let most = need.most(&seen);
+    broken.extend(need.kept(most));
     broken.extend(promises::check(&site.deployment, &seen, site.shared.has_keys));
     if !broken.is_empty() {
         keep_logs(seed, &site.deployment);
@@ -332,7 +337,8 @@
         seen.answer.as_ref().is_some_and(|answer| answer.status == 200)
     };
     let served = seen.iter().filter(is_served).count();
-    Report { seed, hosts: site.slots.len(), requests: seen.len(), served, broken }
+    let hosts = site.slots.len();
+    Report { seed, hosts, requests: seen.len(), served, rate: need.rate, most, broken }
 }
 
 fn keep_logs(seed: u64, deployment: &Deployment) {
