--- a/tests/soak/need.rs
+++ b/tests/soak/need.rs
@@ -34,9 +34,12 @@
 }
 
 impl Need {
-    /// The first engine is in need for a while; hosts and the store are struck meanwhile.
+    /// An engine is in need for a while; hosts and the store are struck meanwhile.
     pub fn play(rng: &mut StdRng, site: &mut Site) -> Self {
-        let runner = site.deployment.engines[0].clone();
+        let engines = &site.deployment.engines;
+        // One that started again holds nothing, and gets nothing, where others hold all.
+        let runner = engines.iter().find(|engine| holds_model(engine)).unwrap_or(&engines[0]);
+        let runner = runner.clone();
         let rate = RATES[rng.random_range(0..RATES.len())];
         runner.set_limit(Some(&rate.to_string()));
         let began = Instant::now();
@@ -54,7 +57,7 @@
     /// Whether the runner gets more than it named, now that it is in need no more.
     pub fn is_over(&self) -> Option<Broken> {
         let begun = Instant::now();
-        while begun.elapsed() < FREE {
+        while begun.elapsed() < FREE && holds_model(&self.runner) {
             let before = self.runner.requests().len();
             thread::sleep(LOOK);
             let now = self.runner.requests().len();
@@ -62,7 +65,7 @@
                 return None;
             }
         }
-        Some(Broken::StillLimited { rate: self.rate })
+        holds_model(&self.runner).then_some(Broken::StillLimited { rate: self.rate })
     }
 
     /// Whether hosts that knew of the limit kept to it, all together, whatever struck them.
@@ -96,6 +99,13 @@
     }
 }
 
+/// Whether a runner holds the model that callers ask for.
+fn holds_model(runner: &Runner) -> bool {
+    let (_, entry) = runner.entry();
+    let models = entry["models"].as_array().cloned().unwrap_or_default();
+    models.iter().any(|model| model["name"] == "m1")
+}
+
 /// When each life of a host first passed on an answer that names a limit.
 fn told_hosts(seen: &[Seen]) -> HashMap<(usize, u64), Instant> {
     let mut told = HashMap::new();
