--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -16,7 +16,7 @@
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, ClientAnswer, Runner, RunnerOptions};
+use vanetally_platform_standin::{Client, ClientAnswer, Runner, RunnerOptions, StoreMode};
 
 /// The window in which what arrives is counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -177,3 +177,102 @@
         assert!(failed.is_empty() && seen.len() > 20, "{spoiled:?}: {failed:?}");
     }
 }
+
+/// What hosts that can't be asked, stood still or have just started may send beside the others: the operators allow
+/// half of the limit, and five requests.
+fn allowed_in_trouble(rate: f64) -> f64 {
+    1.5 * rate * WINDOW.as_secs_f64() + 5.0
+}
+
+/// Six hosts under load beside an engine that names 2.5 a second, and another one without need; gives back the
+/// deployment, the hosts, and the engine in need.
+fn engine_in_need() -> (Deployment, Vec<Host>, Runner) {
+    let mut deployment = Deployment::start();
+    second_engine(&mut deployment);
+    let hosts = hosts(&deployment, 6);
+    let engine = deployment.engines[0].clone();
+    engine.set_limit(Some("2.5"));
+    (deployment, hosts, engine)
+}
+
+/// The host that grants stands still for longer than its lease: the next one begins with nothing given out, hosts in
+/// between keep to their parts, and what the first one had given out is not sent when it goes on.
+#[test]
+fn grantor_stands_still() {
+    let (_deployment, hosts, engine) = engine_in_need();
+    let mut settled = Instant::now();
+    let mut back = Instant::now();
+    under_load(&hosts, offer, 8, Duration::from_millis(50), || {
+        thread::sleep(SETTLED);
+        settled = Instant::now();
+        let grantor = hosts.iter().find(|host| host.is_order_holder()).expect("one grants");
+        grantor.signal("STOP");
+        thread::sleep(Duration::from_secs(5));
+        grantor.signal("CONT");
+        back = Instant::now();
+        thread::sleep(2 * WINDOW);
+    });
+    let most = most_in_window(&engine, settled);
+    let allowed = allowed_in_trouble(2.5);
+    assert!(most as f64 <= allowed, "{most} of {allowed} within the window");
+    let used = arrived_since(&engine, back) as f64;
+    let offered = 2.5 * 2.0 * WINDOW.as_secs_f64();
+    assert!(used >= 0.8 * offered, "{used} of {offered} were used");
+}
+
+/// The store is away for longer than all leases: nobody else can grant, the last one goes on, and what the limit allows
+/// is used.
+#[test]
+fn limit_without_store() {
+    let (deployment, hosts, engine) = engine_in_need();
+    let mut settled = Instant::now();
+    let mut late = Instant::now();
+    under_load(&hosts, offer, 8, Duration::from_millis(50), || {
+        thread::sleep(SETTLED);
+        settled = Instant::now();
+        deployment.store.set_mode(StoreMode::Silent);
+        thread::sleep(Duration::from_secs(4));
+        late = Instant::now();
+        thread::sleep(WINDOW);
+    });
+    let most = most_in_window(&engine, settled);
+    let allowed = allowed_in_trouble(2.5);
+    assert!(most as f64 <= allowed, "{most} of {allowed} within the window");
+    let used = arrived_since(&engine, late) as f64;
+    assert!(used >= 0.7 * 2.5 * WINDOW.as_secs_f64(), "{used} were used");
+}
+
+/// Hosts are replaced one after the other: one that has just started is told of the limit before it sends, and none
+/// adds its own.
+#[test]
+fn hosts_replaced() {
+    let (deployment, mut hosts, engine) = engine_in_need();
+    let mut settled = Instant::now();
+    let fronts: Vec<_> = hosts.iter().map(|host| host.front).collect();
+    let next = AtomicU64::new(0);
+    let is_over = AtomicBool::new(false);
+    let call = || {
+        while !is_over.load(Ordering::Relaxed) {
+            let number = next.fetch_add(1, Ordering::Relaxed);
+            offer(&format!("r{number}")).send(fronts[number as usize % fronts.len()]);
+            thread::sleep(Duration::from_millis(50));
+        }
+    };
+    thread::scope(|scope| {
+        (0..8).for_each(|_| drop(scope.spawn(call)));
+        thread::sleep(SETTLED);
+        settled = Instant::now();
+        for number in 0..hosts.len() {
+            hosts[number].kill();
+            let ip = fronts[number].ip().to_string();
+            let store = deployment.store.address();
+            hosts[number] = deployment.spawn_at(&format!("front-{number}"), &ip, store);
+            wait_for("the host is ready", || hosts[number].is_ready());
+            thread::sleep(Duration::from_millis(500));
+        }
+        is_over.store(true, Ordering::Relaxed);
+    });
+    let most = most_in_window(&engine, settled);
+    let allowed = allowed_in_trouble(2.5);
+    assert!(most as f64 <= allowed, "{most} of {allowed} within the window");
+}
