--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -18,8 +18,13 @@
 impl Choice {
     /// Gives back the moment at an upstream in need that the request does not use.
     pub(crate) fn unused_permit(&self) -> Option<Action> {
-        let limit = self.limit.filter(|limit| limit.is_granted)?;
-        Some(Action::ReturnPermit { upstream: self.upstream.clone(), rate: limit.rate })
+        let rate = self.granted_rate()?;
+        Some(Action::ReturnPermit { upstream: self.upstream.clone(), rate })
+    }
+
+    /// The rate by which the request has its moment at an upstream in need, if it has one.
+    pub(crate) fn granted_rate(&self) -> Option<f64> {
+        self.limit.filter(|limit| limit.is_granted).map(|limit| limit.rate)
     }
 
     /// The same choice; whether the request would wait for it if it is in need.
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -192,7 +192,7 @@
 }
 
 /// One sending of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Attempt {
     /// The caller's name for the request.
     pub request: Name,
@@ -234,6 +234,8 @@
     pub may_repeat: bool,
     /// On whose behalf it is sent.
     pub origin: Origin,
+    /// Requests a second that the upstream takes from all hosts, by which this one got its moment.
+    pub limit: Option<f64>,
 }
 
 /// What has to be done.
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -177,6 +177,7 @@
         let sent_at = now + u64::from(delay_ms);
         let connections = self.connections(&choice.upstream);
         let version = self.version().unwrap_or(0);
+        let permit = choice.granted_rate();
         let request = self.requests.get_mut(&id)?;
         let upstream = self.upstreams.get_mut(&choice.upstream)?;
         self.queue.remove(id, request);
@@ -202,6 +203,7 @@
             is_stream: request.route.kind == RequestKind::Stream,
             may_repeat: request.route.is_repeatable(),
             origin: request.access.origin.clone(),
+            limit: permit,
         };
         upstream.own.add(load);
         upstream.health.sent(now);
@@ -219,7 +221,7 @@
             expected: choice.expected,
             has_begun: false,
             is_trial: choice.is_trial,
-            permit: choice.limit.filter(|limit| limit.is_granted).map(|limit| limit.rate),
+            permit,
         });
         Some(Action::Send { id, attempt })
     }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -437,7 +437,7 @@
     let subject = attempt.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string);
     log::info!(
         "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} lacked={} deadline_ms={} \
-         own_load={} peer_load={} unread_tokens={} ahead_ms={} delay_ms={} version={}",
+         own_load={} peer_load={} unread_tokens={} ahead_ms={} delay_ms={} limit={} version={}",
         attempt.request,
         attempt.route,
         attempt.upstream,
@@ -450,6 +450,7 @@
         attempt.unread_tokens,
         attempt.ahead_ms,
         attempt.delay_ms,
+        attempt.limit.map_or_else(|| "-".to_owned(), |rate| rate.to_string()),
         attempt.version
     );
 }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -56,7 +56,12 @@
     pub(crate) async fn permit(self: Rc<Self>, id: RequestId, turn: u32, question: Question) {
         let (answer, by) = self.decide_permit(&question).await;
         telemetry::permitted(answer);
-        log::debug!(
+        // The grantor's words show in what is sent and refused; a host that decides alone explains what is missing there.
+        let is_alone =
+            by == self.settings.host && !self.tenure.borrow().is_holding(self.clock.now());
+        let level = if is_alone { log::Level::Info } else { log::Level::Debug };
+        log::log!(
+            level,
             "event=permit upstream={} per_s={} most_ms={} answer={} by={by}",
             question.upstream,
             question.rate,
