fix: hosts whose source knows nothing new look for themselves, and hear of who reads the store

Callers saw keys that were taken away honoured for three seconds and more, and changes of the configuration followed by nobody. Cause: a host whose source is stale asked the next one in the order; one that stood still was asked again and again, since only one that answered with nothing newer was passed over, and nobody else looked whether the store answers it. Change: who says nothing is passed over like who is no help; after 0.4 to 0.9 s of a stale source, by its place, a host looks by itself, reads the store if that answers, and says so to all once it has read; hosts of its failure domain turn to it at once, others if they find nobody. Words carry the way that knowledge takes (four bytes a host), and nobody turns to a host whose way leads through itself: hosts that heard from each other in a circle took each other for fresh. A reader gives up only for the first in the order or for one with a lower mark: two gave up for each other. Tests stale_asks_next and next_probes let the source be 0.2 s stale in place of 3.9 s, at which a host now looks by itself; that has a test of its own (looks_by_itself). The simulated fleet forgets subscribers that do not report, as hosts do.

--- a/crates/fanout/src/event.rs
+++ b/crates/fanout/src/event.rs
@@ -1,6 +1,6 @@
 //! What goes into the choice of a source and what comes out.
 
-use crate::Candidate;
+use crate::{Candidate, Path};
 use std::collections::BTreeSet;
 use vanetally_types::Name;
 
@@ -29,6 +29,13 @@
         /// Whether it is about to stop.
         is_leaving: bool,
     },
+    /// By way of whom a host hears from the store, the one that reads it first; told with what it says.
+    Path {
+        /// The host.
+        from: Name,
+        /// The marks of the hosts, itself included; empty if it does not say.
+        path: Path,
+    },
     /// All that a host knows was taken over.
     Synced {
         /// The host.
@@ -61,6 +68,8 @@
     Survey,
     /// Read something small from the store, to see whether it answers.
     Probe,
+    /// Tell all hosts how this one stands: it reads the store, while those before it in the order can't.
+    Announce,
     /// From now on this is the source.
     Switch {
         /// The source.
--- a/crates/fanout/src/follow.rs
+++ b/crates/fanout/src/follow.rs
@@ -9,8 +9,9 @@
 
 use crate::{
     Action, Candidate, Event, Reason, Source,
-    candidate::{Fleet, Parent, firsts, parent},
-    heard::{Asked, Heard, Search, State, is_old, is_unconfirmed},
+    candidate::{Fleet, Parent, firsts, parent, root},
+    heard::{Asked, Heard, STALE_MS, Search, State, is_old, is_unconfirmed},
+    path::{MOST_HOSTS, Path, mark},
 };
 use std::collections::{BTreeMap, BTreeSet};
 use vanetally_types::{Name, Tick};
@@ -33,12 +34,27 @@
     pub(crate) parents: BTreeMap<Option<Name>, Parent>,
     /// Until then no source is doubted, since this host did not run.
     pub(crate) respite: Tick,
+    /// The ways that other hosts' knowledge takes, as they last said.
+    pub(crate) paths: BTreeMap<Name, Path>,
+    /// When this host last looked by itself whether the store answers it.
+    pub(crate) looked: Option<Tick>,
+    /// How often it has looked since its source went stale.
+    pub(crate) looks: u32,
+    /// When the store answered one of the later looks.
+    pub(crate) answered: Option<Tick>,
+    /// A host that said unasked that it knows what is new, and when.
+    pub(crate) offer: Option<(Name, Tick)>,
+    /// Whether others have to hear that this host reads the store, once it does.
+    pub(crate) must_announce: bool,
 }
 
 /// A source that says nothing for this long is suspected, in milliseconds.
 pub(crate) const SILENT_MS: u64 = 600;
 /// A suspected host is left alone for this long, in milliseconds.
 pub(crate) const SUSPECT_MS: u64 = 3_000;
+/// A host that said that it knows what is new is taken at its word for this long, in milliseconds: its answer comes
+/// within a tenth of a second.
+pub(crate) const OFFER_MS: u64 = 300;
 /// A host that leaves is left alone for this long, in milliseconds.
 const LEAVING_MS: u64 = 15_000;
 /// At the first start of a deployment hosts start within 0.3 s of each other, by the platform's word; before that
@@ -66,9 +82,20 @@
             probed: None,
             parents: BTreeMap::new(),
             respite: now,
+            paths: BTreeMap::new(),
+            looked: None,
+            looks: 0,
+            answered: None,
+            offer: None,
+            must_announce: false,
         }
     }
 
+    /// This host.
+    pub fn me(&self) -> &Name {
+        &self.me
+    }
+
     /// Where this host reads now.
     pub fn source(&self) -> Source {
         match &self.state {
@@ -142,25 +169,54 @@
         self.parents.clear();
     }
 
+    /// The way that this host's knowledge takes, for those that hear from it.
+    pub fn path(&self) -> Path {
+        let mut path = match &self.state {
+            State::Starting(_) => return Path::new(),
+            State::Store { .. } => Path::new(),
+            State::Host(heard) => self.paths.get(&heard.host).cloned().unwrap_or_default(),
+        };
+        path.push(mark(&self.me));
+        path
+    }
+
+    /// Whether what `from` knows comes to it without this host; one that says nothing of its way is believed
+    /// unless it hears from this host.
+    ///
+    /// A host that reads the store itself gives that up only for the first host in the order, or for a reader with
+    /// a lower mark: two readers would otherwise give up for each other.
+    fn accepts(&self, now: Tick, from: &Name) -> bool {
+        let Some(path) = self.paths.get(from).filter(|path| !path.is_empty()) else {
+            return !self.subscribers.contains(from);
+        };
+        let me = mark(&self.me);
+        if path.contains(&me) || path.len() >= MOST_HOSTS {
+            return false;
+        }
+        let reads = matches!(self.state, State::Store { .. }) && self.stale_ms(now).is_none();
+        let first = || root(self.usable(None)).map(mark);
+        !reads || path[0] < me || first() == Some(path[0])
+    }
+
     /// Takes in what happened; tells what has to be done.
     pub fn handle(&mut self, now: Tick, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         match event {
             Event::Candidates(candidates) => {
                 self.fleet.review(candidates.len());
+                self.paths.retain(|host, _| candidates.iter().any(|one| one.host == *host));
                 self.candidates = candidates;
                 self.parents.clear();
             }
             Event::Told { from, age_ms, is_leaving } => {
                 self.told(now, from, age_ms, is_leaving, &mut actions);
             }
+            Event::Path { from, path } => {
+                self.paths.insert(from, path);
+            }
             Event::Synced { from, age_ms } => self.synced(now, from, age_ms, &mut actions),
             Event::Missed => self.missed(now, &mut actions),
-            Event::Confirmed(age_ms) => {
-                if let State::Store { confirmed, .. } = &mut self.state {
-                    *confirmed = age_ms.map(|age| now - age);
-                }
-            }
+            Event::Confirmed(age_ms) => self.confirmed(now, age_ms, &mut actions),
             Event::Probed(is_answered) => self.probed(now, is_answered, &mut actions),
             Event::Subscribers(hosts) => self.subscribers = hosts,
             Event::Stalled => self.stalled(now),
@@ -169,6 +225,17 @@
         actions
     }
 
+    /// The store confirmed what this host reads there.
+    fn confirmed(&mut self, now: Tick, age_ms: Option<u64>, actions: &mut Vec<Action>) {
+        let State::Store { confirmed, .. } = &mut self.state else {
+            return;
+        };
+        *confirmed = age_ms.map(|age| now - age);
+        if !is_old(age_ms) && std::mem::take(&mut self.must_announce) {
+            actions.push(Action::Announce);
+        }
+    }
+
     /// A host that stalls again and again must not rest on a dead source for ever.
     fn stalled(&mut self, now: Tick) {
         if now >= self.respite + SILENT_MS {
@@ -194,18 +261,21 @@
             *heard = Heard { host: from, at: now, age_ms, lost: None, is_leaving };
             return;
         }
+        let is_way = self.accepts(now, &from);
         let Some(asked) = self.asked.as_mut().filter(|asked| asked.host == from) else {
             return self.told_by_another(now, from, age_ms, actions);
         };
         asked.is_alive = true;
         // What it told was too old, and it has heard from the store since.
-        if asked.is_refused && !is_old(age_ms) {
+        if asked.is_refused && !is_old(age_ms) && is_way {
             *asked = Asked::new(now, from.clone());
             actions.push(Action::Subscribe(from));
         }
     }
 
-    /// A host that was asked before and passed over, since it knew nothing newer, hears from the store again.
+    /// A host that this one does not hear from knows what is new, which this one's source does not.
+    ///
+    /// One of the same failure domain is taken at once; one of another only if none is found: all would turn to it.
     fn told_by_another(
         &mut self,
         now: Tick,
@@ -213,24 +283,45 @@
         age_ms: Option<u64>,
         actions: &mut Vec<Action>,
     ) {
-        let is_stale = matches!(&self.state, State::Host(heard) if heard.is_stale(now));
-        if is_stale && !is_old(age_ms) && self.suspects.remove(&from).is_some() {
+        let is_fresh = !is_old(age_ms) && self.accepts(now, &from);
+        if !is_fresh || self.stale_ms(now).is_none() {
+            return;
+        }
+        if self.suspects.remove(&from).is_some() {
             self.parents.clear();
+        }
+        // The answer of the first one is on its way.
+        if self.offer.as_ref().is_some_and(|(_, at)| now.since(*at) <= OFFER_MS) {
+            return;
+        }
+        self.offer = Some((from.clone(), now));
+        if self.is_near(&from) {
             self.asked = Some(Asked::new(now, from.clone()));
             actions.push(Action::Subscribe(from));
         }
     }
 
+    /// Milliseconds for which what this host knows has been stale, if it is.
+    pub(crate) fn stale_ms(&self, now: Tick) -> Option<u64> {
+        let ms = match &self.state {
+            State::Starting(_) => return None,
+            State::Store { since, confirmed } => now.since(confirmed.unwrap_or(*since)),
+            State::Host(heard) => now.since(heard.at) + heard.age_ms.unwrap_or(STALE_MS),
+        };
+        (ms > STALE_MS).then(|| ms - STALE_MS)
+    }
+
     fn synced(&mut self, now: Tick, from: Name, age_ms: Option<u64>, actions: &mut Vec<Action>) {
         let has_source = match &self.state {
             State::Starting(_) => false,
             State::Store { .. } => true,
             State::Host(heard) => heard.lost.is_none() && heard.host != from,
         };
+        let is_way = self.accepts(now, &from);
         let Some(asked) = self.asked.as_mut().filter(|asked| asked.host == from) else {
             return;
         };
-        if has_source && is_old(age_ms) {
+        if has_source && (is_old(age_ms) || !is_way) {
             asked.is_refused = true;
             return;
         }
@@ -279,13 +370,25 @@
             Parent::Store => true,
             Parent::Host(host) => self.subscribers.contains(&host),
         };
-        if is_answered && is_next {
-            let reason = self.reason(now);
-            if let (Reason::Stale, Some(host)) = (reason, but) {
-                self.suspect(host, now + SUSPECT_MS);
-            }
-            self.read_store(now, reason, actions);
+        let is_alone = self.is_alone(now);
+        if is_answered && is_alone && !is_next && self.looks > 1 {
+            // Long away, the store may have returned for all: then the source says so in a moment.
+            self.answered.get_or_insert(now);
+            return;
+        }
+        if is_answered && (is_next || is_alone) {
+            self.must_announce = !is_next;
+            self.read_instead(now, but, actions);
+        }
+    }
+
+    /// Reads the store in place of a source that knows nothing new.
+    pub(crate) fn read_instead(&mut self, now: Tick, but: Option<Name>, actions: &mut Vec<Action>) {
+        let reason = self.reason(now);
+        if let (Reason::Stale, Some(host)) = (reason, but) {
+            self.suspect(host, now + SUSPECT_MS);
         }
+        self.read_store(now, reason, actions);
     }
 
     /// The present source where it is a host, for which another is looked for; `Some(None)` if only the
@@ -299,6 +402,7 @@
 
     pub(crate) fn read_store(&mut self, now: Tick, reason: Reason, actions: &mut Vec<Action>) {
         self.asked = None;
+        (self.looks, self.answered) = (0, None);
         let store = State::Store { since: now, confirmed: None };
         let old = std::mem::replace(&mut self.state, store);
         if let State::Host(heard) = old {
--- a/crates/fanout/src/heard.rs
+++ b/crates/fanout/src/heard.rs
@@ -76,7 +76,7 @@
 
 /// What the store confirmed longer ago than this is stale, in milliseconds: readers ask it twice in this
 /// time.
-const STALE_MS: u64 = 1_100;
+pub(crate) const STALE_MS: u64 = 1_100;
 /// A host that comes next in the order notices a stale source when the others do, asks the store and reads it within a
 /// tenth of a second; one that told nothing newer for this long can't, in milliseconds. Without this limit a fleet whose
 /// first two hosts were turned away by the store heard nothing for as long as that lasted.
--- a/crates/fanout/src/review.rs
+++ b/crates/fanout/src/review.rs
@@ -3,7 +3,7 @@
 use crate::{
     Action, Follow, Reason,
     candidate::{Parent, place},
-    follow::{SILENT_MS, SUSPECT_MS},
+    follow::{OFFER_MS, SILENT_MS, SUSPECT_MS},
     heard::{Asked, Heard, Search, State, is_unconfirmed},
 };
 use vanetally_types::{Name, Tick};
@@ -24,6 +24,20 @@
 const SPREAD_MS: f64 = 400.0;
 /// Between two readings of the list of hosts, in milliseconds.
 const SURVEY_MS: u64 = 200;
+/// A host whose source is stale waits this long for those before it in the order, in milliseconds: one of them has
+/// found that the store answers it within a fifth of a second, one more costs as much again.
+const STALE_ALONE_MS: u64 = 400;
+/// The same for the last of a failure domain, beyond that: what one host finds, the others hear within 30 ms, so that
+/// few look in vain. All of this lies within a third of three seconds, the shortest time that deployments of so
+/// many hosts allow for a change.
+const STALE_SPREAD_MS: f64 = 500.0;
+/// Between two looks of a host by itself, in milliseconds, half as long for the first of a failure domain and half as much
+/// again for the last: those that look at the same moment when the store returns would all read it. While the store is
+/// away for all, 370 hosts look 74 times a second, fewer times than they renew their leases (123).
+const LOOK_MS: u64 = 6_000;
+/// When the store returns for all, the words of the host that reads it are with all others after this long, in
+/// milliseconds: three hops, a tenth of a second each.
+const RETURN_MS: u64 = 400;
 /// Between two probes of the store, in milliseconds.
 const PROBE_MS: u64 = 500;
 
@@ -70,10 +84,17 @@
 
     fn review_store(&mut self, now: Tick, is_stale: bool, actions: &mut Vec<Action>) {
         // Whoever can't read the store hears from one that can, if there is one.
+        if is_stale {
+            self.pass_over(now);
+            if self.is_alone(now) && self.take_offer(now, actions) {
+                return;
+            }
+        }
         let me = self.me.clone();
         let but = is_stale.then_some(&me);
+        // One that asked to hear from this host may have found another: its way tells.
         if let Parent::Host(host) = self.parent(but)
-            && !self.subscribers.contains(&host)
+            && (is_stale || !self.subscribers.contains(&host))
         {
             self.ask(now, host, actions);
         }
@@ -89,8 +110,20 @@
         if let Some(lost) = heard.lost {
             return self.replace_lost(now, lost, actions);
         }
-        if heard.is_stale(now) {
-            self.pass_over_refused(now);
+        if !heard.is_stale(now) {
+            (self.looks, self.answered) = (0, None);
+        } else {
+            self.pass_over(now);
+            if self.is_alone(now) {
+                if self.take_offer(now, actions) {
+                    return;
+                }
+                if self.answered.is_some_and(|at| now.since(at) >= RETURN_MS) {
+                    self.must_announce = true;
+                    return self.read_instead(now, Some(heard.host), actions);
+                }
+                self.look(now, actions);
+            }
         }
         let but = heard.is_stale(now).then_some(&heard.host);
         match self.parent(but) {
@@ -103,16 +136,48 @@
         }
     }
 
-    /// The host that was asked in place of a stale source knows nothing newer, and had the time to read the store
-    /// itself: it can't either.
-    fn pass_over_refused(&mut self, now: Tick) {
-        let refused =
-            self.asked.take_if(|asked| asked.is_refused && asked.is_silent_since_refused(now));
-        if let Some(asked) = refused {
+    /// The host that was asked in place of a stale source says nothing; or it knows nothing newer, and had the time to
+    /// read the store itself: it can't either.
+    fn pass_over(&mut self, now: Tick) {
+        let is_no_help = |asked: &mut Asked| match asked.is_refused {
+            true => asked.is_silent_since_refused(now),
+            false => asked.is_silent(now),
+        };
+        if let Some(asked) = self.asked.take_if(is_no_help) {
             self.suspect(asked.host, now + SUSPECT_MS);
         }
     }
 
+    /// Whether what this host knows has been stale for so long that it no longer waits for those before it in the
+    /// order.
+    pub(crate) fn is_alone(&self, now: Tick) -> bool {
+        let place = || place(&self.me, &self.domain, self.usable(None));
+        self.stale_ms(now).is_some_and(|ms| {
+            ms >= STALE_ALONE_MS && ms >= STALE_ALONE_MS + (place() * STALE_SPREAD_MS) as u64
+        })
+    }
+
+    /// Turns to a host that said unasked that it knows what is new; tells whether there is one.
+    fn take_offer(&mut self, now: Tick, actions: &mut Vec<Action>) -> bool {
+        self.offer.take_if(|(_, at)| now.since(*at) > OFFER_MS);
+        let Some((host, _)) = self.offer.clone() else {
+            return false;
+        };
+        self.ask(now, host, actions);
+        true
+    }
+
+    /// Sees whether the store answers this host, whoever comes next in the order.
+    fn look(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        let place = place(&self.me, &self.domain, self.usable(None));
+        let interval_ms = LOOK_MS / 2 + (place * LOOK_MS as f64) as u64;
+        if self.looked.is_none_or(|at| now.since(at) >= interval_ms) {
+            self.looked = Some(now);
+            self.looks += 1;
+            actions.push(Action::Probe);
+        }
+    }
+
     fn replace_lost(&mut self, now: Tick, lost: Tick, actions: &mut Vec<Action>) {
         match self.parent(None) {
             Parent::Store => self.read_store(now, Reason::Silent, actions),
--- a/crates/fanout/tests/fleet_trouble.rs
+++ b/crates/fanout/tests/fleet_trouble.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
-use vanetally_fanout::{Action, Candidate, Event, Follow, Source};
+use vanetally_fanout::{Action, Candidate, Event, Follow, Path, Source};
 use vanetally_types::{Name, Tick};
 
 const DOMAINS: usize = 5;
@@ -12,20 +12,23 @@
 const TICK_MS: u64 = 20;
 const WORD_MS: u64 = 100;
 const WAY_MS: u64 = 2;
+/// Whoever does not report is heard no more after this long.
+const SUBSCRIBER_MS: u64 = 2_000;
 
 /// One host: its choice of a source, and when the store last confirmed what it knows.
 struct Host {
     follow: Follow,
     confirmed: Option<u64>,
-    subscribers: BTreeSet<Name>,
+    /// Hosts that asked to hear from this one, and when.
+    subscribers: BTreeMap<Name, u64>,
     is_up: bool,
     reaches_store: bool,
 }
 
 enum Message {
-    Word { age_ms: Option<u64> },
+    Word { age_ms: Option<u64>, path: Path },
     Subscribe,
-    Sync { age_ms: Option<u64> },
+    Sync { age_ms: Option<u64>, path: Path },
     Unsubscribe,
 }
 
@@ -42,6 +45,10 @@
     most_readers: usize,
     /// Readings begun.
     readings: usize,
+    /// Hosts that told all others that they read the store.
+    announced: usize,
+    /// Probes of the store, answered or not.
+    probes: usize,
 }
 
 impl Fleet {
@@ -56,6 +63,8 @@
             listed: BTreeSet::new(),
             most_readers: 0,
             readings: 0,
+            announced: 0,
+            probes: 0,
         };
         for number in 0..DOMAINS * HOSTS {
             let (host, domain): (Name, Name) =
@@ -66,7 +75,7 @@
             let one = Host {
                 follow,
                 confirmed: None,
-                subscribers: BTreeSet::new(),
+                subscribers: BTreeMap::new(),
                 is_up: true,
                 reaches_store: true,
             };
@@ -107,9 +116,19 @@
                 self.answers.push((self.now + WAY_MS, host.clone(), listed));
             }
             Action::Probe => {
+                self.probes += 1;
                 let answer = Event::Probed(self.can_read(host));
                 self.answers.push((self.now + WAY_MS, host.clone(), answer));
             }
+            Action::Announce => {
+                let (age_ms, path) = (self.age_ms(host), self.path(host));
+                let others = self.hosts.keys().filter(|other| *other != host);
+                let words: Vec<_> = others
+                    .map(|to| send(to.clone(), Message::Word { age_ms, path: path.clone() }))
+                    .collect();
+                self.announced += 1;
+                self.mail.extend(words);
+            }
             Action::Switch { to: Source::Store, .. } => self.readings += 1,
             Action::Survey | Action::Switch { .. } => {}
         }
@@ -139,32 +158,34 @@
     fn take(&mut self, from: &Name, to: &Name, message: Message) {
         let now = self.now;
         match message {
-            Message::Word { age_ms } => {
+            Message::Word { age_ms, path } => {
+                self.tell(to, Event::Path { from: from.clone(), path });
                 self.hear(from, to, age_ms);
                 let from = from.clone();
                 self.tell(to, Event::Told { from, age_ms, is_leaving: false });
             }
-            Message::Sync { age_ms } => {
+            Message::Sync { age_ms, path } => {
+                self.tell(to, Event::Path { from: from.clone(), path });
                 self.tell(to, Event::Synced { from: from.clone(), age_ms });
                 self.hear(from, to, age_ms);
             }
             Message::Subscribe => {
-                let age_ms = self.age_ms(to);
+                let (age_ms, path) = (self.age_ms(to), self.path(to));
                 let host = self.hosts.get_mut(to).unwrap();
-                host.subscribers.insert(from.clone());
-                let subscribers = Event::Subscribers(host.subscribers.clone());
+                host.subscribers.insert(from.clone(), now);
+                let subscribers = Event::Subscribers(host.subscribers.keys().cloned().collect());
                 self.tell(to, subscribers);
                 let mut answer =
                     |message| self.mail.push((now + WAY_MS, to.clone(), from.clone(), message));
-                answer(Message::Word { age_ms });
+                answer(Message::Word { age_ms, path: path.clone() });
                 if age_ms.is_some() {
-                    answer(Message::Sync { age_ms });
+                    answer(Message::Sync { age_ms, path });
                 }
             }
             Message::Unsubscribe => {
                 let host = self.hosts.get_mut(to).unwrap();
                 host.subscribers.remove(from);
-                let subscribers = Event::Subscribers(host.subscribers.clone());
+                let subscribers = Event::Subscribers(host.subscribers.keys().cloned().collect());
                 self.tell(to, subscribers);
             }
         }
@@ -186,9 +207,10 @@
         one.confirmed = confirmed;
         if is_first {
             let age_ms = confirmed.map(|at| self.now - at);
-            let sync =
-                |to: &Name| (self.now + WAY_MS, host.clone(), to.clone(), Message::Sync { age_ms });
-            self.mail.extend(one.subscribers.iter().map(sync));
+            let path = one.follow.path();
+            let message = || Message::Sync { age_ms, path: path.clone() };
+            let sync = |to: &Name| (self.now + WAY_MS, host.clone(), to.clone(), message());
+            self.mail.extend(one.subscribers.keys().map(sync));
         }
     }
 
@@ -196,6 +218,27 @@
         self.hosts[host].confirmed.map(|at| self.now - at)
     }
 
+    /// Forgets hosts that asked to hear from `host` long ago and do not report to it; gives back the others.
+    fn forget_silent(&mut self, host: &Name) -> Vec<Name> {
+        let source = Source::Host(host.clone());
+        let reports =
+            |one: &Name| self.hosts[one].is_up && self.hosts[one].follow.source() == source;
+        let asked = &self.hosts[host].subscribers;
+        let stays = |(one, at): &(&Name, &u64)| reports(one) || self.now - **at <= SUBSCRIBER_MS;
+        let stay: BTreeMap<Name, u64> =
+            asked.iter().filter(stays).map(|(one, at)| (one.clone(), *at)).collect();
+        let names: Vec<Name> = stay.keys().cloned().collect();
+        if stay.len() < asked.len() {
+            self.hosts.get_mut(host).unwrap().subscribers = stay;
+            self.tell(host, Event::Subscribers(names.iter().cloned().collect()));
+        }
+        names
+    }
+
+    fn path(&self, host: &Name) -> Path {
+        self.hosts[host].follow.path()
+    }
+
     fn step(&mut self) {
         self.now += TICK_MS;
         self.deliver();
@@ -210,9 +253,9 @@
             }
             self.tell(host, Event::Tick);
             if (self.now / TICK_MS).is_multiple_of(WORD_MS / TICK_MS) && self.hosts[host].is_up {
-                let age_ms = self.age_ms(host);
-                for to in self.hosts[host].subscribers.clone() {
-                    let word = Message::Word { age_ms };
+                let (age_ms, path) = (self.age_ms(host), self.path(host));
+                for to in self.forget_silent(host) {
+                    let word = Message::Word { age_ms, path: path.clone() };
                     self.mail.push((self.now + WAY_MS, host.clone(), to, word));
                 }
             }
@@ -228,10 +271,15 @@
 
     /// Plays so long; gives back the highest age of what a host knew meanwhile that can reach the store.
     fn play(&mut self, millis: u64) -> u64 {
+        self.play_for(millis, |one| one.reaches_store)
+    }
+
+    /// The same, of the hosts that `is_bound` and that run.
+    fn play_for(&mut self, millis: u64, is_bound: impl Fn(&Host) -> bool) -> u64 {
         let mut oldest = 0;
         for _ in 0..millis / TICK_MS {
             self.step();
-            let bound = self.hosts.iter().filter(|(_, one)| one.is_up && one.reaches_store);
+            let bound = self.hosts.iter().filter(|(_, one)| one.is_up && is_bound(one));
             let ages = bound.map(|(host, _)| self.age_ms(host).unwrap_or(u64::MAX));
             oldest = oldest.max(ages.max().unwrap_or(0));
         }
@@ -317,7 +365,9 @@
 fn store_silent() {
     let mut fleet = Fleet::settled();
     fleet.is_store_up = false;
+    fleet.probes = 0;
     fleet.play(8_000);
+    assert!(fleet.probes <= 8 * PROBES_A_SECOND, "{} probes", fleet.probes);
     assert!(fleet.most_readers <= 2 && fleet.readings <= DOMAINS, "{} readings", fleet.readings);
     fleet.is_store_up = true;
     fleet.play(700);
@@ -326,6 +376,10 @@
     assert!(fleet.most_readers <= MOST_READERS, "{}", fleet.most_readers);
 }
 
+/// Probes of all 300 hosts while the store is away: as many as they make calls to renew their leases, each one every
+/// three seconds; and the few that come next in the order twice a second.
+const PROBES_A_SECOND: usize = DOMAINS * HOSTS / 3 + 4 * DOMAINS;
+
 /// Links break, and with them messages are lost: the difference is asked for, not the store.
 #[test]
 fn links_broken() {
@@ -408,7 +462,7 @@
         one.is_up = draw(seed, "frozen", host) >= frozen || *host == root;
         one.reaches_store = draw(seed, "deaf", host) >= deaf && *host != root;
     }
-    let oldest = fleet.play(7_000);
+    let oldest = fleet.play_for(7_000, |_| true);
     (oldest, fleet)
 }
 
@@ -428,9 +482,29 @@
         let (oldest, fleet) = struck(seed, deaf, frozen);
         assert!(oldest < UP_TO_DATE_MS, "seed {seed}: {oldest} ms, {} readings", fleet.readings);
         assert!(fleet.most_readers <= MOST_READERS, "seed {seed}: {}", fleet.most_readers);
+        assert!(fleet.probes <= MOST_PROBES, "seed {seed}: {} probes", fleet.probes);
+        heals(fleet);
+    }
+}
+
+/// When the trouble is over one host reads for all again, and what it took stays small: nobody turns to and fro.
+fn heals(mut fleet: Fleet) {
+    for one in fleet.hosts.values_mut() {
+        one.is_up = true;
+        one.reaches_store = true;
     }
+    fleet.tell_all(|| Event::Stalled);
+    fleet.play_for(7_000, |_| true);
+    fleet.readings = 0;
+    let oldest = fleet.play_for(3_000, |_| true);
+    assert!(oldest < UP_TO_DATE_MS, "{oldest}");
+    assert_eq!(fleet.readings, 0);
+    fleet.root();
 }
 
+/// Probes of 300 hosts within seven seconds: one of each at most, and those that come next in the order again and again.
+const MOST_PROBES: usize = 2 * DOMAINS * HOSTS;
+
 /// What is known is stale after 1.1 s; a host that reaches one that is up to date is so itself within a third of the three
 /// seconds that deployments of so many hosts allow for a change, and two turns of the loop.
 const UP_TO_DATE_MS: u64 = 1_100 + 1_000 + 2 * TICK_MS;
--- a/crates/fanout/tests/follow.rs
+++ b/crates/fanout/tests/follow.rs
@@ -1,7 +1,7 @@
 //! From whom a host hears what lies in the store.
 
 use std::collections::BTreeSet;
-use vanetally_fanout::{Action, Candidate, Event, FEW_HOSTS, Follow, Reason, Source};
+use vanetally_fanout::{Action, Candidate, Event, FEW_HOSTS, Follow, Path, Reason, Source};
 use vanetally_types::{Name, Tick};
 
 const DOMAINS: [&str; 2] = ["z1", "z2"];
@@ -296,7 +296,7 @@
 fn stale_asks_next() {
     let mut follow = subscribed();
     let order = order();
-    follow.handle(START + 100, told(&order[0], Some(5_000)));
+    follow.handle(START + 100, told(&order[0], Some(1_300)));
     assert_eq!(follow.handle(START + 120, Event::Tick), [Action::Subscribe(order[1].clone())]);
     assert_eq!(follow.handle(START + 140, synced(&order[1], Some(5_000))), []);
     assert_eq!(follow.source(), Source::Host(order[0].clone()));
@@ -307,6 +307,43 @@
     assert_eq!(follow.source(), Source::Host(order[1].clone()));
 }
 
+/// What is known has been stale for so long that those before this host in the order can be no help: it looks by itself,
+/// once, reads the store if that answers, and says so to all as soon as it has read.
+#[test]
+fn looks_by_itself() {
+    let mut follow = subscribed();
+    let order = order();
+    follow.handle(START + 100, told(&order[0], Some(5_000)));
+    let looked = follow.handle(START + 120, Event::Tick);
+    assert_eq!(looked, [Action::Probe, Action::Subscribe(order[1].clone())]);
+    assert!(!follow.handle(START + 140, Event::Tick).contains(&Action::Probe), "once");
+    let taken = follow.handle(START + 160, Event::Probed(true));
+    assert_eq!(taken[1..], [switch(Source::Store, Reason::Stale)]);
+    assert_eq!(follow.handle(START + 170, Event::Confirmed(None)), []);
+    assert_eq!(follow.handle(START + 180, Event::Confirmed(Some(10))), [Action::Announce]);
+    assert_eq!(follow.handle(START + 200, Event::Confirmed(Some(10))), [], "once");
+}
+
+/// A host whose knowledge came by way of this one is no source, however fresh; one that came another way is.
+#[test]
+fn no_circles() {
+    let mut follow = subscribed();
+    let order = order();
+    let way = |by: &[&Name]| by.iter().map(|host| vanetally_fanout::mark(host)).collect::<Path>();
+    follow.handle(START + 100, told(&order[0], Some(1_300)));
+    let path = way(&[&order[2], follow.me(), &order[1]]);
+    follow.handle(START + 110, Event::Path { from: order[1].clone(), path });
+    follow.handle(START + 120, Event::Tick);
+    assert_eq!(follow.handle(START + 140, synced(&order[1], Some(0))), []);
+    assert_eq!(follow.source(), Source::Host(order[0].clone()));
+    let path = way(&[&order[2], &order[1]]);
+    follow.handle(START + 150, Event::Path { from: order[1].clone(), path });
+    let again = follow.handle(START + 160, told(&order[1], Some(0)));
+    assert_eq!(again, [Action::Subscribe(order[1].clone())]);
+    follow.handle(START + 170, synced(&order[1], Some(0)));
+    assert_eq!(follow.source(), Source::Host(order[1].clone()));
+}
+
 /// Only who is next in the order asks the store whether it answers, one probe at a time.
 #[test]
 fn next_probes() {
@@ -314,7 +351,7 @@
     let mut follow = host(&me, &domain);
     follow.handle(START, Event::Tick);
     follow.handle(START, synced(&root(), Some(0)));
-    follow.handle(START + 100, told(&root(), Some(5_000)));
+    follow.handle(START + 100, told(&root(), Some(1_300)));
     assert_eq!(follow.handle(START + 120, Event::Tick), [Action::Probe]);
     assert_eq!(follow.handle(START + 140, Event::Tick), [], "one probe at a time");
     assert_eq!(follow.handle(START + 160, Event::Probed(false)), []);
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -35,8 +35,9 @@
                 self.totals.borrow_mut().unsubscribe(from);
                 self.peer_left(from.clone());
             }
-            PeerMessage::Sync { store, age_ms, prefixes } => {
+            PeerMessage::Sync { store, age_ms, path, prefixes } => {
                 self.store.told(store);
+                self.follow_event(FollowEvent::Path { from: from.clone(), path });
                 self.take_sync(from, age_ms, prefixes);
             }
             PeerMessage::Changes { store, changes } => self.take_changes(from, store, changes),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,7 +10,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::sleep;
 use vanetally_dispatch::{Digest, LoadRow};
-use vanetally_fanout::{Life, Patch, StoreState};
+use vanetally_fanout::{Life, Patch, Path, StoreState};
 use vanetally_limit::{Answer as Permit, Question};
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_placement::TenureEvent;
@@ -80,6 +80,9 @@
         store: StoreState,
         /// Milliseconds since the store confirmed it.
         age_ms: Option<u64>,
+        /// By way of whom the sender hears from the store; hosts of earlier builds say nothing of it.
+        #[serde(default)]
+        path: Path,
         /// What is new, by prefix.
         prefixes: Vec<PrefixSync>,
     },
@@ -230,6 +233,9 @@
     pub told: Vec<Told>,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+    /// By way of whom the host hears from the store; hosts of earlier builds say nothing of it.
+    #[serde(default)]
+    pub path: Path,
 }
 
 /// How certainly a host has the newest configuration.
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -46,6 +46,10 @@
                 Action::Probe => {
                     tokio::task::spawn_local(probe(self.clone()));
                 }
+                Action::Announce => {
+                    log::info!("event=source_announced");
+                    self.broadcast(&PeerMessage::Word(self.word()));
+                }
                 Action::Switch { to, reason } => self.switch(to, reason),
             }
         }
@@ -125,7 +129,8 @@
         });
         let prefixes: Option<Vec<PrefixSync>> = prefixes.collect();
         let (store, age_ms) = (self.store.state(), self.age_ms());
-        Some(PeerMessage::Sync { store, age_ms, prefixes: prefixes? })
+        let path = self.follow.borrow().path();
+        Some(PeerMessage::Sync { store, age_ms, path, prefixes: prefixes? })
     }
 
     /// Another host told what is new to this one.
@@ -220,6 +225,7 @@
             store: self.store.state(),
             told: self.shared_feeds().iter().map(|feed| feed.told()).collect(),
             is_leaving: self.is_leaving(),
+            path: self.follow.borrow().path(),
         }
     }
 
@@ -232,6 +238,7 @@
             self.compare_version(from, word.version);
             self.take_configuration_word(from, word.configuration);
         }
+        self.follow_event(Event::Path { from: from.clone(), path: word.path.clone() });
         let (age_ms, is_leaving) = (word.age_ms, word.is_leaving);
         self.follow_event(Event::Told { from: from.clone(), age_ms, is_leaving });
     }
