--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -47,20 +47,22 @@
 /// Share of a planned stop after which the process ends, whatever still runs.
 const END_SHARE: f64 = 0.95;
 
-/// Runs until a planned stop. `reload` reads the settings anew.
+/// Runs until a planned stop. `build` tells this program from others, `reload` reads the settings anew.
 ///
 /// # Errors
 /// If a socket can't be opened or the runtime can't be made.
 pub fn run(
+    build: &'static str,
     settings: Settings,
     reload: impl Fn() -> anyhow::Result<Settings> + 'static,
     ports: Ports,
 ) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(settings, reload, ports))
+    LocalSet::new().block_on(&runtime, serve(build, settings, reload, ports))
 }
 
 async fn serve(
+    build: &'static str,
     settings: Settings,
     reload: impl Fn() -> anyhow::Result<Settings> + 'static,
     ports: Ports,
@@ -71,12 +73,12 @@
     let front = listen(settings.listen).context("callers")?;
     let status_addresses = [settings.ready, settings.metrics];
     log::info!(
-        "event=start host={} domain={} listen={} version={}",
+        "event=start host={} domain={} listen={} build={build}",
         settings.host,
         settings.domain,
-        settings.listen,
-        env!("CARGO_PKG_VERSION")
+        settings.listen
     );
+    telemetry::built(build);
     let hub = Hub::new(Parts { settings: settings.clone(), ports, links });
     let status = Rc::new(Status { hub: hub.clone(), metrics });
     for address in status_addresses.into_iter().flatten() {
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -29,6 +29,11 @@
     Ok(handle)
 }
 
+/// The build that runs.
+pub(crate) fn built(build: &'static str) {
+    gauge!("vanetally_build_info", "build" => build).set(1.0);
+}
+
 /// A request arrived.
 pub(crate) fn arrived() {
     counter!("vanetally_requests_total").increment(1);
--- a/src/vanetallyd.rs
+++ b/src/vanetallyd.rs
@@ -28,6 +28,8 @@
 Exit codes: 0 stopped as planned, 1 failed, 2 bad settings or arguments.
 ";
 
+/// The version and the commit that was built.
+const BUILD: &str = concat!(env!("CARGO_PKG_VERSION"), "+", env!("VANETALLY_BUILD"));
 /// Exit code for bad settings or arguments.
 const USAGE: u8 = 2;
 
@@ -58,7 +60,7 @@
                 return Ok(None);
             }
             Arg::Long("version") => {
-                println!("vanetallyd {}", env!("CARGO_PKG_VERSION"));
+                println!("vanetallyd {BUILD}");
                 return Ok(None);
             }
             other => return Err(other.unexpected().into()),
@@ -116,7 +118,7 @@
 fn run_gateway(path: PathBuf) -> anyhow::Result<()> {
     logging::try_init()?;
     let reload = move || settings::at(&path);
-    vanetally_gateway::run(reload()?, reload, vanetally_platform::ports())
+    vanetally_gateway::run(BUILD, reload()?, reload, vanetally_platform::ports())
 }
 
 fn run(settings: Settings) -> anyhow::Result<bool> {
