test: the soak runs another build of the program beside this one

What hosts of the other build send to a runner in need is not counted: it may know nothing of limits.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,7 +3,8 @@
 //!
 //! `cargo test --test soak` plays the seeds of `seeds.list` and two more. By hand, `SOAK_SEEDS=50`
 //! plays that many fresh seeds instead; `SOAK_FIRST=7` sets the first of them; a failing seed's
-//! logs are left in the directory named by `SOAK_LOGS`.
+//! logs are left in the directory named by `SOAK_LOGS`. `SOAK_OTHER=PROGRAM` runs another build beside this one: each time
+//! that a host starts again it is of the other one (`.ci/other-build COMMIT` builds one and prints its path).
 
 mod callers;
 mod faults;
--- a/tests/soak/need.rs
+++ b/tests/soak/need.rs
@@ -1,6 +1,11 @@
 //! An upstream in need: it names what it takes from all hosts while faults strike them.
 
-use crate::{callers::Seen, faults, promises::Broken, site::Site};
+use crate::{
+    callers::Seen,
+    faults,
+    promises::Broken,
+    site::{Site, is_other},
+};
 use rand::{RngExt, rngs::StdRng};
 use std::{
     collections::HashMap,
@@ -82,6 +87,8 @@
         let requests = self.runner.requests();
         let counts = |(request, at): &(&vanetally_platform_standin::Message, Instant)| {
             let sender = request.header("x-attempt-id").and_then(|id| senders.get(id));
+            // What the other build knows of limits is not known here.
+            let sender = sender.filter(|(host, life)| !is_other(*host, *life));
             let told = sender.and_then(|sender| told.get(sender));
             told.is_some_and(|told| *told + TOLD <= *at)
         };
