--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -16,27 +16,36 @@
 impl Dispatch {
     /// Asks the engine's pacer for the moment; the request counts as the engine's load meanwhile.
     pub(crate) fn reserve(&mut self, id: RequestId, choice: Choice) -> Option<Action> {
-        let request = self.requests.get_mut(&id)?;
-        let upstream = self.upstreams.get_mut(&choice.upstream)?;
-        self.queue.remove(id, request);
-        let load = request.load(choice.expected.unread);
-        upstream.own.add(load);
-        request.reservations += 1;
-        let turn = request.reservations;
+        let upstream = choice.upstream.clone();
+        let turn = self.open_reservation(id, choice)?;
+        let request = self.requests.get(&id)?;
         let model = request.head.model.as_ref().map(|subject| subject.model.clone());
         let per_token_us = self.pace.per_token(model.as_ref()) * MICROS_PER_MILLI;
         let prompt = Prompt {
-            upstream: choice.upstream.clone(),
+            upstream,
             model: model.unwrap_or_else(|| "".into()),
             shared: request.shared.clone(),
             tokens: request.head.prompt_tokens,
             per_token_us: per_token_us.round() as u32,
             gap_ms: request.gap_ms() as u32,
         };
-        request.stage = Stage::Reserving(Reservation { turn, choice, load });
         Some(Action::Reserve { id, turn, prompt })
     }
 
+    /// A request waits no more in the queue, but for a moment at the upstream that was chosen; it counts as that one's
+    /// load. Gives back the number of the reservation.
+    fn open_reservation(&mut self, id: RequestId, choice: Choice) -> Option<u32> {
+        let request = self.requests.get_mut(&id)?;
+        let upstream = self.upstreams.get_mut(&choice.upstream)?;
+        self.queue.remove(id, request);
+        let load = request.load(choice.expected.unread);
+        upstream.own.add(load);
+        request.reservations += 1;
+        let turn = request.reservations;
+        request.stage = Stage::Reserving(Reservation { turn, choice, load });
+        Some(turn)
+    }
+
     /// The pacer answered: the request goes, or waits for this or another engine.
     pub(crate) fn reserved(
         &mut self,
@@ -75,20 +84,11 @@
         choice: Choice,
     ) -> Option<Action> {
         let limit = choice.limit?;
-        let request = self.requests.get_mut(&id)?;
-        let upstream = self.upstreams.get_mut(&choice.upstream)?;
-        self.queue.remove(id, request);
-        let load = request.load(choice.expected.unread);
-        upstream.own.add(load);
-        request.reservations += 1;
-        let turn = request.reservations;
-        let most_ms = if limit.may_wait { request.waits_ms(now).max(1) } else { 0 };
-        let question = Question {
-            upstream: choice.upstream.clone(),
-            rate: limit.rate,
-            most_ms: most_ms.try_into().unwrap_or(u32::MAX),
-        };
-        request.stage = Stage::Reserving(Reservation { turn, choice, load });
+        let upstream = choice.upstream.clone();
+        let turn = self.open_reservation(id, choice)?;
+        let waits_ms = self.requests.get(&id)?.waits_ms(now).max(1);
+        let most_ms = if limit.may_wait { waits_ms.try_into().unwrap_or(u32::MAX) } else { 0 };
+        let question = Question { upstream, rate: limit.rate, most_ms };
         Some(Action::Permit { id, turn, question })
     }
 
