fix: a host looks at once when its source is stale again

Its last look in an earlier trouble barred the next one for up to nine seconds. Looks are counted anew once the source knows what is new; they are one struct now.

--- a/crates/fanout/src/follow.rs
+++ b/crates/fanout/src/follow.rs
@@ -10,7 +10,7 @@
 use crate::{
     Action, Candidate, Event, Reason, Source,
     candidate::{Fleet, Parent, firsts, parent, root},
-    heard::{Asked, Heard, STALE_MS, Search, State, is_old, is_unconfirmed},
+    heard::{Asked, Heard, Looks, STALE_MS, Search, State, is_old, is_unconfirmed},
     path::{MOST_HOSTS, Path, mark},
 };
 use std::collections::{BTreeMap, BTreeSet};
@@ -36,12 +36,8 @@
     pub(crate) respite: Tick,
     /// The ways that other hosts' knowledge takes, as they last said.
     pub(crate) paths: BTreeMap<Name, Path>,
-    /// When this host last looked by itself whether the store answers it.
-    pub(crate) looked: Option<Tick>,
-    /// How often it has looked since its source went stale.
-    pub(crate) looks: u32,
-    /// When the store answered one of the later looks.
-    pub(crate) answered: Option<Tick>,
+    /// Its looks at the store by itself since its source went stale.
+    pub(crate) looks: Looks,
     /// A host that said unasked that it knows what is new, and when.
     pub(crate) offer: Option<(Name, Tick)>,
     /// Whether others have to hear that this host reads the store, once it does.
@@ -83,9 +79,7 @@
             parents: BTreeMap::new(),
             respite: now,
             paths: BTreeMap::new(),
-            looked: None,
-            looks: 0,
-            answered: None,
+            looks: Looks::default(),
             offer: None,
             must_announce: false,
         }
@@ -371,9 +365,9 @@
             Parent::Host(host) => self.subscribers.contains(&host),
         };
         let is_alone = self.is_alone(now);
-        if is_answered && is_alone && !is_next && self.looks > 1 {
+        if is_answered && is_alone && !is_next && self.looks.count > 1 {
             // Long away, the store may have returned for all: then the source says so in a moment.
-            self.answered.get_or_insert(now);
+            self.looks.answered.get_or_insert(now);
             return;
         }
         if is_answered && (is_next || is_alone) {
@@ -402,7 +396,7 @@
 
     pub(crate) fn read_store(&mut self, now: Tick, reason: Reason, actions: &mut Vec<Action>) {
         self.asked = None;
-        (self.looks, self.answered) = (0, None);
+        self.looks = Looks::default();
         let store = State::Store { since: now, confirmed: None };
         let old = std::mem::replace(&mut self.state, store);
         if let State::Host(heard) = old {
--- a/crates/fanout/src/heard.rs
+++ b/crates/fanout/src/heard.rs
@@ -44,6 +44,16 @@
     }
 }
 
+/// How a host whose source is stale looked by itself whether the store answers it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Looks {
+    /// The last look.
+    pub at: Option<Tick>,
+    pub count: u32,
+    /// When the store answered one of the later looks.
+    pub answered: Option<Tick>,
+}
+
 /// A subscription that was asked for.
 #[derive(Clone, Debug)]
 pub(crate) struct Asked {
--- a/crates/fanout/src/review.rs
+++ b/crates/fanout/src/review.rs
@@ -4,7 +4,7 @@
     Action, Follow, Reason,
     candidate::{Parent, place},
     follow::{OFFER_MS, SILENT_MS, SUSPECT_MS},
-    heard::{Asked, Heard, Search, State, is_unconfirmed},
+    heard::{Asked, Heard, Looks, Search, State, is_unconfirmed},
 };
 use vanetally_types::{Name, Tick};
 
@@ -111,18 +111,11 @@
             return self.replace_lost(now, lost, actions);
         }
         if !heard.is_stale(now) {
-            (self.looks, self.answered) = (0, None);
+            self.looks = Looks::default();
         } else {
             self.pass_over(now);
-            if self.is_alone(now) {
-                if self.take_offer(now, actions) {
-                    return;
-                }
-                if self.answered.is_some_and(|at| now.since(at) >= RETURN_MS) {
-                    self.must_announce = true;
-                    return self.read_instead(now, Some(heard.host), actions);
-                }
-                self.look(now, actions);
+            if self.is_alone(now) && self.help_itself(now, &heard.host, actions) {
+                return;
             }
         }
         let but = heard.is_stale(now).then_some(&heard.host);
@@ -136,6 +129,20 @@
         }
     }
 
+    /// Turns to a host that has said that it knows what is new, or to the store; tells whether it did.
+    fn help_itself(&mut self, now: Tick, stale: &Name, actions: &mut Vec<Action>) -> bool {
+        if self.take_offer(now, actions) {
+            return true;
+        }
+        if self.looks.answered.is_some_and(|at| now.since(at) >= RETURN_MS) {
+            self.must_announce = true;
+            self.read_instead(now, Some(stale.clone()), actions);
+            return true;
+        }
+        self.look(now, actions);
+        false
+    }
+
     /// The host that was asked in place of a stale source says nothing; or it knows nothing newer, and had the time to
     /// read the store itself: it can't either.
     fn pass_over(&mut self, now: Tick) {
@@ -171,9 +178,9 @@
     fn look(&mut self, now: Tick, actions: &mut Vec<Action>) {
         let place = place(&self.me, &self.domain, self.usable(None));
         let interval_ms = LOOK_MS / 2 + (place * LOOK_MS as f64) as u64;
-        if self.looked.is_none_or(|at| now.since(at) >= interval_ms) {
-            self.looked = Some(now);
-            self.looks += 1;
+        if self.looks.at.is_none_or(|at| now.since(at) >= interval_ms) {
+            self.looks.at = Some(now);
+            self.looks.count += 1;
             actions.push(Action::Probe);
         }
     }
--- a/crates/fanout/tests/follow.rs
+++ b/crates/fanout/tests/follow.rs
@@ -324,6 +324,20 @@
     assert_eq!(follow.handle(START + 200, Event::Confirmed(Some(10))), [], "once");
 }
 
+/// The source was stale and knew what is new again: when it is stale once more the host looks at once, not when its last
+/// look is long ago.
+#[test]
+fn looks_again() {
+    let mut follow = subscribed();
+    let order = order();
+    follow.handle(START + 100, told(&order[0], Some(5_000)));
+    assert!(follow.handle(START + 120, Event::Tick).contains(&Action::Probe));
+    follow.handle(START + 140, told(&order[0], Some(0)));
+    follow.handle(START + 160, Event::Tick);
+    follow.handle(START + 700, told(&order[0], Some(5_000)));
+    assert!(follow.handle(START + 720, Event::Tick).contains(&Action::Probe));
+}
+
 /// A host whose knowledge came by way of this one is no source, however fresh; one that came another way is.
 #[test]
 fn no_circles() {
