test: recorded bytes of loads, moments and permits

Each later build has to read them. Fields that a later build may add are passed over. Not yet recorded: words, keys in the store, the other kinds of message.

--- /dev/null
+++ b/crates/fanout/tests/recorded.rs
@@ -0,0 +1,127 @@
+//! Bytes that builds wrote: each later build reads them, whatever it says itself.
+//!
+//! A new kind of bytes is recorded by its test, which prints what this build writes where that differs.
+
+use serde::{Serialize, de::DeserializeOwned};
+use std::fmt::Debug;
+use vanetally_dispatch::{DemandRow, Digest, LimitRow, LoadRow};
+use vanetally_limit::{Answer, Question};
+use vanetally_link::peer::{decode, encode};
+use vanetally_pacing::{Moment, Prefix, Prompt, Slot};
+use vanetally_types::Incarnation;
+
+/// A digest before rows told limits.
+const DIGEST: &str = "a2656c6f61647381a6617571692d304031373530303030303030303030617203617018c8616b1903846167046162016664\
+     656d616e6481a56173636c6c6d616d626d316161626131616e0461771878";
+const DIGEST_WITH_LIMIT: &str = "a2656c6f61647381a7617571692d304031373530303030303030303030617203617018c8616b1903846167046162016\
+     16ca2616efb3ffccccccccccccd616118fa6664656d616e6481a56173636c6c6d616d626d316161626131616e0461771878";
+const PROMPT: &str = "a6617571692d304031373530303030303030303030616d626d31617381a2616b07617418286174187861721834616719012c";
+const GRANTED: &str = "a1674772616e746564a46864656c61795f6d730366756e7265616418506861686561645f6d73056869735f747269616cf5";
+const BUSY: &str = "a16442757379a16872657472795f6d730c";
+const QUESTION: &str = "a3617571692d304031373530303030303030303030616efb3ffccccccccccccd6177190320";
+const DELAYED: &str = "a1674772616e746564a16864656c61795f6d731901f4";
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits: Vec<char> = hex.chars().filter(|digit| !digit.is_whitespace()).collect();
+    let pair = |pair: &[char]| u8::from_str_radix(&String::from_iter(pair), 16);
+    digits.chunks(2).map(|digits| pair(digits).expect("hexadecimal")).collect()
+}
+
+/// What was recorded is still read as `value`.
+fn reads<T: DeserializeOwned + PartialEq + Debug>(recorded: &str, value: &T) {
+    assert_eq!(decode::<T>(&bytes(recorded)).as_ref(), Some(value));
+}
+
+/// This build writes `value` as it was recorded.
+fn writes<T: Serialize>(value: &T, recorded: &str) {
+    let written = encode(value).expect("it can be written");
+    let hex: String = written.iter().map(|byte| format!("{byte:02x}")).collect();
+    assert_eq!(written.to_vec(), bytes(recorded), "this build writes {hex}");
+}
+
+fn upstream() -> Incarnation {
+    Incarnation::new("i-0", Some(1_750_000_000_000))
+}
+
+fn digest(limit: Option<LimitRow>) -> Digest {
+    let load = LoadRow {
+        upstream: upstream(),
+        running: 3,
+        unread_tokens: 200,
+        held_tokens: 900,
+        good: 4,
+        bad: 1,
+        limit,
+    };
+    let demand = DemandRow {
+        service: "llm".into(),
+        model: "m1".into(),
+        adapter: Some("a1".into()),
+        arrived: 4,
+        work_ms: 120,
+    };
+    Digest { loads: vec![load], demand: vec![demand] }
+}
+
+/// Without a limit a digest is what earlier builds wrote, byte for byte.
+#[test]
+fn digests() {
+    reads(DIGEST, &digest(None));
+    writes(&digest(None), DIGEST);
+    let limit = LimitRow { rate: Some(1.8), age_ms: 250 };
+    reads(DIGEST_WITH_LIMIT, &digest(Some(limit)));
+    writes(&digest(Some(limit)), DIGEST_WITH_LIMIT);
+}
+
+#[test]
+fn pacing() {
+    let shared = vec![Prefix { key: 7, tokens: 40 }];
+    let prompt = Prompt {
+        upstream: upstream(),
+        model: "m1".into(),
+        shared,
+        tokens: 120,
+        per_token_us: 52,
+        gap_ms: 300,
+    };
+    reads(PROMPT, &prompt);
+    writes(&prompt, PROMPT);
+    let moment = Moment { delay_ms: 3, unread: 80, ahead_ms: 5, is_trial: true };
+    reads(GRANTED, &Slot::Granted(moment));
+    writes(&Slot::Granted(moment), GRANTED);
+    reads(BUSY, &Slot::Busy { retry_ms: 12 });
+    writes(&Slot::Busy { retry_ms: 12 }, BUSY);
+}
+
+#[test]
+fn permits() {
+    let question = Question { upstream: upstream(), rate: 1.8, most_ms: 800 };
+    reads(QUESTION, &question);
+    writes(&question, QUESTION);
+    reads(DELAYED, &Answer::Granted { delay_ms: 500 });
+    writes(&Answer::Granted { delay_ms: 500 }, DELAYED);
+}
+
+/// A later build may say more: what this one does not know is passed over, with nothing of the rest lost.
+#[test]
+fn unknown_fields() {
+    #[derive(Serialize)]
+    struct LaterLimit {
+        n: Option<f64>,
+        a: u32,
+        until: &'static str,
+    }
+    #[derive(Serialize)]
+    struct LaterQuestion {
+        u: Incarnation,
+        n: f64,
+        w: u32,
+        urgency: Vec<u8>,
+    }
+    let limit = encode(&LaterLimit { n: None, a: 7, until: "noon" }).expect("it can be written");
+    assert_eq!(decode(&limit), Some(LimitRow { rate: None, age_ms: 7 }));
+    let question = LaterQuestion { u: upstream(), n: 0.5, w: 1, urgency: vec![1, 2] };
+    let question = encode(&question).expect("it can be written");
+    let read: Option<Question> = decode(&question);
+    assert_eq!(read, Some(Question { upstream: upstream(), rate: 0.5, most_ms: 1 }));
+}
