--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -119,6 +119,27 @@
     assert_eq!(sent(&actions, id).len(), 1, "{actions:?}");
 }
 
+/// Beside the one in need there is another that was full just now: it may take the request in a moment.
+#[test]
+fn other_turned_away() {
+    let mut host = host();
+    host.see("s-2", upstream("desk", 2, &[]));
+    let busy = Answer::Busy { retry_ms: 9_000 };
+    let (id, mut actions) = host.arrive(request("a", "check", None));
+    if asked(&actions).is_some() {
+        actions = answer(&mut host, &actions, busy);
+    }
+    assert_eq!(&*sent_to(&actions, id).id, "s-2");
+    let mut actions = host.end(id, AttemptEnd::Full);
+    actions.extend(host.pass(40));
+    if asked(&actions).is_some() {
+        actions = answer(&mut host, &actions, busy);
+    }
+    assert_eq!((asked(&actions), refusal(&actions, id)), (None, None));
+    let actions = host.pass(300);
+    assert_eq!(&*sent_to(&actions, id).id, "s-2", "{actions:?}");
+}
+
 /// What was chosen before the need was known is not sent into it.
 #[test]
 fn named_meanwhile() {
