fix: a request stands in line only where all that could take it are in need

What callers saw (by the decisions, other_turned_away): refused with the time of an upstream in need, though another one had turned them away just before and would take them after 60 ms. Cause: the nearest lack was taken for the only one; to be turned away ranks below a limit. Now those in need are counted against all that could take the request. The choice reads in shorter steps.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -48,11 +48,8 @@
     upstreams: impl Iterator<Item = (&'a Incarnation, &'a Upstream)>,
 ) -> Result<Choice, Shortage> {
     let mut shortage = Shortage { lack: Lack::Upstream, holders: 0 };
-    let mut best: Option<(f64, Choice)> = None;
-    let mut suspect: Option<(f64, Choice)> = None;
-    // Upstreams in need that have no moment for this host just now.
-    let mut limited: Option<(f64, Choice)> = None;
-    let mut usable = 0;
+    let (mut best, mut suspect, mut limited): (Cheapest, Cheapest, Cheapest) = Default::default();
+    let (mut usable, mut in_need) = (0, 0);
     for (id, upstream) in upstreams.filter(|(_, upstream)| upstream.takes_new(view.now)) {
         let lack = lack(view, request, id, upstream);
         shortage.holders += u32::from(!lack.is_some_and(Lack::is_missing));
@@ -61,29 +58,34 @@
             shortage.lack = shortage.lack.max(lack);
             continue;
         }
-        let is_limited = upstream.is_limited(view.now);
-        if is_limited {
-            shortage.lack = shortage.lack.max(Lack::Limit);
-        }
         let (cost, choice) = cost(view, request, id, upstream);
-        let wait_ms = upstream.limited_until.since(view.now) as f64;
-        let slot = match upstream.health.is_open(view.now) {
-            _ if is_limited => &mut limited,
-            true => &mut best,
-            false => &mut suspect,
-        };
-        let cost = if is_limited { wait_ms } else { cost };
-        if slot.as_ref().is_none_or(|(least, _)| cost < *least) {
-            *slot = Some((cost, choice));
+        if upstream.is_limited(view.now) {
+            shortage.lack = shortage.lack.max(Lack::Limit);
+            in_need += 1;
+            let wait_ms = upstream.limited_until.since(view.now) as f64;
+            offer(&mut limited, wait_ms, choice);
+        } else if upstream.health.is_open(view.now) {
+            offer(&mut best, cost, choice);
+        } else {
+            offer(&mut suspect, cost, choice);
         }
     }
-    // Where all that could take it are in need, the request waits in line for one of them.
-    let is_all_limited = shortage.lack == Lack::Limit && usable > 0;
-    let is_only = usable == 1;
     // The last one is never left out for being suspect.
-    let chosen = best.or(suspect).map(|(_, choice)| choice.waiting(is_only));
-    let in_line = || limited.filter(|_| is_all_limited).map(|(_, choice)| choice.waiting(true));
-    chosen.or_else(in_line).ok_or(shortage)
+    if let Some((_, choice)) = best.or(suspect) {
+        return Ok(choice.waiting(usable == 1));
+    }
+    // Where all that could take it are in need, the request waits in line for one of them.
+    let in_line = limited.filter(|_| in_need == usable);
+    in_line.map(|(_, choice)| choice.waiting(true)).ok_or(shortage)
+}
+
+/// The cheapest choice so far, with its cost.
+type Cheapest = Option<(f64, Choice)>;
+
+fn offer(cheapest: &mut Cheapest, cost: f64, choice: Choice) {
+    if cheapest.as_ref().is_none_or(|(least, _)| cost < *least) {
+        *cheapest = Some((cost, choice));
+    }
 }
 
 /// What keeps the request from going to an upstream that takes new ones, if anything does.
