fix: the end of a need is told for ten seconds, not for as long as answers come

Each answer of an upstream that had once been in need renewed the statement that it no longer is, so that hosts told it with their loads for ever: a row for each such upstream in each host's digest. Nothing is said now where no need is known to end. Test named_and_ended: red before, green now.

--- a/crates/limit/src/belief.rs
+++ b/crates/limit/src/belief.rs
@@ -40,11 +40,8 @@
     /// that a host reads late, since it stood still, are older than they look.
     pub fn answered(&mut self, now: Tick, sent: Tick, rate: Option<f64>) -> Option<News> {
         let named = self.newest.filter(|newest| newest.rate.is_some());
-        if rate.is_none() && named.is_some_and(|named| sent <= named.at) {
-            return None;
-        }
-        if rate.is_none() && self.newest.is_none() {
-            // Upstreams that never were in need are not worth a statement.
+        // Where no need is known to end, there is nothing to say either.
+        if rate.is_none() && named.is_none_or(|named| sent <= named.at) {
             return None;
         }
         let statement = Statement { rate, at: now };
--- a/crates/limit/tests/belief.rs
+++ b/crates/limit/tests/belief.rs
@@ -16,6 +16,10 @@
     assert_eq!(belief.rate(), Some(0.5));
     assert_eq!(belief.answered(START + 90, START + 60, None), Some(News::Ended));
     assert_eq!(belief.rate(), None);
+    let ended = START + 90;
+    belief.answered(ended + 9_000, ended + 8_900, None);
+    assert_eq!(belief.to_tell(ended + 9_900).map(|told| told.at), Some(ended), "told once");
+    assert_eq!(belief.to_tell(ended + 10_100), None, "and not for as long as answers come");
 }
 
 /// A host stood still: what it reads then was answered before the limit was named.
