test: one content ends many upstreams: all hosts lost, addresses that close or say nothing (red)

Symptom: a request under which three runners had ended was sent on, 7 and 12 times. The stand-in of a runner can end under a content now; callers under load are a module that two tests share (limits.rs: as before).

--- /dev/null
+++ b/tests/deadly.rs
@@ -0,0 +1,136 @@
+//! Requests under which upstreams end, with real processes: how many upstreams one content may end.
+//!
+//! One content ended 10 and 17 runners one after the other; what was known of it was kept by one host, and an end
+//! counted only where the runner's address refused connections. With three losses of all hosts eight runners ended
+//! under one content, and where a front went on taking connections for runners that had gone, all that it was sent to.
+
+mod gateway;
+
+use gateway::{
+    Deployment, Host, fronts,
+    load::{Seen, under_load},
+    wait_for,
+};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+use vanetally_platform_standin::{Client, Downtime, Vacancy};
+
+const DEADLY: &[u8] = b"deadly draft";
+/// Each so many requests one is deadly.
+const DEADLY_EVERY: u64 = 12;
+const ENGINES: usize = 6;
+const HOSTS: usize = 4;
+/// A runner is away for so long.
+const AWAY: Duration = Duration::from_millis(800);
+/// Three ends may be needed to know a content, and three more requests of it are borne.
+const MOST_ENDS: usize = 6;
+/// So long after the third end no more than three follow.
+const KNOWN: Duration = Duration::from_secs(4);
+const MOST_LATE: usize = 3;
+
+struct Site {
+    deployment: Deployment,
+    hosts: Vec<Host>,
+}
+
+impl Site {
+    fn start(vacancy: Vacancy) -> Self {
+        let mut deployment = Deployment::start();
+        (1..ENGINES).for_each(|_| deployment.add_engine());
+        let downtime = Downtime { length: AWAY, vacancy };
+        for engine in &deployment.engines {
+            engine.set_deadly(DEADLY, downtime, &deployment.store);
+        }
+        let hosts: Vec<Host> =
+            (0..HOSTS).map(|number| deployment.spawn(&format!("front-{number}"))).collect();
+        hosts.iter().for_each(|host| wait_for("the host is ready", || host.is_ready()));
+        Self { deployment, hosts }
+    }
+
+    /// Ends all hosts at once, and starts them again.
+    fn lose_hosts(&mut self) {
+        self.hosts.iter_mut().for_each(Host::kill);
+        let store = self.deployment.store.address();
+        for (number, host) in self.hosts.iter_mut().enumerate() {
+            let ip = host.front.ip().to_string();
+            *host = self.deployment.spawn_at(&format!("front-{number}"), &ip, store);
+        }
+        self.hosts.iter().for_each(|host| wait_for("the host is ready", || host.is_ready()));
+    }
+
+    /// When runners ended, in order.
+    fn ends(&self) -> Vec<Instant> {
+        let mut ends: Vec<Instant> =
+            self.deployment.engines.iter().flat_map(|engine| engine.ends()).collect();
+        ends.sort();
+        ends
+    }
+
+    fn assert_few_ends(&self) {
+        let ends = self.ends();
+        assert!(ends.len() >= 2, "{}: nothing was tried", ends.len());
+        assert!(ends.len() <= MOST_ENDS, "{} ended", ends.len());
+        if let Some(third) = ends.get(2) {
+            let late = ends.iter().filter(|end| **end > *third + KNOWN).count();
+            assert!(late <= MOST_LATE, "{late} late");
+        }
+    }
+}
+
+fn is_deadly(number: u64) -> bool {
+    number.is_multiple_of(DEADLY_EVERY)
+}
+
+fn offer(number: u64) -> Client {
+    let body = format!("draft {number}").into_bytes();
+    let body = if is_deadly(number) { DEADLY } else { &body };
+    let client = Client::new("POST", "/offer/1", &format!("r{number}")).with("X-Model", "m1");
+    client.body(body).deadline(3_000)
+}
+
+/// The share of other requests that were served.
+fn served(seen: &[Seen]) -> f64 {
+    let others: Vec<&Seen> = seen.iter().filter(|one| !is_deadly(one.number)).collect();
+    let served = others.iter().filter(|one| one.answer.status == 200 && one.answer.is_whole);
+    served.count() as f64 / others.len() as f64
+}
+
+/// Who keeps the evidence is lost with all others, three times.
+#[test]
+fn hosts_lost() {
+    let mut site = Site::start(Vacancy::Refused);
+    let fronts = fronts(&site.hosts);
+    under_load(&fronts, offer, 8, Duration::from_millis(50), || {
+        for _ in 0..3 {
+            thread::sleep(Duration::from_secs(3));
+            site.lose_hosts();
+        }
+        thread::sleep(Duration::from_secs(5));
+    });
+    site.assert_few_ends();
+}
+
+fn vacant_address(vacancy: Vacancy) {
+    let site = Site::start(vacancy);
+    let fronts = fronts(&site.hosts);
+    let seen = under_load(&fronts, offer, 8, Duration::from_millis(50), || {
+        thread::sleep(Duration::from_secs(15));
+    });
+    site.assert_few_ends();
+    let served = served(&seen);
+    assert!(served > 0.95, "{served} of {} were served", seen.len());
+}
+
+/// A front goes on taking connections for a runner that has gone, and closes them.
+#[test]
+fn fronted_address() {
+    vacant_address(Vacancy::Closed);
+}
+
+/// The address of a runner that has gone takes connections and says nothing.
+#[test]
+fn dark_address() {
+    vacant_address(Vacancy::Dark);
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -3,6 +3,8 @@
 // Not every test uses all of it.
 #![allow(dead_code)]
 
+pub mod load;
+
 use serde_json::{Value, json};
 use std::{
     net::SocketAddr,
@@ -49,6 +51,16 @@
 }
 
 impl Deployment {
+    /// One more engine that holds `m1`.
+    pub fn add_engine(&mut self) {
+        let id = format!("i-engine-{}", self.engines.len());
+        let options = RunnerOptions { id, service: "llm".into(), models: vec!["m1".into()] };
+        let engine = Runner::start(&fresh_ip(), options);
+        let (key, value) = engine.entry();
+        self.store.put(&key, &value);
+        self.engines.push(engine);
+    }
+
     /// A store with a configuration, one engine that holds `m1`, one plain service.
     pub fn start() -> Self {
         let ip = fresh_ip();
@@ -126,30 +138,44 @@
 
     /// The same, of another build of the program.
     pub fn spawn_build(&self, program: &Path, name: &str, ip: &str, store: SocketAddr) -> Host {
-        self.spawn_program(program, name, ip, &settings(name, ip, store))
+        self.spawn_program(program, name, ip, &settings(name, ip, store), &[])
     }
 
     /// Starts a host that may not use a key five seconds after it was taken away, and waits until it is ready.
     pub fn strict_host(&self, name: &str) -> Host {
+        self.strict_host_in(name, &[])
+    }
+
+    /// The same, with variables in its environment.
+    pub fn strict_host_in(&self, name: &str, variables: &[(&str, &Path)]) -> Host {
         let ip = fresh_ip();
         let mut settings = settings(name, &ip, self.store.address());
         settings["bounds"]["strict_revocation"] = true.into();
         settings["bounds"]["revoke_ms"] = 5_000.into();
-        let host = self.spawn_with(name, &ip, &settings);
+        let program = Path::new(env!("CARGO_BIN_EXE_vanetallyd"));
+        let host = self.spawn_program(program, name, &ip, &settings, variables);
         wait_for("the host is ready", || host.readiness() == 200);
         host
     }
 
     fn spawn_with(&self, name: &str, ip: &str, settings: &Value) -> Host {
-        self.spawn_program(Path::new(env!("CARGO_BIN_EXE_vanetallyd")), name, ip, settings)
+        self.spawn_program(Path::new(env!("CARGO_BIN_EXE_vanetallyd")), name, ip, settings, &[])
     }
 
-    fn spawn_program(&self, program: &Path, name: &str, ip: &str, settings: &Value) -> Host {
+    fn spawn_program(
+        &self,
+        program: &Path,
+        name: &str,
+        ip: &str,
+        settings: &Value,
+        variables: &[(&str, &Path)],
+    ) -> Host {
         let path = self.directory.path().join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("the settings can be written");
         let child = Command::new(program)
             .arg("gateway")
             .env("VANETALLY_CONFIG", &path)
+            .envs(variables.iter().copied())
             .stdout(log_file(&self.directory, name))
             .spawn()
             .expect("the program starts");
@@ -231,6 +257,11 @@
     (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
 }
 
+/// Where callers reach `hosts`.
+pub fn fronts(hosts: &[Host]) -> Vec<SocketAddr> {
+    hosts.iter().map(|host| host.front).collect()
+}
+
 /// A running host.
 pub struct Host {
     child: Child,
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -7,16 +7,17 @@
 
 mod gateway;
 
-use gateway::{Deployment, Host, fresh_ip, wait_for};
+use gateway::{
+    Deployment, Host, fronts,
+    load::{Seen, under_load},
+    wait_for,
+};
 use std::{
-    sync::{
-        Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, ClientAnswer, Runner, RunnerOptions, StoreMode};
+use vanetally_platform_standin::{Client, Runner, StoreMode};
 
 /// The window in which what arrives is counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -25,44 +26,6 @@
 /// A limit over all hosts lets one request go that waited, and one a little early.
 const SLACK: f64 = 2.0;
 
-/// What callers got, and when.
-#[derive(Debug)]
-struct Seen {
-    began: Instant,
-    took: Duration,
-    answer: ClientAnswer,
-}
-
-/// Calls all hosts in turn from several threads, each with a pause, until `scene` returns.
-fn under_load(
-    hosts: &[Host],
-    request: impl Fn(&str) -> Client + Sync,
-    callers: usize,
-    pause: Duration,
-    scene: impl FnOnce(),
-) -> Vec<Seen> {
-    let seen = Mutex::new(Vec::new());
-    let is_over = AtomicBool::new(false);
-    let next = AtomicU64::new(0);
-    let call = || {
-        while !is_over.load(Ordering::Relaxed) {
-            let number = next.fetch_add(1, Ordering::Relaxed);
-            let began = Instant::now();
-            let front = hosts[number as usize % hosts.len()].front;
-            let answer = request(&format!("r{number}")).send(front);
-            let one = Seen { began, took: began.elapsed(), answer };
-            seen.lock().expect("no thread panicked").push(one);
-            thread::sleep(pause);
-        }
-    };
-    thread::scope(|scope| {
-        (0..callers).for_each(|_| drop(scope.spawn(call)));
-        scene();
-        is_over.store(true, Ordering::Relaxed);
-    });
-    seen.into_inner().expect("no thread panicked")
-}
-
 /// The most requests that arrived within one window, from `since` on.
 fn most_in_window(runner: &Runner, since: Instant) -> usize {
     let arrivals: Vec<Instant> = runner.arrivals().into_iter().filter(|at| *at >= since).collect();
@@ -75,12 +38,15 @@
     runner.arrivals().iter().filter(|at| **at >= since).count()
 }
 
-fn offer(id: &str) -> Client {
-    Client::new("POST", "/offer/1", id).with("X-Model", "m1").body(b"draft").deadline(5_000)
+fn offer(number: u64) -> Client {
+    Client::new("POST", "/offer/1", &format!("r{number}"))
+        .with("X-Model", "m1")
+        .body(b"draft")
+        .deadline(5_000)
 }
 
-fn check(id: &str) -> Client {
-    Client::new("GET", "/check/1", id).deadline(5_000)
+fn check(number: u64) -> Client {
+    Client::new("GET", "/check/1", &format!("r{number}")).deadline(5_000)
 }
 
 /// Hosts of a deployment that know who grants.
@@ -94,27 +60,17 @@
     hosts
 }
 
-/// A second engine that holds the same model.
-fn second_engine(deployment: &mut Deployment) {
-    let options =
-        RunnerOptions { id: "i-engine-1".into(), service: "llm".into(), models: vec!["m1".into()] };
-    let engine = Runner::start(&fresh_ip(), options);
-    let (key, value) = engine.entry();
-    deployment.store.put(&key, &value);
-    deployment.engines.push(engine);
-}
-
 /// Six hosts, two engines with one model, one of them in need: it gets what it names in sum, and nearly all of that;
 /// the rest goes to the other one, and callers see nothing of it.
 #[test]
 fn limit_over_hosts() {
     let mut deployment = Deployment::start();
-    second_engine(&mut deployment);
+    deployment.add_engine();
     let hosts = hosts(&deployment, 6);
     let engine = deployment.engines[0].clone();
     engine.set_limit(Some("2.5"));
     let mut settled = Instant::now();
-    let seen = under_load(&hosts, offer, 8, Duration::from_millis(50), || {
+    let seen = under_load(&fronts(&hosts), offer, 8, Duration::from_millis(50), || {
         thread::sleep(SETTLED);
         settled = Instant::now();
         thread::sleep(2 * WINDOW);
@@ -138,7 +94,7 @@
     let desk = deployment.desks[0].clone();
     desk.set_limit(Some("0.5"));
     let (mut settled, mut ended) = (Instant::now(), Instant::now());
-    let seen = under_load(&hosts, check, 4, Duration::from_millis(50), || {
+    let seen = under_load(&fronts(&hosts), check, 4, Duration::from_millis(50), || {
         thread::sleep(SETTLED);
         settled = Instant::now();
         thread::sleep(2 * WINDOW);
@@ -170,7 +126,7 @@
     let hosts = hosts(&deployment, 2);
     for spoiled in ["nan", "-1", "", "1e-3", "0.5 a second"] {
         deployment.desks[0].set_limit(Some(spoiled));
-        let seen = under_load(&hosts, check, 2, Duration::from_millis(10), || {
+        let seen = under_load(&fronts(&hosts), check, 2, Duration::from_millis(10), || {
             thread::sleep(Duration::from_millis(500));
         });
         let failed: Vec<&Seen> = seen.iter().filter(|one| one.answer.status != 200).collect();
@@ -188,7 +144,7 @@
 /// deployment, the hosts, and the engine in need.
 fn engine_in_need() -> (Deployment, Vec<Host>, Runner) {
     let mut deployment = Deployment::start();
-    second_engine(&mut deployment);
+    deployment.add_engine();
     let hosts = hosts(&deployment, 6);
     let engine = deployment.engines[0].clone();
     engine.set_limit(Some("2.5"));
@@ -202,7 +158,7 @@
     let (_deployment, hosts, engine) = engine_in_need();
     let mut settled = Instant::now();
     let mut back = Instant::now();
-    under_load(&hosts, offer, 8, Duration::from_millis(50), || {
+    under_load(&fronts(&hosts), offer, 8, Duration::from_millis(50), || {
         thread::sleep(SETTLED);
         settled = Instant::now();
         let grantor = hosts.iter().find(|host| host.is_order_holder()).expect("one grants");
@@ -227,7 +183,7 @@
     let (deployment, hosts, engine) = engine_in_need();
     let mut settled = Instant::now();
     let mut late = Instant::now();
-    under_load(&hosts[..2], offer, 8, Duration::from_millis(50), || {
+    under_load(&fronts(&hosts[..2]), offer, 8, Duration::from_millis(50), || {
         thread::sleep(SETTLED);
         settled = Instant::now();
         deployment.store.set_mode(StoreMode::Silent);
@@ -248,13 +204,13 @@
 fn hosts_replaced() {
     let (deployment, mut hosts, engine) = engine_in_need();
     let mut settled = Instant::now();
-    let fronts: Vec<_> = hosts.iter().map(|host| host.front).collect();
+    let fronts = fronts(&hosts);
     let next = AtomicU64::new(0);
     let is_over = AtomicBool::new(false);
     let call = || {
         while !is_over.load(Ordering::Relaxed) {
             let number = next.fetch_add(1, Ordering::Relaxed);
-            offer(&format!("r{number}")).send(fronts[number as usize % fronts.len()]);
+            offer(number).send(fronts[number as usize % fronts.len()]);
             thread::sleep(Duration::from_millis(50));
         }
     };
