fix: ages, leases and windows count the time for which a machine was suspended

Callers saw: a key that had been taken away was honoured for 4.5 s after its host woke from a suspension of 8 s, with the store silent (bound: 5 s from the change, long over). Cause: the clock of all decisions was the standard one, which stands still in a suspension; what was 8.5 s old counted as 0.5 s. The class: each belief's age, not only that of keys: leases of orders and hosts, moments of the pacer and of limits, quotas, rests of kept connections, the deadline that runners are given. Mend: one clock (crates/clock, CLOCK_BOOTTIME) for all decisions, kept connections, pacing's questions and deadlines that are handed on, in the gateway and in the daemon; the gateway's lints deny the standard clocks. A host that stood still for a second asks the store anew at once, since its time-outs did not count. Why it holds: what is compared is what the kernel counts also while nothing runs, and the check stands at the moment of sending.

--- a/crates/daemon/src/board.rs
+++ b/crates/daemon/src/board.rs
@@ -5,8 +5,9 @@
         Arc, RwLock,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{SystemTime, UNIX_EPOCH},
 };
+use vanetally_clock::Clock;
 use vanetally_config::{Revision, Settings};
 use vanetally_types::{HostId, Tick};
 
@@ -22,34 +23,20 @@
     revision: RwLock<Arc<Revision>>,
 }
 
-/// Unix time that never jumps: read once at the start, then advanced by a monotonic clock.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
-    unix: u64,
-    started: Instant,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { unix: unix.as_millis() as u64, started: Instant::now() }
-    }
-
-    /// Unix milliseconds.
-    pub fn now(&self) -> Tick {
-        Tick(self.unix) + self.started.elapsed().as_millis() as u64
-    }
+/// Unix milliseconds: read once at the start, then advanced by a clock that never jumps.
+fn unix_now() -> Tick {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Tick(unix.as_millis() as u64)
 }
 
 impl Board {
     /// The board of a daemon that starts now: its incarnation is the time.
     pub fn new(settings: Settings) -> Self {
-        let clock = Clock::new();
+        let started = unix_now();
         Self {
-            me: HostId::new(settings.host.clone(), clock.unix),
+            me: HostId::new(settings.host.clone(), started.0),
             settings,
-            clock,
+            clock: Clock::starting_at(started),
             ready: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             watching: AtomicBool::new(false),
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -5,11 +5,11 @@
     quotas::Charge,
     telemetry,
 };
-use std::{rc::Rc, time::Instant};
+use std::rc::Rc;
 use tokio::sync::mpsc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event, RequestId};
 use vanetally_ports::{Refusal, RefusalCause};
-use vanetally_types::Name;
+use vanetally_types::{Name, Tick};
 
 /// What ends an attempt from this side.
 pub(crate) enum Interrupt {
@@ -42,13 +42,15 @@
     Refusal::may_have_run(RefusalCause::UpstreamFailed).into()
 }
 
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
 /// A request that has no whole answer yet. Dropped before its end, it tells that its caller left.
 pub(crate) struct Caller {
     pub hub: Rc<Hub>,
     pub id: RequestId,
     /// The caller's name for the request.
     pub name: Name,
-    pub arrived: Instant,
+    arrived: Tick,
     pub commands: mpsc::UnboundedReceiver<Command>,
     /// What it took of its organisation's quota.
     charge: Option<Charge>,
@@ -64,7 +66,18 @@
         commands: mpsc::UnboundedReceiver<Command>,
         charge: Option<Charge>,
     ) -> Self {
-        Self { hub, id, name, arrived: Instant::now(), commands, charge, is_over: false }
+        let arrived = hub.clock.now();
+        Self { hub, id, name, arrived, commands, charge, is_over: false }
+    }
+
+    /// Milliseconds since the request arrived.
+    fn age_ms(&self) -> u64 {
+        self.hub.clock.now().since(self.arrived)
+    }
+
+    /// The same in seconds, for metrics.
+    pub(crate) fn age_seconds(&self) -> f64 {
+        self.age_ms() as f64 / MILLIS_PER_SECOND
     }
 
     /// The request has its final answer.
@@ -87,7 +100,7 @@
                 attempt.upstream,
                 attempt.number,
                 end.as_str(),
-                self.arrived.elapsed().as_millis()
+                self.age_ms()
             );
         }
         self.hub.request_event(Event::AttemptEnded { id: self.id, end, answered });
@@ -128,7 +141,7 @@
             refusal.cause.as_str(),
             refusal.verdict,
             refusal.retry_after_ms.unwrap_or(0),
-            self.arrived.elapsed().as_millis()
+            self.age_ms()
         );
         self.finish();
     }
@@ -140,11 +153,7 @@
             return;
         }
         telemetry::caller_left();
-        log::info!(
-            "event=caller_left request={} after_ms={}",
-            self.name,
-            self.arrived.elapsed().as_millis()
-        );
+        log::info!("event=caller_left request={} after_ms={}", self.name, self.age_ms());
         self.hub.forget(self.id);
         self.hub.request_event(Event::CallerLeft { id: self.id });
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -182,7 +182,7 @@
     }
     let end = if is_success { AttemptEnd::Served } else { AttemptEnd::Failed };
     caller.attempt_ended(attempt, end, true);
-    telemetry::answered(caller.arrived.elapsed().as_secs_f64());
+    telemetry::answered(caller.age_seconds());
     caller.finish();
     Whole::Final(response)
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -1,8 +1,17 @@
 //! Where events meet decisions, and actions become calls and messages.
 
 use crate::{
-    clock::Clock, feed::Feed, judging, limits::Limits, pacing::Pacing, peers::HostEntry,
-    pool::Pool, quotas::Quotas, settings::Settings, store::Store, telemetry,
+    clock::{self, Clock},
+    feed::Feed,
+    judging,
+    limits::Limits,
+    pacing::Pacing,
+    peers::HostEntry,
+    pool::Pool,
+    quotas::Quotas,
+    settings::Settings,
+    store::Store,
+    telemetry,
 };
 use bytes::Bytes;
 use std::{
@@ -142,11 +151,11 @@
         };
         let placement =
             placement::Options { holder: settings.host.clone(), window_ms: bounds.load_window_ms };
-        let clock = Clock::start();
+        let clock = Clock::starting_at(clock::ORIGIN);
         Rc::new(Self {
             clock,
-            pool: Pool::default(),
-            control: Pool::default(),
+            pool: Pool::new(clock),
+            control: Pool::new(clock),
             store: Store::new(&settings.store, bounds.contact_ms, ports.store.clone(), clock),
             stage: watch::Sender::new(Stage::Serving),
             host_lease: Cell::new(None),
@@ -280,6 +289,7 @@
         if self.versions.borrow().is_newest(bytes) {
             return;
         }
+        #[expect(clippy::disallowed_methods, reason = "a span of work, for the log")]
         let begun = Instant::now();
         let configuration = match self.ports.configuration.read(bytes) {
             Ok(configuration) => Rc::new(configuration),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //! `vanetally-placement`, on one thread.
 //!
 //! What a deployment speaks comes in through the ports; this crate knows none of its names.
-#![deny(missing_docs, unsafe_code)]
+#![deny(missing_docs, unsafe_code, clippy::disallowed_methods)]
 
 mod answer;
 mod call;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -4,15 +4,15 @@
     hub::Hub,
     peers::{HostEntry, PeerMessage, Total},
 };
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc};
 use vanetally_dispatch::{self as dispatch, Digest};
 use vanetally_fanout::{Event as FollowEvent, Source, telling_ms};
 use vanetally_placement::{self as placement, DemandSample};
 use vanetally_ports::{ModelRef, Revision};
 use vanetally_types::Name;
 
-/// Hosts tell each other their load this often, where they are few.
-const DIGEST: Duration = Duration::from_millis(50);
+/// Hosts tell each other their load this often, where they are few, in milliseconds.
+const DIGEST_MS: u64 = 50;
 
 impl Hub {
     /// Another host told something.
@@ -189,17 +189,17 @@
         self.request_event(dispatch::Event::PeerGone { host });
     }
 
-    /// How often this host tells its load.
-    pub(crate) fn digest_interval(&self) -> Duration {
+    /// Milliseconds between two tellings of this host's load.
+    pub(crate) fn digest_ms(&self) -> u64 {
         if !self.is_fleet() {
-            return DIGEST;
+            return DIGEST_MS;
         }
         let peers = self.peers.borrow();
         let near = peers.values().filter(|entry| entry.domain == self.settings.domain).count();
         let gatherer = self.gatherer.borrow();
         let gatherer = gatherer.as_ref().and_then(|host| peers.get(host));
         let capacity = gatherer.map_or(self.settings.capacity, |entry| entry.capacity);
-        Duration::from_millis(telling_ms(near, capacity))
+        telling_ms(near, capacity)
     }
 
     /// Tells other hosts this one's load.
--- a/crates/gateway/src/pacing.rs
+++ b/crates/gateway/src/pacing.rs
@@ -1,13 +1,13 @@
 //! Asking pacers for the moments of prompts, and answering as one.
 
 use crate::{hub::Hub, peers::PeerMessage};
-use std::{collections::HashMap, rc::Rc, time::Duration, time::Instant};
+use std::{collections::HashMap, rc::Rc};
 use vanetally_dispatch::{self as dispatch, RequestId};
 use vanetally_pacing::{Pacer, Pacers, Prompt, Slot, Turn};
-use vanetally_types::{Incarnation, Name};
+use vanetally_types::{Incarnation, Name, Tick};
 
-/// For a pacer to answer: after that this host decides alone.
-const ANSWER: Duration = Duration::from_millis(40);
+/// For a pacer to answer, in milliseconds: after that this host decides alone.
+const ANSWER_MS: u64 = 40;
 
 /// A question that another host has not answered.
 struct Question {
@@ -15,7 +15,7 @@
     turn: u32,
     prompt: Prompt,
     host: Name,
-    asked: Instant,
+    asked: Tick,
 }
 
 /// This host's part in pacing.
@@ -61,8 +61,8 @@
     }
 
     /// Takes out the questions that were not answered in time.
-    fn take_unanswered(&mut self) -> Vec<Question> {
-        let late = self.questions.extract_if(|_, question| question.asked.elapsed() > ANSWER);
+    fn take_unanswered(&mut self, now: Tick) -> Vec<Question> {
+        let late = self.questions.extract_if(|_, question| now.since(question.asked) > ANSWER_MS);
         late.map(|(_, question)| question).collect()
     }
 }
@@ -75,7 +75,7 @@
         if host == self.settings.host {
             return self.reserve_here(id, turn, &prompt);
         }
-        let question = Question { id, turn, prompt: prompt.clone(), host, asked: Instant::now() };
+        let question = Question { id, turn, prompt: prompt.clone(), host, asked: now };
         let host = question.host.clone();
         let number = self.pacing.borrow_mut().ask(question);
         self.send(&host, &PeerMessage::Reserve { number, prompt });
@@ -127,13 +127,13 @@
     /// Decides alone what pacers did not answer.
     pub(crate) fn check_pacers(self: &Rc<Self>) {
         let now = self.clock.now();
-        let unanswered = self.pacing.borrow_mut().take_unanswered();
+        let unanswered = self.pacing.borrow_mut().take_unanswered(now);
         for question in unanswered {
             log::info!(
                 "event=pacer_silent host={} upstream={} after_ms={}",
                 question.host,
                 question.prompt.upstream,
-                question.asked.elapsed().as_millis()
+                now.since(question.asked)
             );
             self.pacing.borrow_mut().pacers.note_silent(now, &question.host);
             self.reserve_here(question.id, question.turn, &question.prompt);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,5 +1,6 @@
 //! Connections to upstreams, kept between requests.
 
+use crate::clock::Clock;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -10,9 +11,10 @@
     io,
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 use vanetally_link::socket;
+use vanetally_types::Tick;
 
 /// A connection that carries no request now.
 pub(crate) struct Connection {
@@ -26,7 +28,7 @@
 
 struct Idle {
     connection: Connection,
-    until: Instant,
+    until: Tick,
 }
 
 #[derive(Default)]
@@ -38,9 +40,10 @@
 type Shelves = Rc<RefCell<HashMap<SocketAddr, Shelf>>>;
 
 /// All kept connections, by address.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Pool {
     shelves: Shelves,
+    clock: Clock,
 }
 
 /// One open connection at an address.
@@ -80,6 +83,11 @@
 const REST_MARGIN: Duration = Duration::from_millis(700);
 
 impl Pool {
+    /// No connections.
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self { shelves: Shelves::default(), clock }
+    }
+
     /// A connection to `address`: a kept one, or a new one if fewer than `most` are open.
     pub(crate) async fn get(&self, address: SocketAddr, most: usize) -> Result<Connection, Error> {
         if let Some(kept) = self.kept(address) {
@@ -113,7 +121,7 @@
     }
 
     fn kept(&self, address: SocketAddr) -> Option<Connection> {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut stale = Vec::new();
         let mut found = None;
         {
@@ -138,7 +146,7 @@
             return;
         }
         connection.is_used = true;
-        let idle = Idle { until: Instant::now() + rest, connection };
+        let idle = Idle { until: self.clock.now() + rest.as_millis() as u64, connection };
         let mut shelves = self.shelves.borrow_mut();
         if let Some(shelf) = shelves.get_mut(&idle.connection.address) {
             shelf.idle.push_back(idle);
@@ -147,7 +155,7 @@
 
     /// Closes what has rested too long or was closed by its peer.
     pub(crate) fn sweep(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut stale = Vec::new();
         {
             let mut shelves = self.shelves.borrow_mut();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,11 +13,12 @@
 use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::mpsc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event};
-use vanetally_types::Name;
+use vanetally_types::{Name, Tick};
 
+const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// Pieces that may wait for a slow caller.
 const WAITING_PIECES: usize = 4;
 
@@ -82,7 +83,7 @@
                     self.caller.attempt_ended(&self.attempt, end, true);
                     self.note_pauses();
                     self.caller.hub.pool.put(source.connection, source.rest);
-                    telemetry::answered(self.caller.arrived.elapsed().as_secs_f64());
+                    telemetry::answered(self.caller.age_seconds());
                     self.caller.finish();
                     return;
                 }
@@ -133,9 +134,9 @@
 
     /// Passes one piece on; tells whether the caller is still there.
     async fn pass(&mut self, frame: Frame<Bytes>) -> bool {
-        if self.pauses.note_piece(Instant::now()) {
+        if self.pauses.note_piece(self.caller.hub.clock.now()) {
             self.caller.hub.request_event(Event::FirstPiece { id: self.caller.id });
-            telemetry::first_piece(self.caller.arrived.elapsed().as_secs_f64());
+            telemetry::first_piece(self.caller.age_seconds());
         }
         let frame = match (&mut self.events, frame.into_data()) {
             (Some(events), Ok(data)) => {
@@ -207,9 +208,9 @@
 
     /// Tells how evenly the stream came: one with too long a pause is late, whole as it is.
     fn note_pauses(&self) {
-        let longest = self.pauses.longest;
-        telemetry::longest_pause(longest.as_secs_f64());
-        let is_late = longest.as_millis() as u64 > self.attempt.gap_ms;
+        let longest_ms = self.pauses.longest_ms;
+        telemetry::longest_pause(longest_ms as f64 / MILLIS_PER_SECOND);
+        let is_late = longest_ms > self.attempt.gap_ms;
         let level = if is_late { log::Level::Info } else { log::Level::Debug };
         log::log!(
             level,
@@ -218,7 +219,7 @@
             self.attempt.upstream,
             self.attempt.number,
             self.pauses.pieces,
-            longest.as_millis(),
+            longest_ms,
             self.attempt.gap_ms
         );
     }
@@ -234,17 +235,17 @@
 #[derive(Default)]
 struct Pauses {
     pieces: u32,
-    last: Option<Instant>,
-    longest: Duration,
+    last: Option<Tick>,
+    longest_ms: u64,
 }
 
 impl Pauses {
     /// A piece came; tells whether it is the first one.
-    fn note_piece(&mut self, now: Instant) -> bool {
+    fn note_piece(&mut self, now: Tick) -> bool {
         let last = self.last.replace(now);
         self.pieces += 1;
         if let Some(last) = last {
-            self.longest = self.longest.max(now - last);
+            self.longest_ms = self.longest_ms.max(now.since(last));
         }
         last.is_none()
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -25,7 +25,7 @@
     signal::unix::{SignalKind, signal},
     sync::mpsc,
     task::{LocalSet, spawn_local},
-    time::{Instant, interval, sleep, sleep_until},
+    time::{interval, sleep},
 };
 use vanetally_link::peer::{self, Links};
 use vanetally_placement::TenureEvent;
@@ -34,10 +34,10 @@
 
 /// Time passes for the decisions this often.
 const TICK: Duration = Duration::from_millis(20);
-/// Housekeeping.
-const UPKEEP: Duration = Duration::from_secs(1);
-/// Between two log lines on the calls to the store.
-const LOG_CALLS: Duration = Duration::from_secs(5);
+/// Housekeeping, in milliseconds.
+const UPKEEP_MS: u64 = 1_000;
+/// Between two log lines on the calls to the store, in milliseconds.
+const LOG_CALLS_MS: u64 = 5_000;
 /// Largest message between hosts, in bytes.
 const MOST_MESSAGE: usize = 4 << 20;
 /// Connections that may wait to be accepted.
@@ -181,23 +181,24 @@
 async fn keep_time(hub: Rc<Hub>, status: Rc<Status>) {
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let (mut digest_at, mut upkeep_at) = (Instant::now(), Instant::now());
-    let mut calls_at = Instant::now() + LOG_CALLS;
+    let started = hub.clock.now();
+    let (mut digest_at, mut upkeep_at) = (started, started);
+    let mut calls_at = started + LOG_CALLS_MS;
     loop {
         tick.tick().await;
         hub.tick();
-        let now = Instant::now();
+        let now = hub.clock.now();
         if now >= digest_at {
-            digest_at = now + hub.digest_interval();
+            digest_at = now + hub.digest_ms();
             hub.tell_load();
         }
         if now >= upkeep_at {
-            upkeep_at = now + UPKEEP;
+            upkeep_at = now + UPKEEP_MS;
             hub.upkeep();
             status.metrics.run_upkeep();
         }
         if now >= calls_at {
-            calls_at = now + LOG_CALLS;
+            calls_at = now + LOG_CALLS_MS;
             hub.store.log_calls();
         }
     }
@@ -233,17 +234,18 @@
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let begun = Instant::now();
-    let grace = Duration::from_millis(hub.settings.bounds.grace_ms);
+    let begun = hub.clock.now();
+    let after = |share: f64| begun + (hub.settings.bounds.grace_ms as f64 * share) as u64;
     log::info!("event=stop_begun open_requests={}", hub.open_requests());
     hub.stage.send_replace(Stage::Leaving);
     hub.request_event(vanetally_dispatch::Event::Stopping);
     hub.tenure_event(TenureEvent::Stop);
-    sleep_until(begun + grace.mul_f64(CLOSE_SHARE)).await;
+    while hub.clock.now() < after(CLOSE_SHARE) {
+        sleep(TICK).await;
+    }
     hub.stage.send_replace(Stage::Closing);
     spawn_local(end_host_lease(hub.clone()));
-    let end = begun + grace.mul_f64(END_SHARE);
-    while hub.open_requests() > 0 && Instant::now() < end {
+    while hub.open_requests() > 0 && hub.clock.now() < after(END_SHARE) {
         sleep(TICK).await;
     }
     log::info!("event=stop_ended open_requests={}", hub.open_requests());
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -11,10 +11,7 @@
 };
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 use vanetally_dispatch::{Attempt, AttemptEnd, Event, RequestId};
 use vanetally_ports::{AnswerKind, AttemptHead, StatedLimit};
 use vanetally_types::{Name, Tick};
@@ -59,17 +56,18 @@
 
 /// Sends the request at the moment that was found for it.
 pub(crate) async fn ask_in_time(sending: Sending<'_>) -> Asked {
-    let chosen = Instant::now();
-    let delay = Duration::from_millis(sending.attempt.delay_ms.into());
+    let chosen = sending.hub.clock.now();
+    let delay_ms = u64::from(sending.attempt.delay_ms);
+    let delay = Duration::from_millis(delay_ms);
     if !delay.is_zero() {
         tokio::time::sleep(delay).await;
     }
-    ask(sending, chosen + delay).await
+    ask(sending, chosen + delay_ms).await
 }
 
 /// Sends the request once, and reads the head of the answer. The attempt's deadline counts from
 /// `planned`.
-async fn ask(sending: Sending<'_>, planned: Instant) -> Asked {
+async fn ask(sending: Sending<'_>, planned: Tick) -> Asked {
     let Sending { hub, name, attempt, .. } = sending;
     let sent = hub.clock.now();
     let (connection, response) = match send(sending, planned).await {
@@ -145,7 +143,7 @@
 
 async fn send(
     sending: Sending<'_>,
-    planned: Instant,
+    planned: Tick,
 ) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
     let Sending { hub, attempt, .. } = sending;
     let (address, most) = (attempt.address, attempt.connections);
@@ -188,10 +186,10 @@
     AttemptEnd::Unreachable
 }
 
-fn upstream_request(sending: Sending<'_>, planned: Instant) -> Request<Full<Bytes>> {
+fn upstream_request(sending: Sending<'_>, planned: Tick) -> Request<Full<Bytes>> {
     let Sending { hub, outgoing, attempt, .. } = sending;
     // Making a connection took some of the time.
-    let spent_ms = planned.elapsed().as_millis() as u64;
+    let spent_ms = hub.clock.now().since(planned);
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.parts.method.clone();
     if let Some(path) = outgoing.parts.uri.path_and_query() {
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -15,6 +15,9 @@
 /// This long between two ticks means that the process did not run, in milliseconds. A host with an eighth of a
 /// processor is held back for up to a tenth of a second at a time.
 const STALL_MS: u64 = 250;
+/// A process that did not run for this long, in milliseconds, asks the store anew: the answers that it waits for may
+/// have been lost with their connections, and its time-outs have not counted a suspension.
+const DOUBT_MS: u64 = 1_000;
 
 impl Hub {
     /// Tells the choice of a source what happened, and does what it says.
@@ -31,6 +34,9 @@
             log::warn!("event=host_stalled gap_ms={gap_ms}");
             self.follow_at(now, Event::Stalled);
         }
+        if gap_ms > DOUBT_MS {
+            self.store.begin_anew();
+        }
         self.follow_at(now, Event::Tick);
     }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -72,7 +72,7 @@
         clock: Clock,
     ) -> Self {
         Self {
-            pool: Pool::default(),
+            pool: Pool::new(clock),
             address: settings.address,
             protocol,
             clock,
@@ -102,6 +102,11 @@
         self.returns.subscribe()
     }
 
+    /// Makes the calls anew that hang now.
+    pub(crate) fn begin_anew(&self) {
+        self.returns.send_modify(|count| *count += 1);
+    }
+
     /// Whether to send a probe now; other hosts may rest on what this one knows.
     pub(crate) fn should_probe(&self, is_relied_on: bool) -> bool {
         self.contact.borrow_mut().should_probe(self.clock.now(), is_relied_on)
@@ -111,7 +116,7 @@
     /// repeated only much later.
     pub(crate) async fn probe(&self, key: &str) -> bool {
         let request = self.protocol.probe(key);
-        let reply = self.call_on(&Pool::default(), "probe", request, CALL).await;
+        let reply = self.call_on(&Pool::new(self.clock), "probe", request, CALL).await;
         reply.is_ok_and(|reply| !is_refusal(reply.status))
     }
 
@@ -141,7 +146,7 @@
             contact.failed(sent);
         } else if contact.answered(sent, now) {
             log::info!("event=store_returned silent_ms={silent_ms}");
-            self.returns.send_modify(|count| *count += 1);
+            self.begin_anew();
         }
     }
 
