fix: an upstream's end is known by several signs, and a content is sent one at a time while it is looked for them

Callers saw: their requests cut off by runner after runner, since a request under which each of them ends was sent on: 86 in 15 s where a front takes connections for runners that have gone, 69 where their addresses say nothing. Cause: one sign counted, a refused connection; everything else was taken for a cut way and forgotten. Its class: a belief with one source that can be missing. Beside it: an answer of any age cleared a content for ever and deleted the evidence against it, and a host that had been told of a content that it had answered told all hosts again, as did the next one. Mend: a look asks the upstream itself (its report; elsewhere whether its address keeps a connection). While a host looks, it sends no second request of that content; an upstream that shows no life is ejected there. Evidence is kept at two hosts and at the one that found it, not at one. An answer speaks for a content if it came after the first end under it. Why it holds: none of the signs alone, nor a cut way (two silent upstreams), quarantines anything; the third upstream at the latest does, whatever its address does. Names: evidence, suspicion, quarantine, release in place of judge, accusation, sentence, acquittal; messages of earlier builds are read as before, the new one is dropped by them. Tests of decisions give each request a content of its own.

--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -13,7 +13,7 @@
     ModelRef, ModelSpec, Organisation, Report, RequestKind, Revision, Route, Service, Target,
     UpstreamState,
 };
-use vanetally_quarantine::Sentence;
+use vanetally_quarantine::Quarantine;
 use vanetally_types::{Incarnation, Name, Tick};
 
 const NOW: Tick = Tick(1_000_000);
@@ -173,8 +173,8 @@
             Configuration { version: 2, organisations: Some(organisations), ..(*plain).clone() };
         dispatch.handle(NOW, Event::Configured(Rc::new(keyed)));
         for content in 1..=KEPT_BACK {
-            let sentence = Sentence { content, for_ms: 60_000, ended: 2 };
-            dispatch.handle(NOW, Event::Sentenced(sentence));
+            let quarantine = Quarantine { content, for_ms: 60_000, ended: 2, age_ms: None };
+            dispatch.handle(NOW, Event::Quarantined(quarantine));
         }
         let mut number = 0;
         group.bench_function(BenchmarkId::from_parameter(runners), |b| {
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -6,7 +6,8 @@
     sending::WANT_AGAIN_MS,
 };
 use vanetally_ports::{Refusal, RefusalCause, RequestKind};
-use vanetally_types::{Tick, Verdict};
+use vanetally_quarantine::{Content, Sign};
+use vanetally_types::{Incarnation, Tick, Verdict};
 
 /// An upstream that was full is left alone for this long, in milliseconds.
 const FULL_MS: u64 = 60;
@@ -25,6 +26,10 @@
 const MOST_SENDINGS: u32 = 4;
 /// Least time left for a sending to make sense, in milliseconds.
 const LEAST_LEFT_MS: u64 = 20;
+/// A content is not sent while it is looked at what an attempt of it left behind, in milliseconds: at most.
+const DOUBT_MS: u64 = 600;
+/// A host that keeps the evidence has said what it thinks of a sign within this time, in milliseconds.
+const VERDICT_MS: u64 = 100;
 /// When to come back if nothing better is known, in milliseconds.
 pub(crate) const RETRY_MS: u64 = 500;
 /// A host knows a configuration this long after its start, in milliseconds: 0.27 to 0.55 s where all of 295 hosts
@@ -78,7 +83,7 @@
         }
         self.learn_end(now, &request, &sending, end);
         self.tell_end(&request, &sending, end, actions);
-        self.weigh_content(&request, &sending, end, actions);
+        self.weigh_content(now, &request, &sending, end, actions);
         match end {
             AttemptEnd::Served => return,
             // The upstream's own failure went to the caller, unless it may be tried again.
@@ -114,6 +119,7 @@
     /// An attempt that broke off speaks against its content, unless such requests are answered elsewhere.
     fn weigh_content(
         &mut self,
+        now: Tick,
         request: &Request,
         sending: &Sending,
         end: AttemptEnd,
@@ -121,17 +127,49 @@
     ) {
         let content = request.content;
         match end {
-            AttemptEnd::Served => self.held.answered(content),
-            AttemptEnd::Broken if !self.held.was_answered(content) => {
+            AttemptEnd::Served => self.held.answered(now, content),
+            AttemptEnd::Broken if !self.held.was_just_answered(now, content) => {
                 let upstream = sending.upstream.clone();
-                let address = self.upstreams.get(&upstream).map(|known| known.state.address);
-                let accuse = |address| Action::Accuse { content, upstream, address };
-                actions.extend(address.map(accuse));
+                let Some(known) = self.upstreams.get(&upstream) else {
+                    return;
+                };
+                let is_repeated = request.route.kind == RequestKind::Idempotent;
+                let is_common = is_repeated || self.held.was_answered(content);
+                if !is_common {
+                    self.held.doubt(now, content, DOUBT_MS);
+                }
+                actions.push(Action::LookAt {
+                    upstream,
+                    address: known.state.address,
+                    is_engine: self.is_engine(&request.service),
+                    content,
+                    is_common,
+                });
             }
             _ => {}
         }
     }
 
+    /// Somebody looked whether an upstream lives: one that shows no life gets nothing for a while.
+    pub(crate) fn looked_at(
+        &mut self,
+        now: Tick,
+        upstream: &Incarnation,
+        contents: &[Content],
+        sign: Option<Sign>,
+    ) {
+        if sign.is_none() {
+            return contents.iter().for_each(|content| self.held.trust(*content));
+        }
+        let doubted = contents.iter().filter(|content| self.held.is_doubted(now, **content));
+        for content in doubted.copied().collect::<Vec<_>>() {
+            self.held.doubt(now, content, VERDICT_MS);
+        }
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.health.doubt(now);
+        }
+    }
+
     fn learn_end(&mut self, now: Tick, request: &Request, sending: &Sending, end: AttemptEnd) {
         if end == AttemptEnd::Served && !self.is_engine(&request.service) {
             let answers = self.answers.entry(request.service.clone()).or_default();
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -5,7 +5,7 @@
 use vanetally_limit::{Answer as Permit, News, Question};
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_ports::{CallerRequest, Configuration, ModelRef, Origin, Refusal, UpstreamState};
-use vanetally_quarantine::{Content, Sentence};
+use vanetally_quarantine::{Content, Quarantine, Sign};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// A request in this process.
@@ -79,8 +79,17 @@
     Configured(Rc<Configuration>),
     /// The configuration in force was the newest at this moment, by the store's word.
     Confirmed(Tick),
-    /// A content was found to end upstreams.
-    Sentenced(Sentence),
+    /// A content was found to end upstreams, or not to.
+    Quarantined(Quarantine),
+    /// It was looked whether an upstream lives at which attempts had broken off.
+    LookedAt {
+        /// The upstream's incarnation.
+        upstream: Incarnation,
+        /// The contents of these attempts.
+        contents: Vec<Content>,
+        /// The sign of its end; none if it lives.
+        sign: Option<Sign>,
+    },
     /// An upstream announced itself, or changed what it announces.
     UpstreamSeen {
         /// Its incarnation.
@@ -314,14 +323,18 @@
         /// The host that told it; none if this one heard it.
         by: Option<Name>,
     },
-    /// An attempt broke off: if its upstream has ended, the judge of its content has to know.
-    Accuse {
-        /// The content.
-        content: Content,
+    /// An attempt broke off: look whether its upstream lives. If not, that speaks against the content.
+    LookAt {
         /// The upstream's incarnation.
         upstream: Incarnation,
         /// Where it listened.
         address: SocketAddr,
+        /// Whether it is an engine, which reports when asked.
+        is_engine: bool,
+        /// The content.
+        content: Content,
+        /// Whether many callers send this content.
+        is_common: bool,
     },
     /// Note how well the first piece was predicted.
     Predicted {
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -69,6 +69,13 @@
         true
     }
 
+    /// It shows no life: it is ejected, if it is not yet.
+    pub fn doubt(&mut self, now: Tick) {
+        if self.ejected_until.is_none() {
+            self.eject(now);
+        }
+    }
+
     fn eject(&mut self, now: Tick) {
         let length = EJECT_MS << self.ejections.min(MOST_DOUBLINGS);
         self.ejections += 1;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -21,7 +21,7 @@
 use vanetally_ports::{
     CallerRequest, Configuration, ModelRef, Refusal, RefusalCause, Route, UpstreamState,
 };
-use vanetally_quarantine::{Content, Held, Sentence};
+use vanetally_quarantine::{Content, Held};
 use vanetally_types::{Incarnation, Name, Tick, Verdict};
 
 /// All decisions about requests of one host.
@@ -88,9 +88,6 @@
     pub limited: usize,
 }
 
-/// A sentence that ends so much later than the one that is known is another one, in milliseconds: the same one
-/// comes by several ways.
-const NEWS_MS: u64 = 5_000;
 /// A planned stop takes requests for this share of its time.
 const STOP_SHARE: f64 = 0.3;
 pub(crate) const MICROS_PER_MILLI: f64 = 1_000.0;
@@ -127,8 +124,11 @@
         match event {
             Event::Configured(configuration) => self.configure(configuration),
             Event::Confirmed(at) => self.confirmed = self.confirmed.max(Some(at)),
-            Event::Sentenced(sentence) => {
-                self.held.hold(now, sentence);
+            Event::Quarantined(quarantine) => {
+                self.held.hold(now, quarantine);
+            }
+            Event::LookedAt { upstream, contents, sign } => {
+                self.looked_at(now, &upstream, &contents, sign);
             }
             Event::UpstreamSeen { id, state } => self.upstream_seen(now, id, state),
             Event::UpstreamUnreadable { id } => {
@@ -201,23 +201,9 @@
         knows && self.stopping_since.is_none() && self.serves_keys(now)
     }
 
-    /// Whether a request of this content was answered here lately.
-    pub fn was_answered(&self, content: Content) -> bool {
-        self.held.was_answered(content)
-    }
-
-    /// Whether a sentence says more than what is known.
-    pub fn is_news(&self, now: Tick, sentence: &Sentence) -> bool {
-        let known = self.held.rest_ms(now, sentence.content);
-        if sentence.for_ms == 0 {
-            return known.is_some();
-        }
-        known.is_none_or(|rest_ms| rest_ms + NEWS_MS < sentence.for_ms)
-    }
-
-    /// The contents that are kept back, for a host that starts.
-    pub fn sentences(&self, now: Tick) -> Vec<Sentence> {
-        self.held.sentences(now)
+    /// The contents that are kept back.
+    pub fn held(&self) -> &Held {
+        &self.held
     }
 
     /// Figures for metrics.
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -64,7 +64,7 @@
             return actions.push(Action::Refuse { id, refusal, standing });
         }
         let subject = request.head.model.clone();
-        if now < request.not_before {
+        if now < request.not_before || self.held.is_doubted(now, request.content) {
             return;
         }
         if let Some(shortage) = lacking.get(&subject).copied() {
@@ -236,6 +236,9 @@
         let Stage::Sent(sending) = &request.stage else {
             return false;
         };
+        if self.held.is_doubted(now, request.content) {
+            return false;
+        }
         let Some(upstream) = self.upstreams.get(&sending.upstream) else {
             return false;
         };
--- a/crates/dispatch/tests/deadly.rs
+++ b/crates/dispatch/tests/deadly.rs
@@ -5,11 +5,12 @@
 use support::{Host, START, refusal, request, route, sent, upstream};
 use vanetally_dispatch::{Action, AttemptEnd, Event, RequestId};
 use vanetally_ports::{RefusalCause, RequestKind};
-use vanetally_quarantine::{Judge, Sentence};
+use vanetally_quarantine::{Evidence, Quarantine, Sign, Suspicion};
 use vanetally_types::{Tick, Verdict};
 
 const CONTENT: u64 = 7;
-const SENTENCE: Sentence = Sentence { content: CONTENT, for_ms: 60_000, ended: 2 };
+const QUARANTINE: Quarantine =
+    Quarantine { content: CONTENT, for_ms: 60_000, ended: 2, age_ms: None };
 
 fn host() -> Host {
     let mut host = Host::new(vec![route("offer", RequestKind::Stream, "llm")]);
@@ -31,11 +32,11 @@
 /// `event=attempt_ended request=04f1.. upstream=i-9046ff59e0 number=1 end=broken answered=true after_ms=4732`
 /// (of 9 to 66 requests that were there, by all hosts; only one content was the same each time).
 ///
-/// Replayed with two hosts and the judge: how many upstreams does it end?
+/// Replayed with two hosts and one that keeps the evidence: how many upstreams does it end?
 #[test]
 fn same_content_again() {
     let mut hosts = [host(), host()];
-    let mut judge = Judge::default();
+    let mut evidence = Evidence::default();
     let mut ended = 0;
     for round in 0..25 {
         let now = START + round * 800;
@@ -51,18 +52,19 @@
         ended += 1;
         let actions =
             host.tell(Event::AttemptEnded { id, end: AttemptEnd::Broken, answered: true });
-        let accused = actions.iter().find_map(|action| match action {
-            Action::Accuse { content, upstream, .. } => Some((*content, upstream.clone())),
+        let suspect = actions.iter().find_map(|action| match action {
+            Action::LookAt { content, upstream, .. } => Some((*content, upstream.clone())),
             _ => None,
         });
-        let (content, upstream) = accused.expect("the judge hears of it");
+        let (content, upstream) = suspect.expect("its upstream is looked at");
         assert_eq!((content, &upstream), (CONTENT, &attempt.upstream));
         // Its next life announces itself under another incarnation.
         for host in &mut hosts {
             host.tell(Event::UpstreamGone { id: upstream.clone() });
         }
-        if let Some(sentence) = judge.ended(now, content, upstream) {
-            hosts.iter_mut().for_each(|host| drop(host.tell(Event::Sentenced(sentence))));
+        let suspicion = Suspicion { content, upstream, sign: Sign::Ended, is_common: false };
+        if let Some(quarantine) = evidence.add(now, suspicion) {
+            hosts.iter_mut().for_each(|host| drop(host.tell(Event::Quarantined(quarantine))));
         }
     }
     assert_eq!(ended, 2, "of 25 requests");
@@ -71,7 +73,7 @@
 #[test]
 fn others_go_on() {
     let mut host = host();
-    host.tell(Event::Sentenced(SENTENCE));
+    host.tell(Event::Quarantined(QUARANTINE));
     let (id, actions) = arrive(&mut host, 1, CONTENT + 1);
     assert_eq!(sent(&actions, id).len(), 1);
 }
@@ -80,7 +82,7 @@
 fn waiting_request() {
     let mut host = Host::new(vec![route("offer", RequestKind::Stream, "llm")]);
     let (id, _) = arrive(&mut host, 1, CONTENT);
-    let actions = host.tell(Event::Sentenced(SENTENCE));
+    let actions = host.tell(Event::Quarantined(QUARANTINE));
     assert_eq!(refusal(&actions, id).map(|r| r.cause), Some(RefusalCause::Quarantined));
 }
 
@@ -89,15 +91,15 @@
     let mut host = host();
     let (id, _) = arrive(&mut host, 1, CONTENT);
     assert!(host.dispatch.may_send(host.now, id));
-    host.tell(Event::Sentenced(SENTENCE));
+    host.tell(Event::Quarantined(QUARANTINE));
     assert!(!host.dispatch.may_send(host.now, id));
 }
 
 #[test]
 fn after_its_time() {
     let mut host = host();
-    host.tell(Event::Sentenced(SENTENCE));
-    host.now = Tick(host.now.0 + SENTENCE.for_ms + 1);
+    host.tell(Event::Quarantined(QUARANTINE));
+    host.now = Tick(host.now.0 + QUARANTINE.for_ms + 1);
     let (id, actions) = arrive(&mut host, 1, CONTENT);
     assert_eq!(sent(&actions, id).len(), 1, "it is tried again");
 }
@@ -110,9 +112,44 @@
     host.tell(Event::AttemptEnded { id, end: AttemptEnd::Served, answered: true });
     let (id, _) = arrive(&mut host, 2, CONTENT);
     let actions = host.tell(Event::AttemptEnded { id, end: AttemptEnd::Broken, answered: true });
-    let accuses = |action: &Action| matches!(action, Action::Accuse { .. });
-    assert!(!actions.iter().any(accuses), "{actions:?}");
-    host.tell(Event::Sentenced(SENTENCE));
+    let looks = |action: &Action| matches!(action, Action::LookAt { .. });
+    assert!(!actions.iter().any(looks), "{actions:?}");
+    host.tell(Event::Quarantined(QUARANTINE));
     let (id, actions) = arrive(&mut host, 3, CONTENT);
     assert_eq!(sent(&actions, id).len(), 1);
 }
+
+/// While it is looked whether the upstream of a broken attempt lives, no second request of the content goes: at four
+/// hosts the first one alone would end four runners.
+#[test]
+fn one_at_a_time() {
+    let mut host = host();
+    let (id, _) = arrive(&mut host, 1, CONTENT);
+    let actions = host.tell(Event::AttemptEnded { id, end: AttemptEnd::Broken, answered: true });
+    let upstream = actions.iter().find_map(|action| match action {
+        Action::LookAt { upstream, .. } => Some(upstream.clone()),
+        _ => None,
+    });
+    let upstream = upstream.expect("its upstream is looked at");
+    let (second, actions) = arrive(&mut host, 2, CONTENT);
+    assert!(sent(&actions, second).is_empty() && refusal(&actions, second).is_none());
+    let (other, actions) = arrive(&mut host, 3, CONTENT + 1);
+    assert_eq!(sent(&actions, other).len(), 1, "others go on");
+    let looked = Event::LookedAt { upstream, contents: vec![CONTENT], sign: None };
+    let actions = host.tell(looked);
+    assert_eq!(sent(&actions, second).len(), 1, "it lives: nothing speaks against the content");
+}
+
+/// An upstream that shows no life gets nothing while others are there.
+#[test]
+fn silent_upstream() {
+    let mut host = host();
+    let upstream: vanetally_types::Incarnation = "i-1".into();
+    let looked =
+        Event::LookedAt { upstream: upstream.clone(), contents: vec![], sign: Some(Sign::Silent) };
+    host.tell(looked);
+    for number in 0..7 {
+        let (id, actions) = arrive(&mut host, number, 1_000 + number);
+        assert!(sent(&actions, id).iter().all(|attempt| attempt.upstream != upstream));
+    }
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -165,7 +165,7 @@
     pub fn arrive(&mut self, request: CallerRequest) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next);
         self.next += 1;
-        (id, self.tell(Event::Arrived { id, request, content: 0 }))
+        (id, self.tell(Event::Arrived { id, request, content: id.0 }))
     }
 
     /// An attempt ends before any of its answer went out.
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -3,11 +3,11 @@
 use crate::{
     clock::{self, Clock},
     feed::Feed,
-    judging,
     limits::Limits,
     pacing::Pacing,
     peers::HostEntry,
     pool::Pool,
+    quarantine::{Looks, Suspect},
     quotas::Quotas,
     settings::Settings,
     store::Store,
@@ -29,7 +29,7 @@
 use vanetally_link::peer::Links;
 use vanetally_placement::{self as placement, Placement, Tenure, TenureEvent, TenureOptions};
 use vanetally_ports::{Configuration, Ports, Refusal, UpstreamState};
-use vanetally_quarantine::{Content, Judge};
+use vanetally_quarantine::{Content, Evidence};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// What the decisions tell a request.
@@ -117,8 +117,9 @@
     pub freshness: RefCell<Freshness>,
     pub quotas: RefCell<Quotas>,
     pub limits: RefCell<Limits>,
-    /// Evidence against the contents that this host judges.
-    pub judge: RefCell<Judge>,
+    /// Evidence against contents.
+    pub evidence: RefCell<Evidence>,
+    pub looks: RefCell<Looks>,
     pub totals: RefCell<Totals>,
     /// How often this host, as an aggregator, tells the sum of all loads.
     pub sum_spacing: RefCell<Spacing>,
@@ -186,7 +187,8 @@
             freshness: RefCell::default(),
             quotas: RefCell::new(Quotas::new(bounds.quota, rand::random())),
             limits: RefCell::new(Limits::new(rand::random())),
-            judge: RefCell::default(),
+            evidence: RefCell::default(),
+            looks: RefCell::default(),
             totals: RefCell::default(),
             sum_spacing: RefCell::new(Spacing::new(settings.link_bytes)),
             settings,
@@ -235,13 +237,8 @@
                     self.want(service, subject, is_crowded);
                 }
                 dispatch::Action::Tell { upstream, is_good } => self.tell_pacer(upstream, is_good),
-                dispatch::Action::Accuse { content, upstream, address } => {
-                    tokio::task::spawn_local(judging::look_and_accuse(
-                        self.clone(),
-                        content,
-                        upstream,
-                        address,
-                    ));
+                dispatch::Action::LookAt { upstream, address, is_engine, content, is_common } => {
+                    self.look_at(Suspect { upstream, address, is_engine }, content, is_common);
                 }
                 dispatch::Action::Permit { id, turn, question } => {
                     tokio::task::spawn_local(self.clone().permit(id, turn, question));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,7 +16,6 @@
 mod headers;
 mod hosts;
 mod hub;
-mod judging;
 mod limits;
 mod load;
 /// Log lines on standard output that never block the caller.
@@ -25,6 +24,7 @@
 mod pacing;
 mod peers;
 mod pool;
+mod quarantine;
 mod questions;
 mod quotas;
 mod reader;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -9,6 +9,7 @@
 use vanetally_fanout::{Event as FollowEvent, Source, telling_ms};
 use vanetally_placement::{self as placement, DemandSample};
 use vanetally_ports::{ModelRef, Revision};
+use vanetally_quarantine::{Sign, Suspicion};
 use vanetally_types::Name;
 
 /// Hosts tell each other their load this often, where they are few, in milliseconds.
@@ -70,9 +71,13 @@
                 self.limits.borrow_mut().grantor.give_back(&upstream, rate);
             }
             PeerMessage::Follows => self.followed_by(from),
-            PeerMessage::Accuse { content, upstream } => self.judge(content, upstream),
-            PeerMessage::Acquit(content) => self.acquit(content),
-            PeerMessage::Sentenced(sentences) => self.sentenced(from, sentences),
+            PeerMessage::Accuse { content, upstream } => {
+                let sign = Sign::Ended;
+                self.weigh(from, Suspicion { content, upstream, sign, is_common: false });
+            }
+            PeerMessage::Suspect(suspicion) => self.weigh(from, suspicion),
+            PeerMessage::Clear(content) => self.clear(content),
+            PeerMessage::Quarantined(quarantines) => self.quarantined(from, quarantines),
             PeerMessage::AskConfiguration { have } => self.tell_configuration(from, have),
             PeerMessage::Configuration(patch) => self.take_configuration(from, &patch),
         }
@@ -148,7 +153,7 @@
     ) {
         self.introduced(from, entry);
         self.send(from, &PeerMessage::Word(self.word()));
-        self.tell_sentences(from);
+        self.tell_quarantines(from);
         if self.is_leaving() {
             return;
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_placement::TenureEvent;
 use vanetally_ports::{Change, Item, LeaseId, Revision, StoreAnswer, Transaction, Write};
-use vanetally_quarantine::{Content, Sentence};
+use vanetally_quarantine::{Content, Quarantine, Suspicion};
 use vanetally_quota::Answer;
 use vanetally_types::{Incarnation, Name, Tick};
 
@@ -197,17 +197,21 @@
     },
     /// To the last grantor, while the store is away: the sender asks it and nobody else.
     Follows,
-    /// To the judge of a content: an attempt of it broke off.
+    /// To those that keep the evidence of a content, from hosts of earlier builds: an upstream ended under it.
     Accuse {
         /// The content.
         content: Content,
         /// The upstream's incarnation.
         upstream: Incarnation,
     },
-    /// To the judge of a content: a request of it was answered whole.
-    Acquit(Content),
-    /// Contents that must not be sent.
-    Sentenced(Vec<Sentence>),
+    /// To those that keep the evidence of a content: an upstream showed a sign of its end under it.
+    Suspect(Suspicion),
+    /// To those that keep the evidence of a content: a request of it was answered whole.
+    #[serde(rename = "Acquit")]
+    Clear(Content),
+    /// Contents that must not be sent, or may be sent again.
+    #[serde(rename = "Sentenced")]
+    Quarantined(Vec<Quarantine>),
     /// The sender asks for the configuration.
     AskConfiguration {
         /// The version that it has.
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,221 @@
+//! Contents under which upstreams end: looking for signs, keeping evidence, telling all hosts and the store.
+
+use crate::{
+    call,
+    hub::Hub,
+    peers::PeerMessage,
+    pool::{self, Pool},
+    telemetry,
+};
+use http::StatusCode;
+use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::timeout;
+use vanetally_dispatch as dispatch;
+use vanetally_link::socket;
+use vanetally_quarantine::{Content, Quarantine, Sign, Suspicion};
+use vanetally_types::{Incarnation, Name, rendezvous_rank};
+
+/// For an upstream that lives to say so.
+const LOOK: Duration = Duration::from_millis(400);
+/// A front whose upstream has gone closes a connection within this time.
+const CLOSED: Duration = Duration::from_millis(60);
+/// Hosts that keep the evidence of a content beside those that found it: the loss of one is not the loss of it.
+const KEEPERS: usize = 2;
+/// An upstream at which attempts broke off.
+pub(crate) struct Suspect {
+    pub upstream: Incarnation,
+    pub address: SocketAddr,
+    /// Whether it reports when asked.
+    pub is_engine: bool,
+}
+
+/// The contents of the attempts that broke off at an upstream, and whether many callers send each, while it is looked
+/// whether it lives: one look is enough for all.
+pub(crate) type Looks = HashMap<Incarnation, HashMap<Content, bool>>;
+
+/// Looks whether an upstream lives. An answer that breaks off shows no end: a way that was cut, or an answer that was
+/// spoiled, looks the same.
+async fn look(hub: &Hub, suspect: &Suspect) -> Option<Sign> {
+    if !suspect.is_engine {
+        return look_at_address(suspect.address).await;
+    }
+    let request = hub.ports.engine.report_request(&suspect.upstream);
+    let reply = call::call(&Pool::new(hub.clock), suspect.address, request, LOOK).await;
+    match reply {
+        Ok(reply) if reply.status == StatusCode::MISDIRECTED_REQUEST => Some(Sign::Ended),
+        Ok(reply) => {
+            let report = hub.ports.engine.read_report(&reply.body).ok();
+            let born = report.and_then(|report| report.born);
+            let is_other = born.is_some() && suspect.upstream.born.is_some();
+            (is_other && born != suspect.upstream.born).then_some(Sign::Ended)
+        }
+        Err(call::Error::NotSent(pool::Error::Connect(error))) => Some(sign_of(&error)),
+        Err(_) => Some(Sign::Silent),
+    }
+}
+
+/// The same where nobody reports: whether its address takes a connection and keeps it.
+async fn look_at_address(address: SocketAddr) -> Option<Sign> {
+    match timeout(LOOK, socket::connect(address)).await {
+        Ok(Ok(stream)) => {
+            let closed = timeout(CLOSED, stream.peek(&mut [0])).await;
+            let is_closed = matches!(closed, Ok(Ok(0) | Err(_)));
+            is_closed.then_some(Sign::Silent)
+        }
+        Ok(Err(error)) => Some(sign_of(&error)),
+        Err(_) => Some(Sign::Silent),
+    }
+}
+
+fn sign_of(error: &std::io::Error) -> Sign {
+    if error.kind() == ErrorKind::ConnectionRefused { Sign::Ended } else { Sign::Silent }
+}
+
+impl Hub {
+    /// An attempt of a content broke off: looks whether its upstream lives, and tells the decisions and those that keep
+    /// the evidence.
+    pub(crate) fn look_at(self: &Rc<Self>, suspect: Suspect, content: Content, is_common: bool) {
+        let mut looks = self.looks.borrow_mut();
+        let is_open = looks.contains_key(&suspect.upstream);
+        looks.entry(suspect.upstream.clone()).or_default().insert(content, is_common);
+        if is_open {
+            return;
+        }
+        let hub = self.clone();
+        tokio::task::spawn_local(async move {
+            let sign = look(&hub, &suspect).await;
+            hub.looked(suspect.upstream, sign);
+        });
+    }
+
+    fn looked(self: &Rc<Self>, upstream: Incarnation, sign: Option<Sign>) {
+        let contents = self.looks.borrow_mut().remove(&upstream).unwrap_or_default();
+        telemetry::looked(sign);
+        log::info!(
+            "event=upstream_looked_at upstream={upstream} sign={} contents={}",
+            sign.map_or("none", Sign::as_str),
+            contents.len()
+        );
+        if let Some(sign) = sign {
+            for (content, is_common) in &contents {
+                let (content, is_common) = (*content, *is_common);
+                let upstream = upstream.clone();
+                self.suspect(Suspicion { content, upstream, sign, is_common });
+            }
+        }
+        let contents = contents.into_keys().collect();
+        self.request_event(dispatch::Event::LookedAt { upstream, contents, sign });
+    }
+
+    /// Weighs a suspicion here, and tells the others that keep the evidence.
+    fn suspect(self: &Rc<Self>, suspicion: Suspicion) {
+        let message = PeerMessage::Suspect(suspicion.clone());
+        self.send_all(self.keepers(suspicion.content).iter(), &message);
+        self.weigh(&self.settings.host.clone(), suspicion);
+    }
+
+    /// The other hosts that keep the evidence of a content.
+    fn keepers(&self, content: Content) -> Vec<Name> {
+        let peers = self.peers.borrow();
+        let others = peers.keys().filter(|host| **host != self.settings.host);
+        rendezvous_rank(content, others).into_iter().take(KEEPERS).cloned().collect()
+    }
+
+    /// Weighs what `from` found at an upstream.
+    pub(crate) fn weigh(self: &Rc<Self>, from: &Name, suspicion: Suspicion) {
+        let Suspicion { content, ref upstream, sign, is_common } = suspicion;
+        log::debug!(
+            "event=content_suspected content={content:016x} upstream={upstream} sign={} common={is_common} from={from}",
+            sign.as_str()
+        );
+        let upstream = upstream.clone();
+        let quarantine = self.evidence.borrow_mut().add(self.clock.now(), suspicion);
+        let Some(quarantine) = quarantine else {
+            return;
+        };
+        log::warn!(
+            "event=content_quarantined content={content:016x} upstream={upstream} sign={} ended={} for_ms={} age_ms={}",
+            sign.as_str(),
+            quarantine.ended,
+            quarantine.for_ms,
+            quarantine.age_ms.unwrap_or(0)
+        );
+        telemetry::quarantined();
+        self.quarantined(&self.settings.host.clone(), vec![quarantine]);
+    }
+
+    /// Whether a content is kept back here.
+    fn holds(&self, content: Content) -> bool {
+        self.dispatch.borrow().held().rest_ms(self.clock.now(), content).is_some()
+    }
+
+    /// A request of a content was answered whole after an upstream had ended under it.
+    pub(crate) fn clear(self: &Rc<Self>, content: Content) {
+        let was_quarantined = self.evidence.borrow_mut().clear(content);
+        if was_quarantined || self.holds(content) {
+            log::info!("event=content_released content={content:016x}");
+            let release = Quarantine::release(content);
+            self.quarantined(&self.settings.host.clone(), vec![release]);
+        }
+    }
+
+    /// Takes in quarantines, and passes those on that are news and hold here.
+    pub(crate) fn quarantined(self: &Rc<Self>, from: &Name, quarantines: Vec<Quarantine>) {
+        let held = quarantines.into_iter().filter(|one| self.take_quarantine(from, *one));
+        let held: Vec<Quarantine> = held.collect();
+        if !held.is_empty() {
+            self.spread(from, &PeerMessage::Quarantined(held));
+        }
+    }
+
+    /// Takes in a quarantine; tells whether it is news that holds here. Where its content was answered after the first
+    /// end, those that keep the evidence hear of it instead.
+    fn take_quarantine(self: &Rc<Self>, from: &Name, quarantine: Quarantine) -> bool {
+        let now = self.clock.now();
+        let Quarantine { content, for_ms, ended, .. } = quarantine;
+        if !self.dispatch.borrow().held().is_news(now, &quarantine) {
+            return false;
+        }
+        let is_innocent =
+            !quarantine.is_release() && self.dispatch.borrow().held().is_innocent(now, &quarantine);
+        log::info!(
+            "event=content_held content={content:016x} ended={ended} for_ms={for_ms} answered_here={is_innocent} from={from}"
+        );
+        if is_innocent {
+            self.send_all(self.keepers(content).iter(), &PeerMessage::Clear(content));
+            self.clear(content);
+            return false;
+        }
+        if quarantine.is_release() {
+            self.evidence.borrow_mut().clear(content);
+        }
+        self.request_event(dispatch::Event::Quarantined(quarantine));
+        true
+    }
+
+    /// Tells the hosts that this one hears from and those that hear from it, but not `from`.
+    fn spread(&self, from: &Name, message: &PeerMessage) {
+        if !self.is_fleet() {
+            return self.broadcast(message);
+        }
+        let mut hosts = self.sum_readers();
+        {
+            let totals = self.totals.borrow();
+            hosts.extend(totals.subscribers().chain(totals.listeners()).cloned());
+        }
+        if let vanetally_fanout::Source::Host(host) = &*self.source.borrow() {
+            hosts.insert(host.clone());
+        }
+        hosts.remove(from);
+        hosts.remove(&self.settings.host);
+        self.send_all(hosts.iter(), message);
+    }
+
+    /// Tells a host that starts what is kept back.
+    pub(crate) fn tell_quarantines(&self, host: &Name) {
+        let quarantines = self.dispatch.borrow().held().quarantines(self.clock.now());
+        if !quarantines.is_empty() {
+            self.send(host, &PeerMessage::Quarantined(quarantines));
+        }
+    }
+}
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -7,6 +7,7 @@
 use vanetally_limit::{Answer, News};
 use vanetally_link::peer::Traffic;
 use vanetally_ports::{AnnouncementError, OrderOutcome, RefusalCause};
+use vanetally_quarantine::Sign;
 
 /// Bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 14] =
@@ -44,9 +45,15 @@
     counter!("vanetally_refusals_total", "cause" => cause.as_str(), "lack" => lack).increment(1);
 }
 
+/// It was looked whether an upstream lives at which attempts had broken off.
+pub(crate) fn looked(sign: Option<Sign>) {
+    let sign = sign.map_or("none", Sign::as_str);
+    counter!("vanetally_upstream_looks_total", "sign" => sign).increment(1);
+}
+
 /// A content was found to end upstreams.
-pub(crate) fn sentenced() {
-    counter!("vanetally_contents_sentenced_total").increment(1);
+pub(crate) fn quarantined() {
+    counter!("vanetally_contents_quarantined_total").increment(1);
 }
 
 /// An upstream named another limit, or none any more.
--- a/crates/quarantine/src/held.rs
+++ b/crates/quarantine/src/held.rs
@@ -1,6 +1,6 @@
 //! The contents that one host keeps back.
 
-use crate::{Content, Sentence};
+use crate::{Content, Quarantine};
 use std::collections::{HashMap, VecDeque};
 use vanetally_types::Tick;
 
@@ -8,52 +8,114 @@
 #[derive(Clone, Debug, Default)]
 pub struct Held {
     until: HashMap<Content, (Tick, u32)>,
-    /// The last contents that were answered whole, oldest first.
-    answered: VecDeque<Content>,
+    /// Contents that are not sent while it is looked at what an attempt of them left behind, and until when.
+    doubted: HashMap<Content, Tick>,
+    /// The last contents that were answered whole and when, oldest first.
+    answered: VecDeque<(Content, Tick)>,
 }
 
 /// Contents that are kept back at once; beyond that those whose time is over soonest go.
 const MOST_HELD: usize = 4_096;
+/// Contents that are doubted at once; beyond that none are added.
+const MOST_DOUBTED: usize = 1_024;
 /// Contents that are remembered as answered: those that come again and again are among them.
 const MOST_ANSWERED: usize = 256;
 /// Upstreams that have to end under a content that was answered here before it is kept back all the same.
 const ENOUGH_DESPITE: u32 = 4;
+/// One that was answered here within this time is no suspect, in milliseconds.
+const INNOCENT_MS: u64 = 3_000;
+/// A quarantine that ends so much later than the one that is known is another one, in milliseconds: the same one
+/// comes by several ways.
+const NEWS_MS: u64 = 5_000;
 
 impl Held {
-    /// Takes in a sentence; tells whether it is news.
+    /// Takes in a quarantine; tells whether it is in force here.
     ///
-    /// One for no time frees the content. What was answered here lately was a bystander, unless upstreams go on ending under it.
-    pub fn hold(&mut self, now: Tick, sentence: Sentence) -> bool {
-        if sentence.for_ms == 0 {
-            return self.until.remove(&sentence.content).is_some();
+    /// One for no time releases the content. What was answered here is a bystander, see [`Held::is_innocent`].
+    pub fn hold(&mut self, now: Tick, quarantine: Quarantine) -> bool {
+        let Quarantine { content, for_ms, ended, .. } = quarantine;
+        if quarantine.is_release() {
+            self.doubted.remove(&content);
+            return self.until.remove(&content).is_some();
         }
-        let known = self.until.get(&sentence.content);
-        let is_known = known.is_some_and(|(_, ended)| *ended >= sentence.ended);
-        let is_bystander = sentence.ended < ENOUGH_DESPITE && self.was_answered(sentence.content);
-        if is_known || is_bystander {
+        let known = self.until.get(&content);
+        let is_known = known.is_some_and(|(_, known)| *known >= ended);
+        if is_known || self.is_innocent(now, &quarantine) {
             return false;
         }
         if self.until.len() >= MOST_HELD {
             self.make_room(now);
         }
-        self.until.insert(sentence.content, (now + sentence.for_ms, sentence.ended));
+        self.until.insert(content, (now + for_ms, ended));
         true
     }
 
+    /// Whether a quarantine says more than what is known.
+    pub fn is_news(&self, now: Tick, quarantine: &Quarantine) -> bool {
+        let known = self.rest_ms(now, quarantine.content);
+        if quarantine.is_release() {
+            return known.is_some();
+        }
+        known.is_none_or(|rest_ms| rest_ms + NEWS_MS < quarantine.for_ms)
+    }
+
+    /// Whether what was answered here speaks for the content: it was answered after the first upstream had ended under
+    /// it, or, where that is not told, at all, and few have ended.
+    pub fn is_innocent(&self, now: Tick, quarantine: &Quarantine) -> bool {
+        let Some(answered) = self.last_answer(quarantine.content) else {
+            return false;
+        };
+        match quarantine.age_ms {
+            Some(age_ms) => now.since(answered) < age_ms,
+            None => quarantine.ended < ENOUGH_DESPITE,
+        }
+    }
+
     /// A request of this content was answered whole.
-    pub fn answered(&mut self, content: Content) {
-        if self.was_answered(content) {
+    pub fn answered(&mut self, now: Tick, content: Content) {
+        self.doubted.remove(&content);
+        if let Some(known) = self.answered.iter_mut().find(|(known, _)| *known == content) {
+            known.1 = now;
             return;
         }
-        self.answered.push_back(content);
+        self.answered.push_back((content, now));
         if self.answered.len() > MOST_ANSWERED {
             self.answered.pop_front();
         }
     }
 
-    /// Whether a request of this content was answered whole lately.
+    /// Whether a request of this content was answered whole here, lately or before.
     pub fn was_answered(&self, content: Content) -> bool {
-        self.answered.contains(&content)
+        self.last_answer(content).is_some()
+    }
+
+    /// Whether it was answered just before.
+    pub fn was_just_answered(&self, now: Tick, content: Content) -> bool {
+        self.last_answer(content).is_some_and(|at| now.since(at) <= INNOCENT_MS)
+    }
+
+    fn last_answer(&self, content: Content) -> Option<Tick> {
+        let known = self.answered.iter().find(|(known, _)| *known == content);
+        known.map(|(_, at)| *at)
+    }
+
+    /// The content is not sent for `for_ms`: an attempt of it broke off, and more of them would end more upstreams
+    /// before the first end is known.
+    pub fn doubt(&mut self, now: Tick, content: Content, for_ms: u64) {
+        self.doubted.retain(|_, until| *until > now);
+        if self.doubted.len() < MOST_DOUBTED || self.doubted.contains_key(&content) {
+            self.doubted.insert(content, now + for_ms);
+        }
+    }
+
+    /// The doubt is over.
+    pub fn trust(&mut self, content: Content) {
+        self.doubted.remove(&content);
+    }
+
+    /// Whether the content is not sent just now.
+    pub fn is_doubted(&self, now: Tick, content: Content) -> bool {
+        self.doubted.get(&content).is_some_and(|until| *until > now)
     }
 
     /// Milliseconds for which the content must not be sent.
@@ -64,13 +126,19 @@
     }
 
     /// All that is kept back, for a host that starts.
-    pub fn sentences(&self, now: Tick) -> Vec<Sentence> {
-        let all = self.until.iter().map(|(content, (until, ended))| Sentence {
+    pub fn quarantines(&self, now: Tick) -> Vec<Quarantine> {
+        let all = self.until.iter().map(|(content, (until, ended))| Quarantine {
             content: *content,
             for_ms: until.since(now),
             ended: *ended,
+            age_ms: None,
         });
-        all.filter(|sentence| sentence.for_ms > 0).collect()
+        all.filter(|quarantine| !quarantine.is_release()).collect()
+    }
+
+    /// How many contents are kept back.
+    pub fn len(&self, now: Tick) -> usize {
+        self.until.values().filter(|(until, _)| *until > now).count()
     }
 
     fn make_room(&mut self, now: Tick) {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,15 +1,17 @@
 //! Requests under which upstreams end: which contents are not sent any more.
 //!
-//! A request whose attempt broke off is evidence against its content, kept at one host for each content, the
-//! judge. A content under which several upstreams ended, and none answered, is kept from all upstreams; all
-//! hosts hear of it. State machines only: no clock, no socket.
+//! A request whose attempt broke off is evidence against its content where its upstream shows signs of its end. A few
+//! hosts keep the evidence of each content. One under which several upstreams ended, and none answered, is kept from
+//! all upstreams: all hosts hear of it, and it outlives them. State machines only: no clock, no socket.
 #![deny(missing_docs, unsafe_code)]
 
+mod evidence;
 mod held;
-mod judge;
+mod quarantine;
 
+pub use evidence::{Evidence, Sign, Suspicion};
 pub use held::Held;
-pub use judge::{Judge, Sentence};
+pub use quarantine::Quarantine;
 
 /// Identifies the content of requests: method, path and body.
 pub type Content = u64;
--- a/tests/deadly.rs
+++ b/tests/deadly.rs
@@ -1,8 +1,12 @@
 //! Requests under which upstreams end, with real processes: how many upstreams one content may end.
 //!
-//! One content ended 10 and 17 runners one after the other; what was known of it was kept by one host, and an end
-//! counted only where the runner's address refused connections. With three losses of all hosts eight runners ended
-//! under one content, and where a front went on taking connections for runners that had gone, all that it was sent to.
+//! One content ended 10 and 17 runners one after the other. An end counted only where the runner's address refused
+//! connections: where a front went on taking them, or the address went silent, nothing was ever known against the content
+//! and it ended all that it was sent to, 86 and 69 in 15 s. Now a look asks who answers at the address, and what it finds is
+//! weighed:
+//!
+//! `event=upstream_looked_at upstream=i-engine-4@1750000000000 sign=silent contents=1`
+//! `event=content_quarantined content=e2c651d4b1fb57d9 upstream=i-engine-4@1750000000000 sign=silent ended=3 for_ms=60000 age_ms=621`
 
 mod gateway;
 
