fix: the store keeps the quarantine of a content, so that it outlives all hosts

Cause: evidence and quarantines lay in the memories of hosts alone. Its class: a belief with one kind of keeper, which can be lost as a whole. Mend: who quarantines a content writes vanetally/contents/HEX (what for_ms and how many ended) under a lease as long as the quarantine, ten minutes at most; hosts follow these keys with all others and read them before they serve. A release removes the key. Written rarely: two calls for each quarantine and each host that keeps its evidence (three at most), 16 at once a host; read with the prefix that is read anyway. Why it holds: a host that starts knows a configuration only after it has read the product's keys. What is old does no harm: it keeps one content back for a minute. Left: the evidence of a first end is not kept by the store; a loss of all hosts between two ends costs one more end.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -120,6 +120,8 @@
     /// Evidence against contents.
     pub evidence: RefCell<Evidence>,
     pub looks: RefCell<Looks>,
+    /// Quarantines that are being written to the store.
+    pub writes: Cell<usize>,
     pub totals: RefCell<Totals>,
     /// How often this host, as an aggregator, tells the sum of all loads.
     pub sum_spacing: RefCell<Spacing>,
@@ -189,6 +191,7 @@
             limits: RefCell::new(Limits::new(rand::random())),
             evidence: RefCell::default(),
             looks: RefCell::default(),
+            writes: Cell::new(0),
             totals: RefCell::default(),
             sum_spacing: RefCell::new(Spacing::new(settings.link_bytes)),
             settings,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,7 @@
 use crate::{
     feed::{PrefixChanges, PrefixSync},
     hub::Hub,
+    quarantine::is_quarantine,
     tenure::HOLDER_KEY,
     watch::Follower,
 };
@@ -290,6 +291,8 @@
     fn replaced(&self, snapshot: crate::store::Snapshot) {
         let hosts = snapshot.items.iter().filter_map(entry).collect();
         self.hub.set_peers(hosts);
+        let quarantines = snapshot.items.iter().filter(|item| is_quarantine(&item.key));
+        quarantines.for_each(|item| self.hub.kept_quarantine(item));
         let holder = snapshot.items.iter().find(|item| &*item.key == HOLDER_KEY);
         self.hub.holder_seen(holder.and_then(holder_name));
     }
@@ -299,6 +302,7 @@
             Change::Put(item) if &*item.key == HOLDER_KEY => {
                 self.hub.holder_seen(holder_name(&item));
             }
+            Change::Put(item) if is_quarantine(&item.key) => self.hub.kept_quarantine(&item),
             Change::Put(item) => {
                 if let Some((host, entry)) = entry(&item) {
                     self.hub.peer_seen(host, entry);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,12 +6,15 @@
     peers::PeerMessage,
     pool::{self, Pool},
     telemetry,
+    watch::jittered,
 };
 use http::StatusCode;
+use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use vanetally_dispatch as dispatch;
 use vanetally_link::socket;
+use vanetally_ports::{Item, StoreAnswer, Transaction, Write};
 use vanetally_quarantine::{Content, Quarantine, Sign, Suspicion};
 use vanetally_types::{Incarnation, Name, rendezvous_rank};
 
@@ -21,6 +24,15 @@
 const CLOSED: Duration = Duration::from_millis(60);
 /// Hosts that keep the evidence of a content beside those that found it: the loss of one is not the loss of it.
 const KEEPERS: usize = 2;
+/// The beginning of the keys of quarantines that the store keeps; the content follows, in hex.
+const CONTENTS: &str = "vanetally/contents/";
+/// The store keeps a quarantine this long at most, in milliseconds.
+const MOST_KEPT_MS: u64 = 600_000;
+/// Pause after a failure to write one.
+const RETRY: Duration = Duration::from_millis(500);
+/// Quarantines that this host writes at once; beyond that hosts only tell each other.
+const MOST_WRITES: usize = 16;
+
 /// An upstream at which attempts broke off.
 pub(crate) struct Suspect {
     pub upstream: Incarnation,
@@ -33,6 +45,13 @@
 /// whether it lives: one look is enough for all.
 pub(crate) type Looks = HashMap<Incarnation, HashMap<Content, bool>>;
 
+/// What the store keeps of a quarantine.
+#[derive(Debug, Serialize, Deserialize)]
+struct Kept {
+    for_ms: u64,
+    ended: u32,
+}
+
 /// Looks whether an upstream lives. An answer that breaks off shows no end: a way that was cut, or an answer that was
 /// spoiled, looks the same.
 async fn look(hub: &Hub, suspect: &Suspect) -> Option<Sign> {
@@ -142,6 +161,9 @@
         );
         telemetry::quarantined();
         self.quarantined(&self.settings.host.clone(), vec![quarantine]);
+        if self.holds(content) {
+            self.keep(quarantine);
+        }
     }
 
     /// Whether a content is kept back here.
@@ -156,6 +178,7 @@
             log::info!("event=content_released content={content:016x}");
             let release = Quarantine::release(content);
             self.quarantined(&self.settings.host.clone(), vec![release]);
+            self.keep(release);
         }
     }
 
@@ -218,4 +241,72 @@
             self.send(host, &PeerMessage::Quarantined(quarantines));
         }
     }
+
+    /// The store keeps a quarantine, or keeps it no more: it outlives all hosts.
+    fn keep(self: &Rc<Self>, quarantine: Quarantine) {
+        if self.writes.get() >= MOST_WRITES {
+            return log::warn!("event=content_not_kept content={:016x}", quarantine.content);
+        }
+        self.writes.set(self.writes.get() + 1);
+        let hub = self.clone();
+        tokio::task::spawn_local(async move {
+            write(&hub, quarantine).await;
+            hub.writes.set(hub.writes.get() - 1);
+        });
+    }
+
+    /// The store keeps this quarantine.
+    pub(crate) fn kept_quarantine(self: &Rc<Self>, item: &Item) {
+        let content = item.key.strip_prefix(CONTENTS).map(|hex| Content::from_str_radix(hex, 16));
+        let kept = serde_json::from_slice::<Kept>(&item.value);
+        let (Some(Ok(content)), Ok(Kept { for_ms, ended })) = (content, kept) else {
+            return log::error!("event=content_unreadable key={}", item.key);
+        };
+        let for_ms = for_ms.min(MOST_KEPT_MS);
+        let quarantine = Quarantine { content, for_ms, ended, age_ms: None };
+        if !quarantine.is_release() {
+            self.take_quarantine(&"store".into(), quarantine);
+        }
+    }
+}
+
+/// Whether a key of the product's is that of a quarantine.
+pub(crate) fn is_quarantine(key: &str) -> bool {
+    key.starts_with(CONTENTS)
+}
+
+/// Writes a quarantine until it is written or over.
+async fn write(hub: &Hub, quarantine: Quarantine) {
+    let until = hub.clock.now() + quarantine.for_ms.max(RETRY.as_millis() as u64);
+    while !try_write(hub, quarantine).await {
+        let is_released = !quarantine.is_release() && !hub.holds(quarantine.content);
+        if is_released || hub.clock.now() >= until {
+            return log::warn!("event=content_not_kept content={:016x}", quarantine.content);
+        }
+        sleep(jittered(RETRY)).await;
+    }
+    log::info!(
+        "event=content_kept content={:016x} for_ms={}",
+        quarantine.content,
+        quarantine.for_ms
+    );
+}
+
+async fn try_write(hub: &Hub, quarantine: Quarantine) -> bool {
+    let Quarantine { content, for_ms, ended, .. } = quarantine;
+    let key: Name = format!("{CONTENTS}{content:016x}").into();
+    if quarantine.is_release() {
+        let transaction = Transaction { remove: vec![key], ..Transaction::default() };
+        return matches!(hub.store.transact(&transaction).await, Ok(StoreAnswer::Done(_)));
+    }
+    let ttl_ms = for_ms.min(MOST_KEPT_MS).max(hub.settings.store.least_ttl_ms);
+    let Ok(StoreAnswer::Done((lease, _))) = hub.store.grant(ttl_ms).await else {
+        return false;
+    };
+    let Ok(value) = serde_json::to_vec(&Kept { for_ms, ended }) else {
+        return false;
+    };
+    let write = Write { key, value: value.into(), lease: Some(lease) };
+    let transaction = Transaction { put: vec![write], ..Transaction::default() };
+    matches!(hub.store.transact(&transaction).await, Ok(StoreAnswer::Done(_)))
 }
--- a/tests/deadly.rs
+++ b/tests/deadly.rs
@@ -101,7 +101,11 @@
     served.count() as f64 / others.len() as f64
 }
 
-/// Who keeps the evidence is lost with all others, three times.
+/// All hosts are lost three times. What was known of the content lay in their memories alone, so that each time the next
+/// runners ended under it, nine in all. The store keeps a quarantine now, and hosts that start read it before they serve:
+///
+/// `event=content_kept content=e2c651d4b1fb57d9 for_ms=60000`
+/// `event=content_held content=e2c651d4b1fb57d9 ended=2 for_ms=60000 answered_here=false from=store`
 #[test]
 fn hosts_lost() {
     let mut site = Site::start(Vacancy::Refused);
