fix: rests that upstreams ask a host for are kept

Callers saw: refusals after three sendings to runners that had asked for rest (a tenth of wind-revise for some seconds), and the runners up to eight requests a host in three seconds in which they wanted none. Cause: Retry-After of a 503 was read by nobody; a full upstream was asked again after 60 ms. Its class: what the other side states of itself, dropped where answers are judged (as limits were). Mend: the statement of an answer has the rest (seconds, fractions allowed, of a 503); an upstream that rests takes no request, report, order or look of this host, also none that was chosen before. When it is over one request goes first, and the others with its answer; hosts come back some milliseconds apart. The one of several that ends last holds; more than five minutes is asked again after that; what is no number asks for nothing. Where all that may take a request rest for longer than 0.1 s it is refused at once with the true time. Why it holds: the check stands beside that of leaving, at the choice, after the pacer's answer and before the first byte.

--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -98,6 +98,7 @@
 
 fn dispatch(runners: usize) -> Dispatch {
     let options = Options {
+        host: "front-0".into(),
         domain: "z1".into(),
         budget: BudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 630.0 },
         grace_ms: 8_000,
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -100,6 +100,9 @@
     if !request.may_go_to(id) {
         return Some(Lack::Attempt);
     }
+    if upstream.rest.closed_ms(view.now).is_some() {
+        return Some(Lack::Rest);
+    }
     if view.now < upstream.full_until {
         return Some(Lack::TurnedAway);
     }
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -179,6 +179,9 @@
             return;
         };
         upstream.own.take(sending.load);
+        let is_answered =
+            !matches!(end, AttemptEnd::Broken | AttemptEnd::Unreachable | AttemptEnd::Withdrawn);
+        upstream.rest.ended(now, sending.at, is_answered);
         match end {
             AttemptEnd::Served => {
                 upstream.health.ended(now, true);
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -15,6 +15,8 @@
 /// Bounds that the deployment states.
 #[derive(Clone, Debug)]
 pub struct Options {
+    /// This host.
+    pub host: Name,
     /// This host's failure domain.
     pub domain: Name,
     /// Retries that all hosts together may make.
@@ -178,6 +180,13 @@
         /// Requests a second that it takes from all hosts; none if it names no limit.
         rate: Option<f64>,
     },
+    /// An upstream turned a request away and wants nothing from this host for a while.
+    RestAsked {
+        /// The upstream's incarnation.
+        upstream: Incarnation,
+        /// Milliseconds.
+        for_ms: u64,
+    },
     /// An attempt ended.
     AttemptEnded {
         /// The request.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 mod queue;
 mod request;
 mod reserving;
+mod rest;
 mod roster;
 mod routes;
 mod sending;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -22,7 +22,7 @@
     CallerRequest, Configuration, ModelRef, Refusal, RefusalCause, Route, UpstreamState,
 };
 use vanetally_quarantine::{Content, Held};
-use vanetally_types::{Incarnation, Name, Tick, Verdict};
+use vanetally_types::{Incarnation, Name, Tick, Verdict, hash64};
 
 /// All decisions about requests of one host.
 pub struct Dispatch {
@@ -88,6 +88,10 @@
     pub limited: usize,
 }
 
+/// Between two hosts that come back to an upstream that has rested, in milliseconds on average.
+const RETURN_MS: u64 = 5;
+/// They are all back within this part of the rest.
+const RETURN_PART: u64 = 8;
 /// A planned stop takes requests for this share of its time.
 const STOP_SHARE: f64 = 0.3;
 pub(crate) const MICROS_PER_MILLI: f64 = 1_000.0;
@@ -159,6 +163,7 @@
             Event::Stated { upstream, sent, rate } => {
                 self.stated(now, upstream, sent, rate, &mut actions);
             }
+            Event::RestAsked { upstream, for_ms } => self.rest_asked(now, &upstream, for_ms),
             Event::PeerGone { host } => self.peer_gone(&host),
             Event::Hosts(hosts) => {
                 self.hosts = hosts.max(1);
@@ -201,6 +206,22 @@
         knows && self.stopping_since.is_none() && self.serves_keys(now)
     }
 
+    /// An upstream asked this host for rest. Hosts come back to it one after the other: each a little later than it
+    /// asked, so that all that it turned away together do not return together.
+    fn rest_asked(&mut self, now: Tick, upstream: &Incarnation, for_ms: u64) {
+        let Some(known) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        let spread_ms = (self.hosts as u64 * RETURN_MS).min(for_ms / RETURN_PART);
+        let own = hash64(self.options.host.as_bytes()) % (spread_ms + 1);
+        known.rest.ask(now, for_ms.saturating_add(own));
+    }
+
+    /// Milliseconds for which an upstream wants nothing from this host.
+    pub fn rest_left_ms(&self, now: Tick, upstream: &Incarnation) -> Option<u64> {
+        self.upstreams.get(upstream)?.rest.left_ms(now)
+    }
+
     /// What an upstream announces.
     pub fn state_of(&self, upstream: &Incarnation) -> Option<&UpstreamState> {
         self.upstreams.get(upstream).map(|known| &known.state)
@@ -421,6 +442,7 @@
         self.pace.learn(&sending.upstream, model, sending.expected, took_ms);
         if let Some(upstream) = self.upstreams.get_mut(&sending.upstream) {
             upstream.own.take(read);
+            upstream.rest.ended(now, sending.at, true);
         }
     }
 
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -15,9 +15,9 @@
 
 impl Dispatch {
     /// Asks the engine's pacer for the moment; the request counts as the engine's load meanwhile.
-    pub(crate) fn reserve(&mut self, id: RequestId, choice: Choice) -> Option<Action> {
+    pub(crate) fn reserve(&mut self, now: Tick, id: RequestId, choice: Choice) -> Option<Action> {
         let upstream = choice.upstream.clone();
-        let turn = self.open_reservation(id, choice)?;
+        let turn = self.open_reservation(now, id, choice)?;
         let request = self.requests.get(&id)?;
         let model = request.head.model.as_ref().map(|subject| subject.model.clone());
         let per_token_us = self.pace.per_token(model.as_ref()) * MICROS_PER_MILLI;
@@ -34,12 +34,13 @@
 
     /// A request waits no more in the queue, but for a moment at the upstream that was chosen; it counts as that one's
     /// load. Gives back the number of the reservation.
-    fn open_reservation(&mut self, id: RequestId, choice: Choice) -> Option<u32> {
+    fn open_reservation(&mut self, now: Tick, id: RequestId, choice: Choice) -> Option<u32> {
         let request = self.requests.get_mut(&id)?;
         let upstream = self.upstreams.get_mut(&choice.upstream)?;
         self.queue.remove(id, request);
         let load = request.load(choice.expected.unread);
         upstream.own.add(load);
+        upstream.rest.sent(now);
         request.reservations += 1;
         let turn = request.reservations;
         request.stage = Stage::Reserving(Reservation { turn, choice, load });
@@ -62,7 +63,7 @@
         let Some(upstream) = self.upstreams.get_mut(&choice.upstream) else {
             return;
         };
-        let is_open = upstream.takes_new(now) && upstream.is_permitted(&choice);
+        let is_open = upstream.takes_now(now) && upstream.is_permitted(&choice);
         match slot {
             Slot::Granted(Moment { delay_ms, unread, ahead_ms, is_trial }) if is_open => {
                 let expected = Expected { unread, ahead_ms };
@@ -73,6 +74,7 @@
             Slot::Granted(_) => {}
             Slot::Busy { retry_ms } => upstream.paced_until = now + u64::from(retry_ms),
         }
+        upstream.rest.ended(now, now, false);
         actions.extend(choice.unused_permit());
     }
 
@@ -85,7 +87,7 @@
     ) -> Option<Action> {
         let limit = choice.limit?;
         let upstream = choice.upstream.clone();
-        let turn = self.open_reservation(id, choice)?;
+        let turn = self.open_reservation(now, id, choice)?;
         let waits_ms = self.requests.get(&id)?.waits_ms(now).max(1);
         let most_ms = if limit.may_wait { waits_ms.try_into().unwrap_or(u32::MAX) } else { 0 };
         let question = Question { upstream, rate: limit.rate, most_ms };
@@ -117,11 +119,11 @@
         if let (Some(_), Some(limit)) = (granted, &mut choice.limit) {
             limit.is_granted = true;
         }
-        let is_open = upstream.takes_new(now);
+        let is_open = upstream.takes_now(now);
         match answer {
             Permit::Granted { .. } if !is_open => actions.extend(choice.unused_permit()),
             Permit::Granted { delay_ms: 0 } if is_engine => {
-                actions.extend(self.reserve(id, choice));
+                actions.extend(self.reserve(now, id, choice));
             }
             // In line its prompt meets few others.
             Permit::Granted { delay_ms } => actions.extend(self.send(now, id, choice, delay_ms)),
--- /dev/null
+++ b/crates/dispatch/src/rest.rs
@@ -0,0 +1,68 @@
+//! Rest that an upstream has asked this host for.
+//!
+//! An upstream that turns a request away may want nothing from this host for some seconds. After that one request goes
+//! first: only when it is answered all others follow, since the upstream may want more rest.
+
+use vanetally_types::Tick;
+
+/// Whether an upstream rests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Rest {
+    /// It takes requests.
+    #[default]
+    Over,
+    /// It wants nothing before this; then a first request may go.
+    Until(Tick),
+    /// The first request after its rest went out then.
+    Trial(Tick),
+}
+
+/// The longest rest that is kept, in milliseconds: what asks for more is asked again with one request after that.
+const MOST_REST_MS: u64 = 300_000;
+/// A first request that is not answered within this time, in milliseconds, keeps no others back.
+const TRIAL_MS: u64 = 1_000;
+
+impl Rest {
+    /// The upstream wants rest for `for_ms`; of several rests the one that ends last holds.
+    pub(crate) fn ask(&mut self, now: Tick, for_ms: u64) {
+        let until = now + for_ms.min(MOST_REST_MS);
+        let until = match *self {
+            Self::Until(known) => known.max(until),
+            Self::Over | Self::Trial(_) => until,
+        };
+        *self = Self::Until(until);
+    }
+
+    /// Milliseconds until it takes a request again; none if it does now.
+    pub(crate) fn left_ms(&self, now: Tick) -> Option<u64> {
+        match self {
+            Self::Until(until) if *until > now => Some(until.since(now)),
+            _ => None,
+        }
+    }
+
+    /// Milliseconds until a request may be chosen to go there; none if one may now. Beside a first request that is out
+    /// others wait for its answer.
+    pub(crate) fn closed_ms(&self, now: Tick) -> Option<u64> {
+        match self {
+            Self::Trial(since) => TRIAL_MS.checked_sub(now.since(*since)).filter(|left| *left > 0),
+            _ => self.left_ms(now),
+        }
+    }
+
+    /// A request is chosen to go there.
+    pub(crate) fn sent(&mut self, now: Tick) {
+        if matches!(self, Self::Until(_)) {
+            *self = Self::Trial(now);
+        }
+    }
+
+    /// A request that was chosen at `sent` was answered, or ended without an answer.
+    pub(crate) fn ended(&mut self, now: Tick, sent: Tick, is_answered: bool) {
+        if let Self::Trial(since) = *self
+            && sent >= since
+        {
+            *self = if is_answered { Self::Over } else { Self::Until(now) };
+        }
+    }
+}
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -5,7 +5,7 @@
     answers::Answers,
     choice::Choice,
     choose::{View, choose},
-    ending::RETRY_MS,
+    ending::{RETRY_MS, STOP_RETRY_MS},
     request::{Request, Sending, Stage},
     shortage::{Lack, Shortage},
     upstream::Upstream,
@@ -22,6 +22,9 @@
 /// A moment at an upstream in need lapses after this long, in milliseconds: a host that stood still would send into
 /// moments that others were given.
 const PERMIT_MS: u64 = 1_000;
+/// Where all that could take a request rest for no longer than this, it waits, in milliseconds: its caller would not
+/// be back sooner.
+const AWAIT_MS: u64 = 100;
 /// The same thing is wanted again after this long, in milliseconds.
 pub(crate) const WANT_AGAIN_MS: u64 = 250;
 
@@ -78,12 +81,12 @@
             Ok(choice) if choice.limit.is_some() => {
                 actions.extend(self.ask_permit(now, id, choice));
             }
-            Ok(choice) if self.is_engine(service) => actions.extend(self.reserve(id, choice)),
+            Ok(choice) if self.is_engine(service) => actions.extend(self.reserve(now, id, choice)),
             Ok(choice) => actions.extend(self.send(now, id, choice, 0)),
-            Err(shortage) if shortage.lack == Lack::Upstream && self.all_leave(now, service) => {
-                self.refuse_at_once(id, shortage, RETRY_MS, actions);
-            }
             Err(shortage) => {
+                if let Some((cause, retry_ms)) = self.hopeless(now, request, shortage) {
+                    return self.refuse_at_once(id, shortage, cause, retry_ms, actions);
+                }
                 if request.tried.is_empty() {
                     lacking.insert(subject.clone(), shortage);
                 }
@@ -99,17 +102,53 @@
         }
     }
 
+    /// Why waiting would not help a request, and when it should come back, in milliseconds: all upstreams of its service
+    /// leave, or all that it may go to rest.
+    fn hopeless(
+        &self,
+        now: Tick,
+        request: &Request,
+        shortage: Shortage,
+    ) -> Option<(RefusalCause, u64)> {
+        match shortage.lack {
+            Lack::Upstream if self.all_leave(now, &request.service) => {
+                Some((RefusalCause::NoUpstream, RETRY_MS))
+            }
+            Lack::Rest => {
+                self.rested_in_ms(now, request).map(|left_ms| (RefusalCause::Resting, left_ms))
+            }
+            _ => None,
+        }
+    }
+
     /// Whether a service has upstreams, and all of them leave.
     fn all_leave(&self, now: Tick, service: &Name) -> bool {
         let mut known = self.known(self.directory.of_service(service)).peekable();
         known.peek().is_some() && known.all(|(_, upstream)| upstream.is_leaving(now))
     }
 
+    /// When the first upstream that could take a request has rested, in milliseconds, if all that it may go to rest for
+    /// longer than it would wait.
+    fn rested_in_ms(&self, now: Tick, request: &Request) -> Option<u64> {
+        let holds = |upstream: &Upstream| {
+            request.head.model.as_ref().is_none_or(|subject| upstream.holds(subject, now))
+        };
+        let all = self.known(self.directory.of_service(&request.service));
+        let could = all.filter(|(_, upstream)| upstream.takes_new(now) && holds(upstream));
+        let rests = could.map(|(id, upstream)| (id, upstream.rest.left_ms(now).unwrap_or(0)));
+        let rests: Vec<(&Incarnation, u64)> = rests.collect();
+        let own = rests.iter().filter(|(id, _)| request.may_go_to(id)).map(|(_, left)| *left);
+        // One that was sent to as many as it may be does better as a new request.
+        let least = rests.iter().map(|(_, left)| *left).min()?;
+        (own.min()? > AWAIT_MS).then_some(least.max(STOP_RETRY_MS))
+    }
+
     /// Refuses a request that nobody can take for longer than it would wait.
     fn refuse_at_once(
         &mut self,
         id: RequestId,
         shortage: Shortage,
+        cause: RefusalCause,
         retry_ms: u64,
         actions: &mut Vec<Action>,
     ) {
@@ -117,7 +156,7 @@
             return;
         };
         request.shortage = Some(shortage);
-        let refusal = Refusal::not_run(RefusalCause::NoUpstream, Some(retry_ms));
+        let refusal = Refusal::not_run(cause, Some(retry_ms));
         let refusal = refusal.with_verdict(request.verdict);
         let standing = Standing::from(&*request);
         self.end(id);
@@ -236,6 +275,7 @@
         };
         upstream.own.add(load);
         upstream.health.sent(now);
+        upstream.rest.sent(now);
         if let Some(subject) = &request.head.model {
             upstream.remember(&subject.model, &request.shared);
         }
@@ -275,7 +315,7 @@
             Some(_) => now <= sending.at + PERMIT_MS,
             None => upstream.limit.rate().is_none(),
         };
-        is_permitted && upstream.takes_new(now)
+        is_permitted && upstream.takes_now(now)
     }
 
     /// This host's share of the connections to an upstream.
--- a/crates/dispatch/src/shortage.rs
+++ b/crates/dispatch/src/shortage.rs
@@ -15,6 +15,8 @@
     Adapter,
     /// It was sent to as many upstreams as are allowed to it.
     Attempt,
+    /// The upstream asked this host for rest.
+    Rest,
     /// The upstream turned requests away, or could not be reached, just before.
     TurnedAway,
     /// The upstream is in need and takes no more now.
@@ -37,6 +39,7 @@
             Self::Model => "model",
             Self::Adapter => "adapter",
             Self::Attempt => "attempt",
+            Self::Rest => "rest",
             Self::TurnedAway => "turned_away",
             Self::Limit => "limit",
             Self::Moment => "moment",
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -1,6 +1,6 @@
 //! What this host believes of one upstream.
 
-use crate::{Health, LoadRow, Presence, choice::Choice};
+use crate::{Health, LoadRow, Presence, choice::Choice, rest::Rest};
 use std::collections::{BTreeMap, HashMap};
 use vanetally_limit::Belief;
 use vanetally_pacing::{Prefix, PrefixCache};
@@ -51,6 +51,8 @@
     pub limit: Belief,
     /// It takes no more from this host before this, while it is in need.
     pub limited_until: Tick,
+    /// Rest that it asked this host for.
+    pub rest: Rest,
     /// Its pacer has no moment for this host before this.
     pub paced_until: Tick,
     /// Another incarnation answers at its address: it is gone, whatever its announcement says.
@@ -87,6 +89,7 @@
             refusals: 0,
             limit: Belief::default(),
             limited_until: Tick(0),
+            rest: Rest::default(),
             paced_until: Tick(0),
             is_replaced: false,
             is_unreadable: false,
@@ -131,6 +134,11 @@
         is_sound && !self.is_leaving(now)
     }
 
+    /// Whether a request that was chosen for it may go there now.
+    pub(crate) fn takes_now(&self, now: Tick) -> bool {
+        self.takes_new(now) && self.rest.left_ms(now).is_none()
+    }
+
     /// Whether it takes nothing new since it leaves.
     pub(crate) fn is_leaving(&self, now: Tick) -> bool {
         let is_under_notice = self.gone_at.is_some_and(|gone| gone <= now + NOTICE_MS);
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -21,6 +21,7 @@
 /// Bounds of the tests' deployment.
 pub fn options() -> Options {
     Options {
+        host: "front-0".into(),
         domain: "z1".into(),
         budget: BudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 30.0 },
         grace_ms: 8_000,
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -140,6 +140,7 @@
         let Parts { settings, ports, links } = parts;
         let bounds = &settings.bounds;
         let options = dispatch::Options {
+            host: settings.host.clone(),
             domain: settings.domain.clone(),
             budget: dispatch::BudgetOptions {
                 ratio: bounds.retry_ratio,
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -123,6 +123,11 @@
 }
 
 async fn give_order(hub: Rc<Hub>, order: Order, address: SocketAddr, basis: Basis) {
+    if hub.rests(&order.runner, ORDER).await {
+        // Its token and what it rests on may be out of date by now.
+        let outcome = OrderOutcome::NotSent;
+        return hub.placement_event(placement::Event::Ordered { order, outcome });
+    }
     log::info!(
         "event=order_sent runner={} operation={} model={} adapter={} count={} token={} \
          held_models={} held_adapters={} report_age_ms={}",
@@ -157,6 +162,10 @@
 }
 
 async fn ask_report(hub: Rc<Hub>, runner: Incarnation, address: SocketAddr) {
+    if hub.rests(&runner, REPORT).await {
+        let asked = hub.clock.now();
+        return hub.placement_event(placement::Event::Reported { runner, asked, report: None });
+    }
     let asked = hub.clock.now();
     let request = hub.ports.engine.report_request(&runner);
     let reply = call::call(&hub.control, address, request, REPORT).await;
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -102,7 +102,13 @@
         }
         let hub = self.clone();
         tokio::task::spawn_local(async move {
-            let sign = look(&hub, &suspect).await;
+            let now = hub.clock.now();
+            let rest_ms = hub.dispatch.borrow().rest_left_ms(now, &suspect.upstream);
+            let sign = match rest_ms {
+                // It has just answered, and wants no more.
+                Some(_) => None,
+                None => look(&hub, &suspect).await,
+            };
             hub.looked(suspect.upstream, sign);
         });
     }
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -2,7 +2,8 @@
 
 use crate::{hub::Hub, peers::PeerMessage, telemetry};
 use http::{StatusCode, response::Parts};
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
+use tokio::time::sleep;
 use vanetally_dispatch::Event;
 use vanetally_ports::{AnswerKind, Stated, Statement};
 use vanetally_types::{Incarnation, Name, Tick};
@@ -41,6 +42,21 @@
         if self.readable(upstream, "leaving", statement.leaving).is_some() {
             self.leaving(None, vec![upstream.clone()]);
         }
+        let rest_ms = self.readable(upstream, "rest", statement.rest_ms);
+        if let Some(for_ms) = rest_ms.filter(|for_ms| *for_ms > 0) {
+            log::info!("event=rest_asked upstream={upstream} for_ms={for_ms}");
+            telemetry::rest_asked();
+            self.request_event(Event::RestAsked { upstream: upstream.clone(), for_ms });
+        }
+    }
+
+    /// Whether an upstream has asked for rest; if so, waits for the end of it, `most` at most.
+    pub(crate) async fn rests(&self, upstream: &Incarnation, most: Duration) -> bool {
+        let left_ms = self.dispatch.borrow().rest_left_ms(self.clock.now(), upstream);
+        if let Some(left_ms) = left_ms {
+            sleep(Duration::from_millis(left_ms).min(most)).await;
+        }
+        left_ms.is_some()
     }
 
     /// What was stated, if it can be read.
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -51,6 +51,11 @@
     counter!("vanetally_upstreams_leaving_total", "by" => by).increment(1);
 }
 
+/// An upstream turned a request away and asked for rest.
+pub(crate) fn rest_asked() {
+    counter!("vanetally_rests_asked_total").increment(1);
+}
+
 /// What an upstream says of itself can't be read.
 pub(crate) fn statement_unreadable() {
     counter!("vanetally_statements_unreadable_total").increment(1);
--- a/crates/ports/src/caller.rs
+++ b/crates/ports/src/caller.rs
@@ -85,6 +85,8 @@
     Overloaded,
     /// Those that could take it are in need, and take no more for now.
     Limited,
+    /// Those that could take it have asked for rest.
+    Resting,
     /// Its time is over.
     TimedOut,
     /// The upstream failed.
@@ -109,6 +111,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
             Self::Limited => "limited",
+            Self::Resting => "resting",
             Self::TimedOut => "timed_out",
             Self::UpstreamFailed => "upstream_failed",
             Self::Stopping => "stopping",
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -164,6 +164,8 @@
     pub limit: Stated<f64>,
     /// That it leaves: it wants nothing new.
     pub leaving: Stated<()>,
+    /// Where it turns the request away: how long it wants nothing from the host that sent it, in milliseconds.
+    pub rest_ms: Stated<u64>,
 }
 
 /// What engines and services speak.
