test: the soak's runners leave, rest and end under a content

Engines say that they leave (or something spoiled), a plain service asks for rest (or something spoiled), and engines end under one content at addresses that refuse, close or say nothing, each while hosts and the store are struck; checked from what callers saw and runners got: nothing later than drain to a runner whose leaving the host had passed on, at most two in a rest, at most three sendings of the content later than three seconds after the third end, by hosts that were not struck. A common content's first quarantine is 15 s: all its callers wait for its end, and the fourth end that it needs leaves room for two.

--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -100,6 +100,8 @@
 const ENOUGH_COMMON: u32 = 12;
 /// The first quarantine, in milliseconds: longer than callers come back for an answer. Later ones double.
 const QUARANTINE_MS: u64 = 60_000;
+/// The same for contents that many callers send: all of them wait for the end of it.
+const QUARANTINE_COMMON_MS: u64 = 15_000;
 /// Most doublings: an hour.
 const MOST_DOUBLINGS: u32 = 6;
 /// Evidence against a content that was not quarantined is forgotten after this long, in milliseconds: two crashes that
@@ -126,11 +128,12 @@
         if !case.add(upstream, sign) || !case.is_enough() {
             return None;
         }
+        let first_ms = if case.is_common { QUARANTINE_COMMON_MS } else { QUARANTINE_MS };
         let doublings = case.count.min(MOST_DOUBLINGS);
         case.count += 1;
         Some(Quarantine {
             content,
-            for_ms: QUARANTINE_MS << doublings,
+            for_ms: first_ms << doublings,
             ended: case.ended.len() as u32,
             age_ms: Some(now.since(case.first)),
         })
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -13,6 +13,7 @@
 mod need;
 mod promises;
 mod site;
+mod words;
 
 use std::{
     sync::Mutex,
--- a/tests/soak/promises.rs
+++ b/tests/soak/promises.rs
@@ -44,6 +44,15 @@
     /// A runner that was in need no more got no more than before.
     #[error("still_limited rate={rate}")]
     StillLimited { rate: f64 },
+    /// A runner got requests from a host that had passed on, two seconds before, that it leaves.
+    #[error("leaver_used requests={requests}")]
+    LeaverUsed { requests: usize },
+    /// A runner got requests from a host in a rest that it had asked that host for.
+    #[error("rest_broken requests={requests}")]
+    RestBroken { requests: usize },
+    /// A content under which three runners had ended was sent on by hosts that had to know it.
+    #[error("deadly_sent ends={ends} late={late}")]
+    DeadlySent { ends: usize, late: usize },
     /// Two hosts gave orders under one token.
     #[error("shared_token token={token}")]
     SharedToken { token: u64 },
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -6,6 +6,7 @@
     gateway::{Deployment, Host, fresh_ip},
     need::Need,
     promises::{self, Broken},
+    words::Words,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::json;
@@ -208,6 +209,15 @@
         (requests > 0).then_some(Broken::StillUsed { requests })
     }
 
+    /// The life of each host, and whether it runs.
+    pub fn running(&self) -> Vec<(u64, bool)> {
+        let of = |slot: &Slot| {
+            let life = self.shared.lives[slot.number].load(Ordering::Relaxed);
+            (life, slot.host.is_some() && !slot.is_paused)
+        };
+        self.slots.iter().map(of).collect()
+    }
+
     /// Any runner that has not left for good.
     pub fn any_present(&self, rng: &mut StdRng) -> usize {
         let present = self.runner_links.len() - usize::from(self.left.is_some());
@@ -343,11 +353,15 @@
     let need = Need::play(&mut needs, &mut site);
     broken.extend(site.recover());
     broken.extend(need.is_over());
+    let mut words = StdRng::seed_from_u64(seed.rotate_left(16));
+    let words = Words::play(&mut words, &mut site);
+    broken.extend(site.recover());
     callers.stop();
     broken.extend(site.stop());
     let seen = site.shared.seen.lock().expect("no thread panicked").clone();
     let most = need.most(&seen);
     broken.extend(need.kept(most));
+    broken.extend(words.check(&seen));
     broken.extend(promises::check(&site.deployment, &seen, site.shared.has_keys));
     if !broken.is_empty() {
         keep_logs(seed, &site.deployment);
