--- a/tests/soak/promises.rs
+++ b/tests/soak/promises.rs
@@ -48,8 +48,8 @@
     #[error("leaver_used requests={requests}")]
     LeaverUsed { requests: usize },
     /// A runner got requests from a host in a rest that it had asked that host for.
-    #[error("rest_broken requests={requests}")]
-    RestBroken { requests: usize },
+    #[error("rest_not_kept requests={requests}")]
+    RestNotKept { requests: usize },
     /// A content under which three runners had ended was sent on by hosts that had to know it.
     #[error("deadly_sent ends={ends} late={late}")]
     DeadlySent { ends: usize, late: usize },
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -307,14 +307,16 @@
     /// What the runner in need named, and the most that it got within a window.
     rate: f64,
     most: usize,
+    /// Runners that ended under the deadly content.
+    ends: usize,
     pub broken: Vec<Broken>,
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { seed, hosts, requests, served, rate, most, broken } = self;
+        let Self { seed, hosts, requests, served, rate, most, ends, broken } = self;
         write!(f, "seed={seed} hosts={hosts} requests={requests} served={served}")?;
-        write!(f, " limit={rate} most={most}")?;
+        write!(f, " limit={rate} most={most} ends={ends}")?;
         write!(f, " broken={}", broken.len())?;
         broken.iter().try_for_each(|broken| write!(f, "\n    {broken}"))
     }
@@ -370,8 +372,8 @@
         seen.answer.as_ref().is_some_and(|answer| answer.status == 200)
     };
     let served = seen.iter().filter(is_served).count();
-    let hosts = site.slots.len();
-    Report { seed, hosts, requests: seen.len(), served, rate: need.rate, most, broken }
+    let (hosts, ends) = (site.slots.len(), words.ends());
+    Report { seed, hosts, requests: seen.len(), served, rate: need.rate, most, ends, broken }
 }
 
 fn keep_logs(seed: u64, deployment: &Deployment) {
--- a/tests/soak/words.rs
+++ b/tests/soak/words.rs
@@ -78,6 +78,11 @@
         Self { rest, struck, deadly, runners: engines }
     }
 
+    /// Runners that ended under the deadly content.
+    pub fn ends(&self) -> usize {
+        self.runners.iter().map(|runner| runner.ends().len()).sum()
+    }
+
     /// The promises that were broken.
     pub fn check(&self, seen: &[Seen]) -> Vec<Broken> {
         let senders: HashMap<&str, Life> =
@@ -140,7 +145,7 @@
             (!self.was_struck(sender.0, *asked, end)).then_some(count)
         };
         let most = runner.turned_away().iter().filter_map(in_rest).max()?;
-        (most > MOST_IN_REST).then_some(Broken::RestBroken { requests: most })
+        (most > MOST_IN_REST).then_some(Broken::RestNotKept { requests: most })
     }
 
     fn ended(&self) -> Option<Broken> {
