--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -119,6 +119,34 @@
     assert!(!late.is_empty() && late.iter().all(|one| one.answer.status == 200), "{late:?}");
 }
 
+/// More is asked for than the limit allows, by far: what has no turn within its patience is refused when it comes, with
+/// the time at which there is room, and nearly all of the limit is used.
+///
+/// Half of the refusals came after 1.43 s in a queue, or more.
+#[test]
+fn refused_when_it_comes() {
+    let deployment = Deployment::start();
+    let hosts = hosts(&deployment, 3);
+    let desk = deployment.desks[0].clone();
+    desk.set_limit(Some("12.5"));
+    let (mut settled, mut ended) = (Instant::now(), Instant::now());
+    let seen = under_load(&fronts(&hosts), check, 60, Duration::from_millis(800), || {
+        thread::sleep(2 * SETTLED);
+        settled = Instant::now();
+        thread::sleep(2 * WINDOW);
+        ended = Instant::now();
+    });
+    let refused = seen.iter().filter(|one| one.began >= settled && one.answer.status == 503);
+    let mut took: Vec<Duration> = refused.map(|one| one.took).collect();
+    took.sort();
+    assert!(took.len() > 50, "{} were refused", took.len());
+    let median = took[took.len() / 2];
+    assert!(median < Duration::from_millis(100), "{median:?} of {}", took.len());
+    let used = desk.arrivals().iter().filter(|at| **at >= settled && **at < ended).count() as f64;
+    let offered = 12.5 * 2.0 * WINDOW.as_secs_f64();
+    assert!(used >= 0.9 * offered, "{used} of {offered} were used");
+}
+
 /// What is no number names no limit.
 #[test]
 fn spoiled_limits() {
