--- a/tests/deadly.rs
+++ b/tests/deadly.rs
@@ -47,9 +47,7 @@
         for engine in &deployment.engines {
             engine.set_deadly(DEADLY, downtime, &deployment.store);
         }
-        let hosts: Vec<Host> =
-            (0..HOSTS).map(|number| deployment.spawn(&format!("front-{number}"))).collect();
-        hosts.iter().for_each(|host| wait_for("the host is ready", || host.is_ready()));
+        let hosts = deployment.hosts(HOSTS);
         Self { deployment, hosts }
     }
 
--- a/tests/gateway/load.rs
+++ b/tests/gateway/load.rs
@@ -11,6 +11,17 @@
 };
 use vanetally_platform_standin::{Client, ClientAnswer};
 
+/// A stream that may run once, at an engine that holds `m1`.
+pub fn offer(number: u64) -> Client {
+    let client = Client::new("POST", "/offer/1", &format!("r{number}")).with("X-Model", "m1");
+    client.body(format!("draft {number}").as_bytes()).deadline(5_000)
+}
+
+/// A call of a plain service that may be repeated.
+pub fn check(number: u64) -> Client {
+    Client::new("GET", "/check/1", &format!("r{number}")).deadline(5_000)
+}
+
 /// What a caller got, and when.
 #[derive(Debug)]
 pub struct Seen {
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -183,6 +183,14 @@
         Host { child, front: address(FRONT), ready: address(READY), metrics: address(METRICS) }
     }
 
+    /// Starts so many hosts and waits until they are ready.
+    pub fn hosts(&self, count: usize) -> Vec<Host> {
+        let hosts = (0..count).map(|number| self.spawn(&format!("front-{number}")));
+        let hosts: Vec<Host> = hosts.collect();
+        hosts.iter().for_each(|host| wait_for("the host is ready", || host.is_ready()));
+        hosts
+    }
+
     /// Starts a host and waits until it is ready.
     pub fn host(&self, name: &str) -> Host {
         let host = self.spawn(name);
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -9,8 +9,8 @@
 mod gateway;
 
 use gateway::{
-    Deployment, Host, fronts,
-    load::{Seen, under_load},
+    Deployment, fronts,
+    load::{Seen, check, offer, under_load},
     wait_for,
 };
 use std::{
@@ -19,28 +19,12 @@
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, Runner, StoreMode};
+use vanetally_platform_standin::{Runner, StoreMode};
 
 /// A host that has passed on what an upstream says sends it nothing later than this.
 const DRAIN: Duration = Duration::from_secs(2);
 const HOSTS: usize = 4;
 
-fn hosts(deployment: &Deployment) -> Vec<Host> {
-    let hosts: Vec<Host> =
-        (0..HOSTS).map(|number| deployment.spawn(&format!("front-{number}"))).collect();
-    hosts.iter().for_each(|host| wait_for("the host is ready", || host.is_ready()));
-    hosts
-}
-
-fn offer(number: u64) -> Client {
-    let client = Client::new("POST", "/offer/1", &format!("r{number}")).with("X-Model", "m1");
-    client.body(format!("draft {number}").as_bytes()).deadline(5_000)
-}
-
-fn check(number: u64) -> Client {
-    Client::new("GET", "/check/1", &format!("c{number}")).deadline(5_000)
-}
-
 /// When each request arrived at a runner, by its id.
 fn arrivals(runner: &Runner) -> Vec<(String, Instant)> {
     let ids = runner
@@ -72,7 +56,7 @@
 fn told_by_answers() {
     let mut deployment = Deployment::start();
     deployment.add_engine();
-    let hosts = hosts(&deployment);
+    let hosts = deployment.hosts(HOSTS);
     let fronts = fronts(&hosts);
     let engine = deployment.engines[0].clone();
     let mut left = Instant::now();
@@ -109,7 +93,7 @@
 fn told_to_new_host() {
     let mut deployment = Deployment::start();
     deployment.add_engine();
-    let hosts = hosts(&deployment);
+    let hosts = deployment.hosts(HOSTS);
     let engine = deployment.engines[0].clone();
     engine.set_leaving(Some("1"));
     under_load(&fronts(&hosts), offer, 4, Duration::from_millis(20), || {
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -9,7 +9,7 @@
 
 use gateway::{
     Deployment, Host, fronts,
-    load::{Seen, under_load},
+    load::{Seen, check, offer, under_load},
     wait_for,
 };
 use std::{
@@ -17,7 +17,7 @@
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, Runner, StoreMode};
+use vanetally_platform_standin::{Runner, StoreMode};
 
 /// The window in which what arrives is counted.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -38,24 +38,9 @@
     runner.arrivals().iter().filter(|at| **at >= since).count()
 }
 
-fn offer(number: u64) -> Client {
-    Client::new("POST", "/offer/1", &format!("r{number}"))
-        .with("X-Model", "m1")
-        .body(b"draft")
-        .deadline(5_000)
-}
-
-fn check(number: u64) -> Client {
-    Client::new("GET", "/check/1", &format!("r{number}")).deadline(5_000)
-}
-
 /// Hosts of a deployment that know who grants.
 fn hosts(deployment: &Deployment, count: usize) -> Vec<Host> {
-    let hosts: Vec<Host> =
-        (0..count).map(|number| deployment.spawn(&format!("front-{number}"))).collect();
-    for host in &hosts {
-        wait_for("the host is ready", || host.is_ready());
-    }
+    let hosts = deployment.hosts(count);
     wait_for("a host that grants", || hosts.iter().any(Host::is_order_holder));
     hosts
 }
--- a/tests/resting.rs
+++ b/tests/resting.rs
@@ -13,15 +13,15 @@
 mod gateway;
 
 use gateway::{
-    Deployment, Host, fronts,
-    load::{Seen, under_load},
+    Deployment, fronts,
+    load::{Seen, check, offer, under_load},
     wait_for,
 };
 use std::{
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, Runner};
+use vanetally_platform_standin::Runner;
 
 /// What is on its way when a host hears of the rest may arrive within this time.
 const GRACE: Duration = Duration::from_millis(500);
@@ -30,22 +30,6 @@
 const AGAIN: Duration = Duration::from_secs(1);
 const HOSTS: usize = 3;
 
-fn hosts(deployment: &Deployment) -> Vec<Host> {
-    let hosts: Vec<Host> =
-        (0..HOSTS).map(|number| deployment.spawn(&format!("front-{number}"))).collect();
-    hosts.iter().for_each(|host| wait_for("the host is ready", || host.is_ready()));
-    hosts
-}
-
-fn offer(number: u64) -> Client {
-    let client = Client::new("POST", "/offer/1", &format!("r{number}")).with("X-Model", "m1");
-    client.body(format!("draft {number}").as_bytes()).deadline(5_000)
-}
-
-fn check(number: u64) -> Client {
-    Client::new("GET", "/check/1", &format!("r{number}")).deadline(5_000)
-}
-
 /// When requests of one host arrived, where callers ask `HOSTS` hosts in turn.
 fn arrivals(runner: &Runner, host: usize) -> Vec<Instant> {
     let of_host = |id: &str| {
@@ -77,7 +61,7 @@
 fn rest_kept() {
     let mut deployment = Deployment::start();
     deployment.add_engine();
-    let hosts = hosts(&deployment);
+    let hosts = deployment.hosts(HOSTS);
     let engine = deployment.engines[0].clone();
     let mut asked = Instant::now();
     let seen = under_load(&fronts(&hosts), offer, 8, Duration::from_millis(20), || {
@@ -102,7 +86,7 @@
 #[test]
 fn only_upstream_rests() {
     let deployment = Deployment::start();
-    let hosts = hosts(&deployment);
+    let hosts = deployment.hosts(HOSTS);
     let desk = deployment.desks[0].clone();
     let (mut asked, mut over) = (Instant::now(), Instant::now());
     let seen = under_load(&fronts(&hosts), check, 6, Duration::from_millis(20), || {
