--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -133,8 +133,7 @@
                 let Some(known) = self.upstreams.get(&upstream) else {
                     return;
                 };
-                let is_repeated = request.route.kind == RequestKind::Idempotent;
-                let is_common = is_repeated || self.held.was_answered(content);
+                let is_common = self.is_common(request);
                 if !is_common {
                     self.held.doubt(now, content, DOUBT_MS);
                 }
@@ -150,6 +149,12 @@
         }
     }
 
+    /// Whether many callers send what a request says.
+    pub(crate) fn is_common(&self, request: &Request) -> bool {
+        let is_repeated = request.route.kind == RequestKind::Idempotent;
+        is_repeated || self.held.was_answered(request.content)
+    }
+
     /// Somebody looked whether an upstream lives: one that shows no life gets nothing for a while.
     pub(crate) fn looked_at(
         &mut self,
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -5,7 +5,7 @@
 use vanetally_limit::{Answer as Permit, News, Question};
 use vanetally_pacing::{Prompt, Slot};
 use vanetally_ports::{CallerRequest, Configuration, ModelRef, Origin, Refusal, UpstreamState};
-use vanetally_quarantine::{Content, Quarantine, Sign};
+use vanetally_quarantine::{Content, Quarantine, Sign, Suspicion};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// A request in this process.
@@ -345,6 +345,8 @@
         /// Whether many callers send this content.
         is_common: bool,
     },
+    /// An upstream has certainly ended under a content: those that keep the evidence have to know.
+    Suspect(Suspicion),
     /// Note how well the first piece was predicted.
     Predicted {
         /// The request.
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -11,6 +11,7 @@
     pace::Pace,
     queue::Queue,
     request::{Request, Stage},
+    rest::Rest,
     routes,
     upstream::{Load, Upstream},
 };
@@ -21,7 +22,7 @@
 use vanetally_ports::{
     CallerRequest, Configuration, ModelRef, Refusal, RefusalCause, Route, UpstreamState,
 };
-use vanetally_quarantine::{Content, Held};
+use vanetally_quarantine::{Content, Held, Sign, Suspicion};
 use vanetally_types::{Incarnation, Name, Tick, Verdict, hash64};
 
 /// All decisions about requests of one host.
@@ -38,6 +39,8 @@
     pub(crate) confirmed: Option<Tick>,
     pub(crate) held: Held,
     pub(crate) upstreams: BTreeMap<Incarnation, Upstream>,
+    /// Rests of upstreams whose announcements are gone: the same life may announce itself again.
+    rests: BTreeMap<Incarnation, Rest>,
     pub(crate) directory: Directory,
     pub(crate) requests: HashMap<RequestId, Request>,
     pub(crate) queue: Queue,
@@ -109,6 +112,7 @@
             confirmed: None,
             held: Held::default(),
             upstreams: BTreeMap::new(),
+            rests: BTreeMap::new(),
             directory: Directory::default(),
             requests: HashMap::new(),
             queue: Queue::default(),
@@ -141,10 +145,10 @@
                 }
             }
             Event::UpstreamEnded { id } => {
-                self.upstream_gone(&id);
-                actions.extend(self.abandon(&id));
+                self.upstream_gone(now, &id);
+                self.abandon(&id, &mut actions);
             }
-            Event::UpstreamGone { id } => self.upstream_gone(&id),
+            Event::UpstreamGone { id } => self.upstream_gone(now, &id),
             Event::Placed { runner, subject, presence } => {
                 if presence == Presence::Present {
                     self.directory.told(&runner, &subject.model);
@@ -312,26 +316,40 @@
                 for upstream in self.upstreams.values_mut() {
                     upstream.successor_seen(&id, &state, now);
                 }
-                self.upstreams.insert(id, Upstream::new(state, now));
+                let mut upstream = Upstream::new(state, now);
+                upstream.rest = self.rests.remove(&id).unwrap_or_default();
+                self.upstreams.insert(id, upstream);
             }
         }
     }
 
-    fn upstream_gone(&mut self, id: &Incarnation) {
-        self.upstreams.remove(id);
+    fn upstream_gone(&mut self, now: Tick, id: &Incarnation) {
+        self.rests.retain(|_, rest| rest.left_ms(now).is_some());
+        let gone = self.upstreams.remove(id);
+        if let Some(gone) = gone.filter(|gone| gone.rest.left_ms(now).is_some()) {
+            self.rests.insert(id.clone(), gone.rest);
+        }
         self.directory.gone(id);
         self.pace.forget(id);
         self.upstreams.values_mut().for_each(|upstream| upstream.successor_gone(id));
     }
 
-    /// Gives up the attempts that are at an upstream now.
-    fn abandon<'a>(&'a self, upstream: &'a Incarnation) -> impl Iterator<Item = Action> + 'a {
-        let is_there = move |request: &Request| match &request.stage {
+    /// Gives up the attempts that are at an upstream that has ended; that it did under them speaks against their
+    /// contents.
+    fn abandon(&self, upstream: &Incarnation, actions: &mut Vec<Action>) {
+        let is_there = |request: &Request| match &request.stage {
             Stage::Sent(sending) => sending.upstream == *upstream,
             Stage::Waiting | Stage::Reserving(_) => false,
         };
-        let there = self.requests.iter().filter(move |(_, request)| is_there(request));
-        there.map(|(id, request)| Action::Abandon { id: *id, number: request.sendings })
+        for (id, request) in self.requests.iter().filter(|(_, request)| is_there(request)) {
+            actions.push(Action::Abandon { id: *id, number: request.sendings });
+            actions.push(Action::Suspect(Suspicion {
+                content: request.content,
+                upstream: upstream.clone(),
+                sign: Sign::Ended,
+                is_common: self.is_common(request),
+            }));
+        }
     }
 
     fn peer_digest(&mut self, now: Tick, host: &Name, digest: Digest) {
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -2,7 +2,7 @@
 //! engine.
 
 use crate::{
-    Action, Dispatch, Lack, RequestId, Shortage, Standing,
+    Action, Dispatch, Lack, RequestId, Shortage,
     choice::{Choice, Expected},
     machine::MICROS_PER_MILLI,
     request::{Reservation, Stage},
@@ -10,7 +10,7 @@
 };
 use vanetally_limit::{Answer as Permit, Question};
 use vanetally_pacing::{Moment, Prompt, Slot};
-use vanetally_ports::{Refusal, RefusalCause};
+use vanetally_ports::RefusalCause;
 use vanetally_types::Tick;
 
 impl Dispatch {
@@ -143,17 +143,13 @@
         retry_ms: u32,
         actions: &mut Vec<Action>,
     ) {
-        let Some(request) = self.requests.get_mut(&id) else {
+        let Some(request) = self.requests.get(&id) else {
             return;
         };
         let holders = request.shortage.map_or(1, |shortage| shortage.holders);
-        request.shortage = Some(Shortage { lack: Lack::Limit, holders });
+        let shortage = Shortage { lack: Lack::Limit, holders };
         let (service, subject) = (request.service.clone(), request.head.model.clone());
-        let refusal = Refusal::not_run(RefusalCause::Limited, Some(retry_ms.into()));
-        let refusal = refusal.with_verdict(request.verdict);
-        let standing = Standing::from(&*request);
-        self.end(id);
-        actions.push(Action::Refuse { id, refusal, standing });
+        self.refuse_at_once(id, shortage, RefusalCause::Limited, retry_ms.into(), actions);
         if let Some(subject) = subject {
             self.tell_shortage(now, &service, subject, Lack::Limit, CROWDED_MS, actions);
         }
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -144,7 +144,7 @@
     }
 
     /// Refuses a request that nobody can take for longer than it would wait.
-    fn refuse_at_once(
+    pub(crate) fn refuse_at_once(
         &mut self,
         id: RequestId,
         shortage: Shortage,
--- a/crates/dispatch/tests/deadly.rs
+++ b/crates/dispatch/tests/deadly.rs
@@ -153,3 +153,17 @@
         assert!(sent(&actions, id).iter().all(|attempt| attempt.upstream != upstream));
     }
 }
+
+/// Another life of an upstream is announced while an attempt is there, which nobody has answered: the one before has ended
+/// under it, though its connection stays open, as that of a machine without power does.
+#[test]
+fn next_life_announced() {
+    let mut host = host();
+    let (id, actions) = arrive(&mut host, 1, CONTENT);
+    let upstream = sent(&actions, id).pop().expect("it goes").upstream;
+    let actions = host.tell(Event::UpstreamEnded { id: upstream.clone() });
+    let suspicion = Suspicion { content: CONTENT, upstream, sign: Sign::Ended, is_common: false };
+    assert!(actions.contains(&Action::Suspect(suspicion)), "{actions:?}");
+    let actions = host.tell(Event::AttemptEnded { id, end: AttemptEnd::Broken, answered: false });
+    assert!(!actions.iter().any(|action| matches!(action, Action::LookAt { .. })), "it is known");
+}
--- a/crates/dispatch/tests/resting.rs
+++ b/crates/dispatch/tests/resting.rs
@@ -129,3 +129,16 @@
     ask_rest(&mut host, "i-1", 3_000);
     assert!(!host.dispatch.may_send(host.now, id));
 }
+
+/// Its announcement lapses and comes back: the same life rests on.
+#[test]
+fn announced_again() {
+    let mut host = host(1);
+    ask_rest(&mut host, "i-1", 3_000);
+    host.tell(Event::UpstreamGone { id: "i-1".into() });
+    host.now = host.now + 1_000;
+    host.see("i-1", upstream("desk", 1, &[]));
+    assert_eq!(goes_to(&mut host, "a").1, None);
+    host.now = host.now + 2_400;
+    assert!(goes_to(&mut host, "b").1.is_some());
+}
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -247,6 +247,7 @@
                 dispatch::Action::LookAt { upstream, address, is_engine, content, is_common } => {
                     self.look_at(Suspect { upstream, address, is_engine }, content, is_common);
                 }
+                dispatch::Action::Suspect(suspicion) => self.suspect(suspicion),
                 dispatch::Action::Permit { id, turn, question } => {
                     tokio::task::spawn_local(self.clone().permit(id, turn, question));
                 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -62,6 +62,8 @@
     let reply = call::call(&Pool::new(hub.clock), suspect.address, request, LOOK).await;
     match reply {
         Ok(reply) if reply.status() == StatusCode::MISDIRECTED_REQUEST => Some(Sign::Ended),
+        // A front may say so in the place of one that has gone.
+        Ok(reply) if reply.status().is_server_error() => Some(Sign::Silent),
         Ok(reply) => {
             let report = hub.ports.engine.read_report(&reply.body).ok();
             let born = report.and_then(|report| report.born);
@@ -133,7 +135,7 @@
     }
 
     /// Weighs a suspicion here, and tells the others that keep the evidence.
-    fn suspect(self: &Rc<Self>, suspicion: Suspicion) {
+    pub(crate) fn suspect(self: &Rc<Self>, suspicion: Suspicion) {
         let message = PeerMessage::Suspect(suspicion.clone());
         self.send_all(self.keepers(suspicion.content).iter(), &message);
         self.weigh(&self.settings.host.clone(), suspicion);
