--- a/crates/quarantine/src/held.rs
+++ b/crates/quarantine/src/held.rs
@@ -136,11 +136,6 @@
         all.filter(|quarantine| !quarantine.is_release()).collect()
     }
 
-    /// How many contents are kept back.
-    pub fn len(&self, now: Tick) -> usize {
-        self.until.values().filter(|(until, _)| *until > now).count()
-    }
-
     fn make_room(&mut self, now: Tick) {
         self.until.retain(|_, (until, _)| *until > now);
         let soonest = self.until.iter().min_by_key(|(_, (until, _))| *until);
