--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,6 +1,6 @@
 //! What this host knows of the store's keys, from the store itself or from another host.
 
-use crate::{peers::Told, store::Snapshot, watch::Follower};
+use crate::{peers::Told, store::Snapshot, telemetry, watch::Follower};
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
@@ -92,6 +92,8 @@
         if is_taken {
             self.packed.take();
             self.follower.replaced(snapshot);
+        } else {
+            self.log_passed_over("reading", snapshot.at, snapshot.items.len());
         }
         is_taken
     }
@@ -110,7 +112,11 @@
         at: Revision,
         changes: Vec<Change>,
     ) -> Result<(), Gap> {
+        let told = changes.len();
         let news = self.mirror.borrow_mut().try_apply(after, at, changes)?;
+        if news.len() < told {
+            self.log_passed_over("changes", at, told - news.len());
+        }
         if !news.is_empty() {
             self.packed.take();
         }
@@ -118,6 +124,18 @@
         Ok(())
     }
 
+    /// What was told is older than what is known here, or was told twice.
+    fn log_passed_over(&self, what: &'static str, at: Revision, keys: usize) {
+        let known = self.mirror.borrow().at().unwrap_or_default();
+        telemetry::passed_over(what);
+        log::info!(
+            "event=news_passed_over what={what} prefix={} at={} known={} keys={keys}",
+            self.prefix,
+            at.0,
+            known.0
+        );
+    }
+
     pub(crate) fn has(&self, change: &Change) -> bool {
         change.key().starts_with(&*self.prefix)
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -9,11 +9,17 @@
 };
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::sync::watch;
 use vanetally_fanout::{Contact, StoreState};
 use vanetally_ports::{
-    FormatError, Freshness, Item, LeaseId, Revision, StoreAnswer, StoreProtocol, Transaction,
+    Era, FormatError, Freshness, Item, LeaseId, Revision, StoreAnswer, StoreProtocol, Transaction,
     WatchAnswer,
 };
 use vanetally_types::Tick;
@@ -51,6 +57,8 @@
     returns: Rc<watch::Sender<u64>>,
     /// Calls since they were last logged, by name.
     calls: Rc<RefCell<BTreeMap<&'static str, u32>>>,
+    /// The newest era in which it answered; none before its first answer.
+    era: Rc<Cell<Option<Era>>>,
 }
 
 /// For a short call.
@@ -79,6 +87,7 @@
             contact: Rc::new(RefCell::new(Contact::new(contact_ms))),
             returns: Rc::new(watch::Sender::new(0)),
             calls: Rc::default(),
+            era: Rc::default(),
         }
     }
 
@@ -148,6 +157,24 @@
             log::info!("event=store_returned silent_ms={silent_ms}");
             self.begin_anew();
         }
+        drop(contact);
+        if let Ok(reply) = reply {
+            self.note_era(reply);
+        }
+    }
+
+    /// Tells when the store answers in another era than before.
+    fn note_era(&self, reply: &Reply) {
+        match self.protocol.read_era(&reply.head.headers) {
+            Ok(era) if Some(era) > self.era.get() => {
+                let before =
+                    self.era.replace(Some(era)).map_or("-".into(), |era| era.0.to_string());
+                log::info!("event=store_era era={} before={before}", era.0);
+                telemetry::store_era(era);
+            }
+            Ok(_) => {}
+            Err(error) => log::error!("event=store_era_unreadable error=\"{error}\""),
+        }
     }
 
     async fn call(
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -6,7 +6,7 @@
 use vanetally_dispatch::{AttemptEnd, Counts};
 use vanetally_limit::{Answer, News};
 use vanetally_link::peer::Traffic;
-use vanetally_ports::{AnnouncementError, OrderOutcome, RefusalCause};
+use vanetally_ports::{AnnouncementError, Era, OrderOutcome, RefusalCause};
 use vanetally_quarantine::Sign;
 
 /// Bounds of the latency histograms, in seconds.
@@ -137,6 +137,16 @@
     counter!("vanetally_store_calls_total", "call" => call, "outcome" => outcome).increment(1);
 }
 
+/// The store answered in another era than before.
+pub(crate) fn store_era(era: Era) {
+    gauge!("vanetally_store_era").set(era.0 as f64);
+}
+
+/// News of the store were passed over: they are older than what is known here.
+pub(crate) fn passed_over(what: &'static str) {
+    counter!("vanetally_store_news_passed_over_total", "what" => what).increment(1);
+}
+
 /// Figures that are read off now and then.
 pub(crate) fn gauges(counts: Counts, version: Option<u64>, is_ready: bool, is_holder: bool) {
     gauge!("vanetally_requests_waiting").set(counts.waiting as f64);
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod engine;
 /// Organisations, the keys that their callers bear, and how much they may ask for.
 pub mod organisation;
+/// The order of what lies in the store.
+pub mod revision;
 /// The key-value store of the deployment.
 pub mod store;
 /// Runners and plain services that requests are sent to.
@@ -27,6 +29,7 @@
     Statement, Subject,
 };
 pub use organisation::{CallerKey, Credential, Organisation, Origin, Quota, QuotaUnit};
+pub use revision::Era;
 pub use store::{
     Change, Expectation, Freshness, Item, LeaseId, Page, Revision, StoreAnswer, StoreProtocol,
     Transaction, WatchAnswer, Write,
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -1,6 +1,6 @@
 //! The key-value store of the deployment.
 
-use crate::FormatError;
+use crate::{Era, FormatError};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use vanetally_types::Name;
@@ -138,6 +138,12 @@
 
 /// What the store speaks.
 pub trait StoreProtocol {
+    /// Reads from the head of any answer in which era the store gave it.
+    ///
+    /// # Errors
+    /// If what it says is no era.
+    fn read_era(&self, headers: &http::HeaderMap) -> Result<Era, FormatError>;
+
     /// The cheapest call that shows whether the store answers; `key` is a small one, there or not.
     fn probe(&self, key: &str) -> http::Request<Bytes>;
 
