test: hosts hear nothing after the store came back from a copy (red)

The stand-in of the store keeps copies of itself and comes back from one: lower revisions, the next era in the header of all its answers, leases kept or gone, watches cut, refused or answered late as of before, what the operator and runners wrote written again at once or later.

The log of each host says why: news_passed_over for each reading and each change after it, with known= above at=.

--- /dev/null
+++ b/tests/store_copy.rs
@@ -0,0 +1,258 @@
+//! A store that comes back from an older copy of itself: what hosts believe, and what they write again.
+
+mod gateway;
+
+use gateway::{Deployment, Host, wait_for};
+use rstest::rstest;
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    thread::sleep,
+    time::{Duration, Instant},
+};
+use vanetally_platform_standin::{Client, Copy, Return, StoreMode};
+
+/// A change that was acknowledged is in force on all hosts within this time.
+const IN_FORCE: Duration = Duration::from_millis(2_000);
+/// So long after its leaving was acknowledged an upstream gets nothing new.
+const DRAIN: Duration = Duration::from_millis(2_000);
+/// One host gives orders within this time after the return.
+const HELD: Duration = Duration::from_millis(4_000);
+/// How long the store is away.
+const AWAY: Duration = Duration::from_millis(400);
+/// The hosts have heard all of the return.
+const HEARD: Duration = Duration::from_millis(1_500);
+/// Writes that the copy does not hold.
+const WRITES: usize = 40;
+
+const KEPT: Return = Return { keeps_leases: true, again: Duration::ZERO, answers_late: false };
+const LOST: Return = Return { keeps_leases: false, ..KEPT };
+const LATE: Return = Return { again: Duration::from_millis(700), answers_late: true, ..LOST };
+
+fn name(number: usize) -> String {
+    format!("front-{number}")
+}
+
+/// A number that no request had before.
+fn fresh() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+fn get(host: &Host, path: &str) -> u16 {
+    Client::new("GET", path, &format!("g{}", fresh())).deadline(400).send(host.front).status
+}
+
+/// Asks for an adapter of the model.
+fn ask_adapter(host: &Host, adapter: &str) -> u16 {
+    Client::new("POST", "/offer/1", &format!("a{}", fresh()))
+        .with("X-Model", &format!("m1/{adapter}"))
+        .with("X-Token-Count", "10,5")
+        .with("X-Prompt-Prefix", "a1:10")
+        .deadline(4_000)
+        .send(host.front)
+        .status
+}
+
+/// Writes that only move the store's revision on.
+fn write_much(deployment: &Deployment) {
+    for number in 0..WRITES {
+        deployment.store.put("servers/i-noise", &serde_json::json!([number]));
+    }
+    deployment.store.remove("servers/i-noise");
+}
+
+/// The store goes away and comes back from `copy`.
+fn come_back(deployment: &Deployment, copy: &Copy, how: Return) {
+    deployment.store.set_mode(StoreMode::Busy);
+    sleep(AWAY);
+    deployment.store.return_from(copy, how);
+    deployment.store.set_mode(StoreMode::Serving);
+}
+
+/// Hosts that have heard of more than the copy holds, and the store's return from it.
+fn returned(hosts: usize, how: Return) -> (Deployment, Vec<Host>) {
+    let deployment = Deployment::start();
+    let hosts = deployment.hosts(hosts);
+    wait_for("one holds the orders", || holders(&hosts) == 1);
+    sleep(HEARD);
+    let copy = deployment.store.copy();
+    write_much(&deployment);
+    sleep(HEARD);
+    come_back(&deployment, &copy, how);
+    (deployment, hosts)
+}
+
+fn holders(hosts: &[Host]) -> usize {
+    hosts.iter().filter(|host| host.is_order_holder()).count()
+}
+
+/// How long it takes until all hosts serve the route that `version` adds.
+fn configure(deployment: &Deployment, hosts: &[Host], version: u64, route: &str) -> Duration {
+    deployment.configure(version, &[route]);
+    let written = Instant::now();
+    let path = format!("/{route}/1");
+    wait_for("it is in force", || hosts.iter().all(|host| get(host, &path) == 200));
+    written.elapsed()
+}
+
+/// Eight hosts took no change after the store's return, since its revisions lay below those that they knew.
+#[rstest]
+#[case::leases_kept(KEPT)]
+#[case::leases_lost(LOST)]
+#[case::answers_late(LATE)]
+fn change_after_return(#[case] how: Return) {
+    let (deployment, hosts) = returned(4, how);
+    sleep(HEARD);
+    let took = configure(&deployment, &hosts, 5, "added");
+    assert!(took < IN_FORCE, "in force after {took:?}");
+}
+
+/// The same, once more after another return, and in a fleet in which one host reads the store for all.
+#[rstest]
+#[case::few(4)]
+#[case::fleet(14)]
+fn change_after_second_return(#[case] count: usize) {
+    let (deployment, hosts) = returned(count, LOST);
+    sleep(HEARD);
+    let copy = deployment.store.copy();
+    write_much(&deployment);
+    sleep(HEARD);
+    come_back(&deployment, &copy, KEPT);
+    sleep(HEARD);
+    let took = configure(&deployment, &hosts, 5, "added");
+    assert!(took < IN_FORCE, "in force after {took:?}");
+}
+
+/// A runner said after the store's return that it leaves, and got requests for as long as it lived.
+#[test]
+fn leaving_after_return() {
+    let (deployment, hosts) = returned(4, KEPT);
+    sleep(HEARD);
+    let (key, mut value) = deployment.desks[0].entry();
+    value["state"] = "draining".into();
+    deployment.store.put(&key, &value);
+    sleep(DRAIN);
+    let before = deployment.desks[0].requests().len();
+    hosts.iter().for_each(|host| drop(get(host, "/check/1")));
+    let late = deployment.desks[0].requests().len() - before;
+    assert_eq!(late, 0, "requests later than {DRAIN:?} after it");
+}
+
+/// Nobody gave orders after the store's return: the holder's key seemed to lie there still.
+#[rstest]
+#[case::leases_kept(KEPT)]
+#[case::leases_lost(LOST)]
+fn orders_after_return(#[case] how: Return) {
+    let (deployment, hosts) = returned(4, how);
+    let back = Instant::now();
+    wait_for("one holds the orders", || holders(&hosts) == 1);
+    sleep(HELD.saturating_sub(back.elapsed()));
+    assert_eq!(holders(&hosts), 1);
+    for (number, host) in hosts.iter().enumerate() {
+        let adapter = format!("a{}", number + 1);
+        assert_eq!(ask_adapter(host, &adapter), 200, "{}", name(number));
+    }
+    assert_tokens_rise(&deployment);
+}
+
+/// The token of orders was a revision, and went back with the store.
+fn assert_tokens_rise(deployment: &Deployment) {
+    let orders = deployment.engines[0].orders();
+    let refused = orders.iter().filter(|order| order.status == 412).count();
+    let tokens: Vec<u64> = orders.iter().map(|order| order.token).collect();
+    assert!(tokens.is_sorted() && refused == 0, "{tokens:?}, {refused} refused");
+}
+
+/// An order before the return, one after it, each with the token of its holder.
+#[rstest]
+#[case::leases_kept(KEPT)]
+#[case::leases_lost(LOST)]
+fn token_lower_after_return(#[case] how: Return) {
+    let deployment = Deployment::start();
+    let copy = deployment.store.copy();
+    write_much(&deployment);
+    let hosts = deployment.hosts(4);
+    wait_for("one holds the orders", || holders(&hosts) == 1);
+    assert_eq!(ask_adapter(&hosts[0], "a1"), 200);
+    sleep(HEARD);
+    come_back(&deployment, &copy, how);
+    sleep(HELD);
+    assert_eq!(ask_adapter(&hosts[1], "a2"), 200);
+    assert_tokens_rise(&deployment);
+}
+
+/// What the copy does not hold yet is not taken back: a version, and the leaving of a runner.
+#[test]
+fn copy_takes_nothing_back() {
+    let deployment = Deployment::start();
+    let hosts = deployment.hosts(4);
+    let copy = deployment.store.copy();
+    configure(&deployment, &hosts, 5, "added");
+    let (key, mut value) = deployment.desks[0].entry();
+    value["state"] = "draining".into();
+    deployment.store.put(&key, &value);
+    sleep(HEARD);
+    // What was lost is written again only much later.
+    come_back(&deployment, &copy, Return { again: Duration::from_secs(5), ..KEPT });
+    sleep(HEARD);
+    let before = deployment.desks[0].requests().len();
+    for host in &hosts {
+        assert_eq!(get(host, "/added/1"), 503, "the route is known, its upstream leaves");
+    }
+    assert_eq!(deployment.desks[0].requests().len(), before);
+}
+
+/// A runner that had left without a word is in the copy still.
+#[test]
+fn copy_brings_back_nobody() {
+    let deployment = Deployment::start();
+    let hosts = deployment.hosts(4);
+    sleep(HEARD);
+    let copy = deployment.store.copy();
+    deployment.store.remove("servers/i-desk-0");
+    sleep(HEARD);
+    come_back(&deployment, &copy, Return { again: Duration::from_secs(5), ..KEPT });
+    sleep(HEARD);
+    let before = deployment.desks[0].requests().len();
+    hosts.iter().for_each(|host| drop(get(host, "/check/1")));
+    assert_eq!(deployment.desks[0].requests().len(), before);
+}
+
+/// A runner whose key the copy does not hold yet lives: it is used until it has had the time to write it again.
+#[test]
+fn copy_forgets_nobody() {
+    let deployment = Deployment::start();
+    let (key, value) = deployment.desks[0].entry();
+    deployment.store.remove(&key);
+    let hosts = deployment.hosts(4);
+    sleep(HEARD);
+    let copy = deployment.store.copy();
+    deployment.store.put(&key, &value);
+    wait_for("it is used", || hosts.iter().all(|host| get(host, "/check/1") == 200));
+    come_back(&deployment, &copy, Return { again: Duration::from_millis(1_200), ..KEPT });
+    let back = Instant::now();
+    while back.elapsed() < IN_FORCE {
+        for (number, host) in hosts.iter().enumerate() {
+            assert_eq!(get(host, "/check/1"), 200, "{} after {:?}", name(number), back.elapsed());
+        }
+        sleep(Duration::from_millis(50));
+    }
+}
+
+/// The keys of hosts and of the holder of orders are written again.
+#[test]
+fn keys_written_again() {
+    let deployment = Deployment::start();
+    let copy = deployment.store.copy();
+    let hosts = deployment.hosts(4);
+    wait_for("one holds the orders", || holders(&hosts) == 1);
+    sleep(HEARD);
+    come_back(&deployment, &copy, LOST);
+    let back = Instant::now();
+    let keys: Vec<String> =
+        (0..4).map(|number| format!("vanetally/hosts/{}", name(number))).collect();
+    wait_for("hosts are there", || keys.iter().all(|key| deployment.store.get(key).is_some()));
+    wait_for("the holder is there", || deployment.store.get("vanetally/orders").is_some());
+    assert!(back.elapsed() < HELD, "written again after {:?}", back.elapsed());
+    assert_eq!(holders(&hosts), 1);
+}
