fix: a copy of the store that lacks the hosts' keys does not turn a fleet into hosts that are alone

Cause: keys that a reading lacks were taken for hosts that had gone. In a reading of a new era they are waited for for four seconds, in which those that live write them again (event=host_lapsed); a key that goes in that era, or a host that falls silent, is judged as before.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -10,9 +10,18 @@
 use vanetally_fanout::{Candidate, Event as FollowEvent};
 use vanetally_types::{Name, rendezvous_rank};
 
+/// Hosts that live have written their keys again within this time after the store's return from a copy, in
+/// milliseconds: they hear of it within a second, and spread their calls over two where they are hundreds.
+const AGAIN_MS: u64 = 4_000;
+
 impl Hub {
-    /// The hosts that have keys now.
-    pub(crate) fn set_peers(self: &Rc<Self>, hosts: BTreeMap<Name, HostEntry>) {
+    /// The hosts that have keys now. Where the store came back from a copy those that it lacks are waited for.
+    pub(crate) fn set_peers(
+        self: &Rc<Self>,
+        mut hosts: BTreeMap<Name, HostEntry>,
+        is_return: bool,
+    ) {
+        self.keep_lapsed(&mut hosts, is_return);
         let old = std::mem::replace(&mut *self.peers.borrow_mut(), hosts.clone());
         hosts.keys().filter(|host| !old.contains_key(*host)).for_each(|host| self.greet(host));
         let gone = old.into_keys().filter(|host| !hosts.contains_key(host));
@@ -20,9 +29,39 @@
         self.count_peers();
     }
 
+    fn keep_lapsed(&self, hosts: &mut BTreeMap<Name, HostEntry>, is_return: bool) {
+        let now = self.clock.now();
+        let mut lapsed = self.lapsed.borrow_mut();
+        lapsed.retain(|host, _| !hosts.contains_key(host));
+        for (host, entry) in self.peers.borrow().iter() {
+            if hosts.contains_key(host) {
+                continue;
+            }
+            if is_return {
+                log::info!("event=host_lapsed host={host} wait_ms={AGAIN_MS}");
+                lapsed.entry(host.clone()).or_insert(now + AGAIN_MS);
+            }
+            if lapsed.contains_key(host) {
+                hosts.insert(host.clone(), entry.clone());
+            }
+        }
+    }
+
+    /// Hosts that were waited for in vain are gone.
+    pub(crate) fn review_lapsed(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let over: Vec<Name> = {
+            let lapsed = self.lapsed.borrow();
+            let over = lapsed.iter().filter(|(_, until)| now >= **until);
+            over.map(|(host, _)| host.clone()).collect()
+        };
+        over.iter().for_each(|host| self.peer_gone(host));
+    }
+
     /// A host wrote its key.
     pub(crate) fn peer_seen(self: &Rc<Self>, host: Name, entry: HostEntry) {
         log::log!(self.hearsay(), "event=host_seen host={host} link={}", entry.link);
+        self.lapsed.borrow_mut().remove(&host);
         self.peers.borrow_mut().insert(host.clone(), entry);
         self.greet(&host);
         self.count_peers();
@@ -45,6 +84,7 @@
     /// A host's key is gone.
     pub(crate) fn peer_gone(self: &Rc<Self>, host: &Name) {
         log::log!(self.hearsay(), "event=host_gone host={host}");
+        self.lapsed.borrow_mut().remove(host);
         self.peers.borrow_mut().remove(host);
         self.request_event(dispatch::Event::PeerGone { host: host.clone() });
         self.count_peers();
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -95,6 +95,8 @@
     pub tenure: RefCell<Tenure>,
     pub holder: RefCell<Option<Name>>,
     pub peers: RefCell<BTreeMap<Name, HostEntry>>,
+    /// Hosts whose keys a copy of the store lacks, and until when they are waited for.
+    pub lapsed: RefCell<BTreeMap<Name, Tick>>,
     /// The era in which the product's keys were last read.
     keys_era: Cell<Option<Era>>,
     pub waiters: RefCell<HashMap<RequestId, mpsc::UnboundedSender<Command>>>,
@@ -174,6 +176,7 @@
             tenure: RefCell::new(Tenure::new(clock.now(), tenure)),
             holder: RefCell::new(None),
             peers: RefCell::new(BTreeMap::new()),
+            lapsed: RefCell::default(),
             keys_era: Cell::default(),
             waiters: RefCell::new(HashMap::new()),
             next_id: Cell::new(0),
@@ -381,6 +384,7 @@
         }
         self.request_event(dispatch::Event::Tick);
         self.tenure_event(TenureEvent::Tick);
+        self.review_lapsed();
         self.follow_tick();
         self.probe_store();
         self.placement_event(placement::Event::Tick);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -300,7 +300,7 @@
         let era = snapshot.at.era;
         let is_return = self.hub.keys_read(era);
         let hosts = snapshot.items.iter().filter_map(entry).collect();
-        self.hub.set_peers(hosts);
+        self.hub.set_peers(hosts, is_return);
         let quarantines = snapshot.items.iter().filter(|item| is_quarantine(&item.key));
         quarantines.for_each(|item| self.hub.kept_quarantine(item));
         let holder = snapshot.items.iter().find(|item| &*item.key == HOLDER_KEY);
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -324,6 +324,6 @@
         return;
     };
     if *hub.source.borrow() == Source::Nobody {
-        hub.set_peers(snapshot.items.iter().filter_map(peers::entry).collect());
+        hub.set_peers(snapshot.items.iter().filter_map(peers::entry).collect(), false);
     }
 }
--- a/tests/store_copy.rs
+++ b/tests/store_copy.rs
@@ -268,3 +268,34 @@
     assert!(back.elapsed() < HELD, "written again after {:?}", back.elapsed());
     assert_eq!(holders(&hosts), 1);
 }
+
+/// All hosts of a fleet took themselves to be alone when a copy lacked their keys, and each one read the store.
+#[test]
+fn fleet_keeps_its_reader() {
+    const HOSTS: usize = 14;
+    let deployment = Deployment::start();
+    let copy = deployment.store.copy();
+    let hosts = deployment.hosts(HOSTS);
+    let readers = || {
+        let last = |(_, log): (String, String)| {
+            let changes = log.lines().filter(|line| line.contains("event=source_changed"));
+            changes.last().is_some_and(|line| line.contains("source=store "))
+        };
+        deployment.logs().into_iter().filter(|log| last(log.clone())).count()
+    };
+    let turned = || {
+        let logs = deployment.logs().into_iter().map(|(_, log)| log);
+        logs.map(|log| log.matches("event=source_changed source=store ").count()).sum::<usize>()
+    };
+    wait_for("one reads for all", || readers() == 1);
+    sleep(HEARD);
+    let before = turned();
+    come_back(&deployment, &copy, LOST);
+    sleep(HELD);
+    assert!(turned() - before <= 1, "{} turned to the store", turned() - before);
+    assert_eq!(readers(), 1);
+    let keys = (0..HOSTS).map(|number| format!("vanetally/hosts/{}", name(number)));
+    let missing: Vec<String> = keys.filter(|key| deployment.store.get(key).is_none()).collect();
+    assert_eq!(missing, [] as [String; 0], "keys that were not written again");
+    drop(hosts);
+}
