fix: quarantines that a copy of the store lacks are written again

The first of those that keep the evidence writes it a moment after the return, the next ones a second later each if it is still missing.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -28,6 +28,8 @@
 const CONTENTS: &str = "vanetally/contents/";
 /// The store keeps a quarantine this long at most, in milliseconds.
 const MOST_KEPT_MS: u64 = 600_000;
+/// Between the hosts that may write one again.
+const AGAIN: Duration = Duration::from_secs(1);
 /// Pause after a failure to write one.
 const RETRY: Duration = Duration::from_millis(500);
 /// Quarantines that this host writes at once; beyond that hosts only tell each other.
@@ -263,6 +265,37 @@
         });
     }
 
+    /// The store came back from a copy and has these keys: writes again which quarantines it lacks. One of those that
+    /// know a quarantine does so at once, the next ones if it is still missing later.
+    pub(crate) fn keep_again(self: &Rc<Self>, items: &[Item]) {
+        let held = self.dispatch.borrow().held().quarantines(self.clock.now());
+        let is_there = |one: &Quarantine| items.iter().any(|item| item.key == key(one.content));
+        for quarantine in held.into_iter().filter(|one| !is_there(one)) {
+            let peers = self.peers.borrow();
+            let own = &self.settings.host;
+            let others = peers.keys().filter(|host| *host != own);
+            let ranked = rendezvous_rank(quarantine.content, others.chain([own]));
+            let place = ranked.iter().take(KEEPERS + 1).position(|host| *host == own);
+            let Some(place) = place else {
+                continue;
+            };
+            let hub = self.clone();
+            tokio::task::spawn_local(async move {
+                sleep(AGAIN * place as u32 + jittered(RETRY)).await;
+                if hub.holds(quarantine.content) && !hub.is_kept(quarantine.content) {
+                    hub.keep(quarantine);
+                }
+            });
+        }
+    }
+
+    /// Whether the store keeps a quarantine of this content, as far as is known here.
+    fn is_kept(&self, content: Content) -> bool {
+        let key = key(content);
+        let feeds = self.feeds.borrow();
+        feeds.iter().any(|feed| feed.mirror.borrow().items().any(|item| item.key == key))
+    }
+
     /// The store keeps this quarantine.
     pub(crate) fn kept_quarantine(self: &Rc<Self>, item: &Item) {
         let content = item.key.strip_prefix(CONTENTS).map(|hex| Content::from_str_radix(hex, 16));
@@ -278,6 +311,10 @@
     }
 }
 
+fn key(content: Content) -> Name {
+    format!("{CONTENTS}{content:016x}").into()
+}
+
 /// Whether a key of the product's is that of a quarantine.
 pub(crate) fn is_quarantine(key: &str) -> bool {
     key.starts_with(CONTENTS)
@@ -302,7 +339,7 @@
 
 async fn try_write(hub: &Hub, quarantine: Quarantine) -> bool {
     let Quarantine { content, for_ms, ended, .. } = quarantine;
-    let key: Name = format!("{CONTENTS}{content:016x}").into();
+    let key = key(content);
     if quarantine.is_release() {
         let transaction = Transaction { remove: vec![key], ..Transaction::default() };
         return matches!(hub.store.transact(&transaction).await, Ok(StoreAnswer::Done(_)));
--- a/tests/deadly.rs
+++ b/tests/deadly.rs
@@ -19,7 +19,7 @@
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, Downtime, Vacancy};
+use vanetally_platform_standin::{Client, Downtime, Return, Vacancy};
 
 const DEADLY: &[u8] = b"deadly draft";
 /// Each so many requests one is deadly.
@@ -118,6 +118,25 @@
     site.assert_few_ends();
 }
 
+/// The store came back from a copy without the quarantine, and hosts that started then knew nothing of it.
+#[test]
+fn quarantine_lost_by_store() {
+    const AGAIN: Duration = Duration::from_secs(4);
+    let site = Site::start(Vacancy::Refused);
+    let store = &site.deployment.store;
+    let copy = store.copy();
+    let fronts = fronts(&site.hosts);
+    let kept = || !store.keys("vanetally/contents/").is_empty();
+    under_load(&fronts, offer, 8, Duration::from_millis(50), || wait_for("it is kept", kept));
+    thread::sleep(Duration::from_secs(1));
+    let how = Return { keeps_leases: false, again: Duration::ZERO, answers_late: false };
+    store.return_from(&copy, how);
+    assert!(!kept());
+    let back = Instant::now();
+    wait_for("it is kept again", kept);
+    assert!(back.elapsed() < AGAIN, "after {:?}", back.elapsed());
+}
+
 fn vacant_address(vacancy: Vacancy) {
     let site = Site::start(vacancy);
     let fronts = fronts(&site.hosts);
