--- a/tests/store_copy.rs
+++ b/tests/store_copy.rs
@@ -278,8 +278,8 @@
     let hosts = deployment.hosts(HOSTS);
     let readers = || {
         let last = |(_, log): (String, String)| {
-            let changes = log.lines().filter(|line| line.contains("event=source_changed"));
-            changes.last().is_some_and(|line| line.contains("source=store "))
+            let mut changes = log.lines().filter(|line| line.contains("event=source_changed"));
+            changes.next_back().is_some_and(|line| line.contains("source=store "))
         };
         deployment.logs().into_iter().filter(|log| last(log.clone())).count()
     };
