test: eras in the mirror's model, in decisions of orders and tokens, and the store's return in the soak

The model of the mirror has three eras, each going on from a copy of the one before, and whole differences between hosts. The soak copies the store and lets it come back, among all other faults: away for up to 0.9 s, leases kept or gone, what was lost written again within 1.5 s, watches answered late or never; beside a build that knows no era the store tells its era and does not return. A runner that drained in an era that is over starts again instead of taking it back.

--- a/crates/fanout/tests/mirror.rs
+++ b/crates/fanout/tests/mirror.rs
@@ -1,7 +1,7 @@
 //! What a host knows of one prefix of the store.
 
 use vanetally_fanout::{Gap, Mirror};
-use vanetally_ports::{Change, Item, Revision};
+use vanetally_ports::{Change, Era, Item, Revision};
 
 fn item(key: &str, revision: u64) -> Item {
     Item { key: key.into(), value: b"v".to_vec().into(), revision: Revision::without_era(revision) }
@@ -186,3 +186,59 @@
     unread.advance(Revision::without_era(20));
     assert_eq!(unread.at(), None, "nothing was read");
 }
+
+fn in_era(era: u64, number: u64) -> Revision {
+    Revision::new(Era(era), number)
+}
+
+fn item_in(era: u64, key: &str, number: u64) -> Item {
+    Item { revision: in_era(era, number), ..item(key, number) }
+}
+
+/// A reading below what was known was dropped, and each change after it, when the store had come back from a copy.
+#[test]
+fn reading_of_the_next_era() {
+    let mut mirror = Mirror::default();
+    assert!(mirror.try_replace(in_era(1, 500), &[item_in(1, "a", 490), item_in(1, "b", 500)]));
+    assert!(mirror.try_replace(in_era(2, 480), &[item_in(2, "a", 470)]));
+    assert_eq!((keys(&mirror), mirror.at()), (vec!["a".into()], Some(in_era(2, 480))));
+    let change = Change::Put(item_in(2, "c", 481));
+    let news = mirror.try_apply(in_era(2, 480), in_era(2, 481), vec![change.clone()]);
+    assert_eq!(news, Ok(vec![change]));
+}
+
+/// An answer that was made before the return and comes late changes nothing, however high its revision.
+#[test]
+fn late_news_of_an_era_before() {
+    let mut mirror = Mirror::default();
+    assert!(mirror.try_replace(in_era(2, 10), &[item_in(2, "a", 9)]));
+    assert!(!mirror.try_replace(in_era(1, 900), &[item_in(1, "b", 900)]));
+    let changes = vec![Change::Put(item_in(1, "b", 901))];
+    assert_eq!(mirror.try_apply(in_era(1, 900), in_era(1, 901), changes), Err(Gap));
+    mirror.advance(in_era(1, 950));
+    assert!(!mirror.lacks(in_era(1, 950)), "it is behind");
+    assert_eq!((keys(&mirror), mirror.at()), (vec!["a".into()], Some(in_era(2, 10))));
+}
+
+/// The watch goes on from a revision that the store has again, but as another change.
+#[test]
+fn changes_of_the_next_era() {
+    let mut mirror = Mirror::default();
+    assert!(mirror.try_replace(in_era(1, 500), &[]));
+    let changes = vec![Change::Put(item_in(2, "a", 502))];
+    assert_eq!(mirror.try_apply(in_era(1, 500), in_era(2, 502), changes.clone()), Err(Gap));
+    assert_eq!(mirror.try_apply(in_era(2, 500), in_era(2, 502), changes), Err(Gap));
+    assert!(mirror.lacks(in_era(2, 1)), "all of the next era is missing");
+}
+
+/// What differs between eras can't be told: who knows another one needs everything.
+#[test]
+fn difference_over_eras() {
+    let mut mirror = Mirror::default();
+    assert!(mirror.try_replace(in_era(1, 500), &[item_in(1, "a", 3)]));
+    assert!(mirror.try_replace(in_era(2, 480), &[item_in(2, "a", 3)]));
+    assert_eq!(mirror.changes_since(in_era(1, 500)), None);
+    assert_eq!(mirror.changes_since(in_era(1, 480)), None);
+    assert_eq!(mirror.changes_since(in_era(3, 1)), None);
+    assert_eq!(mirror.changes_since(in_era(2, 480)), Some(Vec::new()));
+}
--- a/crates/placement/tests/tenure.rs
+++ b/crates/placement/tests/tenure.rs
@@ -170,3 +170,111 @@
     assert!(tenure.handle(START + 100, TenureEvent::Tick).is_empty());
     assert!(!tenure.handle(START + 200, TenureEvent::Tick).is_empty());
 }
+
+fn returned(own: Option<u64>) -> TenureEvent {
+    let era = Era(1);
+    TenureEvent::Returned { era, own: own.map(|number| Revision::new(era, number)) }
+}
+
+/// Takes the key of era 1 at `now`; gives back the first moment at which orders are given, within ten seconds.
+fn take_again(tenure: &mut Tenure, now: Tick) -> Option<u64> {
+    assert_eq!(tenure.handle(now, TenureEvent::Tick), [TenureAction::Grant { ttl_ms: 2_000 }]);
+    let lease = LeaseId::new(Era(1), 8);
+    let granted = TenureEvent::Granted { sent: now, lease, ttl_ms: 2_000 };
+    assert_eq!(tenure.handle(now, granted), [TenureAction::Take { lease }]);
+    tenure.handle(now, TenureEvent::Taken(Revision::new(Era(1), 5)));
+    (0..10_000).step_by(100).find(|ms| {
+        let then = now + *ms;
+        tenure.handle(then, TenureEvent::Renewed { sent: then });
+        tenure.token(then).is_some()
+    })
+}
+
+/// The copy has the key, and the last renewal still covers: orders go on, with the same token.
+#[test]
+fn returned_with_key() {
+    let mut tenure = holder();
+    tenure.handle(START + 1_000, TenureEvent::Renewed { sent: START + 1_000 });
+    assert_eq!(tenure.handle(START + 1_500, returned(Some(40))), []);
+    tenure.handle(START + 1_500, TenureEvent::HolderSeen(Some("me".into())));
+    assert_eq!(tenure.token(START + 1_600), Some(FencingToken(40)));
+    let renew = [TenureAction::Renew { lease: LeaseId::new(Era(1), 7) }];
+    assert_eq!(tenure.handle(START + 1_600, TenureEvent::Tick), renew, "in the new era");
+}
+
+/// The copy has the key, but another host may have had it since: it is given up first.
+#[test]
+fn returned_with_key_too_late() {
+    let mut tenure = holder();
+    let end = [TenureAction::End { lease: LeaseId::new(Era(1), 7) }];
+    assert_eq!(tenure.handle(START + 1_700, returned(Some(40))), end);
+    tenure.handle(START + 1_700, TenureEvent::HolderSeen(None));
+    assert_eq!(take_again(&mut tenure, START + 1_700), Some(3_300));
+}
+
+/// The copy has a key of this host's from before.
+#[test]
+fn returned_with_older_key() {
+    let mut tenure = holder();
+    assert_eq!(tenure.handle(START + 1_000, returned(Some(12))), []);
+    tenure.handle(START + 1_000, TenureEvent::HolderSeen(Some("me".into())));
+    assert_eq!(tenure.token(START + 1_000), None);
+    assert!(tenure.handle(START + 1_100, TenureEvent::Tick).is_empty(), "it runs out first");
+}
+
+/// Nobody can have given orders since: it goes on with the next key, and a higher token.
+#[test]
+fn returned_without_key() {
+    let mut tenure = holder();
+    tenure.handle(START + 1_000, TenureEvent::Renewed { sent: START + 1_000 });
+    assert_eq!(tenure.handle(START + 1_500, returned(None)), []);
+    assert_eq!(tenure.token(START + 1_500), None);
+    tenure.handle(START + 1_500, TenureEvent::HolderSeen(None));
+    assert_eq!(take_again(&mut tenure, START + 1_500), Some(0));
+    assert_eq!(tenure.token(START + 1_500), Some(FencingToken((1 << 40) + 5)));
+}
+
+/// Its cover is over: it waits as others do, and as one that has held before.
+#[test]
+fn returned_without_key_too_late() {
+    let mut tenure = holder();
+    tenure.handle(START + 1_500, returned(None));
+    tenure.handle(START + 1_500, TenureEvent::HolderSeen(None));
+    assert_eq!(take_again(&mut tenure, START + 1_700), Some(3_300));
+}
+
+/// Another host lets the one that held try first, then waits until it can't act any more.
+#[test]
+fn successor_waits_out() {
+    let mut tenure = follower();
+    tenure.handle(START, TenureEvent::HolderSeen(Some("other".into())));
+    tenure.handle(START + 1_000, returned(None));
+    tenure.handle(START + 1_000, TenureEvent::HolderSeen(None));
+    assert!(tenure.handle(START + 1_240, TenureEvent::Tick).is_empty(), "the holder goes first");
+    assert_eq!(take_again(&mut tenure, START + 1_250), Some(2_100), "a lease after the return");
+}
+
+/// A lease of an era that is over is another host's now.
+#[test]
+fn granted_before_return() {
+    let mut tenure = follower();
+    tenure.handle(START, TenureEvent::Tick);
+    tenure.handle(START + 100, returned(None));
+    let granted = TenureEvent::Granted { sent: START, lease: LEASE, ttl_ms: 2_000 };
+    assert_eq!(tenure.handle(START + 200, granted), []);
+}
+
+/// Two eras in a row: another host may have held the key in the one between.
+#[test]
+fn returned_twice() {
+    let mut tenure = holder();
+    tenure.handle(START + 1_000, TenureEvent::Renewed { sent: START + 1_000 });
+    tenure.handle(START + 1_100, TenureEvent::Returned { era: Era(2), own: None });
+    tenure.handle(START + 1_100, TenureEvent::HolderSeen(None));
+    tenure.handle(START + 1_100, TenureEvent::Tick);
+    let lease = LeaseId::new(Era(2), 8);
+    tenure
+        .handle(START + 1_100, TenureEvent::Granted { sent: START + 1_100, lease, ttl_ms: 2_000 });
+    tenure.handle(START + 1_100, TenureEvent::Taken(Revision::new(Era(2), 5)));
+    assert_eq!(tenure.token(START + 1_400), None);
+}
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -97,7 +97,7 @@
 }
 
 /// Now and then a runner starts again under its id, or another writer spoils its entry.
-pub fn strike_entry(rng: &mut StdRng, site: &Site) {
+pub fn strike_entry(rng: &mut StdRng, site: &mut Site) {
     if !rng.random_bool(ENTRY_SHARE) {
         return;
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod gateway;
 mod need;
 mod promises;
+mod returns;
 mod site;
 mod words;
 
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -6,18 +6,20 @@
     gateway::{Deployment, Host, fresh_ip},
     need::Need,
     promises::{self, Broken},
+    returns,
     words::Words,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::json;
 use std::{
+    collections::HashMap,
     fmt,
     path::PathBuf,
     sync::{Arc, atomic::Ordering},
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, Proxy, Runner, RunnerOptions};
+use vanetally_platform_standin::{Client, Copy, Proxy, Runner, RunnerOptions};
 
 /// Faults of one play.
 const FAULTS: usize = 30;
@@ -119,6 +121,10 @@
     pub shared: Arc<Shared>,
     /// The runner that has left, if one has.
     left: Option<usize>,
+    /// From which the store may come back.
+    pub copy: Option<Copy>,
+    /// Runners that said that they leave, and the store's era then.
+    drained: HashMap<usize, u64>,
 }
 
 impl Site {
@@ -151,7 +157,11 @@
         slots.iter_mut().for_each(|slot| slot.start(&deployment, FIRST_LIFE));
         let fronts = slots.iter().filter_map(|slot| Some(slot.host.as_ref()?.front)).collect();
         let shared = Arc::new(Shared::new(fronts, has_keys));
-        let site = Self { deployment, slots, runner_links, shared, left: None };
+        if other_build().is_some() {
+            deployment.store.tell_era();
+        }
+        let (left, copy, drained) = (None, None, HashMap::new());
+        let mut site = Self { deployment, slots, runner_links, shared, left, copy, drained };
         site.announce_all();
         site
     }
@@ -162,14 +172,21 @@
     }
 
     /// A runner writes its entry, with this state.
-    pub fn announce(&self, number: usize, state: &str) {
+    pub fn announce(&mut self, number: usize, state: &str) {
+        let era = self.deployment.store.era();
+        if state == "draining" {
+            self.drained.insert(number, era);
+        } else if self.drained.remove(&number).is_some_and(|drained| drained < era) {
+            // What it said holds for its life, whatever the store has forgotten.
+            self.runner(number).start_again();
+        }
         let (key, mut value) = self.runner(number).entry_at(self.runner_links[number].address());
         value["state"] = state.into();
         self.deployment.store.put(&key, &value);
     }
 
     /// A runner starts again under its id, and says so.
-    pub fn start_again(&self, number: usize) {
+    pub fn start_again(&mut self, number: usize) {
         self.runner(number).start_again();
         self.announce(number, "ready");
     }
@@ -182,8 +199,9 @@
     }
 
     /// All runners write that they are ready, but for one that has left.
-    pub fn announce_all(&self) {
-        let stay = (0..self.runner_links.len()).filter(|number| self.left != Some(*number));
+    pub fn announce_all(&mut self) {
+        let left = self.left;
+        let stay = (0..self.runner_links.len()).filter(|number| left != Some(*number));
         stay.for_each(|number| self.announce(number, "ready"));
     }
 
@@ -327,6 +345,7 @@
 pub fn play(seed: u64, has_entries: bool) -> Report {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut entries = StdRng::seed_from_u64(!seed);
+    let mut copies = StdRng::seed_from_u64(seed.rotate_left(48));
     let mut site = Site::start(&mut rng, seed);
     faults::heal(&mut site);
     site.configure();
@@ -335,7 +354,8 @@
     for _ in 0..FAULTS {
         faults::strike(&mut rng, &mut site);
         if has_entries {
-            faults::strike_entry(&mut entries, &site);
+            faults::strike_entry(&mut entries, &mut site);
+            returns::strike(&mut copies, &mut site);
         }
     }
     // It leaves as the way to the store is cut, or before.
@@ -345,6 +365,9 @@
     site.leave(&mut rng);
     for _ in 0..LATER_FAULTS {
         faults::strike(&mut rng, &mut site);
+        if has_entries {
+            returns::strike(&mut copies, &mut site);
+        }
     }
     faults::cut_store(&mut rng, &site);
     faults::heal(&mut site);
