fix: hosts that a copy lacks are waited for as long as all need to write their keys; test: a fleet's return, timed

At 300 hosts and 400 writing calls a second the spread of the keys (6 s) was longer than the wait for them (4 s): hosts that live would have been taken for gone. The wait is now the spread and 2.5 s. Found by working the figures out, not seen.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     hub::Hub,
-    peers::{HostEntry, PeerMessage},
+    peers::{HostEntry, PeerMessage, write_again_time},
     tenure,
 };
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
@@ -10,9 +10,9 @@
 use vanetally_fanout::{Candidate, Event as FollowEvent};
 use vanetally_types::{Name, rendezvous_rank};
 
-/// Hosts that live have written their keys again within this time after the store's return from a copy, in
-/// milliseconds: they hear of it within a second, and spread their calls over two where they are hundreds.
-const AGAIN_MS: u64 = 4_000;
+/// Hosts that live hear that the store came back from a copy, and make their calls, within this time beside that over
+/// which they spread them, in milliseconds.
+const HEAR_MS: u64 = 2_500;
 
 impl Hub {
     /// The hosts that have keys now. Where the store came back from a copy those that it lacks are waited for.
@@ -31,6 +31,8 @@
 
     fn keep_lapsed(&self, hosts: &mut BTreeMap<Name, HostEntry>, is_return: bool) {
         let now = self.clock.now();
+        let again = write_again_time(self.peers.borrow().len(), &self.settings.store);
+        let wait_ms = HEAR_MS + again.as_millis() as u64;
         let mut lapsed = self.lapsed.borrow_mut();
         lapsed.retain(|host, _| !hosts.contains_key(host));
         for (host, entry) in self.peers.borrow().iter() {
@@ -38,8 +40,8 @@
                 continue;
             }
             if is_return {
-                log::info!("event=host_lapsed host={host} wait_ms={AGAIN_MS}");
-                lapsed.entry(host.clone()).or_insert(now + AGAIN_MS);
+                log::info!("event=host_lapsed host={host} wait_ms={wait_ms}");
+                lapsed.entry(host.clone()).or_insert(now + wait_ms);
             }
             if lapsed.contains_key(host) {
                 hosts.insert(host.clone(), entry.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,7 @@
     feed::{PrefixChanges, PrefixSync},
     hub::Hub,
     quarantine::is_quarantine,
+    settings::StoreSettings,
     tenure::HOLDER_KEY,
     watch::Follower,
     wire,
@@ -379,11 +380,14 @@
     }
 }
 
-/// A moment of the time that all hosts together need to write their keys again.
+/// The time that so many hosts together need to write their keys again.
+pub(crate) fn write_again_time(hosts: usize, store: &StoreSettings) -> Duration {
+    Duration::from_secs_f64(hosts as f64 * KEY_CALLS / (store.writes_per_s * AGAIN_SHARE))
+}
+
+/// A moment of that time for this host.
 fn spread(hub: &Hub) -> Duration {
-    let hosts = hub.peers.borrow().len().max(1) as f64;
-    let calls_per_s = hub.settings.store.writes_per_s * AGAIN_SHARE;
-    let whole = Duration::from_secs_f64(hosts * KEY_CALLS / calls_per_s);
+    let whole = write_again_time(hub.peers.borrow().len(), &hub.settings.store);
     whole.mul_f64(rand::rng().random_range(0.0..1.0))
 }
 
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod load;
+pub mod returns;
 
 use serde_json::{Value, json};
 use std::{
--- /dev/null
+++ b/tests/returned_fleet.rs
@@ -0,0 +1,109 @@
+//! A fleet after the store came back from a copy: who reads it, who calls it, how soon all know.
+
+mod gateway;
+
+use gateway::{
+    Deployment,
+    returns::{HEARD, HELD, LOST, come_back, holders, name},
+    wait_for,
+};
+use std::{
+    thread::sleep,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+/// All hosts of a fleet took themselves to be alone when a copy lacked their keys, and each one read the store.
+#[test]
+fn fleet_keeps_its_reader() {
+    const HOSTS: usize = 14;
+    let deployment = Deployment::start();
+    let copy = deployment.store.copy();
+    let hosts = deployment.hosts(HOSTS);
+    let readers = || {
+        let last = |(_, log): (String, String)| {
+            let mut changes = log.lines().filter(|line| line.contains("event=source_changed"));
+            changes.next_back().is_some_and(|line| line.contains("source=store "))
+        };
+        deployment.logs().into_iter().filter(|log| last(log.clone())).count()
+    };
+    let turned = || {
+        let logs = deployment.logs().into_iter().map(|(_, log)| log);
+        logs.map(|log| log.matches("event=source_changed source=store ").count()).sum::<usize>()
+    };
+    wait_for("one reads for all", || readers() == 1);
+    sleep(HEARD);
+    let before = turned();
+    come_back(&deployment, &copy, LOST);
+    sleep(HELD);
+    assert!(turned() - before <= 1, "{} turned to the store", turned() - before);
+    assert_eq!(readers(), 1);
+    let keys = (0..HOSTS).map(|number| format!("vanetally/hosts/{}", name(number)));
+    let missing: Vec<String> = keys.filter(|key| deployment.store.get(key).is_none()).collect();
+    assert_eq!(missing, [] as [String; 0], "keys that were not written again");
+    drop(hosts);
+}
+
+/// Hosts of the fleet whose return is timed; by hand `RETURN_HOSTS=300` starts more.
+const SIZE: usize = 30;
+/// A change is in force on the last host of a fleet within this time after its acknowledgement.
+const IN_FORCE_ON_ALL: Duration = Duration::from_millis(1_200);
+/// Writing calls a second that the store takes, as it states none.
+const WRITES_PER_S: usize = 400;
+
+/// When the host's log first has a line with `words`, in milliseconds of the Unix time.
+fn logged_ms(log: &str, words: &str) -> Option<i64> {
+    let line = log.lines().find(|line| line.contains(words))?;
+    let time = line.split_whitespace().find_map(|word| word.strip_prefix("time="))?;
+    let clock = time.split('T').nth(1)?.trim_end_matches('Z');
+    let mut parts = clock.split(':');
+    let (hours, minutes): (i64, i64) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
+    let seconds: f64 = parts.next()?.parse().ok()?;
+    Some((hours * 60 + minutes) * 60_000 + (seconds * 1_000.0) as i64)
+}
+
+/// Milliseconds of the day.
+fn now_ms() -> i64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    (now.as_millis() % 86_400_000) as i64
+}
+
+/// A whole fleet after a return without leases: calls of the first second, the change, the keys, the holder.
+#[test]
+fn fleet_after_return() {
+    let size = std::env::var("RETURN_HOSTS").ok().and_then(|size| size.parse().ok());
+    let size: usize = size.unwrap_or(SIZE);
+    let deployment = Deployment::start();
+    let copy = deployment.store.copy();
+    let hosts = deployment.hosts(size);
+    let store = &deployment.store;
+    let missing = || {
+        let mut keys = (0..size).map(|number| format!("vanetally/hosts/{}", name(number)));
+        keys.any(|key| store.get(&key).is_none())
+    };
+    wait_for("all hosts are there", || !missing());
+    wait_for("one holds the orders", || store.get("vanetally/orders").is_some());
+    sleep(HEARD);
+    come_back(&deployment, &copy, LOST);
+    let (back, calls, writes) = (Instant::now(), store.calls(), store.writing_calls());
+    deployment.configure(5, &["added"]);
+    let changed_ms = now_ms();
+    sleep(Duration::from_secs(1).saturating_sub(back.elapsed()));
+    let (calls, writes) = (store.calls() - calls, store.writing_calls() - writes);
+    wait_for("all keys are there", || !missing());
+    let keys = back.elapsed();
+    wait_for("one holds the orders", || store.get("vanetally/orders").is_some());
+    sleep(HELD.saturating_sub(back.elapsed()));
+    let in_force = |(_, log): (String, String)| {
+        logged_ms(&log, "event=configuration_in_force version=5 ").map(|at| at - changed_ms)
+    };
+    let took: Option<Vec<i64>> = deployment.logs().into_iter().map(in_force).collect();
+    let took = took.expect("it is in force on all hosts").into_iter().max();
+    println!(
+        "hosts={size} calls_in_first_s={calls} writing={writes} in_force_on_last_ms={took:?} \
+         keys_written_again_ms={}",
+        keys.as_millis()
+    );
+    assert!(took < Some(IN_FORCE_ON_ALL.as_millis() as i64), "{took:?}");
+    assert!(writes <= WRITES_PER_S, "{writes} writing calls");
+    assert_eq!(holders(&hosts), 1);
+}
--- a/tests/store_copy.rs
+++ b/tests/store_copy.rs
@@ -2,36 +2,23 @@
 
 mod gateway;
 
-use gateway::{Deployment, Host, wait_for};
+use gateway::{
+    Deployment, Host,
+    returns::{HEARD, HELD, KEPT, LATE, LOST, come_back, holders, name, write_much},
+    wait_for,
+};
 use rstest::rstest;
 use std::{
     sync::atomic::{AtomicU64, Ordering},
     thread::sleep,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, Copy, Return, StoreMode};
+use vanetally_platform_standin::{Client, Return};
 
 /// A change that was acknowledged is in force on all hosts within this time.
 const IN_FORCE: Duration = Duration::from_millis(2_000);
 /// So long after its leaving was acknowledged an upstream gets nothing new.
 const DRAIN: Duration = Duration::from_millis(2_000);
-/// One host gives orders within this time after the return.
-const HELD: Duration = Duration::from_millis(4_000);
-/// How long the store is away.
-const AWAY: Duration = Duration::from_millis(400);
-/// The hosts have heard all of the return.
-const HEARD: Duration = Duration::from_millis(1_500);
-/// Writes that the copy does not hold.
-const WRITES: usize = 40;
-
-const KEPT: Return = Return { keeps_leases: true, again: Duration::ZERO, answers_late: false };
-const LOST: Return = Return { keeps_leases: false, ..KEPT };
-const LATE: Return = Return { again: Duration::from_millis(700), answers_late: true, ..LOST };
-
-fn name(number: usize) -> String {
-    format!("front-{number}")
-}
-
 /// A number that no request had before.
 fn fresh() -> u64 {
     static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -53,22 +40,6 @@
         .status
 }
 
-/// Writes that only move the store's revision on.
-fn write_much(deployment: &Deployment) {
-    for number in 0..WRITES {
-        deployment.store.put("servers/i-noise", &serde_json::json!([number]));
-    }
-    deployment.store.remove("servers/i-noise");
-}
-
-/// The store goes away and comes back from `copy`.
-fn come_back(deployment: &Deployment, copy: &Copy, how: Return) {
-    deployment.store.set_mode(StoreMode::Busy);
-    sleep(AWAY);
-    deployment.store.return_from(copy, how);
-    deployment.store.set_mode(StoreMode::Serving);
-}
-
 /// Hosts that have heard of more than the copy holds, and the store's return from it.
 fn returned(hosts: usize, how: Return) -> (Deployment, Vec<Host>) {
     returned_to(Deployment::start(), hosts, how)
@@ -85,10 +56,6 @@
     (deployment, hosts)
 }
 
-fn holders(hosts: &[Host]) -> usize {
-    hosts.iter().filter(|host| host.is_order_holder()).count()
-}
-
 /// How long it takes until all hosts serve the route that `version` adds.
 fn configure(deployment: &Deployment, hosts: &[Host], version: u64, route: &str) -> Duration {
     deployment.configure(version, &[route]);
@@ -268,34 +235,3 @@
     assert!(back.elapsed() < HELD, "written again after {:?}", back.elapsed());
     assert_eq!(holders(&hosts), 1);
 }
-
-/// All hosts of a fleet took themselves to be alone when a copy lacked their keys, and each one read the store.
-#[test]
-fn fleet_keeps_its_reader() {
-    const HOSTS: usize = 14;
-    let deployment = Deployment::start();
-    let copy = deployment.store.copy();
-    let hosts = deployment.hosts(HOSTS);
-    let readers = || {
-        let last = |(_, log): (String, String)| {
-            let mut changes = log.lines().filter(|line| line.contains("event=source_changed"));
-            changes.next_back().is_some_and(|line| line.contains("source=store "))
-        };
-        deployment.logs().into_iter().filter(|log| last(log.clone())).count()
-    };
-    let turned = || {
-        let logs = deployment.logs().into_iter().map(|(_, log)| log);
-        logs.map(|log| log.matches("event=source_changed source=store ").count()).sum::<usize>()
-    };
-    wait_for("one reads for all", || readers() == 1);
-    sleep(HEARD);
-    let before = turned();
-    come_back(&deployment, &copy, LOST);
-    sleep(HELD);
-    assert!(turned() - before <= 1, "{} turned to the store", turned() - before);
-    assert_eq!(readers(), 1);
-    let keys = (0..HOSTS).map(|number| format!("vanetally/hosts/{}", name(number)));
-    let missing: Vec<String> = keys.filter(|key| deployment.store.get(key).is_none()).collect();
-    assert_eq!(missing, [] as [String; 0], "keys that were not written again");
-    drop(hosts);
-}
