--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     hub::Hub,
-    peers::{HostEntry, PeerMessage, write_again_time},
+    peers::{HostEntry, PeerMessage},
+    registration::write_again_time,
     tenure,
 };
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -389,58 +389,6 @@
         self.probe_store();
         self.placement_event(placement::Event::Tick);
     }
-
-    /// Housekeeping, about once a second.
-    pub(crate) fn upkeep(&self) {
-        self.pool.sweep();
-        self.control.sweep();
-        self.store.sweep();
-        let is_holder = self.tenure.borrow().is_holding(self.clock.now());
-        if is_holder {
-            self.log_placement();
-        }
-        let dispatch = self.dispatch.borrow();
-        telemetry::gauges(dispatch.counts(), dispatch.version(), self.is_ready(), is_holder);
-        telemetry::links(self.links.traffic());
-    }
-
-    fn log_placement(&self) {
-        let summary = self.placement.borrow().summary(self.clock.now());
-        let models = summary.iter().map(|model| {
-            let (load, holding, coming) = (model.load, model.holding, model.coming);
-            format!("{}:{load:.2}:{holding}+{coming}", model.model)
-        });
-        let runners = self.placement.borrow().runners();
-        let obstacles = runners.obstacles.iter();
-        let obstacles = obstacles.map(|(why, count)| format!("{}:{count}", why.as_str()));
-        log::info!(
-            "event=placement open={} making_room={} obstacles={} free_places={} models={}",
-            runners.open,
-            runners.making_room,
-            obstacles.collect::<Vec<_>>().join(","),
-            runners.free_places,
-            models.collect::<Vec<_>>().join(",")
-        );
-    }
-
-    /// The state of the process, for people.
-    pub(crate) fn dump(&self) -> String {
-        let now = self.clock.now();
-        let dispatch = self.dispatch.borrow();
-        let peers = self.peers.borrow();
-        let loads = dispatch.loads(now).into_iter().map(|load| format!("{load:?}\n"));
-        let loads: String = loads.collect();
-        format!(
-            "host={}\nversion={:?}\ncounts={:?}\nstage={:?}\nholder={:?}\ntoken={:?}\npeers={:?}\n{loads}",
-            self.settings.host,
-            dispatch.version(),
-            dispatch.counts(),
-            *self.stage.borrow(),
-            self.holder.borrow(),
-            self.tenure.borrow().token(now),
-            peers.keys().collect::<Vec<_>>(),
-        )
-    }
 }
 
 fn note_limit(upstream: &Incarnation, news: News, by: Option<&Name>) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,7 +5,7 @@
     front,
     hub::{Hub, Parts, Stage},
     peers::{self, PeerFollower, PeerMessage},
-    reader,
+    reader, registration,
     settings::Settings,
     status::{self, Status},
     store::Snapshot,
@@ -86,7 +86,7 @@
         spawn_local(status::serve(status.clone(), listener));
     }
     follow_store(&hub);
-    spawn_local(peers::register(hub.clone()));
+    spawn_local(registration::register(hub.clone()));
     spawn_local(hear(hub.clone(), inbox));
     spawn_local(front::accept(hub.clone(), front));
     spawn_local(keep_time(hub.clone(), status.clone()));
