--- a/tests/store_copy.rs
+++ b/tests/store_copy.rs
@@ -8,6 +8,7 @@
     wait_for,
 };
 use rstest::rstest;
+use serde_json::json;
 use std::{
     sync::atomic::{AtomicU64, Ordering},
     thread::sleep,
@@ -235,3 +236,64 @@
     assert!(back.elapsed() < HELD, "written again after {:?}", back.elapsed());
     assert_eq!(holders(&hosts), 1);
 }
+
+/// A key that was taken away is good in the copy still.
+#[test]
+fn copy_brings_back_no_key() {
+    let deployment = Deployment::start();
+    let organisation = |keys: &[&str]| json!({ "name": "acme", "api_keys": keys });
+    deployment.configure_organisations(2, &[organisation(&["first", "second"])]);
+    let hosts = deployment.hosts(4);
+    let status = |host: &Host, key: &str| {
+        let client = Client::new("GET", "/check/1", &format!("k{}", fresh())).deadline(400);
+        client.with("Authorization", &format!("Bearer {key}")).send(host.front).status
+    };
+    let all = |key: &str, expected: u16| hosts.iter().all(|host| status(host, key) == expected);
+    wait_for("both are good", || all("first", 200) && all("second", 200));
+    let copy = deployment.store.copy();
+    deployment.configure_organisations(3, &[organisation(&["second"])]);
+    wait_for("one is taken away", || all("first", 401));
+    come_back(&deployment, &copy, Return { again: Duration::from_secs(5), ..KEPT });
+    let back = Instant::now();
+    while back.elapsed() < HEARD {
+        assert!(all("first", 401) && all("second", 200), "after {:?}", back.elapsed());
+    }
+}
+
+/// A large configuration is read and watched apart from the other keys.
+#[test]
+fn large_configuration_after_return() {
+    const ROUTES: usize = 600;
+    let deployment = Deployment::start();
+    deployment.configure_large(2, ROUTES);
+    let hosts = deployment.hosts(4);
+    wait_for("it is in force", || hosts.iter().all(|host| get(host, "/more599/1") == 200));
+    let copy = deployment.store.copy();
+    write_much(&deployment);
+    sleep(HEARD);
+    come_back(&deployment, &copy, LOST);
+    sleep(HEARD);
+    deployment.configure_large(5, ROUTES + 1);
+    let written = Instant::now();
+    wait_for("it is in force", || hosts.iter().all(|host| get(host, "/more600/1") == 200));
+    assert!(written.elapsed() < IN_FORCE, "in force after {:?}", written.elapsed());
+}
+
+/// All hosts are lost as the store comes back, and the next ones know only what it has.
+#[test]
+fn all_replaced_at_return() {
+    let deployment = Deployment::start();
+    let copy = deployment.store.copy();
+    let mut hosts = deployment.hosts(4);
+    wait_for("one holds the orders", || holders(&hosts) == 1);
+    assert_eq!(ask_adapter(&hosts[0], "a1"), 200);
+    sleep(HEARD);
+    hosts.iter_mut().for_each(Host::kill);
+    come_back(&deployment, &copy, KEPT);
+    let hosts = deployment.hosts(4);
+    wait_for("one holds the orders", || holders(&hosts) == 1);
+    wait_for("an adapter is served", || ask_adapter(&hosts[1], "a2") == 200);
+    assert_tokens_rise(&deployment);
+    let took = configure(&deployment, &hosts, 5, "added");
+    assert!(took < IN_FORCE, "in force after {took:?}");
+}
