--- a/tests/gateway/returns.rs
+++ b/tests/gateway/returns.rs
@@ -5,7 +5,7 @@
 use vanetally_platform_standin::{Copy, Return, StoreMode};
 
 /// How long the store is away.
-const AWAY: Duration = Duration::from_millis(400);
+pub const AWAY: Duration = Duration::from_millis(400);
 /// The hosts have heard all of the return.
 pub const HEARD: Duration = Duration::from_millis(1_500);
 /// One host gives orders within this time after the return.
--- a/tests/store_copy.rs
+++ b/tests/store_copy.rs
@@ -4,7 +4,7 @@
 
 use gateway::{
     Deployment, Host,
-    returns::{HEARD, HELD, KEPT, LATE, LOST, come_back, holders, name, write_much},
+    returns::{AWAY, HEARD, HELD, KEPT, LATE, LOST, come_back, holders, name, write_much},
     wait_for,
 };
 use rstest::rstest;
@@ -14,7 +14,7 @@
     thread::sleep,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, Return};
+use vanetally_platform_standin::{Client, Return, StoreMode};
 
 /// A change that was acknowledged is in force on all hosts within this time.
 const IN_FORCE: Duration = Duration::from_millis(2_000);
@@ -297,3 +297,24 @@
     let took = configure(&deployment, &hosts, 5, "added");
     assert!(took < IN_FORCE, "in force after {took:?}");
 }
+
+/// Watches that hung as the store went away are never answered: the return shows by other calls only.
+#[rstest]
+#[case::short(Duration::from_millis(50))]
+#[case::usual(AWAY)]
+#[case::long(Duration::from_millis(2_300))]
+fn silent_return(#[case] away: Duration) {
+    let deployment = Deployment::start();
+    let hosts = deployment.hosts(4);
+    sleep(HEARD);
+    let copy = deployment.store.copy();
+    write_much(&deployment);
+    sleep(HEARD);
+    deployment.store.set_mode(StoreMode::Silent);
+    sleep(away);
+    deployment.store.return_from(&copy, KEPT);
+    deployment.store.set_mode(StoreMode::Serving);
+    let took = configure(&deployment, &hosts, 5, "added");
+    assert!(took < IN_FORCE, "in force after {took:?}");
+    println!("away={away:?} in_force={took:?}");
+}
