--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -41,7 +41,7 @@
                 continue;
             }
             if is_return {
-                log::info!("event=host_lapsed host={host} wait_ms={wait_ms}");
+                log::log!(self.hearsay(), "event=host_lapsed host={host} wait_ms={wait_ms}");
                 lapsed.entry(host.clone()).or_insert(now + wait_ms);
             }
             if lapsed.contains_key(host) {
