--- a/tests/returned_fleet.rs
+++ b/tests/returned_fleet.rs
@@ -3,11 +3,13 @@
 mod gateway;
 
 use gateway::{
-    Deployment,
-    returns::{HEARD, HELD, LOST, come_back, holders, name},
+    Deployment, Host, fresh_ip,
+    returns::{HEARD, HELD, KEPT, LOST, come_back, holders, name, write_much},
     wait_for,
 };
+use rstest::rstest;
 use std::{
+    path::PathBuf,
     thread::sleep,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -47,6 +49,8 @@
 const SIZE: usize = 30;
 /// A change is in force on the last host of a fleet within this time after its acknowledgement.
 const IN_FORCE_ON_ALL: Duration = Duration::from_millis(1_200);
+/// The same beside hosts that do not follow, within the time that deployments allow.
+const IN_FORCE_BESIDE: Duration = Duration::from_millis(2_000);
 /// Writing calls a second that the store takes, as it states none.
 const WRITES_PER_S: usize = 400;
 
@@ -107,3 +111,40 @@
     assert!(writes <= WRITES_PER_S, "{writes} writing calls");
     assert_eq!(holders(&hosts), 1);
 }
+
+/// Beside hosts of another build, which `SOAK_OTHER` names and which may know of no era, this build's follow the return.
+#[rstest]
+#[case::few(4)]
+#[case::fleet(14)]
+fn beside_other_build(#[case] size: usize) {
+    let Some(program) = std::env::var_os("SOAK_OTHER").map(PathBuf::from) else {
+        return;
+    };
+    let deployment = Deployment::start();
+    deployment.store.tell_era();
+    let copy = deployment.store.copy();
+    let store = deployment.store.address();
+    let spawn = |number: usize| match number % 2 {
+        0 => deployment.spawn_build(&program, &name(number), &fresh_ip(), store),
+        _ => deployment.spawn(&name(number)),
+    };
+    let hosts: Vec<Host> = (0..size).map(spawn).collect();
+    wait_for("all are ready", || hosts.iter().all(Host::is_ready));
+    sleep(HEARD);
+    let in_force = |version: u64| {
+        let words = format!("event=configuration_in_force version={version} ");
+        let own = (0..size).filter(|number| number % 2 == 1);
+        own.map(|number| deployment.log(&name(number))).all(|log| log.contains(&words))
+    };
+    for (version, how) in [(5, LOST), (6, KEPT)] {
+        write_much(&deployment);
+        sleep(HEARD);
+        come_back(&deployment, &copy, how);
+        sleep(HEARD);
+        deployment.configure(version, &["added"]);
+        let written = Instant::now();
+        wait_for("it is in force", || in_force(version));
+        assert!(written.elapsed() < IN_FORCE_BESIDE, "after {:?}", written.elapsed());
+        println!("hosts={size} version={version} in_force={:?}", written.elapsed());
+    }
+}
