refactor: the era of the last reading, hearing of an era, and whether a quarantine is kept, each in one place

Found when the whole change was read once more. The hub kept the era in which keys were last read beside Eras, which keeps it too: Eras::read tells now whether it is a return. Tenure::set_era and hear_return were one thing by two names. After a return a quarantine that is missing was looked for by walking all keys, once for each quarantine, in two ways: one question to the mirror's map now.

No behaviour, bound or assertion changes.

--- a/crates/fanout/src/mirror.rs
+++ b/crates/fanout/src/mirror.rs
@@ -36,6 +36,11 @@
         self.at.is_none_or(|at| at < told)
     }
 
+    /// Whether `key` is there.
+    pub fn contains(&self, key: &str) -> bool {
+        self.items.contains_key(key)
+    }
+
     /// All keys.
     pub fn items(&self) -> impl Iterator<Item = &Item> {
         self.items.values()
--- a/crates/gateway/src/eras.rs
+++ b/crates/gateway/src/eras.rs
@@ -12,7 +12,7 @@
     /// When it first did.
     since: Cell<Tick>,
     /// The newest one whose keys are known here, from the store or another host.
-    read: Cell<Era>,
+    read: Cell<Option<Era>>,
     /// The newest one of all.
     newest: watch::Sender<Era>,
 }
@@ -60,14 +60,18 @@
         self.answered.set(Some(era));
         self.since.set(now);
         self.note(era);
-        known
-            .map_or(Sign::First, |before| Sign::Returned { before, is_news: era > self.read.get() })
+        known.map_or(Sign::First, |before| Sign::Returned {
+            before,
+            is_news: Some(era) > self.read.get(),
+        })
     }
 
-    /// The keys of `era` were read, here or by the host that this one hears from.
-    pub(crate) fn read(&self, era: Era) {
-        self.read.set(self.read.get().max(era));
+    /// The keys of `era` were read, here or by the host that this one hears from; tells whether the store came back from
+    /// a copy since they last were.
+    pub(crate) fn read(&self, era: Era) -> bool {
+        let before = self.read.replace(self.read.get().max(Some(era)));
         self.note(era);
+        before.is_some_and(|before| before < era)
     }
 
     fn note(&self, era: Era) {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -97,8 +97,6 @@
     pub peers: RefCell<BTreeMap<Name, HostEntry>>,
     /// Hosts whose keys a copy of the store lacks, and until when they are waited for.
     pub lapsed: RefCell<BTreeMap<Name, Tick>>,
-    /// The era in which the product's keys were last read.
-    keys_era: Cell<Option<Era>>,
     pub waiters: RefCell<HashMap<RequestId, mpsc::UnboundedSender<Command>>>,
     pub next_id: Cell<u64>,
     /// The last configurations as they lay in the store.
@@ -177,7 +175,6 @@
             holder: RefCell::new(None),
             peers: RefCell::new(BTreeMap::new()),
             lapsed: RefCell::default(),
-            keys_era: Cell::default(),
             waiters: RefCell::new(HashMap::new()),
             next_id: Cell::new(0),
             versions: RefCell::default(),
@@ -297,8 +294,7 @@
 
     /// The product's keys of `era` were read; tells whether the store came back from a copy since they last were.
     pub(crate) fn keys_read(&self, era: Era) -> bool {
-        self.store.eras().read(era);
-        let is_return = self.keys_era.replace(Some(era)).is_some_and(|before| before < era);
+        let is_return = self.store.eras().read(era);
         if !is_return {
             self.tenure.borrow_mut().set_era(self.clock.now(), era);
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -304,7 +304,7 @@
         let holder = snapshot.items.iter().find(|item| &*item.key == HOLDER_KEY);
         if is_return {
             self.hub.orders_returned(era, holder);
-            self.hub.keep_again(&snapshot.items);
+            self.hub.keep_again();
         }
         self.hub.holder_seen(holder.and_then(holder_name));
     }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -265,12 +265,11 @@
         });
     }
 
-    /// The store came back from a copy and has these keys: writes again which quarantines it lacks. One of those that
-    /// know a quarantine does so at once, the next ones if it is still missing later.
-    pub(crate) fn keep_again(self: &Rc<Self>, items: &[Item]) {
+    /// The store came back from a copy: writes again which quarantines it lacks. One of those that know a quarantine does
+    /// so at once, the next ones if it is still missing later.
+    pub(crate) fn keep_again(self: &Rc<Self>) {
         let held = self.dispatch.borrow().held().quarantines(self.clock.now());
-        let is_there = |one: &Quarantine| items.iter().any(|item| item.key == key(one.content));
-        for quarantine in held.into_iter().filter(|one| !is_there(one)) {
+        for quarantine in held.into_iter().filter(|one| !self.is_kept(one.content)) {
             let peers = self.peers.borrow();
             let own = &self.settings.host;
             let others = peers.keys().filter(|host| *host != own);
@@ -293,7 +292,7 @@
     fn is_kept(&self, content: Content) -> bool {
         let key = key(content);
         let feeds = self.feeds.borrow();
-        feeds.iter().any(|feed| feed.mirror.borrow().items().any(|item| item.key == key))
+        feeds.iter().any(|feed| feed.mirror.borrow().contains(&key))
     }
 
     /// The store keeps this quarantine.
--- a/crates/placement/src/tenure.rs
+++ b/crates/placement/src/tenure.rs
@@ -187,9 +187,13 @@
         self.rank = rank as u64;
     }
 
-    /// The store was read in `era`, for the first time or again.
+    /// The store is in `era`. Where that is a new one it came back from a copy by `now`, or may have.
     pub fn set_era(&mut self, now: Tick, era: Era) {
-        self.hear_return(now, era);
+        if era > self.era {
+            self.era = era;
+            self.returned = Some(now);
+            self.former = None;
+        }
     }
 
     /// The token under which orders may be given now.
@@ -244,7 +248,7 @@
     /// The key, if it is still there, is this host's own only if nobody else can have had it since.
     fn store_returned(&mut self, now: Tick, era: Era, own: Option<Revision>) -> Vec<TenureAction> {
         let State::Holding(holding) = &mut self.state else {
-            self.hear_return(now, era);
+            self.set_era(now, era);
             self.next_try = self.next_try.max(now + FORMER_MS + self.rank * RANK_MS);
             return Vec::new();
         };
@@ -258,11 +262,11 @@
         if is_there && is_covered {
             holding.lease = lease;
             holding.renew_at = Some(now);
-            self.hear_return(now, era);
+            self.set_era(now, era);
             return Vec::new();
         }
         self.state = State::Following;
-        self.hear_return(now, era);
+        self.set_era(now, era);
         self.next_try = now;
         if is_there {
             return vec![TenureAction::End { lease }];
@@ -271,15 +275,6 @@
         Vec::new()
     }
 
-    /// The store came back from a copy by `now`, or may have: what was read before is of an earlier era.
-    fn hear_return(&mut self, now: Tick, era: Era) {
-        if era > self.era {
-            self.era = era;
-            self.returned = Some(now);
-            self.former = None;
-        }
-    }
-
     fn granted(&mut self, now: Tick, sent: Tick, lease: LeaseId, ttl_ms: u64) -> Vec<TenureAction> {
         if self.state != State::Granting {
             return vec![TenureAction::End { lease }];
@@ -288,7 +283,7 @@
             self.retry_later(now);
             return Vec::new();
         }
-        self.hear_return(now, lease.era);
+        self.set_era(now, lease.era);
         self.options.ttl_ms = ttl_ms;
         self.state = State::Taking { lease, covered: self.covered_from(sent) };
         vec![TenureAction::Take { lease }]
--- a/tests/deadly.rs
+++ b/tests/deadly.rs
@@ -13,13 +13,14 @@
 use gateway::{
     Deployment, Host, fronts,
     load::{Seen, under_load},
+    returns::LOST,
     wait_for,
 };
 use std::{
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, Downtime, Return, Vacancy};
+use vanetally_platform_standin::{Client, Downtime, Vacancy};
 
 const DEADLY: &[u8] = b"deadly draft";
 /// Each so many requests one is deadly.
@@ -129,8 +130,7 @@
     let kept = || !store.keys("vanetally/contents/").is_empty();
     under_load(&fronts, offer, 8, Duration::from_millis(50), || wait_for("it is kept", kept));
     thread::sleep(Duration::from_secs(1));
-    let how = Return { keeps_leases: false, again: Duration::ZERO, answers_late: false };
-    store.return_from(&copy, how);
+    store.return_from(&copy, LOST);
     assert!(!kept());
     let back = Instant::now();
     wait_for("it is kept again", kept);
