feat: evacuate failure domains, limit cold upstreams

Cause: nothing read the operators' evacuation keys, and what an announcement says of an upstream's cold start was dropped. A domain that was evacuated got requests as before. Change: a third feed that hosts forward (optional, so that hosts of earlier builds stay usable as sources); dispatch and placement take the set of evacuated domains as an event. A cold upstream has the rate of its service as rate limit, for which the grantor of permits spaces the requests of all hosts; after an evacuation its upstreams count as cold for as long as the configuration says.

--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -49,6 +49,7 @@
         slots: SLOTS,
         draining: false,
         remaining_ms: None,
+        cold_ms: 0,
         orders_taken: 0,
         models: held_models(number, model_count),
         at_hand: Vec::new(),
@@ -86,7 +87,12 @@
         resumable: false,
         is_open: false,
     };
-    let service = Service { name: "llm".into(), max_connections: 1_900, engine: Some(engine) };
+    let service = Service {
+        name: "llm".into(),
+        max_connections: 1_900,
+        engine: Some(engine),
+        cold_start: None,
+    };
     Rc::new(Configuration {
         version: 1,
         routes: vec![route],
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -119,7 +119,7 @@
     let load = upstream.total(input.now);
     let slots = f64::from(upstream.state.slots);
     match input.engine {
-        None => is_saturated(upstream, load.running, slots * SERVICE_QUEUE_RATIO)
+        None => is_saturated(input.now, upstream, load.running, slots * SERVICE_QUEUE_RATIO)
             .then_some(ShortageKind::Slot),
         Some(_) if load.running == 0 => None,
         Some(engine) => engine_shortage(input, engine, request, upstream),
@@ -129,8 +129,8 @@
 /// Whether an upstream has its maximum number of requests. A rate-limited upstream is never
 /// saturated: its stated limit bounds what it gets, requests that wait for their send time are no
 /// load yet, and the others learn at once whether they get a permit.
-fn is_saturated(upstream: &Upstream, running: u32, max: f64) -> bool {
-    upstream.limit.rate().is_none() && f64::from(running) >= max
+fn is_saturated(now: Tick, upstream: &Upstream, running: u32, max: f64) -> bool {
+    upstream.rate_limit(now).is_none() && f64::from(running) >= max
 }
 
 /// Returns why a busy engine can't take the request, if so.
@@ -143,7 +143,7 @@
     let load = upstream.total(input.now);
     let slots = f64::from(upstream.state.slots);
     let fill = if request.is_late(input.now) { LATE_FILL_RATIO } else { ENGINE_FILL_RATIO };
-    if is_saturated(upstream, load.running, slots * fill) {
+    if is_saturated(input.now, upstream, load.running, slots * fill) {
         return Some(ShortageKind::Slot);
     }
     if u64::from(load.held_tokens + request.max_tokens()) > engine.kv_tokens {
@@ -198,7 +198,7 @@
     let tried_ms = if request.tried.contains(id) { RETRY_PENALTY_MS } else { 0.0 };
     let cost = own_ms * input.pace.slowness(id) + domain_ms + tried_ms + tie_ms;
     let expected = ReadEstimate { unread_tokens, ahead_ms: ahead_ms as u32 };
-    let limit = upstream.limit.rate();
+    let limit = upstream.rate_limit(input.now);
     let limit = limit.map(|rate| ChosenLimit { rate, may_wait: false, is_granted: false });
     (cost, Choice { upstream: id.clone(), expected, is_trial: false, limit })
 }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -1,7 +1,7 @@
 //! Events that the dispatch handles, and the actions that it returns.
 
 use crate::{Digest, RefusalContext, RetryBudgetOptions, ShortageKind};
-use std::{net::SocketAddr, rc::Rc};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc};
 use vanetally_limit::{LimitChange, PermitAnswer, PermitRequest};
 use vanetally_pacing::{Prompt, SlotReply};
 use vanetally_ports::{CallerRequest, Configuration, ModelRef, Origin, Refusal, UpstreamState};
@@ -115,6 +115,8 @@
         /// The upstream.
         id: Incarnation,
     },
+    /// These failure domains are evacuated, and no others: their upstreams get no new requests.
+    Evacuated(Rc<BTreeSet<Name>>),
     /// The order holder reported whether a runner holds a model or an adapter.
     PresenceReported {
         /// The runner.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod choice;
 mod choose;
+mod cold_start;
 mod cooldown;
 /// Load reports that hosts exchange.
 pub mod digest;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -16,7 +16,7 @@
     upstream::{Load, Upstream},
 };
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
 };
 use vanetally_ports::{
@@ -39,6 +39,8 @@
     pub(crate) confirmed_at: Option<Tick>,
     pub(crate) quarantine: BlockedContents,
     pub(crate) upstreams: BTreeMap<Incarnation, Upstream>,
+    /// Failure domains that operators evacuate.
+    pub(crate) evacuated: Rc<BTreeSet<Name>>,
     /// Cooldowns of upstreams whose announcements are gone: the same incarnation may announce
     /// itself again.
     cooldowns: BTreeMap<Incarnation, Cooldown>,
@@ -113,6 +115,7 @@
             confirmed_at: None,
             quarantine: BlockedContents::default(),
             upstreams: BTreeMap::new(),
+            evacuated: Rc::default(),
             cooldowns: BTreeMap::new(),
             directory: Directory::default(),
             requests: HashMap::new(),
@@ -150,6 +153,7 @@
                 self.abandon_attempts(&id, &mut actions);
             }
             Event::UpstreamGone { id } => self.upstream_gone(now, &id),
+            Event::Evacuated(domains) => self.set_evacuated(now, domains),
             Event::PresenceReported { runner, subject, presence } => {
                 if presence == Presence::Present {
                     self.directory.add_holder(&runner, &subject.model);
@@ -309,6 +313,7 @@
             });
         }
         self.configuration = Some(configuration);
+        self.configure_cold_starts();
     }
 
     fn upstream_seen(&mut self, now: Tick, id: Incarnation, state: UpstreamState) {
@@ -321,6 +326,8 @@
                     upstream.successor_seen(&id, &state, now);
                 }
                 let mut upstream = Upstream::new(state, now);
+                upstream.cold.configure(self.cold_start(&upstream.state.service));
+                upstream.is_evacuated = self.evacuated.contains(&upstream.state.domain);
                 upstream.cooldown = self.cooldowns.remove(&id).unwrap_or_default();
                 self.upstreams.insert(id, upstream);
             }
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -64,7 +64,7 @@
         let Some(upstream) = self.upstreams.get_mut(&choice.upstream) else {
             return;
         };
-        let is_open = upstream.accepts_now(now) && upstream.is_permitted(&choice);
+        let is_open = upstream.accepts_now(now) && upstream.is_permitted(now, &choice);
         match slot {
             SlotReply::Granted(SendSlot {
                 delay_ms,
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -317,7 +317,7 @@
         };
         let is_permitted = match attempt.permit_rate {
             Some(_) => now <= attempt.sent_at + PERMIT_TTL_MS,
-            None => upstream.limit.rate().is_none(),
+            None => upstream.rate_limit(now).is_none(),
         };
         is_permitted && upstream.accepts_now(now)
     }
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Known state of one upstream.
 
-use crate::{Health, LoadRow, Presence, choice::Choice, cooldown::Cooldown};
+use crate::{Health, LoadRow, Presence, choice::Choice, cold_start::ColdState, cooldown::Cooldown};
 use std::collections::{BTreeMap, HashMap};
 use vanetally_limit::KnownLimit;
 use vanetally_pacing::{Prefix, PrefixCache};
@@ -49,6 +49,8 @@
     pub consecutive_rejections: u32,
     /// Stated rate limit over all hosts.
     pub limit: KnownLimit,
+    /// Whether the upstream is cold.
+    pub cold: ColdState,
     /// While the upstream is rate-limited, it takes no more requests from this host before this
     /// time.
     pub limited_until: Tick,
@@ -61,6 +63,8 @@
     pub is_replaced: bool,
     /// The current announcement can't be read.
     pub is_unreadable: bool,
+    /// Operators evacuate the upstream's failure domain.
+    pub is_evacuated: bool,
     /// An incarnation that announced the same address after this one had failed.
     successor: Option<Incarnation>,
     /// When the upstream will be gone, if it announced that.
@@ -90,11 +94,13 @@
             full_until: Tick(0),
             consecutive_rejections: 0,
             limit: KnownLimit::default(),
+            cold: ColdState::default(),
             limited_until: Tick(0),
             cooldown: Cooldown::default(),
             paced_until: Tick(0),
             is_replaced: false,
             is_unreadable: false,
+            is_evacuated: false,
             successor: None,
             gone_at: None,
             peers: BTreeMap::new(),
@@ -102,6 +108,7 @@
             prefix_cache: PrefixCache::default(),
         };
         upstream.gone_at = upstream.state.remaining_ms.map(|ms| now + ms);
+        upstream.cold.extend(now, upstream.state.cold_ms);
         upstream
     }
 
@@ -109,6 +116,10 @@
         if let Some(ms) = state.remaining_ms {
             self.gone_at.get_or_insert(now + ms);
         }
+        // A repeated announcement does not make the upstream cold again.
+        if state.cold_ms != self.state.cold_ms {
+            self.cold.extend(now, state.cold_ms);
+        }
         self.is_replaced &= self.state.address == state.address;
         self.is_unreadable = false;
         self.state = state;
@@ -121,14 +132,21 @@
         });
     }
 
+    /// Returns the rate limit in requests per second over all hosts: the stated one, or that of a
+    /// cold upstream if it is lower.
+    pub(crate) fn rate_limit(&self, now: Tick) -> Option<f64> {
+        let limits = [self.limit.rate(), self.cold.rate(now)];
+        limits.into_iter().flatten().reduce(f64::min)
+    }
+
     /// Whether the upstream is rate-limited and takes no more requests from this host now.
     pub(crate) fn is_limited(&self, now: Tick) -> bool {
-        self.limit.rate().is_some() && now < self.limited_until
+        now < self.limited_until && self.rate_limit(now).is_some()
     }
 
     /// Whether the request may be sent under the rate limit: it has a permit, or none is needed.
-    pub(crate) fn is_permitted(&self, choice: &Choice) -> bool {
-        self.limit.rate().is_none() || choice.limit.is_some_and(|limit| limit.is_granted)
+    pub(crate) fn is_permitted(&self, now: Tick, choice: &Choice) -> bool {
+        self.rate_limit(now).is_none() || choice.limit.is_some_and(|limit| limit.is_granted)
     }
 
     /// Whether the upstream accepts new requests at all.
@@ -142,10 +160,11 @@
         self.accepts_new(now) && self.cooldown.left_ms(now).is_none()
     }
 
-    /// Whether the upstream accepts no new requests because it is leaving.
+    /// Whether the upstream accepts no new requests because it is leaving or its failure domain is
+    /// evacuated.
     pub(crate) fn is_leaving(&self, now: Tick) -> bool {
         let is_ending_soon = self.gone_at.is_some_and(|gone| gone <= now + MIN_NOTICE_MS);
-        self.state.draining || is_ending_soon
+        self.state.draining || self.is_evacuated || is_ending_soon
     }
 
     /// Records another announced incarnation. If it has the address of an upstream that failed
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -25,6 +25,7 @@
         slots: 8,
         draining: false,
         remaining_ms: None,
+        cold_ms: 0,
         orders_taken: 3,
         models: Vec::new(),
         at_hand: Vec::new(),
--- a/crates/dispatch/tests/store_restore.rs
+++ b/crates/dispatch/tests/store_restore.rs
@@ -30,6 +30,7 @@
         slots: 8,
         draining,
         remaining_ms: None,
+        cold_ms: 0,
         orders_taken: 3,
         models: Vec::new(),
         at_hand: Vec::new(),
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -65,7 +65,12 @@
         loads_per_s: 1.0,
         models: BTreeMap::from([("m1".into(), model.clone()), ("m2".into(), model)]),
     };
-    let service = |name: &str, engine| Service { name: name.into(), max_connections: 100, engine };
+    let service = |name: &str, engine| Service {
+        name: name.into(),
+        max_connections: 100,
+        engine,
+        cold_start: None,
+    };
     let services = [service("desk", None), service("llm", Some(engine))];
     Rc::new(Configuration {
         version,
@@ -85,6 +90,7 @@
         slots: 4,
         draining: false,
         remaining_ms: None,
+        cold_ms: 0,
         orders_taken: 0,
         models: models
             .iter()
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -16,6 +16,8 @@
     pub prefix: Name,
     /// Whether aggregators forward its keys to other hosts.
     is_shared: bool,
+    /// Whether aggregators of earlier builds don't forward its keys.
+    is_optional: bool,
     pub handler: Rc<dyn FeedHandler>,
     pub mirror: RefCell<Mirror>,
     /// When the store last confirmed the local copy.
@@ -70,12 +72,19 @@
         Self { is_shared: true, ..Self::store_only(prefix, handler) }
     }
 
+    /// Creates an empty feed that is read from the store, or from an aggregator if its build forwards
+    /// it.
+    pub(crate) fn optional(prefix: Name, handler: Rc<dyn FeedHandler>) -> Self {
+        Self { is_optional: true, ..Self::shared(prefix, handler) }
+    }
+
     /// Creates an empty feed that is read from the store only; other hosts obtain its data by
     /// another protocol.
     pub(crate) fn store_only(prefix: Name, handler: Rc<dyn FeedHandler>) -> Self {
         Self {
             prefix,
             is_shared: false,
+            is_optional: false,
             handler,
             mirror: RefCell::default(),
             confirmed: Cell::new(None),
@@ -90,6 +99,16 @@
         self.is_shared
     }
 
+    /// Whether hosts of earlier builds don't forward this feed's keys.
+    pub(crate) fn is_optional(&self) -> bool {
+        self.is_optional
+    }
+
+    /// Whether the source is of an earlier build, which does not forward these keys.
+    pub(crate) fn is_unavailable(&self) -> bool {
+        self.is_optional && self.mirror.borrow().revision().is_none()
+    }
+
     /// Replaces all keys; returns whether the snapshot was recent enough to be applied.
     pub(crate) fn replace(&self, snapshot: Snapshot) -> bool {
         let is_applied = self.mirror.borrow_mut().try_replace(snapshot.at, &snapshot.items);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod confirmation;
 mod eras;
+mod evacuations;
 mod exchange;
 mod feed;
 mod headers;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! Process lifecycle: start, reload, planned stop.
 
 use crate::{
+    evacuations::EvacuationFeedHandler,
     feed::Feed,
     hub::{Hub, HubParts, Stage},
     listener,
@@ -138,11 +139,13 @@
 fn start_feeds(hub: &Rc<Hub>) {
     let upstreams = Rc::new(UpstreamFeedHandler::new(hub.clone()));
     let peers = Rc::new(PeerFeedHandler { hub: hub.clone() });
+    let evacuations = Rc::new(EvacuationFeedHandler::new(hub.clone()));
     let configuration = Rc::new(ConfigurationFeedHandler { hub: hub.clone() });
     // The configuration may be large, so it is read last.
     let feeds = [
         Feed::shared(hub.ports.upstreams.prefix().into(), upstreams),
         Feed::shared(peers::PRODUCT_PREFIX.into(), peers),
+        Feed::optional(hub.ports.evacuations.prefix().into(), evacuations),
         Feed::store_only(hub.ports.configuration.key().into(), configuration),
     ];
     hub.feeds.borrow_mut().extend(feeds.map(Rc::new));
--- a/crates/gateway/src/sources.rs
+++ b/crates/gateway/src/sources.rs
@@ -108,7 +108,7 @@
     pub(crate) fn age_ms(&self) -> Option<u64> {
         let now = self.clock.now();
         let ages: Option<Vec<u64>> =
-            self.shared_feeds().iter().map(|feed| feed.age_ms(now)).collect();
+            self.available_feeds().iter().map(|feed| feed.age_ms(now)).collect();
         ages?.into_iter().max()
     }
 
@@ -134,9 +134,16 @@
         feeds.iter().filter(|feed| feed.is_shared()).cloned().collect()
     }
 
+    /// Returns the feeds that aggregators forward, without those that no source has forwarded yet.
+    fn available_feeds(&self) -> Vec<Rc<Feed>> {
+        let mut feeds = self.shared_feeds();
+        feeds.retain(|feed| !feed.is_unavailable());
+        feeds
+    }
+
     /// Returns the era of the forwarded feeds; `None` unless all have the same.
     fn shared_era(&self) -> Option<Era> {
-        let feeds = self.shared_feeds();
+        let feeds = self.available_feeds();
         let eras: Option<BTreeSet<Era>> = feeds.iter().map(|feed| feed.era()).collect();
         eras.filter(|eras| eras.len() == 1)?.pop_first()
     }
@@ -145,7 +152,7 @@
     /// forwarded feed is unknown here, or the eras of the feeds differ.
     pub(crate) fn sync(&self, have: &[(Name, Revision)]) -> Option<PeerMessage> {
         self.shared_era()?;
-        let feeds = self.shared_feeds();
+        let feeds = self.available_feeds();
         let prefixes = feeds.iter().map(|feed| {
             let known = have.iter().find(|(prefix, _)| *prefix == feed.prefix);
             feed.sync(known.map(|(_, at)| *at))
@@ -165,12 +172,11 @@
     ) {
         let feeds = self.shared_feeds();
         let before = self.shared_era();
-        let mut applied = 0;
-        for sync in prefixes {
-            applied += usize::from(self.apply_prefix(&feeds, sync));
-        }
-        if applied < feeds.len() {
-            return log::info!("event=sync_incomplete from={from} taken={applied}");
+        let applied = prefixes.into_iter().filter_map(|sync| self.apply_prefix(&feeds, sync));
+        let applied: BTreeSet<Name> = applied.collect();
+        let is_lacking = |feed: &Rc<Feed>| !feed.is_optional() && !applied.contains(&feed.prefix);
+        if feeds.iter().any(is_lacking) {
+            return log::info!("event=sync_incomplete from={from} taken={}", applied.len());
         }
         let is_era_outdated = self.shared_era().is_some_and(|era| self.is_era_outdated(era));
         let age_ms = age_ms.filter(|_| !is_era_outdated);
@@ -189,25 +195,23 @@
         self.store.eras().is_outdated(self.clock.now(), era)
     }
 
-    /// Applies the sync of one prefix and forwards it; returns whether it was recent enough.
-    fn apply_prefix(&self, feeds: &[Rc<Feed>], sync: PrefixSync) -> bool {
+    /// Applies the sync of one prefix and forwards it; returns the prefix if the sync was recent
+    /// enough.
+    fn apply_prefix(&self, feeds: &[Rc<Feed>], sync: PrefixSync) -> Option<Name> {
         let find = |prefix: &Name| feeds.iter().find(|feed| feed.prefix == *prefix);
         match sync {
             PrefixSync::Whole(packed) => {
-                let Some(PrefixSnapshot { prefix, at, items }) = unpack(&packed) else {
-                    return false;
-                };
-                find(&prefix).is_some_and(|feed| self.apply_snapshot(feed, Snapshot { items, at }))
+                let PrefixSnapshot { prefix, at, items } = unpack(&packed)?;
+                let is_applied = self.apply_snapshot(find(&prefix)?, Snapshot { items, at });
+                is_applied.then_some(prefix)
             }
             PrefixSync::Since(PrefixChanges { prefix, after, at, changes }) => {
-                let Some(feed) = find(&prefix) else {
-                    return false;
-                };
+                let feed = find(&prefix)?;
                 let is_applied = feed.apply_changes(after, at, changes.clone()).is_ok();
                 if is_applied {
                     self.forward_changes(feed, at, changes);
                 }
-                is_applied
+                is_applied.then_some(prefix)
             }
         }
     }
@@ -257,7 +261,11 @@
             age_ms: self.age_ms(),
             configuration: self.configuration_status(),
             store: self.store.state(),
-            announced: self.shared_feeds().iter().map(|feed| feed.announced_revisions()).collect(),
+            announced: self
+                .available_feeds()
+                .iter()
+                .map(|feed| feed.announced_revisions())
+                .collect(),
             is_leaving: self.is_leaving(),
             path: self.source_selector.borrow().path(),
         }
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -53,6 +53,11 @@
     counter!("vanetally_upstreams_leaving_total", "by" => by).increment(1);
 }
 
+/// Records the number of evacuated failure domains.
+pub(crate) fn evacuated_domains(count: usize) {
+    gauge!("vanetally_evacuated_domains").set(count as f64);
+}
+
 /// Counts a cooldown requested by an upstream.
 pub(crate) fn cooldown_requested() {
     counter!("vanetally_rests_asked_total").increment(1);
--- a/crates/placement/src/adapters.rs
+++ b/crates/placement/src/adapters.rs
@@ -99,7 +99,7 @@
         let subject =
             Subject { model: requested.model.clone(), adapter: requested.adapter.clone() };
         let holders = self.ledgers.iter().filter(|(_, ledger)| {
-            ledger.state.service == *service && !ledger.state.draining && ledger.holds(&subject)
+            ledger.state.service == *service && !ledger.is_leaving() && ledger.holds(&subject)
         });
         let announcements: Vec<Action> =
             holders.map(|(runner, _)| announce(runner, &subject, true, 0)).collect();
@@ -112,7 +112,7 @@
     fn is_placed(&self, service: &Name, subject: &Subject) -> bool {
         self.ledgers.values().any(|ledger| {
             ledger.state.service == *service
-                && !ledger.state.draining
+                && !ledger.is_leaving()
                 && ledger.will_hold_adapter(subject)
         })
     }
@@ -150,7 +150,7 @@
         };
         ledger.adapters().find(|subject| {
             others().any(|(_, other)| {
-                !other.state.draining && other.adapters().any(|held| held == *subject)
+                !other.is_leaving() && other.adapters().any(|held| held == *subject)
             })
         })
     }
--- a/crates/placement/src/event.rs
+++ b/crates/placement/src/event.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of the placement.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc};
 use vanetally_ports::{
     Configuration, FencingToken, ModelRef, Order, OrderOutcome, Report, UpstreamState,
 };
@@ -50,6 +50,8 @@
         /// Its incarnation.
         id: Incarnation,
     },
+    /// These failure domains are evacuated, and no others: their runners count as leaving.
+    Evacuated(Rc<BTreeSet<Name>>),
     /// A host reported its demand.
     Demand(Vec<DemandSample>),
     /// A host requested a model or an adapter that it can't find.
--- a/crates/placement/src/inventory.rs
+++ b/crates/placement/src/inventory.rs
@@ -132,7 +132,7 @@
     input
         .ledgers
         .iter()
-        .filter(move |(_, ledger)| ledger.state.service == *input.service && !ledger.state.draining)
+        .filter(move |(_, ledger)| ledger.state.service == *input.service && !ledger.is_leaving())
 }
 
 impl<'a> Model<'a> {
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -42,6 +42,8 @@
     needs_report: bool,
     /// Whether the runner's current announcement can't be decoded.
     is_unreadable: bool,
+    /// Whether operators evacuate the runner's failure domain.
+    is_evacuated: bool,
     last_report: Tick,
     /// When the last order was answered.
     last_answer: Option<Tick>,
@@ -72,10 +74,21 @@
     /// Resets the ledger to the announced state, but keeps the orders that may still be executed.
     pub(crate) fn reset(&mut self, now: Tick) {
         let unsettled = self.take_unsettled(now);
-        *self = Self::new(self.state.clone());
+        let is_evacuated = self.is_evacuated;
+        *self = Self { is_evacuated, ..Self::new(self.state.clone()) };
         self.add_unsettled(now, unsettled);
     }
 
+    /// Records whether the runner's failure domain is among the evacuated `domains`.
+    pub(crate) fn set_evacuated(&mut self, domains: &BTreeSet<Name>) {
+        self.is_evacuated = domains.contains(&self.state.domain);
+    }
+
+    /// Whether the runner is draining, or its failure domain is evacuated.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.state.draining || self.is_evacuated
+    }
+
     /// Takes the orders that this or a later incarnation of the runner may still execute.
     pub(crate) fn take_unsettled(&mut self, now: Tick) -> UnsettledOrders {
         let mut unsettled = std::mem::take(&mut self.unsettled);
@@ -112,6 +125,7 @@
             report_requested: None,
             needs_report: true,
             is_unreadable: false,
+            is_evacuated: false,
             last_report: Tick(0),
             last_answer: None,
             state,
@@ -236,7 +250,7 @@
 
     /// Why the runner can't be sent an order about weights, if it can't.
     pub(crate) fn obstacle(&self) -> Option<Obstacle> {
-        if self.state.draining {
+        if self.is_leaving() {
             Some(Obstacle::Leaving)
         } else if self.is_unreadable {
             Some(Obstacle::Unreadable)
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -5,7 +5,7 @@
     unsettled::UnsettledOrders,
 };
 use std::{
-    collections::{BTreeMap, HashMap, btree_map::Entry},
+    collections::{BTreeMap, BTreeSet, HashMap, btree_map::Entry},
     rc::Rc,
 };
 use vanetally_ports::{
@@ -19,6 +19,8 @@
     pub(crate) options: Options,
     pub(crate) configuration: Option<Rc<Configuration>>,
     pub(crate) ledgers: BTreeMap<Incarnation, Ledger>,
+    /// Failure domains that operators evacuate.
+    evacuated: Rc<BTreeSet<Name>>,
     /// Orders to ended incarnations, by the runner id under which another one may start.
     unsettled: BTreeMap<Name, UnsettledOrders>,
     pub(crate) demand: DemandTable,
@@ -85,6 +87,7 @@
             options,
             configuration: None,
             ledgers: BTreeMap::new(),
+            evacuated: Rc::default(),
             unsettled: BTreeMap::new(),
             demand: DemandTable::default(),
             token: None,
@@ -115,6 +118,7 @@
                 }
             }
             Event::UpstreamGone { id } => self.upstream_gone(now, id),
+            Event::Evacuated(domains) => self.set_evacuated(domains),
             Event::Demand(samples) => {
                 samples.iter().for_each(|sample| self.demand.add(now, sample));
             }
@@ -161,12 +165,18 @@
             return ledger.set_announced(state);
         }
         let mut ledger = Ledger::new(state);
+        ledger.set_evacuated(&self.evacuated);
         if let Some(unsettled) = self.unsettled.remove(&id.id) {
             ledger.add_unsettled(now, unsettled);
         }
         self.ledgers.insert(id, ledger);
     }
 
+    fn set_evacuated(&mut self, domains: Rc<BTreeSet<Name>>) {
+        self.ledgers.values_mut().for_each(|ledger| ledger.set_evacuated(&domains));
+        self.evacuated = domains;
+    }
+
     fn upstream_gone(&mut self, now: Tick, id: Incarnation) {
         self.reserved.remove(&id);
         self.pending_unloads.retain(|(runner, _), _| *runner != id);
@@ -255,7 +265,7 @@
         for (runner, ledger) in &mut self.ledgers {
             let service = configuration.services.get(&ledger.state.service);
             let is_engine = service.is_some_and(|service| service.engine.is_some());
-            if is_engine && !ledger.state.draining && ledger.try_request_report(now) {
+            if is_engine && !ledger.is_leaving() && ledger.try_request_report(now) {
                 let address = ledger.state.address;
                 actions.push(Action::RequestReport { runner: runner.clone(), address });
             }
--- a/crates/placement/src/weights.rs
+++ b/crates/placement/src/weights.rs
@@ -143,7 +143,7 @@
     ) -> Option<LoadLimit> {
         let ledgers = || self.ledgers.values().filter(|l| l.state.service == *service);
         let unreported =
-            ledgers().filter(|ledger| !ledger.is_known() && !ledger.state.draining).count();
+            ledgers().filter(|ledger| !ledger.is_known() && !ledger.is_leaving()).count();
         if unreported > 0 && now.since(self.token_since) < REPORT_WAIT_MS {
             return None;
         }
--- a/crates/placement/tests/saturation.rs
+++ b/crates/placement/tests/saturation.rs
@@ -120,6 +120,7 @@
         slots: 12,
         draining: false,
         remaining_ms: None,
+        cold_ms: 0,
         orders_taken: 0,
         models: held(number),
         at_hand: Vec::new(),
@@ -143,7 +144,12 @@
         loads_per_s: 10.0,
         models: (0..MODEL_COUNT).map(|number| (model(number), spec.clone())).collect(),
     };
-    let service = Service { name: "llm".into(), max_connections: 900, engine: Some(engine) };
+    let service = Service {
+        name: "llm".into(),
+        max_connections: 900,
+        engine: Some(engine),
+        cold_start: None,
+    };
     Rc::new(Configuration {
         version: 1,
         routes: Vec::new(),
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -120,7 +120,8 @@
         loads_per_s: 1.0,
         models: BTreeMap::from(models),
     };
-    let service = Service { name: "llm".into(), max_connections: 9, engine: Some(engine) };
+    let service =
+        Service { name: "llm".into(), max_connections: 9, engine: Some(engine), cold_start: None };
     Rc::new(Configuration {
         version: 1,
         routes: Vec::new(),
@@ -143,6 +144,7 @@
         slots: 8,
         draining: false,
         remaining_ms: None,
+        cold_ms: 0,
         orders_taken,
         models: held(models),
         at_hand: Vec::new(),
--- a/crates/ports/src/configuration.rs
+++ b/crates/ports/src/configuration.rs
@@ -88,6 +88,17 @@
     pub max_connections: u32,
     /// Engine parameters of the upstreams, if they are model runners.
     pub engine: Option<EngineSpec>,
+    /// Limits on cold upstreams, if there are any.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// Limits on an upstream that is cold, as after its start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long an upstream stays cold after its start.
+    pub duration_ms: u64,
+    /// Requests per second that a cold upstream takes from all hosts together.
+    pub rate: f64,
 }
 
 /// Parameters of the model runners of a service.
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod configuration;
 /// Reports from runners and orders to them.
 pub mod engine;
+/// Operators' requests to evacuate failure domains.
+pub mod evacuation;
 /// Organisations, their callers' keys and their quotas.
 pub mod organisation;
 /// Revisions and eras of the store.
@@ -23,13 +25,14 @@
 
 pub use caller::{CallerProtocol, CallerRequest, ModelRef, PromptPart, Refusal, RefusalCause};
 pub use configuration::{
-    CallerLimits, Configuration, ConfigurationFormat, EngineSpec, ModelSpec, RequestKind, Route,
-    Service, Target,
+    CallerLimits, ColdStart, Configuration, ConfigurationFormat, EngineSpec, ModelSpec,
+    RequestKind, Route, Service, Target,
 };
 pub use engine::{
     AnswerKind, AttemptHead, EngineProtocol, Operation, Order, OrderOutcome, Report, Stated,
     Statement, Subject,
 };
+pub use evacuation::EvacuationFormat;
 pub use organisation::{CallerKey, Credential, Organisation, Origin, Quota, QuotaUnit};
 pub use revision::{Era, Revision};
 pub use store::{
@@ -61,6 +64,8 @@
 pub struct Ports {
     /// Format of the configuration in the store.
     pub configuration: std::rc::Rc<dyn ConfigurationFormat>,
+    /// Format of the evacuation keys in the store.
+    pub evacuations: std::rc::Rc<dyn EvacuationFormat>,
     /// Format of the announcements of upstreams.
     pub upstreams: std::rc::Rc<dyn UpstreamFormat>,
     /// Protocol of engines and services.
--- a/crates/ports/src/upstream.rs
+++ b/crates/ports/src/upstream.rs
@@ -27,6 +27,8 @@
     pub draining: bool,
     /// Milliseconds until the upstream terminates, if announced.
     pub remaining_ms: Option<u64>,
+    /// Milliseconds for which the upstream stays cold.
+    pub cold_ms: u64,
     /// Number of orders taken.
     pub orders_taken: u64,
     /// Loaded models.
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -65,6 +65,14 @@
         self.engines.push(engine);
     }
 
+    /// Starts another plain upstream, which the caller announces.
+    pub fn add_desk(&mut self) -> Runner {
+        let id = format!("i-desk-{}", self.desks.len());
+        let options = RunnerOptions { id, service: "desk".into(), models: Vec::new() };
+        self.desks.push(Runner::start(&fresh_ip(), options));
+        self.desks[self.desks.len() - 1].clone()
+    }
+
     /// Starts a store with a configuration, an engine that holds `m1` and a plain service.
     pub fn start() -> Self {
         let ip = fresh_ip();
