fix: periodic work grows with loaded upstreams, not with known ones

Cause: each announcement compared the newcomer with every known upstream (per pair of upstreams); each report of a host, each periodic check and each host that was dropped went over all known upstreams (per upstream, times reports, checks or hosts). A change of source drops all hosts: hosts x upstreams. Change: upstreams are indexed by address, reports by the upstreams that they name, and the upstreams with requests, outcomes or failures elsewhere are kept as a set. The load exchange moved from machine.rs to loads.rs. A successor that moves to another address frees the upstream that it had replaced.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -1,10 +1,13 @@
-//! Index of the upstreams that may take a request.
+//! Index of the upstreams by what requests and announcements look them up.
 
-use std::collections::{BTreeSet, HashMap};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+};
 use vanetally_ports::UpstreamState;
 use vanetally_types::{Incarnation, Name};
 
-/// Upstreams by service, and by the model that they may hold.
+/// Upstreams by service, by the model that they may hold, and by address.
 ///
 /// With 4,800 runners of which five hold a model, the choice for a request examines five. Whether
 /// an upstream holds the model now is decided by [`crate::upstream::Upstream::holds`]: the index
@@ -14,12 +17,14 @@
 pub(crate) struct Directory {
     services: HashMap<Name, ServiceIndex>,
     upstreams: HashMap<Incarnation, UpstreamEntry>,
+    addresses: HashMap<SocketAddr, BTreeSet<Incarnation>>,
 }
 
 /// Where an upstream is listed.
 #[derive(Clone, Debug)]
 struct UpstreamEntry {
     service: Name,
+    address: SocketAddr,
     models: BTreeSet<Name>,
 }
 
@@ -41,8 +46,13 @@
         self.remove(id);
         let service = self.services.entry(state.service.clone()).or_default();
         service.upstreams.insert(id.clone());
-        let entry = UpstreamEntry { service: state.service.clone(), models: BTreeSet::new() };
+        let entry = UpstreamEntry {
+            service: state.service.clone(),
+            address: state.address,
+            models: BTreeSet::new(),
+        };
         self.upstreams.insert(id.clone(), entry);
+        self.addresses.entry(state.address).or_default().insert(id.clone());
         for model in state.models.iter().map(|held| &held.name).chain(reported) {
             self.add_holder(id, model);
         }
@@ -64,6 +74,12 @@
         let Some(entry) = self.upstreams.remove(id) else {
             return;
         };
+        if let Some(ids) = self.addresses.get_mut(&entry.address) {
+            ids.remove(id);
+            if ids.is_empty() {
+                self.addresses.remove(&entry.address);
+            }
+        }
         let Some(service) = self.services.get_mut(&entry.service) else {
             return;
         };
@@ -75,6 +91,11 @@
         }
     }
 
+    /// Returns the upstreams that announce `address`, ordered by name.
+    pub(crate) fn at(&self, address: SocketAddr) -> impl Iterator<Item = &Incarnation> {
+        self.addresses.get(&address).into_iter().flatten()
+    }
+
     /// Returns the upstreams of a service, ordered by name.
     pub(crate) fn upstreams_of(&self, service: &Name) -> impl Iterator<Item = &Incarnation> {
         self.services.get(service).into_iter().flat_map(|service| &service.upstreams)
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -198,6 +198,7 @@
         let Some(upstream) = self.upstreams.get_mut(&attempt.upstream) else {
             return;
         };
+        self.loads.mark_active(&attempt.upstream);
         upstream.own_load.subtract(attempt.load);
         let is_answered =
             !matches!(end, AttemptEnd::Broken | AttemptEnd::Unreachable | AttemptEnd::Withdrawn);
@@ -326,10 +327,7 @@
             self.end(id);
             actions.push(Action::Refuse { id, refusal, context });
         }
-        for upstream in self.upstreams.values_mut() {
-            let (good, bad) = upstream.peer_outcomes(now);
-            upstream.health.review(now, good, bad);
-        }
+        self.review_active(now);
         self.requested_models.retain(|_, at| now.since(*at) < MODEL_REQUEST_INTERVAL_MS);
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod health;
 mod leaving;
 mod limits;
+mod loads;
 mod machine;
 mod pace;
 mod previous;
--- a/crates/dispatch/src/limits.rs
+++ b/crates/dispatch/src/limits.rs
@@ -16,6 +16,7 @@
     ) {
         let upstream = self.upstreams.get_mut(&id);
         let change = upstream.and_then(|upstream| upstream.limit.record_answer(now, sent, rate));
+        self.loads.mark_active(&id);
         actions.extend(change.map(|change| Action::LimitChanged {
             upstream: id,
             change,
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -1,14 +1,14 @@
 //! State machine for the requests of one host.
 
 use crate::{
-    Action, DemandRow, Digest, Event, LoadRow, Options, Prediction, Presence, RefusalContext,
-    RequestId, RetryBudget, RouteIndex,
+    Action, Event, Options, Prediction, Presence, RefusalContext, RequestId, RetryBudget,
+    RouteIndex,
     access::KeyIndex,
     answer_times::AnswerTimes,
     cooldown::Cooldown,
     directory::Directory,
     ending::{RETRY_AFTER_MS, STOP_RETRY_AFTER_MS, startup_retry_ms},
-    limits::limit_row,
+    loads::Loads,
     pace::PaceModel,
     queue::Queue,
     request::{Request, Stage},
@@ -17,6 +17,7 @@
 };
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
     rc::Rc,
 };
 use vanetally_ports::{
@@ -45,6 +46,7 @@
     /// itself again.
     cooldowns: BTreeMap<Incarnation, Cooldown>,
     pub(crate) directory: Directory,
+    pub(crate) loads: Loads,
     pub(crate) requests: HashMap<RequestId, Request>,
     pub(crate) queue: Queue,
     pub(crate) retry_budgets: BTreeMap<Name, RetryBudget>,
@@ -53,15 +55,15 @@
     pub(crate) answer_times: BTreeMap<Name, AnswerTimes>,
     pub(crate) hosts: usize,
     pub(crate) stopping_since: Option<Tick>,
-    demand: BTreeMap<(Name, ModelRef), Demand>,
+    pub(crate) demand: BTreeMap<(Name, ModelRef), Demand>,
     pub(crate) requested_models: HashMap<(Name, ModelRef), Tick>,
 }
 
 /// Demand since the last digest.
 #[derive(Clone, Copy, Debug, Default)]
-struct Demand {
-    arrived: u32,
-    work_ms: f64,
+pub(crate) struct Demand {
+    pub arrived: u32,
+    pub work_ms: f64,
 }
 
 /// Known state of one upstream.
@@ -88,6 +90,8 @@
     pub open: usize,
     /// Known upstreams.
     pub upstreams: usize,
+    /// Upstreams that need periodic work.
+    pub active: usize,
     /// Ejected upstreams.
     pub suspects: usize,
     /// Rate-limited upstreams.
@@ -118,6 +122,7 @@
             evacuated: Rc::default(),
             cooldowns: BTreeMap::new(),
             directory: Directory::default(),
+            loads: Loads::default(),
             requests: HashMap::new(),
             queue: Queue::default(),
             retry_budgets: BTreeMap::new(),
@@ -249,6 +254,7 @@
             waiting: self.queue.len(),
             open: self.requests.len(),
             upstreams: self.upstreams.len(),
+            active: self.loads.active(),
             suspects: self.upstreams.values().filter(|u| u.health.is_suspect()).count(),
             limited: self.upstreams.values().filter(|u| u.limit.rate().is_some()).count(),
         }
@@ -269,35 +275,6 @@
         loads.collect()
     }
 
-    /// Returns this host's load for other hosts, with the requests that arrived since the last
-    /// call.
-    pub fn digest(&mut self, now: Tick) -> Digest {
-        let loads = self.upstreams.iter_mut().filter_map(|(id, upstream)| {
-            let (good, bad) = upstream.health.recent(now);
-            let own = upstream.own_load;
-            let limit = upstream.limit.announcement(now);
-            (own.running > 0 || good + bad > 0 || limit.is_some()).then(|| LoadRow {
-                limit: limit.map(|statement| limit_row(now, statement)),
-                upstream: id.clone(),
-                running: own.running,
-                unread_tokens: own.unread_tokens,
-                held_tokens: own.held_tokens,
-                good: u16::try_from(good).unwrap_or(u16::MAX),
-                bad: u16::try_from(bad).unwrap_or(u16::MAX),
-            })
-        });
-        let loads = loads.collect();
-        let demand = std::mem::take(&mut self.demand).into_iter();
-        let demand = demand.map(|((service, subject), demand)| DemandRow {
-            service,
-            model: subject.model,
-            adapter: subject.adapter,
-            arrived: demand.arrived,
-            work_ms: demand.work_ms.round() as u32,
-        });
-        Digest { loads, demand: demand.collect() }
-    }
-
     fn configure(&mut self, configuration: Rc<Configuration>) {
         if self.version().is_some_and(|version| version >= configuration.version) {
             return;
@@ -317,13 +294,21 @@
     }
 
     fn upstream_seen(&mut self, now: Tick, id: Incarnation, state: UpstreamState) {
-        let reported = self.upstreams.get(&id).into_iter().flat_map(Upstream::reported_models);
+        let known = self.upstreams.get(&id);
+        let old_address = known.map(|upstream| upstream.state.address);
+        if let Some(old) = old_address.filter(|old| *old != state.address) {
+            self.leave_address(&id, old);
+        }
+        let known = self.upstreams.get(&id);
+        let reported = known.into_iter().flat_map(Upstream::reported_models);
         self.directory.insert(&id, &state, reported);
         match self.upstreams.get_mut(&id) {
             Some(upstream) => upstream.update(state, now),
             None => {
-                for upstream in self.upstreams.values_mut() {
-                    upstream.successor_seen(&id, &state, now);
+                for other in self.directory.at(state.address) {
+                    if let Some(upstream) = self.upstreams.get_mut(other) {
+                        upstream.successor_seen(&id, &state, now);
+                    }
                 }
                 let mut upstream = Upstream::new(state, now);
                 upstream.cold.configure(self.cold_start(&upstream.state.service));
@@ -336,13 +321,25 @@
 
     fn upstream_gone(&mut self, now: Tick, id: &Incarnation) {
         self.cooldowns.retain(|_, cooldown| cooldown.left_ms(now).is_some());
-        let gone = self.upstreams.remove(id);
-        if let Some(gone) = gone.filter(|gone| gone.cooldown.left_ms(now).is_some()) {
-            self.cooldowns.insert(id.clone(), gone.cooldown);
-        }
         self.directory.remove(id);
         self.pace.forget(id);
-        self.upstreams.values_mut().for_each(|upstream| upstream.successor_gone(id));
+        self.loads.forget(id);
+        let Some(gone) = self.upstreams.remove(id) else {
+            return;
+        };
+        if gone.cooldown.left_ms(now).is_some() {
+            self.cooldowns.insert(id.clone(), gone.cooldown);
+        }
+        self.leave_address(id, gone.state.address);
+    }
+
+    /// Records that an upstream no longer has an address: it is no successor of the others there.
+    fn leave_address(&mut self, id: &Incarnation, address: SocketAddr) {
+        for other in self.directory.at(address) {
+            if let Some(upstream) = self.upstreams.get_mut(other) {
+                upstream.successor_gone(id);
+            }
+        }
     }
 
     /// Cancels the attempts at an upstream that has ended. Its end is a crash sign against their
@@ -363,23 +360,6 @@
         }
     }
 
-    fn peer_digest(&mut self, now: Tick, host: &Name, digest: Digest) {
-        let mut rows: HashMap<Incarnation, LoadRow> =
-            digest.loads.into_iter().map(|row| (row.upstream.clone(), row)).collect();
-        for (id, upstream) in &mut self.upstreams {
-            match rows.remove(id) {
-                Some(row) => upstream.set_peer(host, row, now),
-                None => upstream.forget_peer(host),
-            }
-        }
-    }
-
-    fn peer_gone(&mut self, host: &Name) {
-        for upstream in self.upstreams.values_mut() {
-            upstream.forget_peer(host);
-        }
-    }
-
     fn arrived(
         &mut self,
         now: Tick,
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -40,6 +40,7 @@
         self.queue.remove(id, request);
         let load = request.load(choice.expected.unread_tokens);
         upstream.own_load.add(load);
+        self.loads.mark_active(&choice.upstream);
         upstream.cooldown.record_send(now);
         request.reservations += 1;
         let reservation = request.reservations;
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -277,6 +277,7 @@
             limit: permit_rate,
         };
         upstream.own_load.add(load);
+        self.loads.mark_active(&choice.upstream);
         upstream.health.record_send(now);
         upstream.cooldown.record_send(now);
         if let Some(subject) = &request.head.model {
