fix: relays bound what one host of a large failure domain serves

Cause: one host served its whole domain. Its messages a second grow with the hosts of the domain, so its interval did: 3.3 ms a host at half of a processor, 667 ms at 200. The silence after which a source is given up was 600 ms whatever the interval; the two cross at 180 hosts a domain. From there each host called its live source silent, turned to the next one, and all went round. Change: above 75 hosts a domain has a relay for each 30, the first ones of its order; a relay reports the sum of its own receivers and sends them the total. A host's receivers are bounded and the depth grows: up to 2,250 hosts a domain the aggregator stays within its interval. Interval and silence come from one place (spacing.rs). A host's role follows from its source: whose source is in its own domain reports to it. The rank among the hosts of the domain is computed once a change of the list instead of at each check of a stale host. Domains of up to 75 hosts are as before.

--- a/crates/fanout/src/candidate.rs
+++ b/crates/fanout/src/candidate.rs
@@ -1,5 +1,6 @@
 //! The order in which hosts are preferred as sources of store data.
 
+use crate::domain_tree::DomainTree;
 use std::{cmp::Reverse, collections::BTreeMap};
 use vanetally_types::{Name, hash64, rendezvous_rank};
 
@@ -88,9 +89,10 @@
     let candidates: Vec<&Candidate> = candidates.into_iter().collect();
     let same_domain = candidates.iter().copied().filter(|candidate| candidate.domain == *domain);
     let same_domain: Vec<&Candidate> = same_domain.collect();
-    match first(domain.as_bytes(), &same_domain) {
-        Some(host) if host != me => Parent::Host(host.clone()),
-        _ => match root(candidates) {
+    let tree = DomainTree::new(domain, &same_domain);
+    match tree.as_ref().and_then(|tree| tree.parent(me)) {
+        Some(host) => Parent::Host(host.clone()),
+        None => match root(candidates) {
             Some(root) if root != me => Parent::Host(root.clone()),
             _ => Parent::Store,
         },
@@ -119,7 +121,7 @@
 }
 
 /// Returns `hosts` by descending capacity, those of equal capacity in the order of a hash of their names and `key`.
-fn ranked<'a>(key: &[u8], hosts: &[&'a Candidate]) -> Vec<&'a Name> {
+pub(crate) fn ranked<'a>(key: &[u8], hosts: &[&'a Candidate]) -> Vec<&'a Name> {
     let capacity: BTreeMap<&Name, u32> =
         hosts.iter().map(|host| (&host.host, host.capacity)).collect();
     let mut order = rendezvous_rank(hash64(key), hosts.iter().map(|host| &host.host));
--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! In a large deployment one host, the root, watches the store and forwards what it reads to one host
 //! of each failure domain, the aggregator. The aggregator forwards it to the other hosts of its domain,
-//! which report their load to the aggregator and receive the total. The number of store calls and the
+//! which report their load to the aggregator and receive the total. In a large failure domain relays stand between the
+//! aggregator and the other hosts. The number of store calls and the
 //! number of messages per host do not grow with the number of hosts. No consensus is needed: any host
 //! accepts subscriptions, and then forwards what it knows together with the age of that data.
 //!
@@ -11,6 +12,7 @@
 
 mod candidate;
 mod contact;
+mod domain_tree;
 mod event;
 mod freshness;
 mod mirror;
@@ -33,6 +35,6 @@
 pub use path::{Hop, Path, hop};
 pub use pull::Pull;
 pub use source_selector::SourceSelector;
-pub use spacing::{Spacing, status_interval_ms};
+pub use spacing::{Spacing, silence_ms, status_interval_ms};
 pub use totals::{IncludedReport, Totals};
 pub use versions::{Error, Patch, Versions};
--- a/crates/fanout/src/source_selector.rs
+++ b/crates/fanout/src/source_selector.rs
@@ -1,7 +1,7 @@
 //! Where a host reads store data from: the store itself or another host.
 //!
-//! Hosts form a tree: in each failure domain the aggregator forwards data to the other hosts, and one of the
-//! aggregators, the root, reads the store for all. When its source fails, a host subscribes to the next one in an order
+//! Hosts form a tree: in each failure domain the aggregator forwards data to the other hosts, in a large domain through
+//! relays, and one of the aggregators, the root, reads the store for all. When its source fails, a host subscribes to the next one in an order
 //! that all hosts compute alike, and states what it already has, so that only the difference is sent. It keeps its data
 //! until the new source has answered. So a failure costs a few reads of the store, whatever the number of hosts. A host
 //! reads the store itself only if it finds no other host in time; the first hosts in the order do so earlier than the
@@ -9,12 +9,14 @@
 
 use crate::{
     Action, Candidate, Event, Reason, Source,
-    candidate::{Fleet, Parent, domain_firsts, parent, root},
+    candidate::{Fleet, Parent, domain_firsts, parent, relative_rank, root},
+    domain_tree::DomainTree,
     path::{MAX_HOPS, Path, hop},
     source_state::{
         FallbackProbes, HostSource, PendingSubscription, STALE_MS, Search, SourceState, is_too_old,
         is_unconfirmed,
     },
+    spacing::{MAX_INTERVAL_MS, silence_ms, status_interval_ms},
 };
 use std::collections::{BTreeMap, BTreeSet};
 use vanetally_types::{Name, Tick};
@@ -36,6 +38,10 @@
     pub(crate) last_probe: Option<Tick>,
     /// Computed parents by the host that was excluded.
     pub(crate) parent_cache: BTreeMap<Option<Name>, Parent>,
+    /// Computed rank of this host among the usable ones of its domain.
+    rank_cache: Option<f64>,
+    /// The tree of this host's domain if no host failed.
+    tree: Option<DomainTree>,
     /// Until then no source is checked, since this host did not run for a while.
     pub(crate) grace_until: Tick,
     /// The paths that other hosts last announced.
@@ -48,8 +54,8 @@
     pub(crate) must_announce: bool,
 }
 
-/// Time without a status after which a source is suspected.
-pub(crate) const SILENT_MS: u64 = 600;
+/// Time without a status after which a source with few receivers is suspected.
+pub(crate) const SILENT_MS: u64 = silence_ms(MAX_INTERVAL_MS);
 /// Time for which a suspected host is not used.
 pub(crate) const SUSPECT_MS: u64 = 3_000;
 /// Validity of a host's announcement that it has fresh data; the response to a subscription arrives within a tenth of a
@@ -81,6 +87,8 @@
             pending: None,
             last_probe: None,
             parent_cache: BTreeMap::new(),
+            rank_cache: None,
+            tree: None,
             grace_until: now,
             paths: BTreeMap::new(),
             fallback_probes: FallbackProbes::default(),
@@ -121,18 +129,53 @@
         &self.subscribers
     }
 
-    /// Whether this host sums up loads for others: it reads the store, is the first of its failure domain, or has
-    /// subscribers.
+    /// Whether this host sums up the loads of its failure domain: it reads the store or a host of another domain.
+    ///
+    /// A host whose source is in its own domain reports to that source, together with its own subscribers.
     pub fn is_aggregator(&mut self) -> bool {
-        if matches!(self.state, SourceState::Store { .. }) || !self.subscribers.is_empty() {
-            return true;
+        match &self.state {
+            SourceState::Store { .. } => true,
+            SourceState::Host(current) => !self.is_same_domain(&current.host),
+            SourceState::Searching(_) if !self.subscribers.is_empty() => true,
+            SourceState::Searching(_) => match self.parent(None) {
+                Parent::Store => false,
+                Parent::Host(host) => !self.is_same_domain(&host),
+            },
         }
-        match self.parent(None) {
-            Parent::Store => !matches!(self.state, SourceState::Searching(_)),
-            Parent::Host(host) => !self.is_same_domain(&host),
+    }
+
+    /// Returns the milliseconds between two load messages of this host, whose share of a processor is `capacity`
+    /// percent: between two status messages to its subscribers, or between two reports to its source.
+    pub fn interval_ms(&self, capacity: u32) -> u64 {
+        match &self.state {
+            SourceState::Host(current) if self.subscribers.is_empty() => {
+                self.source_interval_ms(&current.host)
+            }
+            _ => {
+                let expected_ms = status_interval_ms(self.expected_receivers(&self.me), capacity);
+                let ms = status_interval_ms(self.subscribers.len(), capacity);
+                ms.min(expected_ms.max(MAX_INTERVAL_MS))
+            }
         }
     }
 
+    /// Returns the expected interval between two status messages of another host.
+    fn source_interval_ms(&self, host: &Name) -> u64 {
+        let known = self.candidates.iter().find(|candidate| candidate.host == *host);
+        let capacity = known.map_or(0, |candidate| candidate.capacity);
+        status_interval_ms(self.expected_receivers(host), capacity)
+    }
+
+    fn expected_receivers(&self, host: &Name) -> usize {
+        self.tree.as_ref().map_or(0, |tree| tree.receivers(host))
+    }
+
+    /// Whether the source, which last sent its status at `last_status`, is silent.
+    pub(crate) fn is_silent(&self, now: Tick, host: &Name, last_status: Tick) -> bool {
+        let ms = now.since(last_status);
+        ms > SILENT_MS && ms > silence_ms(self.source_interval_ms(host))
+    }
+
     fn is_same_domain(&self, host: &Name) -> bool {
         let same_domain = |candidate: &&Candidate| candidate.domain == self.domain;
         self.candidates.iter().filter(same_domain).any(|candidate| candidate.host == *host)
@@ -164,7 +207,29 @@
 
     pub(crate) fn suspect(&mut self, host: Name, until: Tick) {
         self.suspects.insert(host, until);
+        self.clear_caches();
+    }
+
+    /// Discards what was computed from the usable hosts.
+    pub(crate) fn clear_caches(&mut self) {
         self.parent_cache.clear();
+        self.rank_cache = None;
+    }
+
+    /// Returns the share of the usable hosts of the domain that come before this one in the order.
+    pub(crate) fn rank(&mut self) -> f64 {
+        if let Some(rank) = self.rank_cache {
+            return rank;
+        }
+        let rank = relative_rank(&self.me, &self.domain, self.usable(None));
+        self.rank_cache = Some(rank);
+        rank
+    }
+
+    fn build_tree(&self) -> Option<DomainTree> {
+        let same_domain = |candidate: &&Candidate| candidate.domain == self.domain;
+        let hosts: Vec<&Candidate> = self.candidates.iter().filter(same_domain).collect();
+        DomainTree::new(&self.domain, &hosts)
     }
 
     /// Returns the path of this host's data, to be sent to its subscribers.
@@ -207,7 +272,8 @@
                 self.fleet.update(candidates.len());
                 self.paths.retain(|host, _| candidates.iter().any(|one| one.host == *host));
                 self.candidates = candidates;
-                self.parent_cache.clear();
+                self.tree = self.build_tree();
+                self.clear_caches();
             }
             Event::Status { from, age_ms, is_leaving } => {
                 self.on_status(now, from, age_ms, is_leaving, &mut actions);
@@ -293,7 +359,7 @@
             return;
         }
         if self.suspects.remove(&from).is_some() {
-            self.parent_cache.clear();
+            self.clear_caches();
         }
         // The response to the first offer may still be in transit.
         if self.offer.as_ref().is_some_and(|(_, at)| now.since(*at) <= OFFER_MS) {
--- a/crates/fanout/src/spacing.rs
+++ b/crates/fanout/src/spacing.rs
@@ -18,27 +18,41 @@
 const LINK_SHARE: f64 = 0.2;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
-/// Minimum interval between two status messages of an aggregator, and between two reports to it.
-const MIN_INTERVAL_MS: f64 = 100.0;
-/// Number of hosts that an aggregator with half of a processor can serve at the minimum interval: each host
+/// Minimum interval between two status messages of a host that forwards data, and between two reports to it.
+const MIN_INTERVAL_MS: u64 = 100;
+/// Maximum interval between status messages to [`MAX_DIRECT_RECEIVERS`] hosts.
+pub(crate) const MAX_INTERVAL_MS: u64 = 250;
+/// Number of hosts that a host with half of a processor can serve at the minimum interval: each one
 /// costs it half a millisecond of processor time per interval, which lasts 4 ms with 0.12 of a processor.
-const REFERENCE_FANOUT: f64 = 30.0;
-/// Share of a processor, in percent, to which [`REFERENCE_FANOUT`] refers.
+pub(crate) const REFERENCE_RECEIVERS: usize = 30;
+/// Number of hosts that a host with half of a processor can serve at the maximum interval.
+pub(crate) const MAX_DIRECT_RECEIVERS: usize =
+    REFERENCE_RECEIVERS * MAX_INTERVAL_MS as usize / MIN_INTERVAL_MS as usize;
+/// Share of a processor, in percent, to which [`REFERENCE_RECEIVERS`] refers.
 const REFERENCE_CAPACITY: f64 = 50.0;
-/// Maximum interval between status messages: two in a row may be lost before a live source is considered silent.
-const MAX_INTERVAL_MS: f64 = 250.0;
+/// Status messages in a row that may be lost before a live source is considered silent.
+const LOST_STATUSES: u64 = 2;
+/// Longest expected delay of a status message.
+const STATUS_DELAY_MS: u64 = 100;
 
-/// Returns the milliseconds between two status messages of an aggregator to `hosts` hosts, and between two of their
+/// Returns the time without a status after which a source that sends one every `interval_ms` is considered silent.
+pub const fn silence_ms(interval_ms: u64) -> u64 {
+    LOST_STATUSES * interval_ms + STATUS_DELAY_MS
+}
+
+/// Returns the milliseconds between two status messages of a host to `receivers` hosts, and between two of their
 /// reports to it.
 ///
-/// `capacity` is the aggregator's share of a processor in percent, 0 if unknown.
-pub fn status_interval_ms(hosts: usize, capacity: u32) -> u64 {
+/// `capacity` is the sender's share of a processor in percent, 0 if unknown.
+pub fn status_interval_ms(receivers: usize, capacity: u32) -> u64 {
     let share = if capacity == 0 { REFERENCE_CAPACITY } else { f64::from(capacity) };
-    let scale = hosts as f64 / (REFERENCE_FANOUT * share / REFERENCE_CAPACITY);
-    let ms = MIN_INTERVAL_MS * scale.max(1.0);
-    // If there are too many hosts for the maximum interval, the interval is that of an aggregator with half of a
+    let reference = REFERENCE_RECEIVERS as f64;
+    let scale = receivers as f64 / (reference * share / REFERENCE_CAPACITY);
+    let ms = MIN_INTERVAL_MS as f64 * scale.max(1.0);
+    // If there are too many receivers for the maximum interval, the interval is that of a host with half of a
     // processor.
-    let max_ms = MAX_INTERVAL_MS.max(MIN_INTERVAL_MS * hosts as f64 / REFERENCE_FANOUT);
+    let max_ms =
+        (MAX_INTERVAL_MS as f64).max(MIN_INTERVAL_MS as f64 * receivers as f64 / reference);
     ms.min(max_ms) as u64
 }
 
--- a/crates/fanout/src/timeouts.rs
+++ b/crates/fanout/src/timeouts.rs
@@ -3,8 +3,8 @@
 
 use crate::{
     Action, Reason, SourceSelector,
-    candidate::{Parent, relative_rank},
-    source_selector::{OFFER_MS, SILENT_MS, SUSPECT_MS},
+    candidate::Parent,
+    source_selector::{OFFER_MS, SUSPECT_MS},
     source_state::{
         FallbackProbes, HostSource, PendingSubscription, Search, SourceState, is_unconfirmed,
     },
@@ -50,7 +50,7 @@
         let suspects = self.suspects.len();
         self.suspects.retain(|_, until| now < *until);
         if self.suspects.len() < suspects {
-            self.parent_cache.clear();
+            self.clear_caches();
         }
         match self.state.clone() {
             SourceState::Searching(search) => self.continue_search(now, search, actions),
@@ -81,8 +81,8 @@
     }
 
     /// Returns how long this host searches for another host before it reads the store.
-    fn search_limit_ms(&self) -> u64 {
-        let rank = relative_rank(&self.me, &self.domain, self.usable(None));
+    fn search_limit_ms(&mut self) -> u64 {
+        let rank = self.rank();
         if rank < FIRST_SHARE {
             FIRST_SEARCH_MS
         } else {
@@ -109,7 +109,8 @@
     }
 
     fn check_host(&mut self, now: Tick, current: HostSource, actions: &mut Vec<Action>) {
-        if current.silent_since.is_none() && now.since(current.last_status) > SILENT_MS {
+        if current.silent_since.is_none() && self.is_silent(now, &current.host, current.last_status)
+        {
             self.suspect(current.host.clone(), now + SUSPECT_MS);
             self.pending.take_if(|pending| pending.host == current.host);
             self.state = SourceState::Host(HostSource { silent_since: Some(now), ..current });
@@ -166,10 +167,9 @@
 
     /// Whether this host's data has been stale for so long that it no longer waits for the hosts before it in the
     /// order.
-    pub(crate) fn is_wait_over(&self, now: Tick) -> bool {
-        let rank = || relative_rank(&self.me, &self.domain, self.usable(None));
+    pub(crate) fn is_wait_over(&mut self, now: Tick) -> bool {
         self.stale_ms(now).is_some_and(|ms| {
-            ms >= STALE_WAIT_MS && ms >= STALE_WAIT_MS + (rank() * STALE_SPREAD_MS) as u64
+            ms >= STALE_WAIT_MS && ms >= STALE_WAIT_MS + (self.rank() * STALE_SPREAD_MS) as u64
         })
     }
 
@@ -185,7 +185,7 @@
 
     /// Probes the store whichever host is next in the order.
     fn probe_fallback(&mut self, now: Tick, actions: &mut Vec<Action>) {
-        let rank = relative_rank(&self.me, &self.domain, self.usable(None));
+        let rank = self.rank();
         let interval_ms = FALLBACK_PROBE_MS / 2 + (rank * FALLBACK_PROBE_MS as f64) as u64;
         if self.fallback_probes.last.is_none_or(|at| now.since(at) >= interval_ms) {
             self.fallback_probes.last = Some(now);
--- a/crates/fanout/src/totals.rs
+++ b/crates/fanout/src/totals.rs
@@ -33,6 +33,8 @@
     listeners: BTreeMap<Name, Tick>,
     /// Sums of other aggregators, and when they were received.
     peer_sums: BTreeMap<Name, (Vec<LoadRow>, Tick)>,
+    /// The load beyond this host and its subscribers, by the host that it reports to, and when it was received.
+    outer: Option<(Vec<LoadRow>, Tick)>,
     /// Demand that was not forwarded yet.
     demand: Vec<DemandRow>,
 }
@@ -98,6 +100,16 @@
         self.peer_sums.insert(from, (loads, now));
     }
 
+    /// Records the load beyond this host and its subscribers, by the host that it reports to.
+    pub fn record_outer(&mut self, now: Tick, loads: Vec<LoadRow>) {
+        self.outer = Some((loads, now));
+    }
+
+    /// Discards the load beyond this host and its subscribers, when the host that it reports to changes.
+    pub fn discard_outer(&mut self) {
+        self.outer = None;
+    }
+
     /// Returns the aggregators whose sums are known.
     pub fn peer_aggregators(&self) -> impl Iterator<Item = &Name> {
         self.peer_sums.keys()
@@ -131,8 +143,14 @@
     ///
     /// `local_sum` is the load of this host and its subscribers.
     pub fn total(&self, local_sum: &Digest) -> (Vec<IncludedReport>, Vec<LoadRow>) {
-        let peer_loads = self.peer_sums.values().map(|(loads, _)| loads);
-        let loads = sum_rows(peer_loads.chain([&local_sum.loads]));
+        let loads = match &self.outer {
+            // It includes the sums of all aggregators.
+            Some((outer, _)) => sum_rows([outer, &local_sum.loads].into_iter()),
+            None => {
+                let peer_loads = self.peer_sums.values().map(|(loads, _)| loads);
+                sum_rows(peer_loads.chain([&local_sum.loads]))
+            }
+        };
         let included = self
             .subscribers
             .iter()
@@ -171,6 +189,7 @@
         let silent: Vec<Name> =
             silent_subscribers.chain(silent_peers.map(|(host, _)| host)).cloned().collect();
         self.listeners.retain(|_, at| !is_silent(*at, SUBSCRIBER_TIMEOUT_MS));
+        self.outer.take_if(|(_, at)| is_silent(*at, PEER_SUM_TIMEOUT_MS));
         for host in &silent {
             self.subscribers.remove(host);
             self.peer_sums.remove(host);
--- a/crates/fanout/tests/totals.rs
+++ b/crates/fanout/tests/totals.rs
@@ -117,3 +117,39 @@
         "its own load is subtracted"
     );
 }
+
+/// A relay reports the sum of its subscribers, and sends them the load of all others with its own sum.
+#[test]
+fn relay() {
+    let (mut relay, mut aggregator) = (Totals::default(), Totals::default());
+    relay.record_report(NOW, "leaf".into(), 5, digest(&[load("r1", 2)]));
+    let sum = relay.take_local_sum(&digest(&[load("r1", 1)]));
+    let number = relay.number_report(NOW, &sum);
+    aggregator.record_report(NOW, "relay".into(), number, sum);
+    aggregator.record_report(NOW, "other".into(), 1, digest(&[load("r2", 7)]));
+    let sum = aggregator.take_local_sum(&digest(&[load("r1", 4)]));
+    let (_, total) = aggregator.total(&sum);
+    let outer = relay.without_own(number, total);
+    assert_eq!(running(&outer), [("r1".into(), 4), ("r2".into(), 7)]);
+    relay.record_outer(NOW, outer);
+    // A sum that it receives as the holder of the order lease is part of the outer load.
+    relay.record_sum(NOW, "far".into(), vec![load("r2", 7)]);
+    let sum = relay.take_local_sum(&digest(&[load("r1", 1)]));
+    let (included, total) = relay.total(&sum);
+    assert_eq!(running(&total), [("r1".into(), 7), ("r2".into(), 7)]);
+    assert_eq!((&*included[0].host, included[0].number, included.len()), ("leaf", 5, 1));
+}
+
+/// The host that the relay reports to is silent, or replaced.
+#[test]
+fn outer_load_expires() {
+    let mut relay = Totals::default();
+    relay.record_outer(NOW, vec![load("r1", 4)]);
+    relay.forget_silent(NOW + 1_000);
+    assert_eq!(running(&relay.total(&Default::default()).1), [("r1".into(), 4)]);
+    relay.forget_silent(NOW + 2_001);
+    assert!(relay.total(&Default::default()).1.is_empty());
+    relay.record_outer(NOW, vec![load("r1", 4)]);
+    relay.discard_outer();
+    assert!(relay.total(&Default::default()).1.is_empty());
+}
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -6,7 +6,7 @@
 };
 use std::{collections::BTreeSet, rc::Rc};
 use vanetally_dispatch::{self as dispatch, Digest};
-use vanetally_fanout::{Event as SourceEvent, Source, status_interval_ms};
+use vanetally_fanout::{Event as SourceEvent, Source};
 use vanetally_placement::{self as placement, DemandSample};
 use vanetally_ports::{Era, ModelRef, Revision};
 use vanetally_quarantine::{CrashReport, CrashSign};
@@ -112,6 +112,7 @@
             return;
         }
         *self.load_aggregator.borrow_mut() = aggregator;
+        self.totals.borrow_mut().discard_outer();
         let hosts: Vec<Name> = self.peers.borrow().keys().cloned().collect();
         for host in hosts {
             self.request_event(dispatch::Event::PeerGone { host });
@@ -146,6 +147,10 @@
             let own = reported.iter().find(|(host, _)| *host == self.settings.host);
             if let Some((_, number)) = own {
                 let loads = self.totals.borrow_mut().without_own(*number, loads);
+                if !self.source_selector.borrow().subscribers().is_empty() {
+                    let now = self.clock.now();
+                    self.totals.borrow_mut().record_outer(now, loads.clone());
+                }
                 let digest = Digest { loads, demand: Vec::new() };
                 self.request_event(dispatch::Event::PeerDigest { host: from.clone(), digest });
             }
@@ -209,13 +214,7 @@
         if !self.uses_aggregators() {
             return DIGEST_INTERVAL_MS;
         }
-        let peers = self.peers.borrow();
-        let same_domain =
-            peers.values().filter(|entry| entry.domain == self.settings.domain).count();
-        let aggregator = self.load_aggregator.borrow();
-        let aggregator = aggregator.as_ref().and_then(|host| peers.get(host));
-        let capacity = aggregator.map_or(self.settings.capacity, |entry| entry.capacity);
-        status_interval_ms(same_domain, capacity)
+        self.source_selector.borrow().interval_ms(self.settings.capacity)
     }
 
     /// Sends this host's load to the hosts that need it.
@@ -229,11 +228,7 @@
                 self.send(&host, &PeerMessage::KeepSubscription);
                 self.send_sums(digest);
             }
-            Source::Host(host) => {
-                let number = self.totals.borrow_mut().number_report(now, &digest);
-                let version = self.version();
-                self.send(&host, &PeerMessage::Report { number, version, digest });
-            }
+            Source::Host(host) => self.send_report(&host, digest),
             Source::Store | Source::Searching => self.send_sums(digest),
         }
         let silent = self.totals.borrow_mut().forget_silent(now);
@@ -241,16 +236,42 @@
         self.update_subscribers();
     }
 
-    fn send_sums(self: &Rc<Self>, mut own: Digest) {
-        let (sum, reported, loads) = {
-            let mut totals = self.totals.borrow_mut();
-            totals.add_demand(std::mem::take(&mut own.demand));
-            let sum = totals.take_local_sum(&own);
-            let (reported, loads) = totals.total(&sum);
-            (sum, reported, loads)
-        };
-        self.placement_event(placement::Event::Demand(demand_samples(&sum)));
+    /// Reports the load of this host and its subscribers to the source, and sends the total to the
+    /// subscribers.
+    fn send_report(self: &Rc<Self>, source: &Name, own: Digest) {
+        let now = self.clock.now();
+        let digest = self.take_local_sum(own);
+        let number = self.totals.borrow_mut().number_report(now, &digest);
+        self.send_totals(&digest);
         let version = self.version();
+        self.send(source, &PeerMessage::Report { number, version, digest });
+    }
+
+    /// Returns the load of this host and its subscribers.
+    fn take_local_sum(&self, mut own: Digest) -> Digest {
+        let mut totals = self.totals.borrow_mut();
+        totals.add_demand(std::mem::take(&mut own.demand));
+        totals.take_local_sum(&own)
+    }
+
+    /// Sends the sum of this host and its subscribers to the other aggregators, and the total to
+    /// the subscribers.
+    fn send_sums(self: &Rc<Self>, own: Digest) {
+        let sum = self.take_local_sum(own);
+        self.placement_event(placement::Event::Demand(demand_samples(&sum)));
+        self.send_totals(&sum);
+        let is_new = *self.last_digest.borrow() != sum;
+        if is_new || !sum.loads.is_empty() {
+            let version = self.version();
+            let message = PeerMessage::Digest { version, digest: sum.clone() };
+            self.send_all(self.sum_receivers().iter(), &message);
+            *self.last_digest.borrow_mut() = sum;
+        }
+    }
+
+    /// Sends the total load to the subscribers, and this host's status to the listeners.
+    fn send_totals(&self, sum: &Digest) {
+        let (reported, loads) = self.totals.borrow().total(sum);
         let now = self.clock.now();
         let mut listeners: Vec<Name> = self.totals.borrow().listeners().cloned().collect();
         if !reported.is_empty() {
@@ -270,12 +291,6 @@
         if !listeners.is_empty() {
             self.send_all(listeners.iter(), &PeerMessage::Status(self.host_status()));
         }
-        let is_new = *self.last_digest.borrow() != sum;
-        if is_new || !sum.loads.is_empty() {
-            let message = PeerMessage::Digest { version, digest: sum.clone() };
-            self.send_all(self.sum_receivers().iter(), &message);
-            *self.last_digest.borrow_mut() = sum;
-        }
     }
 
     /// Sends the result of `message` to all subscribers; it is only called if there are any.
