fix: one log line for all upstreams of a read

Cause: a host that reads all upstreams' keys wrote a line for each, 4,000 a read (per upstream and reader). Change: upstreams_read with the number of keys; the lines of the single upstreams are of level debug then. Changes that come later are logged as before.

--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -30,7 +30,8 @@
         key.strip_prefix(self.hub.ports.upstreams.prefix()).map(Name::from)
     }
 
-    fn key_written(&self, item: &Item) {
+    /// Handles a written key; `log_level` is that of the log line about a new upstream.
+    fn key_written(&self, item: &Item, log_level: log::Level) {
         let Some(id) = self.id(&item.key) else {
             return;
         };
@@ -41,15 +42,21 @@
         let now = self.hub.clock.now();
         let updates = self.roster.borrow_mut().record(now, &id, item.revision, read);
         for update in updates {
-            self.apply_update(&id, item.revision, update);
+            self.apply_update(&id, item.revision, update, log_level);
         }
     }
 
-    fn apply_update(&self, id: &Name, revision: Revision, update: RosterUpdate) {
+    fn apply_update(
+        &self,
+        id: &Name,
+        revision: Revision,
+        update: RosterUpdate,
+        log_level: log::Level,
+    ) {
         match update {
             RosterUpdate::Seen { incarnation, state, is_new } => {
                 if is_new || state.draining {
-                    self.log_seen(&incarnation, &state, revision);
+                    log_seen(log_level, &incarnation, &state, revision);
                 }
                 self.hub.upstream_seen(incarnation, state);
             }
@@ -83,18 +90,6 @@
         }
     }
 
-    fn log_seen(&self, incarnation: &Incarnation, state: &UpstreamState, revision: Revision) {
-        log::log!(
-            self.hub.relayed_log_level(),
-            "event=upstream_seen upstream={incarnation} service={} address={} draining={} remaining_ms={} \
-             revision={revision}",
-            state.service,
-            state.address,
-            state.draining,
-            state.remaining_ms.map_or_else(|| "-".into(), |ms| ms.to_string()),
-        );
-    }
-
     /// Handles the removal of an upstream's key. The upstream is gone too, unless the store may
     /// have lost keys.
     fn key_removed(&self, id: &Name) {
@@ -138,6 +133,23 @@
     }
 }
 
+fn log_seen(
+    level: log::Level,
+    incarnation: &Incarnation,
+    state: &UpstreamState,
+    revision: Revision,
+) {
+    log::log!(
+        level,
+        "event=upstream_seen upstream={incarnation} service={} address={} draining={} remaining_ms={} \
+         revision={revision}",
+        state.service,
+        state.address,
+        state.draining,
+        state.remaining_ms.map_or_else(|| "-".into(), |ms| ms.to_string()),
+    );
+}
+
 fn birth_text(incarnation: &Incarnation) -> String {
     incarnation.born.map_or_else(|| "-".into(), |born| born.to_string())
 }
@@ -149,12 +161,20 @@
         let missing: Vec<Name> =
             self.roster.borrow().ids().filter(|id| !listed.contains(*id)).cloned().collect();
         missing.iter().for_each(|id| self.key_removed(id));
-        snapshot.items.iter().for_each(|item| self.key_written(item));
+        log::log!(
+            self.hub.relayed_log_level(),
+            "event=upstreams_read keys={} missing={} revision={}",
+            snapshot.items.len(),
+            missing.len(),
+            snapshot.at
+        );
+        // One line stands for the thousands of upstreams that a read may return.
+        snapshot.items.iter().for_each(|item| self.key_written(item, log::Level::Debug));
     }
 
     fn changed(&self, change: Change) {
         match change {
-            Change::Put(item) => self.key_written(&item),
+            Change::Put(item) => self.key_written(&item, self.hub.relayed_log_level()),
             Change::Deleted { key, .. } => {
                 if let Some(id) = self.id(&key) {
                     self.key_removed(&id);
