fix: what follows from the list of hosts is derived once a round

Cause: each host that came or went made every host copy, rank and sort all hosts, twice; n hosts that start at once cost n times n log n on each of them. Ranking hashed each name anew at each comparison. Change: a Throttle: the first change is worked on within a tick, those of the next 0.1 ms a host together. Hashes are computed once a name; where only the first is needed, nothing is sorted.

--- a/crates/fanout/src/candidate.rs
+++ b/crates/fanout/src/candidate.rs
@@ -2,7 +2,7 @@
 
 use crate::domain_tree::DomainTree;
 use std::{cmp::Reverse, collections::BTreeMap};
-use vanetally_types::{Name, hash64, rendezvous_rank};
+use vanetally_types::{Name, hash64, rendezvous, rendezvous_rank};
 
 /// A host that may forward store data to others.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -117,7 +117,7 @@
     let max_capacity = hosts.iter().map(|host| host.capacity).max()?;
     let strongest =
         hosts.iter().filter(|host| host.capacity == max_capacity).map(|host| &host.host);
-    rendezvous_rank(hash64(key), strongest).first().copied()
+    rendezvous(hash64(key), strongest)
 }
 
 /// Returns `hosts` by descending capacity, those of equal capacity in the order of a hash of their names and `key`.
--- a/crates/fanout/src/domain_tree.rs
+++ b/crates/fanout/src/domain_tree.rs
@@ -9,7 +9,7 @@
     candidate::ranked,
     spacing::{MAX_DIRECT_RECEIVERS, REFERENCE_RECEIVERS},
 };
-use vanetally_types::{Name, hash64, rendezvous_rank};
+use vanetally_types::{Name, hash64, rendezvous};
 
 /// The forwarding hosts of one failure domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,8 +40,8 @@
         if self.relays.contains(host) {
             return Some(&self.aggregator);
         }
-        let ranked = rendezvous_rank(hash64(host.as_bytes()), &self.relays);
-        Some(ranked.first().copied().unwrap_or(&self.aggregator))
+        let relay = rendezvous(hash64(host.as_bytes()), &self.relays);
+        Some(relay.unwrap_or(&self.aggregator))
     }
 
     /// Returns the expected number of hosts of the domain that `host` serves directly.
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -6,11 +6,18 @@
     peers::{HostEntry, PeerMessage},
     registration::rewrite_time,
 };
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+};
 use vanetally_dispatch as dispatch;
 use vanetally_fanout::{Candidate, Event as SourceEvent};
 use vanetally_types::{Name, rendezvous_rank};
 
+/// Number of hosts per millisecond between two derivations of what follows from their set: each one
+/// costs a host with an eighth of a processor some tens of microseconds per host.
+const HOSTS_PER_PAUSE_MS: usize = 10;
 /// Time for a live host to notice that the store was restored from a backup and to make its calls,
 /// in addition to the period over which the hosts spread them.
 const RESTORE_NOTICE_MS: u64 = 2_500;
@@ -31,7 +38,7 @@
             .for_each(|host| self.send_state_to_new(host));
         let gone = old.into_keys().filter(|host| !hosts.contains_key(host));
         gone.for_each(|host| self.request_event(dispatch::Event::PeerGone { host }));
-        self.update_peers();
+        self.peer_updates.borrow_mut().request();
     }
 
     fn retain_lapsed(&self, hosts: &mut BTreeMap<Name, HostEntry>, is_restore: bool) {
@@ -74,7 +81,7 @@
         self.lapsed.borrow_mut().remove(&host);
         self.peers.borrow_mut().insert(host.clone(), entry);
         self.send_state_to_new(&host);
-        self.update_peers();
+        self.peer_updates.borrow_mut().request();
     }
 
     /// Sends a new host the state that it can't read from the store. Where aggregators are used,
@@ -97,28 +104,19 @@
         self.lapsed.borrow_mut().remove(host);
         self.peers.borrow_mut().remove(host);
         self.request_event(dispatch::Event::PeerGone { host: host.clone() });
-        self.update_peers();
-    }
-
-    fn update_peers(self: &Rc<Self>) {
-        self.source_event(SourceEvent::Candidates(self.candidates()));
-        let (hosts, rank) = {
-            let peers = self.peers.borrow();
-            let own = &self.settings.host;
-            let key = vanetally_types::hash64(order_lease::HOLDER_KEY.as_bytes());
-            let others = peers.keys().filter(|host| *host != own);
-            let mut ranked = rendezvous_rank(key, others.chain([own]));
-            // Aggregators know the total demand, so they try first. The one that reads the store
-            // for the others comes last among them, so that losing one host does not lose both
-            // roles.
-            let aggregators = self.source_selector.borrow().aggregators();
-            let candidates = self.candidates();
-            let root = vanetally_fanout::root(&candidates);
-            ranked.sort_by_key(|host| (!aggregators.contains(host), root == Some(*host)));
-            let rank = ranked.iter().position(|host| *host == own).unwrap_or(0);
-            (ranked.len(), rank)
-        };
-        self.order_lease.borrow_mut().set_rank(rank);
+        self.peer_updates.borrow_mut().request();
+    }
+
+    /// Derives what follows from the set of hosts, if it has changed.
+    pub(crate) fn update_peers(self: &Rc<Self>) {
+        let pause_ms = (self.peers.borrow().len() / HOSTS_PER_PAUSE_MS) as u64;
+        if !self.peer_updates.borrow_mut().take_due(self.clock.now(), pause_ms) {
+            return;
+        }
+        let candidates = self.candidates();
+        let hosts = self.peers.borrow().len().max(1);
+        self.source_event(SourceEvent::Candidates(candidates.clone()));
+        self.order_lease.borrow_mut().set_rank(self.order_rank(&candidates));
         self.pacing.borrow_mut().set_hosts(self.capacities());
         let now = self.clock.now();
         self.quotas.borrow_mut().client.set_hosts(now, hosts);
@@ -126,6 +124,22 @@
         self.request_event(dispatch::Event::HostCount(hosts));
     }
 
+    /// Returns this host's rank among those that may take the order lease.
+    ///
+    /// Aggregators know the total demand, so they come first. The one that reads the store for the
+    /// others comes last among them, so that losing one host does not lose both roles.
+    fn order_rank(&self, candidates: &[Candidate]) -> usize {
+        let own = &self.settings.host;
+        let key = vanetally_types::hash64(order_lease::HOLDER_KEY.as_bytes());
+        let others = candidates.iter().map(|one| &one.host).filter(|host| *host != own);
+        let mut ranked = rendezvous_rank(key, others.chain([own]));
+        let aggregators: BTreeSet<Name> =
+            self.source_selector.borrow().aggregators().into_iter().collect();
+        let root = vanetally_fanout::root(candidates);
+        ranked.sort_by_key(|host| (!aggregators.contains(*host), root == Some(*host)));
+        ranked.iter().position(|host| *host == own).unwrap_or(0)
+    }
+
     /// The live hosts, this one included, with their CPU shares.
     fn capacities(&self) -> Vec<(Name, u32)> {
         let peers = self.peers.borrow();
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -27,7 +27,7 @@
     RequestId, ShortageKind,
 };
 use vanetally_fanout::{
-    Freshness, HostIncarnation, Pull, Source, SourceSelector, Spacing, Totals, Versions,
+    Freshness, HostIncarnation, Pull, Source, SourceSelector, Spacing, Throttle, Totals, Versions,
 };
 use vanetally_limit::LimitChange;
 use vanetally_link::peer::Links;
@@ -103,6 +103,8 @@
     pub order_lease: RefCell<OrderLease>,
     pub holder: RefCell<Option<Name>>,
     pub peers: RefCell<BTreeMap<Name, HostEntry>>,
+    /// When what follows from the set of hosts is derived again.
+    pub peer_updates: RefCell<Throttle>,
     /// Hosts whose keys are missing after a restore of the store, and how long to wait for them.
     pub lapsed: RefCell<BTreeMap<Name, Tick>>,
     pub command_senders: RefCell<HashMap<RequestId, mpsc::UnboundedSender<Command>>>,
@@ -184,6 +186,7 @@
             order_lease: RefCell::new(OrderLease::new(clock.now(), order_lease)),
             holder: RefCell::new(None),
             peers: RefCell::new(BTreeMap::new()),
+            peer_updates: RefCell::default(),
             lapsed: RefCell::default(),
             command_senders: RefCell::new(HashMap::new()),
             next_id: Cell::new(0),
@@ -398,6 +401,7 @@
 
     /// Runs all periodic checks.
     pub(crate) fn tick(self: &Rc<Self>) {
+        self.update_peers();
         self.decide_unanswered();
         self.update_granting();
         self.send_follows();
--- a/crates/pacing/src/pacers.rs
+++ b/crates/pacing/src/pacers.rs
@@ -1,7 +1,7 @@
 //! Selection of the host that paces an engine.
 
 use std::collections::BTreeMap;
-use vanetally_types::{Name, Tick, hash64, rendezvous_rank};
+use vanetally_types::{Name, Tick, hash64, rendezvous};
 
 /// The hosts that may be pacers, as known to one of them.
 ///
@@ -52,7 +52,6 @@
         self.silent.retain(|_, until| now < *until);
         let silent = &self.silent;
         let hosts = self.hosts.iter().filter(|host| !silent.contains_key(*host));
-        let ranked = rendezvous_rank(hash64(id.as_bytes()), hosts);
-        ranked.first().copied().unwrap_or(&self.me)
+        rendezvous(hash64(id.as_bytes()), hosts).unwrap_or(&self.me)
     }
 }
--- a/crates/types/src/hash.rs
+++ b/crates/types/src/hash.rs
@@ -28,6 +28,6 @@
 /// Orders `names` for `key` from the most to the least preferred.
 pub fn rendezvous_rank<'a>(key: u64, names: impl IntoIterator<Item = &'a Name>) -> Vec<&'a Name> {
     let mut ranked: Vec<_> = names.into_iter().collect();
-    ranked.sort_by_key(|name| std::cmp::Reverse((weight(key, name), *name)));
+    ranked.sort_by_cached_key(|name| std::cmp::Reverse((weight(key, name), *name)));
     ranked
 }
