fix: at the first start the list of hosts is complete once it stops growing

Cause: at the first start a list was taken for whole 0.4 s after the own start, however many hosts write their keys (two calls a host at the store's write rate: 0.6 s for 985). Change: the list is complete when it contains the host itself and has not grown for two listings; an empty list does not make a host the first in the order. The test for 18 hosts now asks for the same of its larger list: nothing is chosen while it may grow.

--- a/crates/fanout/src/source_selector.rs
+++ b/crates/fanout/src/source_selector.rs
@@ -63,9 +63,6 @@
 pub(crate) const OFFER_MS: u64 = 300;
 /// Time for which a host that is stopping is not used.
 const LEAVING_MS: u64 = 15_000;
-/// Time at the first start of a deployment during which a short list does not mean that there are few hosts: the
-/// platform starts hosts within 0.3 s of each other, and each one then has to write its key.
-const SETTLE_MS: u64 = 400;
 /// Time after a stall of its own during which a host checks no source. Messages sent meanwhile wait in its sockets, and
 /// a status arrives every tenth of a second.
 const STALL_GRACE_MS: u64 = 300;
@@ -75,14 +72,18 @@
     ///
     /// At the first start of a deployment (`is_first_start`) all other hosts start as well.
     pub fn new(now: Tick, me: Name, domain: Name, is_first_start: bool) -> Self {
-        let settles_at = if is_first_start { now + SETTLE_MS } else { now };
         Self {
             me,
             domain,
             candidates: Vec::new(),
             fleet: Fleet::default(),
             suspects: BTreeMap::new(),
-            state: SourceState::Searching(Search { since: now, settles_at, last_listing: None }),
+            state: SourceState::Searching(Search {
+                since: now,
+                is_first_start,
+                grown_at: now,
+                last_listing: None,
+            }),
             subscribers: BTreeSet::new(),
             pending: None,
             last_probe: None,
@@ -271,6 +272,11 @@
             Event::Candidates(candidates) => {
                 self.fleet.update(candidates.len());
                 self.paths.retain(|host, _| candidates.iter().any(|one| one.host == *host));
+                if let SourceState::Searching(search) = &mut self.state
+                    && candidates.len() > self.candidates.len()
+                {
+                    search.grown_at = now;
+                }
                 self.candidates = candidates;
                 self.tree = self.build_tree();
                 self.clear_caches();
--- a/crates/fanout/src/timeouts.rs
+++ b/crates/fanout/src/timeouts.rs
@@ -28,6 +28,9 @@
 const SEARCH_SPREAD_MS: f64 = 400.0;
 /// Interval between reads of the list of hosts.
 const LIST_INTERVAL_MS: u64 = 200;
+/// Time without another host in the list after which it is complete, at the first start of a deployment: the time in
+/// which all hosts write their keys grows with their number.
+const LIST_STABLE_MS: u64 = 2 * LIST_INTERVAL_MS;
 /// Time that a host with a stale source waits for the hosts before it in the order. A host before it finds out within a
 /// fifth of a second whether the store answers it, and the next one takes as long again.
 const STALE_WAIT_MS: u64 = 400;
@@ -64,14 +67,13 @@
     }
 
     fn continue_search(&mut self, now: Tick, search: Search, actions: &mut Vec<Action>) {
-        let is_list_complete = self.is_fleet() || now >= search.settles_at;
-        if !self.candidates.is_empty() && is_list_complete {
+        if !self.candidates.is_empty() && self.is_list_complete(now, search) {
             match self.parent(None) {
                 Parent::Store => return self.switch_to_store(now, Reason::Order, actions),
                 Parent::Host(host) => self.subscribe_next(now, host, actions),
             }
         }
-        if now.since(search.since) > self.search_limit_ms() {
+        if self.is_search_over(now, search) {
             return self.switch_to_store(now, Reason::NoAnswer, actions);
         }
         if search.last_listing.is_none_or(|at| now.since(at) >= LIST_INTERVAL_MS) {
@@ -80,6 +82,26 @@
         }
     }
 
+    /// Whether this host gives up finding another host. At the first start of a deployment it does not while the list
+    /// grows, and an empty list does not make it the first in the order.
+    fn is_search_over(&mut self, now: Tick, search: Search) -> bool {
+        match search.is_first_start {
+            true if self.candidates.is_empty() => {
+                now.since(search.since) > SEARCH_MS + SEARCH_SPREAD_MS as u64
+            }
+            true => now.since(search.grown_at) > LIST_STABLE_MS + self.search_limit_ms(),
+            false => now.since(search.since) > self.search_limit_ms(),
+        }
+    }
+
+    /// Whether the list of hosts names all of them. At the first start of a deployment it does once it contains this
+    /// host and no longer grows.
+    fn is_list_complete(&self, now: Tick, search: Search) -> bool {
+        let is_listed = || self.candidates.iter().any(|candidate| candidate.host == self.me);
+        let is_stable = now.since(search.grown_at) >= LIST_STABLE_MS;
+        !search.is_first_start || (is_stable && is_listed())
+    }
+
     /// Returns how long this host searches for another host before it reads the store.
     fn search_limit_ms(&mut self) -> u64 {
         let rank = self.rank();
--- a/crates/fanout/tests/fleet/mod.rs
+++ b/crates/fanout/tests/fleet/mod.rs
@@ -80,6 +80,17 @@
         fleet
     }
 
+    /// Returns a large fleet at the first start of the deployment: no host is listed yet.
+    pub fn first_start(hosts: usize, strong_hosts: usize) -> Self {
+        let mut fleet = Self::large(hosts, strong_hosts);
+        fleet.listed.clear();
+        for (name, host) in &mut fleet.hosts {
+            let domain = fleet.domains[name].clone();
+            host.selector = SourceSelector::new(Tick(START), name.clone(), domain, true);
+        }
+        fleet
+    }
+
     fn with_hosts(hosts: usize, strong_hosts: usize) -> Self {
         let mut fleet = Self {
             now: START,
--- a/crates/fanout/tests/large_fleet.rs
+++ b/crates/fanout/tests/large_fleet.rs
@@ -93,3 +93,23 @@
         }
     }
 }
+
+/// At the first start of a deployment hosts write their keys over most of a second: a list that grows is not taken for
+/// that of a small deployment, and nobody chooses a source from a part of it.
+#[test]
+fn first_start() {
+    const HOSTS: u64 = 200;
+    let mut fleet = Fleet::first_start(HOSTS as usize, HOSTS as usize / 20);
+    let all: Vec<Name> = fleet.hosts.keys().cloned().collect();
+    for part in all.chunks(all.len() / 20) {
+        fleet.run(40);
+        fleet.listed.extend(part.iter().cloned());
+    }
+    fleet.run(4_000);
+    assert!(fleet.full_reads <= 2, "{} full reads", fleet.full_reads);
+    let early = fleet.switches.values().sum::<usize>();
+    assert_eq!(early, all.len(), "{:?}", fleet.switches);
+    reset(&mut fleet);
+    fleet.run(1_000);
+    assert_eq!(failures(&fleet), 0, "{:?}", fleet.switches);
+}
--- a/crates/fanout/tests/source_selector.rs
+++ b/crates/fanout/tests/source_selector.rs
@@ -479,7 +479,8 @@
     );
 }
 
-/// At the first start each of 18 hosts saw at most twelve others in the list and read the store itself.
+/// At the first start each of 18 hosts saw at most twelve others in the list and read the store itself; of 985, each
+/// saw a different part of the others.
 #[test]
 fn first_start_settles() {
     let mut selector = SourceSelector::new(START, "h1".into(), "z1".into(), true);
@@ -490,6 +491,10 @@
     assert_eq!(selector.source(), Source::Searching);
     let mut with_all = selector.clone();
     with_all.handle(START + 250, Event::Candidates(candidates()));
-    assert!(matches!(with_all.handle(START + 260, Event::Tick)[..], [Action::Subscribe(_), ..]));
+    for millis in (260..640).step_by(20) {
+        let actions = with_all.handle(START + millis, Event::Tick);
+        assert!(matches!(actions[..], [] | [Action::ListHosts]), "{actions:?}: the list may grow");
+    }
+    assert!(matches!(with_all.handle(START + 650, Event::Tick)[..], [Action::Subscribe(_), ..]));
     assert_eq!(selector.handle(START + 420, Event::Tick), [switch(Source::Store, Reason::Order)]);
 }
