fix: hosts that do not order keep announcements only, and equal names once

Cause: each of n hosts keeps a ledger with sets of models for each upstream, which only the holder of the order lease uses; each announcement had its own copies of the names of service, domain and models; the index by address and by model had a tree node for each upstream. All per host and upstream. Change: ledgers hold the announcement until the host has its first token (it starts from announcements then anyway); names of announcements are shared; the index has vectors.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -17,7 +17,8 @@
 pub(crate) struct Directory {
     services: HashMap<Name, ServiceIndex>,
     upstreams: HashMap<Incarnation, UpstreamEntry>,
-    addresses: HashMap<SocketAddr, BTreeSet<Incarnation>>,
+    /// More than one only while an upstream replaces another.
+    addresses: HashMap<SocketAddr, Vec<Incarnation>>,
 }
 
 /// Where an upstream is listed.
@@ -25,7 +26,7 @@
 struct UpstreamEntry {
     service: Name,
     address: SocketAddr,
-    models: BTreeSet<Name>,
+    models: Vec<Name>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -49,10 +50,13 @@
         let entry = UpstreamEntry {
             service: state.service.clone(),
             address: state.address,
-            models: BTreeSet::new(),
+            models: Vec::new(),
         };
         self.upstreams.insert(id.clone(), entry);
-        self.addresses.entry(state.address).or_default().insert(id.clone());
+        self.addresses
+            .entry(state.address)
+            .or_insert_with(|| Vec::with_capacity(1))
+            .push(id.clone());
         for model in state.models.iter().map(|held| &held.name).chain(reported) {
             self.add_holder(id, model);
         }
@@ -63,7 +67,9 @@
         let Some(entry) = self.upstreams.get_mut(id) else {
             return;
         };
-        entry.models.insert(model.clone());
+        if !entry.models.contains(model) {
+            entry.models.push(model.clone());
+        }
         if let Some(service) = self.services.get_mut(&entry.service) {
             service.holders.entry(model.clone()).or_default().insert(id.clone());
         }
@@ -75,7 +81,7 @@
             return;
         };
         if let Some(ids) = self.addresses.get_mut(&entry.address) {
-            ids.remove(id);
+            ids.retain(|known| known != id);
             if ids.is_empty() {
                 self.addresses.remove(&entry.address);
             }
@@ -91,7 +97,7 @@
         }
     }
 
-    /// Returns the upstreams that announce `address`, ordered by name.
+    /// Returns the upstreams that announce `address`.
     pub(crate) fn at(&self, address: SocketAddr) -> impl Iterator<Item = &Incarnation> {
         self.addresses.get(&address).into_iter().flatten()
     }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -4,18 +4,21 @@
 use std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
+    iter::once,
     rc::Rc,
     time::Duration,
 };
 use tokio::time::sleep;
 use vanetally_dispatch::{Roster, RosterUpdate};
 use vanetally_ports::{Change, Item, Revision, UpstreamState};
-use vanetally_types::{Incarnation, Name, Tick};
+use vanetally_types::{Incarnation, Name, Names, Tick};
 
 /// Handles changes of the upstream keys.
 pub(crate) struct UpstreamFeedHandler {
     hub: Rc<Hub>,
     roster: Rc<RefCell<Roster>>,
+    /// Thousands of announcements name the same services, failure domains and models.
+    names: RefCell<Names>,
     /// Upstreams whose keys disappeared while the store was unreachable, and until when to wait for
     /// them: most write their keys again soon.
     lapsed: Rc<RefCell<BTreeMap<Name, Tick>>>,
@@ -23,7 +26,7 @@
 
 impl UpstreamFeedHandler {
     pub(crate) fn new(hub: Rc<Hub>) -> Self {
-        Self { hub, roster: Rc::default(), lapsed: Rc::default() }
+        Self { hub, roster: Rc::default(), names: RefCell::default(), lapsed: Rc::default() }
     }
 
     fn id(&self, key: &str) -> Option<Name> {
@@ -38,7 +41,10 @@
         if self.lapsed.borrow_mut().remove(&id).is_some() {
             log::log!(self.hub.relayed_log_level(), "event=upstream_returned upstream={id}");
         }
-        let read = self.hub.ports.upstreams.read(id.clone(), &item.value);
+        let mut read = self.hub.ports.upstreams.read(id.clone(), &item.value);
+        if let Ok(announcement) = &mut read {
+            share_names(&mut self.names.borrow_mut(), &mut announcement.state);
+        }
         let now = self.hub.clock.now();
         let updates = self.roster.borrow_mut().record(now, &id, item.revision, read);
         for update in updates {
@@ -150,6 +156,13 @@
     );
 }
 
+/// Replaces the names in an announcement by those of earlier ones.
+fn share_names(names: &mut Names, state: &mut UpstreamState) {
+    let UpstreamState { service, domain, models, at_hand, .. } = state;
+    let held = models.iter_mut().flat_map(|held| once(&mut held.name).chain(&mut held.adapters));
+    once(service).chain(once(domain)).chain(held).chain(at_hand).for_each(|name| names.share(name));
+}
+
 fn birth_text(incarnation: &Incarnation) -> String {
     incarnation.born.map_or_else(|| "-".into(), |born| born.to_string())
 }
--- a/crates/placement/src/ledger.rs
+++ b/crates/placement/src/ledger.rs
@@ -66,7 +66,8 @@
     /// Creates the ledger of a runner that announced `state`. Until the runner reports, it counts
     /// as holding what it announces and gets no orders.
     pub fn new(state: UpstreamState) -> Self {
-        let mut ledger = Self::empty(state);
+        let mut ledger = Self::untracked(state);
+        ledger.local_copies = ledger.state.at_hand.iter().cloned().collect();
         ledger.use_announced_models();
         ledger
     }
@@ -110,7 +111,8 @@
         self.state.models = models;
     }
 
-    fn empty(state: UpstreamState) -> Self {
+    /// Creates the ledger of a runner for a host that does not order: it keeps the announcement only.
+    pub(crate) fn untracked(state: UpstreamState) -> Self {
         Self {
             held: BTreeMap::new(),
             loading_adapters: BTreeMap::new(),
@@ -121,7 +123,7 @@
             pending_order: None,
             unanswered: UnsettledOrders::default(),
             unsettled: UnsettledOrders::default(),
-            local_copies: state.at_hand.iter().cloned().collect(),
+            local_copies: BTreeSet::new(),
             report_requested: None,
             needs_report: true,
             is_unreadable: false,
@@ -134,9 +136,11 @@
 
     /// Applies a new announcement.
     ///
+    /// A host that does not order (`is_tracked` is false) keeps the announcement only.
+    ///
     /// An announcement may be older than it seems. Once a report has arrived, the held models are
     /// taken from reports only, and a difference causes another report request.
-    pub fn set_announced(&mut self, state: UpstreamState) {
+    pub(crate) fn set_announced(&mut self, state: UpstreamState, is_tracked: bool) {
         self.is_unreadable = false;
         let count = self.order_count.unwrap_or(0);
         let has_loaded = self
@@ -147,7 +151,7 @@
             self.needs_report = true;
         }
         self.state = state;
-        if !self.is_known() {
+        if is_tracked && !self.is_known() {
             self.use_announced_models();
         }
     }
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -27,7 +27,7 @@
     pub(crate) token: Option<FencingToken>,
     /// When the current token was first set.
     pub(crate) token_since: Tick,
-    /// The last token. While it stays the same no other host can have sent orders, and the ledgers
+    /// The last token; `None` if this host has not ordered, and its ledgers hold announcements only. While it stays the same no other host can have sent orders, and the ledgers
     /// remain valid.
     last_token: Option<FencingToken>,
     /// When the next planning round may start.
@@ -161,10 +161,11 @@
     }
 
     fn upstream_seen(&mut self, now: Tick, id: Incarnation, state: UpstreamState) {
+        let is_tracked = self.last_token.is_some();
         if let Some(ledger) = self.ledgers.get_mut(&id) {
-            return ledger.set_announced(state);
+            return ledger.set_announced(state, is_tracked);
         }
-        let mut ledger = Ledger::new(state);
+        let mut ledger = if is_tracked { Ledger::new(state) } else { Ledger::untracked(state) };
         ledger.set_evacuated(&self.evacuated);
         if let Some(unsettled) = self.unsettled.remove(&id.id) {
             ledger.add_unsettled(now, unsettled);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 mod host;
 mod incarnation;
 mod label;
+mod names;
 mod tick;
 mod verdict;
 
@@ -16,6 +17,7 @@
 pub use host::HostId;
 pub use incarnation::Incarnation;
 pub use label::Labels;
+pub use names::Names;
 pub use selector::Selector;
 pub use tick::Tick;
 pub use verdict::Verdict;
