fix: a starting host without a list is not the first in the order

Cause: a host that knew no other took itself for the first of its domain and read the store after 0.45 s; where all of n hosts start together and their entry point does not come back, that is all of them.

--- a/crates/fanout/src/timeouts.rs
+++ b/crates/fanout/src/timeouts.rs
@@ -9,7 +9,7 @@
         FallbackProbes, HostSource, PendingSubscription, Search, SourceState, is_unconfirmed,
     },
 };
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Name, Tick, hash64};
 
 /// Time after which an unanswered subscription is first retried; it doubles with each retry, since the response is
 /// large and may still be in transit on a slow link.
@@ -26,6 +26,8 @@
 const SEARCH_MS: u64 = 900;
 /// Additional search time of the last host of a failure domain.
 const SEARCH_SPREAD_MS: f64 = 400.0;
+/// Period over which hosts without a list give up.
+const UNLISTED_SPREAD_MS: u64 = 280;
 /// Interval between reads of the list of hosts.
 const LIST_INTERVAL_MS: u64 = 200;
 /// Time without another host in the list after which it is complete, at the first start of a deployment: the time in
@@ -112,7 +114,12 @@
     }
 
     /// Returns how long this host searches for another host before it reads the store.
+    ///
+    /// A host without a list may be one of a thousand that start together, so it takes itself for one of the last.
     fn search_limit_ms(&mut self) -> u64 {
+        if self.candidates.is_empty() {
+            return SEARCH_MS + hash64(self.me.as_bytes()) % UNLISTED_SPREAD_MS;
+        }
         let rank = self.rank();
         if rank < FIRST_SHARE {
             FIRST_SEARCH_MS
--- a/crates/fanout/tests/fleet/mod.rs
+++ b/crates/fanout/tests/fleet/mod.rs
@@ -58,6 +58,8 @@
     pub probes: usize,
     /// The host that starting hosts of each domain turn to first.
     entries: BTreeMap<Name, Name>,
+    /// The entry points to which hosts have turned.
+    tried: BTreeMap<Name, Name>,
     /// Hosts per domain with a high capacity.
     strong_hosts: usize,
     /// When each host sends its next status; empty if all hosts send one every [`STATUS_INTERVAL_MS`].
@@ -107,6 +109,7 @@
             announcements: 0,
             probes: 0,
             entries: BTreeMap::new(),
+            tried: BTreeMap::new(),
             strong_hosts,
             next_status: BTreeMap::new(),
             switches: BTreeMap::new(),
@@ -209,8 +212,32 @@
     /// Returns what a starting host finds: the entry point of its domain, which may be itself.
     fn find_source(&mut self, host: &Name) -> Event {
         let domain = self.domains[host].clone();
-        let entry = self.entries.entry(domain).or_insert_with(|| host.clone()).clone();
-        if entry == *host { Event::EntryClaimed } else { Event::EntryFound(entry) }
+        let entry = self.entries.entry(domain.clone()).or_insert_with(|| host.clone()).clone();
+        let tried = self.tried.insert(host.clone(), entry.clone());
+        if entry != *host && tried.as_ref() != Some(&entry) {
+            return Event::EntryFound(entry);
+        }
+        self.entries.insert(domain, host.clone());
+        Event::EntryClaimed
+    }
+
+    /// Starts all hosts but `dead` again at once, without data. The store still lists all of them.
+    pub fn restart_all(&mut self, dead: &Name) {
+        self.tried.clear();
+        self.messages.clear();
+        self.answers.clear();
+        for (name, host) in &mut self.hosts {
+            let domain = self.domains[name].clone();
+            host.selector = SourceSelector::new(Tick(self.now), name.clone(), domain, false);
+            host.confirmed = None;
+            host.subscribers.clear();
+            host.is_up = name != dead;
+        }
+    }
+
+    /// Returns the host that starting hosts of `domain` turn to first.
+    pub fn entry(&self, domain: &str) -> &Name {
+        &self.entries[domain]
     }
 
     /// Lists more hosts in the store. Hosts that receive its data learn of them.
--- a/crates/fanout/tests/large_fleet.rs
+++ b/crates/fanout/tests/large_fleet.rs
@@ -115,3 +115,20 @@
     fleet.run(1_000);
     assert_eq!(failures(&fleet), 0, "{:?}", fleet.switches);
 }
+
+/// All hosts are lost and start again; the one that the others of its domain turn to first does not.
+#[rstest]
+#[case(200)]
+#[case(400)]
+fn all_lost(#[case] hosts: usize) {
+    let mut fleet = settled(hosts);
+    let dead = fleet.entry("z0").clone();
+    fleet.restart_all(&dead);
+    reset(&mut fleet);
+    fleet.run(3_000);
+    assert!(fleet.full_reads <= 2 * DOMAINS, "{} full reads", fleet.full_reads);
+    reset(&mut fleet);
+    let max_age_ms = fleet.run(1_000);
+    assert!(max_age_ms <= MAX_AGE_MS, "{max_age_ms} ms");
+    assert_eq!(failures(&fleet), 0, "{:?}", fleet.switches);
+}
