fix: the list of hosts is derived at once when it was read, strong hosts order first

Cause: with the derivation put off by a tick, the holder of the order lease that was read with the list was judged with rank 0, so that each host tried to take a free lease at once: whoever came first held it. That the two are the same host was not shown. The work of the holder grows with the upstreams and models.

--- a/crates/fanout/src/candidate.rs
+++ b/crates/fanout/src/candidate.rs
@@ -80,6 +80,18 @@
     first(ROOT_KEY, &hosts)
 }
 
+/// Returns the rank of `me` among the hosts that may hold a fleet-wide duty; `key` names the duty.
+///
+/// Aggregators know the total demand, so they come first. The root comes last among them, so that losing one host does
+/// not lose both roles. Strong hosts come before weak ones, since the work of the duty grows with the fleet.
+pub fn holder_rank(key: &[u8], me: &Name, candidates: &[Candidate], aggregators: &[Name]) -> usize {
+    let root = root(candidates);
+    let hosts: Vec<&Candidate> = candidates.iter().collect();
+    let mut order = ranked(key, &hosts);
+    order.sort_by_key(|host| (!aggregators.contains(*host), root == Some(*host)));
+    order.iter().position(|host| *host == me).unwrap_or(order.len())
+}
+
 /// Returns the source of `me` in `domain`, a host of a fleet, if only `candidates` are available.
 pub(crate) fn parent<'a>(
     me: &Name,
--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -27,7 +27,7 @@
 mod totals;
 mod versions;
 
-pub use candidate::{Candidate, MAX_DIRECT_READERS, aggregators, root};
+pub use candidate::{Candidate, MAX_DIRECT_READERS, aggregators, holder_rank, root};
 pub use contact::{StoreContact, StoreState};
 pub use event::{Action, Event, Reason, Source};
 pub use freshness::{Freshness, HostIncarnation, SourceStatus};
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -6,14 +6,10 @@
     peers::{HostEntry, PeerMessage},
     registration::rewrite_time,
 };
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    rc::Rc,
-};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 use vanetally_dispatch as dispatch;
 use vanetally_fanout::{Candidate, Event as SourceEvent};
-use vanetally_types::{Name, rendezvous_rank};
+use vanetally_types::Name;
 
 /// Number of hosts per millisecond between two derivations of what follows from their set: each one
 /// costs a host with an eighth of a processor some tens of microseconds per host.
@@ -38,7 +34,8 @@
             .for_each(|host| self.send_state_to_new(host));
         let gone = old.into_keys().filter(|host| !hosts.contains_key(host));
         gone.for_each(|host| self.request_event(dispatch::Event::PeerGone { host }));
-        self.peer_updates.borrow_mut().request();
+        // What else was read with the list, such as the holder of the order lease, is judged by it.
+        self.derive_from_peers();
     }
 
     fn retain_lapsed(&self, hosts: &mut BTreeMap<Name, HostEntry>, is_restore: bool) {
@@ -107,12 +104,15 @@
         self.peer_updates.borrow_mut().request();
     }
 
-    /// Derives what follows from the set of hosts, if it has changed.
+    /// Derives what follows from the set of hosts, if it has changed and the last time was long enough ago.
     pub(crate) fn update_peers(self: &Rc<Self>) {
         let pause_ms = (self.peers.borrow().len() / HOSTS_PER_PAUSE_MS) as u64;
-        if !self.peer_updates.borrow_mut().take_due(self.clock.now(), pause_ms) {
-            return;
+        if self.peer_updates.borrow_mut().take_due(self.clock.now(), pause_ms) {
+            self.derive_from_peers();
         }
+    }
+
+    fn derive_from_peers(self: &Rc<Self>) {
         let candidates = self.candidates();
         let hosts = self.peers.borrow().len().max(1);
         self.source_event(SourceEvent::Candidates(candidates.clone()));
@@ -125,19 +125,10 @@
     }
 
     /// Returns this host's rank among those that may take the order lease.
-    ///
-    /// Aggregators know the total demand, so they come first. The one that reads the store for the
-    /// others comes last among them, so that losing one host does not lose both roles.
     fn order_rank(&self, candidates: &[Candidate]) -> usize {
-        let own = &self.settings.host;
-        let key = vanetally_types::hash64(order_lease::HOLDER_KEY.as_bytes());
-        let others = candidates.iter().map(|one| &one.host).filter(|host| *host != own);
-        let mut ranked = rendezvous_rank(key, others.chain([own]));
-        let aggregators: BTreeSet<Name> =
-            self.source_selector.borrow().aggregators().into_iter().collect();
-        let root = vanetally_fanout::root(candidates);
-        ranked.sort_by_key(|host| (!aggregators.contains(*host), root == Some(*host)));
-        ranked.iter().position(|host| *host == own).unwrap_or(0)
+        let aggregators = self.source_selector.borrow().aggregators();
+        let key = order_lease::HOLDER_KEY.as_bytes();
+        vanetally_fanout::holder_rank(key, &self.settings.host, candidates, &aggregators)
     }
 
     /// The live hosts, this one included, with their CPU shares.
