--- a/crates/gateway/src/entry_point.rs
+++ b/crates/gateway/src/entry_point.rs
@@ -12,17 +12,12 @@
 use vanetally_ports::{
     Expectation, Freshness, Item, LeaseId, Revision, StoreAnswer, Transaction, Write,
 };
-use vanetally_types::{Name, hash64};
+use vanetally_types::Name;
 
 /// Prefix of the keys; the rest of a key is the failure domain.
 const ENTRY_PREFIX: &str = "vanetally/entries/";
 /// Failed attempts in a row after which a host lists all hosts instead.
 const MAX_FAILURES: u32 = 5;
-/// One host in this many tries to become the entry point at the first attempt, so that of a thousand that start
-/// together few write.
-const CLAIM_DIVISOR: u64 = 64;
-/// Factor by which their number grows with each failed attempt.
-const CLAIM_GROWTH: u64 = 4;
 
 /// The value of an entry key.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -98,8 +93,7 @@
 /// Makes this host the entry point, unless the key has changed since `revision`.
 async fn claim(hub: &Hub, key: Name, revision: Revision) -> Outcome {
     // The key goes with the host's own one. Without that one this host is not reachable yet.
-    let lease = hub.host_lease.get().filter(|_| may_claim(hub));
-    let Some(lease) = lease else {
+    let Some(lease) = hub.host_lease.get() else {
         return Outcome::Failed;
     };
     match write(hub, key, revision, lease).await {
@@ -108,12 +102,6 @@
     }
 }
 
-/// Whether this host is among those that try to become the entry point at this attempt.
-fn may_claim(hub: &Hub) -> bool {
-    let share = CLAIM_GROWTH.saturating_pow(hub.entry_search.get().failures);
-    hash64(hub.settings.host.as_bytes()) % CLAIM_DIVISOR < share
-}
-
 async fn write(
     hub: &Hub,
     key: Name,
