fix: a check of the current source counted hosts that ever had one

Cause: wait_for_reader waited until exactly 13 of 14 hosts had ever logged another host as their source. Change: the last source of each host counts: exactly one reads the store now, which is what the check says.

--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -27,8 +27,11 @@
 }
 
 fn wait_for_reader(deployment: &Deployment) {
+    // A host may have had another source before.
     let has_aggregator = |number: &usize| {
-        deployment.log(&name(*number)).contains("event=source_changed source=front-")
+        let log = deployment.log(&name(*number));
+        let last = log.lines().rev().find(|line| line.contains("event=source_changed"));
+        last.is_some_and(|line| line.contains("source=front-"))
     };
     wait_for("all hosts but one have an aggregator as their source", || {
         (1..=HOSTS).filter(has_aggregator).count() == HOSTS - 1
