refactor: intervals of a host's messages in a module of their own

Change: interval and silence move to intervals.rs, SILENT_MS is MIN_SILENCE_MS; two module comments are wrapped.

--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! In a large deployment one host, the root, watches the store and forwards what it reads to one host
 //! of each failure domain, the aggregator. The aggregator forwards it to the other hosts of its domain,
-//! which report their load to the aggregator and receive the total. In a large failure domain relays stand between the
-//! aggregator and the other hosts. The number of store calls and the
-//! number of messages per host do not grow with the number of hosts. No consensus is needed: any host
+//! which report their load to the aggregator and receive the total. In a large failure domain relays
+//! stand between the aggregator and the other hosts. The number of store calls and the number of
+//! messages per host do not grow with the number of hosts. No consensus is needed: any host
 //! accepts subscriptions, and then forwards what it knows together with the age of that data.
 //!
 //! The crate holds state machines only: the caller supplies the time and does all I/O.
@@ -15,6 +15,7 @@
 mod domain_tree;
 mod event;
 mod freshness;
+mod intervals;
 mod mirror;
 mod pack;
 mod path;
--- a/crates/fanout/src/source_selector.rs
+++ b/crates/fanout/src/source_selector.rs
@@ -1,22 +1,22 @@
 //! Where a host reads store data from: the store itself or another host.
 //!
 //! Hosts form a tree: in each failure domain the aggregator forwards data to the other hosts, in a large domain through
-//! relays, and one of the aggregators, the root, reads the store for all. When its source fails, a host subscribes to the next one in an order
-//! that all hosts compute alike, and states what it already has, so that only the difference is sent. It keeps its data
-//! until the new source has answered. So a failure costs a few reads of the store, whatever the number of hosts. A host
-//! reads the store itself only if it finds no other host in time; the first hosts in the order do so earlier than the
-//! rest.
+//! relays, and one of the aggregators, the root, reads the store for all. When its source fails, a host subscribes to
+//! the next one in an order that all hosts compute alike, and states what it already has, so that only the difference
+//! is sent. It keeps its data until the new source has answered. So a failure costs a few reads of the store, whatever
+//! the number of hosts. A host reads the store itself only if it finds no other host in time; the first hosts in the
+//! order do so earlier than the rest.
 
 use crate::{
     Action, Candidate, Event, Reason, Source,
     candidate::{Fleet, Parent, domain_firsts, parent, relative_rank, root},
     domain_tree::DomainTree,
+    intervals::MIN_SILENCE_MS,
     path::{MAX_HOPS, Path, hop},
     source_state::{
         FallbackProbes, HostSource, PendingSubscription, STALE_MS, Search, SourceState, is_too_old,
         is_unconfirmed,
     },
-    spacing::{MAX_INTERVAL_MS, silence_ms, status_interval_ms},
 };
 use std::collections::{BTreeMap, BTreeSet};
 use vanetally_types::{Name, Tick};
@@ -41,7 +41,7 @@
     /// Computed rank of this host among the usable ones of its domain.
     rank_cache: Option<f64>,
     /// The tree of this host's domain if no host failed.
-    tree: Option<DomainTree>,
+    pub(crate) tree: Option<DomainTree>,
     /// Until then no source is checked, since this host did not run for a while.
     pub(crate) grace_until: Tick,
     /// The paths that other hosts last announced.
@@ -56,8 +56,6 @@
     pub(crate) growing_since: Option<Tick>,
 }
 
-/// Time without a status after which a source with few receivers is suspected.
-pub(crate) const SILENT_MS: u64 = silence_ms(MAX_INTERVAL_MS);
 /// Time for which a suspected host is not used.
 pub(crate) const SUSPECT_MS: u64 = 3_000;
 /// Validity of a host's announcement that it has fresh data; the response to a subscription arrives within a tenth of a
@@ -143,38 +141,6 @@
         }
     }
 
-    /// Returns the milliseconds between two load messages of this host, whose share of a processor is `capacity`
-    /// percent: between two status messages to its subscribers, or between two reports to its source.
-    pub fn interval_ms(&self, capacity: u32) -> u64 {
-        match &self.state {
-            SourceState::Host(current) if self.subscribers.is_empty() => {
-                self.source_interval_ms(&current.host)
-            }
-            _ => {
-                let expected_ms = status_interval_ms(self.expected_receivers(&self.me), capacity);
-                let ms = status_interval_ms(self.subscribers.len(), capacity);
-                ms.min(expected_ms.max(MAX_INTERVAL_MS))
-            }
-        }
-    }
-
-    /// Returns the expected interval between two status messages of another host.
-    fn source_interval_ms(&self, host: &Name) -> u64 {
-        let known = self.candidates.iter().find(|candidate| candidate.host == *host);
-        let capacity = known.map_or(0, |candidate| candidate.capacity);
-        status_interval_ms(self.expected_receivers(host), capacity)
-    }
-
-    fn expected_receivers(&self, host: &Name) -> usize {
-        self.tree.as_ref().map_or(0, |tree| tree.receivers(host))
-    }
-
-    /// Whether the source, which last sent its status at `last_status`, is silent.
-    pub(crate) fn is_silent(&self, now: Tick, host: &Name, last_status: Tick) -> bool {
-        let ms = now.since(last_status);
-        ms > SILENT_MS && ms > silence_ms(self.source_interval_ms(host))
-    }
-
     fn is_same_domain(&self, host: &Name) -> bool {
         let same_domain = |candidate: &&Candidate| candidate.domain == self.domain;
         self.candidates.iter().filter(same_domain).any(|candidate| candidate.host == *host)
@@ -310,7 +276,7 @@
     /// Starts a grace period, unless one has just ended: a host that stalls repeatedly must still replace a dead
     /// source.
     fn on_stalled(&mut self, now: Tick) {
-        if now >= self.grace_until + SILENT_MS {
+        if now >= self.grace_until + MIN_SILENCE_MS {
             self.grace_until = now + STALL_GRACE_MS;
         }
     }
