fix: the first messages to a host that has started again are not lost

Cause: a link was found closed only when a message was written to it, and all messages of the next 100 ms were dropped. A host that starts again under its name and address subscribes at once; the answer, its first status and all keys, was written to the link to its previous process. Later statuses came through, so that it waited 1.5 s for the keys and then read the store (logs of hosts_replaced: entry_point_found, 1.52 s later source_changed source=store reason=nobody, each time). The requests that waited meanwhile were sent at once with the first keys, before the host had heard of a rate limit: 21 to 24 in the window, 20 allowed. Change: the sending end notices that its peer has closed the link and dials again for the next message. What was queued when a dial fails is dropped; what comes while the redial is awaited is sent.

--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -224,7 +224,18 @@
     shared: Shared,
 ) {
     let mut link = None;
-    while let Some(bytes) = queue.recv().await {
+    loop {
+        let message = tokio::select! {
+            biased;
+            () = closed(&mut link) => {
+                link = None;
+                continue;
+            }
+            message = queue.recv() => message,
+        };
+        let Some(bytes) = message else {
+            return;
+        };
         if link.is_none() {
             link = timeout(LINK_TIMEOUT, dial(&to, address, &shared)).await.ok().flatten();
         }
@@ -244,10 +255,21 @@
         link = None;
         shared.traffic.dropped.fetch_add(1, Ordering::Relaxed);
         (shared.handler)(Event::Broken { to: to.clone() });
-        tokio::time::sleep(REDIAL_DELAY).await;
         while queue.try_recv().is_ok() {
             shared.traffic.dropped.fetch_add(1, Ordering::Relaxed);
         }
+        // Messages of the meantime are sent: they may be for a process that has just started.
+        tokio::time::sleep(REDIAL_DELAY).await;
+    }
+}
+
+/// Waits until the peer has closed the link, on which it never sends.
+///
+/// A message to a peer that has started again would otherwise be sent on the link to its previous process, and be lost.
+async fn closed(link: &mut Option<WebSocketStream<TcpStream>>) {
+    match link {
+        Some(socket) => while let Some(Ok(_)) = socket.next().await {},
+        None => std::future::pending().await,
     }
 }
 
