fix: upstreams of a plain service are compared with each other, and what was learned fades

Cause: answers of plain services were compared with the time that engines take for a prompt (15 ms at first). Change: a route's usual answer time is learned; an upstream is slow relative to it, from half as much again on, and the difference halves in half a second without requests. The work of a request counts 15 ms in place of 30, which is what it came to for services that answer within 7 ms (30 at half the usual slowness), so that the penalty of another failure domain weighs as before. What is left of the issue on plain services: a bounded share at many hosts, figures in the log line of the choice.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -4,6 +4,7 @@
     choice::{Choice, ChosenLimit, ReadEstimate},
     pace::PaceModel,
     request::Request,
+    service_pace::ServicePace,
     shortage::{Shortage, ShortageKind},
     upstream::Upstream,
 };
@@ -16,6 +17,7 @@
     pub domain: &'a Name,
     pub engine: Option<&'a EngineSpec>,
     pub pace: &'a PaceModel,
+    pub service_pace: &'a ServicePace,
     /// Hosts that may send to the same upstreams.
     pub hosts: usize,
 }
@@ -31,7 +33,7 @@
 /// Cost of an upstream in another failure domain, compared with load at a plain service.
 const DOMAIN_PENALTY_MS: f64 = 2.0;
 /// Cost of one running request at a plain service, divided by its slots.
-const SERVICE_WORK_MS: f64 = 30.0;
+const SERVICE_WORK_MS: f64 = 15.0;
 /// Assumed load from other hosts, as a share of what this host sends, and the maximum number of
 /// hosts for which it is assumed.
 const PEER_SEND_SHARE: f64 = 0.5;
@@ -187,16 +189,20 @@
     let own_ms = match input.engine {
         Some(_) => {
             let reading_ms = ahead_ms + input.pace.reading_ms(model, unread_tokens);
-            input.pace.base_ms(model) + reading_ms + f64::from(load.running) * RUNNING_REQUEST_MS
+            let engine_ms = input.pace.base_ms(model)
+                + reading_ms
+                + f64::from(load.running) * RUNNING_REQUEST_MS;
+            engine_ms * input.pace.slowness(id)
         }
         None => {
             let slots = f64::from(upstream.state.slots);
-            SERVICE_WORK_MS * (1.0 + f64::from(load.running) / slots)
+            let service_ms = SERVICE_WORK_MS * (1.0 + f64::from(load.running) / slots);
+            service_ms * input.service_pace.slowness(input.now, id)
         }
     };
     let tie_ms = tie_break(request, id);
     let tried_ms = if request.tried.contains(id) { RETRY_PENALTY_MS } else { 0.0 };
-    let cost = own_ms * input.pace.slowness(id) + domain_ms + tried_ms + tie_ms;
+    let cost = own_ms + domain_ms + tried_ms + tie_ms;
     let expected = ReadEstimate { unread_tokens, ahead_ms: ahead_ms as u32 };
     let limit = upstream.rate_limit(input.now);
     let limit = limit.map(|rate| ChosenLimit { rate, may_wait: false, is_granted: false });
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -30,6 +30,7 @@
 mod roster;
 mod routes;
 mod sending;
+mod service_pace;
 mod shortage;
 mod upstream;
 
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -13,6 +13,7 @@
     queue::Queue,
     request::{Request, Stage},
     routes,
+    service_pace::ServicePace,
     upstream::{Load, Upstream},
 };
 use std::{
@@ -51,6 +52,7 @@
     pub(crate) queue: Queue,
     pub(crate) retry_budgets: BTreeMap<Name, RetryBudget>,
     pub(crate) pace: PaceModel,
+    pub(crate) service_pace: ServicePace,
     /// Average time of complete answers, per plain service.
     pub(crate) answer_times: BTreeMap<Name, AnswerTimes>,
     pub(crate) hosts: usize,
@@ -127,6 +129,7 @@
             queue: Queue::default(),
             retry_budgets: BTreeMap::new(),
             pace: PaceModel::default(),
+            service_pace: ServicePace::default(),
             answer_times: BTreeMap::new(),
             hosts: 1,
             stopping_since: None,
@@ -323,6 +326,7 @@
         self.cooldowns.retain(|_, cooldown| cooldown.left_ms(now).is_some());
         self.directory.remove(id);
         self.pace.forget(id);
+        self.service_pace.forget(id);
         self.loads.forget(id);
         let Some(gone) = self.upstreams.remove(id) else {
             return;
@@ -420,6 +424,8 @@
     }
 
     fn first_piece(&mut self, now: Tick, id: RequestId, actions: &mut Vec<Action>) {
+        let service = self.requests.get(&id).map(|request| &request.service);
+        let is_engine = service.is_some_and(|service| self.is_engine(service));
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -450,7 +456,13 @@
             };
             actions.push(Action::Predicted { id, prediction });
         }
-        self.pace.observe(&attempt.upstream, model, attempt.expected, took_ms);
+        match is_engine {
+            true => self.pace.observe(&attempt.upstream, model, attempt.expected, took_ms),
+            false => {
+                let route = &request.route.name;
+                self.service_pace.observe(now, route, &attempt.upstream, took_ms);
+            }
+        }
         if let Some(upstream) = self.upstreams.get_mut(&attempt.upstream) {
             upstream.own_load.subtract(read);
             upstream.cooldown.record_end(now, attempt.sent_at, true);
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -197,6 +197,7 @@
             domain: &self.options.domain,
             engine: service.and_then(|service| service.engine.as_ref()),
             pace: &self.pace,
+            service_pace: &self.service_pace,
             hosts: self.hosts,
         };
         let (service, directory) = (&request.service, &self.directory);
