fix: the order holder's metric changes with the lease

Cause: keys_rewritten reads the metric right after the key is back in the store; it was set once a second, and the host learns that it holds the lease only with the store's answer. Change: the metric is set whenever the lease changes. The test waits until a host reports that it holds the lease, and the bound on the time now covers that as well; the number of holders is checked as before.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -69,6 +69,7 @@
     pub(crate) fn order_lease_event(self: &Rc<Self>, event: OrderLeaseEvent) {
         let now = self.clock.now();
         let actions = self.order_lease.borrow_mut().handle(now, event);
+        telemetry::order_holder(self.order_lease.borrow().is_holding(now));
         for action in actions {
             tokio::task::spawn_local(order_lease::perform(self.clone(), action));
         }
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -155,7 +155,7 @@
 }
 
 /// Sets the gauges that are sampled periodically.
-pub(crate) fn set_gauges(counts: Counts, version: Option<u64>, is_ready: bool, is_holder: bool) {
+pub(crate) fn set_gauges(counts: Counts, version: Option<u64>, is_ready: bool) {
     gauge!("vanetally_requests_waiting").set(counts.waiting as f64);
     gauge!("vanetally_requests_open").set(counts.open as f64);
     gauge!("vanetally_upstreams").set(counts.upstreams as f64);
@@ -163,10 +163,14 @@
     gauge!("vanetally_upstreams_limited").set(counts.limited as f64);
     gauge!("vanetally_configuration_version").set(version.unwrap_or(0) as f64);
     gauge!("vanetally_ready").set(f64::from(u8::from(is_ready)));
-    gauge!("vanetally_order_holder").set(f64::from(u8::from(is_holder)));
     gauge!("vanetally_log_lines_dropped").set(crate::logging::dropped() as f64);
 }
 
+/// Sets whether this host holds the order lease: when that changes, and periodically, since a lease also expires.
+pub(crate) fn order_holder(is_holder: bool) {
+    gauge!("vanetally_order_holder").set(f64::from(u8::from(is_holder)));
+}
+
 /// Records the total traffic of the links to other hosts.
 pub(crate) fn link_traffic(traffic: &Traffic) {
     let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
--- a/crates/gateway/src/upkeep.rs
+++ b/crates/gateway/src/upkeep.rs
@@ -13,7 +13,8 @@
             self.log_placement();
         }
         let dispatch = self.dispatch.borrow();
-        telemetry::set_gauges(dispatch.counts(), dispatch.version(), self.is_ready(), is_holder);
+        telemetry::set_gauges(dispatch.counts(), dispatch.version(), self.is_ready());
+        telemetry::order_holder(is_holder);
         telemetry::link_traffic(self.links.traffic());
     }
 
--- a/tests/store_copy.rs
+++ b/tests/store_copy.rs
@@ -264,6 +264,8 @@
         keys.iter().all(|key| deployment.store.get(key).is_some())
     });
     wait_for("the order lease is rewritten", || deployment.store.get("vanetally/orders").is_some());
+    // The holder learns of it with the store's answer.
+    wait_for("a host holds the order lease", || holders(&hosts) > 0);
     assert!(restored.elapsed() < MAX_HOLDER_GAP, "rewritten after {:?}", restored.elapsed());
     assert_eq!(holders(&hosts), 1);
 }
