fix: the hosts of a failure domain share sixteen entry keys by their names

Cause: one entry point answered all hosts of its domain that start together: n new links (each some 8 ms of an eighth of a core, worked out), which passes the quarter of a second that a subscriber waits at about 30 hosts. Change: a host reads one of 16 keys, by its name, so that an entry point serves a sixteenth of its domain. At the first start of a deployment it does so once, after it has its own lease, in one of three turns by its name, each with four times as many hosts as the one before: few find no key and write it. Grows: hosts an entry point as n/16; at 1,970 hosts in 5 domains 25 links, 0.2 s.

--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -13,6 +13,7 @@
 mod candidate;
 mod contact;
 mod domain_tree;
+mod entry;
 mod event;
 mod freshness;
 mod intervals;
@@ -30,6 +31,7 @@
 
 pub use candidate::{Candidate, MAX_DIRECT_READERS, aggregators, holder_rank, root};
 pub use contact::{StoreContact, StoreState};
+pub use entry::{ENTRY_KEYS, ENTRY_TURNS, entry_key, entry_turn};
 pub use event::{Action, Event, Reason, Source};
 pub use freshness::{Freshness, HostIncarnation, SourceStatus};
 pub use mirror::{Gap, Mirror};
--- a/crates/gateway/src/entry_point.rs
+++ b/crates/gateway/src/entry_point.rs
@@ -1,14 +1,15 @@
-//! The host of each failure domain that starting hosts turn to first.
+//! The hosts of each failure domain that starting hosts turn to first.
 //!
 //! A host that starts needs one host that forwards store data; from that one it learns of all others. If each of n
-//! hosts that start together listed all n, the store would send n times n keys. So the first one of a failure domain
-//! writes itself into a single key, which the others read.
+//! hosts that start together listed all n, the store would send n times n keys. So the hosts of a failure
+//! domain share a few keys, by their names; the first host of each key writes itself into it, and the others read it.
 
 use crate::{hub::Hub, peers::HostEntry, sources};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use std::rc::Rc;
-use vanetally_fanout::Event;
+use std::{rc::Rc, time::Duration};
+use tokio::time::{sleep, timeout};
+use vanetally_fanout::{Event, entry_key, entry_turn};
 use vanetally_ports::{
     Expectation, Freshness, Item, LeaseId, Revision, StoreAnswer, Transaction, Write,
 };
@@ -18,6 +19,10 @@
 const ENTRY_PREFIX: &str = "vanetally/entries/";
 /// Failed attempts in a row after which a host lists all hosts instead.
 const MAX_FAILURES: u32 = 5;
+/// At the first start of a deployment, maximum wait for the own lease.
+const MAX_LEASE_WAIT: Duration = Duration::from_secs(1);
+/// Time between two turns, in which one host writes the key and the next ones read it.
+const TURN_INTERVAL: Duration = Duration::from_millis(80);
 
 /// The value of an entry key.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -33,6 +38,8 @@
     tried: Option<Revision>,
     /// Failed attempts since the last successful one.
     failures: u32,
+    /// Whether an attempt is in progress.
+    is_running: bool,
 }
 
 /// The result of one attempt.
@@ -47,12 +54,20 @@
 
 /// Finds a host that forwards store data, or lists all hosts.
 pub(crate) async fn find_source(hub: Rc<Hub>) {
+    let search = hub.entry_search.get();
+    if search.is_running {
+        return;
+    }
+    hub.entry_search.set(EntrySearch { is_running: true, ..search });
+    if hub.settings.is_first_start {
+        await_turn(&hub).await;
+    }
     let outcome = find(&hub).await;
     let failures = match outcome {
         Outcome::Failed => hub.entry_search.get().failures + 1,
         Outcome::Found(_) | Outcome::Claimed => 0,
     };
-    hub.entry_search.update(|search| EntrySearch { failures, ..search });
+    hub.entry_search.update(|search| EntrySearch { failures, is_running: false, ..search });
     match outcome {
         Outcome::Found(EntryPoint { host, entry }) => {
             log::info!("event=entry_point_found host={host}");
@@ -68,8 +83,20 @@
     }
 }
 
+/// Waits until this host has written its key, and for its turn: few hosts of a large domain try to become the entry
+/// point, and the others find its key at their first attempt.
+async fn await_turn(hub: &Hub) {
+    let mut lease = hub.host_lease.subscribe();
+    // Without a lease this host only reads.
+    let _ = timeout(MAX_LEASE_WAIT, lease.wait_for(Option::is_some)).await;
+    if hub.entry_search.get().failures == 0 {
+        sleep(TURN_INTERVAL * entry_turn(&hub.settings.host)).await;
+    }
+}
+
 async fn find(hub: &Hub) -> Outcome {
-    let key: Name = format!("{ENTRY_PREFIX}{}", hub.settings.domain).into();
+    let (domain, number) = (&hub.settings.domain, entry_key(&hub.settings.host));
+    let key: Name = format!("{ENTRY_PREFIX}{domain}/{number:x}").into();
     let Ok(snapshot) = hub.store.range(&key, Freshness::Newest).await else {
         return Outcome::Failed;
     };
@@ -93,7 +120,8 @@
 /// Makes this host the entry point, unless the key has changed since `revision`.
 async fn claim(hub: &Hub, key: Name, revision: Revision) -> Outcome {
     // The key goes with the host's own one. Without that one this host is not reachable yet.
-    let Some(lease) = hub.host_lease.get() else {
+    let lease = *hub.host_lease.borrow();
+    let Some(lease) = lease else {
         return Outcome::Failed;
     };
     match write(hub, key, revision, lease).await {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -93,7 +93,8 @@
     pub pool: Pool,
     pub store: Store,
     pub stage: watch::Sender<Stage>,
-    pub host_lease: Cell<Option<vanetally_ports::LeaseId>>,
+    /// Lease of the host key while that key is written.
+    pub host_lease: watch::Sender<Option<vanetally_ports::LeaseId>>,
     /// Connections to runners for orders and report requests.
     pub control_pool: Pool,
     pub links: Links,
@@ -184,7 +185,7 @@
             control_pool: Pool::new(clock),
             store: Store::new(&settings.store, bounds.contact_ms, ports.store.clone(), clock),
             stage: watch::Sender::new(Stage::Serving),
-            host_lease: Cell::new(None),
+            host_lease: watch::Sender::new(None),
             links,
             dispatch: RefCell::new(Dispatch::new(clock.now(), options)),
             has_reported_store: Cell::new(false),
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -23,11 +23,11 @@
         let ttl = HOST_TTL_MS.max(hub.settings.store.min_ttl_ms);
         if let Ok(StoreAnswer::Done((lease, ttl_ms))) = hub.store.grant(ttl).await {
             let is_written = write_key(&hub, lease).await;
-            hub.host_lease.set(Some(lease));
+            hub.host_lease.send_replace(Some(lease));
             if is_written {
                 renew(&hub, lease, Duration::from_millis(ttl_ms)).await;
             }
-            hub.host_lease.set(None);
+            hub.host_lease.send_replace(None);
         }
         sleep(jittered(RETRY_PAUSE)).await;
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -227,7 +227,8 @@
 
 /// Ends the lease of this host's key, which removes the key from the store.
 async fn end_host_lease(hub: Rc<Hub>) {
-    if let Some(lease) = hub.host_lease.get() {
+    let lease = *hub.host_lease.borrow();
+    if let Some(lease) = lease {
         // If the call fails, the lease expires by itself.
         let _ = hub.store.end(lease).await;
     }
