--- a/crates/fanout/src/entry.rs
+++ b/crates/fanout/src/entry.rs
@@ -15,7 +15,7 @@
     hash64(host.as_bytes()) % ENTRY_KEYS
 }
 
-/// Returns the turn of `host`, from 0; each has [`TURN_GROWTH`] times as many hosts as the one before.
+/// Returns the turn of `host`, from 0; each has four times as many hosts as the one before.
 ///
 /// Few hosts find no key and write it; the others find it at their first attempt.
 pub fn entry_turn(host: &Name) -> u32 {
