fix: tests wait until all hosts know the holder of the order lease

Cause: the metric of the holder used to lag by up to a second, and tests that silence the store right after it took for granted that the other hosts know the holder by then.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -32,6 +32,16 @@
     }
 }
 
+/// Time in which the hosts learn which of them holds the order lease.
+const HOLDER_KNOWN: Duration = Duration::from_secs(1);
+
+/// Waits until one of `hosts` holds the order lease and the others know it.
+pub fn wait_for_holder(hosts: &[Host]) {
+    let holds = || hosts.iter().filter(|host| host.is_order_holder()).count() == 1;
+    wait_for("a host holds the order lease", holds);
+    thread::sleep(HOLDER_KNOWN);
+}
+
 /// Store, runners and settings of one test.
 pub struct Deployment {
     pub store: Store,
