refactor: the wait at an entry key and the search that bounds it come from one place

The turns at an entry key lay in fanout, their interval and the wait for the lease in gateway, and the search that must outlast all three in a third place. Change: delay and longest wait are worked out in fanout/entry.rs from the search at the first start; names, comments and pages in line. All values are as before.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,6 +1,6 @@
 //! Request dispatch of one host: routing, queueing, choice of an upstream, retries and limits.
 //!
-//! [`Dispatch::handle`] is the only entry point: `handle(now, event) -> actions`. The crate uses no
+//! All input goes through [`Dispatch::handle`]: `handle(now, event) -> actions`. The crate uses no
 //! clock, socket or random source.
 #![deny(missing_docs, unsafe_code)]
 
--- a/crates/fanout/src/event.rs
+++ b/crates/fanout/src/event.rs
@@ -68,7 +68,7 @@
     Subscribe(Name),
     /// Cancel the subscription to a host.
     Unsubscribe(Name),
-    /// Find a host to subscribe to, or read the list of hosts from the store; a stale list will do.
+    /// Find a host to subscribe to by the entry key, or read the list of hosts from the store; a stale list will do.
     FindSource,
     /// Read a small value from the store to find out whether it answers.
     Probe,
--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use candidate::{Candidate, MAX_DIRECT_READERS, aggregators, holder_rank, root};
 pub use contact::{StoreContact, StoreState};
-pub use entry::{ENTRY_KEYS, ENTRY_TURNS, entry_key, entry_turn};
+pub use entry::{ENTRY_KEYS, MAX_LEASE_WAIT_MS, entry_delay_ms, entry_key};
 pub use event::{Action, Event, Reason, Source};
 pub use freshness::{Freshness, HostIncarnation, SourceStatus};
 pub use mirror::{Gap, Mirror};
--- a/crates/fanout/src/source_selector.rs
+++ b/crates/fanout/src/source_selector.rs
@@ -78,7 +78,7 @@
             candidates: Vec::new(),
             fleet: Fleet::default(),
             suspects: BTreeMap::new(),
-            state: SourceState::Searching(Search { since: now, last_listing: None }),
+            state: SourceState::Searching(Search { since: now, last_attempt: None }),
             subscribers: BTreeSet::new(),
             pending: None,
             last_probe: None,
--- a/crates/fanout/src/source_state.rs
+++ b/crates/fanout/src/source_state.rs
@@ -19,8 +19,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Search {
     pub since: Tick,
-    /// When the list of hosts was last requested.
-    pub last_listing: Option<Tick>,
+    /// When it last asked for a host that it could turn to.
+    pub last_attempt: Option<Tick>,
 }
 
 /// The host that is the current source.
--- a/crates/fanout/src/timeouts.rs
+++ b/crates/fanout/src/timeouts.rs
@@ -21,18 +21,20 @@
 /// Share of the hosts of a failure domain that count as the first in the order.
 const FIRST_SHARE: f64 = 0.05;
 /// Time without a source after which the other hosts read the store. By then they have normally found one of the first
-/// hosts. With `SEARCH_SPREAD_MS` and `SILENT_MS` it stays below two seconds, the shortest time that deployments allow
+/// hosts. With `SEARCH_SPREAD_MS` and `MIN_SILENCE_MS` it stays below two seconds, the shortest time that deployments allow
 /// for a change to take effect.
 const SEARCH_MS: u64 = 900;
 /// Additional search time of the last host of a failure domain.
-const SEARCH_SPREAD_MS: f64 = 400.0;
+const SEARCH_SPREAD_MS: u64 = 400;
+/// Time without a source after which hosts read the store at the first start of a deployment.
+pub(crate) const FIRST_START_SEARCH_MS: u64 = SEARCH_MS + SEARCH_SPREAD_MS;
 /// Period over which hosts without a list give up.
 const UNLISTED_SPREAD_MS: u64 = 280;
-/// Interval between reads of the list of hosts.
-const LIST_INTERVAL_MS: u64 = 200;
+/// Interval between attempts to find another host.
+const ATTEMPT_INTERVAL_MS: u64 = 200;
 /// Time without another host in the list after which it is complete, at the first start of a deployment: the time in
 /// which all hosts write their keys grows with their number.
-const LIST_STABLE_MS: u64 = 3 * LIST_INTERVAL_MS;
+const LIST_STABLE_MS: u64 = 3 * ATTEMPT_INTERVAL_MS;
 /// Time that a host with a stale source waits for the hosts before it in the order. A host before it finds out within a
 /// fifth of a second whether the store answers it, and the next one takes as long again.
 const STALE_WAIT_MS: u64 = 400;
@@ -84,8 +86,8 @@
         if self.is_search_over(now, search) {
             return self.switch_to_store(now, Reason::NoAnswer, actions);
         }
-        if search.last_listing.is_none_or(|at| now.since(at) >= LIST_INTERVAL_MS) {
-            self.state = SourceState::Searching(Search { last_listing: Some(now), ..search });
+        if search.last_attempt.is_none_or(|at| now.since(at) >= ATTEMPT_INTERVAL_MS) {
+            self.state = SourceState::Searching(Search { last_attempt: Some(now), ..search });
             actions.push(Action::FindSource);
         }
     }
@@ -94,7 +96,7 @@
     /// does not make it the first in the order.
     fn is_search_over(&mut self, now: Tick, search: Search) -> bool {
         let limit_ms = match self.growing_since {
-            Some(_) => SEARCH_MS + SEARCH_SPREAD_MS as u64,
+            Some(_) => FIRST_START_SEARCH_MS,
             None => self.search_limit_ms(),
         };
         now.since(search.since) > limit_ms
@@ -124,7 +126,7 @@
         if rank < FIRST_SHARE {
             FIRST_SEARCH_MS
         } else {
-            SEARCH_MS + (rank * SEARCH_SPREAD_MS) as u64
+            SEARCH_MS + (rank * SEARCH_SPREAD_MS as f64) as u64
         }
     }
 
--- a/crates/fanout/tests/entry.rs
+++ b/crates/fanout/tests/entry.rs
@@ -2,15 +2,15 @@
 
 use rstest::rstest;
 use std::collections::BTreeMap;
-use vanetally_fanout::{ENTRY_KEYS, entry_key, entry_turn};
+use vanetally_fanout::{ENTRY_KEYS, entry_delay_ms, entry_key};
 use vanetally_types::Name;
 
-/// Hosts of one failure domain by entry key, and for each the hosts by turn.
-fn keys(hosts: usize) -> BTreeMap<u64, BTreeMap<u32, usize>> {
-    let mut keys: BTreeMap<u64, BTreeMap<u32, usize>> = BTreeMap::new();
+/// Hosts of one failure domain by entry key, and for each the hosts by their delay.
+fn keys(hosts: usize) -> BTreeMap<u64, BTreeMap<u64, usize>> {
+    let mut keys: BTreeMap<u64, BTreeMap<u64, usize>> = BTreeMap::new();
     for number in 0..hosts {
         let host: Name = format!("front-{number}").into();
-        *keys.entry(entry_key(&host)).or_default().entry(entry_turn(&host)).or_default() += 1;
+        *keys.entry(entry_key(&host)).or_default().entry(entry_delay_ms(&host)).or_default() += 1;
     }
     keys
 }
--- a/crates/gateway/src/entry_point.rs
+++ b/crates/gateway/src/entry_point.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use std::{rc::Rc, time::Duration};
 use tokio::time::{sleep, timeout};
-use vanetally_fanout::{Event, entry_key, entry_turn};
+use vanetally_fanout::{Event, MAX_LEASE_WAIT_MS, entry_delay_ms, entry_key};
 use vanetally_ports::{
     Expectation, Freshness, Item, LeaseId, Revision, StoreAnswer, Transaction, Write,
 };
@@ -19,10 +19,6 @@
 const ENTRY_PREFIX: &str = "vanetally/entries/";
 /// Failed attempts in a row after which a host lists all hosts instead.
 const MAX_FAILURES: u32 = 5;
-/// At the first start of a deployment, maximum wait for the own lease.
-const MAX_LEASE_WAIT: Duration = Duration::from_secs(1);
-/// Time between two turns, in which one host writes the key and the next ones read it.
-const TURN_INTERVAL: Duration = Duration::from_millis(80);
 
 /// The value of an entry key.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -31,7 +27,7 @@
     entry: HostEntry,
 }
 
-/// What a starting host knows of its domain's entry key.
+/// What a starting host knows of its entry key.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct EntrySearch {
     /// Revision of the key whose host this one has turned to.
@@ -83,14 +79,15 @@
     }
 }
 
-/// Waits until this host has written its key, and for its turn: few hosts of a large domain try to become the entry
+/// Waits until this host has written its key, and for its turn: few hosts of a large domain try to become an entry
 /// point, and the others find its key at their first attempt.
 async fn await_turn(hub: &Hub) {
     let mut lease = hub.host_lease.subscribe();
     // Without a lease this host only reads.
-    let _ = timeout(MAX_LEASE_WAIT, lease.wait_for(Option::is_some)).await;
+    let _ =
+        timeout(Duration::from_millis(MAX_LEASE_WAIT_MS), lease.wait_for(Option::is_some)).await;
     if hub.entry_search.get().failures == 0 {
-        sleep(TURN_INTERVAL * entry_turn(&hub.settings.host)).await;
+        sleep(Duration::from_millis(entry_delay_ms(&hub.settings.host))).await;
     }
 }
 
@@ -117,7 +114,7 @@
     parsed.inspect_err(|error| log::error!("event=entry_point_unreadable error=\"{error}\"")).ok()
 }
 
-/// Makes this host the entry point, unless the key has changed since `revision`.
+/// Makes this host an entry point, unless the key has changed since `revision`.
 async fn claim(hub: &Hub, key: Name, revision: Revision) -> Outcome {
     // The key goes with the host's own one. Without that one this host is not reachable yet.
     let lease = *hub.host_lease.borrow();
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -120,7 +120,7 @@
     pub load_aggregator: RefCell<Option<Name>>,
     pub pacing: RefCell<Pacing>,
     pub source_selector: RefCell<SourceSelector>,
-    /// This host's search for its domain's entry point.
+    /// This host's search for an entry point of its domain.
     pub entry_search: Cell<EntrySearch>,
     /// Time of the last tick given to the source selection.
     pub last_source_tick: Cell<Tick>,
--- a/crates/placement/src/machine.rs
+++ b/crates/placement/src/machine.rs
@@ -27,8 +27,8 @@
     pub(crate) token: Option<FencingToken>,
     /// When the current token was first set.
     pub(crate) token_since: Tick,
-    /// The last token; `None` if this host has not ordered, and its ledgers hold announcements only. While it stays the same no other host can have sent orders, and the ledgers
-    /// remain valid.
+    /// The last token; `None` if this host has not ordered, and its ledgers hold announcements only.
+    /// While it stays the same no other host can have sent orders, and the ledgers remain valid.
     last_token: Option<FencingToken>,
     /// When the next planning round may start.
     round_at: Tick,
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -37,8 +37,7 @@
 
 /// Waits until one of `hosts` holds the order lease and the others know it.
 pub fn wait_for_holder(hosts: &[Host]) {
-    let holds = || hosts.iter().filter(|host| host.is_order_holder()).count() == 1;
-    wait_for("a host holds the order lease", holds);
+    wait_for("a host holds the order lease", || restores::holders(hosts) == 1);
     thread::sleep(HOLDER_KNOWN);
 }
 
