--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -3,7 +3,7 @@
 use crate::{
     hub::Hub,
     order_lease,
-    peers::{HostEntry, PeerMessage},
+    peers::{Capabilities, HostEntry, PeerMessage},
     registration::rewrite_time,
 };
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
@@ -146,6 +146,7 @@
             link: SocketAddr::new(settings.ip, settings.link_port),
             domain: settings.domain.clone(),
             capacity: settings.capacity,
+            capabilities: Capabilities::of(settings.scheduling),
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,4 +49,4 @@
 mod wire;
 
 pub use run::run;
-pub use settings::{Bounds, Settings, StoreSettings};
+pub use settings::{Bounds, Scheduling, Settings, StoreSettings};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
     hub::Hub,
     order_lease::HOLDER_KEY,
     quarantine::is_quarantine,
+    settings::Scheduling,
     watch::FeedHandler,
     wire,
 };
@@ -36,6 +37,27 @@
     /// The host's CPU share, in percent.
     #[serde(default)]
     pub capacity: u32,
+    /// Messages beyond those of the first builds that the host understands.
+    #[serde(default, skip_serializing_if = "Capabilities::is_none")]
+    pub capabilities: Capabilities,
+}
+
+/// A set of capabilities that a host announces. Messages that need one are sent only to hosts that have it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Capabilities(u32);
+
+impl Capabilities {
+    /// Grants slots of plain upstreams.
+    pub(crate) const SLOT_GRANTS: Self = Self(1);
+
+    /// Returns the capabilities of this build under `scheduling`.
+    pub(crate) fn of(scheduling: Scheduling) -> Self {
+        if scheduling.slot_grants { Self::SLOT_GRANTS } else { Self::default() }
+    }
+
+    fn is_none(&self) -> bool {
+        self.0 == 0
+    }
 }
 
 /// A message between hosts.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,23 @@
     pub store: StoreSettings,
     /// Limits and time windows set by the deployment.
     pub bounds: Bounds,
+    /// Scheduling decisions that hosts make together.
+    pub scheduling: Scheduling,
+    /// Memory that the process may use, in bytes, if stated.
+    pub memory_bytes: Option<u64>,
+}
+
+/// Scheduling decisions that hosts make together; each is off unless the settings turn it on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Scheduling {
+    /// Waiting requests are ordered, and their wait is forecast, over all hosts.
+    pub shared_queue: bool,
+    /// Requests above the quota of their organisation may wait for it.
+    pub quota_wait: bool,
+    /// One host grants the slots of each plain upstream.
+    pub slot_grants: bool,
+    /// Prompts that share a prefix go to the same replica.
+    pub prefix_affinity: bool,
 }
 
 /// Address and limits of the store.
