feat: prompts that share a long prefix go to the same replica

Cause: each host knew only the prompts that it had sent itself, so a shared prefix was read at most replicas of its model, and engines had no memory left for the prefixes that they had read before. Prompts at a slow engine were spaced like those at an average one.

Change, with the setting prefix_affinity only: the replicas of a model are ordered by rendezvous hash of the longest shared prefix (affinity.rs); the first one, and the next ones while those before are overloaded, are expected to have the prefix cached. The reading time at a pacer includes the engine's speed; pacers learn it from samples that requests for slots carry (optional field of Prompt). The place is logged (request_sent place=) and counted (vanetally_prefix_placed_total). The tie-break of the choice computes the same order without allocating.

--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -109,6 +109,7 @@
         retry_budget: RetryBudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 630.0 },
         grace_ms: 8_000,
         revoke_ms: None,
+        prefix_affinity: false,
     };
     let mut dispatch = Dispatch::new(NOW, options);
     dispatch.handle(NOW, Event::Configured(configuration(model_count(runners))));
@@ -301,6 +302,7 @@
                 tokens: 1_460,
                 per_token_us: 60,
                 gap_ms: 400,
+                speed: None,
             };
             let now = Tick(NOW.0 + number as u64);
             black_box(pacer.record_outcome(now, &prompt.upstream, false));
--- /dev/null
+++ b/crates/dispatch/src/affinity.rs
@@ -0,0 +1,154 @@
+//! Replicas that are expected to have the shared part of a prompt cached.
+//!
+//! All hosts order the replicas of a model by rendezvous hash of the prompt's longest shared
+//! prefix, without messages. A prompt is expected to be cached at the first replica of the order. A
+//! replica is followed by the next one if it is overloaded: other hosts then send prompts with this
+//! prefix to the next one too, by the same load reports.
+
+use crate::{
+    choose::{ChoiceInput, shortage_of},
+    request::Request,
+    upstream::Upstream,
+};
+use vanetally_types::{Incarnation, Name, rendezvous_weight};
+
+/// Where an upstream stands among the replicas for a prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PrefixPlace {
+    /// The first replica of the hash order.
+    First,
+    /// A later one that is used since all before it are overloaded.
+    Next,
+    /// Another replica, which reads the whole prompt.
+    Other,
+}
+
+impl PrefixPlace {
+    /// Returns the name in the log and in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Next => "next",
+            Self::Other => "other",
+        }
+    }
+}
+
+/// The replicas for one prefix that are expected to have it cached.
+pub(crate) struct PrefixReplicas<'a> {
+    /// In hash order; all but the last one are overloaded.
+    ids: Vec<&'a Incarnation>,
+    /// Tokens of the prefix.
+    tokens: u32,
+}
+
+/// Share of the target gap between events above which the reading time of a prefix is worth a
+/// replica of its own.
+const MIN_GAP_SHARE: f64 = 0.1;
+/// Requests at a replica, as a multiple of the mean over the replicas of the model, above which it
+/// is overloaded whatever its prompts take to read.
+const MAX_LOAD_RATIO: f64 = 2.0;
+/// Requests by which a replica may exceed that: with few requests the ratio says little.
+const LOAD_SLACK: f64 = 2.0;
+
+/// A replica of the model, with its weight for the prefix.
+type Ranked<'a> = (u64, &'a Incarnation, &'a Upstream);
+
+impl<'a> PrefixReplicas<'a> {
+    /// Selects the replicas for the longest shared prefix of the request's prompt; `None` if prompts
+    /// are not placed by prefix or reading the prefix again takes little time.
+    pub(crate) fn select(
+        input: &ChoiceInput<'_>,
+        request: &Request,
+        upstreams: impl Iterator<Item = (&'a Incarnation, &'a Upstream)>,
+    ) -> Option<Self> {
+        if !input.prefix_affinity || input.engine.is_none() {
+            return None;
+        }
+        let key = request.shared_prefixes.last()?.key;
+        let tokens = request.shared_prefixes.iter().map(|prefix| prefix.tokens).sum();
+        let subject = request.head.model.as_ref()?;
+        let reading_ms = input.pace.reading_ms(Some(&subject.model), tokens);
+        if reading_ms <= MIN_GAP_SHARE * request.gap_ms() as f64 {
+            return None;
+        }
+        let able = upstreams.filter(|(_, upstream)| {
+            upstream.accepts_new(input.now)
+                && upstream.holds(subject, input.now)
+                && upstream.health.is_open(input.now)
+        });
+        let ranked = able.map(|(id, upstream)| (rendezvous_weight(key, &id.id), id, upstream));
+        let ranked: Vec<Ranked<'a>> = ranked.collect();
+        let overload = Overload::new(input, request, &subject.model, tokens, &ranked);
+        Some(Self { ids: select_used(ranked, &overload), tokens })
+    }
+
+    /// Returns the place of an upstream.
+    pub(crate) fn place(&self, id: &Incarnation) -> PrefixPlace {
+        match self.ids.iter().position(|other| *other == id) {
+            Some(0) => PrefixPlace::First,
+            Some(_) => PrefixPlace::Next,
+            None => PrefixPlace::Other,
+        }
+    }
+
+    /// Returns the tokens of the prompt that an upstream is expected to have cached.
+    pub(crate) fn cached_tokens(&self, id: &Incarnation) -> u32 {
+        if self.ids.contains(&id) { self.tokens } else { 0 }
+    }
+}
+
+/// Returns the replicas in hash order up to the first one that is not overloaded.
+fn select_used<'a>(mut ranked: Vec<Ranked<'a>>, overload: &Overload<'_>) -> Vec<&'a Incarnation> {
+    let mut used = Vec::with_capacity(1);
+    let position = |ranked: &[Ranked<'a>]| {
+        let first = ranked.iter().enumerate();
+        first.max_by_key(|(_, (weight, id, _))| (*weight, *id)).map(|(position, _)| position)
+    };
+    while let Some(first) = position(&ranked) {
+        let (_, id, upstream) = ranked.swap_remove(first);
+        used.push(id);
+        if !overload.applies(id, upstream) {
+            break;
+        }
+    }
+    used
+}
+
+/// The conditions under which a replica is overloaded for a request.
+struct Overload<'a> {
+    input: &'a ChoiceInput<'a>,
+    request: &'a Request,
+    model: &'a Name,
+    /// Tokens of the prefix.
+    tokens: u32,
+    max_running: f64,
+}
+
+impl<'a> Overload<'a> {
+    fn new(
+        input: &'a ChoiceInput<'a>,
+        request: &'a Request,
+        model: &'a Name,
+        tokens: u32,
+        ranked: &[Ranked<'_>],
+    ) -> Self {
+        let running = ranked.iter().map(|(_, _, upstream)| upstream.total(input.now).running);
+        let mean = f64::from(running.sum::<u32>()) / ranked.len().max(1) as f64;
+        let max_running = MAX_LOAD_RATIO * mean + LOAD_SLACK;
+        Self { input, request, model, tokens, max_running }
+    }
+
+    /// Whether a replica that has the prefix cached can't take the request now, or only after a wait
+    /// that exceeds the time to read the prefix at another one.
+    fn applies(&self, id: &Incarnation, upstream: &Upstream) -> bool {
+        let Self { input, request, model, tokens, max_running } = self;
+        let own_tokens = request.head.prompt_tokens.saturating_sub(*tokens);
+        let idle_ms =
+            input.pace.base_ms(Some(model)) + input.pace.reading_ms(Some(model), own_tokens);
+        let wait_ms = input.engine_ms(Some(model), (id, upstream), own_tokens) - idle_ms;
+        wait_ms > input.pace.reading_ms(Some(model), *tokens)
+            || f64::from(upstream.total(input.now).running) > *max_running
+            || shortage_of(input, request, id, upstream, *tokens).is_some()
+    }
+}
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -1,6 +1,6 @@
 //! The upstream that was chosen for a request, and its expected load.
 
-use crate::Action;
+use crate::{Action, PrefixPlace};
 use vanetally_types::Incarnation;
 
 /// The chosen upstream.
@@ -9,6 +9,8 @@
     pub upstream: Incarnation,
     /// What the upstream is expected to read.
     pub expected: ReadEstimate,
+    /// Place among the replicas for the prompt's prefix, if there are such.
+    pub place: Option<PrefixPlace>,
     /// Whether the request is a trial of the pacer's circuit breaker, which needs its outcome.
     pub is_trial: bool,
     /// The upstream's stated rate limit, if it has one.
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -1,6 +1,7 @@
 //! Choice of an upstream for a request.
 
 use crate::{
+    affinity::PrefixReplicas,
     choice::{Choice, ChosenLimit, ReadEstimate},
     pace::PaceModel,
     request::Request,
@@ -9,7 +10,7 @@
     upstream::Upstream,
 };
 use vanetally_ports::{EngineSpec, ModelRef};
-use vanetally_types::{Incarnation, Name, Tick, rendezvous_rank};
+use vanetally_types::{Incarnation, Name, Tick, rendezvous_weight};
 
 /// Data on which the choice depends, besides the request and the upstreams.
 pub(crate) struct ChoiceInput<'a> {
@@ -20,6 +21,8 @@
     pub service_pace: &'a ServicePace,
     /// Hosts that may send to the same upstreams.
     pub hosts: usize,
+    /// Whether prompts that share a long prefix go to the same replica.
+    pub prefix_affinity: bool,
 }
 
 /// Cost of each running request at an engine.
@@ -40,6 +43,8 @@
 const MAX_ASSUMED_PEERS: usize = 8;
 /// Cost of an upstream at which the request was tried before.
 const RETRY_PENALTY_MS: f64 = 10_000.0;
+/// Name with which an upstream's name is compared to break ties.
+const TIE_NAME: &str = "~";
 /// Share of the target gap between events that an engine may spend on reading prompts: it reads
 /// them between the tokens of the running requests.
 const READING_GAP_SHARE: f64 = 0.6;
@@ -48,13 +53,15 @@
 pub(crate) fn choose<'a>(
     input: &ChoiceInput<'_>,
     request: &Request,
-    upstreams: impl Iterator<Item = (&'a Incarnation, &'a Upstream)>,
+    upstreams: impl Iterator<Item = (&'a Incarnation, &'a Upstream)> + Clone,
 ) -> Result<Choice, Shortage> {
+    let replicas = PrefixReplicas::select(input, request, upstreams.clone());
     let mut shortage = Shortage { kind: ShortageKind::Upstream, holders: 0 };
     let (mut best, mut suspect, mut limited): (Cheapest, Cheapest, Cheapest) = Default::default();
     let (mut usable, mut limited_count) = (0, 0);
     for (id, upstream) in upstreams.filter(|(_, upstream)| upstream.accepts_new(input.now)) {
-        let kind = shortage_of(input, request, id, upstream);
+        let cached = expected_cached(request, replicas.as_ref(), id, upstream);
+        let kind = shortage_of(input, request, id, upstream, cached);
         shortage.holders += u32::from(!kind.is_some_and(ShortageKind::is_missing));
         usable +=
             u32::from(!kind.is_some_and(|kind| kind.is_missing() || kind == ShortageKind::Attempt));
@@ -62,7 +69,8 @@
             shortage.kind = shortage.kind.max(kind);
             continue;
         }
-        let (cost, choice) = cost(input, request, id, upstream);
+        let (cost, mut choice) = cost(input, request, id, upstream, cached);
+        choice.place = replicas.as_ref().map(|replicas| replicas.place(id));
         if upstream.is_limited(input.now) {
             shortage.kind = shortage.kind.max(ShortageKind::Limit);
             limited_count += 1;
@@ -92,12 +100,27 @@
     }
 }
 
-/// Returns why an upstream that accepts new requests can't take this one, if so.
-fn shortage_of(
+/// Returns the tokens of the request's prompt that an upstream is expected to have cached.
+fn expected_cached(
+    request: &Request,
+    replicas: Option<&PrefixReplicas<'_>>,
+    id: &Incarnation,
+    upstream: &Upstream,
+) -> u32 {
+    match replicas {
+        Some(replicas) => replicas.cached_tokens(id),
+        None => upstream.cached_tokens(&request.shared_prefixes),
+    }
+}
+
+/// Returns why an upstream that accepts new requests can't take this one, if so. It has `cached`
+/// tokens of the prompt.
+pub(crate) fn shortage_of(
     input: &ChoiceInput<'_>,
     request: &Request,
     id: &Incarnation,
     upstream: &Upstream,
+    cached: u32,
 ) -> Option<ShortageKind> {
     if let Some(subject) = &request.head.model
         && !upstream.holds(subject, input.now)
@@ -124,7 +147,7 @@
         None => is_saturated(input.now, upstream, load.running, slots * SERVICE_QUEUE_RATIO)
             .then_some(ShortageKind::Slot),
         Some(_) if load.running == 0 => None,
-        Some(engine) => engine_shortage(input, engine, request, upstream),
+        Some(engine) => engine_shortage(input, engine, request, (id, upstream), cached),
     }
 }
 
@@ -140,7 +163,8 @@
     input: &ChoiceInput<'_>,
     engine: &EngineSpec,
     request: &Request,
-    upstream: &Upstream,
+    (id, upstream): (&Incarnation, &Upstream),
+    cached: u32,
 ) -> Option<ShortageKind> {
     let load = upstream.total(input.now);
     let slots = f64::from(upstream.state.slots);
@@ -153,9 +177,9 @@
     }
     let ahead = input.tokens_ahead(upstream);
     let model = request.head.model.as_ref();
-    let cached = upstream.cached_tokens(&request.shared_prefixes);
     let unread_tokens = ahead + request.head.prompt_tokens.saturating_sub(cached);
     let reading_ms = input.pace.reading_ms(model.map(|m| &m.model), unread_tokens);
+    let reading_ms = reading_ms * input.reading_slowness(id);
     let is_read_soon = reading_ms < READING_GAP_SHARE * request.gap_ms() as f64;
     (ahead > 0 && !is_read_soon).then_some(ShortageKind::Reading)
 }
@@ -171,6 +195,27 @@
         let others = self.hosts.min(MAX_ASSUMED_PEERS) as f64 * PEER_SEND_SHARE;
         known.max((f64::from(upstream.own_load.unread_tokens) * others) as u32)
     }
+
+    /// Returns the factor by which an engine reads prompts more slowly than the average one, as far
+    /// as it is taken into account.
+    fn reading_slowness(&self, id: &Incarnation) -> f64 {
+        if self.prefix_affinity { self.pace.reading_slowness(id) } else { 1.0 }
+    }
+
+    /// Returns the expected milliseconds to the first piece at an engine that has `unread_tokens`
+    /// of the request's prompt to read.
+    pub(crate) fn engine_ms(
+        &self,
+        model: Option<&Name>,
+        (id, upstream): (&Incarnation, &Upstream),
+        unread_tokens: u32,
+    ) -> f64 {
+        let running = f64::from(upstream.total(self.now).running);
+        let reading_ms = self.pace.reading_ms(model, self.tokens_ahead(upstream))
+            + self.pace.reading_ms(model, unread_tokens);
+        let engine_ms = self.pace.base_ms(model) + reading_ms + running * RUNNING_REQUEST_MS;
+        engine_ms * self.pace.slowness(id)
+    }
 }
 
 fn cost(
@@ -178,25 +223,19 @@
     request: &Request,
     id: &Incarnation,
     upstream: &Upstream,
+    cached: u32,
 ) -> (f64, Choice) {
-    let load = upstream.total(input.now);
     let model = request.head.model.as_ref();
     let model = model.map(|subject| &subject.model);
-    let cached = upstream.cached_tokens(&request.shared_prefixes);
     let unread_tokens = request.head.prompt_tokens.saturating_sub(cached);
     let ahead_ms = input.pace.reading_ms(model, input.tokens_ahead(upstream));
     let domain_ms = if upstream.state.domain == *input.domain { 0.0 } else { DOMAIN_PENALTY_MS };
     let own_ms = match input.engine {
-        Some(_) => {
-            let reading_ms = ahead_ms + input.pace.reading_ms(model, unread_tokens);
-            let engine_ms = input.pace.base_ms(model)
-                + reading_ms
-                + f64::from(load.running) * RUNNING_REQUEST_MS;
-            engine_ms * input.pace.slowness(id)
-        }
+        Some(_) => input.engine_ms(model, (id, upstream), unread_tokens),
         None => {
             let slots = f64::from(upstream.state.slots);
-            let service_ms = SERVICE_WORK_MS * (1.0 + f64::from(load.running) / slots);
+            let running = f64::from(upstream.total(input.now).running);
+            let service_ms = SERVICE_WORK_MS * (1.0 + running / slots);
             service_ms * input.service_pace.slowness(input.now, id)
         }
     };
@@ -206,13 +245,13 @@
     let expected = ReadEstimate { unread_tokens, ahead_ms: ahead_ms as u32 };
     let limit = upstream.rate_limit(input.now);
     let limit = limit.map(|rate| ChosenLimit { rate, may_wait: false, is_granted: false });
-    (cost, Choice { upstream: id.clone(), expected, is_trial: false, limit })
+    (cost, Choice { upstream: id.clone(), expected, place: None, is_trial: false, limit })
 }
 
 /// Returns a fraction of a millisecond that spreads requests over equal choices.
 fn tie_break(request: &Request, id: &Incarnation) -> f64 {
     let key = vanetally_types::hash64(request.head.id.as_bytes());
-    let placeholder: Name = "~".into();
-    let first = rendezvous_rank(key, [&id.id, &placeholder])[0];
-    if *first == id.id { 0.0 } else { 0.5 }
+    let weight = |name: &str| rendezvous_weight(key, name);
+    let is_first = (weight(&id.id), &*id.id) >= (weight(TIE_NAME), TIE_NAME);
+    if is_first { 0.0 } else { 0.5 }
 }
--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -103,7 +103,10 @@
     }
 
     /// Returns the upstreams of a service, ordered by name.
-    pub(crate) fn upstreams_of(&self, service: &Name) -> impl Iterator<Item = &Incarnation> {
+    pub(crate) fn upstreams_of(
+        &self,
+        service: &Name,
+    ) -> impl Iterator<Item = &Incarnation> + Clone {
         self.services.get(service).into_iter().flat_map(|service| &service.upstreams)
     }
 
@@ -112,7 +115,7 @@
         &self,
         service: &Name,
         model: &Name,
-    ) -> impl Iterator<Item = &Incarnation> {
+    ) -> impl Iterator<Item = &Incarnation> + Clone {
         let service = self.services.get(service);
         service.and_then(|service| service.holders.get(model)).into_iter().flatten()
     }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -1,6 +1,6 @@
 //! Events that the dispatch handles, and the actions that it returns.
 
-use crate::{Digest, RefusalContext, RetryBudgetOptions, ShortageKind};
+use crate::{Digest, PrefixPlace, RefusalContext, RetryBudgetOptions, ShortageKind};
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc};
 use vanetally_limit::{LimitChange, PermitAnswer, PermitRequest};
 use vanetally_pacing::{Prompt, SlotReply};
@@ -26,6 +26,9 @@
     /// How long a revoked key may still be used; `None` if hosts continue to serve with the last
     /// known configuration.
     pub revoke_ms: Option<u64>,
+    /// Whether prompts that share a long prefix go to the same replica, and prompts are paced by
+    /// the engine's own speed.
+    pub prefix_affinity: bool,
 }
 
 /// Whether a runner holds a model or an adapter, by report of the order holder.
@@ -233,6 +236,8 @@
     pub unread_tokens: u32,
     /// Milliseconds that the upstream is expected to read for earlier requests.
     pub ahead_ms: u32,
+    /// The upstream's place among the replicas for the prompt's prefix, if there are such.
+    pub place: Option<PrefixPlace>,
     /// The upstream.
     pub upstream: Incarnation,
     /// Address of the upstream.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod access;
+mod affinity;
 mod answer_times;
 mod budget;
 mod choice;
@@ -34,6 +35,7 @@
 mod shortage;
 mod upstream;
 
+pub use affinity::PrefixPlace;
 pub use budget::{RetryBudget, RetryBudgetOptions};
 pub use digest::{DemandRow, Digest, LimitRow, LoadRow};
 pub use event::{Action, Attempt, AttemptEnd, Event, Options, Prediction, Presence, RequestId};
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -197,6 +197,7 @@
             domain: &self.options.domain,
             engine: service.and_then(|service| service.engine.as_ref()),
             pace: &self.pace,
+            prefix_affinity: self.options.prefix_affinity,
             service_pace: &self.service_pace,
             hosts: self.hosts,
         };
@@ -218,8 +219,8 @@
 
     fn known_upstreams<'a>(
         &'a self,
-        ids: impl Iterator<Item = &'a Incarnation>,
-    ) -> impl Iterator<Item = (&'a Incarnation, &'a Upstream)> {
+        ids: impl Iterator<Item = &'a Incarnation> + Clone,
+    ) -> impl Iterator<Item = (&'a Incarnation, &'a Upstream)> + Clone {
         ids.filter_map(|id| self.upstreams.get_key_value(id))
     }
 
@@ -263,6 +264,7 @@
             shortage: request.shortage.map(|shortage| shortage.kind),
             unread_tokens: choice.expected.unread_tokens,
             ahead_ms: choice.expected.ahead_ms,
+            place: choice.place,
             upstream: choice.upstream.clone(),
             address: upstream.state.address,
             delay_ms,
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -24,8 +24,8 @@
 };
 use tokio::sync::{mpsc, watch};
 use vanetally_dispatch::{
-    self as dispatch, Attempt, Digest, Dispatch, LeavingUpstreams, Prediction, RefusalContext,
-    RequestId, ShortageKind,
+    self as dispatch, Attempt, Digest, Dispatch, LeavingUpstreams, Prediction, PrefixPlace,
+    RefusalContext, RequestId, ShortageKind,
 };
 use vanetally_fanout::{
     Freshness, HostIncarnation, Pull, Source, SourceSelector, Spacing, Throttle, Totals, Versions,
@@ -168,6 +168,7 @@
             },
             grace_ms: bounds.grace_ms,
             revoke_ms: bounds.revoke_ms,
+            prefix_affinity: settings.scheduling.prefix_affinity,
         };
         let order_lease = OrderLeaseOptions {
             ttl_ms: ORDER_TTL_MS.max(settings.store.min_ttl_ms),
@@ -454,10 +455,13 @@
 }
 
 fn log_attempt(attempt: &Attempt) {
+    if let Some(place) = attempt.place {
+        telemetry::prefix_placed(place);
+    }
     let subject = attempt.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string);
     log::info!(
         "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} lacked={} deadline_ms={} \
-         own_load={} peer_load={} unread_tokens={} ahead_ms={} delay_ms={} limit={} version={}",
+         own_load={} peer_load={} unread_tokens={} ahead_ms={} place={} delay_ms={} limit={} version={}",
         attempt.request,
         attempt.route,
         attempt.upstream,
@@ -469,6 +473,7 @@
         attempt.peer_load,
         attempt.unread_tokens,
         attempt.ahead_ms,
+        attempt.place.map_or("-", PrefixPlace::as_str),
         attempt.delay_ms,
         attempt.limit.map_or_else(|| "-".to_owned(), |rate| rate.to_string()),
         attempt.version
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -3,6 +3,7 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use std::sync::atomic::{AtomicU64, Ordering};
+use vanetally_dispatch::PrefixPlace;
 use vanetally_dispatch::{AttemptEnd, Counts};
 use vanetally_limit::{LimitChange, PermitAnswer};
 use vanetally_link::peer::Traffic;
@@ -88,6 +89,11 @@
     counter!("vanetally_limits_total", "change" => change).increment(1);
 }
 
+/// Counts a prompt by the place of its replica among those for its prefix.
+pub(crate) fn prefix_placed(place: PrefixPlace) {
+    counter!("vanetally_prefix_placed_total", "place" => place.as_str()).increment(1);
+}
+
 /// Counts an answer to a permit request.
 pub(crate) fn permit_answered(answer: PermitAnswer) {
     counter!("vanetally_permits_total", "answer" => answer.as_str()).increment(1);
--- a/crates/types/src/hash.rs
+++ b/crates/types/src/hash.rs
@@ -13,8 +13,9 @@
     xxh3_128(bytes)
 }
 
-/// Returns the weight of `name` for `key` in rendezvous (highest-random-weight) hashing.
-fn weight(key: u64, name: &str) -> u64 {
+/// Returns the weight of `name` for `key` in rendezvous (highest-random-weight) hashing: the name
+/// with the highest weight comes first, and of two with the same weight the greater name.
+pub fn rendezvous_weight(key: u64, name: &str) -> u64 {
     xxh3_64_with_seed(name.as_bytes(), key)
 }
 
@@ -22,12 +23,12 @@
 ///
 /// Removing a name reassigns only the keys that were mapped to it.
 pub fn rendezvous<'a>(key: u64, names: impl IntoIterator<Item = &'a Name>) -> Option<&'a Name> {
-    names.into_iter().max_by_key(|name| (weight(key, name), *name))
+    names.into_iter().max_by_key(|name| (rendezvous_weight(key, name), *name))
 }
 
 /// Orders `names` for `key` from the most to the least preferred.
 pub fn rendezvous_rank<'a>(key: u64, names: impl IntoIterator<Item = &'a Name>) -> Vec<&'a Name> {
     let mut ranked: Vec<_> = names.into_iter().collect();
-    ranked.sort_by_cached_key(|name| std::cmp::Reverse((weight(key, name), *name)));
+    ranked.sort_by_cached_key(|name| std::cmp::Reverse((rendezvous_weight(key, name), *name)));
     ranked
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,7 +13,7 @@
 /// Label selectors and their text form.
 pub mod selector;
 
-pub use hash::{hash64, hash128, rendezvous, rendezvous_rank};
+pub use hash::{hash64, hash128, rendezvous, rendezvous_rank, rendezvous_weight};
 pub use host::HostId;
 pub use incarnation::Incarnation;
 pub use label::Labels;
