feat: specification of waiting for quota

Cause: quota tokens must be neither spent twice nor lost when messages are lost, late or doubled, hosts are paused and the grantor is replaced.

A grantor remembers cancelled requests, since one that arrives after its cancellation could be granted and its return lost.

Two messages lost for the same request can still lose its grant.

--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod config;
 /// The order lease: two hosts, a store that loses answers, pauses, restarts.
 pub mod orders;
+/// Waiting for quota: two grantors, two hosts, lost, late and doubled messages, pauses.
+pub mod quota;
 /// Revocation of keys: a host that reads the store, a host that follows it, clock skew, late
 /// messages.
 pub mod revocation;
--- a/crates/quota/src/grantor.rs
+++ b/crates/quota/src/grantor.rs
@@ -12,7 +12,7 @@
 use vanetally_types::{Name, Tick};
 
 /// The grantor's answer for one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum QuotaAnswer {
     /// The request is within the quota.
     Granted {
@@ -61,8 +61,8 @@
 /// two thirds of a second of the quota.
 const CLIENT_MS: u64 = 2_000;
 
-/// Time for which a grant can be returned under its number, and a repeated request receives the same
-/// grant. Longer than any request waits for its grant.
+/// Time for which a grant can be returned under its number, and a repeated request is answered as
+/// before. Longer than any request waits for its grant.
 const GRANT_MEMORY_MS: u64 = 12_000;
 
 /// A grant that its host may still return under its number.
@@ -72,10 +72,10 @@
     cost: u32,
 }
 
-/// Grants that may still be returned, by whose they are.
+/// Grants that may still be returned, by whose they are; `None` for requests that were cancelled.
 #[derive(Clone, Debug, Default)]
 struct RecentGrants {
-    grants: BTreeMap<Asker, Grant>,
+    grants: BTreeMap<Asker, Option<Grant>>,
     by_age: VecDeque<(Tick, Asker)>,
 }
 
@@ -228,7 +228,7 @@
         };
         if account.bucket.level(now) > 0.0 {
             let is_below_quota = account.take(now, rank, cost);
-            self.recent.add(now, asker, Grant { organisation, cost });
+            self.recent.add(now, asker, Some(Grant { organisation, cost }));
             return QuotaAnswer::Granted { is_below_quota };
         }
         let mut answers = Vec::new();
@@ -245,8 +245,10 @@
         if !self.guards.remembers_grants {
             return None;
         }
-        if self.recent.grants.contains_key(asker) {
-            return Some(QuotaAnswer::Granted { is_below_quota: false });
+        match self.recent.grants.get(asker) {
+            Some(Some(_)) => return Some(QuotaAnswer::Granted { is_below_quota: false }),
+            Some(None) => return Some(QuotaAnswer::Refused { retry_ms: 0 }),
+            None => {}
         }
         let account = self.accounts.get_mut(self.waiting.get(asker)?)?;
         let place = account.line.place_of(asker)?;
@@ -282,7 +284,7 @@
             }
             if matches!(answer, QuotaAnswer::Granted { .. }) {
                 let grant = Grant { organisation: organisation.clone(), cost };
-                self.recent.add(now, to.clone(), grant);
+                self.recent.add(now, to.clone(), Some(grant));
             }
             self.replies.push(Reply { to, answer });
         }
@@ -301,14 +303,16 @@
             self.waiting.remove(asker).and_then(|name| self.accounts.get_mut(&name))
         {
             account.cancel(asker);
-            return;
         }
-        let grant = match self.guards.returns_once {
-            true => self.recent.grants.remove(asker),
-            false => self.recent.grants.get(asker).cloned(),
-        };
-        if let Some(grant) = grant {
+        if let Some(Some(grant)) = self.recent.grants.get(asker).cloned() {
             self.refund(&grant.organisation, grant.cost);
+            if !self.guards.returns_once {
+                return;
+            }
+        }
+        match self.guards.remembers_cancels {
+            true => self.recent.add(now, asker.clone(), None),
+            false => drop(self.recent.grants.remove(asker)),
         }
     }
 
@@ -331,6 +335,12 @@
         }
     }
 
+    /// Returns what `organisation` may spend now; negative if it has overdrawn its bucket.
+    pub fn level(&self, now: Tick, organisation: &Name) -> Option<f64> {
+        let mut bucket = self.accounts.get(organisation)?.bucket;
+        Some(bucket.level(now))
+    }
+
     /// Number of requests that wait, of all organisations.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -353,7 +363,7 @@
 }
 
 impl RecentGrants {
-    fn add(&mut self, now: Tick, asker: Asker, grant: Grant) {
+    fn add(&mut self, now: Tick, asker: Asker, grant: Option<Grant>) {
         self.forget_old(now);
         self.by_age.push_back((now, asker.clone()));
         self.grants.insert(asker, grant);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -43,8 +43,8 @@
     pub cancels: bool,
     /// A host uses a grant only within the time for which the request waits.
     pub checks_time: bool,
-    /// A host takes an answer only from the grantor that it asked.
-    pub checks_sender: bool,
+    /// A grantor does not grant a request that arrives after its cancellation.
+    pub remembers_cancels: bool,
 }
 
 impl Guards {
@@ -55,7 +55,7 @@
         returns_late: false,
         cancels: false,
         checks_time: false,
-        checks_sender: false,
+        remembers_cancels: false,
     };
 
     /// All guards.
@@ -65,7 +65,7 @@
         returns_late: true,
         cancels: true,
         checks_time: true,
-        checks_sender: true,
+        remembers_cancels: true,
     };
 }
 
--- a/crates/quota/src/queries.rs
+++ b/crates/quota/src/queries.rs
@@ -131,7 +131,7 @@
         let Some(entry) = self.entries.get_mut(&number) else {
             return Received::Ignored;
         };
-        if guards.checks_sender && entry.query.grantor != *from {
+        if entry.query.grantor != *from {
             return Received::Ignored;
         }
         if guards.checks_time && now > entry.latest_use() {
--- a/crates/quota/tests/failures.rs
+++ b/crates/quota/tests/failures.rs
@@ -125,6 +125,16 @@
     assert!(is_spendable(&mut grantor, now + 1), "its cost was not taken again");
 }
 
+/// A request that arrives after its cancellation must not be granted: nobody waits for it.
+#[test]
+fn cancellation_comes_first() {
+    let mut grantor = grantor();
+    grantor.cancel(START, &asker(1));
+    let answer = grantor.request(START + 200, request(1, Rank(1, 1), COST, 1_000));
+    assert!(matches!(answer, QuotaAnswer::Refused { .. }), "{answer:?}");
+    assert_eq!(grantor.waiting(), 0);
+}
+
 /// A grant that arrives twice is used once, and not returned.
 #[test]
 fn doubled_grant() {
