fix: tests of requests that have waited for quota before they are dispatched

Guards against an objective and a deadline that start anew after the wait, and against a wrong rank. With the arrival taken as the time of the dispatch, wait_counts fails.

--- /dev/null
+++ b/crates/dispatch/tests/quota_wait.rs
@@ -0,0 +1,51 @@
+//! Requests that have waited for quota before the dispatcher knows them.
+
+mod support;
+
+use rstest::rstest;
+use std::rc::Rc;
+use support::{Host, configuration, refusal, request, route, sent, upstream};
+use vanetally_dispatch::{Event, QuotaTerms, RequestId};
+use vanetally_ports::{
+    CallerKey, CallerRequest, Configuration, Credential, Organisation, RefusalCause, RequestKind,
+    Route,
+};
+
+/// The time that a request has waited must count against its deadline; otherwise its caller is gone
+/// before the answer.
+#[test]
+fn wait_counts() {
+    let mut host =
+        Host::new(vec![Route { timeout_ms: 2_000, ..route("check", RequestKind::Once, "desk") }]);
+    host.announce("i-1", upstream("desk", 1, &[]));
+    let (at, id) = (host.now, RequestId(77));
+    host.advance(400);
+    let request = request("a", "check", None);
+    let actions = host.handle(Event::ArrivedEarlier { at, id, request, content_hash: 0 });
+    assert_eq!(sent(&actions, id)[0].deadline_ms, 1_600);
+    assert_eq!(refusal(&host.advance(1_590), id), None);
+    let refused = refusal(&host.advance(400), id).expect("refused within half a second");
+    assert_eq!(refused.cause, RefusalCause::TimedOut);
+}
+
+/// The priority of the organisation precedes that of the route, and a deadline before the objective
+/// bounds what is of use.
+#[rstest]
+#[case::of_organisation(Some(0), None, QuotaTerms { rank: (0, 3), objective_ms: 800 })]
+#[case::of_route(None, None, QuotaTerms { rank: (3, 3), objective_ms: 800 })]
+#[case::short_deadline(None, Some(300), QuotaTerms { rank: (3, 3), objective_ms: 300 })]
+fn terms(#[case] priority: Option<u8>, #[case] wait_ms: Option<u64>, #[case] expected: QuotaTerms) {
+    let route =
+        Route { priority: 3, target_ms: 800, ..route("check", RequestKind::Idempotent, "desk") };
+    let plain = configuration(2, vec![route]);
+    let keys = vec![CallerKey::new("key-a")];
+    let organisation = Organisation { name: "a".into(), keys, priority, quota: None };
+    let organisations = Some(vec![organisation]);
+    let mut host = Host::new(Vec::new());
+    host.handle(Event::Configured(Rc::new(Configuration { organisations, ..(*plain).clone() })));
+    let credential = Credential::Key(CallerKey::new("key-a"));
+    let head = CallerRequest { credential, wait_ms, ..request("r", "check", None) };
+    assert_eq!(host.dispatch.quota_terms(host.now, &head), Some(expected));
+    let unknown = CallerRequest { credential: Credential::Key(CallerKey::new("key-b")), ..head };
+    assert_eq!(host.dispatch.quota_terms(host.now, &unknown), None);
+}
