--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -35,6 +35,7 @@
 mod shortage;
 mod upstream;
 
+pub use access::QuotaTerms;
 pub use affinity::PrefixPlace;
 pub use budget::{RetryBudget, RetryBudgetOptions};
 pub use digest::{DemandRow, Digest, LimitRow, LoadRow};
