feat: load reports carry waiting requests, and hosts order them together

Cause: each host had a queue of its own, so an urgent request waited at one host while another sent a routine one, and a request that could not be served in time was refused only after its whole wait.

Change: WaitRow in reports and totals, summed and subtracted like loads; with scheduling.shared_queue a host holds back what yields to requests of other hosts, and refuses by forecast.

--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -109,6 +109,8 @@
         retry_budget: RetryBudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 630.0 },
         grace_ms: 8_000,
         revoke_ms: None,
+        shared_queue: false,
+        slot_grants: false,
     };
     let mut dispatch = Dispatch::new(NOW, options);
     dispatch.handle(NOW, Event::Configured(configuration(model_count(runners))));
@@ -213,7 +215,7 @@
         bad: 0,
         limit: None,
     };
-    Digest { loads: (0..runners).map(row).collect(), demand: Vec::new() }
+    Digest { loads: (0..runners).map(row).collect(), demand: Vec::new(), waiting: Vec::new() }
 }
 
 /// Handling of a digest with the sum of the loads of all hosts.
@@ -231,7 +233,7 @@
             b.iter_batched(
                 next_digest,
                 |digest| {
-                    totals.record_sum(NOW, "front-2".into(), digest.loads.clone());
+                    totals.record_sum(NOW, "front-2".into(), digest.clone());
                     let event = Event::PeerDigest { host: "front-2".into(), digest };
                     black_box(dispatch.handle(NOW, event))
                 },
--- a/crates/bench/benches/upkeep.rs
+++ b/crates/bench/benches/upkeep.rs
@@ -36,6 +36,8 @@
         retry_budget: RetryBudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 630.0 },
         grace_ms: 8_000,
         revoke_ms: None,
+        shared_queue: false,
+        slot_grants: false,
     };
     let mut dispatch = Dispatch::new(NOW, options);
     for number in 0..upstreams {
@@ -55,7 +57,11 @@
         bad: 0,
         limit: None,
     };
-    Digest { loads: (first..first + REPORTED).map(row).collect(), demand: Vec::new() }
+    Digest {
+        loads: (first..first + REPORTED).map(row).collect(),
+        demand: Vec::new(),
+        waiting: Vec::new(),
+    }
 }
 
 fn bench_start(c: &mut Criterion) {
--- a/crates/dispatch/src/digest.rs
+++ b/crates/dispatch/src/digest.rs
@@ -10,6 +10,82 @@
     pub loads: Vec<LoadRow>,
     /// Requests that arrived since the last digest, per model or adapter.
     pub demand: Vec<DemandRow>,
+    /// Waiting requests per model and rank; absent in digests of earlier builds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waiting: Vec<WaitRow>,
+}
+
+/// Waiting requests of one rank for one model, or for one plain service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WaitRow {
+    /// The service.
+    #[serde(rename = "s")]
+    pub service: Name,
+    /// The model; `None` for a plain service.
+    #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
+    pub model: Option<Name>,
+    /// Priority of the organisation, then of the route; 0 is the most urgent.
+    #[serde(rename = "k")]
+    pub rank: (u8, u8),
+    /// The counts.
+    #[serde(flatten)]
+    pub counts: WaitCounts,
+}
+
+/// Numbers of requests in a [`WaitRow`]; those that are zero are omitted in messages.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WaitCounts {
+    /// Waiting requests that can still be on time.
+    #[serde(rename = "n", skip_serializing_if = "is_zero")]
+    pub on_time: u32,
+    /// Those of them that must be sent soon to be on time.
+    #[serde(rename = "u", skip_serializing_if = "is_zero")]
+    pub due_soon: u32,
+    /// Waiting requests that are late.
+    #[serde(rename = "l", skip_serializing_if = "is_zero")]
+    pub late: u32,
+    /// Requests sent to upstreams in the last second.
+    #[serde(rename = "d", skip_serializing_if = "is_zero")]
+    pub sent: u32,
+    /// Those of them that were late.
+    #[serde(rename = "e", skip_serializing_if = "is_zero")]
+    pub sent_late: u32,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref)] // The signature is set by serde.
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
+impl WaitCounts {
+    /// Adds the counts of other hosts.
+    pub fn add(&mut self, other: Self) {
+        self.combine(other, u32::saturating_add);
+    }
+
+    /// Subtracts counts that are included in these.
+    pub fn subtract(&mut self, other: Self) {
+        self.combine(other, u32::saturating_sub);
+    }
+
+    /// Whether there is nothing to report.
+    pub fn is_empty(self) -> bool {
+        self == Self::default()
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(self) -> u32 {
+        self.on_time.saturating_add(self.late)
+    }
+
+    fn combine(&mut self, other: Self, operation: impl Fn(u32, u32) -> u32) {
+        self.on_time = operation(self.on_time, other.on_time);
+        self.due_soon = operation(self.due_soon, other.due_soon);
+        self.late = operation(self.late, other.late);
+        self.sent = operation(self.sent, other.sent);
+        self.sent_late = operation(self.sent_late, other.sent_late);
+    }
 }
 
 /// Load of one host on one upstream.
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -343,7 +343,7 @@
         });
         let retry = match is_held {
             true if request.is_exhausted() => EXHAUSTED_WAIT_MS,
-            true => RETRY_AFTER_MS,
+            true => request.forecast.map_or(RETRY_AFTER_MS, |forecast| forecast.wait_ms),
             false => LOAD_RETRY_AFTER_MS,
         };
         self.refusal(request, RefusalCause::Overloaded, Some(retry))
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -26,6 +26,10 @@
     /// How long a revoked key may still be used; `None` if hosts continue to serve with the last
     /// known configuration.
     pub revoke_ms: Option<u64>,
+    /// Whether waiting requests are ordered, and their wait is forecast, over all hosts.
+    pub shared_queue: bool,
+    /// Whether one host grants the slots of each plain upstream with few slots.
+    pub slot_grants: bool,
 }
 
 /// Whether a runner holds a model or an adapter, by report of the order holder.
@@ -229,6 +233,9 @@
     pub waited_ms: u64,
     /// What prevented sending before, if the request had to wait.
     pub shortage: Option<ShortageKind>,
+    /// Milliseconds since the request was first held back for more urgent ones of other hosts; 0 if
+    /// it was not.
+    pub held_ms: u64,
     /// Prompt tokens that the upstream is expected to read because it has not cached them.
     pub unread_tokens: u32,
     /// Milliseconds that the upstream is expected to read for earlier requests.
--- a/crates/dispatch/src/loads.rs
+++ b/crates/dispatch/src/loads.rs
@@ -50,11 +50,14 @@
             arrived: demand.arrived,
             work_ms: demand.work_ms.round() as u32,
         });
-        Digest { loads, demand: demand.collect() }
+        Digest { loads, demand: demand.collect(), waiting: self.wait_rows(now) }
     }
 
     /// Replaces the load that another host reported.
     pub(crate) fn peer_digest(&mut self, now: Tick, host: &Name, digest: Digest) {
+        if self.options.shared_queue {
+            self.shared_queue.record_report(now, host, &digest.waiting);
+        }
         let known =
             digest.loads.into_iter().filter(|row| self.upstreams.contains_key(&row.upstream));
         let rows: Vec<LoadRow> = known.collect();
@@ -78,6 +81,7 @@
 
     /// Forgets the load of a host that is gone.
     pub(crate) fn peer_gone(&mut self, host: &Name) {
+        self.shared_queue.forget_host(host);
         for id in self.loads.reported.remove(host).unwrap_or_default() {
             if let Some(upstream) = self.upstreams.get_mut(&id) {
                 upstream.forget_peer(host);
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -14,6 +14,7 @@
     request::{Request, Stage},
     routes,
     service_pace::ServicePace,
+    shared_queue::SharedQueue,
     upstream::{Load, Upstream},
 };
 use std::{
@@ -50,6 +51,7 @@
     pub(crate) loads: Loads,
     pub(crate) requests: HashMap<RequestId, Request>,
     pub(crate) queue: Queue,
+    pub(crate) shared_queue: SharedQueue,
     pub(crate) retry_budgets: BTreeMap<Name, RetryBudget>,
     pub(crate) pace: PaceModel,
     pub(crate) service_pace: ServicePace,
@@ -98,6 +100,10 @@
     pub suspects: usize,
     /// Rate-limited upstreams.
     pub limited: usize,
+    /// Requests that were held back for more urgent ones of other hosts, since the start.
+    pub held: u64,
+    /// Requests that wait at other hosts, by their reports.
+    pub waiting_elsewhere: u32,
 }
 
 /// Average interval between hosts that return to an upstream after its cooldown.
@@ -127,6 +133,7 @@
             loads: Loads::default(),
             requests: HashMap::new(),
             queue: Queue::default(),
+            shared_queue: SharedQueue::default(),
             retry_budgets: BTreeMap::new(),
             pace: PaceModel::default(),
             service_pace: ServicePace::default(),
@@ -260,6 +267,8 @@
             active: self.loads.active(),
             suspects: self.upstreams.values().filter(|u| u.health.is_suspect()).count(),
             limited: self.upstreams.values().filter(|u| u.limit.rate().is_some()).count(),
+            held: self.shared_queue.held,
+            waiting_elsewhere: self.shared_queue.waiting_elsewhere(),
         }
     }
 
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -3,6 +3,7 @@
 use crate::{
     access::Access,
     choice::{Choice, ReadEstimate},
+    forecast::Forecast,
     shortage::{Shortage, ShortageKind},
     upstream::{Load, shared_prefixes},
 };
@@ -81,6 +82,10 @@
     pub not_before: Tick,
     /// Result of the last unsuccessful choice of an upstream.
     pub shortage: Option<Shortage>,
+    /// When the request was first held back for more urgent ones of other hosts.
+    pub held_since: Option<Tick>,
+    /// Last forecast of its wait.
+    pub forecast: Option<Forecast>,
 }
 
 /// Minimum wait limit of a stream; the caller leaves after such a gap.
@@ -135,6 +140,8 @@
             verdict: Verdict::NotRun,
             not_before: now,
             shortage: None,
+            held_since: None,
+            forecast: None,
         }
     }
 
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -7,6 +7,7 @@
     choose::{ChoiceInput, choose},
     ending::{RETRY_AFTER_MS, STOP_RETRY_AFTER_MS},
     request::{ActiveAttempt, Request, Stage},
+    shared_queue::Lines,
     shortage::{Shortage, ShortageKind},
     upstream::Upstream,
 };
@@ -32,9 +33,11 @@
     /// Sends the waiting requests that can be sent.
     pub(crate) fn send_waiting(&mut self, now: Tick, actions: &mut Vec<Action>) {
         for service in self.queue.services() {
+            let waiting = self.ordered_queue(now, &service);
+            let lines = self.lines(now, &service, &waiting);
             let mut shortages = HashMap::new();
-            for id in self.ordered_queue(now, &service) {
-                self.try_send(now, &service, id, &mut shortages, actions);
+            for id in waiting {
+                self.try_send(now, &service, id, (&mut shortages, &lines), actions);
             }
         }
     }
@@ -42,6 +45,10 @@
     /// Returns the waiting requests; those that can still be answered in time come first.
     fn ordered_queue(&self, now: Tick, service: &Name) -> Vec<RequestId> {
         let mut waiting = self.queue.waiting(service);
+        if self.shares_queue(now, service) {
+            self.sort_shared(now, &mut waiting);
+            return waiting;
+        }
         let answer_ms = self.answer_times.get(service).map_or(0, AnswerTimes::mean_ms);
         let is_late = |id: &RequestId| {
             self.requests.get(id).is_some_and(|request| request.is_late_after(now, answer_ms))
@@ -55,7 +62,7 @@
         now: Tick,
         service: &Name,
         id: RequestId,
-        shortages: &mut HashMap<Option<ModelRef>, Shortage>,
+        (shortages, lines): (&mut HashMap<Option<ModelRef>, Shortage>, &Lines),
         actions: &mut Vec<Action>,
     ) {
         let Some(request) = self.requests.get(&id) else {
@@ -75,9 +82,14 @@
             if let Some(request) = self.requests.get_mut(&id) {
                 request.shortage = Some(shortage);
             }
+            self.refuse_by_forecast(now, id, lines, Some(shortage.kind), actions);
             return;
         }
         match self.choose(now, request) {
+            Ok(choice) if choice.limit.is_none() && self.yields(now, id, lines) => {
+                self.hold_back(now, id);
+                self.refuse_by_forecast(now, id, lines, None, actions);
+            }
             Ok(choice) if choice.limit.is_some() => {
                 actions.extend(self.request_permit(now, id, choice));
             }
@@ -95,6 +107,7 @@
                 };
                 request.shortage = Some(shortage);
                 let waited_ms = now.since(request.arrived);
+                self.refuse_by_forecast(now, id, lines, Some(shortage.kind), actions);
                 if let Some(subject) = subject {
                     self.report_shortage(now, service, subject, shortage.kind, waited_ms, actions);
                 }
@@ -246,6 +259,7 @@
         choice: Choice,
         delay_ms: u32,
     ) -> Option<Action> {
+        self.record_sent(now, id);
         let sent_at = now + u64::from(delay_ms);
         let connections = self.connections(&choice.upstream);
         let version = self.version().unwrap_or(0);
@@ -261,6 +275,7 @@
             version,
             waited_ms: now.since(request.arrived),
             shortage: request.shortage.map(|shortage| shortage.kind),
+            held_ms: request.held_since.map_or(0, |since| now.since(since)),
             unread_tokens: choice.expected.unread_tokens,
             ahead_ms: choice.expected.ahead_ms,
             upstream: choice.upstream.clone(),
--- a/crates/dispatch/src/shortage.rs
+++ b/crates/dispatch/src/shortage.rs
@@ -1,6 +1,6 @@
 //! Why a request can't be sent now, and the details of a refusal.
 
-use crate::request::Request;
+use crate::{forecast::Forecast, request::Request};
 use vanetally_ports::ModelRef;
 use vanetally_types::Name;
 
@@ -81,6 +81,10 @@
     pub attempts: u32,
     /// Result of the last unsuccessful choice of an upstream, if any.
     pub shortage: Option<Shortage>,
+    /// The forecast because of which the request was refused.
+    pub forecast: Option<Forecast>,
+    /// Whether the request was held back for more urgent ones of other hosts.
+    pub was_held: bool,
 }
 
 impl From<&Request> for RefusalContext {
@@ -90,6 +94,8 @@
             subject: request.head.model.clone(),
             attempts: request.attempts,
             shortage: request.shortage,
+            forecast: None,
+            was_held: request.held_since.is_some(),
         }
     }
 }
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -73,7 +73,7 @@
         bad: 0,
         limit: None,
     };
-    let digest = Digest { loads: vec![row], demand: Vec::new() };
+    let digest = Digest { loads: vec![row], demand: Vec::new(), waiting: Vec::new() };
     host.handle(Event::PeerDigest { host: "front-2".into(), digest });
     let (id, actions) = host.arrive(request("a", "offer", Some("m1")));
     assert_eq!(&*sent_to(&actions, id).id, "i-2");
@@ -247,7 +247,7 @@
         bad: 0,
         limit: None,
     };
-    let digest = Digest { loads: vec![row], demand: Vec::new() };
+    let digest = Digest { loads: vec![row], demand: Vec::new(), waiting: Vec::new() };
     host.handle(Event::PeerDigest { host: "front-2".into(), digest });
     let (_, actions) = host.arrive(request);
     let requests_model =
@@ -294,7 +294,7 @@
             bad: 0,
             limit: None,
         };
-        let digest = Digest { loads: vec![row], demand: Vec::new() };
+        let digest = Digest { loads: vec![row], demand: Vec::new(), waiting: Vec::new() };
         Event::PeerDigest { host: "front-2".into(), digest }
     };
     host.handle(busy(4));
--- a/crates/dispatch/tests/ejection.rs
+++ b/crates/dispatch/tests/ejection.rs
@@ -74,7 +74,7 @@
                     None => loads.push(row.clone()),
                 }
             }
-            let digest = Digest { loads, demand: Vec::new() };
+            let digest = Digest { loads, demand: Vec::new(), waiting: Vec::new() };
             host.handle(Event::PeerDigest { host: "aggregator".into(), digest });
         }
     }
--- a/crates/dispatch/tests/incarnations.rs
+++ b/crates/dispatch/tests/incarnations.rs
@@ -92,7 +92,7 @@
         bad: 40,
         limit: None,
     };
-    let digest = Digest { loads: vec![row], demand: Vec::new() };
+    let digest = Digest { loads: vec![row], demand: Vec::new(), waiting: Vec::new() };
     host.handle(Event::PeerDigest { host: "front-2".into(), digest });
     let loads = host.dispatch.summaries(host.now);
     assert_eq!(loads.len(), 1, "{loads:?}");
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -209,7 +209,7 @@
         limit,
     };
     let report = |host: &mut Host, limit| {
-        let digest = Digest { loads: vec![row(limit)], demand: Vec::new() };
+        let digest = Digest { loads: vec![row(limit)], demand: Vec::new(), waiting: Vec::new() };
         host.handle(Event::PeerDigest { host: "h2".into(), digest })
     };
     report(&mut host, Some(LimitRow { rate: Some(0.7), age_ms: 400 }));
--- a/crates/dispatch/tests/many_upstreams.rs
+++ b/crates/dispatch/tests/many_upstreams.rs
@@ -33,7 +33,7 @@
 fn peer_digest(host: &mut Host, loads: Vec<LoadRow>) {
     host.handle(Event::PeerDigest {
         host: "front-1".into(),
-        digest: Digest { loads, demand: Vec::new() },
+        digest: Digest { loads, demand: Vec::new(), waiting: Vec::new() },
     });
 }
 
--- a/crates/dispatch/tests/shortage.rs
+++ b/crates/dispatch/tests/shortage.rs
@@ -48,7 +48,7 @@
         bad: 0,
         limit: None,
     };
-    let digest = Digest { loads: vec![row], demand: Vec::new() };
+    let digest = Digest { loads: vec![row], demand: Vec::new(), waiting: Vec::new() };
     Event::PeerDigest { host: "front-2".into(), digest }
 }
 
--- a/crates/fanout/src/totals.rs
+++ b/crates/fanout/src/totals.rs
@@ -1,7 +1,9 @@
-//! The sum of the loads of many hosts.
+//! The sum of the loads of many hosts, and of the requests that wait there.
+//!
+//! A sum is a [`Digest`] without demand, which is forwarded once instead of summed.
 
 use std::collections::{BTreeMap, VecDeque};
-use vanetally_dispatch::{DemandRow, Digest, LimitRow, LoadRow};
+use vanetally_dispatch::{DemandRow, Digest, LimitRow, LoadRow, WaitCounts, WaitRow};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Identifies the report of a host that a total includes.
@@ -17,7 +19,7 @@
 #[derive(Clone, Debug)]
 struct Report {
     number: u64,
-    loads: Vec<LoadRow>,
+    digest: Digest,
     at: Tick,
 }
 
@@ -32,9 +34,9 @@
     /// Aggregators that read store data from this host, and when they last confirmed it.
     listeners: BTreeMap<Name, Tick>,
     /// Sums of other aggregators, and when they were received.
-    peer_sums: BTreeMap<Name, (Vec<LoadRow>, Tick)>,
+    peer_sums: BTreeMap<Name, (Digest, Tick)>,
     /// The load beyond this host and its subscribers, by the host that it reports to, and when it was received.
-    outer: Option<(Vec<LoadRow>, Tick)>,
+    outer: Option<(Digest, Tick)>,
     /// Demand that was not forwarded yet.
     demand: Vec<DemandRow>,
 }
@@ -51,7 +53,11 @@
     pub fn number_report(&mut self, now: Tick, digest: &Digest) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
-        self.own_reports.push_back(Report { number, loads: digest.loads.clone(), at: now });
+        self.own_reports.push_back(Report {
+            number,
+            digest: without_demand(digest.clone()),
+            at: now,
+        });
         if self.own_reports.len() > MAX_OWN_REPORTS {
             self.own_reports.pop_front();
         }
@@ -60,16 +66,18 @@
 
     /// Records a report of a subscriber.
     pub fn record_report(&mut self, now: Tick, host: Name, number: u64, digest: Digest) {
-        self.add_demand(digest.demand);
+        let Digest { loads, demand, waiting } = digest;
+        self.add_demand(demand);
         self.listeners.remove(&host);
-        self.subscribers.insert(host, Report { number, loads: digest.loads, at: now });
+        let digest = Digest { loads, demand: Vec::new(), waiting };
+        self.subscribers.insert(host, Report { number, digest, at: now });
     }
 
     /// Adds a subscriber, or keeps it from being dropped.
     pub fn subscribe(&mut self, now: Tick, host: Name) {
         self.subscribers
             .entry(host)
-            .or_insert(Report { number: 0, loads: Vec::new(), at: now })
+            .or_insert(Report { number: 0, digest: Digest::default(), at: now })
             .at = now;
     }
 
@@ -96,13 +104,13 @@
     }
 
     /// Records the sum of another aggregator.
-    pub fn record_sum(&mut self, now: Tick, from: Name, loads: Vec<LoadRow>) {
-        self.peer_sums.insert(from, (loads, now));
+    pub fn record_sum(&mut self, now: Tick, from: Name, sum: Digest) {
+        self.peer_sums.insert(from, (without_demand(sum), now));
     }
 
     /// Records the load beyond this host and its subscribers, by the host that it reports to.
-    pub fn record_outer(&mut self, now: Tick, loads: Vec<LoadRow>) {
-        self.outer = Some((loads, now));
+    pub fn record_outer(&mut self, now: Tick, sum: Digest) {
+        self.outer = Some((without_demand(sum), now));
     }
 
     /// Discards the load beyond this host and its subscribers, when the host that it reports to changes.
@@ -134,46 +142,41 @@
 
     /// Returns the load of this host and its subscribers, and takes the demand since the last call.
     pub fn take_local_sum(&mut self, own: &Digest) -> Digest {
-        let reports = self.subscribers.values().map(|report| &report.loads);
-        let loads = sum_rows(reports.chain([&own.loads]));
-        Digest { loads, demand: std::mem::take(&mut self.demand) }
+        let reports = self.subscribers.values().map(|report| &report.digest);
+        let sum = sum_digests(reports.chain([own]));
+        Digest { demand: std::mem::take(&mut self.demand), ..sum }
     }
 
     /// Returns the load of all hosts and the reports that it includes.
     ///
     /// `local_sum` is the load of this host and its subscribers.
-    pub fn total(&self, local_sum: &Digest) -> (Vec<IncludedReport>, Vec<LoadRow>) {
-        let loads = match &self.outer {
+    pub fn total(&self, local_sum: &Digest) -> (Vec<IncludedReport>, Digest) {
+        let total = match &self.outer {
             // It includes the sums of all aggregators.
-            Some((outer, _)) => sum_rows([outer, &local_sum.loads].into_iter()),
+            Some((outer, _)) => sum_digests([outer, local_sum].into_iter()),
             None => {
-                let peer_loads = self.peer_sums.values().map(|(loads, _)| loads);
-                sum_rows(peer_loads.chain([&local_sum.loads]))
+                let peer_sums = self.peer_sums.values().map(|(sum, _)| sum);
+                sum_digests(peer_sums.chain([local_sum]))
             }
         };
         let included = self
             .subscribers
             .iter()
             .map(|(host, report)| IncludedReport { host: host.clone(), number: report.number });
-        (included.collect(), loads)
+        (included.collect(), total)
     }
 
     /// Returns the load of all other hosts, given a total that includes this host's report `number`.
-    pub fn without_own(&mut self, number: u64, mut total: Vec<LoadRow>) -> Vec<LoadRow> {
+    pub fn without_own(&mut self, number: u64, mut total: Digest) -> Digest {
         while self.own_reports.front().is_some_and(|report| report.number < number) {
             self.own_reports.pop_front();
         }
         let Some(own) = self.own_reports.front().filter(|report| report.number == number) else {
             return total;
         };
-        let own: BTreeMap<&Incarnation, &LoadRow> =
-            own.loads.iter().map(|row| (&row.upstream, row)).collect();
-        for row in &mut total {
-            if let Some(own) = own.get(&row.upstream) {
-                subtract(row, own);
-            }
-        }
-        total.retain(|row| row.running > 0 || row.good > 0 || row.bad > 0 || row.limit.is_some());
+        let own = &own.digest;
+        subtract_loads(&mut total.loads, &own.loads);
+        subtract_waiting(&mut total.waiting, &own.waiting);
         total
     }
 
@@ -198,10 +201,22 @@
     }
 }
 
+fn without_demand(digest: Digest) -> Digest {
+    Digest { demand: Vec::new(), ..digest }
+}
+
+fn sum_digests<'a>(parts: impl Iterator<Item = &'a Digest> + Clone) -> Digest {
+    Digest {
+        loads: sum_loads(parts.clone().flat_map(|part| &part.loads)),
+        demand: Vec::new(),
+        waiting: sum_waiting(parts.flat_map(|part| &part.waiting)),
+    }
+}
+
 /// Adds up the rows of each upstream.
-fn sum_rows<'a>(parts: impl Iterator<Item = &'a Vec<LoadRow>>) -> Vec<LoadRow> {
+fn sum_loads<'a>(rows: impl Iterator<Item = &'a LoadRow>) -> Vec<LoadRow> {
     let mut sums: BTreeMap<Incarnation, LoadRow> = BTreeMap::new();
-    for row in parts.flatten() {
+    for row in rows {
         match sums.get_mut(&row.upstream) {
             Some(sum) => add(sum, row),
             None => {
@@ -212,6 +227,53 @@
     sums.into_values().collect()
 }
 
+/// What the rows of waiting requests are summed by.
+type WaitKey<'a> = (&'a Name, &'a Option<Name>, (u8, u8));
+
+fn wait_key(row: &WaitRow) -> WaitKey<'_> {
+    (&row.service, &row.model, row.rank)
+}
+
+/// Adds up the rows of each model and rank; empty sums are omitted.
+fn sum_waiting<'a>(rows: impl Iterator<Item = &'a WaitRow>) -> Vec<WaitRow> {
+    let mut sums: BTreeMap<WaitKey<'_>, WaitCounts> = BTreeMap::new();
+    for row in rows {
+        sums.entry(wait_key(row)).or_default().add(row.counts);
+    }
+    let filled = sums.into_iter().filter(|(_, counts)| !counts.is_empty());
+    let rows = filled.map(|((service, model, rank), counts)| WaitRow {
+        service: service.clone(),
+        model: model.clone(),
+        rank,
+        counts,
+    });
+    rows.collect()
+}
+
+/// Subtracts a host's own rows from a total; rows that become empty are removed.
+fn subtract_loads(total: &mut Vec<LoadRow>, own: &[LoadRow]) {
+    let own: BTreeMap<&Incarnation, &LoadRow> =
+        own.iter().map(|row| (&row.upstream, row)).collect();
+    for row in total.iter_mut() {
+        if let Some(own) = own.get(&row.upstream) {
+            subtract(row, own);
+        }
+    }
+    total.retain(|row| row.running > 0 || row.good > 0 || row.bad > 0 || row.limit.is_some());
+}
+
+/// Subtracts a host's own rows from a total; rows that become empty are removed.
+fn subtract_waiting(total: &mut Vec<WaitRow>, own: &[WaitRow]) {
+    let own: BTreeMap<WaitKey<'_>, WaitCounts> =
+        own.iter().map(|row| (wait_key(row), row.counts)).collect();
+    for row in total.iter_mut() {
+        if let Some(own) = own.get(&wait_key(row)) {
+            row.counts.subtract(*own);
+        }
+    }
+    total.retain(|row| !row.counts.is_empty());
+}
+
 fn add(sum: &mut LoadRow, row: &LoadRow) {
     sum.running += row.running;
     sum.unread_tokens += row.unread_tokens;
--- a/crates/fanout/tests/messages.rs
+++ b/crates/fanout/tests/messages.rs
@@ -17,7 +17,7 @@
         bad: 1,
         limit: Some(LimitRow { rate: Some(1.8), age_ms: 250 }),
     };
-    Digest { loads: (0..4).map(row).collect(), demand: Vec::new() }
+    Digest { loads: (0..4).map(row).collect(), demand: Vec::new(), waiting: Vec::new() }
 }
 
 /// Decodes `bytes` as each kind of message; only a panic or a hang would be a failure.
--- a/crates/fanout/tests/recorded.rs
+++ b/crates/fanout/tests/recorded.rs
@@ -4,7 +4,7 @@
 
 use serde::{Serialize, de::DeserializeOwned};
 use std::fmt::Debug;
-use vanetally_dispatch::{DemandRow, Digest, LimitRow, LoadRow};
+use vanetally_dispatch::{DemandRow, Digest, LimitRow, LoadRow, WaitCounts, WaitRow};
 use vanetally_limit::{PermitAnswer, PermitRequest};
 use vanetally_link::peer::{decode, encode};
 use vanetally_pacing::{Prefix, Prompt, SendSlot, SlotReply};
@@ -15,6 +15,7 @@
      656d616e6481a56173636c6c6d616d626d316161626131616e0461771878";
 const DIGEST_WITH_LIMIT: &str = "a2656c6f61647381a7617571692d304031373530303030303030303030617203617018c8616b1903846167046162016\
      16ca2616efb3ffccccccccccccd616118fa6664656d616e6481a56173636c6c6d616d626d316161626131616e0461771878";
+const DIGEST_WITH_WAITING: &str = "a3656c6f616473806664656d616e64806777616974696e6782bf6173636c6c6d616d626d31616b820102616e1828617509616c03616419012c616502ffbf6173636c6c6d616b820102616c01ff";
 const PROMPT: &str = "a6617571692d304031373530303030303030303030616d626d31617381a2616b07617418286174187861721834616719012c";
 const GRANTED: &str = "a1674772616e746564a46864656c61795f6d730366756e7265616418506861686561645f6d73056869735f747269616cf5";
 const BUSY: &str = "a16442757379a16872657472795f6d730c";
@@ -61,7 +62,7 @@
         arrived: 4,
         work_ms: 120,
     };
-    Digest { loads: vec![load], demand: vec![demand] }
+    Digest { loads: vec![load], demand: vec![demand], waiting: Vec::new() }
 }
 
 /// A digest without a limit is encoded exactly as by earlier builds.
@@ -74,6 +75,40 @@
     assert_writes(&digest(Some(limit)), DIGEST_WITH_LIMIT);
 }
 
+/// Rows of waiting requests are absent in digests of earlier builds, which are still read; zero counts are omitted.
+#[test]
+fn waiting_requests() {
+    let earlier: Digest = decode(&bytes(DIGEST)).expect("a digest of an earlier build");
+    assert_eq!(earlier.waiting, []);
+    let row = |model: Option<&str>, counts| WaitRow {
+        service: "llm".into(),
+        model: model.map(Into::into),
+        rank: (1, 2),
+        counts,
+    };
+    let all = WaitCounts { on_time: 40, due_soon: 9, late: 3, sent: 300, sent_late: 2 };
+    let few = WaitCounts { late: 1, ..Default::default() };
+    let waiting = vec![row(Some("m1"), all), row(None, few)];
+    let digest = Digest { loads: Vec::new(), demand: Vec::new(), waiting };
+    assert_writes(&digest, DIGEST_WITH_WAITING);
+    assert_reads(DIGEST_WITH_WAITING, &digest);
+}
+
+/// A row from a later build may have counts that this one does not know.
+#[test]
+fn unknown_counts() {
+    #[derive(Serialize)]
+    struct LaterRow {
+        s: &'static str,
+        k: (u8, u8),
+        n: u32,
+        x: Vec<u8>,
+    }
+    let later = encode(&LaterRow { s: "desk", k: (0, 3), n: 7, x: vec![1] }).expect("encodable");
+    let row: WaitRow = decode(&later).expect("a row");
+    assert_eq!((row.model, row.rank, row.counts.on_time), (None, (0, 3), 7));
+}
+
 #[test]
 fn pacing() {
     let shared = vec![Prefix { key: 7, tokens: 40 }];
--- a/crates/fanout/tests/totals.rs
+++ b/crates/fanout/tests/totals.rs
@@ -1,6 +1,6 @@
 //! The sum of the loads of many hosts.
 
-use vanetally_dispatch::{DemandRow, Digest, LimitRow, LoadRow};
+use vanetally_dispatch::{DemandRow, Digest, LimitRow, LoadRow, WaitCounts, WaitRow};
 use vanetally_fanout::Totals;
 use vanetally_types::Tick;
 
@@ -19,7 +19,7 @@
 }
 
 fn digest(loads: &[LoadRow]) -> Digest {
-    Digest { loads: loads.to_vec(), demand: Vec::new() }
+    Digest { loads: loads.to_vec(), demand: Vec::new(), waiting: Vec::new() }
 }
 
 fn demand(model: &str, arrived: u32) -> DemandRow {
@@ -32,8 +32,8 @@
     }
 }
 
-fn running(loads: &[LoadRow]) -> Vec<(String, u32)> {
-    loads.iter().map(|row| (row.upstream.to_string(), row.running)).collect()
+fn running(sum: &Digest) -> Vec<(String, u32)> {
+    sum.loads.iter().map(|row| (row.upstream.to_string(), row.running)).collect()
 }
 
 /// A subscriber computes the load of the others as the total without its own report.
@@ -60,7 +60,7 @@
 #[test]
 fn unknown_report() {
     let mut totals = Totals::default();
-    let others = totals.without_own(3, vec![load("r1", 2)]);
+    let others = totals.without_own(3, digest(&[load("r1", 2)]));
     assert_eq!(running(&others), [("r1".into(), 2)]);
 }
 
@@ -68,16 +68,20 @@
 #[test]
 fn peer_sums_not_echoed() {
     let mut aggregator = Totals::default();
-    aggregator.record_sum(NOW, "far".into(), vec![load("r1", 8)]);
+    aggregator.record_sum(NOW, "far".into(), digest(&[load("r1", 8)]));
     let sum = aggregator.take_local_sum(&digest(&[load("r1", 1)]));
-    assert_eq!(running(&sum.loads), [("r1".into(), 1)]);
+    assert_eq!(running(&sum), [("r1".into(), 1)]);
     assert_eq!(running(&aggregator.total(&sum).1), [("r1".into(), 9)]);
 }
 
 #[test]
 fn demand_forwarded_once() {
     let mut aggregator = Totals::default();
-    let report = Digest { loads: Vec::new(), demand: vec![demand("m1", 2), demand("m2", 1)] };
+    let report = Digest {
+        loads: Vec::new(),
+        demand: vec![demand("m1", 2), demand("m2", 1)],
+        waiting: Vec::new(),
+    };
     aggregator.record_report(NOW, "h1".into(), 0, report);
     aggregator.add_demand(vec![demand("m1", 3)]);
     let sum = aggregator.take_local_sum(&Digest::default());
@@ -89,7 +93,7 @@
 fn silent_hosts_dropped() {
     let mut aggregator = Totals::default();
     aggregator.subscribe(NOW, "h1".into());
-    aggregator.record_sum(NOW, "far".into(), vec![load("r1", 8)]);
+    aggregator.record_sum(NOW, "far".into(), digest(&[load("r1", 8)]));
     assert_eq!(aggregator.forget_silent(NOW + 1_000).len(), 0);
     let silent: Vec<String> =
         aggregator.forget_silent(NOW + 3_000).iter().map(ToString::to_string).collect();
@@ -108,11 +112,11 @@
     let sum = aggregator.take_local_sum(&digest(&[row(Some(1.5), 400)]));
     let (_, total) = aggregator.total(&sum);
     let newest = LimitRow { rate: None, age_ms: 100 };
-    assert_eq!(total[0].limit, Some(newest));
+    assert_eq!(total.loads[0].limit, Some(newest));
     let mut host = Totals::default();
     let number = host.number_report(NOW, &digest(&[LoadRow { good: 3, ..load("r1", 0) }]));
     assert_eq!(
-        host.without_own(number, total)[0].limit,
+        host.without_own(number, total).loads[0].limit,
         Some(newest),
         "its own load is subtracted"
     );
@@ -133,7 +137,7 @@
     assert_eq!(running(&outer), [("r1".into(), 4), ("r2".into(), 7)]);
     relay.record_outer(NOW, outer);
     // A sum that it receives as the holder of the order lease is part of the outer load.
-    relay.record_sum(NOW, "far".into(), vec![load("r2", 7)]);
+    relay.record_sum(NOW, "far".into(), digest(&[load("r2", 7)]));
     let sum = relay.take_local_sum(&digest(&[load("r1", 1)]));
     let (included, total) = relay.total(&sum);
     assert_eq!(running(&total), [("r1".into(), 7), ("r2".into(), 7)]);
@@ -144,12 +148,60 @@
 #[test]
 fn outer_load_expires() {
     let mut relay = Totals::default();
-    relay.record_outer(NOW, vec![load("r1", 4)]);
+    relay.record_outer(NOW, digest(&[load("r1", 4)]));
     relay.forget_silent(NOW + 1_000);
     assert_eq!(running(&relay.total(&Default::default()).1), [("r1".into(), 4)]);
     relay.forget_silent(NOW + 2_001);
-    assert!(relay.total(&Default::default()).1.is_empty());
-    relay.record_outer(NOW, vec![load("r1", 4)]);
+    assert!(relay.total(&Default::default()).1.loads.is_empty());
+    relay.record_outer(NOW, digest(&[load("r1", 4)]));
     relay.discard_outer();
-    assert!(relay.total(&Default::default()).1.is_empty());
+    assert!(relay.total(&Default::default()).1.loads.is_empty());
+}
+
+fn waiting(model: &str, rank: (u8, u8), on_time: u32) -> WaitRow {
+    let counts =
+        WaitCounts { on_time, due_soon: on_time / 2, late: 1, sent: on_time * 3, sent_late: 2 };
+    WaitRow { service: "llm".into(), model: Some(model.into()), rank, counts }
+}
+
+fn waiting_digest(rows: &[WaitRow]) -> Digest {
+    Digest { loads: Vec::new(), demand: Vec::new(), waiting: rows.to_vec() }
+}
+
+fn on_time(sum: &Digest) -> Vec<(String, u8, u32)> {
+    let rows = sum.waiting.iter();
+    rows.map(|row| {
+        (row.model.iter().map(|model| &**model).collect(), row.rank.1, row.counts.on_time)
+    })
+    .collect()
+}
+
+/// Rows of waiting requests are summed by model and rank, a subscriber's own are subtracted, and empty ones are omitted.
+/// Guards against a host that yields to its own requests.
+#[test]
+fn waiting_summed() {
+    let (mut aggregator, mut host) = (Totals::default(), Totals::default());
+    let own = waiting_digest(&[waiting("m1", (1, 1), 4), waiting("m2", (0, 0), 2)]);
+    let number = host.number_report(NOW, &own);
+    aggregator.record_report(NOW, "h1".into(), number, own);
+    let second = waiting_digest(&[waiting("m1", (1, 1), 6), waiting("m1", (1, 2), 1)]);
+    aggregator.record_report(NOW, "h2".into(), 3, second);
+    aggregator.record_sum(NOW, "far".into(), waiting_digest(&[waiting("m1", (1, 1), 10)]));
+    let empty = WaitRow { counts: WaitCounts::default(), ..waiting("m3", (1, 1), 0) };
+    let sum = aggregator.take_local_sum(&waiting_digest(&[empty]));
+    let (_, total) = aggregator.total(&sum);
+    assert_eq!(on_time(&total), [("m1".into(), 1, 20), ("m1".into(), 2, 1), ("m2".into(), 0, 2)]);
+    let counts = total.waiting[0].counts;
+    assert_eq!((counts.due_soon, counts.late, counts.sent, counts.sent_late), (10, 3, 60, 6));
+    let others = host.without_own(number, total);
+    assert_eq!(on_time(&others), [("m1".into(), 1, 16), ("m1".into(), 2, 1)]);
+}
+
+/// A relay passes the waiting requests of all other hosts on to its subscribers.
+#[test]
+fn waiting_passed_on_by_relay() {
+    let mut relay = Totals::default();
+    relay.record_outer(NOW, waiting_digest(&[waiting("m1", (1, 1), 5)]));
+    let sum = relay.take_local_sum(&waiting_digest(&[waiting("m1", (1, 1), 2)]));
+    assert_eq!(on_time(&relay.total(&sum).1), [("m1".into(), 1, 7)]);
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -168,6 +168,8 @@
             },
             grace_ms: bounds.grace_ms,
             revoke_ms: bounds.revoke_ms,
+            shared_queue: settings.scheduling.shared_queue,
+            slot_grants: settings.scheduling.slot_grants,
         };
         let order_lease = OrderLeaseOptions {
             ttl_ms: ORDER_TTL_MS.max(settings.store.min_ttl_ms),
@@ -456,7 +458,7 @@
 fn log_attempt(attempt: &Attempt) {
     let subject = attempt.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string);
     log::info!(
-        "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} lacked={} deadline_ms={} \
+        "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} lacked={} held_ms={} deadline_ms={} \
          own_load={} peer_load={} unread_tokens={} ahead_ms={} delay_ms={} limit={} version={}",
         attempt.request,
         attempt.route,
@@ -464,6 +466,7 @@
         attempt.number,
         attempt.waited_ms,
         attempt.shortage.map_or("-", ShortageKind::as_str),
+        attempt.held_ms,
         attempt.deadline_ms,
         attempt.own_load,
         attempt.peer_load,
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -127,7 +127,7 @@
         self.check_version(host, version);
         self.placement_event(placement::Event::Demand(demand_samples(&digest)));
         let now = self.clock.now();
-        self.totals.borrow_mut().record_sum(now, host.clone(), digest.loads.clone());
+        self.totals.borrow_mut().record_sum(now, host.clone(), digest.clone());
         if !self.is_aggregator() {
             return;
         }
@@ -145,16 +145,16 @@
 
     /// Handles the total load sent by an aggregator.
     fn peer_total(self: &Rc<Self>, from: &Name, total: LoadTotal) {
-        let LoadTotal { status, reported, loads } = total;
+        let LoadTotal { status, reported, loads, waiting } = total;
         if self.load_aggregator.borrow().as_ref() == Some(from) {
             let own = reported.iter().find(|(host, _)| *host == self.settings.host);
             if let Some((_, number)) = own {
-                let loads = self.totals.borrow_mut().without_own(*number, loads);
+                let total = Digest { loads, demand: Vec::new(), waiting };
+                let digest = self.totals.borrow_mut().without_own(*number, total);
                 if !self.source_selector.borrow().subscribers().is_empty() {
                     let now = self.clock.now();
-                    self.totals.borrow_mut().record_outer(now, loads.clone());
+                    self.totals.borrow_mut().record_outer(now, digest.clone());
                 }
-                let digest = Digest { loads, demand: Vec::new() };
                 self.request_event(dispatch::Event::PeerDigest { host: from.clone(), digest });
             }
         }
@@ -277,7 +277,7 @@
         self.placement_event(placement::Event::Demand(demand_samples(&sum)));
         self.send_totals(&sum);
         let is_new = *self.last_digest.borrow() != sum;
-        if is_new || !sum.loads.is_empty() {
+        if is_new || !sum.loads.is_empty() || !sum.waiting.is_empty() {
             let version = self.version();
             let message = PeerMessage::Digest { version, digest: sum.clone() };
             self.send_all(self.sum_receivers().iter(), &message);
@@ -287,15 +287,15 @@
 
     /// Sends the total load to the subscribers, and this host's status to the listeners.
     fn send_totals(&self, sum: &Digest) {
-        let (reported, loads) = self.totals.borrow().total(sum);
+        let (reported, Digest { loads, waiting, .. }) = self.totals.borrow().total(sum);
         let now = self.clock.now();
         let mut listeners: Vec<Name> = self.totals.borrow().listeners().cloned().collect();
         if !reported.is_empty() {
             let subscribers: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
             if self.sum_spacing.borrow().is_due(now) {
                 let reported = reported.into_iter().map(|one| (one.host, one.number)).collect();
-                let total =
-                    PeerMessage::Total(LoadTotal { status: self.host_status(), reported, loads });
+                let status = self.host_status();
+                let total = PeerMessage::Total(LoadTotal { status, reported, loads, waiting });
                 let bytes = self.send_all(subscribers.iter(), &total);
                 self.sum_spacing.borrow_mut().record_sent(now, bytes);
             } else {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,7 @@
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, rc::Rc};
-use vanetally_dispatch::{Digest, LoadRow};
+use vanetally_dispatch::{Digest, LoadRow, WaitRow};
 use vanetally_fanout::{HostIncarnation, Patch, Path, StoreState};
 use vanetally_limit::{PermitAnswer, PermitRequest};
 use vanetally_pacing::{Prompt, SlotReply};
@@ -327,6 +327,9 @@
     pub reported: Vec<(Name, u64)>,
     /// The load of all hosts.
     pub loads: Vec<LoadRow>,
+    /// The waiting requests of all hosts; absent in totals of earlier builds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waiting: Vec<WaitRow>,
 }
 
 /// Handles changes of the product's own keys.
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -131,14 +131,22 @@
         let RequestRefusal { refusal, context } = refused;
         let lack = context.shortage.map_or("-", |shortage| shortage.kind.as_str());
         telemetry::request_refused(refusal.cause, lack);
+        let forecast = context.forecast;
+        if forecast.is_some() {
+            telemetry::refused_by_forecast();
+        }
         log::info!(
             "event=request_refused request={} route={} subject={} lack={lack} holders={} sendings={} \
-             cause={} verdict={} retry_after_ms={} after_ms={}",
+             forecast_ms={} ahead={} per_s={} held={} cause={} verdict={} retry_after_ms={} after_ms={}",
             self.name,
             context.route,
             context.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string),
             context.shortage.map_or(0, |shortage| shortage.holders),
             context.attempts,
+            forecast.map_or_else(|| "-".into(), |forecast| forecast.wait_ms.to_string()),
+            forecast.map_or(0, |forecast| forecast.ahead),
+            forecast.map_or(0, |forecast| forecast.rate),
+            context.was_held,
             refusal.cause.as_str(),
             refusal.verdict,
             refusal.retry_after_ms.unwrap_or(0),
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -46,6 +46,11 @@
         .increment(1);
 }
 
+/// Counts a request refused because its forecast exceeded the time that it may wait.
+pub(crate) fn refused_by_forecast() {
+    counter!("vanetally_forecast_refusals_total").increment(1);
+}
+
 /// Counts an upstream that announced that it is leaving, in a response to this host or relayed by
 /// another one.
 pub(crate) fn upstream_leaving(is_relayed: bool) {
@@ -157,6 +162,8 @@
 /// Sets the gauges that are sampled periodically.
 pub(crate) fn set_gauges(counts: Counts, version: Option<u64>, is_ready: bool) {
     gauge!("vanetally_requests_waiting").set(counts.waiting as f64);
+    gauge!("vanetally_requests_waiting_elsewhere").set(f64::from(counts.waiting_elsewhere));
+    counter!("vanetally_requests_held_total").absolute(counts.held);
     gauge!("vanetally_requests_open").set(counts.open as f64);
     gauge!("vanetally_upstreams").set(counts.upstreams as f64);
     gauge!("vanetally_upstreams_suspect").set(counts.suspects as f64);
