feat: hold-back and refusals by forecast over all hosts, with replays of a burst

Cause: late work displaced work that could be on time, and a request waited its whole time for a refusal that was possible on arrival.

A time-out states the last forecast.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -343,7 +343,9 @@
         });
         let retry = match is_held {
             true if request.is_exhausted() => EXHAUSTED_WAIT_MS,
-            true => request.forecast.map_or(RETRY_AFTER_MS, |forecast| forecast.wait_ms),
+            true => request
+                .forecast
+                .map_or(RETRY_AFTER_MS, |forecast| forecast.wait_ms.max(STOP_RETRY_AFTER_MS)),
             false => LOAD_RETRY_AFTER_MS,
         };
         self.refusal(request, RefusalCause::Overloaded, Some(retry))
--- a/crates/dispatch/src/forecast.rs
+++ b/crates/dispatch/src/forecast.rs
@@ -5,8 +5,11 @@
 /// Expected wait of a request, and the values that it follows from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Forecast {
-    /// Milliseconds until the request's turn.
+    /// Milliseconds until as many requests are sent as are ahead of it now.
     pub wait_ms: u64,
+    /// Milliseconds until the request's own turn: more urgent ones arrive meanwhile, and it may be
+    /// late by then.
+    pub turn_ms: u64,
     /// Waiting requests of all hosts that come before it or at the same place.
     pub ahead: u32,
     /// Requests per second that all hosts send.
@@ -120,6 +123,19 @@
         let before_ms = f64::from(self.before) / rate * MILLIS_PER_SECOND;
         (before_ms + (equal_ms - waited_ms as f64).max(0.0)) as u64
     }
+
+    /// Returns how many of the requests at the same place are not sent within `within_ms`.
+    pub(crate) fn unsent_after(self, rate: f64, within_ms: u64) -> u32 {
+        let sent = (rate * within_ms as f64 / MILLIS_PER_SECOND) as u32;
+        self.equal.saturating_sub(sent.saturating_sub(self.before))
+    }
+
+    /// Returns the forecast of a request whose turn comes after `turn_ms`.
+    pub(crate) fn forecast(self, rate: f64, turn_ms: u64) -> Forecast {
+        let ahead = self.before.saturating_add(self.equal);
+        let wait_ms = (f64::from(ahead) / rate * MILLIS_PER_SECOND) as u64;
+        Forecast { wait_ms, turn_ms, ahead, rate: rate as u32 }
+    }
 }
 
 /// Returns the `Retry-After` of a refused request: its forecast, and a part of the time that the
--- a/crates/dispatch/src/shared_queue.rs
+++ b/crates/dispatch/src/shared_queue.rs
@@ -9,6 +9,7 @@
     forecast::{Ahead, Forecast, RecentCount, SendRate, retry_after_ms},
     request::Request,
     shortage::ShortageKind,
+    upstream::Upstream,
 };
 use std::collections::{BTreeMap, HashMap};
 use vanetally_ports::{Refusal, RefusalCause};
@@ -252,9 +253,12 @@
 
     /// Whether a plain service has fewer slots than there are hosts.
     fn has_few_slots(&self, service: &Name) -> bool {
+        if self.is_engine(service) {
+            return false;
+        }
         let upstreams = self.directory.upstreams_of(service);
         let slots = upstreams.filter_map(|id| self.upstreams.get(id)).map(|u| u.state.slots);
-        !self.is_engine(service) && (slots.sum::<u32>() as usize) < self.hosts
+        (slots.sum::<u32>() as usize) < self.hosts
     }
 
     /// Returns the expected time from sending a request to its answer, or to the first piece of a
@@ -357,41 +361,36 @@
     /// Returns how many requests like this one the upstreams could take at once: one prompt for
     /// each engine, the free slots of plain upstreams.
     fn free_capacity(&self, now: Tick, request: &Request) -> u32 {
-        let is_engine = self.is_engine(&request.service);
-        let holds = |upstream: &crate::upstream::Upstream| {
-            request.head.model.as_ref().is_none_or(|subject| upstream.holds(subject, now))
+        let free =
+            |upstream: &Upstream| upstream.state.slots.saturating_sub(upstream.total(now).running);
+        let is_open = |upstream: &&Upstream| {
+            upstream.accepts_now(now) && now >= upstream.paced_until && now >= upstream.full_until
         };
-        let upstreams = self.directory.upstreams_of(&request.service);
-        let upstreams = upstreams.filter_map(|id| self.upstreams.get(id));
-        let free = upstreams.filter(|upstream| upstream.accepts_now(now) && holds(upstream)).map(
-            |upstream| {
-                let free = upstream.state.slots.saturating_sub(upstream.total(now).running);
-                if is_engine { free.min(1) } else { free }
-            },
-        );
-        free.sum()
+        let open = |id| self.upstreams.get(id).filter(is_open);
+        let Some(subject) = &request.head.model else {
+            let upstreams = self.directory.upstreams_of(&request.service);
+            return upstreams.filter_map(open).map(free).sum();
+        };
+        let holders = self.directory.holders(&request.service, &subject.model).filter_map(open);
+        holders.filter(|upstream| upstream.holds(subject, now)).map(|u| free(u).min(1)).sum()
     }
 
     /// Returns the forecast for a request, once the rate is known.
     fn forecast(&self, now: Tick, request: &Request, line: &Line) -> Option<Forecast> {
         let (rate, place, send_by) = (line.rate?, self.place(now, request), self.send_by(request));
         let ahead = place.ahead(&line.all);
-        let forecast = |wait_ms, ahead| Forecast { wait_ms, ahead, rate: rate as u32 };
-        if let Place::Late { .. } = place {
-            let wait_ms = ahead.wait_ms(rate, now.since(send_by));
-            return Some(forecast(wait_ms, ahead.before.saturating_add(ahead.equal)));
-        }
-        let wait_ms = ahead.wait_ms(rate, now.since(request.arrived));
-        let ahead = ahead.before.saturating_add(ahead.equal);
-        if now + wait_ms <= send_by {
-            return Some(forecast(wait_ms, ahead));
-        }
-        // It will be late, and come after those that are late by then.
-        let late = Place::Late { rank: request.rank() };
-        let sent_before = rate * send_by.since(now) as f64 / 1_000.0;
-        let equal = late.equal(&line.all).saturating_add(ahead.saturating_sub(sent_before as u32));
-        let after = Ahead { before: 0, equal, share: late.share(&line.all) };
-        Some(forecast(wait_ms + after.wait_ms(rate, 0), ahead))
+        let since = if let Place::Late { .. } = place { send_by } else { request.arrived };
+        let wait_ms = ahead.wait_ms(rate, now.since(since));
+        let is_on_time = now + wait_ms <= send_by;
+        let more_ms = match place {
+            Place::OnTime { rank, .. } if !is_on_time => {
+                let late = Place::Late { rank };
+                let equal = ahead.unsent_after(rate, send_by.since(now)) + late.equal(&line.all);
+                Ahead { before: 0, equal, share: late.share(&line.all) }.wait_ms(rate, 0)
+            }
+            _ => 0,
+        };
+        Some(ahead.forecast(rate, wait_ms + more_ms))
     }
 
     /// Refuses a request that did not run if its forecast exceeds the time that it may still wait.
@@ -412,7 +411,7 @@
         let Some(forecast) = self.forecast(now, request, line) else {
             return false;
         };
-        let is_futile = forecast.wait_ms > request.remaining_wait_ms(now);
+        let is_futile = forecast.turn_ms > request.remaining_wait_ms(now);
         let is_refused = is_futile && request.verdict == Verdict::NotRun;
         let (subject, hosts) = (subject_of(request), self.hosts as u32);
         let Some(request) = self.requests.get_mut(&id) else {
--- a/crates/dispatch/tests/support/burst.rs
+++ b/crates/dispatch/tests/support/burst.rs
@@ -24,13 +24,13 @@
 const DEADLINE_MS: u64 = 6_000;
 /// Load in the seconds before and after the burst, as a share of the capacity.
 const CALM_LOAD: f64 = 0.9;
-/// Ends of the calm seconds, of the burst, and of the arrivals, in seconds.
-pub const BURST_S: std::ops::Range<usize> = 3..6;
-pub const END_S: usize = 10;
+/// Seconds after the last arrivals.
+const DRAIN_S: usize = 2;
 
-/// Name, objective, priority and share of the requests of each route.
-pub const ROUTES: [(&str, u64, u8, f64); 3] =
-    [("urgent", 600, 1, 0.5), ("patient", 5_000, 1, 0.15), ("routine", 8_000, 2, 0.35)];
+/// Name, objective and priority of each route.
+pub const ROUTES: [(&str, u64, u8); 3] =
+    [("urgent", 600, 1), ("patient", 5_000, 1), ("routine", 8_000, 2)];
+pub const URGENT: usize = 0;
 
 /// What to replay.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +40,11 @@
     pub is_shared: bool,
     /// Arrivals in the burst, as a multiple of the capacity.
     pub load: f64,
+    /// Share of each route in the arrivals.
+    pub shares: [f64; 3],
+    /// Seconds of the burst, and the second in which arrivals end.
+    pub burst_s: (usize, usize),
+    pub end_s: usize,
     /// A host that gets no reports and whose reports are lost.
     pub partitioned: Option<usize>,
     pub seed: u64,
@@ -72,19 +77,27 @@
     waiting: std::collections::VecDeque<RequestId>,
 }
 
+/// What a replay showed.
+pub struct Outcome {
+    pub records: Vec<Record>,
+    /// Rows of waiting requests in each report of a host, and in each sum.
+    pub report_rows: Vec<Vec<WaitRow>>,
+    pub sum_rows: Vec<Vec<WaitRow>>,
+    end_s: usize,
+}
+
 pub struct Burst {
     replay: Replay,
-    pub now: Tick,
+    now: Tick,
     hosts: Vec<Dispatch>,
     engines: BTreeMap<Incarnation, Engine>,
-    pub records: Vec<Record>,
+    records: Vec<Record>,
     /// Times at which first pieces and ends are due.
     pieces: BTreeMap<Tick, Vec<RequestId>>,
     retries: BTreeMap<Tick, Vec<Record>>,
     reports: Vec<Digest>,
-    /// Rows of waiting requests in each report of a host, and in each sum.
-    pub report_rows: Vec<Vec<WaitRow>>,
-    pub sum_rows: Vec<Vec<WaitRow>>,
+    report_rows: Vec<Vec<WaitRow>>,
+    sum_rows: Vec<Vec<WaitRow>>,
     random: u64,
 }
 
@@ -95,7 +108,7 @@
 impl Burst {
     pub fn new(replay: Replay) -> Self {
         let now = super::support::START;
-        let routes = ROUTES.map(|(name, target_ms, priority, _)| Route {
+        let routes = ROUTES.map(|(name, target_ms, priority)| Route {
             target_ms,
             priority,
             max_attempts: 4,
@@ -141,19 +154,20 @@
     }
 
     /// Returns the requests per second that the engines can serve.
-    pub fn capacity(&self) -> f64 {
+    fn capacity(&self) -> f64 {
         (self.replay.engines * SLOTS as usize * 1_000) as f64 / WORK_MS[1] as f64
     }
 
     /// Replays all seconds.
-    pub fn run(mut self) -> Self {
+    pub fn run(mut self) -> Outcome {
         let start = self.now;
-        for ms in (0..(END_S as u64 + 3) * 1_000).step_by(STEP_MS as usize) {
+        let (first, last) = self.replay.burst_s;
+        for ms in (0..(self.replay.end_s + DRAIN_S) as u64 * 1_000).step_by(STEP_MS as usize) {
             self.now = start + ms;
             self.work();
             let second = (ms / 1_000) as usize;
-            let load = if BURST_S.contains(&second) { self.replay.load } else { CALM_LOAD };
-            if second < END_S {
+            let load = if (first..last).contains(&second) { self.replay.load } else { CALM_LOAD };
+            if second < self.replay.end_s {
                 self.arrivals(load * self.capacity() * STEP_MS as f64 / 1_000.0);
             }
             for mut record in std::mem::take(self.retries.entry(self.now).or_default()) {
@@ -172,14 +186,19 @@
                 self.exchange_reports();
             }
         }
-        self
+        Outcome {
+            records: self.records,
+            report_rows: self.report_rows,
+            sum_rows: self.sum_rows,
+            end_s: self.replay.end_s,
+        }
     }
 
     fn arrivals(&mut self, expected: f64) {
         let count = expected as usize + usize::from(self.random() < expected.fract());
         for _ in 0..count {
             let mut pick = self.random();
-            let route = ROUTES.iter().position(|(_, _, _, share)| {
+            let route = self.replay.shares.iter().position(|share| {
                 pick -= share;
                 pick < 0.0
             });
@@ -310,10 +329,12 @@
         self.reports[host] = self.hosts[host].digest(self.now);
         self.report_rows.push(self.reports[host].waiting.clone());
     }
+}
 
-    /// Returns the requests of each second by the time at which `time` says they were.
+impl Outcome {
+    /// Counts requests in each second by the time that `time` returns for them.
     pub fn per_second(&self, time: impl Fn(&Record) -> Option<Tick>) -> Vec<usize> {
-        let mut seconds = vec![0; END_S + 7];
+        let mut seconds = vec![0; self.end_s + DRAIN_S];
         for at in self.records.iter().filter_map(time) {
             seconds[at.since(super::support::START) as usize / 1_000] += 1;
         }
--- a/crates/fanout/tests/messages.rs
+++ b/crates/fanout/tests/messages.rs
@@ -1,7 +1,7 @@
 //! Decoding of messages between hosts: any bytes decode to a value or to `None`, without a panic.
 
 use proptest::prelude::*;
-use vanetally_dispatch::{Digest, LimitRow, LoadRow};
+use vanetally_dispatch::{Digest, LimitRow, LoadRow, WaitCounts, WaitRow};
 use vanetally_fanout::{Packed, Patch, Versions};
 use vanetally_link::peer::{decode, encode};
 use vanetally_pacing::{Prompt, SlotReply};
@@ -83,3 +83,17 @@
         decode_all(&bytes);
     }
 }
+
+/// A row of waiting requests stays small: hosts send them ten times a second for each busy model.
+#[test]
+fn waiting_row_size() {
+    let counts = WaitCounts { on_time: 900, due_soon: 800, late: 90, sent: 600, sent_late: 40 };
+    let row = WaitRow {
+        service: "llm-large-1".into(),
+        model: Some("vendor-model-70b-chat".into()),
+        rank: (1, 2),
+        counts,
+    };
+    let size = encode(&row).unwrap().len();
+    assert!(size <= 68, "{size} bytes");
+}
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -143,7 +143,7 @@
             context.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string),
             context.shortage.map_or(0, |shortage| shortage.holders),
             context.attempts,
-            forecast.map_or_else(|| "-".into(), |forecast| forecast.wait_ms.to_string()),
+            forecast.map_or_else(|| "-".into(), |forecast| forecast.turn_ms.to_string()),
             forecast.map_or(0, |forecast| forecast.ahead),
             forecast.map_or(0, |forecast| forecast.rate),
             context.was_held,
