--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -110,6 +110,8 @@
         grace_ms: 8_000,
         revoke_ms: None,
         prefix_affinity: false,
+        shared_queue: false,
+        slot_grants: false,
     };
     let mut dispatch = Dispatch::new(NOW, options);
     dispatch.handle(NOW, Event::Configured(configuration(model_count(runners))));
@@ -214,7 +216,7 @@
         bad: 0,
         limit: None,
     };
-    Digest { loads: (0..runners).map(row).collect(), demand: Vec::new() }
+    Digest { loads: (0..runners).map(row).collect(), demand: Vec::new(), waiting: Vec::new() }
 }
 
 /// Handling of a digest with the sum of the loads of all hosts.
@@ -232,7 +234,7 @@
             b.iter_batched(
                 next_digest,
                 |digest| {
-                    totals.record_sum(NOW, "front-2".into(), digest.loads.clone());
+                    totals.record_sum(NOW, "front-2".into(), digest.clone());
                     let event = Event::PeerDigest { host: "front-2".into(), digest };
                     black_box(dispatch.handle(NOW, event))
                 },
--- a/crates/bench/benches/upkeep.rs
+++ b/crates/bench/benches/upkeep.rs
@@ -37,6 +37,8 @@
         grace_ms: 8_000,
         revoke_ms: None,
         prefix_affinity: false,
+        shared_queue: false,
+        slot_grants: false,
     };
     let mut dispatch = Dispatch::new(NOW, options);
     for number in 0..upstreams {
@@ -56,7 +58,11 @@
         bad: 0,
         limit: None,
     };
-    Digest { loads: (first..first + REPORTED).map(row).collect(), demand: Vec::new() }
+    Digest {
+        loads: (first..first + REPORTED).map(row).collect(),
+        demand: Vec::new(),
+        waiting: Vec::new(),
+    }
 }
 
 fn bench_start(c: &mut Criterion) {
--- a/crates/dispatch/tests/prefix_affinity.rs
+++ b/crates/dispatch/tests/prefix_affinity.rs
@@ -158,7 +158,7 @@
         bad: 40,
         limit: None,
     };
-    let digest = Digest { loads: vec![row], demand: Vec::new() };
+    let digest = Digest { loads: vec![row], ..Digest::default() };
     host.handle(Event::PeerDigest { host: "front-3".into(), digest });
     host.advance(20);
     assert_eq!(host.dispatch.counts().suspects, 1);
@@ -180,7 +180,7 @@
         bad: 0,
         limit: None,
     };
-    let digest = Digest { loads: vec![row], demand: Vec::new() };
+    let digest = Digest { loads: vec![row], ..Digest::default() };
     host.handle(Event::PeerDigest { host: "front-2".into(), digest });
     let (next, place) = send(&mut host, "a", 7, 6_300);
     assert_ne!(next, home);
--- a/crates/dispatch/tests/support/fleet.rs
+++ b/crates/dispatch/tests/support/fleet.rs
@@ -402,7 +402,7 @@
             for row in own {
                 others.entry(row.upstream.clone()).and_modify(|known| subtract(known, row));
             }
-            let digest = Digest { loads: others.into_values().collect(), demand: Vec::new() };
+            let digest = Digest { loads: others.into_values().collect(), ..Digest::default() };
             self.handle(host, Event::PeerDigest { host: "others".into(), digest });
         }
     }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -27,6 +27,8 @@
         grace_ms: 8_000,
         revoke_ms: None,
         prefix_affinity: false,
+        shared_queue: false,
+        slot_grants: false,
     }
 }
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -169,6 +169,8 @@
             grace_ms: bounds.grace_ms,
             revoke_ms: bounds.revoke_ms,
             prefix_affinity: settings.scheduling.prefix_affinity,
+            shared_queue: settings.scheduling.shared_queue,
+            slot_grants: settings.scheduling.slot_grants,
         };
         let order_lease = OrderLeaseOptions {
             ttl_ms: ORDER_TTL_MS.max(settings.store.min_ttl_ms),
@@ -469,7 +471,7 @@
     }
     let subject = attempt.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string);
     log::info!(
-        "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} lacked={} deadline_ms={} \
+        "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} lacked={} held_ms={} deadline_ms={} \
          own_load={} peer_load={} unread_tokens={} ahead_ms={} place={} delay_ms={} limit={} version={}",
         attempt.request,
         attempt.route,
@@ -477,6 +479,7 @@
         attempt.number,
         attempt.waited_ms,
         attempt.shortage.map_or("-", ShortageKind::as_str),
+        attempt.held_ms,
         attempt.deadline_ms,
         attempt.own_load,
         attempt.peer_load,
