feat: the owner of a plain upstream grants its slots to the requests of all hosts

Cause: 70 hosts that decide from load reports 100 ms old send far more to upstreams with few slots than these take. Crate vanetally-slots has the owner (grants, queue by rank, lateness and deadline, learned limit, takeover from load reports) and the asking host's side; the dispatch asks for a slot before it sends a plain request if the setting slot_grants is on and the service has fewer slots than there are hosts; the gateway carries the messages to hosts that announce the capability.

--- a/crates/bench/benches/upkeep.rs
+++ b/crates/bench/benches/upkeep.rs
@@ -36,6 +36,7 @@
         retry_budget: RetryBudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 630.0 },
         grace_ms: 8_000,
         revoke_ms: None,
+        slot_grants: false,
     };
     let mut dispatch = Dispatch::new(NOW, options);
     for number in 0..upstreams {
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -16,6 +16,11 @@
 }
 
 impl Choice {
+    /// Returns the choice of a plain upstream whose slots are granted.
+    pub(crate) fn of_slot(upstream: Incarnation) -> Self {
+        Self { upstream, expected: ReadEstimate::default(), is_trial: false, limit: None }
+    }
+
     /// Returns the permit for a rate-limited upstream that the request does not use.
     pub(crate) fn unused_permit(&self) -> Option<Action> {
         let rate = self.granted_rate()?;
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -9,7 +9,7 @@
     upstream::Upstream,
 };
 use vanetally_ports::{EngineSpec, ModelRef};
-use vanetally_types::{Incarnation, Name, Tick, rendezvous_rank};
+use vanetally_types::{Incarnation, Name, Tick, hash64, rendezvous_rank};
 
 /// Data on which the choice depends, besides the request and the upstreams.
 pub(crate) struct ChoiceInput<'a> {
@@ -20,6 +20,10 @@
     pub service_pace: &'a ServicePace,
     /// Hosts that may send to the same upstreams.
     pub hosts: usize,
+    /// Whether owners grant the slots of the service.
+    pub grants_slots: bool,
+    /// Average time of complete answers of a plain service.
+    pub answer_ms: u64,
 }
 
 /// Cost of each running request at an engine.
@@ -32,6 +36,8 @@
 const LATE_FILL_RATIO: f64 = 0.75;
 /// Cost of an upstream in another failure domain, compared with load at a plain service.
 const DOMAIN_PENALTY_MS: f64 = 2.0;
+/// Range over which requests are spread among upstreams whose slots are granted.
+const SLOT_SPREAD_MS: f64 = 2.0 * DOMAIN_PENALTY_MS;
 /// Cost of one running request at a plain service, divided by its slots.
 const SERVICE_WORK_MS: f64 = 15.0;
 /// Assumed load from other hosts, as a share of what this host sends, and the maximum number of
@@ -93,7 +99,7 @@
 }
 
 /// Returns why an upstream that accepts new requests can't take this one, if so.
-fn shortage_of(
+pub(crate) fn shortage_of(
     input: &ChoiceInput<'_>,
     request: &Request,
     id: &Incarnation,
@@ -121,6 +127,13 @@
     let load = upstream.total(input.now);
     let slots = f64::from(upstream.state.slots);
     match input.engine {
+        None if input.grants_slots => {
+            let is_late = request.is_late_after(input.now, input.answer_ms);
+            upstream
+                .busy_slots
+                .is_busy(input.now, request.rank(), is_late)
+                .then_some(ShortageKind::Slot)
+        }
         None => is_saturated(input.now, upstream, load.running, slots * SERVICE_QUEUE_RATIO)
             .then_some(ShortageKind::Slot),
         Some(_) if load.running == 0 => None,
@@ -194,6 +207,11 @@
                 + f64::from(load.running) * RUNNING_REQUEST_MS;
             engine_ms * input.pace.slowness(id)
         }
+        // Load reports would send the requests of all hosts to the same upstream; owners know better.
+        None if input.grants_slots => {
+            let service_ms = SERVICE_WORK_MS * input.service_pace.slowness(input.now, id);
+            service_ms + slot_spread_ms(&request.head.id, id)
+        }
         None => {
             let slots = f64::from(upstream.state.slots);
             let service_ms = SERVICE_WORK_MS * (1.0 + f64::from(load.running) / slots);
@@ -209,9 +227,16 @@
     (cost, Choice { upstream: id.clone(), expected, is_trial: false, limit })
 }
 
+/// Returns a part of [`SLOT_SPREAD_MS`] that differs between requests and upstreams.
+fn slot_spread_ms(request: &Name, id: &Incarnation) -> f64 {
+    const PARTS: u64 = 1 << 16;
+    let key = [hash64(request.as_bytes()).to_le_bytes(), hash64(id.id.as_bytes()).to_le_bytes()];
+    (hash64(key.as_flattened()) % PARTS) as f64 / PARTS as f64 * SLOT_SPREAD_MS
+}
+
 /// Returns a fraction of a millisecond that spreads requests over equal choices.
 fn tie_break(request: &Request, id: &Incarnation) -> f64 {
-    let key = vanetally_types::hash64(request.head.id.as_bytes());
+    let key = hash64(request.head.id.as_bytes());
     let placeholder: Name = "~".into();
     let first = rendezvous_rank(key, [&id.id, &placeholder])[0];
     if *first == id.id { 0.0 } else { 0.5 }
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -84,6 +84,7 @@
             let upstream = attempt.upstream.clone();
             actions.extend(attempt.permit_rate.map(|rate| Action::ReturnPermit { upstream, rate }));
         }
+        actions.extend(attempt.slot_release(id, end));
         self.record_end(now, &request, &attempt, end);
         self.report_outcome(&request, &attempt, end, actions);
         self.update_quarantine(now, &request, &attempt, end, actions);
@@ -98,6 +99,8 @@
                 }
             }
             AttemptEnd::Broken => request.verdict = Verdict::MayHaveRun,
+            // Another upstream is asked for a slot first, so there is no need to wait.
+            AttemptEnd::Full if attempt.slot.is_some() && !request.is_exhausted() => {}
             AttemptEnd::Full | AttemptEnd::Absent | AttemptEnd::Replaced => {
                 request.not_before = now + RETRY_DELAY_MS;
             }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -6,6 +6,7 @@
 use vanetally_pacing::{Prompt, SlotReply};
 use vanetally_ports::{CallerRequest, Configuration, ModelRef, Origin, Refusal, UpstreamState};
 use vanetally_quarantine::{ContentHash, CrashReport, CrashSign, Quarantine};
+use vanetally_slots::{SlotAnswer, SlotEnd, SlotRequest};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Identifies a request within this process.
@@ -26,6 +27,8 @@
     /// How long a revoked key may still be used; `None` if hosts continue to serve with the last
     /// known configuration.
     pub revoke_ms: Option<u64>,
+    /// Whether owners grant the slots of plain upstreams that have fewer slots than there are hosts.
+    pub slot_grants: bool,
 }
 
 /// Whether a runner holds a model or an adapter, by report of the order holder.
@@ -169,6 +172,15 @@
         /// The grantor's answer.
         answer: PermitAnswer,
     },
+    /// The owner of an upstream's slots answered, or did not answer in time.
+    SlotAnswered {
+        /// The request.
+        id: RequestId,
+        /// Number of the reservation.
+        reservation: u32,
+        /// The owner's answer; `None` if it did not answer.
+        answer: Option<SlotAnswer>,
+    },
     /// The first piece of an answer was received: the first body frame of a stream, the head of any
     /// other answer.
     FirstPiece {
@@ -328,6 +340,24 @@
         /// Rate under which the permit was granted, in requests per second.
         rate: f64,
     },
+    /// Ask the owner of a plain upstream's slots for one.
+    AcquireSlot {
+        /// The request.
+        id: RequestId,
+        /// Number of the reservation.
+        reservation: u32,
+        /// The request for a slot.
+        request: SlotRequest,
+    },
+    /// Release a slot that was granted, or end the wait for it.
+    ReleaseSlot {
+        /// The request.
+        id: RequestId,
+        /// Number of the reservation.
+        reservation: u32,
+        /// How the use of the slot ended.
+        end: SlotEnd,
+    },
     /// Log that an upstream changed or ended its stated rate limit.
     LimitChanged {
         /// The upstream.
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -59,6 +59,8 @@
     pub(crate) stopping_since: Option<Tick>,
     pub(crate) demand: BTreeMap<(Name, ModelRef), Demand>,
     pub(crate) requested_models: HashMap<(Name, ModelRef), Tick>,
+    /// Releases of the slots of requests that ended during the current event.
+    pub(crate) slot_releases: Vec<Action>,
 }
 
 /// Demand since the last digest.
@@ -135,6 +137,7 @@
             stopping_since: None,
             demand: BTreeMap::new(),
             requested_models: HashMap::new(),
+            slot_releases: Vec::new(),
         }
     }
 
@@ -194,6 +197,9 @@
             Event::Reserved { id, reservation, slot } => {
                 self.reserved(now, id, reservation, slot, &mut actions);
             }
+            Event::SlotAnswered { id, reservation, answer } => {
+                self.slot_answered(now, (id, reservation), answer, &mut actions);
+            }
             Event::FirstPiece { id } => self.first_piece(now, id, &mut actions),
             Event::AttemptEnded { id, end, answered } => {
                 self.attempt_ended(now, id, end, answered, &mut actions);
@@ -206,6 +212,7 @@
             Event::Tick => self.expire(now, &mut actions),
         }
         self.send_waiting(now, &mut actions);
+        actions.append(&mut self.slot_releases);
         actions
     }
 
@@ -480,6 +487,7 @@
         let Some(request) = self.requests.remove(&id) else {
             return;
         };
+        self.release_slot(id, &request.stage);
         match &request.stage {
             Stage::Waiting => self.queue.remove(id, &request),
             Stage::Reserving(open) => self.release_load(&open.choice.upstream, open.load),
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -17,7 +17,7 @@
 pub(crate) enum Stage {
     /// Waits for an upstream.
     Waiting,
-    /// Waits for a permit or a pacer slot at the chosen upstream.
+    /// Waits for a permit, a pacer slot or a slot of a plain upstream at the chosen upstream.
     Reserving(Reservation),
     /// Was sent to an upstream.
     Sent(ActiveAttempt),
@@ -30,13 +30,15 @@
     }
 }
 
-/// An open request for a permit or a pacer slot.
+/// An open request for a permit, a pacer slot or a slot of a plain upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Reservation {
     pub reservation: u32,
     pub choice: Choice,
     /// Load that the request adds to the upstream.
     pub load: Load,
+    /// Whether it is for a slot of a plain upstream.
+    pub awaits_slot: bool,
 }
 
 /// An attempt that has not ended.
@@ -53,6 +55,8 @@
     pub is_trial: bool,
     /// Rate under which the permit was granted, if the upstream is rate-limited.
     pub permit_rate: Option<f64>,
+    /// Number of the reservation under which a slot of the upstream was granted.
+    pub slot: Option<u32>,
 }
 
 /// A request that has not ended.
@@ -81,6 +85,10 @@
     pub not_before: Tick,
     /// Result of the last unsuccessful choice of an upstream.
     pub shortage: Option<Shortage>,
+    /// Whether an owner had no slot for it within the time that it may wait.
+    pub is_slot_denied: bool,
+    /// Number of owners that did not answer its requests for a slot.
+    pub silent_owners: u32,
 }
 
 /// Minimum wait limit of a stream; the caller leaves after such a gap.
@@ -135,6 +143,8 @@
             verdict: Verdict::NotRun,
             not_before: now,
             shortage: None,
+            is_slot_denied: false,
+            silent_owners: 0,
         }
     }
 
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -44,7 +44,8 @@
         upstream.cooldown.record_send(now);
         request.reservations += 1;
         let reservation = request.reservations;
-        request.stage = Stage::Reserving(Reservation { reservation, choice, load });
+        request.stage =
+            Stage::Reserving(Reservation { reservation, choice, load, awaits_slot: false });
         Some(reservation)
     }
 
@@ -175,7 +176,7 @@
     }
 
     /// Closes the reservation if it is open, and queues the request again.
-    fn close_reservation(&mut self, id: RequestId, reservation: u32) -> Option<Choice> {
+    pub(crate) fn close_reservation(&mut self, id: RequestId, reservation: u32) -> Option<Choice> {
         let request = self.requests.get_mut(&id)?;
         if !matches!(&request.stage, Stage::Reserving(open) if open.reservation == reservation) {
             return None;
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -82,11 +82,18 @@
                 actions.extend(self.request_permit(now, id, choice));
             }
             Ok(choice) if self.is_engine(service) => actions.extend(self.reserve(now, id, choice)),
+            Ok(choice) if self.grants_slots(service) => {
+                actions.extend(self.acquire_slot(now, id, choice));
+            }
             Ok(choice) => actions.extend(self.send(now, id, choice, 0)),
             Err(shortage) => {
                 if let Some((cause, retry_ms)) = self.futile_wait(now, request, shortage) {
                     return self.refuse_at_once(id, shortage, cause, retry_ms, actions);
                 }
+                if self.grants_slots(service) {
+                    self.set_shortage(id, shortage);
+                    return self.await_slot(now, id, actions);
+                }
                 if request.tried.is_empty() {
                     shortages.insert(subject.clone(), shortage);
                 }
@@ -190,16 +197,7 @@
     }
 
     fn choose(&self, now: Tick, request: &Request) -> Result<Choice, Shortage> {
-        let services = self.configuration.as_ref().map(|c| &c.services);
-        let service = services.and_then(|services| services.get(&request.service));
-        let input = ChoiceInput {
-            now,
-            domain: &self.options.domain,
-            engine: service.and_then(|service| service.engine.as_ref()),
-            pace: &self.pace,
-            service_pace: &self.service_pace,
-            hosts: self.hosts,
-        };
+        let input = self.choice_input(now, &request.service);
         let (service, directory) = (&request.service, &self.directory);
         let Some(subject) = &request.head.model else {
             return choose(&input, request, self.known_upstreams(directory.upstreams_of(service)));
@@ -216,7 +214,29 @@
         })
     }
 
-    fn known_upstreams<'a>(
+    /// Returns the data on which the choice of an upstream of `service` depends.
+    pub(crate) fn choice_input(&self, now: Tick, service: &Name) -> ChoiceInput<'_> {
+        let services = self.configuration.as_ref().map(|c| &c.services);
+        let known = services.and_then(|services| services.get(service));
+        ChoiceInput {
+            now,
+            domain: &self.options.domain,
+            engine: known.and_then(|service| service.engine.as_ref()),
+            pace: &self.pace,
+            service_pace: &self.service_pace,
+            hosts: self.hosts,
+            grants_slots: self.grants_slots(service),
+            answer_ms: self.answer_ms(service),
+        }
+    }
+
+    fn set_shortage(&mut self, id: RequestId, shortage: Shortage) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.shortage = Some(shortage);
+        }
+    }
+
+    pub(crate) fn known_upstreams<'a>(
         &'a self,
         ids: impl Iterator<Item = &'a Incarnation>,
     ) -> impl Iterator<Item = (&'a Incarnation, &'a Upstream)> {
@@ -296,6 +316,7 @@
             has_begun: false,
             is_trial: choice.is_trial,
             permit_rate,
+            slot: None,
         });
         Some(Action::Send { id, attempt })
     }
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -1,6 +1,9 @@
 //! Known state of one upstream.
 
-use crate::{Health, LoadRow, Presence, choice::Choice, cold_start::ColdState, cooldown::Cooldown};
+use crate::{
+    Health, LoadRow, Presence, choice::Choice, cold_start::ColdState, cooldown::Cooldown,
+    slots::BusySlots,
+};
 use std::collections::{BTreeMap, HashMap};
 use vanetally_limit::KnownLimit;
 use vanetally_pacing::{Prefix, PrefixCache};
@@ -58,6 +61,8 @@
     pub cooldown: Cooldown,
     /// The engine's pacer has no slot for this host before this time.
     pub paced_until: Tick,
+    /// What the owner of the upstream's slots said last, if no slot was free.
+    pub busy_slots: BusySlots,
     /// Another incarnation answers at the upstream's address: it has ended, whatever its
     /// announcement says.
     pub is_replaced: bool,
@@ -98,6 +103,7 @@
             limited_until: Tick(0),
             cooldown: Cooldown::default(),
             paced_until: Tick(0),
+            busy_slots: BusySlots::default(),
             is_replaced: false,
             is_unreadable: false,
             is_evacuated: false,
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -26,6 +26,7 @@
         retry_budget: RetryBudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 30.0 },
         grace_ms: 8_000,
         revoke_ms: None,
+        slot_grants: false,
     }
 }
 
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -33,7 +33,10 @@
             .filter(|host| !old.contains_key(*host))
             .for_each(|host| self.send_state_to_new(host));
         let gone = old.into_keys().filter(|host| !hosts.contains_key(host));
-        gone.for_each(|host| self.request_event(dispatch::Event::PeerGone { host }));
+        gone.for_each(|host| {
+            self.slot_host_gone(&host);
+            self.request_event(dispatch::Event::PeerGone { host });
+        });
         // What else was read with the list, such as the holder of the order lease, is judged by it.
         self.derive_from_peers();
     }
@@ -100,6 +103,7 @@
         log::log!(self.relayed_log_level(), "event=host_gone host={host}");
         self.lapsed.borrow_mut().remove(host);
         self.peers.borrow_mut().remove(host);
+        self.slot_host_gone(host);
         self.request_event(dispatch::Event::PeerGone { host: host.clone() });
         self.peer_updates.borrow_mut().request();
     }
@@ -117,7 +121,10 @@
         let hosts = self.peers.borrow().len().max(1);
         self.source_event(SourceEvent::Candidates(candidates.clone()));
         self.order_lease.borrow_mut().set_rank(self.order_rank(&candidates));
-        self.pacing.borrow_mut().set_hosts(self.capacities());
+        self.pacing.borrow_mut().set_hosts(self.capacities(|_| true));
+        let grants_slots =
+            |entry: &HostEntry| entry.capabilities.includes(Capabilities::SLOT_GRANTS);
+        self.slots.borrow_mut().set_hosts(self.capacities(grants_slots));
         let now = self.clock.now();
         self.quotas.borrow_mut().client.set_hosts(now, hosts);
         self.limits.borrow_mut().contact.set_hosts(now, hosts);
@@ -131,10 +138,11 @@
         vanetally_fanout::holder_rank(key, &self.settings.host, candidates, &aggregators)
     }
 
-    /// The live hosts, this one included, with their CPU shares.
-    fn capacities(&self) -> Vec<(Name, u32)> {
+    /// The live hosts for which `is_wanted` holds, and this one, with their CPU shares.
+    fn capacities(&self, is_wanted: impl Fn(&HostEntry) -> bool) -> Vec<(Name, u32)> {
         let peers = self.peers.borrow();
         let others = peers.iter().filter(|(host, _)| **host != self.settings.host);
+        let others = others.filter(|(_, entry)| is_wanted(entry));
         let own = (self.settings.host.clone(), self.settings.capacity);
         others.map(|(host, entry)| (host.clone(), entry.capacity)).chain([own]).collect()
     }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -12,6 +12,7 @@
     quarantine::{Probes, Suspect},
     quotas::Quotas,
     settings::Settings,
+    slots::Slots,
     store::Store,
     telemetry,
 };
@@ -119,6 +120,7 @@
     /// The aggregator whose load totals this host uses; `None` if it is an aggregator itself.
     pub load_aggregator: RefCell<Option<Name>>,
     pub pacing: RefCell<Pacing>,
+    pub slots: RefCell<Slots>,
     pub source_selector: RefCell<SourceSelector>,
     /// This host's search for an entry point of its domain.
     pub entry_search: Cell<EntrySearch>,
@@ -168,6 +170,7 @@
             },
             grace_ms: bounds.grace_ms,
             revoke_ms: bounds.revoke_ms,
+            slot_grants: settings.scheduling.slot_grants,
         };
         let order_lease = OrderLeaseOptions {
             ttl_ms: ORDER_TTL_MS.max(settings.store.min_ttl_ms),
@@ -202,6 +205,7 @@
             source: watch::Sender::new(Source::Searching),
             load_aggregator: RefCell::new(None),
             pacing: RefCell::new(Pacing::new(settings.host.clone())),
+            slots: RefCell::new(Slots::new(settings.host.clone(), rand::random())),
             source_selector: RefCell::new(SourceSelector::new(
                 clock.now(),
                 settings.host.clone(),
@@ -295,6 +299,12 @@
                 dispatch::Action::ReturnPermit { upstream, rate } => {
                     self.return_permit(upstream, rate);
                 }
+                dispatch::Action::AcquireSlot { id, reservation, request } => {
+                    self.acquire_slot(id, reservation, request);
+                }
+                dispatch::Action::ReleaseSlot { id, reservation, end } => {
+                    self.release_slot(id, reservation, end);
+                }
                 dispatch::Action::LimitChanged { upstream, change, reported_by } => {
                     record_limit(&upstream, change, reported_by.as_ref());
                 }
@@ -397,6 +407,7 @@
         self.leaving_upstreams.borrow_mut().remove(&id);
         self.pacing.borrow_mut().forget(&id);
         self.limits.borrow_mut().forget(&id);
+        self.forget_slots(&id);
         self.placement_event(placement::Event::UpstreamGone { id: id.clone() });
         self.request_event(dispatch::Event::UpstreamEnded { id });
     }
@@ -405,6 +416,7 @@
     pub(crate) fn upstream_gone(self: &Rc<Self>, id: Incarnation) {
         self.pacing.borrow_mut().forget(&id);
         self.limits.borrow_mut().forget(&id);
+        self.forget_slots(&id);
         self.placement_event(placement::Event::UpstreamGone { id: id.clone() });
         self.request_event(dispatch::Event::UpstreamGone { id });
     }
@@ -413,6 +425,7 @@
     pub(crate) fn tick(self: &Rc<Self>) {
         self.update_peers();
         self.decide_unanswered();
+        self.tick_slots();
         self.update_granting();
         self.send_follows();
         if !self.has_reported_store.get() && self.store.contact().has_answered() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod run;
 mod sending;
 mod settings;
+mod slots;
 mod sources;
 mod statements;
 mod status;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -78,6 +78,15 @@
             PeerMessage::ReturnPermit { upstream, rate } => {
                 self.limits.borrow_mut().grantor.return_permit(&upstream, rate);
             }
+            PeerMessage::AcquireSlot { number, request } => {
+                self.grant_slot(from, number, &request);
+            }
+            PeerMessage::SlotAnswered { number, upstream, answer } => {
+                self.slot_answered(from, number, upstream, answer);
+            }
+            PeerMessage::ReleaseSlot { number, upstream, end } => {
+                self.slot_released(from, number, &upstream, end);
+            }
             PeerMessage::FollowsGrantor => self.record_client(from),
             PeerMessage::LegacyCrashReport { content_hash, upstream } => {
                 let sign = CrashSign::Ended;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,6 +19,7 @@
 use vanetally_ports::{Change, Item, Revision};
 use vanetally_quarantine::{ContentHash, CrashReport, Quarantine};
 use vanetally_quota::QuotaAnswer;
+use vanetally_slots::{SlotAnswer, SlotEnd, SlotRequest};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Prefix of all keys of the product.
@@ -55,6 +56,11 @@
         if scheduling.slot_grants { Self::SLOT_GRANTS } else { Self::default() }
     }
 
+    /// Whether this set includes all of `others`.
+    pub(crate) fn includes(self, others: Self) -> bool {
+        self.0 & others.0 == others.0
+    }
+
     fn is_none(&self) -> bool {
         self.0 == 0
     }
@@ -230,6 +236,40 @@
         /// The rate at which it was granted, in requests per second.
         rate: f64,
     },
+    /// To the owner of a plain upstream's slots: requests one.
+    AcquireSlot {
+        /// The number of this query.
+        #[serde(rename = "n")]
+        number: u64,
+        /// The request for a slot.
+        #[serde(rename = "q")]
+        request: SlotRequest,
+    },
+    /// From the owner of a plain upstream's slots: the answer to [`Self::AcquireSlot`]. Another one follows if the
+    /// request waits.
+    SlotAnswered {
+        /// The number of the query.
+        #[serde(rename = "n")]
+        number: u64,
+        /// The upstream's incarnation, so that a grant that arrives too late can be released.
+        #[serde(rename = "u")]
+        upstream: Incarnation,
+        /// The answer.
+        #[serde(rename = "a")]
+        answer: SlotAnswer,
+    },
+    /// To the owner of a plain upstream's slots: releases one, or ends the wait for it.
+    ReleaseSlot {
+        /// The number of the query.
+        #[serde(rename = "n")]
+        number: u64,
+        /// The upstream's incarnation.
+        #[serde(rename = "u")]
+        upstream: Incarnation,
+        /// How the use of the slot ended.
+        #[serde(rename = "e", default, skip_serializing_if = "SlotEnd::is_used")]
+        end: SlotEnd,
+    },
     /// To the last grantor, while the store is unreachable: the sender asks it and no other host.
     #[serde(rename = "Follows")]
     FollowsGrantor,
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -8,6 +8,7 @@
 use vanetally_link::peer::Traffic;
 use vanetally_ports::{AnnouncementError, Era, OrderOutcome, RefusalCause};
 use vanetally_quarantine::CrashSign;
+use vanetally_slots::SlotAnswer;
 
 /// Bucket bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 14] =
@@ -93,6 +94,22 @@
     counter!("vanetally_permits_total", "answer" => answer.as_str()).increment(1);
 }
 
+/// Counts an answer of this host as the owner of an upstream's slots.
+pub(crate) fn slot_answered(answer: SlotAnswer) {
+    counter!("vanetally_slot_answers_total", "answer" => answer.as_str()).increment(1);
+}
+
+/// Counts a request for a slot that its owner did not answer.
+pub(crate) fn slot_owner_silent() {
+    counter!("vanetally_slot_requests_unanswered_total").increment(1);
+}
+
+/// Sets the open grants and the waiting requests of the upstreams of which this host is the owner.
+pub(crate) fn set_slot_gauges(granted: usize, waiting: usize) {
+    gauge!("vanetally_slots_granted").set(granted as f64);
+    gauge!("vanetally_slots_waiting").set(waiting as f64);
+}
+
 /// Counts an unreadable announcement.
 pub(crate) fn announcement_unreadable(error: &AnnouncementError) {
     counter!("vanetally_announcements_unreadable_total", "reason" => error.as_str()).increment(1);
