feat: specification, process test and notes of slot grants

Cause: nothing showed that slots are granted once and none stays lost, nor that the messages work between processes. A process test found a RefCell borrowed twice in the gateway (mended here); the specification found that a release which overtakes its request was forgotten by an owner without state (mended here).

--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -17,5 +17,7 @@
 /// Memory of a runner: two leaders, lost and late orders.
 pub mod runner;
 mod search;
+/// Slots of a plain upstream: an owner and its successor, two hosts, lost, doubled and late messages.
+pub mod slots;
 
 pub use search::{Outcome, State, Steps, search, walk};
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -68,9 +68,11 @@
     pub(crate) fn grant_slot(self: &Rc<Self>, host: &Name, number: u64, request: &SlotRequest) {
         let now = self.clock.now();
         let reported = self.dispatch.borrow().running(now, &request.upstream);
-        let owner = &mut self.slots.borrow_mut().owner;
-        let replies = owner.acquire(now, (host, number), request, reported);
-        self.spawn_replies(replies);
+        let replies = {
+            let owner = &mut self.slots.borrow_mut().owner;
+            owner.acquire(now, (host, number), request, reported)
+        };
+        self.send_replies(replies);
     }
 
     /// Releases the slot of a request, or ends the wait for it.
@@ -104,11 +106,11 @@
     ) {
         let now = self.clock.now();
         let replies = self.slots.borrow_mut().owner.release(now, (host, number), upstream, end);
-        self.spawn_replies(replies);
+        self.send_replies(replies);
     }
 
     /// Sends the answers of this host as the owner. Its own requests get them as well.
-    fn spawn_replies(self: &Rc<Self>, replies: Vec<Reply>) {
+    fn send_replies(self: &Rc<Self>, replies: Vec<Reply>) {
         self.log_slot_changes();
         for Reply { host, number, upstream, answer } in replies {
             telemetry::slot_answered(answer);
@@ -148,7 +150,7 @@
             let reported = |upstream: &Incarnation| dispatch.running(now, upstream);
             self.slots.borrow_mut().owner.tick(now, reported)
         };
-        self.spawn_replies(replies);
+        self.send_replies(replies);
         let Overdue { unanswered, repeats } = self.slots.borrow_mut().client.take_overdue(now);
         for Repeat { owner, number, request } in repeats {
             self.send_slot_request(&owner, number, request);
@@ -182,14 +184,14 @@
             let Slots { owner, client, .. } = &mut *self.slots.borrow_mut();
             (owner.host_gone(now, host), client.owner_gone(now, host))
         };
-        self.spawn_replies(replies);
+        self.send_replies(replies);
         waiting.into_iter().for_each(|closed| self.decide_without_owner(closed.key));
     }
 
     /// Removes an upstream.
     pub(crate) fn forget_slots(self: &Rc<Self>, upstream: &Incarnation) {
         let replies = self.slots.borrow_mut().owner.forget(upstream);
-        self.spawn_replies(replies);
+        self.send_replies(replies);
     }
 
     fn decide_without_owner(self: &Rc<Self>, (id, reservation): Key) {
@@ -197,7 +199,8 @@
     }
 
     fn log_slot_changes(&self) {
-        for (upstream, change) in self.slots.borrow_mut().owner.take_changes() {
+        let changes = self.slots.borrow_mut().owner.take_changes();
+        for (upstream, change) in changes {
             match change {
                 Change::TakenOver { running } => {
                     log::info!("event=slots_taken_over upstream={upstream} running={running}");
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -90,9 +90,8 @@
         upstream: &Incarnation,
         end: SlotEnd,
     ) -> Vec<Reply> {
-        let Some(owned) = self.upstreams.get_mut(upstream) else {
-            return Vec::new();
-        };
+        let owned = self.upstreams.entry(upstream.clone());
+        let owned = owned.or_insert_with(OwnedUpstream::unrequested);
         let was_lowered = owned.lowered_limit().is_some();
         let answers = owned.release(now, (host.clone(), number), end, self.guards);
         if let Some(limit) = owned.lowered_limit().filter(|_| !was_lowered) {
--- a/crates/slots/src/upstream.rs
+++ b/crates/slots/src/upstream.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// An upstream of which only the end of a grant is known: the request for it may yet arrive.
+    pub(crate) fn unrequested() -> Self {
+        Self::new(Tick(0), 0, 0)
+    }
+
     /// Returns the requests at the upstream, as far as this owner knows.
     pub(crate) fn taken(&self) -> u32 {
         self.grants.len() as u32 + self.inherited.count()
@@ -92,7 +97,7 @@
 
     /// Whether the state can be dropped.
     pub(crate) fn is_idle(&self, now: Tick) -> bool {
-        let is_unused = self.grants.is_empty() && self.line.is_empty();
+        let is_unused = self.grants.is_empty() && self.line.is_empty() && self.ended.is_empty();
         is_unused && now.since(self.requested_at) > IDLE_MS
     }
 
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -158,6 +158,18 @@
         self.spawn_with(name, ip, &settings(name, ip, store))
     }
 
+    /// Starts `count` hosts with these scheduling settings and waits until they are ready.
+    pub fn scheduled_hosts(&self, count: usize, scheduling: &Value) -> Vec<Host> {
+        let hosts = (0..count).map(|number| {
+            let (name, ip) = (format!("front-{number}"), fresh_ip());
+            let machine = settings(&name, &ip, self.store.address());
+            self.spawn_with(&name, &ip, &json!({ "scheduling": scheduling, "machine": machine }))
+        });
+        let hosts: Vec<Host> = hosts.collect();
+        hosts.iter().for_each(|host| wait_for("the host is ready", || host.is_ready()));
+        hosts
+    }
+
     /// Starts a host at `ip` of another build of the program.
     pub fn spawn_build(&self, program: &Path, name: &str, ip: &str, store: SocketAddr) -> Host {
         self.spawn_program(program, name, ip, &settings(name, ip, store), &[])
