--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -6,6 +6,7 @@
 use vanetally_pacing::{Prompt, SlotReply};
 use vanetally_ports::{CallerRequest, Configuration, ModelRef, Origin, Refusal, UpstreamState};
 use vanetally_quarantine::{ContentHash, CrashReport, CrashSign, Quarantine};
+use vanetally_slots::{SlotAnswer, SlotEnd, SlotRequest};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Identifies a request within this process.
@@ -31,7 +32,7 @@
     pub prefix_affinity: bool,
     /// Whether waiting requests are ordered, and their wait is forecast, over all hosts.
     pub shared_queue: bool,
-    /// Whether one host grants the slots of each plain upstream with few slots.
+    /// Whether owners grant the slots of plain upstreams that have fewer slots than there are hosts.
     pub slot_grants: bool,
 }
 
@@ -187,6 +188,15 @@
         /// The grantor's answer.
         answer: PermitAnswer,
     },
+    /// The owner of an upstream's slots answered, or did not answer in time.
+    SlotAnswered {
+        /// The request.
+        id: RequestId,
+        /// Number of the reservation.
+        reservation: u32,
+        /// The owner's answer; `None` if it did not answer.
+        answer: Option<SlotAnswer>,
+    },
     /// The first piece of an answer was received: the first body frame of a stream, the head of any
     /// other answer.
     FirstPiece {
@@ -351,6 +361,24 @@
         /// Rate under which the permit was granted, in requests per second.
         rate: f64,
     },
+    /// Ask the owner of a plain upstream's slots for one.
+    AcquireSlot {
+        /// The request.
+        id: RequestId,
+        /// Number of the reservation.
+        reservation: u32,
+        /// The request for a slot.
+        request: SlotRequest,
+    },
+    /// Release a slot that was granted, or end the wait for it.
+    ReleaseSlot {
+        /// The request.
+        id: RequestId,
+        /// Number of the reservation.
+        reservation: u32,
+        /// How the use of the slot ended.
+        end: SlotEnd,
+    },
     /// Log that an upstream changed or ended its stated rate limit.
     LimitChanged {
         /// The upstream.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -35,6 +35,7 @@
 mod service_pace;
 mod shared_queue;
 mod shortage;
+mod slots;
 mod upstream;
 
 pub use access::QuotaTerms;
--- a/crates/dispatch/src/shared_queue.rs
+++ b/crates/dispatch/src/shared_queue.rs
@@ -248,22 +248,12 @@
     pub(crate) fn shares_queue(&self, now: Tick, service: &Name) -> bool {
         self.options.shared_queue
             && self.shared_queue.has_reports(now)
-            && !(self.options.slot_grants && self.has_few_slots(service))
-    }
-
-    /// Whether a plain service has fewer slots than there are hosts.
-    fn has_few_slots(&self, service: &Name) -> bool {
-        if self.is_engine(service) {
-            return false;
-        }
-        let upstreams = self.directory.upstreams_of(service);
-        let slots = upstreams.filter_map(|id| self.upstreams.get(id)).map(|u| u.state.slots);
-        (slots.sum::<u32>() as usize) < self.hosts
+            && !self.grants_slots(service)
     }
 
     /// Returns the expected time from sending a request to its answer, or to the first piece of a
     /// stream.
-    fn answer_ms(&self, request: &Request) -> u64 {
+    fn expected_answer_ms(&self, request: &Request) -> u64 {
         if !self.is_engine(&request.service) {
             let times = self.answer_times.get(&request.service);
             return (times.map_or(0, |times| times.mean_ms()) as f64 * ANSWER_MARGIN) as u64;
@@ -276,7 +266,7 @@
 
     /// Returns the latest time at which a request can be sent to be on time.
     fn send_by(&self, request: &Request) -> Tick {
-        request.arrived + request.route.target_ms.saturating_sub(self.answer_ms(request))
+        request.arrived + request.route.target_ms.saturating_sub(self.expected_answer_ms(request))
     }
 
     fn place(&self, now: Tick, request: &Request) -> Place {
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -267,7 +267,7 @@
             let asker = Asker { host: host.clone(), number };
             let answer = self.grant(SpendRequest { asker, organisation, cost, rank, wait_ms });
             self.spent(host, number, answer);
-            self.send_replies();
+            self.send_quota_replies();
         } else {
             self.send(host, &PeerMessage::Spend { number, organisation, cost, rank, wait_ms });
         }
@@ -290,7 +290,7 @@
         let wait_ms = wait.map_or(0, |wait| wait.until.since(now));
         let capabilities = self.peers.borrow().get(host).map(|entry| entry.capabilities);
         let can_cancel = *host == self.settings.host
-            || capabilities.is_some_and(|known| known.contains(Capabilities::QUOTA_WAIT));
+            || capabilities.is_some_and(|known| known.includes(Capabilities::QUOTA_WAIT));
         let (grantor, organisation) = (host.clone(), organisation.clone());
         let query = SpendQuery { grantor, organisation, cost, wait_ms, can_cancel };
         let quotas = &mut self.quotas.borrow_mut();
@@ -314,18 +314,18 @@
         let Asker { host, number } = request.asker.clone();
         let answer = self.grant(request);
         self.send(&host, &PeerMessage::Spent { number, answer });
-        self.send_replies();
+        self.send_quota_replies();
     }
 
     /// Answers the requests that wait at this host, the grantor, and whose turn or end has come.
     pub(crate) fn serve_quota(&self) {
         let now = self.clock.now();
         self.quotas.borrow_mut().grantor.serve(now);
-        self.send_replies();
+        self.send_quota_replies();
     }
 
     /// Sends the answers to requests that have waited.
-    fn send_replies(&self) {
+    fn send_quota_replies(&self) {
         let replies = self.quotas.borrow_mut().grantor.take_replies();
         for Reply { to: Asker { host, number }, answer } in replies {
             match host == self.settings.host {
