fix: a lowered slot limit rises sooner; unreachable upstreams are waited for; takeovers are logged once

Causes: a rejection lowered the limit for seconds even after a short shortage, such as a change of the owner; a request whose only upstream could not be reached was refused at once; slots_taken_over was logged at each request for a second (7 lines in 0.8 s seen in the process test). The limit rises by one after 250 ms, after up to 2 s while each rise brings a rejection (limit.rs: 3 to 8 rejections in 10 s of a lasting shortage). Upstreams that could not be reached do not cause refusals any more (slot_releases.rs).

--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -263,7 +263,10 @@
                 Some(ShortageKind::Slot) => {
                     upstream.busy_slots.wait(now, self.urgency(now, request))
                 }
-                Some(ShortageKind::TurnedAway) => Some((upstream.full_until.since(now), true)),
+                // An upstream that could not be reached may be back at any time.
+                Some(ShortageKind::TurnedAway) => {
+                    Some((upstream.full_until.since(now), upstream.consecutive_rejections > 0))
+                }
                 Some(_) => None,
             };
             let Some(((wait_ms, is_recent), kind)) = wait.zip(kind) else {
--- a/crates/dispatch/tests/slot_releases.rs
+++ b/crates/dispatch/tests/slot_releases.rs
@@ -187,3 +187,15 @@
     assert_eq!(sent(&actions, ID).len(), 1);
     assert!(released(&host.end(AttemptEnd::Served)).is_empty());
 }
+
+/// Guards against requests that are refused because the only upstream could not be reached just now.
+#[test]
+fn waits_for_unreachable_upstream() {
+    let mut host = Host::new(true, 70, 1);
+    host.arrive();
+    host.answer(1, Some(SlotAnswer::Granted));
+    let actions = host.end(AttemptEnd::Unreachable);
+    assert!(refusal(&actions, ID).is_none() && asked(&actions).is_empty(), "{actions:?}");
+    host.now = START + 260;
+    assert_eq!(asked(&host.handle(Event::Tick)).len(), 1);
+}
--- a/crates/slots/src/limit.rs
+++ b/crates/slots/src/limit.rs
@@ -9,19 +9,37 @@
     current: u32,
     /// When the bound is next raised.
     raise_at: Tick,
+    /// Milliseconds between two raises.
+    interval_ms: u64,
+    /// When the bound was last lowered.
+    lowered_at: Tick,
+    /// Whether the bound was raised since then.
+    was_raised: bool,
 }
 
 /// Grants beyond the slots, as one divided by their share of the slots: the upstream would idle
 /// while a release is in transit.
 const SPARE_DIVISOR: u32 = 4;
-/// Interval at which a lowered bound is raised by one. One rejection in this time is few compared
-/// with what the upstream answers.
-const RAISE_MS: u64 = 1_000;
+/// First interval at which a lowered bound is raised by one: most shortages are over soon, such as
+/// those after a change of the owner.
+const MIN_INTERVAL_MS: u64 = 250;
+/// The interval doubles up to this one while each raise is followed by a rejection, so that these
+/// are few compared with what the upstream answers.
+const MAX_INTERVAL_MS: u64 = 2_000;
+/// Time without rejections after which the first interval is used again.
+const CALM_MS: u64 = 5_000;
 
 impl Limit {
     pub(crate) fn new(slots: u32) -> Self {
         let capacity = capacity(slots);
-        Self { capacity, current: capacity, raise_at: Tick(0) }
+        Self {
+            capacity,
+            current: capacity,
+            raise_at: Tick(0),
+            interval_ms: MIN_INTERVAL_MS,
+            lowered_at: Tick(0),
+            was_raised: false,
+        }
     }
 
     /// Returns the bound.
@@ -44,15 +62,23 @@
 
     /// Records that the upstream rejected one of `taken` requests as full.
     pub(crate) fn lower(&mut self, now: Tick, taken: u32) {
+        if now.since(self.lowered_at) > CALM_MS {
+            self.interval_ms = MIN_INTERVAL_MS;
+        } else if self.was_raised {
+            self.interval_ms = (self.interval_ms * 2).min(MAX_INTERVAL_MS);
+        }
         self.current = self.current.min(taken).saturating_sub(1).max(1);
-        self.raise_at = now + RAISE_MS;
+        self.was_raised = false;
+        self.lowered_at = now;
+        self.raise_at = now + self.interval_ms;
     }
 
     /// Raises a lowered bound if it is time.
     pub(crate) fn raise(&mut self, now: Tick) {
         if self.is_lowered() && now >= self.raise_at {
             self.current += 1;
-            self.raise_at = now + RAISE_MS;
+            self.was_raised = true;
+            self.raise_at = now + self.interval_ms;
         }
     }
 }
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -63,13 +63,9 @@
         let guards = self.guards;
         let reported = if guards.inherited { reported } else { 0 };
         let id = &request.upstream;
-        let upstream = self
-            .upstreams
-            .entry(id.clone())
-            .or_insert_with(|| OwnedUpstream::new(now, request.slots, reported));
-        let is_new = upstream.granted() == 0 && upstream.waiting() == 0;
-        upstream.record_request(now, request.slots, reported);
-        if is_new && upstream.inherited() > 0 {
+        let upstream =
+            self.upstreams.entry(id.clone()).or_insert_with(|| OwnedUpstream::new(request.slots));
+        if upstream.record_request(now, request.slots, reported) {
             let running = upstream.inherited();
             self.changes.push((id.clone(), Change::TakenOver { running }));
         }
@@ -90,8 +86,9 @@
         upstream: &Incarnation,
         end: SlotEnd,
     ) -> Vec<Reply> {
+        // The request for the slot may yet arrive.
         let owned = self.upstreams.entry(upstream.clone());
-        let owned = owned.or_insert_with(OwnedUpstream::unrequested);
+        let owned = owned.or_insert_with(|| OwnedUpstream::new(0));
         let was_lowered = owned.lowered_limit().is_some();
         let answers = owned.release(now, (host.clone(), number), end, self.guards);
         if let Some(limit) = owned.lowered_limit().filter(|_| !was_lowered) {
--- a/crates/slots/src/upstream.rs
+++ b/crates/slots/src/upstream.rs
@@ -51,25 +51,20 @@
 const MIN_RETRY_MS: u32 = 5;
 
 impl OwnedUpstream {
-    /// Takes over an upstream that runs `reported` requests.
-    pub(crate) fn new(now: Tick, slots: u32, reported: u32) -> Self {
+    /// An upstream for which no slot was requested here.
+    pub(crate) fn new(slots: u32) -> Self {
         Self {
             limit: Limit::new(slots),
             grants: BTreeMap::new(),
             line: Line::default(),
             hold_time: HoldTime::default(),
             shares: Shares::default(),
-            inherited: Inherited::new(now, reported, 0),
+            inherited: Inherited::default(),
             ended: VecDeque::new(),
-            requested_at: now,
+            requested_at: Tick(0),
         }
     }
 
-    /// An upstream of which only the end of a grant is known: the request for it may yet arrive.
-    pub(crate) fn unrequested() -> Self {
-        Self::new(Tick(0), 0, 0)
-    }
-
     /// Returns the requests at the upstream, as far as this owner knows.
     pub(crate) fn taken(&self) -> u32 {
         self.grants.len() as u32 + self.inherited.count()
@@ -177,12 +172,15 @@
     }
 
     /// Updates the announced slots, and what other owners may have granted since the last request.
-    pub(crate) fn record_request(&mut self, now: Tick, slots: u32, reported: u32) {
+    /// Returns whether requests of other owners were found.
+    pub(crate) fn record_request(&mut self, now: Tick, slots: u32, reported: u32) -> bool {
         self.limit.set_slots(slots);
-        if now.since(self.requested_at) > ABSENCE_MS {
+        let was_absent = now.since(self.requested_at) > ABSENCE_MS;
+        if was_absent {
             self.inherited = Inherited::new(now, reported, self.grants.len() as u32);
         }
         self.requested_at = now;
+        was_absent && self.inherited.count() > 0
     }
 
     /// Ends a grant, or the wait for one.
--- a/crates/slots/tests/limit.rs
+++ b/crates/slots/tests/limit.rs
@@ -48,3 +48,27 @@
     release(&mut owner, START, 2, SlotEnd::Used);
     assert_eq!(limit(&mut owner, START), GRANTED);
 }
+
+/// An upstream takes one request less than is granted, for long. Guards against a rejection at each
+/// of many attempts to find out.
+#[test]
+fn lasting_shortage() {
+    let mut owner = full_owner(START);
+    release(&mut owner, START, 0, SlotEnd::Full);
+    let mut rejections = 0;
+    for step in 1..=200 {
+        let now = START + 50 * step;
+        if let SlotAnswer::Granted =
+            ask(&mut owner, now, 1_000_000 + step, &SlotRequest { wait_ms: 0, ..request() })
+        {
+            release(&mut owner, now, 1_000_000 + step, SlotEnd::Full);
+            rejections += 1;
+        }
+        // The other two are answered and replaced by others all the time.
+        for number in [1, 2] {
+            release(&mut owner, now, number + 10 * (step - 1), SlotEnd::Used);
+            ask(&mut owner, now, number + 10 * step, &request());
+        }
+    }
+    assert!((3..=8).contains(&rejections), "{rejections} in 10 s");
+}
