refactor: the search for an entry point is a state machine

Cause: the steps of a starting host's search stand in an async function of the gateway, so that a start can't be counted in memory. Change: vanetally_fanout::EntrySearch returns the steps, the gateway carries them out. Behaviour is the same. Tests of vanetally-fanout and vanetally-gateway pass.

--- a/crates/gateway/src/entry_point.rs
+++ b/crates/gateway/src/entry_point.rs
@@ -4,127 +4,149 @@
 //! hosts that start together listed all n, the store would send n times n keys. So the hosts of a failure
 //! domain share a few keys, by their names; the first host of each key writes itself into it, and the others read it.
 
-use crate::{hub::Hub, peers::HostEntry, sources};
+use crate::{
+    hub::Hub,
+    peers::HostEntry,
+    settings::Settings,
+    sources,
+    store::{Error, Snapshot},
+};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use std::{rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 use tokio::time::{sleep, timeout};
-use vanetally_fanout::{Event, MAX_LEASE_WAIT_MS, entry_delay_ms, entry_key};
+use vanetally_fanout::{
+    EntryEnd, EntryPoint, EntryResult, EntrySearch, EntryStep, Event, entry_key,
+};
 use vanetally_ports::{
     Expectation, Freshness, Item, LeaseId, Revision, StoreAnswer, Transaction, Write,
 };
 use vanetally_types::Name;
 
-/// Prefix of the keys; the rest of a key is the failure domain.
+/// Prefix of the keys; the rest of a key is the failure domain and the number of the key.
 const ENTRY_PREFIX: &str = "vanetally/entries/";
-/// Failed attempts in a row after which a host lists all hosts instead.
-const MAX_FAILURES: u32 = 5;
 
 /// The value of an entry key.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct EntryPoint {
+struct EntryValue {
     host: Name,
     entry: HostEntry,
 }
 
-/// What a starting host knows of its entry key.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct EntrySearch {
-    /// Revision of the key whose host this one has turned to.
-    tried: Option<Revision>,
-    /// Failed attempts since the last successful one.
-    failures: u32,
-    /// Whether an attempt is in progress.
-    is_running: bool,
+/// This host's attempts to find an entry point, one at a time.
+pub(crate) struct EntryAttempts {
+    search: RefCell<EntrySearch>,
+    is_running: Cell<bool>,
 }
 
-/// The result of one attempt.
-enum Outcome {
-    /// Another host is the entry point.
-    Found(EntryPoint),
-    /// This host has become the entry point.
-    Claimed,
-    /// The key could not be read or written, or another host was faster.
-    Failed,
+impl EntryAttempts {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let search = EntrySearch::new(settings.host.clone(), settings.is_first_start);
+        Self { search: RefCell::new(search), is_running: Cell::new(false) }
+    }
+
+    fn next(&self, result: EntryResult<'_>) -> EntryStep {
+        self.search.borrow_mut().next(result)
+    }
 }
 
 /// Finds a host that forwards store data, or lists all hosts.
 pub(crate) async fn find_source(hub: Rc<Hub>) {
-    let search = hub.entry_search.get();
-    if search.is_running {
+    if hub.entry_attempts.is_running.replace(true) {
         return;
     }
-    hub.entry_search.set(EntrySearch { is_running: true, ..search });
-    if hub.settings.is_first_start {
-        await_turn(&hub).await;
-    }
-    let outcome = find(&hub).await;
-    let failures = match outcome {
-        Outcome::Failed => hub.entry_search.get().failures + 1,
-        Outcome::Found(_) | Outcome::Claimed => 0,
+    attempt(&hub).await;
+    hub.entry_attempts.is_running.set(false);
+}
+
+async fn attempt(hub: &Rc<Hub>) {
+    let attempts = &hub.entry_attempts;
+    let mut values: Vec<Option<EntryValue>> = Vec::new();
+    let mut step = attempts.search.borrow_mut().begin();
+    let end = loop {
+        step = match step {
+            EntryStep::AwaitLease(max_ms) => {
+                attempts.next(EntryResult::LeaseAwaited(await_lease(hub, max_ms).await))
+            }
+            EntryStep::Pause(ms) => {
+                sleep(Duration::from_millis(ms)).await;
+                attempts.next(EntryResult::Paused)
+            }
+            EntryStep::Read => match read(hub).await {
+                Ok(snapshot) => {
+                    let (entries, read) = parse(hub, &snapshot);
+                    values = read;
+                    attempts.next(EntryResult::Read(Some(&entries)))
+                }
+                Err(_) => attempts.next(EntryResult::Read(None)),
+            },
+            EntryStep::Claim(revision) => {
+                attempts.next(EntryResult::Written(claim(hub, revision).await))
+            }
+            EntryStep::End(end) => break end,
+        };
     };
-    hub.entry_search.update(|search| EntrySearch { failures, is_running: false, ..search });
-    match outcome {
-        Outcome::Found(EntryPoint { host, entry }) => {
-            log::info!("event=entry_point_found host={host}");
-            hub.peers.borrow_mut().insert(host.clone(), entry);
-            hub.source_event(Event::EntryFound(host));
+    match end {
+        EntryEnd::Found(at) => {
+            if let Some(EntryValue { host, entry }) = values.swap_remove(at) {
+                log::info!("event=entry_point_found host={host}");
+                hub.peers.borrow_mut().insert(host.clone(), entry);
+                hub.source_event(Event::EntryFound(host));
+            }
         }
-        Outcome::Claimed => {
+        EntryEnd::Claimed => {
             log::info!("event=entry_point_claimed domain={}", hub.settings.domain);
             hub.source_event(Event::EntryClaimed);
         }
-        Outcome::Failed if failures > MAX_FAILURES => sources::list_hosts(hub).await,
-        Outcome::Failed => {}
+        EntryEnd::ListHosts => sources::list_hosts(hub.clone()).await,
+        EntryEnd::Failed => {}
     }
 }
 
-/// Waits until this host has written its key, and for its turn: few hosts of a large domain try to become an entry
-/// point, and the others find its key at their first attempt.
-async fn await_turn(hub: &Hub) {
+/// Waits until this host has written its key; returns whether it has.
+async fn await_lease(hub: &Hub, max_ms: u64) -> bool {
     let mut lease = hub.host_lease.subscribe();
-    // Without a lease this host only reads.
-    let _ =
-        timeout(Duration::from_millis(MAX_LEASE_WAIT_MS), lease.wait_for(Option::is_some)).await;
-    if hub.entry_search.get().failures == 0 {
-        sleep(Duration::from_millis(entry_delay_ms(&hub.settings.host))).await;
-    }
+    timeout(Duration::from_millis(max_ms), lease.wait_for(Option::is_some)).await.is_ok()
 }
 
-async fn find(hub: &Hub) -> Outcome {
+fn own_key(hub: &Hub) -> Name {
     let (domain, number) = (&hub.settings.domain, entry_key(&hub.settings.host));
-    let key: Name = format!("{ENTRY_PREFIX}{domain}/{number:x}").into();
-    let Ok(snapshot) = hub.store.range(&key, Freshness::Newest).await else {
-        return Outcome::Failed;
-    };
-    let item = snapshot.items.into_iter().find(|item| item.key == key);
-    let revision = item.as_ref().map(|item| item.revision);
-    let known = item.as_ref().and_then(parse);
-    match known.filter(|known| known.host != hub.settings.host) {
-        Some(known) if hub.entry_search.get().tried != revision => {
-            hub.entry_search.update(|search| EntrySearch { tried: revision, ..search });
-            Outcome::Found(known)
-        }
-        _ => claim(hub, key, revision.unwrap_or_default()).await,
-    }
+    format!("{ENTRY_PREFIX}{domain}/{number:x}").into()
 }
 
-fn parse(item: &Item) -> Option<EntryPoint> {
+async fn read(hub: &Hub) -> Result<Snapshot, Error> {
+    hub.store.range(&own_key(hub), Freshness::Newest).await
+}
+
+/// Returns the entry points of this host's failure domain, and the value of each one.
+fn parse(hub: &Hub, snapshot: &Snapshot) -> (Vec<EntryPoint>, Vec<Option<EntryValue>>) {
+    let prefix = format!("{ENTRY_PREFIX}{}/", hub.settings.domain);
+    let parsed = snapshot.items.iter().filter_map(|item| {
+        let number = u64::from_str_radix(item.key.strip_prefix(prefix.as_str())?, 16).ok()?;
+        let value = parse_value(item);
+        let host = value.as_ref().map(|value| value.host.clone());
+        Some((EntryPoint { number, host, revision: item.revision }, value))
+    });
+    parsed.unzip()
+}
+
+fn parse_value(item: &Item) -> Option<EntryValue> {
     let parsed = serde_json::from_slice(&item.value);
     parsed.inspect_err(|error| log::error!("event=entry_point_unreadable error=\"{error}\"")).ok()
 }
 
-/// Makes this host an entry point, unless the key has changed since `revision`.
-async fn claim(hub: &Hub, key: Name, revision: Revision) -> Outcome {
+/// Makes this host an entry point, unless the key has changed since `revision`; returns whether it is one.
+async fn claim(hub: &Hub, revision: Revision) -> bool {
     // The key goes with the host's own one. Without that one this host is not reachable yet.
     let lease = *hub.host_lease.borrow();
     let Some(lease) = lease else {
-        return Outcome::Failed;
+        return false;
     };
-    match write(hub, key, revision, lease).await {
-        Some(StoreAnswer::Done(_)) => Outcome::Claimed,
-        _ => Outcome::Failed,
-    }
+    matches!(write(hub, own_key(hub), revision, lease).await, Some(StoreAnswer::Done(_)))
 }
 
 async fn write(
@@ -133,7 +155,7 @@
     revision: Revision,
     lease: LeaseId,
 ) -> Option<StoreAnswer<Revision>> {
-    let entry_point = EntryPoint { host: hub.settings.host.clone(), entry: hub.own_entry() };
+    let entry_point = EntryValue { host: hub.settings.host.clone(), entry: hub.own_entry() };
     let value = serde_json::to_vec(&entry_point)
         .inspect_err(|error| log::error!("event=entry_point_not_written error=\"{error}\""));
     let transaction = Transaction {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     clock::{self, Clock},
-    entry_point::EntrySearch,
+    entry_point::EntryAttempts,
     feed::Feed,
     limits::Limits,
     pacing::Pacing,
@@ -121,7 +121,7 @@
     pub pacing: RefCell<Pacing>,
     pub source_selector: RefCell<SourceSelector>,
     /// This host's search for an entry point of its domain.
-    pub entry_search: Cell<EntrySearch>,
+    pub entry_attempts: EntryAttempts,
     /// Time of the last tick given to the source selection.
     pub last_source_tick: Cell<Tick>,
     /// Pending configuration request to another host.
@@ -208,7 +208,7 @@
                 settings.domain.clone(),
                 settings.is_first_start,
             )),
-            entry_search: Cell::default(),
+            entry_attempts: EntryAttempts::new(&settings),
             last_source_tick: Cell::new(clock.now()),
             configuration_pull: RefCell::default(),
             feeds: RefCell::default(),
