fix: few of the hosts of a small failure domain read the store when they start

Cause: a starting host reads one of sixteen entry keys of its failure domain, and writes itself into the key and reads all keys from the store if nobody has. Change: a host reads the entry keys of all domains in the same call and turns to any entry point of its own one; it writes its own key if there is none, or if it has the first turn. An entry point turns to an older one; the oldest reads the store. A host waits for its lease instead of another attempt.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -57,13 +57,19 @@
 /// objective of one second; a fixed second for all made nearly half of them late. If the store is unavailable, callers that
 /// return earlier are only refused again.
 pub(crate) fn startup_retry_ms(age_ms: u64, has_store: bool) -> u64 {
-    let is_store_late = age_ms > STORE_ANSWER_MS && !has_store;
-    if is_store_late || age_ms > STARTUP_MS + MIN_STARTUP_RETRY_MS {
+    if !is_configuration_expected(age_ms, has_store) {
         return STORE_RETRY_AFTER_MS;
     }
     STARTUP_MS.saturating_sub(age_ms).max(MIN_STARTUP_RETRY_MS)
 }
 
+/// Whether a host that started `age_ms` ago without a configuration has one soon: the store has answered, or has had no
+/// time to.
+pub(crate) fn is_configuration_expected(age_ms: u64, has_store: bool) -> bool {
+    let is_store_late = age_ms > STORE_ANSWER_MS && !has_store;
+    !is_store_late && age_ms <= STARTUP_MS + MIN_STARTUP_RETRY_MS
+}
+
 impl Dispatch {
     pub(crate) fn attempt_ended(
         &mut self,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 mod sending;
 mod service_pace;
 mod shortage;
+mod startup;
 mod upstream;
 
 pub use budget::{RetryBudget, RetryBudgetOptions};
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -31,9 +31,9 @@
 pub struct Dispatch {
     pub(crate) options: Options,
     /// When the process started.
-    started_at: Tick,
+    pub(crate) started_at: Tick,
     /// Whether the store has answered this process.
-    has_store: bool,
+    pub(crate) has_store: bool,
     pub(crate) configuration: Option<Rc<Configuration>>,
     pub(crate) routes: RouteIndex,
     pub(crate) keys: KeyIndex,
--- a/crates/fanout/src/entry.rs
+++ b/crates/fanout/src/entry.rs
@@ -1,6 +1,6 @@
 //! Which entry key a starting host reads, and when.
 
-use crate::timeouts::FIRST_START_SEARCH_MS;
+use crate::timeouts::{FIRST_START_SEARCH_MS, SEARCH_MS};
 use vanetally_types::{Name, hash64};
 
 /// Number of entry keys of a failure domain. The host of each one serves the others that read it: a hundred new links
@@ -14,9 +14,15 @@
 const TURN_INTERVAL_MS: u64 = 80;
 /// Time for reading a key and for the answer of the host that it names.
 const ENTRY_CALLS_MS: u64 = 140;
-/// Maximum wait of a starting host for its own lease: after it the last turn still comes before the search is over.
-pub const MAX_LEASE_WAIT_MS: u64 =
-    FIRST_START_SEARCH_MS - (TURNS as u64 - 1) * TURN_INTERVAL_MS - ENTRY_CALLS_MS;
+/// Time from the end of the wait for the lease until the last turn has passed and its read was answered.
+const TURNS_MS: u64 = (TURNS as u64 - 1) * TURN_INTERVAL_MS + ENTRY_CALLS_MS;
+
+/// Returns the maximum wait of a starting host for its own lease: after it the last turn still comes before the search is
+/// over.
+pub(crate) fn max_lease_wait_ms(is_first_start: bool) -> u64 {
+    let search_ms = if is_first_start { FIRST_START_SEARCH_MS } else { SEARCH_MS };
+    search_ms - TURNS_MS
+}
 
 /// Returns the number of the entry key that `host` reads.
 pub fn entry_key(host: &Name) -> u64 {
--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -32,7 +32,7 @@
 
 pub use candidate::{Candidate, MAX_DIRECT_READERS, aggregators, holder_rank, root};
 pub use contact::{StoreContact, StoreState};
-pub use entry::{ENTRY_KEYS, MAX_LEASE_WAIT_MS, entry_delay_ms, entry_key};
+pub use entry::{ENTRY_KEYS, entry_delay_ms, entry_key};
 pub use entry_search::{EntryEnd, EntryPoint, EntryResult, EntrySearch, EntryStep};
 pub use event::{Action, Event, Reason, Source};
 pub use freshness::{Freshness, HostIncarnation, SourceStatus};
--- a/crates/fanout/src/timeouts.rs
+++ b/crates/fanout/src/timeouts.rs
@@ -23,7 +23,7 @@
 /// Time without a source after which the other hosts read the store. By then they have normally found one of the first
 /// hosts. With `SEARCH_SPREAD_MS` and `MIN_SILENCE_MS` it stays below two seconds, the shortest time that deployments allow
 /// for a change to take effect.
-const SEARCH_MS: u64 = 900;
+pub(crate) const SEARCH_MS: u64 = 900;
 /// Additional search time of the last host of a failure domain.
 const SEARCH_SPREAD_MS: u64 = 400;
 /// Time without a source after which hosts read the store at the first start of a deployment.
--- a/crates/gateway/src/confirmation.rs
+++ b/crates/gateway/src/confirmation.rs
@@ -85,6 +85,7 @@
         let confirmed = self.freshness.borrow().confirmed_at();
         if let Some(at) = confirmed {
             self.request_event(dispatch::Event::Confirmed(at));
+            self.update_configured();
         }
     }
 }
--- a/crates/gateway/src/entry_point.rs
+++ b/crates/gateway/src/entry_point.rs
@@ -1,16 +1,10 @@
 //! The hosts of each failure domain that starting hosts turn to first.
 //!
 //! A host that starts needs one host that forwards store data; from that one it learns of all others. If each of n
-//! hosts that start together listed all n, the store would send n times n keys. So the hosts of a failure
-//! domain share a few keys, by their names; the first host of each key writes itself into it, and the others read it.
+//! hosts that start together listed all n, the store would send n times n keys. So some hosts of a failure domain write
+//! themselves into its few entry keys, and the others read these.
 
-use crate::{
-    hub::Hub,
-    peers::HostEntry,
-    settings::Settings,
-    sources,
-    store::{Error, Snapshot},
-};
+use crate::{hub::Hub, peers::HostEntry, settings::Settings, sources, store::Snapshot};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::{
@@ -45,7 +39,11 @@
 
 impl EntryAttempts {
     pub(crate) fn new(settings: &Settings) -> Self {
-        let search = EntrySearch::new(settings.host.clone(), settings.is_first_start);
+        let search = EntrySearch::new(
+            settings.host.clone(),
+            settings.domain.clone(),
+            settings.is_first_start,
+        );
         Self { search: RefCell::new(search), is_running: Cell::new(false) }
     }
 
@@ -76,9 +74,9 @@
                 sleep(Duration::from_millis(ms)).await;
                 attempts.next(EntryResult::Paused)
             }
-            EntryStep::Read => match read(hub).await {
+            EntryStep::Read => match hub.store.range(ENTRY_PREFIX, Freshness::Newest).await {
                 Ok(snapshot) => {
-                    let (entries, read) = parse(hub, &snapshot);
+                    let (entries, read) = parse(&snapshot);
                     values = read;
                     attempts.next(EntryResult::Read(Some(&entries)))
                 }
@@ -90,23 +88,30 @@
             EntryStep::End(end) => break end,
         };
     };
+    let mut value = |at: usize| values.swap_remove(at);
     match end {
-        EntryEnd::Found(at) => {
-            if let Some(EntryValue { host, entry }) = values.swap_remove(at) {
-                log::info!("event=entry_point_found host={host}");
-                hub.peers.borrow_mut().insert(host.clone(), entry);
-                hub.source_event(Event::EntryFound(host));
-            }
-        }
-        EntryEnd::Claimed => {
+        EntryEnd::Found(at) => turn_to(hub, value(at)),
+        EntryEnd::Claimed(at) => {
             log::info!("event=entry_point_claimed domain={}", hub.settings.domain);
-            hub.source_event(Event::EntryClaimed);
+            match at.and_then(value) {
+                Some(older) => turn_to(hub, Some(older)),
+                None => hub.source_event(Event::EntryClaimed),
+            }
         }
         EntryEnd::ListHosts => sources::list_hosts(hub.clone()).await,
         EntryEnd::Failed => {}
     }
 }
 
+fn turn_to(hub: &Rc<Hub>, entry_point: Option<EntryValue>) {
+    let Some(EntryValue { host, entry }) = entry_point else {
+        return;
+    };
+    log::info!("event=entry_point_found host={host} domain={}", entry.domain);
+    hub.peers.borrow_mut().insert(host.clone(), entry);
+    hub.source_event(Event::EntryFound(host));
+}
+
 /// Waits until this host has written its key; returns whether it has.
 async fn await_lease(hub: &Hub, max_ms: u64) -> bool {
     let mut lease = hub.host_lease.subscribe();
@@ -118,18 +123,14 @@
     format!("{ENTRY_PREFIX}{domain}/{number:x}").into()
 }
 
-async fn read(hub: &Hub) -> Result<Snapshot, Error> {
-    hub.store.range(&own_key(hub), Freshness::Newest).await
-}
-
-/// Returns the entry points of this host's failure domain, and the value of each one.
-fn parse(hub: &Hub, snapshot: &Snapshot) -> (Vec<EntryPoint>, Vec<Option<EntryValue>>) {
-    let prefix = format!("{ENTRY_PREFIX}{}/", hub.settings.domain);
+/// Returns the entry points of all failure domains, and the value of each one.
+fn parse(snapshot: &Snapshot) -> (Vec<EntryPoint>, Vec<Option<EntryValue>>) {
     let parsed = snapshot.items.iter().filter_map(|item| {
-        let number = u64::from_str_radix(item.key.strip_prefix(prefix.as_str())?, 16).ok()?;
+        let (domain, number) = item.key.strip_prefix(ENTRY_PREFIX)?.rsplit_once('/')?;
+        let number = u64::from_str_radix(number, 16).ok()?;
         let value = parse_value(item);
         let host = value.as_ref().map(|value| value.host.clone());
-        Some((EntryPoint { number, host, revision: item.revision }, value))
+        Some((EntryPoint { domain: domain.into(), number, host, revision: item.revision }, value))
     });
     parsed.unzip()
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -26,7 +26,7 @@
 /// Serves one caller request.
 pub(crate) async fn serve(hub: Rc<Hub>, request: Request<Incoming>) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
-    let head = match hub.ports.caller.read(&parts) {
+    let mut head = match hub.ports.caller.read(&parts) {
         Ok(head) => head,
         Err(error) => {
             log::info!("event=request_malformed error=\"{error}\"");
@@ -41,6 +41,7 @@
             return refuse(&hub, Some(&name), &Refusal::not_run(cause, None));
         }
     };
+    hub.await_configuration(&mut head, body.len()).await;
     let charge = match admit(&hub, &head).await {
         Ok(charge) => charge,
         Err(refusal) => {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -3,11 +3,12 @@
 
 use crate::{
     clock::{self, Clock},
+    configuration_wait::ConfigurationWait,
     entry_point::EntryAttempts,
     feed::Feed,
     limits::Limits,
     pacing::Pacing,
-    peers::HostEntry,
+    peers::{HostEntry, PeerMessage},
     pool::Pool,
     quarantine::{Probes, Suspect},
     quotas::Quotas,
@@ -122,6 +123,8 @@
     pub source_selector: RefCell<SourceSelector>,
     /// This host's search for an entry point of its domain.
     pub entry_attempts: EntryAttempts,
+    /// Requests that wait for the configuration.
+    pub configuration_wait: ConfigurationWait,
     /// Time of the last tick given to the source selection.
     pub last_source_tick: Cell<Tick>,
     /// Pending configuration request to another host.
@@ -209,6 +212,7 @@
                 settings.is_first_start,
             )),
             entry_attempts: EntryAttempts::new(&settings),
+            configuration_wait: ConfigurationWait::default(),
             last_source_tick: Cell::new(clock.now()),
             configuration_pull: RefCell::default(),
             feeds: RefCell::default(),
@@ -368,12 +372,17 @@
             bytes.len(),
             started.elapsed().as_micros()
         );
+        if old.is_none() {
+            // Hosts that start as well wait for it.
+            self.send_to_subscribers(|| Some(PeerMessage::Status(self.host_status())));
+        }
     }
 
     fn configure(self: &Rc<Self>, configuration: Rc<Configuration>) {
         self.quotas.borrow_mut().configure(self.clock.now(), &configuration);
         self.placement_event(placement::Event::Configured(configuration.clone()));
         self.request_event(dispatch::Event::Configured(configuration));
+        self.update_configured();
     }
 
     /// Handles the announcement of an upstream.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod call;
 mod clock;
 mod configuration;
+mod configuration_wait;
 mod confirmation;
 mod entry_point;
 mod eras;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -184,6 +184,8 @@
         self.update_subscribers();
         if let Some(message) = self.sync(have) {
             self.send(from, &message);
+            // With the data this host becomes the source, whose status tells of the configuration.
+            self.send(from, &PeerMessage::Status(self.host_status()));
         }
     }
 
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -46,6 +46,11 @@
         .increment(1);
 }
 
+/// Counts a request that waited for the configuration of a starting host, or found no place to.
+pub(crate) fn configuration_waited(outcome: &'static str) {
+    counter!("vanetally_configuration_waits_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts an upstream that announced that it is leaving, in a response to this host or relayed by
 /// another one.
 pub(crate) fn upstream_leaving(is_relayed: bool) {
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -158,6 +158,14 @@
         self.spawn_with(name, ip, &settings(name, ip, store))
     }
 
+    /// Starts a host of the failure domain `domain` at `ip`.
+    pub fn spawn_in(&self, name: &str, ip: &str, domain: &str, is_first_start: bool) -> Host {
+        let mut settings = settings(name, ip, self.store.address());
+        settings["zone"] = domain.into();
+        settings["initial_start"] = is_first_start.into();
+        self.spawn_with(name, ip, &settings)
+    }
+
     /// Starts a host at `ip` of another build of the program.
     pub fn spawn_build(&self, program: &Path, name: &str, ip: &str, store: SocketAddr) -> Host {
         self.spawn_program(program, name, ip, &settings(name, ip, store), &[])
