fix: a host keeps the hosts that it serves although its list of hosts lacks them

Cause: a host that received the list of hosts dropped all that were not in it, also those that had subscribed to it and the one that it had subscribed to. If the list was read before such a host wrote its key, answers to it were dropped: it had a source after 0.2 s and the configuration after 1.4 s. Change: hosts known from other hosts only are kept while they are subscribers, the source, or while this host has no source.

--- a/crates/gateway/src/entry_point.rs
+++ b/crates/gateway/src/entry_point.rs
@@ -122,6 +122,7 @@
     };
     log::info!("event=entry_point_found host={host} domain={}", entry.domain);
     hub.peers.borrow_mut().insert(host.clone(), entry);
+    hub.introduced.borrow_mut().insert(host.clone());
     hub.source_event(Event::EntryFound(host));
 }
 
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -8,7 +8,7 @@
 };
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 use vanetally_dispatch as dispatch;
-use vanetally_fanout::{Candidate, Event as SourceEvent};
+use vanetally_fanout::{Candidate, Event as SourceEvent, Source};
 use vanetally_types::Name;
 
 /// Number of hosts per millisecond between two derivations of what follows from their set: each one
@@ -27,6 +27,7 @@
         is_restore: bool,
     ) {
         self.has_host_list.set(true);
+        self.retain_introduced(&mut hosts);
         self.retain_lapsed(&mut hosts, is_restore);
         let old = std::mem::replace(&mut *self.peers.borrow_mut(), hosts.clone());
         hosts
@@ -39,6 +40,22 @@
         self.derive_from_peers();
     }
 
+    /// Keeps the hosts that this one serves or turns to although the list was read before they wrote their keys.
+    fn retain_introduced(&self, hosts: &mut BTreeMap<Name, HostEntry>) {
+        let source = self.source.borrow().clone();
+        let peers = self.peers.borrow();
+        let selector = self.source_selector.borrow();
+        let is_needed = |host: &Name| {
+            source == Source::Searching
+                || source == Source::Host(host.clone())
+                || selector.subscribers().contains(host)
+        };
+        let mut introduced = self.introduced.borrow_mut();
+        introduced.retain(|host| !hosts.contains_key(host) && is_needed(host));
+        let kept = introduced.iter().filter_map(|host| peers.get_key_value(host));
+        hosts.extend(kept.map(|(host, entry)| (host.clone(), entry.clone())));
+    }
+
     fn retain_lapsed(&self, hosts: &mut BTreeMap<Name, HostEntry>, is_restore: bool) {
         let now = self.clock.now();
         let rewrite = rewrite_time(self.peers.borrow().len(), &self.settings.store);
@@ -77,6 +94,7 @@
     pub(crate) fn peer_seen(self: &Rc<Self>, host: Name, entry: HostEntry) {
         log::log!(self.relayed_log_level(), "event=host_seen host={host} link={}", entry.link);
         self.lapsed.borrow_mut().remove(&host);
+        self.introduced.borrow_mut().remove(&host);
         self.peers.borrow_mut().insert(host.clone(), entry);
         self.send_state_to_new(&host);
         self.peer_updates.borrow_mut().request();
@@ -100,6 +118,7 @@
     pub(crate) fn peer_gone(self: &Rc<Self>, host: &Name) {
         log::log!(self.relayed_log_level(), "event=host_gone host={host}");
         self.lapsed.borrow_mut().remove(host);
+        self.introduced.borrow_mut().remove(host);
         self.peers.borrow_mut().remove(host);
         self.request_event(dispatch::Event::PeerGone { host: host.clone() });
         self.peer_updates.borrow_mut().request();
@@ -159,6 +178,7 @@
         let is_new = !self.peers.borrow().contains_key(host);
         if is_new {
             self.peer_seen(host.clone(), entry);
+            self.introduced.borrow_mut().insert(host.clone());
         }
     }
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -19,7 +19,7 @@
 use bytes::Bytes;
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     time::Instant,
 };
@@ -106,6 +106,8 @@
     pub order_lease: RefCell<OrderLease>,
     pub holder: RefCell<Option<Name>>,
     pub peers: RefCell<BTreeMap<Name, HostEntry>>,
+    /// Hosts that are known from other hosts only.
+    pub introduced: RefCell<BTreeSet<Name>>,
     /// Whether the list of hosts was read or received since the start.
     pub has_host_list: Cell<bool>,
     /// When what follows from the set of hosts is derived again.
@@ -198,6 +200,7 @@
             order_lease: RefCell::new(OrderLease::new(clock.now(), order_lease)),
             holder: RefCell::new(None),
             peers: RefCell::new(BTreeMap::new()),
+            introduced: RefCell::default(),
             has_host_list: Cell::new(false),
             peer_updates: RefCell::default(),
             lapsed: RefCell::default(),
--- a/tests/host_start.rs
+++ b/tests/host_start.rs
@@ -47,6 +47,14 @@
     (hosts, calls)
 }
 
+/// Returns the hosts that asked for the configuration more than once: the answer to their first request was lost, since the
+/// host that they asked took them out of its list of hosts.
+fn unanswered(deployment: &Deployment) -> Vec<String> {
+    let logs = deployment.logs().into_iter();
+    let asked_again = logs.filter(|(_, log)| log.matches("=configuration_asked").count() > 1);
+    asked_again.map(|(file, _)| file).collect()
+}
+
 /// Thirty hosts start for the first time, lose power and start again.
 ///
 /// Guards against a start in which each host becomes an entry point and reads all keys: a domain of ten hosts has fewer
@@ -58,6 +66,8 @@
     let (hosts, calls) = start(&deployment, &ips, true);
     println!("first start: {calls} calls");
     assert!(calls <= HOSTS * MAX_CALLS_PER_HOST, "{calls} calls at the first start");
+    let unanswered = unanswered(&deployment);
+    assert!(unanswered.is_empty(), "no configuration for the first request of {unanswered:?}");
     drop(hosts);
     let (_hosts, calls) = start(&deployment, &ips, false);
     println!("after a power failure: {calls} calls");
