--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -36,6 +36,7 @@
 mod shared_queue;
 mod shortage;
 mod slots;
+mod startup;
 mod upstream;
 
 pub use access::QuotaTerms;
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -8,7 +8,7 @@
 };
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 use vanetally_dispatch as dispatch;
-use vanetally_fanout::{Candidate, Event as SourceEvent};
+use vanetally_fanout::{Candidate, Event as SourceEvent, Source};
 use vanetally_types::Name;
 
 /// Number of hosts per millisecond between two derivations of what follows from their set: each one
@@ -26,6 +26,8 @@
         mut hosts: BTreeMap<Name, HostEntry>,
         is_restore: bool,
     ) {
+        self.has_host_list.set(true);
+        self.retain_introduced(&mut hosts);
         self.retain_lapsed(&mut hosts, is_restore);
         let old = std::mem::replace(&mut *self.peers.borrow_mut(), hosts.clone());
         hosts
@@ -42,6 +44,22 @@
         self.derive_from_peers();
     }
 
+    /// Keeps the hosts that this one serves or turns to although the list was read before they wrote their keys.
+    fn retain_introduced(&self, hosts: &mut BTreeMap<Name, HostEntry>) {
+        let source = self.source.borrow().clone();
+        let peers = self.peers.borrow();
+        let selector = self.source_selector.borrow();
+        let is_needed = |host: &Name| {
+            source == Source::Searching
+                || source == Source::Host(host.clone())
+                || selector.subscribers().contains(host)
+        };
+        let mut introduced = self.introduced.borrow_mut();
+        introduced.retain(|host| !hosts.contains_key(host) && is_needed(host));
+        let kept = introduced.iter().filter_map(|host| peers.get_key_value(host));
+        hosts.extend(kept.map(|(host, entry)| (host.clone(), entry.clone())));
+    }
+
     fn retain_lapsed(&self, hosts: &mut BTreeMap<Name, HostEntry>, is_restore: bool) {
         let now = self.clock.now();
         let rewrite = rewrite_time(self.peers.borrow().len(), &self.settings.store);
@@ -80,6 +98,7 @@
     pub(crate) fn peer_seen(self: &Rc<Self>, host: Name, entry: HostEntry) {
         log::log!(self.relayed_log_level(), "event=host_seen host={host} link={}", entry.link);
         self.lapsed.borrow_mut().remove(&host);
+        self.introduced.borrow_mut().remove(&host);
         self.peers.borrow_mut().insert(host.clone(), entry);
         self.send_state_to_new(&host);
         self.peer_updates.borrow_mut().request();
@@ -103,6 +122,7 @@
     pub(crate) fn peer_gone(self: &Rc<Self>, host: &Name) {
         log::log!(self.relayed_log_level(), "event=host_gone host={host}");
         self.lapsed.borrow_mut().remove(host);
+        self.introduced.borrow_mut().remove(host);
         self.peers.borrow_mut().remove(host);
         self.quotas.borrow_mut().grantor.forget_host(host);
         self.slot_host_gone(host);
@@ -121,7 +141,10 @@
     fn derive_from_peers(self: &Rc<Self>) {
         let candidates = self.candidates();
         let hosts = self.peers.borrow().len().max(1);
-        self.source_event(SourceEvent::Candidates(candidates.clone()));
+        // Hosts that introduced themselves to a starting one are no list from which a source could be chosen.
+        if self.has_host_list.get() {
+            self.source_event(SourceEvent::Candidates(candidates.clone()));
+        }
         self.order_lease.borrow_mut().set_rank(self.order_rank(&candidates));
         self.pacing.borrow_mut().set_hosts(self.capacities(|_| true));
         let grants_slots =
@@ -165,6 +188,7 @@
         let is_new = !self.peers.borrow().contains_key(host);
         if is_new {
             self.peer_seen(host.clone(), entry);
+            self.introduced.borrow_mut().insert(host.clone());
         }
     }
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -3,11 +3,12 @@
 
 use crate::{
     clock::{self, Clock},
-    entry_point::EntrySearch,
+    configuration_wait::ConfigurationWait,
+    entry_point::EntryAttempts,
     feed::Feed,
     limits::Limits,
     pacing::Pacing,
-    peers::HostEntry,
+    peers::{HostEntry, PeerMessage},
     pool::Pool,
     quarantine::{Probes, Suspect},
     quotas::Quotas,
@@ -19,7 +20,7 @@
 use bytes::Bytes;
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     rc::Rc,
     time::Instant,
 };
@@ -106,6 +107,10 @@
     pub order_lease: RefCell<OrderLease>,
     pub holder: RefCell<Option<Name>>,
     pub peers: RefCell<BTreeMap<Name, HostEntry>>,
+    /// Hosts that are known from other hosts only.
+    pub introduced: RefCell<BTreeSet<Name>>,
+    /// Whether the list of hosts was read or received since the start.
+    pub has_host_list: Cell<bool>,
     /// When what follows from the set of hosts is derived again.
     pub peer_updates: RefCell<Throttle>,
     /// Hosts whose keys are missing after a restore of the store, and how long to wait for them.
@@ -123,7 +128,9 @@
     pub slots: RefCell<Slots>,
     pub source_selector: RefCell<SourceSelector>,
     /// This host's search for an entry point of its domain.
-    pub entry_search: Cell<EntrySearch>,
+    pub entry_attempts: EntryAttempts,
+    /// Requests that wait for the configuration.
+    pub configuration_wait: ConfigurationWait,
     /// Time of the last tick given to the source selection.
     pub last_source_tick: Cell<Tick>,
     /// Pending configuration request to another host.
@@ -198,6 +205,8 @@
             order_lease: RefCell::new(OrderLease::new(clock.now(), order_lease)),
             holder: RefCell::new(None),
             peers: RefCell::new(BTreeMap::new()),
+            introduced: RefCell::default(),
+            has_host_list: Cell::new(false),
             peer_updates: RefCell::default(),
             lapsed: RefCell::default(),
             command_senders: RefCell::new(HashMap::new()),
@@ -214,7 +223,8 @@
                 settings.domain.clone(),
                 settings.is_first_start,
             )),
-            entry_search: Cell::default(),
+            entry_attempts: EntryAttempts::new(&settings),
+            configuration_wait: ConfigurationWait::default(),
             last_source_tick: Cell::new(clock.now()),
             configuration_pull: RefCell::default(),
             feeds: RefCell::default(),
@@ -388,12 +398,17 @@
             bytes.len(),
             started.elapsed().as_micros()
         );
+        if old.is_none() {
+            // Hosts that start as well wait for it.
+            self.send_to_subscribers(|| Some(PeerMessage::Status(self.host_status())));
+        }
     }
 
     fn configure(self: &Rc<Self>, configuration: Rc<Configuration>) {
         self.quotas.borrow_mut().configure(self.clock.now(), &configuration);
         self.placement_event(placement::Event::Configured(configuration.clone()));
         self.request_event(dispatch::Event::Configured(configuration));
+        self.update_configured();
     }
 
     /// Handles the announcement of an upstream.
