refactor: the mean load of replicas is computed only when a replica may exceed it

Cause: selecting the replicas for a prefix summed the load of all replicas for each prompt. The nine tests of prefix_affinity.rs pass.

--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -10,15 +10,16 @@
 use vanetally_placement::{self as placement, DemandSample, Placement};
 use vanetally_ports::{
     CallerKey, CallerLimits, CallerRequest, Configuration, Credential, EngineSpec, FencingToken,
-    HeldModel, ModelRef, ModelSpec, Organisation, Report, RequestKind, Route, Service, Target,
-    UpstreamState,
+    HeldModel, ModelRef, ModelSpec, Organisation, PromptPart, Report, RequestKind, Route, Service,
+    Target, UpstreamState,
 };
 use vanetally_quarantine::Quarantine;
 use vanetally_types::{Incarnation, Name, Tick};
 
 const NOW: Tick = Tick(1_000_000);
 /// Numbers of runners: the present size, a size between, and the size expected in two years.
-const RUNNER_COUNTS: [usize; 3] = [240, 1_200, 4_800];
+const RUNNER_COUNTS: [usize; 3] = [240, 1_200, MAX_RUNNERS];
+const MAX_RUNNERS: usize = 4_800;
 /// Number of models that a runner holds.
 const MODELS_PER_RUNNER: usize = 2;
 const SLOTS: u32 = 12;
@@ -102,14 +103,14 @@
     })
 }
 
-fn dispatch(runners: usize) -> Dispatch {
+fn dispatch(runners: usize, prefix_affinity: bool) -> Dispatch {
     let options = Options {
         host: "front-0".into(),
         domain: "z1".into(),
         retry_budget: RetryBudgetOptions { ratio: 0.2, window_ms: 10_000, slack: 630.0 },
         grace_ms: 8_000,
         revoke_ms: None,
-        prefix_affinity: false,
+        prefix_affinity,
     };
     let mut dispatch = Dispatch::new(NOW, options);
     dispatch.handle(NOW, Event::Configured(configuration(model_count(runners))));
@@ -140,7 +141,7 @@
 fn bench_choose(c: &mut Criterion) {
     let mut group = c.benchmark_group("choose a runner");
     for runners in RUNNER_COUNTS {
-        let mut dispatch = dispatch(runners);
+        let mut dispatch = dispatch(runners, false);
         let mut number = 0;
         group.bench_function(BenchmarkId::from_parameter(runners), |b| {
             b.iter(|| {
@@ -155,6 +156,32 @@
     group.finish();
 }
 
+/// Tokens of a shared prefix.
+const SHARED_TOKENS: u32 = 6_300;
+
+/// Choice of an engine for a prompt with a long shared prefix, placed by load or by prefix.
+fn bench_choose_by_prefix(c: &mut Criterion) {
+    let mut group = c.benchmark_group("choose a runner, shared prefix");
+    for (placed_by, prefix_affinity) in [("load", false), ("prefix", true)] {
+        let mut dispatch = dispatch(MAX_RUNNERS, prefix_affinity);
+        let mut number = 0;
+        group.bench_function(BenchmarkId::from_parameter(placed_by), |b| {
+            b.iter(|| {
+                number += 1;
+                let mut request = request(number, model_count(MAX_RUNNERS));
+                let shared = PromptPart { id: number % 50, tokens: SHARED_TOKENS };
+                request.parts = vec![shared, PromptPart { id: number, tokens: 1_460 }];
+                request.prompt_tokens += SHARED_TOKENS;
+                let id = RequestId(number);
+                let actions = dispatch.handle(NOW, Event::Arrived { id, request, content_hash: 0 });
+                assert!(matches!(actions[..], [Action::Reserve { .. }]), "{actions:?}");
+                dispatch.handle(NOW, Event::CallerLeft { id })
+            });
+        });
+    }
+    group.finish();
+}
+
 /// Number of organisations assumed in two years; the present system has 16.
 const ORGANISATION_COUNT: usize = 10_000;
 /// Number of quarantined request contents.
@@ -169,7 +196,7 @@
 fn bench_choose_with_keys(c: &mut Criterion) {
     let mut group = c.benchmark_group("choose a runner, keys of 10,000 organisations");
     for runners in RUNNER_COUNTS {
-        let mut dispatch = dispatch(runners);
+        let mut dispatch = dispatch(runners, false);
         let organisation = |number| Organisation {
             name: format!("o-{number}").into(),
             keys: vec![key(number)],
@@ -221,7 +248,7 @@
 fn bench_load_sum(c: &mut Criterion) {
     let mut group = c.benchmark_group("take a sum");
     for runners in RUNNER_COUNTS {
-        let mut dispatch = dispatch(runners);
+        let mut dispatch = dispatch(runners, false);
         let mut totals = Totals::default();
         let mut running = 0;
         group.bench_function(BenchmarkId::from_parameter(runners), |b| {
@@ -322,7 +349,7 @@
     name = fleet;
     config = criterion_config();
     targets =
-        bench_choose, bench_choose_with_keys, bench_load_sum, bench_planning_round,
+        bench_choose, bench_choose_by_prefix, bench_choose_with_keys, bench_load_sum, bench_planning_round,
         bench_circuit_breaker
 }
 criterion_main!(fleet);
--- a/crates/dispatch/src/affinity.rs
+++ b/crates/dispatch/src/affinity.rs
@@ -10,6 +10,7 @@
     request::Request,
     upstream::Upstream,
 };
+use std::cell::OnceCell;
 use vanetally_types::{Incarnation, Name, rendezvous_weight};
 
 /// Where an upstream stands among the replicas for a prefix.
@@ -79,8 +80,15 @@
         });
         let ranked = able.map(|(id, upstream)| (rendezvous_weight(key, &id.id), id, upstream));
         let ranked: Vec<Ranked<'a>> = ranked.collect();
-        let overload = Overload::new(input, request, &subject.model, tokens, &ranked);
-        Some(Self { ids: select_used(ranked, &overload), tokens })
+        let overload = Overload {
+            input,
+            request,
+            model: &subject.model,
+            tokens,
+            ranked: &ranked,
+            max_running: OnceCell::new(),
+        };
+        Some(Self { ids: select_used(&ranked, &overload), tokens })
     }
 
     /// Returns the place of an upstream.
@@ -99,56 +107,58 @@
 }
 
 /// Returns the replicas in hash order up to the first one that is not overloaded.
-fn select_used<'a>(mut ranked: Vec<Ranked<'a>>, overload: &Overload<'_>) -> Vec<&'a Incarnation> {
+fn select_used<'a>(ranked: &[Ranked<'a>], overload: &Overload<'_, '_>) -> Vec<&'a Incarnation> {
     let mut used = Vec::with_capacity(1);
-    let position = |ranked: &[Ranked<'a>]| {
-        let first = ranked.iter().enumerate();
-        first.max_by_key(|(_, (weight, id, _))| (*weight, *id)).map(|(position, _)| position)
-    };
-    while let Some(first) = position(&ranked) {
-        let (_, id, upstream) = ranked.swap_remove(first);
-        used.push(id);
+    loop {
+        let unused = ranked.iter().filter(|(_, id, _)| !used.contains(id));
+        let Some((_, id, upstream)) = unused.max_by_key(|(weight, id, _)| (*weight, *id)) else {
+            return used;
+        };
+        used.push(*id);
         if !overload.applies(id, upstream) {
-            break;
+            return used;
         }
     }
-    used
 }
 
 /// The conditions under which a replica is overloaded for a request.
-struct Overload<'a> {
+struct Overload<'a, 'b> {
     input: &'a ChoiceInput<'a>,
     request: &'a Request,
     model: &'a Name,
     /// Tokens of the prefix.
     tokens: u32,
-    max_running: f64,
+    /// All replicas of the model.
+    ranked: &'a [Ranked<'b>],
+    /// Computed when it is first needed.
+    max_running: OnceCell<f64>,
 }
 
-impl<'a> Overload<'a> {
-    fn new(
-        input: &'a ChoiceInput<'a>,
-        request: &'a Request,
-        model: &'a Name,
-        tokens: u32,
-        ranked: &[Ranked<'_>],
-    ) -> Self {
-        let running = ranked.iter().map(|(_, _, upstream)| upstream.total(input.now).running);
-        let mean = f64::from(running.sum::<u32>()) / ranked.len().max(1) as f64;
-        let max_running = MAX_LOAD_RATIO * mean + LOAD_SLACK;
-        Self { input, request, model, tokens, max_running }
+impl Overload<'_, '_> {
+    /// Whether a replica has far more requests than the others.
+    fn is_crowded(&self, running: u32) -> bool {
+        let running = f64::from(running);
+        running > LOAD_SLACK && running > *self.max_running.get_or_init(|| self.compute_max())
+    }
+
+    fn compute_max(&self) -> f64 {
+        let now = self.input.now;
+        let running: u32 =
+            self.ranked.iter().map(|(_, _, upstream)| upstream.total(now).running).sum();
+        let mean = f64::from(running) / self.ranked.len().max(1) as f64;
+        MAX_LOAD_RATIO * mean + LOAD_SLACK
     }
 
     /// Whether a replica that has the prefix cached can't take the request now, or only after a wait
     /// that exceeds the time to read the prefix at another one.
     fn applies(&self, id: &Incarnation, upstream: &Upstream) -> bool {
-        let Self { input, request, model, tokens, max_running } = self;
+        let Self { input, request, model, tokens, .. } = self;
         let own_tokens = request.head.prompt_tokens.saturating_sub(*tokens);
         let idle_ms =
             input.pace.base_ms(Some(model)) + input.pace.reading_ms(Some(model), own_tokens);
         let wait_ms = input.engine_ms(Some(model), (id, upstream), own_tokens) - idle_ms;
         wait_ms > input.pace.reading_ms(Some(model), *tokens)
-            || f64::from(upstream.total(input.now).running) > *max_running
+            || self.is_crowded(upstream.total(input.now).running)
             || shortage_of(input, request, id, upstream, *tokens).is_some()
     }
 }
