refactor: whether an upstream is a replica is checked in hash order only

Cause and change: all upstreams that may hold the model were checked; now those up to the one in use. The nine tests of prefix_affinity.rs pass.

--- a/crates/dispatch/src/affinity.rs
+++ b/crates/dispatch/src/affinity.rs
@@ -11,7 +11,8 @@
     upstream::Upstream,
 };
 use std::cell::OnceCell;
-use vanetally_types::{Incarnation, Name, rendezvous_weight};
+use vanetally_ports::ModelRef;
+use vanetally_types::{Incarnation, rendezvous_weight};
 
 /// Where an upstream stands among the replicas for a prefix.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,7 +53,7 @@
 /// Requests by which a replica may exceed that: with few requests the ratio says little.
 const LOAD_SLACK: f64 = 2.0;
 
-/// A replica of the model, with its weight for the prefix.
+/// An upstream that may hold the model, with its weight for the prefix.
 type Ranked<'a> = (u64, &'a Incarnation, &'a Upstream);
 
 impl<'a> PrefixReplicas<'a> {
@@ -73,22 +74,17 @@
         if reading_ms <= MIN_GAP_SHARE * request.gap_ms() as f64 {
             return None;
         }
-        let able = upstreams.filter(|(_, upstream)| {
-            upstream.accepts_new(input.now)
-                && upstream.holds(subject, input.now)
-                && upstream.health.is_open(input.now)
-        });
-        let ranked = able.map(|(id, upstream)| (rendezvous_weight(key, &id.id), id, upstream));
-        let ranked: Vec<Ranked<'a>> = ranked.collect();
+        let ranked = upstreams.map(|(id, upstream)| (rendezvous_weight(key, &id.id), id, upstream));
+        let known: Vec<Ranked<'a>> = ranked.collect();
         let overload = Overload {
             input,
             request,
-            model: &subject.model,
+            subject,
             tokens,
-            ranked: &ranked,
+            known: &known,
             max_running: OnceCell::new(),
         };
-        Some(Self { ids: select_used(&ranked, &overload), tokens })
+        Some(Self { ids: select_used(known.clone(), &overload), tokens })
     }
 
     /// Returns the place of an upstream.
@@ -107,34 +103,48 @@
 }
 
 /// Returns the replicas in hash order up to the first one that is not overloaded.
-fn select_used<'a>(ranked: &[Ranked<'a>], overload: &Overload<'_, '_>) -> Vec<&'a Incarnation> {
+fn select_used<'a>(mut ranked: Vec<Ranked<'a>>, overload: &Overload<'_>) -> Vec<&'a Incarnation> {
     let mut used = Vec::with_capacity(1);
-    loop {
-        let unused = ranked.iter().filter(|(_, id, _)| !used.contains(id));
-        let Some((_, id, upstream)) = unused.max_by_key(|(weight, id, _)| (*weight, *id)) else {
-            return used;
-        };
-        used.push(*id);
+    while let Some(first) = position_of_first(&ranked) {
+        let (_, id, upstream) = ranked.swap_remove(first);
+        if !overload.is_replica(upstream) {
+            continue;
+        }
+        used.push(id);
         if !overload.applies(id, upstream) {
-            return used;
+            break;
         }
     }
+    used
+}
+
+fn position_of_first(ranked: &[Ranked<'_>]) -> Option<usize> {
+    let all = ranked.iter().enumerate();
+    all.max_by_key(|(_, (weight, id, _))| (*weight, *id)).map(|(position, _)| position)
 }
 
 /// The conditions under which a replica is overloaded for a request.
-struct Overload<'a, 'b> {
+struct Overload<'a> {
     input: &'a ChoiceInput<'a>,
     request: &'a Request,
-    model: &'a Name,
+    subject: &'a ModelRef,
     /// Tokens of the prefix.
     tokens: u32,
-    /// All replicas of the model.
-    ranked: &'a [Ranked<'b>],
+    /// All upstreams that may hold the model.
+    known: &'a [Ranked<'a>],
     /// Computed when it is first needed.
     max_running: OnceCell<f64>,
 }
 
-impl Overload<'_, '_> {
+impl Overload<'_> {
+    /// Whether an upstream holds the model, accepts requests and is not ejected.
+    fn is_replica(&self, upstream: &Upstream) -> bool {
+        let now = self.input.now;
+        upstream.accepts_new(now)
+            && upstream.health.is_open(now)
+            && upstream.holds(self.subject, now)
+    }
+
     /// Whether a replica has far more requests than the others.
     fn is_crowded(&self, running: u32) -> bool {
         let running = f64::from(running);
@@ -143,16 +153,18 @@
 
     fn compute_max(&self) -> f64 {
         let now = self.input.now;
-        let running: u32 =
-            self.ranked.iter().map(|(_, _, upstream)| upstream.total(now).running).sum();
-        let mean = f64::from(running) / self.ranked.len().max(1) as f64;
+        let replicas = self.known.iter().filter(|(_, _, upstream)| self.is_replica(upstream));
+        let loads: Vec<u32> =
+            replicas.map(|(_, _, upstream)| upstream.total(now).running).collect();
+        let mean = f64::from(loads.iter().sum::<u32>()) / loads.len().max(1) as f64;
         MAX_LOAD_RATIO * mean + LOAD_SLACK
     }
 
     /// Whether a replica that has the prefix cached can't take the request now, or only after a wait
     /// that exceeds the time to read the prefix at another one.
     fn applies(&self, id: &Incarnation, upstream: &Upstream) -> bool {
-        let Self { input, request, model, tokens, .. } = self;
+        let Self { input, request, subject, tokens, .. } = self;
+        let model = &subject.model;
         let own_tokens = request.head.prompt_tokens.saturating_sub(*tokens);
         let idle_ms =
             input.pace.base_ms(Some(model)) + input.pace.reading_ms(Some(model), own_tokens);
