refactor: the choice looks its upstreams up once for prompts placed by prefix

Cause: each upstream was looked up by its id twice, once for the order of replicas. Change: the upstreams of such a prompt are collected first; all other requests are chosen as before.

--- a/crates/dispatch/src/affinity.rs
+++ b/crates/dispatch/src/affinity.rs
@@ -57,24 +57,27 @@
 type Ranked<'a> = (u64, &'a Incarnation, &'a Upstream);
 
 impl<'a> PrefixReplicas<'a> {
-    /// Selects the replicas for the longest shared prefix of the request's prompt; `None` if prompts
-    /// are not placed by prefix or reading the prefix again takes little time.
+    /// Whether prompts are placed by prefix and reading the shared part of this one again takes
+    /// much time.
+    pub(crate) fn are_useful(input: &ChoiceInput<'_>, request: &Request) -> bool {
+        let model = request.head.model.as_ref().map(|subject| &subject.model);
+        let is_placed = input.prefix_affinity && input.engine.is_some() && model.is_some();
+        let reading_ms = || input.pace.reading_ms(model, shared_tokens(request));
+        is_placed && reading_ms() > MIN_GAP_SHARE * request.gap_ms() as f64
+    }
+
+    /// Selects the replicas among `upstreams` for the longest shared prefix of the request's prompt;
+    /// `None` if it has none.
     pub(crate) fn select(
         input: &ChoiceInput<'_>,
         request: &Request,
-        upstreams: impl Iterator<Item = (&'a Incarnation, &'a Upstream)>,
+        upstreams: &[(&'a Incarnation, &'a Upstream)],
     ) -> Option<Self> {
-        if !input.prefix_affinity || input.engine.is_none() {
-            return None;
-        }
         let key = request.shared_prefixes.last()?.key;
-        let tokens = request.shared_prefixes.iter().map(|prefix| prefix.tokens).sum();
         let subject = request.head.model.as_ref()?;
-        let reading_ms = input.pace.reading_ms(Some(&subject.model), tokens);
-        if reading_ms <= MIN_GAP_SHARE * request.gap_ms() as f64 {
-            return None;
-        }
-        let ranked = upstreams.map(|(id, upstream)| (rendezvous_weight(key, &id.id), id, upstream));
+        let tokens = shared_tokens(request);
+        let weight = |id: &Incarnation| rendezvous_weight(key, &id.id);
+        let ranked = upstreams.iter().map(|(id, upstream)| (weight(id), *id, *upstream));
         let known: Vec<Ranked<'a>> = ranked.collect();
         let overload = Overload {
             input,
@@ -102,6 +105,10 @@
     }
 }
 
+fn shared_tokens(request: &Request) -> u32 {
+    request.shared_prefixes.iter().map(|prefix| prefix.tokens).sum()
+}
+
 /// Returns the replicas in hash order up to the first one that is not overloaded.
 fn select_used<'a>(mut ranked: Vec<Ranked<'a>>, overload: &Overload<'_>) -> Vec<&'a Incarnation> {
     let mut used = Vec::with_capacity(1);
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -53,14 +53,28 @@
 pub(crate) fn choose<'a>(
     input: &ChoiceInput<'_>,
     request: &Request,
-    upstreams: impl Iterator<Item = (&'a Incarnation, &'a Upstream)> + Clone,
+    upstreams: impl Iterator<Item = (&'a Incarnation, &'a Upstream)>,
+) -> Result<Choice, Shortage> {
+    if !PrefixReplicas::are_useful(input, request) {
+        return choose_among(input, request, None, upstreams);
+    }
+    let known: Vec<_> = upstreams.collect();
+    let replicas = PrefixReplicas::select(input, request, &known);
+    choose_among(input, request, replicas.as_ref(), known.into_iter())
+}
+
+/// Chooses one of `upstreams`, of which `replicas` are expected to have a prefix cached.
+fn choose_among<'a>(
+    input: &ChoiceInput<'_>,
+    request: &Request,
+    replicas: Option<&PrefixReplicas<'_>>,
+    upstreams: impl Iterator<Item = (&'a Incarnation, &'a Upstream)>,
 ) -> Result<Choice, Shortage> {
-    let replicas = PrefixReplicas::select(input, request, upstreams.clone());
     let mut shortage = Shortage { kind: ShortageKind::Upstream, holders: 0 };
     let (mut best, mut suspect, mut limited): (Cheapest, Cheapest, Cheapest) = Default::default();
     let (mut usable, mut limited_count) = (0, 0);
     for (id, upstream) in upstreams.filter(|(_, upstream)| upstream.accepts_new(input.now)) {
-        let cached = expected_cached(request, replicas.as_ref(), id, upstream);
+        let cached = expected_cached(request, replicas, id, upstream);
         let kind = shortage_of(input, request, id, upstream, cached);
         shortage.holders += u32::from(!kind.is_some_and(ShortageKind::is_missing));
         usable +=
@@ -70,7 +84,7 @@
             continue;
         }
         let (cost, mut choice) = cost(input, request, id, upstream, cached);
-        choice.place = replicas.as_ref().map(|replicas| replicas.place(id));
+        choice.place = replicas.map(|replicas| replicas.place(id));
         if upstream.is_limited(input.now) {
             shortage.kind = shortage.kind.max(ShortageKind::Limit);
             limited_count += 1;
--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -103,10 +103,7 @@
     }
 
     /// Returns the upstreams of a service, ordered by name.
-    pub(crate) fn upstreams_of(
-        &self,
-        service: &Name,
-    ) -> impl Iterator<Item = &Incarnation> + Clone {
+    pub(crate) fn upstreams_of(&self, service: &Name) -> impl Iterator<Item = &Incarnation> {
         self.services.get(service).into_iter().flat_map(|service| &service.upstreams)
     }
 
@@ -115,7 +112,7 @@
         &self,
         service: &Name,
         model: &Name,
-    ) -> impl Iterator<Item = &Incarnation> + Clone {
+    ) -> impl Iterator<Item = &Incarnation> {
         let service = self.services.get(service);
         service.and_then(|service| service.holders.get(model)).into_iter().flatten()
     }
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -219,8 +219,8 @@
 
     fn known_upstreams<'a>(
         &'a self,
-        ids: impl Iterator<Item = &'a Incarnation> + Clone,
-    ) -> impl Iterator<Item = (&'a Incarnation, &'a Upstream)> + Clone {
+        ids: impl Iterator<Item = &'a Incarnation>,
+    ) -> impl Iterator<Item = (&'a Incarnation, &'a Upstream)> {
         ids.filter_map(|id| self.upstreams.get_key_value(id))
     }
 
