--- a/crates/dispatch/src/affinity.rs
+++ b/crates/dispatch/src/affinity.rs
@@ -10,7 +10,9 @@
     request::Request,
     upstream::Upstream,
 };
-use vanetally_types::{Incarnation, Name, rendezvous_weight};
+use std::cell::OnceCell;
+use vanetally_ports::ModelRef;
+use vanetally_types::{Incarnation, rendezvous_weight};
 
 /// Where an upstream stands among the replicas for a prefix.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,36 +53,41 @@
 /// Requests by which a replica may exceed that: with few requests the ratio says little.
 const LOAD_SLACK: f64 = 2.0;
 
-/// A replica of the model, with its weight for the prefix.
+/// An upstream that may hold the model, with its weight for the prefix.
 type Ranked<'a> = (u64, &'a Incarnation, &'a Upstream);
 
 impl<'a> PrefixReplicas<'a> {
-    /// Selects the replicas for the longest shared prefix of the request's prompt; `None` if prompts
-    /// are not placed by prefix or reading the prefix again takes little time.
+    /// Whether prompts are placed by prefix and reading the shared part of this one again takes
+    /// much time.
+    pub(crate) fn are_useful(input: &ChoiceInput<'_>, request: &Request) -> bool {
+        let model = request.head.model.as_ref().map(|subject| &subject.model);
+        let is_placed = input.prefix_affinity && input.engine.is_some() && model.is_some();
+        let reading_ms = || input.pace.reading_ms(model, shared_tokens(request));
+        is_placed && reading_ms() > MIN_GAP_SHARE * request.gap_ms() as f64
+    }
+
+    /// Selects the replicas among `upstreams` for the longest shared prefix of the request's prompt;
+    /// `None` if it has none.
     pub(crate) fn select(
         input: &ChoiceInput<'_>,
         request: &Request,
-        upstreams: impl Iterator<Item = (&'a Incarnation, &'a Upstream)>,
+        upstreams: &[(&'a Incarnation, &'a Upstream)],
     ) -> Option<Self> {
-        if !input.prefix_affinity || input.engine.is_none() {
-            return None;
-        }
         let key = request.shared_prefixes.last()?.key;
-        let tokens = request.shared_prefixes.iter().map(|prefix| prefix.tokens).sum();
         let subject = request.head.model.as_ref()?;
-        let reading_ms = input.pace.reading_ms(Some(&subject.model), tokens);
-        if reading_ms <= MIN_GAP_SHARE * request.gap_ms() as f64 {
-            return None;
-        }
-        let able = upstreams.filter(|(_, upstream)| {
-            upstream.accepts_new(input.now)
-                && upstream.holds(subject, input.now)
-                && upstream.health.is_open(input.now)
-        });
-        let ranked = able.map(|(id, upstream)| (rendezvous_weight(key, &id.id), id, upstream));
-        let ranked: Vec<Ranked<'a>> = ranked.collect();
-        let overload = Overload::new(input, request, &subject.model, tokens, &ranked);
-        Some(Self { ids: select_used(ranked, &overload), tokens })
+        let tokens = shared_tokens(request);
+        let weight = |id: &Incarnation| rendezvous_weight(key, &id.id);
+        let ranked = upstreams.iter().map(|(id, upstream)| (weight(id), *id, *upstream));
+        let known: Vec<Ranked<'a>> = ranked.collect();
+        let overload = Overload {
+            input,
+            request,
+            subject,
+            tokens,
+            known: &known,
+            max_running: OnceCell::new(),
+        };
+        Some(Self { ids: select_used(known.clone(), &overload), tokens })
     }
 
     /// Returns the place of an upstream.
@@ -98,15 +105,18 @@
     }
 }
 
+fn shared_tokens(request: &Request) -> u32 {
+    request.shared_prefixes.iter().map(|prefix| prefix.tokens).sum()
+}
+
 /// Returns the replicas in hash order up to the first one that is not overloaded.
 fn select_used<'a>(mut ranked: Vec<Ranked<'a>>, overload: &Overload<'_>) -> Vec<&'a Incarnation> {
     let mut used = Vec::with_capacity(1);
-    let position = |ranked: &[Ranked<'a>]| {
-        let first = ranked.iter().enumerate();
-        first.max_by_key(|(_, (weight, id, _))| (*weight, *id)).map(|(position, _)| position)
-    };
-    while let Some(first) = position(&ranked) {
+    while let Some(first) = position_of_first(&ranked) {
         let (_, id, upstream) = ranked.swap_remove(first);
+        if !overload.is_replica(upstream) {
+            continue;
+        }
         used.push(id);
         if !overload.applies(id, upstream) {
             break;
@@ -115,40 +125,59 @@
     used
 }
 
+fn position_of_first(ranked: &[Ranked<'_>]) -> Option<usize> {
+    let all = ranked.iter().enumerate();
+    all.max_by_key(|(_, (weight, id, _))| (*weight, *id)).map(|(position, _)| position)
+}
+
 /// The conditions under which a replica is overloaded for a request.
 struct Overload<'a> {
     input: &'a ChoiceInput<'a>,
     request: &'a Request,
-    model: &'a Name,
+    subject: &'a ModelRef,
     /// Tokens of the prefix.
     tokens: u32,
-    max_running: f64,
+    /// All upstreams that may hold the model.
+    known: &'a [Ranked<'a>],
+    /// Computed when it is first needed.
+    max_running: OnceCell<f64>,
 }
 
-impl<'a> Overload<'a> {
-    fn new(
-        input: &'a ChoiceInput<'a>,
-        request: &'a Request,
-        model: &'a Name,
-        tokens: u32,
-        ranked: &[Ranked<'_>],
-    ) -> Self {
-        let running = ranked.iter().map(|(_, _, upstream)| upstream.total(input.now).running);
-        let mean = f64::from(running.sum::<u32>()) / ranked.len().max(1) as f64;
-        let max_running = MAX_LOAD_RATIO * mean + LOAD_SLACK;
-        Self { input, request, model, tokens, max_running }
+impl Overload<'_> {
+    /// Whether an upstream holds the model, accepts requests and is not ejected.
+    fn is_replica(&self, upstream: &Upstream) -> bool {
+        let now = self.input.now;
+        upstream.accepts_new(now)
+            && upstream.health.is_open(now)
+            && upstream.holds(self.subject, now)
+    }
+
+    /// Whether a replica has far more requests than the others.
+    fn is_crowded(&self, running: u32) -> bool {
+        let running = f64::from(running);
+        running > LOAD_SLACK && running > *self.max_running.get_or_init(|| self.compute_max())
+    }
+
+    fn compute_max(&self) -> f64 {
+        let now = self.input.now;
+        let replicas = self.known.iter().filter(|(_, _, upstream)| self.is_replica(upstream));
+        let loads: Vec<u32> =
+            replicas.map(|(_, _, upstream)| upstream.total(now).running).collect();
+        let mean = f64::from(loads.iter().sum::<u32>()) / loads.len().max(1) as f64;
+        MAX_LOAD_RATIO * mean + LOAD_SLACK
     }
 
     /// Whether a replica that has the prefix cached can't take the request now, or only after a wait
     /// that exceeds the time to read the prefix at another one.
     fn applies(&self, id: &Incarnation, upstream: &Upstream) -> bool {
-        let Self { input, request, model, tokens, max_running } = self;
+        let Self { input, request, subject, tokens, .. } = self;
+        let model = &subject.model;
         let own_tokens = request.head.prompt_tokens.saturating_sub(*tokens);
         let idle_ms =
             input.pace.base_ms(Some(model)) + input.pace.reading_ms(Some(model), own_tokens);
         let wait_ms = input.engine_ms(Some(model), (id, upstream), own_tokens) - idle_ms;
         wait_ms > input.pace.reading_ms(Some(model), *tokens)
-            || f64::from(upstream.total(input.now).running) > *max_running
+            || self.is_crowded(upstream.total(input.now).running)
             || shortage_of(input, request, id, upstream, *tokens).is_some()
     }
 }
