fix: the engine's speed is no part of the reading time that its pacer reserves

Change: taken back; the replica choice by prefix stays. Measured: tests of dispatch and pacing pass.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -174,7 +174,7 @@
         None => is_saturated(input.now, upstream, load.running, slots * SERVICE_QUEUE_RATIO)
             .then_some(ShortageKind::Slot),
         Some(_) if load.running == 0 => None,
-        Some(engine) => engine_shortage(input, engine, request, (id, upstream), cached),
+        Some(engine) => engine_shortage(input, engine, request, upstream, cached),
     }
 }
 
@@ -190,7 +190,7 @@
     input: &ChoiceInput<'_>,
     engine: &EngineSpec,
     request: &Request,
-    (id, upstream): (&Incarnation, &Upstream),
+    upstream: &Upstream,
     cached: u32,
 ) -> Option<ShortageKind> {
     let load = upstream.total(input.now);
@@ -206,7 +206,6 @@
     let model = request.head.model.as_ref();
     let unread_tokens = ahead + request.head.prompt_tokens.saturating_sub(cached);
     let reading_ms = input.pace.reading_ms(model.map(|m| &m.model), unread_tokens);
-    let reading_ms = reading_ms * input.reading_slowness(id);
     let is_read_soon = reading_ms < READING_GAP_SHARE * request.gap_ms() as f64;
     (ahead > 0 && !is_read_soon).then_some(ShortageKind::Reading)
 }
@@ -223,12 +222,6 @@
         known.max((f64::from(upstream.own_load.unread_tokens) * others) as u32)
     }
 
-    /// Returns the factor by which an engine reads prompts more slowly than the average one, as far
-    /// as it is taken into account.
-    fn reading_slowness(&self, id: &Incarnation) -> f64 {
-        if self.prefix_affinity { self.pace.reading_slowness(id) } else { 1.0 }
-    }
-
     /// Returns the expected milliseconds to the first piece at an engine that has `unread_tokens`
     /// of the request's prompt to read.
     pub(crate) fn engine_ms(
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -27,8 +27,7 @@
     /// How long a revoked key may still be used; `None` if hosts continue to serve with the last
     /// known configuration.
     pub revoke_ms: Option<u64>,
-    /// Whether prompts that share a long prefix go to the same replica, and prompts are paced by
-    /// the engine's own speed.
+    /// Whether prompts that share a long prefix go to the same replica.
     pub prefix_affinity: bool,
     /// Whether waiting requests are ordered, and their wait is forecast, over all hosts.
     pub shared_queue: bool,
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -2,7 +2,6 @@
 
 use crate::{choice::ReadEstimate, fit::LinearFit};
 use std::collections::BTreeMap;
-use vanetally_pacing::{ReadingSpeed, SpeedReport};
 use vanetally_ports::CallerRequest;
 use vanetally_types::{Incarnation, Name};
 
@@ -16,8 +15,6 @@
     reading: LinearFit,
     models: BTreeMap<Name, ModelPace>,
     slowness: BTreeMap<Incarnation, f64>,
-    /// Speeds at which engines read prompts that did not wait for others.
-    engines: BTreeMap<Incarnation, EngineReading>,
 }
 
 /// Initial values of the fit.
@@ -33,10 +30,7 @@
 const SLOWNESS_RANGE: std::ops::RangeInclusive<f64> = 0.5..=8.0;
 /// Part of the time to the first piece that does not count as demand.
 const DEMAND_BASE_MS: f64 = 15.0;
-/// Minimum number of samples of a model from which its factor is known well enough to attribute
-/// the rest of a time to the engine.
-const MIN_MODEL_SAMPLES: u32 = 4;
-/// Minimum number of prompt tokens of a sample for demand and for the reading speed of an engine.
+/// Minimum number of prompt tokens of a sample for demand.
 const MIN_SAMPLE_TOKENS: u32 = 200;
 /// Weight of a sample that decreases or increases the demand per token. Short times carry more
 /// information.
@@ -45,8 +39,6 @@
 /// Time of an output token in a full batch, as a multiple of the time of a prompt token.
 const OUTPUT_TOKEN_WEIGHT: f64 = 4.0;
 
-const PERCENT: f64 = 100.0;
-
 /// Learned speed of one model.
 #[derive(Clone, Copy, Debug)]
 struct ModelPace {
@@ -75,21 +67,12 @@
     }
 }
 
-/// Learned reading speed of one engine.
-#[derive(Clone, Copy, Debug, Default)]
-struct EngineReading {
-    speed: ReadingSpeed,
-    /// The last sample that the engine's pacer was not told, relative to the average.
-    unreported: Option<f64>,
-}
-
 impl Default for PaceModel {
     fn default() -> Self {
         Self {
             reading: LinearFit::new(INITIAL_BASE_MS, INITIAL_PER_TOKEN_MS),
             models: BTreeMap::new(),
             slowness: BTreeMap::new(),
-            engines: BTreeMap::new(),
         }
     }
 }
@@ -122,20 +105,6 @@
         self.slowness.get(upstream).copied().unwrap_or(1.0)
     }
 
-    /// Returns the factor by which an engine reads prompts more slowly than the average one, at
-    /// least 1.
-    pub(crate) fn reading_slowness(&self, upstream: &Incarnation) -> f64 {
-        self.engines.get(upstream).map_or(1.0, |engine| engine.speed.slowness())
-    }
-
-    /// Returns what the engine's pacer is told of its speed, with the last sample once.
-    pub(crate) fn report_speed(&mut self, upstream: &Incarnation) -> SpeedReport {
-        let percent = |ratio: f64| (ratio * PERCENT).round() as u16;
-        let included = percent(self.reading_slowness(upstream));
-        let sample = self.engines.get_mut(upstream).and_then(|engine| engine.unreported.take());
-        SpeedReport { included, sample: sample.map(percent) }
-    }
-
     /// Returns the time that an engine takes to read `tokens` of a prompt.
     pub(crate) fn reading_ms(&self, model: Option<&Name>, tokens: u32) -> f64 {
         f64::from(tokens) * self.per_token_ms(model)
@@ -173,7 +142,6 @@
             * (ratio.clamp(*SLOWNESS_RANGE.start(), *SLOWNESS_RANGE.end()) - *slowness);
         // Only a prompt that did not wait for others shows how fast the engine reads.
         if let Some(model) = model.filter(|_| expected.ahead_ms == 0) {
-            self.update_reading_speed(upstream, model, expected.unread_tokens, ratio);
             self.update_reading(model, expected.unread_tokens, expected_ms, ratio);
             self.update_demand(model, expected.unread_tokens, took_ms);
         }
@@ -187,21 +155,6 @@
         self.reading.observe(f64::from(unread_tokens), typical_ms);
     }
 
-    fn update_reading_speed(
-        &mut self,
-        upstream: &Incarnation,
-        model: &Name,
-        unread_tokens: u32,
-        ratio: f64,
-    ) {
-        let samples = self.models.get(model).map_or(0, |pace| pace.samples);
-        if unread_tokens >= MIN_SAMPLE_TOKENS && samples >= MIN_MODEL_SAMPLES {
-            let engine = self.engines.entry(upstream.clone()).or_default();
-            engine.speed.observe(ratio);
-            engine.unreported = Some(ratio);
-        }
-    }
-
     fn update_demand(&mut self, model: &Name, unread_tokens: u32, took_ms: f64) {
         if unread_tokens < MIN_SAMPLE_TOKENS {
             return;
@@ -217,6 +170,5 @@
 
     pub(crate) fn forget(&mut self, upstream: &Incarnation) {
         self.slowness.remove(upstream);
-        self.engines.remove(upstream);
     }
 }
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -11,18 +11,16 @@
 use vanetally_limit::{PermitAnswer, PermitRequest};
 use vanetally_pacing::{Prompt, SendSlot, SlotReply};
 use vanetally_ports::RefusalCause;
-use vanetally_types::{Incarnation, Tick};
+use vanetally_types::Tick;
 
 impl Dispatch {
     /// Asks the engine's pacer for a slot. The request counts as load of the engine meanwhile.
     pub(crate) fn reserve(&mut self, now: Tick, id: RequestId, choice: Choice) -> Option<Action> {
         let upstream = choice.upstream.clone();
         let reservation = self.open_reservation(now, id, choice)?;
-        let speed = self.options.prefix_affinity.then(|| self.pace.report_speed(&upstream));
         let request = self.requests.get(&id)?;
         let model = request.head.model.as_ref().map(|subject| subject.model.clone());
         let per_token_us = self.pace.per_token_ms(model.as_ref()) * MICROS_PER_MILLI;
-        let per_token_us = per_token_us * self.reading_slowness(&upstream);
         let prompt = Prompt {
             upstream,
             model: model.unwrap_or_else(|| "".into()),
@@ -30,16 +28,10 @@
             tokens: request.head.prompt_tokens,
             per_token_us: per_token_us.round() as u32,
             gap_ms: request.gap_ms() as u32,
-            speed,
         };
         Some(Action::Reserve { id, reservation, prompt })
     }
 
-    /// Returns the factor by which the reading time of prompts at this engine exceeds the average.
-    fn reading_slowness(&self, upstream: &Incarnation) -> f64 {
-        if self.options.prefix_affinity { self.pace.reading_slowness(upstream) } else { 1.0 }
-    }
-
     /// Moves a request from the queue to a reservation at the chosen upstream, where it counts as
     /// load. Returns the number of the reservation.
     fn open_reservation(&mut self, now: Tick, id: RequestId, choice: Choice) -> Option<u32> {
@@ -70,7 +62,6 @@
         let Some(choice) = self.close_reservation(id, reservation) else {
             return;
         };
-        let slowness = self.reading_slowness(&choice.upstream);
         // An upstream that is gone or leaving takes nothing new, whatever its pacer answered.
         let Some(upstream) = self.upstreams.get_mut(&choice.upstream) else {
             return;
@@ -83,8 +74,6 @@
                 ahead_ms,
                 is_trial,
             }) if is_open => {
-                // Estimates are those of an engine of average speed.
-                let ahead_ms = (f64::from(ahead_ms) / slowness).round() as u32;
                 let expected = ReadEstimate { unread_tokens, ahead_ms };
                 let choice = Choice { expected, is_trial, ..choice };
                 actions.extend(self.send(now, id, choice, delay_ms));
--- a/crates/pacing/src/lib.rs
+++ b/crates/pacing/src/lib.rs
@@ -16,10 +16,8 @@
 mod pacer;
 mod pacers;
 mod prefixes;
-mod speed;
 
 pub use breaker::BreakerTransition;
 pub use pacer::{Pacer, Prompt, SendSlot, SlotReply};
 pub use pacers::Pacers;
 pub use prefixes::{Prefix, PrefixCache};
-pub use speed::{ReadingSpeed, SpeedReport};
--- a/crates/pacing/src/pacer.rs
+++ b/crates/pacing/src/pacer.rs
@@ -1,9 +1,6 @@
 //! Assigns send slots for prompts.
 
-use crate::{
-    BreakerTransition, Prefix, PrefixCache, ReadingSpeed, SpeedReport, breaker::Breaker,
-    bucket::Bucket,
-};
+use crate::{BreakerTransition, Prefix, PrefixCache, breaker::Breaker, bucket::Bucket};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use vanetally_types::{Incarnation, Name, Tick};
@@ -29,10 +26,6 @@
     /// Configured maximum pause between two events of a stream.
     #[serde(rename = "g")]
     pub gap_ms: u32,
-    /// What the host knows of the engine's speed; absent in prompts of earlier builds, and of hosts
-    /// that pace all engines alike.
-    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
-    pub speed: Option<SpeedReport>,
 }
 
 /// The pacer's reply to a host that asks for a send slot.
@@ -73,7 +66,6 @@
     bucket: Bucket,
     breaker: Breaker,
     prefixes: PrefixCache,
-    speed: ReadingSpeed,
 }
 
 /// Share of the maximum pause that the reading of prompts sent together may take.
@@ -88,15 +80,13 @@
 impl Pacer {
     /// Reserves a send slot for a prompt.
     pub fn reserve(&mut self, now: Tick, prompt: &Prompt) -> SlotReply {
-        let Engine { bucket, breaker, prefixes, speed } =
+        let Engine { bucket, breaker, prefixes } =
             self.engines.entry(prompt.upstream.clone()).or_default();
-        let correction = prompt.speed.map_or(1.0, |report| speed.correction(report));
         if let Some(retry_ms) = breaker.wait_ms(now) {
             return SlotReply::Busy { retry_ms };
         }
         let unread = prompt.tokens.saturating_sub(prefixes.tokens(&prompt.shared));
-        let reading_ms =
-            f64::from(unread) * f64::from(prompt.per_token_us) * correction / MICROS_PER_MILLI;
+        let reading_ms = f64::from(unread) * f64::from(prompt.per_token_us) / MICROS_PER_MILLI;
         let gap_ms = f64::from(prompt.gap_ms);
         let delay_ms = bucket.delay_ms(now, reading_ms, BURST_SHARE * gap_ms);
         let max_delay_ms = MAX_DELAY_SHARE * gap_ms;
