fix: a request without a place in an owner's queue does not ask again at once

Cause: the owner of an upstream's slots answered Queued and then Busy to a request that found 256 others waiting, with the expected wait, which was shorter than the request may wait. Its host asked again at once. For its own requests the owner did so recursively, without end. Change: the stated wait exceeds what is left of the request's own, so that its host refuses it or asks another owner; a request that has no place gets one answer. Measured: crates/slots/tests/order.rs queue_is_full fails before (Queued, 85 ms) and passes now.

--- a/crates/slots/src/upstream.rs
+++ b/crates/slots/src/upstream.rs
@@ -163,12 +163,21 @@
             let retry_ms = expected_ms.max(MIN_RETRY_MS).max(futile_ms);
             return vec![(key, SlotAnswer::Busy { retry_ms })];
         }
-        let mut answers = vec![(key, SlotAnswer::Queued { expected_ms })];
-        if let Some(displaced) = self.line.insert(waiting) {
-            let retry_ms = self.expected_ms(&displaced).max(MIN_RETRY_MS);
-            answers.push((displaced.key, SlotAnswer::Busy { retry_ms }));
-        }
-        answers
+        let queued = (key, SlotAnswer::Queued { expected_ms });
+        let Some(displaced) = self.line.insert(waiting) else {
+            return vec![queued];
+        };
+        let retry_ms = self.displaced_retry_ms(now, &displaced);
+        let is_own = displaced.key == queued.0;
+        let refused = (displaced.key, SlotAnswer::Busy { retry_ms });
+        if is_own { vec![refused] } else { vec![queued, refused] }
+    }
+
+    /// Returns the wait that is stated to a request for which the queue has no place. It is longer
+    /// than the request may wait; a host would ask again at once otherwise.
+    fn displaced_retry_ms(&self, now: Tick, displaced: &Waiting) -> u32 {
+        let left_ms = u32::try_from(displaced.deadline.since(now)).unwrap_or(u32::MAX);
+        self.expected_ms(displaced).max(MIN_RETRY_MS).max(left_ms.saturating_add(1))
     }
 
     /// Updates the announced slots, and what other owners may have granted since the last request.
--- a/crates/slots/tests/order.rs
+++ b/crates/slots/tests/order.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use support::{GRANTED, START, ask, full_owner, release, request};
+use support::{GRANTED, START, ask, full_owner, host, release, request};
 use vanetally_slots::{Owner, SlotAnswer, SlotEnd, SlotRequest};
 
 /// Ends grants one after the other; returns the numbers in the order in which they were granted.
@@ -88,3 +88,30 @@
     assert!(matches!(replies[0].answer, SlotAnswer::Busy { .. }), "{replies:?}");
     assert_eq!(owner.waiting(), 0);
 }
+
+/// Guards against a request that finds no place in the queue, is told of a short wait, and so asks
+/// again at once, over and over.
+#[test]
+fn queue_is_full() {
+    const MAX_WAITING: u64 = 256;
+    let mut owner = full_owner(START);
+    // Grants that end at once make the expected waits short.
+    for number in 1_000..1_100 {
+        ask(&mut owner, START, number, &request());
+        release(&mut owner, START, number - if number < 1_003 { 1_000 } else { 3 }, SlotEnd::Used);
+    }
+    let wait_ms = 2_000;
+    let patient = SlotRequest { wait_ms, hold_ms: 9_000, ..request() };
+    for number in 0..MAX_WAITING {
+        let answer = ask(&mut owner, START, 2_000 + number, &patient);
+        assert!(matches!(answer, SlotAnswer::Queued { .. }), "{number} {answer:?}");
+    }
+    let answer = ask(&mut owner, START, 3_000, &patient);
+    assert!(matches!(answer, SlotAnswer::Busy { retry_ms } if retry_ms > wait_ms), "{answer:?}");
+    let urgent = SlotRequest { rank: (0, 0), ..patient };
+    let replies = owner.acquire(START + 500, (&host(), 4_000), &urgent, 0);
+    let displaced = replies.iter().find(|reply| reply.number == 2_255).expect("displaced");
+    let is_over = matches!(displaced.answer, SlotAnswer::Busy { retry_ms } if retry_ms > 1_500);
+    assert!(is_over, "{displaced:?}");
+    assert_eq!(owner.waiting() as u64, MAX_WAITING);
+}
