fix: a rate-limited upstream with busy slots gets no requests for slots

Cause: an upstream that stated a rate limit while its slots were known to be busy counted as one to wait at. The slot that its owner granted could not be used, was released, and was requested again at once until the stated wait was over. Change: slots play no part at a rate-limited upstream; a permit is requested, as the design states. Measured: limited_upstream_needs_no_slot in tests/slot_releases.rs fails before (AcquireSlot again) and passes now.

--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -150,7 +150,8 @@
     let load = upstream.total(input.now);
     let slots = f64::from(upstream.state.slots);
     match input.engine {
-        None if input.grants_slots => {
+        // A rate-limited upstream needs a permit and no slot.
+        None if input.grants_slots && upstream.rate_limit(input.now).is_none() => {
             let is_late = request.is_late_after(input.now, input.answer_ms);
             upstream
                 .busy_slots
--- a/crates/dispatch/tests/slot_releases.rs
+++ b/crates/dispatch/tests/slot_releases.rs
@@ -199,3 +199,20 @@
     host.now = START + 260;
     assert_eq!(asked(&host.handle(Event::Tick)).len(), 1);
 }
+
+/// An upstream states a rate limit while its slots are known to be busy. Guards against a request
+/// that gets a slot there, can't use it, and asks for the next one at once, over and over.
+#[test]
+fn limited_upstream_needs_no_slot() {
+    let mut host = Host::new(true, 70, 1);
+    host.arrive();
+    let actions = host.answer(1, Some(SlotAnswer::Busy { retry_ms: 300 }));
+    assert_eq!(asked(&actions).len(), 1);
+    let sent = host.now;
+    host.now = host.now + 1;
+    host.handle(Event::LimitStated { upstream: "i-0".into(), sent, rate: Some(20.0) });
+    let actions = host.answer(2, Some(SlotAnswer::Granted));
+    assert_eq!(released(&actions), [(2, SlotEnd::Unused)]);
+    assert!(asked(&actions).is_empty(), "{actions:?}");
+    assert!(actions.iter().any(|action| matches!(action, Action::RequestPermit { .. })));
+}
