fix: a wait for quota is no sign of too few replicas

Cause: the time from which a waiting request shows that its model is saturated counted from its arrival. A request that had waited 200 ms for quota had another replica requested at once. Change: the time counts from when the request is queued for an upstream. Measured: wait_is_no_saturation in tests/quota_wait.rs fails before and passes now.

--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -416,7 +416,8 @@
         if let Some(budget) = self.retry_budgets.get_mut(&service) {
             budget.record_request(now);
         }
-        let request = Request { content_hash, ..Request::new(head, route, access, service, at) };
+        let request = Request::new(head, route, access, service, at);
+        let request = Request { content_hash, queued_at: now, ..request };
         if let Some(subject) = &request.head.model {
             let demand = self.demand.entry((request.service.clone(), subject.clone()));
             let demand = demand.or_default();
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -71,6 +71,8 @@
     pub shared_prefixes: Vec<Prefix>,
     pub service: Name,
     pub arrived: Tick,
+    /// When it was first queued for an upstream; later than its arrival if it waited for quota.
+    pub queued_at: Tick,
     /// Latest time of the final answer.
     pub deadline: Tick,
     /// Latest time of the first attempt.
@@ -139,6 +141,7 @@
             content_hash: 0,
             service,
             arrived: now,
+            queued_at: now,
             deadline,
             wait_limit,
             stage: Stage::Waiting,
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -17,7 +17,7 @@
 
 /// Share of an upstream's connections that all hosts together use.
 const CONNECTION_SHARE: f64 = 0.8;
-/// Waiting time from which a request shows that its model has too few replicas. Shorter waits come
+/// Time in the queue from which a request shows that its model has too few replicas. Shorter waits come
 /// and go with bursts of requests.
 pub(crate) const SATURATED_MS: u64 = 200;
 /// How long a permit for a rate-limited upstream is valid after its send time. A host that was
@@ -113,7 +113,7 @@
                     return;
                 };
                 request.shortage = Some(shortage);
-                let waited_ms = now.since(request.arrived);
+                let waited_ms = now.since(request.queued_at);
                 self.refuse_by_forecast(now, id, lines, Some(shortage.kind), actions);
                 if let Some(subject) = subject {
                     self.report_shortage(now, service, subject, shortage.kind, waited_ms, actions);
--- a/crates/dispatch/tests/quota_wait.rs
+++ b/crates/dispatch/tests/quota_wait.rs
@@ -5,10 +5,10 @@
 use rstest::rstest;
 use std::rc::Rc;
 use support::{Host, configuration, refusal, request, route, sent, upstream};
-use vanetally_dispatch::{Event, QuotaTerms, RequestId};
+use vanetally_dispatch::{Action, Digest, Event, LoadRow, QuotaTerms, RequestId};
 use vanetally_ports::{
     CallerKey, CallerRequest, Configuration, Credential, Organisation, RefusalCause, RequestKind,
-    Route,
+    Route, UpstreamState,
 };
 
 /// The time that a request has waited must count against its deadline; otherwise its caller is gone
@@ -49,3 +49,37 @@
     let unknown = CallerRequest { credential: Credential::Key(CallerKey::new("key-b")), ..head };
     assert_eq!(host.dispatch.quota_terms(host.now, &unknown), None);
 }
+
+/// Guards against replicas that are requested for a model because a request for it has waited for
+/// quota.
+#[test]
+fn wait_is_no_saturation() {
+    let mut host = Host::new(vec![route("offer", RequestKind::Stream, "llm")]);
+    host.announce("i-1", UpstreamState { slots: 1, ..upstream("llm", 1, &["m1"]) });
+    host.handle(Event::PeerDigest { host: "front-2".into(), digest: full("i-1") });
+    let (at, id) = (host.now, RequestId(77));
+    host.now = at + 300;
+    host.handle(Event::PeerDigest { host: "front-2".into(), digest: full("i-1") });
+    let request = request("a", "offer", Some("m1"));
+    let is_requested = |actions: &[Action]| {
+        actions.iter().any(|action| matches!(action, Action::RequestModel { .. }))
+    };
+    let actions = host.handle(Event::ArrivedEarlier { at, id, request, content_hash: 0 });
+    assert!(sent(&actions, id).is_empty() && !is_requested(&actions), "{actions:?}");
+    let actions = host.advance(220);
+    assert!(is_requested(&actions), "it has waited for the model");
+}
+
+/// The report of a host whose requests take all slots of an engine.
+fn full(engine: &str) -> Digest {
+    let row = LoadRow {
+        upstream: engine.into(),
+        running: 1,
+        unread_tokens: 0,
+        held_tokens: 0,
+        good: 0,
+        bad: 0,
+        limit: None,
+    };
+    Digest { loads: vec![row], demand: Vec::new(), waiting: Vec::new() }
+}
