fix: a host that stops awaits the requests that wait for quota

Cause: requests are open from their admission by the dispatcher on, which follows the wait for quota. A host that stopped exited without an answer to those that waited; the wait may take seconds. Change: open requests include those that await an answer of the grantor. Measured: stopping_host_counts_waiting_requests in tests/quota_wait.rs fails before (0 open requests) and passes now.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -350,9 +350,9 @@
         *self.stage.borrow() == Stage::Serving && self.dispatch.borrow().is_ready(self.clock.now())
     }
 
-    /// Number of requests without a final response.
+    /// Number of requests without a final response, including those that wait for quota.
     pub(crate) fn open_requests(&self) -> usize {
-        self.command_senders.borrow().len()
+        self.command_senders.borrow().len() + self.quotas.borrow().open_queries()
     }
 
     /// Returns the limits on caller requests.
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -62,6 +62,11 @@
         self.client.configure(now, &quotas);
         self.grantor.configure(now, quotas);
     }
+
+    /// Number of requests that await an answer of the grantor.
+    pub(crate) fn open_queries(&self) -> usize {
+        self.answered.len()
+    }
 }
 
 /// A query of a request to the grantor. Dropping it without its answer abandons the query.
--- a/tests/quota_wait.rs
+++ b/tests/quota_wait.rs
@@ -189,6 +189,31 @@
     }
 }
 
+/// A host that stops counts the requests that wait for quota; otherwise it may exit before their
+/// answers.
+#[test]
+fn stopping_host_counts_waiting_requests() {
+    let (deployment, hosts) = start(&[FEATURES; 2]);
+    let grantor = hosts.iter().position(|host| host.is_order_holder()).expect("a grantor");
+    let other = &hosts[1 - grantor];
+    burst(&[hosts[grantor].front], "a", PER_S);
+    let waiting = {
+        let front = [other.front];
+        thread::spawn(move || burst(&front, "b", 4))
+    };
+    thread::sleep(Duration::from_millis(50));
+    other.signal("TERM");
+    let begun = || {
+        let log = deployment.log(&format!("front-{}", 1 - grantor));
+        let line = log.lines().find(|line| line.contains("event=stop_begun"))?;
+        line.split("open_requests=").nth(1)?.trim().parse::<usize>().ok()
+    };
+    wait_for("the stop begins", || begun().is_some());
+    assert!(begun() >= Some(2), "{:?}", begun());
+    let answers = waiting.join().expect("answers");
+    assert!(statuses(&answers).iter().all(|status| matches!(status, 200 | 429 | 503)));
+}
+
 /// Hosts with and without the setting serve together, whichever is the grantor.
 #[test]
 fn mixed_settings() {
