fix: the age of a request includes its wait for quota

Cause: after_ms in the log and vanetally_answer_seconds counted from the admission by the dispatcher, which follows the wait for quota, so a request that waited for 400 ms showed as answered at once. Change: they count from when the request was read completely, as its deadline does. Measured: no test of its own; tests/quota_wait.rs passes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -59,7 +59,7 @@
         }
     };
     let (id, commands) = hub.admit(arrived, head, content_hash(&parts, &body));
-    let pending = PendingRequest::new(hub.clone(), id, name, commands, charge);
+    let pending = PendingRequest::new(hub.clone(), arrived, id, name, commands, charge);
     let mut response = respond(pending, Outgoing { parts, body }).await;
     if *hub.stage.borrow() > Stage::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -59,15 +59,15 @@
 }
 
 impl PendingRequest {
-    /// Wraps the newly admitted request `id`.
+    /// Wraps the newly admitted request `id`, which was read completely at `arrived`.
     pub(crate) fn new(
         hub: Rc<Hub>,
+        arrived: Tick,
         id: RequestId,
         name: Name,
         commands: mpsc::UnboundedReceiver<Command>,
         charge: Option<Charge>,
     ) -> Self {
-        let arrived = hub.clock.now();
         Self { hub, id, name, arrived, commands, charge, is_finished: false }
     }
 
