fix: requests do not ask again for slots of an upstream or at an owner that is gone

Cause: when an upstream or an owner was gone, the requests that waited there were queued again before the dispatcher knew of the upstream's end and before the owners were selected anew. This host, as the owner, could grant a slot of the upstream that was gone; a request asked the owner that was gone again, waited another 40 ms and was then decided by load reports and not by the successor. Change: the dispatcher hears of the upstream first; an owner that is gone is passed over at once. Measured: found by reading, no failing test: the order of calls in the gateway is reached by process tests only. tests/slots.rs passes (owner_killed among them).

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -432,18 +432,20 @@
         self.leaving_upstreams.borrow_mut().remove(&id);
         self.pacing.borrow_mut().forget(&id);
         self.limits.borrow_mut().forget(&id);
-        self.forget_slots(&id);
         self.placement_event(placement::Event::UpstreamGone { id: id.clone() });
-        self.request_event(dispatch::Event::UpstreamEnded { id });
+        self.request_event(dispatch::Event::UpstreamEnded { id: id.clone() });
+        // Requests that wait for its slots are queued again, and must not choose it.
+        self.forget_slots(&id);
     }
 
     /// Handles the removal of an upstream's announcement.
     pub(crate) fn upstream_gone(self: &Rc<Self>, id: Incarnation) {
         self.pacing.borrow_mut().forget(&id);
         self.limits.borrow_mut().forget(&id);
-        self.forget_slots(&id);
         self.placement_event(placement::Event::UpstreamGone { id: id.clone() });
-        self.request_event(dispatch::Event::UpstreamGone { id });
+        self.request_event(dispatch::Event::UpstreamGone { id: id.clone() });
+        // Requests that wait for its slots are queued again, and must not choose it.
+        self.forget_slots(&id);
     }
 
     /// Runs all periodic checks.
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -181,7 +181,9 @@
     pub(crate) fn slot_host_gone(self: &Rc<Self>, host: &Name) {
         let now = self.clock.now();
         let (replies, waiting) = {
-            let Slots { owner, client, .. } = &mut *self.slots.borrow_mut();
+            let Slots { owner, owners, client } = &mut *self.slots.borrow_mut();
+            // The owners are selected anew only later; the requests go to its successor at once.
+            owners.mark_silent(now, host);
             (owner.host_gone(now, host), client.owner_gone(now, host))
         };
         self.send_replies(replies);
