refactor: split the sending of waiting requests and the queue over all hosts

The average time of an answer was looked up in three places. Change: refusing.rs, queue_order.rs and queue_state.rs; Dispatch::answer_ms beside AnswerTimes is the one look-up. No change of behaviour.

--- a/crates/dispatch/src/answer_times.rs
+++ b/crates/dispatch/src/answer_times.rs
@@ -1,5 +1,8 @@
 //! Time until an answer of a plain service is complete.
 
+use crate::Dispatch;
+use vanetally_types::Name;
+
 /// Moving average of the time from sending a request to the end of its answer.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AnswerTimes {
@@ -22,3 +25,10 @@
         self.mean_ms.unwrap_or(0.0) as u64
     }
 }
+
+impl Dispatch {
+    /// Returns the average time of complete answers of a service; 0 if none is known.
+    pub(crate) fn answer_ms(&self, service: &Name) -> u64 {
+        self.answer_times.get(service).map_or(0, AnswerTimes::mean_ms)
+    }
+}
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -3,8 +3,8 @@
 
 use crate::{
     Action, AttemptEnd, Dispatch, RefusalContext, RequestId,
+    refusing::MODEL_REQUEST_INTERVAL_MS,
     request::{ActiveAttempt, Request, Stage},
-    sending::MODEL_REQUEST_INTERVAL_MS,
 };
 use vanetally_ports::{Refusal, RefusalCause, RequestKind};
 use vanetally_quarantine::{ContentHash, CrashSign};
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -11,10 +11,10 @@
     loads::Loads,
     pace::PaceModel,
     queue::Queue,
+    queue_state::SharedQueue,
     request::{Request, Stage},
     routes,
     service_pace::ServicePace,
-    shared_queue::SharedQueue,
     upstream::{Load, Upstream},
 };
 use std::{
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -5,8 +5,8 @@
     Action, Dispatch, RequestId, Shortage, ShortageKind,
     choice::{Choice, ReadEstimate},
     machine::MICROS_PER_MILLI,
+    refusing::SATURATED_MS,
     request::{Reservation, Stage},
-    sending::SATURATED_MS,
 };
 use vanetally_limit::{PermitAnswer, PermitRequest};
 use vanetally_pacing::{Prompt, SendSlot, SlotReply};
--- a/crates/dispatch/src/shared_queue.rs
+++ b/crates/dispatch/src/shared_queue.rs
@@ -4,19 +4,18 @@
 //! granted: without recent reports a host serves its own queue.
 
 use crate::{
-    Dispatch, RefusalContext, RequestId, WaitCounts, WaitRow,
+    Dispatch, RefusalContext, RequestId, WaitRow,
     event::Action,
-    forecast::{Ahead, Forecast, RecentCount, SendRate, retry_after_ms},
+    forecast::{Ahead, Forecast, retry_after_ms},
+    queue_order::{Place, Subject, Table},
     request::Request,
     shortage::ShortageKind,
     upstream::Upstream,
 };
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use vanetally_ports::{Refusal, RefusalCause};
 use vanetally_types::{Name, Tick, Verdict};
 
-/// Age up to which reports of other hosts are used.
-const MAX_REPORT_AGE_MS: u64 = 300;
 /// A request that must be sent within this time to be on time comes before others of its rank.
 const DUE_SOON_MS: u64 = 1_000;
 /// A request is held back for at most its permitted waiting time divided by this.
@@ -27,190 +26,7 @@
 /// Maximum expected time of an engine's first piece, as a share of the target: prompts that are
 /// cached take less than the estimate.
 const MAX_ENGINE_SHARE: f64 = 0.5;
-
-type Rank = (u8, u8);
-/// A service, and a model if it is served by engines.
-type Subject = (Name, Option<Name>);
-/// Counts of one subject by rank.
-type Table = BTreeMap<Rank, WaitCounts>;
-
-/// Place of a request in the order over all hosts; the smaller one is sent first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Place {
-    /// It can be on time.
-    OnTime { rank: Rank, has_slack: bool },
-    /// Any answer would be late.
-    Late { rank: Rank },
-}
-
-impl Place {
-    fn counts(self) -> WaitCounts {
-        match self {
-            Self::OnTime { has_slack, .. } => {
-                WaitCounts { on_time: 1, due_soon: u32::from(!has_slack), ..Default::default() }
-            }
-            Self::Late { .. } => WaitCounts { late: 1, ..Default::default() },
-        }
-    }
-
-    fn rank(self) -> Rank {
-        match self {
-            Self::OnTime { rank, .. } | Self::Late { rank } => rank,
-        }
-    }
-
-    /// Returns the number of requests in `table` that come before this place.
-    fn before(self, table: &Table) -> u32 {
-        let on_time = |ranks: &mut dyn Iterator<Item = (&Rank, &WaitCounts)>| -> u32 {
-            ranks.map(|(_, counts)| counts.on_time).sum()
-        };
-        match self {
-            Self::OnTime { rank, has_slack } => {
-                let due_soon = table.get(&rank).map_or(0, |counts| counts.due_soon);
-                on_time(&mut table.range(..rank)) + if has_slack { due_soon } else { 0 }
-            }
-            Self::Late { rank } => {
-                let late: u32 = table.range(..rank).map(|(_, counts)| counts.late).sum();
-                on_time(&mut table.iter()) + late
-            }
-        }
-    }
-
-    /// Returns the number of requests in `table` at this place.
-    fn equal(self, table: &Table) -> u32 {
-        let counts = table.get(&self.rank()).copied().unwrap_or_default();
-        match self {
-            Self::OnTime { has_slack: false, .. } => counts.due_soon,
-            Self::OnTime { has_slack: true, .. } => counts.on_time.saturating_sub(counts.due_soon),
-            Self::Late { .. } => counts.late,
-        }
-    }
-
-    /// Returns the share of the sent requests in `table` that were at this place or after it.
-    fn share(self, table: &Table) -> f64 {
-        let all: u32 = table.values().map(|counts| counts.sent).sum();
-        let sent: u32 = match self {
-            Self::OnTime { rank, .. } => {
-                let before = table.range(..rank);
-                let first = before.map(|(_, counts)| counts.sent.saturating_sub(counts.sent_late));
-                all.saturating_sub(first.sum())
-            }
-            Self::Late { rank } => table.range(rank..).map(|(_, counts)| counts.sent_late).sum(),
-        };
-        f64::from(sent) / f64::from(all.max(1))
-    }
-
-    fn ahead(self, table: &Table) -> Ahead {
-        let equal = self.equal(table).saturating_sub(1);
-        Ahead { before: self.before(table), equal, share: self.share(table) }
-    }
-}
-
-/// The waiting requests that one host reported.
-#[derive(Clone, Debug)]
-struct Report {
-    at: Tick,
-    subjects: HashMap<Subject, Vec<(Rank, WaitCounts)>>,
-}
-
-/// Requests of one rank that this host sent.
-#[derive(Clone, Copy, Debug, Default)]
-struct SentCount {
-    all: RecentCount,
-    late: RecentCount,
-}
-
-/// What a host knows of the queue over all hosts.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct SharedQueue {
-    reports: BTreeMap<Name, Report>,
-    sent: HashMap<Subject, BTreeMap<Rank, SentCount>>,
-    /// Requests of this host that were refused because of their forecast.
-    refused: HashMap<Subject, RecentCount>,
-    rates: HashMap<Subject, SendRate>,
-    /// Number of requests that were held back.
-    pub held: u64,
-}
-
-impl SharedQueue {
-    /// Replaces the rows that another host reported.
-    pub(crate) fn record_report(&mut self, now: Tick, host: &Name, rows: &[WaitRow]) {
-        let mut subjects: HashMap<Subject, Vec<(Rank, WaitCounts)>> = HashMap::new();
-        for row in rows {
-            let subject = (row.service.clone(), row.model.clone());
-            subjects.entry(subject).or_default().push((row.rank, row.counts));
-        }
-        self.reports.insert(host.clone(), Report { at: now, subjects });
-    }
-
-    pub(crate) fn forget_host(&mut self, host: &Name) {
-        self.reports.remove(host);
-    }
-
-    /// Returns the number of requests that wait at other hosts, by their last reports.
-    pub(crate) fn waiting_elsewhere(&self) -> u32 {
-        let rows = self.reports.values().flat_map(|report| report.subjects.values().flatten());
-        rows.map(|(_, counts)| counts.waiting()).sum()
-    }
-
-    fn recent(&self, now: Tick) -> impl Iterator<Item = &Report> {
-        self.reports.values().filter(move |report| now.since(report.at) <= MAX_REPORT_AGE_MS)
-    }
-
-    fn has_reports(&self, now: Tick) -> bool {
-        self.recent(now).next().is_some()
-    }
-
-    /// Returns the rows of other hosts for `subject`.
-    fn elsewhere(&self, now: Tick, subject: &Subject) -> Table {
-        let mut table = Table::new();
-        let rows = self.recent(now).filter_map(|report| report.subjects.get(subject)).flatten();
-        for (rank, counts) in rows {
-            table.entry(*rank).or_default().add(*counts);
-        }
-        table
-    }
-
-    /// Returns the mean age of the reports of other hosts.
-    fn report_age_ms(&self, now: Tick) -> u64 {
-        let (count, sum) = self
-            .recent(now)
-            .fold((0, 0), |(count, sum), report| (count + 1, sum + now.since(report.at)));
-        sum / u64::max(count, 1)
-    }
-
-    fn record_sent(&mut self, now: Tick, subject: Subject, rank: Rank, is_late: bool) {
-        let sent = self.sent.entry(subject).or_default().entry(rank).or_default();
-        sent.all.record(now);
-        if is_late {
-            sent.late.record(now);
-        }
-    }
-
-    /// Adds the requests that this host sent in the last second.
-    fn add_sent(&self, now: Tick, subject: &Subject, table: &mut Table) {
-        for (rank, sent) in self.sent.get(subject).into_iter().flatten() {
-            let (sent, sent_late) = (sent.all.count(now), sent.late.count(now));
-            let counts = WaitCounts { sent, sent_late, ..Default::default() };
-            if !counts.is_empty() {
-                table.entry(*rank).or_default().add(counts);
-            }
-        }
-    }
-
-    fn update_rate(&mut self, now: Tick, subject: &Subject, sent: u32) -> Option<f64> {
-        let rate = self.rates.entry(subject.clone()).or_insert_with(|| SendRate::new(now, sent));
-        rate.update(now, sent);
-        rate.known(now)
-    }
-
-    /// Removes what is older than a second.
-    fn prune(&mut self, now: Tick) {
-        self.sent.retain(|_, ranks| ranks.values().any(|sent| sent.all.count(now) > 0));
-        self.refused.retain(|_, refused| refused.count(now) > 0);
-        self.rates.retain(|_, rate| !rate.is_expired(now));
-    }
-}
+const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// The queue over all hosts for one subject, as this host knows it.
 #[derive(Clone, Debug)]
@@ -229,7 +45,7 @@
     /// Returns the number of requests at other hosts that come before `place`, without those that
     /// were probably sent since the reports.
     fn yields_to(&self, place: Place) -> u32 {
-        let sent = self.rate.unwrap_or(0.0) * self.age_ms as f64 / 1_000.0;
+        let sent = self.rate.unwrap_or(0.0) * self.age_ms as f64 / MILLIS_PER_SECOND;
         place.before(&self.elsewhere).saturating_sub(sent as u32)
     }
 }
@@ -255,8 +71,7 @@
     /// stream.
     fn expected_answer_ms(&self, request: &Request) -> u64 {
         if !self.is_engine(&request.service) {
-            let times = self.answer_times.get(&request.service);
-            return (times.map_or(0, |times| times.mean_ms()) as f64 * ANSWER_MARGIN) as u64;
+            return (self.answer_ms(&request.service) as f64 * ANSWER_MARGIN) as u64;
         }
         let model = request.head.model.as_ref().map(|subject| &subject.model);
         let reading_ms = self.pace.reading_ms(model, request.head.prompt_tokens);
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -296,10 +296,6 @@
     fn urgency(&self, now: Tick, request: &Request) -> Urgency {
         (request.rank(), request.is_late_after(now, self.answer_ms(&request.service)))
     }
-
-    pub(crate) fn answer_ms(&self, service: &Name) -> u64 {
-        self.answer_times.get(service).map_or(0, |times| times.mean_ms())
-    }
 }
 
 impl ActiveAttempt {
