--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,10 +1,10 @@
 //! Handles one request from a caller, from its head to its response.
 
 use crate::{
+    charge::Charge,
     headers::{end_to_end, keep_alive_timeout},
     hub::{Hub, RequestRefusal, Stage},
     pending_request::{Interrupt, PendingRequest, next_interrupt},
-    quotas::Charge,
     relay,
     response_body::ResponseBody,
     sending::{Outgoing, SendContext, SendOutcome, StartedResponse, send_scheduled},
@@ -59,7 +59,7 @@
         }
     };
     let (id, commands) = hub.admit(arrived, head, content_hash(&parts, &body));
-    let pending = PendingRequest::new(hub.clone(), id, name, commands, charge);
+    let pending = PendingRequest::new(hub.clone(), arrived, id, name, commands, charge);
     let mut response = respond(pending, Outgoing { parts, body }).await;
     if *hub.stage.borrow() > Stage::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
