refactor: charges and open queries of quotas in modules of their own

Cause: quotas.rs (430 lines) held the charge of a request, its open query, and both sides of the exchange with the grantor. Change: charge.rs and quota_query.rs. No change of behaviour.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,10 +1,10 @@
 //! Handles one request from a caller, from its head to its response.
 
 use crate::{
+    charge::Charge,
     headers::{end_to_end, keep_alive_timeout},
     hub::{Hub, RequestRefusal, Stage},
     pending_request::{Interrupt, PendingRequest, next_interrupt},
-    quotas::Charge,
     relay,
     response_body::ResponseBody,
     sending::{Outgoing, SendContext, SendOutcome, StartedResponse, send_scheduled},
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, unsafe_code, clippy::disallowed_methods)]
 
 mod call;
+mod charge;
 mod clock;
 mod configuration;
 mod configuration_wait;
@@ -31,6 +32,7 @@
 mod pool;
 mod quarantine;
 mod queries;
+mod quota_query;
 mod quotas;
 mod reader;
 mod registration;
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -1,8 +1,8 @@
 //! An admitted request, from the side of its caller's connection.
 
 use crate::{
+    charge::Charge,
     hub::{Command, Hub, RequestRefusal},
-    quotas::Charge,
     telemetry,
 };
 use std::rc::Rc;
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -2,13 +2,14 @@
 //! host is the grantor.
 
 use crate::{
+    charge::Charge,
     hub::Hub,
     peers::{Capabilities, PeerMessage},
+    quota_query::OpenQuery,
     telemetry,
 };
-use std::{cell::Cell, collections::HashMap, rc::Rc, time::Duration};
-use tokio::{sync::Notify, time::timeout};
-use vanetally_dispatch::AttemptEnd;
+use std::{collections::HashMap, rc::Rc};
+use tokio::sync::Notify;
 use vanetally_fanout::StoreState;
 use vanetally_ports::{CallerRequest, Configuration, Quota, Refusal, RefusalCause};
 use vanetally_quota::{
@@ -24,7 +25,6 @@
 /// The part of the time left to the objective for which a request waits for quota; the rest is for
 /// its answer.
 const WAIT_DIVISOR: u64 = 2;
-const MILLIS_PER_SECOND: f64 = 1_000.0;
 
 /// How a request waits for quota.
 #[derive(Clone, Copy)]
@@ -38,9 +38,9 @@
 pub(crate) struct Quotas {
     pub grantor: Grantor,
     pub client: QuotaClient,
-    queries: SpendQueries,
+    pub queries: SpendQueries,
     /// Wakes the requests whose queries were answered.
-    answered: HashMap<u64, Rc<Notify>>,
+    pub answered: HashMap<u64, Rc<Notify>>,
 }
 
 impl Quotas {
@@ -69,104 +69,6 @@
     }
 }
 
-/// A query of a request to the grantor. Dropping it without its answer abandons the query.
-struct OpenQuery {
-    hub: Rc<Hub>,
-    number: u64,
-    wait_ms: u64,
-    asked_at: Tick,
-    answered: Rc<Notify>,
-}
-
-impl OpenQuery {
-    /// Waits for the final answer; `None` if it does not come in time.
-    async fn answer(&self) -> Option<QuotaAnswer> {
-        loop {
-            let now = self.hub.clock.now();
-            let left_ms = {
-                let queries = &mut self.hub.quotas.borrow_mut().queries;
-                let has_waited = queries.has_waited(self.number);
-                if let Some(answer) = queries.take_answer(self.number) {
-                    if has_waited {
-                        self.record_wait(now, wait_end(answer));
-                    }
-                    return Some(answer);
-                }
-                queries.awaited_until(self.number).map_or(0, |until| until.since(now))
-            };
-            if left_ms == 0 {
-                return None;
-            }
-            // Whether an answer has come is looked up above.
-            let _ = timeout(Duration::from_millis(left_ms), self.answered.notified()).await;
-        }
-    }
-
-    fn record_wait(&self, now: Tick, end: &'static str) {
-        telemetry::quota_waited(end, now.since(self.asked_at) as f64 / MILLIS_PER_SECOND);
-    }
-}
-
-impl Drop for OpenQuery {
-    fn drop(&mut self) {
-        let now = self.hub.clock.now();
-        let returned = {
-            let quotas = &mut self.hub.quotas.borrow_mut();
-            quotas.answered.remove(&self.number);
-            if quotas.queries.has_waited(self.number) {
-                self.record_wait(now, "abandoned");
-            }
-            quotas.queries.abandon(now, self.number)
-        };
-        if let Some(returned) = returned {
-            self.hub.return_grant(returned);
-        }
-    }
-}
-
-/// Returns how a wait ended, for metrics.
-fn wait_end(answer: QuotaAnswer) -> &'static str {
-    match answer {
-        QuotaAnswer::Granted { .. } => "granted",
-        QuotaAnswer::Refused { .. } => "refused",
-        QuotaAnswer::NotGranting | QuotaAnswer::Queued { .. } => "not_granting",
-    }
-}
-
-/// Quota charged for a request; returned on drop unless the request may have run.
-pub(crate) struct Charge {
-    hub: Rc<Hub>,
-    organisation: Name,
-    cost: u32,
-    /// Whether an attempt is in progress.
-    is_in_flight: Cell<bool>,
-    /// Whether an earlier attempt may have run.
-    may_have_run: Cell<bool>,
-}
-
-impl Charge {
-    /// Records that the request is being sent to an upstream.
-    pub(crate) fn sent(&self) {
-        self.is_in_flight.set(true);
-    }
-
-    /// Records the end of an attempt.
-    pub(crate) fn attempt_ended(&self, end: AttemptEnd) {
-        self.is_in_flight.set(false);
-        let may_have_run =
-            matches!(end, AttemptEnd::Served | AttemptEnd::Failed | AttemptEnd::Broken);
-        self.may_have_run.set(self.may_have_run.get() || may_have_run);
-    }
-}
-
-impl Drop for Charge {
-    fn drop(&mut self) {
-        if !self.is_in_flight.get() && !self.may_have_run.get() {
-            self.hub.refund(&self.organisation, self.cost);
-        }
-    }
-}
-
 impl Hub {
     /// Charges the cost of `head` to its organisation's quota, or returns the refusal. `None` if no
     /// quota applies.
@@ -189,9 +91,7 @@
                     "event=quota_granted request={} organisation={organisation} cost={cost} by={by} waited_ms={waited_ms}",
                     head.id
                 );
-                let hub = self.clone();
-                let (is_in_flight, may_have_run) = (Cell::new(false), Cell::new(false));
-                return Ok(Some(Charge { hub, organisation, cost, is_in_flight, may_have_run }));
+                return Ok(Some(Charge::new(self.clone(), organisation, cost)));
             }
             Decision::Refused { retry_ms } => {
                 Refusal::not_run(RefusalCause::OverQuota, Some(retry_ms))
@@ -359,7 +259,7 @@
     }
 
     /// Returns a grant, or gives up a wait.
-    fn return_grant(&self, returned: Return) {
+    pub(crate) fn return_grant(&self, returned: Return) {
         let own = &self.settings.host;
         match returned {
             Return::Cancel { grantor, number } if grantor == *own => {
@@ -398,7 +298,7 @@
         }
     }
 
-    fn refund(&self, organisation: &Name, cost: u32) {
+    pub(crate) fn refund(&self, organisation: &Name, cost: u32) {
         let holder = self.holder.borrow().clone();
         match holder {
             Some(host) if host == self.settings.host => {
