--- a/crates/check/src/quota.rs
+++ b/crates/check/src/quota.rs
@@ -378,7 +378,7 @@
 }
 
 fn grantor_host(options: Options) -> GrantorHost {
-    let mut grantor = Grantor::with_line(options.guards);
+    let mut grantor = Grantor::with_queue(options.guards);
     let quota = QuotaOfOrganisation { unit: QuotaUnit::Requests, rate: RATE, burst: BURST };
     grantor.configure(START, HashMap::from([(organisation(), quota)]));
     GrantorHost { grantor, is_paused: false, began: None, ended: None, used: 0 }
--- a/crates/check/src/slots.rs
+++ b/crates/check/src/slots.rs
@@ -7,7 +7,7 @@
 use crate::{State, Steps};
 use std::collections::{BTreeMap, BTreeSet};
 use vanetally_slots::{Client, Guards, Owner, Received, Reply, SlotAnswer, SlotEnd, SlotRequest};
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Name, Rank, Tick};
 
 /// Bounds and switches of the model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -115,7 +115,7 @@
         SlotRequest {
             upstream: "i-1".into(),
             slots: SLOTS,
-            rank: (1, 1),
+            rank: Rank(1, 1),
             wait_ms: WAIT_MS,
             is_late: false,
             hold_ms: HOLD_MS as u32,
--- a/crates/dispatch/src/access.rs
+++ b/crates/dispatch/src/access.rs
@@ -7,7 +7,7 @@
     CallerKey, CallerRequest, Configuration, Credential, Organisation, Origin, Refusal,
     RefusalCause, Route,
 };
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Name, Rank, Tick};
 
 /// Share of the revocation time for which the known keys are used after the last confirmation by
 /// the store. The rest covers the time from the check of a request to its first byte.
@@ -46,11 +46,19 @@
     pub priority: Option<u8>,
 }
 
+impl Access {
+    /// Returns the urgency of a request of this caller on `route`; the route's priority stands for that of an
+    /// organisation without one.
+    pub(crate) fn rank(&self, route: &Route) -> Rank {
+        Rank(self.priority.unwrap_or(route.priority), route.priority)
+    }
+}
+
 /// What decides how a request waits for quota.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuotaTerms {
-    /// Priority of the organisation and of the route; 0 is the most urgent.
-    pub rank: (u8, u8),
+    /// Urgency of the request.
+    pub rank: Rank,
     /// Milliseconds from its arrival within which an answer is on time and of use to the caller.
     pub objective_ms: u64,
 }
@@ -60,7 +68,7 @@
     pub fn quota_terms(&self, now: Tick, head: &CallerRequest) -> Option<QuotaTerms> {
         let route = self.route(now, head).ok()?;
         let access = self.access(now, &route, head).ok()?;
-        let rank = (access.priority.unwrap_or(route.priority), route.priority);
+        let rank = access.rank(&route);
         let deadline_ms = head.wait_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
         Some(QuotaTerms { rank, objective_ms: route.target_ms.min(deadline_ms) })
     }
--- a/crates/dispatch/src/affinity.rs
+++ b/crates/dispatch/src/affinity.rs
@@ -1,5 +1,7 @@
 //! Replicas that are expected to have the shared part of a prompt cached.
 //!
+//! Load: many hosts send prompts with the same long beginnings to the replicas of a model.
+//!
 //! All hosts order the replicas of a model by rendezvous hash of the prompt's longest shared
 //! prefix, without messages. A prompt is expected to be cached at the first replica of the order. A
 //! replica is followed by the next one if it is overloaded: other hosts then send prompts with this
--- a/crates/dispatch/src/digest.rs
+++ b/crates/dispatch/src/digest.rs
@@ -1,7 +1,7 @@
 //! Load reports that hosts exchange.
 
 use serde::{Deserialize, Serialize};
-use vanetally_types::{Incarnation, Name};
+use vanetally_types::{Incarnation, Name, Rank};
 
 /// The complete load of one host; a later digest replaces an earlier one.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -24,9 +24,9 @@
     /// The model; `None` for a plain service.
     #[serde(rename = "m", default, skip_serializing_if = "Option::is_none")]
     pub model: Option<Name>,
-    /// Priority of the organisation, then of the route; 0 is the most urgent.
+    /// Urgency of the requests.
     #[serde(rename = "k")]
-    pub rank: (u8, u8),
+    pub rank: Rank,
     /// The counts.
     #[serde(flatten)]
     pub counts: WaitCounts,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -40,6 +40,7 @@
 mod shortage;
 mod slots;
 mod startup;
+mod summary;
 mod upstream;
 
 pub use access::QuotaTerms;
@@ -50,7 +51,8 @@
 pub use forecast::Forecast;
 pub use health::Health;
 pub use leaving::LeavingUpstreams;
-pub use machine::{Counts, Dispatch, UpstreamSummary};
+pub use machine::Dispatch;
 pub use roster::{Roster, RosterUpdate};
 pub use routes::RouteIndex;
 pub use shortage::{RefusalContext, Shortage, ShortageKind};
+pub use summary::{Counts, UpstreamSummary};
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -2,48 +2,48 @@
 
 use crate::{RequestId, request::Request};
 use std::collections::{BTreeMap, BTreeSet};
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Name, Rank, Tick};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
-    priority: (u8, u8),
+struct Position {
+    rank: Rank,
     deadline: Tick,
     id: RequestId,
 }
 
-impl Rank {
+impl Position {
     fn of(id: RequestId, request: &Request) -> Self {
-        Self { priority: request.rank(), deadline: request.deadline, id }
+        Self { rank: request.rank(), deadline: request.deadline, id }
     }
 }
 
 /// The waiting requests of each service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Queue {
-    services: BTreeMap<Name, BTreeSet<Rank>>,
+    services: BTreeMap<Name, BTreeSet<Position>>,
 }
 
 impl Queue {
     pub(crate) fn insert(&mut self, id: RequestId, request: &Request) {
-        let ranks = self.services.entry(request.service.clone()).or_default();
-        ranks.insert(Rank::of(id, request));
+        let positions = self.services.entry(request.service.clone()).or_default();
+        positions.insert(Position::of(id, request));
     }
 
     pub(crate) fn remove(&mut self, id: RequestId, request: &Request) {
-        if let Some(ranks) = self.services.get_mut(&request.service) {
-            ranks.remove(&Rank::of(id, request));
+        if let Some(positions) = self.services.get_mut(&request.service) {
+            positions.remove(&Position::of(id, request));
         }
     }
 
     /// Returns the requests that wait for `service`, in order.
     pub(crate) fn waiting(&self, service: &Name) -> Vec<RequestId> {
-        let ranks = self.services.get(service).into_iter().flatten();
-        ranks.map(|rank| rank.id).collect()
+        let positions = self.services.get(service).into_iter().flatten();
+        positions.map(|position| position.id).collect()
     }
 
     /// Returns the services for which requests wait.
     pub(crate) fn services(&self) -> Vec<Name> {
-        let busy = self.services.iter().filter(|(_, ranks)| !ranks.is_empty());
+        let busy = self.services.iter().filter(|(_, positions)| !positions.is_empty());
         busy.map(|(service, _)| service.clone()).collect()
     }
 
--- a/crates/dispatch/src/queue_order.rs
+++ b/crates/dispatch/src/queue_order.rs
@@ -2,10 +2,8 @@
 
 use crate::{WaitCounts, forecast::Ahead};
 use std::collections::BTreeMap;
-use vanetally_types::Name;
+use vanetally_types::{Name, Rank};
 
-/// Priority of the organisation, then of the route; 0 is the most urgent.
-pub(crate) type Rank = (u8, u8);
 /// A service, and a model if it is served by engines.
 pub(crate) type Subject = (Name, Option<Name>);
 /// Counts of one subject by rank.
--- a/crates/dispatch/src/queue_state.rs
+++ b/crates/dispatch/src/queue_state.rs
@@ -4,10 +4,10 @@
 use crate::{
     WaitCounts, WaitRow,
     forecast::{RecentCount, SendRate},
-    queue_order::{Rank, Subject, Table},
+    queue_order::{Subject, Table},
 };
 use std::collections::{BTreeMap, HashMap};
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Name, Rank, Tick};
 
 /// Age up to which reports of other hosts are used.
 const MAX_REPORT_AGE_MS: u64 = 300;
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -11,7 +11,7 @@
 use vanetally_pacing::Prefix;
 use vanetally_ports::{CallerRequest, Route};
 use vanetally_quarantine::ContentHash;
-use vanetally_types::{Incarnation, Name, Tick, Verdict};
+use vanetally_types::{Incarnation, Name, Rank, Tick, Verdict};
 
 /// Stage of a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -158,11 +158,9 @@
         }
     }
 
-    /// Returns the priorities by which requests are queued: that of the organisation, then that of
-    /// the route.
-    pub(crate) fn rank(&self) -> (u8, u8) {
-        let own = self.route.priority;
-        (self.access.priority.unwrap_or(own), own)
+    /// Returns the urgency of the request.
+    pub(crate) fn rank(&self) -> Rank {
+        self.access.rank(&self.route)
     }
 
     /// Returns the load that the request adds to an upstream that has to read `unread_tokens` of
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -5,7 +5,7 @@
     choice::Choice,
     choose::{ChoiceInput, choose},
     request::{ActiveAttempt, Request, Stage},
-    shared_queue::Lines,
+    shared_queue::QueueViews,
     shortage::{Shortage, ShortageKind},
     upstream::Upstream,
 };
@@ -24,10 +24,10 @@
     pub(crate) fn send_waiting(&mut self, now: Tick, actions: &mut Vec<Action>) {
         for service in self.queue.services() {
             let waiting = self.ordered_queue(now, &service);
-            let lines = self.lines(now, &service, &waiting);
+            let views = self.queue_views(now, &service, &waiting);
             let mut shortages = HashMap::new();
             for id in waiting {
-                self.try_send(now, &service, id, (&mut shortages, &lines), actions);
+                self.try_send(now, &service, id, (&mut shortages, &views), actions);
             }
         }
     }
@@ -52,7 +52,7 @@
         now: Tick,
         service: &Name,
         id: RequestId,
-        (shortages, lines): (&mut HashMap<Option<ModelRef>, Shortage>, &Lines),
+        (shortages, views): (&mut HashMap<Option<ModelRef>, Shortage>, &QueueViews),
         actions: &mut Vec<Action>,
     ) {
         let Some(request) = self.requests.get(&id) else {
@@ -72,13 +72,13 @@
             if let Some(request) = self.requests.get_mut(&id) {
                 request.shortage = Some(shortage);
             }
-            self.refuse_by_forecast(now, id, lines, Some(shortage.kind), actions);
+            self.refuse_by_forecast(now, id, views, Some(shortage.kind), actions);
             return;
         }
         match self.choose(now, request) {
-            Ok(choice) if choice.limit.is_none() && self.yields(now, id, lines) => {
+            Ok(choice) if choice.limit.is_none() && self.yields(now, id, views) => {
                 self.hold_back(now, id);
-                self.refuse_by_forecast(now, id, lines, None, actions);
+                self.refuse_by_forecast(now, id, views, None, actions);
             }
             Ok(choice) if choice.limit.is_some() => {
                 actions.extend(self.request_permit(now, id, choice));
@@ -104,7 +104,7 @@
                 };
                 request.shortage = Some(shortage);
                 let waited_ms = now.since(request.queued_at);
-                self.refuse_by_forecast(now, id, lines, Some(shortage.kind), actions);
+                self.refuse_by_forecast(now, id, views, Some(shortage.kind), actions);
                 if let Some(subject) = subject {
                     self.report_shortage(now, service, subject, shortage.kind, waited_ms, actions);
                 }
--- a/crates/dispatch/src/shared_queue.rs
+++ b/crates/dispatch/src/shared_queue.rs
@@ -1,5 +1,7 @@
 //! The queue over all hosts: what waits at other hosts, and which requests yield to it.
 //!
+//! Load: a burst above the capacity of some models or plain services that arrives at all hosts.
+//!
 //! Each host applies the order to its own requests, by the sums that it receives. Nothing is
 //! granted: without recent reports a host serves its own queue.
 
@@ -30,7 +32,7 @@
 
 /// The queue over all hosts for one subject, as this host knows it.
 #[derive(Clone, Debug)]
-pub(crate) struct Line {
+pub(crate) struct QueueView {
     /// Requests of other hosts.
     elsewhere: Table,
     /// Requests of all hosts.
@@ -41,7 +43,7 @@
     rate: Option<f64>,
 }
 
-impl Line {
+impl QueueView {
     /// Returns the number of requests at other hosts that come before `place`, without those that
     /// were probably sent since the reports.
     fn yields_to(&self, place: Place) -> u32 {
@@ -50,8 +52,8 @@
     }
 }
 
-/// The lines of the models of one service that have waiting requests at this host.
-pub(crate) type Lines = HashMap<Option<Name>, Line>;
+/// The views of the models of one service that have waiting requests at this host.
+pub(crate) type QueueViews = HashMap<Option<Name>, QueueView>;
 
 fn subject_of(request: &Request) -> Subject {
     let model = request.head.model.as_ref().map(|subject| subject.model.clone());
@@ -103,14 +105,19 @@
         });
     }
 
-    /// Returns the lines of a service with the waiting requests `ids`; none if the order over all
+    /// Returns the views of a service with the waiting requests `ids`; none if the order over all
     /// hosts does not apply.
-    pub(crate) fn lines(&mut self, now: Tick, service: &Name, ids: &[RequestId]) -> Lines {
+    pub(crate) fn queue_views(
+        &mut self,
+        now: Tick,
+        service: &Name,
+        ids: &[RequestId],
+    ) -> QueueViews {
         if !self.shares_queue(now, service) {
-            return Lines::new();
+            return QueueViews::new();
         }
         let own = self.own_tables(now, ids).into_iter();
-        let lines = own.map(|(subject, mut all)| {
+        let views = own.map(|(subject, mut all)| {
             self.shared_queue.add_sent(now, &subject, &mut all);
             let elsewhere = self.shared_queue.elsewhere(now, &subject);
             for (rank, counts) in &elsewhere {
@@ -119,9 +126,9 @@
             let sent = all.values().map(|counts| counts.sent).sum();
             let rate = self.shared_queue.update_rate(now, &subject, sent);
             let age_ms = self.shared_queue.report_age_ms(now);
-            (subject.1, Line { elsewhere, all, age_ms, rate })
+            (subject.1, QueueView { elsewhere, all, age_ms, rate })
         });
-        lines.collect()
+        views.collect()
     }
 
     /// Counts the waiting requests `ids` of this host.
@@ -137,11 +144,11 @@
 
     /// Whether a request that could be sent yields to others that wait at other hosts. It does not
     /// if free capacity remains for it, or if it was held back for long enough.
-    pub(crate) fn yields(&self, now: Tick, id: RequestId, lines: &Lines) -> bool {
-        let Some((request, line)) = self.line_of(id, lines) else {
+    pub(crate) fn yields(&self, now: Tick, id: RequestId, views: &QueueViews) -> bool {
+        let Some((request, view)) = self.view_of(id, views) else {
             return false;
         };
-        let yields_to = line.yields_to(self.place(now, request));
+        let yields_to = view.yields_to(self.place(now, request));
         if yields_to == 0 || self.free_capacity(now, request) > yields_to {
             return false;
         }
@@ -157,10 +164,14 @@
         }
     }
 
-    fn line_of<'a>(&self, id: RequestId, lines: &'a Lines) -> Option<(&Request, &'a Line)> {
+    fn view_of<'a>(
+        &self,
+        id: RequestId,
+        views: &'a QueueViews,
+    ) -> Option<(&Request, &'a QueueView)> {
         let request = self.requests.get(&id)?;
         let model = request.head.model.as_ref().map(|subject| subject.model.clone());
-        Some((request, lines.get(&model)?))
+        Some((request, views.get(&model)?))
     }
 
     /// Returns how many requests like this one the upstreams could take at once: one prompt for
@@ -181,17 +192,17 @@
     }
 
     /// Returns the forecast for a request, once the rate is known.
-    fn forecast(&self, now: Tick, request: &Request, line: &Line) -> Option<Forecast> {
-        let (rate, place, send_by) = (line.rate?, self.place(now, request), self.send_by(request));
-        let ahead = place.ahead(&line.all);
+    fn forecast(&self, now: Tick, request: &Request, view: &QueueView) -> Option<Forecast> {
+        let (rate, place, send_by) = (view.rate?, self.place(now, request), self.send_by(request));
+        let ahead = place.ahead(&view.all);
         let since = if let Place::Late { .. } = place { send_by } else { request.arrived };
         let wait_ms = ahead.wait_ms(rate, now.since(since));
         let is_on_time = now + wait_ms <= send_by;
         let more_ms = match place {
             Place::OnTime { rank, .. } if !is_on_time => {
                 let late = Place::Late { rank };
-                let equal = ahead.unsent_after(rate, send_by.since(now)) + late.equal(&line.all);
-                Ahead { before: 0, equal, share: late.share(&line.all) }.wait_ms(rate, 0)
+                let equal = ahead.unsent_after(rate, send_by.since(now)) + late.equal(&view.all);
+                Ahead { before: 0, equal, share: late.share(&view.all) }.wait_ms(rate, 0)
             }
             _ => 0,
         };
@@ -204,16 +215,16 @@
         &mut self,
         now: Tick,
         id: RequestId,
-        lines: &Lines,
+        views: &QueueViews,
         shortage: Option<ShortageKind>,
         actions: &mut Vec<Action>,
     ) -> bool {
         let is_full =
             shortage.is_none_or(|kind| kind.is_saturation() || kind == ShortageKind::TurnedAway);
-        let Some((request, line)) = self.line_of(id, lines).filter(|_| is_full) else {
+        let Some((request, view)) = self.view_of(id, views).filter(|_| is_full) else {
             return false;
         };
-        let Some(forecast) = self.forecast(now, request, line) else {
+        let Some(forecast) = self.forecast(now, request, view) else {
             return false;
         };
         let is_futile = forecast.turn_ms > request.remaining_wait_ms(now);
--- a/crates/dispatch/tests/forecast.rs
+++ b/crates/dispatch/tests/forecast.rs
@@ -7,7 +7,7 @@
     Action, Digest, Dispatch, Event, Options, RequestId, WaitCounts, WaitRow,
 };
 use vanetally_ports::{RequestKind, Route, UpstreamState};
-use vanetally_types::Verdict;
+use vanetally_types::{Rank, Verdict};
 
 const SLOTS: u32 = 4;
 
@@ -29,7 +29,7 @@
 
 /// Reports waiting and sent requests of the other hosts with rank 1.
 fn report(host: &mut Host, counts: WaitCounts) -> Vec<Action> {
-    let row = WaitRow { service: "desk".into(), model: None, rank: (1, 1), counts };
+    let row = WaitRow { service: "desk".into(), model: None, rank: Rank(1, 1), counts };
     let waiting = if counts.is_empty() { Vec::new() } else { vec![row] };
     let digest = Digest { loads: Vec::new(), demand: Vec::new(), waiting };
     host.handle(Event::PeerDigest { host: "aggregator".into(), digest })
--- a/crates/dispatch/tests/quota_wait.rs
+++ b/crates/dispatch/tests/quota_wait.rs
@@ -10,6 +10,7 @@
     CallerKey, CallerRequest, Configuration, Credential, Organisation, RefusalCause, RequestKind,
     Route, UpstreamState,
 };
+use vanetally_types::Rank;
 
 /// The time that a request has waited must count against its deadline; otherwise its caller is gone
 /// before the answer.
@@ -31,9 +32,9 @@
 /// The priority of the organisation precedes that of the route, and a deadline before the objective
 /// bounds what is of use.
 #[rstest]
-#[case::of_organisation(Some(0), None, QuotaTerms { rank: (0, 3), objective_ms: 800 })]
-#[case::of_route(None, None, QuotaTerms { rank: (3, 3), objective_ms: 800 })]
-#[case::short_deadline(None, Some(300), QuotaTerms { rank: (3, 3), objective_ms: 300 })]
+#[case::of_organisation(Some(0), None, QuotaTerms { rank: Rank(0, 3), objective_ms: 800 })]
+#[case::of_route(None, None, QuotaTerms { rank: Rank(3, 3), objective_ms: 800 })]
+#[case::short_deadline(None, Some(300), QuotaTerms { rank: Rank(3, 3), objective_ms: 300 })]
 fn terms(#[case] priority: Option<u8>, #[case] wait_ms: Option<u64>, #[case] expected: QuotaTerms) {
     let route =
         Route { priority: 3, target_ms: 800, ..route("check", RequestKind::Idempotent, "desk") };
--- a/crates/dispatch/tests/support/burst.rs
+++ b/crates/dispatch/tests/support/burst.rs
@@ -8,7 +8,7 @@
 };
 use vanetally_pacing::{Prompt, SendSlot, SlotReply};
 use vanetally_ports::{RequestKind, Route, UpstreamState};
-use vanetally_types::{Incarnation, Name, Tick};
+use vanetally_types::{Incarnation, Name, Rank, Tick};
 
 const STEP_MS: u64 = 5;
 const TICK_MS: u64 = 20;
@@ -304,7 +304,7 @@
     fn exchange_reports(&mut self) {
         let is_connected = |host: &usize| Some(*host) != self.replay.partitioned;
         let mut loads: BTreeMap<Incarnation, [u32; 3]> = BTreeMap::new();
-        let mut waiting: BTreeMap<(u8, u8), WaitCounts> = BTreeMap::new();
+        let mut waiting: BTreeMap<Rank, WaitCounts> = BTreeMap::new();
         for host in (0..self.replay.hosts).filter(is_connected) {
             for row in &self.reports[host].loads {
                 let sum = loads.entry(row.upstream.clone()).or_default();
@@ -344,7 +344,7 @@
 
 fn without_own(
     loads: &BTreeMap<Incarnation, [u32; 3]>,
-    waiting: &BTreeMap<(u8, u8), WaitCounts>,
+    waiting: &BTreeMap<Rank, WaitCounts>,
     own: &Digest,
 ) -> Digest {
     let row = |(id, sum): (&Incarnation, &[u32; 3])| {
@@ -360,7 +360,7 @@
             limit: None,
         }
     };
-    let wait_row = |(rank, sum): (&(u8, u8), &WaitCounts)| {
+    let wait_row = |(rank, sum): (&Rank, &WaitCounts)| {
         let mut counts = *sum;
         own.waiting.iter().filter(|row| row.rank == *rank).for_each(|r| counts.subtract(r.counts));
         WaitRow { service: "llm".into(), model: Some("m1".into()), rank: *rank, counts }
--- a/crates/fanout/src/totals.rs
+++ b/crates/fanout/src/totals.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use vanetally_dispatch::{DemandRow, Digest, LimitRow, LoadRow, WaitCounts, WaitRow};
-use vanetally_types::{Incarnation, Name, Tick};
+use vanetally_types::{Incarnation, Name, Rank, Tick};
 
 /// Identifies the report of a host that a total includes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -228,7 +228,7 @@
 }
 
 /// What the rows of waiting requests are summed by.
-type WaitKey<'a> = (&'a Name, &'a Option<Name>, (u8, u8));
+type WaitKey<'a> = (&'a Name, &'a Option<Name>, Rank);
 
 fn wait_key(row: &WaitRow) -> WaitKey<'_> {
     (&row.service, &row.model, row.rank)
--- a/crates/fanout/tests/messages.rs
+++ b/crates/fanout/tests/messages.rs
@@ -5,7 +5,7 @@
 use vanetally_fanout::{Packed, Patch, Versions};
 use vanetally_link::peer::{decode, encode};
 use vanetally_pacing::{Prompt, SlotReply};
-use vanetally_types::Incarnation;
+use vanetally_types::{Incarnation, Rank};
 
 fn digest() -> Digest {
     let row = |number: u64| LoadRow {
@@ -91,7 +91,7 @@
     let row = WaitRow {
         service: "llm-large-1".into(),
         model: Some("vendor-model-70b-chat".into()),
-        rank: (1, 2),
+        rank: Rank(1, 2),
         counts,
     };
     let size = encode(&row).unwrap().len();
--- a/crates/fanout/tests/recorded.rs
+++ b/crates/fanout/tests/recorded.rs
@@ -8,7 +8,7 @@
 use vanetally_limit::{PermitAnswer, PermitRequest};
 use vanetally_link::peer::{decode, encode};
 use vanetally_pacing::{Prefix, Prompt, SendSlot, SlotReply};
-use vanetally_types::Incarnation;
+use vanetally_types::{Incarnation, Rank};
 
 /// A digest from builds whose rows had no limit.
 const DIGEST: &str = "a2656c6f61647381a6617571692d304031373530303030303030303030617203617018c8616b1903846167046162016664\
@@ -83,7 +83,7 @@
     let row = |model: Option<&str>, counts| WaitRow {
         service: "llm".into(),
         model: model.map(Into::into),
-        rank: (1, 2),
+        rank: Rank(1, 2),
         counts,
     };
     let all = WaitCounts { on_time: 40, due_soon: 9, late: 3, sent: 300, sent_late: 2 };
@@ -106,7 +106,7 @@
     }
     let later = encode(&LaterRow { s: "desk", k: (0, 3), n: 7, x: vec![1] }).expect("encodable");
     let row: WaitRow = decode(&later).expect("a row");
-    assert_eq!((row.model, row.rank, row.counts.on_time), (None, (0, 3), 7));
+    assert_eq!((row.model, row.rank, row.counts.on_time), (None, Rank(0, 3), 7));
 }
 
 #[test]
--- a/crates/fanout/tests/start.rs
+++ b/crates/fanout/tests/start.rs
@@ -31,11 +31,12 @@
     check(&Start::new(hosts, domains).first(RUN_MS), max_calls, max_ms);
 }
 
-/// All hosts lose power and start again: before or after the leases of their earlier processes have expired.
+/// All hosts lose power and start again: before or after the leases of their earlier processes have expired. A large fleet
+/// needs no more calls than it did with one entry key read by each host (5.69 after 0.5 s).
 #[rstest]
 #[case(30, 3, 4.8, 500)]
 #[case(91, 6, 4.2, 500)]
-#[case(985, 5, 6.0, 1_800)]
+#[case(985, 5, 5.69, 1_800)]
 fn power_loss(
     #[case] hosts: usize,
     #[case] domains: usize,
--- a/crates/fanout/tests/totals.rs
+++ b/crates/fanout/tests/totals.rs
@@ -2,7 +2,7 @@
 
 use vanetally_dispatch::{DemandRow, Digest, LimitRow, LoadRow, WaitCounts, WaitRow};
 use vanetally_fanout::Totals;
-use vanetally_types::Tick;
+use vanetally_types::{Rank, Tick};
 
 const NOW: Tick = Tick(1_000_000);
 
@@ -158,7 +158,7 @@
     assert!(relay.total(&Default::default()).1.loads.is_empty());
 }
 
-fn waiting(model: &str, rank: (u8, u8), on_time: u32) -> WaitRow {
+fn waiting(model: &str, rank: Rank, on_time: u32) -> WaitRow {
     let counts =
         WaitCounts { on_time, due_soon: on_time / 2, late: 1, sent: on_time * 3, sent_late: 2 };
     WaitRow { service: "llm".into(), model: Some(model.into()), rank, counts }
@@ -181,13 +181,13 @@
 #[test]
 fn waiting_summed() {
     let (mut aggregator, mut host) = (Totals::default(), Totals::default());
-    let own = waiting_digest(&[waiting("m1", (1, 1), 4), waiting("m2", (0, 0), 2)]);
+    let own = waiting_digest(&[waiting("m1", Rank(1, 1), 4), waiting("m2", Rank(0, 0), 2)]);
     let number = host.number_report(NOW, &own);
     aggregator.record_report(NOW, "h1".into(), number, own);
-    let second = waiting_digest(&[waiting("m1", (1, 1), 6), waiting("m1", (1, 2), 1)]);
+    let second = waiting_digest(&[waiting("m1", Rank(1, 1), 6), waiting("m1", Rank(1, 2), 1)]);
     aggregator.record_report(NOW, "h2".into(), 3, second);
-    aggregator.record_sum(NOW, "far".into(), waiting_digest(&[waiting("m1", (1, 1), 10)]));
-    let empty = WaitRow { counts: WaitCounts::default(), ..waiting("m3", (1, 1), 0) };
+    aggregator.record_sum(NOW, "far".into(), waiting_digest(&[waiting("m1", Rank(1, 1), 10)]));
+    let empty = WaitRow { counts: WaitCounts::default(), ..waiting("m3", Rank(1, 1), 0) };
     let sum = aggregator.take_local_sum(&waiting_digest(&[empty]));
     let (_, total) = aggregator.total(&sum);
     assert_eq!(on_time(&total), [("m1".into(), 1, 20), ("m1".into(), 2, 1), ("m2".into(), 0, 2)]);
@@ -201,7 +201,7 @@
 #[test]
 fn waiting_passed_on_by_relay() {
     let mut relay = Totals::default();
-    relay.record_outer(NOW, waiting_digest(&[waiting("m1", (1, 1), 5)]));
-    let sum = relay.take_local_sum(&waiting_digest(&[waiting("m1", (1, 1), 2)]));
+    relay.record_outer(NOW, waiting_digest(&[waiting("m1", Rank(1, 1), 5)]));
+    let sum = relay.take_local_sum(&waiting_digest(&[waiting("m1", Rank(1, 1), 2)]));
     assert_eq!(on_time(&relay.total(&sum).1), [("m1".into(), 1, 7)]);
 }
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -12,6 +12,7 @@
     pool::Pool,
     quarantine::{Probes, Suspect},
     quotas::Quotas,
+    request_log::{log_attempt, record_limit, record_prediction},
     settings::Settings,
     slots::Slots,
     store::Store,
@@ -26,13 +27,11 @@
 };
 use tokio::sync::{mpsc, watch};
 use vanetally_dispatch::{
-    self as dispatch, Attempt, Digest, Dispatch, LeavingUpstreams, Prediction, PrefixPlace,
-    RefusalContext, RequestId, ShortageKind,
+    self as dispatch, Attempt, Digest, Dispatch, LeavingUpstreams, RefusalContext, RequestId,
 };
 use vanetally_fanout::{
     Freshness, HostIncarnation, Pull, Source, SourceSelector, Spacing, Throttle, Totals, Versions,
 };
-use vanetally_limit::LimitChange;
 use vanetally_link::peer::Links;
 use vanetally_placement::{
     self as placement, OrderLease, OrderLeaseEvent, OrderLeaseOptions, Placement,
@@ -468,55 +467,3 @@
         self.placement_event(placement::Event::Tick);
     }
 }
-
-fn record_limit(upstream: &Incarnation, change: LimitChange, by: Option<&Name>) {
-    telemetry::limit_changed(change);
-    let by = by.map_or("answer", |host| host);
-    match change {
-        LimitChange::Stated(rate) => {
-            log::info!("event=limit_named upstream={upstream} per_s={rate} by={by}");
-        }
-        LimitChange::Ended => log::info!("event=limit_ended upstream={upstream} by={by}"),
-    }
-}
-
-fn record_prediction(prediction: &Prediction) {
-    telemetry::prediction_ratio(prediction.took_ms / prediction.expected_ms);
-    log::debug!(
-        "event=first_piece request={} upstream={} took_ms={} expected_ms={:.0} unread_tokens={} ahead_ms={} per_token_us={:.0}",
-        prediction.request,
-        prediction.upstream,
-        prediction.took_ms,
-        prediction.expected_ms,
-        prediction.unread_tokens,
-        prediction.ahead_ms,
-        prediction.per_token_us
-    );
-}
-
-fn log_attempt(attempt: &Attempt) {
-    if let Some(place) = attempt.place {
-        telemetry::prefix_placed(place);
-    }
-    let subject = attempt.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string);
-    log::info!(
-        "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} lacked={} held_ms={} deadline_ms={} \
-         own_load={} peer_load={} unread_tokens={} ahead_ms={} place={} delay_ms={} limit={} version={}",
-        attempt.request,
-        attempt.route,
-        attempt.upstream,
-        attempt.number,
-        attempt.waited_ms,
-        attempt.shortage.map_or("-", ShortageKind::as_str),
-        attempt.held_ms,
-        attempt.deadline_ms,
-        attempt.own_load,
-        attempt.peer_load,
-        attempt.unread_tokens,
-        attempt.ahead_ms,
-        attempt.place.map_or("-", PrefixPlace::as_str),
-        attempt.delay_ms,
-        attempt.limit.map_or_else(|| "-".to_owned(), |rate| rate.to_string()),
-        attempt.version
-    );
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod reader;
 mod registration;
 mod relay;
+mod request_log;
 mod response_body;
 mod run;
 mod sending;
--- a/crates/gateway/src/queries.rs
+++ b/crates/gateway/src/queries.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::HashMap, time::Duration};
 use tokio::{sync::oneshot, time::timeout};
+use vanetally_quota::GRANTOR_ANSWER_MS;
 
 /// Queries that have not been answered yet, by number.
 pub(crate) struct PendingQueries<A> {
@@ -40,9 +41,8 @@
     }
 }
 
-/// Timeout of the grantor's answer, after which this host decides alone. Small hosts can be
-/// throttled for up to 100 ms at a time, but grantors run on large ones.
-pub(crate) const GRANTOR_TIMEOUT: Duration = Duration::from_millis(60);
+/// Timeout of the grantor's answer, after which this host decides alone.
+pub(crate) const GRANTOR_TIMEOUT: Duration = Duration::from_millis(GRANTOR_ANSWER_MS);
 
 /// Waits for the grantor's answer; `None` on timeout.
 pub(crate) async fn await_grantor<A>(answer: oneshot::Receiver<A>) -> Option<A> {
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -46,7 +46,7 @@
 impl Quotas {
     /// Creates the state without any quotas; `waits` is whether requests may wait for quota.
     pub(crate) fn new(bounds: Bounds, seed: u64, waits: bool) -> Self {
-        let grantor = if waits { Grantor::with_line(Guards::ON) } else { Grantor::default() };
+        let grantor = if waits { Grantor::with_queue(Guards::ON) } else { Grantor::default() };
         // Without the setting, late answers are dropped as in earlier builds.
         let guards = if waits { Guards::ON } else { Guards::OFF };
         let queries = SpendQueries::new(seed / 2, guards);
@@ -116,8 +116,7 @@
         }
         let now = self.clock.now();
         let terms = self.dispatch.borrow().quota_terms(now, head)?;
-        let rank = Rank(terms.rank.0, terms.rank.1);
-        Some(QuotaWait { rank, until: now + terms.objective_ms / WAIT_DIVISOR })
+        Some(QuotaWait { rank: terms.rank, until: now + terms.objective_ms / WAIT_DIVISOR })
     }
 
     /// Returns the decision on a request and the host that made it.
@@ -283,12 +282,12 @@
 
     /// Logs, as the grantor, what became of the requests that waited for quota, and of the refused
     /// ones, since the last call.
-    pub(crate) fn log_quota_lines(&self) {
+    pub(crate) fn log_quota_queues(&self) {
         let grantor = &mut self.quotas.borrow_mut().grantor;
         telemetry::quota_waiting(grantor.waiting());
         for (organisation, counts, waiting) in grantor.take_counts() {
             log::info!(
-                "event=quota_line organisation={organisation} waiting={waiting} queued={} granted={} displaced={} cancelled={} refused={}",
+                "event=quota_queue organisation={organisation} waiting={waiting} queued={} granted={} displaced={} cancelled={} refused={}",
                 counts.queued,
                 counts.granted,
                 counts.displaced,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -35,6 +35,10 @@
 
 /// Interval of the periodic checks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+const _: () = assert!(
+    TICK_INTERVAL.as_millis() <= vanetally_quota::SERVE_INTERVAL_MS as u128,
+    "the grantor serves its queues with each tick"
+);
 /// Interval of the housekeeping.
 const UPKEEP_INTERVAL_MS: u64 = 1_000;
 /// Interval of the log line that counts store calls.
--- a/crates/gateway/src/upkeep.rs
+++ b/crates/gateway/src/upkeep.rs
@@ -12,7 +12,7 @@
         if is_holder {
             self.log_placement();
         }
-        self.log_quota_lines();
+        self.log_quota_queues();
         let dispatch = self.dispatch.borrow();
         telemetry::set_gauges(dispatch.counts(), dispatch.version(), self.is_ready());
         telemetry::order_holder(is_holder);
--- a/crates/quota/src/account.rs
+++ b/crates/quota/src/account.rs
@@ -4,7 +4,8 @@
 use crate::{
     MILLIS_PER_SECOND, QuotaAnswer, Rank,
     bucket::Bucket,
-    line::{Asker, Entry, Line, MAX_WAIT_MS, MAX_WAITING, Place},
+    queries::GRANT_MARGIN_MS,
+    queue::{Asker, Entry, MAX_WAIT_MS, MAX_WAITING, Place, Queue},
 };
 use std::collections::BTreeMap;
 use vanetally_types::{Tick, hash64};
@@ -12,9 +13,13 @@
 /// Time after the stated end of a wait at which the grantor corrects the forecast. It is shorter
 /// than the time after which the asking host no longer waits.
 const REVIEW_MS: u64 = 50;
-/// Longest time between two servings of the line. A request that would be granted later than this
+/// Longest time between two servings of a queue, in milliseconds. A request that would be granted later than this
 /// before its deadline could miss it.
-const SERVE_INTERVAL_MS: u64 = 20;
+pub const SERVE_INTERVAL_MS: u64 = 20;
+const _: () = assert!(
+    REVIEW_MS + SERVE_INTERVAL_MS < GRANT_MARGIN_MS,
+    "a corrected forecast arrives before the host stops waiting"
+);
 /// Longest time over which refused requests are spread. Callers wait for a few seconds at most.
 const MAX_SPREAD_MS: u64 = 4_000;
 
@@ -23,19 +28,19 @@
 /// Minimum share of the rate that the forecast assumes for a request of any rank.
 const MIN_RATE_SHARE: f64 = 0.05;
 
-/// Bucket and line of one organisation.
+/// Bucket and queue of one organisation.
 #[derive(Clone, Debug)]
 pub(crate) struct Account {
     pub bucket: Bucket,
-    pub line: Line,
+    pub queue: Queue,
     refused: RefusedCost,
     flows: BTreeMap<Rank, Flow>,
-    pub counts: LineCounts,
+    pub counts: QueueCounts,
 }
 
 /// What happened to the requests of an organisation that waited, since the counts were last read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LineCounts {
+pub struct QueueCounts {
     /// Requests that began to wait.
     pub queued: u64,
     /// Requests that were granted after a wait.
@@ -62,15 +67,15 @@
     updated_at: Tick,
 }
 
-/// An answer for a request of the line.
-pub(crate) type LineAnswer = (Asker, QuotaAnswer, u32);
+/// An answer for a request of the queue.
+pub(crate) type QueueAnswer = (Asker, QuotaAnswer, u32);
 
 impl Account {
     /// Creates an account on which nothing waits.
     pub(crate) fn new(now: Tick, bucket: Bucket) -> Self {
         let refused = RefusedCost { cost: 0.0, updated_at: now };
-        let (line, flows, counts) = (Line::default(), BTreeMap::new(), LineCounts::default());
-        Self { bucket, line, refused, flows, counts }
+        let (queue, flows, counts) = (Queue::default(), BTreeMap::new(), QueueCounts::default());
+        Self { bucket, queue, refused, flows, counts }
     }
 
     /// Takes the cost of a granted request; returns whether the organisation is far below its quota.
@@ -81,17 +86,17 @@
     }
 
     /// Answers the waiting requests whose turn or end has come.
-    pub(crate) fn serve(&mut self, now: Tick, answers: &mut Vec<LineAnswer>) {
+    pub(crate) fn serve(&mut self, now: Tick, answers: &mut Vec<QueueAnswer>) {
         self.grant_due(now, answers);
-        while let Some(place) = self.line.due_review(now) {
+        while let Some(place) = self.queue.due_review(now) {
             self.review(now, place, answers);
         }
     }
 
-    /// Grants from the head of the line while the bucket is not empty.
-    fn grant_due(&mut self, now: Tick, answers: &mut Vec<LineAnswer>) {
-        while let Some(place) = self.line.first() {
-            let is_past = self.line.get(place).is_some_and(|entry| entry.deadline < now);
+    /// Grants from the head of the queue while the bucket is not empty.
+    fn grant_due(&mut self, now: Tick, answers: &mut Vec<QueueAnswer>) {
+        while let Some(place) = self.queue.first() {
+            let is_past = self.queue.get(place).is_some_and(|entry| entry.deadline < now);
             if is_past {
                 self.displace(now, place, answers);
                 continue;
@@ -99,7 +104,7 @@
             if self.bucket.level(now) <= 0.0 {
                 return;
             }
-            let Some(entry) = self.line.remove(place) else { return };
+            let Some(entry) = self.queue.remove(place) else { return };
             let is_below_quota = self.take(now, place.rank(), entry.cost);
             self.counts.granted += 1;
             answers.push((entry.asker, QuotaAnswer::Granted { is_below_quota }, entry.cost));
@@ -108,10 +113,10 @@
 
     /// Corrects the forecast of a request that more urgent ones have delayed, or refuses it if it
     /// can't be granted in time any more.
-    fn review(&mut self, now: Tick, place: Place, answers: &mut Vec<LineAnswer>) {
-        let Some(entry) = self.line.get(place) else { return };
+    fn review(&mut self, now: Tick, place: Place, answers: &mut Vec<QueueAnswer>) {
+        let Some(entry) = self.queue.get(place) else { return };
         let (asker, cost, deadline) = (entry.asker.clone(), entry.cost, entry.deadline);
-        let expected_ms = self.expected_ms(now, place.rank(), self.line.cost_before(place));
+        let expected_ms = self.expected_ms(now, place.rank(), self.queue.cost_before(place));
         if now + expected_ms > deadline {
             return self.displace(now, place, answers);
         }
@@ -121,34 +126,34 @@
 
     /// Records that the host of the request at `place` is told to expect its grant in `expected_ms`.
     fn state_wait(&mut self, now: Tick, place: Place, expected_ms: u64) {
-        let Some(entry) = self.line.get(place) else { return };
+        let Some(entry) = self.queue.get(place) else { return };
         let review_at = (now + expected_ms + REVIEW_MS).min(entry.deadline + 1);
-        self.line.set_review(place, review_at);
+        self.queue.set_review(place, review_at);
     }
 
     /// Queues a request that the empty bucket can't serve, or refuses it.
-    pub(crate) fn queue(
+    pub(crate) fn enqueue(
         &mut self,
         now: Tick,
         asker: Asker,
         cost: u32,
         rank: Rank,
         wait_ms: u64,
-        answers: &mut Vec<LineAnswer>,
+        answers: &mut Vec<QueueAnswer>,
     ) -> QuotaAnswer {
         let wait_ms = wait_ms.min(MAX_WAIT_MS);
         let deadline = now + wait_ms;
-        let cost_before = self.line.cost_before_new(rank, deadline);
+        let cost_before = self.queue.cost_before_new(rank, deadline);
         let expected_ms = self.expected_ms(now, rank, cost_before);
         let has_no_place =
-            self.line.len() >= MAX_WAITING && self.line.would_be_last(rank, deadline);
+            self.queue.len() >= MAX_WAITING && self.queue.would_be_last(rank, deadline);
         if expected_ms + SERVE_INTERVAL_MS > wait_ms || has_no_place {
             return self.refuse(now, cost, &asker);
         }
         let entry = Entry::new(now, asker.clone(), cost, wait_ms);
-        self.line.insert(rank, entry);
+        self.queue.insert(rank, entry);
         self.counts.queued += 1;
-        if let Some(place) = self.line.place_of(&asker) {
+        if let Some(place) = self.queue.place_of(&asker) {
             self.state_wait(now, place, expected_ms);
         }
         while let Some(last) = self.overflow(now) {
@@ -157,19 +162,19 @@
         QuotaAnswer::Queued { expected_ms }
     }
 
-    /// Returns the last request if the line is longer than its bounds.
+    /// Returns the last request if the queue is longer than its bounds.
     fn overflow(&mut self, now: Tick) -> Option<Place> {
-        let last = self.line.last()?;
-        let cost = u64::from(self.line.get(last)?.cost);
-        let expected_ms = self.served_ms(now, self.line.total_cost() - cost);
-        let is_over = self.line.len() > MAX_WAITING
-            || expected_ms + SERVE_INTERVAL_MS > self.line.longest_wait_ms();
+        let last = self.queue.last()?;
+        let cost = u64::from(self.queue.get(last)?.cost);
+        let expected_ms = self.served_ms(now, self.queue.total_cost() - cost);
+        let is_over = self.queue.len() > MAX_WAITING
+            || expected_ms + SERVE_INTERVAL_MS > self.queue.longest_wait_ms();
         is_over.then_some(last)
     }
 
     /// Refuses a request that waits.
-    fn displace(&mut self, now: Tick, place: Place, answers: &mut Vec<LineAnswer>) {
-        if let Some(entry) = self.line.remove(place) {
+    fn displace(&mut self, now: Tick, place: Place, answers: &mut Vec<QueueAnswer>) {
+        if let Some(entry) = self.queue.remove(place) {
             self.counts.displaced += 1;
             let answer = self.refuse_waiting(now, entry.cost, &entry.asker);
             answers.push((entry.asker, answer, entry.cost));
@@ -182,10 +187,10 @@
         self.refuse_waiting(now, cost, asker)
     }
 
-    /// Returns the refusal with the time until the line has been served, spread over the time that
+    /// Returns the refusal with the time until the queue has been served, spread over the time that
     /// the refused requests take.
     fn refuse_waiting(&mut self, now: Tick, cost: u32, asker: &Asker) -> QuotaAnswer {
-        let served_ms = self.served_ms(now, self.line.total_cost());
+        let served_ms = self.served_ms(now, self.queue.total_cost());
         let spread_ms = self.refused.add(now, f64::from(cost), self.bucket.rate());
         let retry_ms = served_ms + 1 + (spread_ms * fraction(asker)) as u64;
         QuotaAnswer::Refused { retry_ms }
@@ -207,15 +212,15 @@
 
     /// Removes a request whose caller has left; returns whether it waited.
     pub(crate) fn cancel(&mut self, asker: &Asker) -> bool {
-        let removed = self.line.place_of(asker).and_then(|place| self.line.remove(place));
+        let removed = self.queue.place_of(asker).and_then(|place| self.queue.remove(place));
         self.counts.cancelled += u64::from(removed.is_some());
         removed.is_some()
     }
 
-    /// Ends the line; returns whose requests waited.
-    pub(crate) fn end_line(&mut self) -> Vec<Asker> {
+    /// Ends the queue; returns whose requests waited.
+    pub(crate) fn end_queue(&mut self) -> Vec<Asker> {
         let mut askers = Vec::new();
-        while let Some(entry) = self.line.first().and_then(|place| self.line.remove(place)) {
+        while let Some(entry) = self.queue.first().and_then(|place| self.queue.remove(place)) {
             askers.push(entry.asker);
         }
         askers
--- a/crates/quota/src/grantor.rs
+++ b/crates/quota/src/grantor.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     Guards, Rank,
-    account::{Account, LineAnswer, LineCounts},
+    account::{Account, QueueAnswer, QueueCounts},
     bucket::Bucket,
-    line::{Asker, Reply},
+    queue::{Asker, MAX_WAIT_MS, Reply},
 };
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -62,8 +62,8 @@
 const CLIENT_MS: u64 = 2_000;
 
 /// Time for which a grant can be returned under its number, and a repeated request is answered as
-/// before. Longer than any request waits for its grant.
-const GRANT_MEMORY_MS: u64 = 12_000;
+/// before: longer than any request waits for its grant. Hosts keep abandoned requests as long.
+pub(crate) const GRANT_MEMORY_MS: u64 = MAX_WAIT_MS + 2_000;
 
 /// A grant that its host may still return under its number.
 #[derive(Clone, Debug)]
@@ -105,7 +105,7 @@
 
 impl Grantor {
     /// Creates a grantor that lets requests wait for quota.
-    pub fn with_line(guards: Guards) -> Self {
+    pub fn with_queue(guards: Guards) -> Self {
         Self { may_wait: true, guards, ..Self::default() }
     }
 
@@ -132,7 +132,7 @@
     /// Removes the account of `organisation`. Its quota no longer limits what waits for it.
     fn remove_account(&mut self, organisation: &Name) {
         let account = self.accounts.remove(organisation);
-        for to in account.map(|mut account| account.end_line()).unwrap_or_default() {
+        for to in account.map(|mut account| account.end_queue()).unwrap_or_default() {
             self.waiting.remove(&to);
             let answer = QuotaAnswer::Granted { is_below_quota: true };
             self.replies.push(Reply { to, answer });
@@ -148,7 +148,7 @@
             }
         }
         if self.is_granting && !is_granting {
-            self.end_lines();
+            self.end_queues();
         }
         self.is_granting = is_granting;
         if is_granting {
@@ -157,10 +157,10 @@
     }
 
     /// Answers all waiting requests that this host does not grant any more.
-    fn end_lines(&mut self) {
+    fn end_queues(&mut self) {
         self.recent = RecentGrants::default();
         for account in self.accounts.values_mut() {
-            account.end_line();
+            account.end_queue();
         }
         let waiting = std::mem::take(&mut self.waiting).into_keys();
         let replies = waiting.map(|to| Reply { to, answer: QuotaAnswer::NotGranting });
@@ -232,7 +232,7 @@
             return QuotaAnswer::Granted { is_below_quota };
         }
         let mut answers = Vec::new();
-        let answer = account.queue(now, asker.clone(), cost, rank, wait_ms, &mut answers);
+        let answer = account.enqueue(now, asker.clone(), cost, rank, wait_ms, &mut answers);
         if matches!(answer, QuotaAnswer::Queued { .. }) {
             self.waiting.insert(asker, organisation.clone());
         }
@@ -251,8 +251,8 @@
             None => {}
         }
         let account = self.accounts.get_mut(self.waiting.get(asker)?)?;
-        let place = account.line.place_of(asker)?;
-        let cost = account.line.cost_before(place);
+        let place = account.queue.place_of(asker)?;
+        let cost = account.queue.cost_before(place);
         let expected_ms = account.expected_ms(now, place.rank(), cost);
         Some(QuotaAnswer::Queued { expected_ms })
     }
@@ -260,7 +260,7 @@
     /// Answers the waiting requests whose turn or end has come, for all organisations.
     pub fn serve(&mut self, now: Tick) {
         self.recent.forget_old(now);
-        let organisations: Vec<Name> = self.lines().map(|(name, _)| name.clone()).collect();
+        let organisations: Vec<Name> = self.queues().map(|(name, _)| name.clone()).collect();
         organisations.iter().for_each(|organisation| self.serve_organisation(now, organisation));
     }
 
@@ -269,7 +269,7 @@
             return;
         }
         let Some(account) = self.accounts.get_mut(organisation) else { return };
-        if account.line.len() > 0 {
+        if account.queue.len() > 0 {
             let mut answers = Vec::new();
             account.serve(now, &mut answers);
             self.record(now, organisation, answers);
@@ -277,7 +277,7 @@
     }
 
     /// Records the answers to requests that waited.
-    fn record(&mut self, now: Tick, organisation: &Name, answers: Vec<LineAnswer>) {
+    fn record(&mut self, now: Tick, organisation: &Name, answers: Vec<QueueAnswer>) {
         for (to, answer, cost) in answers {
             if !matches!(answer, QuotaAnswer::Queued { .. }) {
                 self.waiting.remove(&to);
@@ -319,8 +319,8 @@
     /// Cancels all waiting requests of a host that is gone.
     pub fn forget_host(&mut self, host: &Name) {
         for account in self.accounts.values_mut() {
-            for place in account.line.places_of_host(host) {
-                if let Some(entry) = account.line.remove(place) {
+            for place in account.queue.places_of_host(host) {
+                if let Some(entry) = account.queue.remove(place) {
                     self.waiting.remove(&entry.asker);
                     account.counts.cancelled += 1;
                 }
@@ -347,18 +347,18 @@
     }
 
     /// Returns the organisations whose requests wait, and how many do.
-    fn lines(&self) -> impl Iterator<Item = (&Name, usize)> {
-        let lines = self.accounts.iter().map(|(name, account)| (name, account.line.len()));
-        lines.filter(|(_, waiting)| *waiting > 0)
+    fn queues(&self) -> impl Iterator<Item = (&Name, usize)> {
+        let queues = self.accounts.iter().map(|(name, account)| (name, account.queue.len()));
+        queues.filter(|(_, waiting)| *waiting > 0)
     }
 
     /// Returns, for each organisation whose requests waited or were refused since the last call,
     /// the counts since then and the number of those that wait now.
-    pub fn take_counts(&mut self) -> Vec<(Name, LineCounts, usize)> {
+    pub fn take_counts(&mut self) -> Vec<(Name, QueueCounts, usize)> {
         let accounts = self.accounts.iter_mut().map(|(name, account)| {
-            (name.clone(), std::mem::take(&mut account.counts), account.line.len())
+            (name.clone(), std::mem::take(&mut account.counts), account.queue.len())
         });
-        accounts.filter(|(_, counts, _)| *counts != LineCounts::default()).collect()
+        accounts.filter(|(_, counts, _)| *counts != QueueCounts::default()).collect()
     }
 }
 
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -11,23 +11,16 @@
 mod client;
 mod contact;
 mod grantor;
-mod line;
 mod queries;
+mod queue;
 
-pub use account::LineCounts;
+pub use account::{QueueCounts, SERVE_INTERVAL_MS};
 pub use client::{Authority, Decision, QuotaClient};
 pub use contact::GrantorContact;
 pub use grantor::{Grantor, QuotaAnswer, SpendRequest};
-pub use line::{Asker, Reply};
-pub use queries::{Received, Return, SpendQueries, SpendQuery};
-
-use serde::{Deserialize, Serialize};
-
-/// Urgency of a request: the priority of its organisation, then of its route. 0 is the most urgent.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
-pub struct Rank(pub u8, pub u8);
+pub use queries::{GRANTOR_ANSWER_MS, Received, Return, SpendQueries, SpendQuery};
+pub use queue::{Asker, Reply};
+pub use vanetally_types::Rank;
 
 /// Guards of the exchange between hosts and grantors; each can be switched off to show that the
 /// specification needs it.
--- a/crates/quota/src/queries.rs
+++ b/crates/quota/src/queries.rs
@@ -1,16 +1,16 @@
 //! Requests for quota that a host has sent to a grantor and that are not settled.
 
-use crate::{Guards, QuotaAnswer};
+use crate::{Guards, QuotaAnswer, grantor::GRANT_MEMORY_MS};
 use std::collections::BTreeMap;
 use vanetally_types::{Name, Tick};
 
-/// Time for which the grantor's first answer is awaited. Small hosts can be throttled for up to
-/// 100 ms at a time, but grantors run on large ones.
-const ANSWER_MS: u64 = 60;
+/// Milliseconds for which a grantor's first answer is awaited, for quota as for permits. Small hosts
+/// can be throttled for up to 100 ms at a time, but grantors run on large ones.
+pub const GRANTOR_ANSWER_MS: u64 = 60;
 /// Time beyond the expected end of a wait after which the host no longer waits for the grant.
-const GRANT_MARGIN_MS: u64 = 200;
+pub(crate) const GRANT_MARGIN_MS: u64 = 200;
 /// Time for which the grant of an abandoned request is returned to its grantor.
-const ABANDONED_MS: u64 = 12_000;
+const ABANDONED_MS: u64 = GRANT_MEMORY_MS;
 
 /// A request for quota to one grantor.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -101,7 +101,7 @@
         self.forget_abandoned(now);
         let number = self.next_number;
         self.next_number = self.next_number.wrapping_add(1);
-        let state = State::Awaited { until: now + ANSWER_MS };
+        let state = State::Awaited { until: now + GRANTOR_ANSWER_MS };
         self.entries.insert(number, Entry { query, asked_at: now, state, has_waited: false });
         number
     }
@@ -232,7 +232,7 @@
 impl Entry {
     /// Returns the latest time at which a grant may be used.
     fn latest_use(&self) -> Tick {
-        self.asked_at + self.query.wait_ms + ANSWER_MS + GRANT_MARGIN_MS
+        self.asked_at + self.query.wait_ms + GRANTOR_ANSWER_MS + GRANT_MARGIN_MS
     }
 
     fn abandon(&mut self, now: Tick) {
--- a/crates/quota/src/line.rs
+++ b/crates/quota/src/queue.rs
@@ -1,4 +1,6 @@
 //! The requests of one organisation that wait for quota, in the order in which they are granted.
+//!
+//! Load: an organisation sends many times its usual load, or short bursts above its rate.
 
 use crate::{QuotaAnswer, Rank};
 use serde::{Deserialize, Serialize};
@@ -27,10 +29,10 @@
 pub(crate) const MAX_WAITING: usize = 1_024;
 /// Longest wait that a request may state. With [`STEP_MS`] it bounds the number of cost sums.
 pub(crate) const MAX_WAIT_MS: u64 = 10_000;
-/// Resolution of deadlines in the order of the line; within it, arrival decides.
+/// Resolution of deadlines in the order of the queue; within it, arrival decides.
 const STEP_MS: u64 = 32;
 
-/// Place of a request in the line.
+/// Place of a request in the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct Place {
     rank: Rank,
@@ -69,7 +71,7 @@
 
 /// Waiting requests, ordered by rank, then by deadline.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Line {
+pub(crate) struct Queue {
     entries: BTreeMap<Place, Entry>,
     places: BTreeMap<Asker, Place>,
     sums: BTreeMap<(Rank, u64), StepSum>,
@@ -80,7 +82,7 @@
     next_sequence: u64,
 }
 
-impl Line {
+impl Queue {
     /// Number of waiting requests.
     pub(crate) fn len(&self) -> usize {
         self.entries.len()
--- a/crates/quota/tests/bursts.rs
+++ b/crates/quota/tests/bursts.rs
@@ -53,8 +53,8 @@
 fn burst_waits() {
     let all = PER_BURST as usize * 10;
     let (before, _) = play(Grantor::default(), 1_000);
-    let (unwaited, _) = play(Grantor::with_line(Guards::ON), 0);
-    let (after, longest_ms) = play(Grantor::with_line(Guards::ON), 1_000);
+    let (unwaited, _) = play(Grantor::with_queue(Guards::ON), 0);
+    let (after, longest_ms) = play(Grantor::with_queue(Guards::ON), 1_000);
     println!(
         "before {before} wait 0 {unwaited} after {after} of {all}, longest wait {longest_ms} ms"
     );
--- a/crates/quota/tests/common/mod.rs
+++ b/crates/quota/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! Helpers of the tests of the line.
+//! Helpers of the tests of the queue.
 
 // Each test binary uses only some of these helpers.
 #![allow(dead_code)]
@@ -17,9 +17,9 @@
     HashMap::from([("o".into(), Quota { unit, rate: RATE, burst: RATE })])
 }
 
-/// Returns a grantor with a line whose bucket is empty at [`START`].
+/// Returns a grantor with a queue whose bucket is empty at [`START`].
 pub fn grantor() -> Grantor {
-    let mut grantor = Grantor::with_line(Guards::ON);
+    let mut grantor = Grantor::with_queue(Guards::ON);
     grantor.configure(START, quotas());
     grantor.set_granting(START, true);
     grantor
@@ -39,7 +39,7 @@
     SpendRequest { asker: asker(number), organisation, cost, rank: Some(rank), wait_ms }
 }
 
-/// Serves the line each 5 ms for `millis`; returns the final answers with their times.
+/// Serves the queue each 5 ms for `millis`; returns the final answers with their times.
 pub fn replies(grantor: &mut Grantor, from: Tick, millis: u64) -> Vec<(Tick, u64, QuotaAnswer)> {
     let mut answers = Vec::new();
     for ms in (0..millis).step_by(5) {
--- a/crates/quota/tests/failures.rs
+++ b/crates/quota/tests/failures.rs
@@ -189,7 +189,7 @@
     assert_eq!(received, Received::Answer(QuotaAnswer::NotGranting));
     grantor.set_granting(START + 600, true);
     grantor.serve(START + 1_000);
-    assert!(grantor.take_replies().is_empty(), "the line ended with the grantor");
+    assert!(grantor.take_replies().is_empty(), "the queue ended with the grantor");
     // Its bucket starts empty, and takes back nothing of the time before.
     grantor.set_granting(START + 1_000, false);
     grantor.set_granting(START + 1_000, true);
--- a/crates/quota/tests/order.rs
+++ b/crates/quota/tests/order.rs
@@ -98,7 +98,7 @@
     assert!((600..=1_000).contains(&retry_ms), "{retry_ms}");
 }
 
-/// The line holds what the quota serves within the longest wait that its requests state; a more
+/// The queue holds what the quota serves within the longest wait that its requests state; a more
 /// urgent request displaces the last of the least urgent ones, which is refused.
 #[test]
 fn displaced_by_more_urgent() {
@@ -165,8 +165,8 @@
     let mut plain = vanetally_quota::Grantor::default();
     plain.configure(START, common::quotas());
     plain.set_granting(START, true);
-    let mut with_line = grantor();
-    for grantor in [&mut plain, &mut with_line] {
+    let mut with_queue = grantor();
+    for grantor in [&mut plain, &mut with_queue] {
         spend_all(grantor, START);
         let earlier =
             vanetally_quota::SpendRequest { rank: None, ..request(1, Rank(0, 0), 1_000, 0) };
--- a/crates/quota/tests/overload.rs
+++ b/crates/quota/tests/overload.rs
@@ -21,7 +21,7 @@
 const END_MS: u64 = 20_000;
 /// One-way latency between hosts.
 const LATENCY_MS: u64 = 1;
-/// Interval at which the gateway serves the line.
+/// Interval at which the gateway serves the queue.
 const TICK_MS: u64 = 20;
 /// Length of the window in which grants are bounded.
 const WINDOW_MS: u64 = 8_000;
@@ -102,7 +102,7 @@
     let organisation: Name = "o".into();
     let unit = QuotaUnit::Tokens { default_tokens: 200 };
     let quotas = HashMap::from([(organisation.clone(), Quota { unit, rate: RATE, burst: RATE })]);
-    let mut grantor = if waits { Grantor::with_line(Guards::ON) } else { Grantor::default() };
+    let mut grantor = if waits { Grantor::with_queue(Guards::ON) } else { Grantor::default() };
     grantor.configure(START, quotas);
     grantor.set_granting(START, true);
     let mut random = seed;
@@ -215,7 +215,7 @@
     );
 }
 
-/// Without the line, routine requests take what urgent ones need and callers use up their retries;
+/// Without the queue, routine requests take what urgent ones need and callers use up their retries;
 /// with it, urgent requests are granted first.
 #[test]
 fn urgent_first() {
--- a/crates/quota/tests/refusal_cost.rs
+++ b/crates/quota/tests/refusal_cost.rs
@@ -1,4 +1,4 @@
-//! The time of a refusal does not grow with the line.
+//! The time of a refusal does not grow with the queue.
 
 mod common;
 
@@ -24,9 +24,9 @@
 }
 
 /// Thousands of refusals in a few seconds must not take the grantor's processor: with a cost in
-/// proportion to the line, the long one would take 50 times as long.
+/// proportion to the queue, the long one would take 50 times as long.
 #[test]
-fn independent_of_line() {
+fn independent_of_queue() {
     let shortest = |waiting| (0..5).map(|_| refusals(waiting)).min().expect("runs");
     let (short, long) = (shortest(20), shortest(1_000));
     println!("5,000 refusals: {short:?} with 20 waiting, {long:?} with 1,000");
--- a/crates/slots/src/lib.rs
+++ b/crates/slots/src/lib.rs
@@ -1,5 +1,7 @@
 //! Grants the slots of plain upstreams to the requests of many hosts.
 //!
+//! Load: many hosts send to a few upstreams with few slots.
+//!
 //! Hosts that each decide from load reports send more to an upstream with few slots than it takes,
 //! since all of them see the same free slots. So one host, the upstream's *owner*, grants them:
 //! [`Owner`] keeps the grants and the queue of an upstream, [`Client`] keeps what the asking host has
@@ -14,13 +16,14 @@
 mod hold_time;
 mod inherited;
 mod limit;
-mod line;
 mod messages;
 mod owner;
+mod queue;
 mod shares;
 mod upstream;
 
 pub use client::{Client, Closed, Overdue, Received, Repeat};
 pub use guards::Guards;
-pub use messages::{Rank, SlotAnswer, SlotEnd, SlotRequest};
+pub use messages::{SlotAnswer, SlotEnd, SlotRequest};
 pub use owner::{Change, Owner, Reply};
+pub use vanetally_types::Rank;
--- a/crates/slots/src/messages.rs
+++ b/crates/slots/src/messages.rs
@@ -1,10 +1,7 @@
 //! What hosts and owners tell each other.
 
 use serde::{Deserialize, Serialize};
-use vanetally_types::Incarnation;
-
-/// Urgency of a request: priority of its organisation, then priority of its route; 0 is first.
-pub type Rank = (u8, u8);
+use vanetally_types::{Incarnation, Rank};
 
 /// A request for a slot of a plain upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/slots/src/line.rs
+++ b/crates/slots/src/queue.rs
@@ -33,7 +33,7 @@
 
 /// The waiting requests of one upstream.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub(crate) struct Line {
+pub(crate) struct Queue {
     waiting: BTreeSet<Waiting>,
     /// Number of requests taken so far.
     taken: u64,
@@ -46,7 +46,7 @@
 /// Maximum number of waiting requests.
 const MAX_WAITING: usize = 256;
 
-impl Line {
+impl Queue {
     /// Returns the number of requests that come before one that joins now.
     pub(crate) fn ahead_of(&self, joining: &Waiting) -> u64 {
         self.waiting.range(..joining).count() as u64
--- a/crates/slots/src/upstream.rs
+++ b/crates/slots/src/upstream.rs
@@ -5,7 +5,7 @@
     hold_time::HoldTime,
     inherited::Inherited,
     limit::Limit,
-    line::{Key, Line, Waiting},
+    queue::{Key, Queue, Waiting},
     shares::Shares,
 };
 use std::collections::{BTreeMap, VecDeque};
@@ -28,7 +28,7 @@
 pub(crate) struct OwnedUpstream {
     limit: Limit,
     grants: BTreeMap<Key, Grant>,
-    line: Line,
+    queue: Queue,
     hold_time: HoldTime,
     shares: Shares,
     inherited: Inherited,
@@ -56,7 +56,7 @@
         Self {
             limit: Limit::new(slots),
             grants: BTreeMap::new(),
-            line: Line::default(),
+            queue: Queue::default(),
             hold_time: HoldTime::default(),
             shares: Shares::default(),
             inherited: Inherited::default(),
@@ -77,7 +77,7 @@
 
     /// Returns the number of waiting requests.
     pub(crate) fn waiting(&self) -> usize {
-        self.line.len()
+        self.queue.len()
     }
 
     /// Returns the requests that other owners granted.
@@ -92,7 +92,7 @@
 
     /// Whether the state can be dropped.
     pub(crate) fn is_idle(&self, now: Tick) -> bool {
-        let is_unused = self.grants.is_empty() && self.line.is_empty() && self.ended.is_empty();
+        let is_unused = self.grants.is_empty() && self.queue.is_empty() && self.ended.is_empty();
         is_unused && now.since(self.requested_at) > IDLE_MS
     }
 
@@ -108,7 +108,7 @@
         let own = self.reported_grants(now);
         self.inherited.update(now, reported, own);
         let mut answers = Answers::new();
-        for waiting in self.line.take_expired(now) {
+        for waiting in self.queue.take_expired(now) {
             let retry_ms = self.expected_ms(&waiting).max(MIN_RETRY_MS);
             answers.push((waiting.key, SlotAnswer::Busy { retry_ms }));
         }
@@ -142,7 +142,7 @@
         if guards.same_grant && self.grants.contains_key(&waiting.key) {
             return vec![(waiting.key, SlotAnswer::Granted)];
         }
-        if let Some(known) = self.line.get(&waiting.key) {
+        if let Some(known) = self.queue.get(&waiting.key) {
             let expected_ms = self.expected_ms(known);
             return vec![(waiting.key, SlotAnswer::Queued { expected_ms })];
         }
@@ -157,14 +157,14 @@
         let expected_ms = self.expected_ms(&waiting);
         let key = waiting.key.clone();
         // Others that can still be in time go on arriving, so a late one would wait in vain.
-        let is_futile = waiting.is_late && self.line.is_behind_in_time(&waiting);
+        let is_futile = waiting.is_late && self.queue.is_behind_in_time(&waiting);
         if is_futile || expected_ms > request.wait_ms {
             let futile_ms = if is_futile { request.wait_ms.saturating_add(1) } else { 0 };
             let retry_ms = expected_ms.max(MIN_RETRY_MS).max(futile_ms);
             return vec![(key, SlotAnswer::Busy { retry_ms })];
         }
         let queued = (key, SlotAnswer::Queued { expected_ms });
-        let Some(displaced) = self.line.insert(waiting) else {
+        let Some(displaced) = self.queue.insert(waiting) else {
             return vec![queued];
         };
         let retry_ms = self.displaced_retry_ms(now, &displaced);
@@ -196,7 +196,7 @@
     pub(crate) fn release(&mut self, now: Tick, key: Key, end: SlotEnd, guards: Guards) -> Answers {
         let taken = self.taken();
         let mut grant = self.grants.remove(&key);
-        if grant.is_none() && !self.line.remove(&key) && !guards.known_release {
+        if grant.is_none() && !self.queue.remove(&key) && !guards.known_release {
             grant = self.grants.pop_first().map(|(_, grant)| grant);
         }
         self.ended.push_back((now, key));
@@ -213,7 +213,7 @@
     /// Ends all grants and waits of a host that is gone.
     pub(crate) fn release_host(&mut self, now: Tick, host: &Name) -> Answers {
         self.grants.retain(|(holder, _), _| holder != host);
-        self.line.take(|waiting| waiting.key.0 == *host);
+        self.queue.take(|waiting| waiting.key.0 == *host);
         let mut answers = Answers::new();
         self.grant_waiting(now, &mut answers);
         answers
@@ -221,13 +221,13 @@
 
     /// Ends the wait of all requests, because the upstream is gone.
     pub(crate) fn dismiss(mut self) -> Answers {
-        let all = self.line.take(|_| true).into_iter();
+        let all = self.queue.take(|_| true).into_iter();
         all.map(|waiting| (waiting.key, SlotAnswer::Busy { retry_ms: MIN_RETRY_MS })).collect()
     }
 
     fn grant_waiting(&mut self, now: Tick, answers: &mut Answers) {
         while self.taken() < self.limit.current()
-            && let Some(waiting) = self.line.pop()
+            && let Some(waiting) = self.queue.pop()
         {
             answers.push((waiting.key.clone(), SlotAnswer::Granted));
             self.grant(now, waiting, Guards::ON);
@@ -248,8 +248,8 @@
     /// Returns the milliseconds until a request gets a slot that waits or would wait.
     fn expected_ms(&self, waiting: &Waiting) -> u32 {
         let limit = self.limit.current();
-        let alone_ms = self.hold_time.until_ms(self.line.ahead_of(waiting) + 1, limit);
-        let fair_ms = self.hold_time.until_ms(self.line.fair_turns(waiting), limit);
+        let alone_ms = self.hold_time.until_ms(self.queue.ahead_of(waiting) + 1, limit);
+        let fair_ms = self.hold_time.until_ms(self.queue.fair_turns(waiting), limit);
         self.shares.stretch(waiting.rank, alone_ms).min(fair_ms)
     }
 
--- a/crates/slots/tests/order.rs
+++ b/crates/slots/tests/order.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use support::{GRANTED, START, ask, full_owner, host, release, request};
-use vanetally_slots::{Owner, SlotAnswer, SlotEnd, SlotRequest};
+use vanetally_slots::{Owner, Rank, SlotAnswer, SlotEnd, SlotRequest};
 
 /// Ends grants one after the other; returns the numbers in the order in which they were granted.
 fn drain(owner: &mut Owner, count: u64) -> Vec<u64> {
@@ -25,7 +25,7 @@
         (10, SlotRequest { is_late: true, ..request() }),
         (11, SlotRequest { wait_ms: 900, ..request() }),
         (12, SlotRequest { wait_ms: 800, ..request() }),
-        (13, SlotRequest { rank: (0, 1), ..request() }),
+        (13, SlotRequest { rank: Rank(0, 1), ..request() }),
     ];
     for (number, request) in requests {
         let answer = ask(&mut owner, START, number, &request);
@@ -67,10 +67,10 @@
 #[test]
 fn least_urgent_gets_share() {
     let mut owner = full_owner(START);
-    ask(&mut owner, START, 1_000, &SlotRequest { rank: (2, 2), ..request() });
+    ask(&mut owner, START, 1_000, &SlotRequest { rank: Rank(2, 2), ..request() });
     let mut open: Vec<u64> = (0..GRANTED).collect();
     let position = (0..100).position(|turn| {
-        ask(&mut owner, START, 2_000 + turn, &SlotRequest { rank: (0, 0), ..request() });
+        ask(&mut owner, START, 2_000 + turn, &SlotRequest { rank: Rank(0, 0), ..request() });
         let next = release(&mut owner, START, open.remove(0), SlotEnd::Used);
         open.extend(&next);
         next.contains(&1_000)
@@ -108,7 +108,7 @@
     }
     let answer = ask(&mut owner, START, 3_000, &patient);
     assert!(matches!(answer, SlotAnswer::Busy { retry_ms } if retry_ms > wait_ms), "{answer:?}");
-    let urgent = SlotRequest { rank: (0, 0), ..patient };
+    let urgent = SlotRequest { rank: Rank(0, 0), ..patient };
     let replies = owner.acquire(START + 500, (&host(), 4_000), &urgent, 0);
     let displaced = replies.iter().find(|reply| reply.number == 2_255).expect("displaced");
     let is_over = matches!(displaced.answer, SlotAnswer::Busy { retry_ms } if retry_ms > 1_500);
--- a/crates/slots/tests/support/mod.rs
+++ b/crates/slots/tests/support/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use vanetally_slots::{Owner, Reply, SlotAnswer, SlotEnd, SlotRequest};
-use vanetally_types::{Name, Tick};
+use vanetally_types::{Name, Rank, Tick};
 
 pub const START: Tick = Tick(100_000);
 /// Announced slots; one more is granted.
@@ -13,7 +13,7 @@
     SlotRequest {
         upstream: "i-1".into(),
         slots: SLOTS,
-        rank: (1, 1),
+        rank: Rank(1, 1),
         wait_ms: 1_000,
         is_late: false,
         hold_ms: 3_000,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 mod incarnation;
 mod label;
 mod names;
+mod rank;
 mod tick;
 mod verdict;
 
@@ -18,6 +19,7 @@
 pub use incarnation::Incarnation;
 pub use label::Labels;
 pub use names::Names;
+pub use rank::Rank;
 pub use selector::Selector;
 pub use tick::Tick;
 pub use verdict::Verdict;
--- a/tests/host_start.rs
+++ b/tests/host_start.rs
@@ -13,8 +13,8 @@
 const DOMAINS: usize = 3;
 /// Time in which a start has settled, without a renewal of the host leases.
 const SETTLE_TIME: Duration = Duration::from_millis(2_500);
-/// Calls per host: a lease, the host's key, the entry keys, and a share of what the readers of each domain need.
-const MAX_CALLS_PER_HOST: usize = 6;
+/// Calls of all hosts: no more than when each host listed all others, 5.5 for each host.
+const MAX_CALLS: usize = HOSTS * 11 / 2;
 
 /// Returns the number of answered calls of all hosts by kind.
 fn calls_by_kind(hosts: &[Host]) -> Vec<(&'static str, f64)> {
@@ -65,13 +65,13 @@
     let ips: Vec<String> = (0..HOSTS).map(|_| fresh_ip()).collect();
     let (hosts, calls) = start(&deployment, &ips, true);
     println!("first start: {calls} calls");
-    assert!(calls <= HOSTS * MAX_CALLS_PER_HOST, "{calls} calls at the first start");
+    assert!(calls <= MAX_CALLS, "{calls} calls at the first start");
     let unanswered = unanswered(&deployment);
     assert!(unanswered.is_empty(), "no configuration for the first request of {unanswered:?}");
     drop(hosts);
     let (_hosts, calls) = start(&deployment, &ips, false);
     println!("after a power failure: {calls} calls");
-    assert!(calls <= HOSTS * MAX_CALLS_PER_HOST, "{calls} calls after a power failure");
+    assert!(calls <= MAX_CALLS, "{calls} calls after a power failure");
 }
 
 /// Sends a request as soon as `host` accepts connections.
--- a/tests/quota_wait.rs
+++ b/tests/quota_wait.rs
@@ -96,12 +96,12 @@
     let has_waited =
         || hosts.iter().any(|host| host.metric("vanetally_quota_wait_seconds_count") > Some(0.0));
     wait_for("waits are counted", has_waited);
-    wait_for("the grantor logs its line", || {
-        deployment.logs().iter().any(|(_, log)| log.contains("event=quota_line organisation=acme"))
+    wait_for("the grantor logs its queue", || {
+        deployment.logs().iter().any(|(_, log)| log.contains("event=quota_queue organisation=acme"))
     });
 }
 
-/// What would wait for longer than half of its objective is refused at once, and told when the line
+/// What would wait for longer than half of its objective is refused at once, and told when the queue
 /// has been served; not all are told the same.
 #[test]
 fn refused_at_once() {
@@ -121,7 +121,7 @@
     assert!(last - first > 0.3, "{first} {last}");
 }
 
-/// Callers that leave while they wait are taken out of the grantor's line.
+/// Callers that leave while they wait are taken out of the grantor's queue.
 #[test]
 fn caller_leaves() {
     let (deployment, hosts) = start(&[FEATURES; 2]);
@@ -151,7 +151,7 @@
 
 /// Returns the number of cancelled requests in a log.
 fn cancelled(log: &str) -> usize {
-    let lines = log.lines().filter(|line| line.contains("event=quota_line"));
+    let lines = log.lines().filter(|line| line.contains("event=quota_queue"));
     let counts = lines.filter_map(|line| line.split("cancelled=").nth(1)?.split(' ').next());
     counts.filter_map(|count| count.parse::<usize>().ok()).sum()
 }
