test: hosts that are cut off from all upstreams serve through other hosts

Reproduces the incident with real processes. A tap in front of each upstream looks up which process a connection belongs to and treats the connections of each host by its own mode: passed, reset, silent, or only new ones reset. Six hosts, three engines, three plain upstreams; requests count from 3 s after the cut.

--- /dev/null
+++ b/tests/cut_off.rs
@@ -0,0 +1,143 @@
+//! Hosts that are cut off from all upstreams, but not from callers, the store and the other hosts.
+//!
+//! Guards against hosts that refuse what other hosts could send for them, and against hosts that
+//! pass their own unreachability on as the failure of upstreams. A host that can't reach an
+//! upstream uses another host as exit:
+//!
+//! `event=upstream_blocked upstream=i-desk-0@1750000000000 exit=front-3 after_ms=412`
+//! `event=upstream_reached upstream=i-desk-0@1750000000000 blocked_ms=6210`
+
+mod gateway;
+
+use gateway::{
+    load::Exchange,
+    taps::{Tally, TappedDeployment},
+};
+use rstest::rstest;
+use std::{
+    ops::Range,
+    thread,
+    time::{Duration, Instant},
+};
+use vanetally_platform_standin::{Client, TapMode};
+
+const HOSTS: usize = 6;
+/// Time before the cut.
+const CALM: Duration = Duration::from_secs(1);
+/// Time after the start of a cut within which all requests must be served again.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Duration of the cut.
+const CUT: Duration = Duration::from_secs(7);
+/// Time after the end of a cut within which upstreams are reached directly again.
+const HEAL: Duration = Duration::from_secs(1);
+/// One request in this many may fail.
+const FAILED_DIVISOR: usize = 50;
+/// Callers of each host, so many that some still call while others wait for an answer.
+const CALLERS: usize = 12;
+const PAUSE: Duration = Duration::from_millis(300);
+const DEADLINE: Duration = Duration::from_millis(1_500);
+
+/// A repeatable call to the plain service.
+fn check(number: u64) -> Client {
+    Client::new("GET", "/check/1", &format!("r{number}")).deadline(DEADLINE.as_millis() as u64)
+}
+
+/// A stream that may run at most once.
+fn offer(number: u64) -> Client {
+    let client = Client::new("POST", "/offer/1", &format!("r{number}")).with("X-Model", "m1");
+    client.body(format!("draft {number}").as_bytes()).deadline(DEADLINE.as_millis() as u64)
+}
+
+/// Repeatable and unrepeatable requests in turn.
+fn both(number: u64) -> Client {
+    if number / HOSTS as u64 % 2 == 0 { check(number) } else { offer(number) }
+}
+
+struct Outcome {
+    exchanges: Vec<Vec<Exchange>>,
+    cut_at: Instant,
+    healed_at: Instant,
+    site: TappedDeployment,
+}
+
+impl Outcome {
+    fn tally(&self, hosts: Range<usize>, span: Range<Instant>) -> Tally {
+        Tally::of(self.exchanges[hosts].iter().flatten(), &span)
+    }
+
+    /// Returns the requests after the contact time whose deadline was over before the end of the cut.
+    fn in_cut(&self, hosts: Range<usize>) -> Tally {
+        self.tally(hosts, self.cut_at + CONTACT..self.healed_at - DEADLINE)
+    }
+}
+
+/// Cuts the first `cut` hosts off, and heals the cut.
+fn play(cut: usize, mode: TapMode) -> Outcome {
+    let site = TappedDeployment::start(HOSTS, 3, 3);
+    let (mut cut_at, mut healed_at) = (Instant::now(), Instant::now());
+    let exchanges = site.under_load(both, CALLERS, PAUSE, || {
+        thread::sleep(CALM);
+        cut_at = Instant::now();
+        site.set_mode(0..cut, mode);
+        thread::sleep(CUT);
+        healed_at = Instant::now();
+        site.set_mode(0..cut, TapMode::Pass);
+        thread::sleep(2 * HEAL);
+    });
+    Outcome { exchanges, cut_at, healed_at, site }
+}
+
+fn assert_served(tally: Tally, whom: &str) {
+    let is_served = tally.tries > 0 && tally.failed() <= 1 + tally.tries / FAILED_DIVISOR;
+    assert!(is_served, "{} of {} requests served at {whom}", tally.served, tally.tries);
+}
+
+/// Callers of hosts that are cut off are served, and the other hosts are not affected.
+#[rstest]
+#[case::reset(3, TapMode::Reset)]
+#[case::silent(2, TapMode::Silent)]
+#[case::new_connections_reset(3, TapMode::ResetNew)]
+#[case::all_but_one_silent(5, TapMode::Silent)]
+#[case::all_but_one_reset(5, TapMode::Reset)]
+fn cut_off_hosts_serve(#[case] cut: usize, #[case] mode: TapMode) {
+    let outcome = play(cut, mode);
+    let (own, others) = (outcome.in_cut(0..cut), outcome.in_cut(cut..HOSTS));
+    println!("{mode:?}: {own:?} at {cut} hosts that are cut off, {others:?} at the others");
+    assert_served(others, "the hosts that reach the upstreams");
+    assert_served(own, "the hosts that are cut off");
+    let healed = outcome.healed_at + HEAL..outcome.healed_at + 2 * HEAL;
+    assert_served(outcome.tally(0..HOSTS, healed.clone()), "all hosts after the cut");
+    for host in &outcome.site.hosts[..cut] {
+        let opened = outcome.site.taps.iter().flat_map(|tap| tap.opened_by(host.process()));
+        let is_noticed =
+            opened.into_iter().any(|at| (outcome.healed_at..healed.start).contains(&at));
+        assert!(is_noticed, "a host has not noticed the end of the cut");
+    }
+    for engine in &outcome.site.deployment.engines {
+        let twice: Vec<_> = engine.runs().into_iter().filter(|(_, runs)| *runs > 1).collect();
+        assert!(twice.is_empty(), "ran more than once: {twice:?}");
+    }
+}
+
+/// Upstreams that say nothing for a second are not judged dead, and no host takes itself for cut off.
+#[test]
+fn silent_second() {
+    let site = TappedDeployment::start(HOSTS, 3, 3);
+    let (mut silent_at, mut over_at) = (Instant::now(), Instant::now());
+    // So few that the upstreams have slots for all.
+    let exchanges = site.under_load(both, 2, PAUSE, || {
+        thread::sleep(CALM);
+        silent_at = Instant::now();
+        site.set_mode(0..HOSTS, TapMode::Silent);
+        thread::sleep(Duration::from_millis(1_200));
+        over_at = Instant::now();
+        site.set_mode(0..HOSTS, TapMode::Pass);
+        thread::sleep(2 * HEAL);
+    });
+    let all = || exchanges.iter().flatten();
+    assert_served(Tally::of(all(), &(silent_at..over_at)), "silent upstreams");
+    assert_served(Tally::of(all(), &(over_at..over_at + HEAL)), "upstreams that speak again");
+    for (host, log) in site.deployment.logs() {
+        assert!(!log.contains("event=upstream_blocked"), "{host} takes itself for cut off");
+    }
+}
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod load;
 pub mod restores;
+pub mod taps;
 
 use serde_json::{Value, json};
 use std::{
@@ -339,6 +340,11 @@
 }
 
 impl Host {
+    /// Returns the id of the process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the status of the readiness check, or 0 without an answer.
     pub fn readiness(&self) -> u16 {
         Client::new("GET", "/-/readiness", "").send(self.ready).status
--- /dev/null
+++ b/tests/gateway/taps.rs
@@ -0,0 +1,104 @@
+//! Deployments whose upstreams are behind taps, so that single hosts can be cut off from all of them.
+
+use super::{
+    Deployment, Host, fresh_ip, fronts,
+    load::{Exchange, under_load},
+};
+use std::{
+    ops::Range,
+    sync::Mutex,
+    thread,
+    time::{Duration, Instant},
+};
+use vanetally_platform_standin::{Client, Runner, Tap, TapMode, TapModes};
+
+/// Hosts that reach all upstreams through taps.
+pub struct TappedDeployment {
+    pub hosts: Vec<Host>,
+    pub taps: Vec<Tap>,
+    modes: TapModes,
+    pub deployment: Deployment,
+}
+
+impl TappedDeployment {
+    /// Starts `count` hosts with `engines` engines and `desks` plain upstreams.
+    pub fn start(count: usize, engines: usize, desks: usize) -> Self {
+        let mut deployment = Deployment::start();
+        (1..engines).for_each(|_| deployment.add_engine());
+        (1..desks).for_each(|_| drop(deployment.add_desk()));
+        let modes = TapModes::default();
+        let tap = |runner: &Runner| {
+            let tap = Tap::start(&fresh_ip(), runner.address(), &modes);
+            let (key, value) = runner.entry_at(tap.address());
+            deployment.store.put(&key, &value);
+            tap
+        };
+        let taps = deployment.engines.iter().chain(&deployment.desks).map(tap).collect();
+        let hosts: Vec<Host> =
+            (0..count).map(|number| deployment.spawn(&format!("front-{number}"))).collect();
+        hosts.iter().for_each(|host| modes.set(host.process(), TapMode::Pass));
+        hosts.iter().for_each(|host| super::wait_for("the host is ready", || host.is_ready()));
+        Self { hosts, taps, modes, deployment }
+    }
+
+    /// Sets how the connections of some hosts to all upstreams are treated.
+    pub fn set_mode(&self, hosts: Range<usize>, mode: TapMode) {
+        self.hosts[hosts].iter().for_each(|host| self.modes.set(host.process(), mode));
+    }
+
+    /// Sends requests to each host from `callers` threads of its own until `scenario` returns. A
+    /// host that answers slowly does not slow down the requests to the others.
+    pub fn under_load(
+        &self,
+        request: impl Fn(u64) -> Client + Sync,
+        callers: usize,
+        pause: Duration,
+        scenario: impl FnOnce(),
+    ) -> Vec<Vec<Exchange>> {
+        let fronts = fronts(&self.hosts);
+        let is_over = Mutex::new(());
+        let guard = is_over.lock().expect("no thread panicked");
+        let load = |index: usize| {
+            let numbered = |number: u64| request(number * fronts.len() as u64 + index as u64);
+            under_load(&fronts[index..=index], numbered, callers, pause, || {
+                drop(is_over.lock().expect("no thread panicked"));
+            })
+        };
+        let load = &load;
+        thread::scope(|scope| {
+            let threads = (0..fronts.len()).map(|index| scope.spawn(move || load(index)));
+            let threads: Vec<_> = threads.collect();
+            scenario();
+            drop(guard);
+            threads.into_iter().map(|thread| thread.join().expect("no panic")).collect()
+        })
+    }
+}
+
+/// Numbers of requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub served: usize,
+    pub tries: usize,
+}
+
+impl Tally {
+    /// Counts the requests that began in `span`.
+    pub fn of<'a>(
+        exchanges: impl IntoIterator<Item = &'a Exchange>,
+        span: &Range<Instant>,
+    ) -> Self {
+        let mut tally = Self::default();
+        for exchange in exchanges.into_iter().filter(|one| span.contains(&one.began)) {
+            let answer = &exchange.answer;
+            tally.tries += 1;
+            tally.served += usize::from(answer.status == 200 && answer.is_complete);
+        }
+        tally
+    }
+
+    /// Returns the number of failed requests.
+    pub fn failed(self) -> usize {
+        self.tries - self.served
+    }
+}
