fix: one lost keep-alive probe closes no connection

Cause: a user timeout of 2 s also ends keep-alive probing, whatever the number of probes that was set: the connection is closed when the second probe is due. With probes 2 s (links: 10 s) apart a peer that was silent for a moment at the first probe was closed, though it was alive again.

Change: connections to upstreams, callers and the store are probed each second and have a user timeout of 4 s, so that the probes span 2 s. The sending end of a link has its user timeout of 2 s and no probes; the receiving end, which sends nothing, has three probes 3 s apart and no user timeout.

The silence itself is not reproduced: loopback acknowledges all bytes.

--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     proof::{Hello, Side, prove, verify},
-    socket::set_link_options,
+    socket::{set_accepted_link_options, set_link_options},
 };
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -335,7 +335,7 @@
     stream: TcpStream,
     shared: &Shared,
 ) -> Option<(WebSocketStream<TcpStream>, HostId)> {
-    set_link_options(&stream).ok()?;
+    set_accepted_link_options(&stream).ok()?;
     let mut socket = accept_async_with_config(stream, Some(shared.config())).await.ok()?;
     let options = &shared.options;
     let local = Hello::new(options.host_id.clone());
--- a/crates/link/src/socket.rs
+++ b/crates/link/src/socket.rs
@@ -4,24 +4,39 @@
 use std::{io, net::SocketAddr, time::Duration};
 use tokio::{net::TcpStream, time::timeout};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time after which a connection with unacknowledged bytes is closed.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Default timeout of a connection attempt.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Idle time before the first keep-alive probe, and interval between probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
-/// Number of unanswered probes after which a connection is closed.
-const KEEPALIVE_PROBES: u32 = 2;
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after which a connection with unacknowledged bytes is closed. Together with keep-alive it
+/// also ends the probing, whatever the number of probes: the first and the last probe before it must be
+/// further apart than a short silence of the peer.
+const USER_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Keep-alive interval of a link between hosts. It is longer because a host has a link to each
-/// other host, and a link in use detects an unresponsive peer by its unacknowledged bytes.
-const LINK_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
+/// Time after which the sending end of a link closes it with unacknowledged bytes. It sends no
+/// keep-alive probes, which this timeout would cut short.
+const LINK_USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Keep-alive of the receiving end of a link, which sends nothing and so needs no user timeout. A
+/// host has links from all other hosts, so the idle time is long.
+const LINK_KEEPALIVE_IDLE: Duration = Duration::from_secs(10);
+const LINK_KEEPALIVE_INTERVAL: Duration = Duration::from_secs(3);
+const LINK_KEEPALIVE_PROBES: u32 = 3;
 
 /// Connects to `address`.
 ///
 /// # Errors
 /// If the connection is refused or times out.
 pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    connect_within(address, CONNECT_TIMEOUT).await
+}
+
+/// Connects to `address` within `limit`.
+///
+/// # Errors
+/// If the connection is refused or times out.
+pub async fn connect_within(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let stream = timeout(limit, TcpStream::connect(address)).await??;
     set_peer_options(&stream)?;
     Ok(stream)
 }
@@ -31,24 +46,31 @@
 /// # Errors
 /// If a socket option can't be set.
 pub fn set_peer_options(stream: &TcpStream) -> io::Result<()> {
-    set_options(stream, KEEPALIVE_INTERVAL)
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
+    socket.set_tcp_keepalive(&keepalive)
 }
 
-/// Sets the same options for a link between hosts, with a longer keep-alive interval.
+/// Sets the options of the sending end of a link between hosts.
 ///
 /// # Errors
 /// If a socket option can't be set.
 pub fn set_link_options(stream: &TcpStream) -> io::Result<()> {
-    set_options(stream, LINK_KEEPALIVE_INTERVAL)
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(LINK_USER_TIMEOUT))
 }
 
-fn set_options(stream: &TcpStream, interval: Duration) -> io::Result<()> {
+/// Sets the options of the receiving end of a link between hosts.
+///
+/// # Errors
+/// If a socket option can't be set.
+pub fn set_accepted_link_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
-        .with_time(interval)
-        .with_interval(interval)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)
+        .with_time(LINK_KEEPALIVE_IDLE)
+        .with_interval(LINK_KEEPALIVE_INTERVAL)
+        .with_retries(LINK_KEEPALIVE_PROBES);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
