--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -93,6 +93,7 @@
         max_connections: 1_900,
         engine: Some(engine),
         cold_start: None,
+        health_path: None,
     };
     Rc::new(Configuration {
         version: 1,
--- a/crates/daemon/src/hub.rs
+++ b/crates/daemon/src/hub.rs
@@ -105,6 +105,8 @@
             Input::Link(peer::Event::Broken { to }) => {
                 log::debug!("event=link-broken to={to}");
             }
+            // The daemon serves no tunnels; without a decision they are refused.
+            Input::Link(peer::Event::Tunnel { .. }) => {}
             Input::Dump(sender) => {
                 // Fails if the requester has stopped waiting.
                 let _ = sender.send(self.core.dump());
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -86,7 +86,7 @@
             self.requests.insert(id, request);
             return;
         };
-        if matches!(end, AttemptEnd::Unreachable | AttemptEnd::Withdrawn) {
+        if end.is_unsent() {
             let upstream = attempt.upstream.clone();
             actions.extend(attempt.permit_rate.map(|rate| Action::ReturnPermit { upstream, rate }));
         }
@@ -99,12 +99,12 @@
             // The upstream's error was passed to the caller, unless the request may be retried.
             AttemptEnd::Failed if answered || !request.route.is_repeatable() => return,
             AttemptEnd::Failed => request.verdict = Verdict::Ran,
-            AttemptEnd::Unreachable | AttemptEnd::Withdrawn => {
+            AttemptEnd::Unreachable | AttemptEnd::NoPath | AttemptEnd::Withdrawn => {
                 if request.attempts == 1 {
                     request.tried.clear();
                 }
             }
-            AttemptEnd::Broken => request.verdict = Verdict::MayHaveRun,
+            AttemptEnd::Broken | AttemptEnd::Lost => request.verdict = Verdict::MayHaveRun,
             // Another upstream is asked for a slot first, so there is no need to wait.
             AttemptEnd::Full if attempt.slot.is_some() && !request.is_exhausted() => {}
             AttemptEnd::Full | AttemptEnd::Absent | AttemptEnd::Replaced => {
@@ -144,7 +144,9 @@
         let content = request.content_hash;
         match end {
             AttemptEnd::Served => self.quarantine.record_answer(now, content),
-            AttemptEnd::Broken if !self.quarantine.was_answered_recently(now, content) => {
+            AttemptEnd::Broken | AttemptEnd::Lost
+                if !self.quarantine.was_answered_recently(now, content) =>
+            {
                 let upstream = attempt.upstream.clone();
                 let Some(known) = self.upstreams.get(&upstream) else {
                     return;
@@ -171,15 +173,17 @@
         is_repeated || self.quarantine.was_answered(request.content_hash)
     }
 
-    /// Handles the result of a probe. An upstream that does not respond gets no requests for a
-    /// while.
+    /// Handles the result of a probe, which confirms that the failures were the upstream's. An
+    /// upstream that does not respond gets no requests for a while.
     pub(crate) fn probed(
         &mut self,
         now: Tick,
         upstream: &Incarnation,
         content_hashes: &[ContentHash],
         sign: Option<CrashSign>,
+        actions: &mut Vec<Action>,
     ) {
+        self.confirm_failures(upstream, actions);
         if sign.is_none() {
             return content_hashes.iter().for_each(|content| self.quarantine.resume(*content));
         }
@@ -193,6 +197,27 @@
         }
     }
 
+    /// Counts the failures at an upstream whose cause was unknown as its own, and reports them.
+    fn confirm_failures(&mut self, upstream: &Incarnation, actions: &mut Vec<Action>) {
+        let Some(known) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        let confirmed = known.health.confirm();
+        let service = known.state.service.clone();
+        if self.is_engine(&service) {
+            let report = Action::ReportOutcome { upstream: upstream.clone(), is_good: false };
+            actions.extend(std::iter::repeat_n(report, confirmed));
+        }
+    }
+
+    /// Handles a probe without a result: the failures say nothing of the upstream.
+    pub(crate) fn unjudged(&mut self, upstream: &Incarnation, content_hashes: &[ContentHash]) {
+        content_hashes.iter().for_each(|content| self.quarantine.resume(*content));
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.health.dismiss();
+        }
+    }
+
     fn record_end(
         &mut self,
         now: Tick,
@@ -210,8 +235,7 @@
         };
         self.loads.mark_active(&attempt.upstream);
         upstream.own_load.subtract(attempt.load);
-        let is_answered =
-            !matches!(end, AttemptEnd::Broken | AttemptEnd::Unreachable | AttemptEnd::Withdrawn);
+        let is_answered = !end.is_unsent() && !matches!(end, AttemptEnd::Broken | AttemptEnd::Lost);
         upstream.cooldown.record_end(now, attempt.sent_at, is_answered);
         match end {
             AttemptEnd::Served => {
@@ -223,6 +247,8 @@
             AttemptEnd::Failed if request.route.kind == RequestKind::Idempotent => {}
             AttemptEnd::Withdrawn => {}
             AttemptEnd::Failed | AttemptEnd::Broken => upstream.health.record(now, false),
+            AttemptEnd::Lost => upstream.health.record_unconfirmed(now),
+            AttemptEnd::NoPath => upstream.full_until = now + UNREACHABLE_PAUSE_MS,
             AttemptEnd::Unreachable => {
                 upstream.health.record(now, false);
                 upstream.full_until = now + UNREACHABLE_PAUSE_MS;
@@ -256,7 +282,8 @@
     ) {
         let is_good = match end {
             AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Unreachable => false,
-            AttemptEnd::Withdrawn => return,
+            // Reported once a probe has confirmed it.
+            AttemptEnd::Lost | AttemptEnd::NoPath | AttemptEnd::Withdrawn => return,
             AttemptEnd::Served | AttemptEnd::Full | AttemptEnd::Absent | AttemptEnd::Replaced => {
                 true
             }
@@ -299,8 +326,7 @@
         }
         // A retry is charged here. An attempt that was never sent costs nothing.
         let service = &request.service;
-        let is_unsent = matches!(end, AttemptEnd::Unreachable | AttemptEnd::Withdrawn);
-        let is_charged = is_unsent
+        let is_charged = end.is_unsent()
             || self.retry_budgets.get_mut(service).is_some_and(|budget| budget.try_spend(now));
         if !is_charged || now + MIN_REMAINING_MS >= request.deadline {
             return Some(self.refusal(request, cause, Some(RETRY_AFTER_MS)));
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -65,6 +65,10 @@
     Replaced,
     /// The answer broke off, was malformed or never came; the request may have run.
     Broken,
+    /// Like `Broken`, but it is not known whether the upstream or the network path is at fault.
+    Lost,
+    /// Like `Unreachable`, but it is not known whether the upstream or the network path is at fault.
+    NoPath,
 }
 
 impl AttemptEnd {
@@ -79,8 +83,15 @@
             Self::Absent => "absent",
             Self::Replaced => "replaced",
             Self::Broken => "broken",
+            Self::Lost => "lost",
+            Self::NoPath => "no_path",
         }
     }
+
+    /// Whether nothing was sent to the upstream.
+    pub fn is_unsent(self) -> bool {
+        matches!(self, Self::Unreachable | Self::NoPath | Self::Withdrawn)
+    }
 }
 
 /// An input of the dispatch.
@@ -101,6 +112,20 @@
         /// The sign of a crash; `None` if the upstream is alive.
         sign: Option<CrashSign>,
     },
+    /// A probe could not tell whether an upstream is at fault for failures: this host does not reach
+    /// it, and it answers others or nobody else could be asked.
+    Unjudged {
+        /// The upstream.
+        upstream: Incarnation,
+        /// Content hashes of the attempts that failed.
+        content_hashes: Vec<ContentHash>,
+    },
+    /// The answer to a request will not arrive by its connection, which stays open: the request is no
+    /// load of the upstream any more.
+    Detached {
+        /// The request.
+        id: RequestId,
+    },
     /// An upstream announced itself, or changed its announcement.
     UpstreamSeen {
         /// The upstream.
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -7,7 +7,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     outcomes: VecDeque<(Tick, bool)>,
+    /// Failures for which the network path may be to blame. Only this host counts them.
+    unconfirmed: VecDeque<Tick>,
     ejected_until: Option<Tick>,
+    /// Whether unconfirmed failures counted for the ejection.
+    is_ejection_unconfirmed: bool,
     ejections: u32,
     is_probing: bool,
 }
@@ -62,10 +66,38 @@
         }
     }
 
+    /// Records a failure for which the network path may be to blame.
+    pub fn record_unconfirmed(&mut self, now: Tick) {
+        self.expire(now);
+        self.unconfirmed.push_back(now);
+        if std::mem::take(&mut self.is_probing) {
+            self.eject(now);
+        }
+    }
+
+    /// Counts the unconfirmed failures as failures of the upstream; returns their number.
+    pub fn confirm(&mut self) -> usize {
+        self.is_ejection_unconfirmed = false;
+        let confirmed = self.unconfirmed.len();
+        let failures = self.unconfirmed.drain(..).map(|at| (at, false));
+        self.outcomes.extend(failures);
+        confirmed
+    }
+
+    /// Forgets the unconfirmed failures, and ends an ejection that may be due to them.
+    pub fn dismiss(&mut self) {
+        if !self.unconfirmed.is_empty() || self.is_ejection_unconfirmed {
+            self.ejected_until = None;
+            self.is_ejection_unconfirmed = false;
+        }
+        self.unconfirmed.clear();
+    }
+
     /// Returns the numbers of good and bad outcomes in the window.
     pub fn counts(&mut self, now: Tick) -> (u32, u32) {
         self.expire(now);
-        count(self.outcomes.iter())
+        let (good, bad) = count(self.outcomes.iter());
+        (good, bad + self.unconfirmed.len() as u32)
     }
 
     /// Returns the numbers of good and bad outcomes that are reported to other hosts.
@@ -107,6 +139,7 @@
         let duration_ms = EJECT_MS << self.ejections.min(MAX_DOUBLINGS);
         self.ejections += 1;
         self.ejected_until = Some(now + duration_ms);
+        self.is_ejection_unconfirmed = !self.unconfirmed.is_empty();
         self.outcomes.clear();
     }
 
@@ -135,6 +168,9 @@
         while self.outcomes.front().is_some_and(|(at, _)| now.since(*at) > WINDOW_MS) {
             self.outcomes.pop_front();
         }
+        while self.unconfirmed.front().is_some_and(|at| now.since(*at) > WINDOW_MS) {
+            self.unconfirmed.pop_front();
+        }
     }
 }
 
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -26,6 +26,7 @@
     CallerRequest, Configuration, ModelRef, Refusal, RefusalCause, Route, UpstreamState,
 };
 use vanetally_quarantine::{BlockedContents, ContentHash, CrashReport, CrashSign};
+use vanetally_slots::SlotEnd;
 use vanetally_types::{Incarnation, Name, Tick, Verdict, hash64};
 
 /// All request decisions of one host.
@@ -122,8 +123,12 @@
                 self.quarantine.apply(now, quarantine);
             }
             Event::Probed { upstream, content_hashes, sign } => {
-                self.probed(now, &upstream, &content_hashes, sign);
+                self.probed(now, &upstream, &content_hashes, sign, &mut actions);
             }
+            Event::Unjudged { upstream, content_hashes } => {
+                self.unjudged(&upstream, &content_hashes);
+            }
+            Event::Detached { id } => self.detach(id),
             Event::UpstreamSeen { id, state } => self.upstream_seen(now, id, state),
             Event::UpstreamUnreadable { id } => {
                 if let Some(upstream) = self.upstreams.get_mut(&id) {
@@ -431,6 +436,20 @@
         }
     }
 
+    /// Releases the load and the slot of a sent request.
+    fn detach(&mut self, id: RequestId) {
+        let Some(Stage::Sent(attempt)) = self.requests.get_mut(&id).map(|one| &mut one.stage)
+        else {
+            return;
+        };
+        let (upstream, load) = (attempt.upstream.clone(), std::mem::take(&mut attempt.load));
+        let slot = attempt.slot.take();
+        let end = SlotEnd::Used;
+        let release = slot.map(|reservation| Action::ReleaseSlot { id, reservation, end });
+        self.slot_releases.extend(release);
+        self.release_load(&upstream, load);
+    }
+
     /// Removes a request and releases its load.
     pub(crate) fn end(&mut self, id: RequestId) {
         let Some(request) = self.requests.remove(&id) else {
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -303,7 +303,7 @@
     pub(crate) fn slot_release(&self, id: RequestId, end: AttemptEnd) -> Option<Action> {
         let end = match end {
             AttemptEnd::Full => SlotEnd::Full,
-            AttemptEnd::Unreachable | AttemptEnd::Withdrawn => SlotEnd::Unused,
+            _ if end.is_unsent() => SlotEnd::Unused,
             _ => SlotEnd::Used,
         };
         self.slot.map(|reservation| Action::ReleaseSlot { id, reservation, end })
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -73,6 +73,7 @@
         max_connections: 100,
         engine,
         cold_start: None,
+        health_path: None,
     };
     let services = [service("desk", None), service("llm", Some(engine))];
     Rc::new(Configuration {
--- a/crates/gateway/src/charge.rs
+++ b/crates/gateway/src/charge.rs
@@ -31,8 +31,10 @@
     /// Records the end of an attempt.
     pub(crate) fn attempt_ended(&self, end: AttemptEnd) {
         self.is_in_flight.set(false);
-        let may_have_run =
-            matches!(end, AttemptEnd::Served | AttemptEnd::Failed | AttemptEnd::Broken);
+        let may_have_run = matches!(
+            end,
+            AttemptEnd::Served | AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Lost
+        );
         self.may_have_run.set(self.may_have_run.get() || may_have_run);
     }
 }
--- /dev/null
+++ b/crates/gateway/src/connect.rs
@@ -0,0 +1,85 @@
+//! Connections to upstreams for the requests of callers: direct ones, or tunnels through other hosts.
+
+use crate::{
+    hub::Hub,
+    pool::{self, Connection},
+    tunnels::{NoTunnel, Opened},
+};
+use std::{rc::Rc, time::Duration};
+use vanetally_dispatch::{Attempt, AttemptEnd};
+use vanetally_reach::{Event, Path};
+
+/// Timeout of a direct connection where an exit can be used instead.
+const DIRECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Returns a connection for an attempt, a pooled one if `may_reuse`.
+///
+/// Nothing was sent to the upstream if there is none; the error says what that means for the upstream.
+pub(crate) async fn connect_upstream(
+    hub: &Rc<Hub>,
+    attempt: &Attempt,
+    may_reuse: bool,
+) -> Result<Connection, AttemptEnd> {
+    let path = hub.reach.borrow().path(hub.clock.now(), &attempt.upstream);
+    if may_reuse && let Some(idle) = hub.pool.take_idle(attempt.address, path) {
+        return Ok(idle);
+    }
+    hub.reach_event(Event::Connecting(attempt.upstream.clone()));
+    let path = hub.reach.borrow().new_path(hub.clock.now(), &attempt.upstream);
+    match path {
+        Path::Direct => match connect_directly(hub, attempt).await {
+            Err(end) if end != AttemptEnd::NoPath => {
+                connect_through_exit(hub, attempt).await.map_err(|failure| end_of(failure, end))
+            }
+            connected => connected,
+        },
+        Path::Exit => match connect_through_exit(hub, attempt).await {
+            Ok(connection) => Ok(connection),
+            // The cut may be over, or no host may be free to help.
+            Err(failure) => {
+                let connected = connect_directly(hub, attempt).await;
+                connected.map_err(|end| end_of(failure, end))
+            }
+        },
+    }
+}
+
+/// Returns what it means for the upstream if a direct connection failed with `end` and no tunnel could
+/// be opened.
+fn end_of(failure: NoTunnel, end: AttemptEnd) -> AttemptEnd {
+    match failure {
+        // Only this host can judge.
+        NoTunnel::NoHosts => end,
+        NoTunnel::Unreachable => AttemptEnd::Unreachable,
+        NoTunnel::Unknown => AttemptEnd::NoPath,
+    }
+}
+
+async fn connect_directly(hub: &Rc<Hub>, attempt: &Attempt) -> Result<Connection, AttemptEnd> {
+    let (address, max_open) = (attempt.address, attempt.connections);
+    let has_exits = !hub.reach.borrow().exits.is_empty();
+    let limit = if has_exits { DIRECT_TIMEOUT } else { vanetally_link::socket::CONNECT_TIMEOUT };
+    match hub.pool.connect_within(address, max_open, limit).await {
+        Ok(connection) => Ok(connection),
+        Err(error) => {
+            log::info!("event=connect_failed upstream={} error=\"{error}\"", attempt.upstream);
+            // The bound on this host's own connections says nothing of the upstream.
+            if matches!(error, pool::Error::Exhausted) {
+                return Err(AttemptEnd::NoPath);
+            }
+            hub.reach_event(Event::ConnectFailed(attempt.upstream.clone()));
+            Err(AttemptEnd::Unreachable)
+        }
+    }
+}
+
+async fn connect_through_exit(hub: &Rc<Hub>, attempt: &Attempt) -> Result<Connection, NoTunnel> {
+    let open = hub.pool.open(attempt.address, attempt.connections);
+    let open = open.map_err(|_| NoTunnel::Unknown)?;
+    let Opened { stream, tunnel, .. } = hub.open_tunnel(&attempt.upstream, &mut Vec::new()).await?;
+    let connected = hub.pool.connect_through(open, stream, tunnel).await;
+    connected.map_err(|error| {
+        log::info!("event=connect_failed upstream={} error=\"{error}\"", attempt.upstream);
+        NoTunnel::Unknown
+    })
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -117,7 +117,7 @@
         let outcome = tokio::select! {
             biased;
             interrupt = next_interrupt(&mut pending.commands, &attempt) => match interrupt {
-                Interrupt::Abandoned => SendOutcome::Ended(AttemptEnd::Broken),
+                Interrupt::Ended(end) => SendOutcome::Ended(end),
                 Interrupt::Refused(refused) => return refuse_pending(&mut pending, &refused),
             },
             outcome = send_scheduled(context) => outcome,
@@ -173,16 +173,21 @@
     let body = tokio::select! {
         biased;
         interrupt = next_interrupt(&mut pending.commands, attempt) => match interrupt {
-            Interrupt::Abandoned => None,
+            Interrupt::Ended(end) => Err(end),
             Interrupt::Refused(refused) => {
                 return Buffered::Final(refuse_pending(pending, &refused));
             }
         },
-        body = Limited::new(body, MAX_BUFFERED_BYTES).collect() => body.ok(),
+        body = Limited::new(body, MAX_BUFFERED_BYTES).collect() => {
+            body.map_err(|_| pending.hub.broken_end())
+        }
     };
-    let Some(body) = body else {
-        pending.attempt_ended(attempt, AttemptEnd::Broken, false);
-        return Buffered::Broken;
+    let body = match body {
+        Ok(body) => body,
+        Err(end) => {
+            pending.attempt_ended(attempt, end, false);
+            return Buffered::Broken;
+        }
     };
     pending.hub.pool.put(connection, keep_alive);
     head.headers = end_to_end(&head.headers);
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -150,6 +150,9 @@
         let grants_slots =
             |entry: &HostEntry| entry.capabilities.includes(Capabilities::SLOT_GRANTS);
         self.slots.borrow_mut().set_hosts(self.capacities(grants_slots));
+        let is_exit = |entry: &HostEntry| entry.capabilities.includes(Capabilities::TUNNELS);
+        let exits = self.capacities(is_exit).into_iter().map(|(host, _)| host);
+        self.reach.borrow_mut().exits.set_hosts(exits.collect());
         let now = self.clock.now();
         self.quotas.borrow_mut().client.set_hosts(now, hosts);
         self.limits.borrow_mut().contact.set_hosts(now, hosts);
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -10,13 +10,14 @@
     pacing::Pacing,
     peers::{HostEntry, PeerMessage},
     pool::Pool,
-    quarantine::{Probes, Suspect},
+    probing::Probes,
     quotas::Quotas,
     request_log::{log_attempt, record_limit, record_prediction},
     settings::Settings,
     slots::Slots,
     store::Store,
     telemetry,
+    tunnels::ServedTunnels,
 };
 use bytes::Bytes;
 use std::{
@@ -38,6 +39,7 @@
 };
 use vanetally_ports::{Configuration, Era, Ports, Refusal, UpstreamState};
 use vanetally_quarantine::{ContentHash, CrashEvidence};
+use vanetally_reach::Reach;
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// A command from the dispatcher to a pending request.
@@ -50,6 +52,8 @@
         /// The number of the attempt.
         number: u32,
     },
+    /// Abandon the attempt in progress if the request may be sent again: its path is lost.
+    PathLost,
     /// End the request with a refusal.
     Refuse(RequestRefusal),
 }
@@ -146,6 +150,10 @@
     /// Crash evidence by content hash.
     pub evidence: RefCell<CrashEvidence>,
     pub probes: RefCell<Probes>,
+    /// Which upstreams this host reaches, and through which hosts it reaches the others.
+    pub reach: RefCell<Reach>,
+    /// Tunnels of other hosts through this one.
+    pub served_tunnels: ServedTunnels,
     /// Number of quarantine writes in progress.
     pub quarantine_writes: Cell<usize>,
     pub totals: RefCell<Totals>,
@@ -238,6 +246,8 @@
             leaving_upstreams: RefCell::default(),
             evidence: RefCell::default(),
             probes: RefCell::default(),
+            reach: RefCell::new(Reach::new(settings.host.clone())),
+            served_tunnels: ServedTunnels::new(settings.memory_bytes),
             quarantine_writes: Cell::new(0),
             totals: RefCell::default(),
             last_load: Cell::new(clock.now()),
@@ -298,18 +308,8 @@
                 dispatch::Action::ReportOutcome { upstream, is_good } => {
                     self.report_end(upstream, is_good)
                 }
-                dispatch::Action::Probe {
-                    upstream,
-                    address,
-                    is_engine,
-                    content_hash,
-                    is_common,
-                } => {
-                    self.probe_upstream(
-                        Suspect { upstream, address, is_engine },
-                        content_hash,
-                        is_common,
-                    );
+                dispatch::Action::Probe { upstream, content_hash, is_common, .. } => {
+                    self.probe_content(upstream, content_hash, is_common);
                 }
                 dispatch::Action::ReportCrash(report) => self.report_crash(report),
                 dispatch::Action::RequestPermit { id, reservation, request } => {
@@ -336,7 +336,7 @@
         }
     }
 
-    fn send_command(&self, id: RequestId, command: Command) {
+    pub(crate) fn send_command(&self, id: RequestId, command: Command) {
         if let Some(sender) = self.command_senders.borrow().get(&id) {
             // A request that has just ended no longer receives commands.
             let _ = sender.send(command);
@@ -436,6 +436,7 @@
         self.pacing.borrow_mut().forget(&id);
         self.limits.borrow_mut().forget(&id);
         self.placement_event(placement::Event::UpstreamGone { id: id.clone() });
+        self.reach_event(vanetally_reach::Event::Gone(id.clone()));
         self.request_event(dispatch::Event::UpstreamEnded { id: id.clone() });
         // Requests that wait for its slots are queued again, and must not choose it.
         self.forget_slots(&id);
@@ -446,6 +447,7 @@
         self.pacing.borrow_mut().forget(&id);
         self.limits.borrow_mut().forget(&id);
         self.placement_event(placement::Event::UpstreamGone { id: id.clone() });
+        self.reach_event(vanetally_reach::Event::Gone(id.clone()));
         self.request_event(dispatch::Event::UpstreamGone { id: id.clone() });
         // Requests that wait for its slots are queued again, and must not choose it.
         self.forget_slots(&id);
@@ -463,6 +465,7 @@
             self.has_reported_store.set(true);
             self.request_event(dispatch::Event::StoreAnswered);
         }
+        self.reach_event(vanetally_reach::Event::Tick);
         self.request_event(dispatch::Event::Tick);
         self.order_lease_event(OrderLeaseEvent::Tick);
         self.expire_lapsed();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -52,12 +52,14 @@
     pub(crate) const SLOT_GRANTS: Self = Self(1);
     /// Lets requests wait for quota, and takes cancellations.
     pub(crate) const QUOTA_WAIT: Self = Self(2);
+    /// Opens tunnels to upstreams for other hosts.
+    pub(crate) const TUNNELS: Self = Self(4);
 
     /// Returns the capabilities of this build under `scheduling`.
     pub(crate) fn of(scheduling: Scheduling) -> Self {
         let slots = if scheduling.slot_grants { Self::SLOT_GRANTS.0 } else { 0 };
         let quota = if scheduling.quota_wait { Self::QUOTA_WAIT.0 } else { 0 };
-        Self(slots | quota)
+        Self(slots | quota | Self::TUNNELS.0)
     }
 
     /// Whether this set includes all of `others`.
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -9,12 +9,13 @@
 use tokio::sync::mpsc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event, RequestId};
 use vanetally_ports::{Refusal, RefusalCause};
+use vanetally_reach::Event as ReachEvent;
 use vanetally_types::{Name, Tick};
 
 /// Why an attempt ends before its response does.
 pub(crate) enum Interrupt {
-    /// The upstream has ended; the attempt counts as broken.
-    Abandoned,
+    /// The attempt ends like this.
+    Ended(AttemptEnd),
     /// The request is refused.
     Refused(RequestRefusal),
 }
@@ -28,10 +29,13 @@
         match commands.recv().await {
             Some(Command::Refuse(refused)) => return Interrupt::Refused(refused),
             Some(Command::Abandon { number }) if number == attempt.number => {
-                return Interrupt::Abandoned;
+                return Interrupt::Ended(AttemptEnd::Broken);
+            }
+            Some(Command::PathLost) if attempt.may_repeat => {
+                return Interrupt::Ended(AttemptEnd::Lost);
             }
             // Refers to an earlier attempt that had already ended.
-            Some(Command::Abandon { .. }) => {}
+            Some(Command::Abandon { .. } | Command::PathLost) => {}
             Some(Command::Send(_)) | None => return Interrupt::Refused(channel_closed()),
         }
     }
@@ -84,6 +88,7 @@
     /// Marks the response as complete.
     pub(crate) fn finish(&mut self) {
         self.is_finished = true;
+        self.leave_path(false);
         self.hub.forget(self.id);
     }
 
@@ -104,9 +109,15 @@
                 self.age_ms()
             );
         }
+        self.leave_path(end == AttemptEnd::Lost);
         self.hub.request_event(Event::AttemptEnded { id: self.id, end, answered });
     }
 
+    /// Ends the attempt in progress, if any, on its path to the upstream.
+    fn leave_path(&self, is_broken: bool) {
+        self.hub.reach_event(ReachEvent::Ended { attempt: self.id.0, is_broken });
+    }
+
     /// Returns the next attempt, or the refusal that ends the request.
     pub(crate) async fn next_attempt(&mut self) -> Result<Attempt, RequestRefusal> {
         loop {
@@ -119,7 +130,7 @@
                 }
                 Some(Command::Refuse(refused)) => return Err(refused),
                 // The attempt had already ended.
-                Some(Command::Abandon { .. }) => {}
+                Some(Command::Abandon { .. } | Command::PathLost) => {}
                 // The hub keeps the sender until the request is forgotten, which only its end does.
                 None => return Err(channel_closed()),
             }
@@ -161,6 +172,7 @@
         if self.is_finished {
             return;
         }
+        self.leave_path(false);
         telemetry::caller_left();
         log::info!("event=caller_left request={} after_ms={}", self.name, self.age_ms());
         self.hub.forget(self.id);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,6 @@
 //! Pool of persistent HTTP connections.
 
-use crate::clock::Clock;
+use crate::{clock::Clock, tunnels::OpenTunnel};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -13,7 +13,9 @@
     rc::Rc,
     time::Duration,
 };
+use tokio::io::{AsyncRead, AsyncWrite};
 use vanetally_link::socket;
+use vanetally_reach::Path;
 use vanetally_types::Tick;
 
 /// A connection without a request in progress.
@@ -24,6 +26,15 @@
     address: SocketAddr,
     /// Counts the connection as open until dropped.
     _open: OpenGuard,
+    /// The tunnel through which it passes, if any.
+    tunnel: Option<OpenTunnel>,
+}
+
+impl Connection {
+    /// Returns the path of the connection.
+    pub(crate) fn path(&self) -> Path {
+        if self.tunnel.is_some() { Path::Exit } else { Path::Direct }
+    }
 }
 
 struct Idle {
@@ -47,7 +58,7 @@
 }
 
 /// Guard that counts one open connection to an address.
-struct OpenGuard {
+pub(crate) struct OpenGuard {
     addresses: AddressPools,
     address: SocketAddr,
 }
@@ -94,7 +105,7 @@
         address: SocketAddr,
         max_open: usize,
     ) -> Result<Connection, Error> {
-        if let Some(idle) = self.take_idle(address) {
+        if let Some(idle) = self.take_idle(address, Path::Direct) {
             return Ok(idle);
         }
         self.connect(address, max_open).await
@@ -106,32 +117,57 @@
         address: SocketAddr,
         max_open: usize,
     ) -> Result<Connection, Error> {
-        let open = {
-            let mut addresses = self.addresses.borrow_mut();
-            let pool = addresses.entry(address).or_default();
-            if pool.open >= max_open {
-                return Err(Error::Exhausted);
-            }
-            pool.open += 1;
-            OpenGuard { addresses: self.addresses.clone(), address }
-        };
-        let stream = socket::connect(address).await?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        tokio::task::spawn_local(async move {
-            // A connection error is also returned to the request waiting on it.
-            let _ = connection.await;
-        });
-        Ok(Connection { sender, is_used: false, address, _open: open })
+        self.connect_within(address, max_open, socket::CONNECT_TIMEOUT).await
+    }
+
+    /// Opens a connection to `address` within `limit` if fewer than `max_open` are open.
+    pub(crate) async fn connect_within(
+        &self,
+        address: SocketAddr,
+        max_open: usize,
+        limit: Duration,
+    ) -> Result<Connection, Error> {
+        let open = self.open(address, max_open)?;
+        let stream = socket::connect_within(address, limit).await?;
+        let sender = start(stream).await?;
+        Ok(Connection { sender, is_used: false, address, _open: open, tunnel: None })
+    }
+
+    /// Counts a connection to `address` as open if fewer than `max_open` are.
+    pub(crate) fn open(&self, address: SocketAddr, max_open: usize) -> Result<OpenGuard, Error> {
+        let mut addresses = self.addresses.borrow_mut();
+        let pool = addresses.entry(address).or_default();
+        if pool.open >= max_open {
+            return Err(Error::Exhausted);
+        }
+        pool.open += 1;
+        Ok(OpenGuard { addresses: self.addresses.clone(), address })
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Returns the connection that was counted as `open` and passes through a tunnel.
+    pub(crate) async fn connect_through(
+        &self,
+        open: OpenGuard,
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        tunnel: OpenTunnel,
+    ) -> Result<Connection, Error> {
+        let sender = start(stream).await?;
+        let address = open.address;
+        Ok(Connection { sender, is_used: false, address, _open: open, tunnel: Some(tunnel) })
+    }
+
+    /// Returns a pooled connection to `address` by `path`.
+    pub(crate) fn take_idle(&self, address: SocketAddr, path: Path) -> Option<Connection> {
         let now = self.clock.now();
         let mut expired = Vec::new();
         let mut found = None;
         {
             let mut addresses = self.addresses.borrow_mut();
             let pool = addresses.get_mut(&address)?;
-            while let Some(idle) = pool.idle.pop_back() {
+            let is_wanted = |idle: &Idle| idle.connection.path() == path;
+            while let Some(index) = pool.idle.iter().rposition(is_wanted)
+                && let Some(idle) = pool.idle.remove(index)
+            {
                 if idle.until > now && idle.connection.sender.is_ready() {
                     found = Some(idle.connection);
                     break;
@@ -188,3 +224,15 @@
         drop(idle);
     }
 }
+
+/// Starts HTTP on a connection that was just opened.
+pub(crate) async fn start(
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+) -> Result<SendRequest<Full<Bytes>>, hyper::Error> {
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::task::spawn_local(async move {
+        // A connection error is also returned to the request waiting on it.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/gateway/src/probing.rs
@@ -0,0 +1,351 @@
+//! Probes of upstreams at which attempts failed: whether an upstream is alive, and whether this host or
+//! the upstream is at fault.
+//!
+//! A broken connection, a refusal and silence look the same whether the upstream has crashed or the
+//! network path of this host is cut. So an upstream that does not answer this host is asked through
+//! another host as well, and counts as failed only if that host, which reaches others, gets no answer
+//! either.
+
+use crate::{
+    hub::Hub,
+    pool,
+    request_log::record_probe,
+    tunnels::{NoTunnel, Opened},
+};
+use bytes::Bytes;
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use http::{Method, Request, Response, StatusCode, header::HOST};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    time::timeout,
+};
+use vanetally_dispatch as dispatch;
+use vanetally_link::socket;
+use vanetally_ports::UpstreamState;
+use vanetally_quarantine::{ContentHash, CrashReport, CrashSign};
+use vanetally_reach::{Event, ExitFailure, ProbeResult, ProbeScope};
+use vanetally_types::{Incarnation, Name};
+
+/// Timeout of a direct probe, and of one through an exit.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which an upstream that has not answered directly is asked through an exit as well.
+const EXIT_DELAY: Duration = Duration::from_millis(60);
+/// Time in which an upstream that answered through an exit may still answer directly: one that was
+/// silent for a while answers both at about the same time.
+const DIRECT_GRACE: Duration = Duration::from_millis(100);
+/// Maximum number of exits through which an upstream is asked.
+const MAX_PROBE_EXITS: usize = 2;
+/// Time within which a front proxy whose upstream is gone closes a connection.
+const CLOSE_MS: u64 = 60;
+/// Maximum size of a report.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+
+/// An upstream that is probed.
+#[derive(Clone)]
+pub(crate) struct Suspect {
+    pub upstream: Incarnation,
+    pub address: SocketAddr,
+    /// Whether it answers report requests.
+    pub is_engine: bool,
+    /// Path of its health check, if it has one.
+    pub health_path: Option<Name>,
+}
+
+/// Running probes: by upstream, the content hashes of the interrupted attempts and whether many
+/// callers send each. One probe serves all attempts at an upstream.
+pub(crate) type Probes = HashMap<Incarnation, HashMap<ContentHash, bool>>;
+
+/// What a probe found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Finding {
+    /// The upstream answers this host.
+    Answered,
+    /// The upstream answers through this exit, but not this host.
+    Blocked(Name),
+    /// The upstream answers no host, with the crash sign that it shows, if any.
+    Faulty(Option<CrashSign>),
+    /// Nobody can tell.
+    Unknown,
+}
+
+/// Result of asking an upstream on one connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    /// It answered, and is alive.
+    Answered,
+    /// The answer shows that the incarnation has ended.
+    Ended,
+    /// It did not answer.
+    Unanswered(Option<CrashSign>),
+}
+
+impl Hub {
+    /// Probes the upstream of an interrupted attempt with this content.
+    pub(crate) fn probe_content(
+        self: &Rc<Self>,
+        upstream: Incarnation,
+        content_hash: ContentHash,
+        is_common: bool,
+    ) {
+        let is_running = {
+            let mut probes = self.probes.borrow_mut();
+            let is_running = probes.contains_key(&upstream);
+            probes.entry(upstream.clone()).or_default().insert(content_hash, is_common);
+            is_running
+        };
+        if !is_running {
+            self.start_probe(upstream, ProbeScope::Full);
+        }
+    }
+
+    /// Probes an upstream to which the path of this host is in question.
+    pub(crate) fn probe_path(self: &Rc<Self>, upstream: Incarnation, scope: ProbeScope) {
+        // One that is running may have begun before the failure, but its result says as much.
+        if !self.probes.borrow().contains_key(&upstream) {
+            self.probes.borrow_mut().insert(upstream.clone(), HashMap::new());
+            self.start_probe(upstream, scope);
+        }
+    }
+
+    fn start_probe(self: &Rc<Self>, upstream: Incarnation, scope: ProbeScope) {
+        let hub = self.clone();
+        tokio::task::spawn_local(async move {
+            let finding = match hub.suspect(&upstream) {
+                Some(suspect) => find(&hub, &suspect, scope).await,
+                None => Finding::Unknown,
+            };
+            hub.probe_finished(upstream, finding);
+        });
+    }
+
+    fn suspect(&self, upstream: &Incarnation) -> Option<Suspect> {
+        let dispatch = self.dispatch.borrow();
+        let UpstreamState { service, address, .. } = dispatch.upstream_state(upstream)?;
+        let configuration = dispatch.configuration();
+        let service = configuration.and_then(|known| known.services.get(service));
+        Some(Suspect {
+            upstream: upstream.clone(),
+            address: *address,
+            is_engine: service.is_some_and(|service| service.engine.is_some()),
+            health_path: service.and_then(|service| service.health_path.clone()),
+        })
+    }
+
+    fn probe_finished(self: &Rc<Self>, upstream: Incarnation, finding: Finding) {
+        let contents = self.probes.borrow_mut().remove(&upstream).unwrap_or_default();
+        record_probe(&upstream, finding.as_str(), contents.len());
+        let result = match &finding {
+            Finding::Answered => ProbeResult::Answered,
+            Finding::Blocked(exit) => ProbeResult::Blocked(exit.clone()),
+            Finding::Faulty(_) | Finding::Unknown => ProbeResult::Unanswered,
+        };
+        if let Finding::Faulty(Some(sign)) = finding {
+            for (content, is_common) in &contents {
+                let (content, is_common) = (*content, *is_common);
+                let upstream = upstream.clone();
+                self.report_crash(CrashReport { content, upstream, sign, is_common });
+            }
+        }
+        let content_hashes = contents.into_keys().collect();
+        self.reach_event(Event::Probed { upstream: upstream.clone(), result });
+        self.request_event(match finding {
+            Finding::Answered => dispatch::Event::Probed { upstream, content_hashes, sign: None },
+            Finding::Faulty(sign) => dispatch::Event::Probed { upstream, content_hashes, sign },
+            Finding::Blocked(_) | Finding::Unknown => {
+                dispatch::Event::Unjudged { upstream, content_hashes }
+            }
+        });
+    }
+}
+
+impl Finding {
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered | Self::Faulty(None) => "none",
+            Self::Blocked(_) => "blocked",
+            Self::Faulty(Some(sign)) => sign.as_str(),
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Finds out whether an upstream is alive, and who is at fault if it does not answer.
+async fn find(hub: &Rc<Hub>, suspect: &Suspect, scope: ProbeScope) -> Finding {
+    let now = hub.clock.now();
+    if hub.dispatch.borrow().cooldown_left_ms(now, &suspect.upstream).is_some() {
+        // It has just answered.
+        return Finding::Answered;
+    }
+    let mut direct = Box::pin(ask_directly(hub, suspect));
+    let has_exits = !hub.reach.borrow().exits.is_empty();
+    if scope == ProbeScope::Direct || !has_exits {
+        let asked = direct.await;
+        return if has_exits { direct_finding(asked) } else { sole_finding(asked) };
+    }
+    let mut asked = timeout(EXIT_DELAY, &mut direct).await.ok();
+    match asked {
+        Some(Asked::Answered) => return Finding::Answered,
+        Some(Asked::Ended) => return Finding::Faulty(Some(CrashSign::Ended)),
+        Some(Asked::Unanswered(_)) | None => {}
+    }
+    let mut through = Box::pin(ask_through_exits(hub, suspect));
+    let found = loop {
+        tokio::select! {
+            biased;
+            finished = &mut direct, if asked.is_none() => match finished {
+                Asked::Answered => return Finding::Answered,
+                finished => asked = Some(finished),
+            },
+            found = &mut through => break found,
+        }
+    };
+    if asked.is_none() {
+        let limit = if matches!(found, Finding::Blocked(_)) { DIRECT_GRACE } else { PROBE_TIMEOUT };
+        asked = timeout(limit, &mut direct).await.ok();
+    }
+    match (asked, found) {
+        (Some(Asked::Answered), _) => Finding::Answered,
+        (Some(Asked::Ended), _) => Finding::Faulty(Some(CrashSign::Ended)),
+        (Some(Asked::Unanswered(sign)), Finding::Faulty(_)) => Finding::Faulty(sign),
+        (_, found) => found,
+    }
+}
+
+/// Returns the finding of a direct probe that only looks whether an upstream is reached again.
+fn direct_finding(asked: Asked) -> Finding {
+    match asked {
+        Asked::Answered => Finding::Answered,
+        Asked::Ended => Finding::Faulty(Some(CrashSign::Ended)),
+        Asked::Unanswered(_) => Finding::Unknown,
+    }
+}
+
+/// Returns the finding of a direct probe if there is no other host.
+fn sole_finding(asked: Asked) -> Finding {
+    match asked {
+        Asked::Unanswered(sign) => Finding::Faulty(sign),
+        asked => direct_finding(asked),
+    }
+}
+
+/// Asks an upstream on a new connection.
+async fn ask_directly(hub: &Hub, suspect: &Suspect) -> Asked {
+    match socket::connect_within(suspect.address, PROBE_TIMEOUT).await {
+        Ok(stream) => ask(hub, suspect, stream).await,
+        Err(error) => Asked::Unanswered(Some(connect_error_sign(&error))),
+    }
+}
+
+/// Asks an upstream through several exits at the same time, since a single one may have lost its path to
+/// the same upstream.
+async fn ask_through_exits(hub: &Rc<Hub>, suspect: &Suspect) -> Finding {
+    let mut tried = Vec::new();
+    let mut finding = Finding::Unknown;
+    let mut asked = FuturesUnordered::new();
+    for _ in 0..MAX_PROBE_EXITS {
+        match hub.open_tunnel(&suspect.upstream, &mut tried).await {
+            Ok(opened) => asked.push(ask_through(hub, suspect, opened)),
+            Err(NoTunnel::Unreachable) => {
+                finding = Finding::Faulty(Some(CrashSign::Silent));
+                break;
+            }
+            Err(NoTunnel::NoHosts | NoTunnel::Unknown) => break,
+        }
+    }
+    while let Some(found) = asked.next().await {
+        match found {
+            Finding::Blocked(_) | Finding::Faulty(Some(CrashSign::Ended)) => return found,
+            Finding::Faulty(_) => finding = found,
+            Finding::Answered | Finding::Unknown => {}
+        }
+    }
+    finding
+}
+
+/// Asks an upstream through a tunnel.
+async fn ask_through(hub: &Rc<Hub>, suspect: &Suspect, opened: Opened) -> Finding {
+    let Opened { stream, tunnel, is_sure } = opened;
+    match ask(hub, suspect, stream).await {
+        Asked::Answered => Finding::Blocked(tunnel.exit.clone()),
+        Asked::Ended => Finding::Faulty(Some(CrashSign::Ended)),
+        Asked::Unanswered(sign) if is_sure => Finding::Faulty(sign),
+        Asked::Unanswered(_) => {
+            let now = hub.clock.now();
+            hub.reach.borrow_mut().exits.failed(now, &tunnel.exit, ExitFailure::CutOff);
+            Finding::Unknown
+        }
+    }
+}
+
+/// Asks an upstream on a connection that was just opened.
+async fn ask(
+    hub: &Hub,
+    suspect: &Suspect,
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+) -> Asked {
+    let request = match suspect.is_engine {
+        true => hub.ports.engine.report_request(&suspect.upstream),
+        false => health_request(suspect),
+    };
+    let asked_at = hub.clock.now();
+    let exchange = exchange(stream, request, suspect.address);
+    match timeout(PROBE_TIMEOUT, exchange).await {
+        Ok(Some(response)) if suspect.is_engine => judge_report(hub, suspect, response).await,
+        Ok(Some(_)) => Asked::Answered,
+        Ok(None) | Err(_) if suspect.is_engine => Asked::Unanswered(Some(CrashSign::Silent)),
+        // A service that is busy may need longer, or close the connection.
+        Ok(None) | Err(_) => {
+            let is_closed = hub.clock.now().since(asked_at) <= CLOSE_MS;
+            Asked::Unanswered(is_closed.then_some(CrashSign::Silent))
+        }
+    }
+}
+
+/// Returns a request that any service answers without running anything.
+fn health_request(suspect: &Suspect) -> Request<Bytes> {
+    let mut request = Request::new(Bytes::new());
+    let path = suspect.health_path.as_ref().and_then(|path| path.parse().ok());
+    if path.is_none() {
+        *request.method_mut() = Method::OPTIONS;
+    }
+    *request.uri_mut() = path.unwrap_or_else(|| http::Uri::from_static("*"));
+    request
+}
+
+async fn exchange(
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    mut request: Request<Bytes>,
+    address: SocketAddr,
+) -> Option<Response<Incoming>> {
+    if let Ok(host) = address.to_string().parse() {
+        request.headers_mut().insert(HOST, host);
+    }
+    let mut sender = pool::start(stream).await.ok()?;
+    sender.send_request(request.map(Full::new)).await.ok()
+}
+
+/// Judges the answer to a report request.
+async fn judge_report(hub: &Hub, suspect: &Suspect, response: Response<Incoming>) -> Asked {
+    match response.status() {
+        StatusCode::MISDIRECTED_REQUEST => return Asked::Ended,
+        // A front proxy may answer like this in place of an upstream that is gone.
+        status if status.is_server_error() => return Asked::Unanswered(Some(CrashSign::Silent)),
+        _ => {}
+    }
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect();
+    let Ok(Ok(body)) = timeout(PROBE_TIMEOUT, body).await else {
+        return Asked::Unanswered(Some(CrashSign::Silent));
+    };
+    let report = hub.ports.engine.read_report(&body.to_bytes()).ok();
+    let born = report.and_then(|report| report.born);
+    let is_other = born.is_some() && suspect.upstream.born.is_some();
+    let is_ended = is_other && born != suspect.upstream.born;
+    if is_ended { Asked::Ended } else { Asked::Answered }
+}
+
+fn connect_error_sign(error: &std::io::Error) -> CrashSign {
+    if error.kind() == ErrorKind::ConnectionRefused { CrashSign::Ended } else { CrashSign::Silent }
+}
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -1,28 +1,15 @@
-//! Requests that crash upstreams: probing for crash signs, keeping crash evidence, and sharing
-//! quarantines with all hosts and the store.
+//! Requests that crash upstreams: keeping crash evidence, and sharing quarantines with all hosts and
+//! the store.
 
-use crate::{
-    call,
-    hub::Hub,
-    peers::PeerMessage,
-    pool::{self, Pool},
-    telemetry,
-    watch::jittered,
-};
-use http::StatusCode;
+use crate::{hub::Hub, peers::PeerMessage, telemetry, watch::jittered};
 use serde::{Deserialize, Serialize};
-use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
-use tokio::time::{sleep, timeout};
+use std::{rc::Rc, time::Duration};
+use tokio::time::sleep;
 use vanetally_dispatch as dispatch;
-use vanetally_link::socket;
 use vanetally_ports::{Item, StoreAnswer, Transaction, Write};
-use vanetally_quarantine::{ContentHash, CrashReport, CrashSign, Quarantine};
-use vanetally_types::{Incarnation, Name, rendezvous_rank};
+use vanetally_quarantine::{ContentHash, CrashReport, Quarantine};
+use vanetally_types::{Name, rendezvous_rank};
 
-/// Timeout of a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time within which a front proxy whose upstream is gone closes a connection.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(60);
 /// Number of hosts that keep the crash evidence of a content hash in addition to those that found
 /// it, so that the loss of one host does not lose it.
 const EVIDENCE_HOSTS: usize = 2;
@@ -38,18 +25,6 @@
 /// hosts.
 const MAX_WRITES: usize = 16;
 
-/// An upstream at which attempts were interrupted.
-pub(crate) struct Suspect {
-    pub upstream: Incarnation,
-    pub address: SocketAddr,
-    /// Whether it answers report requests.
-    pub is_engine: bool,
-}
-
-/// Running probes: by upstream, the content hashes of the interrupted attempts and whether many
-/// callers send each. One probe serves all attempts at an upstream.
-pub(crate) type Probes = HashMap<Incarnation, HashMap<ContentHash, bool>>;
-
 /// The stored value of a quarantine.
 #[derive(Debug, Serialize, Deserialize)]
 struct StoredQuarantine {
@@ -57,94 +32,7 @@
     ended: u32,
 }
 
-/// Probes whether an upstream is alive. A broken attempt is no crash sign by itself: an interrupted
-/// network path and a corrupt response look the same.
-async fn probe(hub: &Hub, suspect: &Suspect) -> Option<CrashSign> {
-    if !suspect.is_engine {
-        return probe_address(suspect.address).await;
-    }
-    let request = hub.ports.engine.report_request(&suspect.upstream);
-    let reply = call::call(&Pool::new(hub.clock), suspect.address, request, PROBE_TIMEOUT).await;
-    match reply {
-        Ok(reply) if reply.status() == StatusCode::MISDIRECTED_REQUEST => Some(CrashSign::Ended),
-        // A front proxy may answer like this in place of an upstream that is gone.
-        Ok(reply) if reply.status().is_server_error() => Some(CrashSign::Silent),
-        Ok(reply) => {
-            let report = hub.ports.engine.read_report(&reply.body).ok();
-            let born = report.and_then(|report| report.born);
-            let is_other = born.is_some() && suspect.upstream.born.is_some();
-            (is_other && born != suspect.upstream.born).then_some(CrashSign::Ended)
-        }
-        Err(call::Error::NotSent(pool::Error::Connect(error))) => Some(connect_error_sign(&error)),
-        Err(_) => Some(CrashSign::Silent),
-    }
-}
-
-/// Probes an upstream that doesn't report: whether its address accepts a connection and keeps it
-/// open.
-async fn probe_address(address: SocketAddr) -> Option<CrashSign> {
-    match timeout(PROBE_TIMEOUT, socket::connect(address)).await {
-        Ok(Ok(stream)) => {
-            let closed = timeout(CLOSE_TIMEOUT, stream.peek(&mut [0])).await;
-            let is_closed = matches!(closed, Ok(Ok(0) | Err(_)));
-            is_closed.then_some(CrashSign::Silent)
-        }
-        Ok(Err(error)) => Some(connect_error_sign(&error)),
-        Err(_) => Some(CrashSign::Silent),
-    }
-}
-
-fn connect_error_sign(error: &std::io::Error) -> CrashSign {
-    if error.kind() == ErrorKind::ConnectionRefused { CrashSign::Ended } else { CrashSign::Silent }
-}
-
 impl Hub {
-    /// Probes the upstream of an interrupted attempt, and reports the result to the dispatcher and
-    /// to the hosts that keep the crash evidence.
-    pub(crate) fn probe_upstream(
-        self: &Rc<Self>,
-        suspect: Suspect,
-        content_hash: ContentHash,
-        is_common: bool,
-    ) {
-        let mut probes = self.probes.borrow_mut();
-        let is_running = probes.contains_key(&suspect.upstream);
-        probes.entry(suspect.upstream.clone()).or_default().insert(content_hash, is_common);
-        if is_running {
-            return;
-        }
-        let hub = self.clone();
-        tokio::task::spawn_local(async move {
-            let now = hub.clock.now();
-            let cooldown_ms = hub.dispatch.borrow().cooldown_left_ms(now, &suspect.upstream);
-            let sign = match cooldown_ms {
-                // It is in cooldown, so it has just answered.
-                Some(_) => None,
-                None => probe(&hub, &suspect).await,
-            };
-            hub.probe_finished(suspect.upstream, sign);
-        });
-    }
-
-    fn probe_finished(self: &Rc<Self>, upstream: Incarnation, sign: Option<CrashSign>) {
-        let content_hashes = self.probes.borrow_mut().remove(&upstream).unwrap_or_default();
-        telemetry::upstream_probed(sign);
-        log::info!(
-            "event=upstream_looked_at upstream={upstream} sign={} contents={}",
-            sign.map_or("none", CrashSign::as_str),
-            content_hashes.len()
-        );
-        if let Some(sign) = sign {
-            for (content_hash, is_common) in &content_hashes {
-                let (content_hash, is_common) = (*content_hash, *is_common);
-                let upstream = upstream.clone();
-                self.report_crash(CrashReport { content: content_hash, upstream, sign, is_common });
-            }
-        }
-        let content_hashes = content_hashes.into_keys().collect();
-        self.request_event(dispatch::Event::Probed { upstream, content_hashes, sign });
-    }
-
     /// Adds a crash report to the local evidence, and sends it to the other hosts that keep the
     /// evidence.
     pub(crate) fn report_crash(self: &Rc<Self>, report: CrashReport) {
--- /dev/null
+++ b/crates/gateway/src/reach.rs
@@ -0,0 +1,57 @@
+//! Passes what happens on the paths to upstreams to the state machine that judges them, and carries out
+//! its decisions.
+
+use crate::{
+    hub::{Command, Hub},
+    telemetry,
+};
+use std::rc::Rc;
+use vanetally_dispatch::{self as dispatch, AttemptEnd, RequestId};
+use vanetally_reach::{Action, Event};
+use vanetally_types::Incarnation;
+
+impl Hub {
+    /// Passes an event to the state machine and performs the resulting actions.
+    pub(crate) fn reach_event(self: &Rc<Self>, event: Event) {
+        let now = self.clock.now();
+        let actions = self.reach.borrow_mut().handle(now, event);
+        for action in actions {
+            match action {
+                Action::Probe { upstream, scope } => self.probe_path(upstream, scope),
+                Action::Blocked { upstream, exit } => {
+                    log::warn!("event=upstream_blocked upstream={upstream} exit={exit}");
+                    telemetry::upstream_blocked(true);
+                    self.served_tunnels.close(&upstream);
+                }
+                Action::Reached { upstream, blocked_ms } => {
+                    log::info!(
+                        "event=upstream_reached upstream={upstream} blocked_ms={blocked_ms}"
+                    );
+                    telemetry::upstream_blocked(false);
+                }
+                Action::Lost(attempt) => self.attempt_lost(RequestId(attempt)),
+            }
+        }
+    }
+
+    /// Gives up an attempt whose answer does not arrive. A request that may run again is sent again;
+    /// any other one waits for its answer, which arrives if the path is soon restored.
+    fn attempt_lost(self: &Rc<Self>, id: RequestId) {
+        self.send_command(id, Command::PathLost);
+        self.request_event(dispatch::Event::Detached { id });
+    }
+
+    /// Records that bytes of an upstream were received on a direct connection.
+    pub(crate) fn upstream_heard(self: &Rc<Self>, upstream: &Incarnation) {
+        self.reach_event(Event::Heard(upstream.clone()));
+    }
+
+    /// Returns the end of an attempt whose connection broke. Where other hosts can tell whether the
+    /// upstream is at fault, it is not judged before.
+    pub(crate) fn broken_end(&self) -> AttemptEnd {
+        match self.reach.borrow().exits.is_empty() {
+            true => AttemptEnd::Broken,
+            false => AttemptEnd::Lost,
+        }
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event};
+use vanetally_reach::Path;
 use vanetally_types::{Name, Tick};
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -76,7 +77,7 @@
     /// The response is complete.
     Complete,
     /// The response was truncated.
-    Broken,
+    Broken(AttemptEnd),
     /// The caller has disconnected, or the request was refused.
     Cancelled,
 }
@@ -85,7 +86,7 @@
     async fn run(mut self, first: UpstreamBody) {
         let mut source = first;
         loop {
-            match self.read(&mut source.body).await {
+            match self.read(&mut source).await {
                 ReadEnd::Complete => {
                     let end = if self.is_success { AttemptEnd::Served } else { AttemptEnd::Failed };
                     self.pending.attempt_ended(&self.attempt, end, true);
@@ -96,8 +97,8 @@
                     return;
                 }
                 ReadEnd::Cancelled => return,
-                ReadEnd::Broken => {
-                    self.pending.attempt_ended(&self.attempt, AttemptEnd::Broken, true);
+                ReadEnd::Broken(end) => {
+                    self.pending.attempt_ended(&self.attempt, end, true);
                     drop(source);
                     match self.resume().await {
                         Some(next) => source = next,
@@ -109,27 +110,29 @@
     }
 
     /// Forwards frames until the response ends.
-    async fn read(&mut self, body: &mut Incoming) -> ReadEnd {
+    async fn read(&mut self, source: &mut UpstreamBody) -> ReadEnd {
         loop {
             let frame = tokio::select! {
                 biased;
                 () = self.sender.closed() => return ReadEnd::Cancelled,
                 interrupt = next_interrupt(&mut self.pending.commands, &self.attempt) => match interrupt {
-                    Interrupt::Abandoned => return ReadEnd::Broken,
+                    Interrupt::Ended(end) => return ReadEnd::Broken(end),
                     Interrupt::Refused(refused) => {
                         self.pending.record_refusal(&refused);
                         self.abort().await;
                         return ReadEnd::Cancelled;
                     }
                 },
-                frame = body.frame() => frame,
+                frame = source.body.frame() => frame,
             };
             match frame {
-                None => {
-                    return if self.is_at_boundary() { ReadEnd::Complete } else { ReadEnd::Broken };
-                }
-                Some(Err(_)) => return ReadEnd::Broken,
+                None if self.is_at_boundary() => return ReadEnd::Complete,
+                None => return ReadEnd::Broken(AttemptEnd::Broken),
+                Some(Err(_)) => return ReadEnd::Broken(self.pending.hub.broken_end()),
                 Some(Ok(frame)) => {
+                    if source.connection.path() == Path::Direct {
+                        self.pending.hub.upstream_heard(&self.attempt.upstream);
+                    }
                     if !self.forward(frame).await {
                         return ReadEnd::Cancelled;
                     }
@@ -193,7 +196,7 @@
                 biased;
                 () = self.sender.closed() => return None,
                 interrupt = next_interrupt(&mut self.pending.commands, &attempt) => match interrupt {
-                    Interrupt::Abandoned => SendOutcome::Ended(AttemptEnd::Broken),
+                    Interrupt::Ended(end) => SendOutcome::Ended(end),
                     Interrupt::Refused(refused) => {
                         self.pending.record_refusal(&refused);
                         return None;
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -18,6 +18,13 @@
     }
 }
 
+/// Logs and counts a probe of an upstream; `sign` is what it found, `contents` the number of contents whose attempts
+/// had failed there.
+pub(crate) fn record_probe(upstream: &Incarnation, sign: &'static str, contents: usize) {
+    telemetry::upstream_probed(sign);
+    log::info!("event=upstream_looked_at upstream={upstream} sign={sign} contents={contents}");
+}
+
 /// Logs and records how well the time of a first piece was predicted.
 pub(crate) fn record_prediction(prediction: &Prediction) {
     telemetry::prediction_ratio(prediction.took_ms / prediction.expected_ms);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -28,7 +28,10 @@
     task::{LocalSet, spawn_local},
     time::{interval, sleep},
 };
-use vanetally_link::peer::{self, Links};
+use vanetally_link::{
+    peer::{self, Links},
+    tunnel::{TunnelDecision, TunnelRequest},
+};
 use vanetally_placement::OrderLeaseEvent;
 use vanetally_ports::{Change, Ports};
 use vanetally_types::{HostId, Name};
@@ -76,7 +79,8 @@
     let metrics = telemetry::try_install()?;
     let (sender, inbox) = mpsc::unbounded_channel();
     let (broken_sender, broken) = mpsc::unbounded_channel();
-    let links = start_links(&settings, sender, broken_sender)?;
+    let (tunnel_sender, tunnels) = mpsc::unbounded_channel();
+    let links = start_links(&settings, sender, broken_sender, tunnel_sender)?;
     let callers = listen(settings.listen).context("callers")?;
     let status_addresses = [settings.ready, settings.metrics];
     log::info!(
@@ -96,6 +100,7 @@
     spawn_local(registration::register(hub.clone()));
     spawn_local(receive_messages(hub.clone(), inbox));
     spawn_local(links_broken(hub.clone(), broken));
+    spawn_local(decide_tunnels(hub.clone(), tunnels));
     spawn_local(listener::accept(hub.clone(), callers));
     spawn_local(run_timers(hub.clone(), status.clone()));
     spawn_local(reload_on_hangup(settings, reload));
@@ -115,6 +120,7 @@
     settings: &Settings,
     sender: mpsc::UnboundedSender<(Name, PeerMessage)>,
     broken: mpsc::UnboundedSender<Name>,
+    tunnels: mpsc::UnboundedSender<TunnelCall>,
 ) -> anyhow::Result<Links> {
     let address = SocketAddr::new(settings.ip, settings.link_port);
     let listener =
@@ -143,6 +149,9 @@
             log::info!("event=link_broken to={to}");
             let _ = broken.send(to);
         }
+        peer::Event::Tunnel { from, request, decide } => {
+            let _ = tunnels.send(TunnelCall { from: from.name, request, decide });
+        }
     })
 }
 
@@ -206,6 +215,20 @@
     }
 }
 
+/// A request of another host for a tunnel.
+struct TunnelCall {
+    from: Name,
+    request: TunnelRequest,
+    decide: TunnelDecision,
+}
+
+/// Decides on the tunnels of other hosts.
+async fn decide_tunnels(hub: Rc<Hub>, mut calls: mpsc::UnboundedReceiver<TunnelCall>) {
+    while let Some(TunnelCall { from, request, decide }) = calls.recv().await {
+        hub.decide_tunnel(&from, &request, decide);
+    }
+}
+
 /// Runs the periodic tasks.
 async fn run_timers(hub: Rc<Hub>, status: Rc<Status>) {
     let mut tick = interval(TICK_INTERVAL);
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -1,9 +1,10 @@
 //! Sends a request to an upstream once, up to the head of the response.
 
 use crate::{
+    connect::connect_upstream,
     headers::{end_to_end, keep_alive_timeout},
     hub::Hub,
-    pool::{self, Connection},
+    pool::Connection,
 };
 use bytes::Bytes;
 use http::{Request, Response, header::CONTENT_LENGTH, request::Parts as RequestParts};
@@ -12,6 +13,7 @@
 use std::{rc::Rc, time::Duration};
 use vanetally_dispatch::{Attempt, AttemptEnd, RequestId};
 use vanetally_ports::{AnswerKind, AttemptHead};
+use vanetally_reach::{Event, Path};
 use vanetally_types::{Name, Tick};
 
 /// Maximum size of the body of a rejecting response that is read to reuse the connection.
@@ -122,27 +124,28 @@
     scheduled: Tick,
 ) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
     let SendContext { hub, attempt, .. } = context;
-    let (address, max_open) = (attempt.address, attempt.connections);
-    let mut connection = match hub.pool.get(address, max_open).await {
-        Ok(connection) => connection,
-        Err(error) => return Err(unreachable_end(attempt, &error)),
-    };
+    let mut connection = connect_upstream(hub, attempt, true).await?;
     loop {
         if !hub.dispatch.borrow().may_send(hub.clock.now(), context.id) {
             return Err(AttemptEnd::Withdrawn);
         }
         let request = upstream_request(context, scheduled);
+        let path = connection.path();
+        let upstream = attempt.upstream.clone();
+        hub.reach_event(Event::Sent { attempt: context.id.0, upstream, path });
         match connection.sender.try_send_request(request).await {
-            Ok(response) => return Ok((connection, response)),
+            Ok(response) => {
+                if path == Path::Direct {
+                    hub.upstream_heard(&attempt.upstream);
+                }
+                return Ok((connection, response));
+            }
             Err(mut error) => match error.take_message() {
                 // The pooled connection had just closed, so the request was never sent.
                 Some(_) if connection.is_used => {
-                    connection = match hub.pool.connect(address, max_open).await {
-                        Ok(connection) => connection,
-                        Err(error) => return Err(unreachable_end(attempt, &error)),
-                    };
+                    connection = connect_upstream(hub, attempt, false).await?;
                 }
-                Some(_) => return Err(AttemptEnd::Unreachable),
+                Some(_) => return Err(AttemptEnd::NoPath),
                 None => {
                     log::info!(
                         "event=answer_missing upstream={} kept={} error=\"{}\"",
@@ -150,18 +153,13 @@
                         connection.is_used,
                         error.into_error()
                     );
-                    return Err(AttemptEnd::Broken);
+                    return Err(hub.broken_end());
                 }
             },
         }
     }
 }
 
-fn unreachable_end(attempt: &Attempt, error: &pool::Error) -> AttemptEnd {
-    log::info!("event=connect_failed upstream={} error=\"{error}\"", attempt.upstream);
-    AttemptEnd::Unreachable
-}
-
 fn upstream_request(context: SendContext<'_>, scheduled: Tick) -> Request<Full<Bytes>> {
     let SendContext { hub, outgoing, attempt, .. } = context;
     // Connecting has used part of the deadline.
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -7,7 +7,6 @@
 use vanetally_limit::{LimitChange, PermitAnswer};
 use vanetally_link::peer::Traffic;
 use vanetally_ports::{AnnouncementError, Era, OrderOutcome, RefusalCause};
-use vanetally_quarantine::CrashSign;
 use vanetally_slots::SlotAnswer;
 
 /// Bucket bounds of the latency histograms, in seconds.
@@ -80,8 +79,7 @@
 }
 
 /// Counts a probe of an upstream at which attempts were interrupted.
-pub(crate) fn upstream_probed(sign: Option<CrashSign>) {
-    let sign = sign.map_or("none", CrashSign::as_str);
+pub(crate) fn upstream_probed(sign: &'static str) {
     counter!("vanetally_upstream_looks_total", "sign" => sign).increment(1);
 }
 
@@ -90,6 +88,32 @@
     counter!("vanetally_upstreams_ejected_total", "by" => reason.as_str()).increment(1);
 }
 
+/// Counts an upstream that this host no longer reaches directly, or reaches again.
+pub(crate) fn upstream_blocked(is_blocked: bool) {
+    let change = if is_blocked { "blocked" } else { "reached" };
+    counter!("vanetally_upstream_paths_total", "change" => change).increment(1);
+}
+
+/// Counts a tunnel that this host opened through an exit, or failed to open.
+pub(crate) fn tunnel_opened(is_open: bool) {
+    let outcome = if is_open { "opened" } else { "failed" };
+    counter!("vanetally_tunnels_total", "outcome" => outcome).increment(1);
+}
+
+/// Counts a tunnel that another host opened through this one, or was refused.
+pub(crate) fn tunnel_served(is_open: bool) {
+    let outcome = if is_open { "opened" } else { "refused" };
+    counter!("vanetally_tunnels_served_total", "outcome" => outcome).increment(1);
+}
+
+/// Records the number of upstreams that this host does not reach directly, and of the open tunnels
+/// of this host and of others.
+pub(crate) fn set_reach_gauges(blocked: usize, tunnels: usize, served: usize) {
+    gauge!("vanetally_upstreams_blocked").set(blocked as f64);
+    gauge!("vanetally_tunnels_open").set(tunnels as f64);
+    gauge!("vanetally_tunnels_served_open").set(served as f64);
+}
+
 /// Counts a new quarantine.
 pub(crate) fn content_quarantined() {
     counter!("vanetally_contents_quarantined_total").increment(1);
--- a/crates/gateway/src/upkeep.rs
+++ b/crates/gateway/src/upkeep.rs
@@ -15,6 +15,10 @@
         self.log_quota_queues();
         let dispatch = self.dispatch.borrow();
         telemetry::set_gauges(dispatch.counts(), dispatch.version(), self.is_ready());
+        self.served_tunnels.sweep();
+        let reach = self.reach.borrow();
+        let served = self.served_tunnels.open();
+        telemetry::set_reach_gauges(reach.blocked(), reach.exits.tunnels(), served);
         telemetry::order_holder(is_holder);
         telemetry::link_traffic(self.links.traffic());
     }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -4,6 +4,7 @@
 
 /// HTTP calls to upstreams; errors state whether the request may have run.
 pub mod call;
+mod handshake;
 /// HTTP server for callers and operators.
 pub mod http;
 /// Authenticated links between daemons.
@@ -15,4 +16,6 @@
 pub mod proof;
 /// TCP connections that detect an unresponsive peer.
 pub mod socket;
+/// Connections to upstreams through another daemon.
+pub mod tunnel;
 mod workers;
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -5,8 +5,8 @@
 //! that needs an answer must repeat them.
 
 use crate::{
-    proof::{Hello, Side, prove, verify},
-    socket::{set_accepted_link_options, set_link_options},
+    handshake::{self, Purpose, Socket},
+    tunnel::{self, Tunnel, TunnelDecision, TunnelError, TunnelRequest},
 };
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -26,10 +26,7 @@
     sync::mpsc,
     time::timeout,
 };
-use tokio_tungstenite::{
-    WebSocketStream, accept_async_with_config, client_async_with_config,
-    tungstenite::{Message, protocol::WebSocketConfig},
-};
+use tokio_tungstenite::tungstenite::Message;
 use vanetally_types::{HostId, Name};
 
 /// An event of a link, passed to the handler.
@@ -47,6 +44,15 @@
         /// The peer's name.
         to: Name,
     },
+    /// A daemon asks for a tunnel to an upstream.
+    Tunnel {
+        /// The daemon that asks.
+        from: HostId,
+        /// What it asks for.
+        request: TunnelRequest,
+        /// Takes the decision.
+        decide: TunnelDecision,
+    },
 }
 
 /// Options of all links of a daemon.
@@ -81,17 +87,16 @@
 #[derive(Clone)]
 pub struct Links {
     outbox: mpsc::UnboundedSender<(Name, SocketAddr, Bytes)>,
+    options: Arc<Options>,
     traffic: Arc<Traffic>,
 }
 
-type Handler = Arc<dyn Fn(Event) + Send + Sync>;
+pub(crate) type Handler = Arc<dyn Fn(Event) + Send + Sync>;
 
 /// Timeout for connecting and the handshake, and for sending a message.
-const LINK_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const LINK_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of messages queued for one peer.
 const MAX_QUEUED: usize = 1_024;
-/// Read buffer of each link; small, because a host has links to all others and messages are short.
-const READ_BUFFER_BYTES: usize = 4 << 10;
 /// Delay before a broken link is dialed again. If all hosts start together, some dial others that
 /// start listening a few tens of milliseconds later.
 const REDIAL_DELAY: Duration = Duration::from_millis(100);
@@ -109,8 +114,9 @@
         listener.set_nonblocking(true)?;
         let (outbox, inbox) = mpsc::unbounded_channel();
         let traffic = Arc::new(Traffic::default());
+        let options = Arc::new(options);
         let shared = Shared {
-            options: Arc::new(options),
+            options: options.clone(),
             handler: Arc::new(handler),
             traffic: traffic.clone(),
         };
@@ -128,7 +134,7 @@
             });
         };
         thread::Builder::new().name("links".into()).spawn(run)?;
-        Ok(Self { outbox, traffic })
+        Ok(Self { outbox, options, traffic })
     }
 
     /// Sends `message` to the peer `to` at `address`, or drops it if it can't be sent soon.
@@ -160,6 +166,20 @@
         total_bytes
     }
 
+    /// Opens a tunnel to an upstream through the peer `to` at `address`.
+    ///
+    /// # Errors
+    /// If the peer can't be reached or refuses. Nothing was sent to the upstream then.
+    pub async fn open_tunnel(
+        &self,
+        to: &Name,
+        address: SocketAddr,
+        request: &TunnelRequest,
+    ) -> Result<Tunnel, TunnelError> {
+        let link = (self.options.as_ref(), self.traffic.as_ref());
+        tunnel::open(to, address, request, link).await
+    }
+
     /// Returns the counters of the links.
     pub fn traffic(&self) -> &Traffic {
         &self.traffic
@@ -193,11 +213,9 @@
 }
 
 impl Shared {
-    fn config(&self) -> WebSocketConfig {
-        WebSocketConfig::default()
-            .read_buffer_size(READ_BUFFER_BYTES)
-            .max_message_size(Some(self.options.max_message_bytes))
-            .max_frame_size(Some(self.options.max_message_bytes))
+    /// Returns what a handshake needs.
+    fn link(&self) -> (&Options, &Traffic) {
+        (&self.options, &self.traffic)
     }
 }
 
@@ -237,7 +255,8 @@
             return;
         };
         if link.is_none() {
-            link = timeout(LINK_TIMEOUT, dial(&to, address, &shared)).await.ok().flatten();
+            let dialed = handshake::dial(&to, address, Purpose::Link, shared.link());
+            link = timeout(LINK_TIMEOUT, dialed).await.ok().flatten();
         }
         let len = bytes.len() as u64;
         let sent = match &mut link {
@@ -266,39 +285,13 @@
 /// Waits until the peer has closed the link, on which it never sends.
 ///
 /// A message to a peer that has started again would otherwise be sent on the link to its previous process, and be lost.
-async fn closed(link: &mut Option<WebSocketStream<TcpStream>>) {
+async fn closed(link: &mut Option<Socket>) {
     match link {
         Some(socket) => while let Some(Ok(_)) = socket.next().await {},
         None => std::future::pending().await,
     }
 }
 
-/// Connects to the peer `to` and authenticates both ends; `None` if either fails.
-async fn dial(
-    to: &Name,
-    address: SocketAddr,
-    shared: &Shared,
-) -> Option<WebSocketStream<TcpStream>> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    set_link_options(&stream).ok()?;
-    let url = format!("ws://{address}/link");
-    let connected = client_async_with_config(url, stream, Some(shared.config())).await;
-    let (mut socket, _) = connected.ok()?;
-    let options = &shared.options;
-    let remote: Hello = read(&mut socket).await?;
-    let local = Hello::new(options.host_id.clone());
-    let proof = prove(&options.key, Side::Dialer, &local, &remote);
-    write(&mut socket, &(&local, proof)).await?;
-    let answer: Vec<u8> = read(&mut socket).await?;
-    let verified = verify(&options.key, Side::Acceptor, &local, &remote, &answer);
-    if !verified || remote.from.name != *to {
-        shared.traffic.refused.fetch_add(1, Ordering::Relaxed);
-        log::warn!("event=link-refused side=dialer to={to} claimed={}", remote.from);
-        return None;
-    }
-    Some(socket)
-}
-
 async fn accept(listener: TcpListener, shared: Shared) {
     loop {
         match listener.accept().await {
@@ -313,13 +306,20 @@
     }
 }
 
-/// Owns an accepted link and passes its messages to the handler.
+/// Authenticates an accepted connection and serves it until it ends.
 async fn receive(stream: TcpStream, shared: Shared) {
-    let Ok(Some((mut socket, from))) =
-        timeout(LINK_TIMEOUT, accept_handshake(stream, &shared)).await
-    else {
+    let handshake = handshake::accept(stream, shared.link());
+    let Ok(Some((socket, from, purpose))) = timeout(LINK_TIMEOUT, handshake).await else {
         return;
     };
+    match purpose {
+        Purpose::Link => receive_messages(socket, from, &shared).await,
+        Purpose::Tunnel => tunnel::serve(socket, from, &shared.handler).await,
+    }
+}
+
+/// Passes the messages of an accepted link to the handler.
+async fn receive_messages(mut socket: Socket, from: HostId, shared: &Shared) {
     while let Some(Ok(message)) = socket.next().await {
         let Message::Binary(bytes) = message else {
             continue;
@@ -329,37 +329,3 @@
         (shared.handler)(Event::Message { from: from.clone(), bytes: bytes.to_vec() });
     }
 }
-
-/// Authenticates both ends of an accepted connection; `None` if it fails.
-async fn accept_handshake(
-    stream: TcpStream,
-    shared: &Shared,
-) -> Option<(WebSocketStream<TcpStream>, HostId)> {
-    set_accepted_link_options(&stream).ok()?;
-    let mut socket = accept_async_with_config(stream, Some(shared.config())).await.ok()?;
-    let options = &shared.options;
-    let local = Hello::new(options.host_id.clone());
-    write(&mut socket, &local).await?;
-    let (remote, proof): (Hello, Vec<u8>) = read(&mut socket).await?;
-    if !verify(&options.key, Side::Dialer, &remote, &local, &proof) {
-        shared.traffic.refused.fetch_add(1, Ordering::Relaxed);
-        log::warn!("event=link-refused side=acceptor claimed={}", remote.from);
-        return None;
-    }
-    let answer = prove(&options.key, Side::Acceptor, &remote, &local);
-    write(&mut socket, &answer).await?;
-    Some((socket, remote.from))
-}
-
-async fn read<T: DeserializeOwned>(socket: &mut WebSocketStream<TcpStream>) -> Option<T> {
-    match socket.next().await? {
-        Ok(Message::Binary(bytes)) => decode(&bytes),
-        _ => None,
-    }
-}
-
-async fn write(socket: &mut WebSocketStream<TcpStream>, value: &impl Serialize) -> Option<()> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(value, &mut bytes).ok()?;
-    socket.send(Message::Binary(bytes.into())).await.ok()
-}
--- /dev/null
+++ b/crates/link/src/tunnel.rs
@@ -0,0 +1,229 @@
+//! Tunnels: connections to upstreams that pass through another daemon, the *exit*.
+//!
+//! The daemon that can't reach an upstream opens a tunnel to the exit, which connects to the upstream
+//! and copies bytes in both directions. The exit neither reads nor changes them. A tunnel ends when
+//! either of its connections ends, so that the end of a request reaches the upstream; a connection
+//! that was reset is told apart from one that was closed.
+
+use crate::{
+    handshake::{self, Purpose, Socket},
+    peer::{Event, Handler, LINK_TIMEOUT, Options, Traffic},
+    socket,
+};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt, future};
+use serde::{Deserialize, Serialize};
+use std::{
+    any::Any,
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, AsyncWriteExt, copy, join, split},
+    net::TcpStream,
+    sync::{oneshot, watch},
+    time::timeout,
+};
+use tokio_tungstenite::tungstenite::Message;
+use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
+use vanetally_types::{HostId, Incarnation, Name};
+
+/// Asks a daemon for a tunnel.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TunnelRequest {
+    /// The upstream to which the tunnel leads. The exit uses the address that it knows itself.
+    #[serde(rename = "u")]
+    pub upstream: Incarnation,
+}
+
+/// The bytes that pass through a tunnel.
+pub trait ByteStream: AsyncRead + AsyncWrite + Unpin + Send {}
+
+impl<T: AsyncRead + AsyncWrite + Unpin + Send> ByteStream for T {}
+
+/// An open tunnel.
+pub struct Tunnel {
+    /// The bytes of the connection to the upstream.
+    pub stream: Box<dyn ByteStream>,
+    /// Whether the exit has heard an upstream just before, so that it is not cut off itself.
+    pub is_sure: bool,
+}
+
+/// Why an exit opens no tunnel. Nothing was sent to the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+pub enum TunnelRefusal {
+    /// The exit can't reach the upstream either, and may be cut off itself.
+    #[error("cut off")]
+    CutOff,
+    /// The exit reaches other upstreams, but not this one.
+    #[error("unreachable")]
+    Unreachable,
+    /// The exit has as many tunnels as it may have.
+    #[error("busy")]
+    Busy,
+    /// The exit is stopping.
+    #[error("leaving")]
+    Leaving,
+    /// The exit knows no such upstream.
+    #[error("unknown upstream")]
+    Unknown,
+}
+
+/// Why a tunnel could not be opened. Nothing was sent to the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum TunnelError {
+    /// The exit could not be reached, or did not answer in time.
+    #[error("exit unreachable")]
+    NoExit,
+    /// The exit refused.
+    #[error("refused: {0}")]
+    Refused(#[from] TunnelRefusal),
+}
+
+/// Where an accepted tunnel leads.
+#[derive(Debug)]
+pub struct TunnelTarget {
+    /// Address of the upstream.
+    pub address: SocketAddr,
+    /// The answer if the upstream can't be connected to.
+    pub on_failure: TunnelRefusal,
+    /// Whether the exit has heard an upstream just before.
+    pub is_sure: bool,
+    /// The tunnel is closed when the sender is dropped.
+    pub closed: watch::Receiver<()>,
+    /// Dropped with the tunnel.
+    pub guard: Box<dyn Any + Send>,
+}
+
+/// Passes the decision on a tunnel to the thread that serves it.
+pub type TunnelDecision = oneshot::Sender<Result<TunnelTarget, TunnelRefusal>>;
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Reply {
+    /// The tunnel is open; the flag says whether the exit has heard an upstream just before.
+    Opened(bool),
+    Refused(TunnelRefusal),
+}
+
+/// Timeout of the exit's connection to the upstream.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout of the opening of a tunnel, longer than that of the exit's connection to the upstream.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum number of bytes in a frame.
+const MAX_FRAME_BYTES: usize = 8 << 10;
+
+/// Opens a tunnel through the daemon `to`.
+pub(crate) async fn open(
+    to: &Name,
+    address: SocketAddr,
+    request: &TunnelRequest,
+    (options, traffic): (&Options, &Traffic),
+) -> Result<Tunnel, TunnelError> {
+    let opening = async {
+        let link = (options, traffic);
+        let mut socket = handshake::dial(to, address, Purpose::Tunnel, link).await?;
+        handshake::write(&mut socket, request).await?;
+        let reply: Reply = handshake::read(&mut socket).await?;
+        Some((socket, reply))
+    };
+    let opened = timeout(OPEN_TIMEOUT, opening).await.ok().flatten();
+    match opened.ok_or(TunnelError::NoExit)? {
+        (socket, Reply::Opened(is_sure)) => Ok(Tunnel { stream: byte_stream(socket), is_sure }),
+        (_, Reply::Refused(refusal)) => Err(refusal.into()),
+    }
+}
+
+/// Serves a tunnel of the daemon `from` that was accepted on `socket`.
+pub(crate) async fn serve(mut socket: Socket, from: HostId, handler: &Handler) {
+    let request = timeout(LINK_TIMEOUT, handshake::read(&mut socket)).await;
+    let Ok(Some(request)) = request else {
+        return;
+    };
+    let (decide, decision) = oneshot::channel();
+    handler(Event::Tunnel { from, request, decide });
+    // Without a decision the process is ending.
+    let decided = decision.await.unwrap_or(Err(TunnelRefusal::Leaving));
+    let connected = match decided {
+        Ok(target) => connect(target).await,
+        Err(refusal) => Err(refusal),
+    };
+    let reply = match &connected {
+        Ok((_, target)) => Reply::Opened(target.is_sure),
+        Err(refusal) => Reply::Refused(*refusal),
+    };
+    let is_sent = handshake::write(&mut socket, &reply).await.is_some();
+    if let (true, Ok((stream, target))) = (is_sent, connected) {
+        forward(byte_stream(socket), stream, target).await;
+    }
+}
+
+async fn connect(target: TunnelTarget) -> Result<(TcpStream, TunnelTarget), TunnelRefusal> {
+    match socket::connect_within(target.address, CONNECT_TIMEOUT).await {
+        Ok(stream) => Ok((stream, target)),
+        Err(_) => Err(target.on_failure),
+    }
+}
+
+/// Copies bytes until either connection ends.
+async fn forward(
+    near: impl AsyncRead + AsyncWrite + Unpin,
+    far: TcpStream,
+    mut target: TunnelTarget,
+) {
+    let (mut near_reader, mut near_writer) = split(near);
+    let (mut far_reader, mut far_writer) = split(far);
+    tokio::select! {
+        // The requesting host has given up, or has lost its way here.
+        _ = copy(&mut near_reader, &mut far_writer) => {}
+        copied = copy(&mut far_reader, &mut near_writer) => {
+            // Only the regular end of a response may look like one.
+            if copied.is_ok() {
+                // The requesting host may have left meanwhile.
+                let _ = near_writer.shutdown().await;
+            }
+        }
+        _ = target.closed.changed() => {}
+    }
+}
+
+/// Returns the bytes in the frames of `socket` as a stream.
+fn byte_stream(socket: Socket) -> Box<dyn ByteStream> {
+    let (sink, stream) = socket.split();
+    let frames = stream.filter_map(|frame| {
+        future::ready(match frame {
+            Ok(Message::Binary(bytes)) => Some(Ok(bytes)),
+            // A connection that was closed ends the stream next.
+            Ok(_) => None,
+            Err(error) => Some(Err(io::Error::other(error))),
+        })
+    });
+    let sink = sink.sink_map_err(io::Error::other);
+    let sink = sink.with(|bytes: Bytes| future::ready(Ok::<_, io::Error>(Message::Binary(bytes))));
+    let writer = FrameWriter(SinkWriter::new(CopyToBytes::new(sink)));
+    Box::new(join(StreamReader::new(frames), writer))
+}
+
+/// Writes frames of at most [`MAX_FRAME_BYTES`].
+struct FrameWriter<W>(W);
+
+impl<W: AsyncWrite + Unpin> AsyncWrite for FrameWriter<W> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let frame = &bytes[..bytes.len().min(MAX_FRAME_BYTES)];
+        Poll::Ready(ready!(Pin::new(&mut self.0).poll_write(context, frame)))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/link/tests/tunnel.rs
@@ -0,0 +1,191 @@
+//! Tunnels through another daemon: what passes, and what their ends look like.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::timeout,
+};
+use vanetally_link::{
+    peer::{Event, Links, Options},
+    tunnel::{Tunnel, TunnelError, TunnelRefusal, TunnelRequest, TunnelTarget},
+};
+use vanetally_types::{HostId, Incarnation, Name};
+
+const MAX_WAIT: Duration = Duration::from_secs(2);
+const EXIT: &str = "exit";
+
+type Decide = dyn Fn(&TunnelRequest) -> Result<TunnelTarget, TunnelRefusal> + Send + Sync;
+
+fn links(name: &str, key: &str, decide: Box<Decide>) -> (Links, SocketAddr) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let host_id = HostId::new(name, 1);
+    let options = Options { host_id, key: key.into(), max_message_bytes: 1 << 20 };
+    let links = Links::try_start(listener, options, move |event| {
+        if let Event::Tunnel { request, decide: answer, .. } = event {
+            assert!(answer.send(decide(&request)).is_ok(), "the tunnel waits");
+        }
+    });
+    (links.expect("the links start"), address)
+}
+
+/// Two daemons, of which one is the exit to `upstream`.
+struct Site {
+    links: Links,
+    exit: SocketAddr,
+    closer: Arc<Mutex<Option<watch::Sender<()>>>>,
+    _exit_links: Links,
+}
+
+impl Site {
+    fn new(upstream: SocketAddr) -> Self {
+        let closer = watch::Sender::new(());
+        let closed = closer.subscribe();
+        let decide = move |_: &TunnelRequest| {
+            let on_failure = TunnelRefusal::Unreachable;
+            let closed = closed.clone();
+            Ok(TunnelTarget {
+                address: upstream,
+                on_failure,
+                is_sure: true,
+                closed,
+                guard: Box::new(()),
+            })
+        };
+        let (exit_links, exit) = links(EXIT, "key", Box::new(decide));
+        let (links, _) = links("me", "key", Box::new(|_| Err(TunnelRefusal::Leaving)));
+        Self { links, exit, closer: Arc::new(Mutex::new(Some(closer))), _exit_links: exit_links }
+    }
+
+    async fn open(&self) -> Result<Tunnel, TunnelError> {
+        self.links.open_tunnel(&EXIT.into(), self.exit, &request()).await
+    }
+}
+
+fn request() -> TunnelRequest {
+    TunnelRequest { upstream: Incarnation::new("u1", Some(7)) }
+}
+
+async fn upstream() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    (listener, address)
+}
+
+async fn accept(listener: &TcpListener) -> TcpStream {
+    listener.accept().await.expect("a connection").0
+}
+
+#[tokio::test]
+async fn bytes_pass_both_ways() {
+    const LENGTH: usize = 300_000;
+    let (listener, address) = upstream().await;
+    let site = Site::new(address);
+    let Tunnel { mut stream, is_sure } = site.open().await.expect("it opens");
+    assert!(is_sure);
+    let mut far = accept(&listener).await;
+    let sent: Vec<u8> = (0..LENGTH).map(|number| number as u8).collect();
+    let echo = async {
+        let mut received = vec![0; LENGTH];
+        far.read_exact(&mut received).await.expect("all bytes");
+        far.write_all(&received).await.expect("an open connection");
+        received
+    };
+    let exchange = async {
+        stream.write_all(&sent).await.expect("an open tunnel");
+        stream.flush().await.expect("an open tunnel");
+    };
+    let (received, ()) =
+        timeout(MAX_WAIT, async { tokio::join!(echo, exchange) }).await.expect("in time");
+    assert!(received == sent);
+    let mut answer = vec![0; LENGTH];
+    timeout(MAX_WAIT, stream.read_exact(&mut answer)).await.expect("in time").expect("all bytes");
+    assert!(answer == sent);
+}
+
+/// The end of a response that has no length is its connection's end.
+#[tokio::test]
+async fn closed_upstream() {
+    let (listener, address) = upstream().await;
+    let site = Site::new(address);
+    let mut stream = site.open().await.expect("it opens").stream;
+    let mut far = accept(&listener).await;
+    far.write_all(b"whole").await.expect("an open connection");
+    drop(far);
+    let mut received = Vec::new();
+    let read = timeout(MAX_WAIT, stream.read_to_end(&mut received)).await.expect("in time");
+    assert_eq!(read.ok(), Some(5));
+}
+
+/// A response that was reset must not look complete.
+#[tokio::test]
+async fn reset_upstream() {
+    let (listener, address) = upstream().await;
+    let site = Site::new(address);
+    let mut stream = site.open().await.expect("it opens").stream;
+    let mut far = accept(&listener).await;
+    far.write_all(b"a part").await.expect("an open connection");
+    let mut part = [0; 6];
+    timeout(MAX_WAIT, stream.read_exact(&mut part)).await.expect("in time").expect("the part");
+    far.set_zero_linger().expect("an open connection");
+    drop(far);
+    let mut rest = Vec::new();
+    let read = timeout(MAX_WAIT, stream.read_to_end(&mut rest)).await.expect("in time");
+    assert!(read.is_err(), "it looks complete");
+}
+
+/// A caller that leaves cancels its request at the upstream.
+#[tokio::test]
+async fn closed_by_requester() {
+    let (listener, address) = upstream().await;
+    let site = Site::new(address);
+    let stream = site.open().await.expect("it opens").stream;
+    let mut far = accept(&listener).await;
+    drop(stream);
+    let read = timeout(MAX_WAIT, far.read(&mut [0])).await.expect("in time");
+    assert!(matches!(read, Ok(0) | Err(_)));
+}
+
+/// An exit that loses its path to the upstream ends its tunnels.
+#[tokio::test]
+async fn closed_by_exit() {
+    let (listener, address) = upstream().await;
+    let site = Site::new(address);
+    let mut stream = site.open().await.expect("it opens").stream;
+    let _far = accept(&listener).await;
+    site.closer.lock().expect("no panic").take();
+    let read = timeout(MAX_WAIT, stream.read(&mut [0])).await.expect("in time");
+    assert!(read.is_err(), "it looks complete");
+}
+
+#[tokio::test]
+async fn refusals() {
+    let (listener, address) = upstream().await;
+    drop(listener);
+    let error = Site::new(address).open().await.err();
+    assert_eq!(error, Some(TunnelRefusal::Unreachable.into()));
+    let (exit_links, exit) = links(EXIT, "key", Box::new(|_| Err(TunnelRefusal::CutOff)));
+    let site = Site::new(address);
+    let asked = site.links.open_tunnel(&EXIT.into(), exit, &request()).await;
+    assert_eq!(asked.err(), Some(TunnelRefusal::CutOff.into()));
+    let other: Name = "another".into();
+    let asked = site.links.open_tunnel(&other, exit, &request()).await;
+    assert_eq!(asked.err(), Some(TunnelError::NoExit), "the exit is another host");
+    drop(exit_links);
+}
+
+/// Only hosts of the deployment may use an exit.
+#[tokio::test]
+async fn wrong_key() {
+    let (_listener, address) = upstream().await;
+    let site = Site::new(address);
+    let (stranger, _) = links("me", "another key", Box::new(|_| Err(TunnelRefusal::Leaving)));
+    let asked = stranger.open_tunnel(&EXIT.into(), site.exit, &request()).await;
+    assert_eq!(asked.err(), Some(TunnelError::NoExit));
+}
--- a/crates/placement/tests/saturation.rs
+++ b/crates/placement/tests/saturation.rs
@@ -149,6 +149,7 @@
         max_connections: 900,
         engine: Some(engine),
         cold_start: None,
+        health_path: None,
     };
     Rc::new(Configuration {
         version: 1,
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -120,8 +120,13 @@
         loads_per_s: 1.0,
         models: BTreeMap::from(models),
     };
-    let service =
-        Service { name: "llm".into(), max_connections: 9, engine: Some(engine), cold_start: None };
+    let service = Service {
+        name: "llm".into(),
+        max_connections: 9,
+        engine: Some(engine),
+        cold_start: None,
+        health_path: None,
+    };
     Rc::new(Configuration {
         version: 1,
         routes: Vec::new(),
--- a/crates/ports/src/configuration.rs
+++ b/crates/ports/src/configuration.rs
@@ -86,6 +86,8 @@
     pub name: Name,
     /// Maximum number of connections to one upstream from all hosts together.
     pub max_connections: u32,
+    /// URL path of the upstreams' health check, if they have one.
+    pub health_path: Option<Name>,
     /// Engine parameters of the upstreams, if they are model runners.
     pub engine: Option<EngineSpec>,
     /// Limits on cold upstreams, if there are any.
--- /dev/null
+++ b/crates/reach/src/event.rs
@@ -0,0 +1,101 @@
+//! Inputs and outputs of the state machine.
+
+use vanetally_types::{Incarnation, Name};
+
+/// Identifies an attempt that has not ended.
+pub type AttemptId = u64;
+
+/// How a request gets to its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Path {
+    /// On a connection of this host.
+    Direct,
+    /// Through another host.
+    Exit,
+}
+
+/// Ways by which a probe asks an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeScope {
+    /// Directly and through exits, to tell who is at fault.
+    Full,
+    /// Directly only, to see whether a blocked upstream is reached again.
+    Direct,
+}
+
+/// Result of a probe.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ProbeResult {
+    /// The upstream answered directly.
+    Answered,
+    /// The upstream answered through this exit only.
+    Blocked(Name),
+    /// The upstream did not answer this host, and no exit showed that it answers others.
+    Unanswered,
+}
+
+/// An input of [`Reach`](crate::Reach).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A request is sent to an upstream.
+    Sent {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The upstream.
+        upstream: Incarnation,
+        /// The path of the request.
+        path: Path,
+    },
+    /// Bytes were received on a direct connection to an upstream.
+    Heard(Incarnation),
+    /// An attempt ended.
+    Ended {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Whether its connection broke.
+        is_broken: bool,
+    },
+    /// A request needs a new connection to an upstream.
+    Connecting(Incarnation),
+    /// A direct connection to an upstream could not be opened.
+    ConnectFailed(Incarnation),
+    /// A probe ended.
+    Probed {
+        /// The upstream.
+        upstream: Incarnation,
+        /// The result.
+        result: ProbeResult,
+    },
+    /// An upstream is gone.
+    Gone(Incarnation),
+    /// Time has passed.
+    Tick,
+}
+
+/// An output of [`Reach`](crate::Reach).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Probe an upstream, and report the result with [`Event::Probed`].
+    Probe {
+        /// The upstream.
+        upstream: Incarnation,
+        /// The ways to try.
+        scope: ProbeScope,
+    },
+    /// Log that an upstream is blocked for this host.
+    Blocked {
+        /// The upstream.
+        upstream: Incarnation,
+        /// The exit through which it answered.
+        exit: Name,
+    },
+    /// Log that a blocked upstream is reached directly again.
+    Reached {
+        /// The upstream.
+        upstream: Incarnation,
+        /// How long it was blocked, in milliseconds.
+        blocked_ms: u64,
+    },
+    /// The answer to a direct attempt at a blocked upstream does not arrive.
+    Lost(AttemptId),
+}
--- /dev/null
+++ b/crates/reach/src/exits.rs
@@ -0,0 +1,138 @@
+//! Choice of the host through which a blocked upstream is reached.
+
+use std::collections::BTreeMap;
+use vanetally_types::{Name, Tick, hash64, rendezvous_rank};
+
+/// Why a host was of no use as exit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExitFailure {
+    /// It could not be reached, or did not answer in time.
+    Silent,
+    /// It does not reach the upstream, and may be cut off itself.
+    CutOff,
+    /// It has as many tunnels as it may have.
+    Busy,
+    /// It is stopping.
+    Leaving,
+}
+
+impl ExitFailure {
+    /// Returns for how long the host is not used, in milliseconds.
+    fn pause_ms(self) -> u64 {
+        match self {
+            Self::Silent | Self::CutOff => 1_000,
+            Self::Busy => 200,
+            Self::Leaving => 5_000,
+        }
+    }
+}
+
+/// The other hosts as exits.
+///
+/// Each host ranks the others differently and uses the first few that work, so that the load of the
+/// hosts that are cut off is spread over all that are not.
+#[derive(Clone, Debug)]
+pub struct Exits {
+    own: Name,
+    hosts: Vec<Name>,
+    /// Whether `hosts` is ranked.
+    is_ranked: bool,
+    states: BTreeMap<Name, ExitState>,
+    /// Number of choices so far.
+    choices: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ExitState {
+    /// Not used before this time.
+    paused_until: Tick,
+    /// When a tunnel was last opened through it; `None` if it failed since.
+    proven_at: Option<Tick>,
+    /// Open tunnels of this host.
+    tunnels: usize,
+}
+
+/// How long a host that worked counts as proven.
+const PROVEN_MS: u64 = 5_000;
+/// Number of proven hosts among which the tunnels are spread.
+const MAX_PROVEN: usize = 3;
+/// While fewer hosts are proven, one choice in this many tries another one.
+const TRIAL_INTERVAL: u64 = 4;
+
+impl Exits {
+    /// Creates the choice for the host `own` without any other known host.
+    pub fn new(own: Name) -> Self {
+        let (hosts, states) = Default::default();
+        Self { own, hosts, is_ranked: true, states, choices: 0 }
+    }
+
+    /// Sets the live hosts that serve as exits.
+    pub fn set_hosts(&mut self, mut hosts: Vec<Name>) {
+        hosts.retain(|host| *host != self.own);
+        self.states.retain(|host, state| state.tunnels > 0 || hosts.contains(host));
+        self.hosts = hosts;
+        self.is_ranked = false;
+    }
+
+    /// Whether there is no other host.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Returns the host to try next, other than those that were `tried`.
+    pub fn choose(&mut self, now: Tick, tried: &[Name]) -> Option<Name> {
+        self.rank();
+        self.choices += 1;
+        let state = |host: &Name| self.states.get(host).copied().unwrap_or_default();
+        let is_usable = |host: &&Name| now >= state(host).paused_until && !tried.contains(host);
+        let is_proven =
+            |host: &&Name| state(host).proven_at.is_some_and(|at| now.since(at) <= PROVEN_MS);
+        let usable = || self.hosts.iter().filter(is_usable);
+        let proven: Vec<&Name> = usable().filter(is_proven).take(MAX_PROVEN).collect();
+        let is_trial = proven.len() < MAX_PROVEN && self.choices.is_multiple_of(TRIAL_INTERVAL);
+        let unproven = usable().find(|host| !is_proven(host));
+        let least_used = proven.into_iter().min_by_key(|host| state(host).tunnels);
+        let chosen = if is_trial { unproven.or(least_used) } else { least_used.or(unproven) };
+        chosen.cloned()
+    }
+
+    /// Whether some host may be tried now.
+    pub fn has_usable(&self, now: Tick) -> bool {
+        let is_paused =
+            |host: &Name| self.states.get(host).is_some_and(|state| now < state.paused_until);
+        self.hosts.iter().any(|host| !is_paused(host))
+    }
+
+    /// Records that a tunnel through a host was opened.
+    pub fn opened(&mut self, now: Tick, host: &Name) {
+        let state = self.states.entry(host.clone()).or_default();
+        state.tunnels += 1;
+        state.proven_at = Some(now);
+    }
+
+    /// Records that a tunnel through a host was closed.
+    pub fn closed(&mut self, host: &Name) {
+        if let Some(state) = self.states.get_mut(host) {
+            state.tunnels = state.tunnels.saturating_sub(1);
+        }
+    }
+
+    /// Records that a host was of no use.
+    pub fn failed(&mut self, now: Tick, host: &Name, failure: ExitFailure) {
+        let state = self.states.entry(host.clone()).or_default();
+        state.paused_until = now + failure.pause_ms();
+        state.proven_at = None;
+    }
+
+    /// Returns the number of open tunnels of this host.
+    pub fn tunnels(&self) -> usize {
+        self.states.values().map(|state| state.tunnels).sum()
+    }
+
+    fn rank(&mut self) {
+        if !std::mem::replace(&mut self.is_ranked, true) {
+            let ranked = rendezvous_rank(hash64(self.own.as_bytes()), self.hosts.iter());
+            self.hosts = ranked.into_iter().cloned().collect();
+        }
+    }
+}
--- /dev/null
+++ b/crates/reach/src/reach.rs
@@ -0,0 +1,307 @@
+//! The state machine: which upstreams are blocked for this host.
+
+use crate::{
+    Action, AttemptId, Event, Exits, Path, ProbeResult, ProbeScope,
+    upstream::{HEAL_PROBE_MS, UpstreamPath},
+};
+use std::collections::{BTreeMap, HashMap};
+use vanetally_types::{Incarnation, Name, Tick};
+
+/// Which upstreams a host reaches directly, and through which hosts it reaches the others.
+#[derive(Clone, Debug)]
+pub struct Reach {
+    /// The hosts through which blocked upstreams are reached.
+    pub exits: Exits,
+    upstreams: BTreeMap<Incarnation, UpstreamPath>,
+    /// Upstreams of the open direct attempts.
+    attempts: HashMap<AttemptId, Incarnation>,
+    /// When any upstream was last heard on a direct connection.
+    heard_at: Option<Tick>,
+    /// When a direct path last showed a failure or silence.
+    trouble_at: Option<Tick>,
+    /// Number of blocked upstreams.
+    blocked: usize,
+    /// Since when some upstream is blocked.
+    blocked_since: Option<Tick>,
+}
+
+/// How long a failure casts doubt on the paths to all upstreams while none is heard.
+const DOUBT_MS: u64 = 2_000;
+/// Time after the last request for a blocked upstream in which it is probed.
+const USED_MS: u64 = 3_000;
+/// Maximum number of direct probes of blocked upstreams at the same time.
+const MAX_HEAL_PROBES: usize = 8;
+
+impl Reach {
+    /// Creates the state of the host `own` without any other known host.
+    pub fn new(own: Name) -> Self {
+        Self {
+            exits: Exits::new(own),
+            upstreams: BTreeMap::new(),
+            attempts: HashMap::new(),
+            heard_at: None,
+            trouble_at: None,
+            blocked: 0,
+            blocked_since: None,
+        }
+    }
+
+    /// Handles an event and returns the resulting actions.
+    pub fn handle(&mut self, now: Tick, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match event {
+            Event::Sent { attempt, upstream, path } => {
+                self.sent(now, attempt, upstream, path, &mut actions);
+            }
+            Event::Heard(upstream) => self.heard(now, &upstream),
+            Event::Ended { attempt, is_broken } => {
+                self.ended(now, attempt, is_broken, &mut actions);
+            }
+            Event::Connecting(upstream) => self.connecting(now, &upstream, &mut actions),
+            Event::ConnectFailed(upstream) => self.failed(now, &upstream, &mut actions),
+            Event::Probed { upstream, result } => {
+                self.probed(now, &upstream, result, &mut actions);
+            }
+            Event::Gone(upstream) => self.gone(&upstream),
+            Event::Tick => self.tick(now, &mut actions),
+        }
+        actions
+    }
+
+    /// Returns the path for a new request to an upstream on an open connection.
+    ///
+    /// While the host may be cut off from all upstreams, only exits are sure not to lose the request.
+    pub fn path(&self, now: Tick, upstream: &Incarnation) -> Path {
+        let is_blocked = self.is_blocked(upstream) || self.is_doubtful(now);
+        if is_blocked && !self.exits.is_empty() { Path::Exit } else { Path::Direct }
+    }
+
+    /// Returns the path for a new request to an upstream on a new connection.
+    ///
+    /// While other upstreams are blocked, new connections may be as well although open ones work.
+    pub fn new_path(&self, now: Tick, upstream: &Incarnation) -> Path {
+        let is_doubted = self.is_unproven(upstream) && !self.exits.is_empty();
+        if is_doubted { Path::Exit } else { self.path(now, upstream) }
+    }
+
+    /// Whether an upstream is blocked for this host.
+    pub fn is_blocked(&self, upstream: &Incarnation) -> bool {
+        self.upstreams.get(upstream).is_some_and(|path| path.blocked_since.is_some())
+    }
+
+    /// Returns the number of blocked upstreams.
+    pub fn blocked(&self) -> usize {
+        self.blocked
+    }
+
+    /// Whether this host may be cut off from all upstreams: one failed or was silent, and none was
+    /// heard since.
+    pub fn is_doubtful(&self, now: Tick) -> bool {
+        let Some(trouble_at) = self.trouble_at else {
+            return false;
+        };
+        let is_unheard = self.heard_at.is_none_or(|heard| heard <= trouble_at);
+        is_unheard && (self.blocked > 0 || now.since(trouble_at) <= DOUBT_MS)
+    }
+
+    /// Whether some upstream is blocked, and this one has not answered on a new connection since.
+    fn is_unproven(&self, upstream: &Incarnation) -> bool {
+        let Some(since) = self.blocked_since else {
+            return false;
+        };
+        let proven_at = self.upstreams.get(upstream).and_then(|path| path.proven_at);
+        proven_at.is_none_or(|at| at <= since)
+    }
+
+    /// Whether other hosts may use this one as exit to an upstream.
+    pub fn may_exit(&self, now: Tick, upstream: &Incarnation) -> bool {
+        !self.is_blocked(upstream) && !self.is_doubtful(now)
+    }
+
+    /// Returns for how many milliseconds no upstream was heard directly; `None` if none ever was.
+    pub fn unheard_ms(&self, now: Tick) -> Option<u64> {
+        self.heard_at.map(|at| now.since(at))
+    }
+
+    fn sent(
+        &mut self,
+        now: Tick,
+        attempt: AttemptId,
+        upstream: Incarnation,
+        path: Path,
+        actions: &mut Vec<Action>,
+    ) {
+        let known = self.upstreams.entry(upstream.clone()).or_default();
+        known.used_at = now;
+        match path {
+            Path::Direct => {
+                known.open.insert(attempt, now);
+                self.attempts.insert(attempt, upstream);
+            }
+            // Nothing is heard directly while all requests pass through exits.
+            Path::Exit if known.blocked_since.is_none() && now >= known.next_probe => {
+                start_probe(&upstream, known, ProbeScope::Full, actions);
+            }
+            Path::Exit => {}
+        }
+    }
+
+    fn heard(&mut self, now: Tick, upstream: &Incarnation) {
+        self.heard_at = Some(now);
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.record_heard(now);
+        }
+    }
+
+    fn ended(&mut self, now: Tick, attempt: AttemptId, is_broken: bool, actions: &mut Vec<Action>) {
+        let Some(upstream) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        if let Some(known) = self.upstreams.get_mut(&upstream) {
+            known.open.remove(&attempt);
+        }
+        if is_broken {
+            self.failed(now, &upstream, actions);
+        }
+    }
+
+    /// Probes an upstream that needs a new connection and may be blocked.
+    fn connecting(&mut self, now: Tick, upstream: &Incarnation, actions: &mut Vec<Action>) {
+        if !self.is_unproven(upstream) || self.is_blocked(upstream) {
+            return;
+        }
+        let known = self.upstreams.entry(upstream.clone()).or_default();
+        known.used_at = now;
+        start_probe(upstream, known, ProbeScope::Full, actions);
+    }
+
+    /// Handles a failure on a direct path.
+    fn failed(&mut self, now: Tick, upstream: &Incarnation, actions: &mut Vec<Action>) {
+        let known = self.upstreams.entry(upstream.clone()).or_default();
+        known.used_at = now;
+        if known.blocked_since.is_some() {
+            return;
+        }
+        self.trouble_at = Some(now);
+        start_probe(upstream, known, ProbeScope::Full, actions);
+    }
+
+    fn probed(
+        &mut self,
+        now: Tick,
+        upstream: &Incarnation,
+        result: ProbeResult,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(known) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        known.is_probing = false;
+        match result {
+            ProbeResult::Answered => {
+                known.delay_quiet_probe(now);
+                known.proven_at = Some(now);
+                let blocked_since = known.blocked_since.take();
+                self.heard_at = Some(now);
+                if let Some(since) = blocked_since {
+                    self.unblocked();
+                    let blocked_ms = now.since(since);
+                    actions.push(Action::Reached { upstream: upstream.clone(), blocked_ms });
+                    self.probe_blocked_now(now);
+                }
+            }
+            ProbeResult::Blocked(exit) => {
+                known.next_probe = now + HEAL_PROBE_MS;
+                if known.blocked_since.is_none() {
+                    known.blocked_since = Some(now);
+                    self.blocked += 1;
+                    self.blocked_since.get_or_insert(now);
+                    actions.push(Action::Blocked { upstream: upstream.clone(), exit });
+                }
+                self.take_lost(now, upstream, actions);
+            }
+            ProbeResult::Unanswered => known.next_probe = now + HEAL_PROBE_MS,
+        }
+    }
+
+    fn unblocked(&mut self) {
+        self.blocked -= 1;
+        if self.blocked == 0 {
+            self.blocked_since = None;
+        }
+    }
+
+    /// Makes the probes of all blocked upstreams due: the cut that blocked them may be over.
+    fn probe_blocked_now(&mut self, now: Tick) {
+        let blocked = self.upstreams.values_mut().filter(|path| path.blocked_since.is_some());
+        blocked.for_each(|path| path.next_probe = now);
+    }
+
+    fn take_lost(&mut self, now: Tick, upstream: &Incarnation, actions: &mut Vec<Action>) {
+        let Some(known) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        for attempt in known.take_silent(now) {
+            self.attempts.remove(&attempt);
+            actions.push(Action::Lost(attempt));
+        }
+    }
+
+    fn gone(&mut self, upstream: &Incarnation) {
+        let Some(gone) = self.upstreams.remove(upstream) else {
+            return;
+        };
+        if gone.blocked_since.is_some() {
+            self.unblocked();
+        }
+        gone.open.keys().for_each(|attempt| drop(self.attempts.remove(attempt)));
+    }
+
+    fn forget_idle(&mut self, now: Tick) {
+        let mut unblocked = 0;
+        self.upstreams.retain(|_, known| {
+            let is_idle = known.is_idle(now);
+            unblocked += usize::from(is_idle && known.blocked_since.is_some());
+            !is_idle
+        });
+        (0..unblocked).for_each(|_| self.unblocked());
+    }
+
+    fn tick(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        let is_healing = |path: &UpstreamPath| path.blocked_since.is_some() && path.is_probing;
+        let mut healing = self.upstreams.values().filter(|path| is_healing(path)).count();
+        let mut lost_at = Vec::new();
+        for (upstream, known) in &mut self.upstreams {
+            let is_due = !known.is_probing && now >= known.next_probe;
+            if known.blocked_since.is_none() {
+                if is_due && known.is_silent(now) {
+                    self.trouble_at = Some(now);
+                    start_probe(upstream, known, ProbeScope::Full, actions);
+                }
+                continue;
+            }
+            if known.is_silent(now) {
+                lost_at.push(upstream.clone());
+            }
+            let is_used = now.since(known.used_at) <= USED_MS;
+            if is_due && is_used && healing < MAX_HEAL_PROBES {
+                healing += 1;
+                known.next_probe = now + HEAL_PROBE_MS;
+                start_probe(upstream, known, ProbeScope::Direct, actions);
+            }
+        }
+        lost_at.iter().for_each(|upstream| self.take_lost(now, upstream, actions));
+        self.forget_idle(now);
+    }
+}
+
+fn start_probe(
+    upstream: &Incarnation,
+    known: &mut UpstreamPath,
+    scope: ProbeScope,
+    actions: &mut Vec<Action>,
+) {
+    if !std::mem::replace(&mut known.is_probing, true) {
+        actions.push(Action::Probe { upstream: upstream.clone(), scope });
+    }
+}
--- /dev/null
+++ b/crates/reach/tests/blocked_upstreams.rs
@@ -0,0 +1,218 @@
+//! Which upstreams a host takes for blocked, and by which path it sends requests to them.
+
+use vanetally_reach::{Action, Event, Path, ProbeResult, ProbeScope, Reach};
+use vanetally_types::{Incarnation, Name, Tick};
+
+/// Time without bytes after which an upstream with open attempts is probed.
+const SILENCE_MS: u64 = 400;
+/// Time within which the end of a cut must be noticed.
+const HEAL_MS: u64 = 1_000;
+const TICK_MS: u64 = 20;
+
+fn upstream(number: usize) -> Incarnation {
+    Incarnation::new(format!("u{number}"), Some(1))
+}
+
+fn exit() -> Name {
+    "front-9".into()
+}
+
+fn host() -> Reach {
+    let mut reach = Reach::new("front-0".into());
+    reach.exits.set_hosts(vec!["front-0".into(), exit()]);
+    reach
+}
+
+fn send(reach: &mut Reach, at: u64, attempt: u64, to: usize) -> Vec<Action> {
+    let path = reach.path(Tick(at), &upstream(to));
+    reach.handle(Tick(at), Event::Sent { attempt, upstream: upstream(to), path })
+}
+
+fn probed(reach: &mut Reach, at: u64, number: usize, result: ProbeResult) -> Vec<Action> {
+    reach.handle(Tick(at), Event::Probed { upstream: upstream(number), result })
+}
+
+fn block(reach: &mut Reach, at: u64, number: usize) {
+    reach.handle(Tick(at), Event::ConnectFailed(upstream(number)));
+    probed(reach, at, number, ProbeResult::Blocked(exit()));
+}
+
+fn probes(actions: &[Action]) -> Vec<(Incarnation, ProbeScope)> {
+    let probe = |action: &Action| match action {
+        Action::Probe { upstream, scope } => Some((upstream.clone(), *scope)),
+        _ => None,
+    };
+    actions.iter().filter_map(probe).collect()
+}
+
+#[test]
+fn silence_probed() {
+    let mut reach = host();
+    send(&mut reach, 0, 1, 1);
+    assert!(reach.handle(Tick(SILENCE_MS - 1), Event::Tick).is_empty());
+    let actions = reach.handle(Tick(SILENCE_MS), Event::Tick);
+    assert_eq!(probes(&actions), [(upstream(1), ProbeScope::Full)]);
+    assert!(reach.handle(Tick(SILENCE_MS + TICK_MS), Event::Tick).is_empty(), "one at a time");
+}
+
+/// A stream with pauses, or another request's answer, shows that the path works.
+#[test]
+fn heard_upstream_not_probed() {
+    let mut reach = host();
+    send(&mut reach, 0, 1, 1);
+    for at in (0..10 * SILENCE_MS).step_by(SILENCE_MS as usize / 2) {
+        reach.handle(Tick(at), Event::Heard(upstream(1)));
+        assert!(reach.handle(Tick(at), Event::Tick).is_empty());
+    }
+}
+
+/// An engine may say nothing for seconds while a request is queued. Probes become rare then.
+#[test]
+fn slow_answer_rarely_probed() {
+    let mut reach = host();
+    send(&mut reach, 0, 1, 1);
+    let mut count = 0;
+    for at in (0..6_000).step_by(TICK_MS as usize) {
+        let actions = reach.handle(Tick(at), Event::Tick);
+        for _ in probes(&actions) {
+            count += 1;
+            probed(&mut reach, at, 1, ProbeResult::Answered);
+        }
+        assert!(!actions.iter().any(|action| matches!(action, Action::Lost(_))));
+    }
+    assert!((1..=5).contains(&count), "{count} probes");
+    assert_eq!(reach.path(Tick(6_000), &upstream(1)), Path::Direct);
+}
+
+#[test]
+fn blocked_upstream_reached_through_exit() {
+    let mut reach = host();
+    send(&mut reach, 0, 1, 1);
+    reach.handle(Tick(SILENCE_MS), Event::Tick);
+    let actions = probed(&mut reach, SILENCE_MS + 10, 1, ProbeResult::Blocked(exit()));
+    let blocked = Action::Blocked { upstream: upstream(1), exit: exit() };
+    assert_eq!(actions, [blocked, Action::Lost(1)]);
+    assert_eq!(reach.path(Tick(SILENCE_MS + 20), &upstream(1)), Path::Exit);
+    assert!(!reach.may_exit(Tick(SILENCE_MS + 20), &upstream(1)));
+}
+
+/// The answers on connections that stay open during a cut still arrive.
+#[test]
+fn answers_on_open_connections_awaited() {
+    let mut reach = host();
+    send(&mut reach, 0, 1, 1);
+    reach.handle(Tick(500), Event::Heard(upstream(1)));
+    reach.handle(Tick(500), Event::ConnectFailed(upstream(1)));
+    let actions = probed(&mut reach, 510, 1, ProbeResult::Blocked(exit()));
+    assert!(!actions.contains(&Action::Lost(1)), "{actions:?}");
+}
+
+/// An upstream that answers nobody is not blocked, and neither are the others.
+#[test]
+fn dead_upstream_not_blocked() {
+    let mut reach = host();
+    send(&mut reach, 0, 1, 2);
+    let failed = reach.handle(Tick(10), Event::ConnectFailed(upstream(1)));
+    assert_eq!(probes(&failed), [(upstream(1), ProbeScope::Full)]);
+    probed(&mut reach, 20, 1, ProbeResult::Unanswered);
+    reach.handle(Tick(30), Event::Heard(upstream(2)));
+    for number in 1..=3 {
+        assert_eq!(reach.path(Tick(40), &upstream(number)), Path::Direct);
+        assert!(reach.may_exit(Tick(40), &upstream(number)));
+    }
+}
+
+/// After the first failure no request is lost on the way to the other upstreams.
+#[test]
+fn doubt_until_heard() {
+    let mut reach = host();
+    reach.handle(Tick(0), Event::Heard(upstream(2)));
+    reach.handle(Tick(10), Event::ConnectFailed(upstream(1)));
+    assert_eq!(reach.path(Tick(20), &upstream(2)), Path::Exit);
+    assert!(!reach.may_exit(Tick(20), &upstream(2)));
+    reach.handle(Tick(30), Event::Heard(upstream(2)));
+    assert_eq!(reach.path(Tick(40), &upstream(2)), Path::Direct);
+}
+
+/// Doubt about an upstream lasts while another one is blocked, but its path is probed when it is used.
+#[test]
+fn doubt_resolved_by_probe() {
+    let mut reach = host();
+    block(&mut reach, 0, 1);
+    let at = 10_000;
+    assert_eq!(reach.path(Tick(at), &upstream(2)), Path::Exit);
+    let actions = send(&mut reach, at, 1, 2);
+    assert_eq!(probes(&actions), [(upstream(2), ProbeScope::Full)]);
+    probed(&mut reach, at + 5, 2, ProbeResult::Answered);
+    assert_eq!(reach.path(Tick(at + 10), &upstream(2)), Path::Direct);
+    assert_eq!(reach.path(Tick(at + 10), &upstream(1)), Path::Exit);
+}
+
+/// Where only new connections are blocked, an open one says nothing about them.
+#[test]
+fn new_connections_proven_first() {
+    let mut reach = host();
+    block(&mut reach, 0, 1);
+    reach.handle(Tick(10), Event::Heard(upstream(2)));
+    assert_eq!(reach.path(Tick(20), &upstream(2)), Path::Direct);
+    assert_eq!(reach.new_path(Tick(20), &upstream(2)), Path::Exit);
+    let actions = reach.handle(Tick(20), Event::Connecting(upstream(2)));
+    assert_eq!(probes(&actions), [(upstream(2), ProbeScope::Full)]);
+    probed(&mut reach, 25, 2, ProbeResult::Answered);
+    assert_eq!(reach.new_path(Tick(30), &upstream(2)), Path::Direct);
+}
+
+/// All upstreams that are used are reached directly again within a second of the end of a cut.
+#[test]
+fn heal_noticed() {
+    const UPSTREAMS: usize = 60;
+    let mut reach = host();
+    (0..UPSTREAMS).for_each(|number| block(&mut reach, 0, number));
+    let healed_at = 5_000;
+    let mut attempt = 0;
+    let mut running: Vec<(u64, Incarnation)> = Vec::new();
+    for at in (TICK_MS..healed_at + HEAL_MS).step_by(TICK_MS as usize) {
+        // Each upstream gets a request about twice a second.
+        for number in (0..UPSTREAMS).filter(|number| (at / TICK_MS) as usize % 25 == number % 25) {
+            attempt += 1;
+            send(&mut reach, at, attempt, number);
+            reach.handle(Tick(at), Event::Ended { attempt, is_broken: false });
+        }
+        let actions = reach.handle(Tick(at), Event::Tick);
+        running.extend(probes(&actions).into_iter().map(|(upstream, _)| (at, upstream)));
+        assert!(running.len() <= 10, "{} probes at the same time", running.len());
+        // Before the end of the cut a probe takes 300 ms to fail.
+        let is_done = |(since, _): &(u64, Incarnation)| at >= healed_at || at - since >= 300;
+        let (done, open): (Vec<_>, Vec<_>) = running.into_iter().partition(is_done);
+        running = open;
+        for (_, upstream) in done {
+            let is_healed = at >= healed_at;
+            let result = if is_healed { ProbeResult::Answered } else { ProbeResult::Unanswered };
+            reach.handle(Tick(at), Event::Probed { upstream, result });
+        }
+    }
+    assert_eq!(reach.blocked(), 0);
+}
+
+/// Without another host a request takes the direct path whatever happened on it.
+#[test]
+fn sole_host() {
+    let mut reach = Reach::new("front-0".into());
+    reach.exits.set_hosts(vec!["front-0".into()]);
+    reach.handle(Tick(0), Event::ConnectFailed(upstream(1)));
+    assert_eq!(reach.path(Tick(10), &upstream(1)), Path::Direct);
+    assert_eq!(reach.new_path(Tick(10), &upstream(1)), Path::Direct);
+}
+
+/// An upstream that is gone, or no longer used, keeps no other one in doubt.
+#[test]
+fn gone_upstream_forgotten() {
+    let mut reach = host();
+    block(&mut reach, 0, 1);
+    block(&mut reach, 0, 2);
+    reach.handle(Tick(10), Event::Gone(upstream(1)));
+    assert_eq!(reach.blocked(), 1);
+    reach.handle(Tick(60_000), Event::Tick);
+    assert_eq!(reach.blocked(), 0);
+    assert_eq!(reach.path(Tick(60_000), &upstream(3)), Path::Direct);
+}
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -16,6 +16,7 @@
 use rstest::rstest;
 use std::{
     ops::Range,
+    sync::{Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -50,7 +51,7 @@
 
 /// Repeatable and unrepeatable requests in turn.
 fn both(number: u64) -> Client {
-    if number / HOSTS as u64 % 2 == 0 { check(number) } else { offer(number) }
+    if (number / HOSTS as u64).is_multiple_of(2) { check(number) } else { offer(number) }
 }
 
 struct Outcome {
@@ -71,6 +72,14 @@
     }
 }
 
+/// Lets one deployment run at a time: each one has more processes and callers than a small machine has
+/// cores.
+static RUNNING: Mutex<()> = Mutex::new(());
+
+fn start_running() -> MutexGuard<'static, ()> {
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Cuts the first `cut` hosts off, and heals the cut.
 fn play(cut: usize, mode: TapMode) -> Outcome {
     let site = TappedDeployment::start(HOSTS, 3, 3);
@@ -84,6 +93,11 @@
         site.set_mode(0..cut, TapMode::Pass);
         thread::sleep(2 * HEAL);
     });
+    for (host, log) in site.deployment.logs() {
+        let d = format!("/tmp/cutlogs/{mode:?}-{cut}");
+        std::fs::create_dir_all(&d).unwrap();
+        std::fs::write(format!("{d}/{host}"), log).unwrap();
+    } // DEBUG
     Outcome { exchanges, cut_at, healed_at, site }
 }
 
@@ -100,6 +114,7 @@
 #[case::all_but_one_silent(5, TapMode::Silent)]
 #[case::all_but_one_reset(5, TapMode::Reset)]
 fn cut_off_hosts_serve(#[case] cut: usize, #[case] mode: TapMode) {
+    let _running = start_running();
     let outcome = play(cut, mode);
     let (own, others) = (outcome.in_cut(0..cut), outcome.in_cut(cut..HOSTS));
     println!("{mode:?}: {own:?} at {cut} hosts that are cut off, {others:?} at the others");
@@ -122,6 +137,7 @@
 /// Upstreams that say nothing for a second are not judged dead, and no host takes itself for cut off.
 #[test]
 fn silent_second() {
+    let _running = start_running();
     let site = TappedDeployment::start(HOSTS, 3, 3);
     let (mut silent_at, mut over_at) = (Instant::now(), Instant::now());
     // So few that the upstreams have slots for all.
--- a/tests/gateway/load.rs
+++ b/tests/gateway/load.rs
@@ -9,7 +9,7 @@
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, ClientAnswer};
+use vanetally_platform_standin::{Client, ClientAnswer, Session};
 
 /// A stream of `m1` that may run at most once.
 pub fn offer(number: u64) -> Client {
@@ -41,16 +41,42 @@
     callers: usize,
     pause: Duration,
     scenario: impl FnOnce(),
+) -> Vec<Exchange> {
+    let send = |_: &mut Session, client: Client, front: SocketAddr| client.send(front);
+    run_load(fronts, request, callers, pause, send, scenario)
+}
+
+/// Like [`under_load`] for a single front, but each caller keeps its connection open for many
+/// requests.
+pub fn sessions_under_load(
+    front: SocketAddr,
+    request: impl Fn(u64) -> Client + Sync,
+    callers: usize,
+    pause: Duration,
+    scenario: impl FnOnce(),
+) -> Vec<Exchange> {
+    let send = |session: &mut Session, client: Client, front| client.send_on(session, front);
+    run_load(&[front], request, callers, pause, send, scenario)
+}
+
+fn run_load(
+    fronts: &[SocketAddr],
+    request: impl Fn(u64) -> Client + Sync,
+    callers: usize,
+    pause: Duration,
+    send: impl Fn(&mut Session, Client, SocketAddr) -> ClientAnswer + Sync,
+    scenario: impl FnOnce(),
 ) -> Vec<Exchange> {
     let exchanges = Mutex::new(Vec::new());
     let is_over = AtomicBool::new(false);
     let next = AtomicU64::new(0);
     let call = || {
+        let mut session = Session::new();
         while !is_over.load(Ordering::Relaxed) {
             let number = next.fetch_add(1, Ordering::Relaxed);
             let began = Instant::now();
             let front = fronts[number as usize % fronts.len()];
-            let answer = request(number).send(front);
+            let answer = send(&mut session, request(number), front);
             let exchange = Exchange { number, front, began, took: began.elapsed(), answer };
             exchanges.lock().expect("no thread panicked").push(exchange);
             thread::sleep(pause);
--- a/tests/gateway/taps.rs
+++ b/tests/gateway/taps.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Deployment, Host, fresh_ip, fronts,
-    load::{Exchange, under_load},
+    load::{Exchange, sessions_under_load},
 };
 use std::{
     ops::Range,
@@ -60,7 +60,7 @@
         let guard = is_over.lock().expect("no thread panicked");
         let load = |index: usize| {
             let numbered = |number: u64| request(number * fronts.len() as u64 + index as u64);
-            under_load(&fronts[index..=index], numbered, callers, pause, || {
+            sessions_under_load(fronts[index], numbered, callers, pause, || {
                 drop(is_over.lock().expect("no thread panicked"));
             })
         };
