--- a/tests/gateway/load.rs
+++ b/tests/gateway/load.rs
@@ -46,17 +46,33 @@
     run_load(fronts, request, callers, pause, send, scenario)
 }
 
-/// Like [`under_load`] for a single front, but each caller keeps its connection open for many
-/// requests.
-pub fn sessions_under_load(
-    front: SocketAddr,
+/// Sends requests to each front from `callers` threads of its own until `scenario` returns, so that a
+/// host that answers slowly does not slow down the requests to the others. Each caller keeps its
+/// connection open for many requests.
+pub fn run_per_host(
+    fronts: &[SocketAddr],
     request: impl Fn(u64) -> Client + Sync,
     callers: usize,
     pause: Duration,
     scenario: impl FnOnce(),
 ) -> Vec<Exchange> {
     let send = |session: &mut Session, client: Client, front| client.send_on(session, front);
-    run_load(&[front], request, callers, pause, send, scenario)
+    let is_over = Mutex::new(());
+    let load = |index: usize| {
+        let numbered = |number: u64| request(number * fronts.len() as u64 + index as u64);
+        run_load(&fronts[index..=index], numbered, callers, pause, send, || {
+            drop(is_over.lock().expect("no thread panicked"));
+        })
+    };
+    let guard = is_over.lock().expect("no thread panicked");
+    let load = &load;
+    thread::scope(|scope| {
+        let threads = (0..fronts.len()).map(|index| scope.spawn(move || load(index)));
+        let threads: Vec<_> = threads.collect();
+        scenario();
+        drop(guard);
+        threads.into_iter().flat_map(|thread| thread.join().expect("no panic")).collect()
+    })
 }
 
 fn run_load(
--- a/tests/gateway/taps.rs
+++ b/tests/gateway/taps.rs
@@ -2,12 +2,10 @@
 
 use super::{
     Deployment, Host, fresh_ip, fronts,
-    load::{Exchange, sessions_under_load},
+    load::{Exchange, run_per_host},
 };
 use std::{
     ops::Range,
-    sync::Mutex,
-    thread,
     time::{Duration, Instant},
 };
 use vanetally_platform_standin::{Client, Runner, Tap, TapMode, TapModes};
@@ -46,8 +44,7 @@
         self.hosts[hosts].iter().for_each(|host| self.modes.set(host.process(), mode));
     }
 
-    /// Sends requests to each host from `callers` threads of its own until `scenario` returns. A
-    /// host that answers slowly does not slow down the requests to the others.
+    /// Sends requests to each host as [`run_per_host`] does, by host.
     pub fn under_load(
         &self,
         request: impl Fn(u64) -> Client + Sync,
@@ -56,22 +53,13 @@
         scenario: impl FnOnce(),
     ) -> Vec<Vec<Exchange>> {
         let fronts = fronts(&self.hosts);
-        let is_over = Mutex::new(());
-        let guard = is_over.lock().expect("no thread panicked");
-        let load = |index: usize| {
-            let numbered = |number: u64| request(number * fronts.len() as u64 + index as u64);
-            sessions_under_load(fronts[index], numbered, callers, pause, || {
-                drop(is_over.lock().expect("no thread panicked"));
-            })
-        };
-        let load = &load;
-        thread::scope(|scope| {
-            let threads = (0..fronts.len()).map(|index| scope.spawn(move || load(index)));
-            let threads: Vec<_> = threads.collect();
-            scenario();
-            drop(guard);
-            threads.into_iter().map(|thread| thread.join().expect("no panic")).collect()
-        })
+        let all = run_per_host(&fronts, request, callers, pause, scenario);
+        let mut by_host: Vec<Vec<Exchange>> = fronts.iter().map(|_| Vec::new()).collect();
+        for exchange in all {
+            let host = fronts.iter().position(|front| *front == exchange.front);
+            by_host[host.expect("a front of a host")].push(exchange);
+        }
+        by_host
     }
 }
 
