fix: brittle upstreams are not pushed over by all hosts together

Callers saw nothing served while ten brittle upstreams fell again and again (135 of 3,200 by the users' count), and a content that all callers send refused for 30 s.

Cause: a brittle upstream counts the rejections of all hosts, while each host bounded only what it sent itself, by load reports of 50 ms and more; hosts learned of the brittleness only by rejections; the ends of what ran at a fall counted as evidence against its content.

Change: statements of brittleness are read and passed on to all hosts, and to those that start; owners grant the slots of such services, of engines as well, whatever the settings say: no more than announced, beginning with one at an upstream that is new, none while the rejections of the last 1.2 s are half of what it survives. Plain services of which nothing was heard yet are treated alike. A fall while there was no room within 3 s is no crash evidence. A probe that finds an upstream dead spares the exits for half a second.

--- a/crates/check/src/slots.rs
+++ b/crates/check/src/slots.rs
@@ -119,6 +119,7 @@
             wait_ms: WAIT_MS,
             is_late: false,
             hold_ms: HOLD_MS as u32,
+            brittle: None,
         }
     }
 
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -1,7 +1,7 @@
 //! The upstream that was chosen for a request, and its expected load.
 
 use crate::{Action, PrefixPlace};
-use vanetally_types::Incarnation;
+use vanetally_types::{Incarnation, Tick};
 
 /// The chosen upstream.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,6 +15,8 @@
     pub is_trial: bool,
     /// The upstream's stated rate limit, if it has one.
     pub limit: Option<ChosenLimit>,
+    /// The send time that the engine's pacer assigned, if the request needs a slot as well.
+    pub send_at: Option<Tick>,
 }
 
 impl Choice {
@@ -26,6 +28,7 @@
             place: None,
             is_trial: false,
             limit: None,
+            send_at: None,
         }
     }
 
--- a/crates/dispatch/src/choose.rs
+++ b/crates/dispatch/src/choose.rs
@@ -174,6 +174,12 @@
         }
         None => is_saturated(input.now, upstream, load.running, slots * SERVICE_QUEUE_RATIO)
             .then_some(ShortageKind::Slot),
+        Some(_)
+            if input.grants_slots
+                && upstream.busy_slots.is_busy(input.now, request.rank(), false) =>
+        {
+            Some(ShortageKind::Slot)
+        }
         Some(_) if load.running == 0 => None,
         Some(engine) => engine_shortage(input, engine, request, upstream, cached),
     }
@@ -271,7 +277,17 @@
     let expected = ReadEstimate { unread_tokens, ahead_ms: ahead_ms as u32 };
     let limit = upstream.rate_limit(input.now);
     let limit = limit.map(|rate| ChosenLimit { rate, may_wait: false, is_granted: false });
-    (cost, Choice { upstream: id.clone(), expected, place: None, is_trial: false, limit })
+    (
+        cost,
+        Choice {
+            upstream: id.clone(),
+            expected,
+            place: None,
+            is_trial: false,
+            limit,
+            send_at: None,
+        },
+    )
 }
 
 /// Returns a part of [`SLOT_SPREAD_MS`] that differs between requests and upstreams.
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -226,6 +226,13 @@
         end: AttemptEnd,
         actions: &mut Vec<Action>,
     ) {
+        match end {
+            AttemptEnd::Full => self.brittleness.record_crowded(now, &request.service),
+            AttemptEnd::Served | AttemptEnd::Failed => {
+                self.brittleness.record_heard(now, &request.service);
+            }
+            _ => {}
+        }
         if end == AttemptEnd::Served && !self.is_engine(&request.service) {
             let answer_times = self.answer_times.entry(request.service.clone()).or_default();
             answer_times.record(now.since(attempt.sent_at));
@@ -362,6 +369,7 @@
             self.end(id);
             actions.push(Action::Refuse { id, refusal, context });
         }
+        self.brittleness.expire(now);
         self.review_active(now, actions);
         self.requested_models.retain(|_, at| now.since(*at) < MODEL_REQUEST_INTERVAL_MS);
     }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -239,6 +239,13 @@
         /// limit.
         rate: Option<f64>,
     },
+    /// The upstreams of a service are brittle.
+    BrittlenessStated {
+        /// The service.
+        service: Name,
+        /// Rejections for lack of room in a second that an upstream survives.
+        max_rejections: u32,
+    },
     /// An upstream rejected a request and asked this host to send nothing for a while.
     CooldownRequested {
         /// The upstream.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 mod access;
 mod affinity;
 mod answer_times;
+mod brittle;
 mod budget;
 mod choice;
 mod choose;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -5,6 +5,7 @@
     RouteIndex,
     access::KeyIndex,
     answer_times::AnswerTimes,
+    brittle::Brittleness,
     cooldown::Cooldown,
     directory::Directory,
     ending::{RETRY_AFTER_MS, STOP_RETRY_AFTER_MS, startup_retry_ms},
@@ -56,6 +57,7 @@
     pub(crate) retry_budgets: BTreeMap<Name, RetryBudget>,
     pub(crate) pace: PaceModel,
     pub(crate) service_pace: ServicePace,
+    pub(crate) brittleness: Brittleness,
     /// Average time of complete answers, per plain service.
     pub(crate) answer_times: BTreeMap<Name, AnswerTimes>,
     pub(crate) hosts: usize,
@@ -104,6 +106,7 @@
             retry_budgets: BTreeMap::new(),
             pace: PaceModel::default(),
             service_pace: ServicePace::default(),
+            brittleness: Brittleness::default(),
             answer_times: BTreeMap::new(),
             hosts: 1,
             stopping_since: None,
@@ -137,7 +140,7 @@
             }
             Event::UpstreamEnded { id } => {
                 self.upstream_gone(now, &id);
-                self.abandon_attempts(&id, &mut actions);
+                self.abandon_attempts(now, &id, &mut actions);
             }
             Event::UpstreamGone { id } => self.upstream_gone(now, &id),
             Event::Evacuated(domains) => self.set_evacuated(now, domains),
@@ -159,6 +162,9 @@
             Event::LimitStated { upstream, sent, rate } => {
                 self.stated(now, upstream, sent, rate, &mut actions);
             }
+            Event::BrittlenessStated { service, max_rejections } => {
+                self.brittleness.record(now, &service, max_rejections);
+            }
             Event::CooldownRequested { upstream, for_ms } => {
                 self.cooldown_requested(now, &upstream, for_ms)
             }
@@ -307,13 +313,16 @@
 
     /// Cancels the attempts at an upstream that has ended. Its end is a crash sign against their
     /// contents.
-    fn abandon_attempts(&self, upstream: &Incarnation, actions: &mut Vec<Action>) {
+    fn abandon_attempts(&self, now: Tick, upstream: &Incarnation, actions: &mut Vec<Action>) {
         let is_there = |request: &Request| match &request.stage {
             Stage::Sent(attempt) => attempt.upstream == *upstream,
             Stage::Waiting | Stage::Reserving(_) => false,
         };
         for (id, request) in self.requests.iter().filter(|(_, request)| is_there(request)) {
             actions.push(Action::Abandon { id: *id, number: request.attempts });
+            if self.brittleness.explains_crash(now, &request.service) {
+                continue;
+            }
             actions.push(Action::ReportCrash(CrashReport {
                 content: request.content_hash,
                 upstream: upstream.clone(),
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -76,7 +76,12 @@
             }) if is_open => {
                 let expected = ReadEstimate { unread_tokens, ahead_ms };
                 let choice = Choice { expected, is_trial, ..choice };
-                actions.extend(self.send(now, id, choice, delay_ms));
+                if self.needs_engine_slot(id) {
+                    let send_at = Some(now + u64::from(delay_ms));
+                    actions.extend(self.acquire_slot(now, id, Choice { send_at, ..choice }));
+                } else {
+                    actions.extend(self.send(now, id, choice, delay_ms));
+                }
                 return;
             }
             SlotReply::Granted(_) => {}
@@ -192,6 +197,11 @@
         Some(choice)
     }
 
+    /// Whether an owner grants the slots of the engines that may take the request.
+    fn needs_engine_slot(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|request| self.grants_slots(&request.service))
+    }
+
     fn is_engine_of(&self, id: RequestId) -> bool {
         self.requests.get(&id).is_some_and(|request| self.is_engine(&request.service))
     }
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -92,7 +92,7 @@
                 if let Some((cause, retry_ms)) = self.futile_wait(now, request, shortage) {
                     return self.refuse_at_once(id, shortage, cause, retry_ms, actions);
                 }
-                if self.grants_slots(service) {
+                if self.grants_slots(service) && !self.is_engine(service) {
                     self.set_shortage(id, shortage);
                     return self.await_slot(now, id, actions);
                 }
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -88,10 +88,16 @@
 }
 
 impl Dispatch {
-    /// Whether owners grant the slots of a service: it is a plain one, and its upstreams have fewer
-    /// slots than there are hosts.
+    /// Whether owners grant the slots of a service: it is brittle, or it is a plain one and nothing was
+    /// heard from it yet, or its upstreams have fewer slots than there are hosts.
     pub(crate) fn grants_slots(&self, service: &Name) -> bool {
-        if !self.options.slot_grants || self.is_engine(service) {
+        if self.is_engine(service) {
+            return self.brittleness.max_rejections(service).is_some();
+        }
+        if self.assumed_rejections(service).is_some() {
+            return true;
+        }
+        if !self.options.slot_grants {
             return false;
         }
         let upstreams = self.known_upstreams(self.directory.upstreams_of(service));
@@ -125,6 +131,7 @@
             is_late: request.is_late_after(now, self.answer_ms(&request.service)),
             hold_ms: u32::try_from(request.deadline.since(now) + HOLD_MARGIN_MS)
                 .unwrap_or(u32::MAX),
+            brittle: self.assumed_rejections(&request.service),
         };
         let request = self.requests.get_mut(&id)?;
         self.queue.remove(id, request);
@@ -186,9 +193,13 @@
         let is_blocked = upstream.cooldown.blocked_ms(now).is_some();
         let is_open =
             upstream.accepts_new(now) && !is_blocked && upstream.rate_limit(now).is_none();
+        // No load report is new enough for a brittle upstream.
+        let may_guess =
+            self.service_of(id).is_none_or(|service| self.assumed_rejections(&service).is_none());
         match answer {
             Some(SlotAnswer::Granted) if is_open => {
-                actions.extend(self.send(now, id, choice, 0));
+                let delay_ms = choice.send_at.map_or(0, |at| at.since(now) as u32);
+                actions.extend(self.send(now, id, choice, delay_ms));
                 self.hold_slot(id, reservation);
             }
             Some(SlotAnswer::Busy { retry_ms }) => {
@@ -196,7 +207,7 @@
             }
             Some(_) => actions.extend(unused),
             None => {
-                let has_room = upstream.total(now).running < upstream.state.slots;
+                let has_room = may_guess && upstream.total(now).running < upstream.state.slots;
                 let is_second = self.record_silent_owner(id) > 1;
                 if is_second && is_open && has_room {
                     actions.extend(self.send(now, id, choice, 0));
@@ -207,10 +218,15 @@
         }
     }
 
+    fn service_of(&self, id: RequestId) -> Option<Name> {
+        self.requests.get(&id).map(|request| request.service.clone())
+    }
+
     fn record_busy(&mut self, now: Tick, id: RequestId, upstream: &Incarnation, retry_ms: u32) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
+        self.brittleness.record_crowded(now, &request.service);
         let urgency = self.urgency(now, request);
         let is_denied = u64::from(retry_ms) > self.useful_wait_ms(now, request);
         if let Some(request) = self.requests.get_mut(&id) {
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -28,7 +28,7 @@
     let path = hub.reach.borrow().new_path(hub.clock.now(), &attempt.upstream);
     match path {
         Path::Direct => match connect_directly(hub, attempt).await {
-            Err(end) if end != AttemptEnd::NoPath => {
+            Err(end) if end != AttemptEnd::NoPath && !has_failed(hub, attempt) => {
                 connect_through_exit(hub, attempt).await.map_err(|failure| end_of(failure, end))
             }
             connected => connected,
@@ -44,6 +44,10 @@
     }
 }
 
+fn has_failed(hub: &Hub, attempt: &Attempt) -> bool {
+    hub.reach.borrow().has_failed(hub.clock.now(), &attempt.upstream)
+}
+
 /// Returns what it means for the upstream if a direct connection failed with `end` and no tunnel could
 /// be opened.
 fn end_of(failure: NoTunnel, end: AttemptEnd) -> AttemptEnd {
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -116,6 +116,7 @@
     pub(crate) fn send_known_state(&self, host: &Name) {
         self.send_quarantines(host);
         self.send_leaving(host);
+        self.send_brittle(host);
     }
 
     /// Handles the removal of a host key.
@@ -150,6 +151,8 @@
         let grants_slots =
             |entry: &HostEntry| entry.capabilities.includes(Capabilities::SLOT_GRANTS);
         self.slots.borrow_mut().set_hosts(self.capacities(grants_slots));
+        let grants_brittle = |entry: &HostEntry| entry.capabilities.includes(Capabilities::BRITTLE);
+        self.slots.borrow_mut().set_brittle_hosts(self.capacities(grants_brittle));
         let is_exit = |entry: &HostEntry| entry.capabilities.includes(Capabilities::TUNNELS);
         let exits = self.capacities(is_exit).into_iter().map(|(host, _)| host);
         self.reach.borrow_mut().exits.set_hosts(exits.collect());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! their names.
 #![deny(missing_docs, unsafe_code, clippy::disallowed_methods)]
 
+mod brittle;
 mod call;
 mod charge;
 mod clock;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -102,6 +102,7 @@
             PeerMessage::Clear(content_hash) => self.clear(content_hash),
             PeerMessage::Quarantined(quarantines) => self.apply_quarantines(from, quarantines),
             PeerMessage::Leaving(upstreams) => self.upstreams_leaving(Some(from), upstreams),
+            PeerMessage::Brittle(services) => self.brittle_reported(from, services),
             PeerMessage::AskConfiguration { have } => self.send_configuration(from, have),
             PeerMessage::Configuration(patch) => self.apply_patch(from, &patch),
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -52,6 +52,8 @@
     pub(crate) const SLOT_GRANTS: Self = Self(1);
     /// Lets requests wait for quota, and takes cancellations.
     pub(crate) const QUOTA_WAIT: Self = Self(2);
+    /// Grants slots of brittle upstreams, and takes messages about them.
+    pub(crate) const BRITTLE: Self = Self(8);
     /// Opens tunnels to upstreams for other hosts.
     pub(crate) const TUNNELS: Self = Self(4);
 
@@ -59,7 +61,7 @@
     pub(crate) fn of(scheduling: Scheduling) -> Self {
         let slots = if scheduling.slot_grants { Self::SLOT_GRANTS.0 } else { 0 };
         let quota = if scheduling.quota_wait { Self::QUOTA_WAIT.0 } else { 0 };
-        Self(slots | quota | Self::TUNNELS.0)
+        Self(slots | quota | Self::TUNNELS.0 | Self::BRITTLE.0)
     }
 
     /// Whether this set includes all of `others`.
@@ -314,6 +316,8 @@
     Quarantined(Vec<Quarantine>),
     /// Upstreams that have announced that they are leaving.
     Leaving(Vec<Incarnation>),
+    /// Services whose upstreams have stated that they are brittle.
+    Brittle(Vec<BrittleService>),
     /// Requests the configuration.
     AskConfiguration {
         /// The version that the sender has.
@@ -323,6 +327,17 @@
     Configuration(Patch),
 }
 
+/// A service whose upstreams are brittle.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct BrittleService {
+    /// The service.
+    #[serde(rename = "s")]
+    pub service: Name,
+    /// Rejections for lack of room in a second that an upstream survives.
+    #[serde(rename = "n")]
+    pub max_rejections: u32,
+}
+
 /// The status of a host that forwards store data.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct HostStatus {
--- a/crates/gateway/src/probing.rs
+++ b/crates/gateway/src/probing.rs
@@ -140,7 +140,8 @@
         let result = match &finding {
             Finding::Answered => ProbeResult::Answered,
             Finding::Blocked(exit) => ProbeResult::Blocked(exit.clone()),
-            Finding::Faulty(_) | Finding::Unknown => ProbeResult::Unanswered,
+            Finding::Faulty(_) => ProbeResult::Failed,
+            Finding::Unknown => ProbeResult::Unanswered,
         };
         if let Finding::Faulty(Some(sign)) = finding {
             for (content, is_common) in &contents {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -3,7 +3,7 @@
 
 use crate::{hub::Hub, peers::PeerMessage, telemetry, watch::jittered};
 use serde::{Deserialize, Serialize};
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 use tokio::time::sleep;
 use vanetally_dispatch as dispatch;
 use vanetally_ports::{Item, StoreAnswer, Transaction, Write};
@@ -36,6 +36,11 @@
     /// Adds a crash report to the local evidence, and sends it to the other hosts that keep the
     /// evidence.
     pub(crate) fn report_crash(self: &Rc<Self>, report: CrashReport) {
+        let now = self.clock.now();
+        if self.dispatch.borrow().explains_crash(now, &report.upstream) {
+            let CrashReport { content, upstream, .. } = report;
+            return log::debug!("event=crash_by_load upstream={upstream} content={content:016x}");
+        }
         let message = PeerMessage::CrashReport(report.clone());
         self.send_all(self.evidence_hosts(report.content).iter(), &message);
         self.add_crash_report(&self.settings.host.clone(), report);
@@ -131,8 +136,15 @@
 
     /// Sends a message to this host's source and subscribers, except `from`.
     pub(crate) fn forward(&self, from: &Name, message: &PeerMessage) {
+        self.send_all(self.forward_receivers(from).iter(), message);
+    }
+
+    /// Returns the hosts to which this one passes on what it heard of `from`: all others, or its source
+    /// and subscribers where aggregators are used.
+    pub(crate) fn forward_receivers(&self, from: &Name) -> BTreeSet<Name> {
         if !self.uses_aggregators() {
-            return self.broadcast(message);
+            let peers = self.peers.borrow();
+            return peers.keys().filter(|host| **host != self.settings.host).cloned().collect();
         }
         let mut hosts = self.sum_receivers();
         {
@@ -144,7 +156,7 @@
         }
         hosts.remove(from);
         hosts.remove(&self.settings.host);
-        self.send_all(hosts.iter(), message);
+        hosts
     }
 
     /// Sends a starting host the current quarantines.
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -8,7 +8,7 @@
     Change, Client, Closed, Overdue, Owner, Received, Repeat, Reply, SlotAnswer, SlotEnd,
     SlotRequest,
 };
-use vanetally_types::{Incarnation, Name};
+use vanetally_types::{Incarnation, Name, Tick};
 
 /// A request and the number of its reservation.
 type Key = (RequestId, u32);
@@ -17,6 +17,8 @@
 pub(crate) struct Slots {
     owner: Owner,
     owners: Pacers,
+    /// Owners of brittle upstreams.
+    brittle_owners: Pacers,
     client: Client<Key>,
 }
 
@@ -28,7 +30,8 @@
     pub(crate) fn new(own: Name, seed: u32) -> Self {
         Self {
             owner: Owner::default(),
-            owners: Pacers::new(own),
+            owners: Pacers::new(own.clone()),
+            brittle_owners: Pacers::new(own),
             client: Client::new(u64::from(seed) * NUMBERS_PER_START),
         }
     }
@@ -37,6 +40,16 @@
     pub(crate) fn set_hosts(&mut self, hosts: Vec<(Name, u32)>) {
         self.owners.set_hosts(hosts);
     }
+
+    /// Sets the live hosts that grant slots of brittle upstreams, with their capacities.
+    pub(crate) fn set_brittle_hosts(&mut self, hosts: Vec<(Name, u32)>) {
+        self.brittle_owners.set_hosts(hosts);
+    }
+
+    fn mark_silent(&mut self, now: Tick, host: &Name) {
+        self.owners.mark_silent(now, host);
+        self.brittle_owners.mark_silent(now, host);
+    }
 }
 
 impl Hub {
@@ -49,7 +62,8 @@
     ) {
         let now = self.clock.now();
         let (owner, number) = {
-            let Slots { owners, client, .. } = &mut *self.slots.borrow_mut();
+            let Slots { owners, brittle_owners, client, .. } = &mut *self.slots.borrow_mut();
+            let owners = if request.brittle.is_some() { brittle_owners } else { owners };
             let owner = owners.pacer_of(now, &request.upstream.id).clone();
             let number = client.request(now, (id, reservation), &owner, &request);
             (owner, number)
@@ -165,7 +179,7 @@
                     closed.waited_ms
                 );
             }
-            self.slots.borrow_mut().owners.mark_silent(now, &closed.owner);
+            self.slots.borrow_mut().mark_silent(now, &closed.owner);
         }
         for Closed { key, owner, number, upstream, .. } in unanswered {
             telemetry::slot_owner_silent();
@@ -181,9 +195,10 @@
     pub(crate) fn slot_host_gone(self: &Rc<Self>, host: &Name) {
         let now = self.clock.now();
         let (replies, waiting) = {
-            let Slots { owner, owners, client } = &mut *self.slots.borrow_mut();
+            let slots = &mut *self.slots.borrow_mut();
             // The owners are selected anew only later; the requests go to its successor at once.
-            owners.mark_silent(now, host);
+            slots.mark_silent(now, host);
+            let Slots { owner, client, .. } = slots;
             (owner.host_gone(now, host), client.owner_gone(now, host))
         };
         self.send_replies(replies);
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -40,6 +40,9 @@
     }
 
     fn handle_statement(self: &Rc<Self>, upstream: &Incarnation, statement: &Statement) {
+        if let Some(rejections) = self.readable_value(upstream, "brittle", statement.brittle) {
+            self.brittleness_stated(upstream, rejections);
+        }
         if self.readable_value(upstream, "leaving", statement.leaving).is_some() {
             self.upstreams_leaving(None, vec![upstream.clone()]);
         }
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -94,6 +94,11 @@
     counter!("vanetally_upstream_paths_total", "change" => change).increment(1);
 }
 
+/// Counts a statement about a brittle service that differs from what was known.
+pub(crate) fn brittleness_stated() {
+    counter!("vanetally_brittleness_stated_total").increment(1);
+}
+
 /// Counts a tunnel that this host opened through an exit, or failed to open.
 pub(crate) fn tunnel_opened(is_open: bool) {
     let outcome = if is_open { "opened" } else { "failed" };
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -162,6 +162,8 @@
 pub struct Statement {
     /// Rate limit over all hosts together, in requests per second; zero or more.
     pub limit: Stated<f64>,
+    /// Rejections for lack of room in a second that the upstream survives; stated if it is brittle.
+    pub brittle: Stated<u32>,
     /// Set if the upstream is leaving and accepts no new requests.
     pub leaving: Stated<()>,
     /// Time for which the sending host must not send to the upstream again; stated when the upstream turns a request
--- a/crates/reach/src/event.rs
+++ b/crates/reach/src/event.rs
@@ -30,7 +30,9 @@
     Answered,
     /// The upstream answered through this exit only.
     Blocked(Name),
-    /// The upstream did not answer this host, and no exit showed that it answers others.
+    /// The upstream answers neither this host nor others.
+    Failed,
+    /// The upstream did not answer this host, and nobody could tell whether it answers others.
     Unanswered,
 }
 
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -25,6 +25,8 @@
     blocked_since: Option<Tick>,
 }
 
+/// How long an upstream counts as failed after a probe.
+const FAILED_MS: u64 = 500;
 /// How long a failure casts doubt on the paths to all upstreams while none is heard.
 const DOUBT_MS: u64 = 2_000;
 /// Time after the last request for a blocked upstream in which it is probed.
@@ -84,6 +86,11 @@
         if is_doubted { Path::Exit } else { self.path(now, upstream) }
     }
 
+    /// Whether a probe has just found that an upstream answers nobody, so that no exit can help.
+    pub fn has_failed(&self, now: Tick, upstream: &Incarnation) -> bool {
+        self.upstreams.get(upstream).is_some_and(|path| now < path.failed_until)
+    }
+
     /// Whether an upstream is blocked for this host.
     pub fn is_blocked(&self, upstream: &Incarnation) -> bool {
         self.upstreams.get(upstream).is_some_and(|path| path.blocked_since.is_some())
@@ -220,6 +227,10 @@
                 }
                 self.take_lost(now, upstream, actions);
             }
+            ProbeResult::Failed => {
+                known.failed_until = now + FAILED_MS;
+                known.next_probe = now + HEAL_PROBE_MS;
+            }
             ProbeResult::Unanswered => known.next_probe = now + HEAL_PROBE_MS,
         }
     }
--- a/crates/reach/src/upstream.rs
+++ b/crates/reach/src/upstream.rs
@@ -13,6 +13,8 @@
     pub proven_at: Option<Tick>,
     /// Since when the upstream is blocked.
     pub blocked_since: Option<Tick>,
+    /// Until when the upstream counts as failed, since it answers nobody.
+    pub failed_until: Tick,
     /// When a request was last sent, by any path.
     pub used_at: Tick,
     /// Whether a probe is running.
--- a/crates/slots/src/client.rs
+++ b/crates/slots/src/client.rs
@@ -80,6 +80,9 @@
 
 /// Timeout of an owner's answer.
 const ANSWER_TIMEOUT_MS: u64 = 40;
+/// The same for a brittle upstream: two owners that each take the other for silent could grant its
+/// slots twice.
+const BRITTLE_TIMEOUT_MS: u64 = 150;
 
 impl<K: Ord + Copy> Client<K> {
     /// Creates a client whose first request has the number `first`. Numbers must not repeat within
@@ -145,10 +148,10 @@
         let mut unanswered = Vec::new();
         for (number, open) in &mut self.open {
             match open.stage {
-                Stage::Requested(at) if now.since(at) > ANSWER_TIMEOUT_MS => {
+                Stage::Requested(at) if now.since(at) > open.request.timeout_ms() => {
                     unanswered.push(*number);
                 }
-                Stage::Queued(expected_at) if now.since(expected_at) > ANSWER_TIMEOUT_MS => {
+                Stage::Queued(at) if now.since(at) > open.request.timeout_ms() => {
                     open.stage = Stage::Requested(now);
                     let waited_ms = now.since(open.requested_at);
                     let left_ms = u64::from(open.request.wait_ms).saturating_sub(waited_ms);
@@ -183,3 +186,10 @@
         Some(open)
     }
 }
+
+impl SlotRequest {
+    /// Returns the timeout of the owner's answer in milliseconds.
+    fn timeout_ms(&self) -> u64 {
+        if self.brittle.is_some() { BRITTLE_TIMEOUT_MS } else { ANSWER_TIMEOUT_MS }
+    }
+}
--- a/crates/slots/src/limit.rs
+++ b/crates/slots/src/limit.rs
@@ -5,6 +5,8 @@
 /// The bound on open grants: what the upstream announces, or less after rejections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Limit {
+    slots: u32,
+    is_brittle: bool,
     capacity: u32,
     current: u32,
     /// When the bound is next raised.
@@ -29,10 +31,16 @@
 /// Time without rejections after which the first interval is used again.
 const CALM_MS: u64 = 5_000;
 
+/// Interval at which the bound on a brittle upstream is raised that was not granted before: it may
+/// have just started, and what it takes shows only by what it answers.
+const RAMP_INTERVAL_MS: u64 = 100;
+
 impl Limit {
     pub(crate) fn new(slots: u32) -> Self {
         let capacity = capacity(slots);
         Self {
+            slots,
+            is_brittle: false,
             capacity,
             current: capacity,
             raise_at: Tick(0),
@@ -52,12 +60,24 @@
         self.current < self.capacity
     }
 
-    /// Sets the announced slots.
-    pub(crate) fn set_slots(&mut self, slots: u32) {
-        let capacity = capacity(slots);
-        if capacity != self.capacity {
+    /// Begins with a single grant, and raises the bound step by step.
+    pub(crate) fn ramp(&mut self, now: Tick) {
+        self.current = self.current.min(1);
+        self.interval_ms = RAMP_INTERVAL_MS;
+        self.raise_at = now + RAMP_INTERVAL_MS;
+    }
+
+    /// Sets the announced slots, and whether the upstream is brittle. A brittle one is granted no more
+    /// than its slots.
+    pub(crate) fn set_slots(&mut self, slots: u32, is_brittle: bool) {
+        if slots != self.slots {
             *self = Self::new(slots);
         }
+        self.slots = slots;
+        self.is_brittle = is_brittle;
+        let is_lowered = self.is_lowered();
+        self.capacity = if is_brittle { slots } else { capacity(slots) };
+        self.current = if is_lowered { self.current.min(self.capacity) } else { self.capacity };
     }
 
     /// Records that the upstream rejected one of `taken` requests as full.
--- a/crates/slots/src/messages.rs
+++ b/crates/slots/src/messages.rs
@@ -24,6 +24,9 @@
     /// Milliseconds after which the request has ended at the latest.
     #[serde(rename = "h")]
     pub hold_ms: u32,
+    /// Rejections in a second that the upstream survives, if it is brittle.
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    pub brittle: Option<u32>,
 }
 
 /// An owner's answer to a [`SlotRequest`].
--- a/crates/slots/src/owner.rs
+++ b/crates/slots/src/owner.rs
@@ -65,7 +65,7 @@
         let id = &request.upstream;
         let upstream =
             self.upstreams.entry(id.clone()).or_insert_with(|| OwnedUpstream::new(request.slots));
-        if upstream.record_request(now, request.slots, reported) {
+        if upstream.record_request(now, request, reported) {
             let running = upstream.inherited();
             self.changes.push((id.clone(), Change::TakenOver { running }));
         }
--- a/crates/slots/src/upstream.rs
+++ b/crates/slots/src/upstream.rs
@@ -36,6 +36,10 @@
     ended: VecDeque<(Tick, Key)>,
     /// When a host last requested a slot.
     requested_at: Tick,
+    /// Rejections in a second that the upstream survives, if it is brittle.
+    brittle: Option<u32>,
+    /// Rejections in the last second.
+    rejections: VecDeque<Tick>,
 }
 
 /// Time without a request for a slot after which other owners may have granted slots.
@@ -47,6 +51,11 @@
 /// Interval at which a host is told again of a grant. One that does not hold it any more releases
 /// it, so a lost release costs the slot for about this long.
 const REMINDER_MS: u64 = 250;
+/// Time within which a brittle upstream counts its rejections, with a margin for the way of their
+/// reports.
+const REJECTION_WINDOW_MS: u64 = 1_200;
+/// Time after a grant within which the rejection of its request is reported.
+const UNPROVEN_MS: u64 = 20;
 /// Minimum time after which a host asks again.
 const MIN_RETRY_MS: u32 = 5;
 
@@ -62,9 +71,30 @@
             inherited: Inherited::default(),
             ended: VecDeque::new(),
             requested_at: Tick(0),
+            brittle: None,
+            rejections: VecDeque::new(),
         }
     }
 
+    /// Whether one more slot may be granted.
+    fn has_room(&self, now: Tick) -> bool {
+        self.taken() < self.limit.current() && self.tolerates_grant(now)
+    }
+
+    /// Whether a brittle upstream survives if it rejects one more request, and all that were granted
+    /// just before and have not shown yet whether they were rejected.
+    fn tolerates_grant(&self, now: Tick) -> bool {
+        let Some(max_rejections) = self.brittle else {
+            return true;
+        };
+        let is_rejected = |at: &&Tick| now.since(**at) < REJECTION_WINDOW_MS;
+        let rejected = self.rejections.iter().filter(is_rejected).count() as u32;
+        let is_open = |grant: &&Grant| now.since(grant.granted_at) < UNPROVEN_MS;
+        let unproven = self.grants.values().filter(is_open).count() as u32;
+        let is_first = rejected + unproven == 0;
+        is_first || (rejected + unproven < max_rejections && rejected * 2 < max_rejections)
+    }
+
     /// Returns the requests at the upstream, as far as this owner knows.
     pub(crate) fn taken(&self) -> u32 {
         self.grants.len() as u32 + self.inherited.count()
@@ -149,7 +179,7 @@
         if guards.ended_numbers && self.ended.iter().any(|(_, ended)| *ended == waiting.key) {
             return Answers::new();
         }
-        if self.taken() < self.limit.current() {
+        if self.has_room(now) {
             let key = waiting.key.clone();
             self.grant(now, waiting, guards);
             return vec![(key, SlotAnswer::Granted)];
@@ -182,9 +212,18 @@
 
     /// Updates the announced slots, and what other owners may have granted since the last request.
     /// Returns whether requests of other owners were found.
-    pub(crate) fn record_request(&mut self, now: Tick, slots: u32, reported: u32) -> bool {
-        self.limit.set_slots(slots);
+    pub(crate) fn record_request(
+        &mut self,
+        now: Tick,
+        request: &SlotRequest,
+        reported: u32,
+    ) -> bool {
+        self.brittle = request.brittle;
+        self.limit.set_slots(request.slots, request.brittle.is_some());
         let was_absent = now.since(self.requested_at) > ABSENCE_MS;
+        if self.requested_at == Tick(0) && request.brittle.is_some() {
+            self.limit.ramp(now);
+        }
         if was_absent {
             self.inherited = Inherited::new(now, reported, self.grants.len() as u32);
         }
@@ -202,7 +241,10 @@
         self.ended.push_back((now, key));
         match (grant, end) {
             (Some(grant), SlotEnd::Used) => self.hold_time.record(now.since(grant.granted_at)),
-            (Some(_), SlotEnd::Full) => self.limit.lower(now, taken),
+            (Some(_), SlotEnd::Full) => {
+                self.limit.lower(now, taken);
+                self.record_rejection(now);
+            }
             _ => {}
         }
         let mut answers = Answers::new();
@@ -210,6 +252,11 @@
         answers
     }
 
+    fn record_rejection(&mut self, now: Tick) {
+        self.rejections.retain(|at| now.since(*at) < REJECTION_WINDOW_MS);
+        self.rejections.push_back(now);
+    }
+
     /// Ends all grants and waits of a host that is gone.
     pub(crate) fn release_host(&mut self, now: Tick, host: &Name) -> Answers {
         self.grants.retain(|(holder, _), _| holder != host);
@@ -226,7 +273,7 @@
     }
 
     fn grant_waiting(&mut self, now: Tick, answers: &mut Answers) {
-        while self.taken() < self.limit.current()
+        while self.has_room(now)
             && let Some(waiting) = self.queue.pop()
         {
             answers.push((waiting.key.clone(), SlotAnswer::Granted));
--- a/crates/slots/tests/support/mod.rs
+++ b/crates/slots/tests/support/mod.rs
@@ -17,6 +17,7 @@
         wait_ms: 1_000,
         is_late: false,
         hold_ms: 3_000,
+        brittle: None,
     }
 }
 
