fix: hosts find out with one request whether a plain service is brittle

Now a host sends one request to a plain service that has not answered yet, and the others wait for it, 250 ms at most; where owners grant the slots anyway, nothing waits.

--- a/crates/dispatch/src/brittle.rs
+++ b/crates/dispatch/src/brittle.rs
@@ -1,20 +1,20 @@
 //! Brittle services, whose upstreams crash when they have to reject too many requests in a second.
 //!
-//! What a single host rejects itself says little: all hosts together must stay within what an upstream
-//! survives. So owners grant the slots of a brittle service, and no more than there are. The upstreams
-//! of a service from which nothing was heard yet are treated alike, since hosts that start together
-//! would otherwise find out by pushing them over.
+//! What a single host sees of rejections says little: all hosts together must stay within what an
+//! upstream survives. So owners grant the slots of a brittle service, and no more than there are. A host
+//! sends a single request to a plain service from which it has heard nothing yet, and waits for the
+//! answer: hosts that start together would otherwise find out by pushing upstreams over.
 
-use crate::Dispatch;
-use std::collections::BTreeMap;
+use crate::{Dispatch, request::Stage};
+use std::collections::{BTreeMap, BTreeSet};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// What is known of the brittleness of services.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Brittleness {
     services: BTreeMap<Name, Brittle>,
-    /// Plain services whose upstreams have answered this host, or of which other hosts told.
-    heard: BTreeMap<Name, Tick>,
+    /// Services whose upstreams have answered this host, or of which other hosts told.
+    heard: BTreeSet<Name>,
     /// When each service last lacked room.
     crowded: BTreeMap<Name, Tick>,
 }
@@ -29,8 +29,8 @@
 
 /// Time after the last statement until the service is no longer taken for brittle.
 const STATEMENT_MS: u64 = 30_000;
-/// Assumed tolerance of upstreams from which nothing was heard yet.
-const UNHEARD_TOLERANCE: u32 = 2;
+/// How long the first answer of a service is waited for before another request is sent.
+const FIRST_ANSWER_MS: u64 = 250;
 /// Time after a lack of room within which the crash of a brittle upstream is put down to it.
 const CROWDED_MS: u64 = 3_000;
 
@@ -39,13 +39,13 @@
     pub(crate) fn record(&mut self, now: Tick, service: &Name, max_rejections: u32) {
         let brittle = Brittle { max_rejections, stated_at: now };
         self.services.insert(service.clone(), brittle);
-        self.record_heard(now, service);
+        self.record_heard(service);
     }
 
     /// Records that an upstream of a service has answered.
-    pub(crate) fn record_heard(&mut self, now: Tick, service: &Name) {
-        if !self.heard.contains_key(service) {
-            self.heard.insert(service.clone(), now);
+    pub(crate) fn record_heard(&mut self, service: &Name) {
+        if !self.heard.contains(service) {
+            self.heard.insert(service.clone());
         }
     }
 
@@ -61,7 +61,7 @@
 
     /// Whether nothing was heard from a service yet.
     fn is_unheard(&self, service: &Name) -> bool {
-        !self.heard.contains_key(service)
+        !self.heard.contains(service)
     }
 
     /// Returns when the brittleness of a service was last stated.
@@ -97,12 +97,20 @@
         services.filter_map(brittle).collect()
     }
 
-    /// Returns the rejections in a second that upstreams of a service survive, if they are or may be
-    /// brittle. A single host finds out without harm.
-    pub(crate) fn assumed_rejections(&self, service: &Name) -> Option<u32> {
+    /// Whether a request waits for the first answer of its service. A single host finds out without
+    /// harm, engines have pacers, and owners keep within the slots anyway.
+    pub(crate) fn awaits_first_answer(&self, now: Tick, service: &Name) -> bool {
         let is_unheard = self.hosts > 1 && self.brittleness.is_unheard(service);
-        let stated = self.brittleness.max_rejections(service);
-        stated.or_else(|| is_unheard.then_some(UNHEARD_TOLERANCE))
+        let is_bounded = || self.is_engine(service) || self.grants_slots(service);
+        is_unheard && !is_bounded() && self.has_recent_attempt(now, service)
+    }
+
+    fn has_recent_attempt(&self, now: Tick, service: &Name) -> bool {
+        let own = self.requests.values().filter(|request| request.service == *service);
+        own.into_iter().any(|request| match &request.stage {
+            Stage::Sent(attempt) => now.since(attempt.sent_at) < FIRST_ANSWER_MS,
+            Stage::Waiting | Stage::Reserving(_) => false,
+        })
     }
 
     /// Whether an upstream that has crashed may have crashed for lack of room, so that its end says
--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -226,12 +226,11 @@
         end: AttemptEnd,
         actions: &mut Vec<Action>,
     ) {
-        match end {
-            AttemptEnd::Full => self.brittleness.record_crowded(now, &request.service),
-            AttemptEnd::Served | AttemptEnd::Failed => {
-                self.brittleness.record_heard(now, &request.service);
-            }
-            _ => {}
+        if end == AttemptEnd::Full {
+            self.brittleness.record_crowded(now, &request.service);
+        }
+        if matches!(end, AttemptEnd::Served | AttemptEnd::Failed | AttemptEnd::Full) {
+            self.brittleness.record_heard(&request.service);
         }
         if end == AttemptEnd::Served && !self.is_engine(&request.service) {
             let answer_times = self.answer_times.entry(request.service.clone()).or_default();
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -65,7 +65,10 @@
             return actions.push(Action::Refuse { id, refusal, context });
         }
         let subject = request.head.model.clone();
-        if now < request.not_before || self.quarantine.is_suspended(now, request.content_hash) {
+        if now < request.not_before
+            || self.quarantine.is_suspended(now, request.content_hash)
+            || self.awaits_first_answer(now, service)
+        {
             return;
         }
         if let Some(shortage) = shortages.get(&subject).copied() {
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -88,16 +88,13 @@
 }
 
 impl Dispatch {
-    /// Whether owners grant the slots of a service: it is brittle, or it is a plain one and nothing was
-    /// heard from it yet, or its upstreams have fewer slots than there are hosts.
+    /// Whether owners grant the slots of a service: it is brittle, or it is a plain one and its
+    /// upstreams have fewer slots than there are hosts.
     pub(crate) fn grants_slots(&self, service: &Name) -> bool {
-        if self.is_engine(service) {
-            return self.brittleness.max_rejections(service).is_some();
-        }
-        if self.assumed_rejections(service).is_some() {
+        if self.brittleness.max_rejections(service).is_some() {
             return true;
         }
-        if !self.options.slot_grants {
+        if !self.options.slot_grants || self.is_engine(service) {
             return false;
         }
         let upstreams = self.known_upstreams(self.directory.upstreams_of(service));
@@ -131,7 +128,7 @@
             is_late: request.is_late_after(now, self.answer_ms(&request.service)),
             hold_ms: u32::try_from(request.deadline.since(now) + HOLD_MARGIN_MS)
                 .unwrap_or(u32::MAX),
-            brittle: self.assumed_rejections(&request.service),
+            brittle: self.brittleness.max_rejections(&request.service),
         };
         let request = self.requests.get_mut(&id)?;
         self.queue.remove(id, request);
@@ -194,8 +191,9 @@
         let is_open =
             upstream.accepts_new(now) && !is_blocked && upstream.rate_limit(now).is_none();
         // No load report is new enough for a brittle upstream.
-        let may_guess =
-            self.service_of(id).is_none_or(|service| self.assumed_rejections(&service).is_none());
+        let may_guess = self
+            .service_of(id)
+            .is_none_or(|service| self.brittleness.max_rejections(&service).is_none());
         match answer {
             Some(SlotAnswer::Granted) if is_open => {
                 let delay_ms = choice.send_at.map_or(0, |at| at.since(now) as u32);
--- a/crates/dispatch/tests/brittle.rs
+++ b/crates/dispatch/tests/brittle.rs
@@ -43,23 +43,34 @@
 
 /// Hosts that start together would push an upstream over before they hear that it is brittle.
 #[test]
-fn unheard_service_needs_slots() {
+fn unheard_service_asked_once() {
     let mut host = host("desk");
-    let (id, actions) = arrive(&mut host, "desk");
-    let (reservation, asked) = slot_request(&actions, id).expect("a request for a slot");
-    assert!(asked.brittle.is_some());
-    assert_eq!(sent(&answer(&mut host, id, reservation, SlotAnswer::Granted), id).len(), 1);
-    host.end_attempt(id, AttemptEnd::Served);
-    let (id, actions) = arrive(&mut host, "desk");
-    assert_eq!(sent(&actions, id).len(), 1, "it has answered, and is not brittle");
+    let (first, actions) = arrive(&mut host, "desk");
+    assert_eq!(sent(&actions, first).len(), 1);
+    let (second, actions) = arrive(&mut host, "desk");
+    assert!(sent(&actions, second).is_empty(), "the first answer is awaited");
+    let actions = host.end_attempt(first, AttemptEnd::Served);
+    assert_eq!(sent(&actions, second).len(), 1);
+}
+
+/// An upstream that does not answer holds nothing up for long.
+#[test]
+fn first_answer_missing() {
+    let mut host = host("desk");
+    arrive(&mut host, "desk");
+    let (second, _) = arrive(&mut host, "desk");
+    assert!(sent(&host.advance(200), second).is_empty());
+    assert_eq!(sent(&host.advance(100), second).len(), 1);
 }
 
 #[test]
-fn sole_host_needs_no_slots() {
+fn sole_host_waits_for_nothing() {
     let mut host = host("desk");
     host.handle(Event::HostCount(1));
-    let (id, actions) = arrive(&mut host, "desk");
-    assert_eq!(sent(&actions, id).len(), 1);
+    for _ in 0..2 {
+        let (id, actions) = arrive(&mut host, "desk");
+        assert_eq!(sent(&actions, id).len(), 1);
+    }
 }
 
 #[test]
--- a/crates/dispatch/tests/forecast.rs
+++ b/crates/dispatch/tests/forecast.rs
@@ -4,7 +4,7 @@
 
 use support::{Host, START, options, refusal, request, route, sent, upstream};
 use vanetally_dispatch::{
-    Action, AttemptEnd, Digest, Dispatch, Event, Options, RequestId, WaitCounts, WaitRow,
+    Action, Digest, Dispatch, Event, Options, RequestId, WaitCounts, WaitRow,
 };
 use vanetally_ports::{RequestKind, Route, UpstreamState};
 use vanetally_types::{Rank, Verdict};
@@ -199,9 +199,6 @@
 fn granted_slots_left_alone() {
     for (slot_grants, acquires) in [(false, 0), (true, 1)] {
         let mut host = host(Options { shared_queue: true, slot_grants, ..options() });
-        // Owners grant the slots of any service until it has answered.
-        let (first, _) = arrive(&mut host, "routine");
-        host.end_attempt(first, AttemptEnd::Served);
         host.handle(Event::HostCount(70));
         report(&mut host, on_time(50, 10));
         let (id, actions) = arrive(&mut host, "routine");
