fix: a host with an outdated configuration does not refuse routes as unknown

Callers saw, once each at one host of 301 and of 985, a 404 for a route that a newer configuration had; not traced, no logs.

Cause, found by reading: a host says that a route or a key does not exist by the configuration that it has, also while it waits for a newer one of which it has heard, or has not been confirmed to have the newest one for long. That this was the cause of either case is suspected only.

Change: in both states (newer version known; not confirmed within 5 s) the answer is 503, not run, with Retry-After, as at a host without a configuration. The case unconfirmed of outdated_configuration failed before (NoRoute where NotConfigured is expected) and passes; newer_version_heard needs the new event. 77 process tests of the store, fleet and organisations pass.

--- a/crates/dispatch/src/access.rs
+++ b/crates/dispatch/src/access.rs
@@ -106,7 +106,7 @@
         let Credential::Key(key) = head.credential else {
             return Err(Refusal::not_run(RefusalCause::Unauthorized, None));
         };
-        self.access_of(key).ok_or(Refusal::not_run(RefusalCause::Unauthorized, None))
+        self.access_of(key).ok_or_else(|| self.unknown_refusal(now, RefusalCause::Unauthorized))
     }
 
     fn access_of(&self, key: CallerKey) -> Option<Access> {
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -101,6 +101,8 @@
     Configured(Rc<Configuration>),
     /// The store confirmed that the configuration in force was the newest at this time.
     Confirmed(Tick),
+    /// Another host has this configuration version, which this host does not have yet.
+    VersionHeard(u64),
     /// A content hash was quarantined, or released from quarantine.
     Quarantined(Quarantine),
     /// An upstream was probed after attempts at it had broken off.
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -42,6 +42,8 @@
     pub(crate) keys: KeyIndex,
     /// When the store last confirmed that the configuration in force was the newest.
     pub(crate) confirmed_at: Option<Tick>,
+    /// The newest configuration version of which another host has told.
+    pub(crate) newest_version: Option<u64>,
     pub(crate) quarantine: BlockedContents,
     pub(crate) upstreams: BTreeMap<Incarnation, Upstream>,
     /// Failure domains that operators evacuate.
@@ -79,6 +81,10 @@
 const RETURN_SPACING_MS: u64 = 5;
 /// All hosts return within the cooldown divided by this.
 const RETURN_SPREAD_DIVISOR: u64 = 8;
+/// Time since the configuration was last confirmed as the newest after which routes and keys may exist
+/// that this host does not know. A host that reads the store is confirmed as of up to 3 s ago, and others
+/// a little later.
+const MAX_UNCONFIRMED_MS: u64 = 5_000;
 /// Share of a planned stop in which requests are accepted.
 const STOP_ACCEPT_SHARE: f64 = 0.3;
 pub(crate) const MICROS_PER_MILLI: f64 = 1_000.0;
@@ -94,6 +100,7 @@
             routes: RouteIndex::default(),
             keys: KeyIndex::default(),
             confirmed_at: None,
+            newest_version: None,
             quarantine: BlockedContents::default(),
             upstreams: BTreeMap::new(),
             evacuated: Rc::default(),
@@ -121,6 +128,9 @@
         let mut actions = Vec::new();
         match event {
             Event::Configured(configuration) => self.configure(configuration),
+            Event::VersionHeard(version) => {
+                self.newest_version = self.newest_version.max(Some(version));
+            }
             Event::Confirmed(at) => self.confirmed_at = self.confirmed_at.max(Some(at)),
             Event::Quarantined(quarantine) => {
                 self.quarantine.apply(now, quarantine);
@@ -384,7 +394,23 @@
             return Err(Refusal::not_run(RefusalCause::NotConfigured, Some(retry_ms)));
         }
         let route = self.routes.find(&head.host, &head.path).cloned();
-        route.ok_or(Refusal::not_run(RefusalCause::NoRoute, None))
+        route.ok_or_else(|| self.unknown_refusal(now, RefusalCause::NoRoute))
+    }
+
+    /// Returns the refusal of a request whose route or key is unknown. It may be known by a newer
+    /// configuration, which other hosts may have.
+    pub(crate) fn unknown_refusal(&self, now: Tick, cause: RefusalCause) -> Refusal {
+        match self.may_be_outdated(now) {
+            true => Refusal::not_run(RefusalCause::NotConfigured, Some(RETRY_AFTER_MS)),
+            false => Refusal::not_run(cause, None),
+        }
+    }
+
+    /// Whether a newer configuration is known to exist, or may exist since none was confirmed as the
+    /// newest for long.
+    fn may_be_outdated(&self, now: Tick) -> bool {
+        let is_unconfirmed = self.confirmed_at.is_some_and(|at| now.since(at) > MAX_UNCONFIRMED_MS);
+        is_unconfirmed || self.newest_version > self.version()
     }
 
     /// Whether a planned stop has reached the part in which no requests are accepted.
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -5,6 +5,7 @@
 
 use crate::{hub::Hub, peers::PeerMessage};
 use std::rc::Rc;
+use vanetally_dispatch::Event;
 use vanetally_fanout::Patch;
 use vanetally_types::Name;
 
@@ -15,11 +16,13 @@
     }
 
     /// Requests the configuration from `host` if its `version` is newer than the local one.
-    pub(crate) fn check_version(&self, host: &Name, version: u64) {
+    pub(crate) fn check_version(self: &Rc<Self>, host: &Name, version: u64) {
         let have = self.version();
-        if have < version
-            && self.configuration_pull.borrow_mut().should_request(self.clock.now(), host)
-        {
+        if have >= version {
+            return;
+        }
+        self.request_event(Event::VersionHeard(version));
+        if self.configuration_pull.borrow_mut().should_request(self.clock.now(), host) {
             log::info!("event=configuration_asked of={host} version={version} have={have}");
             let have = self.versions.borrow().newest();
             self.send(host, &PeerMessage::AskConfiguration { have });
