--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -4,7 +4,7 @@
     Action, AttemptId, Event, Exits, Path, ProbeResult, ProbeScope,
     upstream::{HEAL_PROBE_MS, UpstreamPath},
 };
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Which upstreams a host reaches directly, and through which hosts it reaches the others.
@@ -15,6 +15,10 @@
     upstreams: BTreeMap<Incarnation, UpstreamPath>,
     /// Upstreams of the open direct attempts.
     attempts: HashMap<AttemptId, Incarnation>,
+    /// Upstreams with open direct attempts, and blocked ones: a host may know thousands of others.
+    active: BTreeSet<Incarnation>,
+    /// When idle upstreams were last forgotten.
+    swept_at: Tick,
     /// When any upstream was last heard on a direct connection.
     heard_at: Option<Tick>,
     /// When a direct path last showed a failure or silence.
@@ -31,6 +35,8 @@
 const DOUBT_MS: u64 = 2_000;
 /// Time after the last request for a blocked upstream in which it is probed.
 const USED_MS: u64 = 3_000;
+/// Interval at which idle upstreams are forgotten.
+const SWEEP_MS: u64 = 1_000;
 /// Maximum number of direct probes of blocked upstreams at the same time.
 const MAX_HEAL_PROBES: usize = 8;
 
@@ -41,6 +47,8 @@
             exits: Exits::new(own),
             upstreams: BTreeMap::new(),
             attempts: HashMap::new(),
+            active: BTreeSet::new(),
+            swept_at: Tick(0),
             heard_at: None,
             trouble_at: None,
             blocked: 0,
@@ -143,6 +151,9 @@
         match path {
             Path::Direct => {
                 known.open.insert(attempt, now);
+                if !self.active.contains(&upstream) {
+                    self.active.insert(upstream.clone());
+                }
                 self.attempts.insert(attempt, upstream);
             }
             // Nothing is heard directly while all requests pass through exits.
@@ -221,6 +232,7 @@
                 known.next_probe = now + HEAL_PROBE_MS;
                 if known.blocked_since.is_none() {
                     known.blocked_since = Some(now);
+                    self.active.insert(upstream.clone());
                     self.blocked += 1;
                     self.blocked_since.get_or_insert(now);
                     actions.push(Action::Blocked { upstream: upstream.clone(), exit });
@@ -279,10 +291,20 @@
     }
 
     fn tick(&mut self, now: Tick, actions: &mut Vec<Action>) {
-        let is_healing = |path: &UpstreamPath| path.blocked_since.is_some() && path.is_probing;
-        let mut healing = self.upstreams.values().filter(|path| is_healing(path)).count();
+        let upstreams = &mut self.upstreams;
+        self.active.retain(|upstream| {
+            let is_active =
+                |path: &UpstreamPath| !path.open.is_empty() || path.blocked_since.is_some();
+            upstreams.get(upstream).is_some_and(is_active)
+        });
+        let is_healing = |path: &&UpstreamPath| path.blocked_since.is_some() && path.is_probing;
+        let active = self.active.iter().filter_map(|upstream| upstreams.get(upstream));
+        let mut healing = active.filter(is_healing).count();
         let mut lost_at = Vec::new();
-        for (upstream, known) in &mut self.upstreams {
+        for upstream in &self.active {
+            let Some(known) = upstreams.get_mut(upstream) else {
+                continue;
+            };
             let is_due = !known.is_probing && now >= known.next_probe;
             if known.blocked_since.is_none() {
                 if is_due && known.is_silent(now) {
@@ -302,7 +324,10 @@
             }
         }
         lost_at.iter().for_each(|upstream| self.take_lost(now, upstream, actions));
-        self.forget_idle(now);
+        if now.since(self.swept_at) >= SWEEP_MS {
+            self.swept_at = now;
+            self.forget_idle(now);
+        }
     }
 }
 
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -3,7 +3,9 @@
 use crate::site::{HostSlot, Site};
 use rand::{RngExt, rngs::StdRng};
 use std::{thread, time::Duration};
-use vanetally_platform_standin::{Behaviour, ProxyMode, Runner, StoreMode};
+use vanetally_platform_standin::{
+    Behaviour, Downtime, DowntimeMode, ProxyMode, Runner, StoreMode, TapMode,
+};
 
 /// Number of events of a complete stream.
 pub const EVENTS: u32 = 5;
@@ -34,6 +36,10 @@
 const LINK_FAULTS: [ProxyMode; 5] =
     [ProxyMode::Delay(40), ProxyMode::Reset, ProxyMode::Silent, ProxyMode::OneWay, ProxyMode::Drop];
 
+const TAP_FAULTS: [TapMode; 3] = [TapMode::Reset, TapMode::Silent, TapMode::ResetNew];
+/// Rejections in a second that a brittle runner survives, and how long it is away after its crash.
+const BRITTLE_REJECTIONS: usize = 3;
+const BRITTLE_DOWNTIME: Duration = Duration::from_millis(500);
 /// Share of the faults after which an entry fault is injected.
 const ENTRY_SHARE: f64 = 0.2;
 /// Fields of an entry with the invalid values that another writer puts into them.
@@ -48,7 +54,7 @@
 /// Injects a fault, sometimes heals another, and pauses briefly.
 pub fn inject(rng: &mut StdRng, site: &mut Site) {
     let host = rng.random_range(0..site.slots.len());
-    match rng.random_range(0..16) {
+    match rng.random_range(0..18) {
         0 | 1 => site.slots[host].kill(),
         2 | 3 => site.slots[host].pause(),
         4 => site.slots[host].signal("TERM"),
@@ -70,6 +76,8 @@
             site.announce(number, "draining");
         }
         14 => site.withdraw(site.choose_present(rng)),
+        15 => cut_off(rng, site),
+        16 => make_brittle(rng, site),
         _ => heal_some(rng, site),
     }
     if rng.random_bool(0.4) {
@@ -92,7 +100,7 @@
         _ => site.deployment.store.compact_history(),
     }
     let back = rng.random_range(0..site.slots.len());
-    site.slots[back].revive(&site.deployment, &site.shared);
+    site.slots[back].revive(&site.deployment, &site.shared, &site.tap_modes);
     if rng.random_bool(0.7) {
         heal_some(rng, site);
     }
@@ -125,11 +133,31 @@
     thread::sleep(Duration::from_millis(rng.random_range(1_000..4_000)));
 }
 
+/// Cuts some hosts off from all runners.
+fn cut_off(rng: &mut StdRng, site: &Site) {
+    let mode = choose(rng, &TAP_FAULTS);
+    for slot in &site.slots {
+        if rng.random_bool(0.5) {
+            slot.set_tap_mode(&site.tap_modes, mode);
+        }
+    }
+}
+
+/// Makes the runners of the plain service brittle, with few slots and short queues.
+fn make_brittle(rng: &mut StdRng, site: &Site) {
+    let downtime = Downtime { length: BRITTLE_DOWNTIME, mode: DowntimeMode::Refused };
+    let first = site.deployment.engines.len();
+    for (desk, tap) in site.deployment.desks.iter().zip(&site.taps[first..]) {
+        desk.set_brittle(BRITTLE_REJECTIONS, downtime, &site.deployment.store, tap.address());
+        desk.set_behaviour(Behaviour::Slots { work_ms: 5, queue: rng.random_range(0..3) });
+    }
+}
+
 /// Heals one kind of fault.
 fn heal_some(rng: &mut StdRng, site: &mut Site) {
     let host = rng.random_range(0..site.slots.len());
     match rng.random_range(0..5) {
-        0 => site.slots[host].revive(&site.deployment, &site.shared),
+        0 => site.slots[host].revive(&site.deployment, &site.shared, &site.tap_modes),
         1 => site.deployment.store.set_mode(StoreMode::Serving),
         2 => site.slots[host].store_link.set_mode(ProxyMode::Pass),
         3 => site.runner_links.iter().for_each(|link| link.set_mode(ProxyMode::Pass)),
@@ -147,14 +175,18 @@
     site.runner_links.iter().for_each(|link| link.set_mode(ProxyMode::Pass));
     for slot in &mut site.slots {
         slot.store_link.set_mode(ProxyMode::Pass);
-        HostSlot::revive(slot, &site.deployment, &site.shared);
+        HostSlot::revive(slot, &site.deployment, &site.shared, &site.tap_modes);
+        slot.set_tap_mode(&site.tap_modes, TapMode::Pass);
     }
     site.announce_all();
 }
 
 fn heal_runners(site: &Site) {
     site.deployment.engines.iter().for_each(|engine| engine.set_behaviour(HEALTHY_ENGINE));
-    site.deployment.desks.iter().for_each(|desk| desk.set_behaviour(HEALTHY_DESK));
+    for desk in &site.deployment.desks {
+        desk.set_behaviour(HEALTHY_DESK);
+        desk.clear_brittle();
+    }
 }
 
 fn choose<T: Copy>(rng: &mut StdRng, choices: &[T]) -> T {
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -19,7 +19,9 @@
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, Proxy, Runner, RunnerOptions, Snapshot};
+use vanetally_platform_standin::{
+    Client, Proxy, Runner, RunnerOptions, Snapshot, Tap, TapMode, TapModes,
+};
 
 /// Number of faults before the upstream leaves.
 const FAULT_COUNT: usize = 30;
@@ -100,8 +102,15 @@
         }
     }
 
+    /// Sets how the connections of the process to runners are treated.
+    pub fn set_tap_mode(&self, modes: &TapModes, mode: TapMode) {
+        if let Some(host) = &self.host {
+            modes.set(host.process(), mode);
+        }
+    }
+
     /// Resumes a paused process, and restarts one that has exited.
-    pub fn revive(&mut self, deployment: &Deployment, shared: &SharedState) {
+    pub fn revive(&mut self, deployment: &Deployment, shared: &SharedState, modes: &TapModes) {
         if std::mem::take(&mut self.is_paused) {
             self.signal("CONT");
         }
@@ -109,6 +118,7 @@
         if has_exited {
             let incarnation = shared.incarnations[self.number].fetch_add(1, Ordering::Relaxed) + 1;
             self.start(deployment, incarnation);
+            self.set_tap_mode(modes, TapMode::Pass);
         }
     }
 }
@@ -119,6 +129,9 @@
     pub slots: Vec<HostSlot>,
     /// Proxies in front of the engines, then of the plain services.
     pub runner_links: Vec<Proxy>,
+    /// Taps in front of these proxies, which treat the connections of each host differently.
+    pub taps: Vec<Tap>,
+    pub tap_modes: TapModes,
     pub shared: Arc<SharedState>,
     /// Runner that has left for good.
     gone: Option<usize>,
@@ -140,7 +153,11 @@
         deployment.engines.push(runner("i-engine-2", "llm", &["m1"]));
         deployment.desks.push(runner("i-desk-1", "desk", &[]));
         let runners = deployment.engines.iter().chain(&deployment.desks);
-        let runner_links = runners.map(|runner| Proxy::start(&ip, runner.address())).collect();
+        let runner_links: Vec<Proxy> =
+            runners.map(|runner| Proxy::start(&ip, runner.address())).collect();
+        let tap_modes = TapModes::default();
+        let taps = runner_links.iter().map(|link| Tap::start(&ip, link.address(), &tap_modes));
+        let taps = taps.collect();
         let is_large = seed.is_multiple_of(LARGE_EVERY);
         let hosts = if is_large { LARGE_HOSTS } else { rng.random_range(2..6) };
         let mut slots: Vec<HostSlot> = (0..hosts)
@@ -155,14 +172,27 @@
             .collect();
         let has_keys = seed.is_multiple_of(KEYS_EVERY);
         configure(&deployment, 1, has_keys);
-        slots.iter_mut().for_each(|slot| slot.start(&deployment, FIRST_INCARNATION));
+        for slot in &mut slots {
+            slot.start(&deployment, FIRST_INCARNATION);
+            slot.set_tap_mode(&tap_modes, TapMode::Pass);
+        }
         let fronts = slots.iter().filter_map(|slot| Some(slot.host.as_ref()?.front)).collect();
         let shared = Arc::new(SharedState::new(fronts, has_keys));
         if other_build().is_some() {
             deployment.store.enable_era();
         }
         let (gone, backup, drained) = (None, None, HashMap::new());
-        let mut site = Self { deployment, slots, runner_links, shared, gone, backup, drained };
+        let mut site = Self {
+            deployment,
+            slots,
+            runner_links,
+            taps,
+            tap_modes,
+            shared,
+            gone,
+            backup,
+            drained,
+        };
         site.announce_all();
         site
     }
@@ -181,7 +211,7 @@
             // Leaving holds for the whole incarnation, even if a restore has lost the entry.
             self.runner(number).restart();
         }
-        let (key, mut value) = self.runner(number).entry_at(self.runner_links[number].address());
+        let (key, mut value) = self.runner(number).entry_at(self.taps[number].address());
         value["state"] = state.into();
         self.deployment.store.put(&key, &value);
     }
@@ -194,7 +224,7 @@
 
     /// Puts an invalid value into a field of a runner's entry.
     pub fn corrupt_entry(&self, number: usize, (field, value): (&str, &str)) {
-        let (key, mut entry) = self.runner(number).entry_at(self.runner_links[number].address());
+        let (key, mut entry) = self.runner(number).entry_at(self.taps[number].address());
         entry[field] = value.into();
         self.deployment.store.put(&key, &entry);
     }
@@ -209,6 +239,8 @@
     /// Removes the last plain service for good, with or without an announcement.
     fn remove_service(&mut self, rng: &mut StdRng) {
         let number = self.runner_links.len() - 1;
+        // Its crash would announce the next incarnation.
+        self.runner(number).clear_brittle();
         if rng.random_bool(0.5) {
             self.announce(number, "draining");
         } else {
@@ -283,7 +315,7 @@
         loop {
             // A graceful stop in progress may end only now.
             for slot in &mut self.slots {
-                slot.revive(&self.deployment, &self.shared);
+                slot.revive(&self.deployment, &self.shared, &self.tap_modes);
             }
             match self.check_serving() {
                 Ok(()) => return None,
--- a/tests/soak/upstream_signals.rs
+++ b/tests/soak/upstream_signals.rs
@@ -221,7 +221,7 @@
         let mode = modes[rng.random_range(0..modes.len())];
         let downtime = Downtime { length: Duration::from_millis(700), mode };
         for (number, engine) in site.deployment.engines.iter().enumerate() {
-            let address = site.runner_links[number].address();
+            let address = site.taps[number].address();
             engine.set_crash_body_at(CRASH_BODY, downtime, &site.deployment.store, address);
         }
         let (shared, is_over) = (site.shared.clone(), Arc::new(AtomicBool::new(false)));
