--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -46,6 +46,14 @@
         self.reach_event(Event::Heard(upstream.clone()));
     }
 
+    /// Returns the end of an attempt whose connection was closed before anything was sent.
+    pub(crate) fn unsent_end(&self) -> AttemptEnd {
+        match self.reach.borrow().exits.is_empty() {
+            true => AttemptEnd::Unreachable,
+            false => AttemptEnd::NoPath,
+        }
+    }
+
     /// Returns the end of an attempt whose connection broke. Where other hosts can tell whether the
     /// upstream is at fault, it is not judged before.
     pub(crate) fn broken_end(&self) -> AttemptEnd {
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -145,7 +145,10 @@
                 Some(_) if connection.is_used => {
                     connection = connect_upstream(hub, attempt, false).await?;
                 }
-                Some(_) => return Err(AttemptEnd::NoPath),
+                Some(_) => {
+                    hub.reach_event(Event::ConnectFailed(attempt.upstream.clone()));
+                    return Err(hub.unsent_end());
+                }
                 None => {
                     log::info!(
                         "event=answer_missing upstream={} kept={} error=\"{}\"",
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -146,6 +146,8 @@
         path: Path,
         actions: &mut Vec<Action>,
     ) {
+        // It may have been sent on a connection that was found closed.
+        self.close(attempt);
         let known = self.upstreams.entry(upstream.clone()).or_default();
         known.used_at = now;
         match path {
@@ -172,15 +174,18 @@
     }
 
     fn ended(&mut self, now: Tick, attempt: AttemptId, is_broken: bool, actions: &mut Vec<Action>) {
-        let Some(upstream) = self.attempts.remove(&attempt) else {
-            return;
-        };
+        if let Some(upstream) = self.close(attempt).filter(|_| is_broken) {
+            self.failed(now, &upstream, actions);
+        }
+    }
+
+    /// Removes a direct attempt; returns its upstream if it was open.
+    fn close(&mut self, attempt: AttemptId) -> Option<Incarnation> {
+        let upstream = self.attempts.remove(&attempt)?;
         if let Some(known) = self.upstreams.get_mut(&upstream) {
             known.open.remove(&attempt);
         }
-        if is_broken {
-            self.failed(now, &upstream, actions);
-        }
+        Some(upstream)
     }
 
     /// Probes an upstream that needs a new connection and may be blocked.
--- a/crates/reach/tests/blocked_upstreams.rs
+++ b/crates/reach/tests/blocked_upstreams.rs
@@ -216,3 +216,14 @@
     assert_eq!(reach.blocked(), 0);
     assert_eq!(reach.path(Tick(60_000), &upstream(3)), Path::Direct);
 }
+
+/// A request that is sent again, since its connection was closed, is open on the new path only.
+#[test]
+fn sent_again_through_exit() {
+    let mut reach = host();
+    send(&mut reach, 0, 1, 1);
+    let again = Event::Sent { attempt: 1, upstream: upstream(1), path: Path::Exit };
+    reach.handle(Tick(10), again);
+    probed(&mut reach, 20, 1, ProbeResult::Answered);
+    assert!(reach.handle(Tick(10 * SILENCE_MS), Event::Tick).is_empty());
+}
