fix: of the numbers that a brittle service's upstreams state, only a lower one is news at once

Cause: any number other than the known one was logged and sent to all hosts, so upstreams of one service that state different numbers made a log line and messages with every answer. Found by reading; no test was written for it.

Change: a number as high as the known one or higher waits for the usual repetition.

--- a/crates/gateway/src/brittle.rs
+++ b/crates/gateway/src/brittle.rs
@@ -40,11 +40,12 @@
     fn record_brittle(self: &Rc<Self>, service: &Name, max_rejections: u32, by: &str) -> bool {
         let now = self.clock.now();
         let known = self.dispatch.borrow().brittleness(service);
-        let is_same = known.is_some_and(|(old, _)| old == max_rejections);
-        if is_same && known.is_some_and(|(_, at)| now.since(at) < REPEAT_MS) {
+        // Upstreams of one service may state different numbers: only a lower one is news at once.
+        let is_covered = known.is_some_and(|(old, _)| old <= max_rejections);
+        if is_covered && known.is_some_and(|(_, at)| now.since(at) < REPEAT_MS) {
             return false;
         }
-        if !is_same {
+        if known.is_none_or(|(old, _)| old != max_rejections) {
             log::info!(
                 "event=brittleness_stated service={service} rejections_per_s={max_rejections} by={by}"
             );
