test: a failed process test keeps the logs of its hosts

Cause: tests that failed once could not be traced, since the logs of their hosts went with the test. Two test files wrote logs to a fixed directory instead, left over from tracing; that is removed.

Change: a deployment that is dropped by a failing test copies the logs of its hosts to the build's directory for temporary files and prints where.

--- a/tests/brittle.rs
+++ b/tests/brittle.rs
@@ -147,10 +147,6 @@
         site.deployment.desks[..CRASHED].iter().for_each(Runner::crash);
         thread::sleep(SHORT);
     });
-    for (host, log) in site.deployment.logs() {
-        std::fs::create_dir_all("/tmp/brlogs2").unwrap();
-        std::fs::write(format!("/tmp/brlogs2/{host}"), log).unwrap();
-    } // DEBUG
     let crashes = site.crashes() - CRASHED;
     let back_at = crashed_at + DOWNTIME + Duration::from_secs(2);
     let used = served(&exchanges, back_at, crashed_at + SHORT);
@@ -175,10 +171,6 @@
     }
     site.hosts.iter().for_each(|host| wait_for("the host is ready", || host.is_ready()));
     site.under_load(check, || thread::sleep(CONTACT));
-    for (host, log) in site.deployment.logs() {
-        std::fs::create_dir_all("/tmp/brlogs").unwrap();
-        std::fs::write(format!("/tmp/brlogs/{host}"), log).unwrap();
-    } // DEBUG
     let crashes = site.crashes();
     println!("{crashes} crashes");
     assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -93,11 +93,6 @@
         site.set_mode(0..cut, TapMode::Pass);
         thread::sleep(2 * HEAL);
     });
-    for (host, log) in site.deployment.logs() {
-        let d = format!("/tmp/cutlogs/{mode:?}-{cut}");
-        std::fs::create_dir_all(&d).unwrap();
-        std::fs::write(format!("{d}/{host}"), log).unwrap();
-    } // DEBUG
     Outcome { exchanges, cut_at, healed_at, site }
 }
 
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -12,7 +12,7 @@
 use std::{
     net::SocketAddr,
     path::Path,
-    process::{Child, Command, Stdio},
+    process::{self, Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     thread,
     time::{Duration, Instant},
@@ -52,13 +52,27 @@
     directory: TempDir,
 }
 
+impl Drop for Deployment {
+    /// Keeps the logs of a failed test in the build's directory for temporary files.
+    fn drop(&mut self) {
+        if !thread::panicking() {
+            return;
+        }
+        let test = thread::current().name().unwrap_or("unnamed").replace("::", "-");
+        let kept = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{}", process::id()));
+        if let Err(error) = self.copy_logs(&kept) {
+            println!("the logs are not kept: {error}");
+        }
+    }
+}
+
 /// Number of addresses of one test process.
 const ADDRESS_COUNT: u32 = 254;
 
 /// Returns a loopback address that no other test process uses.
 pub fn fresh_ip() -> String {
     static NEXT: AtomicU32 = AtomicU32::new(1);
-    let process = std::process::id();
+    let process = process::id();
     let next = NEXT.fetch_add(1, Ordering::Relaxed);
     // An address is reused only after all others, when its former listener has gone.
     format!("127.{}.{}.{}", 1 + process / 250 % 250, 1 + process % 250, 1 + next % ADDRESS_COUNT)
@@ -115,6 +129,13 @@
         logs.map(entry).collect()
     }
 
+    fn copy_logs(&self, to: &Path) -> std::io::Result<()> {
+        std::fs::create_dir_all(to)?;
+        self.logs().into_iter().try_for_each(|(file, text)| std::fs::write(to.join(file), text))?;
+        println!("logs of the hosts: {}", to.display());
+        Ok(())
+    }
+
     /// Returns the log of a host.
     pub fn log(&self, host: &str) -> String {
         let name = format!("{host}.log");
