--- a/crates/bench/benches/reach.rs
+++ b/crates/bench/benches/reach.rs
@@ -2,7 +2,7 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use std::hint::black_box;
-use vanetally_reach::{Event, Path, Reach};
+use vanetally_reach::{AttemptId, Event, Path, Reach};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Upstreams that a host of the present, a middle and the largest deployment may use.
@@ -19,11 +19,11 @@
     let mut reach = Reach::new("front-0".into());
     reach.exits.set_hosts((0..hosts).map(|number| format!("front-{number}").into()).collect());
     for number in 0..upstreams {
-        let event =
-            Event::Sent { attempt: number as u64, upstream: upstream(number), path: Path::Direct };
+        let attempt = AttemptId::Own(number as u64);
+        let event = Event::Sent { attempt, upstream: upstream(number), path: Path::Direct };
         reach.handle(NOW, event);
         reach.handle(NOW, Event::Heard(upstream(number)));
-        reach.handle(NOW, Event::Ended { attempt: number as u64, is_broken: false });
+        reach.handle(NOW, Event::Ended { attempt, is_broken: false });
     }
     reach
 }
@@ -35,7 +35,7 @@
         let mut group = criterion.benchmark_group(name);
         group.bench_function("request", |bencher| {
             bencher.iter(|| {
-                let (attempt, to) = (1, upstream(7));
+                let (attempt, to) = (AttemptId::Own(1), upstream(7));
                 black_box(reach.path(NOW, &to));
                 reach
                     .handle(NOW, Event::Sent { attempt, upstream: to.clone(), path: Path::Direct });
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -248,6 +248,11 @@
         self.upstreams.get(upstream).map(|known| &known.state)
     }
 
+    /// Returns the known upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Incarnation> {
+        self.upstreams.keys()
+    }
+
     /// Returns the quarantined content hashes.
     pub fn quarantine(&self) -> &BlockedContents {
         &self.quarantine
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -80,7 +80,7 @@
 async fn connect_through_exit(hub: &Rc<Hub>, attempt: &Attempt) -> Result<Connection, NoTunnel> {
     let open = hub.pool.open(attempt.address, attempt.connections);
     let open = open.map_err(|_| NoTunnel::Unknown)?;
-    let Opened { stream, tunnel, .. } = hub.open_tunnel(&attempt.upstream, &mut Vec::new()).await?;
+    let Opened { stream, tunnel } = hub.open_tunnel(&attempt.upstream).await?;
     let connected = hub.pool.connect_through(open, stream, tunnel).await;
     connected.map_err(|error| {
         log::info!("event=connect_failed upstream={} error=\"{error}\"", attempt.upstream);
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -5,6 +5,7 @@
     clock::{self, Clock},
     configuration_wait::ConfigurationWait,
     entry_point::EntryAttempts,
+    exit::{ServedTunnels, TunnelEvent},
     feed::Feed,
     limits::Limits,
     pacing::Pacing,
@@ -17,7 +18,6 @@
     slots::Slots,
     store::Store,
     telemetry,
-    tunnels::ServedTunnels,
 };
 use bytes::Bytes;
 use std::{
@@ -87,6 +87,7 @@
     pub settings: Settings,
     pub ports: Ports,
     pub links: Links,
+    pub tunnels: mpsc::UnboundedSender<TunnelEvent>,
 }
 
 /// All state of the process, owned by one thread.
@@ -172,7 +173,7 @@
 
 impl Hub {
     pub(crate) fn new(parts: HubParts) -> Rc<Self> {
-        let HubParts { settings, ports, links } = parts;
+        let HubParts { settings, ports, links, tunnels } = parts;
         let bounds = &settings.bounds;
         let options = dispatch::Options {
             host: settings.host.clone(),
@@ -247,7 +248,7 @@
             evidence: RefCell::default(),
             probes: RefCell::default(),
             reach: RefCell::new(Reach::new(settings.host.clone())),
-            served_tunnels: ServedTunnels::new(settings.memory_bytes),
+            served_tunnels: ServedTunnels::new(settings.memory_bytes, tunnels),
             quarantine_writes: Cell::new(0),
             totals: RefCell::default(),
             last_load: Cell::new(clock.now()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod eras;
 mod evacuations;
 mod exchange;
+mod exit;
 mod feed;
 mod headers;
 mod hosts;
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event, RequestId};
 use vanetally_ports::{Refusal, RefusalCause};
-use vanetally_reach::Event as ReachEvent;
+use vanetally_reach::{AttemptId, Event as ReachEvent};
 use vanetally_types::{Name, Tick};
 
 /// Why an attempt ends before its response does.
@@ -115,7 +115,8 @@
 
     /// Ends the attempt in progress, if any, on its path to the upstream.
     fn leave_path(&self, is_broken: bool) {
-        self.hub.reach_event(ReachEvent::Ended { attempt: self.id.0, is_broken });
+        let attempt = AttemptId::Own(self.id.0);
+        self.hub.reach_event(ReachEvent::Ended { attempt, is_broken });
     }
 
     /// Returns the next attempt, or the refusal that ends the request.
--- a/crates/gateway/src/probing.rs
+++ b/crates/gateway/src/probing.rs
@@ -6,14 +6,8 @@
 //! another host as well, and counts as failed only if that host, which reaches others, gets no answer
 //! either.
 
-use crate::{
-    hub::Hub,
-    pool,
-    request_log::record_probe,
-    tunnels::{NoTunnel, Opened},
-};
+use crate::{hub::Hub, pool, request_log::record_probe, tunnels::Opinion};
 use bytes::Bytes;
-use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{Method, Request, Response, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -26,7 +20,7 @@
 use vanetally_link::socket;
 use vanetally_ports::UpstreamState;
 use vanetally_quarantine::{ContentHash, CrashReport, CrashSign};
-use vanetally_reach::{Event, ExitFailure, ProbeResult, ProbeScope};
+use vanetally_reach::{Event, ProbeResult, ProbeScope};
 use vanetally_types::{Incarnation, Name};
 
 /// Timeout of a direct probe, and of one through an exit.
@@ -35,9 +29,7 @@
 const EXIT_DELAY: Duration = Duration::from_millis(60);
 /// Time in which an upstream that answered through an exit may still answer directly: one that was
 /// silent for a while answers both at about the same time.
-const DIRECT_GRACE: Duration = Duration::from_millis(100);
-/// Maximum number of exits through which an upstream is asked.
-const MAX_PROBE_EXITS: usize = 2;
+const DIRECT_GRACE: Duration = Duration::from_millis(250);
 /// Time within which a front proxy whose upstream is gone closes a connection.
 const CLOSE_MS: u64 = 60;
 /// Maximum size of a report.
@@ -73,7 +65,7 @@
 
 /// Result of asking an upstream on one connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Asked {
+pub(crate) enum Asked {
     /// It answered, and is alive.
     Answered,
     /// The answer shows that the incarnation has ended.
@@ -121,6 +113,14 @@
         });
     }
 
+    /// Asks an upstream on a new connection, with the bounds of a probe.
+    pub(crate) async fn ask_directly(&self, upstream: &Incarnation) -> Asked {
+        match self.suspect(upstream) {
+            Some(suspect) => ask_directly(self, &suspect).await,
+            None => Asked::Unanswered(None),
+        }
+    }
+
     fn suspect(&self, upstream: &Incarnation) -> Option<Suspect> {
         let dispatch = self.dispatch.borrow();
         let UpstreamState { service, address, .. } = dispatch.upstream_state(upstream)?;
@@ -192,7 +192,7 @@
         Some(Asked::Ended) => return Finding::Faulty(Some(CrashSign::Ended)),
         Some(Asked::Unanswered(_)) | None => {}
     }
-    let mut through = Box::pin(ask_through_exits(hub, suspect));
+    let mut through = Box::pin(finding_of_exits(hub, suspect));
     let found = loop {
         tokio::select! {
             biased;
@@ -203,10 +203,12 @@
             found = &mut through => break found,
         }
     };
-    if asked.is_none() {
-        let limit = if matches!(found, Finding::Blocked(_)) { DIRECT_GRACE } else { PROBE_TIMEOUT };
-        asked = timeout(limit, &mut direct).await.ok();
-    }
+    asked = match found {
+        // The first question may have been lost while the upstream was silent for all.
+        Finding::Blocked(_) => timeout(DIRECT_GRACE, ask_directly(hub, suspect)).await.ok(),
+        _ if asked.is_none() => timeout(PROBE_TIMEOUT, &mut direct).await.ok(),
+        _ => asked,
+    };
     match (asked, found) {
         (Some(Asked::Answered), _) => Finding::Answered,
         (Some(Asked::Ended), _) => Finding::Faulty(Some(CrashSign::Ended)),
@@ -215,6 +217,16 @@
     }
 }
 
+/// Returns what other hosts find.
+async fn finding_of_exits(hub: &Rc<Hub>, suspect: &Suspect) -> Finding {
+    match hub.opinion_of_exits(&suspect.upstream).await {
+        Opinion::Answers(exit) => Finding::Blocked(exit),
+        Opinion::Ended => Finding::Faulty(Some(CrashSign::Ended)),
+        Opinion::Silent => Finding::Faulty(Some(CrashSign::Silent)),
+        Opinion::Unknown => Finding::Unknown,
+    }
+}
+
 /// Returns the finding of a direct probe that only looks whether an upstream is reached again.
 fn direct_finding(asked: Asked) -> Finding {
     match asked {
@@ -240,47 +252,6 @@
     }
 }
 
-/// Asks an upstream through several exits at the same time, since a single one may have lost its path to
-/// the same upstream.
-async fn ask_through_exits(hub: &Rc<Hub>, suspect: &Suspect) -> Finding {
-    let mut tried = Vec::new();
-    let mut finding = Finding::Unknown;
-    let mut asked = FuturesUnordered::new();
-    for _ in 0..MAX_PROBE_EXITS {
-        match hub.open_tunnel(&suspect.upstream, &mut tried).await {
-            Ok(opened) => asked.push(ask_through(hub, suspect, opened)),
-            Err(NoTunnel::Unreachable) => {
-                finding = Finding::Faulty(Some(CrashSign::Silent));
-                break;
-            }
-            Err(NoTunnel::NoHosts | NoTunnel::Unknown) => break,
-        }
-    }
-    while let Some(found) = asked.next().await {
-        match found {
-            Finding::Blocked(_) | Finding::Faulty(Some(CrashSign::Ended)) => return found,
-            Finding::Faulty(_) => finding = found,
-            Finding::Answered | Finding::Unknown => {}
-        }
-    }
-    finding
-}
-
-/// Asks an upstream through a tunnel.
-async fn ask_through(hub: &Rc<Hub>, suspect: &Suspect, opened: Opened) -> Finding {
-    let Opened { stream, tunnel, is_sure } = opened;
-    match ask(hub, suspect, stream).await {
-        Asked::Answered => Finding::Blocked(tunnel.exit.clone()),
-        Asked::Ended => Finding::Faulty(Some(CrashSign::Ended)),
-        Asked::Unanswered(sign) if is_sure => Finding::Faulty(sign),
-        Asked::Unanswered(_) => {
-            let now = hub.clock.now();
-            hub.reach.borrow_mut().exits.failed(now, &tunnel.exit, ExitFailure::CutOff);
-            Finding::Unknown
-        }
-    }
-}
-
 /// Asks an upstream on a connection that was just opened.
 async fn ask(
     hub: &Hub,
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -7,7 +7,7 @@
 };
 use std::rc::Rc;
 use vanetally_dispatch::{self as dispatch, AttemptEnd, RequestId};
-use vanetally_reach::{Action, Event};
+use vanetally_reach::{Action, AttemptId, Event};
 use vanetally_types::Incarnation;
 
 impl Hub {
@@ -29,7 +29,9 @@
                     );
                     telemetry::upstream_blocked(false);
                 }
-                Action::Lost(attempt) => self.attempt_lost(RequestId(attempt)),
+                Action::Lost(AttemptId::Own(id)) => self.attempt_lost(RequestId(id)),
+                // The tunnels to a blocked upstream were closed.
+                Action::Lost(AttemptId::Served(_)) => {}
             }
         }
     }
@@ -41,9 +43,11 @@
         self.request_event(dispatch::Event::Detached { id });
     }
 
-    /// Records that bytes of an upstream were received on a direct connection.
-    pub(crate) fn upstream_heard(self: &Rc<Self>, upstream: &Incarnation) {
-        self.reach_event(Event::Heard(upstream.clone()));
+    /// Records that bytes of an upstream were received on a direct connection, the first ones if it
+    /// was not used before.
+    pub(crate) fn upstream_heard(self: &Rc<Self>, upstream: &Incarnation, is_used: bool) {
+        let upstream = upstream.clone();
+        self.reach_event(if is_used { Event::Heard(upstream) } else { Event::Proven(upstream) });
     }
 
     /// Returns the end of an attempt whose connection was closed before anything was sent.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -131,7 +131,7 @@
                 Some(Err(_)) => return ReadEnd::Broken(self.pending.hub.broken_end()),
                 Some(Ok(frame)) => {
                     if source.connection.path() == Path::Direct {
-                        self.pending.hub.upstream_heard(&self.attempt.upstream);
+                        self.pending.hub.upstream_heard(&self.attempt.upstream, true);
                     }
                     if !self.forward(frame).await {
                         return ReadEnd::Cancelled;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     evacuations::EvacuationFeedHandler,
+    exit::{TunnelCall, TunnelEvent},
     feed::Feed,
     hub::{Hub, HubParts, Stage},
     listener,
@@ -28,10 +29,7 @@
     task::{LocalSet, spawn_local},
     time::{interval, sleep},
 };
-use vanetally_link::{
-    peer::{self, Links},
-    tunnel::{TunnelDecision, TunnelRequest},
-};
+use vanetally_link::peer::{self, Links};
 use vanetally_placement::OrderLeaseEvent;
 use vanetally_ports::{Change, Ports};
 use vanetally_types::{HostId, Name};
@@ -80,7 +78,7 @@
     let (sender, inbox) = mpsc::unbounded_channel();
     let (broken_sender, broken) = mpsc::unbounded_channel();
     let (tunnel_sender, tunnels) = mpsc::unbounded_channel();
-    let links = start_links(&settings, sender, broken_sender, tunnel_sender)?;
+    let links = start_links(&settings, sender, broken_sender, tunnel_sender.clone())?;
     let callers = listen(settings.listen).context("callers")?;
     let status_addresses = [settings.ready, settings.metrics];
     log::info!(
@@ -90,7 +88,8 @@
         settings.listen
     );
     telemetry::build_info(build);
-    let hub = Hub::new(HubParts { settings: settings.clone(), ports, links });
+    let hub =
+        Hub::new(HubParts { settings: settings.clone(), ports, links, tunnels: tunnel_sender });
     let status = Rc::new(Status { hub: hub.clone(), metrics });
     for address in status_addresses.into_iter().flatten() {
         let listener = listen(address).context("readiness and metrics")?;
@@ -100,7 +99,7 @@
     spawn_local(registration::register(hub.clone()));
     spawn_local(receive_messages(hub.clone(), inbox));
     spawn_local(links_broken(hub.clone(), broken));
-    spawn_local(decide_tunnels(hub.clone(), tunnels));
+    spawn_local(serve_tunnels(hub.clone(), tunnels));
     spawn_local(listener::accept(hub.clone(), callers));
     spawn_local(run_timers(hub.clone(), status.clone()));
     spawn_local(reload_on_hangup(settings, reload));
@@ -120,7 +119,7 @@
     settings: &Settings,
     sender: mpsc::UnboundedSender<(Name, PeerMessage)>,
     broken: mpsc::UnboundedSender<Name>,
-    tunnels: mpsc::UnboundedSender<TunnelCall>,
+    tunnels: mpsc::UnboundedSender<TunnelEvent>,
 ) -> anyhow::Result<Links> {
     let address = SocketAddr::new(settings.ip, settings.link_port);
     let listener =
@@ -150,7 +149,8 @@
             let _ = broken.send(to);
         }
         peer::Event::Tunnel { from, request, decide } => {
-            let _ = tunnels.send(TunnelCall { from: from.name, request, decide });
+            let call = TunnelCall { from: from.name, request, decide };
+            let _ = tunnels.send(TunnelEvent::Requested(call));
         }
     })
 }
@@ -215,17 +215,10 @@
     }
 }
 
-/// A request of another host for a tunnel.
-struct TunnelCall {
-    from: Name,
-    request: TunnelRequest,
-    decide: TunnelDecision,
-}
-
-/// Decides on the tunnels of other hosts.
-async fn decide_tunnels(hub: Rc<Hub>, mut calls: mpsc::UnboundedReceiver<TunnelCall>) {
-    while let Some(TunnelCall { from, request, decide }) = calls.recv().await {
-        hub.decide_tunnel(&from, &request, decide);
+/// Handles what concerns the tunnels of other hosts.
+async fn serve_tunnels(hub: Rc<Hub>, mut events: mpsc::UnboundedReceiver<TunnelEvent>) {
+    while let Some(event) = events.recv().await {
+        hub.tunnel_event(event);
     }
 }
 
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -13,7 +13,7 @@
 use std::{rc::Rc, time::Duration};
 use vanetally_dispatch::{Attempt, AttemptEnd, RequestId};
 use vanetally_ports::{AnswerKind, AttemptHead};
-use vanetally_reach::{Event, Path};
+use vanetally_reach::{AttemptId, Event, Path};
 use vanetally_types::{Name, Tick};
 
 /// Maximum size of the body of a rejecting response that is read to reuse the connection.
@@ -132,11 +132,11 @@
         let request = upstream_request(context, scheduled);
         let path = connection.path();
         let upstream = attempt.upstream.clone();
-        hub.reach_event(Event::Sent { attempt: context.id.0, upstream, path });
+        hub.reach_event(Event::Sent { attempt: AttemptId::Own(context.id.0), upstream, path });
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 if path == Path::Direct {
-                    hub.upstream_heard(&attempt.upstream);
+                    hub.upstream_heard(&attempt.upstream, connection.is_used);
                 }
                 return Ok((connection, response));
             }
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -1,12 +1,9 @@
-//! Tunnels to upstreams: those that this host opens through exits, and those that other hosts open
-//! through this one.
+//! Tunnels to upstreams that this host opens through exits.
 
 use crate::{hub::Hub, telemetry};
-use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc};
-use tokio::sync::watch;
-use vanetally_link::tunnel::{
-    ByteStream, Tunnel, TunnelDecision, TunnelError, TunnelRefusal, TunnelRequest, TunnelTarget,
-};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use std::rc::Rc;
+use vanetally_link::tunnel::{ByteStream, Tunnel, TunnelError, TunnelRefusal, TunnelRequest};
 use vanetally_reach::ExitFailure;
 use vanetally_types::{Incarnation, Name};
 
@@ -15,15 +12,6 @@
 /// Number of hosts whose failure to reach an upstream shows that it is at fault: a single one may have
 /// lost its path to the same upstream.
 const MIN_UNREACHED: usize = 2;
-/// Share of the process's memory that the tunnels of other hosts may use, as a divisor, and the
-/// memory of one tunnel.
-const MEMORY_DIVISOR: u64 = 16;
-const TUNNEL_BYTES: u64 = 48 << 10;
-/// Maximum number of tunnels of other hosts if the memory is not stated.
-const DEFAULT_MAX_TUNNELS: usize = 256;
-/// Time since an upstream was heard within which this host is sure to reach upstreams.
-const HEARD_MS: u64 = 300;
-
 /// Why no tunnel could be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoTunnel {
@@ -49,8 +37,6 @@
 pub(crate) struct Opened {
     pub stream: Box<dyn ByteStream>,
     pub tunnel: OpenTunnel,
-    /// Whether the exit has heard an upstream just before, so that it is not cut off itself.
-    pub is_sure: bool,
 }
 
 /// Counts a tunnel through an exit as open until dropped.
@@ -65,89 +51,44 @@
     }
 }
 
-/// The tunnels of other hosts through this one.
-pub(crate) struct ServedTunnels {
-    max: usize,
-    /// Cloned for each open tunnel.
-    counter: Arc<()>,
-    /// Dropping a sender closes the tunnels to its upstream.
-    upstreams: RefCell<HashMap<Incarnation, watch::Sender<()>>>,
-}
-
-impl ServedTunnels {
-    /// Creates the state of a process that may use `memory_bytes`, if stated.
-    pub(crate) fn new(memory_bytes: Option<u64>) -> Self {
-        let by_memory = |bytes: u64| (bytes / MEMORY_DIVISOR / TUNNEL_BYTES) as usize;
-        Self {
-            max: memory_bytes.map_or(DEFAULT_MAX_TUNNELS, by_memory),
-            counter: Arc::default(),
-            upstreams: RefCell::default(),
-        }
-    }
-
-    /// Returns the number of open tunnels.
-    pub(crate) fn open(&self) -> usize {
-        Arc::strong_count(&self.counter) - 1
-    }
-
-    /// Closes the tunnels to an upstream.
-    pub(crate) fn close(&self, upstream: &Incarnation) {
-        self.upstreams.borrow_mut().remove(upstream);
-    }
-
-    /// Forgets the upstreams without a tunnel.
-    pub(crate) fn sweep(&self) {
-        self.upstreams.borrow_mut().retain(|_, closer| closer.receiver_count() > 0);
-    }
-
-    fn watch(&self, upstream: &Incarnation) -> watch::Receiver<()> {
-        let mut upstreams = self.upstreams.borrow_mut();
-        let closer = upstreams.entry(upstream.clone()).or_insert_with(|| watch::Sender::new(()));
-        closer.subscribe()
-    }
+/// What other hosts say of an upstream that does not answer this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Opinion {
+    /// It answers this host.
+    Answers(Name),
+    /// Its incarnation has ended.
+    Ended,
+    /// It does not answer hosts that reach others.
+    Silent,
+    /// No host could tell.
+    Unknown,
 }
 
 impl Hub {
-    /// Opens a tunnel to an upstream through the first exit that can, other than those in `tried`, to
-    /// which the exits that were asked are added.
+    /// Opens a tunnel to an upstream through the first exit that can.
     pub(crate) async fn open_tunnel(
         self: &Rc<Self>,
         upstream: &Incarnation,
-        tried: &mut Vec<Name>,
     ) -> Result<Opened, NoTunnel> {
         if self.reach.borrow().exits.is_empty() {
             return Err(NoTunnel::NoHosts);
         }
-        let request = TunnelRequest { upstream: upstream.clone() };
+        let request = TunnelRequest { upstream: upstream.clone(), must_probe: false };
+        let mut tried = Vec::new();
         let mut unreached = 0;
-        while tried.len() < MAX_EXITS && unreached < MIN_UNREACHED {
-            let now = self.clock.now();
-            let exit = self.reach.borrow_mut().exits.choose(now, tried);
-            let Some(exit) = exit else {
-                break;
-            };
-            tried.push(exit.clone());
-            let link = self.peers.borrow().get(&exit).map(|entry| entry.link);
-            let Some(link) = link else {
-                continue;
-            };
-            let error = match self.links.open_tunnel(&exit, link, &request).await {
-                Ok(Tunnel { stream, is_sure }) => {
-                    self.reach.borrow_mut().exits.opened(self.clock.now(), &exit);
+        while unreached < MIN_UNREACHED
+            && let Some(exit) = self.next_exit(&mut tried)
+        {
+            match self.ask_exit(&exit, &request).await {
+                Ok(Tunnel { stream }) => {
                     telemetry::tunnel_opened(true);
                     let tunnel = OpenTunnel { hub: self.clone(), exit };
-                    return Ok(Opened { stream, tunnel, is_sure });
+                    return Ok(Opened { stream, tunnel });
                 }
-                Err(error) => error,
-            };
-            log::debug!("event=tunnel_refused upstream={upstream} exit={exit} reason=\"{error}\"");
-            match exit_failure(error) {
-                Some(failure) => {
-                    let now = self.clock.now();
-                    self.reach.borrow_mut().exits.failed(now, &exit, failure);
+                Err(TunnelError::Refused(TunnelRefusal::Unreachable | TunnelRefusal::Ended)) => {
+                    unreached += 1;
                 }
-                None if error == TunnelError::Refused(TunnelRefusal::Unreachable) => unreached += 1,
-                None => {}
+                Err(_) => {}
             }
         }
         let reason = if unreached > 0 { NoTunnel::Unreachable } else { NoTunnel::Unknown };
@@ -160,47 +101,65 @@
         Err(reason)
     }
 
-    /// Decides on a tunnel that another host wants to open through this one.
-    pub(crate) fn decide_tunnel(
-        &self,
-        from: &Name,
-        request: &TunnelRequest,
-        decide: TunnelDecision,
-    ) {
-        let decision = self.tunnel_target(&request.upstream);
-        let outcome = decision.as_ref().map_or_else(|refusal| refusal.to_string(), |_| "ok".into());
-        telemetry::tunnel_served(decision.is_ok());
-        log::debug!(
-            "event=tunnel_asked upstream={} by={from} outcome=\"{outcome}\"",
-            request.upstream
-        );
-        // The link may have broken meanwhile.
-        let _ = decide.send(decision);
+    /// Asks other hosts whether an upstream answers them, two at the same time: a single one may have
+    /// lost its path to the same upstream.
+    pub(crate) async fn opinion_of_exits(self: &Rc<Self>, upstream: &Incarnation) -> Opinion {
+        let request = TunnelRequest { upstream: upstream.clone(), must_probe: true };
+        let mut tried = Vec::new();
+        let mut unreached = 0;
+        let mut asked = FuturesUnordered::new();
+        loop {
+            while asked.len() + unreached < MIN_UNREACHED
+                && let Some(exit) = self.next_exit(&mut tried)
+            {
+                let (hub, request) = (self.clone(), request.clone());
+                asked.push(async move {
+                    let answer = hub.ask_exit(&exit, &request).await;
+                    // What was opened is not needed.
+                    answer.map(|_| drop(OpenTunnel { hub, exit: exit.clone() })).map(|()| exit)
+                });
+            }
+            match asked.next().await {
+                Some(Ok(exit)) => return Opinion::Answers(exit),
+                Some(Err(TunnelError::Refused(TunnelRefusal::Ended))) => return Opinion::Ended,
+                Some(Err(TunnelError::Refused(TunnelRefusal::Unreachable))) => unreached += 1,
+                Some(Err(_)) => {}
+                None if unreached > 0 => return Opinion::Silent,
+                None => return Opinion::Unknown,
+            }
+        }
     }
 
-    fn tunnel_target(&self, upstream: &Incarnation) -> Result<TunnelTarget, TunnelRefusal> {
-        let now = self.clock.now();
-        let served = &self.served_tunnels;
-        let dispatch = self.dispatch.borrow();
-        let state = dispatch.upstream_state(upstream).ok_or(TunnelRefusal::Unknown)?;
-        let reach = self.reach.borrow();
-        if self.is_leaving() {
-            return Err(TunnelRefusal::Leaving);
+    /// Returns the exit to ask next, and adds it to those that were `tried`.
+    fn next_exit(&self, tried: &mut Vec<Name>) -> Option<Name> {
+        if tried.len() >= MAX_EXITS {
+            return None;
         }
-        if !reach.may_exit(now, upstream) {
-            return Err(TunnelRefusal::CutOff);
-        }
-        if served.open() >= served.max {
-            return Err(TunnelRefusal::Busy);
+        let exit = self.reach.borrow_mut().exits.choose(self.clock.now(), tried)?;
+        tried.push(exit.clone());
+        Some(exit)
+    }
+
+    /// Asks one exit for a tunnel, and records what its answer says of it. An open tunnel counts until
+    /// its [`OpenTunnel`] is dropped.
+    async fn ask_exit(&self, exit: &Name, request: &TunnelRequest) -> Result<Tunnel, TunnelError> {
+        let link = self.peers.borrow().get(exit).map(|entry| entry.link);
+        let link = link.ok_or(TunnelError::NoExit)?;
+        let answer = self.links.open_tunnel(exit, link, request).await;
+        let now = self.clock.now();
+        match &answer {
+            Ok(_) => self.reach.borrow_mut().exits.opened(now, exit),
+            Err(error) => {
+                let upstream = &request.upstream;
+                log::debug!(
+                    "event=tunnel_refused upstream={upstream} exit={exit} reason=\"{error}\""
+                );
+                if let Some(failure) = exit_failure(*error) {
+                    self.reach.borrow_mut().exits.failed(now, exit, failure);
+                }
+            }
         }
-        let is_sure = reach.unheard_ms(now).is_some_and(|ms| ms <= HEARD_MS);
-        Ok(TunnelTarget {
-            address: state.address,
-            on_failure: if is_sure { TunnelRefusal::Unreachable } else { TunnelRefusal::CutOff },
-            is_sure,
-            closed: served.watch(upstream),
-            guard: Box::new(served.counter.clone()),
-        })
+        answer
     }
 }
 
@@ -211,6 +170,11 @@
         TunnelError::Refused(TunnelRefusal::CutOff) => Some(ExitFailure::CutOff),
         TunnelError::Refused(TunnelRefusal::Busy) => Some(ExitFailure::Busy),
         TunnelError::Refused(TunnelRefusal::Leaving) => Some(ExitFailure::Leaving),
-        TunnelError::Refused(TunnelRefusal::Unreachable | TunnelRefusal::Unknown) => None,
+        TunnelError::Refused(
+            TunnelRefusal::Unreachable
+            | TunnelRefusal::Ended
+            | TunnelRefusal::NotConnected
+            | TunnelRefusal::Unknown,
+        ) => None,
     }
 }
--- a/crates/link/src/tunnel.rs
+++ b/crates/link/src/tunnel.rs
@@ -15,14 +15,18 @@
 use serde::{Deserialize, Serialize};
 use std::{
     any::Any,
-    io,
+    fmt, io,
     net::SocketAddr,
     pin::Pin,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
 use tokio::{
-    io::{AsyncRead, AsyncWrite, AsyncWriteExt, copy, join, split},
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, join, split},
     net::TcpStream,
     sync::{oneshot, watch},
     time::timeout,
@@ -37,6 +41,9 @@
     /// The upstream to which the tunnel leads. The exit uses the address that it knows itself.
     #[serde(rename = "u")]
     pub upstream: Incarnation,
+    /// Whether the exit asks the upstream first in any case, to tell whether it is alive.
+    #[serde(rename = "p", default)]
+    pub must_probe: bool,
 }
 
 /// The bytes that pass through a tunnel.
@@ -48,8 +55,6 @@
 pub struct Tunnel {
     /// The bytes of the connection to the upstream.
     pub stream: Box<dyn ByteStream>,
-    /// Whether the exit has heard an upstream just before, so that it is not cut off itself.
-    pub is_sure: bool,
 }
 
 /// Why an exit opens no tunnel. Nothing was sent to the upstream.
@@ -61,6 +66,12 @@
     /// The exit reaches other upstreams, but not this one.
     #[error("unreachable")]
     Unreachable,
+    /// This incarnation of the upstream has ended.
+    #[error("ended")]
+    Ended,
+    /// The exit could not connect to the upstream, and has not found out why.
+    #[error("not connected")]
+    NotConnected,
     /// The exit has as many tunnels as it may have.
     #[error("busy")]
     Busy,
@@ -83,15 +94,24 @@
     Refused(#[from] TunnelRefusal),
 }
 
+/// Follows what the exit sees of the upstream at the far end of a tunnel. It is dropped with the
+/// tunnel.
+pub trait TunnelWatcher: fmt::Debug + Send {
+    /// Bytes were sent to the upstream, which has answered all that was sent before.
+    fn sent(&mut self);
+    /// The upstream answered.
+    fn answered(&mut self);
+    /// The upstream could not be connected to, or its connection ended without an answer.
+    fn broken(&mut self);
+}
+
 /// Where an accepted tunnel leads.
 #[derive(Debug)]
 pub struct TunnelTarget {
     /// Address of the upstream.
     pub address: SocketAddr,
-    /// The answer if the upstream can't be connected to.
-    pub on_failure: TunnelRefusal,
-    /// Whether the exit has heard an upstream just before.
-    pub is_sure: bool,
+    /// Follows the upstream's end of the tunnel.
+    pub watcher: Box<dyn TunnelWatcher>,
     /// The tunnel is closed when the sender is dropped.
     pub closed: watch::Receiver<()>,
     /// Dropped with the tunnel.
@@ -103,8 +123,7 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 enum Reply {
-    /// The tunnel is open; the flag says whether the exit has heard an upstream just before.
-    Opened(bool),
+    Opened,
     Refused(TunnelRefusal),
 }
 
@@ -131,7 +150,7 @@
     };
     let opened = timeout(OPEN_TIMEOUT, opening).await.ok().flatten();
     match opened.ok_or(TunnelError::NoExit)? {
-        (socket, Reply::Opened(is_sure)) => Ok(Tunnel { stream: byte_stream(socket), is_sure }),
+        (socket, Reply::Opened) => Ok(Tunnel { stream: byte_stream(socket) }),
         (_, Reply::Refused(refusal)) => Err(refusal.into()),
     }
 }
@@ -151,7 +170,7 @@
         Err(refusal) => Err(refusal),
     };
     let reply = match &connected {
-        Ok((_, target)) => Reply::Opened(target.is_sure),
+        Ok(_) => Reply::Opened,
         Err(refusal) => Reply::Refused(*refusal),
     };
     let is_sent = handshake::write(&mut socket, &reply).await.is_some();
@@ -160,32 +179,109 @@
     }
 }
 
-async fn connect(target: TunnelTarget) -> Result<(TcpStream, TunnelTarget), TunnelRefusal> {
+async fn connect(mut target: TunnelTarget) -> Result<(TcpStream, TunnelTarget), TunnelRefusal> {
     match socket::connect_within(target.address, CONNECT_TIMEOUT).await {
         Ok(stream) => Ok((stream, target)),
-        Err(_) => Err(target.on_failure),
+        Err(_) => {
+            target.watcher.broken();
+            Err(TunnelRefusal::NotConnected)
+        }
     }
 }
 
 /// Copies bytes until either connection ends.
-async fn forward(
-    near: impl AsyncRead + AsyncWrite + Unpin,
-    far: TcpStream,
-    mut target: TunnelTarget,
-) {
+async fn forward(near: impl AsyncRead + AsyncWrite + Unpin, far: TcpStream, target: TunnelTarget) {
+    let TunnelTarget { watcher, mut closed, guard: _guard, .. } = target;
     let (mut near_reader, mut near_writer) = split(near);
     let (mut far_reader, mut far_writer) = split(far);
+    let far_end = FarEnd::new(watcher);
     tokio::select! {
         // The requesting host has given up, or has lost its way here.
-        _ = copy(&mut near_reader, &mut far_writer) => {}
-        copied = copy(&mut far_reader, &mut near_writer) => {
+        _ = forward_requests(&mut near_reader, &mut far_writer, &far_end) => {}
+        copied = forward_responses(&mut far_reader, &mut near_writer, &far_end) => {
             // Only the regular end of a response may look like one.
             if copied.is_ok() {
                 // The requesting host may have left meanwhile.
                 let _ = near_writer.shutdown().await;
             }
         }
-        _ = target.closed.changed() => {}
+        _ = closed.changed() => {}
+    }
+}
+
+/// What is known of the upstream at the far end of a tunnel.
+struct FarEnd {
+    watcher: Mutex<Box<dyn TunnelWatcher>>,
+    /// Whether an answer to what was sent is awaited.
+    is_awaited: AtomicBool,
+    /// Whether the upstream has answered on this connection.
+    has_answered: AtomicBool,
+}
+
+impl FarEnd {
+    fn new(watcher: Box<dyn TunnelWatcher>) -> Self {
+        let watcher = Mutex::new(watcher);
+        Self { watcher, is_awaited: AtomicBool::default(), has_answered: AtomicBool::default() }
+    }
+
+    fn sent(&self) {
+        if !self.is_awaited.swap(true, Ordering::Relaxed) {
+            self.watcher().sent();
+        }
+    }
+
+    fn answered(&self) {
+        self.has_answered.store(true, Ordering::Relaxed);
+        if self.is_awaited.swap(false, Ordering::Relaxed) {
+            self.watcher().answered();
+        }
+    }
+
+    fn ended(&self) {
+        let is_awaited = self.is_awaited.swap(false, Ordering::Relaxed);
+        // An upstream may close a connection that it has served, but not a new one.
+        if is_awaited || !self.has_answered.load(Ordering::Relaxed) {
+            self.watcher().broken();
+        }
+    }
+
+    fn watcher(&self) -> MutexGuard<'_, Box<dyn TunnelWatcher>> {
+        self.watcher.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn forward_requests(
+    near: &mut (impl AsyncRead + Unpin),
+    far: &mut (impl AsyncWrite + Unpin),
+    far_end: &FarEnd,
+) -> io::Result<()> {
+    let mut buffer = vec![0; MAX_FRAME_BYTES];
+    loop {
+        let length = near.read(&mut buffer).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        far_end.sent();
+        let written = far.write_all(&buffer[..length]).await;
+        written.inspect_err(|_| far_end.ended())?;
+    }
+}
+
+async fn forward_responses(
+    far: &mut (impl AsyncRead + Unpin),
+    near: &mut (impl AsyncWrite + Unpin),
+    far_end: &FarEnd,
+) -> io::Result<()> {
+    let mut buffer = vec![0; MAX_FRAME_BYTES];
+    loop {
+        let length = far.read(&mut buffer).await.inspect_err(|_| far_end.ended())?;
+        if length == 0 {
+            far_end.ended();
+            return Ok(());
+        }
+        far_end.answered();
+        near.write_all(&buffer[..length]).await?;
+        near.flush().await?;
     }
 }
 
--- a/crates/link/tests/tunnel.rs
+++ b/crates/link/tests/tunnel.rs
@@ -13,7 +13,7 @@
 };
 use vanetally_link::{
     peer::{Event, Links, Options},
-    tunnel::{Tunnel, TunnelError, TunnelRefusal, TunnelRequest, TunnelTarget},
+    tunnel::{Tunnel, TunnelError, TunnelRefusal, TunnelRequest, TunnelTarget, TunnelWatcher},
 };
 use vanetally_types::{HostId, Incarnation, Name};
 
@@ -35,10 +35,46 @@
     (links.expect("the links start"), address)
 }
 
+/// Records what an exit sees of the upstream.
+#[derive(Clone, Debug, Default)]
+struct Signs(Arc<Mutex<Vec<&'static str>>>);
+
+impl Signs {
+    fn add(&self, sign: &'static str) {
+        self.0.lock().expect("no panic").push(sign);
+    }
+
+    /// Waits until these signs have been seen, and no others.
+    async fn wait_for(&self, expected: &[&str]) {
+        let seen = async {
+            while *self.0.lock().expect("no panic") != expected {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        let in_time = timeout(MAX_WAIT, seen).await;
+        assert!(in_time.is_ok(), "{:?} instead of {expected:?}", self.0.lock());
+    }
+}
+
+impl TunnelWatcher for Signs {
+    fn sent(&mut self) {
+        self.add("sent");
+    }
+
+    fn answered(&mut self) {
+        self.add("answered");
+    }
+
+    fn broken(&mut self) {
+        self.add("broken");
+    }
+}
+
 /// Two daemons, of which one is the exit to `upstream`.
 struct Site {
     links: Links,
     exit: SocketAddr,
+    signs: Signs,
     closer: Arc<Mutex<Option<watch::Sender<()>>>>,
     _exit_links: Links,
 }
@@ -47,20 +83,16 @@
     fn new(upstream: SocketAddr) -> Self {
         let closer = watch::Sender::new(());
         let closed = closer.subscribe();
+        let signs = Signs::default();
+        let watched = signs.clone();
         let decide = move |_: &TunnelRequest| {
-            let on_failure = TunnelRefusal::Unreachable;
-            let closed = closed.clone();
-            Ok(TunnelTarget {
-                address: upstream,
-                on_failure,
-                is_sure: true,
-                closed,
-                guard: Box::new(()),
-            })
+            let (closed, watcher) = (closed.clone(), Box::new(watched.clone()));
+            Ok(TunnelTarget { address: upstream, watcher, closed, guard: Box::new(()) })
         };
         let (exit_links, exit) = links(EXIT, "key", Box::new(decide));
         let (links, _) = links("me", "key", Box::new(|_| Err(TunnelRefusal::Leaving)));
-        Self { links, exit, closer: Arc::new(Mutex::new(Some(closer))), _exit_links: exit_links }
+        let closer = Arc::new(Mutex::new(Some(closer)));
+        Self { links, exit, signs, closer, _exit_links: exit_links }
     }
 
     async fn open(&self) -> Result<Tunnel, TunnelError> {
@@ -69,7 +101,7 @@
 }
 
 fn request() -> TunnelRequest {
-    TunnelRequest { upstream: Incarnation::new("u1", Some(7)) }
+    TunnelRequest { upstream: Incarnation::new("u1", Some(7)), must_probe: false }
 }
 
 async fn upstream() -> (TcpListener, SocketAddr) {
@@ -87,8 +119,7 @@
     const LENGTH: usize = 300_000;
     let (listener, address) = upstream().await;
     let site = Site::new(address);
-    let Tunnel { mut stream, is_sure } = site.open().await.expect("it opens");
-    assert!(is_sure);
+    let Tunnel { mut stream } = site.open().await.expect("it opens");
     let mut far = accept(&listener).await;
     let sent: Vec<u8> = (0..LENGTH).map(|number| number as u8).collect();
     let echo = async {
@@ -140,6 +171,42 @@
     assert!(read.is_err(), "it looks complete");
 }
 
+/// The exit sees which requests are answered, without knowing where one ends.
+#[tokio::test]
+async fn exit_sees_answers() {
+    let (listener, address) = upstream().await;
+    let site = Site::new(address);
+    let mut stream = site.open().await.expect("it opens").stream;
+    let mut far = accept(&listener).await;
+    for _ in 0..2 {
+        stream.write_all(b"request").await.expect("an open tunnel");
+        stream.flush().await.expect("an open tunnel");
+        far.read_exact(&mut [0; 7]).await.expect("the request");
+        far.write_all(b"answer").await.expect("an open connection");
+        stream.read_exact(&mut [0; 6]).await.expect("the answer");
+    }
+    // An upstream may close a connection without a request.
+    drop(far);
+    let mut rest = Vec::new();
+    timeout(MAX_WAIT, stream.read_to_end(&mut rest)).await.expect("in time").expect("the end");
+    site.signs.wait_for(&["sent", "answered", "sent", "answered"]).await;
+}
+
+/// An upstream, or a proxy in front of it, accepts the connection and resets it without an answer.
+#[tokio::test]
+async fn exit_sees_reset() {
+    let (listener, address) = upstream().await;
+    let site = Site::new(address);
+    let mut stream = site.open().await.expect("it opens").stream;
+    let mut far = accept(&listener).await;
+    stream.write_all(b"request").await.expect("an open tunnel");
+    stream.flush().await.expect("an open tunnel");
+    far.read_exact(&mut [0; 7]).await.expect("the request");
+    far.set_zero_linger().expect("an open connection");
+    drop(far);
+    site.signs.wait_for(&["sent", "broken"]).await;
+}
+
 /// A caller that leaves cancels its request at the upstream.
 #[tokio::test]
 async fn closed_by_requester() {
@@ -168,8 +235,9 @@
 async fn refusals() {
     let (listener, address) = upstream().await;
     drop(listener);
-    let error = Site::new(address).open().await.err();
-    assert_eq!(error, Some(TunnelRefusal::Unreachable.into()));
+    let site = Site::new(address);
+    assert_eq!(site.open().await.err(), Some(TunnelRefusal::NotConnected.into()));
+    site.signs.wait_for(&["broken"]).await;
     let (exit_links, exit) = links(EXIT, "key", Box::new(|_| Err(TunnelRefusal::CutOff)));
     let site = Site::new(address);
     let asked = site.links.open_tunnel(&EXIT.into(), exit, &request()).await;
--- a/crates/reach/src/event.rs
+++ b/crates/reach/src/event.rs
@@ -3,7 +3,13 @@
 use vanetally_types::{Incarnation, Name};
 
 /// Identifies an attempt that has not ended.
-pub type AttemptId = u64;
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum AttemptId {
+    /// An attempt of a request of this host.
+    Own(u64),
+    /// A request in a tunnel of another host.
+    Served(u64),
+}
 
 /// How a request gets to its upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +56,8 @@
     },
     /// Bytes were received on a direct connection to an upstream.
     Heard(Incarnation),
+    /// The first bytes were received on a new direct connection to an upstream.
+    Proven(Incarnation),
     /// An attempt ended.
     Ended {
         /// The attempt.
@@ -74,6 +82,17 @@
     Tick,
 }
 
+/// What a host answers another one that asks it for a tunnel to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// The upstream answered on a new connection a short time ago.
+    Accept,
+    /// Only a probe can tell whether new connections reach the upstream.
+    Probe,
+    /// New connections do not reach it.
+    Refuse,
+}
+
 /// An output of [`Reach`](crate::Reach).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
--- a/crates/reach/src/exits.rs
+++ b/crates/reach/src/exits.rs
@@ -17,10 +17,13 @@
 }
 
 impl ExitFailure {
-    /// Returns for how long the host is not used, in milliseconds.
-    fn pause_ms(self) -> u64 {
+    /// Returns for how long the host is not used after so many failures in a row, in milliseconds.
+    fn pause_ms(self, failures: u32) -> u64 {
         match self {
-            Self::Silent | Self::CutOff => 1_000,
+            Self::Silent => 1_000,
+            // It may have been in doubt for a moment only.
+            Self::CutOff if failures <= 1 => 400,
+            Self::CutOff => 1_000,
             Self::Busy => 200,
             Self::Leaving => 5_000,
         }
@@ -50,6 +53,8 @@
     proven_at: Option<Tick>,
     /// Open tunnels of this host.
     tunnels: usize,
+    /// Failures since a tunnel was last opened through it.
+    failures: u32,
 }
 
 /// How long a host that worked counts as proven.
@@ -108,6 +113,7 @@
         let state = self.states.entry(host.clone()).or_default();
         state.tunnels += 1;
         state.proven_at = Some(now);
+        state.failures = 0;
     }
 
     /// Records that a tunnel through a host was closed.
@@ -120,7 +126,8 @@
     /// Records that a host was of no use.
     pub fn failed(&mut self, now: Tick, host: &Name, failure: ExitFailure) {
         let state = self.states.entry(host.clone()).or_default();
-        state.paused_until = now + failure.pause_ms();
+        state.failures += 1;
+        state.paused_until = now + failure.pause_ms(state.failures);
         state.proven_at = None;
     }
 
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -14,6 +14,6 @@
 mod reach;
 mod upstream;
 
-pub use event::{Action, AttemptId, Event, Path, ProbeResult, ProbeScope};
+pub use event::{Action, AttemptId, Event, Offer, Path, ProbeResult, ProbeScope};
 pub use exits::{ExitFailure, Exits};
 pub use reach::Reach;
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -1,7 +1,7 @@
 //! The state machine: which upstreams are blocked for this host.
 
 use crate::{
-    Action, AttemptId, Event, Exits, Path, ProbeResult, ProbeScope,
+    Action, AttemptId, Event, Exits, Offer, Path, ProbeResult, ProbeScope,
     upstream::{HEAL_PROBE_MS, UpstreamPath},
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -21,18 +21,29 @@
     swept_at: Tick,
     /// When any upstream was last heard on a direct connection.
     heard_at: Option<Tick>,
-    /// When a direct path last showed a failure or silence.
-    trouble_at: Option<Tick>,
+    /// When any upstream last answered on a new direct connection.
+    proven_at: Option<Tick>,
+    /// The last failure or silence on a direct path.
+    trouble: Option<Trouble>,
     /// Number of blocked upstreams.
     blocked: usize,
     /// Since when some upstream is blocked.
     blocked_since: Option<Tick>,
 }
 
+/// A failure or silence on the direct path to an upstream.
+#[derive(Clone, Debug)]
+struct Trouble {
+    at: Tick,
+    upstream: Incarnation,
+}
+
 /// How long an upstream counts as failed after a probe.
 const FAILED_MS: u64 = 500;
 /// How long a failure casts doubt on the paths to all upstreams while none is heard.
 const DOUBT_MS: u64 = 2_000;
+/// How long an answer on a new connection shows that others reach the same upstream.
+const PROVEN_MS: u64 = 1_000;
 /// Time after the last request for a blocked upstream in which it is probed.
 const USED_MS: u64 = 3_000;
 /// Interval at which idle upstreams are forgotten.
@@ -50,7 +61,8 @@
             active: BTreeSet::new(),
             swept_at: Tick(0),
             heard_at: None,
-            trouble_at: None,
+            proven_at: None,
+            trouble: None,
             blocked: 0,
             blocked_since: None,
         }
@@ -64,6 +76,7 @@
                 self.sent(now, attempt, upstream, path, &mut actions);
             }
             Event::Heard(upstream) => self.heard(now, &upstream),
+            Event::Proven(upstream) => self.proven(now, upstream),
             Event::Ended { attempt, is_broken } => {
                 self.ended(now, attempt, is_broken, &mut actions);
             }
@@ -90,7 +103,7 @@
     ///
     /// While other upstreams are blocked, new connections may be as well although open ones work.
     pub fn new_path(&self, now: Tick, upstream: &Incarnation) -> Path {
-        let is_doubted = self.is_unproven(upstream) && !self.exits.is_empty();
+        let is_doubted = self.is_unproven(now, upstream) && !self.exits.is_empty();
         if is_doubted { Path::Exit } else { self.path(now, upstream) }
     }
 
@@ -112,30 +125,55 @@
     /// Whether this host may be cut off from all upstreams: one failed or was silent, and none was
     /// heard since.
     pub fn is_doubtful(&self, now: Tick) -> bool {
-        let Some(trouble_at) = self.trouble_at else {
-            return false;
+        self.has_trouble_since(now, self.heard_at)
+    }
+
+    /// Whether there was trouble on some path after `good_at`, which is not known to be over.
+    fn has_trouble_since(&self, now: Tick, good_at: Option<Tick>) -> bool {
+        let is_unresolved = |trouble: &Trouble| {
+            let is_recent = self.blocked > 0 || now.since(trouble.at) <= DOUBT_MS;
+            is_recent && good_at.is_none_or(|good| good <= trouble.at)
         };
-        let is_unheard = self.heard_at.is_none_or(|heard| heard <= trouble_at);
-        is_unheard && (self.blocked > 0 || now.since(trouble_at) <= DOUBT_MS)
+        self.trouble.as_ref().is_some_and(is_unresolved)
     }
 
-    /// Whether some upstream is blocked, and this one has not answered on a new connection since.
-    fn is_unproven(&self, upstream: &Incarnation) -> bool {
+    /// Whether new connections to an upstream may fail although open ones work: another one failed
+    /// or is blocked, and this one has not answered on a new connection since.
+    fn is_unproven(&self, now: Tick, upstream: &Incarnation) -> bool {
         let Some(since) = self.blocked_since else {
-            return false;
+            return self.has_trouble_since(now, self.proven_at);
         };
-        let proven_at = self.upstreams.get(upstream).and_then(|path| path.proven_at);
-        proven_at.is_none_or(|at| at <= since)
+        self.proven_at_of(upstream).is_none_or(|at| at <= since)
     }
 
-    /// Whether other hosts may use this one as exit to an upstream.
-    pub fn may_exit(&self, now: Tick, upstream: &Incarnation) -> bool {
-        !self.is_blocked(upstream) && !self.is_doubtful(now)
+    fn proven_at_of(&self, upstream: &Incarnation) -> Option<Tick> {
+        self.upstreams.get(upstream)?.proven_at
     }
 
-    /// Returns for how many milliseconds no upstream was heard directly; `None` if none ever was.
-    pub fn unheard_ms(&self, now: Tick) -> Option<u64> {
-        self.heard_at.map(|at| now.since(at))
+    /// Returns the answer to another host that asks this one for a tunnel to an upstream.
+    ///
+    /// A tunnel needs a new connection, of which open ones say nothing. A proxy may accept
+    /// connections that it can't forward, so only the upstream's own answer counts.
+    pub fn offer(&self, now: Tick, upstream: &Incarnation) -> Offer {
+        if self.is_blocked(upstream) || self.is_doubtful(now) {
+            return Offer::Refuse;
+        }
+        let proven_at = self.proven_at_of(upstream);
+        let is_proven = proven_at.is_some_and(|at| now.since(at) <= PROVEN_MS);
+        if !is_proven || self.is_unproven(now, upstream) {
+            return Offer::Probe;
+        }
+        Offer::Accept
+    }
+
+    /// Returns up to `count` upstreams other than `except`, those heard last first.
+    pub fn recently_heard(&self, except: &Incarnation, count: usize) -> Vec<Incarnation> {
+        let heard = |(id, path): (&Incarnation, &UpstreamPath)| Some((path.heard_at?, id.clone()));
+        let mut all: Vec<_> = self.upstreams.iter().filter_map(heard).collect();
+        all.retain(|(_, id)| id != except);
+        all.sort_unstable_by_key(|(at, _)| std::cmp::Reverse(*at));
+        all.truncate(count);
+        all.into_iter().map(|(_, id)| id).collect()
     }
 
     fn sent(
@@ -173,6 +211,14 @@
         }
     }
 
+    fn proven(&mut self, now: Tick, upstream: Incarnation) {
+        self.heard(now, &upstream);
+        self.proven_at = Some(now);
+        let known = self.upstreams.entry(upstream).or_default();
+        known.proven_at = Some(now);
+        known.used_at = now;
+    }
+
     fn ended(&mut self, now: Tick, attempt: AttemptId, is_broken: bool, actions: &mut Vec<Action>) {
         if let Some(upstream) = self.close(attempt).filter(|_| is_broken) {
             self.failed(now, &upstream, actions);
@@ -190,7 +236,7 @@
 
     /// Probes an upstream that needs a new connection and may be blocked.
     fn connecting(&mut self, now: Tick, upstream: &Incarnation, actions: &mut Vec<Action>) {
-        if !self.is_unproven(upstream) || self.is_blocked(upstream) {
+        if !self.is_unproven(now, upstream) || self.is_blocked(upstream) {
             return;
         }
         let known = self.upstreams.entry(upstream.clone()).or_default();
@@ -205,7 +251,7 @@
         if known.blocked_since.is_some() {
             return;
         }
-        self.trouble_at = Some(now);
+        self.trouble = Some(Trouble { at: now, upstream: upstream.clone() });
         start_probe(upstream, known, ProbeScope::Full, actions);
     }
 
@@ -225,7 +271,7 @@
                 known.delay_quiet_probe(now);
                 known.proven_at = Some(now);
                 let blocked_since = known.blocked_since.take();
-                self.heard_at = Some(now);
+                (self.heard_at, self.proven_at) = (Some(now), Some(now));
                 if let Some(since) = blocked_since {
                     self.unblocked();
                     let blocked_ms = now.since(since);
@@ -247,11 +293,19 @@
             ProbeResult::Failed => {
                 known.failed_until = now + FAILED_MS;
                 known.next_probe = now + HEAL_PROBE_MS;
+                self.explain_trouble(upstream);
             }
             ProbeResult::Unanswered => known.next_probe = now + HEAL_PROBE_MS,
         }
     }
 
+    /// Ends the doubt that the failure of an upstream cast, since the upstream is at fault.
+    fn explain_trouble(&mut self, failed: &Incarnation) {
+        if self.blocked == 0 {
+            self.trouble = self.trouble.take().filter(|trouble| trouble.upstream != *failed);
+        }
+    }
+
     fn unblocked(&mut self) {
         self.blocked -= 1;
         if self.blocked == 0 {
@@ -313,7 +367,7 @@
             let is_due = !known.is_probing && now >= known.next_probe;
             if known.blocked_since.is_none() {
                 if is_due && known.is_silent(now) {
-                    self.trouble_at = Some(now);
+                    self.trouble = Some(Trouble { at: now, upstream: upstream.clone() });
                     start_probe(upstream, known, ProbeScope::Full, actions);
                 }
                 continue;
--- a/crates/reach/tests/blocked_upstreams.rs
+++ b/crates/reach/tests/blocked_upstreams.rs
@@ -1,6 +1,6 @@
 //! Which upstreams a host takes for blocked, and by which path it sends requests to them.
 
-use vanetally_reach::{Action, Event, Path, ProbeResult, ProbeScope, Reach};
+use vanetally_reach::{Action, AttemptId, Event, Offer, Path, ProbeResult, ProbeScope, Reach};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Time without bytes after which an upstream with open attempts is probed.
@@ -25,7 +25,11 @@
 
 fn send(reach: &mut Reach, at: u64, attempt: u64, to: usize) -> Vec<Action> {
     let path = reach.path(Tick(at), &upstream(to));
-    reach.handle(Tick(at), Event::Sent { attempt, upstream: upstream(to), path })
+    reach.handle(Tick(at), Event::Sent { attempt: own(attempt), upstream: upstream(to), path })
+}
+
+fn own(number: u64) -> AttemptId {
+    AttemptId::Own(number)
 }
 
 fn probed(reach: &mut Reach, at: u64, number: usize, result: ProbeResult) -> Vec<Action> {
@@ -91,9 +95,9 @@
     reach.handle(Tick(SILENCE_MS), Event::Tick);
     let actions = probed(&mut reach, SILENCE_MS + 10, 1, ProbeResult::Blocked(exit()));
     let blocked = Action::Blocked { upstream: upstream(1), exit: exit() };
-    assert_eq!(actions, [blocked, Action::Lost(1)]);
+    assert_eq!(actions, [blocked, Action::Lost(own(1))]);
     assert_eq!(reach.path(Tick(SILENCE_MS + 20), &upstream(1)), Path::Exit);
-    assert!(!reach.may_exit(Tick(SILENCE_MS + 20), &upstream(1)));
+    assert_eq!(reach.offer(Tick(SILENCE_MS + 20), &upstream(1)), Offer::Refuse);
 }
 
 /// The answers on connections that stay open during a cut still arrive.
@@ -104,7 +108,7 @@
     reach.handle(Tick(500), Event::Heard(upstream(1)));
     reach.handle(Tick(500), Event::ConnectFailed(upstream(1)));
     let actions = probed(&mut reach, 510, 1, ProbeResult::Blocked(exit()));
-    assert!(!actions.contains(&Action::Lost(1)), "{actions:?}");
+    assert!(!actions.contains(&Action::Lost(own(1))), "{actions:?}");
 }
 
 /// An upstream that answers nobody is not blocked, and neither are the others.
@@ -115,13 +119,25 @@
     let failed = reach.handle(Tick(10), Event::ConnectFailed(upstream(1)));
     assert_eq!(probes(&failed), [(upstream(1), ProbeScope::Full)]);
     probed(&mut reach, 20, 1, ProbeResult::Unanswered);
-    reach.handle(Tick(30), Event::Heard(upstream(2)));
+    reach.handle(Tick(30), Event::Proven(upstream(2)));
     for number in 1..=3 {
         assert_eq!(reach.path(Tick(40), &upstream(number)), Path::Direct);
-        assert!(reach.may_exit(Tick(40), &upstream(number)));
+        assert_eq!(reach.new_path(Tick(40), &upstream(number)), Path::Direct);
+        assert_ne!(reach.offer(Tick(40), &upstream(number)), Offer::Refuse);
     }
 }
 
+/// The failure of an upstream that answers nobody casts no doubt on the paths to others.
+#[test]
+fn confirmed_failure_explained() {
+    let mut reach = host();
+    reach.handle(Tick(10), Event::ConnectFailed(upstream(1)));
+    assert!(reach.is_doubtful(Tick(15)));
+    probed(&mut reach, 20, 1, ProbeResult::Failed);
+    assert!(!reach.is_doubtful(Tick(30)));
+    assert_eq!(reach.new_path(Tick(30), &upstream(2)), Path::Direct);
+}
+
 /// After the first failure no request is lost on the way to the other upstreams.
 #[test]
 fn doubt_until_heard() {
@@ -129,7 +145,7 @@
     reach.handle(Tick(0), Event::Heard(upstream(2)));
     reach.handle(Tick(10), Event::ConnectFailed(upstream(1)));
     assert_eq!(reach.path(Tick(20), &upstream(2)), Path::Exit);
-    assert!(!reach.may_exit(Tick(20), &upstream(2)));
+    assert_eq!(reach.offer(Tick(20), &upstream(2)), Offer::Refuse);
     reach.handle(Tick(30), Event::Heard(upstream(2)));
     assert_eq!(reach.path(Tick(40), &upstream(2)), Path::Direct);
 }
@@ -162,6 +178,49 @@
     assert_eq!(reach.new_path(Tick(30), &upstream(2)), Path::Direct);
 }
 
+/// After a failure on a new connection no request is lost on new ones to other upstreams, although those
+/// that are open still work.
+#[test]
+fn first_new_connection_fails() {
+    let mut reach = host();
+    reach.handle(Tick(10), Event::ConnectFailed(upstream(1)));
+    reach.handle(Tick(20), Event::Heard(upstream(2)));
+    assert_eq!(reach.path(Tick(30), &upstream(2)), Path::Direct);
+    assert_eq!(reach.new_path(Tick(30), &upstream(2)), Path::Exit);
+    reach.handle(Tick(40), Event::Proven(upstream(2)));
+    assert_eq!(reach.new_path(Tick(50), &upstream(3)), Path::Direct);
+}
+
+/// A host whose open connections work offers no tunnel before a new connection was answered.
+#[test]
+fn tunnel_needs_new_connection() {
+    let mut reach = host();
+    let offer = |reach: &Reach, at| reach.offer(Tick(at), &upstream(1));
+    send(&mut reach, 0, 1, 1);
+    reach.handle(Tick(5), Event::Heard(upstream(1)));
+    assert_eq!(offer(&reach, 10), Offer::Probe);
+    reach.handle(Tick(20), Event::Proven(upstream(1)));
+    assert_eq!(offer(&reach, 30), Offer::Accept);
+    reach.handle(Tick(900), Event::Heard(upstream(1)));
+    assert_eq!(offer(&reach, 910), Offer::Accept);
+    assert_eq!(offer(&reach, 1_100), Offer::Probe);
+    block(&mut reach, 1_200, 2);
+    reach.handle(Tick(1_210), Event::Heard(upstream(1)));
+    assert_eq!(offer(&reach, 1_220), Offer::Probe, "proven before another one was blocked");
+}
+
+/// A tunnel of another host that gets no answer is a sign like an attempt of this one.
+#[test]
+fn served_tunnel_silent() {
+    let mut reach = host();
+    let attempt = AttemptId::Served(1);
+    reach.handle(Tick(0), Event::Sent { attempt, upstream: upstream(1), path: Path::Direct });
+    let actions = reach.handle(Tick(SILENCE_MS), Event::Tick);
+    assert_eq!(probes(&actions), [(upstream(1), ProbeScope::Full)]);
+    let actions = probed(&mut reach, SILENCE_MS + 10, 1, ProbeResult::Blocked(exit()));
+    assert!(actions.contains(&Action::Lost(attempt)), "{actions:?}");
+}
+
 /// All upstreams that are used are reached directly again within a second of the end of a cut.
 #[test]
 fn heal_noticed() {
@@ -176,7 +235,7 @@
         for number in (0..UPSTREAMS).filter(|number| (at / TICK_MS) as usize % 25 == number % 25) {
             attempt += 1;
             send(&mut reach, at, attempt, number);
-            reach.handle(Tick(at), Event::Ended { attempt, is_broken: false });
+            reach.handle(Tick(at), Event::Ended { attempt: own(attempt), is_broken: false });
         }
         let actions = reach.handle(Tick(at), Event::Tick);
         running.extend(probes(&actions).into_iter().map(|(upstream, _)| (at, upstream)));
@@ -222,7 +281,7 @@
 fn sent_again_through_exit() {
     let mut reach = host();
     send(&mut reach, 0, 1, 1);
-    let again = Event::Sent { attempt: 1, upstream: upstream(1), path: Path::Exit };
+    let again = Event::Sent { attempt: own(1), upstream: upstream(1), path: Path::Exit };
     reach.handle(Tick(10), again);
     probed(&mut reach, 20, 1, ProbeResult::Answered);
     assert!(reach.handle(Tick(10 * SILENCE_MS), Event::Tick).is_empty());
--- a/crates/reach/tests/exits.rs
+++ b/crates/reach/tests/exits.rs
@@ -56,14 +56,20 @@
     assert!(asked <= 110, "{asked} hosts asked for 100 tunnels");
 }
 
-/// A host that failed is tried again after a second: its cut may be over.
-#[test]
-fn failed_host_tried_again() {
+/// A host that failed is tried again: its cut, or its doubt, may be over.
+#[rstest]
+#[case(ExitFailure::Silent, 1_000)]
+#[case(ExitFailure::CutOff, 400)]
+fn failed_host_tried_again(#[case] failure: ExitFailure, #[case] pause_ms: u64) {
     let all = hosts(2);
     let mut exits = exits_of("front-0", &all);
-    exits.failed(Tick(0), &all[1], ExitFailure::CutOff);
-    assert_eq!(exits.choose(Tick(900), &[]), None);
-    assert_eq!(exits.choose(Tick(1_000), &[]), Some(all[1].clone()));
+    exits.failed(Tick(0), &all[1], failure);
+    assert_eq!(exits.choose(Tick(pause_ms - 100), &[]), None);
+    assert_eq!(exits.choose(Tick(pause_ms), &[]), Some(all[1].clone()));
+    let again = 10_000;
+    exits.failed(Tick(again), &all[1], failure);
+    assert_eq!(exits.choose(Tick(again + 900), &[]), None);
+    assert_eq!(exits.choose(Tick(again + 1_000), &[]), Some(all[1].clone()));
 }
 
 /// The tunnels of the hosts of a failure domain that is cut off are spread over the other hosts.
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -27,6 +27,11 @@
 const CALM: Duration = Duration::from_secs(1);
 /// Time after the start of a cut within which all requests must be served again.
 const CONTACT: Duration = Duration::from_secs(3);
+/// Callers that each host gets in addition during the cut, for how long, and their pause: more than its
+/// open connections serve.
+const BURST_CALLERS: usize = 24;
+const BURST: Duration = Duration::from_millis(500);
+const BURST_PAUSE: Duration = Duration::from_millis(20);
 /// Duration of the cut.
 const CUT: Duration = Duration::from_secs(7);
 /// Time after the end of a cut within which upstreams are reached directly again.
@@ -54,6 +59,11 @@
     if (number / HOSTS as u64).is_multiple_of(2) { check(number) } else { offer(number) }
 }
 
+/// Repeatable requests with ids of their own.
+fn burst(number: u64) -> Client {
+    Client::new("GET", "/check/1", &format!("b{number}")).deadline(DEADLINE.as_millis() as u64)
+}
+
 struct Outcome {
     exchanges: Vec<Vec<Exchange>>,
     cut_at: Instant,
@@ -80,15 +90,17 @@
     RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Cuts the first `cut` hosts off, and heals the cut.
-fn play(cut: usize, mode: TapMode) -> Outcome {
+/// Cuts the first `cut` hosts off, and heals the cut. The burst begins `burst_after` the cut.
+fn play(cut: usize, mode: TapMode, burst_after: Duration) -> Outcome {
     let site = TappedDeployment::start(HOSTS, 3, 3);
     let (mut cut_at, mut healed_at) = (Instant::now(), Instant::now());
     let exchanges = site.under_load(both, CALLERS, PAUSE, || {
         thread::sleep(CALM);
         cut_at = Instant::now();
         site.set_mode(0..cut, mode);
-        thread::sleep(CUT);
+        thread::sleep(burst_after);
+        site.under_load(burst, BURST_CALLERS, BURST_PAUSE, || thread::sleep(BURST));
+        thread::sleep(CUT.saturating_sub(cut_at.elapsed()));
         healed_at = Instant::now();
         site.set_mode(0..cut, TapMode::Pass);
         thread::sleep(2 * HEAL);
@@ -103,14 +115,15 @@
 
 /// Callers of hosts that are cut off are served, and the other hosts are not affected.
 #[rstest]
-#[case::reset(3, TapMode::Reset)]
-#[case::silent(2, TapMode::Silent)]
-#[case::new_connections_reset(3, TapMode::ResetNew)]
-#[case::all_but_one_silent(5, TapMode::Silent)]
-#[case::all_but_one_reset(5, TapMode::Reset)]
-fn cut_off_hosts_serve(#[case] cut: usize, #[case] mode: TapMode) {
+#[case::reset(3, TapMode::Reset, Duration::ZERO)]
+#[case::silent(2, TapMode::Silent, Duration::ZERO)]
+#[case::new_connections_reset(3, TapMode::ResetNew, Duration::ZERO)]
+#[case::later_connections_reset(3, TapMode::ResetNew, CONTACT)]
+#[case::all_but_one_silent(5, TapMode::Silent, Duration::ZERO)]
+#[case::all_but_one_reset(5, TapMode::Reset, Duration::ZERO)]
+fn cut_off_hosts_serve(#[case] cut: usize, #[case] mode: TapMode, #[case] burst_after: Duration) {
     let _running = start_running();
-    let outcome = play(cut, mode);
+    let outcome = play(cut, mode, burst_after);
     let (own, others) = (outcome.in_cut(0..cut), outcome.in_cut(cut..HOSTS));
     println!("{mode:?}: {own:?} at {cut} hosts that are cut off, {others:?} at the others");
     assert_served(others, "the hosts that reach the upstreams");
@@ -135,8 +148,7 @@
     let _running = start_running();
     let site = TappedDeployment::start(HOSTS, 3, 3);
     let (mut silent_at, mut over_at) = (Instant::now(), Instant::now());
-    // So few that the upstreams have slots for all.
-    let exchanges = site.under_load(both, 2, PAUSE, || {
+    let exchanges = site.under_load(both, CALLERS, PAUSE, || {
         thread::sleep(CALM);
         silent_at = Instant::now();
         site.set_mode(0..HOSTS, TapMode::Silent);
