fix: an upstream that was silent for a moment is used again when it answers

Cause: an upstream that did not respond to a probe was avoided for 1.5 s and longer, also after it had answered the requests that it had.

Change: an answer ends an avoidance whose reason was silence.

silent_upstream_answers failed before and passes.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -12,6 +12,8 @@
     ejected_until: Option<Tick>,
     /// Whether unconfirmed failures counted for the ejection.
     is_ejection_unconfirmed: bool,
+    /// Whether the upstream was ejected since it did not respond to a probe.
+    is_unresponsive: bool,
     ejections: u32,
     is_probing: bool,
 }
@@ -55,6 +57,11 @@
     pub fn record(&mut self, now: Tick, good: bool) {
         self.expire(now);
         self.outcomes.push_back((now, good));
+        if good && std::mem::take(&mut self.is_unresponsive) {
+            // It was silent for a moment only.
+            self.ejected_until = None;
+            self.ejections = self.ejections.saturating_sub(1);
+        }
         if self.is_probing {
             self.is_probing = false;
             if good {
@@ -132,6 +139,7 @@
     pub fn mark_unresponsive(&mut self, now: Tick) {
         if self.ejected_until.is_none() {
             self.eject(now);
+            self.is_unresponsive = true;
         }
     }
 
@@ -140,6 +148,7 @@
         self.ejections += 1;
         self.ejected_until = Some(now + duration_ms);
         self.is_ejection_unconfirmed = !self.unconfirmed.is_empty();
+        self.is_unresponsive = false;
         self.outcomes.clear();
     }
 
@@ -160,6 +169,7 @@
     pub fn record_send(&mut self, now: Tick) {
         if self.ejected_until.is_some_and(|until| now >= until) {
             self.ejected_until = None;
+            self.is_unresponsive = false;
             self.is_probing = true;
         }
     }
--- a/crates/dispatch/tests/unjudged.rs
+++ b/crates/dispatch/tests/unjudged.rs
@@ -7,6 +7,7 @@
 use support::{Host, refusal, request, route, sent, sent_to, upstream};
 use vanetally_dispatch::{Action, AttemptEnd, Event, RequestId};
 use vanetally_ports::RequestKind;
+use vanetally_quarantine::CrashSign;
 use vanetally_types::{Incarnation, Verdict};
 
 fn host(kind: RequestKind, service: &str) -> Host {
@@ -118,6 +119,28 @@
     panic!("the request was not refused");
 }
 
+/// An upstream that did not respond to a probe, and then answers, was silent for a moment only.
+#[test]
+fn silent_upstream_answers() {
+    let mut host = host(RequestKind::Once, "desk");
+    let (id, _) = host.arrive(request("r", "quote", None));
+    let sign = Some(CrashSign::Silent);
+    host.handle(Event::Probed { upstream: "u-1".into(), content_hashes: Vec::new(), sign });
+    host.announce("u-2", upstream("desk", 2, &[]));
+    let used = |host: &mut Host, from: u64| -> Vec<Incarnation> {
+        let send = |number| {
+            let (id, actions) = host.arrive(request(&format!("s{number}"), "quote", None));
+            let upstream = sent_to(&actions, id);
+            host.end_attempt(id, AttemptEnd::Served);
+            upstream
+        };
+        (from..from + 20).map(send).collect()
+    };
+    assert!(!used(&mut host, 0).contains(&"u-1".into()), "not while it is silent");
+    host.end_attempt(id, AttemptEnd::Served);
+    assert!(used(&mut host, 20).contains(&"u-1".into()));
+}
+
 /// A request whose answer can't arrive is no load of its upstream.
 #[test]
 fn detached_request_no_load() {
