fix: a longer quarantine is passed on once, not without end

Cause: whether a quarantine is news was decided by its length, whether it takes effect by the number of crashes. A second quarantine of twice the length under the same number was news for ever, and each host passed it on to all others.

Change: a quarantine takes effect if and only if it is news: it is longer, or has more crashes. Both are kept.

--- a/crates/quarantine/src/blocked_contents.rs
+++ b/crates/quarantine/src/blocked_contents.rs
@@ -39,26 +39,29 @@
             self.suspended.remove(&content);
             return self.quarantined.remove(&content).is_some();
         }
-        let known = self.quarantined.get(&content);
-        let is_known = known.is_some_and(|(_, known)| *known >= ended);
-        if is_known || self.is_cleared_by_answer(now, &quarantine) {
+        if !self.is_update(now, &quarantine) || self.is_cleared_by_answer(now, &quarantine) {
             return false;
         }
         if self.quarantined.len() >= MAX_QUARANTINED {
             self.make_room(now);
         }
-        self.quarantined.insert(content, (now + for_ms, ended));
+        let known = self.quarantined.get(&content).filter(|(until, _)| *until > now);
+        let (until, crashes) = known.copied().unwrap_or_default();
+        self.quarantined.insert(content, (until.max(now + for_ms), crashes.max(ended)));
         true
     }
 
-    /// Whether a quarantine or a release changes the known state.
+    /// Whether a quarantine or a release changes the known state. Hosts pass on what does, so it must not
+    /// once [`BlockedContents::apply`] has taken effect.
     pub fn is_update(&self, now: Tick, quarantine: &Quarantine) -> bool {
-        let remaining_ms = self.remaining_ms(now, quarantine.content);
-        if quarantine.is_release() {
-            return remaining_ms.is_some();
-        }
-        remaining_ms
-            .is_none_or(|remaining_ms| remaining_ms + UPDATE_TOLERANCE_MS < quarantine.for_ms)
+        let Some(remaining_ms) = self.remaining_ms(now, quarantine.content) else {
+            return !quarantine.is_release();
+        };
+        let known = self.quarantined.get(&quarantine.content);
+        let is_longer = remaining_ms + UPDATE_TOLERANCE_MS < quarantine.for_ms;
+        quarantine.is_release()
+            || is_longer
+            || known.is_some_and(|(_, ended)| *ended < quarantine.ended)
     }
 
     /// Whether an answer received here shows that the content does not crash upstreams.
