fix: a host that is cut off without any exit refuses at once, and truly

Callers of hosts that reached no upstream, neither directly nor through others (all six cut off), got 502 and 504 after up to 1.65 s: 0 of 414 (reset) and 0 of 72 (silent) were refused as not run, although no engine had them.

Cause: when no exit could help, requests were sent directly without knowing whether that path worked, and lost; the doubt about all paths ended after 2 s without anything being heard.

Change: doubt lasts until an upstream is heard; the path that failed is probed every 400 ms meanwhile, so that the end of a cut is noticed without requests. Once several upstreams have shown trouble nothing is sent directly in doubt; a single one may be busy. Attempts without a path are not counted, and after 1.5 s without path and tunnel requests are refused at once.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -99,7 +99,11 @@
             // The upstream's error was passed to the caller, unless the request may be retried.
             AttemptEnd::Failed if answered || !request.route.is_repeatable() => return,
             AttemptEnd::Failed => request.verdict = Verdict::Ran,
-            AttemptEnd::Unreachable | AttemptEnd::NoPath | AttemptEnd::Withdrawn => {
+            AttemptEnd::Unreachable
+            | AttemptEnd::NoPath
+            | AttemptEnd::CutOff
+            | AttemptEnd::Withdrawn => {
+                request.without_path += u32::from(end == AttemptEnd::NoPath);
                 if request.attempts == 1 {
                     request.tried.clear();
                 }
@@ -254,7 +258,9 @@
             AttemptEnd::Withdrawn => {}
             AttemptEnd::Failed | AttemptEnd::Broken => upstream.health.record(now, false),
             AttemptEnd::Lost => upstream.health.record_unconfirmed(now),
-            AttemptEnd::NoPath => upstream.full_until = now + UNREACHABLE_PAUSE_MS,
+            AttemptEnd::NoPath | AttemptEnd::CutOff => {
+                upstream.full_until = now + UNREACHABLE_PAUSE_MS;
+            }
             AttemptEnd::Unreachable => {
                 upstream.health.record(now, false);
                 upstream.full_until = now + UNREACHABLE_PAUSE_MS;
@@ -289,7 +295,9 @@
         let is_good = match end {
             AttemptEnd::Failed | AttemptEnd::Broken | AttemptEnd::Unreachable => false,
             // Reported once a probe has confirmed it.
-            AttemptEnd::Lost | AttemptEnd::NoPath | AttemptEnd::Withdrawn => return,
+            AttemptEnd::Lost | AttemptEnd::NoPath | AttemptEnd::CutOff | AttemptEnd::Withdrawn => {
+                return;
+            }
             AttemptEnd::Served | AttemptEnd::Full | AttemptEnd::Absent | AttemptEnd::Replaced => {
                 true
             }
@@ -326,8 +334,12 @@
                 Some(STOP_RETRY_AFTER_MS),
             ));
         }
-        let is_at_max_attempts = request.attempts >= MAX_ATTEMPTS;
-        if is_at_max_attempts || (end == AttemptEnd::Failed && request.attempts > 1) {
+        // The path may be back soon, unless none was found for a while.
+        let is_at_max_attempts = request.attempts - request.without_path >= MAX_ATTEMPTS;
+        if is_at_max_attempts
+            || end == AttemptEnd::CutOff
+            || (end == AttemptEnd::Failed && request.attempts > 1)
+        {
             return Some(self.refusal(request, cause, Some(RETRY_AFTER_MS)));
         }
         // A retry is charged here. An attempt that was never sent costs nothing.
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -69,6 +69,8 @@
     Lost,
     /// Like `Unreachable`, but it is not known whether the upstream or the network path is at fault.
     NoPath,
+    /// Like `NoPath`, and this host has not reached any upstream for a while.
+    CutOff,
 }
 
 impl AttemptEnd {
@@ -85,12 +87,13 @@
             Self::Broken => "broken",
             Self::Lost => "lost",
             Self::NoPath => "no_path",
+            Self::CutOff => "cut_off",
         }
     }
 
     /// Whether nothing was sent to the upstream.
     pub fn is_unsent(self) -> bool {
-        matches!(self, Self::Unreachable | Self::NoPath | Self::Withdrawn)
+        matches!(self, Self::Unreachable | Self::NoPath | Self::CutOff | Self::Withdrawn)
     }
 }
 
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -81,6 +81,8 @@
     /// Upstreams to which the request was sent.
     pub tried: Vec<Incarnation>,
     pub attempts: u32,
+    /// Attempts that were not sent since this host found no path.
+    pub without_path: u32,
     /// Number of reservations so far.
     pub reservations: u32,
     pub verdict: Verdict,
@@ -147,6 +149,7 @@
             stage: Stage::Waiting,
             tried: Vec::new(),
             attempts: 0,
+            without_path: 0,
             reservations: 0,
             verdict: Verdict::NotRun,
             not_before: now,
--- a/crates/dispatch/tests/unjudged.rs
+++ b/crates/dispatch/tests/unjudged.rs
@@ -119,6 +119,17 @@
     panic!("the request was not refused");
 }
 
+/// Where no path was found for a while, a request is refused at once.
+#[test]
+fn cut_off_refused_at_once() {
+    let mut host = host(RequestKind::Once, "desk");
+    let (id, actions) = fail(&mut host, "desk", AttemptEnd::CutOff);
+    assert_eq!(reported_bad(&mut host), 0);
+    let refused = refusal(&actions, id).expect("a refusal");
+    assert_eq!(refused.verdict, Verdict::NotRun);
+    assert!(refused.retry_after_ms.is_some());
+}
+
 /// An upstream that did not respond to a probe, and then answers, was silent for a moment only.
 #[test]
 fn silent_upstream_answers() {
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -3,6 +3,7 @@
 use crate::{
     hub::Hub,
     pool::{self, Connection},
+    probing::Asked,
     tunnels::{NoTunnel, Opened},
 };
 use std::{rc::Rc, time::Duration};
@@ -36,14 +37,44 @@
         Path::Exit => match connect_through_exit(hub, attempt).await {
             Ok(connection) => Ok(connection),
             // The cut may be over, or no host may be free to help.
-            Err(failure) => {
+            Err(failure) if may_send_directly(hub, attempt).await => {
                 let connected = connect_directly(hub, attempt).await;
                 connected.map_err(|end| end_of(failure, end))
             }
+            Err(failure) => Err(end_of(failure, no_path(hub))),
         },
     }
 }
 
+/// Returns the end of an attempt for which there is no path.
+fn no_path(hub: &Hub) -> AttemptEnd {
+    match hub.reach.borrow().is_cut_off(hub.clock.now()) {
+        true => AttemptEnd::CutOff,
+        false => AttemptEnd::NoPath,
+    }
+}
+
+/// Whether a request may be sent directly to an upstream whose path is in doubt. One that is lost could not
+/// be said not to have run.
+async fn may_send_directly(hub: &Rc<Hub>, attempt: &Attempt) -> bool {
+    {
+        let (now, reach) = (hub.clock.now(), hub.reach.borrow());
+        // These paths are probed anyway.
+        if reach.is_blocked(&attempt.upstream) || reach.is_widely_doubtful(now) {
+            return false;
+        }
+        // A single upstream may just be busy, and take no question before its answer.
+        if reach.is_doubtful(now) {
+            return true;
+        }
+    }
+    let is_answered = hub.ask_directly(&attempt.upstream).await == Asked::Answered;
+    if is_answered {
+        hub.reach_event(Event::Proven(attempt.upstream.clone()));
+    }
+    is_answered
+}
+
 fn has_failed(hub: &Hub, attempt: &Attempt) -> bool {
     hub.reach.borrow().has_failed(hub.clock.now(), &attempt.upstream)
 }
@@ -55,6 +86,7 @@
         // Only this host can judge.
         NoTunnel::NoHosts => end,
         NoTunnel::Unreachable => AttemptEnd::Unreachable,
+        NoTunnel::Unknown if end == AttemptEnd::CutOff => end,
         NoTunnel::Unknown => AttemptEnd::NoPath,
     }
 }
--- a/crates/reach/src/exits.rs
+++ b/crates/reach/src/exits.rs
@@ -43,6 +43,8 @@
     states: BTreeMap<Name, ExitState>,
     /// Number of choices so far.
     choices: u64,
+    /// When a tunnel was last opened.
+    opened_at: Option<Tick>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -68,7 +70,7 @@
     /// Creates the choice for the host `own` without any other known host.
     pub fn new(own: Name) -> Self {
         let (hosts, states) = Default::default();
-        Self { own, hosts, is_ranked: true, states, choices: 0 }
+        Self { own, hosts, is_ranked: true, states, choices: 0, opened_at: None }
     }
 
     /// Sets the live hosts that serve as exits.
@@ -101,19 +103,18 @@
         chosen.cloned()
     }
 
-    /// Whether some host may be tried now.
-    pub fn has_usable(&self, now: Tick) -> bool {
-        let is_paused =
-            |host: &Name| self.states.get(host).is_some_and(|state| now < state.paused_until);
-        self.hosts.iter().any(|host| !is_paused(host))
-    }
-
     /// Records that a tunnel through a host was opened.
     pub fn opened(&mut self, now: Tick, host: &Name) {
         let state = self.states.entry(host.clone()).or_default();
         state.tunnels += 1;
         state.proven_at = Some(now);
         state.failures = 0;
+        self.opened_at = Some(now);
+    }
+
+    /// Returns when a tunnel was last opened through any host.
+    pub fn opened_at(&self) -> Option<Tick> {
+        self.opened_at
     }
 
     /// Records that a tunnel through a host was closed.
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -36,12 +36,19 @@
 struct Trouble {
     at: Tick,
     upstream: Incarnation,
+    /// When the first one happened since an upstream was last heard.
+    since: Tick,
+    /// Whether several upstreams showed one since then: a single one may be busy.
+    is_wide: bool,
 }
 
 /// How long an upstream counts as failed after a probe.
 const FAILED_MS: u64 = 500;
-/// How long a failure casts doubt on the paths to all upstreams while none is heard.
-const DOUBT_MS: u64 = 2_000;
+/// How long a failure casts doubt on the paths to all upstreams while none is heard. The path that
+/// failed is probed meanwhile.
+const DOUBT_MS: u64 = 30_000;
+/// Time in doubt, without any tunnel, after which requests can't be expected to find a path soon.
+const CUT_OFF_MS: u64 = 1_500;
 /// How long an answer on a new connection shows that others reach the same upstream.
 const PROVEN_MS: u64 = 1_000;
 /// Time after the last request for a blocked upstream in which it is probed.
@@ -128,6 +135,20 @@
         self.has_trouble_since(now, self.heard_at)
     }
 
+    /// Whether this host may be cut off since several upstreams failed or were silent, so that a
+    /// request that is sent directly would be lost.
+    pub fn is_widely_doubtful(&self, now: Tick) -> bool {
+        let is_wide = self.trouble.as_ref().is_some_and(|trouble| trouble.is_wide);
+        is_wide && self.is_doubtful(now)
+    }
+
+    /// Whether this host has reached no upstream for a while, neither directly nor through exits.
+    pub fn is_cut_off(&self, now: Tick) -> bool {
+        let is_long = |since: Tick| now.since(since) >= CUT_OFF_MS;
+        let is_unheard = self.trouble.as_ref().is_some_and(|trouble| is_long(trouble.since));
+        is_unheard && self.is_widely_doubtful(now) && self.exits.opened_at().is_none_or(is_long)
+    }
+
     /// Whether there was trouble on some path after `good_at`, which is not known to be over.
     fn has_trouble_since(&self, now: Tick, good_at: Option<Tick>) -> bool {
         let is_unresolved = |trouble: &Trouble| {
@@ -236,11 +257,14 @@
 
     /// Probes an upstream that needs a new connection and may be blocked.
     fn connecting(&mut self, now: Tick, upstream: &Incarnation, actions: &mut Vec<Action>) {
-        if !self.is_unproven(now, upstream) || self.is_blocked(upstream) {
+        if !self.is_unproven(now, upstream) {
             return;
         }
         let known = self.upstreams.entry(upstream.clone()).or_default();
         known.used_at = now;
+        if known.blocked_since.is_some() {
+            return;
+        }
         start_probe(upstream, known, ProbeScope::Full, actions);
     }
 
@@ -251,8 +275,19 @@
         if known.blocked_since.is_some() {
             return;
         }
-        self.trouble = Some(Trouble { at: now, upstream: upstream.clone() });
         start_probe(upstream, known, ProbeScope::Full, actions);
+        self.record_trouble(now, upstream);
+    }
+
+    fn record_trouble(&mut self, now: Tick, upstream: &Incarnation) {
+        let known = self.trouble.take().filter(|trouble| self.is_unheard_since(trouble));
+        let since = known.as_ref().map_or(now, |trouble| trouble.since);
+        let is_wide = known.is_some_and(|trouble| trouble.is_wide || trouble.upstream != *upstream);
+        self.trouble = Some(Trouble { at: now, upstream: upstream.clone(), since, is_wide });
+    }
+
+    fn is_unheard_since(&self, trouble: &Trouble) -> bool {
+        self.heard_at.is_none_or(|heard| heard <= trouble.at)
     }
 
     fn probed(
@@ -272,6 +307,7 @@
                 known.proven_at = Some(now);
                 let blocked_since = known.blocked_since.take();
                 (self.heard_at, self.proven_at) = (Some(now), Some(now));
+                self.trouble = None;
                 if let Some(since) = blocked_since {
                     self.unblocked();
                     let blocked_ms = now.since(since);
@@ -330,6 +366,7 @@
     }
 
     fn gone(&mut self, upstream: &Incarnation) {
+        self.trouble = self.trouble.take().filter(|trouble| trouble.upstream != *upstream);
         let Some(gone) = self.upstreams.remove(upstream) else {
             return;
         };
@@ -339,6 +376,19 @@
         gone.open.keys().for_each(|attempt| drop(self.attempts.remove(attempt)));
     }
 
+    /// Probes the path that cast doubt on all others, so that the end of a cut is noticed without the
+    /// requests that nobody sends there meanwhile.
+    fn probe_trouble(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        let Some(trouble) = self.trouble.clone().filter(|_| self.is_doubtful(now)) else {
+            return;
+        };
+        let known = self.upstreams.entry(trouble.upstream.clone()).or_default();
+        if known.blocked_since.is_none() && now >= known.next_probe {
+            known.next_probe = now + HEAL_PROBE_MS;
+            start_probe(&trouble.upstream, known, ProbeScope::Full, actions);
+        }
+    }
+
     fn forget_idle(&mut self, now: Tick) {
         let mut unblocked = 0;
         self.upstreams.retain(|_, known| {
@@ -359,7 +409,7 @@
         let is_healing = |path: &&UpstreamPath| path.blocked_since.is_some() && path.is_probing;
         let active = self.active.iter().filter_map(|upstream| upstreams.get(upstream));
         let mut healing = active.filter(is_healing).count();
-        let mut lost_at = Vec::new();
+        let (mut lost_at, mut silent) = (Vec::new(), Vec::new());
         for upstream in &self.active {
             let Some(known) = upstreams.get_mut(upstream) else {
                 continue;
@@ -367,7 +417,7 @@
             let is_due = !known.is_probing && now >= known.next_probe;
             if known.blocked_since.is_none() {
                 if is_due && known.is_silent(now) {
-                    self.trouble = Some(Trouble { at: now, upstream: upstream.clone() });
+                    silent.push(upstream.clone());
                     start_probe(upstream, known, ProbeScope::Full, actions);
                 }
                 continue;
@@ -382,7 +432,9 @@
                 start_probe(upstream, known, ProbeScope::Direct, actions);
             }
         }
+        silent.iter().for_each(|upstream| self.record_trouble(now, upstream));
         lost_at.iter().for_each(|upstream| self.take_lost(now, upstream, actions));
+        self.probe_trouble(now, actions);
         if now.since(self.swept_at) >= SWEEP_MS {
             self.swept_at = now;
             self.forget_idle(now);
--- a/crates/reach/tests/blocked_upstreams.rs
+++ b/crates/reach/tests/blocked_upstreams.rs
@@ -209,6 +209,29 @@
     assert_eq!(offer(&reach, 1_220), Offer::Probe, "proven before another one was blocked");
 }
 
+/// A host is cut off if several upstreams fail and it finds no exit for a while. The end of that is
+/// noticed without any request.
+#[test]
+fn cut_off_until_probed() {
+    let mut reach = host();
+    let fail = |reach: &mut Reach, at, number| {
+        reach.handle(Tick(at), Event::ConnectFailed(upstream(number)));
+        probed(reach, at + 5, number, ProbeResult::Unanswered);
+    };
+    fail(&mut reach, 0, 1);
+    assert!(!reach.is_cut_off(Tick(3_000)), "a single upstream may be busy");
+    fail(&mut reach, 3_000, 2);
+    assert!(reach.is_widely_doubtful(Tick(3_010)));
+    assert!(reach.is_cut_off(Tick(3_010)));
+    reach.exits.opened(Tick(3_020), &exit());
+    assert!(!reach.is_cut_off(Tick(3_030)), "there is an exit");
+    assert!(reach.is_cut_off(Tick(4_520)));
+    let actions = reach.handle(Tick(4_520), Event::Tick);
+    assert_eq!(probes(&actions), [(upstream(2), ProbeScope::Full)]);
+    probed(&mut reach, 4_530, 2, ProbeResult::Answered);
+    assert!(!reach.is_doubtful(Tick(4_540)));
+}
+
 /// A tunnel of another host that gets no answer is a sign like an attempt of this one.
 #[test]
 fn served_tunnel_silent() {
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -452,6 +452,9 @@
     let Ok(directory) = std::env::var("SOAK_LOGS") else {
         return;
     };
+    if let Err(error) = std::fs::create_dir_all(&directory) {
+        println!("{directory}: {error}");
+    }
     for (name, text) in deployment.logs() {
         let path = std::path::Path::new(&directory).join(format!("{seed}-{name}"));
         if let Err(error) = std::fs::write(&path, text) {
