--- a/crates/slots/src/limit.rs
+++ b/crates/slots/src/limit.rs
@@ -6,7 +6,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Limit {
     slots: u32,
-    is_brittle: bool,
     capacity: u32,
     current: u32,
     /// When the bound is next raised.
@@ -40,7 +39,6 @@
         let capacity = capacity(slots);
         Self {
             slots,
-            is_brittle: false,
             capacity,
             current: capacity,
             raise_at: Tick(0),
@@ -74,7 +72,6 @@
             *self = Self::new(slots);
         }
         self.slots = slots;
-        self.is_brittle = is_brittle;
         let is_lowered = self.is_lowered();
         self.capacity = if is_brittle { slots } else { capacity(slots) };
         self.current = if is_lowered { self.current.min(self.capacity) } else { self.capacity };
