feat: the log tells how long messages of other hosts wait in a host

Change: each message has the time of its arrival; messages_late tells one that waited for more than 0.2 s, at most once a second, and vanetally_message_wait_seconds counts all.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod headers;
 mod hosts;
 mod hub;
+mod inbox;
 mod limits;
 mod listener;
 mod load;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,8 +5,9 @@
     exit::{TunnelCall, TunnelEvent},
     feed::Feed,
     hub::{Hub, HubParts, Stage},
+    inbox::{self, InboxSender},
     listener,
-    peers::{self, PeerFeedHandler, PeerMessage},
+    peers::{self, PeerFeedHandler},
     reader, registration,
     settings::Settings,
     status::{self, Status},
@@ -75,7 +76,7 @@
     ports: Ports,
 ) -> anyhow::Result<()> {
     let metrics = telemetry::try_install()?;
-    let (sender, inbox) = mpsc::unbounded_channel();
+    let (sender, messages) = inbox::create();
     let (broken_sender, broken) = mpsc::unbounded_channel();
     let (tunnel_sender, tunnels) = mpsc::unbounded_channel();
     let links = start_links(&settings, sender, broken_sender, tunnel_sender.clone())?;
@@ -97,7 +98,7 @@
     }
     start_feeds(&hub);
     spawn_local(registration::register(hub.clone()));
-    spawn_local(receive_messages(hub.clone(), inbox));
+    spawn_local(messages.run(hub.clone()));
     spawn_local(links_broken(hub.clone(), broken));
     spawn_local(serve_tunnels(hub.clone(), tunnels));
     spawn_local(listener::accept(hub.clone(), callers));
@@ -117,7 +118,7 @@
 
 fn start_links(
     settings: &Settings,
-    sender: mpsc::UnboundedSender<(Name, PeerMessage)>,
+    messages: InboxSender,
     broken: mpsc::UnboundedSender<Name>,
     tunnels: mpsc::UnboundedSender<TunnelEvent>,
 ) -> anyhow::Result<Links> {
@@ -141,8 +142,7 @@
                     bytes.len()
                 );
             };
-            // The receiving loop ends with the process.
-            let _ = sender.send((from.name, message));
+            messages.put(from.name, message);
         }
         peer::Event::Broken { to } => {
             log::info!("event=link_broken to={to}");
@@ -197,13 +197,6 @@
     fn lost(&self) {}
 }
 
-/// Handles the messages of other hosts.
-async fn receive_messages(hub: Rc<Hub>, mut inbox: mpsc::UnboundedReceiver<(Name, PeerMessage)>) {
-    while let Some((from, message)) = inbox.recv().await {
-        hub.handle_peer_message(&from, message);
-    }
-}
-
 /// Informs the source selection of hosts that can't be reached, once their links have dropped what was queued.
 async fn links_broken(hub: Rc<Hub>, mut broken: mpsc::UnboundedReceiver<Name>) {
     while let Some(host) = broken.recv().await {
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -9,6 +9,8 @@
 use vanetally_ports::{AnnouncementError, Era, OrderOutcome, RefusalCause};
 use vanetally_slots::SlotAnswer;
 
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
 /// Bucket bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.8, 1.0, 2.0, 5.0, 10.0, 30.0];
@@ -210,6 +212,11 @@
     histogram!("vanetally_longest_pause_seconds").record(seconds);
 }
 
+/// Records how long a message of another host waited to be handled.
+pub(crate) fn message_waited(waited_ms: u64) {
+    histogram!("vanetally_message_wait_seconds").record(waited_ms as f64 / MILLIS_PER_SECOND);
+}
+
 /// Records the seconds from the arrival of a request to the end of its response.
 pub(crate) fn request_answered(seconds: f64) {
     histogram!("vanetally_answer_seconds").record(seconds);
