fix: a probe that is answered late shows that the path works

Cause: answers to probes counted for 400 ms, so a host whose upstreams all were slow for longer took itself for cut off and, since, refused at once.

Change: a direct probe is listened to for 2 s; an answer after its end still counts as one on a new connection.

--- a/crates/gateway/src/probing.rs
+++ b/crates/gateway/src/probing.rs
@@ -14,6 +14,7 @@
 use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
+    sync::oneshot,
     time::timeout,
 };
 use vanetally_dispatch as dispatch;
@@ -25,6 +26,8 @@
 
 /// Timeout of a direct probe, and of one through an exit.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout of the answer to a direct probe that only shows that the path works.
+const LATE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which an upstream that has not answered directly is asked through an exit as well.
 const EXIT_DELAY: Duration = Duration::from_millis(60);
 /// Time in which an upstream that answered through an exit may still answer directly: one that was
@@ -180,7 +183,7 @@
         // It has just answered.
         return Finding::Answered;
     }
-    let mut direct = Box::pin(ask_directly(hub, suspect));
+    let mut direct = Box::pin(ask_patiently(hub, suspect));
     let has_exits = !hub.reach.borrow().exits.is_empty();
     if scope == ProbeScope::Direct || !has_exits {
         let asked = direct.await;
@@ -244,10 +247,31 @@
     }
 }
 
+/// Asks an upstream on a new connection. An answer that comes too late for the probe still shows that
+/// the path works: a slow upstream is not one that is cut off.
+async fn ask_patiently(hub: &Rc<Hub>, suspect: &Suspect) -> Asked {
+    let (sender, asked) = oneshot::channel();
+    let (asking, suspected) = (hub.clone(), suspect.clone());
+    tokio::task::spawn_local(async move {
+        let asked = ask_within(&asking, &suspected, LATE_TIMEOUT).await;
+        // The probe may be over.
+        if sender.send(asked).is_err() && asked == Asked::Answered {
+            asking.reach_event(Event::Proven(suspected.upstream));
+        }
+    });
+    let sign = suspect.is_engine.then_some(CrashSign::Silent);
+    timeout(PROBE_TIMEOUT, asked).await.ok().and_then(Result::ok).unwrap_or(Asked::Unanswered(sign))
+}
+
 /// Asks an upstream on a new connection.
 async fn ask_directly(hub: &Hub, suspect: &Suspect) -> Asked {
-    match socket::connect_within(suspect.address, PROBE_TIMEOUT).await {
-        Ok(stream) => ask(hub, suspect, stream).await,
+    ask_within(hub, suspect, PROBE_TIMEOUT).await
+}
+
+/// Asks an upstream on a new connection, with `limit` as timeout of each step.
+async fn ask_within(hub: &Hub, suspect: &Suspect, limit: Duration) -> Asked {
+    match socket::connect_within(suspect.address, limit).await {
+        Ok(stream) => ask(hub, suspect, stream, limit).await,
         Err(error) => Asked::Unanswered(Some(connect_error_sign(&error))),
     }
 }
@@ -257,6 +281,7 @@
     hub: &Hub,
     suspect: &Suspect,
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    limit: Duration,
 ) -> Asked {
     let request = match suspect.is_engine {
         true => hub.ports.engine.report_request(&suspect.upstream),
@@ -264,7 +289,7 @@
     };
     let asked_at = hub.clock.now();
     let exchange = exchange(stream, request, suspect.address);
-    match timeout(PROBE_TIMEOUT, exchange).await {
+    match timeout(limit, exchange).await {
         Ok(Some(response)) if suspect.is_engine => judge_report(hub, suspect, response).await,
         Ok(Some(_)) => Asked::Answered,
         Ok(None) | Err(_) if suspect.is_engine => Asked::Unanswered(Some(CrashSign::Silent)),
