fix: the slot of a request whose path was lost is not free at once

Cause, found by reading: an attempt that a cut separated from its answer released its slot, though a brittle upstream may still run it, so that its owner could grant one too many.

lost_request_keeps_slot failed to compile before, as there was no such end; the tests of dispatch and slots pass.

--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -317,6 +317,7 @@
     pub(crate) fn slot_release(&self, id: RequestId, end: AttemptEnd) -> Option<Action> {
         let end = match end {
             AttemptEnd::Full => SlotEnd::Full,
+            AttemptEnd::Lost => SlotEnd::Lost,
             _ if end.is_unsent() => SlotEnd::Unused,
             _ => SlotEnd::Used,
         };
--- a/crates/dispatch/tests/brittle.rs
+++ b/crates/dispatch/tests/brittle.rs
@@ -5,7 +5,7 @@
 use support::{Host, request, route, sent, upstream};
 use vanetally_dispatch::{Action, AttemptEnd, Event, RequestId};
 use vanetally_ports::RequestKind;
-use vanetally_slots::{SlotAnswer, SlotRequest};
+use vanetally_slots::{SlotAnswer, SlotEnd, SlotRequest};
 
 const MAX_REJECTIONS: u32 = 5;
 
@@ -142,3 +142,16 @@
     let (id, actions) = arrive(&mut host, "llm");
     assert_eq!(sent(&actions, id).len(), 1);
 }
+
+/// A request whose path is lost may still run: its slot is not free at once.
+#[test]
+fn lost_request_keeps_slot() {
+    let mut host = host("desk");
+    state_brittle(&mut host, "desk");
+    let (id, actions) = arrive(&mut host, "desk");
+    let (reservation, _) = slot_request(&actions, id).expect("a request for a slot");
+    answer(&mut host, id, reservation, SlotAnswer::Granted);
+    let actions = host.end_attempt(id, AttemptEnd::Lost);
+    let release = Action::ReleaseSlot { id, reservation, end: SlotEnd::Lost };
+    assert!(actions.contains(&release), "{actions:?}");
+}
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -92,7 +92,9 @@
     /// Releases the slot of a request, or ends the wait for it.
     pub(crate) fn release_slot(self: &Rc<Self>, id: RequestId, reservation: u32, end: SlotEnd) {
         let closed = self.slots.borrow_mut().client.close(self.clock.now(), (id, reservation));
-        if let Some(Closed { owner, number, upstream, .. }) = closed {
+        if let Some(Closed { owner, number, upstream, .. }) = closed
+            && end != SlotEnd::Lost
+        {
             self.send_release(&owner, number, upstream, end);
         }
     }
--- a/crates/slots/src/messages.rs
+++ b/crates/slots/src/messages.rs
@@ -69,6 +69,9 @@
     Full,
     /// The request was not sent, or no longer waits for the slot.
     Unused,
+    /// The path to the upstream was lost, so the request may still run there. Owners are not told; the
+    /// next reminder ends the grant.
+    Lost,
 }
 
 impl SlotEnd {
