fix: an exit compares a failed upstream with one other at a time

Cause, found by reading: an exit that got no answer asked three other upstreams at once, and asked the first again also where its connections were refused, so the crash of one upstream cost a fleet several probes for each host and exit.

--- a/crates/gateway/src/exit.rs
+++ b/crates/gateway/src/exit.rs
@@ -21,6 +21,7 @@
 use vanetally_link::tunnel::{
     TunnelDecision, TunnelRefusal, TunnelRequest, TunnelTarget, TunnelWatcher,
 };
+use vanetally_quarantine::CrashSign;
 use vanetally_reach::{AttemptId, Event, Offer, Path};
 use vanetally_types::{Incarnation, Name};
 
@@ -33,9 +34,10 @@
 /// Time in which an upstream must answer before a tunnel to it is opened, less than the requesting
 /// host waits.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time without an answer after which other upstreams are asked, to see whether this host reaches any.
+/// Time without an answer after which another upstream is asked, to see whether this host reaches any,
+/// and after which the next one is.
 const COMPARISON_DELAY: Duration = Duration::from_millis(60);
-/// Number of these.
+/// Maximum number of these.
 const COMPARED: usize = 3;
 /// Time in which an upstream must answer that others have just answered before it: all may have been
 /// silent for a moment.
@@ -215,7 +217,8 @@
         if let Err(refusal) = self.may_serve(&upstream) {
             return self.answer_tunnel(call, Err(refusal));
         }
-        match self.reach.borrow().offer(self.clock.now(), &upstream) {
+        let offer = self.reach.borrow().offer(self.clock.now(), &upstream);
+        match offer {
             Offer::Refuse => self.answer_tunnel(call, Err(TunnelRefusal::CutOff)),
             Offer::Accept if !call.request.must_probe => self.accept_tunnel(call),
             Offer::Accept | Offer::Probe => self.probe_for(upstream, call),
@@ -309,7 +312,8 @@
                 }
             }
         });
-        match answer.await.ok() {
+        let answer = answer.await.ok();
+        match answer {
             Some(Asked::Answered) => return self.found_answering(upstream),
             Some(Asked::Ended) => return Found::Ended,
             Some(Asked::Unanswered(_)) | None => {}
@@ -322,6 +326,10 @@
             self.reach_event(Event::ConnectFailed(upstream.clone()));
             return Found::CutOff;
         }
+        if answer == Some(Asked::Unanswered(Some(CrashSign::Ended))) {
+            // Its connections are refused, so it was not just silent.
+            return Found::Unreachable;
+        }
         match timeout(LAST_TIMEOUT, self.ask_directly(upstream)).await {
             Ok(Asked::Answered) => self.found_answering(upstream),
             Ok(Asked::Ended) => Found::Ended,
@@ -337,11 +345,12 @@
     /// Whether another upstream answers on a new connection.
     async fn reaches_others(self: &Rc<Self>, upstream: &Incarnation) -> bool {
         let others = self.comparable(upstream);
-        let ask = async |other: Incarnation| {
+        let ask = async |(number, other): (usize, Incarnation)| {
+            sleep(COMPARISON_DELAY * number as u32).await;
             let is_answered = self.ask_directly(&other).await == Asked::Answered;
             is_answered.then_some(other)
         };
-        let mut asked: FuturesUnordered<_> = others.into_iter().map(ask).collect();
+        let mut asked: FuturesUnordered<_> = others.into_iter().enumerate().map(ask).collect();
         let first = async {
             loop {
                 match asked.next().await {
