fix: an exit that stops as planned ends no request of another host

Cause: a stopping host waits for its own requests only, and the others went on to use open tunnels through it.

Change: it waits for open tunnels as well, within its grace time. When its key is gone the others close idle tunnels through it and use none again.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -38,6 +38,7 @@
         gone.for_each(|host| {
             self.quotas.borrow_mut().grantor.forget_host(&host);
             self.slot_host_gone(&host);
+            self.pool.drop_tunnels(&host);
             self.request_event(dispatch::Event::PeerGone { host });
         });
         // What else was read with the list, such as the holder of the order lease, is judged by it.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -16,7 +16,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use vanetally_link::socket;
 use vanetally_reach::Path;
-use vanetally_types::Tick;
+use vanetally_types::{Name, Tick};
 
 /// A connection without a request in progress.
 pub(crate) struct Connection {
@@ -185,7 +185,8 @@
         let keep_alive = keep_alive
             .map_or(MAX_IDLE, |keep_alive| keep_alive.saturating_sub(KEEP_ALIVE_MARGIN))
             .min(MAX_IDLE);
-        if connection.sender.is_closed() || keep_alive.is_zero() {
+        let may_reuse = connection.tunnel.as_ref().is_none_or(OpenTunnel::may_reuse);
+        if connection.sender.is_closed() || keep_alive.is_zero() || !may_reuse {
             return;
         }
         connection.is_used = true;
@@ -215,6 +216,23 @@
         self.addresses.borrow_mut().retain(|_, pool| pool.open > 0);
     }
 
+    /// Closes the idle tunnels through `exit`.
+    pub(crate) fn drop_tunnels(&self, exit: &Name) {
+        let is_through = |idle: &Idle| {
+            let tunnel = idle.connection.tunnel.as_ref();
+            tunnel.is_some_and(|tunnel| tunnel.exit == *exit)
+        };
+        let mut closed = Vec::new();
+        for pool in self.addresses.borrow_mut().values_mut() {
+            let idle = std::mem::take(&mut pool.idle);
+            let (through, keep): (VecDeque<_>, VecDeque<_>) =
+                idle.into_iter().partition(is_through);
+            pool.idle = keep;
+            closed.push(through);
+        }
+        drop(closed);
+    }
+
     /// Closes the idle connections to `address`, which returned bytes that belong to no request.
     pub(crate) fn drop_idle(&self, address: SocketAddr) {
         let idle = {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -283,10 +283,12 @@
     }
     hub.stage.send_replace(Stage::Closing);
     spawn_local(end_host_lease(hub.clone()));
-    while hub.open_requests() > 0 && hub.clock.now() < after(EXIT_FRACTION) {
+    let is_in_use = || hub.open_requests() > 0 || hub.served_tunnels.open() > 0;
+    while is_in_use() && hub.clock.now() < after(EXIT_FRACTION) {
         sleep(TICK_INTERVAL).await;
     }
-    log::info!("event=stop_ended open_requests={}", hub.open_requests());
+    let (open_requests, tunnels) = (hub.open_requests(), hub.served_tunnels.open());
+    log::info!("event=stop_ended open_requests={open_requests} tunnels={tunnels}");
     // Let responses that were just finished reach their sockets, and queued lines the log.
     sleep(TICK_INTERVAL * 2).await;
     Ok(())
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -45,6 +45,14 @@
     pub exit: Name,
 }
 
+impl OpenTunnel {
+    /// Whether the tunnel may carry another request. An exit that stops waits until
+    /// its tunnels are closed.
+    pub(crate) fn may_reuse(&self) -> bool {
+        self.hub.peers.borrow().contains_key(&self.exit)
+    }
+}
+
 impl Drop for OpenTunnel {
     fn drop(&mut self) {
         self.hub.reach.borrow_mut().exits.closed(&self.exit);
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -20,7 +20,7 @@
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, TapMode};
+use vanetally_platform_standin::{Behaviour, Client, TapMode};
 
 const HOSTS: usize = 6;
 /// Time before the cut.
@@ -36,6 +36,8 @@
 const CUT: Duration = Duration::from_secs(7);
 /// Time after the end of a cut within which upstreams are reached directly again.
 const HEAL: Duration = Duration::from_secs(1);
+/// Time within which a host that stops has ended.
+const GRACE: Duration = Duration::from_secs(8);
 /// One request in this many may fail.
 const FAILED_DIVISOR: usize = 50;
 /// Callers of each host, so many that some still call while others wait for an answer.
@@ -56,7 +58,11 @@
 
 /// Repeatable and unrepeatable requests in turn.
 fn both(number: u64) -> Client {
-    if (number / HOSTS as u64).is_multiple_of(2) { check(number) } else { offer(number) }
+    if is_check(number) { check(number) } else { offer(number) }
+}
+
+fn is_check(number: u64) -> bool {
+    (number / HOSTS as u64).is_multiple_of(2)
 }
 
 /// Repeatable requests with ids of their own.
@@ -142,6 +148,41 @@
     }
 }
 
+/// Cuts all hosts off but two, sends `signal` to one of these, and returns the requests at the cut-off
+/// hosts that began within `span` since.
+fn signal_exit(signal: &str, span: Duration, stream: Behaviour, callers: usize) -> Vec<Exchange> {
+    const CUT_OFF: usize = HOSTS - 2;
+    let site = TappedDeployment::start(HOSTS, 3, 3);
+    site.deployment.engines.iter().for_each(|engine| engine.set_behaviour(stream.clone()));
+    let mut signalled_at = Instant::now();
+    let exchanges = site.under_load(both, callers, PAUSE, || {
+        site.set_mode(0..CUT_OFF, TapMode::Reset);
+        thread::sleep(CONTACT);
+        signalled_at = Instant::now();
+        site.hosts[CUT_OFF].signal(signal);
+        thread::sleep(span + DEADLINE);
+    });
+    let since = signalled_at..signalled_at + span;
+    let own = exchanges.into_iter().take(CUT_OFF).flatten();
+    own.filter(|one| since.contains(&one.began)).collect()
+}
+
+fn tally<'a>(exchanges: impl Iterator<Item = &'a Exchange>) -> Tally {
+    let all = Instant::now() - Duration::from_secs(3_600)..Instant::now();
+    Tally::of(exchanges, &all)
+}
+
+/// An exit that stops ends no request of another host.
+#[test]
+fn exit_stops() {
+    let _running = start_running();
+    let long = Behaviour::Stream { events: 10, pause_ms: 100 };
+    // So few callers that the engines have slots for all streams.
+    let all = tally(signal_exit("TERM", GRACE, long, 4).iter());
+    println!("{all:?}");
+    assert_eq!(all.failed(), 0, "of {} requests", all.tries);
+}
+
 /// Where no host reaches any upstream, requests are refused as not run, which is true, and before their
 /// deadline.
 #[rstest]
