fix: requests leave an exit that is frozen

Cause: only direct attempts were followed. A frozen process's kernel acknowledges what is sent to it, so neither keep-alive nor the user timeout ends its tunnels, unlike docs/design/exits.md said, and requests waited there for their deadline.

Change: attempts through exits are followed as well. After 400 ms without a byte through an exit it is asked whether it reaches the upstream; if it does not answer, or is cut off itself, the attempts there are given up and its idle tunnels closed. Only what may run again is sent another way.

--- a/crates/bench/benches/reach.rs
+++ b/crates/bench/benches/reach.rs
@@ -2,7 +2,7 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use std::hint::black_box;
-use vanetally_reach::{AttemptId, Event, Path, Reach};
+use vanetally_reach::{AttemptId, Event, Reach};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Upstreams that a host of the present, a middle and the largest deployment may use.
@@ -20,7 +20,7 @@
     reach.exits.set_hosts((0..hosts).map(|number| format!("front-{number}").into()).collect());
     for number in 0..upstreams {
         let attempt = AttemptId::Own(number as u64);
-        let event = Event::Sent { attempt, upstream: upstream(number), path: Path::Direct };
+        let event = Event::Sent { attempt, upstream: upstream(number), exit: None };
         reach.handle(NOW, event);
         reach.handle(NOW, Event::Heard(upstream(number)));
         reach.handle(NOW, Event::Ended { attempt, is_broken: false });
@@ -37,8 +37,7 @@
             bencher.iter(|| {
                 let (attempt, to) = (AttemptId::Own(1), upstream(7));
                 black_box(reach.path(NOW, &to));
-                reach
-                    .handle(NOW, Event::Sent { attempt, upstream: to.clone(), path: Path::Direct });
+                reach.handle(NOW, Event::Sent { attempt, upstream: to.clone(), exit: None });
                 reach.handle(NOW, Event::Heard(to));
                 reach.handle(NOW, Event::Ended { attempt, is_broken: false })
             });
--- a/crates/gateway/src/exit.rs
+++ b/crates/gateway/src/exit.rs
@@ -22,7 +22,7 @@
     TunnelDecision, TunnelRefusal, TunnelRequest, TunnelTarget, TunnelWatcher,
 };
 use vanetally_quarantine::CrashSign;
-use vanetally_reach::{AttemptId, Event, Offer, Path};
+use vanetally_reach::{AttemptId, Event, Offer};
 use vanetally_types::{Incarnation, Name};
 
 /// Share of the process's memory that the tunnels of other hosts may use, as a divisor, and the
@@ -199,7 +199,7 @@
     fn tunnel_seen(self: &Rc<Self>, attempt: AttemptId, upstream: Incarnation, sign: TunnelSign) {
         match sign {
             TunnelSign::Sent => {
-                self.reach_event(Event::Sent { attempt, upstream, path: Path::Direct });
+                self.reach_event(Event::Sent { attempt, upstream, exit: None });
             }
             TunnelSign::FirstAnswer => self.reach_event(Event::Proven(upstream)),
             TunnelSign::Answer => self.reach_event(Event::Heard(upstream)),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -31,6 +31,11 @@
 }
 
 impl Connection {
+    /// Returns the host through which the connection passes, if it is a tunnel.
+    pub(crate) fn exit(&self) -> Option<&Name> {
+        self.tunnel.as_ref().map(|tunnel| &tunnel.exit)
+    }
+
     /// Returns the path of the connection.
     pub(crate) fn path(&self) -> Path {
         if self.tunnel.is_some() { Path::Exit } else { Path::Direct }
@@ -218,10 +223,7 @@
 
     /// Closes the idle tunnels through `exit`.
     pub(crate) fn drop_tunnels(&self, exit: &Name) {
-        let is_through = |idle: &Idle| {
-            let tunnel = idle.connection.tunnel.as_ref();
-            tunnel.is_some_and(|tunnel| tunnel.exit == *exit)
-        };
+        let is_through = |idle: &Idle| idle.connection.exit() == Some(exit);
         let mut closed = Vec::new();
         for pool in self.addresses.borrow_mut().values_mut() {
             let idle = std::mem::take(&mut pool.idle);
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     hub::{Command, Hub},
+    pool::Connection,
     telemetry,
 };
 use std::rc::Rc;
@@ -29,6 +30,7 @@
                     );
                     telemetry::upstream_blocked(false);
                 }
+                Action::CheckExit { exit, upstream } => self.check_exit(exit, upstream),
                 Action::Lost(AttemptId::Own(id)) => self.attempt_lost(RequestId(id)),
                 // The tunnels to a blocked upstream were closed.
                 Action::Lost(AttemptId::Served(_)) => {}
@@ -43,11 +45,18 @@
         self.request_event(dispatch::Event::Detached { id });
     }
 
-    /// Records that bytes of an upstream were received on a direct connection, the first ones if it
-    /// was not used before.
-    pub(crate) fn upstream_heard(self: &Rc<Self>, upstream: &Incarnation, is_used: bool) {
-        let upstream = upstream.clone();
-        self.reach_event(if is_used { Event::Heard(upstream) } else { Event::Proven(upstream) });
+    /// Records that bytes of an upstream were received on a connection.
+    pub(crate) fn upstream_heard(
+        self: &Rc<Self>,
+        upstream: &Incarnation,
+        connection: &Connection,
+        is_first: bool,
+    ) {
+        self.reach_event(match connection.exit() {
+            Some(exit) => Event::HeardThrough(exit.clone()),
+            None if is_first => Event::Proven(upstream.clone()),
+            None => Event::Heard(upstream.clone()),
+        });
     }
 
     /// Returns the end of an attempt whose connection was closed before anything was sent.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,7 +16,6 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event};
-use vanetally_reach::Path;
 use vanetally_types::{Name, Tick};
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -130,9 +129,8 @@
                 None => return ReadEnd::Broken(AttemptEnd::Broken),
                 Some(Err(_)) => return ReadEnd::Broken(self.pending.hub.broken_end()),
                 Some(Ok(frame)) => {
-                    if source.connection.path() == Path::Direct {
-                        self.pending.hub.upstream_heard(&self.attempt.upstream, true);
-                    }
+                    let (hub, upstream) = (&self.pending.hub, &self.attempt.upstream);
+                    hub.upstream_heard(upstream, &source.connection, false);
                     if !self.forward(frame).await {
                         return ReadEnd::Cancelled;
                     }
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -13,7 +13,7 @@
 use std::{rc::Rc, time::Duration};
 use vanetally_dispatch::{Attempt, AttemptEnd, RequestId};
 use vanetally_ports::{AnswerKind, AttemptHead};
-use vanetally_reach::{AttemptId, Event, Path};
+use vanetally_reach::{AttemptId, Event};
 use vanetally_types::{Name, Tick};
 
 /// Maximum size of the body of a rejecting response that is read to reuse the connection.
@@ -130,14 +130,11 @@
             return Err(AttemptEnd::Withdrawn);
         }
         let request = upstream_request(context, scheduled);
-        let path = connection.path();
-        let upstream = attempt.upstream.clone();
-        hub.reach_event(Event::Sent { attempt: AttemptId::Own(context.id.0), upstream, path });
+        let (upstream, exit) = (attempt.upstream.clone(), connection.exit().cloned());
+        hub.reach_event(Event::Sent { attempt: AttemptId::Own(context.id.0), upstream, exit });
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
-                if path == Path::Direct {
-                    hub.upstream_heard(&attempt.upstream, connection.is_used);
-                }
+                hub.upstream_heard(&attempt.upstream, &connection, !connection.is_used);
                 return Ok((connection, response));
             }
             Err(mut error) => match error.take_message() {
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -4,7 +4,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use std::rc::Rc;
 use vanetally_link::tunnel::{ByteStream, Tunnel, TunnelError, TunnelRefusal, TunnelRequest};
-use vanetally_reach::ExitFailure;
+use vanetally_reach::{Event, ExitFailure};
 use vanetally_types::{Incarnation, Name};
 
 /// Maximum number of hosts that are asked for one tunnel.
@@ -138,6 +138,26 @@
         }
     }
 
+    /// Asks an exit through which nothing comes whether it still reaches an upstream.
+    pub(crate) fn check_exit(self: &Rc<Self>, exit: Name, upstream: Incarnation) {
+        let hub = self.clone();
+        tokio::task::spawn_local(async move {
+            let request = TunnelRequest { upstream, must_probe: true };
+            let works = match hub.ask_exit(&exit, &request).await {
+                Ok(_) => {
+                    drop(OpenTunnel { hub: hub.clone(), exit: exit.clone() });
+                    true
+                }
+                Err(error) => exit_failure(error).is_none_or(|failure| !failure.is_silent()),
+            };
+            if !works {
+                log::info!("event=exit_silent exit={exit}");
+                hub.pool.drop_tunnels(&exit);
+            }
+            hub.reach_event(Event::ExitChecked { exit, works });
+        });
+    }
+
     /// Returns the exit to ask next, and adds it to those that were `tried`.
     fn next_exit(&self, tried: &mut Vec<Name>) -> Option<Name> {
         if tried.len() >= MAX_EXITS {
--- a/crates/reach/src/event.rs
+++ b/crates/reach/src/event.rs
@@ -51,8 +51,17 @@
         attempt: AttemptId,
         /// The upstream.
         upstream: Incarnation,
-        /// The path of the request.
-        path: Path,
+        /// The host through which it passes; `None` on a connection of this host.
+        exit: Option<Name>,
+    },
+    /// Bytes were received in a tunnel through this host.
+    HeardThrough(Name),
+    /// An exit was asked whether it still reaches an upstream.
+    ExitChecked {
+        /// The exit.
+        exit: Name,
+        /// Whether it answered, and is not cut off.
+        works: bool,
     },
     /// Bytes were received on a direct connection to an upstream.
     Heard(Incarnation),
@@ -117,6 +126,14 @@
         /// How long it was blocked, in milliseconds.
         blocked_ms: u64,
     },
-    /// The answer to a direct attempt at a blocked upstream does not arrive.
+    /// Ask an exit whether it still reaches an upstream, and report the result with
+    /// [`Event::ExitChecked`].
+    CheckExit {
+        /// The exit.
+        exit: Name,
+        /// The upstream.
+        upstream: Incarnation,
+    },
+    /// The answer to an attempt does not arrive: its upstream is blocked, or its exit does not work.
     Lost(AttemptId),
 }
--- a/crates/reach/src/exits.rs
+++ b/crates/reach/src/exits.rs
@@ -17,6 +17,11 @@
 }
 
 impl ExitFailure {
+    /// Whether open tunnels through the host get no answers either.
+    pub fn is_silent(self) -> bool {
+        matches!(self, Self::Silent | Self::CutOff)
+    }
+
     /// Returns for how long the host is not used after so many failures in a row, in milliseconds.
     fn pause_ms(self, failures: u32) -> u64 {
         match self {
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -12,6 +12,7 @@
 mod event;
 mod exits;
 mod reach;
+mod tunnelled;
 mod upstream;
 
 pub use event::{Action, AttemptId, Event, Offer, Path, ProbeResult, ProbeScope};
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Action, AttemptId, Event, Exits, Offer, Path, ProbeResult, ProbeScope,
+    tunnelled::Tunnelled,
     upstream::{HEAL_PROBE_MS, UpstreamPath},
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -13,6 +14,8 @@
     /// The hosts through which blocked upstreams are reached.
     pub exits: Exits,
     upstreams: BTreeMap<Incarnation, UpstreamPath>,
+    /// Open attempts that pass through exits.
+    tunnelled: Tunnelled,
     /// Upstreams of the open direct attempts.
     attempts: HashMap<AttemptId, Incarnation>,
     /// Upstreams with open direct attempts, and blocked ones: a host may know thousands of others.
@@ -64,6 +67,7 @@
         Self {
             exits: Exits::new(own),
             upstreams: BTreeMap::new(),
+            tunnelled: Tunnelled::default(),
             attempts: HashMap::new(),
             active: BTreeSet::new(),
             swept_at: Tick(0),
@@ -79,8 +83,12 @@
     pub fn handle(&mut self, now: Tick, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         match event {
-            Event::Sent { attempt, upstream, path } => {
-                self.sent(now, attempt, upstream, path, &mut actions);
+            Event::Sent { attempt, upstream, exit } => {
+                self.sent(now, attempt, upstream, exit, &mut actions);
+            }
+            Event::HeardThrough(exit) => self.tunnelled.heard(now, &exit),
+            Event::ExitChecked { exit, works } => {
+                actions.extend(self.tunnelled.checked(now, &exit, works).map(Action::Lost));
             }
             Event::Heard(upstream) => self.heard(now, &upstream),
             Event::Proven(upstream) => self.proven(now, upstream),
@@ -202,27 +210,26 @@
         now: Tick,
         attempt: AttemptId,
         upstream: Incarnation,
-        path: Path,
+        exit: Option<Name>,
         actions: &mut Vec<Action>,
     ) {
         // It may have been sent on a connection that was found closed.
         self.close(attempt);
         let known = self.upstreams.entry(upstream.clone()).or_default();
         known.used_at = now;
-        match path {
-            Path::Direct => {
-                known.open.insert(attempt, now);
-                if !self.active.contains(&upstream) {
-                    self.active.insert(upstream.clone());
-                }
-                self.attempts.insert(attempt, upstream);
-            }
-            // Nothing is heard directly while all requests pass through exits.
-            Path::Exit if known.blocked_since.is_none() && now >= known.next_probe => {
-                start_probe(&upstream, known, ProbeScope::Full, actions);
+        let Some(exit) = exit else {
+            known.open.insert(attempt, now);
+            if !self.active.contains(&upstream) {
+                self.active.insert(upstream.clone());
             }
-            Path::Exit => {}
+            self.attempts.insert(attempt, upstream);
+            return;
+        };
+        // Nothing is heard directly while all requests pass through exits.
+        if known.blocked_since.is_none() && now >= known.next_probe {
+            start_probe(&upstream, known, ProbeScope::Full, actions);
         }
+        self.tunnelled.sent(now, attempt, upstream, exit);
     }
 
     fn heard(&mut self, now: Tick, upstream: &Incarnation) {
@@ -246,8 +253,9 @@
         }
     }
 
-    /// Removes a direct attempt; returns its upstream if it was open.
+    /// Removes an attempt; returns its upstream if it was open on a direct path.
     fn close(&mut self, attempt: AttemptId) -> Option<Incarnation> {
+        self.tunnelled.ended(attempt);
         let upstream = self.attempts.remove(&attempt)?;
         if let Some(known) = self.upstreams.get_mut(&upstream) {
             known.open.remove(&attempt);
@@ -435,6 +443,10 @@
         silent.iter().for_each(|upstream| self.record_trouble(now, upstream));
         lost_at.iter().for_each(|upstream| self.take_lost(now, upstream, actions));
         self.probe_trouble(now, actions);
+        let checks = self.tunnelled.take_due(now);
+        actions.extend(
+            checks.into_iter().map(|(exit, upstream)| Action::CheckExit { exit, upstream }),
+        );
         if now.since(self.swept_at) >= SWEEP_MS {
             self.swept_at = now;
             self.forget_idle(now);
--- a/crates/reach/tests/blocked_upstreams.rs
+++ b/crates/reach/tests/blocked_upstreams.rs
@@ -1,5 +1,6 @@
 //! Which upstreams a host takes for blocked, and by which path it sends requests to them.
 
+use rstest::rstest;
 use vanetally_reach::{Action, AttemptId, Event, Offer, Path, ProbeResult, ProbeScope, Reach};
 use vanetally_types::{Incarnation, Name, Tick};
 
@@ -24,8 +25,8 @@
 }
 
 fn send(reach: &mut Reach, at: u64, attempt: u64, to: usize) -> Vec<Action> {
-    let path = reach.path(Tick(at), &upstream(to));
-    reach.handle(Tick(at), Event::Sent { attempt: own(attempt), upstream: upstream(to), path })
+    let exit = (reach.path(Tick(at), &upstream(to)) == Path::Exit).then(exit);
+    reach.handle(Tick(at), Event::Sent { attempt: own(attempt), upstream: upstream(to), exit })
 }
 
 fn own(number: u64) -> AttemptId {
@@ -237,7 +238,7 @@
 fn served_tunnel_silent() {
     let mut reach = host();
     let attempt = AttemptId::Served(1);
-    reach.handle(Tick(0), Event::Sent { attempt, upstream: upstream(1), path: Path::Direct });
+    reach.handle(Tick(0), Event::Sent { attempt, upstream: upstream(1), exit: None });
     let actions = reach.handle(Tick(SILENCE_MS), Event::Tick);
     assert_eq!(probes(&actions), [(upstream(1), ProbeScope::Full)]);
     let actions = probed(&mut reach, SILENCE_MS + 10, 1, ProbeResult::Blocked(exit()));
@@ -304,8 +305,32 @@
 fn sent_again_through_exit() {
     let mut reach = host();
     send(&mut reach, 0, 1, 1);
-    let again = Event::Sent { attempt: own(1), upstream: upstream(1), path: Path::Exit };
+    let again = Event::Sent { attempt: own(1), upstream: upstream(1), exit: Some(exit()) };
     reach.handle(Tick(10), again);
     probed(&mut reach, 20, 1, ProbeResult::Answered);
-    assert!(reach.handle(Tick(10 * SILENCE_MS), Event::Tick).is_empty());
+    let actions = reach.handle(Tick(10 * SILENCE_MS), Event::Tick);
+    assert_eq!(actions, [Action::CheckExit { exit: exit(), upstream: upstream(1) }]);
+}
+
+/// An exit through which nothing comes is asked; the attempts through one that does not answer are lost,
+/// and those through one that does are waited for.
+#[rstest]
+#[case::frozen(false)]
+#[case::slow_upstream(true)]
+fn silent_exit_checked(#[case] works: bool) {
+    let mut reach = host();
+    block(&mut reach, 0, 1);
+    send(&mut reach, 10, 1, 1);
+    reach.handle(Tick(300), Event::HeardThrough(exit()));
+    let checks = |actions: Vec<Action>| {
+        actions.iter().filter(|action| matches!(action, Action::CheckExit { .. })).count()
+    };
+    assert_eq!(checks(reach.handle(Tick(10 + SILENCE_MS), Event::Tick)), 0);
+    assert_eq!(checks(reach.handle(Tick(300 + SILENCE_MS), Event::Tick)), 1);
+    assert_eq!(checks(reach.handle(Tick(320 + SILENCE_MS), Event::Tick)), 0, "one at a time");
+    let at = 800 + SILENCE_MS;
+    let actions = reach.handle(Tick(at), Event::ExitChecked { exit: exit(), works });
+    assert_eq!(actions.contains(&Action::Lost(own(1))), !works, "{actions:?}");
+    let again = checks(reach.handle(Tick(at + 2 * SILENCE_MS), Event::Tick));
+    assert_eq!(again, usize::from(works), "as long as an attempt is open");
 }
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -58,11 +58,12 @@
 
 /// Repeatable and unrepeatable requests in turn.
 fn both(number: u64) -> Client {
-    if is_check(number) { check(number) } else { offer(number) }
+    if is_check(number / HOSTS as u64) { check(number) } else { offer(number) }
 }
 
+/// Whether the request with this number at its host is repeatable.
 fn is_check(number: u64) -> bool {
-    (number / HOSTS as u64).is_multiple_of(2)
+    number.is_multiple_of(2)
 }
 
 /// Repeatable requests with ids of their own.
@@ -149,11 +150,16 @@
 }
 
 /// Cuts all hosts off but two, sends `signal` to one of these, and returns the requests at the cut-off
-/// hosts that began within `span` since.
-fn signal_exit(signal: &str, span: Duration, stream: Behaviour, callers: usize) -> Vec<Exchange> {
+/// hosts that began within `span` since, with the deployment, whose logs a failed test keeps.
+fn signal_exit(
+    signal: &str,
+    span: Duration,
+    stream: Behaviour,
+    callers: usize,
+) -> (Vec<Exchange>, TappedDeployment) {
     const CUT_OFF: usize = HOSTS - 2;
     let site = TappedDeployment::start(HOSTS, 3, 3);
-    site.deployment.engines.iter().for_each(|engine| engine.set_behaviour(stream.clone()));
+    site.deployment.engines.iter().for_each(|engine| engine.set_behaviour(stream));
     let mut signalled_at = Instant::now();
     let exchanges = site.under_load(both, callers, PAUSE, || {
         site.set_mode(0..CUT_OFF, TapMode::Reset);
@@ -164,7 +170,7 @@
     });
     let since = signalled_at..signalled_at + span;
     let own = exchanges.into_iter().take(CUT_OFF).flatten();
-    own.filter(|one| since.contains(&one.began)).collect()
+    (own.filter(|one| since.contains(&one.began)).collect(), site)
 }
 
 fn tally<'a>(exchanges: impl Iterator<Item = &'a Exchange>) -> Tally {
@@ -172,13 +178,25 @@
     Tally::of(exchanges, &all)
 }
 
+/// Requests that may run again are sent another way when an exit freezes.
+#[test]
+fn exit_freezes() {
+    let _running = start_running();
+    let short = Behaviour::Stream { events: 3, pause_ms: 10 };
+    let (exchanges, _site) = signal_exit("STOP", CONTACT, short, CALLERS);
+    let checks = tally(exchanges.iter().filter(|one| is_check(one.number)));
+    println!("{checks:?} repeatable requests");
+    assert_eq!(checks.failed(), 0, "of {} requests", checks.tries);
+}
+
 /// An exit that stops ends no request of another host.
 #[test]
 fn exit_stops() {
     let _running = start_running();
     let long = Behaviour::Stream { events: 10, pause_ms: 100 };
     // So few callers that the engines have slots for all streams.
-    let all = tally(signal_exit("TERM", GRACE, long, 4).iter());
+    let (exchanges, _site) = signal_exit("TERM", GRACE, long, 4);
+    let all = tally(exchanges.iter());
     println!("{all:?}");
     assert_eq!(all.failed(), 0, "of {} requests", all.tries);
 }
