fix: an upstream fails for all only if a host of another failure domain confirms it

Where all hosts of a domain lose their path to an upstream, as when the link between two domains breaks, they would have told all others that it had failed.

Change: after the first host one of another domain is asked, for an opinion as for a tunnel, and only such a one makes the verdict; without any host elsewhere two of the own domain do, as before.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -156,7 +156,10 @@
         self.slots.borrow_mut().set_brittle_hosts(self.capacities(grants_brittle));
         let is_exit = |entry: &HostEntry| entry.capabilities.includes(Capabilities::TUNNELS);
         let exits = self.capacities(is_exit).into_iter().map(|(host, _)| host);
-        self.reach.borrow_mut().exits.set_hosts(exits.collect());
+        let exits: Vec<Name> = exits.collect();
+        let elsewhere = exits.iter().filter(|host| self.is_elsewhere(host)).cloned().collect();
+        self.reach.borrow_mut().exits.set_hosts(exits);
+        self.reach.borrow_mut().exits.set_elsewhere(elsewhere);
         let now = self.clock.now();
         self.quotas.borrow_mut().client.set_hosts(now, hosts);
         self.limits.borrow_mut().contact.set_hosts(now, hosts);
@@ -179,6 +182,12 @@
         others.map(|(host, entry)| (host.clone(), entry.capacity)).chain([own]).collect()
     }
 
+    /// Whether a host belongs to another failure domain.
+    fn is_elsewhere(&self, host: &Name) -> bool {
+        let peers = self.peers.borrow();
+        peers.get(host).is_some_and(|entry| entry.domain != self.settings.domain)
+    }
+
     /// The value of this host's key.
     pub(crate) fn own_entry(&self) -> HostEntry {
         let settings = &self.settings;
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -72,6 +72,26 @@
     Unknown,
 }
 
+/// The hosts that reach others, but not an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+struct Unreached {
+    count: usize,
+    /// Whether one of them belongs to another failure domain.
+    is_elsewhere: bool,
+}
+
+impl Unreached {
+    fn suffices(self) -> bool {
+        self.count >= MIN_UNREACHED
+    }
+
+    /// Whether the upstream is at fault. The hosts of one failure domain may all have lost their path to
+    /// it, so one of another domain must confirm it if there is any.
+    fn is_conclusive(self, has_elsewhere: bool) -> bool {
+        self.count > 0 && (self.is_elsewhere || !has_elsewhere)
+    }
+}
+
 impl Hub {
     /// Opens a tunnel to an upstream through the first exit that can.
     pub(crate) async fn open_tunnel(
@@ -83,9 +103,9 @@
         }
         let request = TunnelRequest { upstream: upstream.clone(), must_probe: false };
         let mut tried = Vec::new();
-        let mut unreached = 0;
-        while unreached < MIN_UNREACHED
-            && let Some(exit) = self.next_exit(&mut tried)
+        let mut unreached = Unreached::default();
+        while !unreached.suffices()
+            && let Some(exit) = self.next_exit(&mut tried, unreached.count > 0)
         {
             match self.ask_exit(&exit, &request).await {
                 Ok(Tunnel { stream }) => {
@@ -94,12 +114,13 @@
                     return Ok(Opened { stream, tunnel });
                 }
                 Err(TunnelError::Refused(TunnelRefusal::Unreachable | TunnelRefusal::Ended)) => {
-                    unreached += 1;
+                    self.record_unreached(&mut unreached, &exit);
                 }
                 Err(_) => {}
             }
         }
-        let reason = if unreached > 0 { NoTunnel::Unreachable } else { NoTunnel::Unknown };
+        let is_judged = unreached.is_conclusive(self.reach.borrow().exits.has_elsewhere());
+        let reason = if is_judged { NoTunnel::Unreachable } else { NoTunnel::Unknown };
         telemetry::tunnel_opened(false);
         let tried = tried.len();
         log::info!(
@@ -114,30 +135,40 @@
     pub(crate) async fn opinion_of_exits(self: &Rc<Self>, upstream: &Incarnation) -> Opinion {
         let request = TunnelRequest { upstream: upstream.clone(), must_probe: true };
         let mut tried = Vec::new();
-        let mut unreached = 0;
+        let mut unreached = Unreached::default();
         let mut asked = FuturesUnordered::new();
         loop {
-            while asked.len() + unreached < MIN_UNREACHED
-                && let Some(exit) = self.next_exit(&mut tried)
+            while asked.len() + unreached.count < MIN_UNREACHED
+                && let Some(exit) = self.next_exit(&mut tried, asked.len() + unreached.count > 0)
             {
                 let (hub, request) = (self.clone(), request.clone());
                 asked.push(async move {
                     let answer = hub.ask_exit(&exit, &request).await;
                     // What was opened is not needed.
-                    answer.map(|_| drop(OpenTunnel { hub, exit: exit.clone() })).map(|()| exit)
+                    (answer.map(|_| drop(OpenTunnel { hub, exit: exit.clone() })), exit)
                 });
             }
-            match asked.next().await {
-                Some(Ok(exit)) => return Opinion::Answers(exit),
-                Some(Err(TunnelError::Refused(TunnelRefusal::Ended))) => return Opinion::Ended,
-                Some(Err(TunnelError::Refused(TunnelRefusal::Unreachable))) => unreached += 1,
-                Some(Err(_)) => {}
-                None if unreached > 0 => return Opinion::Silent,
-                None => return Opinion::Unknown,
+            let Some((answer, exit)) = asked.next().await else {
+                let has_elsewhere = self.reach.borrow().exits.has_elsewhere();
+                let is_judged = unreached.is_conclusive(has_elsewhere);
+                return if is_judged { Opinion::Silent } else { Opinion::Unknown };
+            };
+            match answer {
+                Ok(()) => return Opinion::Answers(exit),
+                Err(TunnelError::Refused(TunnelRefusal::Ended)) => return Opinion::Ended,
+                Err(TunnelError::Refused(TunnelRefusal::Unreachable)) => {
+                    self.record_unreached(&mut unreached, &exit);
+                }
+                Err(_) => {}
             }
         }
     }
 
+    fn record_unreached(&self, unreached: &mut Unreached, exit: &Name) {
+        unreached.count += 1;
+        unreached.is_elsewhere |= self.reach.borrow().exits.is_elsewhere(exit);
+    }
+
     /// Asks an exit through which nothing comes whether it still reaches an upstream.
     pub(crate) fn check_exit(self: &Rc<Self>, exit: Name, upstream: Incarnation) {
         let hub = self.clone();
@@ -158,12 +189,17 @@
         });
     }
 
-    /// Returns the exit to ask next, and adds it to those that were `tried`.
-    fn next_exit(&self, tried: &mut Vec<Name>) -> Option<Name> {
+    /// Returns the exit to ask next, and adds it to those that were `tried`; if `is_second`, one of
+    /// another failure domain if there is any.
+    fn next_exit(&self, tried: &mut Vec<Name>, is_second: bool) -> Option<Name> {
         if tried.len() >= MAX_EXITS {
             return None;
         }
-        let exit = self.reach.borrow_mut().exits.choose(self.clock.now(), tried)?;
+        let (now, exits) = (self.clock.now(), &mut self.reach.borrow_mut().exits);
+        let exit = match is_second {
+            true => exits.choose_elsewhere(now, tried)?,
+            false => exits.choose(now, tried)?,
+        };
         tried.push(exit.clone());
         Some(exit)
     }
--- a/crates/reach/src/exits.rs
+++ b/crates/reach/src/exits.rs
@@ -1,6 +1,6 @@
 //! Choice of the host through which a blocked upstream is reached.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use vanetally_types::{Name, Tick, hash64, rendezvous_rank};
 
 /// Why a host was of no use as exit.
@@ -43,6 +43,8 @@
 pub struct Exits {
     own: Name,
     hosts: Vec<Name>,
+    /// Those of other failure domains.
+    elsewhere: BTreeSet<Name>,
     /// Whether `hosts` is ranked.
     is_ranked: bool,
     states: BTreeMap<Name, ExitState>,
@@ -74,8 +76,8 @@
 impl Exits {
     /// Creates the choice for the host `own` without any other known host.
     pub fn new(own: Name) -> Self {
-        let (hosts, states) = Default::default();
-        Self { own, hosts, is_ranked: true, states, choices: 0, opened_at: None }
+        let (hosts, elsewhere, states) = Default::default();
+        Self { own, hosts, elsewhere, is_ranked: true, states, choices: 0, opened_at: None }
     }
 
     /// Sets the live hosts that serve as exits.
@@ -86,6 +88,21 @@
         self.is_ranked = false;
     }
 
+    /// Sets which of the hosts belong to other failure domains than this one.
+    pub fn set_elsewhere(&mut self, elsewhere: BTreeSet<Name>) {
+        self.elsewhere = elsewhere;
+    }
+
+    /// Whether a host belongs to another failure domain.
+    pub fn is_elsewhere(&self, host: &Name) -> bool {
+        self.elsewhere.contains(host)
+    }
+
+    /// Whether any host belongs to another failure domain.
+    pub fn has_elsewhere(&self) -> bool {
+        !self.elsewhere.is_empty()
+    }
+
     /// Whether there is no other host.
     pub fn is_empty(&self) -> bool {
         self.hosts.is_empty()
@@ -93,10 +110,30 @@
 
     /// Returns the host to try next, other than those that were `tried`.
     pub fn choose(&mut self, now: Tick, tried: &[Name]) -> Option<Name> {
+        self.choose_among(now, tried, |_| true)
+    }
+
+    /// Like [`Exits::choose`], but prefers hosts of other failure domains: a cut often strikes the hosts
+    /// of one domain alike.
+    pub fn choose_elsewhere(&mut self, now: Tick, tried: &[Name]) -> Option<Name> {
+        let elsewhere = std::mem::take(&mut self.elsewhere);
+        let chosen = self.choose_among(now, tried, |host| elsewhere.contains(host));
+        self.elsewhere = elsewhere;
+        chosen.or_else(|| self.choose(now, tried))
+    }
+
+    fn choose_among(
+        &mut self,
+        now: Tick,
+        tried: &[Name],
+        is_wanted: impl Fn(&Name) -> bool,
+    ) -> Option<Name> {
         self.rank();
         self.choices += 1;
         let state = |host: &Name| self.states.get(host).copied().unwrap_or_default();
-        let is_usable = |host: &&Name| now >= state(host).paused_until && !tried.contains(host);
+        let is_usable = |host: &&Name| {
+            is_wanted(host) && now >= state(host).paused_until && !tried.contains(host)
+        };
         let is_proven =
             |host: &&Name| state(host).proven_at.is_some_and(|at| now.since(at) <= PROVEN_MS);
         let usable = || self.hosts.iter().filter(is_usable);
--- a/crates/reach/tests/exits.rs
+++ b/crates/reach/tests/exits.rs
@@ -99,3 +99,17 @@
     );
     assert!(load.len() * 2 >= (count - cut_off).min(cut_off * 3), "{} hosts used", load.len());
 }
+
+/// A cut often strikes the hosts of one failure domain alike, so others are asked as well.
+#[test]
+fn other_domain_preferred() {
+    let all = hosts(6);
+    let mut exits = exits_of("front-0", &all);
+    exits.set_elsewhere([all[4].clone(), all[5].clone()].into());
+    let first = exits.choose_elsewhere(Tick(0), &[]).expect("a host");
+    assert!(exits.is_elsewhere(&first), "{first}");
+    exits.failed(Tick(0), &all[4], ExitFailure::Silent);
+    exits.failed(Tick(0), &all[5], ExitFailure::Silent);
+    let other = exits.choose_elsewhere(Tick(0), &[]).expect("a host");
+    assert!(!exits.is_elsewhere(&other), "{other}");
+}
