--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 mod limits;
 mod loads;
 mod machine;
+mod outdated;
 mod pace;
 mod previous;
 mod queue;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -8,7 +8,7 @@
     brittle::Brittleness,
     cooldown::Cooldown,
     directory::Directory,
-    ending::{RETRY_AFTER_MS, STOP_RETRY_AFTER_MS, startup_retry_ms},
+    ending::{RETRY_AFTER_MS, STOP_RETRY_AFTER_MS},
     loads::Loads,
     pace::PaceModel,
     queue::Queue,
@@ -24,7 +24,7 @@
     rc::Rc,
 };
 use vanetally_ports::{
-    CallerRequest, Configuration, ModelRef, Refusal, RefusalCause, Route, UpstreamState,
+    CallerRequest, Configuration, ModelRef, Refusal, RefusalCause, UpstreamState,
 };
 use vanetally_quarantine::{BlockedContents, ContentHash, CrashReport, CrashSign};
 use vanetally_slots::SlotEnd;
@@ -81,10 +81,6 @@
 const RETURN_SPACING_MS: u64 = 5;
 /// All hosts return within the cooldown divided by this.
 const RETURN_SPREAD_DIVISOR: u64 = 8;
-/// Time since the configuration was last confirmed as the newest after which routes and keys may exist
-/// that this host does not know. A host that reads the store is confirmed as of up to 3 s ago, and others
-/// a little later.
-const MAX_UNCONFIRMED_MS: u64 = 5_000;
 /// Share of a planned stop in which requests are accepted.
 const STOP_ACCEPT_SHARE: f64 = 0.3;
 pub(crate) const MICROS_PER_MILLI: f64 = 1_000.0;
@@ -392,32 +388,6 @@
         self.requests.insert(id, request);
     }
 
-    /// Returns the route that matches a request.
-    pub(crate) fn route(&self, now: Tick, head: &CallerRequest) -> Result<Rc<Route>, Refusal> {
-        if self.configuration.is_none() {
-            let retry_ms = startup_retry_ms(now.since(self.started_at), self.has_store);
-            return Err(Refusal::not_run(RefusalCause::NotConfigured, Some(retry_ms)));
-        }
-        let route = self.routes.find(&head.host, &head.path).cloned();
-        route.ok_or_else(|| self.unknown_refusal(now, RefusalCause::NoRoute))
-    }
-
-    /// Returns the refusal of a request whose route or key is unknown. It may be known by a newer
-    /// configuration, which other hosts may have.
-    pub(crate) fn unknown_refusal(&self, now: Tick, cause: RefusalCause) -> Refusal {
-        match self.may_be_outdated(now) {
-            true => Refusal::not_run(RefusalCause::NotConfigured, Some(RETRY_AFTER_MS)),
-            false => Refusal::not_run(cause, None),
-        }
-    }
-
-    /// Whether a newer configuration is known to exist, or may exist since none was confirmed as the
-    /// newest for long.
-    fn may_be_outdated(&self, now: Tick) -> bool {
-        let is_unconfirmed = self.confirmed_at.is_some_and(|at| now.since(at) > MAX_UNCONFIRMED_MS);
-        is_unconfirmed || self.newest_version > self.version()
-    }
-
     /// Whether a planned stop has reached the part in which no requests are accepted.
     pub(crate) fn refuses_new_requests(&self, now: Tick) -> bool {
         let accept_ms = (self.options.grace_ms as f64 * STOP_ACCEPT_SHARE) as u64;
