fix: a host that is behind repeats its request for the configuration

Cause: hosts state their version in load messages, which stop while loads don't change. A host that heard of a newer version asked once; if that request or its answer was lost, it stayed behind until the next statement. Ruled out: a patch that can't be applied (nothing was sent, by both logs).

Change: `Pull` keeps the newest version stated and by whom, and repeats the request after the same 0.4 or 1.5 s until the version is there. A host that states an older one than before (it was replaced) is believed.

--- a/crates/fanout/src/pull.rs
+++ b/crates/fanout/src/pull.rs
@@ -5,6 +5,8 @@
 /// The pending request for a newer version.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Pull {
+    /// The newest version stated, and the host that states it.
+    newest: Option<(Name, u64)>,
     pending: Option<(Name, Tick)>,
     /// Whether the value is so small that its transfer takes no longer than that of a patch.
     is_small: bool,
@@ -25,6 +27,22 @@
         self.is_small = (1..=SMALL_BYTES).contains(&bytes);
     }
 
+    /// Records that `from` has `version` of the value.
+    pub fn heard(&mut self, from: &Name, version: u64) {
+        let is_news =
+            self.newest.as_ref().is_none_or(|(host, newest)| host == from || *newest < version);
+        if is_news {
+            self.newest = Some((from.clone(), version));
+        }
+    }
+
+    /// Returns the host to request the value from again, if this one still has `have` and nothing was received
+    /// in time; records the request. A host may state its version only once.
+    pub fn overdue(&mut self, now: Tick, have: u64) -> Option<Name> {
+        let (host, _) = self.newest.clone().filter(|(_, newest)| *newest > have)?;
+        self.should_request(now, &host).then_some(host)
+    }
+
     /// Whether to request the value now from `from`, which has a newer version; records the request if so.
     ///
     /// While a request is pending no other is sent, however many versions follow: the response holds the newest one.
--- a/crates/fanout/tests/pull.rs
+++ b/crates/fanout/tests/pull.rs
@@ -58,3 +58,29 @@
     pull.set_bytes(800_000);
     assert!(!pull.should_request(Tick(1_800), &host("a")), "a large one is still being sent");
 }
+
+/// A host states its version once. Guards against a host that stays behind if its request is lost.
+#[test]
+fn lost_request_repeated() {
+    let mut pull = Pull::default();
+    pull.heard(&host("a"), 2);
+    pull.should_request(Tick(0), &host("a"));
+    assert_eq!(pull.overdue(Tick(1_000), 1), None, "the response may be on its way");
+    assert_eq!(pull.overdue(Tick(1_500), 1), Some(host("a")));
+    assert_eq!(pull.overdue(Tick(2_000), 1), None);
+    pull.received();
+    assert_eq!(pull.overdue(Tick(2_100), 2), None, "the version arrived");
+    assert_eq!(pull.overdue(Tick(2_100), 1), Some(host("a")), "an older one arrived");
+}
+
+/// A host that was replaced may have an older version than it stated before.
+#[test]
+fn version_withdrawn() {
+    let mut pull = Pull::default();
+    pull.heard(&host("a"), 3);
+    pull.heard(&host("b"), 2);
+    pull.heard(&host("a"), 1);
+    assert_eq!(pull.overdue(Tick(0), 1), None);
+    pull.heard(&host("b"), 2);
+    assert_eq!(pull.overdue(Tick(0), 1), Some(host("b")));
+}
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -1,7 +1,7 @@
 //! Distribution of configurations between hosts.
 //!
 //! Hosts include their configuration version in every load message. A host that is behind requests
-//! a patch against the version it has.
+//! a patch against the version it has, and repeats that until it has the version.
 
 use crate::{hub::Hub, peers::PeerMessage};
 use std::rc::Rc;
@@ -17,6 +17,7 @@
 
     /// Requests the configuration from `host` if its `version` is newer than the local one.
     pub(crate) fn check_version(self: &Rc<Self>, host: &Name, version: u64) {
+        self.configuration_pull.borrow_mut().heard(host, version);
         let have = self.version();
         if have >= version {
             return;
@@ -26,11 +27,25 @@
         self.configuration_pull.borrow_mut().set_bytes(bytes);
         if self.configuration_pull.borrow_mut().should_request(self.clock.now(), host) {
             log::info!("event=configuration_asked of={host} version={version} have={have}");
-            let have = self.versions.borrow().newest();
-            self.send(host, &PeerMessage::AskConfiguration { have });
+            self.request_configuration(host);
         }
     }
 
+    /// Requests the configuration again if a newer version was stated but has not arrived.
+    pub(crate) fn repeat_configuration_request(&self) {
+        let have = self.version();
+        let host = self.configuration_pull.borrow_mut().overdue(self.clock.now(), have);
+        if let Some(host) = host {
+            log::info!("event=configuration_asked_again of={host} have={have}");
+            self.request_configuration(&host);
+        }
+    }
+
+    fn request_configuration(&self, host: &Name) {
+        let have = self.versions.borrow().newest();
+        self.send(host, &PeerMessage::AskConfiguration { have });
+    }
+
     /// Sends `host` a patch from version `have` to the newest one.
     pub(crate) fn send_configuration(&self, host: &Name, have: Option<u64>) {
         let patch = self.versions.borrow_mut().try_patch(have);
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -471,6 +471,7 @@
         self.order_lease_event(OrderLeaseEvent::Tick);
         self.expire_lapsed();
         self.tick_source();
+        self.repeat_configuration_request();
         self.probe_store();
         self.placement_event(placement::Event::Tick);
     }
--- a/tests/platform_path.rs
+++ b/tests/platform_path.rs
@@ -5,11 +5,17 @@
 
 use gateway::{Deployment, Host, wait_for};
 use rstest::rstest;
-use std::time::{Duration, Instant};
-use vanetally_platform_standin::{Behaviour, Client, StoreMode};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+use vanetally_platform_standin::{Behaviour, Client, Store, StoreMode};
 
 const STREAM: Behaviour = Behaviour::Stream { events: 5, pause_ms: 5 };
 
+/// Time within which a host reports that its load fell after a request.
+const LAST_LOAD: Duration = Duration::from_secs(1);
+
 fn offer(id: &str) -> Client {
     Client::new("POST", "/offer/1", id).with("X-Model", "m1").body(b"draft")
 }
@@ -377,6 +383,32 @@
     });
 }
 
+/// A host that is behind asks again if its first request for the configuration is lost: it does not
+/// know yet where the other host listens.
+#[test]
+fn lost_configuration_request() {
+    let deployment = Deployment::start();
+    let first = deployment.host("front-1");
+    let cut_off = Deployment::start();
+    cut_off.store.remove("op/config");
+    let second = cut_off.spawn("front-2");
+    let copy_entry = |name: &str, from: &Store, to: &Store| {
+        let key = format!("vanetally/hosts/{name}");
+        wait_for("the host wrote its key", || from.get(&key).is_some());
+        to.put(&key, &serde_json::from_str(&from.get(&key).unwrap()).unwrap());
+    };
+    copy_entry("front-2", &cut_off.store, &deployment.store);
+    wait_for("the host heard of the configuration", || {
+        offer("v1").send(first.front);
+        cut_off.log("front-2").contains("event=configuration_asked")
+    });
+    thread::sleep(LAST_LOAD);
+    copy_entry("front-1", &deployment.store, &cut_off.store);
+    wait_for("the configuration came from the peer", || {
+        second.metric("vanetally_configuration_version") == Some(1.0)
+    });
+}
+
 #[test]
 fn settings_checked() {
     let (status, text) = gateway::check_settings("{ \"node_name\": 7 }");
