fix: hosts that are all replaced at once know brittle services before they send

Cause: which services are brittle was kept in the memory of the hosts only. When all of them are replaced, each new one sends one request to a service that it has not heard of; that is a bound for each host, and hundreds of them would push a few upstreams over.

Every host applies it as it reads the hosts' keys, before it is ready. Still a bound for each host: the first contact ever, and the 10 s after a lease has ended.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,7 @@
 //! Host keys in the store, and the messages exchanged between hosts.
 
 use crate::{
+    brittle::is_brittleness,
     feed::{PrefixChanges, PrefixSync},
     hub::Hub,
     order_lease::HOLDER_KEY,
@@ -418,6 +419,8 @@
         self.hub.set_peers(hosts, is_restore);
         let quarantines = snapshot.items.iter().filter(|item| is_quarantine(&item.key));
         quarantines.for_each(|item| self.hub.apply_stored(item));
+        let brittle = snapshot.items.iter().filter(|item| is_brittleness(&item.key));
+        brittle.for_each(|item| self.hub.apply_stored_brittle(item));
         let holder = snapshot.items.iter().find(|item| &*item.key == HOLDER_KEY);
         if is_restore {
             self.hub.order_key_restored(era, holder);
@@ -432,6 +435,7 @@
                 self.hub.holder_seen(holder_name(&item));
             }
             Change::Put(item) if is_quarantine(&item.key) => self.hub.apply_stored(&item),
+            Change::Put(item) if is_brittleness(&item.key) => self.hub.apply_stored_brittle(&item),
             Change::Put(item) => {
                 if let Some((host, entry)) = parse_entry(&item) {
                     self.hub.peer_seen(host, entry);
--- a/tests/brittle.rs
+++ b/tests/brittle.rs
@@ -175,3 +175,18 @@
     println!("{crashes} crashes");
     assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
 }
+
+/// Hosts that are all replaced at once know from the store that a service is brittle, before they send
+/// anything to it.
+#[test]
+fn known_after_replacement() {
+    let _running = start_running();
+    let mut site = Site::start();
+    site.under_load(check, || thread::sleep(CONTACT));
+    site.hosts.iter_mut().for_each(Host::kill);
+    let host = site.deployment.spawn("front-new");
+    wait_for("the host is ready", || host.is_ready());
+    let log = site.deployment.log("front-new");
+    assert!(!log.contains("event=request_sent"), "{log}");
+    assert!(log.contains("event=brittleness_stated service=desk"), "{log}");
+}
