fix: a host that reaches no runner leaves the order lease to one that does

Cause: the holder of the order lease kept it while it was cut off from the runners, though other hosts reached them: no orders were given for the whole cut.

Change: a host is separated if an upstream is blocked for it (another host reaches it) and nothing was heard from any directly for 1.5 s; reports and answers to orders count as heard. A holder that becomes separated ends its lease; separated hosts leave the free key to all others for 5 s. Only the change counts, so where all are cut off, the lease does not go round. Orders through exits were weighed: a holder polls every runner, which would be thousands of tunnels.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -171,6 +171,7 @@
     let request = hub.ports.engine.order_request(&order);
     let outcome = match call::call(&hub.control_pool, address, request, ORDER_TIMEOUT).await {
         Ok(reply) => {
+            hub.reach_event(vanetally_reach::Event::Heard(order.runner.clone()));
             hub.handle_reply_head(&order.runner, &reply.head);
             hub.ports.engine.classify_order(reply.status())
         }
@@ -201,6 +202,7 @@
     let request = hub.ports.engine.report_request(&runner);
     let reply = call::call(&hub.control_pool, address, request, REPORT_TIMEOUT).await;
     if let Ok(reply) = &reply {
+        hub.reach_event(vanetally_reach::Event::Heard(runner.clone()));
         hub.handle_reply_head(&runner, &reply.head);
     }
     let report = match reply {
--- a/crates/placement/src/order_lease.rs
+++ b/crates/placement/src/order_lease.rs
@@ -67,6 +67,8 @@
     LeaseExpired,
     /// A runner has seen a higher token.
     Fenced,
+    /// Whether this host reaches no upstream although other hosts do.
+    Separated(bool),
     /// The host is stopping.
     Stop,
     /// Time has passed.
@@ -149,6 +151,8 @@
     resettled_at: Tick,
     /// Whether this process was the holder before.
     has_held: bool,
+    /// Whether this host reaches no upstream although other hosts do.
+    is_separated: bool,
     /// The newest known era of the store.
     era: Era,
     /// When this host learned of the last restore of the store.
@@ -165,6 +169,8 @@
 const RETRY_DELAY_MS: u64 = 300;
 /// Delay between the tries of hosts of consecutive ranks.
 const RANK_DELAY_MS: u64 = 40;
+/// Time that a separated host leaves to all others before it tries to write the key.
+const SEPARATED_DELAY_MS: u64 = 5_000;
 /// Time after a restore of the store during which only the previous holder tries to write the key.
 const PREVIOUS_HOLDER_MS: u64 = 250;
 
@@ -180,6 +186,7 @@
             rank: 0,
             resettled_at: now + options.resettle_ms,
             has_held: false,
+            is_separated: false,
             era: Era::default(),
             restored_at: None,
             previous: None,
@@ -235,6 +242,7 @@
             }
             OrderLeaseEvent::Renewed { sent } => self.renewed(sent),
             OrderLeaseEvent::RenewFailed => self.retry_renewal(now),
+            OrderLeaseEvent::Separated(is_separated) => return self.separated(now, is_separated),
             OrderLeaseEvent::Stop => {
                 let actions = self.give_up(now);
                 self.state = State::Stopped;
@@ -360,6 +368,19 @@
         self.next_try = now + RETRY_DELAY_MS;
     }
 
+    /// Leaves the lease to a host that reaches the runners. Only the change counts: where no other host
+    /// takes the key, this one takes it again and keeps it.
+    fn separated(&mut self, now: Tick, is_separated: bool) -> Vec<OrderLeaseAction> {
+        let is_new = is_separated && !self.is_separated;
+        self.is_separated = is_separated;
+        if is_new { self.give_up(now) } else { Vec::new() }
+    }
+
+    /// Returns when this host may try to write a free key.
+    fn try_at(&self) -> Tick {
+        self.next_try + if self.is_separated { SEPARATED_DELAY_MS } else { 0 }
+    }
+
     /// Gives up the lease or the attempt to get it.
     fn give_up(&mut self, now: Tick) -> Vec<OrderLeaseAction> {
         self.next_try = now + RETRY_DELAY_MS + self.rank * RANK_DELAY_MS;
@@ -377,8 +398,9 @@
     }
 
     fn tick(&mut self, now: Tick) -> Vec<OrderLeaseAction> {
+        let try_at = self.try_at();
         match &mut self.state {
-            State::Idle if self.holder == Some(None) && now >= self.next_try => {
+            State::Idle if self.holder == Some(None) && now >= try_at => {
                 self.state = State::Granting;
                 vec![OrderLeaseAction::Grant { ttl_ms: self.options.ttl_ms }]
             }
--- a/crates/placement/tests/order_lease.rs
+++ b/crates/placement/tests/order_lease.rs
@@ -314,3 +314,39 @@
     order_lease.handle(START + 1_100, OrderLeaseEvent::KeyWritten(Revision::new(Era(2), 5)));
     assert_eq!(order_lease.token(START + 1_400), None);
 }
+
+/// A holder that reaches no runner leaves the lease to another host.
+#[test]
+fn separated_holder_resigns() {
+    let mut order_lease = holder();
+    let at = START + 1_000;
+    let actions = order_lease.handle(at, OrderLeaseEvent::Separated(true));
+    assert_eq!(actions, [OrderLeaseAction::End { lease: LEASE }]);
+    assert_eq!(order_lease.token(at), None);
+    order_lease.handle(at + 10, OrderLeaseEvent::HolderSeen(None));
+    assert!(order_lease.handle(at + 5_000, OrderLeaseEvent::Tick).is_empty(), "others come first");
+    order_lease.handle(at + 5_000, OrderLeaseEvent::Separated(false));
+    let grant = [OrderLeaseAction::Grant { ttl_ms: 2_000 }];
+    assert_eq!(order_lease.handle(at + 5_000, OrderLeaseEvent::Tick), grant);
+}
+
+/// Where all hosts are separated, the lease does not go from one to the next.
+#[test]
+fn separated_hosts_keep_lease() {
+    let mut order_lease = follower();
+    order_lease.handle(START, OrderLeaseEvent::Separated(true));
+    assert!(order_lease.handle(START + 4_000, OrderLeaseEvent::Tick).is_empty());
+    write_key(&mut order_lease, START + 6_000, 40);
+    assert!(order_lease.handle(START + 6_000, OrderLeaseEvent::Separated(true)).is_empty());
+    assert!(order_lease.is_holding(START + 6_000));
+}
+
+/// A lease that is granted after the host was separated is ended.
+#[test]
+fn separated_while_granting() {
+    let mut order_lease = follower();
+    order_lease.handle(START, OrderLeaseEvent::Tick);
+    order_lease.handle(START, OrderLeaseEvent::Separated(true));
+    let granted = OrderLeaseEvent::Granted { sent: START, lease: LEASE, ttl_ms: 2_000 };
+    assert_eq!(order_lease.handle(START, granted), [OrderLeaseAction::End { lease: LEASE }]);
+}
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -52,6 +52,8 @@
 const DOUBT_MS: u64 = 30_000;
 /// Time in doubt, without any tunnel, after which requests can't be expected to find a path soon.
 const CUT_OFF_MS: u64 = 1_500;
+/// Time without a byte from any upstream after which a host with blocked ones counts as separated.
+const SEPARATED_MS: u64 = 1_500;
 /// How long an answer on a new connection shows that others reach the same upstream.
 const PROVEN_MS: u64 = 1_000;
 /// Time after the last request for a blocked upstream in which it is probed.
@@ -157,6 +159,12 @@
         is_unheard && self.is_widely_doubtful(now) && self.exits.opened_at().is_none_or(is_long)
     }
 
+    /// Whether this host reaches no upstream directly although other hosts do.
+    pub fn is_separated(&self, now: Tick) -> bool {
+        let last = self.blocked_since.max(self.heard_at);
+        self.blocked > 0 && last.is_some_and(|at| now.since(at) >= SEPARATED_MS)
+    }
+
     /// Whether there was trouble on some path after `good_at`, which is not known to be over.
     fn has_trouble_since(&self, now: Tick, good_at: Option<Tick>) -> bool {
         let is_unresolved = |trouble: &Trouble| {
--- a/crates/reach/tests/blocked_upstreams.rs
+++ b/crates/reach/tests/blocked_upstreams.rs
@@ -334,3 +334,20 @@
     let again = checks(reach.handle(Tick(at + 2 * SILENCE_MS), Event::Tick));
     assert_eq!(again, usize::from(works), "as long as an attempt is open");
 }
+
+/// A host that hears nothing directly from any upstream, while another host reaches one, is separated.
+#[test]
+fn separated_until_heard() {
+    const SEPARATED_MS: u64 = 1_500;
+    let mut reach = host();
+    reach.handle(Tick(0), Event::ConnectFailed(upstream(1)));
+    assert!(!reach.is_separated(Tick(10 * SEPARATED_MS)), "no other host reaches it");
+    block(&mut reach, 0, 1);
+    reach.handle(Tick(500), Event::Heard(upstream(2)));
+    reach.handle(Tick(500), Event::HeardThrough(exit()));
+    assert!(!reach.is_separated(Tick(SEPARATED_MS)), "another upstream was heard");
+    reach.handle(Tick(1_000), Event::HeardThrough(exit()));
+    assert!(reach.is_separated(Tick(500 + SEPARATED_MS)), "an exit is no path of its own");
+    reach.handle(Tick(3_000), Event::Heard(upstream(2)));
+    assert!(!reach.is_separated(Tick(3_000)));
+}
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -12,6 +12,7 @@
 use gateway::{
     load::Exchange,
     taps::{Tally, TappedDeployment},
+    wait_for,
 };
 use rstest::rstest;
 use std::{
@@ -201,6 +202,28 @@
     assert_eq!(all.failed(), 0, "of {} requests", all.tries);
 }
 
+/// A host that gives orders and reaches no engine leaves that to one that does.
+#[rstest]
+#[case::reset(TapMode::Reset)]
+#[case::silent(TapMode::Silent)]
+fn holder_cut_off(#[case] mode: TapMode) {
+    const TAKEN: &str = "event=order_lease_taken";
+    let _running = start_running();
+    let site = TappedDeployment::start(HOSTS, 3, 3);
+    let log_of = |number: usize| site.deployment.log(&format!("front-{number}"));
+    let holder = || (0..HOSTS).find(|number| log_of(*number).contains(TAKEN));
+    wait_for("a host gives orders", || holder().is_some());
+    let holder = holder().unwrap();
+    site.under_load(both, CALLERS, PAUSE, || {
+        thread::sleep(CALM);
+        site.set_mode(holder..holder + 1, mode);
+        thread::sleep(CUT);
+    });
+    let took_it = |number: &usize| *number != holder && log_of(*number).contains(TAKEN);
+    assert!((0..HOSTS).any(|number| took_it(&number)), "{holder} kept the lease");
+    assert_eq!(log_of(holder).matches(TAKEN).count(), 1);
+}
+
 /// Where no host reaches any upstream, requests are refused as not run, which is true, and before their
 /// deadline.
 #[rstest]
