fix: what waited for the verdict on a crash is sent one at a time

Cause: while the upstream of a broken attempt is probed, requests with the same content wait. When the probe had found a crash, all of them were sent at once 0.1 s later, each to another upstream: one crash became six. Ruled out: hosts or messages that are late (no host_stalled, no messages_late).

Change: for 3 s after a confirmed crash its content is sent by one request at a time at each host, until one is answered or the content is quarantined.

Measured: `one_attempt_after_crash` failed before (3 of 3 waiting requests sent at once).

--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -66,7 +66,7 @@
         }
         let subject = request.head.model.clone();
         if now < request.not_before
-            || self.quarantine.is_suspended(now, request.content_hash)
+            || self.is_held(now, id, request)
             || self.awaits_first_answer(now, service)
         {
             return;
@@ -78,6 +78,7 @@
             self.refuse_by_forecast(now, id, views, Some(shortage.kind), actions);
             return;
         }
+        self.quarantine.record_try(request.content_hash, id.0);
         match self.choose(now, request) {
             Ok(choice) if choice.limit.is_none() && self.yields(now, id, views) => {
                 self.hold_back(now, id);
@@ -115,6 +116,18 @@
         }
     }
 
+    /// Whether a request waits for what becomes of another one with the same content.
+    fn is_held(&self, now: Tick, id: RequestId, request: &Request) -> bool {
+        let content = request.content_hash;
+        let is_open = |other: RequestId| {
+            let other = self.requests.get(&other);
+            other.is_some_and(|other| !matches!(other.stage, Stage::Waiting))
+        };
+        let tried_by = self.quarantine.tried_by(now, content).map(RequestId);
+        self.quarantine.is_suspended(now, content)
+            || tried_by.is_some_and(|other| other != id && is_open(other))
+    }
+
     pub(crate) fn is_engine(&self, service: &Name) -> bool {
         let services = self.configuration.as_ref().map(|c| &c.services);
         services.and_then(|known| known.get(service)).is_some_and(|known| known.engine.is_some())
@@ -244,7 +257,7 @@
         let Stage::Sent(attempt) = &request.stage else {
             return false;
         };
-        if self.quarantine.is_suspended(now, request.content_hash) {
+        if self.is_held(now, id, request) {
             return false;
         }
         let Some(upstream) = self.upstreams.get(&attempt.upstream) else {
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -140,6 +140,36 @@
     assert_eq!(sent(&actions, second).len(), 1, "the upstream is alive, so the content is sent");
 }
 
+/// Requests that waited for the verdict on a crash are sent one at a time, until one is answered: all at
+/// once, they crash as many upstreams.
+#[test]
+fn one_attempt_after_crash() {
+    let mut host = host();
+    let (id, _) = arrive(&mut host, 1, CONTENT);
+    let actions = host.handle(Event::AttemptEnded { id, end: AttemptEnd::Broken, answered: true });
+    let upstream = actions.iter().find_map(|action| match action {
+        Action::Probe { upstream, .. } => Some(upstream.clone()),
+        _ => None,
+    });
+    let upstream = upstream.expect("its upstream is probed");
+    let waiting: Vec<RequestId> =
+        (2..5).map(|number| arrive(&mut host, number, CONTENT).0).collect();
+    let sign = Some(CrashSign::Silent);
+    host.handle(Event::Probed { upstream, content_hashes: vec![CONTENT], sign });
+    let sent_of = |actions: &[Action]| -> Vec<RequestId> {
+        waiting.iter().copied().filter(|id| !sent(actions, *id).is_empty()).collect()
+    };
+    host.now = host.now + 200;
+    let first = sent_of(&host.handle(Event::Tick));
+    assert_eq!(first.len(), 1, "one of the waiting requests");
+    assert!(host.dispatch.may_send(host.now, first[0]));
+    host.now = host.now + 200;
+    assert!(sent_of(&host.handle(Event::Tick)).is_empty(), "the first is not answered yet");
+    let served = Event::AttemptEnded { id: first[0], end: AttemptEnd::Served, answered: true };
+    let others = sent_of(&host.handle(served));
+    assert_eq!(others.len(), 2, "it is answered, so the content crashes nothing");
+}
+
 /// An upstream that does not respond gets no requests while others are available.
 #[test]
 fn unresponsive_upstream() {
