fix: one blocked upstream is not taken for all of them

Cause: called a host separated if an upstream was blocked for it and none was heard for 1.5 s. A holder that sends to a single upstream hears nothing of the others, since reports are asked for only when they are due, and gave the order lease up although it reached them. Found by reading the whole change again.

Change: such a host first asks up to three other upstreams directly, as an exit does before it calls itself cut off; it is separated only if none answers. The decision is in `Separation`, tells the order lease only of changes, and is logged (`host_separated`).

`others_reached` and `separated_until_heard` guard the decisions.

--- a/crates/gateway/src/exit.rs
+++ b/crates/gateway/src/exit.rs
@@ -343,7 +343,7 @@
     }
 
     /// Whether another upstream answers on a new connection.
-    async fn reaches_others(self: &Rc<Self>, upstream: &Incarnation) -> bool {
+    pub(crate) async fn reaches_others(self: &Rc<Self>, upstream: &Incarnation) -> bool {
         let others = self.comparable(upstream);
         let ask = async |(number, other): (usize, Incarnation)| {
             sleep(COMPARISON_DELAY * number as u32).await;
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -468,8 +468,6 @@
         }
         self.reach_event(vanetally_reach::Event::Tick);
         self.request_event(dispatch::Event::Tick);
-        let is_separated = self.reach.borrow().is_separated(self.clock.now());
-        self.order_lease_event(OrderLeaseEvent::Separated(is_separated));
         self.order_lease_event(OrderLeaseEvent::Tick);
         self.expire_lapsed();
         self.tick_source();
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -8,6 +8,7 @@
 };
 use std::rc::Rc;
 use vanetally_dispatch::{self as dispatch, AttemptEnd, RequestId};
+use vanetally_placement::OrderLeaseEvent;
 use vanetally_reach::{Action, AttemptId, Event};
 use vanetally_types::Incarnation;
 
@@ -30,6 +31,11 @@
                     );
                     telemetry::upstream_blocked(false);
                 }
+                Action::AskOthers(upstream) => self.ask_others(upstream),
+                Action::Separated(is_separated) => {
+                    log::warn!("event=host_separated separated={is_separated}");
+                    self.order_lease_event(OrderLeaseEvent::Separated(is_separated));
+                }
                 Action::CheckExit { exit, upstream } => self.check_exit(exit, upstream),
                 Action::Lost(AttemptId::Own(id)) => self.attempt_lost(RequestId(id)),
                 // The tunnels to a blocked upstream were closed.
@@ -38,6 +44,15 @@
         }
     }
 
+    /// Asks a few upstreams other than `upstream` whether they answer this host.
+    fn ask_others(self: &Rc<Self>, upstream: Incarnation) {
+        let hub = self.clone();
+        tokio::task::spawn_local(async move {
+            let is_reached = hub.reaches_others(&upstream).await;
+            hub.reach_event(Event::OthersAsked { is_reached });
+        });
+    }
+
     /// Gives up an attempt whose answer does not arrive. A request that may run again is sent again;
     /// any other one waits for its answer, which arrives if the path is soon restored.
     fn attempt_lost(self: &Rc<Self>, id: RequestId) {
--- a/crates/reach/src/event.rs
+++ b/crates/reach/src/event.rs
@@ -85,6 +85,11 @@
         /// The result.
         result: ProbeResult,
     },
+    /// Other upstreams were asked for [`Action::AskOthers`].
+    OthersAsked {
+        /// Whether one of them answered directly.
+        is_reached: bool,
+    },
     /// An upstream is gone.
     Gone(Incarnation),
     /// Time has passed.
@@ -134,6 +139,11 @@
         /// The upstream.
         upstream: Incarnation,
     },
+    /// Ask a few upstreams other than this one directly, and report the result with
+    /// [`Event::OthersAsked`].
+    AskOthers(Incarnation),
+    /// This host reaches no upstream any more although other hosts do, or reaches one again.
+    Separated(bool),
     /// The answer to an attempt does not arrive: its upstream is blocked, or its exit does not work.
     Lost(AttemptId),
 }
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -12,6 +12,7 @@
 mod event;
 mod exits;
 mod reach;
+mod separation;
 mod tunnelled;
 mod upstream;
 
--- a/crates/reach/src/reach.rs
+++ b/crates/reach/src/reach.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Action, AttemptId, Event, Exits, Offer, Path, ProbeResult, ProbeScope,
+    separation::Separation,
     tunnelled::Tunnelled,
     upstream::{HEAL_PROBE_MS, UpstreamPath},
 };
@@ -32,6 +33,7 @@
     blocked: usize,
     /// Since when some upstream is blocked.
     blocked_since: Option<Tick>,
+    separation: Separation,
 }
 
 /// A failure or silence on the direct path to an upstream.
@@ -52,8 +54,6 @@
 const DOUBT_MS: u64 = 30_000;
 /// Time in doubt, without any tunnel, after which requests can't be expected to find a path soon.
 const CUT_OFF_MS: u64 = 1_500;
-/// Time without a byte from any upstream after which a host with blocked ones counts as separated.
-const SEPARATED_MS: u64 = 1_500;
 /// How long an answer on a new connection shows that others reach the same upstream.
 const PROVEN_MS: u64 = 1_000;
 /// Time after the last request for a blocked upstream in which it is probed.
@@ -78,6 +78,7 @@
             trouble: None,
             blocked: 0,
             blocked_since: None,
+            separation: Separation::default(),
         }
     }
 
@@ -102,6 +103,11 @@
             Event::Probed { upstream, result } => {
                 self.probed(now, &upstream, result, &mut actions);
             }
+            Event::OthersAsked { is_reached } => {
+                if self.separation.asked(now, self.quiet_since(), is_reached) {
+                    actions.push(Action::Separated(true));
+                }
+            }
             Event::Gone(upstream) => self.gone(&upstream),
             Event::Tick => self.tick(now, &mut actions),
         }
@@ -159,12 +165,6 @@
         is_unheard && self.is_widely_doubtful(now) && self.exits.opened_at().is_none_or(is_long)
     }
 
-    /// Whether this host reaches no upstream directly although other hosts do.
-    pub fn is_separated(&self, now: Tick) -> bool {
-        let last = self.blocked_since.max(self.heard_at);
-        self.blocked > 0 && last.is_some_and(|at| now.since(at) >= SEPARATED_MS)
-    }
-
     /// Whether there was trouble on some path after `good_at`, which is not known to be over.
     fn has_trouble_since(&self, now: Tick, good_at: Option<Tick>) -> bool {
         let is_unresolved = |trouble: &Trouble| {
@@ -405,6 +405,24 @@
         }
     }
 
+    /// Since when nothing was heard directly from any upstream; `None` if none is blocked.
+    fn quiet_since(&self) -> Option<Tick> {
+        self.blocked_since.map(|since| self.heard_at.map_or(since, |heard| heard.max(since)))
+    }
+
+    fn update_separation(&mut self, now: Tick, actions: &mut Vec<Action>) {
+        let quiet_since = self.quiet_since();
+        if self.separation.update(now, quiet_since) {
+            actions.push(Action::Separated(false));
+        }
+        if quiet_since.is_some()
+            && let Some(blocked) = self.active.iter().find(|upstream| self.is_blocked(upstream))
+            && self.separation.should_ask(now, quiet_since)
+        {
+            actions.push(Action::AskOthers(blocked.clone()));
+        }
+    }
+
     fn forget_idle(&mut self, now: Tick) {
         let mut unblocked = 0;
         self.upstreams.retain(|_, known| {
@@ -459,6 +477,7 @@
             self.swept_at = now;
             self.forget_idle(now);
         }
+        self.update_separation(now, actions);
     }
 }
 
--- a/crates/reach/tests/blocked_upstreams.rs
+++ b/crates/reach/tests/blocked_upstreams.rs
@@ -335,19 +335,52 @@
     assert_eq!(again, usize::from(works), "as long as an attempt is open");
 }
 
-/// A host that hears nothing directly from any upstream, while another host reaches one, is separated.
+/// Time without a byte after which a host with blocked upstreams asks others.
+const QUIET_MS: u64 = 1_500;
+
+fn separations(actions: &[Action]) -> Vec<&Action> {
+    let is_about = |action: &&Action| matches!(action, Action::Separated(_) | Action::AskOthers(_));
+    actions.iter().filter(is_about).collect()
+}
+
+/// A host that hears nothing directly from any upstream, asks some in vain, while another host reaches
+/// one, is separated.
 #[test]
 fn separated_until_heard() {
-    const SEPARATED_MS: u64 = 1_500;
     let mut reach = host();
     reach.handle(Tick(0), Event::ConnectFailed(upstream(1)));
-    assert!(!reach.is_separated(Tick(10 * SEPARATED_MS)), "no other host reaches it");
+    let actions = reach.handle(Tick(10 * QUIET_MS), Event::Tick);
+    assert!(separations(&actions).is_empty(), "no other host reaches it");
+    let mut reach = host();
     block(&mut reach, 0, 1);
     reach.handle(Tick(500), Event::Heard(upstream(2)));
-    reach.handle(Tick(500), Event::HeardThrough(exit()));
-    assert!(!reach.is_separated(Tick(SEPARATED_MS)), "another upstream was heard");
+    let actions = reach.handle(Tick(QUIET_MS), Event::Tick);
+    assert!(separations(&actions).is_empty(), "another upstream was heard");
     reach.handle(Tick(1_000), Event::HeardThrough(exit()));
-    assert!(reach.is_separated(Tick(500 + SEPARATED_MS)), "an exit is no path of its own");
-    reach.handle(Tick(3_000), Event::Heard(upstream(2)));
-    assert!(!reach.is_separated(Tick(3_000)));
+    let at = 500 + QUIET_MS;
+    let actions = reach.handle(Tick(at), Event::Tick);
+    let ask = Action::AskOthers(upstream(1));
+    assert_eq!(separations(&actions), [&ask], "an exit is no path of its own");
+    let actions = reach.handle(Tick(at + TICK_MS), Event::Tick);
+    assert!(separations(&actions).is_empty(), "one question at a time");
+    let actions = reach.handle(Tick(at + 200), Event::OthersAsked { is_reached: false });
+    assert_eq!(actions, [Action::Separated(true)]);
+    reach.handle(Tick(at + 1_000), Event::Heard(upstream(2)));
+    let actions = reach.handle(Tick(at + 1_000), Event::Tick);
+    assert_eq!(separations(&actions), [&Action::Separated(false)]);
+}
+
+/// A host that sends only to a blocked upstream is not separated if another one answers it.
+#[test]
+fn others_reached() {
+    let mut reach = host();
+    block(&mut reach, 0, 1);
+    reach.handle(Tick(QUIET_MS), Event::Tick);
+    reach.handle(Tick(QUIET_MS + 10), Event::Proven(upstream(2)));
+    let actions = reach.handle(Tick(QUIET_MS + 10), Event::OthersAsked { is_reached: true });
+    assert!(separations(&actions).is_empty());
+    let actions = reach.handle(Tick(QUIET_MS + 500), Event::Tick);
+    assert!(separations(&actions).is_empty(), "asked again only after another silence");
+    let actions = reach.handle(Tick(2 * QUIET_MS + 10), Event::Tick);
+    assert_eq!(separations(&actions), [&Action::AskOthers(upstream(1))]);
 }
--- a/tests/cut_off.rs
+++ b/tests/cut_off.rs
@@ -202,26 +202,52 @@
     assert_eq!(all.failed(), 0, "of {} requests", all.tries);
 }
 
-/// A host that gives orders and reaches no engine leaves that to one that does.
+const LEASE_TAKEN: &str = "event=order_lease_taken";
+
+fn has_taken_lease(site: &TappedDeployment, host: usize) -> bool {
+    site.deployment.log(&format!("front-{host}")).contains(LEASE_TAKEN)
+}
+
+fn await_holder(site: &TappedDeployment) -> usize {
+    let holder = || (0..HOSTS).find(|host| has_taken_lease(site, *host));
+    wait_for("a host gives orders", || holder().is_some());
+    holder().unwrap()
+}
+
+/// A host that gives orders and reaches no upstream leaves that to one that does.
 #[rstest]
 #[case::reset(TapMode::Reset)]
 #[case::silent(TapMode::Silent)]
 fn holder_cut_off(#[case] mode: TapMode) {
-    const TAKEN: &str = "event=order_lease_taken";
     let _running = start_running();
     let site = TappedDeployment::start(HOSTS, 3, 3);
-    let log_of = |number: usize| site.deployment.log(&format!("front-{number}"));
-    let holder = || (0..HOSTS).find(|number| log_of(*number).contains(TAKEN));
-    wait_for("a host gives orders", || holder().is_some());
-    let holder = holder().unwrap();
+    let holder = await_holder(&site);
     site.under_load(both, CALLERS, PAUSE, || {
         thread::sleep(CALM);
         site.set_mode(holder..holder + 1, mode);
         thread::sleep(CUT);
     });
-    let took_it = |number: &usize| *number != holder && log_of(*number).contains(TAKEN);
-    assert!((0..HOSTS).any(|number| took_it(&number)), "{holder} kept the lease");
-    assert_eq!(log_of(holder).matches(TAKEN).count(), 1);
+    let is_left = (0..HOSTS).any(|host| host != holder && has_taken_lease(&site, host));
+    assert!(is_left, "front-{holder} kept the lease");
+    let log = site.deployment.log(&format!("front-{holder}"));
+    assert_eq!(log.matches(LEASE_TAKEN).count(), 1);
+}
+
+/// A host that gives orders and does not reach the only upstream that it sends to keeps the lease while
+/// it reaches others.
+#[test]
+fn holder_reaches_others() {
+    let _running = start_running();
+    let site = TappedDeployment::start(HOSTS, 1, 1);
+    let holder = await_holder(&site);
+    site.under_load(check, CALLERS, PAUSE, || {
+        thread::sleep(CALM);
+        site.set_desk_mode(holder..holder + 1, TapMode::Reset);
+        thread::sleep(CUT);
+    });
+    let log = site.deployment.log(&format!("front-{holder}"));
+    assert!(log.contains("event=upstream_blocked"), "{log}");
+    assert!(!log.contains("event=order_lease_ended"), "front-{holder} gave the lease up");
 }
 
 /// Where no host reaches any upstream, requests are refused as not run, which is true, and before their
--- a/tests/gateway/taps.rs
+++ b/tests/gateway/taps.rs
@@ -14,7 +14,8 @@
 pub struct TappedDeployment {
     pub hosts: Vec<Host>,
     pub taps: Vec<Tap>,
-    modes: TapModes,
+    engine_modes: TapModes,
+    desk_modes: TapModes,
     pub deployment: Deployment,
 }
 
@@ -24,24 +25,33 @@
         let mut deployment = Deployment::start();
         (1..engines).for_each(|_| deployment.add_engine());
         (1..desks).for_each(|_| drop(deployment.add_desk()));
-        let modes = TapModes::default();
-        let tap = |runner: &Runner| {
-            let tap = Tap::start(&fresh_ip(), runner.address(), &modes);
+        let (engine_modes, desk_modes) = (TapModes::default(), TapModes::default());
+        let tap = |(runner, modes): (&Runner, &TapModes)| {
+            let tap = Tap::start(&fresh_ip(), runner.address(), modes);
             let (key, value) = runner.entry_at(tap.address());
             deployment.store.put(&key, &value);
             tap
         };
-        let taps = deployment.engines.iter().chain(&deployment.desks).map(tap).collect();
+        let engines = deployment.engines.iter().map(|engine| (engine, &engine_modes));
+        let desks = deployment.desks.iter().map(|desk| (desk, &desk_modes));
+        let taps = engines.chain(desks).map(tap).collect();
         let hosts: Vec<Host> =
             (0..count).map(|number| deployment.spawn(&format!("front-{number}"))).collect();
-        hosts.iter().for_each(|host| modes.set(host.process(), TapMode::Pass));
-        hosts.iter().for_each(|host| super::wait_for("the host is ready", || host.is_ready()));
-        Self { hosts, taps, modes, deployment }
+        let site = Self { hosts, taps, engine_modes, desk_modes, deployment };
+        site.set_mode(0..count, TapMode::Pass);
+        site.hosts.iter().for_each(|host| super::wait_for("the host is ready", || host.is_ready()));
+        site
     }
 
     /// Sets how the connections of some hosts to all upstreams are treated.
     pub fn set_mode(&self, hosts: Range<usize>, mode: TapMode) {
-        self.hosts[hosts].iter().for_each(|host| self.modes.set(host.process(), mode));
+        self.set_desk_mode(hosts.clone(), mode);
+        self.hosts[hosts].iter().for_each(|host| self.engine_modes.set(host.process(), mode));
+    }
+
+    /// Sets how the connections of some hosts to the plain upstreams are treated.
+    pub fn set_desk_mode(&self, hosts: Range<usize>, mode: TapMode) {
+        self.hosts[hosts].iter().for_each(|host| self.desk_modes.set(host.process(), mode));
     }
 
     /// Sends requests to each host as [`run_per_host`] does, by host.
