fix: a separated host tries for the order lease after all others, in fleets of any size

Cause: it left the free key to the others for 5 s, whatever their number. Hosts try 40 ms apart by rank, so from 125 hosts on a separated one of a low rank came before others that reach the runners, and kept the lease. Found by reading.

Change: it waits 40 ms for each host, 5 s at least.

Measured: `separated_host_comes_last` (985 hosts) failed with the fixed 5 s (the separated host at 5 s, the last other one at 39.4 s), passes now.

--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -147,7 +147,7 @@
         if self.has_host_list.get() {
             self.source_event(SourceEvent::Candidates(candidates.clone()));
         }
-        self.order_lease.borrow_mut().set_rank(self.order_rank(&candidates));
+        self.order_lease.borrow_mut().set_rank(self.order_rank(&candidates), hosts);
         self.pacing.borrow_mut().set_hosts(self.capacities(|_| true));
         let grants_slots =
             |entry: &HostEntry| entry.capabilities.includes(Capabilities::SLOT_GRANTS);
--- a/crates/placement/src/order_lease.rs
+++ b/crates/placement/src/order_lease.rs
@@ -147,6 +147,8 @@
     next_try: Tick,
     /// Number of hosts that try before this one.
     rank: u64,
+    /// Number of hosts.
+    hosts: u64,
     /// End of the wait after a possible previous holding by any incarnation of this host.
     resettled_at: Tick,
     /// Whether this process was the holder before.
@@ -169,7 +171,7 @@
 const RETRY_DELAY_MS: u64 = 300;
 /// Delay between the tries of hosts of consecutive ranks.
 const RANK_DELAY_MS: u64 = 40;
-/// Time that a separated host leaves to all others before it tries to write the key.
+/// Minimum time that a separated host leaves to all others before it tries to write the key.
 const SEPARATED_DELAY_MS: u64 = 5_000;
 /// Time after a restore of the store during which only the previous holder tries to write the key.
 const PREVIOUS_HOLDER_MS: u64 = 250;
@@ -184,6 +186,7 @@
             holder: None,
             next_try: Tick(0),
             rank: 0,
+            hosts: 1,
             resettled_at: now + options.resettle_ms,
             has_held: false,
             is_separated: false,
@@ -193,9 +196,10 @@
         }
     }
 
-    /// Sets how many hosts try before this one.
-    pub fn set_rank(&mut self, rank: usize) {
+    /// Sets how many of the `hosts` try before this one.
+    pub fn set_rank(&mut self, rank: usize, hosts: usize) {
         self.rank = rank as u64;
+        self.hosts = hosts as u64;
     }
 
     /// Sets the era of the store. A new era means that the store may have been restored by `now`.
@@ -378,7 +382,8 @@
 
     /// Returns when this host may try to write a free key.
     fn try_at(&self) -> Tick {
-        self.next_try + if self.is_separated { SEPARATED_DELAY_MS } else { 0 }
+        let separated_ms = SEPARATED_DELAY_MS.max(self.hosts * RANK_DELAY_MS);
+        self.next_try + if self.is_separated { separated_ms } else { 0 }
     }
 
     /// Gives up the lease or the attempt to get it.
--- a/crates/placement/tests/order_lease.rs
+++ b/crates/placement/tests/order_lease.rs
@@ -179,7 +179,7 @@
 #[test]
 fn ranks_delay_tries() {
     let mut order_lease = OrderLease::new(Tick(0), OPTIONS);
-    order_lease.set_rank(5);
+    order_lease.set_rank(5, 6);
     order_lease.handle(START, OrderLeaseEvent::HolderSeen(Some("other".into())));
     order_lease.handle(START, OrderLeaseEvent::HolderSeen(None));
     assert!(order_lease.handle(START + 100, OrderLeaseEvent::Tick).is_empty());
@@ -350,3 +350,26 @@
     let granted = OrderLeaseEvent::Granted { sent: START, lease: LEASE, ttl_ms: 2_000 };
     assert_eq!(order_lease.handle(START, granted), [OrderLeaseAction::End { lease: LEASE }]);
 }
+
+/// In a large fleet the first host that is not separated may come late.
+#[test]
+fn separated_host_comes_last() {
+    const HOSTS: usize = 985;
+    let mut last = follower();
+    last.set_rank(HOSTS - 1, HOSTS);
+    let mut separated = follower();
+    separated.set_rank(0, HOSTS);
+    for order_lease in [&mut last, &mut separated] {
+        order_lease.handle(START, OrderLeaseEvent::HolderSeen(Some("other".into())));
+    }
+    separated.handle(START, OrderLeaseEvent::Separated(true));
+    for order_lease in [&mut last, &mut separated] {
+        order_lease.handle(START, OrderLeaseEvent::HolderSeen(None));
+    }
+    let first_try = |order_lease: &mut OrderLease| {
+        let times = (0..60_000).step_by(20).map(|at| START + at);
+        times.into_iter().find(|at| !order_lease.handle(*at, OrderLeaseEvent::Tick).is_empty())
+    };
+    let (last, separated) = (first_try(&mut last), first_try(&mut separated));
+    assert!(last.is_some() && last < separated, "{last:?} and {separated:?}");
+}
