refactor: contents on probation, no second meaning of trial

Cause: "trial" was the single request of a circuit breaker and the state of a content after a crash; "held" was a request of the shared queue and one that waits for another with its content. Measured: no behaviour changes; the tests of dispatch, quarantine, reach and placement pass.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -195,7 +195,7 @@
             content_hashes.iter().filter(|content| self.quarantine.is_suspended(now, **content));
         for content in suspended.copied().collect::<Vec<_>>() {
             self.quarantine.suspend(now, content, REPORT_HOLD_MS);
-            self.quarantine.start_trial(now, content);
+            self.quarantine.start_probation(now, content);
         }
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.health.mark_unresponsive(now);
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -66,7 +66,7 @@
         }
         let subject = request.head.model.clone();
         if now < request.not_before
-            || self.is_held(now, id, request)
+            || self.awaits_same_content(now, id, request)
             || self.awaits_first_answer(now, service)
         {
             return;
@@ -117,7 +117,7 @@
     }
 
     /// Whether a request waits for what becomes of another one with the same content.
-    fn is_held(&self, now: Tick, id: RequestId, request: &Request) -> bool {
+    fn awaits_same_content(&self, now: Tick, id: RequestId, request: &Request) -> bool {
         let content = request.content_hash;
         let is_open = |other: RequestId| {
             let other = self.requests.get(&other);
@@ -257,7 +257,7 @@
         let Stage::Sent(attempt) = &request.stage else {
             return false;
         };
-        if self.is_held(now, id, request) {
+        if self.awaits_same_content(now, id, request) {
             return false;
         }
         let Some(upstream) = self.upstreams.get(&attempt.upstream) else {
--- a/crates/quarantine/src/blocked_contents.rs
+++ b/crates/quarantine/src/blocked_contents.rs
@@ -12,14 +12,14 @@
     /// Contents that are not sent while the upstream of a broken attempt is probed, and until when.
     suspended: HashMap<ContentHash, Tick>,
     /// Contents under which an upstream crashed, which are sent by one request at a time.
-    on_trial: HashMap<ContentHash, Trial>,
+    on_probation: HashMap<ContentHash, Probation>,
     /// The contents that were last answered completely and when, oldest first.
     answered: VecDeque<(ContentHash, Tick)>,
 }
 
 /// A content that is sent by one request at a time.
 #[derive(Clone, Copy, Debug)]
-struct Trial {
+struct Probation {
     until: Tick,
     /// The request that was tried last.
     request: Option<u64>,
@@ -30,7 +30,7 @@
 /// Maximum number of suspended contents; beyond that, none is added.
 const MAX_SUSPENDED: usize = 1_024;
 /// Time after a crash during which its content is sent by one request at a time.
-const TRIAL_MS: u64 = 3_000;
+const PROBATION_MS: u64 = 3_000;
 /// Maximum number of answered contents kept; contents that are sent often are among them.
 const MAX_ANSWERED: usize = 256;
 /// Number of crashed upstreams from which a content is quarantined even though it was answered here.
@@ -93,7 +93,7 @@
     /// Records that a request with this content was answered completely.
     pub fn record_answer(&mut self, now: Tick, content: ContentHash) {
         self.suspended.remove(&content);
-        self.on_trial.remove(&content);
+        self.on_probation.remove(&content);
         if let Some(known) = self.answered.iter_mut().find(|(known, _)| *known == content) {
             known.1 = now;
             return;
@@ -140,23 +140,24 @@
 
     /// Has the content sent by one request at a time for a while: an upstream crashed under it, and the requests that
     /// were suspended meanwhile would crash as many more at once.
-    pub fn start_trial(&mut self, now: Tick, content: ContentHash) {
-        self.on_trial.retain(|_, trial| trial.until > now);
-        if self.on_trial.len() < MAX_SUSPENDED || self.on_trial.contains_key(&content) {
-            self.on_trial.insert(content, Trial { until: now + TRIAL_MS, request: None });
+    pub fn start_probation(&mut self, now: Tick, content: ContentHash) {
+        self.on_probation.retain(|_, probation| probation.until > now);
+        if self.on_probation.len() < MAX_SUSPENDED || self.on_probation.contains_key(&content) {
+            self.on_probation
+                .insert(content, Probation { until: now + PROBATION_MS, request: None });
         }
     }
 
     /// Records that `request` with the content is sent, if it can be.
     pub fn record_try(&mut self, content: ContentHash, request: u64) {
-        if let Some(trial) = self.on_trial.get_mut(&content) {
-            trial.request = Some(request);
+        if let Some(probation) = self.on_probation.get_mut(&content) {
+            probation.request = Some(request);
         }
     }
 
-    /// Returns the request with a content on trial that was tried last.
+    /// Returns the request with a content on probation that was tried last.
     pub fn tried_by(&self, now: Tick, content: ContentHash) -> Option<u64> {
-        self.on_trial.get(&content).filter(|trial| trial.until > now)?.request
+        self.on_probation.get(&content).filter(|probation| probation.until > now)?.request
     }
 
     /// Returns the milliseconds for which the content is still quarantined, if it is.
