feat: logs and metrics tell how the body of an upstream's answer ended

Cause: an answer that is taken for whole leaves no line, so that the logs can't tell an unnoticed close inside an event from a relay that ended without a word or a reset that became a close on its way. Nothing is decided by it yet.

--- /dev/null
+++ b/crates/gateway/src/framing.rs
@@ -0,0 +1,58 @@
+//! How the end of an upstream's response is told.
+
+use http::{
+    HeaderMap,
+    header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+};
+
+/// What ends the body of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// Its stated length.
+    Length,
+    /// The last chunk.
+    Chunks,
+    /// The end of its connection, which also comes if the upstream breaks off.
+    Close,
+}
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+impl Framing {
+    /// Returns the framing of a response with these headers.
+    pub(crate) fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(TRANSFER_ENCODING) {
+            Self::Chunks
+        } else if headers.contains_key(CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Close
+        }
+    }
+
+    /// Returns the name used in logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Close => "close",
+        }
+    }
+}
+
+/// Whether a response that answers a stream consists of events. One without a type does if nothing else
+/// tells its end.
+pub(crate) fn has_events(headers: &HeaderMap) -> bool {
+    if headers.contains_key(CONTENT_ENCODING) {
+        return false;
+    }
+    match headers.get(CONTENT_TYPE) {
+        Some(value) => value.to_str().is_ok_and(is_event_stream),
+        None => Framing::of(headers) == Framing::Close,
+    }
+}
+
+fn is_event_stream(content_type: &str) -> bool {
+    let essence = content_type.split(';').next().unwrap_or_default();
+    essence.trim().eq_ignore_ascii_case(EVENT_STREAM)
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod exchange;
 mod exit;
 mod feed;
+mod framing;
 mod headers;
 mod hosts;
 mod hub;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays streamed responses, resuming a broken stream at another upstream where that is allowed.
 
 use crate::{
+    framing::{Framing, has_events},
     headers::{end_to_end, keep_alive_timeout},
     pending_request::{Interrupt, PendingRequest, next_interrupt},
     pool::Connection,
@@ -16,6 +17,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event};
+use vanetally_sse::Scanner;
 use vanetally_types::{Name, Tick};
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
@@ -30,6 +32,7 @@
     started: StartedResponse,
 ) -> Response<ResponseBody> {
     let StartedResponse { connection, response, is_success } = started;
+    let body_info = BodyInfo::of(&response, is_success);
     let keep_alive = keep_alive_timeout(response.headers());
     let (mut head, body) = response.into_parts();
     head.headers = end_to_end(&head.headers);
@@ -48,7 +51,12 @@
         is_success,
         timing: FrameTiming::default(),
     };
-    tokio::task::spawn_local(relay.run(UpstreamBody { connection, body, keep_alive }));
+    tokio::task::spawn_local(relay.run(UpstreamBody {
+        connection,
+        body,
+        keep_alive,
+        info: body_info,
+    }));
     Response::from_parts(head, ResponseBody::Stream(frames))
 }
 
@@ -57,6 +65,27 @@
     connection: Connection,
     body: Incoming,
     keep_alive: Option<Duration>,
+    info: BodyInfo,
+}
+
+/// What tells where the body of an upstream response ends.
+struct BodyInfo {
+    framing: Framing,
+    /// Follows the events, if it consists of such.
+    scanner: Option<Scanner>,
+}
+
+impl BodyInfo {
+    fn of(response: &Response<Incoming>, is_success: bool) -> Self {
+        let headers = response.headers();
+        let scanner = (is_success && has_events(headers)).then(Scanner::default);
+        Self { framing: Framing::of(headers), scanner }
+    }
+
+    /// Whether the body has begun an event that has not ended.
+    fn is_inside_event(&self) -> bool {
+        self.scanner.as_ref().is_some_and(Scanner::is_inside_event)
+    }
 }
 
 struct Relay {
@@ -81,11 +110,24 @@
     Cancelled,
 }
 
+impl ReadEnd {
+    /// Returns the name used in logs and metrics.
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Broken(_) => "broken",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
 impl Relay {
     async fn run(mut self, first: UpstreamBody) {
         let mut source = first;
         loop {
-            match self.read(&mut source).await {
+            let end = self.read(&mut source).await;
+            self.record_end(&source, &end);
+            match end {
                 ReadEnd::Complete => {
                     let end = if self.is_success { AttemptEnd::Served } else { AttemptEnd::Failed };
                     self.pending.attempt_ended(&self.attempt, end, true);
@@ -129,6 +171,11 @@
                 None => return ReadEnd::Broken(AttemptEnd::Broken),
                 Some(Err(_)) => return ReadEnd::Broken(self.pending.hub.broken_end()),
                 Some(Ok(frame)) => {
+                    if let (Some(scanner), Some(data)) =
+                        (&mut source.info.scanner, frame.data_ref())
+                    {
+                        scanner.scan(data);
+                    }
                     let (hub, upstream) = (&self.pending.hub, &self.attempt.upstream);
                     hub.upstream_heard(upstream, &source.connection, false);
                     if !self.forward(frame).await {
@@ -205,12 +252,14 @@
             self.attempt = attempt;
             match outcome {
                 SendOutcome::Response(started) if started.is_success => {
-                    let StartedResponse { connection, response, .. } = *started;
+                    let StartedResponse { connection, response, is_success } = *started;
+                    let info = BodyInfo::of(&response, is_success);
                     let keep_alive = keep_alive_timeout(response.headers());
                     return Some(UpstreamBody {
                         connection,
                         body: response.into_body(),
                         keep_alive,
+                        info,
                     });
                 }
                 SendOutcome::Response(_) => {
@@ -221,6 +270,23 @@
         }
     }
 
+    /// Logs and counts how the body of an upstream response ended, at info level if that was inside an event.
+    fn record_end(&self, source: &UpstreamBody, end: &ReadEnd) {
+        let framing = source.info.framing.as_str();
+        let is_inside = source.info.is_inside_event();
+        telemetry::body_ended(framing, end.as_str(), is_inside);
+        let level = if is_inside { log::Level::Info } else { log::Level::Debug };
+        log::log!(
+            level,
+            "event=body_ended request={} upstream={} number={} end={} framing={framing} inside_event={is_inside} exit={}",
+            self.pending.name,
+            self.attempt.upstream,
+            self.attempt.number,
+            end.as_str(),
+            source.connection.exit().map_or("-", |exit| exit)
+        );
+    }
+
     /// Logs and counts the pauses of a complete stream, at info level if one exceeded the allowed
     /// gap.
     fn record_pauses(&self) {
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -197,6 +197,13 @@
     counter!("vanetally_attempts_total", "end" => end.as_str()).increment(1);
 }
 
+/// Counts the end of the body of an upstream's response to a stream.
+pub(crate) fn body_ended(framing: &'static str, end: &'static str, is_inside_event: bool) {
+    let inside = if is_inside_event { "true" } else { "false" };
+    counter!("vanetally_bodies_total", "framing" => framing, "end" => end, "inside_event" => inside)
+        .increment(1);
+}
+
 /// Records the seconds from the arrival of a request to the first piece of its response.
 pub(crate) fn first_piece(seconds: f64) {
     histogram!("vanetally_first_piece_seconds").record(seconds);
