fix: an answer is complete only where that is known

Callers saw a 200 with a seal, framed as complete, whose stream stopped inside an event. Cause: the host looked at the ends of events only of streams that may be resumed; the close of a connection without length or chunks was the end of all others. And a relay that ended without a word ended the answer. Change: the scanner follows every stream of events, one that stops inside an event, or closes before its first one, is broken; an answer whose relay does not state its end is truncated; answers that are read whole are looked at as well.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     charge::Charge,
+    framing::ends_inside_event,
     headers::{end_to_end, keep_alive_timeout},
     hub::{Hub, RequestRefusal, Stage},
     pending_request::{Interrupt, PendingRequest, next_interrupt},
@@ -12,7 +13,7 @@
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header::CONNECTION, request::Parts};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Collected, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use std::rc::Rc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event};
@@ -182,7 +183,11 @@
             body.map_err(|_| pending.hub.broken_end())
         }
     };
-    let body = match body {
+    let body = match body.map(Collected::to_bytes) {
+        Ok(body) if is_success && ends_inside_event(&head.headers, &body) => {
+            pending.attempt_ended(attempt, AttemptEnd::Broken, false);
+            return Buffered::Broken;
+        }
         Ok(body) => body,
         Err(end) => {
             pending.attempt_ended(attempt, end, false);
@@ -191,7 +196,7 @@
     };
     pending.hub.pool.put(connection, keep_alive);
     head.headers = end_to_end(&head.headers);
-    let response = Response::from_parts(head, ResponseBody::Full(Some(body.to_bytes())));
+    let response = Response::from_parts(head, ResponseBody::Full(Some(body)));
     if !is_success && attempt.may_repeat {
         pending.attempt_ended(attempt, AttemptEnd::Failed, false);
         return Buffered::Failure(response);
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -4,6 +4,7 @@
     HeaderMap,
     header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
+use vanetally_sse::Scanner;
 
 /// What ends the body of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,6 +53,13 @@
     }
 }
 
+/// Whether a complete body stops inside an event, if it consists of events by its type.
+pub(crate) fn ends_inside_event(headers: &HeaderMap, body: &[u8]) -> bool {
+    let mut scanner = Scanner::default();
+    scanner.scan(body);
+    headers.contains_key(CONTENT_TYPE) && has_events(headers) && scanner.is_inside_event()
+}
+
 fn is_event_stream(content_type: &str) -> bool {
     let essence = content_type.split(';').next().unwrap_or_default();
     essence.trim().eq_ignore_ascii_case(EVENT_STREAM)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,7 @@
     headers::{end_to_end, keep_alive_timeout},
     pending_request::{Interrupt, PendingRequest, next_interrupt},
     pool::Connection,
-    response_body::{FrameResult, ResponseBody, Truncated},
+    response_body::{Piece, ResponseBody},
     sending::{Outgoing, SendContext, SendOutcome, StartedResponse, send_scheduled},
     telemetry,
 };
@@ -21,8 +21,8 @@
 use vanetally_types::{Name, Tick};
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
-/// Maximum number of frames queued for a slow caller.
-const MAX_QUEUED_FRAMES: usize = 4;
+/// Maximum number of pieces queued for a slow caller.
+const MAX_QUEUED_PIECES: usize = 4;
 
 /// Starts relaying a stream.
 pub(crate) fn stream(
@@ -41,7 +41,7 @@
         // A stream resumed elsewhere need not have the length that the first upstream stated.
         head.headers.remove(CONTENT_LENGTH);
     }
-    let (sender, frames) = mpsc::channel(MAX_QUEUED_FRAMES);
+    let (sender, pieces) = mpsc::channel(MAX_QUEUED_PIECES);
     let relay = Relay {
         pending,
         outgoing,
@@ -57,7 +57,7 @@
         keep_alive,
         info: body_info,
     }));
-    Response::from_parts(head, ResponseBody::Stream(frames))
+    Response::from_parts(head, ResponseBody::Stream(pieces))
 }
 
 /// An upstream response that is being read.
@@ -92,7 +92,7 @@
     pending: PendingRequest,
     outgoing: Outgoing,
     attempt: Attempt,
-    sender: mpsc::Sender<FrameResult>,
+    sender: mpsc::Sender<Piece>,
     /// Present if the stream may be resumed elsewhere, in which case only complete events are
     /// forwarded.
     events: Option<EventSplitter>,
@@ -135,6 +135,8 @@
                     self.pending.hub.pool.put(source.connection, source.keep_alive);
                     telemetry::request_answered(self.pending.age_seconds());
                     self.pending.finish();
+                    // A caller that has disconnected needs no end.
+                    let _ = self.sender.send(Piece::End).await;
                     return;
                 }
                 ReadEnd::Cancelled => return,
@@ -143,7 +145,7 @@
                     drop(source);
                     match self.resume().await {
                         Some(next) => source = next,
-                        None => return self.abort().await,
+                        None => return,
                     }
                 }
             }
@@ -160,14 +162,13 @@
                     Interrupt::Ended(end) => return ReadEnd::Broken(end),
                     Interrupt::Refused(refused) => {
                         self.pending.record_refusal(&refused);
-                        self.abort().await;
                         return ReadEnd::Cancelled;
                     }
                 },
                 frame = source.body.frame() => frame,
             };
             match frame {
-                None if self.is_at_boundary() => return ReadEnd::Complete,
+                None if self.is_complete(&source.info) => return ReadEnd::Complete,
                 None => return ReadEnd::Broken(AttemptEnd::Broken),
                 Some(Err(_)) => return ReadEnd::Broken(self.pending.hub.broken_end()),
                 Some(Ok(frame)) => {
@@ -186,8 +187,11 @@
         }
     }
 
-    fn is_at_boundary(&self) -> bool {
-        self.events.as_ref().is_none_or(|events| events.partial.is_empty())
+    /// Whether a body that stopped here is complete. The close of a connection ends a stream only between two events.
+    fn is_complete(&self, info: &BodyInfo) -> bool {
+        let has_begun = self.timing.frames > 0 || info.framing != Framing::Close;
+        let is_held_back = self.events.as_ref().is_some_and(|events| !events.partial.is_empty());
+        !info.is_inside_event() && !is_held_back && (has_begun || info.scanner.is_none())
     }
 
     /// Forwards one frame; returns whether the caller is still connected.
@@ -207,7 +211,7 @@
             (_, Ok(data)) => Frame::data(data),
             (_, Err(other)) => other,
         };
-        self.sender.send(Ok(frame)).await.is_ok()
+        self.sender.send(Piece::Frame(frame)).await.is_ok()
     }
 
     /// Resumes the stream at another upstream, if the dispatcher provides an attempt.
@@ -305,12 +309,6 @@
             self.attempt.gap_ms
         );
     }
-
-    /// Aborts the response, so that the caller cannot take it for complete.
-    async fn abort(&mut self) {
-        // A caller that has disconnected needs no abort.
-        let _ = self.sender.send(Err(Truncated)).await;
-    }
 }
 
 /// Frame count of a stream and the pauses between frames.
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -4,7 +4,7 @@
 use http_body::{Body, Frame, SizeHint};
 use std::{
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 use tokio::sync::mpsc;
 
@@ -14,15 +14,20 @@
 #[error("response truncated")]
 pub(crate) struct Truncated;
 
-/// One frame of a response body.
-pub(crate) type FrameResult = Result<Frame<Bytes>, Truncated>;
+/// A piece of a response that is relayed.
+pub(crate) enum Piece {
+    /// A frame of the body.
+    Frame(Frame<Bytes>),
+    /// The end of a complete body. A response that stops without it is truncated.
+    End,
+}
 
 /// The body of a response to a caller.
 pub(crate) enum ResponseBody {
     /// The complete body.
     Full(Option<Bytes>),
-    /// Frames relayed from an upstream as they arrive.
-    Stream(mpsc::Receiver<FrameResult>),
+    /// Pieces relayed from an upstream as they arrive.
+    Stream(mpsc::Receiver<Piece>),
 }
 
 impl Body for ResponseBody {
@@ -38,7 +43,11 @@
                 let rest = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(rest.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Self::Stream(frames) => frames.poll_recv(context),
+            Self::Stream(pieces) => Poll::Ready(match ready!(pieces.poll_recv(context)) {
+                Some(Piece::Frame(frame)) => Some(Ok(frame)),
+                Some(Piece::End) => None,
+                None => Some(Err(Truncated)),
+            }),
         }
     }
 
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -80,6 +80,15 @@
     assert!(answer.status != 200 || !answer.is_complete, "{answer:?}");
 }
 
+/// Events that are read whole before they are passed on are no success if they stop inside one.
+#[test]
+fn buffered_events() {
+    let (deployment, host) = start(WHOLE);
+    deployment.desks[0].set_behaviour(Behaviour::Shaped(BROKEN));
+    let answer = Client::new("GET", "/check/1", "i1").send(host.front);
+    assert_eq!(answer.status, 502, "{answer:?}");
+}
+
 /// A whole stream that ends with its connection is passed on as complete.
 #[rstest]
 fn whole_without_length(
