fix: streams whose lines end in CRLF or CR arrive, and a long event is not held back

Callers of a resumable stream with such lines got none of its events. Cause: a second splitter in the relay knew only LF, and held everything back without a bound. Change: the relay uses crate sse; an event of more than 64 KiB is passed on in parts; a stream that breaks inside one, or whose events have no ids, is cut off in place of resumed, since it would begin anew.

--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -41,15 +41,15 @@
     }
 }
 
-/// Whether a response that answers a stream consists of events. One without a type does if nothing else
-/// tells its end.
+/// Whether a response that answers a stream consists of events. One without a type does unless it states its
+/// length.
 pub(crate) fn has_events(headers: &HeaderMap) -> bool {
     if headers.contains_key(CONTENT_ENCODING) {
         return false;
     }
     match headers.get(CONTENT_TYPE) {
         Some(value) => value.to_str().is_ok_and(is_event_stream),
-        None => Framing::of(headers) == Framing::Close,
+        None => Framing::of(headers) != Framing::Length,
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
     sending::{Outgoing, SendContext, SendOutcome, StartedResponse, send_scheduled},
     telemetry,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Response, header::CONTENT_LENGTH};
 use http_body::Frame;
 use http_body_util::BodyExt;
@@ -17,12 +17,14 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event};
-use vanetally_sse::Scanner;
-use vanetally_types::{Name, Tick};
+use vanetally_sse::{EventSplitter, Scanner};
+use vanetally_types::Tick;
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// Maximum number of pieces queued for a slow caller.
 const MAX_QUEUED_PIECES: usize = 4;
+/// Bytes of an event that are held back until it is whole. A stream that breaks inside a longer event is not resumed.
+const MAX_HELD_BYTES: usize = 64 << 10;
 
 /// Starts relaying a stream.
 pub(crate) fn stream(
@@ -32,12 +34,17 @@
     started: StartedResponse,
 ) -> Response<ResponseBody> {
     let StartedResponse { connection, response, is_success } = started;
-    let body_info = BodyInfo::of(&response, is_success);
+    let framing = Framing::of(response.headers());
+    let has_events = is_success && has_events(response.headers());
     let keep_alive = keep_alive_timeout(response.headers());
     let (mut head, body) = response.into_parts();
     head.headers = end_to_end(&head.headers);
-    let events = (attempt.may_repeat && is_success).then(EventSplitter::default);
-    if events.is_some() {
+    let events = match (has_events, attempt.may_repeat) {
+        (false, _) => Events::None,
+        (true, false) => Events::Watched(Scanner::default()),
+        (true, true) => Events::Whole(EventSplitter::new(MAX_HELD_BYTES)),
+    };
+    if matches!(events, Events::Whole(_)) {
         // A stream resumed elsewhere need not have the length that the first upstream stated.
         head.headers.remove(CONTENT_LENGTH);
     }
@@ -51,12 +58,7 @@
         is_success,
         timing: FrameTiming::default(),
     };
-    tokio::task::spawn_local(relay.run(UpstreamBody {
-        connection,
-        body,
-        keep_alive,
-        info: body_info,
-    }));
+    tokio::task::spawn_local(relay.run(UpstreamBody { connection, body, keep_alive, framing }));
     Response::from_parts(head, ResponseBody::Stream(pieces))
 }
 
@@ -65,26 +67,44 @@
     connection: Connection,
     body: Incoming,
     keep_alive: Option<Duration>,
-    info: BodyInfo,
+    framing: Framing,
 }
 
-/// What tells where the body of an upstream response ends.
-struct BodyInfo {
-    framing: Framing,
-    /// Follows the events, if it consists of such.
-    scanner: Option<Scanner>,
+/// The events of which a body consists.
+enum Events {
+    /// It does not consist of events.
+    None,
+    /// They are forwarded as they arrive.
+    Watched(Scanner),
+    /// Only whole events are forwarded, since the stream may be resumed elsewhere.
+    Whole(EventSplitter),
 }
 
-impl BodyInfo {
-    fn of(response: &Response<Incoming>, is_success: bool) -> Self {
-        let headers = response.headers();
-        let scanner = (is_success && has_events(headers)).then(Scanner::default);
-        Self { framing: Framing::of(headers), scanner }
+impl Events {
+    /// Takes received bytes and returns those to forward.
+    fn push(&mut self, data: Bytes) -> Bytes {
+        match self {
+            Self::None => data,
+            Self::Watched(scanner) => {
+                scanner.scan(&data);
+                data
+            }
+            Self::Whole(splitter) => splitter.push(&data),
+        }
     }
 
-    /// Whether the body has begun an event that has not ended.
-    fn is_inside_event(&self) -> bool {
-        self.scanner.as_ref().is_some_and(Scanner::is_inside_event)
+    /// Whether a new answer can go on where what was forwarded stopped.
+    fn may_resume(&self) -> bool {
+        matches!(self, Self::Whole(splitter) if splitter.may_resume())
+    }
+
+    /// Whether an event has begun that has not ended.
+    fn is_inside(&self) -> bool {
+        match self {
+            Self::None => false,
+            Self::Watched(scanner) => scanner.is_inside_event(),
+            Self::Whole(splitter) => splitter.is_inside_event(),
+        }
     }
 }
 
@@ -93,9 +113,7 @@
     outgoing: Outgoing,
     attempt: Attempt,
     sender: mpsc::Sender<Piece>,
-    /// Present if the stream may be resumed elsewhere, in which case only complete events are
-    /// forwarded.
-    events: Option<EventSplitter>,
+    events: Events,
     is_success: bool,
     timing: FrameTiming,
 }
@@ -143,6 +161,9 @@
                 ReadEnd::Broken(end) => {
                     self.pending.attempt_ended(&self.attempt, end, true);
                     drop(source);
+                    if !self.events.may_resume() {
+                        return self.pending.give_up();
+                    }
                     match self.resume().await {
                         Some(next) => source = next,
                         None => return,
@@ -168,15 +189,10 @@
                 frame = source.body.frame() => frame,
             };
             match frame {
-                None if self.is_complete(&source.info) => return ReadEnd::Complete,
+                None if self.is_complete(source.framing) => return ReadEnd::Complete,
                 None => return ReadEnd::Broken(AttemptEnd::Broken),
                 Some(Err(_)) => return ReadEnd::Broken(self.pending.hub.broken_end()),
                 Some(Ok(frame)) => {
-                    if let (Some(scanner), Some(data)) =
-                        (&mut source.info.scanner, frame.data_ref())
-                    {
-                        scanner.scan(data);
-                    }
                     let (hub, upstream) = (&self.pending.hub, &self.attempt.upstream);
                     hub.upstream_heard(upstream, &source.connection, false);
                     if !self.forward(frame).await {
@@ -188,10 +204,9 @@
     }
 
     /// Whether a body that stopped here is complete. The close of a connection ends a stream only between two events.
-    fn is_complete(&self, info: &BodyInfo) -> bool {
-        let has_begun = self.timing.frames > 0 || info.framing != Framing::Close;
-        let is_held_back = self.events.as_ref().is_some_and(|events| !events.partial.is_empty());
-        !info.is_inside_event() && !is_held_back && (has_begun || info.scanner.is_none())
+    fn is_complete(&self, framing: Framing) -> bool {
+        let has_begun = self.timing.frames > 0 || framing != Framing::Close;
+        !self.events.is_inside() && (has_begun || matches!(self.events, Events::None))
     }
 
     /// Forwards one frame; returns whether the caller is still connected.
@@ -200,16 +215,15 @@
             self.pending.hub.request_event(Event::FirstPiece { id: self.pending.id });
             telemetry::first_piece(self.pending.age_seconds());
         }
-        let frame = match (&mut self.events, frame.into_data()) {
-            (Some(events), Ok(data)) => {
-                let complete = events.take_complete(&data);
-                if complete.is_empty() {
+        let frame = match frame.into_data() {
+            Ok(data) => {
+                let data = self.events.push(data);
+                if data.is_empty() {
                     return true;
                 }
-                Frame::data(complete)
+                Frame::data(data)
             }
-            (_, Ok(data)) => Frame::data(data),
-            (_, Err(other)) => other,
+            Err(other) => other,
         };
         self.sender.send(Piece::Frame(frame)).await.is_ok()
     }
@@ -224,9 +238,11 @@
                     return None;
                 }
             };
-            let events = self.events.as_mut()?;
-            events.partial.clear();
-            let after = events.last_id.clone();
+            let Events::Whole(events) = &mut self.events else {
+                return None;
+            };
+            events.restart();
+            let after = events.last_id().cloned();
             log::info!(
                 "event=stream_resumed request={} upstream={} after_event={}",
                 self.pending.name,
@@ -256,14 +272,14 @@
             self.attempt = attempt;
             match outcome {
                 SendOutcome::Response(started) if started.is_success => {
-                    let StartedResponse { connection, response, is_success } = *started;
-                    let info = BodyInfo::of(&response, is_success);
+                    let StartedResponse { connection, response, .. } = *started;
+                    let framing = Framing::of(response.headers());
                     let keep_alive = keep_alive_timeout(response.headers());
                     return Some(UpstreamBody {
                         connection,
                         body: response.into_body(),
                         keep_alive,
-                        info,
+                        framing,
                     });
                 }
                 SendOutcome::Response(_) => {
@@ -276,8 +292,8 @@
 
     /// Logs and counts how the body of an upstream response ended, at info level if that was inside an event.
     fn record_end(&self, source: &UpstreamBody, end: &ReadEnd) {
-        let framing = source.info.framing.as_str();
-        let is_inside = source.info.is_inside_event();
+        let framing = source.framing.as_str();
+        let is_inside = self.events.is_inside();
         telemetry::body_ended(framing, end.as_str(), is_inside);
         let level = if is_inside { log::Level::Info } else { log::Level::Debug };
         log::log!(
@@ -330,31 +346,3 @@
         last.is_none()
     }
 }
-
-/// Splits a stream into events and tracks the id of the last one forwarded.
-#[derive(Default)]
-struct EventSplitter {
-    partial: BytesMut,
-    last_id: Option<Name>,
-}
-
-const EVENT_END: &[u8] = b"\n\n";
-const ID_FIELD: &str = "id:";
-
-impl EventSplitter {
-    /// Appends bytes and returns all events that are complete.
-    fn take_complete(&mut self, data: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(data);
-        let end = self.partial.windows(EVENT_END.len()).rposition(|window| window == EVENT_END);
-        let Some(end) = end else {
-            return Bytes::new();
-        };
-        let complete = self.partial.split_to(end + EVENT_END.len()).freeze();
-        let text = String::from_utf8_lossy(&complete);
-        let mut ids = text.lines().rev().filter_map(|line| line.strip_prefix(ID_FIELD));
-        if let Some(id) = ids.next() {
-            self.last_id = Some(id.trim().into());
-        }
-        complete
-    }
-}
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -14,8 +14,13 @@
 /// Events of a whole stream, and those before a break.
 const EVENTS: u32 = 6;
 const WHOLE_EVENTS: u32 = 3;
-const WHOLE: StreamShape =
-    StreamShape { framing: StreamFraming::Close, line_end: "\n", events: EVENTS, fault: None };
+const WHOLE: StreamShape = StreamShape {
+    framing: StreamFraming::Close,
+    line_end: "\n",
+    events: EVENTS,
+    padding: 0,
+    fault: None,
+};
 const FAULT: StreamFault = StreamFault { after: WHOLE_EVENTS, is_reset: false, is_lasting: true };
 const BROKEN: StreamShape = StreamShape { fault: Some(FAULT), ..WHOLE };
 
@@ -115,6 +120,19 @@
     assert_eq!(pieces(&answer), all_pieces());
 }
 
+/// An event that is too long to be held back arrives, and a stream that breaks inside one is not resumed.
+#[rstest]
+fn long_event(#[values(true, false)] is_broken: bool) {
+    let shape = if is_broken { WHOLE.broken_after(WHOLE_EVENTS) } else { WHOLE };
+    let (deployment, host) = start(StreamShape { padding: 200_000, ..shape });
+    let answer = draft("j1").send(host.front);
+    assert_eq!((answer.status, answer.is_complete), (200, !is_broken));
+    assert_eq!(deployment.engines[0].requests().len(), 1);
+    if !is_broken {
+        assert_eq!(pieces(&answer), all_pieces());
+    }
+}
+
 /// A caller that knows no chunks can tell a broken answer from a whole one.
 #[rstest]
 fn old_caller(#[values(true, false)] is_broken: bool, #[values(true, false)] is_chunked: bool) {
