fix: a caller of HTTP/1.0 is told that its answer is incomplete

Such a caller saw an ordinary close after a break, which is the end of a whole answer there: HTTP/1.0 has no chunks. Change: while an answer without a stated length is incomplete, its connection ends with a reset, also if the process is killed; the end of the answer takes that back.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod brittle;
 mod call;
+mod caller_stream;
 mod charge;
 mod clock;
 mod configuration;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,10 +1,12 @@
 //! Accepts connections from callers.
 
 use crate::{
+    caller_stream::{CallerStream, ResetOnClose},
     exchange,
     hub::{Hub, Stage},
 };
-use hyper::{server::conn::http1, service::service_fn};
+use http::{Request, Version, header::CONTENT_LENGTH};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use std::{convert::Infallible, pin::pin, rc::Rc, time::Duration};
 use tokio::{
@@ -39,13 +41,23 @@
     }
     let mut stage = hub.stage.subscribe();
     let head_buffer = hub.caller_limits().header_bytes.max(MIN_HEAD_BUFFER_BYTES);
-    let service = service_fn(|request| {
-        let hub = hub.clone();
-        async move { Ok::<_, Infallible>(exchange::serve(hub, request).await) }
+    let reset = ResetOnClose::default();
+    let service = service_fn(|request: Request<Incoming>| {
+        let (hub, reset) = (hub.clone(), reset.clone());
+        async move {
+            let knows_chunks = request.version() >= Version::HTTP_11;
+            let response = exchange::serve(hub, request).await;
+            Ok::<_, Infallible>(
+                match knows_chunks || response.headers().contains_key(CONTENT_LENGTH) {
+                    true => response,
+                    false => response.map(|body| body.reset_if_truncated(&reset)),
+                },
+            )
+        }
     });
     let connection = http1::Builder::new()
         .max_buf_size(head_buffer)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, reset.clone())), service);
     let mut connection = pin!(connection);
     tokio::select! {
         // A caller that disconnects ends the connection with an error, which nobody is left to
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -59,7 +59,7 @@
         timing: FrameTiming::default(),
     };
     tokio::task::spawn_local(relay.run(UpstreamBody { connection, body, keep_alive, framing }));
-    Response::from_parts(head, ResponseBody::Stream(pieces))
+    Response::from_parts(head, ResponseBody::relayed(pieces))
 }
 
 /// An upstream response that is being read.
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -1,5 +1,6 @@
 //! Response bodies sent to callers.
 
+use crate::caller_stream::ResetOnClose;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use std::{
@@ -27,7 +28,28 @@
     /// The complete body.
     Full(Option<Bytes>),
     /// Pieces relayed from an upstream as they arrive.
-    Stream(mpsc::Receiver<Piece>),
+    Stream {
+        /// The pieces.
+        pieces: mpsc::Receiver<Piece>,
+        /// Set while the response is incomplete, if only the close of the connection tells its end.
+        reset: Option<ResetOnClose>,
+    },
+}
+
+impl ResponseBody {
+    /// Creates the body of a response of which `pieces` arrive.
+    pub(crate) fn relayed(pieces: mpsc::Receiver<Piece>) -> Self {
+        Self::Stream { pieces, reset: None }
+    }
+
+    /// Makes the connection end with a reset unless the body is complete, if its length is unknown.
+    pub(crate) fn reset_if_truncated(mut self, connection: &ResetOnClose) -> Self {
+        if let Self::Stream { reset, .. } = &mut self {
+            connection.set(true);
+            *reset = Some(connection.clone());
+        }
+        self
+    }
 }
 
 impl Body for ResponseBody {
@@ -43,25 +65,32 @@
                 let rest = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(rest.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Self::Stream(pieces) => Poll::Ready(match ready!(pieces.poll_recv(context)) {
-                Some(Piece::Frame(frame)) => Some(Ok(frame)),
-                Some(Piece::End) => None,
-                None => Some(Err(Truncated)),
-            }),
+            Self::Stream { pieces, reset } => {
+                Poll::Ready(match ready!(pieces.poll_recv(context)) {
+                    Some(Piece::Frame(frame)) => Some(Ok(frame)),
+                    Some(Piece::End) => {
+                        if let Some(reset) = reset {
+                            reset.set(false);
+                        }
+                        None
+                    }
+                    None => Some(Err(Truncated)),
+                })
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            Self::Stream(_) => false,
+            Self::Stream { .. } => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Stream(_) => SizeHint::default(),
+            Self::Stream { .. } => SizeHint::default(),
         }
     }
 }
