feat: logs tell the software version of upstreams, and streams that callers take up

Cause: when streams went on at another software version, the logs could not tell a resumption inside an answer from one by the caller, nor the versions of either. Change: the version is decoded with the announcement; request_sent, stream_resumed and upstream_seen name it, stream_taken_up tells Resumes and Last-Event-Id. Nothing is decided by it yet.

--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -54,6 +54,7 @@
         orders_taken: 0,
         models: held_models(number, model_count),
         at_hand: Vec::new(),
+        version: "v1".into(),
     }
 }
 
@@ -137,6 +138,7 @@
         output_tokens: 174,
         parts: Vec::new(),
         last_event: None,
+        resumes: None,
     }
 }
 
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -306,6 +306,8 @@
     pub place: Option<PrefixPlace>,
     /// The upstream.
     pub upstream: Incarnation,
+    /// Version of the upstream's software.
+    pub software: Name,
     /// Address of the upstream.
     pub address: SocketAddr,
     /// Milliseconds to wait before sending, as set by the engine's pacer.
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -209,6 +209,7 @@
             ahead_ms: choice.expected.ahead_ms,
             place: choice.place,
             upstream: choice.upstream.clone(),
+            software: upstream.state.version.clone(),
             address: upstream.state.address,
             delay_ms,
             deadline_ms: request.deadline.since(sent_at),
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -29,6 +29,7 @@
         orders_taken: 3,
         models: Vec::new(),
         at_hand: Vec::new(),
+        version: "v1".into(),
     }
 }
 
--- a/crates/dispatch/tests/store_restore.rs
+++ b/crates/dispatch/tests/store_restore.rs
@@ -34,6 +34,7 @@
         orders_taken: 3,
         models: Vec::new(),
         at_hand: Vec::new(),
+        version: "v1".into(),
     }
 }
 
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -101,6 +101,7 @@
             .map(|name| HeldModel { name: (*name).into(), adapters: Vec::new() })
             .collect(),
         at_hand: Vec::new(),
+        version: "v1".into(),
     }
 }
 
@@ -118,6 +119,7 @@
         output_tokens: 50,
         parts: Vec::new(),
         last_event: None,
+        resumes: None,
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -35,6 +35,10 @@
         }
     };
     let name = head.id.clone();
+    if let Some(event) = &head.last_event {
+        let resumes = head.resumes.as_deref().unwrap_or("-");
+        log::info!("event=stream_taken_up request={name} resumes={resumes} after_event={event}");
+    }
     let body = match read_body(&hub, body).await {
         Ok(body) => body,
         Err(cause) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -244,9 +244,10 @@
             events.restart();
             let after = events.last_id().cloned();
             log::info!(
-                "event=stream_resumed request={} upstream={} after_event={}",
+                "event=stream_resumed request={} upstream={} software={} after_event={}",
                 self.pending.name,
                 attempt.upstream,
+                attempt.software,
                 after.as_deref().unwrap_or("-")
             );
             let context = SendContext {
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -48,7 +48,7 @@
     let subject = attempt.subject.as_ref().map_or_else(|| "-".into(), ToString::to_string);
     log::info!(
         "event=request_sent request={} route={} subject={subject} upstream={} number={} waited_ms={} lacked={} held_ms={} deadline_ms={} \
-         own_load={} peer_load={} unread_tokens={} ahead_ms={} place={} delay_ms={} limit={} version={}",
+         own_load={} peer_load={} unread_tokens={} ahead_ms={} place={} delay_ms={} limit={} version={} software={}",
         attempt.request,
         attempt.route,
         attempt.upstream,
@@ -64,6 +64,7 @@
         attempt.place.map_or("-", PrefixPlace::as_str),
         attempt.delay_ms,
         attempt.limit.map_or_else(|| "-".to_owned(), |rate| rate.to_string()),
-        attempt.version
+        attempt.version,
+        attempt.software
     );
 }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -147,9 +147,10 @@
 ) {
     log::log!(
         level,
-        "event=upstream_seen upstream={incarnation} service={} address={} draining={} remaining_ms={} \
-         revision={revision}",
+        "event=upstream_seen upstream={incarnation} service={} software={} address={} draining={} \
+         remaining_ms={} revision={revision}",
         state.service,
+        state.version,
         state.address,
         state.draining,
         state.remaining_ms.map_or_else(|| "-".into(), |ms| ms.to_string()),
@@ -158,9 +159,14 @@
 
 /// Replaces the names in an announcement by those of earlier ones.
 fn share_names(names: &mut Names, state: &mut UpstreamState) {
-    let UpstreamState { service, domain, models, at_hand, .. } = state;
+    let UpstreamState { service, domain, version, models, at_hand, .. } = state;
     let held = models.iter_mut().flat_map(|held| once(&mut held.name).chain(&mut held.adapters));
-    once(service).chain(once(domain)).chain(held).chain(at_hand).for_each(|name| names.share(name));
+    once(service)
+        .chain(once(domain))
+        .chain(once(version))
+        .chain(held)
+        .chain(at_hand)
+        .for_each(|name| names.share(name));
 }
 
 fn birth_text(incarnation: &Incarnation) -> String {
--- a/crates/placement/tests/saturation.rs
+++ b/crates/placement/tests/saturation.rs
@@ -124,6 +124,7 @@
         orders_taken: 0,
         models: held(number),
         at_hand: Vec::new(),
+        version: "v1".into(),
     }
 }
 
--- a/crates/ports/src/caller.rs
+++ b/crates/ports/src/caller.rs
@@ -56,6 +56,8 @@
     pub parts: Vec<PromptPart>,
     /// Id of the last event that the caller received of a broken stream.
     pub last_event: Option<Name>,
+    /// Id of the request that brought the first event of that stream; `None` if it is not stated or malformed.
+    pub resumes: Option<Name>,
 }
 
 /// Why the gateway refuses or ends a request.
--- a/crates/ports/src/upstream.rs
+++ b/crates/ports/src/upstream.rs
@@ -21,6 +21,8 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: Name,
+    /// Version of its software.
+    pub version: Name,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Whether the upstream is leaving.
