--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -43,7 +43,9 @@
 
 fn pieces(answer: &ClientAnswer) -> Vec<u32> {
     let lines = answer.body.split(['\r', '\n']);
-    lines.filter_map(|line| line.strip_prefix("data: piece ")?.parse().ok()).collect()
+    lines
+        .filter_map(|line| line.strip_prefix("data: piece ")?.split(' ').next()?.parse().ok())
+        .collect()
 }
 
 fn all_pieces() -> Vec<u32> {
--- /dev/null
+++ b/tests/stream_versions.rs
@@ -0,0 +1,273 @@
+//! Streams at upstreams of several software versions.
+//!
+//! Guards against streams that hold events of two versions, within one answer or over a caller's requests.
+
+mod gateway;
+
+use gateway::{Deployment, Host, wait_for};
+use rstest::rstest;
+use std::{
+    collections::BTreeSet,
+    thread,
+    time::{Duration, Instant},
+};
+use vanetally_platform_standin::{
+    Behaviour, Client, ClientAnswer, Runner, StreamFault, StreamFraming, StreamShape,
+};
+
+const VERSIONS: [&str; 2] = ["v1", "v1.2"];
+const EVENTS: u32 = 6;
+/// Events before a break.
+const FIRST_EVENTS: u32 = 3;
+const STREAMS: usize = 24;
+const WHOLE: StreamShape = StreamShape {
+    framing: StreamFraming::Chunks,
+    line_end: "\n",
+    events: EVENTS,
+    padding: 0,
+    fault: None,
+};
+/// It breaks at the same place however often it is resumed.
+const STUCK: StreamShape = StreamShape {
+    fault: Some(StreamFault { after: FIRST_EVENTS, is_reset: false, is_lasting: true }),
+    ..WHOLE
+};
+/// Time within which a request that can't be served is refused.
+const AT_ONCE: Duration = Duration::from_millis(700);
+
+struct Site {
+    deployment: Deployment,
+    hosts: Vec<Host>,
+}
+
+impl Site {
+    /// Starts `count` hosts with two engines of each of `versions`.
+    fn start(count: usize, versions: &[&str], shape: StreamShape) -> Self {
+        let mut deployment = Deployment::start();
+        (1..2 * versions.len()).for_each(|_| deployment.add_engine());
+        for (engine, version) in deployment.engines.iter().zip(versions.iter().cycle()) {
+            engine.set_version(version);
+            let (key, value) = engine.entry();
+            deployment.store.put(&key, &value);
+        }
+        let hosts = deployment.hosts(count);
+        let site = Self { deployment, hosts };
+        site.set_shape(shape);
+        // The hosts know each other and have read all announcements.
+        thread::sleep(Duration::from_millis(1_500));
+        site
+    }
+
+    fn set_shape(&self, shape: StreamShape) {
+        let engines = &self.deployment.engines;
+        engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::Shaped(shape)));
+    }
+
+    fn engines_of(&self, version: &str) -> impl Iterator<Item = &Runner> {
+        self.deployment.engines.iter().filter(move |engine| engine.version() == version)
+    }
+
+    fn remove(&self, version: &str) {
+        for engine in self.engines_of(version) {
+            self.deployment.store.remove(&engine.entry().0);
+        }
+        thread::sleep(Duration::from_millis(500));
+    }
+
+    /// Begins streams at the first host that break off.
+    fn begin(&self) -> Vec<Broken> {
+        self.set_shape(STUCK);
+        let begin = |number| {
+            let id = format!("begun-{number}");
+            let answer = draft(&id).send(self.hosts[0].front);
+            assert_eq!((answer.status, answer.is_complete), (200, false), "{answer:?}");
+            let versions = versions(&answer);
+            assert_eq!(versions.len(), 1, "{answer:?}");
+            Broken { id, version: versions.into_iter().next().expect("it has events") }
+        };
+        let broken = (0..STREAMS).map(begin).collect();
+        self.set_shape(WHOLE);
+        broken
+    }
+
+    /// Takes the streams up at `host`; returns how many went on. Each did at its own version or was refused as not run.
+    fn take_up(&self, host: usize, broken: &[Broken]) -> usize {
+        let runs_before = self.runs();
+        let went_on = broken.iter().filter(|one| {
+            let began = Instant::now();
+            let answer = one.take_up().send(self.hosts[host].front);
+            if answer.status == 503 {
+                assert!(began.elapsed() < AT_ONCE, "{:?}", began.elapsed());
+                return false;
+            }
+            assert_eq!((answer.status, answer.is_complete), (200, true), "{answer:?}");
+            assert_eq!(versions(&answer), BTreeSet::from([one.version.clone()]));
+            true
+        });
+        let went_on = went_on.count();
+        assert_eq!(self.runs() - runs_before, went_on, "what was refused has not run");
+        went_on
+    }
+
+    fn runs(&self) -> usize {
+        self.deployment.engines.iter().map(|engine| engine.requests().len()).sum()
+    }
+}
+
+/// A stream that broke off.
+struct Broken {
+    id: String,
+    version: String,
+}
+
+impl Broken {
+    fn take_up(&self) -> Client {
+        let client = draft(&format!("{}-next", self.id)).with("Resumes", &self.id);
+        client.with("Last-Event-Id", &FIRST_EVENTS.to_string())
+    }
+}
+
+/// A stream that may be resumed.
+fn draft(id: &str) -> Client {
+    Client::new("POST", "/draft/1", id).with("X-Model", "m1").deadline(5_000)
+}
+
+/// The versions whose events an answer holds.
+fn versions(answer: &ClientAnswer) -> BTreeSet<String> {
+    let lines = answer.body.lines().filter(|line| line.starts_with("data: "));
+    lines.filter_map(|line| Some(line.split(" of ").nth(1)?.to_owned())).collect()
+}
+
+/// A stream that breaks inside an answer goes on at its own version.
+#[test]
+fn within_one_answer() {
+    let site = Site::start(1, &VERSIONS, WHOLE.broken_after(FIRST_EVENTS));
+    for number in 0..STREAMS {
+        let answer = draft(&format!("a{number}")).send(site.hosts[0].front);
+        assert_eq!((answer.status, answer.is_complete), (200, true), "{answer:?}");
+        assert_eq!(versions(&answer).len(), 1, "{answer:?}");
+    }
+}
+
+/// Before its first event, a stream may change the version.
+#[test]
+fn before_first_event() {
+    let site = Site::start(1, &VERSIONS, WHOLE);
+    let engine = site.engines_of(VERSIONS[0]).next().expect("there are two");
+    engine.set_behaviour(Behaviour::Shaped(WHOLE.broken_after(0)));
+    for number in 0..STREAMS {
+        let answer = draft(&format!("b{number}")).send(site.hosts[0].front);
+        assert_eq!((answer.status, answer.is_complete), (200, true), "{answer:?}");
+    }
+}
+
+/// A stream that its caller takes up at the same host, or at another one, goes on at its version.
+#[rstest]
+fn taken_up(#[values(0, 1)] host: usize) {
+    let site = Site::start(3, &VERSIONS, WHOLE);
+    let broken = site.begin();
+    assert_eq!(site.take_up(host, &broken), STREAMS);
+}
+
+/// Streams go on although the host that began them is killed, paused or replaced.
+#[rstest]
+fn first_host_gone(#[values("KILL", "STOP", "TERM")] signal: &str) {
+    let mut site = Site::start(4, &VERSIONS, WHOLE);
+    let broken = site.begin();
+    site.hosts[0].signal(signal);
+    if signal == "TERM" {
+        site.hosts[0].wait();
+        site.hosts.push(site.deployment.host("front-9"));
+        thread::sleep(Duration::from_millis(1_000));
+    }
+    let last = site.hosts.len() - 1;
+    assert_eq!(site.take_up(last, &broken), STREAMS);
+    site.hosts[0].signal("CONT");
+}
+
+/// A stream whose version has no upstream left is refused at once, and did not run.
+#[test]
+fn version_gone() {
+    let site = Site::start(2, &VERSIONS, WHOLE);
+    let broken = site.begin();
+    site.remove(VERSIONS[0]);
+    let (gone, left): (Vec<Broken>, Vec<Broken>) =
+        broken.into_iter().partition(|one| one.version == VERSIONS[0]);
+    assert!(!gone.is_empty() && !left.is_empty());
+    for host in [0, 1] {
+        assert_eq!(site.take_up(host, &gone), 0);
+    }
+    assert_eq!(site.take_up(1, &left), left.len());
+}
+
+/// A stream whose beginning is unknown is refused at once, since its version would be guessed.
+#[test]
+fn unknown_beginning() {
+    let site = Site::start(2, &VERSIONS, WHOLE);
+    let long = "x".repeat(2_000);
+    for name in ["unknown", "", " ", "\u{e9}", &long] {
+        let broken = [Broken { id: name.into(), version: String::new() }];
+        let began = Instant::now();
+        let answer = broken[0].take_up().send(site.hosts[0].front);
+        assert_eq!(answer.status, 503, "{name:?}: {answer:?}");
+        assert!(began.elapsed() < AT_ONCE, "{:?}", began.elapsed());
+    }
+    let unnamed = draft("c1").with("Last-Event-Id", "3").send(site.hosts[0].front);
+    assert_eq!(unnamed.status, 503, "{unnamed:?}");
+    assert_eq!(site.runs(), 0);
+}
+
+/// New streams and other routes are served whatever their headers name.
+#[rstest]
+fn new_streams(#[values("unknown", "", "\u{e9}")] named: &str) {
+    let site = Site::start(1, &VERSIONS, WHOLE);
+    let front = site.hosts[0].front;
+    let begun = draft("d1").with("Resumes", named).send(front);
+    assert_eq!((begun.status, begun.is_complete), (200, true), "{begun:?}");
+    let check = Client::new("GET", "/check/1", "d2").with("Resumes", named);
+    let check = check.with("Last-Event-Id", "3").send(front);
+    assert_eq!((check.status, check.is_complete), (200, true), "{check:?}");
+}
+
+/// With a single version, streams whose beginning is unknown go on, also after the loss of all hosts.
+#[test]
+fn single_version() {
+    let mut site = Site::start(2, &VERSIONS[..1], WHOLE);
+    let broken = site.begin();
+    site.hosts.iter_mut().for_each(Host::kill);
+    site.hosts = site.deployment.hosts(2);
+    thread::sleep(Duration::from_millis(1_000));
+    assert_eq!(site.take_up(1, &broken), STREAMS);
+}
+
+/// A version that was there before the loss of all hosts is not forgotten.
+#[test]
+fn earlier_version() {
+    let mut site = Site::start(2, &VERSIONS, WHOLE);
+    let broken = site.begin();
+    site.remove(VERSIONS[1]);
+    site.hosts.iter_mut().for_each(Host::kill);
+    site.hosts = site.deployment.hosts(2);
+    thread::sleep(Duration::from_millis(1_000));
+    let other: Vec<Broken> = broken.into_iter().filter(|one| one.version == VERSIONS[1]).collect();
+    assert!(!other.is_empty());
+    assert_eq!(site.take_up(1, &other), 0);
+}
+
+/// A version that appears while a stream runs does not change it.
+#[test]
+fn version_appears() {
+    let mut site = Site::start(3, &VERSIONS[..1], WHOLE);
+    let broken = site.begin();
+    site.deployment.add_engine();
+    let engine = site.deployment.engines.last().expect("one was added");
+    engine.set_version(VERSIONS[1]);
+    engine.set_behaviour(Behaviour::Shaped(WHOLE));
+    let (key, value) = engine.entry();
+    site.deployment.store.put(&key, &value);
+    wait_for("streams begin at the new version", || {
+        let answer = draft(&format!("e{}", site.runs())).send(site.hosts[2].front);
+        versions(&answer).contains(VERSIONS[1])
+    });
+    assert_eq!(site.take_up(2, &broken), STREAMS);
+}
