fix: a stream goes on only at the software version that began it

Callers got streams with events of two versions, within one answer and over their tries. Cause: the version of an upstream was decoded and dropped, so that nothing known of a stream named it, at the host that began it or elsewhere. Change: the version is part of a request from its first event on, and only upstreams of that version are chosen, also for permits, slots and prefixes; before that a retry may change it. A host that passes a first event on tells three others, which follow from the id, one of each failure domain first; a host at which a caller takes a stream up asks six. Whether a service has ever had one version only stays in the store; without that, or without an upstream of the version, the request is refused at once.

--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -139,6 +139,7 @@
         parts: Vec::new(),
         last_event: None,
         resumes: None,
+        continues: None,
     }
 }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -44,6 +44,7 @@
 mod startup;
 mod summary;
 mod upstream;
+mod versions;
 
 pub use access::QuotaTerms;
 pub use affinity::PrefixPlace;
@@ -58,3 +59,4 @@
 pub use routes::RouteIndex;
 pub use shortage::{RefusalContext, Shortage, ShortageKind};
 pub use summary::{Counts, UpstreamSummary};
+pub use versions::StreamBegun;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -17,6 +17,7 @@
     routes,
     service_pace::ServicePace,
     upstream::{Load, Upstream},
+    versions,
 };
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -369,7 +370,12 @@
         if self.refuses_new_requests(now) {
             return actions.push(refuse(RefusalCause::Stopping, Some(STOP_RETRY_AFTER_MS)));
         }
-        let Some(target) = routes::target(&route, &head.id) else {
+        let target = match &head.continues {
+            _ if !versions::takes_up(&route, &head) => routes::target(&route, &head.id),
+            Some(software) => route.targets.iter().find(|one| one.service == software.service),
+            None => return actions.push(refuse(RefusalCause::StreamUnknown, None)),
+        };
+        let Some(target) = target else {
             return actions.push(refuse(RefusalCause::NoUpstream, Some(RETRY_AFTER_MS)));
         };
         let service = target.service.clone();
@@ -377,7 +383,8 @@
             budget.record_request(now);
         }
         let request = Request::new(head, route, access, service, at);
-        let request = Request { content_hash, queued_at: now, ..request };
+        let version = versions::version_of(&request);
+        let request = Request { content_hash, queued_at: now, version, ..request };
         if let Some(subject) = &request.head.model {
             let demand = self.demand.entry((request.service.clone(), subject.clone()));
             let demand = demand.or_default();
--- a/crates/dispatch/src/refusing.rs
+++ b/crates/dispatch/src/refusing.rs
@@ -52,7 +52,7 @@
         let holds = |upstream: &Upstream| {
             request.head.model.as_ref().is_none_or(|subject| upstream.holds(subject, now))
         };
-        let all = self.known_upstreams(self.directory.upstreams_of(&request.service));
+        let all = self.fitting_upstreams(request);
         let candidates = all.filter(|(_, upstream)| upstream.accepts_new(now) && holds(upstream));
         let cooldowns =
             candidates.map(|(id, upstream)| (id, upstream.cooldown.left_ms(now).unwrap_or(0)));
@@ -69,14 +69,14 @@
         id: RequestId,
         shortage: Shortage,
         cause: RefusalCause,
-        retry_ms: u64,
+        retry_ms: Option<u64>,
         actions: &mut Vec<Action>,
     ) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
         request.shortage = Some(shortage);
-        let refusal = Refusal::not_run(cause, Some(retry_ms));
+        let refusal = Refusal::not_run(cause, retry_ms);
         let refusal = refusal.with_verdict(request.verdict);
         let context = RefusalContext::from(&*request);
         self.end(id);
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -46,6 +46,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct ActiveAttempt {
     pub upstream: Incarnation,
+    /// Version of the upstream's software.
+    pub software: Name,
     pub sent_at: Tick,
     /// Load that the request adds to the upstream.
     pub load: Load,
@@ -70,6 +72,8 @@
     /// Prefixes of the prompt that other requests may share.
     pub shared_prefixes: Vec<Prefix>,
     pub service: Name,
+    /// Software version at which a stream that has begun must go on.
+    pub version: Option<Name>,
     pub arrived: Tick,
     /// When it was first queued for an upstream; later than its arrival if it waited for quota.
     pub queued_at: Tick,
@@ -142,6 +146,7 @@
             access,
             content_hash: 0,
             service,
+            version: None,
             arrived: now,
             queued_at: now,
             deadline,
--- a/crates/dispatch/src/reserving.rs
+++ b/crates/dispatch/src/reserving.rs
@@ -167,7 +167,13 @@
         let holders = request.shortage.map_or(1, |shortage| shortage.holders);
         let shortage = Shortage { kind: ShortageKind::Limit, holders };
         let (service, subject) = (request.service.clone(), request.head.model.clone());
-        self.refuse_at_once(id, shortage, RefusalCause::RateLimited, retry_ms.into(), actions);
+        self.refuse_at_once(
+            id,
+            shortage,
+            RefusalCause::RateLimited,
+            Some(retry_ms.into()),
+            actions,
+        );
         if let Some(subject) = subject {
             self.report_shortage(
                 now,
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -10,7 +10,7 @@
     upstream::Upstream,
 };
 use std::collections::HashMap;
-use vanetally_ports::{ModelRef, RequestKind};
+use vanetally_ports::{ModelRef, RefusalCause, RequestKind};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Share of an upstream's connections that all hosts together use.
@@ -64,6 +64,11 @@
             self.end(id);
             return actions.push(Action::Refuse { id, refusal, context });
         }
+        if self.lacks_version(now, request) {
+            let shortage = Shortage { kind: ShortageKind::Upstream, holders: 0 };
+            let (cause, retry_ms) = (RefusalCause::VersionGone, None);
+            return self.refuse_at_once(id, shortage, cause, retry_ms, actions);
+        }
         let subject = request.head.model.clone();
         if now < request.not_before
             || self.awaits_same_content(now, id, request)
@@ -71,7 +76,9 @@
         {
             return;
         }
-        if let Some(shortage) = shortages.get(&subject).copied() {
+        // What others lack may be there at one version, and the other way round.
+        let is_shared = request.version.is_none();
+        if let Some(shortage) = shortages.get(&subject).copied().filter(|_| is_shared) {
             if let Some(request) = self.requests.get_mut(&id) {
                 request.shortage = Some(shortage);
             }
@@ -94,13 +101,13 @@
             Ok(choice) => actions.extend(self.send(now, id, choice, 0)),
             Err(shortage) => {
                 if let Some((cause, retry_ms)) = self.futile_wait(now, request, shortage) {
-                    return self.refuse_at_once(id, shortage, cause, retry_ms, actions);
+                    return self.refuse_at_once(id, shortage, cause, Some(retry_ms), actions);
                 }
                 if self.grants_slots(service) && !self.is_engine(service) {
                     self.set_shortage(id, shortage);
                     return self.await_slot(now, id, actions);
                 }
-                if request.tried.is_empty() {
+                if request.tried.is_empty() && is_shared {
                     shortages.insert(subject.clone(), shortage);
                 }
                 let Some(request) = self.requests.get_mut(&id) else {
@@ -135,18 +142,18 @@
 
     fn choose(&self, now: Tick, request: &Request) -> Result<Choice, Shortage> {
         let input = self.choice_input(now, &request.service);
-        let (service, directory) = (&request.service, &self.directory);
         let Some(subject) = &request.head.model else {
-            return choose(&input, request, self.known_upstreams(directory.upstreams_of(service)));
+            return choose(&input, request, self.fitting_upstreams(request));
         };
-        let holders = directory.holders(service, &subject.model);
-        choose(&input, request, self.known_upstreams(holders)).map_err(|shortage| {
+        let holders = self.directory.holders(&request.service, &subject.model);
+        let fitting = self.known_upstreams(holders).filter(|(_, upstream)| request.fits(upstream));
+        choose(&input, request, fitting).map_err(|shortage| {
             // If no holder of the model accepts requests, the other upstreams of the service show
             // whether only the model is missing.
             let lacks_upstream = shortage.kind == ShortageKind::Upstream;
-            let others = || self.known_upstreams(directory.upstreams_of(service));
+            let mut others = self.fitting_upstreams(request);
             let is_missing =
-                lacks_upstream && others().any(|(_, upstream)| upstream.accepts_new(now));
+                lacks_upstream && others.any(|(_, upstream)| upstream.accepts_new(now));
             if is_missing { Shortage { kind: ShortageKind::Model, ..shortage } } else { shortage }
         })
     }
@@ -236,6 +243,7 @@
         }
         request.stage = Stage::Sent(ActiveAttempt {
             upstream: choice.upstream,
+            software: upstream.state.version.clone(),
             sent_at,
             load,
             expected: choice.expected,
@@ -268,7 +276,7 @@
             Some(_) => now <= attempt.sent_at + PERMIT_TTL_MS,
             None => upstream.rate_limit(now).is_none(),
         };
-        is_permitted && upstream.accepts_now(now)
+        is_permitted && upstream.accepts_now(now) && request.fits(upstream)
     }
 
     /// Returns this host's share of the connections to an upstream.
--- a/crates/dispatch/src/shared_queue.rs
+++ b/crates/dispatch/src/shared_queue.rs
@@ -180,7 +180,8 @@
         let free =
             |upstream: &Upstream| upstream.state.slots.saturating_sub(upstream.total(now).running);
         let is_open = |upstream: &&Upstream| {
-            upstream.accepts_now(now) && now >= upstream.paced_until && now >= upstream.full_until
+            let is_paused = now < upstream.paced_until || now < upstream.full_until;
+            upstream.accepts_now(now) && !is_paused && request.fits(upstream)
         };
         let open = |id| self.upstreams.get(id).filter(is_open);
         let Some(subject) = &request.head.model else {
--- a/crates/dispatch/src/slots.rs
+++ b/crates/dispatch/src/slots.rs
@@ -156,7 +156,13 @@
             let holders = self.directory.upstreams_of(&request.service).count() as u32;
             let retry_ms = wait_ms + spread_ms(&request.head.id, wait_ms);
             let shortage = Shortage { kind, holders };
-            return self.refuse_at_once(id, shortage, RefusalCause::Overloaded, retry_ms, actions);
+            return self.refuse_at_once(
+                id,
+                shortage,
+                RefusalCause::Overloaded,
+                Some(retry_ms),
+                actions,
+            );
         }
         if kind == ShortageKind::Slot {
             actions.extend(self.acquire_slot(now, id, Choice::of_slot(upstream)));
@@ -266,7 +272,7 @@
     fn slot_candidates(&self, now: Tick, request: &Request) -> Candidates {
         let input = self.choice_input(now, &request.service);
         let mut candidates = Candidates::default();
-        let known = self.known_upstreams(self.directory.upstreams_of(&request.service));
+        let known = self.fitting_upstreams(request);
         for (id, upstream) in known.filter(|(_, upstream)| upstream.accepts_new(now)) {
             let kind = shortage_of(&input, request, id, upstream, 0);
             let wait = match kind {
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -201,9 +201,14 @@
         self.presence.insert(subject, (presence, now));
     }
 
-    pub(crate) fn holds(&self, subject: &ModelRef, now: Tick) -> bool {
+    /// Whether the upstream holds the model of `subject`, whether or not the adapter is loaded.
+    pub(crate) fn holds_base(&self, subject: &ModelRef, now: Tick) -> bool {
         let base = ModelRef { model: subject.model.clone(), adapter: None };
         self.reported_presence(&base, now).unwrap_or_else(|| self.announces(&base))
+    }
+
+    pub(crate) fn holds(&self, subject: &ModelRef, now: Tick) -> bool {
+        self.holds_base(subject, now)
             && self.reported_presence(subject, now).unwrap_or_else(|| self.announces(subject))
     }
 
--- /dev/null
+++ b/crates/dispatch/src/versions.rs
@@ -0,0 +1,87 @@
+//! Streams stay at the software version that began them: what two versions write does not fit together.
+
+use crate::{
+    Dispatch, RequestId,
+    request::{Request, Stage},
+    upstream::Upstream,
+};
+use vanetally_ports::{CallerRequest, RequestKind, Route, Software};
+use vanetally_types::{Incarnation, Name, Tick};
+
+/// A stream whose first event reaches its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamBegun {
+    /// The software that began it.
+    pub software: Software,
+    /// The ids by which its caller may take it up: that of this request, and the one that this request named itself.
+    pub ids: Vec<Name>,
+    /// Maximum time until the end of its answer, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+impl Request {
+    /// Whether the request may be sent to an upstream with the software version of `upstream`.
+    pub(crate) fn fits(&self, upstream: &Upstream) -> bool {
+        self.version.as_ref().is_none_or(|version| *version == upstream.state.version)
+    }
+}
+
+/// Whether a request to `route` asks for the rest of a stream.
+pub(crate) fn takes_up(route: &Route, head: &CallerRequest) -> bool {
+    route.kind == RequestKind::Stream && route.resumable && head.last_event.is_some()
+}
+
+/// Returns the version at which a request that has just arrived must be served.
+pub(crate) fn version_of(request: &Request) -> Option<Name> {
+    let continues =
+        request.head.continues.as_ref().filter(|_| takes_up(&request.route, &request.head));
+    continues.map(|software| software.version.clone())
+}
+
+impl Dispatch {
+    /// Returns the services that may have begun the stream that a request asks to go on; `None` if it asks for no
+    /// such stream.
+    pub fn stream_services(&self, now: Tick, head: &CallerRequest) -> Option<Vec<Name>> {
+        let route = self.route(now, head).ok()?;
+        let services = route.targets.iter().map(|target| target.service.clone());
+        takes_up(&route, head).then(|| services.collect())
+    }
+
+    /// Handles the first event of a stream that reaches the caller. The stream may go on only at the version that began
+    /// it from now on.
+    pub fn stream_begun(&mut self, id: RequestId) -> Option<StreamBegun> {
+        let request = self.requests.get_mut(&id)?;
+        let Stage::Sent(attempt) = &request.stage else {
+            return None;
+        };
+        let version = request.version.get_or_insert_with(|| attempt.software.clone());
+        let software = Software { service: request.service.clone(), version: version.clone() };
+        let named = request.head.resumes.clone().filter(|_| request.head.continues.is_some());
+        let ids = [Some(request.head.id.clone()), named].into_iter().flatten().collect();
+        Some(StreamBegun { software, ids, timeout_ms: request.route.timeout_ms })
+    }
+
+    /// Returns the upstreams of a request's service that have its version.
+    pub(crate) fn fitting_upstreams<'a>(
+        &'a self,
+        request: &'a Request,
+    ) -> impl Iterator<Item = (&'a Incarnation, &'a Upstream)> {
+        let known = self.known_upstreams(self.directory.upstreams_of(&request.service));
+        known.filter(|(_, upstream)| request.fits(upstream))
+    }
+
+    /// Whether a stream can't go on, since no upstream of its version is left that could take it.
+    pub(crate) fn lacks_version(&self, now: Tick, request: &Request) -> bool {
+        if request.version.is_none() {
+            return false;
+        }
+        let accepts = |(_, upstream): (_, &Upstream)| upstream.accepts_new(now);
+        let Some(model) = &request.head.model else {
+            return !self.fitting_upstreams(request).any(accepts);
+        };
+        let holders = self.directory.holders(&request.service, &model.model);
+        let mut fitting =
+            self.known_upstreams(holders).filter(|(_, upstream)| request.fits(upstream));
+        !fitting.any(|holder| accepts(holder) && holder.1.holds_base(model, now))
+    }
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -120,6 +120,7 @@
         parts: Vec::new(),
         last_event: None,
         resumes: None,
+        continues: None,
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -35,10 +35,6 @@
         }
     };
     let name = head.id.clone();
-    if let Some(event) = &head.last_event {
-        let resumes = head.resumes.as_deref().unwrap_or("-");
-        log::info!("event=stream_taken_up request={name} resumes={resumes} after_event={event}");
-    }
     let body = match read_body(&hub, body).await {
         Ok(body) => body,
         Err(cause) => {
@@ -48,7 +44,7 @@
     };
     hub.await_configuration(&mut head, body.len()).await;
     let arrived = hub.clock.now();
-    let charge = match admit(&hub, &head).await {
+    let charge = match admit(&hub, &mut head).await {
         Ok(charge) => charge,
         Err(refusal) => {
             telemetry::request_arrived();
@@ -72,9 +68,10 @@
     response
 }
 
-/// Authenticates the request and charges its cost to its organisation's quota.
-async fn admit(hub: &Rc<Hub>, head: &CallerRequest) -> Result<Option<Charge>, Refusal> {
+/// Authenticates the request, finds the stream that it takes up, and charges its cost to its organisation's quota.
+async fn admit(hub: &Rc<Hub>, head: &mut CallerRequest) -> Result<Option<Charge>, Refusal> {
     let identity = hub.dispatch.borrow().identify(hub.clock.now(), head)?;
+    hub.find_stream(head).await?;
     match identity {
         Some(organisation) => hub.charge(organisation, head).await,
         None => Ok(None),
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -17,6 +17,7 @@
     settings::Settings,
     slots::Slots,
     store::Store,
+    streams::Streams,
     telemetry,
 };
 use bytes::Bytes;
@@ -145,6 +146,7 @@
     /// As of when the configuration is confirmed to be the newest.
     pub freshness: RefCell<Freshness>,
     pub quotas: RefCell<Quotas>,
+    pub streams: RefCell<Streams>,
     pub limits: RefCell<Limits>,
     /// Upstreams that have announced that they are leaving.
     pub leaving_upstreams: RefCell<LeavingUpstreams>,
@@ -243,6 +245,7 @@
                 rand::random(),
                 settings.scheduling.quota_wait,
             )),
+            streams: RefCell::new(Streams::new(rand::random())),
             limits: RefCell::new(Limits::new(rand::random())),
             leaving_upstreams: RefCell::default(),
             evidence: RefCell::default(),
@@ -420,6 +423,7 @@
         // An upstream's own statement that it is leaving takes precedence over its announcement,
         // which may be older.
         state.draining |= self.leaving_upstreams.borrow().contains(&id);
+        self.version_seen(&state.service, &state.version);
         let seen = placement::Event::UpstreamSeen { id: id.clone(), state: state.clone() };
         self.placement_event(seen);
         self.request_event(dispatch::Event::UpstreamSeen { id, state });
@@ -459,6 +463,7 @@
         self.update_peers();
         self.decide_unanswered();
         self.tick_slots();
+        self.tick_streams();
         self.update_granting();
         self.serve_quota();
         self.send_follows();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,6 +55,7 @@
 mod statements;
 mod status;
 mod store;
+mod streams;
 mod telemetry;
 mod tunnels;
 mod upkeep;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -103,6 +103,11 @@
             PeerMessage::Quarantined(quarantines) => self.apply_quarantines(from, quarantines),
             PeerMessage::Leaving(upstreams) => self.upstreams_leaving(Some(from), upstreams),
             PeerMessage::Brittle(services) => self.brittle_reported(from, services),
+            PeerMessage::StreamBegan(beginning) => self.keep_beginning(beginning),
+            PeerMessage::AskStream { number, key, service } => {
+                self.answer_stream(from, number, key, service);
+            }
+            PeerMessage::StreamAnswered { number, answer } => self.stream_answered(number, answer),
             PeerMessage::AskConfiguration { have } => self.send_configuration(from, have),
             PeerMessage::Configuration(patch) => self.apply_patch(from, &patch),
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
     order_lease::HOLDER_KEY,
     quarantine::is_quarantine,
     settings::Scheduling,
+    streams::{Beginning, is_versions},
     watch::FeedHandler,
     wire,
 };
@@ -21,6 +22,7 @@
 use vanetally_quarantine::{ContentHash, CrashReport, Quarantine};
 use vanetally_quota::{QuotaAnswer, Rank};
 use vanetally_slots::{SlotAnswer, SlotEnd, SlotRequest};
+use vanetally_streams::{Answer, StreamKey};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Prefix of all keys of the product.
@@ -57,12 +59,14 @@
     pub(crate) const BRITTLE: Self = Self(8);
     /// Opens tunnels to upstreams for other hosts.
     pub(crate) const TUNNELS: Self = Self(4);
+    /// Keeps where streams began.
+    pub(crate) const STREAMS: Self = Self(16);
 
     /// Returns the capabilities of this build under `scheduling`.
     pub(crate) fn of(scheduling: Scheduling) -> Self {
         let slots = if scheduling.slot_grants { Self::SLOT_GRANTS.0 } else { 0 };
         let quota = if scheduling.quota_wait { Self::QUOTA_WAIT.0 } else { 0 };
-        Self(slots | quota | Self::TUNNELS.0 | Self::BRITTLE.0)
+        Self(slots | quota | Self::TUNNELS.0 | Self::BRITTLE.0 | Self::STREAMS.0)
     }
 
     /// Whether this set includes all of `others`.
@@ -319,6 +323,29 @@
     Leaving(Vec<Incarnation>),
     /// Services whose upstreams have stated that they are brittle.
     Brittle(Vec<BrittleService>),
+    /// To the hosts that keep it: where a stream began.
+    StreamBegan(Beginning),
+    /// To hosts that may keep it: asks where a stream began.
+    AskStream {
+        /// The number of this query.
+        #[serde(rename = "n")]
+        number: u64,
+        /// The stream.
+        #[serde(rename = "k")]
+        key: StreamKey,
+        /// The service, if only one may have begun it.
+        #[serde(rename = "s")]
+        service: Option<Name>,
+    },
+    /// The answer to [`Self::AskStream`].
+    StreamAnswered {
+        /// The number of the query.
+        #[serde(rename = "n")]
+        number: u64,
+        /// The answer.
+        #[serde(rename = "a")]
+        answer: Answer,
+    },
     /// Requests the configuration.
     AskConfiguration {
         /// The version that the sender has.
@@ -421,6 +448,8 @@
         quarantines.for_each(|item| self.hub.apply_stored(item));
         let brittle = snapshot.items.iter().filter(|item| is_brittleness(&item.key));
         brittle.for_each(|item| self.hub.apply_stored_brittle(item));
+        let versions = snapshot.items.iter().filter(|item| is_versions(&item.key));
+        self.hub.stored_versions_read(versions);
         let holder = snapshot.items.iter().find(|item| &*item.key == HOLDER_KEY);
         if is_restore {
             self.hub.order_key_restored(era, holder);
@@ -436,12 +465,18 @@
             }
             Change::Put(item) if is_quarantine(&item.key) => self.hub.apply_stored(&item),
             Change::Put(item) if is_brittleness(&item.key) => self.hub.apply_stored_brittle(&item),
+            Change::Put(item) if is_versions(&item.key) => {
+                self.hub.stored_versions_seen(&item.key, Some(&item));
+            }
             Change::Put(item) => {
                 if let Some((host, entry)) = parse_entry(&item) {
                     self.hub.peer_seen(host, entry);
                 }
             }
             Change::Deleted { key, .. } if &*key == HOLDER_KEY => self.hub.holder_seen(None),
+            Change::Deleted { key, .. } if is_versions(&key) => {
+                self.hub.stored_versions_seen(&key, None);
+            }
             Change::Deleted { key, .. } => {
                 if let Some(host) = key.strip_prefix(HOST_PREFIX) {
                     self.hub.peer_gone(&host.into());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -55,6 +55,7 @@
         attempt,
         sender,
         events,
+        has_begun: false,
         is_success,
         timing: FrameTiming::default(),
     };
@@ -114,6 +115,8 @@
     attempt: Attempt,
     sender: mpsc::Sender<Piece>,
     events: Events,
+    /// Whether an event was passed on.
+    has_begun: bool,
     is_success: bool,
     timing: FrameTiming,
 }
@@ -221,6 +224,9 @@
                 if data.is_empty() {
                     return true;
                 }
+                if self.attempt.may_repeat && !std::mem::replace(&mut self.has_begun, true) {
+                    self.pending.hub.stream_begun(self.pending.id);
+                }
                 Frame::data(data)
             }
             Err(other) => other,
--- /dev/null
+++ b/crates/gateway/src/streams.rs
@@ -0,0 +1,341 @@
+//! Keeps where streams began at a few hosts, and asks them when a caller takes a stream up.
+
+use crate::{
+    hub::Hub,
+    peers::{Capabilities, HostEntry, PeerMessage},
+    telemetry,
+    watch::jittered,
+};
+use serde::{Deserialize, Serialize};
+use std::{collections::HashMap, pin::pin, rc::Rc, time::Duration};
+use tokio::{sync::mpsc, time::sleep};
+use vanetally_dispatch::{RequestId, StreamBegun};
+use vanetally_ports::{
+    CallerRequest, Expectation, Item, Refusal, RefusalCause, Revision, Software, StoreAnswer,
+    Transaction, Write,
+};
+use vanetally_streams::{
+    Answer, Beginnings, Finding, KnownVersions, Lookup, Source, StreamKey, Versions, keepers,
+};
+use vanetally_types::{Name, hash64, rendezvous_rank};
+
+/// Hosts that keep the beginning of a stream, besides the one that passed its first event on.
+const KEEPERS: usize = 3;
+/// Hosts that are asked for it. More than keep it, since the hosts that ask and tell may know different ones.
+const ASKED: usize = 2 * KEEPERS;
+/// Time in which they must answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after the end of a stream's answer within which its caller may take it up.
+const RETURN_MS: u64 = 60_000;
+/// Maximum number of streams that are looked for at the same time; beyond it they are unknown.
+const MAX_LOOKUPS: usize = 4_096;
+/// Prefix of the stored keys of versions, followed by the service.
+const VERSIONS_PREFIX: &str = "vanetally/versions/";
+/// Pause after a failed write.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Where a stream began, as told to another host.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Beginning {
+    /// The ids of the requests that brought its events.
+    #[serde(rename = "k")]
+    keys: Vec<StreamKey>,
+    #[serde(rename = "s")]
+    service: Name,
+    #[serde(rename = "v")]
+    version: Name,
+    #[serde(rename = "t")]
+    kept_ms: u64,
+}
+
+/// This host's knowledge of streams.
+pub(crate) struct Streams {
+    beginnings: Beginnings,
+    versions: KnownVersions,
+    lookups: HashMap<u64, mpsc::UnboundedSender<Answer>>,
+    next_lookup: u64,
+    is_writing: bool,
+}
+
+impl Streams {
+    /// Creates the state of a process. `first_lookup` differs between starts.
+    pub(crate) fn new(first_lookup: u64) -> Self {
+        Self {
+            beginnings: Beginnings::default(),
+            versions: KnownVersions::default(),
+            lookups: HashMap::new(),
+            next_lookup: first_lookup,
+            is_writing: false,
+        }
+    }
+}
+
+/// An open question to other hosts; dropping it ends it.
+struct OpenLookup {
+    hub: Rc<Hub>,
+    number: u64,
+    answers: mpsc::UnboundedReceiver<Answer>,
+}
+
+impl Drop for OpenLookup {
+    fn drop(&mut self) {
+        self.hub.streams.borrow_mut().lookups.remove(&self.number);
+    }
+}
+
+impl Hub {
+    /// Handles the first event of a stream that is passed on: its beginning is kept before its caller can know it.
+    pub(crate) fn stream_begun(&self, id: RequestId) {
+        let begun = self.dispatch.borrow_mut().stream_begun(id);
+        let Some(StreamBegun { software, ids, timeout_ms }) = begun else {
+            return;
+        };
+        let ids = ids.iter().filter(|id| !id.is_empty());
+        let keys: Vec<StreamKey> = ids.map(|id| StreamKey::of(id)).collect();
+        let Some(first) = keys.first().copied() else {
+            return;
+        };
+        let Software { service, version } = software;
+        let kept_ms = timeout_ms + RETURN_MS;
+        let beginning = Beginning { keys, service, version, kept_ms };
+        let sent = self.send_all(
+            self.stream_keepers(first, KEEPERS).iter(),
+            &PeerMessage::StreamBegan(beginning.clone()),
+        );
+        telemetry::stream_begun(sent);
+        self.keep_beginning(beginning);
+    }
+
+    /// Keeps where a stream began.
+    pub(crate) fn keep_beginning(&self, beginning: Beginning) {
+        let Beginning { keys, service, version, kept_ms } = beginning;
+        let (now, software) = (self.clock.now(), Software { service, version });
+        let beginnings = &mut self.streams.borrow_mut().beginnings;
+        keys.into_iter().for_each(|key| beginnings.record(now, key, &software, kept_ms));
+    }
+
+    /// Returns the first `count` other hosts that keep a stream.
+    fn stream_keepers(&self, key: StreamKey, count: usize) -> Vec<Name> {
+        let peers = self.peers.borrow();
+        let keeps = |(host, entry): &(&Name, &HostEntry)| {
+            **host != self.settings.host && entry.capabilities.includes(Capabilities::STREAMS)
+        };
+        let hosts = peers.iter().filter(keeps).map(|(host, entry)| (host, &entry.domain));
+        keepers(key, hosts, count).into_iter().cloned().collect()
+    }
+
+    /// Finds the software that began the stream that a request takes up, if it takes one up.
+    ///
+    /// # Errors
+    /// If that is unknown.
+    pub(crate) async fn find_stream(
+        self: &Rc<Self>,
+        head: &mut CallerRequest,
+    ) -> Result<(), Refusal> {
+        let services = self.dispatch.borrow().stream_services(self.clock.now(), head);
+        let Some(services) = services else {
+            return Ok(());
+        };
+        let began = self.clock.now();
+        let found = self.find_beginning(head.resumes.as_deref(), &services).await;
+        let source = found.as_ref().map_or("unknown", |(_, source)| source.as_str());
+        telemetry::stream_taken_up(source);
+        log::info!(
+            "event=stream_taken_up request={} resumes={} after_event={} software={} found={source} after_ms={}",
+            head.id,
+            head.resumes.as_deref().unwrap_or("-"),
+            head.last_event.as_deref().unwrap_or("-"),
+            found.as_ref().map_or("-", |(software, _)| &software.version),
+            self.clock.now().since(began)
+        );
+        let unknown = Refusal::not_run(RefusalCause::StreamUnknown, None);
+        head.continues = Some(found.ok_or(unknown)?.0);
+        Ok(())
+    }
+
+    async fn find_beginning(
+        self: &Rc<Self>,
+        id: Option<&str>,
+        services: &[Name],
+    ) -> Option<Finding> {
+        let only = self.only_software(services);
+        let Some(key) = id.map(StreamKey::of) else {
+            // The caller does not name it, so that nobody can tell another version.
+            return only.map(|software| (software, Source::OnlyVersion));
+        };
+        let own = self.streams.borrow().beginnings.get(self.clock.now(), key).cloned();
+        if let Some(software) = own {
+            return Some((software, Source::Own));
+        }
+        let asked = self.stream_keepers(key, ASKED);
+        let mut lookup = Lookup::new(asked.len(), only);
+        let mut open = self.open_lookup()?;
+        let service = if let [service] = services { Some(service.clone()) } else { None };
+        let number = open.number;
+        self.send_all(asked.iter(), &PeerMessage::AskStream { number, key, service });
+        let mut expired = pin!(sleep(ANSWER_TIMEOUT));
+        while lookup.is_open() {
+            tokio::select! {
+                biased;
+                Some(answer) = open.answers.recv() => {
+                    if let Some(found) = lookup.answered(answer) {
+                        return Some(found);
+                    }
+                }
+                () = &mut expired => break,
+            }
+        }
+        lookup.unanswered()
+    }
+
+    fn open_lookup(self: &Rc<Self>) -> Option<OpenLookup> {
+        let streams = &mut *self.streams.borrow_mut();
+        if streams.lookups.len() >= MAX_LOOKUPS {
+            return None;
+        }
+        let number = streams.next_lookup;
+        streams.next_lookup = number.wrapping_add(1);
+        let (sender, answers) = mpsc::unbounded_channel();
+        streams.lookups.insert(number, sender);
+        Some(OpenLookup { hub: self.clone(), number, answers })
+    }
+
+    /// Returns the only software that may have begun a stream of one of `services`, if there has ever been just one.
+    fn only_software(&self, services: &[Name]) -> Option<Software> {
+        let [service] = services else {
+            return None;
+        };
+        let streams = self.streams.borrow();
+        let version = streams.versions.only(service)?.clone();
+        Some(Software { service: service.clone(), version })
+    }
+
+    /// Answers another host that looks for the beginning of a stream.
+    pub(crate) fn answer_stream(
+        &self,
+        host: &Name,
+        number: u64,
+        key: StreamKey,
+        service: Option<Name>,
+    ) {
+        let known = self.streams.borrow().beginnings.get(self.clock.now(), key).cloned();
+        let answer = match known {
+            Some(Software { service, version }) => Answer::Began(service, version),
+            None => {
+                let streams = self.streams.borrow();
+                Answer::Unknown(service.and_then(|one| streams.versions.only(&one).cloned()))
+            }
+        };
+        self.send(host, &PeerMessage::StreamAnswered { number, answer });
+    }
+
+    /// Takes the answer of another host.
+    pub(crate) fn stream_answered(&self, number: u64, answer: Answer) {
+        if let Some(lookup) = self.streams.borrow().lookups.get(&number) {
+            // The question may have been decided.
+            let _ = lookup.send(answer);
+        }
+    }
+
+    /// Records the software version of an upstream.
+    pub(crate) fn version_seen(self: &Rc<Self>, service: &Name, version: &Name) {
+        let seen = Versions::One(version.clone());
+        self.streams.borrow_mut().versions.add(service, seen);
+    }
+
+    /// Handles what the store keeps of the versions of a service; `None` if its key is gone.
+    pub(crate) fn stored_versions_seen(&self, key: &str, item: Option<&Item>) {
+        let Some(service) = key.strip_prefix(VERSIONS_PREFIX).map(Name::from) else {
+            return;
+        };
+        let read = item.map(|item| serde_json::from_slice::<Versions>(&item.value)).transpose();
+        let versions = read.unwrap_or_else(|error| {
+            log::error!("event=versions_unreadable service={service} error=\"{error}\"");
+            None
+        });
+        self.streams.borrow_mut().versions.set_stored(&service, versions);
+    }
+
+    /// Handles all keys of the product, which were read again.
+    pub(crate) fn stored_versions_read<'a>(&self, items: impl Iterator<Item = &'a Item>) {
+        self.streams.borrow_mut().versions.clear_stored();
+        items.for_each(|item| self.stored_versions_seen(&item.key, Some(item)));
+    }
+
+    /// Removes beginnings that have expired, and has the store keep versions that it does not.
+    pub(crate) fn tick_streams(self: &Rc<Self>) {
+        let streams = &mut *self.streams.borrow_mut();
+        streams.beginnings.expire(self.clock.now());
+        telemetry::set_streams(streams.beginnings.len());
+        if streams.is_writing || !self.has_host_list.get() {
+            return;
+        }
+        let mut unsaved = streams.versions.unsaved_services();
+        let Some(service) = unsaved.find(|service| self.writes_versions(service)).cloned() else {
+            return;
+        };
+        drop(unsaved);
+        streams.is_writing = true;
+        let hub = self.clone();
+        tokio::task::spawn_local(async move {
+            if !hub.write_versions(&service).await {
+                log::info!("event=versions_not_kept service={service}");
+            }
+            // The mirror tells soon that it was written.
+            sleep(jittered(RETRY_PAUSE)).await;
+            hub.streams.borrow_mut().is_writing = false;
+        });
+    }
+
+    /// Whether this host writes the versions of a service to the store.
+    fn writes_versions(&self, service: &Name) -> bool {
+        let is_configured = self
+            .dispatch
+            .borrow()
+            .configuration()
+            .is_some_and(|configuration| configuration.services.contains_key(service));
+        let peers = self.peers.borrow();
+        let own = &self.settings.host;
+        let others = peers.iter().filter(|(host, entry)| {
+            *host != own && entry.capabilities.includes(Capabilities::STREAMS)
+        });
+        let hosts = others.map(|(host, _)| host).chain([own]);
+        is_configured && rendezvous_rank(hash64(service.as_bytes()), hosts).first() == Some(&own)
+    }
+
+    /// Writes the versions of a service to the store; returns whether that succeeded.
+    async fn write_versions(&self, service: &Name) -> bool {
+        let versions = self.streams.borrow().versions.unsaved(service).cloned();
+        let Some(versions) = versions else {
+            return true;
+        };
+        let Ok(value) = serde_json::to_vec(&versions) else {
+            return false;
+        };
+        let key: Name = format!("{VERSIONS_PREFIX}{service}").into();
+        // A host that has seen less must not replace several versions by one.
+        let revision = self.stored_revision(&key).unwrap_or_default();
+        let expect = vec![Expectation { key: key.clone(), revision }];
+        let put = vec![Write { key, value: value.into(), lease: None }];
+        let transaction = Transaction { expect, put, ..Transaction::default() };
+        let is_done = matches!(self.store.transact(&transaction).await, Ok(StoreAnswer::Done(_)));
+        if is_done {
+            log::info!("event=versions_kept service={service} versions={versions:?}");
+        }
+        is_done
+    }
+
+    fn stored_revision(&self, key: &Name) -> Option<Revision> {
+        let feeds = self.feeds.borrow();
+        feeds.iter().find_map(|feed| {
+            let mirror = feed.mirror.borrow();
+            let item = mirror.items().find(|item| item.key == *key)?;
+            Some(item.revision)
+        })
+    }
+}
+
+/// Whether `key` is that of the versions of a service.
+pub(crate) fn is_versions(key: &str) -> bool {
+    key.starts_with(VERSIONS_PREFIX)
+}
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -197,6 +197,22 @@
     counter!("vanetally_attempts_total", "end" => end.as_str()).increment(1);
 }
 
+/// Counts a stream whose beginning was sent to other hosts, and the bytes sent.
+pub(crate) fn stream_begun(bytes: usize) {
+    counter!("vanetally_streams_begun_total").increment(1);
+    counter!("vanetally_stream_beginning_bytes_total").increment(bytes as u64);
+}
+
+/// Sets the number of streams whose beginning this host keeps.
+pub(crate) fn set_streams(count: usize) {
+    gauge!("vanetally_stream_beginnings").set(count as f64);
+}
+
+/// Counts a stream that a caller takes up, by where its beginning was found.
+pub(crate) fn stream_taken_up(found: &'static str) {
+    counter!("vanetally_streams_taken_up_total", "found" => found).increment(1);
+}
+
 /// Counts the end of the body of an upstream's response to a stream.
 pub(crate) fn body_ended(framing: &'static str, end: &'static str, is_inside_event: bool) {
     let inside = if is_inside_event { "true" } else { "false" };
--- a/crates/ports/src/caller.rs
+++ b/crates/ports/src/caller.rs
@@ -1,6 +1,6 @@
 //! Requests of callers and refusals.
 
-use crate::{Credential, FormatError};
+use crate::{Credential, FormatError, Software};
 use bytes::Bytes;
 use vanetally_types::{Name, Verdict};
 
@@ -58,6 +58,8 @@
     pub last_event: Option<Name>,
     /// Id of the request that brought the first event of that stream; `None` if it is not stated or malformed.
     pub resumes: Option<Name>,
+    /// Software that began that stream. It is not read from the request, but looked up.
+    pub continues: Option<Software>,
 }
 
 /// Why the gateway refuses or ends a request.
@@ -89,6 +91,10 @@
     RateLimited,
     /// The suitable upstreams are in cooldown.
     Cooldown,
+    /// It is unknown at which software version the stream began that the request takes up.
+    StreamUnknown,
+    /// No upstream of the software version that began the stream can take it.
+    VersionGone,
     /// The deadline has passed.
     TimedOut,
     /// The upstream failed.
@@ -114,6 +120,8 @@
             Self::Overloaded => "overloaded",
             Self::RateLimited => "limited",
             Self::Cooldown => "resting",
+            Self::StreamUnknown => "stream_unknown",
+            Self::VersionGone => "version_gone",
             Self::TimedOut => "timed_out",
             Self::UpstreamFailed => "upstream_failed",
             Self::Stopping => "stopping",
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -40,7 +40,9 @@
     WatchAnswer, Write,
 };
 pub use token::{FencingToken, TokenError};
-pub use upstream::{Announcement, AnnouncementError, HeldModel, UpstreamFormat, UpstreamState};
+pub use upstream::{
+    Announcement, AnnouncementError, HeldModel, Software, UpstreamFormat, UpstreamState,
+};
 
 /// Why external input could not be parsed.
 #[derive(Debug, thiserror::Error, PartialEq, Eq)]
--- a/crates/ports/src/upstream.rs
+++ b/crates/ports/src/upstream.rs
@@ -12,6 +12,21 @@
     pub adapters: Vec<Name>,
 }
 
+/// Software of which the upstreams of a service are instances.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Software {
+    /// The service.
+    pub service: Name,
+    /// Version of the software. Versions have no order.
+    pub version: Name,
+}
+
+impl std::fmt::Display for Software {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}@{}", self.service, self.version)
+    }
+}
+
 /// State that an upstream announces.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamState {
--- /dev/null
+++ b/crates/streams/src/versions.rs
@@ -0,0 +1,97 @@
+//! The software versions of services, as far as needed to tell whether there has ever been just one.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use vanetally_types::Name;
+
+/// The versions that a service has had.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Stored", into = "Stored")]
+pub enum Versions {
+    /// This one only.
+    One(Name),
+    /// Several.
+    Several,
+}
+
+/// Form in the store.
+#[derive(Serialize, Deserialize)]
+struct Stored {
+    /// The only version; none if there were several.
+    only: Option<Name>,
+}
+
+impl From<Stored> for Versions {
+    fn from(stored: Stored) -> Self {
+        stored.only.map_or(Self::Several, Self::One)
+    }
+}
+
+impl From<Versions> for Stored {
+    fn from(versions: Versions) -> Self {
+        let only = if let Versions::One(version) = versions { Some(version) } else { None };
+        Self { only }
+    }
+}
+
+/// The versions of all services, as seen by this host and as kept in the store. What was seen is never taken back.
+#[derive(Clone, Debug, Default)]
+pub struct KnownVersions {
+    seen: BTreeMap<Name, Versions>,
+    stored: BTreeMap<Name, Versions>,
+}
+
+/// Maximum number of services.
+const MAX_SERVICES: usize = 1_024;
+
+impl KnownVersions {
+    /// Adds versions of a service; returns whether the store must be told.
+    pub fn add(&mut self, service: &Name, versions: Versions) -> bool {
+        if !self.seen.contains_key(service) && self.seen.len() >= MAX_SERVICES {
+            return false;
+        }
+        let seen = self.seen.entry(service.clone()).or_insert_with(|| versions.clone());
+        if *seen != versions {
+            *seen = Versions::Several;
+        }
+        self.unsaved(service).is_some()
+    }
+
+    /// Replaces what the store keeps of a service; `None` if it keeps nothing.
+    pub fn set_stored(&mut self, service: &Name, versions: Option<Versions>) {
+        match versions {
+            Some(versions) => {
+                self.add(service, versions.clone());
+                if self.seen.contains_key(service) {
+                    self.stored.insert(service.clone(), versions);
+                }
+            }
+            None => drop(self.stored.remove(service)),
+        }
+    }
+
+    /// Forgets what the store keeps, before all of it is read again.
+    pub fn clear_stored(&mut self) {
+        self.stored.clear();
+    }
+
+    /// Returns the services of which the store does not keep what was seen.
+    pub fn unsaved_services(&self) -> impl Iterator<Item = &Name> {
+        self.seen.keys().filter(|service| self.unsaved(service).is_some())
+    }
+
+    /// Returns what the store is to keep of a service, unless it does.
+    pub fn unsaved(&self, service: &Name) -> Option<&Versions> {
+        let seen = self.seen.get(service)?;
+        (self.stored.get(service) != Some(seen)).then_some(seen)
+    }
+
+    /// Returns the only version that a service has ever had. It is known only once the store keeps it, as other hosts
+    /// may have seen another one before.
+    pub fn only(&self, service: &Name) -> Option<&Name> {
+        match (self.seen.get(service)?, self.stored.get(service)?) {
+            (Versions::One(seen), Versions::One(stored)) if seen == stored => Some(seen),
+            _ => None,
+        }
+    }
+}
