test: the soak breaks streams off in many forms, at upstreams of several versions

Change: engines of two versions; an engine closes or resets inside an event, framed by chunks or by its connection, with any line end; callers take the rest up at any host. New invariants: no stream holds events of two versions, a stream that is taken up has just the events that were missing, and what is refused then did not run.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -1,5 +1,6 @@
 //! Callers that send all kinds of requests and record the answers.
 
+use crate::streams::{self, TakenUp};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
     net::SocketAddr,
@@ -37,6 +38,8 @@
     pub incarnation: u64,
     pub began: Instant,
     pub ended: Instant,
+    /// What the request takes up, if it asks for the rest of a stream.
+    pub taken_up: Option<TakenUp>,
     /// `None` if the caller disconnected without waiting for the answer.
     pub answer: Option<ClientAnswer>,
 }
@@ -112,16 +115,26 @@
     let mut rng = StdRng::seed_from_u64(seed.wrapping_mul(CALLER_COUNT).wrapping_add(number));
     let mut sessions: Vec<Session> = shared.fronts.iter().map(|_| Session::new()).collect();
     let mut count = 0;
+    let mut taken_up: Option<TakenUp> = None;
     while !shared.is_over.load(Ordering::Relaxed) {
         count += 1;
         let host = rng.random_range(0..shared.fronts.len());
-        let kind = choose_kind(&mut rng, shared);
+        let kind = match &taken_up {
+            Some(_) => RequestKind::Draft,
+            None => choose_kind(&mut rng, shared),
+        };
         let id = format!("c{number}-{count}");
         let has_unknown_key = shared.has_keys && rng.random_bool(UNKNOWN_KEY_SHARE);
         let key = if has_unknown_key { UNKNOWN_KEY } else { KEY };
         let client = request(&mut rng, kind, &id)
             .with("Authorization", &format!("Bearer {key}"))
             .with("X-Tenant", "mallory");
+        let client = match &taken_up {
+            Some(rest) => {
+                client.with("Resumes", &rest.first).with("Last-Event-Id", &rest.after.to_string())
+            }
+            None => client,
+        };
         let incarnation = shared.incarnations[host].load(Ordering::Relaxed);
         let began = Instant::now();
         let address = shared.fronts[host];
@@ -133,9 +146,12 @@
         } else {
             Some(client.send(address))
         };
+        let rest = answer.as_ref().filter(|_| kind == RequestKind::Draft);
+        let rest = rest.and_then(|answer| streams::rest_of(&id, taken_up.as_ref(), answer));
         let exchange = Exchange {
             id,
             kind,
+            taken_up: std::mem::replace(&mut taken_up, rest),
             has_unknown_key,
             host,
             incarnation,
--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -4,8 +4,9 @@
     callers::{Exchange, KEY, ORGANISATION, RequestKind, UNKNOWN_KEY},
     faults::EVENTS,
     gateway::Deployment,
+    streams::{self, whole_events},
 };
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use vanetally_platform_standin::{ClientAnswer, Message, Runner};
 
 /// A violated invariant.
@@ -22,7 +23,10 @@
     ForeignAnswer { id: String },
     /// Events of a complete stream are missing, repeated or out of order.
     #[error("bad_events request={id} events={events:?}")]
-    BadEvents { id: String, events: Vec<String> },
+    BadEvents { id: String, events: Vec<u32> },
+    /// A stream holds events of several versions.
+    #[error("versions_joined stream={id} versions={versions:?}")]
+    VersionsJoined { id: String, versions: BTreeSet<String> },
     /// A host returned to an older configuration than one that it had applied.
     #[error("configuration_regressed request={id} host={host} version={version}")]
     ConfigurationRegressed { id: String, host: usize, version: u64 },
@@ -97,6 +101,7 @@
     }
     violations.extend(check_logs(deployment));
     violations.extend(check_no_regression(exchanges));
+    violations.extend(streams::check(exchanges));
     violations.extend(check_order_tokens(&runners));
     violations.extend(runners.iter().filter_map(|runner| {
         let held = runner.max_adapters();
@@ -132,8 +137,8 @@
 
 fn check_refusal(exchange: &Exchange, runs: u32) -> Option<Violation> {
     let status = exchange.answer.as_ref()?.status;
-    let is_violated =
-        exchange.kind == RequestKind::Offer && NOT_RUN_STATUSES.contains(&status) && runs > 0;
+    let must_not_run = exchange.kind == RequestKind::Offer || exchange.taken_up.is_some();
+    let is_violated = must_not_run && NOT_RUN_STATUSES.contains(&status) && runs > 0;
     is_violated.then(|| Violation::RanAfterRefusal { id: exchange.id.clone(), status })
 }
 
@@ -148,9 +153,9 @@
     let is_stream = matches!(exchange.kind, RequestKind::Offer | RequestKind::Draft);
     let is_whole = |answer: &&ClientAnswer| answer.status == 200 && answer.is_complete;
     let answer = exchange.answer.as_ref().filter(is_whole).filter(|_| is_stream)?;
-    let ids = answer.body.lines().filter_map(|line| line.strip_prefix("id: "));
-    let events: Vec<String> = ids.map(str::to_owned).collect();
-    let expected: Vec<String> = (1..=EVENTS).map(|number| number.to_string()).collect();
+    let events = whole_events(answer);
+    let after = exchange.taken_up.as_ref().map_or(0, |taken_up| taken_up.after);
+    let expected: Vec<u32> = (after + 1..=EVENTS).collect();
     (events != expected).then(|| Violation::BadEvents { id: exchange.id.clone(), events })
 }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod rate_limit;
 mod restores;
 mod site;
+mod streams;
 mod upstream_signals;
 
 use std::{
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -6,7 +6,7 @@
     gateway::{Deployment, Host, fresh_ip},
     invariants::{self, Violation},
     rate_limit::RateLimitPhase,
-    restores,
+    restores, streams,
     upstream_signals::UpstreamSignals,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -193,6 +193,7 @@
             backup,
             drained,
         };
+        streams::set_versions(&site);
         site.announce_all();
         site
     }
@@ -361,6 +362,8 @@
     hosts: usize,
     requests: usize,
     served: usize,
+    /// Streams that callers took up, and those of them that went on.
+    taken_up: (usize, usize),
     /// Stated limit of the rate-limited runner.
     rate: f64,
     /// Maximum number of requests in a window that counted against the limit.
@@ -372,8 +375,10 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { seed, hosts, requests, served, rate, max_in_window, crashes, violations } = self;
+        let Self { seed, hosts, requests, served, taken_up, rate, max_in_window, .. } = self;
+        let Self { crashes, violations, .. } = self;
         write!(f, "seed={seed} hosts={hosts} requests={requests} served={served}")?;
+        write!(f, " taken_up={} went_on={}", taken_up.0, taken_up.1)?;
         write!(f, " limit={rate} max_in_window={max_in_window} crashes={crashes}")?;
         write!(f, " violations={}", violations.len())?;
         violations.iter().try_for_each(|violation| write!(f, "\n    {violation}"))
@@ -386,6 +391,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut entry_rng = StdRng::seed_from_u64(!seed);
     let mut restore_rng = StdRng::seed_from_u64(seed.rotate_left(48));
+    let mut stream_rng = StdRng::seed_from_u64(seed.rotate_left(24));
     let mut site = Site::start(&mut rng, seed);
     faults::heal(&mut site);
     site.configure();
@@ -395,6 +401,7 @@
         faults::inject(&mut rng, &mut site);
         if has_entry_faults {
             faults::inject_entry_fault(&mut entry_rng, &mut site);
+            streams::inject(&mut stream_rng, &site);
             restores::inject(&mut restore_rng, &mut site);
         }
     }
@@ -435,12 +442,15 @@
         exchange.answer.as_ref().is_some_and(|answer| answer.status == 200)
     };
     let served = exchanges.iter().filter(is_served).count();
+    let taken_up = exchanges.iter().filter(|exchange| exchange.taken_up.is_some());
+    let taken_up = (taken_up.clone().count(), taken_up.filter(is_served).count());
     let (hosts, crashes) = (site.slots.len(), signals.crashes());
     Report {
         seed,
         hosts,
         requests: exchanges.len(),
         served,
+        taken_up,
         rate: limit_phase.rate,
         max_in_window,
         crashes,
