fix: ids of events may hold any character

Cause: an id outside ASCII was left out when a stream was resumed inside its answer, so that the stream began anew and its caller got events twice; from a caller it ended the request with 400. Change: it is sent and read byte by byte; one with control characters, which no header can carry, ends resumption.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -141,7 +141,7 @@
         let source = found.as_ref().map_or("unknown", |(_, source)| source.as_str());
         telemetry::stream_taken_up(source);
         log::info!(
-            "event=stream_taken_up request={} resumes={} after_event={} software={} found={source} after_ms={}",
+            "event=stream_taken_up request={} resumes={:.64} after_event={:.64} software={} found={source} after_ms={}",
             head.id,
             head.resumes.as_deref().unwrap_or("-"),
             head.last_event.as_deref().unwrap_or("-"),
--- a/crates/sse/src/splitter.rs
+++ b/crates/sse/src/splitter.rs
@@ -88,7 +88,8 @@
         let text = String::from_utf8_lossy(whole);
         let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(&text);
         if let Some(id) = text.split(LINE_ENDS).rev().find_map(id_of) {
-            self.last_id = (!id.is_empty()).then(|| id.into());
+            let is_usable = !id.is_empty() && !id.contains(char::is_control);
+            self.last_id = is_usable.then(|| id.into());
         }
     }
 }
--- a/crates/sse/tests/splitting.rs
+++ b/crates/sse/tests/splitting.rs
@@ -64,6 +64,8 @@
 #[case("id: 7 \n\n", Some("7 "))]
 #[case("id: 7\nid\n\n", None)]
 #[case("identity: 7\n\n", None)]
+#[case("id: sieben \u{2192} 7\n\n", Some("sieben \u{2192} 7"))]
+#[case("id: 7\u{1}\n\n", None)]
 #[case("id: 7\nid: 8\0\n\n", Some("7"))]
 fn ids(#[case] stream: &str, #[case] id: Option<&str>) {
     let mut splitter = splitter();
