--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -171,6 +171,19 @@
     assert_eq!(site.take_up(host, &broken), STREAMS);
 }
 
+/// Among more hosts than keep a stream, those that do are asked, also if one of them is paused.
+#[rstest]
+fn asked(#[values(false, true)] is_paused: bool) {
+    let site = Site::start(8, &VERSIONS, WHOLE);
+    let broken = site.begin();
+    if is_paused {
+        site.hosts[3].signal("STOP");
+    }
+    assert_eq!(site.take_up(7, &broken), STREAMS);
+    let found = site.hosts[7].metric("vanetally_streams_taken_up_total{found=\"host\"}");
+    assert!(found.is_some_and(|count| count > 0.0), "{found:?}");
+}
+
 /// Streams go on although the host that began them is killed, paused or replaced.
 #[rstest]
 fn first_host_gone(#[values("KILL", "STOP", "TERM")] signal: &str) {
