fix: the end of a broken stream is logged with its route again

Cause: the end of each broken stream that can't go on was recorded in the relay, which knows neither route nor model (request_refused route= in a soak). Change: only of those that the dispatcher would resume. Measured: ends_inside_event looks for the line; tests/broken_answers.rs passes.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -164,7 +164,7 @@
                 ReadEnd::Broken(end) => {
                     self.pending.attempt_ended(&self.attempt, end, true);
                     drop(source);
-                    if !self.events.may_resume() {
+                    if self.attempt.may_repeat && !self.events.may_resume() {
                         return self.pending.give_up();
                     }
                     match self.resume().await {
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -68,6 +68,10 @@
     assert_eq!(deployment.engines[0].requests().len(), 1, "run at most once");
     wait_for("the attempt has ended", || ended_attempts(&host, "broken") == 1.0);
     assert_eq!(ended_attempts(&host, "served"), 0.0);
+    wait_for("the end is logged with its route", || {
+        let log = deployment.log("front-1");
+        log.contains("event=request_refused request=a1 route=offer")
+    });
 }
 
 /// A stream that was reset between two events is not passed on as complete.
