fix: the daemon passes no service's answer on as complete that stops inside an event

The same cause as in the gateway, found by looking for its class: callers of the daemon's own interface got a service's events as a complete answer wherever its connection closed. Change: the body is followed by crate sse; one that stops inside an event is a failed attempt, and cut off if it has begun.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -12,6 +12,7 @@
     http::{Exchange, Reply, Stream},
 };
 use vanetally_route::AttemptEnd;
+use vanetally_sse::Scanner;
 use vanetally_types::{Name, Verdict};
 
 /// The result of an attempt.
@@ -79,7 +80,7 @@
         let is_event_stream =
             header(&answer, "content-type").is_some_and(|t| t.contains("event-stream"));
         match (self.request.is_service, is_event_stream) {
-            (true, _) => self.forward_service(answer, exchange),
+            (true, _) => self.forward_service(answer, exchange, is_event_stream),
             (false, true) => self.forward_events(answer, exchange),
             (false, false) => self.forward_whole(answer, exchange),
         }
@@ -133,18 +134,26 @@
     }
 
     /// Forwards a service's answer: as a whole if it is small, else streamed.
-    fn forward_service(&self, mut answer: call::Answer, exchange: Exchange) -> Outcome {
+    fn forward_service(
+        &self,
+        mut answer: call::Answer,
+        exchange: Exchange,
+        is_event_stream: bool,
+    ) -> Outcome {
         let content_type =
             header(&answer, "content-type").unwrap_or("application/octet-stream").to_owned();
         let status = answer.status;
         let headers = forwarded_headers(&answer.headers);
         let mut body = Vec::new();
         let read = answer.body.by_ref().take(SERVICE_STREAM_BYTES as u64).read_to_end(&mut body);
-        if read.is_err() {
+        let mut scanner = is_event_stream.then(Scanner::default);
+        follow(&mut scanner, &body);
+        let is_short = body.len() < SERVICE_STREAM_BYTES;
+        if read.is_err() || (is_short && is_inside_event(&scanner)) {
             let end = AttemptEnd::Failed(Verdict::MayHaveRun);
             return Outcome { end, exchange: Some(exchange), answer: None };
         }
-        if body.len() < SERVICE_STREAM_BYTES {
+        if is_short {
             return self.send_whole(status, &content_type, headers, body, exchange);
         }
         let mut head = vec![("Content-Type".to_owned(), content_type)];
@@ -153,7 +162,7 @@
             return caller_gone();
         };
         telemetry::record_first_piece(self.host, self.started.elapsed().as_secs_f64());
-        let end = copy_body(&mut answer.body, &mut stream, &body);
+        let end = copy_body(&mut answer.body, &mut stream, &body, scanner);
         if end != AttemptEnd::Completed {
             stream.abort();
         } else if stream.finish().is_err() {
@@ -170,17 +179,36 @@
     }
 }
 
-/// Sends `first` and the remaining body to the caller.
-fn copy_body(body: &mut dyn Read, stream: &mut Stream, first: &[u8]) -> AttemptEnd {
+fn follow(scanner: &mut Option<Scanner>, bytes: &[u8]) {
+    if let Some(scanner) = scanner {
+        scanner.scan(bytes);
+    }
+}
+
+/// Whether a body of events has stopped inside one, so that it is incomplete whatever ended it.
+fn is_inside_event(scanner: &Option<Scanner>) -> bool {
+    scanner.as_ref().is_some_and(Scanner::is_inside_event)
+}
+
+/// Sends `first` and the remaining body to the caller; `scanner` has followed `first` if it consists of events.
+fn copy_body(
+    body: &mut dyn Read,
+    stream: &mut Stream,
+    first: &[u8],
+    mut scanner: Option<Scanner>,
+) -> AttemptEnd {
     let mut piece = [0; PIECE_BYTES];
     if stream.send(first).is_err() {
         return AttemptEnd::CallerGone;
     }
     loop {
         match body.read(&mut piece) {
+            Ok(0) if is_inside_event(&scanner) => {
+                return AttemptEnd::Failed(Verdict::MayHaveRun);
+            }
             Ok(0) => return AttemptEnd::Completed,
             Ok(len) if stream.send(&piece[..len]).is_err() => return AttemptEnd::CallerGone,
-            Ok(_) => {}
+            Ok(len) => follow(&mut scanner, &piece[..len]),
             Err(_) => return AttemptEnd::Failed(Verdict::MayHaveRun),
         }
     }
--- a/crates/sse/src/scanner.rs
+++ b/crates/sse/src/scanner.rs
@@ -32,14 +32,21 @@
     /// Follows the next bytes of the stream; returns the length up to the last place in them that is
     /// inside no event, or `None` if there is no such place.
     pub fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
-        let mut last = None;
-        for (at, byte) in bytes.iter().enumerate() {
-            self.step(*byte);
-            if !self.is_inside_event() {
-                last = Some(at + 1);
-            }
+        let mut last = 0;
+        while let Some(length) = self.next_end(&bytes[last..]) {
+            last += length;
         }
-        last
+        (last > 0).then_some(last)
+    }
+
+    /// Follows the next bytes up to the first place that is inside no event; returns the length up to there, or `None`
+    /// if there is no such place.
+    pub fn next_end(&mut self, bytes: &[u8]) -> Option<usize> {
+        let at = bytes.iter().position(|byte| {
+            self.step(*byte);
+            !self.is_inside_event()
+        });
+        at.map(|at| at + 1)
     }
 
     /// Whether the stream has begun an event, or a line, that has not ended.
