refactor: one place for the ends of events

Cause: the daemon had a second splitter, which knew only LF as the end of a line. Change: it counts events and finds its end mark where crate sse finds their ends. Comments between events are not counted. Measured: tests/whole_path.rs 43, tests/invariants.rs 15 pass.

--- a/crates/daemon/src/sse.rs
+++ b/crates/daemon/src/sse.rs
@@ -1,8 +1,11 @@
 //! Splitting of server-sent event streams into complete events.
 
+use vanetally_sse::Scanner;
+
 /// Splits a stream into complete events and detects its end mark.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
+    scanner: Scanner,
     /// Bytes of an incomplete event.
     pending: Vec<u8>,
     /// Number of complete events so far, without the end mark.
@@ -13,31 +16,28 @@
 
 /// Beginning of the event that marks the end of a stream.
 const END_MARK: &[u8] = b"data: [DONE]";
+const COMMENT: u8 = b':';
 
 impl EventSplitter {
     /// Adds received bytes and returns all complete events, with their separators.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
-        let scan_start = self.pending.len().saturating_sub(1);
+        let mut scanned = self.pending.len();
         self.pending.extend_from_slice(bytes);
         let mut end = 0;
-        let mut at = scan_start;
-        while at + 1 < self.pending.len() {
-            if self.pending[at] == b'\n' && self.pending[at + 1] == b'\n' {
-                self.count_event(end, at);
-                at += 2;
-                end = at;
-            } else {
-                at += 1;
-            }
+        while let Some(length) = self.scanner.next_end(&self.pending[scanned..]) {
+            scanned += length;
+            self.count_event(end, scanned);
+            end = scanned;
         }
         let rest = self.pending.split_off(end);
         std::mem::replace(&mut self.pending, rest)
     }
 
     fn count_event(&mut self, start: usize, end: usize) {
-        if self.pending[start..end].starts_with(END_MARK) {
+        let event = self.pending[start..end].trim_ascii();
+        if event.starts_with(END_MARK) {
             self.done = true;
-        } else {
+        } else if event.first().is_some_and(|first| *first != COMMENT) {
             self.count += 1;
         }
     }
@@ -45,6 +45,7 @@
     /// Discards an incomplete event.
     pub fn discard(&mut self) {
         self.pending.clear();
+        self.scanner = Scanner::default();
     }
 
     /// Returns the size of the incomplete event.
