fix: hosts that start together do not all write the versions of services

Cause: hosts that start know each other only after a while, and each took itself for the one that writes; a host that has not read the list of hosts refused streams for good. Change: versions are written after 1.5 s; such a host names a time after which to come back; at most 512 streams are looked for at the same time.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -17,7 +17,7 @@
 use vanetally_streams::{
     Answer, Beginnings, Finding, KnownVersions, Lookup, Source, StreamKey, Versions, keepers,
 };
-use vanetally_types::{Name, hash64, rendezvous_rank};
+use vanetally_types::{Name, Tick, hash64, rendezvous_rank};
 
 /// Hosts that keep the beginning of a stream, besides the one that passed its first event on.
 const KEEPERS: usize = 3;
@@ -27,12 +27,17 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after the end of a stream's answer within which its caller may take it up.
 const RETURN_MS: u64 = 60_000;
+/// `Retry-After` of a host that has not read the list of hosts yet.
+const START_RETRY_MS: u64 = 500;
 /// Maximum number of streams that are looked for at the same time; beyond it they are unknown.
-const MAX_LOOKUPS: usize = 4_096;
+const MAX_LOOKUPS: usize = 512;
 /// Prefix of the stored keys of versions, followed by the service.
 const VERSIONS_PREFIX: &str = "vanetally/versions/";
-/// Pause after a failed write.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Time for which versions are not in the store before they are written: hosts that start together do not know at once
+/// which of them writes.
+const WRITE_DELAY_MS: u64 = 1_500;
+/// Pause after a write.
+const WRITE_PAUSE: Duration = Duration::from_millis(500);
 
 /// Where a stream began, as told to another host.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -54,6 +59,8 @@
     versions: KnownVersions,
     lookups: HashMap<u64, mpsc::UnboundedSender<Answer>>,
     next_lookup: u64,
+    /// Since when the store lacks versions.
+    unsaved_since: Option<Tick>,
     is_writing: bool,
 }
 
@@ -65,6 +72,7 @@
             versions: KnownVersions::default(),
             lookups: HashMap::new(),
             next_lookup: first_lookup,
+            unsaved_since: None,
             is_writing: false,
         }
     }
@@ -148,7 +156,9 @@
             found.as_ref().map_or("-", |(software, _)| &software.version),
             self.clock.now().since(began)
         );
-        let unknown = Refusal::not_run(RefusalCause::StreamUnknown, None);
+        // A host that has just started may know soon.
+        let retry_ms = (!self.has_host_list.get()).then_some(START_RETRY_MS);
+        let unknown = Refusal::not_run(RefusalCause::StreamUnknown, retry_ms);
         head.continues = Some(found.ok_or(unknown)?.0);
         Ok(())
     }
@@ -264,25 +274,41 @@
 
     /// Removes beginnings that have expired, and has the store keep versions that it does not.
     pub(crate) fn tick_streams(self: &Rc<Self>) {
+        {
+            let beginnings = &mut self.streams.borrow_mut().beginnings;
+            beginnings.expire(self.clock.now());
+            telemetry::set_streams(beginnings.len());
+        }
+        if let Some(service) = self.service_to_write() {
+            self.streams.borrow_mut().is_writing = true;
+            self.start_writing(service);
+        }
+    }
+
+    /// Returns a service whose versions this host must write now.
+    fn service_to_write(&self) -> Option<Name> {
+        let now = self.clock.now();
         let streams = &mut *self.streams.borrow_mut();
-        streams.beginnings.expire(self.clock.now());
-        telemetry::set_streams(streams.beginnings.len());
-        if streams.is_writing || !self.has_host_list.get() {
-            return;
+        let mut unsaved = streams.versions.unsaved_services().peekable();
+        if unsaved.peek().is_none() {
+            streams.unsaved_since = None;
+            return None;
         }
-        let mut unsaved = streams.versions.unsaved_services();
-        let Some(service) = unsaved.find(|service| self.writes_versions(service)).cloned() else {
-            return;
-        };
-        drop(unsaved);
-        streams.is_writing = true;
+        let since = *streams.unsaved_since.get_or_insert(now);
+        if streams.is_writing || now.since(since) < WRITE_DELAY_MS || !self.has_host_list.get() {
+            return None;
+        }
+        unsaved.find(|service| self.writes_versions(service)).cloned()
+    }
+
+    fn start_writing(self: &Rc<Self>, service: Name) {
         let hub = self.clone();
         tokio::task::spawn_local(async move {
             if !hub.write_versions(&service).await {
                 log::info!("event=versions_not_kept service={service}");
             }
             // The mirror tells soon that it was written.
-            sleep(jittered(RETRY_PAUSE)).await;
+            sleep(jittered(WRITE_PAUSE)).await;
             hub.streams.borrow_mut().is_writing = false;
         });
     }
