fix: a stream that was taken up is kept by the keepers of both its ids

Cause: what took a stream up told the keepers of its own id of both ids, so that those of the first did not keep it longer. Change: each id has a message to its own keepers.

--- a/crates/gateway/src/brittle.rs
+++ b/crates/gateway/src/brittle.rs
@@ -3,8 +3,9 @@
 //! Hosts that are all replaced at once must not find out again by pushing upstreams over.
 
 use crate::{
+    capabilities::Capabilities,
     hub::Hub,
-    peers::{BrittleService, Capabilities, HostEntry, PeerMessage},
+    peers::{BrittleService, HostEntry, PeerMessage},
     telemetry,
 };
 use serde::{Deserialize, Serialize};
--- a/crates/gateway/src/hosts.rs
+++ b/crates/gateway/src/hosts.rs
@@ -1,9 +1,10 @@
 //! Tracks the other live hosts and sends messages to them.
 
 use crate::{
+    capabilities::Capabilities,
     hub::Hub,
     order_lease,
-    peers::{Capabilities, HostEntry, PeerMessage},
+    peers::{HostEntry, PeerMessage},
     registration::rewrite_time,
 };
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod brittle;
 mod call;
 mod caller_stream;
+mod capabilities;
 mod charge;
 mod clock;
 mod configuration;
--- a/crates/gateway/src/quotas.rs
+++ b/crates/gateway/src/quotas.rs
@@ -2,11 +2,8 @@
 //! host is the grantor.
 
 use crate::{
-    charge::Charge,
-    hub::Hub,
-    peers::{Capabilities, PeerMessage},
-    quota_query::OpenQuery,
-    telemetry,
+    capabilities::Capabilities, charge::Charge, hub::Hub, peers::PeerMessage,
+    quota_query::OpenQuery, telemetry,
 };
 use std::{collections::HashMap, rc::Rc};
 use tokio::sync::Notify;
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -1,8 +1,9 @@
 //! Keeps where streams began at a few hosts, and asks them when a caller takes a stream up.
 
 use crate::{
+    capabilities::Capabilities,
     hub::Hub,
-    peers::{Capabilities, HostEntry, PeerMessage},
+    peers::{HostEntry, PeerMessage},
     telemetry,
     watch::jittered,
 };
@@ -42,9 +43,9 @@
 /// Where a stream began, as told to another host.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Beginning {
-    /// The ids of the requests that brought its events.
+    /// The stream, by a request that brought events of it.
     #[serde(rename = "k")]
-    keys: Vec<StreamKey>,
+    key: StreamKey,
     #[serde(rename = "s")]
     service: Name,
     #[serde(rename = "v")]
@@ -98,28 +99,24 @@
         let Some(StreamBegun { software, ids, timeout_ms }) = begun else {
             return;
         };
-        let ids = ids.iter().filter(|id| !id.is_empty());
-        let keys: Vec<StreamKey> = ids.map(|id| StreamKey::of(id)).collect();
-        let Some(first) = keys.first().copied() else {
-            return;
-        };
         let Software { service, version } = software;
         let kept_ms = timeout_ms + RETURN_MS;
-        let beginning = Beginning { keys, service, version, kept_ms };
-        let sent = self.send_all(
-            self.stream_keepers(first, KEEPERS).iter(),
-            &PeerMessage::StreamBegan(beginning.clone()),
-        );
-        telemetry::stream_begun(sent);
-        self.keep_beginning(beginning);
+        for id in ids.iter().filter(|id| !id.is_empty()) {
+            let key = StreamKey::of(id);
+            let (service, version) = (service.clone(), version.clone());
+            let beginning = Beginning { key, service, version, kept_ms };
+            let message = PeerMessage::StreamBegan(beginning.clone());
+            let sent = self.send_all(self.stream_keepers(key, KEEPERS).iter(), &message);
+            telemetry::stream_begun(sent);
+            self.keep_beginning(beginning);
+        }
     }
 
     /// Keeps where a stream began.
     pub(crate) fn keep_beginning(&self, beginning: Beginning) {
-        let Beginning { keys, service, version, kept_ms } = beginning;
+        let Beginning { key, service, version, kept_ms } = beginning;
         let (now, software) = (self.clock.now(), Software { service, version });
-        let beginnings = &mut self.streams.borrow_mut().beginnings;
-        keys.into_iter().for_each(|key| beginnings.record(now, key, &software, kept_ms));
+        self.streams.borrow_mut().beginnings.record(now, key, &software, kept_ms);
     }
 
     /// Returns the first `count` other hosts that keep a stream.
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -197,7 +197,7 @@
     counter!("vanetally_attempts_total", "end" => end.as_str()).increment(1);
 }
 
-/// Counts a stream whose beginning was sent to other hosts, and the bytes sent.
+/// Counts a beginning of a stream that was sent to other hosts, and the bytes sent.
 pub(crate) fn stream_begun(bytes: usize) {
     counter!("vanetally_streams_begun_total").increment(1);
     counter!("vanetally_stream_beginning_bytes_total").increment(bytes as u64);
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -184,6 +184,28 @@
     assert!(found.is_some_and(|count| count > 0.0), "{found:?}");
 }
 
+/// A stream that breaks again is found by the request that began it, and by the one that took it up.
+#[test]
+fn taken_up_twice() {
+    let site = Site::start(8, &VERSIONS, WHOLE);
+    let broken = site.begin();
+    site.set_shape(StreamShape {
+        fault: Some(StreamFault { after: FIRST_EVENTS + 1, is_reset: false, is_lasting: true }),
+        ..WHOLE
+    });
+    for one in &broken {
+        let answer = one.take_up().send(site.hosts[3].front);
+        assert_eq!((answer.status, answer.is_complete), (200, false), "{answer:?}");
+        assert_eq!(versions(&answer), BTreeSet::from([one.version.clone()]));
+    }
+    site.set_shape(WHOLE);
+    let by_second = broken
+        .iter()
+        .map(|one| Broken { id: format!("{}-next", one.id), version: one.version.clone() });
+    assert_eq!(site.take_up(6, &by_second.collect::<Vec<_>>()), STREAMS);
+    assert_eq!(site.take_up(7, &broken), STREAMS);
+}
+
 /// Streams go on although the host that began them is killed, paused or replaced.
 #[rstest]
 fn first_host_gone(#[values("KILL", "STOP", "TERM")] signal: &str) {
