fix: a caller of HTTP/1.0 of the daemon is told that its answer is incomplete

The HTTP library can't reset a connection. Change: such an answer is held back, up to 32 MB, and sent with its length, or 502 in its place.

--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -264,18 +264,19 @@
     /// # Errors
     /// If the caller has disconnected.
     pub fn stream(self, status: u16, headers: &[(String, String)]) -> std::io::Result<Stream> {
-        let chunked = *self.request.http_version() >= tiny_http::HTTPVersion(1, 1);
+        let knows_chunks = *self.request.http_version() >= tiny_http::HTTPVersion(1, 1);
         let mut head = format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status));
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
-        let framing = if chunked { "Transfer-Encoding: chunked" } else { "Connection: close" };
-        head.push_str(framing);
-        head.push_str("\r\n\r\n");
-        let mut stream = Stream { writer: self.request.into_writer(), chunked, buffer: Vec::new() };
-        stream.writer.write_all(head.as_bytes())?;
-        stream.writer.flush()?;
-        Ok(stream)
+        let mut writer = self.request.into_writer();
+        if !knows_chunks {
+            return Ok(Stream { writer, held_head: Some(head), buffer: Vec::new() });
+        }
+        head.push_str("Transfer-Encoding: chunked\r\n\r\n");
+        writer.write_all(head.as_bytes())?;
+        writer.flush()?;
+        Ok(Stream { writer, held_head: None, buffer: Vec::new() })
     }
 }
 
@@ -289,29 +290,43 @@
 }
 
 /// An answer that is being streamed.
+///
+/// A caller of HTTP/1.0 knows no chunks, and takes the end of the connection for that of the answer. It gets the answer
+/// whole, with its length.
 pub struct Stream {
     writer: Box<dyn Write + Send>,
-    chunked: bool,
+    /// The head of an answer that is held back until it is whole.
+    held_head: Option<String>,
+    /// The chunk being sent, or the body that is held back.
     buffer: Vec<u8>,
 }
 
+/// Maximum size of an answer that is held back.
+const MAX_HELD_BYTES: usize = 32_000_000;
+/// The answer in place of one that is held back and broke off.
+const BROKEN_ANSWER: &[u8] =
+    b"HTTP/1.1 502 Failed\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
 impl Stream {
     /// Sends a piece and flushes it.
     ///
     /// # Errors
-    /// If the caller has disconnected.
+    /// If the caller has disconnected, or the answer is too long to be held back.
     pub fn send(&mut self, piece: &[u8]) -> std::io::Result<()> {
         if piece.is_empty() {
             return Ok(());
         }
-        self.buffer.clear();
-        if self.chunked {
-            write!(self.buffer, "{:x}\r\n", piece.len())?;
+        if self.held_head.is_some() {
+            if self.buffer.len() + piece.len() > MAX_HELD_BYTES {
+                return Err(std::io::ErrorKind::FileTooLarge.into());
+            }
+            self.buffer.extend_from_slice(piece);
+            return Ok(());
         }
+        self.buffer.clear();
+        write!(self.buffer, "{:x}\r\n", piece.len())?;
         self.buffer.extend_from_slice(piece);
-        if self.chunked {
-            self.buffer.extend_from_slice(b"\r\n");
-        }
+        self.buffer.extend_from_slice(b"\r\n");
         self.writer.write_all(&self.buffer)?;
         self.writer.flush()
     }
@@ -319,10 +334,12 @@
     /// Ends the answer as incomplete.
     ///
     /// It writes bytes that are not a valid chunk, which every client reports as an error, because
-    /// `tiny_http` gives no means to close the connection.
+    /// `tiny_http` gives no means to close the connection. In place of an answer that was held back the caller gets an
+    /// error.
     pub fn abort(mut self) {
+        let bytes = if self.held_head.is_some() { BROKEN_ANSWER } else { b"cut short\r\n" };
         // Fails if the caller has disconnected.
-        let _ = self.writer.write_all(b"cut short\r\n");
+        let _ = self.writer.write_all(bytes);
         let _ = self.writer.flush();
     }
 
@@ -331,8 +348,14 @@
     /// # Errors
     /// If the caller has disconnected.
     pub fn finish(mut self) -> std::io::Result<()> {
-        if self.chunked {
-            self.writer.write_all(b"0\r\n\r\n")?;
+        match &self.held_head {
+            None => self.writer.write_all(b"0\r\n\r\n")?,
+            Some(head) => {
+                let length = self.buffer.len();
+                let head = format!("{head}Content-Length: {length}\r\nConnection: close\r\n\r\n");
+                self.writer.write_all(head.as_bytes())?;
+                self.writer.write_all(&self.buffer)?;
+            }
         }
         self.writer.flush()
     }
