fix: a resumed answer that closes before its first event does not end a stream

Callers would have seen a stream as complete that lacked its rest: where the close of the connection ends a body, any event of an earlier answer sufficed as a sign that the end was one. Found by reading. Change: each answer has to bring an event itself; so have those that are read whole.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     charge::Charge,
-    framing::ends_inside_event,
+    framing::is_cut_off,
     headers::{end_to_end, keep_alive_timeout},
     hub::{Hub, RequestRefusal, Stage},
     pending_request::{Interrupt, PendingRequest, next_interrupt},
@@ -185,7 +185,7 @@
         }
     };
     let body = match body.map(Collected::to_bytes) {
-        Ok(body) if is_success && ends_inside_event(&head.headers, &body) => {
+        Ok(body) if is_success && is_cut_off(&head.headers, &body) => {
             pending.attempt_ended(attempt, AttemptEnd::Broken, false);
             return Buffered::Broken;
         }
--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -53,11 +53,16 @@
     }
 }
 
-/// Whether a complete body stops inside an event, if it consists of events by its type.
-pub(crate) fn ends_inside_event(headers: &HeaderMap, body: &[u8]) -> bool {
+/// Whether a body that was read to its end, and consists of events by its type, stops inside an event, or is empty
+/// although only the close of its connection ended it.
+pub(crate) fn is_cut_off(headers: &HeaderMap, body: &[u8]) -> bool {
+    if !headers.contains_key(CONTENT_TYPE) || !has_events(headers) {
+        return false;
+    }
     let mut scanner = Scanner::default();
     scanner.scan(body);
-    headers.contains_key(CONTENT_TYPE) && has_events(headers) && scanner.is_inside_event()
+    let is_unknown_end = body.is_empty() && Framing::of(headers) == Framing::Close;
+    scanner.is_inside_event() || is_unknown_end
 }
 
 fn is_event_stream(content_type: &str) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -55,11 +55,12 @@
         attempt,
         sender,
         events,
-        has_begun: false,
+        is_kept: false,
         is_success,
         timing: FrameTiming::default(),
     };
-    tokio::task::spawn_local(relay.run(UpstreamBody { connection, body, keep_alive, framing }));
+    let source = UpstreamBody { connection, body, keep_alive, framing, has_begun: false };
+    tokio::task::spawn_local(relay.run(source));
     Response::from_parts(head, ResponseBody::relayed(pieces))
 }
 
@@ -69,6 +70,8 @@
     body: Incoming,
     keep_alive: Option<Duration>,
     framing: Framing,
+    /// Whether anything of it was passed on.
+    has_begun: bool,
 }
 
 /// The events of which a body consists.
@@ -115,12 +118,22 @@
     attempt: Attempt,
     sender: mpsc::Sender<Piece>,
     events: Events,
-    /// Whether an event was passed on.
-    has_begun: bool,
+    /// Whether the hosts that keep it were told where the stream began.
+    is_kept: bool,
     is_success: bool,
     timing: FrameTiming,
 }
 
+/// What became of a frame.
+enum Forwarded {
+    /// It is held back until its event is whole.
+    Held,
+    /// It was passed on, at least in part.
+    Sent,
+    /// The caller has disconnected.
+    CallerGone,
+}
+
 /// How reading an upstream response ended.
 enum ReadEnd {
     /// The response is complete.
@@ -192,28 +205,33 @@
                 frame = source.body.frame() => frame,
             };
             match frame {
-                None if self.is_complete(source.framing) => return ReadEnd::Complete,
+                None if self.is_complete(source) => return ReadEnd::Complete,
                 None => return ReadEnd::Broken(AttemptEnd::Broken),
                 Some(Err(_)) => return ReadEnd::Broken(self.pending.hub.broken_end()),
                 Some(Ok(frame)) => {
                     let (hub, upstream) = (&self.pending.hub, &self.attempt.upstream);
                     hub.upstream_heard(upstream, &source.connection, false);
-                    if !self.forward(frame).await {
-                        return ReadEnd::Cancelled;
+                    match self.forward(frame).await {
+                        Forwarded::Held => {}
+                        Forwarded::Sent => source.has_begun = true,
+                        Forwarded::CallerGone => return ReadEnd::Cancelled,
                     }
                 }
             }
         }
     }
 
-    /// Whether a body that stopped here is complete. The close of a connection ends a stream only between two events.
-    fn is_complete(&self, framing: Framing) -> bool {
-        let has_begun = self.timing.frames > 0 || framing != Framing::Close;
-        !self.events.is_inside() && (has_begun || matches!(self.events, Events::None))
+    /// Whether a body that stopped here is complete. The close of a connection ends a stream only after an event.
+    fn is_complete(&self, source: &UpstreamBody) -> bool {
+        if matches!(self.events, Events::None) {
+            return true;
+        }
+        let is_told = source.framing != Framing::Close || source.has_begun;
+        is_told && !self.events.is_inside()
     }
 
-    /// Forwards one frame; returns whether the caller is still connected.
-    async fn forward(&mut self, frame: Frame<Bytes>) -> bool {
+    /// Forwards what may be passed on of one frame.
+    async fn forward(&mut self, frame: Frame<Bytes>) -> Forwarded {
         if self.timing.record_frame(self.pending.hub.clock.now()) {
             self.pending.hub.request_event(Event::FirstPiece { id: self.pending.id });
             telemetry::first_piece(self.pending.age_seconds());
@@ -222,16 +240,19 @@
             Ok(data) => {
                 let data = self.events.push(data);
                 if data.is_empty() {
-                    return true;
+                    return Forwarded::Held;
                 }
-                if self.attempt.may_repeat && !std::mem::replace(&mut self.has_begun, true) {
+                if self.attempt.may_repeat && !std::mem::replace(&mut self.is_kept, true) {
                     self.pending.hub.stream_begun(self.pending.id);
                 }
                 Frame::data(data)
             }
             Err(other) => other,
         };
-        self.sender.send(Piece::Frame(frame)).await.is_ok()
+        match self.sender.send(Piece::Frame(frame)).await {
+            Ok(()) => Forwarded::Sent,
+            Err(_) => Forwarded::CallerGone,
+        }
     }
 
     /// Resumes the stream at another upstream, if the dispatcher provides an attempt.
@@ -287,6 +308,7 @@
                         body: response.into_body(),
                         keep_alive,
                         framing,
+                        has_begun: false,
                     });
                 }
                 SendOutcome::Response(_) => {
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -91,11 +91,13 @@
     assert!(answer.status != 200 || !answer.is_complete, "{answer:?}");
 }
 
-/// Events that are read whole before they are passed on are no success if they stop inside one.
-#[test]
-fn buffered_events() {
+/// Events that are read whole before they are passed on are no success if they stop inside one, or before the first.
+#[rstest]
+#[case(BROKEN)]
+#[case(StreamShape { events: 0, ..WHOLE })]
+fn buffered_events(#[case] shape: StreamShape) {
     let (deployment, host) = start(WHOLE);
-    deployment.desks[0].set_behaviour(Behaviour::Shaped(BROKEN));
+    deployment.desks[0].set_behaviour(Behaviour::Shaped(shape));
     let answer = Client::new("GET", "/check/1", "i1").send(host.front);
     assert_eq!(answer.status, 502, "{answer:?}");
 }
@@ -126,6 +128,15 @@
     assert_eq!(pieces(&answer), all_pieces());
 }
 
+/// A stream is not complete if the upstream at which it was resumed closes before its first event there.
+#[test]
+fn resumed_without_event() {
+    let shape = StreamShape { events: WHOLE_EVENTS, ..WHOLE };
+    let (_deployment, host) = start(shape.broken_after(WHOLE_EVENTS));
+    let answer = draft("k1").send(host.front);
+    assert_eq!((answer.status, answer.is_complete), (200, false), "{answer:?}");
+}
+
 /// An event that is too long to be held back arrives, and a stream that breaks inside one is not resumed.
 #[rstest]
 fn long_event(#[values(true, false)] is_broken: bool) {
