fix: a comment is no event

Cause: bytes that were passed on counted as the first event of a stream, so that one that closed after a comment was complete, and one that broke there was bound to a version and cut off in place of begun anew. Found by reading. Change: the scanner tells whether an event has ended; that decides completeness, the version and resumption.

--- a/crates/gateway/src/framing.rs
+++ b/crates/gateway/src/framing.rs
@@ -53,7 +53,7 @@
     }
 }
 
-/// Whether a body that was read to its end, and consists of events by its type, stops inside an event, or is empty
+/// Whether a body that was read to its end, and consists of events by its type, stops inside an event, or brings none
 /// although only the close of its connection ended it.
 pub(crate) fn is_cut_off(headers: &HeaderMap, body: &[u8]) -> bool {
     if !headers.contains_key(CONTENT_TYPE) || !has_events(headers) {
@@ -61,7 +61,7 @@
     }
     let mut scanner = Scanner::default();
     scanner.scan(body);
-    let is_unknown_end = body.is_empty() && Framing::of(headers) == Framing::Close;
+    let is_unknown_end = !scanner.has_event() && Framing::of(headers) == Framing::Close;
     scanner.is_inside_event() || is_unknown_end
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -59,7 +59,7 @@
         is_success,
         timing: FrameTiming::default(),
     };
-    let source = UpstreamBody { connection, body, keep_alive, framing, has_begun: false };
+    let source = UpstreamBody { connection, body, keep_alive, framing };
     tokio::task::spawn_local(relay.run(source));
     Response::from_parts(head, ResponseBody::relayed(pieces))
 }
@@ -70,8 +70,6 @@
     body: Incoming,
     keep_alive: Option<Duration>,
     framing: Framing,
-    /// Whether anything of it was passed on.
-    has_begun: bool,
 }
 
 /// The events of which a body consists.
@@ -102,6 +100,23 @@
         matches!(self, Self::Whole(splitter) if splitter.may_resume())
     }
 
+    /// Whether the answer that is being read has brought a whole event, or consists of none.
+    fn has_new_event(&self) -> bool {
+        match self {
+            Self::None => true,
+            Self::Watched(scanner) => scanner.has_event(),
+            Self::Whole(splitter) => splitter.has_new_event(),
+        }
+    }
+
+    /// Whether an event, or a part of one, may be passed on, or was.
+    fn has_event(&self) -> bool {
+        match self {
+            Self::None | Self::Watched(_) => true,
+            Self::Whole(splitter) => splitter.has_event(),
+        }
+    }
+
     /// Whether an event has begun that has not ended.
     fn is_inside(&self) -> bool {
         match self {
@@ -124,16 +139,6 @@
     timing: FrameTiming,
 }
 
-/// What became of a frame.
-enum Forwarded {
-    /// It is held back until its event is whole.
-    Held,
-    /// It was passed on, at least in part.
-    Sent,
-    /// The caller has disconnected.
-    CallerGone,
-}
-
 /// How reading an upstream response ended.
 enum ReadEnd {
     /// The response is complete.
@@ -205,16 +210,14 @@
                 frame = source.body.frame() => frame,
             };
             match frame {
-                None if self.is_complete(source) => return ReadEnd::Complete,
+                None if self.is_complete(source.framing) => return ReadEnd::Complete,
                 None => return ReadEnd::Broken(AttemptEnd::Broken),
                 Some(Err(_)) => return ReadEnd::Broken(self.pending.hub.broken_end()),
                 Some(Ok(frame)) => {
                     let (hub, upstream) = (&self.pending.hub, &self.attempt.upstream);
                     hub.upstream_heard(upstream, &source.connection, false);
-                    match self.forward(frame).await {
-                        Forwarded::Held => {}
-                        Forwarded::Sent => source.has_begun = true,
-                        Forwarded::CallerGone => return ReadEnd::Cancelled,
+                    if !self.forward(frame).await {
+                        return ReadEnd::Cancelled;
                     }
                 }
             }
@@ -222,16 +225,13 @@
     }
 
     /// Whether a body that stopped here is complete. The close of a connection ends a stream only after an event.
-    fn is_complete(&self, source: &UpstreamBody) -> bool {
-        if matches!(self.events, Events::None) {
-            return true;
-        }
-        let is_told = source.framing != Framing::Close || source.has_begun;
+    fn is_complete(&self, framing: Framing) -> bool {
+        let is_told = framing != Framing::Close || self.events.has_new_event();
         is_told && !self.events.is_inside()
     }
 
-    /// Forwards what may be passed on of one frame.
-    async fn forward(&mut self, frame: Frame<Bytes>) -> Forwarded {
+    /// Forwards what may be passed on of one frame; returns whether the caller is still connected.
+    async fn forward(&mut self, frame: Frame<Bytes>) -> bool {
         if self.timing.record_frame(self.pending.hub.clock.now()) {
             self.pending.hub.request_event(Event::FirstPiece { id: self.pending.id });
             telemetry::first_piece(self.pending.age_seconds());
@@ -240,18 +240,21 @@
             Ok(data) => {
                 let data = self.events.push(data);
                 if data.is_empty() {
-                    return Forwarded::Held;
-                }
-                if self.attempt.may_repeat && !std::mem::replace(&mut self.is_kept, true) {
-                    self.pending.hub.stream_begun(self.pending.id);
+                    return true;
                 }
+                self.keep_beginning();
                 Frame::data(data)
             }
             Err(other) => other,
         };
-        match self.sender.send(Piece::Frame(frame)).await {
-            Ok(()) => Forwarded::Sent,
-            Err(_) => Forwarded::CallerGone,
+        self.sender.send(Piece::Frame(frame)).await.is_ok()
+    }
+
+    /// Has the beginning of the stream kept before its first event is passed on.
+    fn keep_beginning(&mut self) {
+        let has_begun = self.attempt.may_repeat && self.events.has_event();
+        if has_begun && !std::mem::replace(&mut self.is_kept, true) {
+            self.pending.hub.stream_begun(self.pending.id);
         }
     }
 
@@ -308,7 +311,6 @@
                         body: response.into_body(),
                         keep_alive,
                         framing,
-                        has_begun: false,
                     });
                 }
                 SendOutcome::Response(_) => {
--- a/crates/sse/src/scanner.rs
+++ b/crates/sse/src/scanner.rs
@@ -26,6 +26,8 @@
     has_field: bool,
     /// Whether the last byte was a CR, which may be the first half of a line's end.
     after_cr: bool,
+    /// Whether an event has ended.
+    has_event: bool,
 }
 
 impl Scanner {
@@ -54,6 +56,11 @@
         self.has_field || self.line != Line::Empty
     }
 
+    /// Whether the stream has brought a whole event; comments are none.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     fn step(&mut self, byte: u8) {
         let is_second_half = std::mem::replace(&mut self.after_cr, byte == CR) && byte == LF;
         match (byte, self.line) {
@@ -61,7 +68,7 @@
             (CR | LF, line) => {
                 self.line = Line::Empty;
                 match line {
-                    Line::Empty => self.has_field = false,
+                    Line::Empty => self.has_event |= std::mem::take(&mut self.has_field),
                     Line::Field => self.has_field = true,
                     Line::Comment => {}
                 }
--- a/crates/sse/src/splitter.rs
+++ b/crates/sse/src/splitter.rs
@@ -15,7 +15,8 @@
     /// Whether parts of the pending event were released.
     is_partial: bool,
     last_id: Option<Name>,
-    has_released: bool,
+    /// Whether an event, or a part of one, was released; comments are none.
+    has_event: bool,
 }
 
 const ID_FIELD: &str = "id";
@@ -31,7 +32,7 @@
             max_pending,
             is_partial: false,
             last_id: None,
-            has_released: false,
+            has_event: false,
         }
     }
 
@@ -47,12 +48,12 @@
             }
             None => Bytes::new(),
         };
+        self.has_event |= self.scanner.has_event();
         if self.pending.len() <= self.max_pending && !self.is_partial {
-            self.has_released |= !released.is_empty();
             return released;
         }
         self.is_partial = true;
-        self.has_released = true;
+        self.has_event = true;
         let rest = self.pending.split().freeze();
         if released.is_empty() { rest } else { [released, rest].concat().into() }
     }
@@ -62,10 +63,20 @@
         self.scanner.is_inside_event()
     }
 
+    /// Whether the answer that is being split has brought a whole event.
+    pub fn has_new_event(&self) -> bool {
+        self.scanner.has_event()
+    }
+
+    /// Whether any event, or a part of one, was released, also of answers before.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Whether the stream may go on with a new answer: what was released ends with a whole event, and
     /// the place is known.
     pub fn may_resume(&self) -> bool {
-        !self.is_partial && (!self.has_released || self.last_id.is_some())
+        !self.is_partial && (!self.has_event || self.last_id.is_some())
     }
 
     /// Returns the id of the last whole event that was released.
--- a/crates/sse/tests/splitting.rs
+++ b/crates/sse/tests/splitting.rs
@@ -49,6 +49,18 @@
     assert_eq!(splitter.last_id().map(|id| &**id), Some("3"));
 }
 
+/// A stream that has brought a comment only may begin anew.
+#[test]
+fn comment_only() {
+    let mut splitter = splitter();
+    assert_eq!(&splitter.push(b": here\n\n")[..], b": here\n\n");
+    assert!(splitter.may_resume() && !splitter.has_event());
+    splitter.push(b"id: 1\n\n");
+    assert!(splitter.may_resume() && splitter.has_event() && splitter.has_new_event());
+    splitter.restart();
+    assert!(splitter.has_event() && !splitter.has_new_event());
+}
+
 /// A stream without ids would begin anew.
 #[test]
 fn without_id() {
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -17,6 +17,7 @@
 const WHOLE: StreamShape = StreamShape {
     framing: StreamFraming::Close,
     line_end: "\n",
+    opening: "",
     events: EVENTS,
     padding: 0,
     fault: None,
@@ -102,6 +103,14 @@
     assert_eq!(answer.status, 502, "{answer:?}");
 }
 
+/// A comment is no event: a stream that closes after one is not complete.
+#[test]
+fn comment_only() {
+    let (_deployment, host) = start(StreamShape { opening: ": here\n\n", events: 0, ..WHOLE });
+    let answer = offer("l1").send(host.front);
+    assert_eq!((answer.status, answer.is_complete), (200, false), "{answer:?}");
+}
+
 /// A whole stream that ends with its connection is passed on as complete.
 #[rstest]
 fn whole_without_length(
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -17,6 +17,8 @@
 const ALL_SHARE: f64 = 0.6;
 const FRAMINGS: [StreamFraming; 2] = [StreamFraming::Chunks, StreamFraming::Close];
 const LINE_ENDS: [&str; 3] = ["\n", "\r\n", "\r"];
+/// What comes before the first event; comments are none.
+const OPENINGS: [&str; 2] = ["", ": here\n\n"];
 /// Versions of the engines.
 const VERSIONS: [&str; 2] = ["v1", "v1.2"];
 
@@ -49,6 +51,7 @@
     let shape = StreamShape {
         framing: FRAMINGS[rng.random_range(0..FRAMINGS.len())],
         line_end: LINE_ENDS[rng.random_range(0..LINE_ENDS.len())],
+        opening: OPENINGS[rng.random_range(0..OPENINGS.len())],
         events: EVENTS,
         padding: 0,
         fault: Some(fault),
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -25,6 +25,7 @@
 const WHOLE: StreamShape = StreamShape {
     framing: StreamFraming::Chunks,
     line_end: "\n",
+    opening: "",
     events: EVENTS,
     padding: 0,
     fault: None,
@@ -151,12 +152,13 @@
     }
 }
 
-/// Before its first event, a stream may change the version.
-#[test]
-fn before_first_event() {
-    let site = Site::start(1, &VERSIONS, WHOLE);
+/// Before its first event, a stream may change the version. A comment is no event.
+#[rstest]
+fn before_first_event(#[values("", ": here\n\n")] opening: &'static str) {
+    let shape = StreamShape { opening, ..WHOLE };
+    let site = Site::start(1, &VERSIONS, shape);
     let engine = site.engines_of(VERSIONS[0]).next().expect("there are two");
-    engine.set_behaviour(Behaviour::Shaped(WHOLE.broken_after(0)));
+    engine.set_behaviour(Behaviour::Shaped(shape.broken_after(0)));
     for number in 0..STREAMS {
         let answer = draft(&format!("b{number}")).send(site.hosts[0].front);
         assert_eq!((answer.status, answer.is_complete), (200, true), "{answer:?}");
