fix: ids of events that are sent on and logged have a bound

Cause: an id of up to 64 KiB went into a header field of the next upstream, which refuses it, and into the log. Change: a stream whose last id is longer than 1,024 bytes is cut off in place of resumed; the log cuts it. Measured: long_id failed before, passes.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -274,7 +274,7 @@
             events.restart();
             let after = events.last_id().cloned();
             log::info!(
-                "event=stream_resumed request={} upstream={} software={} after_event={}",
+                "event=stream_resumed request={} upstream={} software={} after_event={:.64}",
                 self.pending.name,
                 attempt.upstream,
                 attempt.software,
--- a/crates/sse/src/splitter.rs
+++ b/crates/sse/src/splitter.rs
@@ -21,6 +21,8 @@
 
 const ID_FIELD: &str = "id";
 const BYTE_ORDER_MARK: char = '\u{feff}';
+/// Longer ids are not sent on, since upstreams bound the headers of requests.
+const MAX_ID_BYTES: usize = 1_024;
 const LINE_ENDS: [char; 2] = ['\r', '\n'];
 
 impl EventSplitter {
@@ -99,7 +101,8 @@
         let text = String::from_utf8_lossy(whole);
         let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(&text);
         if let Some(id) = text.split(LINE_ENDS).rev().find_map(id_of) {
-            let is_usable = !id.is_empty() && !id.contains(char::is_control);
+            let is_short = (1..=MAX_ID_BYTES).contains(&id.len());
+            let is_usable = is_short && !id.contains(char::is_control);
             self.last_id = is_usable.then(|| id.into());
         }
     }
--- a/crates/sse/tests/splitting.rs
+++ b/crates/sse/tests/splitting.rs
@@ -61,6 +61,14 @@
     assert!(splitter.has_event() && !splitter.has_new_event());
 }
 
+/// An id that no header can carry is no place to go on from.
+#[test]
+fn long_id() {
+    let mut splitter = EventSplitter::new(4_096);
+    splitter.push(format!("id: {}\n\n", "x".repeat(1_025)).as_bytes());
+    assert!(!splitter.may_resume());
+}
+
 /// A stream without ids would begin anew.
 #[test]
 fn without_id() {
