fix: no host decides alone that a service has had one version only

Cause: where a caller did not name its stream, the host took what it knew itself, so that one that had not heard of a second version went on at the first (wrong on any host, in touch or not). Found by reading. Change: other hosts are asked as for a named stream; the first that knows the versions confirms or contradicts.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -143,7 +143,7 @@
             return Ok(());
         };
         let began = self.clock.now();
-        let found = self.find_beginning(head.resumes.as_deref(), &services).await;
+        let found = self.find_beginning(head, &services).await;
         let found_by = found.as_ref().map_or("unknown", |(_, found_by)| found_by.as_str());
         telemetry::stream_taken_up(found_by);
         log::info!(
@@ -164,15 +164,14 @@
 
     async fn find_beginning(
         self: &Rc<Self>,
-        id: Option<&str>,
+        head: &CallerRequest,
         services: &[Name],
     ) -> Result<Finding, Unknown> {
         let service = if let [service] = services { Some(service.clone()) } else { None };
         let versions = service.as_ref().and_then(|service| self.known_versions(service));
-        let Some(key) = id.map(StreamKey::of) else {
-            // The caller does not name it, so that nobody can tell another version.
-            return Lookup::new(0, service, versions).unanswered();
-        };
+        // Nobody keeps a stream that its caller does not name, but others may know of another version.
+        let is_named = head.resumes.is_some();
+        let key = StreamKey::of(head.resumes.as_ref().unwrap_or(&head.id));
         let own = self.streams.borrow().beginnings.get(self.clock.now(), key).cloned();
         if let Some(software) = own {
             return Ok((software, FoundBy::Own));
@@ -183,7 +182,7 @@
         let number = open.number;
         self.send_all(asked.iter(), &PeerMessage::AskStream { number, key, service });
         let mut expired = pin!(sleep(ANSWER_TIMEOUT));
-        while lookup.is_open() {
+        while lookup.is_open() && (is_named || !lookup.is_confirmed()) {
             tokio::select! {
                 biased;
                 Some(answer) = open.answers.recv() => {
--- a/crates/streams/src/lookup.rs
+++ b/crates/streams/src/lookup.rs
@@ -74,6 +74,11 @@
         self.awaited > 0
     }
 
+    /// Whether another host knows the versions of the service, or there is none to ask.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
     /// Takes the answer of a host; returns the software that began the stream if the answer tells.
     pub fn answered(&mut self, answer: Answer) -> Option<Finding> {
         self.awaited = self.awaited.saturating_sub(1);
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -4,7 +4,7 @@
 
 mod gateway;
 
-use gateway::{Deployment, Host, wait_for};
+use gateway::{Deployment, Host, fresh_ip, wait_for};
 use rstest::rstest;
 use std::{
     collections::BTreeSet,
@@ -12,7 +12,8 @@
     time::{Duration, Instant},
 };
 use vanetally_platform_standin::{
-    Behaviour, Client, ClientAnswer, Runner, StreamFault, StreamFraming, StreamShape,
+    Behaviour, Client, ClientAnswer, Proxy, ProxyMode, Runner, StreamFault, StreamFraming,
+    StreamShape,
 };
 
 const VERSIONS: [&str; 2] = ["v1", "v1.2"];
@@ -112,6 +113,20 @@
         went_on
     }
 
+    /// Adds an engine of the second version and waits until `host` begins streams there.
+    fn add_version(&mut self, host: usize) {
+        self.deployment.add_engine();
+        let engine = self.deployment.engines.last().expect("one was added");
+        engine.set_version(VERSIONS[1]);
+        engine.set_behaviour(Behaviour::Shaped(WHOLE));
+        let (key, value) = engine.entry();
+        self.deployment.store.put(&key, &value);
+        wait_for("streams begin at the new version", || {
+            let answer = draft(&format!("e{}", self.runs())).send(self.hosts[host].front);
+            versions(&answer).contains(VERSIONS[1])
+        });
+    }
+
     fn runs(&self) -> usize {
         self.deployment.engines.iter().map(|engine| engine.requests().len()).sum()
     }
@@ -297,15 +312,23 @@
 fn version_appears() {
     let mut site = Site::start(3, &VERSIONS[..1], WHOLE);
     let broken = site.begin();
-    site.deployment.add_engine();
-    let engine = site.deployment.engines.last().expect("one was added");
-    engine.set_version(VERSIONS[1]);
-    engine.set_behaviour(Behaviour::Shaped(WHOLE));
-    let (key, value) = engine.entry();
-    site.deployment.store.put(&key, &value);
-    wait_for("streams begin at the new version", || {
-        let answer = draft(&format!("e{}", site.runs())).send(site.hosts[2].front);
-        versions(&answer).contains(VERSIONS[1])
-    });
+    site.add_version(2);
     assert_eq!(site.take_up(2, &broken), STREAMS);
 }
+
+/// A host that has not heard of the second version does not take the first for the only one, also if the caller names
+/// no stream.
+#[rstest]
+fn version_unheard(#[values(true, false)] is_named: bool) {
+    let mut site = Site::start(2, &VERSIONS[..1], WHOLE);
+    let link = Proxy::start(&fresh_ip(), site.deployment.store.address());
+    let late = site.deployment.spawn_at("front-late", &fresh_ip(), link.address());
+    wait_for("the host is ready", || late.is_ready());
+    thread::sleep(Duration::from_millis(2_000));
+    link.set_mode(ProxyMode::Silent);
+    site.add_version(1);
+    let client = draft("f1").with("Last-Event-Id", "3");
+    let client = if is_named { client.with("Resumes", "unknown") } else { client };
+    let answer = client.send(late.front);
+    assert_eq!(answer.status, 503, "{answer:?}");
+}
