test: the soak's check of whole streams counts a part of an event again

Cause: since it looked at whole events only, so that an answer that was framed as complete with a part of an event behind its last one would have passed: it checked less than before. Change: all ids count, as before.

--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -4,7 +4,7 @@
     callers::{Exchange, KEY, ORGANISATION, RequestKind, UNKNOWN_KEY},
     faults::EVENTS,
     gateway::Deployment,
-    streams::{self, whole_events},
+    streams,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use vanetally_platform_standin::{ClientAnswer, Message, Runner};
@@ -23,7 +23,7 @@
     ForeignAnswer { id: String },
     /// Events of a complete stream are missing, repeated or out of order.
     #[error("bad_events request={id} events={events:?}")]
-    BadEvents { id: String, events: Vec<u32> },
+    BadEvents { id: String, events: Vec<String> },
     /// A stream holds events of several versions.
     #[error("versions_joined stream={id} versions={versions:?}")]
     VersionsJoined { id: String, versions: BTreeSet<String> },
@@ -153,9 +153,10 @@
     let is_stream = matches!(exchange.kind, RequestKind::Offer | RequestKind::Draft);
     let is_whole = |answer: &&ClientAnswer| answer.status == 200 && answer.is_complete;
     let answer = exchange.answer.as_ref().filter(is_whole).filter(|_| is_stream)?;
-    let events = whole_events(answer);
+    let ids = answer.body.split(['\r', '\n']).filter_map(|line| line.strip_prefix("id: "));
+    let events: Vec<String> = ids.map(str::to_owned).collect();
     let after = exchange.taken_up.as_ref().map_or(0, |taken_up| taken_up.after);
-    let expected: Vec<u32> = (after + 1..=EVENTS).collect();
+    let expected: Vec<String> = (after + 1..=EVENTS).map(|number| number.to_string()).collect();
     (events != expected).then(|| Violation::BadEvents { id: exchange.id.clone(), events })
 }
 
--- a/tests/soak/streams.rs
+++ b/tests/soak/streams.rs
@@ -72,7 +72,7 @@
 }
 
 /// Returns the numbers of the events that arrived whole.
-pub fn whole_events(answer: &ClientAnswer) -> Vec<u32> {
+fn whole_events(answer: &ClientAnswer) -> Vec<u32> {
     let text = answer.body.replace("\r\n", "\n").replace('\r', "\n");
     // What follows the last empty line is no whole event.
     let mut events: Vec<&str> = text.split("\n\n").collect();
