fix: a stream whose route leads to other services is refused without a time to come back

Cause: such a request was told to return after 500 ms, though it can't be served as long as it names its stream. Change: version_gone, without Retry-After.

--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -8,13 +8,12 @@
     brittle::Brittleness,
     cooldown::Cooldown,
     directory::Directory,
-    ending::{RETRY_AFTER_MS, STOP_RETRY_AFTER_MS},
+    ending::STOP_RETRY_AFTER_MS,
     loads::Loads,
     pace::PaceModel,
     queue::Queue,
     queue_state::SharedQueue,
     request::{Request, Stage},
-    routes,
     service_pace::ServicePace,
     upstream::{Load, Upstream},
     versions,
@@ -370,13 +369,9 @@
         if self.refuses_new_requests(now) {
             return actions.push(refuse(RefusalCause::Stopping, Some(STOP_RETRY_AFTER_MS)));
         }
-        let target = match &head.continues {
-            _ if !versions::takes_up(&route, &head) => routes::target(&route, &head.id),
-            Some(software) => route.targets.iter().find(|one| one.service == software.service),
-            None => return actions.push(refuse(RefusalCause::StreamUnknown, None)),
-        };
-        let Some(target) = target else {
-            return actions.push(refuse(RefusalCause::NoUpstream, Some(RETRY_AFTER_MS)));
+        let target = match versions::target(&route, &head) {
+            Ok(target) => target,
+            Err((cause, retry_ms)) => return actions.push(refuse(cause, retry_ms)),
         };
         let service = target.service.clone();
         if let Some(budget) = self.retry_budgets.get_mut(&service) {
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -2,10 +2,12 @@
 
 use crate::{
     Dispatch, RequestId,
+    ending::RETRY_AFTER_MS,
     request::{Request, Stage},
+    routes,
     upstream::Upstream,
 };
-use vanetally_ports::{CallerRequest, RequestKind, Route, Software};
+use vanetally_ports::{CallerRequest, RefusalCause, RequestKind, Route, Software, Target};
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// A stream whose first event reaches its caller.
@@ -31,6 +33,24 @@
     route.kind == RequestKind::Stream && route.resumable && head.last_event.is_some()
 }
 
+/// Returns the target of a new request: by its id, or the service that began the stream which it takes up.
+///
+/// # Errors
+/// If there is none: the cause, and the time after which a retry is worthwhile.
+pub(crate) fn target<'a>(
+    route: &'a Route,
+    head: &CallerRequest,
+) -> Result<&'a Target, (RefusalCause, Option<u64>)> {
+    if !takes_up(route, head) {
+        let target = routes::target(route, &head.id);
+        return target.ok_or((RefusalCause::NoUpstream, Some(RETRY_AFTER_MS)));
+    }
+    let software = head.continues.as_ref().ok_or((RefusalCause::StreamUnknown, None))?;
+    let target = route.targets.iter().find(|target| target.service == software.service);
+    // The route leads to other services now, whose events would not fit.
+    target.ok_or((RefusalCause::VersionGone, None))
+}
+
 /// Returns the version at which a request that has just arrived must be served.
 pub(crate) fn version_of(request: &Request) -> Option<Name> {
     let continues =
--- a/crates/dispatch/tests/stream_versions.rs
+++ b/crates/dispatch/tests/stream_versions.rs
@@ -182,7 +182,8 @@
         host.handle(Event::CallerLeft { id });
     }
     let (id, actions) = host.arrive(taken_up("k", "gone", "v1"));
-    assert_eq!(refusal(&actions, id).map(|r| r.cause), Some(RefusalCause::NoUpstream));
+    let refused = refusal(&actions, id).expect("refused at once");
+    assert_eq!((refused.cause, refused.retry_after_ms), (RefusalCause::VersionGone, None));
 }
 
 /// What a stream lacks at its version says nothing of requests that may use another one.
