fix: a service of the daemon that closes before its first event has not answered

Cause: an answer of events that neither a length nor chunks end was complete also where its connection closed before any event. Change: as in the gateway, only an event shows that the close is the end. The test files calls with keys of their own and each site with a whole and a broken service: with 18 sites a process has no addresses left, and with one key for two services the second call ended with 409.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -77,10 +77,8 @@
         if self.is_refusal(&answer) {
             return Outcome { end: AttemptEnd::Refused, exchange: Some(exchange), answer: None };
         }
-        let is_event_stream =
-            header(&answer, "content-type").is_some_and(|t| t.contains("event-stream"));
-        match (self.request.is_service, is_event_stream) {
-            (true, _) => self.forward_service(answer, exchange, is_event_stream),
+        match (self.request.is_service, is_event_stream(&answer)) {
+            (true, _) => self.forward_service(answer, exchange),
             (false, true) => self.forward_events(answer, exchange),
             (false, false) => self.forward_whole(answer, exchange),
         }
@@ -134,22 +132,17 @@
     }
 
     /// Forwards a service's answer: as a whole if it is small, else streamed.
-    fn forward_service(
-        &self,
-        mut answer: call::Answer,
-        exchange: Exchange,
-        is_event_stream: bool,
-    ) -> Outcome {
+    fn forward_service(&self, mut answer: call::Answer, exchange: Exchange) -> Outcome {
         let content_type =
             header(&answer, "content-type").unwrap_or("application/octet-stream").to_owned();
         let status = answer.status;
         let headers = forwarded_headers(&answer.headers);
         let mut body = Vec::new();
         let read = answer.body.by_ref().take(SERVICE_STREAM_BYTES as u64).read_to_end(&mut body);
-        let mut scanner = is_event_stream.then(Scanner::default);
-        follow(&mut scanner, &body);
+        let mut end = ServiceEnd::of(&answer);
+        end.follow(&body);
         let is_short = body.len() < SERVICE_STREAM_BYTES;
-        if read.is_err() || (is_short && is_inside_event(&scanner)) {
+        if read.is_err() || (is_short && !end.is_complete()) {
             let end = AttemptEnd::Failed(Verdict::MayHaveRun);
             return Outcome { end, exchange: Some(exchange), answer: None };
         }
@@ -162,7 +155,7 @@
             return caller_gone();
         };
         telemetry::record_first_piece(self.host, self.started.elapsed().as_secs_f64());
-        let end = copy_body(&mut answer.body, &mut stream, &body, scanner);
+        let end = copy_body(&mut answer.body, &mut stream, &body, end);
         if end != AttemptEnd::Completed {
             stream.abort();
         } else if stream.finish().is_err() {
@@ -179,23 +172,44 @@
     }
 }
 
-fn follow(scanner: &mut Option<Scanner>, bytes: &[u8]) {
-    if let Some(scanner) = scanner {
-        scanner.scan(bytes);
-    }
+/// Tells whether the body of a service's answer is complete where it stops.
+struct ServiceEnd {
+    /// Follows the events, if it consists of such.
+    scanner: Option<Scanner>,
+    /// Whether neither a length nor chunks tell its end.
+    is_unframed: bool,
 }
 
-/// Whether a body of events has stopped inside one, so that it is incomplete whatever ended it.
-fn is_inside_event(scanner: &Option<Scanner>) -> bool {
-    scanner.as_ref().is_some_and(Scanner::is_inside_event)
+impl ServiceEnd {
+    fn of(answer: &call::Answer) -> Self {
+        let is_framed = |name: &str| header(answer, name).is_some();
+        Self {
+            scanner: is_event_stream(answer).then(Scanner::default),
+            is_unframed: !is_framed("content-length") && !is_framed("transfer-encoding"),
+        }
+    }
+
+    /// Follows the next bytes of the body.
+    fn follow(&mut self, bytes: &[u8]) {
+        if let Some(scanner) = &mut self.scanner {
+            scanner.scan(bytes);
+        }
+    }
+
+    fn is_complete(&self) -> bool {
+        let is_told = |scanner: &Scanner| {
+            !scanner.is_inside_event() && (scanner.has_event() || !self.is_unframed)
+        };
+        self.scanner.as_ref().is_none_or(is_told)
+    }
 }
 
-/// Sends `first` and the remaining body to the caller; `scanner` has followed `first` if it consists of events.
+/// Sends `first` and the remaining body to the caller; `end` has followed `first`.
 fn copy_body(
     body: &mut dyn Read,
     stream: &mut Stream,
     first: &[u8],
-    mut scanner: Option<Scanner>,
+    mut end: ServiceEnd,
 ) -> AttemptEnd {
     let mut piece = [0; PIECE_BYTES];
     if stream.send(first).is_err() {
@@ -203,12 +217,10 @@
     }
     loop {
         match body.read(&mut piece) {
-            Ok(0) if is_inside_event(&scanner) => {
-                return AttemptEnd::Failed(Verdict::MayHaveRun);
-            }
-            Ok(0) => return AttemptEnd::Completed,
+            Ok(0) if end.is_complete() => return AttemptEnd::Completed,
+            Ok(0) => return AttemptEnd::Failed(Verdict::MayHaveRun),
             Ok(len) if stream.send(&piece[..len]).is_err() => return AttemptEnd::CallerGone,
-            Ok(len) => follow(&mut scanner, &piece[..len]),
+            Ok(len) => end.follow(&piece[..len]),
             Err(_) => return AttemptEnd::Failed(Verdict::MayHaveRun),
         }
     }
@@ -218,6 +230,10 @@
     Outcome { end: AttemptEnd::CallerGone, exchange: None, answer: None }
 }
 
+fn is_event_stream(answer: &call::Answer) -> bool {
+    header(answer, "content-type").is_some_and(|content_type| content_type.contains("event-stream"))
+}
+
 fn header<'a>(answer: &'a call::Answer, name: &str) -> Option<&'a str> {
     answer.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
 }
--- a/tests/broken_service.rs
+++ b/tests/broken_service.rs
@@ -47,47 +47,63 @@
     if is_broken { format!("{whole}data: y{end}") } else { whole }
 }
 
-/// Starts a host with a service that answers with `body`.
-fn start_site(body: &str) -> Site {
-    let url = start_service(body.to_owned());
-    let instance = json!({"name": "read-1", "url": url, "domain": "a", "slots": 64});
-    let service = json!({"name": "read", "labels": {"kind": "plain"}, "instances": [instance]});
-    let extra = json!({ "services": [service] });
+/// Starts a host with the services `whole` and `broken`, which answer with these bodies.
+fn start_site(whole: &str, broken: &str) -> Site {
+    let service = |name: &str, body: &str| {
+        let url = start_service(body.to_owned());
+        let instance = json!({"name": format!("{name}-1"), "url": url, "domain": "a", "slots": 64});
+        json!({"name": name, "labels": {"kind": "plain"}, "instances": [instance]})
+    };
+    let extra = json!({ "services": [service("whole", whole), service("broken", broken)] });
     Site::start(SiteOptions { hosts: 1, extra, ..SiteOptions::default() })
 }
 
-/// A caller of HTTP/1.0 can tell a broken answer from a whole one.
-#[rstest]
-fn old_caller(#[values(SHORT, LONG)] length: usize, #[values(true, false)] is_broken: bool) {
-    let body = events(length, "\n", is_broken);
-    let site = start_site(&body);
+/// Calls a service with HTTP/1.0; returns the body of an answer that is complete as far as the caller can tell.
+fn call_old(site: &Site, service: &str) -> Option<String> {
     let address = site.hosts[0].url.trim_start_matches("http://").to_owned();
     let mut stream = TcpStream::connect(address).expect("the host accepts connections");
     let head = format!(
-        "POST /services/read/articles HTTP/1.0\r\nAuthorization: Bearer {}\r\n",
+        "POST /services/{service}/x HTTP/1.0\r\nAuthorization: Bearer {}\r\n",
         support::TOKEN
     );
     let request = format!("{head}Content-Length: 4\r\n\r\nbook");
     stream.write_all(request.as_bytes()).expect("the request is sent");
     let mut answer = String::new();
-    let read = stream.read_to_string(&mut answer);
-    let (head, received) = answer.split_once("\r\n\r\n").expect("an answer");
+    stream.read_to_string(&mut answer).ok()?;
+    let (head, body) = answer.split_once("\r\n\r\n")?;
     let stated = head.lines().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
-    let is_complete = read.is_ok() && stated.is_none_or(|length: usize| length == received.len());
-    let is_success = is_complete && head.contains(" 200 ");
-    assert_eq!(is_success, !is_broken, "{head}");
-    assert!(is_broken || received == body);
+    let is_complete = stated.is_none_or(|length: usize| length == body.len());
+    (is_complete && head.contains(" 200 ")).then(|| body.to_owned())
+}
+
+/// A caller of HTTP/1.0 can tell a broken answer from a whole one.
+#[rstest]
+fn old_caller(#[values(SHORT, LONG)] length: usize) {
+    let (whole, broken) = (events(length, "\n", false), events(length, "\n", true));
+    let site = start_site(&whole, &broken);
+    assert_eq!(call_old(&site, "whole"), Some(whole));
+    assert_eq!(call_old(&site, "broken"), None);
+}
+
+/// A service that closes before its first event has not answered, also if it has shown that it is there.
+#[test]
+fn service_without_event() {
+    let site = start_site("", ": here\n\n");
+    for service in ["whole", "broken"] {
+        let answer = site.hosts[0].try_service(&format!("{service}/x"), service);
+        let status = answer.map_or(0, |answer| answer.status);
+        assert_eq!(status, 502, "{service}");
+    }
 }
 
 #[rstest]
-fn service_closes(
-    #[values(SHORT, LONG)] length: usize,
-    #[values("\n", "\r\n", "\r")] end: &str,
-    #[values(true, false)] is_broken: bool,
-) {
-    let body = events(length, end, is_broken);
-    let site = start_site(&body);
-    let answer = site.hosts[0].try_service("read/articles", support::TOKEN);
-    let is_whole = answer.is_ok_and(|answer| answer.status == 200 && answer.body == body);
-    assert_eq!(is_whole, !is_broken);
+fn service_closes(#[values(SHORT, LONG)] length: usize, #[values("\n", "\r\n", "\r")] end: &str) {
+    let (whole, broken) = (events(length, end, false), events(length, end, true));
+    let site = start_site(&whole, &broken);
+    let call = |service: &str| site.hosts[0].try_service(&format!("{service}/x"), service);
+    let answer = call("whole").expect("it is whole");
+    assert_eq!((answer.status, answer.body == whole), (200, true));
+    // A short answer is replaced by an error, and a long one cut off.
+    let broken = call("broken").map(|answer| answer.status);
+    assert!(broken.is_err() || broken.is_ok_and(|status| status == 502));
 }
