fix: the time before versions are written grows with the number of hosts

Cause: the larger a fleet, the longer its hosts take to know each other after a common start, so that more of them would write the same key. Change: 2 ms more for each host.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -35,9 +35,10 @@
 const MAX_LOOKUPS: usize = 512;
 /// Prefix of the stored keys of versions, followed by the service.
 const VERSIONS_PREFIX: &str = "vanetally/versions/";
-/// Time for which versions are not in the store before they are written: hosts that start together do not know at once
-/// which of them writes.
+/// Time for which versions are not in the store before they are written, and more for each host: hosts that start
+/// together do not know at once which of them writes.
 const WRITE_DELAY_MS: u64 = 1_500;
+const WRITE_DELAY_PER_HOST_MS: u64 = 2;
 /// Pause after a write.
 const WRITE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -284,7 +285,8 @@
             return None;
         }
         let since = *streams.unsaved_since.get_or_insert(now);
-        if streams.is_writing || now.since(since) < WRITE_DELAY_MS || !self.has_host_list.get() {
+        let delay_ms = WRITE_DELAY_MS + self.peers.borrow().len() as u64 * WRITE_DELAY_PER_HOST_MS;
+        if streams.is_writing || now.since(since) < delay_ms || !self.has_host_list.get() {
             return None;
         }
         unsaved.find(|service| self.writes_versions(service)).cloned()
