--- a/crates/bench/benches/fleet.rs
+++ b/crates/bench/benches/fleet.rs
@@ -54,7 +54,7 @@
         orders_taken: 0,
         models: held_models(number, model_count),
         at_hand: Vec::new(),
-        version: "v1".into(),
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/bench/benches/upkeep.rs
+++ b/crates/bench/benches/upkeep.rs
@@ -26,7 +26,7 @@
             adapters: Vec::new(),
         }],
         at_hand: Vec::new(),
-        version: "v1".into(),
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -1,6 +1,6 @@
 //! One attempt to serve a request: calls an upstream and forwards its answer to the caller.
 
-use crate::{frontend::UpstreamRequest, refusal::Refusal, sse::EventSplitter, telemetry};
+use crate::{frontend::UpstreamRequest, refusal::Refusal, sse::EngineEvents, telemetry};
 use std::{
     io::Read,
     sync::Arc,
@@ -167,7 +167,7 @@
     /// Forwards an engine's event stream.
     fn forward_events(&self, answer: call::Answer, exchange: Exchange) -> Outcome {
         let mut relay =
-            Relay { attempt: self, splitter: EventSplitter::default(), copy: Vec::new() };
+            Relay { attempt: self, splitter: EngineEvents::default(), copy: Vec::new() };
         relay.run(answer, exchange)
     }
 }
@@ -260,7 +260,7 @@
 /// An event stream that is being forwarded.
 struct Relay<'a> {
     attempt: &'a Attempt<'a>,
-    splitter: EventSplitter,
+    splitter: EngineEvents,
     /// The forwarded events, stored for repeats of a once-only request.
     copy: Vec<u8>,
 }
--- a/crates/daemon/src/sse.rs
+++ b/crates/daemon/src/sse.rs
@@ -1,10 +1,10 @@
-//! Splitting of server-sent event streams into complete events.
+//! Events of an engine's stream.
 
 use vanetally_sse::Scanner;
 
-/// Splits a stream into complete events and detects its end mark.
+/// Splits an engine's stream into complete events, counts them and detects its end mark.
 #[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
+pub(crate) struct EngineEvents {
     scanner: Scanner,
     /// Bytes of an incomplete event.
     pending: Vec<u8>,
@@ -18,7 +18,7 @@
 const END_MARK: &[u8] = b"data: [DONE]";
 const COMMENT: u8 = b':';
 
-impl EventSplitter {
+impl EngineEvents {
     /// Adds received bytes and returns all complete events, with their separators.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         let mut scanned = self.pending.len();
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -307,7 +307,7 @@
     /// The upstream.
     pub upstream: Incarnation,
     /// Version of the upstream's software.
-    pub software: Name,
+    pub software_version: Name,
     /// Address of the upstream.
     pub address: SocketAddr,
     /// Milliseconds to wait before sending, as set by the engine's pacer.
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -378,8 +378,8 @@
             budget.record_request(now);
         }
         let request = Request::new(head, route, access, service, at);
-        let version = versions::version_of(&request);
-        let request = Request { content_hash, queued_at: now, version, ..request };
+        let software_version = versions::version_of(&request);
+        let request = Request { content_hash, queued_at: now, software_version, ..request };
         if let Some(subject) = &request.head.model {
             let demand = self.demand.entry((request.service.clone(), subject.clone()));
             let demand = demand.or_default();
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -47,7 +47,7 @@
 pub(crate) struct ActiveAttempt {
     pub upstream: Incarnation,
     /// Version of the upstream's software.
-    pub software: Name,
+    pub software_version: Name,
     pub sent_at: Tick,
     /// Load that the request adds to the upstream.
     pub load: Load,
@@ -73,7 +73,7 @@
     pub shared_prefixes: Vec<Prefix>,
     pub service: Name,
     /// Software version at which a stream that has begun must go on.
-    pub version: Option<Name>,
+    pub software_version: Option<Name>,
     pub arrived: Tick,
     /// When it was first queued for an upstream; later than its arrival if it waited for quota.
     pub queued_at: Tick,
@@ -146,7 +146,7 @@
             access,
             content_hash: 0,
             service,
-            version: None,
+            software_version: None,
             arrived: now,
             queued_at: now,
             deadline,
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -77,7 +77,7 @@
             return;
         }
         // What others lack may be there at one version, and the other way round.
-        let is_shared = request.version.is_none();
+        let is_shared = request.software_version.is_none();
         if let Some(shortage) = shortages.get(&subject).copied().filter(|_| is_shared) {
             if let Some(request) = self.requests.get_mut(&id) {
                 request.shortage = Some(shortage);
@@ -221,7 +221,7 @@
             ahead_ms: choice.expected.ahead_ms,
             place: choice.place,
             upstream: choice.upstream.clone(),
-            software: upstream.state.version.clone(),
+            software_version: upstream.state.software_version.clone(),
             address: upstream.state.address,
             delay_ms,
             deadline_ms: request.deadline.since(sent_at),
@@ -248,7 +248,7 @@
         }
         request.stage = Stage::Sent(ActiveAttempt {
             upstream: choice.upstream,
-            software: upstream.state.version.clone(),
+            software_version: upstream.state.software_version.clone(),
             sent_at,
             load,
             expected: choice.expected,
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -24,7 +24,9 @@
 impl Request {
     /// Whether the request may be sent to an upstream with the software version of `upstream`.
     pub(crate) fn fits(&self, upstream: &Upstream) -> bool {
-        self.version.as_ref().is_none_or(|version| *version == upstream.state.version)
+        self.software_version
+            .as_ref()
+            .is_none_or(|version| *version == upstream.state.software_version)
     }
 }
 
@@ -74,7 +76,8 @@
         let Stage::Sent(attempt) = &request.stage else {
             return None;
         };
-        let version = request.version.get_or_insert_with(|| attempt.software.clone());
+        let version =
+            request.software_version.get_or_insert_with(|| attempt.software_version.clone());
         let software = Software { service: request.service.clone(), version: version.clone() };
         let named = request.head.resumes.clone().filter(|_| request.head.continues.is_some());
         let ids = [Some(request.head.id.clone()), named].into_iter().flatten().collect();
@@ -93,7 +96,7 @@
     /// Whether a stream can't go on: no upstream of its version accepts requests, or its model is held at other
     /// versions only, so that nobody loads it here.
     pub(crate) fn lacks_version(&self, now: Tick, request: &Request) -> bool {
-        if request.version.is_none() {
+        if request.software_version.is_none() {
             return false;
         }
         let accepts = |(_, upstream): &(&Incarnation, &Upstream)| upstream.accepts_new(now);
@@ -114,7 +117,7 @@
 
     /// Whether an upstream of another version holds what a request asks for.
     pub(crate) fn is_held_elsewhere(&self, now: Tick, request: &Request) -> bool {
-        let (Some(subject), Some(_)) = (&request.head.model, &request.version) else {
+        let (Some(subject), Some(_)) = (&request.head.model, &request.software_version) else {
             return false;
         };
         let holders = self.directory.holders(&request.service, &subject.model);
--- a/crates/dispatch/tests/roster.rs
+++ b/crates/dispatch/tests/roster.rs
@@ -29,7 +29,7 @@
         orders_taken: 3,
         models: Vec::new(),
         at_hand: Vec::new(),
-        version: "v1".into(),
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/dispatch/tests/stream_versions.rs
+++ b/crates/dispatch/tests/stream_versions.rs
@@ -19,7 +19,7 @@
 const PROBED_MS: u64 = 700;
 
 fn at_version(version: &str, port: u16, models: &[&str]) -> UpstreamState {
-    UpstreamState { version: version.into(), ..upstream("llm", port, models) }
+    UpstreamState { software_version: version.into(), ..upstream("llm", port, models) }
 }
 
 fn resumable() -> Route {
@@ -48,7 +48,7 @@
 }
 
 fn software_of(actions: &[Action], id: RequestId) -> Name {
-    sent(actions, id).pop().expect("it is sent").software
+    sent(actions, id).pop().expect("it is sent").software_version
 }
 
 fn break_off(host: &mut Host, id: RequestId) -> Vec<Action> {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -101,7 +101,7 @@
             .map(|name| HeldModel { name: (*name).into(), adapters: Vec::new() })
             .collect(),
         at_hand: Vec::new(),
-        version: "v1".into(),
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -423,7 +423,7 @@
         // An upstream's own statement that it is leaving takes precedence over its announcement,
         // which may be older.
         state.draining |= self.leaving_upstreams.borrow().contains(&id);
-        self.version_seen(&state.service, &state.version);
+        self.version_seen(&state.service, &state.software_version);
         let seen = placement::Event::UpstreamSeen { id: id.clone(), state: state.clone() };
         self.placement_event(seen);
         self.request_event(dispatch::Event::UpstreamSeen { id, state });
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -103,11 +103,13 @@
             PeerMessage::Quarantined(quarantines) => self.apply_quarantines(from, quarantines),
             PeerMessage::Leaving(upstreams) => self.upstreams_leaving(Some(from), upstreams),
             PeerMessage::Brittle(services) => self.brittle_reported(from, services),
-            PeerMessage::StreamBegan(beginning) => self.keep_beginning(beginning),
-            PeerMessage::AskStream { number, key, service } => {
-                self.answer_stream(from, number, key, service);
+            PeerMessage::KeepBeginning(beginning) => self.keep_beginning(beginning),
+            PeerMessage::AskBeginning { number, key, service } => {
+                self.answer_beginning(from, number, key, service);
+            }
+            PeerMessage::BeginningAnswered { number, answer } => {
+                self.beginning_answered(number, answer)
             }
-            PeerMessage::StreamAnswered { number, answer } => self.stream_answered(number, answer),
             PeerMessage::AskConfiguration { have } => self.send_configuration(from, have),
             PeerMessage::Configuration(patch) => self.apply_patch(from, &patch),
         }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -291,9 +291,9 @@
     /// Services whose upstreams have stated that they are brittle.
     Brittle(Vec<BrittleService>),
     /// To the hosts that keep it: where a stream began.
-    StreamBegan(Beginning),
+    KeepBeginning(Beginning),
     /// To hosts that may keep it: asks where a stream began.
-    AskStream {
+    AskBeginning {
         /// The number of this query.
         #[serde(rename = "n")]
         number: u64,
@@ -304,8 +304,8 @@
         #[serde(rename = "s")]
         service: Option<Name>,
     },
-    /// The answer to [`Self::AskStream`].
-    StreamAnswered {
+    /// The answer to [`Self::AskBeginning`].
+    BeginningAnswered {
         /// The number of the query.
         #[serde(rename = "n")]
         number: u64,
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -140,6 +140,7 @@
 
     /// Ends a request whose answer has begun and can't go on.
     pub(crate) fn give_up(&mut self) {
+        // The dispatcher would resume it; to it the request ends like one whose caller has left.
         self.hub.request_event(Event::CallerLeft { id: self.id });
         self.record_refusal(&cut_short());
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -277,7 +277,7 @@
                 "event=stream_resumed request={} upstream={} software={} after_event={:.64}",
                 self.pending.name,
                 attempt.upstream,
-                attempt.software,
+                attempt.software_version,
                 after.as_deref().unwrap_or("-")
             );
             let context = SendContext {
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -65,6 +65,6 @@
         attempt.delay_ms,
         attempt.limit.map_or_else(|| "-".to_owned(), |rate| rate.to_string()),
         attempt.version,
-        attempt.software
+        attempt.software_version
     );
 }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -107,7 +107,7 @@
             let key = StreamKey::of(id);
             let (service, version) = (service.clone(), version.clone());
             let beginning = Beginning { key, service, version, kept_ms };
-            let message = PeerMessage::StreamBegan(beginning.clone());
+            let message = PeerMessage::KeepBeginning(beginning.clone());
             let sent = self.send_all(self.stream_keepers(key, KEEPERS).iter(), &message);
             telemetry::stream_begun(sent);
             self.keep_beginning(beginning);
@@ -181,7 +181,7 @@
         let mut lookup = Lookup::new(asked.len(), service.clone(), versions);
         let mut open = self.open_lookup().ok_or(Unknown::NotYet)?;
         let number = open.number;
-        self.send_all(asked.iter(), &PeerMessage::AskStream { number, key, service });
+        self.send_all(asked.iter(), &PeerMessage::AskBeginning { number, key, service });
         let mut expired = pin!(sleep(ANSWER_TIMEOUT));
         while lookup.is_open() && (is_named || !lookup.is_confirmed()) {
             tokio::select! {
@@ -214,7 +214,7 @@
     }
 
     /// Answers another host that looks for the beginning of a stream.
-    pub(crate) fn answer_stream(
+    pub(crate) fn answer_beginning(
         &self,
         host: &Name,
         number: u64,
@@ -226,11 +226,11 @@
             Some(Software { service, version }) => Answer::Began(service, version),
             None => Answer::Unknown(service.and_then(|service| self.known_versions(&service))),
         };
-        self.send(host, &PeerMessage::StreamAnswered { number, answer });
+        self.send(host, &PeerMessage::BeginningAnswered { number, answer });
     }
 
     /// Takes the answer of another host.
-    pub(crate) fn stream_answered(&self, number: u64, answer: Answer) {
+    pub(crate) fn beginning_answered(&self, number: u64, answer: Answer) {
         if let Some(lookup) = self.streams.borrow().lookups.get(&number) {
             // The question may have been decided.
             let _ = lookup.send(answer);
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -150,7 +150,7 @@
         "event=upstream_seen upstream={incarnation} service={} software={} address={} draining={} \
          remaining_ms={} revision={revision}",
         state.service,
-        state.version,
+        state.software_version,
         state.address,
         state.draining,
         state.remaining_ms.map_or_else(|| "-".into(), |ms| ms.to_string()),
@@ -159,11 +159,11 @@
 
 /// Replaces the names in an announcement by those of earlier ones.
 fn share_names(names: &mut Names, state: &mut UpstreamState) {
-    let UpstreamState { service, domain, version, models, at_hand, .. } = state;
+    let UpstreamState { service, domain, software_version, models, at_hand, .. } = state;
     let held = models.iter_mut().flat_map(|held| once(&mut held.name).chain(&mut held.adapters));
     once(service)
         .chain(once(domain))
-        .chain(once(version))
+        .chain(once(software_version))
         .chain(held)
         .chain(at_hand)
         .for_each(|name| names.share(name));
--- a/crates/placement/tests/saturation.rs
+++ b/crates/placement/tests/saturation.rs
@@ -124,7 +124,7 @@
         orders_taken: 0,
         models: held(number),
         at_hand: Vec::new(),
-        version: "v1".into(),
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -153,7 +153,7 @@
         orders_taken,
         models: held(models),
         at_hand: Vec::new(),
-        version: "v1".into(),
+        software_version: "v1".into(),
     }
 }
 
--- a/crates/ports/src/upstream.rs
+++ b/crates/ports/src/upstream.rs
@@ -37,7 +37,7 @@
     /// Failure domain.
     pub domain: Name,
     /// Version of its software.
-    pub version: Name,
+    pub software_version: Name,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Whether the upstream is leaving.
