Show an answer with two lengths cut short for its client

A runner's answer in chunks that also states a length reaches the client with that length: the body is cut and looks complete, and its rest stands in front of the next answer (MIXED).

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 mod runner;
 mod site;
 mod surplus;
+mod two_lengths;
 
 use std::{path::PathBuf, process::ExitCode};
 
@@ -15,6 +16,7 @@
     let record = site::Record::new();
     let result = match case.as_str() {
         "surplus" => surplus::run(&record),
+        "two-lengths" => two_lengths::run(&record),
         _ => Err(format!("no such case: {case}")),
     };
     match &result {
