Show an order of a former holder that arrives after its successor's

The gateway that gives the orders is cut off for 2.6 s. An order that it gave up is sent on by TCP when the cut ends, and reaches a runner that does not check fencing tokens after its successor's orders (ONE).

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,8 @@
 #![allow(clippy::disallowed_methods, reason = "stand-ins run on the real clock")]
 
 mod http;
+mod late_order;
+mod partition;
 mod runner;
 mod site;
 mod surplus;
@@ -16,6 +18,7 @@
     let record = site::Record::new();
     let result = match case.as_str() {
         "surplus" => surplus::run(&record),
+        "late-order" => late_order::run(&record),
         "two-lengths" => two_lengths::run(&record),
         _ => Err(format!("no such case: {case}")),
     };
