--- a/review/standin/src/surplus.rs
+++ b/review/standin/src/surplus.rs
@@ -25,6 +25,10 @@
 const AT_ONCE_EVERY: u32 = 3;
 /// Slots of a runner; it queues nothing.
 const SLOTS: u32 = 1;
+/// The routes, which a client takes in turn for some requests each: the runners that a request may be sent to are one, as for all requests of the
+/// sheets that can't be repeated, or two.
+const ROUTES: [(&str, u32); 2] = [("offer", 1), ("revise", 2)];
+const REQUESTS_IN_TURN: u32 = 40;
 /// Events of an answer, and the time before each.
 const EVENTS: u32 = 5;
 const EVENT_PAUSE: Duration = Duration::from_millis(12);
@@ -123,8 +127,9 @@
         let at = start + PERIOD * number + offset;
         thread::sleep(at.saturating_duration_since(Instant::now()));
         let id = format!("{:016x}", 0x5100_0000_0000_u64 + u64::from(client << 16 | number));
+        let route = ROUTES[(number / REQUESTS_IN_TURN) as usize % ROUTES.len()].0;
         let head = format!(
-            "POST /offer/1 HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 10000\r\n\
+            "POST /{route}/1 HTTP/1.1\r\nhost: site.example\r\nx-attempt-id: {id}\r\nx-deadline-ms: 10000\r\n\
              x-model: m1\r\nx-token-count: 200,20\r\nx-prompt-prefix: aa01:100,{client:x}{number:04x}:100\r\n"
         );
         record.add(&format!("client sends {id} to {}", gateway.name));
@@ -232,6 +237,14 @@
     is_sent
 }
 
+fn route((name, max_attempts): (&str, u32)) -> Value {
+    json!({
+        "name": name, "host": "site.example", "path_prefix": format!("/{name}/"), "type": "streaming",
+        "timeout_ms": 10_000, "target_latency_ms": 1_000, "gap_target_ms": 300, "priority": 1,
+        "service": "llm", "max_attempts": max_attempts, "resumable": false,
+    })
+}
+
 fn configuration() -> Value {
     let model = |name: &str| {
         json!({
@@ -240,11 +253,7 @@
     };
     json!({
         "version": 1,
-        "routes": [{
-            "name": "offer", "host": "site.example", "path_prefix": "/offer/", "type": "streaming",
-            "timeout_ms": 10_000, "target_latency_ms": 1_000, "gap_target_ms": 300, "priority": 1,
-            "service": "llm", "max_attempts": 1, "resumable": false,
-        }],
+        "routes": ROUTES.map(route),
         "services": [{
             "name": "llm", "max_connections": 300, "health_path": "/health",
             "engine": {
