fix: an order is reset when it is given up or its lease is left, so that it can't arrive after those of the next holder

What callers saw: nothing by themselves; where runners check no fences, an order of the host that was cut off reached the runner 0.9 to 1.3 s after the first one of its successor, and could have undone its placement.

Cause: an order that had no answer was given up after 1.2 s, and its connection closed. A closed connection goes on sending what was written to it; nothing bound that to the lease. Orders could also wait up to a second for a connection after their lease had been looked at.

Change: each order has a connection of its own, which has until the end of the last answered renewal (at most 1.2 s). It is reset, not closed, when it is given up, when the host leaves the lease for any reason (before the lease is ended), and when the process ends; it writes nothing after that time; and the system gives its bytes up by then where the process stands still (TCP_USER_TIMEOUT). What is left is what a packet may spend in the network, for which the next holder waits (300 ms). The lease is looked at again after connecting.

--- a/crates/check/src/orders.rs
+++ b/crates/check/src/orders.rs
@@ -1,9 +1,14 @@
 //! Model of the order lease: two hosts and a store.
 //!
 //! Answers of the store are lost, calls are processed after their sender gave up on them, hosts are
-//! paused and restarted, and the store is restored from a backup. Invariant: no order carries a
-//! lower token than an order sent before it, two hosts don't alternate as holders within
-//! `MIN_TURN_MS`, and at most one host at a time holds a valid lease.
+//! paused and restarted, and the store is restored from a backup. Orders are sent, and arrive at any later time: at once,
+//! or as long as their sender's system goes on sending them, and a while after that in the network. Invariant: no order
+//! carries a lower token than an order sent before it, or arrives after one with a higher token; two hosts don't alternate
+//! as holders within `MIN_TURN_MS`, and at most one host at a time holds a valid lease.
+//!
+//! That orders arrive in turn rests on these assumptions: the holder's clock gains less on the store's than the margin that
+//! it leaves before the end of its lease; a packet is in the network for less than [`OrderLeaseOptions::settle_ms`]; and a
+//! host that stands still does so before it has checked its lease for a write, or after the write.
 
 use crate::{State, Steps};
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,6 +29,20 @@
     pub tracks_eras: bool,
     /// Whether the renewal of a lease counts only in the era of the lease.
     pub checks_lease_era: bool,
+    /// Whether a new holder waits until what left its predecessor has left the network.
+    pub settles: bool,
+    /// Whether a holder that leaves the lease first revokes its orders.
+    pub revokes_orders: bool,
+    /// Whether an order is given up at the end of the lease, as known when it was sent.
+    pub ends_with_lease: bool,
+    /// Whether the system gives up an order of a process that is paused or gone.
+    pub ends_in_system: bool,
+    /// Whether the system drops the orders of a process that ends at once.
+    pub resets_at_exit: bool,
+    /// Maximum number of orders that arrive late, or never.
+    pub late_orders: u8,
+    /// Maximum number of times that a holder is asked to leave the lease.
+    pub resignations: u8,
     /// Maximum number of times that the store is restored from a backup.
     pub restores: u8,
     /// Maximum number of calls that their sender gives up on; they are still processed later.
@@ -44,6 +63,8 @@
 const TTL_MS: u64 = 500;
 /// Minimum time between two orders of a host if another host sent an order in between.
 const MIN_TURN_MS: u64 = 1_500;
+/// Less than this is a packet in the network after its sender has stopped to send it.
+const TRANSIT_MS: u64 = STEP_MS;
 /// Time to live of a lease as the holder sees it when [`Options::stops_at_expiry`] is off.
 const UNLIMITED_MS: u64 = 1_000_000;
 /// Number of changes of the store before the start.
@@ -87,6 +108,25 @@
     sent_at: Tick,
 }
 
+/// An order that has not arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct LateOrder {
+    host: usize,
+    incarnation: u8,
+    token: FencingToken,
+    /// When its sender gives it up.
+    until: Option<Tick>,
+    /// When it was revoked or given up: from then on it is in the network only.
+    ended_at: Option<Tick>,
+}
+
+impl LateOrder {
+    /// Whether it may arrive at `now` or later.
+    fn may_arrive(&self, now: Tick) -> bool {
+        self.ended_at.is_none_or(|ended_at| now.since(ended_at) < TRANSIT_MS)
+    }
+}
+
 /// The key in the store that names the holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Key {
@@ -138,6 +178,13 @@
     next_lease: u64,
     restores: u8,
     sent_orders: Vec<SentOrder>,
+    late_orders: BTreeSet<LateOrder>,
+    /// Highest token that a runner has seen.
+    highest_seen: Option<FencingToken>,
+    /// An order that arrived after one with a higher token.
+    overtaken: Option<LateOrder>,
+    delayed: u8,
+    resignations: u8,
     lost_answers: u8,
     pauses: u8,
     restarts: u8,
@@ -164,6 +211,11 @@
             next_lease: 1,
             restores: 0,
             sent_orders: Vec::new(),
+            late_orders: BTreeSet::new(),
+            highest_seen: None,
+            overtaken: None,
+            delayed: 0,
+            resignations: 0,
             lost_answers: 0,
             pauses: 0,
             restarts: 0,
@@ -179,6 +231,12 @@
                 OrderLeaseAction::WriteKey { lease } => Call::WriteKey(lease),
                 OrderLeaseAction::Renew { lease } => Call::Renew(lease),
                 OrderLeaseAction::End { lease } => Call::End(lease),
+                OrderLeaseAction::RevokeOrders => {
+                    if self.options.revokes_orders {
+                        self.end_orders(|order| order.host == host);
+                    }
+                    continue;
+                }
             };
             let incarnation = self.hosts[host].incarnation;
             self.pending_calls.insert(PendingCall {
@@ -191,8 +249,47 @@
         }
     }
 
+    /// Ends the orders that `is_ended` names, unless they have ended before.
+    fn end_orders(&mut self, is_ended: impl Fn(&LateOrder) -> bool) {
+        let now = self.now;
+        let end = |order: LateOrder| match order.ended_at {
+            None if is_ended(&order) => LateOrder { ended_at: Some(now), ..order },
+            _ => order,
+        };
+        self.late_orders = std::mem::take(&mut self.late_orders).into_iter().map(end).collect();
+    }
+
+    /// Gives up the orders whose time is over: those of a process that is paused or gone by the system alone.
+    fn give_up_orders(&mut self) {
+        let (now, by_system) = (self.now, self.options.ends_in_system);
+        let hosts = &self.hosts;
+        let by_process = |order: &LateOrder| {
+            let host = &hosts[order.host];
+            !host.is_paused && host.incarnation == order.incarnation
+        };
+        let end = |order: LateOrder| match order.until {
+            Some(until) if until <= now && (by_system || by_process(&order)) => {
+                LateOrder { ended_at: Some(order.ended_at.unwrap_or(until)), ..order }
+            }
+            _ => order,
+        };
+        self.late_orders = std::mem::take(&mut self.late_orders).into_iter().map(end).collect();
+    }
+
+    /// Lets an order arrive at its runner. Where none is late, orders arrive as they are sent.
+    fn arrive(&mut self, order: LateOrder) {
+        if self.options.late_orders == 0 {
+            return;
+        }
+        if self.highest_seen.is_some_and(|highest| order.token < highest) {
+            self.overtaken = Some(order);
+        }
+        self.highest_seen = self.highest_seen.max(Some(order.token));
+    }
+
     fn pass_time(&mut self) {
         self.now = self.now + STEP_MS;
+        self.give_up_orders();
         let expired: Vec<u64> = self
             .store
             .leases
@@ -311,7 +408,8 @@
 
 fn order_lease(options: Options, now: Tick) -> OrderLease {
     let resettle_ms = if options.resettles { MIN_TURN_MS } else { 0 };
-    OrderLease::new(now, OrderLeaseOptions { ttl_ms: TTL_MS, settle_ms: 0, resettle_ms })
+    let settle_ms = if options.settles { TRANSIT_MS } else { 0 };
+    OrderLease::new(now, OrderLeaseOptions { ttl_ms: TTL_MS, settle_ms, resettle_ms })
 }
 
 fn host_name(host: usize) -> Name {
@@ -343,6 +441,12 @@
                 });
             }
         }
+        for order in self.late_orders.iter().filter(|order| order.may_arrive(self.now)) {
+            let mut next = self.clone();
+            next.late_orders.remove(order);
+            next.arrive(*order);
+            steps.add(|| format!("a runner takes {order:?}"), next);
+        }
         for host in 0..self.hosts.len() {
             self.host_steps(host, steps);
         }
@@ -364,9 +468,13 @@
         let last = self.sent_orders.last().copied();
         self.sent_orders
             .retain(|sent| now.since(sent.sent_at) < MIN_TURN_MS || Some(*sent) == last);
+        self.late_orders.retain(|order| order.may_arrive(now));
     }
 
     fn violation(&self) -> Option<String> {
+        if let Some(order) = self.overtaken {
+            return Some(format!("overtaken by an order under a higher token: {order:?}"));
+        }
         let (last, earlier) = self.sent_orders.split_last()?;
         if earlier.iter().any(|sent| sent.token > last.token) {
             return Some(format!("a lower token after a higher one: {:?}", self.sent_orders));
@@ -403,6 +511,7 @@
         if state.is_paused {
             let mut next = self.clone();
             next.hosts[host].is_paused = false;
+            next.give_up_orders();
             steps.add(|| format!("{} resumes", host_name(host)), next);
             return;
         }
@@ -415,8 +524,25 @@
             let mut next = self.clone();
             next.sent_orders.push(SentOrder { host, token, sent_at: self.now });
             next.sent_orders.dedup();
+            let ends = state.order_lease.orders_until(self.now, token);
+            let until = ends.filter(|_| self.options.ends_with_lease);
+            let incarnation = state.incarnation;
+            let order = LateOrder { host, incarnation, token, until, ended_at: None };
+            if self.delayed < self.options.late_orders {
+                let mut late = next.clone();
+                late.delayed += 1;
+                late.late_orders.insert(order);
+                steps.add(|| format!("{} sends an order that is late", host_name(host)), late);
+            }
+            next.arrive(order);
             steps.add(|| format!("{} sends an order", host_name(host)), next);
         }
+        if self.resignations < self.options.resignations && state.order_lease.is_holding(self.now) {
+            let mut next = self.clone();
+            next.resignations += 1;
+            next.handle_event(host, OrderLeaseEvent::Fenced);
+            steps.add(|| format!("{} leaves the lease", host_name(host)), next);
+        }
         if self.pauses < self.options.pauses {
             let mut next = self.clone();
             next.pauses += 1;
@@ -427,6 +553,9 @@
         if self.restarts < self.options.restarts && state.order_lease.is_holding(self.now) {
             let mut next = self.clone();
             next.restarts += 1;
+            if self.options.resets_at_exit {
+                next.end_orders(|order| order.host == host);
+            }
             next.hosts[host] = Host {
                 order_lease: order_lease(self.options, self.now),
                 is_paused: false,
--- a/crates/check/tests/orders.rs
+++ b/crates/check/tests/orders.rs
@@ -14,6 +14,13 @@
     era_in_token: true,
     tracks_eras: true,
     checks_lease_era: true,
+    settles: false,
+    revokes_orders: true,
+    ends_with_lease: true,
+    ends_in_system: true,
+    resets_at_exit: true,
+    late_orders: 0,
+    resignations: 0,
     restores: 0,
     lost_answers: 1,
     pauses: 1,
@@ -36,6 +43,21 @@
 const RESTORED_TWICE: Options =
     Options { lost_answers: 0, pauses: 0, restores: 2, time_steps: 3, is_prompt: false, ..PAUSED };
 
+/// Orders arrive late while their sender's renewals are not answered.
+const LATE: Options = Options { settles: true, late_orders: 1, pauses: 0, time_steps: 7, ..PAUSED };
+
+/// Orders arrive late while their sender stands still.
+const LATE_PAUSED: Options = Options { lost_answers: 0, pauses: 1, ..LATE };
+
+/// Orders arrive late after their sender has left the lease.
+const LATE_RESIGNED: Options = Options { lost_answers: 0, resignations: 1, ..LATE };
+
+/// Orders arrive late after their sender was killed.
+const LATE_RESTARTED: Options = Options { lost_answers: 0, restarts: 1, ..LATE };
+
+/// Orders arrive late after the store was restored.
+const LATE_RESTORED: Options = Options { lost_answers: 0, restores: 1, time_steps: 5, ..LATE };
+
 fn run(name: &str, options: Options) -> Outcome {
     let outcome = search(Orders::new(options));
     println!("check=orders case={name} {outcome}");
@@ -48,6 +70,11 @@
 #[case::slow(SLOW)]
 #[case::restored(RESTORED)]
 #[case::restored_twice(RESTORED_TWICE)]
+#[case::late(LATE)]
+#[case::late_paused(LATE_PAUSED)]
+#[case::late_resigned(LATE_RESIGNED)]
+#[case::late_restarted(LATE_RESTARTED)]
+#[case::late_restored(LATE_RESTORED)]
 fn at_most_one_holder(#[case] options: Options) {
     let outcome = run("sound", options);
     assert!(outcome.trace.is_none(), "{outcome}");
@@ -60,16 +87,25 @@
 #[case::era_in_token(Options { era_in_token: false, pauses: 0, ..RESTORED })]
 #[case::tracks_eras(Options { tracks_eras: false, ..RESTORED })]
 #[case::checks_lease_era(Options { checks_lease_era: false, ..RESTORED })]
+#[case::settles(Options { settles: false, ..LATE_RESIGNED })]
+#[case::revokes_orders(Options { revokes_orders: false, ..LATE_RESIGNED })]
+#[case::ends_with_lease(Options { ends_with_lease: false, ..LATE_PAUSED })]
+#[case::ends_in_system(Options { ends_in_system: false, ..LATE_PAUSED })]
+#[case::resets_at_exit(Options { resets_at_exit: false, ends_in_system: false, ..LATE_RESTARTED })]
 fn missing_guard_is_found(#[case] options: Options) {
     let outcome = run("guard-off", options);
     assert!(outcome.trace.is_some(), "{outcome}");
 }
 
+/// Many faults of all kinds.
+const FAULTY: Options =
+    Options { lost_answers: 6, pauses: 4, restarts: 2, restores: 3, time_steps: 60, ..SLOW };
+
 /// Long random walks with many faults, from a fixed seed.
-#[test]
-fn long_random_walks() {
-    let options =
-        Options { lost_answers: 6, pauses: 4, restarts: 2, restores: 3, time_steps: 60, ..SLOW };
+#[rstest]
+#[case::orders_at_once(FAULTY)]
+#[case::late_orders(Options { settles: true, late_orders: 12, resignations: 4, ..FAULTY })]
+fn long_random_walks(#[case] options: Options) {
     let mut seed = 7_u64;
     for _ in 0..200 {
         let choices: Vec<usize> = (0..400)
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -8,6 +8,7 @@
     exit::{ServedTunnels, TunnelEvent},
     feed::Feed,
     limits::Limits,
+    order_call::OpenOrders,
     pacing::Pacing,
     peers::{HostEntry, PeerMessage},
     pool::Pool,
@@ -103,8 +104,9 @@
     pub stage: watch::Sender<Stage>,
     /// Lease of the host key while that key is written.
     pub host_lease: watch::Sender<Option<vanetally_ports::LeaseId>>,
-    /// Connections to runners for orders and report requests.
+    /// Connections to runners for report requests.
     pub control_pool: Pool,
+    pub open_orders: OpenOrders,
     pub links: Links,
     pub dispatch: RefCell<Dispatch>,
     /// Whether the dispatcher has been informed of the store's first answer.
@@ -207,6 +209,7 @@
             clock,
             pool: Pool::new(clock),
             control_pool: Pool::new(clock),
+            open_orders: OpenOrders::default(),
             store: Store::new(&settings.store, bounds.contact_ms, ports.store.clone(), clock),
             stage: watch::Sender::new(Stage::Serving),
             host_lease: watch::Sender::new(None),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod load;
 /// Log output on standard output that never blocks the caller.
 pub mod logging;
+mod order_call;
 mod order_lease;
 mod orders;
 mod pacing;
--- a/crates/gateway/src/order_lease.rs
+++ b/crates/gateway/src/order_lease.rs
@@ -2,6 +2,7 @@
 
 use crate::hub::Hub;
 use std::rc::Rc;
+use tokio::task::spawn_local;
 use vanetally_placement::{OrderLeaseAction, OrderLeaseEvent};
 use vanetally_ports::{
     Expectation, FencingToken, LeaseId, Revision, StoreAnswer, Transaction, Write,
@@ -11,23 +12,32 @@
 /// Key that names the holder of the order lease, the one host that sends orders.
 pub(crate) const HOLDER_KEY: &str = "vanetally/orders";
 
-/// Performs the call of `action` and passes its outcome to the state machine.
-pub(crate) async fn perform(hub: Rc<Hub>, action: OrderLeaseAction) {
-    let event = match action {
-        OrderLeaseAction::Grant { ttl_ms } => grant(&hub, ttl_ms).await,
-        OrderLeaseAction::WriteKey { lease } => write_key(&hub, lease).await,
-        OrderLeaseAction::Renew { lease } => renew(&hub, lease).await,
+/// Performs `action` and passes its outcome to the state machine. Orders are revoked before this returns.
+pub(crate) fn perform(hub: &Rc<Hub>, action: OrderLeaseAction) {
+    let owner = hub.clone();
+    match action {
+        OrderLeaseAction::RevokeOrders => hub.open_orders.revoke_all(),
+        OrderLeaseAction::Grant { ttl_ms } => start(hub, grant(owner, ttl_ms)),
+        OrderLeaseAction::WriteKey { lease } => start(hub, write_key(owner, lease)),
+        OrderLeaseAction::Renew { lease } => start(hub, renew(owner, lease)),
         OrderLeaseAction::End { lease } => {
             log::info!("event=order_lease_ended lease={}", lease.id);
             // If the call fails, the lease expires by itself.
-            let _ = hub.store.end(lease).await;
-            return;
+            spawn_local(async move { drop(owner.store.end(lease).await) });
         }
-    };
-    hub.order_lease_event(event);
+    }
+}
+
+/// Starts a call whose outcome the state machine waits for.
+fn start(hub: &Rc<Hub>, call: impl Future<Output = OrderLeaseEvent> + 'static) {
+    let hub = hub.clone();
+    spawn_local(async move {
+        let event = call.await;
+        hub.order_lease_event(event);
+    });
 }
 
-async fn grant(hub: &Hub, ttl_ms: u64) -> OrderLeaseEvent {
+async fn grant(hub: Rc<Hub>, ttl_ms: u64) -> OrderLeaseEvent {
     let sent = hub.clock.now();
     match hub.store.grant(ttl_ms).await {
         Ok(StoreAnswer::Done((lease, ttl_ms))) => OrderLeaseEvent::Granted { sent, lease, ttl_ms },
@@ -35,7 +45,7 @@
     }
 }
 
-async fn write_key(hub: &Hub, lease: LeaseId) -> OrderLeaseEvent {
+async fn write_key(hub: Rc<Hub>, lease: LeaseId) -> OrderLeaseEvent {
     let key: Name = HOLDER_KEY.into();
     let value = hub.settings.host.as_bytes().to_vec().into();
     let transaction = Transaction {
@@ -44,7 +54,7 @@
         remove: Vec::new(),
     };
     match hub.store.transact(&transaction).await {
-        Ok(StoreAnswer::Done(revision)) => check_written(hub, lease, revision).await,
+        Ok(StoreAnswer::Done(revision)) => check_written(&hub, lease, revision).await,
         // Without a response the key may still be written. It is removed with its lease, which is
         // ended.
         _ => OrderLeaseEvent::KeyNotWritten,
@@ -76,7 +86,7 @@
     OrderLeaseEvent::KeyNotWritten
 }
 
-async fn renew(hub: &Hub, lease: LeaseId) -> OrderLeaseEvent {
+async fn renew(hub: Rc<Hub>, lease: LeaseId) -> OrderLeaseEvent {
     let sent = hub.clock.now();
     match hub.store.renew(lease).await {
         Ok(StoreAnswer::Done(())) => OrderLeaseEvent::Renewed { sent },
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -3,6 +3,7 @@
 use crate::{
     call,
     hub::Hub,
+    order_call::{self, ORDER_TIMEOUT},
     order_lease,
     peers::{PeerMessage, holder_name},
     telemetry,
@@ -15,8 +16,6 @@
 
 /// Timeout of a report request to a runner.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(800);
-/// Timeout of an order to a runner.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 impl Hub {
     pub(crate) fn request_model(
@@ -71,7 +70,7 @@
         let actions = self.order_lease.borrow_mut().handle(now, event);
         telemetry::order_holder(self.order_lease.borrow().is_holding(now));
         for action in actions {
-            tokio::task::spawn_local(order_lease::perform(self.clone(), action));
+            order_lease::perform(self, action);
         }
     }
 
@@ -168,15 +167,17 @@
         known.adapters,
         known.report_age_ms
     );
-    let request = hub.ports.engine.order_request(&order);
-    let outcome = match call::call(&hub.control_pool, address, request, ORDER_TIMEOUT).await {
-        Ok(reply) => {
+    let outcome = match order_call::send_order(&hub, &order, address).await {
+        Ok(head) => {
             hub.reach_event(vanetally_reach::Event::Heard(order.runner.clone()));
-            hub.handle_reply_head(&order.runner, &reply.head);
-            hub.ports.engine.classify_order(reply.status())
+            hub.handle_reply_head(&order.runner, &head);
+            hub.ports.engine.classify_order(head.status)
         }
-        Err(call::Error::NotSent(_)) => OrderOutcome::NotSent,
-        Err(call::Error::Unanswered(_) | call::Error::Cancelled) => OrderOutcome::Unknown,
+        Err(order_call::Error::NotSent(reason)) => {
+            log::info!("event=order_not_sent runner={} reason=\"{reason}\"", order.runner);
+            OrderOutcome::NotSent
+        }
+        Err(order_call::Error::Unanswered(_)) => OrderOutcome::Unknown,
     };
     log::info!(
         "event=order_answered runner={} count={} token={} outcome={}",
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -268,6 +268,11 @@
     counter!("vanetally_orders_total", "outcome" => outcome.as_str()).increment(1);
 }
 
+/// Counts an order without an answer whose connection was reset.
+pub(crate) fn order_reset(reason: &'static str) {
+    counter!("vanetally_orders_reset_total", "reason" => reason).increment(1);
+}
+
 /// Counts a store call.
 pub(crate) fn store_call(call: &'static str, is_answered: bool) {
     let outcome = if is_answered { "answered" } else { "failed" };
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -14,6 +14,8 @@
 mod pool_waker;
 /// Challenge-response proof that both ends of a link know the shared key.
 pub mod proof;
+/// TCP connections that can be ended at any time, so that nothing of them is sent any more.
+pub mod revocable;
 /// TCP connections that detect an unresponsive peer.
 pub mod socket;
 /// Connections to upstreams through another daemon.
--- a/crates/link/src/socket.rs
+++ b/crates/link/src/socket.rs
@@ -53,6 +53,18 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Bounds how long what is sent on the connection may be on its way: the system gives unacknowledged bytes up after
+/// `life`, and at once when the connection is closed or the process ends, whichever comes first.
+///
+/// # Errors
+/// If a socket option can't be set.
+pub fn bound_life(stream: &TcpStream, life: Duration) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    // A plain close would leave the system sending; with a linger time of zero it resets the connection.
+    socket.set_linger(Some(Duration::ZERO))?;
+    socket.set_tcp_user_timeout(Some(life))
+}
+
 /// Sets the options of the sending end of a link between hosts.
 ///
 /// # Errors
--- a/crates/placement/src/order_lease.rs
+++ b/crates/placement/src/order_lease.rs
@@ -7,6 +7,11 @@
 //! belongs to the holder, and orders resume with the first answer rather than with a new lease two
 //! seconds later.
 //!
+//! An order must not arrive after those of a later holder. So it has until the end of the last renewal, as known when it
+//! is sent, and whoever leaves the lease first revokes the orders that have no answer ([`OrderLeaseAction::RevokeOrders`])
+//! and then ends the lease. What has left the host by then may still be in the network, for as long as the next holder
+//! waits before its first order.
+//!
 //! After the store was restored from a backup, the key may be missing while its holder is still
 //! active. Other hosts that write the key wait until the previous holder must have stopped. The
 //! holder itself continues at once: with its key if the backup contains it, or with a new key that it
@@ -93,6 +98,8 @@
         /// The lease.
         lease: LeaseId,
     },
+    /// Revoke the orders that have no answer, before any further action: nothing of them may be sent from now on.
+    RevokeOrders,
     /// End the lease.
     End {
         /// The lease.
@@ -221,6 +228,15 @@
         }
     }
 
+    /// Until when an order under `token` may be on its way if it is sent now; `None` if it may not be sent.
+    pub fn orders_until(&self, now: Tick, token: FencingToken) -> Option<Tick> {
+        let is_valid = self.token(now) == Some(token);
+        match &self.state {
+            State::Holding(holding) if is_valid => Some(holding.valid_until),
+            _ => None,
+        }
+    }
+
     /// Whether this host holds the key, even if it may not send orders yet.
     pub fn is_holding(&self, now: Tick) -> bool {
         matches!(&self.state, State::Holding(holding) if now < holding.valid_until)
@@ -294,10 +310,10 @@
         self.set_era(now, era);
         self.next_try = now;
         if is_in_backup {
-            return vec![OrderLeaseAction::End { lease }];
+            return vec![OrderLeaseAction::RevokeOrders, OrderLeaseAction::End { lease }];
         }
         self.previous = Some(previous);
-        Vec::new()
+        vec![OrderLeaseAction::RevokeOrders]
     }
 
     fn granted(
@@ -391,8 +407,9 @@
         self.next_try = now + RETRY_DELAY_MS + self.rank * RANK_DELAY_MS;
         self.previous = None;
         match std::mem::replace(&mut self.state, State::Idle) {
-            State::WritingKey { lease, .. } | State::Holding(Holding { lease, .. }) => {
-                vec![OrderLeaseAction::End { lease }]
+            State::WritingKey { lease, .. } => vec![OrderLeaseAction::End { lease }],
+            State::Holding(Holding { lease, .. }) => {
+                vec![OrderLeaseAction::RevokeOrders, OrderLeaseAction::End { lease }]
             }
             State::Stopped => {
                 self.state = State::Stopped;
--- a/crates/placement/tests/order_lease.rs
+++ b/crates/placement/tests/order_lease.rs
@@ -9,6 +9,9 @@
 const OPTIONS: OrderLeaseOptions =
     OrderLeaseOptions { ttl_ms: 2_000, settle_ms: 300, resettle_ms: 3_300 };
 const LEASE: LeaseId = LeaseId::new(Era(0), 7);
+/// Orders that have no answer are revoked before the next holder can begin.
+const LEAVE: [OrderLeaseAction; 2] =
+    [OrderLeaseAction::RevokeOrders, OrderLeaseAction::End { lease: LEASE }];
 
 /// A process that started long ago and has seen that the key has no holder.
 fn follower() -> OrderLease {
@@ -74,10 +77,7 @@
 #[test]
 fn regained_key_waits_longer() {
     let mut order_lease = holder();
-    assert_eq!(
-        order_lease.handle(START + 500, OrderLeaseEvent::LeaseExpired),
-        [OrderLeaseAction::End { lease: LEASE }]
-    );
+    assert_eq!(order_lease.handle(START + 500, OrderLeaseEvent::LeaseExpired), LEAVE);
     let again = START + 1_000;
     write_key(&mut order_lease, again, 50);
     order_lease.handle(again, OrderLeaseEvent::Renewed { sent: again + 1_500 });
@@ -123,7 +123,7 @@
     order_lease.handle(START + 8_010, OrderLeaseEvent::Renewed { sent: START + 8_000 });
     assert_eq!(order_lease.token(START + 8_010), Some(FencingToken(40)));
     let actions = order_lease.handle(START + 8_020, OrderLeaseEvent::LeaseExpired);
-    assert_eq!(actions, [OrderLeaseAction::End { lease: LEASE }], "another host may hold the key");
+    assert_eq!(actions, LEAVE, "another host may hold the key");
 }
 
 #[test]
@@ -142,10 +142,21 @@
 fn ends_at_once(#[case] event: OrderLeaseEvent) {
     let mut order_lease = holder();
     let actions = order_lease.handle(START + 400, event);
-    assert_eq!(actions, [OrderLeaseAction::End { lease: LEASE }]);
+    assert_eq!(actions, LEAVE);
     assert_eq!(order_lease.token(START + 400), None);
 }
 
+/// Orders may be on their way until the end of the last renewal, and no longer than that, also if a later one is answered.
+#[rstest]
+#[case::before_first_order(299, 40, None)]
+#[case::holding(400, 40, Some(1_600))]
+#[case::another_token(400, 39, None)]
+#[case::over(1_600, 40, None)]
+fn orders_end_with_lease(#[case] after: u64, #[case] token: u64, #[case] until: Option<u64>) {
+    let until = until.map(|until| START + until);
+    assert_eq!(holder().orders_until(START + after, FencingToken(token)), until);
+}
+
 #[test]
 fn stopped_never_tries() {
     let mut order_lease = holder();
@@ -229,8 +240,9 @@
 #[test]
 fn restored_with_key_too_late() {
     let mut order_lease = holder();
-    let end = [OrderLeaseAction::End { lease: LeaseId::new(Era(1), 7) }];
-    assert_eq!(order_lease.handle(START + 1_700, restored(Some(40))), end);
+    let lease = LeaseId::new(Era(1), 7);
+    let leave = [OrderLeaseAction::RevokeOrders, OrderLeaseAction::End { lease }];
+    assert_eq!(order_lease.handle(START + 1_700, restored(Some(40))), leave);
     order_lease.handle(START + 1_700, OrderLeaseEvent::HolderSeen(None));
     assert_eq!(write_key_in_new_era(&mut order_lease, START + 1_700), Some(3_300));
 }
@@ -239,7 +251,8 @@
 #[test]
 fn restored_with_older_key() {
     let mut order_lease = holder();
-    assert_eq!(order_lease.handle(START + 1_000, restored(Some(12))), []);
+    let actions = order_lease.handle(START + 1_000, restored(Some(12)));
+    assert_eq!(actions, [OrderLeaseAction::RevokeOrders]);
     order_lease.handle(START + 1_000, OrderLeaseEvent::HolderSeen(Some("me".into())));
     assert_eq!(order_lease.token(START + 1_000), None);
     assert!(
@@ -253,7 +266,8 @@
 fn restored_without_key() {
     let mut order_lease = holder();
     order_lease.handle(START + 1_000, OrderLeaseEvent::Renewed { sent: START + 1_000 });
-    assert_eq!(order_lease.handle(START + 1_500, restored(None)), []);
+    let actions = order_lease.handle(START + 1_500, restored(None));
+    assert_eq!(actions, [OrderLeaseAction::RevokeOrders]);
     assert_eq!(order_lease.token(START + 1_500), None);
     order_lease.handle(START + 1_500, OrderLeaseEvent::HolderSeen(None));
     assert_eq!(write_key_in_new_era(&mut order_lease, START + 1_500), Some(0));
@@ -321,7 +335,7 @@
     let mut order_lease = holder();
     let at = START + 1_000;
     let actions = order_lease.handle(at, OrderLeaseEvent::Separated(true));
-    assert_eq!(actions, [OrderLeaseAction::End { lease: LEASE }]);
+    assert_eq!(actions, LEAVE);
     assert_eq!(order_lease.token(at), None);
     order_lease.handle(at + 10, OrderLeaseEvent::HolderSeen(None));
     assert!(order_lease.handle(at + 5_000, OrderLeaseEvent::Tick).is_empty(), "others come first");
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -163,6 +163,15 @@
         self.store.put("op/config", &configuration);
     }
 
+    /// Writes a configuration in which `m1` has `count` adapters, `at_once` of which an engine holds at a time.
+    pub fn configure_adapters(&self, version: u64, count: usize, at_once: usize) {
+        let mut configuration = configuration(version, &[]);
+        let engine = &mut configuration["services"][0]["engine"];
+        engine["max_adapters"] = at_once.into();
+        engine["models"][0]["adapters"] = count.into();
+        self.store.put("op/config", &configuration);
+    }
+
     /// Writes a configuration with `count` additional routes.
     pub fn configure_large(&self, version: u64, count: usize) {
         let names: Vec<String> = (0..count).map(|number| format!("more{number}")).collect();
--- a/tests/gateway/taps.rs
+++ b/tests/gateway/taps.rs
@@ -8,7 +8,7 @@
     ops::Range,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, Runner, Tap, TapMode, TapModes};
+use vanetally_platform_standin::{Client, Proxy, Runner, Tap, TapMode, TapModes};
 
 /// Hosts that reach all upstreams through taps.
 pub struct TappedDeployment {
@@ -16,12 +16,24 @@
     pub taps: Vec<Tap>,
     engine_modes: TapModes,
     desk_modes: TapModes,
+    /// Ways of the hosts to the store, by host; none if they reach it directly.
+    pub stores: Vec<Proxy>,
     pub deployment: Deployment,
 }
 
 impl TappedDeployment {
     /// Starts `count` hosts with `engines` engines and `desks` plain upstreams.
     pub fn start(count: usize, engines: usize, desks: usize) -> Self {
+        Self::start_with(count, engines, desks, Vec::new())
+    }
+
+    /// Starts `count` hosts with `engines` engines, which the hosts reach through taps, like the store.
+    pub fn start_partitioned(count: usize, engines: usize) -> Self {
+        let ips = (0..count).map(|_| fresh_ip());
+        Self::start_with(count, engines, 1, ips.collect())
+    }
+
+    fn start_with(count: usize, engines: usize, desks: usize, store_ips: Vec<String>) -> Self {
         let mut deployment = Deployment::start();
         (1..engines).for_each(|_| deployment.add_engine());
         (1..desks).for_each(|_| drop(deployment.add_desk()));
@@ -35,9 +47,14 @@
         let engines = deployment.engines.iter().map(|engine| (engine, &engine_modes));
         let desks = deployment.desks.iter().map(|desk| (desk, &desk_modes));
         let taps = engines.chain(desks).map(tap).collect();
-        let hosts: Vec<Host> =
-            (0..count).map(|number| deployment.spawn(&format!("front-{number}"))).collect();
-        let site = Self { hosts, taps, engine_modes, desk_modes, deployment };
+        let store = deployment.store.address();
+        let stores: Vec<Proxy> = store_ips.iter().map(|ip| Proxy::start(ip, store)).collect();
+        let spawn = |number: usize| {
+            let store = stores.get(number).map_or(store, Proxy::address);
+            deployment.spawn_at(&format!("front-{number}"), &fresh_ip(), store)
+        };
+        let hosts: Vec<Host> = (0..count).map(spawn).collect();
+        let site = Self { hosts, taps, engine_modes, desk_modes, stores, deployment };
         site.set_mode(0..count, TapMode::Pass);
         site.hosts.iter().for_each(|host| super::wait_for("the host is ready", || host.is_ready()));
         site
