fix: hosts drop what a former holder of the order lease announces after its successor

Cause: the holder announces what runners hold, some of it with a delay (an adapter, when its load should be done), directly and through aggregators. Announcements named no holder, so that a late one of a former holder replaced a newer one of its successor: hosts sent requests to runners that had unloaded the model, or not to those that had loaded it, until the runner's entry in the store told them.

Change: announcements carry the fencing token, and one under a lower token than the highest seen is dropped and counted (vanetally_announcements_outdated_total). Hosts of earlier builds state no token, and theirs are taken as before.

What else the holder may have on its way was looked at: grants of quota are searched with late messages (crates/check/src/quota.rs), answers to permits are matched by number and dropped after 40 ms, reports are read only, its key is written under a lease that is ended.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -38,7 +38,7 @@
 };
 use vanetally_link::peer::Links;
 use vanetally_placement::{
-    self as placement, OrderLease, OrderLeaseEvent, OrderLeaseOptions, Placement,
+    self as placement, AnnouncementFence, OrderLease, OrderLeaseEvent, OrderLeaseOptions, Placement,
 };
 use vanetally_ports::{Configuration, Era, Ports, Refusal, UpstreamState};
 use vanetally_quarantine::{ContentHash, CrashEvidence};
@@ -114,6 +114,7 @@
     pub placement: RefCell<Placement>,
     pub order_lease: RefCell<OrderLease>,
     pub holder: RefCell<Option<Name>>,
+    pub announcement_fence: Cell<AnnouncementFence>,
     pub peers: RefCell<BTreeMap<Name, HostEntry>>,
     /// Hosts that are known from other hosts only.
     pub introduced: RefCell<BTreeSet<Name>>,
@@ -219,6 +220,7 @@
             placement: RefCell::new(Placement::new(placement)),
             order_lease: RefCell::new(OrderLease::new(clock.now(), order_lease)),
             holder: RefCell::new(None),
+            announcement_fence: Cell::default(),
             peers: RefCell::new(BTreeMap::new()),
             introduced: RefCell::default(),
             has_host_list: Cell::new(false),
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -8,7 +8,7 @@
 use vanetally_dispatch::{self as dispatch, Digest};
 use vanetally_fanout::{Event as SourceEvent, Source};
 use vanetally_placement::{self as placement, DemandSample};
-use vanetally_ports::{Era, ModelRef, Revision};
+use vanetally_ports::{Era, FencingToken, ModelRef, Revision};
 use vanetally_quota::{Asker, SpendRequest};
 use vanetally_types::Name;
 
@@ -57,7 +57,10 @@
                     is_saturated,
                 });
             }
-            PeerMessage::Placed { ref runner, ref model, ref adapter, is_present } => {
+            PeerMessage::Placed { ref runner, ref model, ref adapter, is_present, token } => {
+                if !self.admits_announcement(token.map(FencingToken)) {
+                    return;
+                }
                 self.relay_placed(from, &message);
                 let subject = ModelRef { model: model.clone(), adapter: adapter.clone() };
                 self.placed(runner.clone(), subject, is_present);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -11,7 +11,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use vanetally_dispatch::{self as dispatch, Presence};
 use vanetally_placement::{self as placement, KnownState, OrderLeaseEvent};
-use vanetally_ports::{Era, FormatError, Item, ModelRef, Order, OrderOutcome};
+use vanetally_ports::{Era, FencingToken, FormatError, Item, ModelRef, Order, OrderOutcome};
 use vanetally_types::{Incarnation, Name};
 
 /// Timeout of a report request to a runner.
@@ -99,23 +99,34 @@
             }
             placement::Action::Announce { runner, subject, is_present, delay_ms } => {
                 let hub = self.clone();
+                let token = self.order_lease.borrow().token(self.clock.now());
                 tokio::task::spawn_local(async move {
                     if delay_ms > 0 {
                         tokio::time::sleep(Duration::from_millis(delay_ms)).await;
                     }
-                    hub.announce(runner, subject, is_present);
+                    hub.announce(runner, subject, is_present, token);
                 });
             }
             placement::Action::Resign => self.order_lease_event(OrderLeaseEvent::Fenced),
         }
     }
 
-    fn announce(self: &Rc<Self>, runner: Incarnation, subject: ModelRef, is_present: bool) {
+    fn announce(
+        self: &Rc<Self>,
+        runner: Incarnation,
+        subject: ModelRef,
+        is_present: bool,
+        token: Option<FencingToken>,
+    ) {
+        if !self.admits_announcement(token) {
+            return;
+        }
         let message = PeerMessage::Placed {
             runner: runner.clone(),
             model: subject.model.clone(),
             adapter: subject.adapter.clone(),
             is_present,
+            token: token.map(|token| token.0),
         };
         if self.uses_aggregators() {
             self.send_all(self.sum_receivers().iter(), &message);
@@ -126,6 +137,18 @@
         self.placed(runner, subject, is_present);
     }
 
+    /// Whether an announcement under `token` is not that of a former holder.
+    pub(crate) fn admits_announcement(&self, token: Option<FencingToken>) -> bool {
+        let mut fence = self.announcement_fence.get();
+        let is_admitted = fence.admits(token);
+        self.announcement_fence.set(fence);
+        if !is_admitted {
+            log::debug!("event=announcement_outdated token={token:?}");
+            telemetry::announcement_outdated();
+        }
+        is_admitted
+    }
+
     /// Forwards the holder's announcement to the subscribers, as an aggregator.
     pub(crate) fn relay_placed(&self, from: &Name, message: &PeerMessage) {
         let hosts: Vec<Name> = self.totals.borrow().subscribers().cloned().collect();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -155,6 +155,9 @@
         adapter: Option<Name>,
         /// Whether the model is loaded.
         is_present: bool,
+        /// Fencing token of the holder; hosts of earlier builds state none.
+        #[serde(default)]
+        token: Option<u64>,
     },
     /// Requests the receiver's clock.
     AskClock {
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -268,6 +268,11 @@
     counter!("vanetally_orders_total", "outcome" => outcome.as_str()).increment(1);
 }
 
+/// Counts an announcement of a former holder of the order lease that was dropped.
+pub(crate) fn announcement_outdated() {
+    counter!("vanetally_announcements_outdated_total").increment(1);
+}
+
 /// Counts an order without an answer whose connection was reset.
 pub(crate) fn order_reset(reason: &'static str) {
     counter!("vanetally_orders_reset_total", "reason" => reason).increment(1);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod adapters;
+mod announcement_fence;
 mod capacity;
 mod demand;
 mod event;
@@ -30,4 +31,5 @@
 pub use summary::{ModelSummary, RunnerSummary};
 pub(crate) use weights::Reservation;
 
+pub use announcement_fence::AnnouncementFence;
 pub use order_lease::{OrderLease, OrderLeaseAction, OrderLeaseEvent, OrderLeaseOptions};
