fix: a request is not sent again on a connection that has carried it, and an answer without an id counts only on a new one

What callers saw: 503 with the promise that the request has not run, although it ran; where it could be sent to two upstreams, it ran twice.

Cause: an answer names its request by id, and a request keeps its id when it is sent again. A rejected request was sent again on the connection on which it had been rejected, since a rejection leaves it in the pool. A late copy of the rejection then carried the right id on the right connection, and was taken for the answer to the second sending. The same for 421 and 429, through tunnels, for resumptions, and for a caller who uses an id again. Second form: an answer without an id (of a health check, a report, a broken runner) on a kept connection was taken for whatever answer was due.

Change: each connection remembers the ids that it has carried, as hashes of 4 bytes, and takes none of them again; after 4,096 requests it is not kept. A rejected connection stays in the pool for other requests, so a rejection alone opens none. An answer without an id on a connection that has carried a request before belongs to none (`answer_rejected kind=Foreign`: may have run).

Answers to orders and reports carry no id.

--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -4,25 +4,31 @@
     hub::Hub,
     pool::{self, Connection},
     probing::Asked,
+    telemetry,
     tunnels::{NoTunnel, Opened},
 };
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 use vanetally_dispatch::{Attempt, AttemptEnd};
 use vanetally_reach::{Event, Path};
+use vanetally_types::Name;
 
 /// Timeout of a direct connection where an exit can be used instead.
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Returns a connection for an attempt, a pooled one if `may_reuse`.
+/// Returns a connection for an attempt at the request `name`, a pooled one if `may_reuse`.
+///
+/// A connection that has carried the request before is not used for it again: its answer could not be told from a copy of
+/// the earlier one.
 ///
 /// Nothing was sent to the upstream if there is none; the error says what that means for the upstream.
 pub(crate) async fn connect_upstream(
     hub: &Rc<Hub>,
     attempt: &Attempt,
+    name: &Name,
     may_reuse: bool,
 ) -> Result<Connection, AttemptEnd> {
     let path = hub.reach.borrow().path(hub.clock.now(), &attempt.upstream);
-    if may_reuse && let Some(idle) = hub.pool.take_idle(attempt.address, path) {
+    if may_reuse && let Some(idle) = take_idle(hub, attempt, name, path) {
         return Ok(idle);
     }
     hub.reach_event(Event::Connecting(attempt.upstream.clone()));
@@ -46,6 +52,21 @@
     }
 }
 
+/// Returns a pooled connection by `path` that has not carried the request `name`.
+fn take_idle(hub: &Hub, attempt: &Attempt, name: &Name, path: Path) -> Option<Connection> {
+    let passed_over = Cell::new(0);
+    let idle = hub.pool.take_idle(attempt.address, |connection| {
+        let is_by_path = connection.path() == path;
+        let has_carried = is_by_path && connection.carried.contains(name);
+        passed_over.set(passed_over.get() + u32::from(has_carried));
+        is_by_path && !has_carried
+    });
+    if passed_over.get() > 0 {
+        telemetry::connections_passed_over(idle.is_some());
+    }
+    idle
+}
+
 /// Returns the end of an attempt for which there is no path.
 fn no_path(hub: &Hub) -> AttemptEnd {
     match hub.reach.borrow().is_cut_off(hub.clock.now()) {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -25,7 +25,7 @@
     time::Duration,
 };
 use tokio::io::{AsyncRead, AsyncWrite};
-use vanetally_link::socket;
+use vanetally_link::{carried_ids::CarriedIds, socket};
 use vanetally_reach::Path;
 use vanetally_types::{Name, Tick};
 
@@ -34,6 +34,8 @@
     pub sender: Sender,
     /// Whether it has carried a request before.
     pub is_used: bool,
+    /// The requests that it has carried.
+    pub carried: CarriedIds,
     address: SocketAddr,
     /// Counts the connection as open until dropped.
     _open: OpenGuard,
@@ -42,6 +44,11 @@
 }
 
 impl Connection {
+    fn new(sender: Sender, open: OpenGuard, tunnel: Option<OpenTunnel>) -> Self {
+        let (address, carried) = (open.address, CarriedIds::default());
+        Self { sender, is_used: false, carried, address, _open: open, tunnel }
+    }
+
     /// Returns the host through which the connection passes, if it is a tunnel.
     pub(crate) fn exit(&self) -> Option<&Name> {
         self.tunnel.as_ref().map(|tunnel| &tunnel.exit)
@@ -121,7 +128,7 @@
         address: SocketAddr,
         max_open: usize,
     ) -> Result<Connection, Error> {
-        if let Some(idle) = self.take_idle(address, Path::Direct) {
+        if let Some(idle) = self.take_idle(address, |_| true) {
             return Ok(idle);
         }
         self.connect(address, max_open).await
@@ -146,7 +153,7 @@
         let open = self.open(address, max_open)?;
         let stream = socket::connect_within(address, limit).await?;
         let sender = start(stream).await?;
-        Ok(Connection { sender, is_used: false, address, _open: open, tunnel: None })
+        Ok(Connection::new(sender, open, None))
     }
 
     /// Counts a connection to `address` as open if fewer than `max_open` are.
@@ -168,19 +175,22 @@
         tunnel: OpenTunnel,
     ) -> Result<Connection, Error> {
         let sender = start(stream).await?;
-        let address = open.address;
-        Ok(Connection { sender, is_used: false, address, _open: open, tunnel: Some(tunnel) })
+        Ok(Connection::new(sender, open, Some(tunnel)))
     }
 
-    /// Returns a pooled connection to `address` by `path`.
-    pub(crate) fn take_idle(&self, address: SocketAddr, path: Path) -> Option<Connection> {
+    /// Returns a pooled connection to `address` that is `wanted`.
+    pub(crate) fn take_idle(
+        &self,
+        address: SocketAddr,
+        wanted: impl Fn(&Connection) -> bool,
+    ) -> Option<Connection> {
         let now = self.clock.now();
         let mut expired = Vec::new();
         let mut found = None;
         {
             let mut addresses = self.addresses.borrow_mut();
             let pool = addresses.get_mut(&address)?;
-            let is_wanted = |idle: &Idle| idle.connection.path() == path;
+            let is_wanted = |idle: &Idle| wanted(&idle.connection);
             while let Some(index) = pool.idle.iter().rposition(is_wanted)
                 && let Some(idle) = pool.idle.remove(index)
             {
@@ -202,6 +212,7 @@
             .map_or(MAX_IDLE, |keep_alive| keep_alive.saturating_sub(KEEP_ALIVE_MARGIN))
             .min(MAX_IDLE);
         let may_reuse = connection.tunnel.as_ref().is_none_or(OpenTunnel::may_reuse);
+        let may_reuse = may_reuse && !connection.carried.is_full();
         if connection.sender.is_closed() || keep_alive.is_zero() || !may_reuse {
             return;
         }
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -75,7 +75,11 @@
         Err(end) => return SendOutcome::Ended(end),
     };
     let (head, body) = response.into_parts();
-    let kind = hub.ports.engine.classify_answer(&head, name, &attempt.upstream);
+    let kind = match connection.is_used && !hub.ports.engine.names_request(&head) {
+        // It may belong to any of the requests that the connection has carried.
+        true => AnswerKind::Foreign,
+        false => hub.ports.engine.classify_answer(&head, name, &attempt.upstream),
+    };
     hub.handle_response_head(&attempt.upstream, sent, kind, &head);
     let response = Response::from_parts(head, body);
     match kind {
@@ -124,12 +128,13 @@
     scheduled: Tick,
 ) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
     let SendContext { hub, attempt, .. } = context;
-    let mut connection = connect_upstream(hub, attempt, true).await?;
+    let mut connection = connect_upstream(hub, attempt, context.name, true).await?;
     loop {
         if !hub.dispatch.borrow().may_send(hub.clock.now(), context.id) {
             return Err(AttemptEnd::Withdrawn);
         }
         let request = upstream_request(context, scheduled);
+        connection.carried.record(context.name);
         let (upstream, exit) = (attempt.upstream.clone(), connection.exit().cloned());
         hub.reach_event(Event::Sent { attempt: AttemptId::Own(context.id.0), upstream, exit });
         match connection.sender.try_send_request(request).await {
@@ -140,7 +145,7 @@
             Err(mut error) => match error.take_message() {
                 // The pooled connection had just closed, so the request was never sent.
                 Some(_) if connection.is_used => {
-                    connection = connect_upstream(hub, attempt, false).await?;
+                    connection = connect_upstream(hub, attempt, context.name, false).await?;
                 }
                 Some(_) => {
                     hub.reach_event(Event::ConnectFailed(attempt.upstream.clone()));
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -268,6 +268,13 @@
     counter!("vanetally_orders_total", "outcome" => outcome.as_str()).increment(1);
 }
 
+/// Counts a request for which connections were passed over that have carried it before. `has_other` tells whether there was
+/// another idle one.
+pub(crate) fn connections_passed_over(has_other: bool) {
+    let instead = if has_other { "idle" } else { "new" };
+    counter!("vanetally_connections_passed_over_total", "instead" => instead).increment(1);
+}
+
 /// Counts an announcement of a former holder of the order lease that was dropped.
 pub(crate) fn announcement_outdated() {
     counter!("vanetally_announcements_outdated_total").increment(1);
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -4,6 +4,8 @@
 
 /// HTTP calls to upstreams; errors state whether the request may have run.
 pub mod call;
+/// The ids of the requests that a connection has carried.
+pub mod carried_ids;
 mod handshake;
 /// HTTP server for callers and operators.
 pub mod http;
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -187,6 +187,9 @@
         instance: &Incarnation,
     ) -> AnswerKind;
 
+    /// Whether the answer names the request that it belongs to.
+    fn names_request(&self, head: &http::response::Parts) -> bool;
+
     /// Parses what the upstream states about itself.
     fn read_statement(&self, head: &http::response::Parts) -> Statement;
 
