fix: a rejection without proof that the request has not run is not passed on as one

What callers saw: an upstream's 503, 429 or 408 that does not state that the request has not run went back unchanged. To callers these statuses are a promise, so that they send a request again that may have run.

Cause: a status was relayed for what the upstream may have meant by it, although only the mark says that nothing was run.

Change: such an answer is `Unproven` (`answer_rejected kind=Unproven`): the attempt may have run, and the caller gets 502 unless another one may be made. 421 needs no mark: it is said of requests for another incarnation or for what is not there.

--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -102,8 +102,10 @@
             hub.pool.drop_idle(attempt.address);
             SendOutcome::Ended(AttemptEnd::Replaced)
         }
-        AnswerKind::Foreign | AnswerKind::Unsigned => {
-            hub.pool.drop_idle(attempt.address);
+        AnswerKind::Foreign | AnswerKind::Unsigned | AnswerKind::Unproven => {
+            if kind != AnswerKind::Unproven {
+                hub.pool.drop_idle(attempt.address);
+            }
             log::warn!(
                 "event=answer_rejected request={name} upstream={} status={} kind={kind:?}",
                 attempt.upstream,
--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -129,6 +129,9 @@
     Unsigned,
     /// The request ran and failed.
     Failure,
+    /// A status by which callers are promised that the request has not run, without proof that it has not. It must not be
+    /// relayed.
+    Unproven,
     /// The request did not run: the upstream has no capacity.
     Full,
     /// The request did not run: the upstream does not have the requested model or adapter.
