test: the soak loses bytes of cut paths and sends them again later, and has runners that copy their answers

The soak draws cuts of single hosts from the runners, with or without the store, whose bytes are sent again after the cut, copies of rejections, successes, reports and answers to orders (at once, before the next or the next but one answer, when the id comes back), and in a third of the seeds runners that check no fencing tokens. New invariant: no order arrives after one of a later holder. An order whose sender stood still within five seconds before is left out: a proxy acknowledges what it holds up, so that the sender's system can't give it up, as it does where bytes are lost (crates/link/tests/revocable.rs, crates/check).

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -1,6 +1,9 @@
 //! Random faults. A fault lasts until it is healed, so several overlap.
 
-use crate::site::{HostSlot, Site};
+use crate::{
+    late_bytes,
+    site::{HostSlot, Site},
+};
 use rand::{RngExt, rngs::StdRng};
 use std::{thread, time::Duration};
 use vanetally_platform_standin::{
@@ -182,6 +185,7 @@
 }
 
 fn heal_runners(site: &Site) {
+    late_bytes::heal(site);
     site.deployment.engines.iter().for_each(|engine| engine.set_behaviour(HEALTHY_ENGINE));
     for desk in &site.deployment.desks {
         desk.set_behaviour(HEALTHY_DESK);
--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -61,6 +61,9 @@
     /// Two hosts sent orders with the same token.
     #[error("shared_token token={token}")]
     SharedToken { token: u64 },
+    /// An order of a former holder arrived after one of its successor.
+    #[error("overtaken_order holder={holder} token={token} after={after}")]
+    OvertakenOrder { holder: String, token: u64, after: u64 },
     /// A runner held more adapters than its limit.
     #[error("too_many_adapters held={held}")]
     TooManyAdapters { held: usize },
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,6 +12,7 @@
 #[path = "../gateway/mod.rs"]
 mod gateway;
 mod invariants;
+mod late_bytes;
 mod rate_limit;
 mod restores;
 mod site;
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -5,6 +5,7 @@
     faults,
     gateway::{Deployment, Host, fresh_ip},
     invariants::{self, Violation},
+    late_bytes,
     rate_limit::RateLimitPhase,
     restores, streams,
     upstream_signals::UpstreamSignals,
@@ -14,6 +15,7 @@
 use std::{
     collections::HashMap,
     fmt,
+    ops::Range,
     path::PathBuf,
     sync::{Arc, atomic::Ordering},
     thread,
@@ -64,6 +66,8 @@
     pub store_link: Proxy,
     host: Option<Host>,
     is_paused: bool,
+    /// When the process was paused, and when it was resumed or killed.
+    pauses: Vec<(Instant, Option<Instant>)>,
 }
 
 impl HostSlot {
@@ -81,6 +85,7 @@
 
     /// Kills the process.
     pub fn kill(&mut self) {
+        self.end_pause();
         if let Some(mut host) = self.host.take() {
             host.kill();
         }
@@ -90,6 +95,13 @@
     pub fn pause(&mut self) {
         self.signal("STOP");
         self.is_paused = self.host.is_some();
+        self.pauses.push((Instant::now(), None));
+    }
+
+    fn end_pause(&mut self) {
+        for (_, until) in self.pauses.iter_mut().filter(|(_, until)| until.is_none()) {
+            *until = Some(Instant::now());
+        }
     }
 
     /// Sends a signal if the process has not exited.
@@ -112,6 +124,7 @@
     /// Resumes a paused process, and restarts one that has exited.
     pub fn revive(&mut self, deployment: &Deployment, shared: &SharedState, modes: &TapModes) {
         if std::mem::take(&mut self.is_paused) {
+            self.end_pause();
             self.signal("CONT");
         }
         let has_exited = self.host.as_mut().is_none_or(|host| host.try_wait().is_some());
@@ -168,6 +181,7 @@
                 store_link: Proxy::start(&ip, deployment.store.address()),
                 host: None,
                 is_paused: false,
+                pauses: Vec::new(),
             })
             .collect();
         let has_keys = seed.is_multiple_of(KEYS_EVERY);
@@ -262,6 +276,13 @@
         (requests > 0).then_some(Violation::GoneUpstreamUsed { requests })
     }
 
+    /// Whether a host stood still at any time in `span`.
+    pub fn was_paused(&self, host: &str, span: Range<Instant>) -> bool {
+        let slots = self.slots.iter().filter(|slot| slot.name == host);
+        let mut pauses = slots.flat_map(|slot| &slot.pauses);
+        pauses.any(|(from, until)| *from < span.end && until.is_none_or(|until| until > span.start))
+    }
+
     /// Returns the incarnation of each host, and whether it is running.
     pub fn running(&self) -> Vec<(u64, bool)> {
         let state = |slot: &HostSlot| {
@@ -392,7 +413,11 @@
     let mut entry_rng = StdRng::seed_from_u64(!seed);
     let mut restore_rng = StdRng::seed_from_u64(seed.rotate_left(48));
     let mut stream_rng = StdRng::seed_from_u64(seed.rotate_left(24));
+    let mut late_rng = StdRng::seed_from_u64(seed.rotate_left(8));
     let mut site = Site::start(&mut rng, seed);
+    if has_entry_faults {
+        late_bytes::set_fences(&site, seed);
+    }
     faults::heal(&mut site);
     site.configure();
     let mut violations: Vec<Violation> = site.recover().into_iter().collect();
@@ -402,6 +427,7 @@
         if has_entry_faults {
             faults::inject_entry_fault(&mut entry_rng, &mut site);
             streams::inject(&mut stream_rng, &site);
+            late_bytes::inject(&mut late_rng, &site);
             restores::inject(&mut restore_rng, &mut site);
         }
     }
@@ -434,6 +460,7 @@
     let max_in_window = limit_phase.max_in_window(&exchanges);
     violations.extend(limit_phase.check_limit(max_in_window));
     violations.extend(signals.check(&exchanges));
+    violations.extend(late_bytes::check(&site));
     violations.extend(invariants::check(&site.deployment, &exchanges, site.shared.has_keys));
     if !violations.is_empty() {
         save_logs(seed, &site.deployment);
