--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,7 +5,7 @@
     frontend::Frontend,
     hub::{self, Executors, Input},
     platform::{self, PlatformThreads},
-    runner::RunnerThreads,
+    runner::{RunnerClients, RunnerThreads},
     shared::Shared,
     telemetry,
 };
@@ -62,11 +62,15 @@
         let (hub, inbox) = channel();
         let links = start_links(&shared, peers, &hub)?;
         let platform = start_platform(&shared, &hub);
-        let client = upstream_client(&shared);
+        let client = Client::new(call_options(&shared));
         let executors = Executors {
             shared: shared.clone(),
             platform: PlatformThreads::start(&platform, &hub),
-            runners: RunnerThreads::new(shared.clone(), client.clone(), hub.clone()),
+            runners: RunnerThreads::new(
+                shared.clone(),
+                runner_clients(&shared, &client),
+                hub.clone(),
+            ),
             links,
         };
         let core = Core::new(shared.clock.now(), core_options(&shared));
@@ -152,12 +156,17 @@
     platform
 }
 
-fn upstream_client(shared: &Shared) -> Client {
+fn call_options(shared: &Shared) -> call::Options {
     let timing = &shared.settings.timing;
-    Client::new(call::Options {
+    call::Options {
         connect_timeout: timing.connect.duration(),
         idle_timeout: timing.silence.duration(),
-    })
+    }
+}
+
+fn runner_clients(shared: &Shared, polls: &Client) -> RunnerClients {
+    let orders = Client::without_reuse(call_options(shared));
+    RunnerClients { polls: polls.clone(), orders }
 }
 
 fn core_options(shared: &Shared) -> Options {
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -25,10 +25,19 @@
     Order(Order),
 }
 
+/// The clients for calls to runners.
+#[derive(Clone)]
+pub(crate) struct RunnerClients {
+    /// For polls, which are repeated and state epoch and sequence.
+    pub polls: Client,
+    /// For fences and orders, whose answers name no call: it keeps no connections.
+    pub orders: Client,
+}
+
 /// The threads of all runners.
 pub(crate) struct RunnerThreads {
     shared: Arc<Shared>,
-    client: Client,
+    clients: RunnerClients,
     hub: Sender<Input>,
     /// Call senders by the runner's name and URL.
     senders: HashMap<(Name, Name), Sender<RunnerCall>>,
@@ -60,8 +69,8 @@
 
 impl RunnerThreads {
     /// Creates the set without threads; answers are sent to `hub`.
-    pub fn new(shared: Arc<Shared>, client: Client, hub: Sender<Input>) -> Self {
-        Self { shared, client, hub, senders: HashMap::new() }
+    pub fn new(shared: Arc<Shared>, clients: RunnerClients, hub: Sender<Input>) -> Self {
+        Self { shared, clients, hub, senders: HashMap::new() }
     }
 
     /// Requests the runner's state.
@@ -99,7 +108,7 @@
                 runner: key.0.clone(),
                 url: key.1.clone(),
                 shared: self.shared.clone(),
-                client: self.client.clone(),
+                clients: self.clients.clone(),
             };
             let hub = self.hub.clone();
             let builder = thread::Builder::new().name("runner".into()).stack_size(STACK_BYTES);
@@ -116,7 +125,7 @@
     runner: Name,
     url: Name,
     shared: Arc<Shared>,
-    client: Client,
+    clients: RunnerClients,
 }
 
 impl RunnerThread {
@@ -135,7 +144,7 @@
 
     fn poll(&self) -> Event {
         let polled_at = self.shared.clock.now();
-        let answer = self.call("GET", "/engine/state", Vec::new());
+        let answer = call(&self.clients.polls, "GET", &self.url_of("/engine/state"), Vec::new());
         let reply = answer.ok().filter(|(status, _)| *status == 200).map(|(_, s)| PollReply {
             report: s.report,
             running: s.running + s.queued,
@@ -146,7 +155,7 @@
 
     fn fence(&self, epoch: Epoch) -> Event {
         let body = json!({"epoch": epoch}).to_string().into_bytes();
-        let reply = match self.call("POST", "/engine/fence", body) {
+        let reply = match call(&self.clients.orders, "POST", &self.url_of("/engine/fence"), body) {
             Ok((200, state)) => FenceReply::Accepted(state.report),
             Ok((409, state)) => FenceReply::StaleEpoch(Epoch(state.report.epoch)),
             _ => FenceReply::Unanswered,
@@ -156,7 +165,7 @@
 
     fn order(&self, order: &Order) -> Event {
         let body = serde_json::to_vec(order).unwrap_or_default();
-        let reply = match self.call("POST", "/engine/order", body) {
+        let reply = match call(&self.clients.orders, "POST", &self.url_of("/engine/order"), body) {
             Ok((200 | 202, state)) => OrderReply::Answered(Ok(()), state.report),
             Ok((409, state)) => match state.refusal {
                 Some(Refusal::Stale) | None => OrderReply::StaleEpoch(Epoch(state.report.epoch)),
@@ -167,17 +176,21 @@
         Event::Ordered(self.runner.clone(), order.epoch, order.seq, reply)
     }
 
-    fn call(&self, method: &str, path: &str, body: Vec<u8>) -> anyhow::Result<(u16, State)> {
-        let call = Call {
-            method: method.to_owned(),
-            url: format!("{}{path}", self.url.trim_end_matches('/')),
-            headers: vec![("Content-Type".into(), "application/json".into())],
-            body,
-            timeout: CALL_TIMEOUT,
-        };
-        let answer = self.client.send(&call)?;
-        let mut bytes = Vec::new();
-        answer.body.take(MAX_STATE_BYTES).read_to_end(&mut bytes)?;
-        Ok((answer.status, serde_json::from_slice(&bytes)?))
+    fn url_of(&self, path: &str) -> String {
+        format!("{}{path}", self.url.trim_end_matches('/'))
     }
 }
+
+fn call(client: &Client, method: &str, url: &str, body: Vec<u8>) -> anyhow::Result<(u16, State)> {
+    let call = Call {
+        method: method.to_owned(),
+        url: url.to_owned(),
+        headers: vec![("Content-Type".into(), "application/json".into())],
+        body,
+        timeout: CALL_TIMEOUT,
+    };
+    let answer = client.send(&call)?;
+    let mut bytes = Vec::new();
+    answer.body.take(MAX_STATE_BYTES).read_to_end(&mut bytes)?;
+    Ok((answer.status, serde_json::from_slice(&bytes)?))
+}
--- a/crates/link/src/call.rs
+++ b/crates/link/src/call.rs
@@ -56,7 +56,7 @@
     pub message: String,
 }
 
-/// An HTTP client that reuses connections.
+/// An HTTP client.
 #[derive(Clone, Debug)]
 pub struct Client {
     agent: Agent,
@@ -68,8 +68,17 @@
 const MAX_IDLE_AGE: Duration = Duration::from_secs(5);
 
 impl Client {
-    /// Creates a client without connections.
+    /// Creates a client that keeps connections open for later calls.
     pub fn new(options: Options) -> Self {
+        Self::with_idle(options, MAX_IDLE)
+    }
+
+    /// Creates a client that opens a connection for each call, so that the first answer on it belongs to the call.
+    pub fn without_reuse(options: Options) -> Self {
+        Self::with_idle(options, (0, 0))
+    }
+
+    fn with_idle(options: Options, max_idle: (usize, usize)) -> Self {
         let agent = Agent::config_builder()
             .http_status_as_error(false)
             .proxy(None)
@@ -79,8 +88,8 @@
             .timeout_connect(Some(options.connect_timeout))
             .timeout_per_read(Some(options.idle_timeout))
             .timeout_per_write(Some(options.idle_timeout))
-            .max_idle_connections(MAX_IDLE.0)
-            .max_idle_connections_per_host(MAX_IDLE.1)
+            .max_idle_connections(max_idle.0)
+            .max_idle_connections_per_host(max_idle.1)
             .max_idle_age(MAX_IDLE_AGE)
             .input_buffer_size(16 * 1024)
             .output_buffer_size(16 * 1024)
