--- a/crates/check/src/orders.rs
+++ b/crates/check/src/orders.rs
@@ -10,61 +10,26 @@
 //! it leaves before the end of its lease; a packet is in the network for less than [`OrderLeaseOptions::settle_ms`]; and a
 //! host that stands still does so before it has checked its lease for a write, or after the write.
 
+mod late_order;
+mod options;
+mod store;
+
 use crate::{State, Steps};
-use std::collections::{BTreeMap, BTreeSet};
+use late_order::{LateOrder, TRANSIT_MS};
+use std::collections::BTreeSet;
+use store::{Key, StoreState};
+
+pub use options::Options;
 use vanetally_placement::{OrderLease, OrderLeaseAction, OrderLeaseEvent, OrderLeaseOptions};
 use vanetally_ports::{Era, FencingToken, LeaseId, Revision};
 use vanetally_types::{Name, Tick};
 
-/// Bounds and switches of the model.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Options {
-    /// Whether a holder stops when its lease, counted from the last renewal, has expired.
-    pub stops_at_expiry: bool,
-    /// Whether a host waits longer after it may have been the holder.
-    pub resettles: bool,
-    /// Whether tokens contain the era, so that they increase across eras.
-    pub era_in_token: bool,
-    /// Whether hosts know the era of the store.
-    pub tracks_eras: bool,
-    /// Whether the renewal of a lease counts only in the era of the lease.
-    pub checks_lease_era: bool,
-    /// Whether a new holder waits until what left its predecessor has left the network.
-    pub settles: bool,
-    /// Whether a holder that leaves the lease first revokes its orders.
-    pub revokes_orders: bool,
-    /// Whether an order is given up at the end of the lease, as known when it was sent.
-    pub ends_with_lease: bool,
-    /// Whether the system gives up an order of a process that is paused or gone.
-    pub ends_in_system: bool,
-    /// Whether the system drops the orders of a process that ends at once.
-    pub resets_at_exit: bool,
-    /// Maximum number of orders that arrive late, or never.
-    pub late_orders: u8,
-    /// Maximum number of times that a holder is asked to leave the lease.
-    pub resignations: u8,
-    /// Maximum number of times that the store is restored from a backup.
-    pub restores: u8,
-    /// Maximum number of calls that their sender gives up on; they are still processed later.
-    pub lost_answers: u8,
-    /// Maximum number of pauses of a host.
-    pub pauses: u8,
-    /// Maximum number of restarts of a host.
-    pub restarts: u8,
-    /// Whether calls are processed before time passes.
-    pub is_prompt: bool,
-    /// Maximum number of steps of time.
-    pub time_steps: u64,
-}
-
 /// Length of a step of time.
 const STEP_MS: u64 = 250;
 /// Time to live of the store's leases.
 const TTL_MS: u64 = 500;
 /// Minimum time between two orders of a host if another host sent an order in between.
 const MIN_TURN_MS: u64 = 1_500;
-/// Less than this is a packet in the network after its sender has stopped to send it.
-const TRANSIT_MS: u64 = STEP_MS;
 /// Time to live of a lease as the holder sees it when [`Options::stops_at_expiry`] is off.
 const UNLIMITED_MS: u64 = 1_000_000;
 /// Number of changes of the store before the start.
@@ -108,59 +73,6 @@
     sent_at: Tick,
 }
 
-/// An order that has not arrived.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-struct LateOrder {
-    host: usize,
-    incarnation: u8,
-    token: FencingToken,
-    /// When its sender gives it up.
-    until: Option<Tick>,
-    /// When it was revoked or given up: from then on it is in the network only.
-    ended_at: Option<Tick>,
-}
-
-impl LateOrder {
-    /// Whether it may arrive at `now` or later.
-    fn may_arrive(&self, now: Tick) -> bool {
-        self.ended_at.is_none_or(|ended_at| now.since(ended_at) < TRANSIT_MS)
-    }
-}
-
-/// The key in the store that names the holder.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Key {
-    host: usize,
-    /// Number of the lease under which it was written.
-    lease: u64,
-    /// Number of the change that wrote it.
-    number: u64,
-}
-
-/// Contents of the store.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct StoreState {
-    /// Expiry times of the leases, by number.
-    leases: BTreeMap<u64, Tick>,
-    key: Option<Key>,
-    /// Number of the last change.
-    number: u64,
-}
-
-impl StoreState {
-    fn end_lease(&mut self, lease: u64) {
-        self.leases.remove(&lease);
-        if self.key.is_some_and(|key| key.lease == lease) {
-            self.remove_key();
-        }
-    }
-
-    fn remove_key(&mut self) {
-        self.key = None;
-        self.number += 1;
-    }
-}
-
 /// State of the model.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Orders {
