fix: requests and calls that are given up are reset, so that they don't arrive later

What callers saw: where a path lost packets for a while, a request arrived at its upstream up to four seconds after its caller had left, its deadline had passed (with the time in its head that was left when it was sent), or its host was gone; the upstream ran it. The same for calls to the store and for requests that pass through another host.

The HTTP library even ends the connection regularly first.

Change: connections to upstreams, to the store and to exits are reset when they are dropped or their process ends (linger time of zero), and are not shut down before. What a host that stands still has left to its system is given up after four seconds as before: a request has no lease, and its upstream has its deadline.

--- a/crates/gateway/src/bounded_stream.rs
+++ b/crates/gateway/src/bounded_stream.rs
@@ -1,4 +1,4 @@
-//! Connections to upstreams with bounds on what they may send at a time.
+//! Connections to upstreams and the store, with bounds on what these may send at a time.
 
 use std::{
     cell::Cell,
@@ -93,8 +93,10 @@
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    /// Does nothing: a connection that is given up is dropped next, which resets it. After a regular end the system would
+    /// still send what was written.
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
--- a/crates/link/src/handshake.rs
+++ b/crates/link/src/handshake.rs
@@ -3,7 +3,7 @@
 use crate::{
     peer::{Options, Traffic, decode},
     proof::{Hello, Side, prove, verify},
-    socket::{set_accepted_link_options, set_link_options, set_peer_options},
+    socket::{reset_on_close, set_accepted_link_options, set_link_options, set_peer_options},
 };
 use futures_util::{SinkExt, StreamExt};
 use serde::{Serialize, de::DeserializeOwned};
@@ -52,7 +52,7 @@
     fn set_dialer_options(self, stream: &TcpStream) -> io::Result<()> {
         match self {
             Self::Link => set_link_options(stream),
-            Self::Tunnel => set_peer_options(stream),
+            Self::Tunnel => set_peer_options(stream).and_then(|()| reset_on_close(stream)),
         }
     }
 
--- a/crates/link/src/revocable.rs
+++ b/crates/link/src/revocable.rs
@@ -143,7 +143,8 @@
         self.with_stream(|stream| stream.poll_flush(context))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.with_stream(|stream| stream.poll_shutdown(context))
+    /// Does nothing: after a regular end the system would still send what was written.
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 }
--- a/crates/link/src/socket.rs
+++ b/crates/link/src/socket.rs
@@ -31,16 +31,27 @@
     connect_within(address, CONNECT_TIMEOUT).await
 }
 
-/// Connects to `address` within `limit`.
+/// Connects to `address` within `limit`. The connection is reset when it is dropped ([`reset_on_close`]).
 ///
 /// # Errors
 /// If the connection is refused or times out.
 pub async fn connect_within(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
     let stream = timeout(limit, TcpStream::connect(address)).await??;
     set_peer_options(&stream)?;
+    reset_on_close(&stream)?;
     Ok(stream)
 }
 
+/// Has the connection reset when it is closed or the process ends. What was written and is not acknowledged would be sent
+/// again after a plain close, for as long as the user timeout: a request that was given up could still arrive.
+///
+/// # Errors
+/// If the socket option can't be set.
+pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    // With a linger time of zero, closing a connection sends a reset.
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 /// Sets the timeouts that detect an unresponsive peer, and disables Nagle's algorithm.
 ///
 /// # Errors
@@ -59,10 +70,8 @@
 /// # Errors
 /// If a socket option can't be set.
 pub fn bound_life(stream: &TcpStream, life: Duration) -> io::Result<()> {
-    let socket = SockRef::from(stream);
-    // A plain close would leave the system sending; with a linger time of zero it resets the connection.
-    socket.set_linger(Some(Duration::ZERO))?;
-    socket.set_tcp_user_timeout(Some(life))
+    reset_on_close(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(life))
 }
 
 /// Sets the options of the sending end of a link between hosts.
