fix: an idle connection that a request can't use makes room for a new one

What callers saw: since a connection takes no request twice, a caller who always sends the same id used up the connections of its host to an upstream: idle ones, none of which it could use, filled the limit, and it got 503 (no_path, "connection limit reached").

Change: where the limit is reached, the oldest idle connection to the address is closed for the new one.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -156,8 +156,10 @@
         Ok(Connection::new(sender, open, None))
     }
 
-    /// Counts a connection to `address` as open if fewer than `max_open` are.
+    /// Counts a connection to `address` as open if fewer than `max_open` are. An idle one makes room for it: it is not
+    /// suitable, or would have been used.
     pub(crate) fn open(&self, address: SocketAddr, max_open: usize) -> Result<OpenGuard, Error> {
+        drop(self.take_excess(address, max_open));
         let mut addresses = self.addresses.borrow_mut();
         let pool = addresses.entry(address).or_default();
         if pool.open >= max_open {
@@ -167,6 +169,13 @@
         Ok(OpenGuard { addresses: self.addresses.clone(), address })
     }
 
+    /// Takes the oldest idle connection to `address` out of the pool if `max_open` are open.
+    fn take_excess(&self, address: SocketAddr, max_open: usize) -> Option<Idle> {
+        let mut addresses = self.addresses.borrow_mut();
+        let pool = addresses.get_mut(&address).filter(|pool| pool.open >= max_open)?;
+        pool.idle.pop_front()
+    }
+
     /// Returns the connection that was counted as `open` and passes through a tunnel.
     pub(crate) async fn connect_through(
         &self,
--- a/tests/surplus_answers.rs
+++ b/tests/surplus_answers.rs
@@ -130,7 +130,7 @@
 ) {
     let deployment = Deployment::start();
     let engine = &deployment.engines[0];
-    engine.set_behaviour(Behaviour::RejectFirstStream { status: 503, after: 2, events: 5 });
+    engine.set_behaviour(Behaviour::RejectFirstStream { status: 503, after: Some(2), events: 5 });
     engine.set_surplus(surplus(AnswerClass::Rejection, 1, when));
     let host = deployment.host("front-1");
     for (id, answer) in send_all(&host, draft) {
@@ -158,6 +158,18 @@
     }
 }
 
+/// A caller who always uses the same id needs a connection for each request, but never uses up those of its host.
+#[test]
+fn id_stays_the_same() {
+    const TIMES: usize = 130;
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    let mut session = Session::new();
+    let mut send = || check("same").send_on(&mut session, host.front).status;
+    let statuses: Vec<u16> = (0..TIMES).map(|_| send()).collect();
+    assert_eq!(statuses, [200; TIMES]);
+}
+
 /// Copies of answers to orders and reports neither stop the orders nor make them wrong.
 #[rstest]
 fn copied_control_answer(
