--- a/tests/soak/late_bytes.rs
+++ b/tests/soak/late_bytes.rs
@@ -1,13 +1,14 @@
 //! Paths that lose bytes and send them again later, and runners that send copies of their answers, amid all other faults.
 
 use crate::{
+    faults::EVENTS,
     invariants::Violation,
-    site::{Site, other_build},
+    site::{HostSlot, Site, other_build},
 };
 use rand::{RngExt, rngs::StdRng};
-use std::time::Duration;
+use std::{thread, time::Duration};
 use vanetally_platform_standin::{
-    AnswerClass, ProxyMode, ReceivedOrder, Surplus, SurplusTime, TapMode,
+    AnswerClass, Behaviour, ProxyMode, ReceivedOrder, Surplus, SurplusTime, TapMode,
 };
 
 /// Share of the faults after which one of these is injected or healed.
@@ -22,6 +23,11 @@
     SurplusTime::BeforeSecond,
     SurplusTime::BeforeSameId,
 ];
+/// Share of the cuts that strike the holder of the order lease.
+const HOLDER_SHARE: f64 = 0.7;
+/// Time in which a host that was cut off gives orders, before it may be cut off from the store.
+const UNDER_WAY: Duration = Duration::from_millis(300);
+const REJECTIONS: [u16; 3] = [503, 429, 421];
 /// In seeds divisible by this runners check no fencing tokens.
 const UNFENCED_EVERY: u64 = 3;
 /// Longest time for which what a host has sent may be held up. A proxy acknowledges what it holds up, so that the system of
@@ -36,20 +42,16 @@
 }
 
 /// Injects or heals one of these faults, with the probability `SHARE`. Does nothing beside another build.
-pub fn inject(rng: &mut StdRng, site: &Site) {
+pub fn inject(rng: &mut StdRng, site: &mut Site) {
     if other_build().is_some() || !rng.random_bool(SHARE) {
         return;
     }
-    let slot = &site.slots[rng.random_range(0..site.slots.len())];
-    match rng.random_range(0..4) {
-        0 => {
-            slot.set_tap_mode(&site.tap_modes, TapMode::Cut);
-            if rng.random_bool(STORE_SHARE) {
-                slot.store_link.set_mode(ProxyMode::Silent);
-            }
-        }
-        1 => slot.set_tap_mode(&site.tap_modes, TapMode::Pass),
-        2 => {
+    let slot = rng.random_range(0..site.slots.len());
+    match rng.random_range(0..6) {
+        0 | 1 => cut_off(rng, site),
+        2 => reject_first(rng, site),
+        3 => site.slots[slot].set_tap_mode(&site.tap_modes, TapMode::Pass),
+        4 => {
             let of = CLASSES[rng.random_range(0..CLASSES.len())];
             let when = TIMES[rng.random_range(0..TIMES.len())];
             let surplus = Surplus { of, copies: rng.random_range(1..3), when };
@@ -60,6 +62,31 @@
     }
 }
 
+/// Cuts a host off, mostly the holder of the order lease, and has it give orders: an engine has just restarted.
+fn cut_off(rng: &mut StdRng, site: &mut Site) {
+    let holder = site.slots.iter().position(HostSlot::is_order_holder);
+    let random = rng.random_range(0..site.slots.len());
+    let slot = holder.filter(|_| rng.random_bool(HOLDER_SHARE)).unwrap_or(random);
+    site.slots[slot].set_tap_mode(&site.tap_modes, TapMode::Cut);
+    let engine = rng.random_range(0..site.deployment.engines.len());
+    site.restart_runner(engine);
+    site.runner(engine).load_initial_models();
+    thread::sleep(UNDER_WAY);
+    if rng.random_bool(STORE_SHARE) {
+        site.slots[slot].store_link.set_mode(ProxyMode::Silent);
+    }
+}
+
+/// Has the engines reject each request once and send copies of the rejection.
+fn reject_first(rng: &mut StdRng, site: &Site) {
+    let status = REJECTIONS[rng.random_range(0..REJECTIONS.len())];
+    let when = TIMES[rng.random_range(0..TIMES.len())];
+    for engine in &site.deployment.engines {
+        engine.set_behaviour(Behaviour::RejectFirstStream { status, after: None, events: EVENTS });
+        engine.set_surplus(Some(Surplus { of: AnswerClass::Rejection, copies: 1, when }));
+    }
+}
+
 /// Ends the copies of answers.
 pub fn heal(site: &Site) {
     let runners = site.deployment.engines.iter().chain(&site.deployment.desks);
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Whether the process runs and holds the order lease.
+    pub fn is_order_holder(&self) -> bool {
+        !self.is_paused && self.host.as_ref().is_some_and(Host::is_order_holder)
+    }
+
     /// Sets how the connections of the process to runners are treated.
     pub fn set_tap_mode(&self, modes: &TapModes, mode: TapMode) {
         if let Some(host) = &self.host {
@@ -427,7 +432,7 @@
         if has_entry_faults {
             faults::inject_entry_fault(&mut entry_rng, &mut site);
             streams::inject(&mut stream_rng, &site);
-            late_bytes::inject(&mut late_rng, &site);
+            late_bytes::inject(&mut late_rng, &mut site);
             restores::inject(&mut restore_rng, &mut site);
         }
     }
