--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -106,6 +106,7 @@
     pub host_lease: watch::Sender<Option<vanetally_ports::LeaseId>>,
     /// Connections to runners for report requests.
     pub control_pool: Pool,
+    /// Orders that have no answer, each on a connection of its own.
     pub open_orders: OpenOrders,
     pub links: Links,
     pub dispatch: RefCell<Dispatch>,
@@ -114,6 +115,7 @@
     pub placement: RefCell<Placement>,
     pub order_lease: RefCell<OrderLease>,
     pub holder: RefCell<Option<Name>>,
+    /// Rejects what former holders of the order lease announce.
     pub announcement_fence: Cell<AnnouncementFence>,
     pub peers: RefCell<BTreeMap<Name, HostEntry>>,
     /// Hosts that are known from other hosts only.
--- a/crates/gateway/src/order_call.rs
+++ b/crates/gateway/src/order_call.rs
@@ -15,7 +15,6 @@
     socket,
 };
 use vanetally_ports::Order;
-use vanetally_types::Tick;
 
 /// Timeout of an order to a runner.
 pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -113,7 +112,7 @@
 
 /// Returns how long the order may be on its way from now on.
 fn allowed_life(hub: &Hub, order: &Order) -> Result<Duration, Error> {
-    let now: Tick = hub.clock.now();
+    let now = hub.clock.now();
     let until = hub.order_lease.borrow().orders_until(now, order.token);
     let left = until.map(|until| Duration::from_millis(until.since(now)));
     let left = left.filter(|left| *left >= MIN_LIFE);
