--- a/crates/check/src/orders.rs
+++ b/crates/check/src/orders.rs
@@ -7,7 +7,7 @@
 //! as holders within `MIN_TURN_MS`, and at most one host at a time holds a valid lease.
 //!
 //! That orders arrive in turn rests on these assumptions: the holder's clock gains less on the store's than the margin that
-//! it leaves before the end of its lease; a packet is in the network for less than [`OrderLeaseOptions::settle_ms`]; and a
+//! it leaves before the end of its lease; a packet is in the network for less than `OrderLeaseOptions::settle_ms`; and a
 //! host that stands still does so before it has checked its lease for a write, or after the write.
 
 mod late_order;
--- a/crates/link/src/revocable.rs
+++ b/crates/link/src/revocable.rs
@@ -1,10 +1,10 @@
 //! TCP connections that can be ended at any time, so that nothing of them is sent any more.
 //!
 //! Bytes outlive the one who wrote them in three places: in the buffers of the process, in those of the system, which goes
-//! on sending them after the connection was closed, and in the network. A [`Revocable`] connection covers the first two: it
+//! on sending them after the connection was closed, and in the network. A `Revocable` connection covers the first two: it
 //! writes nothing once its term is over, and it is reset, not closed, when it is revoked, dropped or left by a process that
 //! ends. A process that stands still can't do either; for it the system gives the bytes up when the term is over
-//! ([`bound_life`]).
+//! (`socket::bound_life`).
 
 use crate::socket::bound_life;
 use std::{
