test: callers under load stop when the scenario of their test fails

A test whose scenario panicked never ended: the callers' threads wait for the end of the scenario, which a panic left out. Seen with a draft of a case of tests/late_orders.rs, ten minutes without an end. `failed_scenario_ends` hung before and takes a second now.

--- a/tests/gateway/load.rs
+++ b/tests/gateway/load.rs
@@ -61,7 +61,8 @@
     let load = |index: usize| {
         let numbered = |number: u64| request(number * fronts.len() as u64 + index as u64);
         run_load(&fronts[index..=index], numbered, callers, pause, send, || {
-            drop(is_over.lock().expect("no thread panicked"));
+            // The lock is poisoned if the scenario panicked.
+            drop(is_over.lock());
         })
     };
     let guard = is_over.lock().expect("no thread panicked");
@@ -75,6 +76,15 @@
     })
 }
 
+/// Ends the callers with the scenario, also if it panics.
+struct EndOnDrop<'a>(&'a AtomicBool);
+
+impl Drop for EndOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 fn run_load(
     fronts: &[SocketAddr],
     request: impl Fn(u64) -> Client + Sync,
@@ -100,8 +110,8 @@
     };
     thread::scope(|scope| {
         (0..callers).for_each(|_| drop(scope.spawn(call)));
+        let _end = EndOnDrop(&is_over);
         scenario();
-        is_over.store(true, Ordering::Relaxed);
     });
     exchanges.into_inner().expect("no thread panicked")
 }
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -129,3 +129,11 @@
         assert!(overtaken.is_none(), "{overtaken:?}");
     }
 }
+
+/// A scenario that fails ends its test: its callers stop.
+#[test]
+#[should_panic(expected = "the scenario failed")]
+fn failed_scenario_ends() {
+    let site = TappedDeployment::start_partitioned(1, 1);
+    site.under_load(offer, CALLERS, PAUSE, || panic!("the scenario failed"));
+}
