--- a/crates/ports/src/engine.rs
+++ b/crates/ports/src/engine.rs
@@ -129,8 +129,8 @@
     Unsigned,
     /// The request ran and failed.
     Failure,
-    /// A status by which callers are promised that the request has not run, without proof that it has not. It must not be
-    /// relayed.
+    /// A status by which callers are promised that the request has not run, without proof that it has not, or a mark that it
+    /// has not run beside a status that says otherwise. It must not be relayed.
     Unproven,
     /// The request did not run: the upstream has no capacity.
     Full,
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -214,6 +214,21 @@
         self.spawn_program(program, name, ip, &settings(name, ip, store), &[])
     }
 
+    /// Starts a host of another build in the failure domain `domain`, with these scheduling settings.
+    pub fn spawn_build_in(
+        &self,
+        program: &Path,
+        name: &str,
+        domain: &str,
+        scheduling: &Value,
+    ) -> Host {
+        let ip = fresh_ip();
+        let mut machine = settings(name, &ip, self.store.address());
+        machine["zone"] = domain.into();
+        let settings = json!({ "scheduling": scheduling, "machine": machine });
+        self.spawn_program(program, name, &ip, &settings, &[])
+    }
+
     /// Starts a host with strict revocation, which accepts a revoked key for at most five seconds, and
     /// waits until it is ready.
     pub fn strict_host(&self, name: &str) -> Host {
