fix: streams that may be taken up begin only at software versions that the store keeps

What callers saw: after all hosts had been killed, a stream that was taken up went on at another software version than the one that had begun it: 200, to its end, joined from two versions, with nothing to show it.

Cause: hosts used a version as soon as it was announced, and one of them wrote it to the store 1.5 s later. Hosts that lose all memory in between read that the service has only ever had the first one. At a site that has just started, or whose store takes no writes, the same holds for the first version.

Change: a stream that may be taken up is sent to an upstream only when the store is known to keep its version; everything else is sent as before. The record is written as soon as a version is seen (0.5 s after the start of the host at the earliest), and by up to four hosts in turn, one more each 0.4 s, so that a paused writer does not hold a new version up. A stream that has begun is bound to its version as before.

Two decision tests now say what the store keeps: without that their streams would wait.

--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -7,6 +7,7 @@
 use vanetally_ports::{CallerRequest, Configuration, ModelRef, Refusal, UpstreamState};
 use vanetally_quarantine::{ContentHash, CrashSign, Quarantine, Suspicion};
 use vanetally_slots::{SlotAnswer, SlotEnd, SlotRequest};
+use vanetally_streams::Versions;
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// Identifies a request within this process.
@@ -117,6 +118,13 @@
         /// Whether all were granted; otherwise none is.
         is_granted: bool,
     },
+    /// The software versions of a service that the store keeps have changed.
+    VersionsStored {
+        /// The service.
+        service: Name,
+        /// The versions; `None` if the store keeps none.
+        versions: Option<Versions>,
+    },
     /// An upstream was probed after attempts at it had broken off.
     Probed {
         /// The probed upstream.
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -29,6 +29,7 @@
 };
 use vanetally_quarantine::{BlockedContents, ContentHash};
 use vanetally_slots::SlotEnd;
+use vanetally_streams::Versions;
 use vanetally_types::{Incarnation, Name, Tick, Verdict, hash64};
 
 /// All request decisions of one host.
@@ -54,6 +55,8 @@
     /// itself again.
     cooldowns: BTreeMap<Incarnation, Cooldown>,
     pub(crate) directory: Directory,
+    /// The software versions of the services that the store keeps.
+    pub(crate) stored_versions: HashMap<Name, Versions>,
     pub(crate) loads: Loads,
     pub(crate) requests: HashMap<RequestId, Request>,
     pub(crate) queue: Queue,
@@ -105,6 +108,7 @@
             evacuated: Rc::default(),
             cooldowns: BTreeMap::new(),
             directory: Directory::default(),
+            stored_versions: HashMap::new(),
             loads: Loads::default(),
             requests: HashMap::new(),
             queue: Queue::default(),
@@ -145,6 +149,7 @@
             }
             Event::Unjudged { upstream, contents } => self.unjudged(now, &upstream, &contents),
             Event::Detached { id } => self.detach(id),
+            Event::VersionsStored { service, versions } => self.versions_stored(service, versions),
             Event::UpstreamSeen { id, state } => self.upstream_seen(now, id, state),
             Event::UpstreamUnreadable { id } => {
                 if let Some(upstream) = self.upstreams.get_mut(&id) {
@@ -294,8 +299,12 @@
         let known = self.upstreams.get(&id);
         let reported = known.into_iter().flat_map(Upstream::reported_models);
         self.directory.insert(&id, &state, reported);
+        let is_version_stored = self.is_version_stored(&state);
         match self.upstreams.get_mut(&id) {
-            Some(upstream) => upstream.update(state, now),
+            Some(upstream) => {
+                upstream.update(state, now);
+                upstream.is_version_stored = is_version_stored;
+            }
             None => {
                 for other in self.directory.at(state.address) {
                     if let Some(upstream) = self.upstreams.get_mut(other) {
@@ -304,6 +313,7 @@
                 }
                 let mut upstream = Upstream::new(state, now);
                 upstream.cold.configure(self.cold_start(&upstream.state.service));
+                upstream.is_version_stored = is_version_stored;
                 upstream.is_evacuated = self.evacuated.contains(&upstream.state.domain);
                 upstream.cooldown = self.cooldowns.remove(&id).unwrap_or_default();
                 self.upstreams.insert(id, upstream);
--- a/crates/dispatch/src/sending.rs
+++ b/crates/dispatch/src/sending.rs
@@ -19,6 +19,9 @@
 /// stalled would otherwise send at times that were granted to others.
 const PERMIT_TTL_MS: u64 = 1_000;
 
+/// What prevents sending in one pass, by model or adapter and by whether the version must be in the store.
+type Shortages = HashMap<(Option<ModelRef>, bool), Shortage>;
+
 impl Dispatch {
     /// Sends the waiting requests that can be sent.
     pub(crate) fn send_waiting(&mut self, now: Tick, actions: &mut Vec<Action>) {
@@ -52,7 +55,7 @@
         now: Tick,
         service: &Name,
         id: RequestId,
-        (shortages, views): (&mut HashMap<Option<ModelRef>, Shortage>, &QueueViews),
+        (shortages, views): (&mut Shortages, &QueueViews),
         actions: &mut Vec<Action>,
     ) {
         let Some(request) = self.requests.get(&id) else {
@@ -84,7 +87,8 @@
         };
         // What others lack may be there at one version, and the other way round.
         let is_shared = request.software_version.is_none();
-        if let Some(shortage) = shortages.get(&subject).copied().filter(|_| is_shared) {
+        let shared_by = (subject.clone(), request.needs_stored_version());
+        if let Some(shortage) = shortages.get(&shared_by).copied().filter(|_| is_shared) {
             if let Some(request) = self.requests.get_mut(&id) {
                 request.shortage = Some(shortage);
             }
@@ -114,7 +118,7 @@
                     return self.await_slot(now, id, actions);
                 }
                 if request.tried.is_empty() && is_shared {
-                    shortages.insert(subject.clone(), shortage);
+                    shortages.insert(shared_by, shortage);
                 }
                 let needs_copy =
                     shortage.kind == ShortageKind::Adapter && self.is_held_elsewhere(now, request);
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -74,6 +74,8 @@
     pub is_unreadable: bool,
     /// Operators evacuate the upstream's failure domain.
     pub is_evacuated: bool,
+    /// The store keeps that the upstream's service has its software version.
+    pub is_version_stored: bool,
     /// An incarnation that announced the same address after this one had failed.
     successor: Option<Incarnation>,
     /// When the upstream will be gone, if it announced that.
@@ -111,6 +113,7 @@
             is_replaced: false,
             is_unreadable: false,
             is_evacuated: false,
+            is_version_stored: false,
             successor: None,
             gone_at: None,
             peers: BTreeMap::new(),
--- a/crates/dispatch/src/versions.rs
+++ b/crates/dispatch/src/versions.rs
@@ -7,7 +7,10 @@
     routes,
     upstream::Upstream,
 };
-use vanetally_ports::{CallerRequest, RefusalCause, RequestKind, Route, Software, Target};
+use vanetally_ports::{
+    CallerRequest, RefusalCause, RequestKind, Route, Software, Target, UpstreamState,
+};
+use vanetally_streams::Versions;
 use vanetally_types::{Incarnation, Name, Tick};
 
 /// A stream whose first event reaches its caller.
@@ -24,9 +27,17 @@
 impl Request {
     /// Whether the request may be sent to an upstream with the software version of `upstream`.
     pub(crate) fn fits(&self, upstream: &Upstream) -> bool {
-        self.software_version
-            .as_ref()
-            .is_none_or(|version| *version == upstream.state.software_version)
+        match &self.software_version {
+            Some(version) => *version == upstream.state.software_version,
+            None => upstream.is_version_stored || !self.needs_stored_version(),
+        }
+    }
+
+    /// Whether the request begins a stream that may be taken up. Where it began follows from the versions in the store
+    /// once all hosts have been lost, so that it begins at one of them.
+    pub(crate) fn needs_stored_version(&self) -> bool {
+        let may_resume = self.route.kind == RequestKind::Stream && self.route.resumable;
+        may_resume && self.software_version.is_none()
     }
 }
 
@@ -61,6 +72,28 @@
 }
 
 impl Dispatch {
+    /// Handles a change of the versions of a service that the store keeps.
+    pub(crate) fn versions_stored(&mut self, service: Name, versions: Option<Versions>) {
+        match versions {
+            Some(versions) => drop(self.stored_versions.insert(service.clone(), versions)),
+            None => drop(self.stored_versions.remove(&service)),
+        }
+        let stored = self.stored_versions.get(&service);
+        for id in self.directory.upstreams_of(&service) {
+            if let Some(upstream) = self.upstreams.get_mut(id) {
+                let version = &upstream.state.software_version;
+                upstream.is_version_stored =
+                    stored.is_some_and(|versions| versions.include(version));
+            }
+        }
+    }
+
+    /// Whether the store keeps the version of an upstream with this state.
+    pub(crate) fn is_version_stored(&self, state: &UpstreamState) -> bool {
+        let stored = self.stored_versions.get(&state.service);
+        stored.is_some_and(|versions| versions.include(&state.software_version))
+    }
+
     /// Returns the services that may have begun the stream that a request asks to go on; `None` if it asks for no
     /// such stream.
     pub fn stream_services(&self, now: Tick, head: &CallerRequest) -> Option<Vec<Name>> {
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -6,6 +6,7 @@
 use vanetally_dispatch::{Action, AttemptEnd, Event, RequestId, SuspectedContent};
 use vanetally_ports::{RefusalCause, RequestKind};
 use vanetally_quarantine::{CrashEvidence, CrashReport, CrashSign, Finding, Quarantine, Suspicion};
+use vanetally_streams::Versions;
 use vanetally_types::{Tick, Verdict};
 
 const CONTENT: u64 = 7;
@@ -300,6 +301,8 @@
     let mut draft = route("draft", RequestKind::Stream, "llm");
     draft.resumable = true;
     let mut host = Host::new(vec![draft]);
+    let versions = Some(Versions::One("v1".into()));
+    host.handle(Event::VersionsStored { service: "llm".into(), versions });
     for port in 1..=8 {
         host.announce(&format!("i-{port}"), upstream("llm", port, &["m1"]));
     }
--- a/crates/dispatch/tests/stream_versions.rs
+++ b/crates/dispatch/tests/stream_versions.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use support::{Host, refusal, request, route, sent, sent_to, upstream};
 use vanetally_dispatch::{Action, AttemptEnd, Event, RequestId};
 use vanetally_ports::{
     CallerRequest, HeldModel, ModelRef, RefusalCause, RequestKind, Route, Software, Target,
     UpstreamState,
 };
+use vanetally_streams::Versions;
 use vanetally_types::{Name, Verdict};
 
 const MODEL: &str = "m1";
@@ -33,9 +35,15 @@
         let state = UpstreamState { slots: 64, ..at_version(version, port, &[MODEL]) };
         host.announce(id, state);
     }
+    host.handle(stored(Some(Versions::Several)));
     host
 }
 
+/// The store keeps these versions of the service.
+fn stored(versions: Option<Versions>) -> Event {
+    Event::VersionsStored { service: "llm".into(), versions }
+}
+
 /// A request that takes a stream up.
 fn taken_up(id: &str, service: &str, version: &str) -> CallerRequest {
     let software = Software { service: service.into(), version: version.into() };
@@ -197,6 +205,7 @@
 #[test]
 fn shortage_of_one_version() {
     let mut host = Host::new(vec![resumable()]);
+    host.handle(stored(Some(Versions::Several)));
     host.announce("i-1", UpstreamState { slots: 1, ..at_version("v1", 1, &[MODEL]) });
     let (first, actions) = host.arrive(taken_up("l", "llm", "v1"));
     assert_eq!(sent(&actions, first).len(), 1);
@@ -208,3 +217,55 @@
     let actions = host.end_attempt(first, AttemptEnd::Served);
     assert_eq!(&*software_of(&actions, second), "v1");
 }
+
+/// A stream that may be taken up waits for a version that the store keeps; others do not.
+#[test]
+fn begins_at_stored_version() {
+    let plain = Route {
+        resumable: false,
+        ..Route { name: "offer".into(), prefix: "/offer/".into(), ..resumable() }
+    };
+    let mut host = Host::new(vec![resumable(), plain]);
+    for (port, (id, version)) in (1..).zip(&BOTH[..2]) {
+        host.announce(id, UpstreamState { slots: 64, ..at_version(version, port, &[MODEL]) });
+    }
+    let (first, actions) = host.arrive(request("a", "draft", Some(MODEL)));
+    assert_eq!(sent(&actions, first), []);
+    let (other, actions) = host.arrive(request("b", "offer", Some(MODEL)));
+    assert_eq!(sent(&actions, other).len(), 1, "nobody takes it up");
+    let actions = host.handle(stored(Some(Versions::One("v1".into()))));
+    assert_eq!(&*software_of(&actions, first), "v1");
+    for number in 0..MANY {
+        let (id, actions) = host.arrive(request(&format!("c{number}"), "draft", Some(MODEL)));
+        assert_eq!(&*software_of(&actions, id), "v1");
+    }
+    host.handle(stored(Some(Versions::Several)));
+    let begun: BTreeSet<Name> = (0..MANY)
+        .map(|number| {
+            let (id, actions) = host.arrive(request(&format!("d{number}"), "draft", Some(MODEL)));
+            software_of(&actions, id)
+        })
+        .collect();
+    assert!(begun.contains("v1.2"), "{begun:?}");
+}
+
+/// An upstream that is announced anew with another version gets no such stream before the store keeps it.
+#[test]
+fn changed_version_is_not_stored() {
+    let mut host = host(&BOTH[..1]);
+    host.handle(stored(Some(Versions::One("v1".into()))));
+    host.announce("i-1", at_version("v2", 1, &[MODEL]));
+    let (id, actions) = host.arrive(request("a", "draft", Some(MODEL)));
+    assert_eq!(sent(&actions, id), []);
+    let actions = host.handle(stored(Some(Versions::Several)));
+    assert_eq!(&*software_of(&actions, id), "v2");
+}
+
+/// What the store loses again is not relied on.
+#[test]
+fn lost_record() {
+    let mut host = host(&BOTH[..2]);
+    host.handle(stored(None));
+    let (id, actions) = host.arrive(request("a", "draft", Some(MODEL)));
+    assert_eq!(sent(&actions, id), []);
+}
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -254,7 +254,7 @@
                 rand::random(),
                 settings.scheduling.quota_wait,
             )),
-            streams: RefCell::new(Streams::new(rand::random())),
+            streams: RefCell::new(Streams::new(clock.now(), rand::random())),
             limits: RefCell::new(Limits::new(rand::random())),
             leaving_upstreams: RefCell::default(),
             evidence: RefCell::new(CrashEvidence::new(rand::random())),
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -8,9 +8,14 @@
     watch::jittered,
 };
 use serde::{Deserialize, Serialize};
-use std::{collections::HashMap, pin::pin, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{sync::mpsc, time::sleep};
-use vanetally_dispatch::{RequestId, StreamBegun};
+use vanetally_dispatch::{Event, RequestId, StreamBegun};
 use vanetally_ports::{
     CallerRequest, Expectation, Item, Refusal, RefusalCause, Revision, Software, StoreAnswer,
     Transaction, Write,
@@ -35,10 +40,14 @@
 const MAX_LOOKUPS: usize = 512;
 /// Prefix of the stored keys of versions, followed by the service.
 const VERSIONS_PREFIX: &str = "vanetally/versions/";
-/// Time for which versions are not in the store before they are written, and more for each host: hosts that start
-/// together do not know at once which of them writes.
-const WRITE_DELAY_MS: u64 = 1_500;
-const WRITE_DELAY_PER_HOST_MS: u64 = 2;
+/// Time from the start of a host before it writes versions, and more for each host: hosts that start together do not know
+/// at once which of them writes.
+const START_DELAY_MS: u64 = 500;
+const START_DELAY_PER_HOST_MS: u64 = 2;
+/// Time after which the next host in the order of the service writes what is still not in the store.
+const TURN_MS: u64 = 400;
+/// Number of hosts that write, so that a store that refuses writes gets few.
+const MAX_WRITERS: u64 = 4;
 /// Pause after a write.
 const WRITE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -62,15 +71,18 @@
     versions: KnownVersions,
     lookups: HashMap<u64, mpsc::UnboundedSender<Answer>>,
     next_lookup: u64,
+    /// When the process started.
+    started: Tick,
     /// Since when the store lacks versions.
     unsaved_since: Option<Tick>,
     is_writing: bool,
 }
 
 impl Streams {
-    /// Creates the state of a process. `first_lookup` differs between starts.
-    pub(crate) fn new(first_lookup: u64) -> Self {
+    /// Creates the state of a process that starts now. `first_lookup` differs between starts.
+    pub(crate) fn new(started: Tick, first_lookup: u64) -> Self {
         Self {
+            started,
             beginnings: Beginnings::default(),
             versions: KnownVersions::default(),
             lookups: HashMap::new(),
@@ -244,22 +256,44 @@
     }
 
     /// Handles what the store keeps of the versions of a service; `None` if its key is gone.
-    pub(crate) fn stored_versions_seen(&self, key: &str, item: Option<&Item>) {
+    pub(crate) fn stored_versions_seen(self: &Rc<Self>, key: &str, item: Option<&Item>) {
         let Some(service) = key.strip_prefix(VERSIONS_PREFIX).map(Name::from) else {
             return;
         };
+        self.read_versions(&service, item);
+        self.tell_stored_versions(service);
+    }
+
+    fn read_versions(&self, service: &Name, item: Option<&Item>) {
         let read = item.map(|item| serde_json::from_slice::<Versions>(&item.value)).transpose();
         let versions = read.unwrap_or_else(|error| {
             log::error!("event=versions_unreadable service={service} error=\"{error}\"");
             None
         });
-        self.streams.borrow_mut().versions.set_stored(&service, versions);
+        self.streams.borrow_mut().versions.set_stored(service, versions);
+    }
+
+    /// Tells the dispatcher which versions of a service the store keeps.
+    fn tell_stored_versions(self: &Rc<Self>, service: Name) {
+        let versions = self.streams.borrow().versions.stored(&service).cloned();
+        self.request_event(Event::VersionsStored { service, versions });
     }
 
     /// Handles all keys of the product, which were read again.
-    pub(crate) fn stored_versions_read<'a>(&self, items: impl Iterator<Item = &'a Item>) {
-        self.streams.borrow_mut().versions.clear_stored();
-        items.for_each(|item| self.stored_versions_seen(&item.key, Some(item)));
+    pub(crate) fn stored_versions_read<'a>(self: &Rc<Self>, items: impl Iterator<Item = &'a Item>) {
+        let mut changed: BTreeSet<Name> = {
+            let versions = &mut self.streams.borrow_mut().versions;
+            let before = versions.stored_services().cloned().collect();
+            versions.clear_stored();
+            before
+        };
+        for item in items {
+            if let Some(service) = item.key.strip_prefix(VERSIONS_PREFIX).map(Name::from) {
+                self.read_versions(&service, Some(item));
+                changed.insert(service);
+            }
+        }
+        changed.into_iter().for_each(|service| self.tell_stored_versions(service));
     }
 
     /// Removes beginnings that have expired, and has the store keep versions that it does not.
@@ -285,11 +319,13 @@
             return None;
         }
         let since = *streams.unsaved_since.get_or_insert(now);
-        let delay_ms = WRITE_DELAY_MS + self.peers.borrow().len() as u64 * WRITE_DELAY_PER_HOST_MS;
-        if streams.is_writing || now.since(since) < delay_ms || !self.has_host_list.get() {
+        let hosts = self.peers.borrow().len() as u64;
+        let first = since.max(streams.started + START_DELAY_MS + hosts * START_DELAY_PER_HOST_MS);
+        if streams.is_writing || now < first || !self.has_host_list.get() {
             return None;
         }
-        unsaved.find(|service| self.writes_versions(service)).cloned()
+        let writers = (1 + now.since(first) / TURN_MS).min(MAX_WRITERS);
+        unsaved.find(|service| self.writes_versions(service, writers as usize)).cloned()
     }
 
     fn start_writing(self: &Rc<Self>, service: Name) {
@@ -304,8 +340,8 @@
         });
     }
 
-    /// Whether this host writes the versions of a service to the store.
-    fn writes_versions(&self, service: &Name) -> bool {
+    /// Whether this host is one of the first `writers` to write the versions of a service to the store.
+    fn writes_versions(&self, service: &Name, writers: usize) -> bool {
         let is_configured = self
             .dispatch
             .borrow()
@@ -317,7 +353,8 @@
             *host != own && entry.capabilities.includes(Capabilities::STREAMS)
         });
         let hosts = others.map(|(host, _)| host).chain([own]);
-        is_configured && rendezvous_rank(hash64(service.as_bytes()), hosts).first() == Some(&own)
+        let rank = rendezvous_rank(hash64(service.as_bytes()), hosts);
+        is_configured && rank.into_iter().take(writers).any(|host| host == own)
     }
 
     /// Writes the versions of a service to the store; returns whether that succeeded.
--- a/crates/streams/src/versions.rs
+++ b/crates/streams/src/versions.rs
@@ -15,6 +15,14 @@
 }
 
 impl Versions {
+    /// Whether `version` is one of them, or may be.
+    pub fn include(&self, version: &Name) -> bool {
+        match self {
+            Self::One(only) => only == version,
+            Self::Several => true,
+        }
+    }
+
     /// Returns the versions of both.
     #[must_use]
     pub fn join(self, other: Self) -> Self {
@@ -79,6 +87,16 @@
         }
     }
 
+    /// Returns what the store keeps of a service.
+    pub fn stored(&self, service: &Name) -> Option<&Versions> {
+        self.stored.get(service)
+    }
+
+    /// Returns the services of which the store keeps versions.
+    pub fn stored_services(&self) -> impl Iterator<Item = &Name> {
+        self.stored.keys()
+    }
+
     /// Forgets what the store keeps, before all of it is read again.
     pub fn clear_stored(&mut self) {
         self.stored.clear();
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -12,8 +12,8 @@
     time::{Duration, Instant},
 };
 use vanetally_platform_standin::{
-    Behaviour, Client, ClientAnswer, Proxy, ProxyMode, Runner, StreamFault, StreamFraming,
-    StreamShape,
+    Behaviour, Client, ClientAnswer, Proxy, ProxyMode, Restore, Runner, StoreMode, StreamFault,
+    StreamFraming, StreamShape,
 };
 
 const VERSIONS: [&str; 2] = ["v1", "v1.2"];
@@ -332,3 +332,108 @@
     let answer = client.send(late.front);
     assert_eq!(answer.status, 503, "{answer:?}");
 }
+
+/// Time in which streams begin at a version that has just appeared.
+const APPEARS: Duration = Duration::from_millis(700);
+/// Time in which a version that has appeared is in use, with a margin for a busy machine.
+const IN_USE: Duration = Duration::from_millis(4_000);
+
+impl Site {
+    /// Begins streams that break off for a while; returns those that began.
+    fn begin_for(&self, length: Duration) -> Vec<Broken> {
+        let (began, mut broken) = (Instant::now(), Vec::new());
+        while began.elapsed() < length {
+            let id = format!("early-{}", self.runs());
+            let answer = draft(&id).deadline(300).send(self.hosts[0].front);
+            let version = versions(&answer).into_iter().next();
+            broken.extend(version.map(|version| Broken { id, version }));
+        }
+        broken
+    }
+
+    /// Announces two engines of the second version.
+    fn announce_second(&mut self) {
+        for _ in 0..2 {
+            self.deployment.add_engine();
+            let engine = self.deployment.engines.last().expect("one was added");
+            engine.set_version(VERSIONS[1]);
+            engine.set_behaviour(Behaviour::Shaped(STUCK));
+            let (key, value) = engine.entry();
+            self.deployment.store.put(&key, &value);
+        }
+    }
+
+    /// Kills all hosts and starts as many, which have time to agree on the versions.
+    fn lose_hosts(&mut self) {
+        let count = self.hosts.len();
+        self.hosts.iter_mut().for_each(Host::kill);
+        self.deployment.store.set_mode(StoreMode::Serving);
+        self.set_shape(WHOLE);
+        self.hosts = self.deployment.hosts(count);
+        thread::sleep(Duration::from_millis(3_000));
+    }
+}
+
+/// A stream at a version that the store does not keep when all hosts are lost does not go on at another one.
+#[rstest]
+fn lost_before_kept(
+    #[values(StoreMode::Serving, StoreMode::RefusedWrites, StoreMode::DroppedAnswers)]
+    mode: StoreMode,
+) {
+    let mut site = Site::start(3, &VERSIONS[..1], WHOLE);
+    thread::sleep(Duration::from_millis(1_500));
+    site.set_shape(STUCK);
+    site.deployment.store.set_mode(mode);
+    site.announce_second();
+    let broken = site.begin_for(APPEARS);
+    assert!(!broken.is_empty(), "the first version still serves");
+    site.hosts.iter_mut().for_each(Host::kill);
+    site.remove(VERSIONS[1]);
+    site.lose_hosts();
+    site.take_up(1, &broken);
+}
+
+/// The same where the store takes no writes since the hosts have started, and then has another version.
+#[test]
+fn lost_before_first_kept() {
+    let mut site = Site::start(1, &VERSIONS[..1], WHOLE);
+    site.hosts.iter_mut().for_each(Host::kill);
+    let key = site.deployment.store.keys("vanetally/versions/");
+    key.iter().for_each(|key| site.deployment.store.remove(key));
+    site.deployment.store.set_mode(StoreMode::RefusedWrites);
+    site.hosts = site.deployment.hosts(1);
+    site.set_shape(STUCK);
+    let broken = site.begin_for(APPEARS);
+    site.hosts.iter_mut().for_each(Host::kill);
+    site.announce_second();
+    site.remove(VERSIONS[0]);
+    site.lose_hosts();
+    site.take_up(0, &broken);
+}
+
+/// A second version is soon in use, also if the host that ranks first to write it is paused.
+#[rstest]
+fn second_version_is_used(#[values(false, true)] is_paused: bool) {
+    let mut site = Site::start(4, &VERSIONS[..1], WHOLE);
+    let mut paused = Vec::new();
+    if is_paused {
+        let has_written = |at: &usize| {
+            site.deployment.log(&format!("front-{at}")).contains("event=versions_kept")
+        };
+        let writer = (0..site.hosts.len()).find(has_written).expect("one has written");
+        let writer = site.hosts.remove(writer);
+        writer.signal("STOP");
+        paused.push(writer);
+    }
+    site.announce_second();
+    site.set_shape(WHOLE);
+    let began = Instant::now();
+    let mut used = BTreeSet::new();
+    while !used.contains(VERSIONS[1]) {
+        assert!(began.elapsed() < IN_USE, "only {used:?}");
+        for (at, host) in site.hosts.iter().enumerate() {
+            let answer = draft(&format!("g{at}-{}", site.runs())).deadline(300).send(host.front);
+            used.extend(versions(&answer));
+        }
+    }
+}
