fix: a record of versions counts only in the era of the store in which it was written

What callers saw: the store came back from a copy older than the second version of a service, and all hosts were lost: a stream that had begun at the second version went on at the first, joined.

Cause: what the copy said of a service's versions, or that it said nothing, was taken for what the store had kept all along.

Change: the record names the era in which it was written. In a later era it counts as several versions, and a first record in any era but the first one does, too. Streams that hosts keep are found as before; only the conclusion from a single version is given up. Earlier builds pass over the new field, and theirs counts as written in the first era.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -21,8 +21,8 @@
     Transaction, Write,
 };
 use vanetally_streams::{
-    Answer, Beginnings, Finding, FoundBy, KnownVersions, Lookup, StreamKey, Unknown, Versions,
-    keepers,
+    Answer, Beginnings, Finding, FoundBy, KnownVersions, Lookup, Record, StreamKey, Unknown,
+    Versions, keepers,
 };
 use vanetally_types::{Name, Tick, hash64, rendezvous_rank};
 
@@ -265,12 +265,16 @@
     }
 
     fn read_versions(&self, service: &Name, item: Option<&Item>) {
-        let read = item.map(|item| serde_json::from_slice::<Versions>(&item.value)).transpose();
-        let versions = read.unwrap_or_else(|error| {
+        let read = item.map(|item| serde_json::from_slice::<Record>(&item.value)).transpose();
+        let record = read.unwrap_or_else(|error| {
             log::error!("event=versions_unreadable service={service} error=\"{error}\"");
             None
         });
-        self.streams.borrow_mut().versions.set_stored(service, versions);
+        let versions = &mut self.streams.borrow_mut().versions;
+        if let Some((record, item)) = record.as_ref().zip(item) {
+            versions.add(service, record.versions_in(item.revision.era));
+        }
+        versions.set_stored(service, record.map(|record| record.versions));
     }
 
     /// Tells the dispatcher which versions of a service the store keeps.
@@ -363,18 +367,20 @@
         let Some(versions) = versions else {
             return true;
         };
-        let Ok(value) = serde_json::to_vec(&versions) else {
-            return false;
-        };
         let key: Name = format!("{VERSIONS_PREFIX}{service}").into();
         // A host that has seen less must not replace several versions by one.
-        let revision = self.stored_revision(&key).unwrap_or_default();
+        let revision = self.stored_revision(&key);
+        let record = Record::new(versions, self.store.eras().newest(), revision.is_some());
+        let Ok(value) = serde_json::to_vec(&record) else {
+            return false;
+        };
+        let revision = revision.unwrap_or_default();
         let expect = vec![Expectation { key: key.clone(), revision }];
         let put = vec![Write { key, value: value.into(), lease: None }];
         let transaction = Transaction { expect, put, ..Transaction::default() };
         let is_done = matches!(self.store.transact(&transaction).await, Ok(StoreAnswer::Done(_)));
         if is_done {
-            log::info!("event=versions_kept service={service} versions={versions:?}");
+            log::info!("event=versions_kept service={service} versions={:?}", record.versions);
         }
         is_done
     }
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -13,4 +13,4 @@
 pub use beginnings::{Beginnings, StreamKey};
 pub use keepers::keepers;
 pub use lookup::{Answer, Finding, FoundBy, Lookup, Unknown};
-pub use versions::{KnownVersions, Versions};
+pub use versions::{KnownVersions, Record, Versions};
--- a/crates/streams/src/versions.rs
+++ b/crates/streams/src/versions.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use vanetally_ports::Era;
 use vanetally_types::Name;
 
 /// The versions that a service has had.
@@ -30,7 +31,33 @@
     }
 }
 
-/// Form in the store.
+/// What the store keeps of the versions of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The versions.
+    #[serde(flatten)]
+    pub versions: Versions,
+    /// Era of the store in which they were written; earlier builds state none.
+    #[serde(default)]
+    era: u64,
+}
+
+impl Record {
+    /// Creates the record to write in `era` where the store has a record or not. A store that was restored from a copy and
+    /// has none may have lost it, with versions that nobody knows any more.
+    pub fn new(versions: Versions, era: Era, has_record: bool) -> Self {
+        let may_be_lost = !has_record && era != Era::default();
+        let versions = if may_be_lost { Versions::Several } else { versions };
+        Self { versions, era: era.0 }
+    }
+
+    /// Returns the versions as known in `era`. Those of an earlier one come from a copy that may be older than others.
+    pub fn versions_in(&self, era: Era) -> Versions {
+        if self.era < era.0 { Versions::Several } else { self.versions.clone() }
+    }
+}
+
+/// Form of versions in the store and in messages.
 #[derive(Serialize, Deserialize)]
 struct Stored {
     /// The only version; none if there were several.
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -437,3 +437,26 @@
         }
     }
 }
+
+/// A copy of the store that has forgotten a version, or that the service had any, is not believed.
+#[rstest]
+fn lost_with_copy(#[values(true, false)] has_record: bool) {
+    let deployment = Deployment::start();
+    let before = deployment.store.snapshot();
+    let hosts = deployment.hosts(2);
+    let mut site = Site { deployment, hosts };
+    thread::sleep(Duration::from_millis(2_500));
+    let copy = if has_record { site.deployment.store.snapshot() } else { before };
+    site.set_shape(STUCK);
+    site.announce_second();
+    let broken = site.begin_for(IN_USE / 2);
+    let second: Vec<Broken> = broken.into_iter().filter(|one| one.version == VERSIONS[1]).collect();
+    assert!(!second.is_empty(), "the second version is in use");
+    site.hosts.iter_mut().for_each(Host::kill);
+    let options =
+        Restore { keeps_leases: false, rewrite_delay: Duration::ZERO, delays_watches: false };
+    site.deployment.store.restore(&copy, options);
+    site.remove(VERSIONS[1]);
+    site.lose_hosts();
+    site.take_up(0, &second);
+}
