fix: the daemon does not believe "not-run" beside a success

What callers saw: 503 with `X-Verdict: not-run` for a request whose service had answered 200, or a second run at another instance.

Change: a 2xx that states "not-run" is a failed attempt that may have run (`answer-contradictory`). Beside other statuses it counts as before: the product's own protocol lets services reject with any.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -74,7 +74,19 @@
                 return Outcome { end, exchange: Some(exchange), answer: None };
             }
         };
-        if self.is_refusal(&answer) {
+        let states_not_run = header(&answer, "x-verdict") == Some(Verdict::NotRun.as_str());
+        if states_not_run && (200..300).contains(&answer.status) {
+            // The answer contradicts itself.
+            log::warn!(
+                "event=answer-contradictory upstream={} request={} status={}",
+                self.upstream,
+                self.request.id,
+                answer.status
+            );
+            let end = AttemptEnd::Failed(Verdict::MayHaveRun);
+            return Outcome { end, exchange: Some(exchange), answer: None };
+        }
+        if states_not_run || self.is_rejection(&answer) {
             return Outcome { end: AttemptEnd::Refused, exchange: Some(exchange), answer: None };
         }
         match (self.request.is_service, is_event_stream(&answer)) {
@@ -84,10 +96,9 @@
         }
     }
 
-    /// Whether the answer states, or its status implies, that the request was not run.
-    fn is_refusal(&self, answer: &call::Answer) -> bool {
-        let stated = header(answer, "x-verdict") == Some("not-run");
-        stated || (!self.request.is_service && matches!(answer.status, 404 | 429 | 503))
+    /// Whether the status of the answer implies that the request was not run.
+    fn is_rejection(&self, answer: &call::Answer) -> bool {
+        !self.request.is_service && matches!(answer.status, 404 | 429 | 503)
     }
 
     /// Forwards an engine's answer that is not an event stream.
--- a/tests/broken_service.rs
+++ b/tests/broken_service.rs
@@ -21,15 +21,15 @@
 const SHORT: usize = 10;
 const LONG: usize = 200_000;
 
-/// Starts a service that answers each request with `body` and closes the connection; returns its URL.
-fn start_service(body: String) -> String {
+/// Starts a service that answers each request with these bytes and closes the connection; returns its URL.
+fn start_service(bytes: String) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let url = format!("http://{}", listener.local_addr().expect("an address"));
-    thread::spawn(move || listener.incoming().flatten().for_each(|stream| answer(stream, &body)));
+    thread::spawn(move || listener.incoming().flatten().for_each(|stream| answer(stream, &bytes)));
     url
 }
 
-fn answer(mut stream: TcpStream, body: &str) {
+fn answer(mut stream: TcpStream, bytes: &str) {
     let mut request = Vec::new();
     let mut piece = [0; 1_024];
     while !request.ends_with(REQUEST_BODY) {
@@ -39,7 +39,7 @@
         }
     }
     // The caller may have left.
-    let _ = stream.write_all(format!("{HEAD}{body}").as_bytes());
+    let _ = stream.write_all(bytes.as_bytes());
 }
 
 fn events(length: usize, end: &str, is_broken: bool) -> String {
@@ -49,8 +49,13 @@
 
 /// Starts a host with the services `whole` and `broken`, which answer with these bodies.
 fn start_site(whole: &str, broken: &str) -> Site {
-    let service = |name: &str, body: &str| {
-        let url = start_service(body.to_owned());
+    start_raw_site(format!("{HEAD}{whole}"), format!("{HEAD}{broken}"))
+}
+
+/// Starts a host with the services `whole` and `broken`, which answer with these bytes.
+fn start_raw_site(whole: String, broken: String) -> Site {
+    let service = |name: &str, bytes: String| {
+        let url = start_service(bytes);
         let instance = json!({"name": format!("{name}-1"), "url": url, "domain": "a", "slots": 64});
         json!({"name": name, "labels": {"kind": "plain"}, "instances": [instance]})
     };
@@ -107,3 +112,16 @@
     let broken = call("broken").map(|answer| answer.status);
     assert!(broken.is_err() || broken.is_ok_and(|status| status == 502));
 }
+
+/// A success that says that the request has not run proves neither; callers are not told that they may send it again.
+#[test]
+fn contradicted_verdict() {
+    let answer = |verdict: &str| {
+        format!("HTTP/1.1 200 OK\r\n{verdict}Connection: close\r\nContent-Length: 4\r\n\r\ndone")
+    };
+    let site = start_raw_site(answer(""), answer("X-Verdict: not-run\r\n"));
+    let call = |service: &str| site.hosts[0].try_service(&format!("{service}/x"), service);
+    assert_eq!(call("whole").expect("an answer").status, 200);
+    let broken = call("broken").expect("an answer");
+    assert_eq!((broken.status, broken.verdict()), (502, Some("may-have-run")));
+}
