--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,9 +2,10 @@
 
 use crate::{
     charge::Charge,
+    command::RequestRefusal,
     framing::is_cut_off,
     headers::{end_to_end, keep_alive_timeout},
-    hub::{Hub, RequestRefusal, Stage},
+    hub::{Hub, Stage},
     pending_request::{Interrupt, PendingRequest, next_interrupt},
     relay,
     response_body::ResponseBody,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod capabilities;
 mod charge;
 mod clock;
+mod command;
 mod configuration;
 mod configuration_wait;
 mod confirmation;
--- a/crates/gateway/src/pending_request.rs
+++ b/crates/gateway/src/pending_request.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     charge::Charge,
-    hub::{Command, Hub, RequestRefusal},
+    command::{Command, RequestRefusal},
+    hub::Hub,
     telemetry,
 };
 use std::rc::Rc;
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,11 +1,7 @@
 //! Passes what happens on the paths to upstreams to the state machine that judges them, and carries out
 //! its decisions.
 
-use crate::{
-    hub::{Command, Hub},
-    pool::Connection,
-    telemetry,
-};
+use crate::{command::Command, hub::Hub, pool::Connection, telemetry};
 use std::rc::Rc;
 use vanetally_dispatch::{self as dispatch, AttemptEnd, RequestId};
 use vanetally_placement::OrderLeaseEvent;
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod invariants;
 mod late_bytes;
 mod rate_limit;
+mod report;
 mod restores;
 mod site;
 mod streams;
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -7,6 +7,7 @@
     invariants::{self, Violation},
     late_bytes,
     rate_limit::RateLimitPhase,
+    report::Report,
     restores, streams,
     upstream_signals::UpstreamSignals,
 };
@@ -14,7 +15,6 @@
 use serde_json::json;
 use std::{
     collections::HashMap,
-    fmt,
     ops::Range,
     path::PathBuf,
     sync::{Arc, atomic::Ordering},
@@ -382,35 +382,6 @@
     }
 }
 
-/// Result of a run.
-pub struct Report {
-    seed: u64,
-    hosts: usize,
-    requests: usize,
-    served: usize,
-    /// Streams that callers took up, and those of them that went on.
-    taken_up: (usize, usize),
-    /// Stated limit of the rate-limited runner.
-    rate: f64,
-    /// Maximum number of requests in a window that counted against the limit.
-    max_in_window: usize,
-    /// Number of runner crashes caused by the crash body.
-    crashes: usize,
-    pub violations: Vec<Violation>,
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { seed, hosts, requests, served, taken_up, rate, max_in_window, .. } = self;
-        let Self { crashes, violations, .. } = self;
-        write!(f, "seed={seed} hosts={hosts} requests={requests} served={served}")?;
-        write!(f, " taken_up={} went_on={}", taken_up.0, taken_up.1)?;
-        write!(f, " limit={rate} max_in_window={max_in_window} crashes={crashes}")?;
-        write!(f, " violations={}", violations.len())?;
-        violations.iter().try_for_each(|violation| write!(f, "\n    {violation}"))
-    }
-}
-
 /// Runs one seed. `has_entry_faults` adds entry faults and store restores, which are drawn from
 /// generators of their own.
 pub fn run_seed(seed: u64, has_entry_faults: bool) -> Report {
