test: callers that do not behave, many at once

Crowds of 150 to 1,000 connections at one host whose settings state 80 MB and 800 descriptors: bodies that stop one byte before their end, in pieces, in chunks of one byte, in one large chunk, far over the limit, in chunks without end; whole ones that wait for an engine; half a body and the next connection; connections that rest, at the callers' and at the metrics' address; heads without an end; answers that nobody reads. Checked are the life of the process, its memory at the peak and with the bytes that it has not read, its descriptors, one ordinary request during the crowd and one of full size after it, and that memory and descriptors come back.

--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -4,9 +4,11 @@
 // Each test binary uses only some of these helpers.
 #![allow(dead_code)]
 
+pub mod crowd;
 pub mod load;
 pub mod restores;
 pub mod taps;
+pub mod usage;
 
 use serde_json::{Value, json};
 use std::{
@@ -25,7 +27,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Waits until `condition` holds.
-pub fn wait_for(what: &str, condition: impl Fn() -> bool) {
+pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
     let began = Instant::now();
     while !condition() {
         assert!(began.elapsed() < MAX_WAIT, "timed out waiting until {what}");
@@ -172,6 +174,26 @@
         self.store.put("op/config", &configuration);
     }
 
+    /// Writes a configuration with these limits on callers, and engines of `slots` slots.
+    pub fn configure_limits(&self, version: u64, limits: &Value, slots: usize) {
+        let mut configuration = configuration(version, &[]);
+        configuration["limits"] = limits.clone();
+        let services = configuration["services"].as_array_mut().expect("services");
+        services.iter_mut().for_each(|service| service["max_connections"] = (2 * slots).into());
+        services[0]["engine"]["slots"] = slots.into();
+        self.store.put("op/config", &configuration);
+    }
+
+    /// Starts a host on a machine with these limits, and waits until it is ready.
+    pub fn limited_host(&self, name: &str, limits: &Value) -> Host {
+        let ip = fresh_ip();
+        let mut settings = settings(name, &ip, self.store.address());
+        settings["limits"] = limits.clone();
+        let host = self.spawn_with(name, &ip, &settings);
+        wait_for("the host is ready", || host.readiness() == 200);
+        host
+    }
+
     /// Writes a configuration with `count` additional routes.
     pub fn configure_large(&self, version: u64, count: usize) {
         let names: Vec<String> = (0..count).map(|number| format!("more{number}")).collect();
@@ -381,7 +403,7 @@
     child: Child,
     pub front: SocketAddr,
     ready: SocketAddr,
-    metrics: SocketAddr,
+    pub metrics: SocketAddr,
 }
 
 impl Host {
