feat: decisions on what all callers of a host may hold

Each bound on callers was one of a request or of a connection; none was one of the host. The new crate counts connections and the memory of bodies and answers against limits that follow from the memory and descriptors of the settings: a quarter of the memory for bodies and answers, of it a quarter for bodies of up to 64 KiB alone; as many connections as half of the sockets, and a quarter of the memory, allow.

Who gives way: a body that has made no progress for a second, longest first (a thirty-second of what it holds counts as progress, so that a trickle does not); else the largest one if it is larger than the one that asks; else the one that asks. What was read completely stays: it may run. Of connections first those that drain a refused request, then unused ones, heads without an end, those that rest, longest first.

Ruled out: fixed shares for each caller (the crowd has many addresses, a balancer one), first come (a crowd that stays keeps the room), not reading on (what the system has received counts too, and the crowd keeps the room).

Nothing uses it yet.

--- /dev/null
+++ b/crates/admission/src/limits.rs
@@ -0,0 +1,42 @@
+//! What callers may hold, from the settings of the host.
+
+/// Share of the memory that bodies and answers of callers may use, as a divisor.
+const BODY_DIVISOR: u64 = 4;
+/// Share of the memory that connections of callers may use, as a divisor.
+const CONNECTION_DIVISOR: u64 = 4;
+/// Memory of one connection in bytes: its task, its buffers, and those of its socket.
+const CONNECTION_BYTES: u64 = 32 << 10;
+/// Share of the memory for bodies that only small ones may use, as a divisor.
+const SMALL_DIVISOR: u64 = 4;
+/// Descriptors that files may use; sockets share the rest.
+const FILE_DESCRIPTORS: u64 = 200;
+/// Share of the sockets that callers may use, as a divisor: the store, other hosts and upstreams use the others.
+const SOCKET_DIVISOR: u64 = 2;
+
+/// Limits on what all callers of a host may hold together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Maximum number of connections.
+    pub connections: usize,
+    /// Maximum number of bytes of bodies and answers.
+    pub bytes: usize,
+    /// Maximum number of bytes while a body that is not small grows.
+    pub large_bytes: usize,
+}
+
+impl Limits {
+    /// Size in bytes up to which a body is small.
+    pub const SMALL_BODY_BYTES: usize = 64 << 10;
+
+    /// Returns the limits of a host that may use `memory_bytes` of memory and `descriptors` descriptors.
+    pub fn of(memory_bytes: u64, descriptors: u64) -> Self {
+        let sockets = descriptors.saturating_sub(FILE_DESCRIPTORS) / SOCKET_DIVISOR;
+        let in_memory = memory_bytes / CONNECTION_DIVISOR / CONNECTION_BYTES;
+        let bytes = memory_bytes / BODY_DIVISOR;
+        Self {
+            connections: sockets.min(in_memory).max(1) as usize,
+            bytes: bytes as usize,
+            large_bytes: (bytes - bytes / SMALL_DIVISOR) as usize,
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/connections.rs
@@ -0,0 +1,95 @@
+//! Connections of callers stay within one limit.
+
+use vanetally_admission::{
+    Action, Admission, BodyId, ConnectionId, Event, Limits, Reason, Timeouts,
+};
+use vanetally_types::Tick;
+
+const LIMITS: Limits = Limits { connections: 3, bytes: 1 << 20, large_bytes: 1 << 20 };
+const TIMEOUTS: Timeouts = Timeouts { head_ms: 3_000, idle_ms: 15_000 };
+const START: Tick = Tick(1_000_000);
+
+fn id(number: u64) -> ConnectionId {
+    ConnectionId(number)
+}
+
+fn tick_until(admission: &mut Admission, until: u64) -> Vec<Action> {
+    let ticks = (0..=until / 200).map(|number| START + number * 200);
+    ticks.flat_map(|now| admission.handle(now, Event::Tick(TIMEOUTS))).collect()
+}
+
+#[test]
+fn unused_connections_give_way_first() {
+    let mut admission = Admission::new(START, LIMITS);
+    let mut handle = |ms, event| admission.handle(START + ms, event);
+    handle(0, Event::Opened(id(0)));
+    handle(0, Event::HeadRead(id(0)));
+    handle(1, Event::Answered(id(0)));
+    handle(2, Event::Opened(id(1)));
+    handle(3, Event::Opened(id(2)));
+    assert_eq!(handle(4, Event::Opened(id(3))), [Action::Close(id(1))]);
+    assert_eq!(handle(5, Event::Opened(id(4))), [Action::Close(id(2))]);
+}
+
+#[test]
+fn whoever_has_rested_longest_gives_way() {
+    let mut admission = Admission::new(START, LIMITS);
+    let mut handle = |ms, event| admission.handle(START + ms, event);
+    for (number, rested) in [(0, 30), (1, 10), (2, 20)] {
+        handle(0, Event::Opened(id(number)));
+        handle(1, Event::HeadRead(id(number)));
+        handle(rested, Event::Answered(id(number)));
+    }
+    // It still takes its answer.
+    handle(40, Event::Taken(id(1)));
+    assert_eq!(handle(50, Event::Opened(id(3))), [Action::Close(id(2))]);
+}
+
+#[test]
+fn a_body_that_stalls_makes_room_for_a_connection() {
+    let mut admission = Admission::new(START, LIMITS);
+    for number in 0..3 {
+        admission.handle(START, Event::Opened(id(number)));
+        admission.handle(START, Event::HeadRead(id(number)));
+    }
+    admission.handle(START, Event::BodyBegan(BodyId(7)));
+    assert_eq!(admission.handle(START + 10, Event::Opened(id(3))), [Action::Close(id(3))]);
+    let actions = admission.handle(START + 2_000, Event::Opened(id(4)));
+    assert_eq!(actions, [Action::Refuse(BodyId(7), Reason::NoRoom)]);
+}
+
+#[test]
+fn connections_never_exceed_the_limit_by_resting_ones() {
+    let mut admission = Admission::new(START, LIMITS);
+    for number in 0..1_000 {
+        admission.handle(START + number, Event::Opened(id(number)));
+        assert!(admission.counts().connections <= LIMITS.connections);
+    }
+}
+
+#[test]
+fn heads_end_after_their_time() {
+    let mut admission = Admission::new(START, LIMITS);
+    admission.handle(START, Event::Opened(id(0)));
+    admission.handle(START, Event::HeadBegan(id(0)));
+    assert_eq!(tick_until(&mut admission, 3_000), []);
+    assert_eq!(tick_until(&mut admission, 3_200), [Action::Close(id(0))]);
+}
+
+#[test]
+fn connections_close_after_the_idle_time() {
+    let mut admission = Admission::new(START, LIMITS);
+    admission.handle(START, Event::Opened(id(0)));
+    admission.handle(START, Event::Opened(id(1)));
+    admission.handle(START, Event::HeadRead(id(1)));
+    assert_eq!(tick_until(&mut admission, 15_000), []);
+    assert_eq!(tick_until(&mut admission, 30_000), [Action::Close(id(0))], "not the busy one");
+}
+
+#[test]
+fn callers_leave_descriptors_to_the_host() {
+    let limits = Limits::of(260_000_000, 4_100);
+    assert!(limits.connections <= 2_000, "{limits:?}");
+    assert!(limits.connections >= 1_900, "{limits:?}");
+    assert!(limits.bytes <= 65_000_000);
+}
