fix: connections of callers leave descriptors to their host

Cause: a connection that was accepted was counted nowhere. Now the admission counts each one: at most half of the sockets (`max_fds` less 200), and as many as fit a quarter of `memory_mb` at 32 KiB each. Beyond that the one that gives way first is closed: unused ones, heads without an end, those that rest, longest first. A connection with a request under way is not closed; if all have one, the newest connection is.

Why half: upstreams need as many as requests are open, and the store, other hosts and probes some hundred; on the largest deployment other hosts need most. 4,100 descriptors leave callers 1,950.

--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -3,6 +3,7 @@
 //! HTTP/1.0 has no chunks: there the close of the connection ends an answer of unknown length, so that a close
 //! would make one that was cut off look complete, also if the process is killed.
 
+use crate::callers::OpenConnection;
 use socket2::SockRef;
 use std::{
     cell::Cell,
@@ -16,7 +17,6 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
-
 /// Whether a connection ends with a reset, shared with the body that is sent on it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ResetOnClose(Rc<Cell<bool>>);
@@ -34,12 +34,20 @@
     reset: ResetOnClose,
     /// The setting that the socket has.
     is_set: bool,
+    open: Rc<OpenConnection>,
 }
 
 impl CallerStream {
     /// Wraps a connection, with the setting that governs its end.
-    pub(crate) fn new(stream: TcpStream, reset: ResetOnClose) -> Self {
-        Self { stream, reset, is_set: false }
+    pub(crate) fn new(stream: TcpStream, reset: ResetOnClose, open: Rc<OpenConnection>) -> Self {
+        Self { stream, reset, is_set: false, open }
+    }
+
+    fn written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(count)) if count > 0) {
+            self.open.taken();
+        }
+        written
     }
 
     /// Brings the socket up to date.
@@ -59,7 +67,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.open.received();
+        }
+        read
     }
 }
 
@@ -70,7 +83,8 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.apply()?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.written(written)
     }
 
     fn poll_write_vectored(
@@ -79,7 +93,8 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.apply()?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.written(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -2,6 +2,7 @@
 //! calls and messages.
 
 use crate::{
+    callers::Callers,
     clock::{self, Clock},
     command::{Command, RequestRefusal},
     configuration_wait::ConfigurationWait,
@@ -110,6 +111,8 @@
     pub source_selector: RefCell<SourceSelector>,
     /// This host's search for an entry point of its domain.
     pub entry_attempts: EntryAttempts,
+    /// What callers hold.
+    pub callers: Rc<Callers>,
     /// Requests that wait for the configuration.
     pub configuration_wait: ConfigurationWait,
     /// Time of the last tick given to the source selection.
@@ -213,6 +216,7 @@
                 settings.is_first_start,
             )),
             entry_attempts: EntryAttempts::new(&settings),
+            callers: Callers::new(clock, settings.caller_limits()),
             configuration_wait: ConfigurationWait::default(),
             last_source_tick: Cell::new(clock.now()),
             configuration_pull: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod brittle;
 mod call;
 mod caller_stream;
+mod callers;
 mod capabilities;
 mod charge;
 mod clock;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -4,6 +4,7 @@
     caller_stream::{CallerStream, ResetOnClose},
     exchange,
     hub::{Hub, Stage},
+    response_body::ServedBody,
 };
 use http::{Request, Version, header::CONTENT_LENGTH};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -42,31 +43,37 @@
         return;
     }
     let mut stage = hub.stage.subscribe();
+    let open = hub.callers.open();
     let buffer = (hub.caller_limits().header_bytes + SPARE_BUFFER_BYTES).max(MIN_BUFFER_BYTES);
     let reset = ResetOnClose::default();
     let service = service_fn(|request: Request<Incoming>| {
         let (hub, reset) = (hub.clone(), reset.clone());
+        let open_request = open.begin_request();
         async move {
             let knows_chunks = request.version() >= Version::HTTP_11;
             let response = exchange::serve(hub, request).await;
-            Ok::<_, Infallible>(
-                match knows_chunks || response.headers().contains_key(CONTENT_LENGTH) {
-                    true => response,
-                    false => response.map(|body| body.reset_if_truncated(&reset)),
-                },
-            )
+            let response = match knows_chunks || response.headers().contains_key(CONTENT_LENGTH) {
+                true => response,
+                false => response.map(|body| body.reset_if_truncated(&reset)),
+            };
+            Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, open_request)))
         }
     });
-    let connection = http1::Builder::new()
-        .max_buf_size(buffer)
-        .serve_connection(TokioIo::new(CallerStream::new(stream, reset.clone())), service);
+    let connection = http1::Builder::new().max_buf_size(buffer).serve_connection(
+        TokioIo::new(CallerStream::new(stream, reset.clone(), open.clone())),
+        service,
+    );
     let mut connection = pin!(connection);
     tokio::select! {
         // A caller that disconnects ends the connection with an error, which nobody is left to
         // receive.
         _ = connection.as_mut() => return,
+        () = open.closed() => return,
         _ = stage.wait_for(|stage| *stage == Stage::Closing) => {}
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = open.closed() => {}
+    }
 }
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -1,6 +1,6 @@
 //! Response bodies sent to callers.
 
-use crate::caller_stream::ResetOnClose;
+use crate::{caller_stream::ResetOnClose, callers::OpenRequest};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use std::{
@@ -94,3 +94,36 @@
         }
     }
 }
+
+/// The body of the answer to a request that counts as open until it has been handed over.
+pub(crate) struct ServedBody {
+    body: ResponseBody,
+    _open: OpenRequest,
+}
+
+impl ServedBody {
+    /// Wraps the body of an answer to `open`.
+    pub(crate) fn new(body: ResponseBody, open: OpenRequest) -> Self {
+        Self { body, _open: open }
+    }
+}
+
+impl Body for ServedBody {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the gateway process.
 
 use std::net::{IpAddr, SocketAddr};
+use vanetally_admission::Limits;
 use vanetally_types::Name;
 
 /// The settings that a process needs before it can reach the store.
@@ -38,6 +39,20 @@
     pub scheduling: Scheduling,
     /// Memory that the process may use, in bytes, if stated.
     pub memory_bytes: Option<u64>,
+    /// Descriptors that the process may use, if stated.
+    pub max_descriptors: Option<u64>,
+}
+
+/// Memory and descriptors of a process whose settings state none.
+const DEFAULT_MEMORY_BYTES: u64 = 256 << 20;
+const DEFAULT_DESCRIPTORS: u64 = 4_096;
+
+impl Settings {
+    /// Returns what all callers may hold together.
+    pub(crate) fn caller_limits(&self) -> Limits {
+        let memory_bytes = self.memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES);
+        Limits::of(memory_bytes, self.max_descriptors.unwrap_or(DEFAULT_DESCRIPTORS))
+    }
 }
 
 /// Scheduling decisions that hosts make together; each is off unless the settings turn it on.
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -48,6 +48,18 @@
         .increment(1);
 }
 
+/// Counts a caller's connection closed by this host, since it made no progress or there were too many.
+pub(crate) fn caller_closed() {
+    counter!("vanetally_callers_closed_total").increment(1);
+}
+
+/// Sets the gauges of what callers hold.
+pub(crate) fn set_caller_gauges(counts: vanetally_admission::Counts) {
+    gauge!("vanetally_caller_connections").set(counts.connections as f64);
+    gauge!("vanetally_caller_bodies").set(counts.bodies as f64);
+    gauge!("vanetally_caller_bytes").set(counts.bytes as f64);
+}
+
 /// Counts a request refused because its forecast exceeded the time that it may wait.
 pub(crate) fn refused_by_forecast() {
     counter!("vanetally_forecast_refusals_total").increment(1);
--- a/crates/gateway/src/upkeep.rs
+++ b/crates/gateway/src/upkeep.rs
@@ -21,6 +21,7 @@
         telemetry::set_reach_gauges(reach.blocked(), reach.exits.tunnels(), served);
         let (held, suspected) = dispatch.quarantine().counts(self.clock.now());
         telemetry::set_content_gauges(held, suspected, self.evidence.borrow().len());
+        telemetry::set_caller_gauges(self.callers.counts());
         telemetry::order_holder(is_holder);
         telemetry::link_traffic(self.links.traffic());
     }
