fix: connections to the readiness and metrics address leave descriptors to their host

Now at most 64 of them are open, counted by an admission of their own, so that a crowd at one address takes nothing from the other; unused ones give way before one that has been asked. A failed accept waits 20 ms.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! Process lifecycle: start, reload, planned stop.
 
 use crate::{
+    callers::Callers,
     evacuations::EvacuationFeedHandler,
     exit::{TunnelCall, TunnelEvent},
     feed::Feed,
@@ -91,7 +92,8 @@
     telemetry::build_info(build);
     let hub =
         Hub::new(HubParts { settings: settings.clone(), ports, links, tunnels: tunnel_sender });
-    let status = Rc::new(Status { hub: hub.clone(), metrics });
+    let callers_of_status = Callers::new(hub.clock, status::LIMITS);
+    let status = Rc::new(Status { hub: hub.clone(), metrics, callers: callers_of_status });
     for address in status_addresses.into_iter().flatten() {
         let listener = listen(address).context("readiness and metrics")?;
         spawn_local(status::serve(status.clone(), listener));
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,14 +1,27 @@
 //! HTTP endpoints for readiness, metrics and the state dump.
 
-use crate::hub::Hub;
+use crate::{
+    caller_stream::{CallerStream, ResetOnClose},
+    callers::Callers,
+    hub::Hub,
+};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
-use std::{convert::Infallible, rc::Rc};
-use tokio::net::TcpListener;
+use std::{convert::Infallible, rc::Rc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+use vanetally_admission::Limits;
+
+/// Pause after a failed `accept`.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Limits on the connections to the endpoints; no request has a body.
+pub(crate) const LIMITS: Limits = Limits { connections: 64, bytes: 0, large_bytes: 0 };
 
 /// URL path of the state dump.
 const STATE_PATH: &str = "/state";
@@ -17,24 +30,39 @@
 pub(crate) struct Status {
     pub hub: Rc<Hub>,
     pub metrics: PrometheusHandle,
+    /// What the callers of the endpoints hold.
+    pub callers: Rc<Callers>,
 }
 
 /// Serves the endpoints until the process ends.
 pub(crate) async fn serve(status: Rc<Status>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
-            continue;
-        };
-        let status = status.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|request| {
-                let response = answer(&status, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            // A client that disconnected needs no response.
-            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-        });
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_connection(status.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                sleep(ACCEPT_RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(status: Rc<Status>, stream: TcpStream) {
+    let open = status.callers.open();
+    let service = service_fn(|request| {
+        let open_request = open.begin_request();
+        let response = answer(&status, &request);
+        drop(open_request);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let stream = CallerStream::new(stream, ResetOnClose::default(), open.clone());
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        // A client that disconnected needs no response.
+        _ = connection => {}
+        () = open.closed() => {}
     }
 }
 
