fix: heads without an end and connections that rest end in their time

`header_timeout_ms` and `idle_timeout_ms` of the configuration were read and used nowhere: 150 heads that stopped after 20 bytes, and as many connections that rested, were open after 30 s with limits of 1 and 2 s. Now the admission ends them: a head its time after its first byte, a connection the idle time after its last answer or, unused, after it was opened. A caller that still takes its answer does not rest. Time in which the process stood still is not counted, since what callers sent meanwhile is not read yet.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -7,7 +7,7 @@
     rc::Rc,
 };
 use tokio::sync::Notify;
-use vanetally_admission::{Action, Admission, ConnectionId, Counts, Event, Limits};
+use vanetally_admission::{Action, Admission, ConnectionId, Counts, Event, Limits, Timeouts};
 
 /// The connections of callers at one address, and what they hold.
 pub(crate) struct Callers {
@@ -38,6 +38,11 @@
         Rc::new(OpenConnection { callers: self.clone(), id, closer, is_waiting: Cell::new(true) })
     }
 
+    /// Applies the time limits.
+    pub(crate) fn tick(&self, timeouts: Timeouts) {
+        self.handle(Event::Tick(timeouts));
+    }
+
     /// Returns what callers hold.
     pub(crate) fn counts(&self) -> Counts {
         self.admission.borrow().counts()
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -32,6 +32,7 @@
     time::Instant,
 };
 use tokio::sync::{mpsc, watch};
+use vanetally_admission::Timeouts;
 use vanetally_dispatch::{self as dispatch, Digest, Dispatch, LeavingUpstreams, RequestId};
 use vanetally_fanout::{
     Freshness, HostIncarnation, Pull, Source, SourceSelector, Spacing, Throttle, Totals, Versions,
@@ -359,6 +360,12 @@
         self.dispatch.borrow().configuration().map(|c| c.limits).unwrap_or_default()
     }
 
+    /// Returns the time limits on callers.
+    pub(crate) fn caller_timeouts(&self) -> Timeouts {
+        let limits = self.caller_limits();
+        Timeouts { head_ms: limits.header_ms, idle_ms: limits.idle_ms }
+    }
+
     /// Records that the product's keys of `era` were read; returns whether the store was restored
     /// from a backup since the last read.
     pub(crate) fn record_keys_read(&self, era: Era) -> bool {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -42,6 +42,8 @@
     TICK_INTERVAL.as_millis() <= vanetally_quota::SERVE_INTERVAL_MS as u128,
     "the grantor serves its queues with each tick"
 );
+/// Interval at which the time limits on callers are applied.
+const CALLER_CHECK_INTERVAL_MS: u64 = 200;
 /// Interval of the housekeeping.
 const UPKEEP_INTERVAL_MS: u64 = 1_000;
 /// Interval of the log line that counts store calls.
@@ -222,12 +224,17 @@
     let mut tick = interval(TICK_INTERVAL);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let started = hub.clock.now();
-    let mut upkeep_at = started;
+    let (mut upkeep_at, mut callers_at) = (started, started);
     let mut calls_at = started + CALL_LOG_INTERVAL_MS;
     loop {
         tick.tick().await;
         hub.tick();
         let now = hub.clock.now();
+        if now >= callers_at {
+            callers_at = now + CALLER_CHECK_INTERVAL_MS;
+            hub.callers.tick(hub.caller_timeouts());
+            status.callers.tick(status::TIMEOUTS);
+        }
         if now >= hub.next_load.get() {
             hub.send_load();
         }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -16,12 +16,14 @@
     net::{TcpListener, TcpStream},
     time::sleep,
 };
-use vanetally_admission::Limits;
+use vanetally_admission::{Limits, Timeouts};
 
 /// Pause after a failed `accept`.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Limits on the connections to the endpoints; no request has a body.
 pub(crate) const LIMITS: Limits = Limits { connections: 64, bytes: 0, large_bytes: 0 };
+/// Time limits on them. Metrics are read about every few seconds on the same connection.
+pub(crate) const TIMEOUTS: Timeouts = Timeouts { head_ms: 3_000, idle_ms: 60_000 };
 
 /// URL path of the state dump.
 const STATE_PATH: &str = "/state";
