fix: the bodies of all callers together stay within their host's memory

150 callers whose bodies of 1 MiB stopped one byte before their end made a host hold 190 MB where its machine has 80; whole bodies that wait for an engine 226 to 234 MB; half a body and then the next connection 194 MB. Where the memory is limited the process ends, and with it every request that it serves. Cause: `max_body_bytes` bounds each body, nothing their sum. Now each body is counted by what is allocated for it, from its first byte until nobody holds it any more (waiting, kept for another attempt, the life of a stream). One that finds no room is refused: 503 with Retry-After, since it has not run. A body of which nothing arrives for the idle time ends: 408.

A connection reads 8,000 bytes at a time: a larger read made the HTTP library enlarge its buffers, of which several are in use while a body arrives. A body is on the heap up to 16 KiB.

--- a/crates/gateway/src/body_buffer.rs
+++ b/crates/gateway/src/body_buffer.rs
@@ -6,12 +6,13 @@
 use bytes::Bytes;
 use memmap2::MmapMut;
 use std::io;
-use vanetally_admission::Limits;
 
 /// Smallest buffer on the heap.
 const MIN_HEAP_BYTES: usize = 1 << 10;
+/// Largest buffer on the heap.
+const MAX_HEAP_BYTES: usize = 16 << 10;
 /// Steps in which a memory map counts as held; a multiple of the size of a page.
-const STEP_BYTES: usize = 64 << 10;
+const STEP_BYTES: usize = 16 << 10;
 
 /// The bytes of a body that have arrived.
 pub(crate) struct BodyBuffer {
@@ -50,13 +51,21 @@
         }
     }
 
+    /// Number of bytes of memory that the buffer takes.
+    pub(crate) fn held(&self) -> usize {
+        match &self.content {
+            Content::Heap(bytes) => bytes.capacity(),
+            Content::Map(map) => map.length.next_multiple_of(STEP_BYTES),
+        }
+    }
+
     /// Number of bytes of memory that the buffer takes with `more` bytes.
-    fn held_with(&self, more: usize) -> usize {
+    pub(crate) fn held_with(&self, more: usize) -> usize {
         let length = self.len() + more;
         match &self.content {
             Content::Heap(bytes) if length <= bytes.capacity() => bytes.capacity(),
-            Content::Heap(bytes) if length <= Limits::SMALL_BODY_BYTES => {
-                let max = self.max.min(Limits::SMALL_BODY_BYTES);
+            Content::Heap(bytes) if length <= MAX_HEAP_BYTES => {
+                let max = self.max.min(MAX_HEAP_BYTES);
                 (2 * bytes.capacity()).max(MIN_HEAP_BYTES).min(max).max(length)
             }
             Content::Heap(_) | Content::Map(_) => length.next_multiple_of(STEP_BYTES),
@@ -70,7 +79,7 @@
     pub(crate) fn extend(&mut self, bytes: &[u8]) -> io::Result<()> {
         let (held, length) = (self.held_with(bytes.len()), self.len() + bytes.len());
         if let Content::Heap(heap) = &mut self.content {
-            if length <= Limits::SMALL_BODY_BYTES {
+            if length <= MAX_HEAP_BYTES {
                 heap.reserve_exact(held.saturating_sub(heap.len()));
                 heap.extend_from_slice(bytes);
                 return Ok(());
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -10,13 +10,17 @@
     io::{self, IoSlice},
     pin::Pin,
     rc::Rc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
+/// Maximum number of bytes read at a time. The HTTP library enlarges its buffer, of which several are in use while a body
+/// arrives, when a read fills the smallest one of 8 KiB.
+const MAX_READ_BYTES: usize = 8_000;
+
 /// Whether a connection ends with a reset, shared with the body that is sent on it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ResetOnClose(Rc<Cell<bool>>);
@@ -67,12 +71,15 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
+        let room = buffer.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(room));
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
+        let count = part.filled().len();
+        buffer.advance(count);
+        if count > 0 {
             self.open.received();
         }
-        read
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -6,8 +6,10 @@
     collections::HashMap,
     rc::Rc,
 };
-use tokio::sync::Notify;
-use vanetally_admission::{Action, Admission, ConnectionId, Counts, Event, Limits, Timeouts};
+use tokio::sync::{Notify, oneshot};
+use vanetally_admission::{
+    Action, Admission, BodyId, ConnectionId, Counts, Event, Limits, Reason, Timeouts,
+};
 
 /// The connections of callers at one address, and what they hold.
 pub(crate) struct Callers {
@@ -16,6 +18,8 @@
     next: Cell<u64>,
     /// Wakes the task of a connection that is to be closed.
     closers: RefCell<HashMap<ConnectionId, Rc<Notify>>>,
+    /// Tells the task that reads a body that it is refused.
+    refusers: RefCell<HashMap<BodyId, oneshot::Sender<Reason>>>,
 }
 
 impl Callers {
@@ -26,6 +30,7 @@
             admission: RefCell::new(Admission::new(clock.now(), limits)),
             next: Cell::default(),
             closers: RefCell::default(),
+            refusers: RefCell::default(),
         })
     }
 
@@ -35,7 +40,22 @@
         let closer = Rc::new(Notify::new());
         self.closers.borrow_mut().insert(id, closer.clone());
         self.handle(Event::Opened(id));
-        Rc::new(OpenConnection { callers: self.clone(), id, closer, is_waiting: Cell::new(true) })
+        Rc::new(OpenConnection {
+            callers: self.clone(),
+            id,
+            closer,
+            is_waiting: Cell::new(true),
+            is_drained: Cell::new(false),
+        })
+    }
+
+    /// Begins to hold the body of a request.
+    pub(crate) fn begin_body(self: &Rc<Self>) -> IncomingBody {
+        let id = BodyId(self.next_id());
+        let (refuser, refused) = oneshot::channel();
+        self.refusers.borrow_mut().insert(id, refuser);
+        self.handle(Event::BodyBegan(id));
+        IncomingBody { held: Held { callers: self.clone(), id }, refused }
     }
 
     /// Applies the time limits.
@@ -62,8 +82,12 @@
                         closer.notify_one();
                     }
                 }
-                // No bodies are counted yet.
-                Action::Refuse(..) => {}
+                Action::Refuse(id, reason) => {
+                    if let Some(refuser) = self.refusers.borrow_mut().remove(&id) {
+                        // The caller may just have left.
+                        let _ = refuser.send(reason);
+                    }
+                }
             }
         }
     }
@@ -76,6 +100,8 @@
     closer: Rc<Notify>,
     /// Whether the next byte begins a head.
     is_waiting: Cell<bool>,
+    /// Whether what still arrives is read and dropped before the connection is closed.
+    is_drained: Cell<bool>,
 }
 
 impl OpenConnection {
@@ -116,10 +142,69 @@
 /// A request on a connection, until its answer has been handed over.
 pub(crate) struct OpenRequest(Rc<OpenConnection>);
 
+impl OpenRequest {
+    /// Records that the request was refused although its body has not been read: the caller is still sending, and a close
+    /// with unread bytes would take its answer away.
+    pub(crate) fn refused_early(&self) {
+        self.0.is_drained.set(true);
+    }
+}
+
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        let OpenConnection { callers, id, is_waiting, .. } = &*self.0;
-        is_waiting.set(true);
-        callers.handle(Event::Answered(*id));
+        let OpenConnection { callers, id, is_waiting, is_drained, .. } = &*self.0;
+        is_waiting.set(!is_drained.get());
+        let event = if is_drained.get() { Event::Refused(*id) } else { Event::Answered(*id) };
+        callers.handle(event);
+    }
+}
+
+/// The body of a request while it is read.
+pub(crate) struct IncomingBody {
+    held: Held,
+    refused: oneshot::Receiver<Reason>,
+}
+
+impl IncomingBody {
+    /// Waits until the host refuses the request.
+    pub(crate) async fn refused(&mut self) -> Reason {
+        match (&mut self.refused).await {
+            Ok(reason) => reason,
+            // The sender lives as long as the body is counted.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
+    /// Counts `bytes` in all as held.
+    ///
+    /// # Errors
+    /// If the host has no room for them.
+    pub(crate) fn grow(&mut self, bytes: usize) -> Result<(), Reason> {
+        self.held.callers.handle(Event::BodyGrows(self.held.id, bytes));
+        self.refused.try_recv().map_or(Ok(()), Err)
+    }
+
+    /// Records that `bytes` arrived.
+    pub(crate) fn received(&self, bytes: usize) {
+        self.held.callers.handle(Event::BodyReceived(self.held.id, bytes));
+    }
+
+    /// Records that all of it has arrived.
+    pub(crate) fn complete(self) -> Held {
+        self.held.callers.handle(Event::BodyRead(self.held.id));
+        self.held
+    }
+}
+
+/// Counts bytes as held until it is dropped.
+pub(crate) struct Held {
+    callers: Rc<Callers>,
+    id: BodyId,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.callers.refusers.borrow_mut().remove(&self.id);
+        self.callers.handle(Event::Released(self.id));
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Handles one request from a caller, from its head to its response.
 
 use crate::{
+    callers::OpenRequest,
     charge::Charge,
     command::RequestRefusal,
     framing::is_cut_off,
@@ -14,6 +15,7 @@
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header::CONNECTION, request::Parts};
+use http_body::Body;
 use http_body_util::{BodyExt, Collected, Limited};
 use hyper::body::Incoming;
 use std::rc::Rc;
@@ -25,14 +27,25 @@
 /// Maximum size of a non-streamed response, which is read completely before it is sent on.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
+/// `Retry-After` where the host has no room for a body: others end meanwhile.
+const NO_ROOM_RETRY_MS: u64 = 500;
+
 /// Serves one caller request.
-pub(crate) async fn serve(hub: Rc<Hub>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub(crate) async fn serve(
+    hub: Rc<Hub>,
+    request: Request<Incoming>,
+    open: &OpenRequest,
+) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
     let mut head = match hub.ports.caller.read(&parts) {
         Ok(head) => head,
         Err(error) => {
             log::info!("event=request_malformed error=\"{error}\"");
-            return refuse(&hub, None, &Refusal::not_run(RefusalCause::Malformed, None));
+            let refusal = Refusal::not_run(RefusalCause::Malformed, None);
+            return match body.is_end_stream() {
+                true => refuse(&hub, None, &refusal),
+                false => refuse_early(&hub, open, None, &refusal),
+            };
         }
     };
     let name = head.id.clone();
@@ -40,7 +53,10 @@
         Ok(body) => body,
         Err(cause) => {
             log::info!("event=request_refused request={name} cause={}", cause.as_str());
-            return refuse(&hub, Some(&name), &Refusal::not_run(cause, None));
+            telemetry::request_arrived();
+            telemetry::request_refused(cause, "-");
+            let retry_ms = (cause == RefusalCause::NoRoom).then_some(NO_ROOM_RETRY_MS);
+            return refuse_early(&hub, open, Some(&name), &Refusal::not_run(cause, retry_ms));
         }
     };
     hub.await_configuration(&mut head, body.bytes.len()).await;
@@ -152,6 +168,19 @@
     hub.ports.caller.refuse(name, refusal).map(|body| ResponseBody::Full(Some(body)))
 }
 
+/// Refuses a request whose body was not read completely. Its connection carries no other one.
+fn refuse_early(
+    hub: &Hub,
+    open: &OpenRequest,
+    name: Option<&Name>,
+    refusal: &Refusal,
+) -> Response<ResponseBody> {
+    open.refused_early();
+    let mut response = refuse(hub, name, refusal);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 /// Result of reading a non-streamed response completely.
 enum Buffered {
     /// The final response for the caller.
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -19,7 +19,7 @@
 /// Pause after a failed `accept`.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Minimum size of the buffer of a connection, which has to hold the longest head.
-const MIN_BUFFER_BYTES: usize = 32 << 10;
+const MIN_BUFFER_BYTES: usize = 24 << 10;
 /// Bytes of that buffer beyond the longest head.
 const SPARE_BUFFER_BYTES: usize = 8 << 10;
 
@@ -51,7 +51,7 @@
         let open_request = open.begin_request();
         async move {
             let knows_chunks = request.version() >= Version::HTTP_11;
-            let response = exchange::serve(hub, request).await;
+            let response = exchange::serve(hub, request, &open_request).await;
             let response = match knows_chunks || response.headers().contains_key(CONTENT_LENGTH) {
                 true => response,
                 false => response.map(|body| body.reset_if_truncated(&reset)),
--- a/crates/ports/src/caller.rs
+++ b/crates/ports/src/caller.rs
@@ -90,6 +90,10 @@
     Malformed,
     /// The body is too long.
     TooLong,
+    /// Nothing of the body arrived for too long.
+    BodyTimeout,
+    /// The host has no room for the body.
+    NoRoom,
     /// No upstream is available.
     NoUpstream,
     /// The request would not be answered in time.
@@ -123,6 +127,8 @@
             Self::Quarantined => "quarantined",
             Self::Malformed => "malformed",
             Self::TooLong => "too_long",
+            Self::BodyTimeout => "body_timeout",
+            Self::NoRoom => "no_room",
             Self::NoUpstream => "no_upstream",
             Self::Overloaded => "overloaded",
             Self::RateLimited => "limited",
