fix: a body that is announced as too long is refused at its head, and refusals reach their callers

Cause: the stated length was not looked at, and a refusal ended the connection at once. Now a stated length over the limit is refused at the head.

--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -2,6 +2,9 @@
 //!
 //! HTTP/1.0 has no chunks: there the close of the connection ends an answer of unknown length, so that a close
 //! would make one that was cut off look complete, also if the process is killed.
+//!
+//! A caller whose request was refused before it was read may still be sending. What arrives is then read and dropped
+//! for a while, since a close with unread bytes resets the connection and takes the refusal away.
 
 use crate::callers::OpenConnection;
 use socket2::SockRef;
@@ -16,7 +19,16 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::{Sleep, sleep},
 };
+
+/// Maximum time in which the rest of a refused request is read.
+const DRAIN_TIME: Duration = Duration::from_secs(5);
+/// Maximum number of bytes of it that are read.
+const MAX_DRAINED_BYTES: usize = 8 << 20;
+/// Number of bytes that are read at a time.
+const DRAIN_BUFFER_BYTES: usize = 8 << 10;
+
 /// Maximum number of bytes read at a time. The HTTP library enlarges its buffer, of which several are in use while a body
 /// arrives, when a read fills the smallest one of 8 KiB.
 const MAX_READ_BYTES: usize = 8_000;
@@ -39,12 +51,38 @@
     /// The setting that the socket has.
     is_set: bool,
     open: Rc<OpenConnection>,
+    drain: Option<Drain>,
+}
+
+/// What may still be read of a refused request.
+struct Drain {
+    end: Pin<Box<Sleep>>,
+    left: usize,
 }
 
 impl CallerStream {
     /// Wraps a connection, with the setting that governs its end.
     pub(crate) fn new(stream: TcpStream, reset: ResetOnClose, open: Rc<OpenConnection>) -> Self {
-        Self { stream, reset, is_set: false, open }
+        Self { stream, reset, is_set: false, open, drain: None }
+    }
+
+    /// Reads and drops what still arrives, until the caller closes the connection or a bound is reached.
+    fn poll_drain(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let drain = self.drain.get_or_insert_with(|| Drain {
+            end: Box::pin(sleep(DRAIN_TIME)),
+            left: MAX_DRAINED_BYTES,
+        });
+        let mut bytes = [0; DRAIN_BUFFER_BYTES];
+        while drain.left > 0 && drain.end.as_mut().poll(context).is_pending() {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer));
+            let count = buffer.filled().len();
+            if read.is_err() || count == 0 {
+                break;
+            }
+            drain.left = drain.left.saturating_sub(count);
+        }
+        Poll::Ready(())
     }
 
     fn written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
@@ -117,7 +155,13 @@
         if self.is_set {
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        if self.drain.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+        }
+        if self.open.is_drained() {
+            ready!(self.poll_drain(context));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -130,6 +130,11 @@
         self.callers.handle(Event::HeadRead(self.id));
         OpenRequest(self.clone())
     }
+
+    /// Whether what still arrives is read and dropped before the connection is closed.
+    pub(crate) fn is_drained(&self) -> bool {
+        self.is_drained.get()
+    }
 }
 
 impl Drop for OpenConnection {
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -23,8 +23,11 @@
 pub(crate) async fn read(hub: &Hub, mut body: Incoming) -> Result<RequestBody, RefusalCause> {
     let limit = hub.caller_limits().body_bytes;
     let stated = body.size_hint().exact().map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    if stated.is_some_and(|stated| stated > limit) {
+        return Err(RefusalCause::TooLong);
+    }
     let mut incoming = hub.callers.begin_body();
-    let mut buffer = BodyBuffer::new(stated.unwrap_or(limit).min(limit));
+    let mut buffer = BodyBuffer::new(stated.unwrap_or(limit));
     loop {
         let frame = tokio::select! {
             biased;
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -327,6 +327,23 @@
     }
 }
 
+/// A caller that is reset while it sends may not look for an answer.
+#[rstest]
+#[case::announced(Script::with_length(4 * BODY_BYTES, 4 * BODY_BYTES))]
+#[case::in_chunks(Script::in_chunks(chunks(2 * BODY_BYTES, 1_024)))]
+fn refused_callers_are_not_reset(#[case] script: Script) {
+    let _turn = alone();
+    let site = Site::start();
+    let mut crowd = Crowd::connect(site.host.front, 8, &Script { reads: false, ..script });
+    crowd.settle();
+    crowd.members.iter_mut().for_each(|member| member.start_reading());
+    crowd.settle();
+    for member in &crowd.members {
+        assert!(!member.is_cut(), "the caller could send all");
+        assert_eq!(member.status(), Some(413), "answer: {}", member.answer());
+    }
+}
+
 #[rstest]
 #[case::body("/offer/1", EndlessPart::Body)]
 #[case::event("/offer/1", EndlessPart::Event)]
--- a/tests/gateway/crowd.rs
+++ b/tests/gateway/crowd.rs
@@ -76,6 +76,7 @@
     sent: usize,
     answer: Vec<u8>,
     is_closed: bool,
+    is_cut: bool,
 }
 
 impl Member {
@@ -93,6 +94,7 @@
             sent: 0,
             answer: Vec::new(),
             is_closed: false,
+            is_cut: false,
         })
     }
 
@@ -102,6 +104,11 @@
         text.parse().ok()
     }
 
+    /// Whether the connection broke while the caller was still sending.
+    pub fn is_cut(&self) -> bool {
+        self.is_cut
+    }
+
     /// Whether the host has closed the connection.
     pub fn is_closed(&self) -> bool {
         self.is_closed
@@ -155,6 +162,7 @@
             // A refused caller still reads its answer.
             Err(error) if error.kind() == ErrorKind::WouldBlock => false,
             Err(_) => {
+                self.is_cut = true;
                 self.sent = head + self.body.len();
                 false
             }
