fix: answers that their callers do not take are counted as held

A complete answer of up to 256 KiB was handed to the connection as a whole and counted nowhere while its caller read slowly. Now one of more than 32 KiB is handed over in copied pieces of that size, and counts against the room of bodies until the last of them: requests that find none are refused before they run; an answer is never dropped for it.

What streams hold for a slow caller is still not counted.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -153,6 +153,14 @@
     pub(crate) fn refused_early(&self) {
         self.0.is_drained.set(true);
     }
+
+    /// Counts an answer of `bytes` that is held until its caller has taken it.
+    pub(crate) fn hold_answer(&self, bytes: usize) -> Held {
+        let callers = self.0.callers.clone();
+        let id = BodyId(callers.next_id());
+        callers.handle(Event::AnswerHeld(id, bytes));
+        Held { callers, id }
+    }
 }
 
 impl Drop for OpenRequest {
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -1,6 +1,9 @@
 //! Response bodies sent to callers.
 
-use crate::{caller_stream::ResetOnClose, callers::OpenRequest};
+use crate::{
+    caller_stream::ResetOnClose,
+    callers::{Held, OpenRequest},
+};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use std::{
@@ -62,8 +65,17 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
             Self::Full(bytes) => {
-                let rest = bytes.take().filter(|bytes| !bytes.is_empty());
-                Poll::Ready(rest.map(|bytes| Ok(Frame::data(bytes))))
+                let piece = bytes.take().map(|mut whole| {
+                    if whole.len() <= HANDED_BYTES {
+                        return whole;
+                    }
+                    // A copy: what waits in the connection must not keep the whole body.
+                    let piece = Bytes::copy_from_slice(&whole.split_to(HANDED_BYTES));
+                    *bytes = Some(whole);
+                    piece
+                });
+                let piece = piece.filter(|piece| !piece.is_empty());
+                Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
             }
             Self::Stream { pieces, reset } => {
                 Poll::Ready(match ready!(pieces.poll_recv(context)) {
@@ -95,16 +107,27 @@
     }
 }
 
+/// Bytes of a complete body that are handed over at a time. The rest stays counted as held.
+const HANDED_BYTES: usize = 32 << 10;
+
 /// The body of the answer to a request that counts as open until it has been handed over.
 pub(crate) struct ServedBody {
     body: ResponseBody,
     _open: OpenRequest,
+    /// Counts a complete body as held.
+    _held: Option<Held>,
 }
 
 impl ServedBody {
     /// Wraps the body of an answer to `open`.
     pub(crate) fn new(body: ResponseBody, open: OpenRequest) -> Self {
-        Self { body, _open: open }
+        let held = match &body {
+            ResponseBody::Full(Some(bytes)) if bytes.len() > HANDED_BYTES => {
+                Some(open.hold_answer(bytes.len()))
+            }
+            ResponseBody::Full(_) | ResponseBody::Stream { .. } => None,
+        };
+        Self { body, _open: open, _held: held }
     }
 }
 
