--- a/crates/gateway/src/body_buffer.rs
+++ b/crates/gateway/src/body_buffer.rs
@@ -11,7 +11,7 @@
 const MIN_HEAP_BYTES: usize = 1 << 10;
 /// Largest buffer on the heap.
 const MAX_HEAP_BYTES: usize = 16 << 10;
-/// Steps in which a memory map counts as held; a multiple of the size of a page.
+/// Steps in which a memory map counts as held.
 const STEP_BYTES: usize = 16 << 10;
 
 /// The bytes of a body that have arrived.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -96,8 +96,8 @@
     telemetry::build_info(build);
     let hub =
         Hub::new(HubParts { settings: settings.clone(), ports, links, tunnels: tunnel_sender });
-    let callers_of_status = Callers::new(hub.clock, status::LIMITS);
-    let status = Rc::new(Status { hub: hub.clone(), metrics, callers: callers_of_status });
+    let status_callers = Callers::new(hub.clock, status::LIMITS);
+    let status = Rc::new(Status { hub: hub.clone(), metrics, callers: status_callers });
     for address in status_addresses.into_iter().flatten() {
         let listener = listen(address).context("readiness and metrics")?;
         spawn_local(status::serve(status.clone(), listener));
