test: crowds that read nothing, without a configuration, through exits

Memory now counts with what callers have not taken. Moved without a change: answers_that_nobody_reads to tests/unread_answers.rs, the site and its bounds to tests/gateway/crowd_site.rs.

--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -5,123 +5,19 @@
 mod gateway;
 
 use gateway::{
-    Deployment, Host,
     crowd::{Crowd, Script, chunks},
+    crowd_site::{BODY_BYTES, CROWD, SPARE_FDS, Site, alone, wait_for_answer},
     wait_for,
 };
 use rstest::rstest;
 use serde_json::json;
-use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
-    thread,
-    time::{Duration, Instant},
-};
-use vanetally_platform_standin::{Behaviour, Client, EndlessPart};
+use std::{thread, time::Duration};
+use vanetally_platform_standin::{Behaviour, Client};
 
-const CROWD: usize = 150;
-/// Maximum size of a body.
-const BODY_BYTES: usize = 1 << 20;
-/// Memory of the host's machine: less than the bodies of a crowd.
-const MEMORY_MB: u64 = 80;
-const MEMORY_BYTES: u64 = MEMORY_MB * 1_000_000;
-/// Descriptors of the host's machine: fewer than the connections of a crowd that rests.
-const MAX_FDS: usize = 800;
-/// Engines of a site whose answers nobody reads: enough slots for most of a crowd.
-const ENGINES: usize = 16;
 const RESTING: usize = 1_000;
-/// Descriptors that may still be in use after a crowd, besides those of before: connections to upstreams, the store and
-/// the caller of the last request.
-const SPARE_FDS: usize = 16;
-/// Hundredths of a second of processor time that a host at rest uses in half a second.
-const MAX_CALM_TICKS: u64 = 15;
-/// Maximum time until a host has done what it does with what a crowd sends.
-const MAX_SETTLING: Duration = Duration::from_secs(120);
 const HEADER_MS: u64 = 1_000;
 const IDLE_MS: u64 = 2_000;
 
-/// Crowds come one at a time: each uses much of the test's machine.
-fn alone() -> MutexGuard<'static, ()> {
-    static TURN: Mutex<()> = Mutex::new(());
-    TURN.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-struct Site {
-    deployment: Deployment,
-    host: Host,
-    calm_fds: usize,
-}
-
-impl Site {
-    fn start() -> Self {
-        Self::with_limits(&json!({ "max_body_bytes": BODY_BYTES }))
-    }
-
-    fn with_limits(limits: &serde_json::Value) -> Self {
-        let deployment = Deployment::start();
-        deployment.configure_limits(2, limits, CROWD);
-        let machine = json!({ "memory_mb": MEMORY_MB, "max_fds": MAX_FDS });
-        let host = deployment.limited_host("front-0", &machine);
-        let site = Self { deployment, host, calm_fds: 0 };
-        wait_for("a request is served", || site.is_served("first", 100));
-        let calm_fds = site.host.descriptors();
-        Self { calm_fds, ..site }
-    }
-
-    /// Whether an ordinary request with a body of `bytes` is served.
-    fn is_served(&self, id: &str, bytes: usize) -> bool {
-        let request = Client::new("POST", "/check/1", id).body(&vec![b'o'; bytes]);
-        request.send(self.host.front).status == 200
-    }
-
-    /// Lets a crowd send until the host takes no more of it and has done what it does with it.
-    fn settle(&self, crowd: &mut Crowd) {
-        let began = Instant::now();
-        loop {
-            let before = (self.host.unread(), self.host.processor_ticks());
-            crowd.settle();
-            let after = (self.host.unread(), self.host.processor_ticks());
-            if before.0 == after.0 && after.1 - before.1 <= MAX_CALM_TICKS {
-                return;
-            }
-            assert!(began.elapsed() < MAX_SETTLING, "the host has no rest");
-        }
-    }
-
-    fn check_bounds(&mut self) {
-        assert_eq!(self.host.try_wait(), None, "the process lives");
-        let (peak, memory, unread) =
-            (self.host.peak_memory(), self.host.memory(), self.host.unread());
-        let descriptors = self.host.descriptors();
-        println!("peak {peak}, now {memory}, unread {unread}, descriptors {descriptors}");
-        assert!(peak <= MEMORY_BYTES, "{peak} bytes at the peak");
-        assert!(memory + unread <= MEMORY_BYTES, "{memory} bytes and {unread} unread");
-        assert!(descriptors <= MAX_FDS, "{descriptors} descriptors");
-    }
-
-    /// Checks that what the crowd held is free again.
-    fn check_calm(&mut self) {
-        let max = self.calm_fds + SPARE_FDS;
-        wait_for("descriptors are free again", || self.host.descriptors() <= max);
-        wait_for("memory is free again", || self.host.memory() <= MEMORY_BYTES / 2);
-        assert!(self.is_served("whole", BODY_BYTES), "a body of full size is served");
-        let whole = Script::in_chunks([chunks(BODY_BYTES, 1_024), b"0\r\n\r\n".into()].concat());
-        let mut caller = Crowd::connect(self.host.front, 1, &whole);
-        wait_for_answer(&mut caller);
-        assert_eq!(caller.members[0].status(), Some(200), "chunks are served");
-        self.check_bounds();
-    }
-}
-
-fn wait_for_answer(crowd: &mut Crowd) {
-    for _ in 0..10_000 {
-        crowd.step();
-        if crowd.members.iter().all(|member| member.status().is_some()) {
-            return;
-        }
-        thread::sleep(Duration::from_millis(1));
-    }
-}
-
 fn short() -> Script {
     Script::with_length(BODY_BYTES, BODY_BYTES - 1)
 }
@@ -167,10 +63,11 @@
 }
 
 #[rstest]
-#[case::stream("/offer/1")]
-#[case::resumable("/draft/1")]
-#[case::plain("/check/1")]
-fn whole_bodies_that_wait(#[case] path: &'static str) {
+#[case::stream("/offer/1", "")]
+#[case::resumable("/draft/1", "")]
+#[case::taken_up("/draft/1", "Last-Event-Id: 3\r\n")]
+#[case::plain("/check/1", "")]
+fn whole_bodies_that_wait(#[case] path: &'static str, #[case] header: &str) {
     let _turn = alone();
     let mut site = Site::start();
     site.deployment.engines[0].set_behaviour(Behaviour::Unresponsive);
@@ -179,6 +76,7 @@
     }
     let mut script = Script { path, ..Script::with_length(BODY_BYTES, BODY_BYTES) };
     script.headers.push_str("X-Model: m1\r\nX-Token-Count: 10,10\r\n");
+    script.headers.push_str(header);
     let mut crowd = Crowd::connect(site.host.front, CROWD, &script);
     site.settle(&mut crowd);
     site.check_bounds();
@@ -344,34 +242,6 @@
     }
 }
 
-#[rstest]
-#[case::body("/offer/1", EndlessPart::Body)]
-#[case::event("/offer/1", EndlessPart::Event)]
-#[case::resumable_body("/draft/1", EndlessPart::Body)]
-#[case::resumable_event("/draft/1", EndlessPart::Event)]
-fn answers_that_nobody_reads(#[case] path: &'static str, #[case] part: EndlessPart) {
-    let _turn = alone();
-    let mut site = Site::start();
-    (1..ENGINES).for_each(|_| site.deployment.add_engine());
-    for engine in &site.deployment.engines {
-        engine.set_behaviour(Behaviour::Endless(part));
-    }
-    // The host learns of the engines before the crowd comes.
-    let upstreams = (ENGINES + site.deployment.desks.len()) as f64;
-    wait_for("the engines are known", || {
-        site.host.metric("vanetally_upstreams") == Some(upstreams)
-    });
-    thread::sleep(Duration::from_secs(2));
-    let mut script = Script { path, reads: false, ..Script::with_length(10, 10) };
-    script.headers.push_str("X-Model: m1\r\nX-Token-Count: 10,10\r\n");
-    let mut crowd = Crowd::connect(site.host.front, CROWD, &script);
-    site.settle(&mut crowd);
-    site.check_bounds();
-    assert!(site.is_served("during", 100), "an ordinary request is served");
-    drop(crowd);
-    site.check_calm();
-}
-
 #[test]
 fn stop_beside_a_crowd_ends() {
     let _turn = alone();
--- a/tests/gateway/crowd.rs
+++ b/tests/gateway/crowd.rs
@@ -20,6 +20,8 @@
 /// What each caller of a crowd sends.
 #[derive(Clone)]
 pub struct Script {
+    /// Method of the requests.
+    pub method: &'static str,
     /// Path of the requests.
     pub path: &'static str,
     /// Header lines of the requests, besides those that all requests have.
@@ -37,6 +39,7 @@
     pub fn with_length(length: usize, sent: usize) -> Self {
         let headers = format!("Content-Length: {length}\r\n");
         Self {
+            method: "POST",
             path: "/check/1",
             headers,
             body: vec![b'x'; sent].into(),
@@ -48,13 +51,13 @@
     /// A body in chunks; `body` is what is sent of them.
     pub fn in_chunks(body: Vec<u8>) -> Self {
         let headers = "Transfer-Encoding: chunked\r\n".to_owned();
-        Self { path: "/check/1", headers, body: body.into(), piece: usize::MAX, reads: true }
+        Self { body: body.into(), headers, ..Self::with_length(0, 0) }
     }
 
     fn bytes(&self, id: &str) -> Vec<u8> {
         let head = format!(
-            "POST {} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 20000\r\n{}\r\n",
-            self.path, self.headers
+            "{} {} HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 20000\r\n{}\r\n",
+            self.method, self.path, self.headers
         );
         head.into_bytes()
     }
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 pub mod crowd;
+pub mod crowd_site;
 pub mod load;
 pub mod restores;
 pub mod taps;
@@ -186,12 +187,17 @@
 
     /// Starts a host on a machine with these limits, and waits until it is ready.
     pub fn limited_host(&self, name: &str, limits: &Value) -> Host {
+        let host = self.spawn_limited(name, limits);
+        wait_for("the host is ready", || host.readiness() == 200);
+        host
+    }
+
+    /// Starts a host on a machine with these limits.
+    pub fn spawn_limited(&self, name: &str, limits: &Value) -> Host {
         let ip = fresh_ip();
         let mut settings = settings(name, &ip, self.store.address());
         settings["limits"] = limits.clone();
-        let host = self.spawn_with(name, &ip, &settings);
-        wait_for("the host is ready", || host.readiness() == 200);
-        host
+        self.spawn_with(name, &ip, &settings)
     }
 
     /// Writes a configuration with `count` additional routes.
--- a/tests/gateway/taps.rs
+++ b/tests/gateway/taps.rs
@@ -4,6 +4,7 @@
     Deployment, Host, fresh_ip, fronts,
     load::{Exchange, run_per_host},
 };
+use serde_json::Value;
 use std::{
     ops::Range,
     time::{Duration, Instant},
@@ -27,6 +28,13 @@
         Self::start_with(count, engines, desks, Vec::new())
     }
 
+    /// Starts hosts like [`TappedDeployment::start`], on machines with these limits.
+    pub fn start_limited(count: usize, engines: usize, desks: usize, limits: &Value) -> Self {
+        Self::start_hosts(count, engines, desks, |deployment, number| {
+            deployment.spawn_limited(&format!("front-{number}"), limits)
+        })
+    }
+
     /// Starts `count` hosts with `engines` engines, which the hosts reach through taps, like the store.
     pub fn start_partitioned(count: usize, engines: usize) -> Self {
         let ips = (0..count).map(|_| fresh_ip());
@@ -34,6 +42,24 @@
     }
 
     fn start_with(count: usize, engines: usize, desks: usize, store_ips: Vec<String>) -> Self {
+        let mut stores = Vec::new();
+        let site = Self::start_hosts(count, engines, desks, |deployment, number| {
+            let store = deployment.store.address();
+            let proxy = store_ips.get(number).map(|ip| Proxy::start(ip, store));
+            let store = proxy.as_ref().map_or(store, Proxy::address);
+            stores.extend(proxy);
+            deployment.spawn_at(&format!("front-{number}"), &fresh_ip(), store)
+        });
+        Self { stores, ..site }
+    }
+
+    /// Starts the upstreams behind taps, and then `count` hosts by `spawn`.
+    fn start_hosts(
+        count: usize,
+        engines: usize,
+        desks: usize,
+        mut spawn: impl FnMut(&Deployment, usize) -> Host,
+    ) -> Self {
         let mut deployment = Deployment::start();
         (1..engines).for_each(|_| deployment.add_engine());
         (1..desks).for_each(|_| drop(deployment.add_desk()));
@@ -47,13 +73,8 @@
         let engines = deployment.engines.iter().map(|engine| (engine, &engine_modes));
         let desks = deployment.desks.iter().map(|desk| (desk, &desk_modes));
         let taps = engines.chain(desks).map(tap).collect();
-        let store = deployment.store.address();
-        let stores: Vec<Proxy> = store_ips.iter().map(|ip| Proxy::start(ip, store)).collect();
-        let spawn = |number: usize| {
-            let store = stores.get(number).map_or(store, Proxy::address);
-            deployment.spawn_at(&format!("front-{number}"), &fresh_ip(), store)
-        };
-        let hosts: Vec<Host> = (0..count).map(spawn).collect();
+        let hosts: Vec<Host> = (0..count).map(|number| spawn(&deployment, number)).collect();
+        let stores = Vec::new();
         let site = Self { hosts, taps, engine_modes, desk_modes, stores, deployment };
         site.set_mode(0..count, TapMode::Pass);
         site.hosts.iter().for_each(|host| super::wait_for("the host is ready", || host.is_ready()));
--- a/tests/gateway/usage.rs
+++ b/tests/gateway/usage.rs
@@ -43,14 +43,25 @@
 
     /// Bytes that callers have sent and the host has not read.
     pub fn unread(&self) -> u64 {
+        self.queued(|(_, received)| received)
+    }
+
+    /// Bytes that the host has sent and callers have not taken.
+    pub fn unsent(&self) -> u64 {
+        self.queued(|(sent, _)| sent)
+    }
+
+    /// Sum over the sockets of callers of a part of what the system has queued, sent and received bytes.
+    fn queued(&self, part: impl Fn((u64, u64)) -> u64) -> u64 {
         let front = written(self.front);
         let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the list of sockets");
         let queues = sockets.lines().filter_map(|line| {
             let mut fields = line.split_whitespace().skip(1);
             let is_front = fields.next()? == front;
-            let queue = fields.nth(2)?.split_once(':')?.1;
-            is_front.then(|| u64::from_str_radix(queue, 16).ok()).flatten()
+            let (sent, received) = fields.nth(2)?.split_once(':')?;
+            let bytes = |text| u64::from_str_radix(text, 16).ok();
+            is_front.then_some((bytes(sent)?, bytes(received)?))
         });
-        queues.sum()
+        queues.map(part).sum()
     }
 }
