fix: what the system holds of connections that carry requests is bounded on both sides of a host

A body that waits was held a second time, by the system on the way to its upstream (its send buffer grows to megabytes), and an answer that a caller does not take once more on the way from it; the same on tunnels, at both ends. Cause: only the callers' connections had bounded buffers. Now connections to upstreams and tunnels have 16 and 32 KiB (Linux takes up to twice as much), set before they open, so that the peer never learns a larger window; at most 8,000 bytes are read at a time, and a request waits in at most 8 KiB at the head of a tunnel.

The memory of the system is not seen in that of the process; no test of its own failed before.

--- a/crates/gateway/src/bounded_stream.rs
+++ b/crates/gateway/src/bounded_stream.rs
@@ -15,6 +15,10 @@
 /// Number of bytes that are read in a row before other tasks have their turn.
 const TURN_BYTES: usize = 64 << 10;
 
+/// Maximum number of bytes read at a time for a caller. The HTTP library enlarges its buffer when a read fills the smallest
+/// one of 8 KiB, and several are in use while a body arrives.
+pub(crate) const CALLER_READ_BYTES: usize = 8_000;
+
 /// The bytes that an upstream may still send until the head of its answer is complete.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct HeadBound(Rc<Cell<Option<usize>>>);
@@ -44,13 +48,15 @@
 pub(crate) struct BoundedStream<S> {
     stream: S,
     bound: HeadBound,
+    /// Maximum number of bytes read at a time.
+    max_read: usize,
     /// Bytes read since other tasks had their turn.
     in_row: usize,
 }
 
 impl<S> BoundedStream<S> {
-    pub(crate) fn new(stream: S, bound: HeadBound) -> Self {
-        Self { stream, bound, in_row: 0 }
+    pub(crate) fn new(stream: S, bound: HeadBound, max_read: usize) -> Self {
+        Self { stream, bound, max_read, in_row: 0 }
     }
 }
 
@@ -65,9 +71,8 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let count = buffer.filled().len() - before;
+        let max_read = self.max_read;
+        let (read, count) = poll_read_some(&mut self.stream, context, buffer, max_read);
         match read {
             Poll::Pending => self.in_row = 0,
             Poll::Ready(_) => self.in_row += count,
@@ -80,6 +85,21 @@
     }
 }
 
+/// Reads at most `max` bytes; returns also their number.
+pub(crate) fn poll_read_some(
+    stream: &mut (impl AsyncRead + Unpin),
+    context: &mut Context<'_>,
+    buffer: &mut ReadBuf<'_>,
+    max: usize,
+) -> (Poll<io::Result<()>>, usize) {
+    let room = buffer.remaining().min(max);
+    let mut part = ReadBuf::new(buffer.initialize_unfilled_to(room));
+    let read = Pin::new(stream).poll_read(context, &mut part);
+    let count = part.filled().len();
+    buffer.advance(count);
+    (read, count)
+}
+
 impl<S: AsyncWrite + Unpin> AsyncWrite for BoundedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -184,7 +184,7 @@
         let clock = Clock::starting_at(clock::ORIGIN);
         Rc::new(Self {
             clock,
-            pool: Pool::new(clock),
+            pool: Pool::for_callers(clock),
             control_pool: Pool::new(clock),
             open_orders: OpenOrders::default(),
             store: Store::new(&settings.store, bounds.contact_ms, ports.store.clone(), clock),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,7 +1,7 @@
 //! Pool of persistent HTTP connections.
 
 use crate::{
-    bounded_stream::{BoundedStream, HeadBound},
+    bounded_stream::{BoundedStream, CALLER_READ_BYTES, HeadBound},
     clock::Clock,
     tunnels::OpenTunnel,
 };
@@ -78,6 +78,8 @@
 pub(crate) struct Pool {
     addresses: AddressPools,
     clock: Clock,
+    /// Whether the connections carry the requests of callers.
+    is_for_callers: bool,
 }
 
 /// Guard that counts one open connection to an address.
@@ -117,9 +119,14 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
 impl Pool {
-    /// Creates an empty pool.
+    /// Creates an empty pool for calls of the host's own.
     pub(crate) fn new(clock: Clock) -> Self {
-        Self { addresses: AddressPools::default(), clock }
+        Self { addresses: AddressPools::default(), clock, is_for_callers: false }
+    }
+
+    /// Creates an empty pool for the requests of callers. What its connections hold is bounded.
+    pub(crate) fn for_callers(clock: Clock) -> Self {
+        Self { is_for_callers: true, ..Self::new(clock) }
     }
 
     /// Returns a pooled connection to `address`, or opens one if fewer than `max_open` are open.
@@ -151,8 +158,11 @@
         limit: Duration,
     ) -> Result<Connection, Error> {
         let open = self.open(address, max_open)?;
-        let stream = socket::connect_within(address, limit).await?;
-        let sender = start(stream).await?;
+        let stream = match self.is_for_callers {
+            true => socket::connect_bounded(address, limit).await?,
+            false => socket::connect_within(address, limit).await?,
+        };
+        let sender = self.start(stream).await?;
         Ok(Connection::new(sender, open, None))
     }
 
@@ -183,10 +193,18 @@
         stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
         tunnel: OpenTunnel,
     ) -> Result<Connection, Error> {
-        let sender = start(stream).await?;
+        let sender = self.start(stream).await?;
         Ok(Connection::new(sender, open, Some(tunnel)))
     }
 
+    async fn start(
+        &self,
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    ) -> Result<Sender, hyper::Error> {
+        let max_read = if self.is_for_callers { CALLER_READ_BYTES } else { usize::MAX };
+        start_with(stream, max_read).await
+    }
+
     /// Returns a pooled connection to `address` that is `wanted`.
     pub(crate) fn take_idle(
         &self,
@@ -319,9 +337,17 @@
 /// Starts HTTP on a connection that was just opened.
 pub(crate) async fn start(
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+) -> Result<Sender, hyper::Error> {
+    start_with(stream, usize::MAX).await
+}
+
+/// Starts HTTP on a connection that was just opened, of which at most `max_read` bytes are read at a time.
+async fn start_with(
+    stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    max_read: usize,
 ) -> Result<Sender, hyper::Error> {
     let bound = HeadBound::default();
-    let stream = BoundedStream::new(stream, bound.clone());
+    let stream = BoundedStream::new(stream, bound.clone(), max_read);
     let (inner, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::task::spawn_local(async move {
         // A connection error is also returned to the request waiting on it.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -31,7 +31,10 @@
     task::{LocalSet, spawn_local},
     time::{interval, sleep},
 };
-use vanetally_link::peer::{self, Links};
+use vanetally_link::{
+    peer::{self, Links},
+    socket,
+};
 use vanetally_placement::OrderLeaseEvent;
 use vanetally_ports::{Change, Ports};
 use vanetally_types::{HostId, Name};
@@ -50,8 +53,8 @@
 const CALL_LOG_INTERVAL_MS: u64 = 5_000;
 /// Maximum size of a message between hosts.
 const MAX_MESSAGE_BYTES: usize = 4 << 20;
-/// Size of the system's receive buffer and of its send buffer of a caller's connection.
-const SOCKET_BUFFER_BYTES: usize = 32 << 10;
+/// Size of the system's receive buffer of a caller's connection. The system takes up to twice as much.
+const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: i32 = 1_024;
 /// Fraction of the grace period after which idle connections are closed.
@@ -117,22 +120,13 @@
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
-    bound_buffers(&socket);
+    // Accepted connections inherit it.
+    socket::bound_buffers(&socket, RECEIVE_BUFFER_BYTES);
     socket.bind(&address.into()).with_context(|| format!("bind {address}"))?;
     socket.listen(BACKLOG)?;
     Ok(TcpListener::from_std(socket.into())?)
 }
 
-/// Bounds what the system holds for each connection that is accepted: bytes that have not been read or acknowledged.
-fn bound_buffers(socket: &Socket) {
-    let bounded = socket
-        .set_recv_buffer_size(SOCKET_BUFFER_BYTES)
-        .and_then(|()| socket.set_send_buffer_size(SOCKET_BUFFER_BYTES));
-    if let Err(error) = bounded {
-        log::warn!("event=buffers_unbounded error=\"{error}\"");
-    }
-}
-
 fn start_links(
     settings: &Settings,
     messages: InboxSender,
--- a/crates/link/src/handshake.rs
+++ b/crates/link/src/handshake.rs
@@ -3,7 +3,10 @@
 use crate::{
     peer::{Options, Traffic, decode},
     proof::{Hello, Side, prove, verify},
-    socket::{reset_on_close, set_accepted_link_options, set_link_options, set_peer_options},
+    socket::{
+        CONNECT_TIMEOUT, bound_buffers, connect_bounded, set_accepted_link_options,
+        set_link_options, set_peer_options,
+    },
 };
 use futures_util::{SinkExt, StreamExt};
 use serde::{Serialize, de::DeserializeOwned};
@@ -36,6 +39,10 @@
 /// Read buffer of each connection; small, because a host has links to all others and messages are
 /// short.
 const READ_BUFFER_BYTES: usize = 4 << 10;
+/// Size of the system's receive buffer of an accepted tunnel.
+const ACCEPTED_RECEIVE_BYTES: usize = 32 << 10;
+/// Bytes of a request that wait until they are sent through a tunnel.
+const WRITE_BUFFER_BYTES: usize = 8 << 10;
 
 impl Purpose {
     fn path(self) -> &'static str {
@@ -49,17 +56,31 @@
         if path == TUNNEL_PATH { Self::Tunnel } else { Self::Link }
     }
 
-    fn set_dialer_options(self, stream: &TcpStream) -> io::Result<()> {
+    async fn connect(self, address: SocketAddr) -> io::Result<TcpStream> {
+        match self {
+            Self::Link => {
+                let stream = TcpStream::connect(address).await?;
+                set_link_options(&stream)?;
+                Ok(stream)
+            }
+            Self::Tunnel => connect_bounded(address, CONNECT_TIMEOUT).await,
+        }
+    }
+
+    fn dialer_config(self, options: &Options) -> WebSocketConfig {
         match self {
-            Self::Link => set_link_options(stream),
-            Self::Tunnel => set_peer_options(stream).and_then(|()| reset_on_close(stream)),
+            Self::Link => config(options),
+            Self::Tunnel => config(options).write_buffer_size(WRITE_BUFFER_BYTES),
         }
     }
 
     fn set_acceptor_options(self, stream: &TcpStream) -> io::Result<()> {
         match self {
             Self::Link => set_accepted_link_options(stream),
-            Self::Tunnel => set_peer_options(stream),
+            Self::Tunnel => {
+                bound_buffers(stream, ACCEPTED_RECEIVE_BYTES);
+                set_peer_options(stream)
+            }
         }
     }
 }
@@ -78,10 +99,10 @@
     purpose: Purpose,
     (options, traffic): (&Options, &Traffic),
 ) -> Option<Socket> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    purpose.set_dialer_options(&stream).ok()?;
+    let stream = purpose.connect(address).await.ok()?;
     let url = format!("ws://{address}{}", purpose.path());
-    let connected = client_async_with_config(url, stream, Some(config(options))).await;
+    let connected =
+        client_async_with_config(url, stream, Some(purpose.dialer_config(options))).await;
     let (mut socket, _) = connected.ok()?;
     let remote: Hello = read(&mut socket).await?;
     let local = Hello::new(options.host_id.clone());
--- a/crates/link/src/tunnel.rs
+++ b/crates/link/src/tunnel.rs
@@ -180,7 +180,7 @@
 }
 
 async fn connect(mut target: TunnelTarget) -> Result<(TcpStream, TunnelTarget), TunnelRefusal> {
-    match socket::connect_within(target.address, CONNECT_TIMEOUT).await {
+    match socket::connect_bounded(target.address, CONNECT_TIMEOUT).await {
         Ok(stream) => Ok((stream, target)),
         Err(_) => {
             target.watcher.broken();
