fix: requests and their answers are part of what all callers may hold

A stream that its caller doesn't take held about 250 KB, and nothing counted it: as many as connections are allowed, 1,950 at a host of 260 MB, could hold more than its memory; the system's buffers were counted at less than they take, answers while they are read from an upstream and the kept answer of a failed attempt not at all. Cause: the account knew bodies and connections, not requests. Now half of the memory bounds connections (32 KiB each), requests (64 KiB while their body is read, then 232 KiB, which covers the system's buffers on both sides and what is on the way), bodies and answers in sum. A request that finds no room gives way at its head: 503 with Retry-After, not run. Before that, bodies that make no progress and callers that have taken nothing of an answer for a second give way, then connections that rest. A quarter of the bodies' share is left for small ones beside any number of requests. A stream has two pieces on the way, not four.

A single body that is longer than the share of bodies was never served, also in calm: with 80 MB one of 24 MiB got 503 for a minute. One body may now use what others leave of the whole half.

--- a/crates/admission/src/bodies.rs
+++ b/crates/admission/src/bodies.rs
@@ -1,6 +1,6 @@
 //! Bodies of requests while a host holds them.
 
-use crate::limits::Limits;
+use crate::{connections::ConnectionId, limits::Limits};
 use std::{cmp::Reverse, collections::BTreeMap};
 use vanetally_types::Tick;
 
@@ -12,11 +12,13 @@
 /// would keep a large body from giving way.
 const PROGRESS_DIVISOR: usize = 32;
 /// Time without progress after which a body gives way to any other.
-const STALLED_MS: u64 = 1_000;
+pub(crate) const STALLED_MS: u64 = 1_000;
 
 /// A body that the host holds.
 #[derive(Clone, Copy, Debug)]
 struct Body {
+    /// The connection that it arrives on; `None` for an answer.
+    connection: Option<ConnectionId>,
     /// Bytes that are allocated for it.
     held: usize,
     /// Bytes received since its last progress.
@@ -34,6 +36,8 @@
 pub(crate) struct Bodies {
     held: BTreeMap<BodyId, Body>,
     bytes: usize,
+    /// The body that may hold more than the share of large ones, since it came when it had that share for itself.
+    oversized: Option<BodyId>,
 }
 
 impl Bodies {
@@ -48,16 +52,21 @@
     }
 
     /// Begins a body that holds nothing yet.
-    pub(crate) fn begin(&mut self, now: Tick, id: BodyId) {
-        let body = Body { held: 0, received: 0, progressed: now, heard: now, is_whole: false };
+    pub(crate) fn begin(&mut self, now: Tick, id: BodyId, connection: ConnectionId) {
+        let connection = Some(connection);
+        let body =
+            Body { connection, held: 0, received: 0, progressed: now, heard: now, is_whole: false };
         self.held.insert(id, body);
     }
 
-    /// Counts a complete body or answer of `bytes`.
-    pub(crate) fn insert_whole(&mut self, now: Tick, id: BodyId, bytes: usize) {
-        let body = Body { held: bytes, received: 0, progressed: now, heard: now, is_whole: true };
-        self.held.insert(id, body);
-        self.bytes += bytes;
+    /// Counts `bytes` of an answer in all. It never gives way.
+    pub(crate) fn hold_answer(&mut self, now: Tick, id: BodyId, bytes: usize) {
+        let connection = None;
+        let answer =
+            Body { connection, held: 0, received: 0, progressed: now, heard: now, is_whole: true };
+        let answer = self.held.entry(id).or_insert(answer);
+        self.bytes = self.bytes - answer.held + bytes;
+        answer.held = bytes;
     }
 
     /// Records that `bytes` of a body arrived.
@@ -73,49 +82,59 @@
         }
     }
 
-    /// Records that all of a body has arrived.
-    pub(crate) fn complete(&mut self, id: BodyId) {
-        if let Some(body) = self.held.get_mut(&id) {
-            body.is_whole = true;
-        }
+    /// Records that all of a body has arrived; returns its connection.
+    pub(crate) fn complete(&mut self, id: BodyId) -> Option<ConnectionId> {
+        let body = self.held.get_mut(&id)?;
+        body.is_whole = true;
+        body.connection
     }
 
-    /// Removes a body.
-    pub(crate) fn remove(&mut self, id: BodyId) {
-        if let Some(body) = self.held.remove(&id) {
-            self.bytes -= body.held;
-        }
+    /// Removes a body or an answer; returns the connection that a body arrives on.
+    pub(crate) fn remove(&mut self, id: BodyId) -> Option<ConnectionId> {
+        self.oversized = self.oversized.filter(|oversized| *oversized != id);
+        let body = self.held.remove(&id)?;
+        self.bytes -= body.held;
+        body.connection
     }
 
-    /// Lets a body hold `held` bytes in all. Returns the bodies that give way to it, which is the body itself if no other
-    /// has to; they are removed.
+    /// Lets a body hold `held` bytes in all, if all bodies stay within `room`. Otherwise returns the body that has to give way
+    /// first, which is the body itself if no other has to.
     pub(crate) fn grow(
         &mut self,
         now: Tick,
         id: BodyId,
         held: usize,
         limits: &Limits,
-    ) -> Vec<BodyId> {
-        let Some(before) = self.held.get(&id).map(|body| body.held) else {
-            return Vec::new();
-        };
-        let is_small = held <= Limits::SMALL_BODY_BYTES;
-        let limit = if is_small { limits.bytes } else { limits.large_bytes };
+        room: usize,
+    ) -> Option<BodyId> {
+        let before = self.held.get(&id)?.held;
         let more = held.saturating_sub(before);
-        let mut removed = Vec::new();
-        while self.bytes + more > limit {
-            let victim = self.victim(now, id, held).unwrap_or(id);
-            self.remove(victim);
-            removed.push(victim);
-            if victim == id {
-                return removed;
-            }
+        if !self.fits(id, held, more, limits, room) {
+            return Some(self.victim(now, id, held).unwrap_or(id));
         }
         self.bytes += more;
         if let Some(body) = self.held.get_mut(&id) {
             body.held = before + more;
         }
-        removed
+        if before + more > limits.large_bytes {
+            self.oversized = Some(id);
+        }
+        None
+    }
+
+    /// Whether `more` bytes of the body `id`, which is to hold `held`, fit beside all others.
+    fn fits(&self, id: BodyId, held: usize, more: usize, limits: &Limits, room: usize) -> bool {
+        let bytes = self.bytes + more;
+        let is_alone = bytes - held <= limits.small_bytes();
+        let share = match held <= Limits::SMALL_BODY_BYTES {
+            true => limits.bytes,
+            false if is_alone => room,
+            false => limits.large_bytes,
+        };
+        let oversized = self.oversized.filter(|oversized| *oversized != id);
+        let oversized = oversized.and_then(|oversized| self.held.get(&oversized));
+        let excess = oversized.map_or(0, |body| body.held.saturating_sub(limits.large_bytes));
+        bytes - excess <= share && bytes <= room
     }
 
     /// Returns the body that gives way to the body `id`, which is to hold `held` bytes.
@@ -131,24 +150,20 @@
         stalled.or_else(largest).map(|(id, _)| *id)
     }
 
-    /// Removes and returns the body that makes least progress, if it makes none.
-    pub(crate) fn take_stalled(&mut self, now: Tick) -> Option<BodyId> {
+    /// Returns the body that makes least progress, if it makes none.
+    pub(crate) fn stalled(&self, now: Tick) -> Option<BodyId> {
         let stalled = self
             .held
             .iter()
             .filter(|(_, body)| !body.is_whole && now.since(body.progressed) >= STALLED_MS);
-        let id = stalled.min_by_key(|(_, body)| body.progressed).map(|(id, _)| *id)?;
-        self.remove(id);
-        Some(id)
+        stalled.min_by_key(|(_, body)| body.progressed).map(|(id, _)| *id)
     }
 
-    /// Removes and returns the bodies of which nothing has arrived for `max_ms`.
-    pub(crate) fn take_silent(&mut self, now: Tick, max_ms: u64) -> Vec<BodyId> {
+    /// Returns the bodies of which nothing has arrived for `max_ms`.
+    pub(crate) fn silent(&self, now: Tick, max_ms: u64) -> Vec<BodyId> {
         let silent =
             self.held.iter().filter(|(_, body)| !body.is_whole && now.since(body.heard) > max_ms);
-        let silent: Vec<BodyId> = silent.map(|(id, _)| *id).collect();
-        silent.iter().for_each(|id| self.remove(*id));
-        silent
+        silent.map(|(id, _)| *id).collect()
     }
 
     /// Does not count a time in which the host stood still.
--- a/crates/admission/src/connections.rs
+++ b/crates/admission/src/connections.rs
@@ -1,5 +1,6 @@
 //! Connections of callers while they are open.
 
+use crate::limits::Limits;
 use std::collections::BTreeMap;
 use vanetally_types::Tick;
 
@@ -18,21 +19,43 @@
     Head,
     /// It rests between two requests.
     Resting,
-    /// A request is read, served or answered.
+    /// The body of a request is read.
+    Reading,
+    /// A request is served or answered.
     Busy,
 }
 
+impl Phase {
+    /// Bytes that a request in this phase may take besides its body.
+    fn request_bytes(self) -> usize {
+        match self {
+            Self::Draining | Self::Unused | Self::Head | Self::Resting => 0,
+            Self::Reading => Limits::READING_BYTES,
+            Self::Busy => Limits::REQUEST_BYTES,
+        }
+    }
+
+    /// Whether there is a request.
+    fn has_request(self) -> bool {
+        matches!(self, Self::Reading | Self::Busy)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Connection {
     phase: Phase,
     /// Since when; for one that rests, since its last sign of life.
     since: Tick,
+    /// Since when its caller has taken nothing of an answer that waits.
+    blocked: Option<Tick>,
 }
 
 /// All open connections of callers.
 #[derive(Debug, Default)]
 pub(crate) struct Connections {
     open: BTreeMap<ConnectionId, Connection>,
+    /// Bytes that their requests may take besides bodies.
+    request_bytes: usize,
 }
 
 impl Connections {
@@ -41,29 +64,46 @@
         self.open.len()
     }
 
+    /// Bytes that all connections and their requests take.
+    pub(crate) fn bytes(&self) -> usize {
+        self.open.len() * Limits::CONNECTION_BYTES + self.request_bytes
+    }
+
     /// Adds a new connection.
     pub(crate) fn insert(&mut self, now: Tick, id: ConnectionId) {
-        self.open.insert(id, Connection { phase: Phase::Unused, since: now });
+        self.open.insert(id, Connection { phase: Phase::Unused, since: now, blocked: None });
     }
 
     /// Removes a connection.
     pub(crate) fn remove(&mut self, id: ConnectionId) {
-        self.open.remove(&id);
+        let removed = self.open.remove(&id);
+        self.request_bytes -= removed.map_or(0, |removed| removed.phase.request_bytes());
     }
 
     /// Sets what a connection does from now on.
     pub(crate) fn set(&mut self, now: Tick, id: ConnectionId, phase: Phase) {
+        let Some(connection) = self.open.get_mut(&id) else {
+            return;
+        };
+        self.request_bytes -= connection.phase.request_bytes();
+        self.request_bytes += phase.request_bytes();
+        *connection = Connection { phase, since: now, blocked: None };
+    }
+
+    /// Records that the caller of a connection takes nothing of what waits for it.
+    pub(crate) fn block(&mut self, now: Tick, id: ConnectionId) {
         if let Some(connection) = self.open.get_mut(&id) {
-            *connection = Connection { phase, since: now };
+            connection.blocked.get_or_insert(now);
         }
     }
 
-    /// Records a sign of life of a connection that may rest.
+    /// Records that the caller of a connection took some of its answer.
     pub(crate) fn touch(&mut self, now: Tick, id: ConnectionId) {
-        if let Some(connection) = self.open.get_mut(&id)
-            && connection.phase == Phase::Resting
-        {
-            connection.since = now;
+        if let Some(connection) = self.open.get_mut(&id) {
+            connection.blocked = None;
+            if connection.phase == Phase::Resting {
+                connection.since = now;
+            }
         }
     }
 
@@ -72,13 +112,28 @@
         let others = self
             .open
             .iter()
-            .filter(|(other, connection)| **other != id && connection.phase != Phase::Busy);
+            .filter(|(other, connection)| **other != id && !connection.phase.has_request());
         let victim = others.min_by_key(|(_, connection)| (connection.phase, connection.since));
         let victim = victim.map(|(id, _)| *id)?;
         self.remove(victim);
         Some(victim)
     }
 
+    /// Removes and returns the connection other than `id` whose caller has taken nothing of its answer for longest, if one
+    /// has not for `min_ms`.
+    pub(crate) fn take_blocked(
+        &mut self,
+        now: Tick,
+        id: ConnectionId,
+        min_ms: u64,
+    ) -> Option<ConnectionId> {
+        let others = self.open.iter().filter(|(other, _)| **other != id);
+        let blocked = others.filter_map(|(id, connection)| Some((connection.blocked?, *id)));
+        let (_, id) = blocked.filter(|(since, _)| now.since(*since) >= min_ms).min()?;
+        self.remove(id);
+        Some(id)
+    }
+
     /// Removes and returns the connections that have had a phase for longer than `max_ms` says.
     pub(crate) fn take_expired(
         &mut self,
@@ -96,6 +151,9 @@
 
     /// Does not count a time in which the host stood still.
     pub(crate) fn shift(&mut self, ms: u64) {
-        self.open.values_mut().for_each(|connection| connection.since = connection.since + ms);
+        for connection in self.open.values_mut() {
+            connection.since = connection.since + ms;
+            connection.blocked = connection.blocked.map(|since| since + ms);
+        }
     }
 }
--- a/crates/admission/src/machine.rs
+++ b/crates/admission/src/machine.rs
@@ -1,7 +1,7 @@
 //! Decides on what callers may hold.
 
 use crate::{
-    bodies::{Bodies, BodyId},
+    bodies::{Bodies, BodyId, STALLED_MS},
     connections::{ConnectionId, Connections, Phase},
     limits::Limits,
 };
@@ -23,7 +23,7 @@
     Opened(ConnectionId),
     /// The first byte of a head arrived.
     HeadBegan(ConnectionId),
-    /// A head was read completely.
+    /// A head was read completely: a request begins.
     HeadRead(ConnectionId),
     /// Its request was refused before its body was read.
     Refused(ConnectionId),
@@ -31,17 +31,19 @@
     Answered(ConnectionId),
     /// The caller took some of its answer.
     Taken(ConnectionId),
+    /// The caller takes nothing of an answer that waits for it.
+    Blocked(ConnectionId),
     /// A connection was closed.
     Closed(ConnectionId),
-    /// The body of a request begins.
-    BodyBegan(BodyId),
+    /// The body of a request on this connection begins.
+    BodyBegan(BodyId, ConnectionId),
     /// A body is to hold this number of bytes in all.
     BodyGrows(BodyId, usize),
     /// This number of bytes of a body arrived.
     BodyReceived(BodyId, usize),
     /// All of a body has arrived.
     BodyRead(BodyId),
-    /// An answer of this number of bytes is held for its caller.
+    /// This number of bytes of an answer is held in all.
     AnswerHeld(BodyId, usize),
     /// A body or an answer is no longer held.
     Released(BodyId),
@@ -65,6 +67,8 @@
     Close(ConnectionId),
     /// Refuses the request of a body that has not arrived completely. The body is no longer counted.
     Refuse(BodyId, Reason),
+    /// Refuses the request on a connection whose head or body was just read. It is no longer counted.
+    RefuseRequest(ConnectionId),
 }
 
 /// What callers hold.
@@ -76,6 +80,8 @@
     pub bodies: usize,
     /// Bytes of bodies and answers.
     pub bytes: usize,
+    /// Bytes of connections, requests, bodies and answers.
+    pub all_bytes: usize,
 }
 
 /// Time between two ticks beyond which the host stood still: what callers sent meanwhile is not read yet.
@@ -103,27 +109,38 @@
             connections: self.connections.len(),
             bodies: self.bodies.len(),
             bytes: self.bodies.bytes(),
+            all_bytes: self.all_bytes(),
         }
     }
 
+    fn all_bytes(&self) -> usize {
+        self.connections.bytes() + self.bodies.bytes()
+    }
+
     /// Handles an event; returns what to do in order.
     pub fn handle(&mut self, now: Tick, event: Event) -> Vec<Action> {
         match event {
             Event::Opened(id) => return self.opened(now, id),
             Event::HeadBegan(id) => self.connections.set(now, id, Phase::Head),
-            Event::HeadRead(id) => self.connections.set(now, id, Phase::Busy),
+            Event::HeadRead(id) => return self.request_enters(now, id, Phase::Reading),
             Event::Refused(id) => self.connections.set(now, id, Phase::Draining),
             Event::Answered(id) => self.connections.set(now, id, Phase::Resting),
             Event::Taken(id) => self.connections.touch(now, id),
+            Event::Blocked(id) => self.connections.block(now, id),
             Event::Closed(id) => self.connections.remove(id),
-            Event::BodyBegan(id) => self.bodies.begin(now, id),
-            Event::BodyGrows(id, bytes) => {
-                return refusals(self.bodies.grow(now, id, bytes, &self.limits), Reason::NoRoom);
-            }
+            Event::BodyBegan(id, connection) => self.bodies.begin(now, id, connection),
+            Event::BodyGrows(id, bytes) => return self.body_grows(now, id, bytes),
             Event::BodyReceived(id, bytes) => self.bodies.receive(now, id, bytes),
-            Event::BodyRead(id) => self.bodies.complete(id),
-            Event::AnswerHeld(id, bytes) => self.bodies.insert_whole(now, id, bytes),
-            Event::Released(id) => self.bodies.remove(id),
+            Event::BodyRead(id) => {
+                let connection = self.bodies.complete(id);
+                return connection.map_or_else(Vec::new, |connection| {
+                    self.request_enters(now, connection, Phase::Busy)
+                });
+            }
+            Event::AnswerHeld(id, bytes) => self.bodies.hold_answer(now, id, bytes),
+            Event::Released(id) => {
+                self.bodies.remove(id);
+            }
             Event::Tick(timeouts) => return self.tick(now, timeouts),
         }
         Vec::new()
@@ -131,18 +148,86 @@
 
     fn opened(&mut self, now: Tick, id: ConnectionId) -> Vec<Action> {
         self.connections.insert(now, id);
-        if self.connections.len() <= self.limits.connections {
-            return Vec::new();
+        if self.connections.len() > self.limits.connections {
+            return vec![self.give_up_connection(now, id)];
+        }
+        let (mut actions, fits) = self.make_room(now, id);
+        if !fits {
+            self.connections.remove(id);
+            actions.push(Action::Close(id));
         }
+        actions
+    }
+
+    /// Closes one connection of too many, or lets go of what keeps one busy.
+    fn give_up_connection(&mut self, now: Tick, id: ConnectionId) -> Action {
         if let Some(victim) = self.connections.take_victim(id) {
-            return vec![Action::Close(victim)];
+            return Action::Close(victim);
         }
         // The connection of a body that is refused is the first one to give way next time.
-        if let Some(body) = self.bodies.take_stalled(now) {
-            return vec![Action::Refuse(body, Reason::NoRoom)];
+        if let Some(body) = self.bodies.stalled(now) {
+            return self.refuse(now, body, Reason::NoRoom);
+        }
+        let blocked = self.connections.take_blocked(now, id, STALLED_MS).unwrap_or(id);
+        self.connections.remove(blocked);
+        Action::Close(blocked)
+    }
+
+    /// Lets a request take what it needs in its next phase, or refuses it.
+    fn request_enters(&mut self, now: Tick, id: ConnectionId, phase: Phase) -> Vec<Action> {
+        self.connections.set(now, id, phase);
+        let (mut actions, fits) = self.make_room(now, id);
+        if !fits {
+            self.connections.set(now, id, Phase::Draining);
+            actions.push(Action::RefuseRequest(id));
+        }
+        actions
+    }
+
+    /// Lets others give way to the connection `id` until all that is held fits; returns what to do, and whether it fits.
+    fn make_room(&mut self, now: Tick, id: ConnectionId) -> (Vec<Action>, bool) {
+        let mut actions = Vec::new();
+        while !self.fits() {
+            match self.give_way(now, id) {
+                Some(action) => actions.push(action),
+                None => return (actions, false),
+            }
         }
-        self.connections.remove(id);
-        vec![Action::Close(id)]
+        (actions, true)
+    }
+
+    /// Whether connections and requests leave the bodies what they hold, and small ones their share.
+    fn fits(&self) -> bool {
+        let bodies = self.bodies.bytes().max(self.limits.small_bytes());
+        self.connections.bytes() + bodies <= self.limits.all_bytes
+    }
+
+    /// Frees memory for the connection `id`: what makes no progress goes first, then connections without a request.
+    fn give_way(&mut self, now: Tick, id: ConnectionId) -> Option<Action> {
+        if let Some(body) = self.bodies.stalled(now) {
+            return Some(self.refuse(now, body, Reason::NoRoom));
+        }
+        let blocked = self.connections.take_blocked(now, id, STALLED_MS);
+        blocked.or_else(|| self.connections.take_victim(id)).map(Action::Close)
+    }
+
+    fn body_grows(&mut self, now: Tick, id: BodyId, bytes: usize) -> Vec<Action> {
+        let mut actions = Vec::new();
+        loop {
+            let room = self.limits.all_bytes.saturating_sub(self.connections.bytes());
+            let Some(victim) = self.bodies.grow(now, id, bytes, &self.limits, room) else {
+                return actions;
+            };
+            actions.push(self.refuse(now, victim, Reason::NoRoom));
+        }
+    }
+
+    /// Refuses the request of a body. What still arrives on its connection is dropped.
+    fn refuse(&mut self, now: Tick, body: BodyId, reason: Reason) -> Action {
+        if let Some(connection) = self.bodies.remove(body) {
+            self.connections.set(now, connection, Phase::Draining);
+        }
+        Action::Refuse(body, reason)
     }
 
     fn tick(&mut self, now: Tick, timeouts: Timeouts) -> Vec<Action> {
@@ -155,14 +240,13 @@
             Phase::Head => Some(timeouts.head_ms),
             Phase::Unused | Phase::Resting => Some(timeouts.idle_ms),
             // The host itself ends these.
-            Phase::Draining | Phase::Busy => None,
+            Phase::Draining | Phase::Reading | Phase::Busy => None,
         };
         let expired = self.connections.take_expired(now, max_ms).into_iter().map(Action::Close);
-        let silent = self.bodies.take_silent(now, timeouts.idle_ms);
-        expired.chain(refusals(silent, Reason::Silent)).collect()
+        let mut actions: Vec<Action> = expired.collect();
+        for body in self.bodies.silent(now, timeouts.idle_ms) {
+            actions.push(self.refuse(now, body, Reason::Silent));
+        }
+        actions
     }
 }
-
-fn refusals(bodies: Vec<BodyId>, reason: Reason) -> Vec<Action> {
-    bodies.into_iter().map(|body| Action::Refuse(body, reason)).collect()
-}
--- a/crates/admission/tests/bodies.rs
+++ b/crates/admission/tests/bodies.rs
@@ -1,39 +1,46 @@
 //! Bodies that callers send are held within one limit.
 
-use vanetally_admission::{Action, Admission, BodyId, Event, Limits, Reason, Timeouts};
+use vanetally_admission::{
+    Action, Admission, BodyId, ConnectionId, Event, Limits, Reason, Timeouts,
+};
 use vanetally_types::Tick;
 
 const LARGE: usize = 1 << 20;
 const SMALL: usize = 1 << 10;
-const LIMITS: Limits = Limits { connections: 10, bytes: 8 * LARGE, large_bytes: 6 * LARGE };
+const LIMITS: Limits =
+    Limits { connections: 10, bytes: 8 * LARGE, large_bytes: 6 * LARGE, all_bytes: usize::MAX };
 const TIMEOUTS: Timeouts = Timeouts { head_ms: 3_000, idle_ms: 15_000 };
 
 struct Host {
     admission: Admission,
     now: Tick,
+    max_bytes: usize,
     refused: Vec<(BodyId, Reason)>,
 }
 
 impl Host {
     fn new() -> Self {
         let now = Tick(1_000_000);
-        Self { admission: Admission::new(now, LIMITS), now, refused: Vec::new() }
+        let admission = Admission::new(now, LIMITS);
+        Self { admission, now, max_bytes: LIMITS.bytes, refused: Vec::new() }
     }
 
     fn handle(&mut self, event: Event) {
         for action in self.admission.handle(self.now, event) {
             match action {
                 Action::Refuse(body, reason) => self.refused.push((body, reason)),
-                Action::Close(connection) => panic!("{connection:?} is closed"),
+                Action::Close(connection) | Action::RefuseRequest(connection) => {
+                    panic!("{connection:?} gives way");
+                }
             }
         }
         let counts = self.admission.counts();
-        assert!(counts.bytes <= LIMITS.bytes, "{} bytes are held", counts.bytes);
+        assert!(counts.bytes <= self.max_bytes, "{} bytes are held", counts.bytes);
     }
 
     /// Receives `bytes` of a new body.
     fn receive(&mut self, id: u64, bytes: usize) {
-        self.handle(Event::BodyBegan(BodyId(id)));
+        self.handle(Event::BodyBegan(BodyId(id), ConnectionId(id)));
         self.handle(Event::BodyGrows(BodyId(id), bytes));
         self.handle(Event::BodyReceived(BodyId(id), bytes));
     }
@@ -154,3 +161,25 @@
     host.receive(2, SMALL);
     assert!(!host.is_refused(2));
 }
+
+/// One body may need more than the share of large ones. Small ones find their share beside it.
+#[test]
+fn a_body_beyond_the_share_has_room_alone() {
+    let mut host = Host::new();
+    let limits = Limits { all_bytes: 20 * LARGE, ..LIMITS };
+    host.admission = Admission::new(host.now, limits);
+    host.max_bytes = limits.all_bytes;
+    host.receive(0, 12 * LARGE);
+    (1..=2 * LARGE as u64 / SMALL as u64).for_each(|id| host.receive(id, SMALL));
+    assert!(host.refused.is_empty(), "{:?}", host.refused);
+    host.receive(10_000, 8 * LARGE);
+    assert!(host.is_refused(0) || host.is_refused(10_000), "two of them find no room");
+}
+
+#[test]
+fn a_body_beyond_all_memory_finds_no_room() {
+    let mut host = Host::new();
+    host.admission = Admission::new(host.now, Limits { all_bytes: 20 * LARGE, ..LIMITS });
+    host.receive(0, 21 * LARGE);
+    assert!(host.is_refused(0));
+}
--- a/crates/admission/tests/connections.rs
+++ b/crates/admission/tests/connections.rs
@@ -5,7 +5,15 @@
 };
 use vanetally_types::Tick;
 
-const LIMITS: Limits = Limits { connections: 3, bytes: 1 << 20, large_bytes: 1 << 20 };
+const LIMITS: Limits =
+    Limits { connections: 3, bytes: 1 << 20, large_bytes: 1 << 20, all_bytes: usize::MAX };
+/// Limits under which memory bounds the requests.
+const TIGHT: Limits = Limits {
+    connections: 1_000,
+    bytes: 1 << 20,
+    large_bytes: 3 << 18,
+    all_bytes: 4 * (Limits::CONNECTION_BYTES + Limits::REQUEST_BYTES) + (1 << 18),
+};
 const TIMEOUTS: Timeouts = Timeouts { head_ms: 3_000, idle_ms: 15_000 };
 const START: Tick = Tick(1_000_000);
 
@@ -52,7 +60,7 @@
         admission.handle(START, Event::Opened(id(number)));
         admission.handle(START, Event::HeadRead(id(number)));
     }
-    admission.handle(START, Event::BodyBegan(BodyId(7)));
+    admission.handle(START, Event::BodyBegan(BodyId(7), id(0)));
     assert_eq!(admission.handle(START + 10, Event::Opened(id(3))), [Action::Close(id(3))]);
     let actions = admission.handle(START + 2_000, Event::Opened(id(4)));
     assert_eq!(actions, [Action::Refuse(BodyId(7), Reason::NoRoom)]);
@@ -93,3 +101,82 @@
     assert!(limits.connections >= 1_900, "{limits:?}");
     assert!(limits.bytes <= 65_000_000);
 }
+
+/// Opens a connection and reads a request; returns whether it is admitted.
+fn begins(admission: &mut Admission, ms: u64, number: u64) -> (bool, Vec<Action>) {
+    let body = BodyId(1_000 + number);
+    let events = [
+        Event::Opened(id(number)),
+        Event::HeadRead(id(number)),
+        Event::BodyBegan(body, id(number)),
+        Event::BodyRead(body),
+    ];
+    let actions = events.into_iter().flat_map(|event| admission.handle(START + ms, event));
+    let actions: Vec<Action> = actions.collect();
+    let refused = [Action::Close(id(number)), Action::RefuseRequest(id(number))];
+    let is_admitted = !refused.iter().any(|action| actions.contains(action));
+    (is_admitted, actions)
+}
+
+#[test]
+fn requests_stay_within_the_memory() {
+    let mut admission = Admission::new(START, TIGHT);
+    let admitted = (0..20).filter(|number| begins(&mut admission, 0, *number).0).count();
+    assert_eq!(admitted, 4);
+    assert!(admission.counts().all_bytes <= TIGHT.all_bytes);
+    admission.handle(START, Event::Closed(id(0)));
+    assert!(begins(&mut admission, 0, 30).0, "room comes back");
+}
+
+#[test]
+fn a_body_that_stalls_makes_room_for_a_request() {
+    let mut admission = Admission::new(START, TIGHT);
+    (0..3).for_each(|number| assert!(begins(&mut admission, 0, number).0));
+    for event in [
+        Event::Opened(id(3)),
+        Event::HeadRead(id(3)),
+        Event::BodyBegan(BodyId(7), id(3)),
+        Event::BodyGrows(BodyId(7), 1 << 10),
+    ] {
+        assert_eq!(admission.handle(START, event), []);
+    }
+    assert!(!begins(&mut admission, 10, 4).0);
+    let (is_admitted, actions) = begins(&mut admission, 2_000, 5);
+    assert!(is_admitted);
+    assert!(actions.contains(&Action::Refuse(BodyId(7), Reason::NoRoom)), "{actions:?}");
+}
+
+#[test]
+fn who_takes_nothing_of_an_answer_makes_room_for_a_request() {
+    let mut admission = Admission::new(START, TIGHT);
+    (0..4).for_each(|number| assert!(begins(&mut admission, 0, number).0));
+    admission.handle(START, Event::Blocked(id(1)));
+    admission.handle(START + 100, Event::Blocked(id(2)));
+    admission.handle(START + 200, Event::Taken(id(1)));
+    assert!(!begins(&mut admission, 1_050, 4).0, "a second has to pass");
+    let (is_admitted, actions) = begins(&mut admission, 1_200, 5);
+    assert!(is_admitted);
+    assert!(actions.contains(&Action::Close(id(2))), "{actions:?}");
+}
+
+#[test]
+fn connections_without_a_request_make_room_for_one() {
+    let mut admission = Admission::new(START, TIGHT);
+    (0..3).for_each(|number| assert!(begins(&mut admission, 0, number).0));
+    (10..16).for_each(|number| drop(admission.handle(START, Event::Opened(id(number)))));
+    let (is_admitted, actions) = begins(&mut admission, 1, 3);
+    assert!(is_admitted, "{actions:?}");
+    assert!(actions.contains(&Action::Close(id(10))), "{actions:?}");
+}
+
+/// Small bodies find their share beside any number of requests.
+#[test]
+fn requests_leave_small_bodies_their_share() {
+    let mut admission = Admission::new(START, TIGHT);
+    (0..4).for_each(|number| assert!(begins(&mut admission, 0, number).0));
+    for number in 0..4 {
+        admission.handle(START, Event::BodyBegan(BodyId(number), id(number)));
+        let grows = Event::BodyGrows(BodyId(number), Limits::SMALL_BODY_BYTES);
+        assert_eq!(admission.handle(START, grows), []);
+    }
+}
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -6,7 +6,10 @@
 //! A caller whose request was refused before it was read may still be sending. What arrives is then read and dropped
 //! for a while, since a close with unread bytes resets the connection and takes the refusal away.
 
-use crate::callers::OpenConnection;
+use crate::{
+    bounded_stream::{CALLER_READ_BYTES, poll_read_some},
+    callers::OpenConnection,
+};
 use socket2::SockRef;
 use std::{
     cell::Cell,
@@ -29,10 +32,6 @@
 /// Number of bytes that are read at a time.
 const DRAIN_BUFFER_BYTES: usize = 8 << 10;
 
-/// Maximum number of bytes read at a time. The HTTP library enlarges its buffer, of which several are in use while a body
-/// arrives, when a read fills the smallest one of 8 KiB.
-const MAX_READ_BYTES: usize = 8_000;
-
 /// Whether a connection ends with a reset, shared with the body that is sent on it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ResetOnClose(Rc<Cell<bool>>);
@@ -85,9 +84,12 @@
         Poll::Ready(())
     }
 
+    /// Records what became of a write.
     fn written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(written, Poll::Ready(Ok(count)) if count > 0) {
-            self.open.taken();
+        match written {
+            Poll::Ready(Ok(count)) if count > 0 => self.open.taken(),
+            Poll::Ready(_) => {}
+            Poll::Pending => self.open.blocked(),
         }
         written
     }
@@ -109,15 +111,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let room = buffer.remaining().min(MAX_READ_BYTES);
-        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(room));
-        ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
-        let count = part.filled().len();
-        buffer.advance(count);
+        let (read, count) = poll_read_some(&mut self.stream, context, buffer, CALLER_READ_BYTES);
         if count > 0 {
             self.open.received();
         }
-        Poll::Ready(Ok(()))
+        read
     }
 }
 
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -45,17 +45,14 @@
             id,
             closer,
             is_waiting: Cell::new(true),
+            is_blocked: Cell::new(false),
             is_drained: Cell::new(false),
         })
     }
 
-    /// Begins to hold the body of a request.
-    pub(crate) fn begin_body(self: &Rc<Self>) -> IncomingBody {
-        let id = BodyId(self.next_id());
-        let (refuser, refused) = oneshot::channel();
-        self.refusers.borrow_mut().insert(id, refuser);
-        self.handle(Event::BodyBegan(id));
-        IncomingBody { held: Held { callers: self.clone(), id }, refused }
+    /// Begins to hold an answer, of which nothing has been read.
+    pub(crate) fn begin_answer(self: &Rc<Self>) -> Held {
+        Held { callers: self.clone(), id: BodyId(self.next_id()) }
     }
 
     /// Applies the time limits.
@@ -72,7 +69,9 @@
         self.next.replace(self.next.get() + 1)
     }
 
-    fn handle(&self, event: Event) {
+    /// Handles an event; returns whether it is a request that is refused.
+    fn handle(&self, event: Event) -> bool {
+        let mut is_refused = false;
         let actions = self.admission.borrow_mut().handle(self.clock.now(), event);
         for action in actions {
             match action {
@@ -88,8 +87,10 @@
                         let _ = refuser.send(reason);
                     }
                 }
+                Action::RefuseRequest(_) => is_refused = true,
             }
         }
+        is_refused
     }
 }
 
@@ -100,6 +101,8 @@
     closer: Rc<Notify>,
     /// Whether the next byte begins a head.
     is_waiting: Cell<bool>,
+    /// Whether the caller has taken nothing since an answer last had to wait for it.
+    is_blocked: Cell<bool>,
     /// Whether what still arrives is read and dropped before the connection is closed.
     is_drained: Cell<bool>,
 }
@@ -119,16 +122,23 @@
 
     /// Records that the caller took bytes.
     pub(crate) fn taken(&self) {
-        if self.is_waiting.get() {
+        if self.is_blocked.replace(false) || self.is_waiting.get() {
             self.callers.handle(Event::Taken(self.id));
         }
     }
 
+    /// Records that the caller takes nothing of what waits for it.
+    pub(crate) fn blocked(&self) {
+        if !self.is_blocked.replace(true) {
+            self.callers.handle(Event::Blocked(self.id));
+        }
+    }
+
     /// Records that the head of a request was read; returns the guard of its answer.
     pub(crate) fn begin_request(self: &Rc<Self>) -> OpenRequest {
         self.is_waiting.set(false);
-        self.callers.handle(Event::HeadRead(self.id));
-        OpenRequest(self.clone())
+        let is_refused = self.callers.handle(Event::HeadRead(self.id));
+        OpenRequest { connection: self.clone(), is_refused }
     }
 
     /// Whether what still arrives is read and dropped before the connection is closed.
@@ -145,27 +155,37 @@
 }
 
 /// A request on a connection, until its answer has been handed over.
-pub(crate) struct OpenRequest(Rc<OpenConnection>);
+pub(crate) struct OpenRequest {
+    connection: Rc<OpenConnection>,
+    is_refused: bool,
+}
 
 impl OpenRequest {
-    /// Records that the request was refused although its body has not been read: the caller is still sending, and a close
-    /// with unread bytes would take its answer away.
-    pub(crate) fn refused_early(&self) {
-        self.0.is_drained.set(true);
+    /// Whether the host has no room for the request.
+    pub(crate) fn is_refused(&self) -> bool {
+        self.is_refused
     }
 
-    /// Counts an answer of `bytes` that is held until its caller has taken it.
-    pub(crate) fn hold_answer(&self, bytes: usize) -> Held {
-        let callers = self.0.callers.clone();
+    /// Begins to hold the body of the request.
+    pub(crate) fn begin_body(&self) -> IncomingBody {
+        let OpenConnection { callers, id: connection, .. } = &*self.connection;
         let id = BodyId(callers.next_id());
-        callers.handle(Event::AnswerHeld(id, bytes));
-        Held { callers, id }
+        let (refuser, refused) = oneshot::channel();
+        callers.refusers.borrow_mut().insert(id, refuser);
+        callers.handle(Event::BodyBegan(id, *connection));
+        IncomingBody { held: Held { callers: callers.clone(), id }, refused }
+    }
+
+    /// Records that the request was refused although its body has not been read: the caller is still sending, and a close
+    /// with unread bytes would take its answer away.
+    pub(crate) fn refused_early(&self) {
+        self.connection.is_drained.set(true);
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        let OpenConnection { callers, id, is_waiting, is_drained, .. } = &*self.0;
+        let OpenConnection { callers, id, is_waiting, is_drained, .. } = &*self.connection;
         is_waiting.set(!is_drained.get());
         let event = if is_drained.get() { Event::Refused(*id) } else { Event::Answered(*id) };
         callers.handle(event);
@@ -203,9 +223,14 @@
     }
 
     /// Records that all of it has arrived.
-    pub(crate) fn complete(self) -> Held {
-        self.held.callers.handle(Event::BodyRead(self.held.id));
-        self.held
+    ///
+    /// # Errors
+    /// If the host has no room for the request.
+    pub(crate) fn complete(self) -> Result<Held, Reason> {
+        match self.held.callers.handle(Event::BodyRead(self.held.id)) {
+            true => Err(Reason::NoRoom),
+            false => Ok(self.held),
+        }
     }
 }
 
@@ -215,6 +240,13 @@
     id: BodyId,
 }
 
+impl Held {
+    /// Counts an answer as holding `bytes` in all.
+    pub(crate) fn hold_answer(&self, bytes: usize) {
+        self.callers.handle(Event::AnswerHeld(self.id, bytes));
+    }
+}
+
 impl Drop for Held {
     fn drop(&mut self) {
         self.callers.refusers.borrow_mut().remove(&self.id);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,14 +9,13 @@
     hub::{Hub, Stage},
     pending_request::{Interrupt, PendingRequest, next_interrupt},
     relay, request_body,
-    response_body::ResponseBody,
+    response_body::{FullBody, ResponseBody},
     sending::{Outgoing, SendContext, SendOutcome, StartedResponse, send_scheduled},
     telemetry,
 };
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header::CONNECTION, request::Parts};
 use http_body::Body;
-use http_body_util::{BodyExt, Collected, Limited};
 use hyper::body::Incoming;
 use std::rc::Rc;
 use vanetally_dispatch::{Attempt, AttemptEnd, Event};
@@ -24,9 +23,6 @@
 use vanetally_quarantine::{ContentHash, contents_of};
 use vanetally_types::Name;
 
-/// Maximum size of a non-streamed response, which is read completely before it is sent on.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
-
 /// `Retry-After` where the host has no room for a body: others end meanwhile.
 const NO_ROOM_RETRY_MS: u64 = 500;
 
@@ -49,14 +45,19 @@
         }
     };
     let name = head.id.clone();
-    let body = match request_body::read(&hub, body).await {
+    let has_body = !body.is_end_stream();
+    let body = match request_body::read(&hub, open, body).await {
         Ok(body) => body,
         Err(cause) => {
+            let refusal = body_refusal(cause);
+            let cause = refusal.cause;
             log::info!("event=request_refused request={name} cause={}", cause.as_str());
             telemetry::request_arrived();
             telemetry::request_refused(cause, "-");
-            let retry_ms = (cause == RefusalCause::NoRoom).then_some(NO_ROOM_RETRY_MS);
-            return refuse_early(&hub, open, Some(&name), &Refusal::not_run(cause, retry_ms));
+            return match has_body {
+                true => refuse_early(&hub, open, Some(&name), &refusal),
+                false => refuse(&hub, Some(&name), &refusal),
+            };
         }
     };
     hub.await_configuration(&mut head, body.bytes.len()).await;
@@ -86,6 +87,14 @@
     response
 }
 
+/// Returns the refusal of a request whose body was not read completely.
+fn body_refusal(cause: RefusalCause) -> Refusal {
+    match cause {
+        RefusalCause::NoRoom => Refusal::not_run(cause, Some(NO_ROOM_RETRY_MS)),
+        cause => Refusal::not_run(cause, None),
+    }
+}
+
 /// Authenticates the request, finds the stream that it takes up, and charges its cost to its organisation's quota. A
 /// request with a quarantined content waits for nothing and costs nothing.
 async fn admit(
@@ -165,7 +174,7 @@
 }
 
 fn refuse(hub: &Hub, name: Option<&Name>, refusal: &Refusal) -> Response<ResponseBody> {
-    hub.ports.caller.refuse(name, refusal).map(|body| ResponseBody::Full(Some(body)))
+    hub.ports.caller.refuse(name, refusal).map(|body| ResponseBody::Full(body.into()))
 }
 
 /// Refuses a request whose body was not read completely. Its connection carries no other one.
@@ -209,12 +218,12 @@
                 return Buffered::Final(refuse_pending(pending, &refused));
             }
         },
-        body = Limited::new(body, MAX_BUFFERED_BYTES).collect() => {
+        body = FullBody::read(&pending.hub.callers, body) => {
             body.map_err(|_| pending.hub.broken_end())
         }
     };
-    let body = match body.map(Collected::to_bytes) {
-        Ok(body) if is_success && is_cut_off(&head.headers, &body) => {
+    let body = match body {
+        Ok(body) if is_success && is_cut_off(&head.headers, body.bytes()) => {
             pending.attempt_ended(attempt, AttemptEnd::Broken, false);
             return Buffered::Broken;
         }
@@ -226,7 +235,7 @@
     };
     pending.hub.pool.put(connection, keep_alive);
     head.headers = end_to_end(&head.headers);
-    let response = Response::from_parts(head, ResponseBody::Full(Some(body)));
+    let response = Response::from_parts(head, ResponseBody::Full(body));
     if !is_success && attempt.may_repeat {
         pending.attempt_ended(attempt, AttemptEnd::Failed, false);
         return Buffered::Failure(response);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,7 +22,7 @@
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// Maximum number of pieces queued for a slow caller.
-const MAX_QUEUED_PIECES: usize = 4;
+const MAX_QUEUED_PIECES: usize = 2;
 /// Bytes of an event that are held back until it is whole. A stream that breaks inside a longer event is not resumed.
 const MAX_HELD_BYTES: usize = 64 << 10;
 
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -1,6 +1,10 @@
 //! Reads the bodies of callers' requests.
 
-use crate::{body_buffer::BodyBuffer, callers::Held, hub::Hub};
+use crate::{
+    body_buffer::BodyBuffer,
+    callers::{Held, OpenRequest},
+    hub::Hub,
+};
 use bytes::Bytes;
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -20,13 +24,20 @@
 ///
 /// # Errors
 /// If it is too long, not well-formed, or refused by the host. It may have been read in part.
-pub(crate) async fn read(hub: &Hub, mut body: Incoming) -> Result<RequestBody, RefusalCause> {
+pub(crate) async fn read(
+    hub: &Hub,
+    open: &OpenRequest,
+    mut body: Incoming,
+) -> Result<RequestBody, RefusalCause> {
     let limit = hub.caller_limits().body_bytes;
     let stated = body.size_hint().exact().map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    if open.is_refused() {
+        return Err(RefusalCause::NoRoom);
+    }
     if stated.is_some_and(|stated| stated > limit) {
         return Err(RefusalCause::TooLong);
     }
-    let mut incoming = hub.callers.begin_body();
+    let mut incoming = open.begin_body();
     let mut buffer = BodyBuffer::new(stated.unwrap_or(limit));
     loop {
         let frame = tokio::select! {
@@ -52,7 +63,8 @@
         }
         incoming.received(data.len());
     }
-    Ok(RequestBody { bytes: buffer.into_bytes(), _held: incoming.complete() })
+    let held = incoming.complete().map_err(cause_of)?;
+    Ok(RequestBody { bytes: buffer.into_bytes(), _held: held })
 }
 
 fn cause_of(reason: Reason) -> RefusalCause {
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -1,17 +1,27 @@
 //! Response bodies sent to callers.
 
 use crate::{
+    body_buffer::BodyBuffer,
     caller_stream::ResetOnClose,
-    callers::{Held, OpenRequest},
+    callers::{Callers, Held, OpenRequest},
 };
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use std::{
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll, ready},
 };
 use tokio::sync::mpsc;
 
+/// Bytes of a complete body that are handed over at a time. The rest stays counted as held.
+const HANDED_BYTES: usize = 16 << 10;
+
+/// Maximum size of a non-streamed response, which is read completely before it is sent on.
+const MAX_BUFFERED_BYTES: usize = 256 << 10;
+
 /// The response was truncated. The connection is closed so that the caller cannot take it for
 /// complete.
 #[derive(Debug, thiserror::Error)]
@@ -29,7 +39,7 @@
 /// The body of a response to a caller.
 pub(crate) enum ResponseBody {
     /// The complete body.
-    Full(Option<Bytes>),
+    Full(FullBody),
     /// Pieces relayed from an upstream as they arrive.
     Stream {
         /// The pieces.
@@ -39,6 +49,61 @@
     },
 }
 
+/// A complete body, until it has been handed over.
+#[derive(Default)]
+pub(crate) struct FullBody {
+    bytes: Bytes,
+    /// Counts it as held.
+    _held: Option<Held>,
+}
+
+impl FullBody {
+    /// Reads the body of an upstream's answer into one buffer. It counts as held from when it has more than one piece.
+    ///
+    /// # Errors
+    /// If it is truncated or too long, or the system has no memory for it.
+    pub(crate) async fn read(callers: &Rc<Callers>, mut body: Incoming) -> Result<Self, Truncated> {
+        let mut buffer = BodyBuffer::new(MAX_BUFFERED_BYTES);
+        let mut held = None;
+        while let Some(frame) = body.frame().await {
+            let data = frame.map_err(|_| Truncated)?.into_data().unwrap_or_default();
+            if data.len() > MAX_BUFFERED_BYTES - buffer.len() {
+                return Err(Truncated);
+            }
+            let bytes = buffer.held_with(data.len());
+            if bytes > HANDED_BYTES && bytes > buffer.held() {
+                held.get_or_insert_with(|| callers.begin_answer()).hold_answer(bytes);
+            }
+            if let Err(error) = buffer.extend(&data) {
+                log::error!("event=body_not_held error=\"{error}\"");
+                return Err(Truncated);
+            }
+        }
+        Ok(Self { bytes: buffer.into_bytes(), _held: held })
+    }
+
+    /// Returns its bytes.
+    pub(crate) fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// Takes the next piece. It is a copy, since what waits in the connection must not keep the whole body.
+    fn take_piece(&mut self) -> Option<Bytes> {
+        if self.bytes.len() > HANDED_BYTES {
+            return Some(Bytes::copy_from_slice(&self.bytes.split_to(HANDED_BYTES)));
+        }
+        let last = std::mem::take(self).bytes;
+        (!last.is_empty()).then_some(last)
+    }
+}
+
+impl From<Bytes> for FullBody {
+    /// Creates a body of the host's own, which is short.
+    fn from(bytes: Bytes) -> Self {
+        Self { bytes, _held: None }
+    }
+}
+
 impl ResponseBody {
     /// Creates the body of a response of which `pieces` arrive.
     pub(crate) fn relayed(pieces: mpsc::Receiver<Piece>) -> Self {
@@ -64,19 +129,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
-            Self::Full(bytes) => {
-                let piece = bytes.take().map(|mut whole| {
-                    if whole.len() <= HANDED_BYTES {
-                        return whole;
-                    }
-                    // A copy: what waits in the connection must not keep the whole body.
-                    let piece = Bytes::copy_from_slice(&whole.split_to(HANDED_BYTES));
-                    *bytes = Some(whole);
-                    piece
-                });
-                let piece = piece.filter(|piece| !piece.is_empty());
-                Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
-            }
+            Self::Full(body) => Poll::Ready(body.take_piece().map(|piece| Ok(Frame::data(piece)))),
             Self::Stream { pieces, reset } => {
                 Poll::Ready(match ready!(pieces.poll_recv(context)) {
                     Some(Piece::Frame(frame)) => Some(Ok(frame)),
@@ -94,40 +147,29 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Full(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Full(body) => body.bytes.is_empty(),
             Self::Stream { .. } => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Full(body) => SizeHint::with_exact(body.bytes.len() as u64),
             Self::Stream { .. } => SizeHint::default(),
         }
     }
 }
 
-/// Bytes of a complete body that are handed over at a time. The rest stays counted as held.
-const HANDED_BYTES: usize = 32 << 10;
-
 /// The body of the answer to a request that counts as open until it has been handed over.
 pub(crate) struct ServedBody {
     body: ResponseBody,
     _open: OpenRequest,
-    /// Counts a complete body as held.
-    _held: Option<Held>,
 }
 
 impl ServedBody {
     /// Wraps the body of an answer to `open`.
     pub(crate) fn new(body: ResponseBody, open: OpenRequest) -> Self {
-        let held = match &body {
-            ResponseBody::Full(Some(bytes)) if bytes.len() > HANDED_BYTES => {
-                Some(open.hold_answer(bytes.len()))
-            }
-            ResponseBody::Full(_) | ResponseBody::Stream { .. } => None,
-        };
-        Self { body, _open: open, _held: held }
+        Self { body, _open: open }
     }
 }
 
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -21,7 +21,8 @@
 /// Pause after a failed `accept`.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Limits on the connections to the endpoints; no request has a body.
-pub(crate) const LIMITS: Limits = Limits { connections: 64, bytes: 0, large_bytes: 0 };
+pub(crate) const LIMITS: Limits =
+    Limits { connections: 64, bytes: 0, large_bytes: 0, all_bytes: usize::MAX };
 /// Time limits on them. Metrics are read about every few seconds on the same connection.
 pub(crate) const TIMEOUTS: Timeouts = Timeouts { head_ms: 3_000, idle_ms: 60_000 };
 
