fix: answers of the metrics that nobody reads are counted and end

An answer of the readiness and metrics address was handed over as a whole and counted nowhere, and a caller that took nothing of it kept its connection for as long as it wanted: 64 of them held 64 answers, whose size grows with the deployment, and later ones were turned away. Now answers there count, up to 8 MiB in all, beyond that 503; the system ends connections that take nothing for 4 s, like those of callers.

--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -58,6 +58,11 @@
 }
 
 impl FullBody {
+    /// Creates a body that is counted by `held`.
+    pub(crate) fn held(bytes: Bytes, held: Held) -> Self {
+        Self { bytes, _held: Some(held) }
+    }
+
     /// Reads the body of an upstream's answer into one buffer. It counts as held from when it has more than one piece.
     ///
     /// # Errors
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -4,10 +4,9 @@
     caller_stream::{CallerStream, ResetOnClose},
     callers::Callers,
     hub::Hub,
+    response_body::{FullBody, ResponseBody, ServedBody},
 };
-use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
-use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -17,12 +16,15 @@
     time::sleep,
 };
 use vanetally_admission::{Limits, Timeouts};
+use vanetally_link::socket;
 
 /// Pause after a failed `accept`.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Limits on the connections to the endpoints; no request has a body.
 pub(crate) const LIMITS: Limits =
     Limits { connections: 64, bytes: 0, large_bytes: 0, all_bytes: usize::MAX };
+/// Maximum number of bytes of answers that are held at a time; requests beyond it are refused.
+const MAX_HELD_BYTES: usize = 8 << 20;
 /// Time limits on them. Metrics are read about every few seconds on the same connection.
 pub(crate) const TIMEOUTS: Timeouts = Timeouts { head_ms: 3_000, idle_ms: 60_000 };
 
@@ -53,12 +55,14 @@
 }
 
 async fn serve_connection(status: Rc<Status>, stream: TcpStream) {
+    if socket::set_peer_options(&stream).is_err() {
+        return;
+    }
     let open = status.callers.open();
     let service = service_fn(|request| {
         let open_request = open.begin_request();
         let response = answer(&status, &request);
-        drop(open_request);
-        async move { Ok::<_, Infallible>(response) }
+        async move { Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, open_request))) }
     });
     let stream = CallerStream::new(stream, ResetOnClose::default(), open.clone());
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -69,10 +73,12 @@
     }
 }
 
-fn answer(status: &Status, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let hub = &status.hub;
+fn answer(status: &Status, request: &Request<Incoming>) -> Response<ResponseBody> {
+    let (hub, callers) = (&status.hub, &status.callers);
     let path = request.uri().path();
-    let (code, body) = if request.method() != Method::GET {
+    let (code, body) = if callers.counts().bytes > MAX_HELD_BYTES {
+        (StatusCode::SERVICE_UNAVAILABLE, String::new())
+    } else if request.method() != Method::GET {
         (StatusCode::METHOD_NOT_ALLOWED, String::new())
     } else if path == hub.ports.caller.readiness_path() {
         let is_ready = hub.is_ready();
@@ -85,7 +91,9 @@
     } else {
         (StatusCode::NOT_FOUND, String::new())
     };
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let held = callers.begin_answer();
+    held.hold_answer(body.len());
+    let mut response = Response::new(ResponseBody::Full(FullBody::held(body.into(), held)));
     *response.status_mut() = code;
     response
 }
