fix: a body that is too long for the limits of no configuration may come back

A host that had no configuration yet, or perhaps an outdated one, refused a body over its own default of 4 MiB with 413, which says that it is never served; the configuration may allow it. Cause: that limit was taken for the configured one, other than routes and keys. Now it is refused like an unknown route: 503 with Retry-After.

--- a/crates/dispatch/src/outdated.rs
+++ b/crates/dispatch/src/outdated.rs
@@ -16,13 +16,25 @@
     /// Returns the route that matches a request.
     pub(crate) fn route(&self, now: Tick, head: &CallerRequest) -> Result<Rc<Route>, Refusal> {
         if self.configuration.is_none() {
-            let retry_ms = startup_retry_ms(now.since(self.started_at), self.has_store);
-            return Err(Refusal::not_run(RefusalCause::NotConfigured, Some(retry_ms)));
+            return Err(self.startup_refusal(now));
         }
         let route = self.routes.find(&head.host, &head.path).cloned();
         route.ok_or_else(|| self.unknown_refusal(now, RefusalCause::NoRoute))
     }
 
+    /// Returns the refusal of a request whose body is too long for the configuration, if there is one.
+    pub fn too_long_refusal(&self, now: Tick) -> Refusal {
+        match self.configuration.is_none() {
+            true => self.startup_refusal(now),
+            false => self.unknown_refusal(now, RefusalCause::TooLong),
+        }
+    }
+
+    fn startup_refusal(&self, now: Tick) -> Refusal {
+        let retry_ms = startup_retry_ms(now.since(self.started_at), self.has_store);
+        Refusal::not_run(RefusalCause::NotConfigured, Some(retry_ms))
+    }
+
     /// Returns the refusal of a request whose route or key is unknown. It may be known by a newer
     /// configuration, which other hosts may have.
     pub(crate) fn unknown_refusal(&self, now: Tick, cause: RefusalCause) -> Refusal {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -49,7 +49,7 @@
     let body = match request_body::read(&hub, open, body).await {
         Ok(body) => body,
         Err(cause) => {
-            let refusal = body_refusal(cause);
+            let refusal = body_refusal(&hub, cause);
             let cause = refusal.cause;
             log::info!("event=request_refused request={name} cause={}", cause.as_str());
             telemetry::request_arrived();
@@ -88,8 +88,9 @@
 }
 
 /// Returns the refusal of a request whose body was not read completely.
-fn body_refusal(cause: RefusalCause) -> Refusal {
+fn body_refusal(hub: &Hub, cause: RefusalCause) -> Refusal {
     match cause {
+        RefusalCause::TooLong => hub.dispatch.borrow().too_long_refusal(hub.clock.now()),
         RefusalCause::NoRoom => Refusal::not_run(cause, Some(NO_ROOM_RETRY_MS)),
         cause => Refusal::not_run(cause, None),
     }
