fix: what a crowd took returns to the system when it has gone

After 600 callers that read nothing had gone, a host held 44 to 61 MB for as long as it lived, where 40 may be; 1,950 that rested left 42 MB. Cause: the allocator of the C library returns only what is free at the end of its heap, and a few objects that live on keep all below them. Now the account tells when a sixteenth of what callers may hold has been given up since the last time, one tick after it stops to fall; then free pages are returned (a crate of its own, with the one unsafe call). In calm it never does.

Ruled out: another allocator, whose cost in calm would have to be measured at each size.

--- a/crates/admission/src/machine.rs
+++ b/crates/admission/src/machine.rs
@@ -69,6 +69,8 @@
     Refuse(BodyId, Reason),
     /// Refuses the request on a connection whose head or body was just read. It is no longer counted.
     RefuseRequest(ConnectionId),
+    /// Returns free memory to the system: much that was held is held no more.
+    ReleaseMemory,
 }
 
 /// What callers hold.
@@ -87,6 +89,9 @@
 /// Time between two ticks beyond which the host stood still: what callers sent meanwhile is not read yet.
 const STANDSTILL_MS: u64 = 1_000;
 
+/// Part of what callers may hold that must have been given up before free memory is returned, as a divisor.
+const RELEASE_DIVISOR: usize = 16;
+
 /// What the callers of a host hold together.
 #[derive(Debug)]
 pub struct Admission {
@@ -94,13 +99,18 @@
     connections: Connections,
     bodies: Bodies,
     ticked: Tick,
+    /// Most bytes held since free memory was last returned.
+    peak_bytes: usize,
+    /// Bytes held at the last tick.
+    ticked_bytes: usize,
 }
 
 impl Admission {
     /// Creates the state of a host that starts now.
     pub fn new(now: Tick, limits: Limits) -> Self {
         let (connections, bodies) = Default::default();
-        Self { limits, connections, bodies, ticked: now }
+        let (peak_bytes, ticked_bytes) = (0, 0);
+        Self { limits, connections, bodies, ticked: now, peak_bytes, ticked_bytes }
     }
 
     /// Returns what callers hold.
@@ -119,6 +129,12 @@
 
     /// Handles an event; returns what to do in order.
     pub fn handle(&mut self, now: Tick, event: Event) -> Vec<Action> {
+        let actions = self.apply(now, event);
+        self.peak_bytes = self.peak_bytes.max(self.all_bytes());
+        actions
+    }
+
+    fn apply(&mut self, now: Tick, event: Event) -> Vec<Action> {
         match event {
             Event::Opened(id) => return self.opened(now, id),
             Event::HeadBegan(id) => self.connections.set(now, id, Phase::Head),
@@ -247,6 +263,19 @@
         for body in self.bodies.silent(now, timeouts.idle_ms) {
             actions.push(self.refuse(now, body, Reason::Silent));
         }
+        actions.extend(self.release_memory());
         actions
     }
+
+    /// Returns free memory a tick after much was given up, when the tasks that held it have ended.
+    fn release_memory(&mut self) -> Option<Action> {
+        let bytes = self.all_bytes();
+        let is_falling = bytes < std::mem::replace(&mut self.ticked_bytes, bytes);
+        let given_up = self.peak_bytes.saturating_sub(bytes);
+        if is_falling || given_up < self.limits.all_bytes / RELEASE_DIVISOR {
+            return None;
+        }
+        self.peak_bytes = bytes;
+        Some(Action::ReleaseMemory)
+    }
 }
--- a/crates/admission/tests/bodies.rs
+++ b/crates/admission/tests/bodies.rs
@@ -32,6 +32,7 @@
                 Action::Close(connection) | Action::RefuseRequest(connection) => {
                     panic!("{connection:?} gives way");
                 }
+                Action::ReleaseMemory => {}
             }
         }
         let counts = self.admission.counts();
--- a/crates/admission/tests/connections.rs
+++ b/crates/admission/tests/connections.rs
@@ -180,3 +180,15 @@
         assert_eq!(admission.handle(START, grows), []);
     }
 }
+
+#[test]
+fn memory_is_released_after_a_peak() {
+    let mut admission = Admission::new(START, TIGHT);
+    (0..4).for_each(|number| assert!(begins(&mut admission, 0, number).0));
+    let tick = |admission: &mut Admission, ms| admission.handle(START + ms, Event::Tick(TIMEOUTS));
+    assert_eq!(tick(&mut admission, 200), []);
+    (0..4).for_each(|number| drop(admission.handle(START + 300, Event::Closed(id(number)))));
+    assert_eq!(tick(&mut admission, 400), [], "the tasks are still ending");
+    assert_eq!(tick(&mut admission, 600), [Action::ReleaseMemory]);
+    assert_eq!(tick(&mut admission, 800), [], "once");
+}
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -88,6 +88,7 @@
                     }
                 }
                 Action::RefuseRequest(_) => is_refused = true,
+                Action::ReleaseMemory => vanetally_heap::release_free(),
             }
         }
         is_refused
--- /dev/null
+++ b/crates/heap/src/lib.rs
@@ -0,0 +1,19 @@
+//! Memory of the process that is free, but not yet returned to the system.
+//!
+//! The allocator of the C library returns only what is free at the end of its heap. After a peak, a few small objects that
+//! live on keep all of it.
+#![deny(missing_docs)]
+
+/// Returns free memory of the heap to the system. This takes some milliseconds after a large peak.
+#[cfg(all(target_os = "linux", target_env = "gnu"))]
+#[allow(unsafe_code)]
+pub fn release_free() {
+    // SAFETY: the function has no requirements and may be called at any time.
+    unsafe {
+        libc::malloc_trim(0);
+    }
+}
+
+/// Does nothing: only the allocator of the GNU C library is known to keep free memory.
+#[cfg(not(all(target_os = "linux", target_env = "gnu")))]
+pub fn release_free() {}
