--- a/tests/crowd_paths.rs
+++ b/tests/crowd_paths.rs
@@ -28,7 +28,7 @@
     let host = deployment.spawn_limited("front-0", &machine);
     wait_for("the host answers", || host.readiness() != 0);
     let mut site = Site { deployment, host, max_fds: MAX_FDS, calm_fds: 0 };
-    site.calm_fds = site.host.descriptors();
+    site.calm_fds = site.host.usage().descriptors();
     let whole = Script::with_length(BODY_BYTES, BODY_BYTES);
     let mut crowd = Crowd::connect(site.host.front, CROWD, &whole);
     site.settle(&mut crowd);
@@ -92,7 +92,7 @@
     drop(crowd);
     wait_for("a request is served through an exit", || check(&site.hosts[0], "after"));
     for host in &mut site.hosts {
-        wait_for("memory is free again", || host.memory() <= MEMORY_BYTES / 2);
+        wait_for("memory is free again", || host.usage().memory() <= MEMORY_BYTES / 2);
         check_bounds(host, MAX_FDS);
     }
 }
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -150,7 +150,7 @@
     });
     crowd.members.iter_mut().for_each(|member| member.stop());
     let max = site.calm_fds + SPARE_FDS;
-    wait_for("the connections are closed", || site.host.descriptors() <= max);
+    wait_for("the connections are closed", || site.host.usage().descriptors() <= max);
     site.check_calm();
 }
 
@@ -165,7 +165,7 @@
     let max = site.calm_fds + SPARE_FDS;
     wait_for("the connections are closed", || {
         crowd.step();
-        site.host.descriptors() <= max
+        site.host.usage().descriptors() <= max
     });
     for member in &crowd.members {
         assert_eq!(member.status(), Some(408), "the caller learns that it has not run");
@@ -181,7 +181,7 @@
     let mut crowd = Crowd::connect(site.host.front, CROWD, &Script::with_length(100, 100));
     wait_for_answer(&mut crowd);
     let max = site.calm_fds + SPARE_FDS;
-    wait_for("the connections are closed", || site.host.descriptors() <= max);
+    wait_for("the connections are closed", || site.host.usage().descriptors() <= max);
     site.check_calm();
 }
 
--- a/tests/gateway/crowd_site.rs
+++ b/tests/gateway/crowd_site.rs
@@ -75,7 +75,7 @@
         let host = deployment.limited_host("front-0", &machine);
         let site = Self { deployment, host, max_fds, calm_fds: 0 };
         wait_for("a request is served", || site.is_served("first", 100));
-        let calm_fds = site.host.descriptors();
+        let calm_fds = site.host.usage().descriptors();
         Self { calm_fds, ..site }
     }
 
@@ -98,8 +98,8 @@
     /// Checks that what the crowd held is free again.
     pub fn check_calm(&mut self) {
         let max = self.calm_fds + SPARE_FDS;
-        wait_for("descriptors are free again", || self.host.descriptors() <= max);
-        wait_for("memory is free again", || self.host.memory() <= MEMORY_BYTES / 2);
+        wait_for("descriptors are free again", || self.host.usage().descriptors() <= max);
+        wait_for("memory is free again", || self.host.usage().memory() <= MEMORY_BYTES / 2);
         assert!(self.is_served("whole", BODY_BYTES), "a body of full size is served");
         let whole = Script::in_chunks([chunks(BODY_BYTES, 1_024), b"0\r\n\r\n".into()].concat());
         let mut caller = Crowd::connect(self.host.front, 1, &whole);
@@ -113,9 +113,9 @@
 pub fn settle(host: &Host, crowd: &mut Crowd) {
     let began = Instant::now();
     loop {
-        let before = (host.unread(), host.processor_ticks());
+        let before = (host.usage().unread(), host.usage().processor_ticks());
         crowd.settle();
-        let after = (host.unread(), host.processor_ticks());
+        let after = (host.usage().unread(), host.usage().processor_ticks());
         if before.0 == after.0 && after.1 - before.1 <= MAX_CALM_TICKS {
             return;
         }
@@ -126,9 +126,9 @@
 /// Checks that a host lives and is within the bounds of its machine.
 pub fn check_bounds(host: &mut Host, max_fds: usize) {
     assert_eq!(host.try_wait(), None, "the process lives");
-    let (peak, memory) = (host.peak_memory(), host.memory());
-    let (unread, unsent) = (host.unread(), host.unsent());
-    let descriptors = host.descriptors();
+    let (peak, memory) = (host.usage().peak_memory(), host.usage().memory());
+    let (unread, unsent) = (host.usage().unread(), host.usage().unsent());
+    let descriptors = host.usage().descriptors();
     println!(
         "peak {peak}, now {memory}, unread {unread}, unsent {unsent}, descriptors {descriptors}"
     );
--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -4,11 +4,13 @@
 // Each test binary uses only some of these helpers.
 #![allow(dead_code)]
 
+#[path = "../support/crowd.rs"]
 pub mod crowd;
 pub mod crowd_site;
 pub mod load;
 pub mod restores;
 pub mod taps;
+#[path = "../support/usage.rs"]
 pub mod usage;
 
 use serde_json::{Value, json};
@@ -418,6 +420,11 @@
         self.child.id()
     }
 
+    /// Returns what the process uses.
+    pub fn usage(&self) -> usage::Usage {
+        usage::Usage { process: self.process(), front: self.front }
+    }
+
     /// Returns the status of the readiness check, or 0 without an answer.
     pub fn readiness(&self) -> u16 {
         Client::new("GET", "/-/readiness", "").send(self.ready).status
--- a/tests/gateway/crowd.rs
+++ b/tests/support/crowd.rs
@@ -1,5 +1,7 @@
 //! Callers that do not behave: many connections at once, most of which stop before their end and stay open.
 
+#![allow(dead_code)]
+
 use socket2::SockRef;
 use std::{
     io::{ErrorKind, Read, Write},
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -204,6 +204,8 @@
     pub engines: Vec<EngineOptions>,
     pub models: Vec<(&'static str, &'static str)>,
     pub service_time_ms: u64,
+    /// Limits for callers in the settings of the hosts.
+    pub limits: Value,
     /// Catalog sections that replace the default ones.
     pub extra: Value,
 }
@@ -230,6 +232,7 @@
             engines: vec![EngineOptions::default(); 2],
             models: vec![("ladder", "12GiB"), ("summary", "12GiB"), ("tagger", "12GiB")],
             service_time_ms: 1,
+            limits: json!({}),
             extra: json!({}),
         }
     }
@@ -244,6 +247,7 @@
     pub service: StandIn,
     pub hosts: Vec<Host>,
     pub catalog: Value,
+    limits: Value,
 }
 
 static SITES: AtomicU8 = AtomicU8::new(0);
@@ -276,6 +280,7 @@
             service,
             hosts: Vec::new(),
             catalog: json!({}),
+            limits: options.limits.clone(),
         };
         site.catalog = catalog(&site, &options);
         let applied = site.apply(&site.catalog, &[]);
@@ -314,7 +319,7 @@
             "host": name, "domain": domain(index), "listen": format!("{ip}:8000"),
             "admin": format!("{ip}:8001"), "peer": format!("{ip}:8002"),
             "platform": self.platform.url, "credential": CREDENTIAL,
-            "link_key": "test-link-key-0123456789",
+            "link_key": "test-link-key-0123456789", "limits": self.limits,
             "timing": {"poll": "100ms", "ping": "100ms", "suspect": "1s", "platform": "500ms",
                 "connect": "500ms"},
         });
--- a/tests/gateway/usage.rs
+++ b/tests/support/usage.rs
@@ -1,6 +1,6 @@
 //! What a host process holds: memory, descriptors, and bytes that have arrived and are not read.
 
-use super::Host;
+use std::net::SocketAddr;
 
 /// Returns a value of `/proc/PID/status`, in bytes.
 fn status_bytes(process: u32, field: &str) -> u64 {
@@ -11,25 +11,32 @@
 }
 
 /// Address as `/proc/net/tcp` writes it.
-fn written(address: std::net::SocketAddr) -> String {
+fn written(address: SocketAddr) -> String {
     let std::net::IpAddr::V4(ip) = address.ip() else { panic!("an IPv4 address") };
     format!("{:08X}:{:04X}", u32::from_ne_bytes(ip.octets()), address.port())
 }
 
-impl Host {
+/// A host process and its address for callers.
+#[derive(Clone, Copy)]
+pub struct Usage {
+    pub process: u32,
+    pub front: SocketAddr,
+}
+
+impl Usage {
     /// Memory in use now, in bytes.
     pub fn memory(&self) -> u64 {
-        status_bytes(self.process(), "VmRSS:")
+        status_bytes(self.process, "VmRSS:")
     }
 
     /// Largest memory in use since the start, in bytes.
     pub fn peak_memory(&self) -> u64 {
-        status_bytes(self.process(), "VmHWM:")
+        status_bytes(self.process, "VmHWM:")
     }
 
     /// Processor time used since the start, in ticks of the system.
     pub fn processor_ticks(&self) -> u64 {
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.process()));
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.process));
         let stat = stat.expect("the process runs");
         let fields = stat.rsplit(") ").next().unwrap_or_default().split(' ');
         fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<u64>().ok()).sum()
@@ -37,7 +44,7 @@
 
     /// Number of open descriptors.
     pub fn descriptors(&self) -> usize {
-        let folder = std::fs::read_dir(format!("/proc/{}/fd", self.process()));
+        let folder = std::fs::read_dir(format!("/proc/{}/fd", self.process));
         folder.expect("the process runs").count()
     }
 
