refactor: what callers hold and how their answers pass has a crate of its own

Moved without a change of what it does: account, connection, body buffer, answers and the reading of bodies, so that the daemon's own interface can use them.

--- a/crates/gateway/src/callers.rs
+++ b/crates/callers/src/account.rs
@@ -1,6 +1,5 @@
 //! What callers make this host hold: passes events to the admission and performs its actions.
 
-use crate::{clock::Clock, telemetry};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -10,9 +9,10 @@
 use vanetally_admission::{
     Action, Admission, BodyId, ConnectionId, Counts, Event, Limits, Reason, Timeouts,
 };
+use vanetally_clock::Clock;
 
 /// The connections of callers at one address, and what they hold.
-pub(crate) struct Callers {
+pub struct Callers {
     clock: Clock,
     admission: RefCell<Admission>,
     next: Cell<u64>,
@@ -24,7 +24,7 @@
 
 impl Callers {
     /// Creates the state of an address without connections.
-    pub(crate) fn new(clock: Clock, limits: Limits) -> Rc<Self> {
+    pub fn new(clock: Clock, limits: Limits) -> Rc<Self> {
         Rc::new(Self {
             clock,
             admission: RefCell::new(Admission::new(clock.now(), limits)),
@@ -35,7 +35,7 @@
     }
 
     /// Counts a connection that was just accepted.
-    pub(crate) fn open(self: &Rc<Self>) -> Rc<OpenConnection> {
+    pub fn open(self: &Rc<Self>) -> Rc<OpenConnection> {
         let id = ConnectionId(self.next_id());
         let closer = Rc::new(Notify::new());
         self.closers.borrow_mut().insert(id, closer.clone());
@@ -51,17 +51,17 @@
     }
 
     /// Begins to hold an answer, of which nothing has been read.
-    pub(crate) fn begin_answer(self: &Rc<Self>) -> Held {
+    pub fn begin_answer(self: &Rc<Self>) -> Held {
         Held { callers: self.clone(), id: BodyId(self.next_id()) }
     }
 
     /// Applies the time limits.
-    pub(crate) fn tick(&self, timeouts: Timeouts) {
+    pub fn tick(&self, timeouts: Timeouts) {
         self.handle(Event::Tick(timeouts));
     }
 
     /// Returns what callers hold.
-    pub(crate) fn counts(&self) -> Counts {
+    pub fn counts(&self) -> Counts {
         self.admission.borrow().counts()
     }
 
@@ -76,7 +76,7 @@
         for action in actions {
             match action {
                 Action::Close(id) => {
-                    telemetry::caller_closed();
+                    metrics::counter!("vanetally_callers_closed_total").increment(1);
                     if let Some(closer) = self.closers.borrow().get(&id) {
                         closer.notify_one();
                     }
@@ -96,7 +96,7 @@
 }
 
 /// An open connection of a caller.
-pub(crate) struct OpenConnection {
+pub struct OpenConnection {
     callers: Rc<Callers>,
     id: ConnectionId,
     closer: Rc<Notify>,
@@ -110,40 +110,40 @@
 
 impl OpenConnection {
     /// Waits until the connection has to be closed.
-    pub(crate) async fn closed(&self) {
+    pub async fn closed(&self) {
         self.closer.notified().await;
     }
 
     /// Records that bytes arrived.
-    pub(crate) fn received(&self) {
+    pub fn received(&self) {
         if self.is_waiting.replace(false) {
             self.callers.handle(Event::HeadBegan(self.id));
         }
     }
 
     /// Records that the caller took bytes.
-    pub(crate) fn taken(&self) {
+    pub fn taken(&self) {
         if self.is_blocked.replace(false) || self.is_waiting.get() {
             self.callers.handle(Event::Taken(self.id));
         }
     }
 
     /// Records that the caller takes nothing of what waits for it.
-    pub(crate) fn blocked(&self) {
+    pub fn blocked(&self) {
         if !self.is_blocked.replace(true) {
             self.callers.handle(Event::Blocked(self.id));
         }
     }
 
     /// Records that the head of a request was read; returns the guard of its answer.
-    pub(crate) fn begin_request(self: &Rc<Self>) -> OpenRequest {
+    pub fn begin_request(self: &Rc<Self>) -> OpenRequest {
         self.is_waiting.set(false);
         let is_refused = self.callers.handle(Event::HeadRead(self.id));
         OpenRequest { connection: self.clone(), is_refused }
     }
 
     /// Whether what still arrives is read and dropped before the connection is closed.
-    pub(crate) fn is_drained(&self) -> bool {
+    pub fn is_drained(&self) -> bool {
         self.is_drained.get()
     }
 }
@@ -156,14 +156,14 @@
 }
 
 /// A request on a connection, until its answer has been handed over.
-pub(crate) struct OpenRequest {
+pub struct OpenRequest {
     connection: Rc<OpenConnection>,
     is_refused: bool,
 }
 
 impl OpenRequest {
     /// Whether the host has no room for the request.
-    pub(crate) fn is_refused(&self) -> bool {
+    pub fn is_refused(&self) -> bool {
         self.is_refused
     }
 
@@ -179,7 +179,7 @@
 
     /// Records that the request was refused although its body has not been read: the caller is still sending, and a close
     /// with unread bytes would take its answer away.
-    pub(crate) fn refused_early(&self) {
+    pub fn refused_early(&self) {
         self.connection.is_drained.set(true);
     }
 }
@@ -201,7 +201,7 @@
 
 impl IncomingBody {
     /// Waits until the host refuses the request.
-    pub(crate) async fn refused(&mut self) -> Reason {
+    pub async fn refused(&mut self) -> Reason {
         match (&mut self.refused).await {
             Ok(reason) => reason,
             // The sender lives as long as the body is counted.
@@ -213,13 +213,13 @@
     ///
     /// # Errors
     /// If the host has no room for them.
-    pub(crate) fn grow(&mut self, bytes: usize) -> Result<(), Reason> {
+    pub fn grow(&mut self, bytes: usize) -> Result<(), Reason> {
         self.held.callers.handle(Event::BodyGrows(self.held.id, bytes));
         self.refused.try_recv().map_or(Ok(()), Err)
     }
 
     /// Records that `bytes` arrived.
-    pub(crate) fn received(&self, bytes: usize) {
+    pub fn received(&self, bytes: usize) {
         self.held.callers.handle(Event::BodyReceived(self.held.id, bytes));
     }
 
@@ -227,7 +227,7 @@
     ///
     /// # Errors
     /// If the host has no room for the request.
-    pub(crate) fn complete(self) -> Result<Held, Reason> {
+    pub fn complete(self) -> Result<Held, Reason> {
         match self.held.callers.handle(Event::BodyRead(self.held.id)) {
             true => Err(Reason::NoRoom),
             false => Ok(self.held),
@@ -236,14 +236,14 @@
 }
 
 /// Counts bytes as held until it is dropped.
-pub(crate) struct Held {
+pub struct Held {
     callers: Rc<Callers>,
     id: BodyId,
 }
 
 impl Held {
     /// Counts an answer as holding `bytes` in all.
-    pub(crate) fn hold_answer(&self, bytes: usize) {
+    pub fn hold_answer(&self, bytes: usize) {
         self.callers.handle(Event::AnswerHeld(self.id, bytes));
     }
 }
--- a/crates/gateway/src/response_body.rs
+++ b/crates/callers/src/answer.rs
@@ -1,9 +1,9 @@
 //! Response bodies sent to callers.
 
 use crate::{
-    body_buffer::BodyBuffer,
-    caller_stream::ResetOnClose,
-    callers::{Callers, Held, OpenRequest},
+    account::{Callers, Held, OpenRequest},
+    buffer::BodyBuffer,
+    stream::ResetOnClose,
 };
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -19,17 +19,14 @@
 /// Bytes of a complete body that are handed over at a time. The rest stays counted as held.
 const HANDED_BYTES: usize = 16 << 10;
 
-/// Maximum size of a non-streamed response, which is read completely before it is sent on.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
-
 /// The response was truncated. The connection is closed so that the caller cannot take it for
 /// complete.
 #[derive(Debug, thiserror::Error)]
 #[error("response truncated")]
-pub(crate) struct Truncated;
+pub struct Truncated;
 
 /// A piece of a response that is relayed.
-pub(crate) enum Piece {
+pub enum Piece {
     /// A frame of the body.
     Frame(Frame<Bytes>),
     /// The end of a complete body. A response that stops without it is truncated.
@@ -37,7 +34,7 @@
 }
 
 /// The body of a response to a caller.
-pub(crate) enum ResponseBody {
+pub enum ResponseBody {
     /// The complete body.
     Full(FullBody),
     /// Pieces relayed from an upstream as they arrive.
@@ -51,7 +48,7 @@
 
 /// A complete body, until it has been handed over.
 #[derive(Default)]
-pub(crate) struct FullBody {
+pub struct FullBody {
     bytes: Bytes,
     /// Counts it as held.
     _held: Option<Held>,
@@ -59,20 +56,24 @@
 
 impl FullBody {
     /// Creates a body that is counted by `held`.
-    pub(crate) fn held(bytes: Bytes, held: Held) -> Self {
+    pub fn held(bytes: Bytes, held: Held) -> Self {
         Self { bytes, _held: Some(held) }
     }
 
-    /// Reads the body of an upstream's answer into one buffer. It counts as held from when it has more than one piece.
+    /// Reads the body of an upstream's answer, of at most `max` bytes, into one buffer. It counts as held from when it has more than one piece.
     ///
     /// # Errors
     /// If it is truncated or too long, or the system has no memory for it.
-    pub(crate) async fn read(callers: &Rc<Callers>, mut body: Incoming) -> Result<Self, Truncated> {
-        let mut buffer = BodyBuffer::new(MAX_BUFFERED_BYTES);
+    pub async fn read(
+        callers: &Rc<Callers>,
+        mut body: Incoming,
+        max: usize,
+    ) -> Result<Self, Truncated> {
+        let mut buffer = BodyBuffer::new(max);
         let mut held = None;
         while let Some(frame) = body.frame().await {
             let data = frame.map_err(|_| Truncated)?.into_data().unwrap_or_default();
-            if data.len() > MAX_BUFFERED_BYTES - buffer.len() {
+            if data.len() > max - buffer.len() {
                 return Err(Truncated);
             }
             let bytes = buffer.held_with(data.len());
@@ -88,7 +89,7 @@
     }
 
     /// Returns its bytes.
-    pub(crate) fn bytes(&self) -> &[u8] {
+    pub fn bytes(&self) -> &[u8] {
         &self.bytes
     }
 
@@ -111,12 +112,12 @@
 
 impl ResponseBody {
     /// Creates the body of a response of which `pieces` arrive.
-    pub(crate) fn relayed(pieces: mpsc::Receiver<Piece>) -> Self {
+    pub fn relayed(pieces: mpsc::Receiver<Piece>) -> Self {
         Self::Stream { pieces, reset: None }
     }
 
     /// Makes the connection end with a reset unless the body is complete, if its length is unknown.
-    pub(crate) fn reset_if_truncated(mut self, connection: &ResetOnClose) -> Self {
+    pub fn reset_if_truncated(mut self, connection: &ResetOnClose) -> Self {
         if let Self::Stream { reset, .. } = &mut self {
             connection.set(true);
             *reset = Some(connection.clone());
@@ -166,14 +167,14 @@
 }
 
 /// The body of the answer to a request that counts as open until it has been handed over.
-pub(crate) struct ServedBody {
+pub struct ServedBody {
     body: ResponseBody,
     _open: OpenRequest,
 }
 
 impl ServedBody {
     /// Wraps the body of an answer to `open`.
-    pub(crate) fn new(body: ResponseBody, open: OpenRequest) -> Self {
+    pub fn new(body: ResponseBody, open: OpenRequest) -> Self {
         Self { body, _open: open }
     }
 }
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/callers/src/stream.rs
@@ -7,8 +7,8 @@
 //! for a while, since a close with unread bytes resets the connection and takes the refusal away.
 
 use crate::{
-    bounded_stream::{CALLER_READ_BYTES, poll_read_some},
-    callers::OpenConnection,
+    account::OpenConnection,
+    read::{CALLER_READ_BYTES, poll_read_some},
 };
 use socket2::SockRef;
 use std::{
@@ -34,17 +34,17 @@
 
 /// Whether a connection ends with a reset, shared with the body that is sent on it.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct ResetOnClose(Rc<Cell<bool>>);
+pub struct ResetOnClose(Rc<Cell<bool>>);
 
 impl ResetOnClose {
     /// Sets whether the connection ends with a reset.
-    pub(crate) fn set(&self, is_reset: bool) {
+    pub fn set(&self, is_reset: bool) {
         self.0.set(is_reset);
     }
 }
 
 /// The connection of a caller.
-pub(crate) struct CallerStream {
+pub struct CallerStream {
     stream: TcpStream,
     reset: ResetOnClose,
     /// The setting that the socket has.
@@ -61,7 +61,7 @@
 
 impl CallerStream {
     /// Wraps a connection, with the setting that governs its end.
-    pub(crate) fn new(stream: TcpStream, reset: ResetOnClose, open: Rc<OpenConnection>) -> Self {
+    pub fn new(stream: TcpStream, reset: ResetOnClose, open: Rc<OpenConnection>) -> Self {
         Self { stream, reset, is_set: false, open, drain: None }
     }
 
--- a/crates/gateway/src/bounded_stream.rs
+++ b/crates/gateway/src/bounded_stream.rs
@@ -8,6 +8,7 @@
     task::{Context, Poll},
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use vanetally_callers::poll_read_some;
 
 /// Maximum number of bytes before the end of the head of an answer. Informational answers come before it, any number of
 /// them.
@@ -15,10 +16,6 @@
 /// Number of bytes that are read in a row before other tasks have their turn.
 const TURN_BYTES: usize = 64 << 10;
 
-/// Maximum number of bytes read at a time for a caller. The HTTP library enlarges its buffer when a read fills the smallest
-/// one of 8 KiB, and several are in use while a body arrives.
-pub(crate) const CALLER_READ_BYTES: usize = 8_000;
-
 /// The bytes that an upstream may still send until the head of its answer is complete.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct HeadBound(Rc<Cell<Option<usize>>>);
@@ -85,21 +82,6 @@
     }
 }
 
-/// Reads at most `max` bytes; returns also their number.
-pub(crate) fn poll_read_some(
-    stream: &mut (impl AsyncRead + Unpin),
-    context: &mut Context<'_>,
-    buffer: &mut ReadBuf<'_>,
-    max: usize,
-) -> (Poll<io::Result<()>>, usize) {
-    let room = buffer.remaining().min(max);
-    let mut part = ReadBuf::new(buffer.initialize_unfilled_to(room));
-    let read = Pin::new(stream).poll_read(context, &mut part);
-    let count = part.filled().len();
-    buffer.advance(count);
-    (read, count)
-}
-
 impl<S: AsyncWrite + Unpin> AsyncWrite for BoundedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,7 +1,6 @@
 //! Handles one request from a caller, from its head to its response.
 
 use crate::{
-    callers::OpenRequest,
     charge::Charge,
     command::RequestRefusal,
     framing::is_cut_off,
@@ -9,7 +8,6 @@
     hub::{Hub, Stage},
     pending_request::{Interrupt, PendingRequest, next_interrupt},
     relay, request_body,
-    response_body::{FullBody, ResponseBody},
     sending::{Outgoing, SendContext, SendOutcome, StartedResponse, send_scheduled},
     telemetry,
 };
@@ -18,11 +16,15 @@
 use http_body::Body;
 use hyper::body::Incoming;
 use std::rc::Rc;
+use vanetally_callers::{FullBody, OpenRequest, ResponseBody};
 use vanetally_dispatch::{Attempt, AttemptEnd, Event};
 use vanetally_ports::{CallerRequest, Refusal, RefusalCause};
 use vanetally_quarantine::{ContentHash, contents_of};
 use vanetally_types::Name;
 
+/// Maximum size of a non-streamed response, which is read completely before it is sent on.
+const MAX_BUFFERED_BYTES: usize = 256 << 10;
+
 /// `Retry-After` where the host has no room for a body: others end meanwhile.
 const NO_ROOM_RETRY_MS: u64 = 500;
 
@@ -219,7 +221,7 @@
                 return Buffered::Final(refuse_pending(pending, &refused));
             }
         },
-        body = FullBody::read(&pending.hub.callers, body) => {
+        body = FullBody::read(&pending.hub.callers, body, MAX_BUFFERED_BYTES) => {
             body.map_err(|_| pending.hub.broken_end())
         }
     };
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -2,7 +2,6 @@
 //! calls and messages.
 
 use crate::{
-    callers::Callers,
     clock::{self, Clock},
     command::{Command, RequestRefusal},
     configuration_wait::ConfigurationWait,
@@ -33,6 +32,7 @@
 };
 use tokio::sync::{mpsc, watch};
 use vanetally_admission::Timeouts;
+use vanetally_callers::Callers;
 use vanetally_dispatch::{self as dispatch, Digest, Dispatch, LeavingUpstreams, RequestId};
 use vanetally_fanout::{
     Freshness, HostIncarnation, Pull, Source, SourceSelector, Spacing, Throttle, Totals, Versions,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,12 +5,9 @@
 //! their names.
 #![deny(missing_docs, unsafe_code, clippy::disallowed_methods)]
 
-mod body_buffer;
 mod bounded_stream;
 mod brittle;
 mod call;
-mod caller_stream;
-mod callers;
 mod capabilities;
 mod charge;
 mod clock;
@@ -54,7 +51,6 @@
 mod relay;
 mod request_body;
 mod request_log;
-mod response_body;
 mod run;
 mod sending;
 mod settings;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -1,10 +1,8 @@
 //! Accepts connections from callers.
 
 use crate::{
-    caller_stream::{CallerStream, ResetOnClose},
     exchange,
     hub::{Hub, Stage},
-    response_body::ServedBody,
 };
 use http::{Request, Version, header::CONTENT_LENGTH};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -14,6 +12,7 @@
     net::{TcpListener, TcpStream},
     time::sleep,
 };
+use vanetally_callers::{CallerStream, ResetOnClose, ServedBody};
 use vanetally_link::socket;
 
 /// Pause after a failed `accept`.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,7 +1,7 @@
 //! Pool of persistent HTTP connections.
 
 use crate::{
-    bounded_stream::{BoundedStream, CALLER_READ_BYTES, HeadBound},
+    bounded_stream::{BoundedStream, HeadBound},
     clock::Clock,
     tunnels::OpenTunnel,
 };
@@ -25,6 +25,7 @@
     time::Duration,
 };
 use tokio::io::{AsyncRead, AsyncWrite};
+use vanetally_callers::CALLER_READ_BYTES;
 use vanetally_link::{carried_ids::CarriedIds, socket};
 use vanetally_reach::Path;
 use vanetally_types::{Name, Tick};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,6 @@
     headers::{end_to_end, keep_alive_timeout},
     pending_request::{Interrupt, PendingRequest, next_interrupt},
     pool::Connection,
-    response_body::{Piece, ResponseBody},
     sending::{Outgoing, SendContext, SendOutcome, StartedResponse, send_scheduled},
     telemetry,
 };
@@ -16,6 +15,7 @@
 use hyper::body::Incoming;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use vanetally_callers::{Piece, ResponseBody};
 use vanetally_dispatch::{Attempt, AttemptEnd, Event};
 use vanetally_sse::{EventSplitter, Scanner};
 use vanetally_types::Tick;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,7 +1,6 @@
 //! Process lifecycle: start, reload, planned stop.
 
 use crate::{
-    callers::Callers,
     evacuations::EvacuationFeedHandler,
     exit::{TunnelCall, TunnelEvent},
     feed::Feed,
@@ -31,6 +30,7 @@
     task::{LocalSet, spawn_local},
     time::{interval, sleep},
 };
+use vanetally_callers::Callers;
 use vanetally_link::{
     peer::{self, Links},
     socket,
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -5,13 +5,13 @@
     headers::{end_to_end, keep_alive_timeout},
     hub::Hub,
     pool::Connection,
-    request_body::RequestBody,
 };
 use bytes::Bytes;
 use http::{Request, Response, header::CONTENT_LENGTH, request::Parts as RequestParts};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use std::{rc::Rc, time::Duration};
+use vanetally_callers::RequestBody;
 use vanetally_dispatch::{Attempt, AttemptEnd, RequestId};
 use vanetally_ports::{AnswerKind, AttemptHead};
 use vanetally_reach::{AttemptId, Event};
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,11 +1,6 @@
 //! HTTP endpoints for readiness, metrics and the state dump.
 
-use crate::{
-    caller_stream::{CallerStream, ResetOnClose},
-    callers::Callers,
-    hub::Hub,
-    response_body::{FullBody, ResponseBody, ServedBody},
-};
+use crate::hub::Hub;
 use http::{Method, Request, Response, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -16,6 +11,7 @@
     time::sleep,
 };
 use vanetally_admission::{Limits, Timeouts};
+use vanetally_callers::{CallerStream, Callers, FullBody, ResetOnClose, ResponseBody, ServedBody};
 use vanetally_link::socket;
 
 /// Pause after a failed `accept`.
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -48,11 +48,6 @@
         .increment(1);
 }
 
-/// Counts a caller's connection closed by this host, since it made no progress or there were too many.
-pub(crate) fn caller_closed() {
-    counter!("vanetally_callers_closed_total").increment(1);
-}
-
 /// Sets the gauges of what callers hold.
 pub(crate) fn set_caller_gauges(counts: vanetally_admission::Counts) {
     gauge!("vanetally_caller_connections").set(counts.connections as f64);
