fix: what all callers of the daemon hold is bounded

Cause: its HTTP library reads heads and small bodies whole, has a thread for each connection, and nothing counted the sum; a completion was held as a tree of values, many times its text. Now its connections belong to one thread and count in the same account as on the platform's path (crates/callers), with settings of their own (limits.memory, limits.descriptors, timing.head, timing.idle); a request gets its thread when it has been read. Refusals come at the head where that is enough, also those for a missing key. A completion is kept as the text of its fields, and its two copies count. A workaround for the old library goes (pool_waker). A caller of HTTP/1.0 gets a stream as it comes and a reset where it is incomplete.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -45,11 +45,22 @@
     pub queue: usize,
     /// Maximum size of an answer that is stored for repeats of an at-most-once request.
     pub kept: Size,
+    /// Memory that the process may use; callers may make it hold at most half of it.
+    pub memory: Size,
+    /// Descriptors that the process may use; connections of callers take at most half of them.
+    pub descriptors: u64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { body: Size(1_000_000), streams: 1_000, queue: 2_000, kept: Size(64_000) }
+        Self {
+            body: Size(1_000_000),
+            streams: 1_000,
+            queue: 2_000,
+            kept: Size(64_000),
+            memory: Size(256_000_000),
+            descriptors: 4_096,
+        }
     }
 }
 
@@ -75,6 +86,10 @@
     pub platform: Millis,
     /// Maximum time that a planned stop waits for requests in flight.
     pub stop: Millis,
+    /// Maximum time from the first byte of a request's head to its end.
+    pub head: Millis,
+    /// Time after which a caller's connection without a request, or with a body that stopped, is closed.
+    pub idle: Millis,
 }
 
 impl Default for Timing {
@@ -89,6 +104,8 @@
             silence: Millis(30_000),
             platform: Millis(2_000),
             stop: Millis(600_000),
+            head: Millis(10_000),
+            idle: Millis(120_000),
         }
     }
 }
@@ -112,6 +129,10 @@
 }
 
 const MIN_KEY_LEN: usize = 16;
+/// Bodies of full size that the memory must hold: half of it is for callers, who may send one such body at any time, which
+/// is held twice while it is sent on.
+const MIN_BODIES: u64 = 8;
+const MIN_DESCRIPTORS: u64 = 256;
 
 impl Settings {
     /// Reads and validates the settings in the file at `path`.
@@ -135,6 +156,18 @@
             (self.link_key.len() < MIN_KEY_LEN, "link_key", "must have at least 16 characters"),
             (self.limits.streams == 0, "limits.streams", "must be at least 1"),
             (self.limits.body.0 == 0, "limits.body", "must be at least 1B"),
+            (
+                self.limits.memory.0 < MIN_BODIES * self.limits.body.0,
+                "limits.memory",
+                "must be at least eight times limits.body",
+            ),
+            (
+                self.limits.descriptors < MIN_DESCRIPTORS,
+                "limits.descriptors",
+                "must be at least 256",
+            ),
+            (t.head.0 == 0, "timing.head", "must be at least 1ms"),
+            (t.idle.0 == 0, "timing.idle", "must be at least 1ms"),
             (t.poll.0 == 0, "timing.poll", "must be at least 1ms"),
             (t.ping.0 == 0, "timing.ping", "must be at least 1ms"),
             (t.suspect.0 < 2 * t.ping.0, "timing.suspect", "must be at least twice timing.ping"),
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -28,10 +28,10 @@
 
 /// Serves one exchange on the operators' port.
 pub(crate) fn serve(shared: &Arc<Shared>, hub: &Sender<Input>, exchange: Exchange) {
-    if let Some(reply) = health(shared, exchange.path()) {
+    if let Some(reply) = health(shared, exchange.head().path()) {
         return exchange.answer(reply);
     }
-    let reply = match exchange.path() {
+    let reply = match exchange.head().path() {
         "/metrics" => Reply::new(200, "text/plain; version=0.0.4", telemetry::handle().render()),
         "/state" => dump_state(hub),
         "/revision" => {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -47,6 +47,9 @@
 const MAX_MESSAGE_BYTES: usize = 4_000_000;
 /// Maximum number of parallel exchanges on the operators' port.
 const MAX_ADMIN_EXCHANGES: usize = 16;
+/// Memory and descriptors of which the callers of the operators' port may use a share.
+const ADMIN_MEMORY_BYTES: u64 = 32_000_000;
+const ADMIN_DESCRIPTORS: u64 = 400;
 
 impl Daemon {
     /// Starts a daemon.
@@ -196,14 +199,27 @@
     client: Client,
     server: Server,
 ) -> Stopper {
-    let frontend = Frontend { shared: shared.clone(), hub: hub.clone(), client };
-    let options =
-        http::Options { max_exchanges: shared.settings.limits.streams, ..Default::default() };
-    server.serve("caller", options, move |exchange| frontend.serve(exchange))
+    let frontend = Arc::new(Frontend { shared: shared.clone(), hub: hub.clone(), client });
+    let (limits, timing) = (&shared.settings.limits, &shared.settings.timing);
+    let options = http::Options {
+        max_exchanges: limits.streams,
+        max_body_bytes: usize::try_from(limits.body.0).unwrap_or(usize::MAX),
+        limits: http::Limits::of(limits.memory.0, limits.descriptors),
+        timeouts: http::Timeouts { head_ms: timing.head.0, idle_ms: timing.idle.0 },
+        ..Default::default()
+    };
+    let checker = frontend.clone();
+    let check = move |head: &http::Head| checker.check(head);
+    server.serve_checked("caller", options, check, move |exchange| frontend.serve(exchange))
 }
 
 fn serve_operators(shared: &Arc<Shared>, hub: &Sender<Input>, server: Server) -> Stopper {
     let (shared, hub) = (shared.clone(), hub.clone());
-    let options = http::Options { max_exchanges: MAX_ADMIN_EXCHANGES, ..Default::default() };
+    let options = http::Options {
+        max_exchanges: MAX_ADMIN_EXCHANGES,
+        max_body_bytes: 0,
+        limits: http::Limits::of(ADMIN_MEMORY_BYTES, ADMIN_DESCRIPTORS),
+        ..Default::default()
+    };
     server.serve("admin", options, move |exchange| admin::serve(&shared, &hub, exchange))
 }
--- a/crates/daemon/src/frontend.rs
+++ b/crates/daemon/src/frontend.rs
@@ -9,8 +9,10 @@
     shared::Shared,
     telemetry,
 };
-use serde_json::{Value, json};
+use bytes::Bytes;
+use serde_json::{Value, json, value::RawValue};
 use std::{
+    collections::BTreeMap,
     sync::{
         Arc,
         atomic::Ordering,
@@ -19,13 +21,14 @@
     time::{Duration, Instant},
 };
 use vanetally_claim::Id;
+use vanetally_config::{Revision, catalog::Caller};
 use vanetally_core::{Arrival, Event, service_entry};
 use vanetally_link::{
     call::Client,
-    http::{BodyError, Exchange, Reply},
+    http::{BodyError, Exchange, Head, Reply},
 };
 use vanetally_route::{AttemptEnd, Request};
-use vanetally_types::{Name, Tick, Verdict, hash64};
+use vanetally_types::{Name, Tick, Verdict, hash64, hash64_of};
 
 /// A caller's request as it is sent to upstreams.
 pub(crate) struct UpstreamRequest {
@@ -50,20 +53,28 @@
 
 enum Body {
     /// Sent unchanged.
-    Plain(Vec<u8>),
+    Plain(Bytes),
     /// A JSON object in which the entry's id replaces the model's name.
-    Model(Value),
+    Model(Completion),
 }
 
+/// The fields of a completion, as their JSON text.
+type Completion = BTreeMap<String, Box<RawValue>>;
+
 impl UpstreamRequest {
     /// Returns the body for an upstream that holds `entry`.
     pub fn body_for(&self, entry: &Name) -> Vec<u8> {
         match &self.body {
-            Body::Plain(bytes) => bytes.clone(),
-            Body::Model(value) => {
-                let mut value = value.clone();
-                value["model"] = json!(&**entry);
-                value.to_string().into_bytes()
+            Body::Plain(bytes) => bytes.to_vec(),
+            Body::Model(fields) => {
+                let model = json!(&**entry).to_string();
+                let values = fields.iter().map(|(name, value)| match name.as_str() {
+                    MODEL_FIELD => (name, model.as_str()),
+                    _ => (name, value.get()),
+                });
+                let fields: Vec<String> =
+                    values.map(|(name, value)| format!("{}:{value}", json!(name))).collect();
+                format!("{{{}}}", fields.join(",")).into_bytes()
             }
         }
     }
@@ -85,21 +96,48 @@
 
 /// Maximum time after a request's deadline until the event loop has decided.
 const DECISION_SLACK: Duration = Duration::from_secs(5);
+/// Path of the list of models.
+const MODELS_PATH: &str = "/v1/models";
+/// Time after which a request that found no room may come back.
+const NO_ROOM_RETRY_MS: u64 = 1_000;
 /// Number of prompt bytes that are hashed for prefix affinity.
 const PREFIX_BYTES: usize = 256;
+/// Field of a completion with the name of the model.
+const MODEL_FIELD: &str = "model";
 
 impl Frontend {
+    /// Returns the answer to a request whose head shows that it can't be served.
+    pub fn check(&self, head: &Head) -> Option<Reply> {
+        if admin::health(&self.shared, head.path()).is_some() {
+            return None;
+        }
+        let refusal = self.check_caller(&self.shared.revision(), head).err()?;
+        telemetry::count_request(&self.shared.settings.host, "", "", &refusal.code);
+        Some(refusal.reply())
+    }
+
+    /// Returns the caller who sends a request.
+    fn check_caller<'a>(&self, revision: &'a Revision, head: &Head) -> Result<&'a Caller, Refusal> {
+        if revision.number == 0 && head.path() != MODELS_PATH {
+            let mut refusal =
+                Refusal::new(503, "no_configuration", "no configuration is known yet");
+            refusal.retry_after_ms = Some(2_000);
+            return Err(refusal);
+        }
+        authenticate(&revision.catalog, head.header("Authorization"))
+    }
+
     /// Serves one exchange.
-    pub fn serve(&self, mut exchange: Exchange) {
+    pub fn serve(&self, exchange: Exchange) {
         let started = Instant::now();
-        if let Some(reply) = admin::health(&self.shared, exchange.path()) {
+        if let Some(reply) = admin::health(&self.shared, exchange.head().path()) {
             return exchange.answer(reply);
         }
-        if exchange.path() == "/v1/models" {
-            let reply = self.models(&exchange).unwrap_or_else(|r| r.reply());
+        if exchange.head().path() == MODELS_PATH {
+            let reply = self.models(exchange.head()).unwrap_or_else(|r| r.reply());
             return exchange.answer(reply);
         }
-        match self.admit(&mut exchange) {
+        match self.admit(&exchange) {
             Ok(admitted) => self.execute(admitted, exchange, started),
             Err(refusal) => {
                 telemetry::count_request(&self.shared.settings.host, "", "", &refusal.code);
@@ -109,10 +147,10 @@
     }
 
     /// Returns the models and adapters that the caller may reach.
-    fn models(&self, exchange: &Exchange) -> Result<Reply, Refusal> {
+    fn models(&self, head: &Head) -> Result<Reply, Refusal> {
         let revision = self.shared.revision();
         let catalog = &revision.catalog;
-        let caller = authenticate(catalog, exchange.header("Authorization"))?;
+        let caller = self.check_caller(&revision, head)?;
         let models = catalog.models.iter().map(|m| (&m.name, &m.labels));
         let adapters = catalog.adapters.iter().map(|a| (&a.name, &a.labels));
         let rows: Vec<Value> = models
@@ -124,29 +162,24 @@
     }
 
     /// Reads and checks a request.
-    fn admit(&self, exchange: &mut Exchange) -> Result<AdmittedRequest, Refusal> {
+    fn admit(&self, exchange: &Exchange) -> Result<AdmittedRequest, Refusal> {
+        let head = exchange.head();
         let revision = self.shared.revision();
         let catalog = &revision.catalog;
-        if revision.number == 0 {
-            let mut refusal =
-                Refusal::new(503, "no_configuration", "no configuration is known yet");
-            refusal.retry_after_ms = Some(2_000);
-            return Err(refusal);
-        }
-        let caller = authenticate(catalog, exchange.header("Authorization"))?;
-        let method = exchange.method();
-        let url = exchange.url().to_owned();
+        let caller = self.check_caller(&revision, head)?;
+        let method = head.method().to_owned();
+        let url = head.url().to_owned();
         let service = url.strip_prefix("/services/").map(|path| path.to_owned());
-        let completion = matches!(exchange.path(), "/v1/chat/completions" | "/v1/completions");
+        let completion = matches!(head.path(), "/v1/chat/completions" | "/v1/completions");
         if service.is_none() && !completion {
-            let text = format!("there is nothing at `{}`", exchange.path());
+            let text = format!("there is nothing at `{}`", head.path());
             return Err(Refusal::new(404, "unknown_path", &text));
         }
         if completion && method != "POST" {
             return Err(Refusal::new(405, "method_not_allowed", "use POST"));
         }
         let body = self.read_body(exchange)?;
-        let fingerprint = hash64(&[method.as_bytes(), url.as_bytes(), &body].concat());
+        let fingerprint = hash64_of(&[method.as_bytes(), url.as_bytes(), &body]);
         let (target, path, body, prefix) = match &service {
             Some(service_path) => {
                 let end = service_path.find(['/', '?']).unwrap_or(service_path.len());
@@ -165,18 +198,18 @@
         let now = self.shared.clock.now();
         let timing = &self.shared.settings.timing;
         let deadline =
-            deadline(exchange.header("X-Deadline"), now, timing.deadline.0, timing.horizon.0)?;
+            deadline(head.header("X-Deadline"), now, timing.deadline.0, timing.horizon.0)?;
         let key = idempotency_key(
             catalog.is_once(&target.labels),
-            exchange.header("Idempotency-Key"),
-            exchange.header("X-Once-Only"),
+            head.header("Idempotency-Key"),
+            head.header("X-Once-Only"),
         )?;
         let (class, rank) = catalog.class_of(&caller.labels, &target.labels);
         let id = self.shared.next_id();
         let request_id =
             format!("{}-{}-{id}", self.shared.host_id.name, self.shared.host_id.incarnation);
         let headers = match service {
-            Some(_) => service_headers(exchange, &caller.name, &request_id, deadline),
+            Some(_) => service_headers(head, &caller.name, &request_id, deadline),
             None => engine_headers(&request_id, rank, deadline, key),
         };
         let entries =
@@ -208,13 +241,19 @@
         Ok(AdmittedRequest { upstream_request, arrival: Arrival { request, claim_id }, class })
     }
 
-    fn read_body(&self, exchange: &mut Exchange) -> Result<Vec<u8>, Refusal> {
+    fn read_body(&self, exchange: &Exchange) -> Result<Bytes, Refusal> {
         let max = self.shared.settings.limits.body;
-        exchange.body(max.0).map_err(|e| match e {
-            BodyError::TooLarge => {
+        exchange.body().map_err(|error| match error {
+            BodyError::TooLong => {
                 Refusal::new(413, "body_too_large", &format!("the body is larger than {max}"))
             }
             BodyError::Broken => Refusal::new(400, "body_broken", "the body did not arrive"),
+            BodyError::Silent => Refusal::new(408, "body_stopped", "the body stopped arriving"),
+            BodyError::NoRoom => {
+                let mut refusal = Refusal::new(503, "overloaded", "too many requests at once");
+                refusal.retry_after_ms = Some(NO_ROOM_RETRY_MS);
+                refusal
+            }
         })
     }
 
@@ -368,25 +407,23 @@
 
 /// Parses the body of a completion; returns it with the model's name and the hash of the prompt's
 /// prefix, which is 0 for a shorter prompt.
-fn parse_completion(body: &[u8]) -> Result<(Value, String, u64), Refusal> {
+fn parse_completion(body: &[u8]) -> Result<(Completion, String, u64), Refusal> {
     let bad_request = |code: &str, text: &str| Refusal::new(400, code, text);
-    let value: Value = serde_json::from_slice(body)
-        .map_err(|e| bad_request("bad_json", &format!("the body is no JSON: {e}")))?;
-    if !value.is_object() {
-        return Err(bad_request("bad_json", "the body must be a JSON object"));
-    }
-    let Some(model) = value.get("model").and_then(Value::as_str) else {
+    let fields: Completion = serde_json::from_slice(body).map_err(|e| match e.is_data() {
+        true => bad_request("bad_json", "the body must be a JSON object"),
+        false => bad_request("bad_json", &format!("the body is no JSON: {e}")),
+    })?;
+    let model = fields.get(MODEL_FIELD).and_then(|model| serde_json::from_str(model.get()).ok());
+    let Some(model) = model else {
         return Err(bad_request("missing_model", "the body must name a `model`"));
     };
-    let prompt = value.get("messages").or_else(|| value.get("prompt"));
-    let Some(prompt) = prompt else {
+    let Some(prompt) = fields.get("messages").or_else(|| fields.get("prompt")) else {
         return Err(bad_request("missing_prompt", "the body must have `messages` or a `prompt`"));
     };
-    let text = prompt.to_string();
-    let start = &text.as_bytes()[..text.len().min(PREFIX_BYTES)];
+    let text = prompt.get().as_bytes();
+    let start = &text[..text.len().min(PREFIX_BYTES)];
     let prefix = if text.len() < PREFIX_BYTES { 0 } else { hash64(start).max(1) };
-    let model = model.to_owned();
-    Ok((value, model, prefix))
+    Ok((fields, model, prefix))
 }
 
 fn engine_headers(
@@ -408,7 +445,7 @@
 /// Returns the headers for a service: the caller's headers without credentials and hop-by-hop
 /// headers, and those that the host sets.
 fn service_headers(
-    exchange: &Exchange,
+    head: &Head,
     caller: &Name,
     request_id: &str,
     deadline: Tick,
@@ -428,7 +465,7 @@
         "x-deadline",
         "x-request-id",
     ];
-    let mut headers: Vec<(String, String)> = exchange
+    let mut headers: Vec<(String, String)> = head
         .headers()
         .into_iter()
         .filter(|(name, _)| !DROPPED.contains(&name.to_ascii_lowercase().as_str()))
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -53,6 +53,7 @@
     gauge!("vanetally_caller_connections").set(counts.connections as f64);
     gauge!("vanetally_caller_bodies").set(counts.bodies as f64);
     gauge!("vanetally_caller_bytes").set(counts.bytes as f64);
+    gauge!("vanetally_caller_all_bytes").set(counts.all_bytes as f64);
 }
 
 /// Counts a request refused because its forecast exceeded the time that it may wait.
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod peer;
 /// Client of the platform's key-value service and list of hosts.
 pub mod platform;
-mod pool_waker;
 /// Challenge-response proof that both ends of a link know the shared key.
 pub mod proof;
 /// TCP connections that can be ended at any time, so that nothing of them is sent any more.
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -9,6 +9,7 @@
     fault::{FaultInjector, Outcome, lost_answer},
     memory::Memory,
     model::{Batcher, Speed, token_text},
+    server,
 };
 use serde_json::{Value, json};
 use std::{
@@ -24,7 +25,7 @@
 use vanetally_ledger::{Op, Order, Refusal, Report};
 use vanetally_link::{
     call::{self, Call, Client},
-    http::{self, Exchange, Reply, Server, Stopper},
+    http::{Exchange, Reply, Server, Stopper},
 };
 use vanetally_types::Name;
 
@@ -97,7 +98,7 @@
     started: Instant,
 }
 
-const MAX_BODY_BYTES: u64 = 8_000_000;
+const MAX_BODY_BYTES: usize = 8_000_000;
 const DEFAULT_TOKENS: u64 = 16;
 const MAX_TOKENS: u64 = 100_000;
 const PREFILL_PER_KB: Duration = Duration::from_millis(10);
@@ -144,21 +145,21 @@
         });
         let server = Server::try_bind(address)?;
         let address = server.address();
-        let http_options = http::Options { max_exchanges: 4_000, ..http::Options::default() };
-        let stopper = server.serve("engine", http_options, move |e| Self::serve(&engine, e));
+        let limits = server::options(MAX_BODY_BYTES);
+        let stopper = server.serve("engine", limits, move |e| Self::serve(&engine, e));
         Ok((address, stopper))
     }
 
-    fn serve(engine: &Arc<Self>, mut exchange: Exchange) {
-        let path = exchange.path().to_owned();
+    fn serve(engine: &Arc<Self>, exchange: Exchange) {
+        let path = exchange.head().path().to_owned();
         let reply = match path.as_str() {
-            "/fault" => engine.faults.update(&mut exchange),
+            "/fault" => engine.faults.update(&exchange),
             "/stats" => engine.stats_reply(),
             "/restart" => engine.restart(),
             _ if !engine.faults.is_up_after_delay() => lost_answer(),
             "/engine/state" => engine.state_reply(200, None),
-            "/engine/fence" => engine.handle_fence(&mut exchange),
-            "/engine/order" => Self::handle_order(engine, &mut exchange),
+            "/engine/fence" => engine.handle_fence(&exchange),
+            "/engine/order" => Self::handle_order(engine, &exchange),
             "/v1/completions" | "/v1/chat/completions" => {
                 return engine.handle_completion(exchange);
             }
@@ -195,8 +196,8 @@
         cached.1.clone()
     }
 
-    fn handle_fence(&self, exchange: &mut Exchange) -> Reply {
-        let body = exchange.body(MAX_BODY_BYTES).unwrap_or_default();
+    fn handle_fence(&self, exchange: &Exchange) -> Reply {
+        let body = exchange.body().unwrap_or_default();
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
         let Some(epoch) = body["epoch"].as_u64() else {
             return Reply::new(400, "text/plain", "epoch missing\n");
@@ -205,8 +206,8 @@
         self.state_reply(if accepted { 200 } else { 409 }, None)
     }
 
-    fn handle_order(engine: &Arc<Self>, exchange: &mut Exchange) -> Reply {
-        let body = exchange.body(MAX_BODY_BYTES).unwrap_or_default();
+    fn handle_order(engine: &Arc<Self>, exchange: &Exchange) -> Reply {
+        let body = exchange.body().unwrap_or_default();
         let Ok(order) = serde_json::from_slice::<Order>(&body) else {
             return Reply::new(400, "text/plain", "no order\n");
         };
@@ -290,15 +291,16 @@
         )
     }
 
-    fn handle_completion(&self, mut exchange: Exchange) {
-        let body = exchange.body(MAX_BODY_BYTES).unwrap_or_default();
+    fn handle_completion(&self, exchange: Exchange) {
+        let body = exchange.body().unwrap_or_default();
         let Ok(body) = serde_json::from_slice::<Value>(&body) else {
             return exchange.answer(refusal_reply(400, "bad_json"));
         };
         let model = body["model"].as_str().unwrap_or("").to_owned();
-        let id = exchange.header("X-Request-Id").unwrap_or("").to_owned();
-        let key = exchange.header("Idempotency-Key").map(str::to_owned);
-        let priority = exchange.header("X-Priority").and_then(|p| p.parse().ok()).unwrap_or(0);
+        let id = exchange.head().header("X-Request-Id").unwrap_or("").to_owned();
+        let key = exchange.head().header("Idempotency-Key").map(str::to_owned);
+        let priority =
+            exchange.head().header("X-Priority").and_then(|p| p.parse().ok()).unwrap_or(0);
         if let Err(reply) = self.admit(&model, key) {
             return exchange.answer(reply);
         }
@@ -311,7 +313,7 @@
         self.remember(&id, &run);
         let prefill = self.batcher.join(priority, &run.prompt);
         thread::sleep(prefill);
-        let is_chat = exchange.path().starts_with("/v1/chat");
+        let is_chat = exchange.head().path().starts_with("/v1/chat");
         let is_complete = match body["stream"].as_bool() {
             Some(true) => self.send_stream(&run, 0, exchange),
             _ => self.send_whole(&run, is_chat, exchange),
@@ -407,7 +409,7 @@
     }
 
     fn handle_resume(&self, id: &str, exchange: Exchange) {
-        let after = exchange.query("after").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let after = exchange.head().query("after").and_then(|v| v.parse().ok()).unwrap_or(0);
         let run = lock(&self.resumable).get(id).cloned();
         let can_resume = !self.faults.current().no_resume;
         match run.filter(|_| can_resume) {
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -56,7 +56,6 @@
 pub struct FaultInjector(Mutex<Faults>);
 
 const FREEZE_POLL_INTERVAL: Duration = Duration::from_millis(5);
-const MAX_BODY_BYTES: u64 = 1_000_000;
 
 impl FaultInjector {
     /// Returns the current faults.
@@ -69,8 +68,8 @@
     }
 
     /// Sets the faults that the body of the request names; the others keep their values.
-    pub fn update(&self, exchange: &mut Exchange) -> Reply {
-        let body = exchange.body(MAX_BODY_BYTES).unwrap_or_default();
+    pub fn update(&self, exchange: &Exchange) -> Reply {
+        let body = exchange.body().unwrap_or_default();
         let mut faults = self.lock();
         let mut value = serde_json::to_value(&*faults).unwrap_or_default();
         let changes: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -19,3 +19,4 @@
 /// The engine's memory, usable without sockets.
 pub mod memory;
 mod model;
+mod server;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -5,7 +5,10 @@
 //! (`&lease=ID`), `POST /lease?ttl_ms=N`, `PUT /lease/ID`, `GET /hosts`, `PUT /hosts`,
 //! `POST /snapshot`, `POST /restore`, `POST /fault`, `GET /stats`.
 
-use crate::fault::{FaultInjector, Outcome, lost_answer};
+use crate::{
+    fault::{FaultInjector, Outcome, lost_answer},
+    server::options,
+};
 use serde_json::json;
 use std::{
     collections::BTreeMap,
@@ -13,10 +16,10 @@
     sync::{Arc, Condvar, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
-use vanetally_link::http::{Exchange, Options, Reply, Server, Stopper};
+use vanetally_link::http::{Exchange, Reply, Server, Stopper};
 use vanetally_member::ListedHost;
 
-const MAX_VALUE_BYTES: u64 = 1_000_000;
+const MAX_VALUE_BYTES: usize = 1_000_000;
 const MAX_WAIT_MS: u64 = 60_000;
 /// Rate limits of writes and of reads.
 const RATE_LIMITS_PER_S: (f64, f64) = (300.0, 2_000.0);
@@ -108,7 +111,8 @@
         });
         let server = Server::try_bind(address)?;
         let address = server.address();
-        let stopper = server.serve("platform", Options::default(), move |e| platform.serve(e));
+        let stopper =
+            server.serve("platform", options(MAX_VALUE_BYTES), move |e| platform.serve(e));
         Ok((address, stopper))
     }
 
@@ -116,28 +120,28 @@
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    fn serve(&self, mut exchange: Exchange) {
-        let method = exchange.method();
-        let path = exchange.path().to_owned();
-        let reply = match (method.as_str(), path.as_str()) {
-            ("POST", "/fault") => self.faults.update(&mut exchange),
+    fn serve(&self, exchange: Exchange) {
+        let method = exchange.head().method();
+        let path = exchange.head().path().to_owned();
+        let reply = match (method, path.as_str()) {
+            ("POST", "/fault") => self.faults.update(&exchange),
             ("GET", "/stats") => self.stats_reply(),
             ("POST", "/snapshot") => self.snapshot(),
             ("POST", "/restore") => self.restore(),
-            ("PUT", "/hosts") => self.set_hosts(&mut exchange),
+            ("PUT", "/hosts") => self.set_hosts(&exchange),
             _ if !self.faults.is_up_after_delay() => lost_answer(),
-            _ if exchange.header("Authorization") != Some(&self.credential) => {
+            _ if exchange.head().header("Authorization") != Some(&self.credential) => {
                 Reply::new(401, "text/plain", "unknown credential\n")
             }
             ("GET", "/hosts") => self.hosts_reply(),
             ("POST", "/lease") => self.grant_lease(&exchange),
-            _ => self.handle_lease_or_key(&method, &path, &mut exchange),
+            _ => self.handle_lease_or_key(method, &path, &exchange),
         };
         exchange.answer(reply);
     }
 
     /// Handles the paths that name a lease or a key.
-    fn handle_lease_or_key(&self, method: &str, path: &str, exchange: &mut Exchange) -> Reply {
+    fn handle_lease_or_key(&self, method: &str, path: &str, exchange: &Exchange) -> Reply {
         if let Some(id) = path.strip_prefix("/lease/").and_then(|id| id.parse().ok()) {
             return self.renew_lease(id);
         }
@@ -152,7 +156,7 @@
     }
 
     fn handle_get(&self, key: &str, exchange: &Exchange) -> Reply {
-        let number = |name: &str| exchange.query(name).and_then(|v| v.parse::<u64>().ok());
+        let number = |name: &str| exchange.head().query(name).and_then(|v| v.parse::<u64>().ok());
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(MAX_WAIT_MS));
         let mut state = self.lock();
         if !state.reads.take(RATE_LIMITS_PER_S.1) {
@@ -179,11 +183,11 @@
         }
     }
 
-    fn handle_put(&self, key: &str, exchange: &mut Exchange) -> Reply {
-        let Ok(bytes) = exchange.body(MAX_VALUE_BYTES) else {
+    fn handle_put(&self, key: &str, exchange: &Exchange) -> Reply {
+        let Ok(bytes) = exchange.body() else {
             return Reply::new(413, "text/plain", "a value has at most a megabyte\n");
         };
-        let number = |name: &str| exchange.query(name).and_then(|v| v.parse::<u64>().ok());
+        let number = |name: &str| exchange.head().query(name).and_then(|v| v.parse::<u64>().ok());
         let base = number("version").unwrap_or(0);
         let lease = number("lease");
         let outcome = self.faults.next_outcome();
@@ -202,7 +206,7 @@
             return value_reply(409, state.entries.get(key));
         }
         state.version += 1;
-        let entry = Entry { version: state.version, bytes, lease };
+        let entry = Entry { version: state.version, bytes: bytes.to_vec(), lease };
         let reply =
             Reply::new(200, "text/plain", "").with_header("X-Version", entry.version.to_string());
         state.entries.insert(key.to_owned(), entry);
@@ -212,7 +216,7 @@
     }
 
     fn grant_lease(&self, exchange: &Exchange) -> Reply {
-        let ttl = exchange.query("ttl_ms").and_then(|v| v.parse().ok()).unwrap_or(10_000);
+        let ttl = exchange.head().query("ttl_ms").and_then(|v| v.parse().ok()).unwrap_or(10_000);
         let mut state = self.lock();
         state.version += 1;
         let id = state.version;
@@ -248,8 +252,8 @@
         Reply::json(200, &json!(list.unwrap_or_default()))
     }
 
-    fn set_hosts(&self, exchange: &mut Exchange) -> Reply {
-        let body = exchange.body(MAX_VALUE_BYTES).unwrap_or_default();
+    fn set_hosts(&self, exchange: &Exchange) -> Reply {
+        let body = exchange.body().unwrap_or_default();
         match serde_json::from_slice::<Vec<ListedHost>>(&body) {
             Ok(list) => {
                 self.lock().hosts.push((Instant::now(), list));
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,6 +1,9 @@
 //! The plain service, which counts the runs of each idempotency key.
 
-use crate::fault::{FaultInjector, Outcome, lost_answer};
+use crate::{
+    fault::{FaultInjector, Outcome, lost_answer},
+    server::options,
+};
 use serde_json::json;
 use std::{
     collections::BTreeMap,
@@ -9,7 +12,7 @@
     thread,
     time::Duration,
 };
-use vanetally_link::http::{Exchange, Options, Reply, Server, Stopper};
+use vanetally_link::http::{Exchange, Reply, Server, Stopper};
 
 #[derive(Debug, Default)]
 struct Counts {
@@ -27,7 +30,7 @@
     run_time: Duration,
 }
 
-const MAX_BODY_BYTES: u64 = 8_000_000;
+const MAX_BODY_BYTES: usize = 8_000_000;
 
 impl Service {
     /// Starts a service at `address` whose calls take `run_time` each.
@@ -42,23 +45,23 @@
             Arc::new(Self { counts: Mutex::default(), faults: FaultInjector::default(), run_time });
         let server = Server::try_bind(address)?;
         let address = server.address();
-        let stopper = server.serve("service", Options::default(), move |e| service.serve(e));
+        let stopper = server.serve("service", options(MAX_BODY_BYTES), move |e| service.serve(e));
         Ok((address, stopper))
     }
 
-    fn serve(&self, mut exchange: Exchange) {
-        let reply = match exchange.path() {
-            "/fault" => self.faults.update(&mut exchange),
+    fn serve(&self, exchange: Exchange) {
+        let reply = match exchange.head().path() {
+            "/fault" => self.faults.update(&exchange),
             "/stats" => self.stats_reply(),
             _ if !self.faults.is_up_after_delay() => lost_answer(),
-            _ => self.handle_call(&mut exchange),
+            _ => self.handle_call(&exchange),
         };
         exchange.answer(reply);
     }
 
-    fn handle_call(&self, exchange: &mut Exchange) -> Reply {
-        let body = exchange.body(MAX_BODY_BYTES).unwrap_or_default();
-        let key = exchange.header("Idempotency-Key").map(str::to_owned);
+    fn handle_call(&self, exchange: &Exchange) -> Reply {
+        let body = exchange.body().unwrap_or_default();
+        let key = exchange.head().header("Idempotency-Key").map(str::to_owned);
         let mut counts = self.counts.lock().unwrap_or_else(|e| e.into_inner());
         counts.requests += 1;
         if self.faults.current().leaving {
@@ -78,8 +81,8 @@
         Reply::json(
             200,
             &json!({
-                "service": "stand-in", "method": exchange.method(), "path": exchange.url(),
-                "caller": exchange.header("X-Caller"), "id": key,
+                "service": "stand-in", "method": exchange.head().method(), "path": exchange.head().url(),
+                "caller": exchange.head().header("X-Caller"), "id": key,
                 "body": String::from_utf8_lossy(&body),
             }),
         )
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,6 +1,9 @@
 //! The weight store: `POST /load?ms=N` answers after a load that takes N milliseconds.
 
-use crate::fault::{FaultInjector, lost_answer};
+use crate::{
+    fault::{FaultInjector, lost_answer},
+    server::options,
+};
 use serde_json::json;
 use std::{
     net::SocketAddr,
@@ -8,7 +11,10 @@
     thread,
     time::{Duration, Instant},
 };
-use vanetally_link::http::{Exchange, Options, Reply, Server, Stopper};
+use vanetally_link::http::{Exchange, Reply, Server, Stopper};
+
+/// Maximum size of the body of a request.
+const MAX_BODY_BYTES: usize = 1_000_000;
 
 #[derive(Debug)]
 struct State {
@@ -51,7 +57,7 @@
         });
         let server = Server::try_bind(address)?;
         let address = server.address();
-        let stopper = server.serve("store", Options::default(), move |e| store.serve(e));
+        let stopper = server.serve("store", options(MAX_BODY_BYTES), move |e| store.serve(e));
         Ok((address, stopper))
     }
 
@@ -59,15 +65,15 @@
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    fn serve(&self, mut exchange: Exchange) {
-        let reply = match exchange.path() {
-            "/fault" => self.faults.update(&mut exchange),
+    fn serve(&self, exchange: Exchange) {
+        let reply = match exchange.head().path() {
+            "/fault" => self.faults.update(&exchange),
             "/stats" => {
                 let state = self.lock();
                 Reply::json(200, &json!({"loads": state.total, "most": state.max_running}))
             }
             "/load" if self.faults.is_up_after_delay() => {
-                let load_ms = exchange.query("ms").and_then(|v| v.parse().ok()).unwrap_or(0);
+                let load_ms = exchange.head().query("ms").and_then(|v| v.parse().ok()).unwrap_or(0);
                 self.load(Duration::from_millis(load_ms))
             }
             _ => lost_answer(),
--- a/crates/types/src/hash.rs
+++ b/crates/types/src/hash.rs
@@ -1,13 +1,20 @@
 //! Stable hashes: all hosts compute the same values, whatever version they run.
 
 use crate::Name;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed, xxh3_128};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed, xxh3_128};
 
 /// Returns a stable 64-bit hash of `bytes`.
 pub fn hash64(bytes: &[u8]) -> u64 {
     xxh3_64(bytes)
 }
 
+/// Returns [`hash64`] of the concatenation of `parts`.
+pub fn hash64_of(parts: &[&[u8]]) -> u64 {
+    let mut hasher = Xxh3::new();
+    parts.iter().for_each(|part| hasher.update(part));
+    hasher.digest()
+}
+
 /// Returns a stable 128-bit hash of `bytes`, for identifiers where a 64-bit hash could collide by chance.
 pub fn hash128(bytes: &[u8]) -> u128 {
     xxh3_128(bytes)
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,7 +14,7 @@
 /// Label selectors and their text form.
 pub mod selector;
 
-pub use hash::{hash64, hash128, rendezvous, rendezvous_rank, rendezvous_weight};
+pub use hash::{hash64, hash64_of, hash128, rendezvous, rendezvous_rank, rendezvous_weight};
 pub use host::HostId;
 pub use incarnation::Incarnation;
 pub use label::Labels;
--- a/tests/daemon_crowds.rs
+++ b/tests/daemon_crowds.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 use serde_json::json;
 use std::{
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     thread,
     time::Duration,
 };
@@ -20,6 +20,9 @@
 use usage::Usage;
 
 const CROWD: usize = 150;
+const RESTING: usize = 3_000;
+/// Descriptors that callers may take of the 4,096 that a host is taken to have.
+const CALLER_FDS: usize = 2_048;
 /// Maximum size of a body.
 const BODY_BYTES: usize = 4 << 20;
 /// Memory of the host's machine: less than the bodies of a crowd.
@@ -63,6 +66,12 @@
     Script { headers, ..Script::with_length(0, 0) }
 }
 
+/// Crowds come one at a time: each uses much of the test's machine.
+fn alone() -> MutexGuard<'static, ()> {
+    static TURN: Mutex<()> = Mutex::new(());
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 #[rstest]
 #[case::short(with_key(Script::with_length(BODY_BYTES, BODY_BYTES - 1)))]
 #[case::tiny_chunks(with_key(Script::in_chunks(chunks(400_000, 1))))]
@@ -71,8 +80,7 @@
 #[case::endless_chunks(with_key(Script::in_chunks(chunks(2 * BODY_BYTES, 32_768))))]
 #[case::long_heads(long_head())]
 fn daemon_outlives_a_crowd(#[case] script: Script) {
-    static TURN: Mutex<()> = Mutex::new(());
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let _turn = alone();
     let (mut site, usage) = start();
     let calm_fds = usage.descriptors();
     let mut crowd = Crowd::connect(usage.front, CROWD, &script);
@@ -91,3 +99,22 @@
     wait_for("memory is free again", || usage.memory() <= MEMORY_BYTES / 2);
     assert!(is_served(), "an ordinary request is served");
 }
+
+#[test]
+fn connections_to_the_daemon_leave_descriptors() {
+    let _turn = alone();
+    let (site, usage) = start();
+    let calm_fds = usage.descriptors();
+    let silent = Script { piece: 0, ..Script::with_length(0, 0) };
+    let crowd = Crowd::connect(usage.front, RESTING, &silent);
+    thread::sleep(Duration::from_secs(1));
+    let is_served = |id: &str| site.hosts[0].service("read/x", &[], id).status == 200;
+    assert!(is_served("during"), "an ordinary request is served");
+    let (descriptors, memory) = (usage.descriptors(), usage.peak_memory());
+    println!("descriptors {descriptors}, peak {memory}");
+    assert!(descriptors <= CALLER_FDS + calm_fds + SPARE_FDS, "{descriptors} descriptors");
+    assert!(memory <= MEMORY_BYTES, "{memory} bytes at the peak");
+    drop(crowd);
+    wait_for("descriptors are free again", || usage.descriptors() <= calm_fds + SPARE_FDS);
+    assert!(is_served("after"), "an ordinary request is served");
+}
