fix: what the system holds of answers that are not taken is counted until it gives them up

A connection counted as resting, 32 KiB, from when its answer was handed to the HTTP library, which may still have had 32 KiB of it and the system 64 KiB more: callers that take nothing of short answers could hold three times what was counted. Cause: the request ended with the last piece that was handed over. Now it ends when all is written, and a connection on which more than 8 KiB were written counts 64 KiB more for the 4 s after which the system gives up what is not taken, or until its next request.

answers_that_are_not_taken_count_for_a_while is a test of the decision; no crowd of short answers was tried. Also: calls of tests have a file of their own.

--- a/crates/admission/src/connections.rs
+++ b/crates/admission/src/connections.rs
@@ -8,6 +8,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ConnectionId(pub u64);
 
+/// Time after which the system gives up what a caller has not taken.
+const MAX_TAKING_MS: u64 = 4_000;
+
 /// What a connection does; those that come first here give way first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -19,6 +22,8 @@
     Head,
     /// It rests between two requests.
     Resting,
+    /// It rests, and the system may still hold what its caller has not taken of the last answer.
+    Taking,
     /// The body of a request is read.
     Reading,
     /// A request is served or answered.
@@ -30,7 +35,7 @@
     fn request_bytes(self) -> usize {
         match self {
             Self::Draining | Self::Unused | Self::Head | Self::Resting => 0,
-            Self::Reading => Limits::READING_BYTES,
+            Self::Taking | Self::Reading => Limits::BUFFER_BYTES,
             Self::Busy => Limits::REQUEST_BYTES,
         }
     }
@@ -101,7 +106,7 @@
     pub(crate) fn touch(&mut self, now: Tick, id: ConnectionId) {
         if let Some(connection) = self.open.get_mut(&id) {
             connection.blocked = None;
-            if connection.phase == Phase::Resting {
+            if matches!(connection.phase, Phase::Resting | Phase::Taking) {
                 connection.since = now;
             }
         }
@@ -149,6 +154,17 @@
         expired
     }
 
+    /// Lets connections rest whose answers the system has given up.
+    pub(crate) fn end_taking(&mut self, now: Tick) {
+        for connection in self.open.values_mut() {
+            let is_over = now.since(connection.since) >= MAX_TAKING_MS;
+            if connection.phase == Phase::Taking && is_over {
+                self.request_bytes -= connection.phase.request_bytes();
+                connection.phase = Phase::Resting;
+            }
+        }
+    }
+
     /// Does not count a time in which the host stood still.
     pub(crate) fn shift(&mut self, ms: u64) {
         for connection in self.open.values_mut() {
--- a/crates/admission/src/limits.rs
+++ b/crates/admission/src/limits.rs
@@ -31,9 +31,12 @@
     pub const SMALL_BODY_BYTES: usize = 64 << 10;
     /// Memory of a connection that rests, in bytes: its task and its buffers.
     pub const CONNECTION_BYTES: usize = 32 << 10;
-    /// Memory that a request may take besides its body while that is read, in bytes: the system's receive buffer (64 KiB).
-    pub const READING_BYTES: usize = 64 << 10;
-    /// Memory that a request may take besides its body from then on, in bytes: the system's buffers of its connection (128 KiB) and of
+    /// Memory of one of the system's buffers of a connection, in bytes: of the receive buffer while a body is read, or of the
+    /// send buffer until an answer is taken.
+    pub const BUFFER_BYTES: usize = 64 << 10;
+    /// Size in bytes of what is left of an answer from which it counts.
+    pub(crate) const SMALL_REST_BYTES: usize = 8 << 10;
+    /// Memory that a request may take besides its body from when that is read, in bytes: the system's buffers of its connection (128 KiB) and of
     /// that to its upstream (32 KiB while it is answered), and what is on the way between the two.
     pub const REQUEST_BYTES: usize = 232 << 10;
 
--- a/crates/admission/src/machine.rs
+++ b/crates/admission/src/machine.rs
@@ -27,8 +27,8 @@
     HeadRead(ConnectionId),
     /// Its request was refused before its body was read.
     Refused(ConnectionId),
-    /// Its answer was handed over to the socket, or ended otherwise.
-    Answered(ConnectionId),
+    /// Its answer was written to the socket, or ended otherwise; the system may still hold this number of bytes of it.
+    Answered(ConnectionId, usize),
     /// The caller took some of its answer.
     Taken(ConnectionId),
     /// The caller takes nothing of an answer that waits for it.
@@ -140,7 +140,11 @@
             Event::HeadBegan(id) => self.connections.set(now, id, Phase::Head),
             Event::HeadRead(id) => return self.request_enters(now, id, Phase::Reading),
             Event::Refused(id) => self.connections.set(now, id, Phase::Draining),
-            Event::Answered(id) => self.connections.set(now, id, Phase::Resting),
+            Event::Answered(id, left) => {
+                let is_small = left <= Limits::SMALL_REST_BYTES;
+                let phase = if is_small { Phase::Resting } else { Phase::Taking };
+                self.connections.set(now, id, phase);
+            }
             Event::Taken(id) => self.connections.touch(now, id),
             Event::Blocked(id) => self.connections.block(now, id),
             Event::Closed(id) => self.connections.remove(id),
@@ -252,9 +256,10 @@
             self.connections.shift(passed);
             self.bodies.shift(passed);
         }
+        self.connections.end_taking(now);
         let max_ms = |phase| match phase {
             Phase::Head => Some(timeouts.head_ms),
-            Phase::Unused | Phase::Resting => Some(timeouts.idle_ms),
+            Phase::Unused | Phase::Resting | Phase::Taking => Some(timeouts.idle_ms),
             // The host itself ends these.
             Phase::Draining | Phase::Reading | Phase::Busy => None,
         };
--- a/crates/admission/tests/connections.rs
+++ b/crates/admission/tests/connections.rs
@@ -32,7 +32,7 @@
     let mut handle = |ms, event| admission.handle(START + ms, event);
     handle(0, Event::Opened(id(0)));
     handle(0, Event::HeadRead(id(0)));
-    handle(1, Event::Answered(id(0)));
+    handle(1, Event::Answered(id(0), 0));
     handle(2, Event::Opened(id(1)));
     handle(3, Event::Opened(id(2)));
     assert_eq!(handle(4, Event::Opened(id(3))), [Action::Close(id(1))]);
@@ -46,7 +46,7 @@
     for (number, rested) in [(0, 30), (1, 10), (2, 20)] {
         handle(0, Event::Opened(id(number)));
         handle(1, Event::HeadRead(id(number)));
-        handle(rested, Event::Answered(id(number)));
+        handle(rested, Event::Answered(id(number), 0));
     }
     // It still takes its answer.
     handle(40, Event::Taken(id(1)));
@@ -192,3 +192,17 @@
     assert_eq!(tick(&mut admission, 600), [Action::ReleaseMemory]);
     assert_eq!(tick(&mut admission, 800), [], "once");
 }
+
+/// The system holds what a caller has not taken, until it gives it up.
+#[test]
+fn answers_that_are_not_taken_count_for_a_while() {
+    let mut admission = Admission::new(START, TIGHT);
+    assert!(begins(&mut admission, 0, 0).0);
+    admission.handle(START, Event::Answered(id(0), 100 << 10));
+    let taking = Limits::CONNECTION_BYTES + Limits::BUFFER_BYTES;
+    assert_eq!(admission.counts().all_bytes, taking);
+    tick_until(&mut admission, 3_800);
+    assert_eq!(admission.counts().all_bytes, taking);
+    tick_until(&mut admission, 4_200);
+    assert_eq!(admission.counts().all_bytes, Limits::CONNECTION_BYTES);
+}
--- a/crates/callers/src/account.rs
+++ b/crates/callers/src/account.rs
@@ -46,6 +46,8 @@
             closer,
             is_waiting: Cell::new(true),
             is_blocked: Cell::new(false),
+            is_answered: Cell::new(false),
+            written: Cell::new(0),
             is_drained: Cell::new(false),
         })
     }
@@ -104,6 +106,10 @@
     is_waiting: Cell<bool>,
     /// Whether the caller has taken nothing since an answer last had to wait for it.
     is_blocked: Cell<bool>,
+    /// Whether the last answer was handed over, but perhaps not yet written.
+    is_answered: Cell<bool>,
+    /// Bytes written since the last request began.
+    written: Cell<usize>,
     /// Whether what still arrives is read and dropped before the connection is closed.
     is_drained: Cell<bool>,
 }
@@ -117,17 +123,26 @@
     /// Records that bytes arrived.
     pub fn received(&self) {
         if self.is_waiting.replace(false) {
+            self.is_answered.set(false);
             self.callers.handle(Event::HeadBegan(self.id));
         }
     }
 
-    /// Records that the caller took bytes.
-    pub fn taken(&self) {
+    /// Records that the caller, or the system for it, took `bytes`.
+    pub fn taken(&self, bytes: usize) {
+        self.written.set(self.written.get() + bytes);
         if self.is_blocked.replace(false) || self.is_waiting.get() {
             self.callers.handle(Event::Taken(self.id));
         }
     }
 
+    /// Records that all that was to be written is.
+    pub fn flushed(&self) {
+        if self.is_answered.replace(false) {
+            self.callers.handle(Event::Answered(self.id, self.written.get()));
+        }
+    }
+
     /// Records that the caller takes nothing of what waits for it.
     pub fn blocked(&self) {
         if !self.is_blocked.replace(true) {
@@ -138,6 +153,8 @@
     /// Records that the head of a request was read; returns the guard of its answer.
     pub fn begin_request(self: &Rc<Self>) -> OpenRequest {
         self.is_waiting.set(false);
+        self.is_answered.set(false);
+        self.written.set(0);
         let is_refused = self.callers.handle(Event::HeadRead(self.id));
         OpenRequest { connection: self.clone(), is_refused }
     }
@@ -186,10 +203,14 @@
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        let OpenConnection { callers, id, is_waiting, is_drained, .. } = &*self.connection;
-        is_waiting.set(!is_drained.get());
-        let event = if is_drained.get() { Event::Refused(*id) } else { Event::Answered(*id) };
-        callers.handle(event);
+        let OpenConnection { callers, id, is_waiting, is_answered, is_drained, .. } =
+            &*self.connection;
+        if is_drained.get() {
+            callers.handle(Event::Refused(*id));
+        } else {
+            is_waiting.set(true);
+            is_answered.set(true);
+        }
     }
 }
 
--- a/crates/callers/src/stream.rs
+++ b/crates/callers/src/stream.rs
@@ -87,7 +87,7 @@
     /// Records what became of a write.
     fn written(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         match written {
-            Poll::Ready(Ok(count)) if count > 0 => self.open.taken(),
+            Poll::Ready(Ok(count)) if count > 0 => self.open.taken(count),
             Poll::Ready(_) => {}
             Poll::Pending => self.open.blocked(),
         }
@@ -145,7 +145,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if flushed.is_ready() {
+            self.open.flushed();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,16 +5,20 @@
 
 #![allow(dead_code, missing_docs)]
 
+mod calls;
+
+pub use calls::{Answer, call, try_call};
+
 use serde_json::{Value, json};
 use std::{
-    io::{BufRead, BufReader, Read},
+    io::{BufRead, BufReader},
     path::PathBuf,
     process::{Child, Command, Output, Stdio},
     sync::atomic::{AtomicU8, Ordering},
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
-use vanetally_link::call::{Call, Client, Error, Options};
+use vanetally_link::call::Error;
 
 pub const CREDENTIAL: &str = "test-credential";
 pub const TOKEN: &str = "desk-token";
@@ -56,65 +60,6 @@
     }
 }
 
-/// A complete HTTP response.
-#[derive(Debug)]
-pub struct Answer {
-    pub status: u16,
-    pub headers: Vec<(String, String)>,
-    pub body: String,
-}
-
-impl Answer {
-    pub fn json(&self) -> Value {
-        serde_json::from_str(&self.body).unwrap_or_else(|e| panic!("{e}: {}", self.body))
-    }
-
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let named = |h: &&(String, String)| h.0.eq_ignore_ascii_case(name);
-        self.headers.iter().find(named).map(|h| h.1.as_str())
-    }
-
-    pub fn code(&self) -> String {
-        self.json()["error"]["code"].as_str().unwrap_or("").to_owned()
-    }
-
-    pub fn verdict(&self) -> Option<&str> {
-        self.header("x-verdict")
-    }
-}
-
-pub fn client() -> Client {
-    Client::new(Options { connect_timeout: Duration::from_secs(2), idle_timeout: MAX_WAIT })
-}
-
-pub fn try_call(
-    method: &str,
-    url: &str,
-    headers: &[(&str, &str)],
-    body: &[u8],
-) -> Result<Answer, Error> {
-    let call = Call {
-        method: method.into(),
-        url: url.into(),
-        headers: headers.iter().map(|(n, v)| (n.to_string(), v.to_string())).collect(),
-        body: body.to_vec(),
-        timeout: MAX_WAIT,
-    };
-    let mut answer = client().send(&call)?;
-    let mut text = Vec::new();
-    answer.body.read_to_end(&mut text).map_err(|e| Error {
-        verdict: vanetally_types::Verdict::MayHaveRun,
-        unreachable: false,
-        message: e.to_string(),
-    })?;
-    let body = String::from_utf8_lossy(&text).into_owned();
-    Ok(Answer { status: answer.status, headers: answer.headers, body })
-}
-
-pub fn call(method: &str, url: &str, headers: &[(&str, &str)], body: &[u8]) -> Answer {
-    try_call(method, url, headers, body).unwrap_or_else(|e| panic!("{method} {url}: {e}"))
-}
-
 pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
     let began = Instant::now();
     while !condition() {
