fix: a stop of the daemon ends after its last answers are written

Since its connections belong to a thread of their own, an answer is handed to that thread, and the request counts as ended: a planned stop could end the process before the rest of an answer was written, so that its caller got a part. Cause: the stop waited for requests, not for what was still to be written. Now a stopped server closes its connections when no answer is left to be written, and the daemon ends after that, within the time of its settings.

--- a/crates/admission/src/connections.rs
+++ b/crates/admission/src/connections.rs
@@ -69,6 +69,11 @@
         self.open.len()
     }
 
+    /// Number of connections with a request that is served or answered.
+    pub(crate) fn answering(&self) -> usize {
+        self.open.values().filter(|connection| connection.phase == Phase::Busy).count()
+    }
+
     /// Bytes that all connections and their requests take.
     pub(crate) fn bytes(&self) -> usize {
         self.open.len() * Limits::CONNECTION_BYTES + self.request_bytes
--- a/crates/admission/src/machine.rs
+++ b/crates/admission/src/machine.rs
@@ -78,6 +78,8 @@
 pub struct Counts {
     /// Open connections.
     pub connections: usize,
+    /// Connections with a request that was read, until its answer is written.
+    pub answering: usize,
     /// Bodies and answers.
     pub bodies: usize,
     /// Bytes of bodies and answers.
@@ -117,6 +119,7 @@
     pub fn counts(&self) -> Counts {
         Counts {
             connections: self.connections.len(),
+            answering: self.connections.answering(),
             bodies: self.bodies.len(),
             bytes: self.bodies.bytes(),
             all_bytes: self.all_bytes(),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -112,7 +112,17 @@
     pub fn join(&self) -> bool {
         let timeout = self.shared.settings.timing.stop.duration();
         let mut stop_started: Option<Instant> = None;
-        while !self.core_thread.is_finished() {
+        let mut has_stopped_servers = false;
+        loop {
+            if self.core_thread.is_finished() {
+                if !std::mem::replace(&mut has_stopped_servers, true) {
+                    self.servers.iter().for_each(Stopper::stop);
+                }
+                if self.servers.iter().all(Stopper::is_done) {
+                    log::info!("event=stopped host={}", self.shared.host_id);
+                    return true;
+                }
+            }
             if self.shared.stopping.load(Ordering::Relaxed) {
                 let started = stop_started.get_or_insert_with(Instant::now);
                 if started.elapsed() > timeout {
@@ -124,9 +134,6 @@
             }
             thread::sleep(JOIN_POLL_INTERVAL);
         }
-        self.servers.iter().for_each(Stopper::stop);
-        log::info!("event=stopped host={}", self.shared.host_id);
-        true
     }
 }
 
--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -15,7 +15,10 @@
 use connection::Service;
 use std::{
     net::{SocketAddr, TcpListener},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
 };
 use tokio::sync::Notify;
@@ -104,14 +107,15 @@
         check: impl Fn(&Head) -> Option<Reply> + Send + Sync + 'static,
         handler: impl Fn(Exchange) + Send + Sync + 'static,
     ) -> Stopper {
-        let stop = Arc::new(Notify::new());
-        let stopper = Stopper { stop: stop.clone() };
+        let (stop, done) = (Arc::new(Notify::new()), Arc::new(AtomicBool::new(false)));
+        let stopper = Stopper { stop: stop.clone(), done: done.clone() };
         let worker = name.to_owned();
         let run = move || {
             let service = Service::new(&worker, options, Box::new(check), Arc::new(handler));
             if let Err(error) = connection::run(self.listener, service, &stop) {
                 log::error!("event=server-failed name={worker} error=\"{error}\"");
             }
+            done.store(true, Ordering::Release);
         };
         let spawned = thread::Builder::new().name(format!("{name}-accept")).spawn(run);
         if let Err(e) = spawned {
@@ -124,11 +128,17 @@
 /// Stops a server.
 pub struct Stopper {
     stop: Arc<Notify>,
+    done: Arc<AtomicBool>,
 }
 
 impl Stopper {
-    /// Stops accepting connections. Those that are open are served until they close.
+    /// Stops accepting connections. Answers that were begun are still written; then all connections are closed.
     pub fn stop(&self) {
         self.stop.notify_one();
     }
+
+    /// Whether all answers are written and all connections closed.
+    pub fn is_done(&self) -> bool {
+        self.done.load(Ordering::Acquire)
+    }
 }
--- a/crates/link/src/http/connection.rs
+++ b/crates/link/src/http/connection.rs
@@ -47,7 +47,7 @@
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Interval at which the time limits on callers are applied.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval at which a server that stops looks whether connections are open.
+/// Interval at which a server that stops looks whether answers are still to be written.
 const STOP_INTERVAL: Duration = Duration::from_millis(20);
 /// Ticks start above zero, so that tick 0 is earlier than any event.
 const ORIGIN: Tick = Tick(1_000_000);
@@ -84,7 +84,7 @@
     }
 }
 
-/// Serves connections until the server is stopped and all of them have closed.
+/// Serves connections until the server is stopped and all answers are written.
 ///
 /// # Errors
 /// If the runtime can't be created.
@@ -113,7 +113,7 @@
         }
     }
     drop(listener);
-    while service.callers.counts().connections > 0 {
+    while service.callers.counts().answering > 0 {
         sleep(STOP_INTERVAL).await;
     }
     Ok(())
