--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -108,7 +108,7 @@
 /// `event=content_kept content=e2c651d4b1fb57d9 for_ms=60000`
 /// `event=content_held content=e2c651d4b1fb57d9 ended=2 for_ms=60000 answered_here=false from=store`
 #[test]
-fn hosts_lost() {
+fn quarantine_outlives_all_hosts() {
     let mut site = Site::start(DowntimeMode::Refused);
     let fronts = fronts(&site.hosts);
     under_load(&fronts, offer, 8, Duration::from_millis(50), || {
