--- a/crates/callers/src/answer.rs
+++ b/crates/callers/src/answer.rs
@@ -60,7 +60,8 @@
         Self { bytes, _held: Some(held) }
     }
 
-    /// Reads the body of an upstream's answer, of at most `max` bytes, into one buffer. It counts as held from when it has more than one piece.
+    /// Reads the body of an upstream's answer, of at most `max` bytes, into one buffer. It counts as held from when it has
+    /// more than one piece.
     ///
     /// # Errors
     /// If it is truncated or too long, or the system has no memory for it.
