fix: bytes that are no answer are refused before an HTTP library reads them

What they said counted as well: a 503 with two lengths proved that a request had not run and had its upstream rest, a report of that kind told that its upstream leaves.

Cause: what is an answer was left to the HTTP library, which gets along with much more than RFC 9110 and RFC 9112 allow; and the first of two values of an id or signature counted while both went on.

Change: crates/answer follows the bytes of each connection to upstreams and the store, apart from I/O, and ends it at the first byte that belongs to no answer; the connection is not used again, the attempt may have run, and a request that may be repeated is tried elsewhere. Fields that Connection lists are removed before the answer is judged.

--- a/crates/gateway/src/bounded_stream.rs
+++ b/crates/gateway/src/bounded_stream.rs
@@ -1,50 +1,56 @@
-//! Connections to upstreams and the store, with bounds on what these may send at a time.
+//! Connections to upstreams and the store: what they bring is checked before the HTTP library reads it, and bounded at a
+//! time.
 
+use crate::telemetry;
+use http::Method;
 use std::{
-    cell::Cell,
+    cell::RefCell,
     io,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use vanetally_answer::{AnswerReader, Malformed};
 use vanetally_callers::poll_read_some;
 
-/// Maximum number of bytes before the end of the head of an answer. Informational answers come before it, any number of
-/// them.
-const MAX_HEAD_BYTES: usize = 128 << 10;
 /// Number of bytes that are read in a row before other tasks have their turn.
 const TURN_BYTES: usize = 64 << 10;
 
-/// The bytes that an upstream may still send until the head of its answer is complete.
+/// The answers of one connection, as far as they were read.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct HeadBound(Rc<Cell<Option<usize>>>);
+pub(crate) struct Answers(Rc<RefCell<AnswerReader>>);
 
-impl HeadBound {
-    /// Bounds the bytes up to the head of the next answer.
-    pub(crate) fn set(&self) {
-        self.0.set(Some(MAX_HEAD_BYTES));
+impl Answers {
+    /// Awaits the answer to a request with this method, which is sent now.
+    pub(crate) fn expect(&self, method: &Method) {
+        self.0.borrow_mut().expect(method == Method::HEAD);
     }
 
-    /// Lifts the bound: the head is complete.
-    pub(crate) fn lift(&self) {
-        self.0.set(None);
+    /// Whether the last answer is complete and nothing came after it.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.0.borrow().is_idle()
     }
 
-    /// Records bytes that were read; returns whether they are within the bound.
-    fn record(&self, count: usize) -> bool {
-        let Some(left) = self.0.get() else {
-            return true;
-        };
-        self.0.set(Some(left.saturating_sub(count)));
-        count <= left
+    /// Returns why the connection brought bytes that are no answer.
+    pub(crate) fn malformed(&self) -> Option<Malformed> {
+        self.0.borrow().malformed()
+    }
+
+    /// Follows bytes that were read; returns the number of those that belong to an answer.
+    fn read(&self, bytes: &[u8]) -> usize {
+        let taken = self.0.borrow_mut().read(bytes);
+        if let Some(malformed) = self.malformed().filter(|_| taken < bytes.len()) {
+            telemetry::answer_malformed(malformed);
+        }
+        taken
     }
 }
 
-/// A connection that yields to other tasks after some bytes, and fails where an answer does not come to its head.
+/// A connection that yields to other tasks after some bytes, and ends where bytes are no answer.
 pub(crate) struct BoundedStream<S> {
     stream: S,
-    bound: HeadBound,
+    answers: Answers,
     /// Maximum number of bytes read at a time.
     max_read: usize,
     /// Bytes read since other tasks had their turn.
@@ -52,8 +58,8 @@
 }
 
 impl<S> BoundedStream<S> {
-    pub(crate) fn new(stream: S, bound: HeadBound, max_read: usize) -> Self {
-        Self { stream, bound, max_read, in_row: 0 }
+    pub(crate) fn new(stream: S, answers: Answers, max_read: usize) -> Self {
+        Self { stream, answers, max_read, in_row: 0 }
     }
 }
 
@@ -63,25 +69,34 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if let Some(malformed) = self.answers.malformed() {
+            return Poll::Ready(Err(invalid_data(malformed)));
+        }
         if self.in_row >= TURN_BYTES {
             self.in_row = 0;
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let max_read = self.max_read;
+        let (before, max_read) = (buffer.filled().len(), self.max_read);
         let (read, count) = poll_read_some(&mut self.stream, context, buffer, max_read);
         match read {
             Poll::Pending => self.in_row = 0,
             Poll::Ready(_) => self.in_row += count,
         }
-        if !self.bound.record(count) {
-            let error = io::Error::new(io::ErrorKind::InvalidData, "the head is too long");
-            return Poll::Ready(Err(error));
+        let taken = self.answers.read(&buffer.filled()[before..]);
+        // What belongs to an answer is passed on; the next read fails.
+        buffer.set_filled(before + taken);
+        match self.answers.malformed() {
+            Some(malformed) if taken == 0 => Poll::Ready(Err(invalid_data(malformed))),
+            _ => read,
         }
-        read
     }
 }
 
+fn invalid_data(malformed: Malformed) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, malformed)
+}
+
 impl<S: AsyncWrite + Unpin> AsyncWrite for BoundedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -222,7 +222,7 @@
             }
         },
         body = FullBody::read(&pending.hub.callers, body, MAX_BUFFERED_BYTES) => {
-            body.map_err(|_| pending.hub.broken_end())
+            body.map_err(|_| pending.hub.broken_end(attempt, &connection))
         }
     };
     let body = match body {
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -3,7 +3,7 @@
 use http::{
     HeaderMap, HeaderName,
     header::{
-        CONNECTION, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+        CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
         TRANSFER_ENCODING, UPGRADE,
     },
 };
@@ -29,17 +29,30 @@
 /// Returns the end-to-end headers: all but the hop-by-hop ones and those listed in `Connection`.
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut kept = headers.clone();
-    let listed: Vec<HeaderName> = headers
+    for name in listed(headers).iter().chain(&HOP_HEADERS) {
+        kept.remove(name);
+    }
+    kept
+}
+
+/// Removes the headers that `Connection` lists, since they are not forwarded and so must not be acted on, but for the
+/// hop-by-hop ones and the length of the body.
+pub(crate) fn remove_listed(headers: &mut HeaderMap) {
+    let is_read = |name: &HeaderName| HOP_HEADERS.contains(name) || *name == CONTENT_LENGTH;
+    for name in listed(headers).iter().filter(|name| !is_read(name)) {
+        headers.remove(name);
+    }
+}
+
+/// Returns the names that `Connection` lists.
+fn listed(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
         .get_all(CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in listed.iter().chain(&HOP_HEADERS) {
-        kept.remove(name);
-    }
-    kept
+        .collect()
 }
 
 /// Returns the idle timeout stated in the upstream's `Keep-Alive` header.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,7 +1,7 @@
 //! Pool of persistent HTTP connections.
 
 use crate::{
-    bounded_stream::{BoundedStream, HeadBound},
+    bounded_stream::{Answers, BoundedStream},
     clock::Clock,
     tunnels::OpenTunnel,
 };
@@ -25,6 +25,7 @@
     time::Duration,
 };
 use tokio::io::{AsyncRead, AsyncWrite};
+use vanetally_answer::Malformed;
 use vanetally_callers::CALLER_READ_BYTES;
 use vanetally_link::{carried_ids::CarriedIds, socket};
 use vanetally_reach::Path;
@@ -241,6 +242,7 @@
             .min(MAX_IDLE);
         let may_reuse = connection.tunnel.as_ref().is_none_or(OpenTunnel::may_reuse);
         let may_reuse = may_reuse && !connection.carried.is_full();
+        let may_reuse = may_reuse && connection.sender.answers.is_idle();
         if connection.sender.is_closed() || keep_alive.is_zero() || !may_reuse {
             return;
         }
@@ -298,7 +300,7 @@
 /// The side of a connection that sends requests.
 pub(crate) struct Sender {
     inner: SendRequest<Full<Bytes>>,
-    bound: HeadBound,
+    answers: Answers,
 }
 
 impl Sender {
@@ -307,6 +309,11 @@
         self.inner.is_ready()
     }
 
+    /// Returns why the connection brought bytes that are no answer.
+    pub(crate) fn malformed(&self) -> Option<Malformed> {
+        self.answers.malformed()
+    }
+
     /// Whether the connection is closed.
     pub(crate) fn is_closed(&self) -> bool {
         self.inner.is_closed()
@@ -317,10 +324,8 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, hyper::Error> {
-        self.bound.set();
-        let response = self.inner.send_request(request).await;
-        self.bound.lift();
-        response
+        self.answers.expect(request.method());
+        self.inner.send_request(request).await
     }
 
     /// Like [`Sender::send_request`], but returns the request if it was not sent.
@@ -328,10 +333,8 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.bound.set();
-        let response = self.inner.try_send_request(request).await;
-        self.bound.lift();
-        response
+        self.answers.expect(request.method());
+        self.inner.try_send_request(request).await
     }
 }
 
@@ -347,12 +350,12 @@
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     max_read: usize,
 ) -> Result<Sender, hyper::Error> {
-    let bound = HeadBound::default();
-    let stream = BoundedStream::new(stream, bound.clone(), max_read);
+    let answers = Answers::default();
+    let stream = BoundedStream::new(stream, answers.clone(), max_read);
     let (inner, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::task::spawn_local(async move {
         // A connection error is also returned to the request waiting on it.
         let _ = connection.await;
     });
-    Ok(Sender { inner, bound })
+    Ok(Sender { inner, answers })
 }
--- a/crates/gateway/src/probing.rs
+++ b/crates/gateway/src/probing.rs
@@ -310,11 +310,17 @@
     let asked_at = hub.clock.now();
     let exchange = exchange(stream, request, suspect.address);
     match timeout(limit, exchange).await {
-        Ok(Some(response)) if suspect.is_engine => judge_report(hub, suspect, response).await,
-        Ok(Some(_)) => Asked::Answered,
-        Ok(None) | Err(_) if suspect.is_engine => Asked::Unanswered(Some(CrashSign::Silent)),
+        Ok(Reply::Response(response)) if suspect.is_engine => {
+            judge_report(hub, suspect, response).await
+        }
+        Ok(Reply::Response(_)) => Asked::Answered,
+        // It has not crashed, and has not answered.
+        Ok(Reply::Malformed) => Asked::Unanswered(None),
+        Ok(Reply::Missing) | Err(_) if suspect.is_engine => {
+            Asked::Unanswered(Some(CrashSign::Silent))
+        }
         // A service that is busy may need longer, or close the connection.
-        Ok(None) | Err(_) => {
+        Ok(Reply::Missing) | Err(_) => {
             let is_closed = hub.clock.now().since(asked_at) <= CLOSE_MS;
             Asked::Unanswered(is_closed.then_some(CrashSign::Silent))
         }
@@ -332,16 +338,31 @@
     request
 }
 
+/// What came in reply to a request.
+enum Reply {
+    Response(Response<Incoming>),
+    /// Bytes that are no answer.
+    Malformed,
+    /// The connection ended before an answer.
+    Missing,
+}
+
 async fn exchange(
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     mut request: Request<Bytes>,
     address: SocketAddr,
-) -> Option<Response<Incoming>> {
+) -> Reply {
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(HOST, host);
     }
-    let mut sender = pool::start(stream).await.ok()?;
-    sender.send_request(request.map(Full::new)).await.ok()
+    let Ok(mut sender) = pool::start(stream).await else {
+        return Reply::Missing;
+    };
+    match sender.send_request(request.map(Full::new)).await {
+        Ok(response) => Reply::Response(response),
+        Err(_) if sender.malformed().is_some() => Reply::Malformed,
+        Err(_) => Reply::Missing,
+    }
 }
 
 /// Judges the answer to a report request.
@@ -356,8 +377,10 @@
     let Ok(Ok(body)) = timeout(PROBE_TIMEOUT, body).await else {
         return Asked::Unanswered(Some(CrashSign::Silent));
     };
-    let report = hub.ports.engine.read_report(&body.to_bytes()).ok();
-    let born = report.and_then(|report| report.born);
+    let Ok(report) = hub.ports.engine.read_report(&body.to_bytes()) else {
+        return Asked::Unanswered(None);
+    };
+    let born = report.born;
     let is_other = born.is_some() && suspect.upstream.born.is_some();
     let is_ended = is_other && born != suspect.upstream.born;
     if is_ended { Asked::Ended } else { Asked::Answered }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -3,7 +3,7 @@
 
 use crate::{command::Command, hub::Hub, pool::Connection, telemetry};
 use std::rc::Rc;
-use vanetally_dispatch::{self as dispatch, AttemptEnd, RequestId};
+use vanetally_dispatch::{self as dispatch, Attempt, AttemptEnd, RequestId};
 use vanetally_placement::OrderLeaseEvent;
 use vanetally_reach::{Action, AttemptId, Event};
 use vanetally_types::Incarnation;
@@ -79,8 +79,18 @@
     }
 
     /// Returns the end of an attempt whose connection broke. Where other hosts can tell whether the
-    /// upstream is at fault, it is not judged before.
-    pub(crate) fn broken_end(&self) -> AttemptEnd {
+    /// upstream is at fault, it is not judged before, unless its bytes show it.
+    pub(crate) fn broken_end(&self, attempt: &Attempt, connection: &Connection) -> AttemptEnd {
+        if let Some(malformed) = connection.sender.malformed() {
+            log::warn!(
+                "event=answer_malformed upstream={} number={} cause={} exit={}",
+                attempt.upstream,
+                attempt.number,
+                malformed.as_str(),
+                connection.exit().map_or("-", |exit| exit)
+            );
+            return AttemptEnd::Broken;
+        }
         match self.reach.borrow().exits.is_empty() {
             true => AttemptEnd::Broken,
             false => AttemptEnd::Lost,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -214,7 +214,10 @@
             match frame {
                 None if self.is_complete(source.framing) => return ReadEnd::Complete,
                 None => return ReadEnd::Broken(AttemptEnd::Broken),
-                Some(Err(_)) => return ReadEnd::Broken(self.pending.hub.broken_end()),
+                Some(Err(_)) => {
+                    let (hub, attempt) = (&self.pending.hub, &self.attempt);
+                    return ReadEnd::Broken(hub.broken_end(attempt, &source.connection));
+                }
                 Some(Ok(frame)) => {
                     let (hub, upstream) = (&self.pending.hub, &self.attempt.upstream);
                     hub.upstream_heard(upstream, &source.connection, false);
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     connect::connect_upstream,
-    headers::{end_to_end, keep_alive_timeout},
+    headers::{end_to_end, keep_alive_timeout, remove_listed},
     hub::Hub,
     pool::Connection,
 };
@@ -75,7 +75,8 @@
         Ok(sent) => sent,
         Err(end) => return SendOutcome::Ended(end),
     };
-    let (head, body) = response.into_parts();
+    let (mut head, body) = response.into_parts();
+    remove_listed(&mut head.headers);
     let kind = match connection.is_used && !hub.ports.engine.names_request(&head) {
         // It may belong to any of the requests that the connection has carried.
         true => AnswerKind::Foreign,
@@ -161,7 +162,7 @@
                         connection.is_used,
                         error.into_error()
                     );
-                    return Err(hub.broken_end());
+                    return Err(hub.broken_end(attempt, &connection));
                 }
             },
         }
--- a/crates/gateway/src/telemetry.rs
+++ b/crates/gateway/src/telemetry.rs
@@ -3,6 +3,7 @@
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use std::sync::atomic::{AtomicU64, Ordering};
+use vanetally_answer::Malformed;
 use vanetally_dispatch::{AttemptEnd, Counts, EjectionReason, PrefixPlace};
 use vanetally_limit::{LimitChange, PermitAnswer};
 use vanetally_link::peer::Traffic;
@@ -88,6 +89,11 @@
     counter!("vanetally_statements_unreadable_total").increment(1);
 }
 
+/// Counts bytes that were no answer.
+pub(crate) fn answer_malformed(malformed: Malformed) {
+    counter!("vanetally_malformed_answers_total", "cause" => malformed.as_str()).increment(1);
+}
+
 /// Counts a probe of an upstream at which attempts were interrupted.
 pub(crate) fn upstream_probed(sign: &'static str) {
     counter!("vanetally_upstream_looks_total", "sign" => sign).increment(1);
