fix: an exit takes an upstream for answering only once a whole head has passed

Any byte of an upstream cleared it at the host that serves others as exit: a spoilt head proved its path.

--- a/crates/link/src/tunnel.rs
+++ b/crates/link/src/tunnel.rs
@@ -1,7 +1,7 @@
 //! Tunnels: connections to upstreams that pass through another daemon, the *exit*.
 //!
 //! The daemon that can't reach an upstream opens a tunnel to the exit, which connects to the upstream
-//! and copies bytes in both directions. The exit neither reads nor changes them. A tunnel ends when
+//! and copies bytes in both directions. The exit changes none of them, and only reads whether an answer begins. A tunnel ends when
 //! either of its connections ends, so that the end of a request reaches the upstream; a connection
 //! that was reset is told apart from one that was closed.
 
@@ -18,10 +18,7 @@
     fmt, io,
     net::SocketAddr,
     pin::Pin,
-    sync::{
-        Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -33,6 +30,7 @@
 };
 use tokio_tungstenite::tungstenite::Message;
 use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
+use vanetally_answer::{AnswerReader, Malformed};
 use vanetally_types::{HostId, Incarnation, Name};
 
 /// Asks a daemon for a tunnel.
@@ -212,35 +210,77 @@
 /// What is known of the upstream at the far end of a tunnel.
 struct FarEnd {
     watcher: Mutex<Box<dyn TunnelWatcher>>,
-    /// Whether an answer to what was sent is awaited.
-    is_awaited: AtomicBool,
-    /// Whether the upstream has answered on this connection.
-    has_answered: AtomicBool,
+    seen: Mutex<Seen>,
+}
+
+/// What an upstream has shown on the connection of a tunnel.
+#[derive(Debug, Default)]
+struct Seen {
+    /// Set while an answer to what was sent is awaited.
+    awaited: Option<AnswerReader>,
+    /// Whether bytes have come.
+    has_sent: bool,
+}
+
+/// What bytes of an upstream show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shown {
+    /// It has answered.
+    Answer,
+    /// Nothing: no answer was awaited, or it is not complete, or it is none.
+    Nothing,
+}
+
+impl Seen {
+    /// Records that a request, or a part of one, was sent; returns whether an answer is awaited from now on.
+    fn sent(&mut self) -> bool {
+        let is_first = self.awaited.is_none();
+        let reader = self.awaited.get_or_insert_default();
+        reader.expect(false);
+        is_first
+    }
+
+    /// Records bytes of the upstream.
+    fn received(&mut self, bytes: &[u8]) -> Shown {
+        self.has_sent = true;
+        let Some(reader) = &mut self.awaited else {
+            return Shown::Nothing;
+        };
+        reader.read(bytes);
+        if reader.awaits_head() {
+            return Shown::Nothing;
+        }
+        let is_answer = matches!(reader.malformed(), None | Some(Malformed::Surplus));
+        self.awaited = None;
+        if is_answer { Shown::Answer } else { Shown::Nothing }
+    }
+
+    /// Records the end of the connection; returns whether it broke off. An upstream may close a connection that it has
+    /// served, but not a new one.
+    fn ended(&mut self) -> bool {
+        self.awaited.take().is_some() || !self.has_sent
+    }
 }
 
 impl FarEnd {
     fn new(watcher: Box<dyn TunnelWatcher>) -> Self {
-        let watcher = Mutex::new(watcher);
-        Self { watcher, is_awaited: AtomicBool::default(), has_answered: AtomicBool::default() }
+        Self { watcher: Mutex::new(watcher), seen: Mutex::default() }
     }
 
     fn sent(&self) {
-        if !self.is_awaited.swap(true, Ordering::Relaxed) {
+        if self.seen().sent() {
             self.watcher().sent();
         }
     }
 
-    fn answered(&self) {
-        self.has_answered.store(true, Ordering::Relaxed);
-        if self.is_awaited.swap(false, Ordering::Relaxed) {
+    fn received(&self, bytes: &[u8]) {
+        if self.seen().received(bytes) == Shown::Answer {
             self.watcher().answered();
         }
     }
 
     fn ended(&self) {
-        let is_awaited = self.is_awaited.swap(false, Ordering::Relaxed);
-        // An upstream may close a connection that it has served, but not a new one.
-        if is_awaited || !self.has_answered.load(Ordering::Relaxed) {
+        if self.seen().ended() {
             self.watcher().broken();
         }
     }
@@ -248,6 +288,10 @@
     fn watcher(&self) -> MutexGuard<'_, Box<dyn TunnelWatcher>> {
         self.watcher.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 async fn forward_requests(
@@ -279,7 +323,7 @@
             far_end.ended();
             return Ok(());
         }
-        far_end.answered();
+        far_end.received(&buffer[..length]);
         near.write_all(&buffer[..length]).await?;
         near.flush().await?;
     }
