fix: the daemon's client refuses bytes that are no answer

The library of the daemon's calls took heads with two lengths, bare line ends, statuses above 599 and spoilt trailers for answers. Its connections pass the same strict reader as those of the hosts. Several X-Verdict fields that differ make an answer contradictory; a value that is no text is left out, where an empty one was passed on.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -74,8 +74,10 @@
                 return Outcome { end, exchange: Some(exchange), answer: None };
             }
         };
-        let states_not_run = header(&answer, "x-verdict") == Some(Verdict::NotRun.as_str());
-        if states_not_run && (200..300).contains(&answer.status) {
+        let is_not_run = |verdict: &str| verdict == Verdict::NotRun.as_str();
+        let states_not_run = values(&answer, "x-verdict").any(is_not_run);
+        let states_other = !values(&answer, "x-verdict").all(is_not_run);
+        if states_not_run && (states_other || (200..300).contains(&answer.status)) {
             // The answer contradicts itself.
             log::warn!(
                 "event=answer-contradictory upstream={} request={} status={}",
@@ -245,8 +247,14 @@
     header(answer, "content-type").is_some_and(|content_type| content_type.contains("event-stream"))
 }
 
-fn header<'a>(answer: &'a call::Answer, name: &str) -> Option<&'a str> {
-    answer.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+fn header<'a>(answer: &'a call::Answer, name: &'a str) -> Option<&'a str> {
+    values(answer, name).next()
+}
+
+/// Returns the values of a header, of which there may be several.
+fn values<'a>(answer: &'a call::Answer, name: &'a str) -> impl Iterator<Item = &'a str> {
+    let named = answer.headers.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name));
+    named.map(|(_, value)| value.as_str())
 }
 
 /// Returns the headers of a service's answer that are forwarded to the caller.
--- a/crates/link/src/call.rs
+++ b/crates/link/src/call.rs
@@ -3,10 +3,15 @@
 //! Every phase has a timeout, and every failure states whether the request may have run. A call
 //! is sent once and never retried.
 
+use crate::checked::CheckedConnector;
 use std::{io::Read, time::Duration};
 use ureq::{
     Agent, Body, Timeout,
     http::{Request, Response},
+    unversioned::{
+        resolver::DefaultResolver,
+        transport::{Connector, TcpConnector},
+    },
 };
 use vanetally_types::Verdict;
 
@@ -79,7 +84,7 @@
     }
 
     fn with_idle(options: Options, max_idle: (usize, usize)) -> Self {
-        let agent = Agent::config_builder()
+        let config = Agent::config_builder()
             .http_status_as_error(false)
             .proxy(None)
             .max_redirects(0)
@@ -93,9 +98,9 @@
             .max_idle_age(MAX_IDLE_AGE)
             .input_buffer_size(16 * 1024)
             .output_buffer_size(16 * 1024)
-            .build()
-            .new_agent();
-        Self { agent }
+            .build();
+        let connector = ().chain(TcpConnector::default()).chain(CheckedConnector);
+        Self { agent: Agent::with_parts(config, connector, DefaultResolver::default()) }
     }
 
     /// Sends `call` once and returns when the answer's head has arrived.
@@ -127,8 +132,12 @@
 
 fn from_response(response: Response<Body>) -> Answer {
     let (parts, body) = response.into_parts();
-    let text = |value: &ureq::http::HeaderValue| value.to_str().unwrap_or("").to_owned();
-    let headers = parts.headers.iter().map(|(n, v)| (n.to_string(), text(v))).collect();
+    // A value that is no text can't be passed on as it is, and an empty one would be another value.
+    let headers = parts.headers.iter().filter_map(|(name, value)| {
+        let value = std::str::from_utf8(value.as_bytes()).ok()?;
+        Some((name.to_string(), value.to_owned()))
+    });
+    let headers = headers.collect();
     Answer { status: parts.status.as_u16(), headers, body: Box::new(body.into_reader()) }
 }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod call;
 /// The ids of the requests that a connection has carried.
 pub mod carried_ids;
+mod checked;
 mod handshake;
 /// HTTP server for callers and operators.
 pub mod http;
