fix: reports of all engines together stay within their share of the memory

Each report could have 8 MiB and be read for 8 s: with twelve engines whose reports do not end, a host of 80 MB had 130 MB at its peak, and would have been killed with the requests of all its callers.

Cause: a bound for each answer and none for all, on a path that no caller's account charges. Reports of probes and the rest of rejections were of the same kind; the strict reader holds heads a second time.

Change: bodies of reports share a part of the memory, the rest of a rejection is dropped as it comes, and a head may have 32 KiB.

--- a/crates/answer/src/reader.rs
+++ b/crates/answer/src/reader.rs
@@ -8,7 +8,7 @@
 
 /// Maximum number of bytes up to the end of the head of an answer. Informational answers come before it, any number of
 /// them.
-pub const MAX_HEAD_BYTES: usize = 128 << 10;
+pub const MAX_HEAD_BYTES: usize = 32 << 10;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Follows the answers of one connection, each of which is due after a request.
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,9 @@
 //! Short HTTP calls: store requests, report requests and orders.
 
-use crate::pool::{self, Connection, Pool};
+use crate::{
+    body_room::BodyRoom,
+    pool::{self, Connection, Pool},
+};
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, StatusCode, header::HOST, response::Parts};
 use http_body_util::{BodyExt, Full, Limited};
@@ -55,28 +58,55 @@
     call_or_cancel(pool, address, request, wait_limit, std::future::pending()).await
 }
 
+/// Like [`call`], to an upstream: the bodies of all such answers share `room`, and the response must be complete within
+/// `limit`.
+pub(crate) async fn ask(
+    pool: &Pool,
+    room: &BodyRoom,
+    address: SocketAddr,
+    request: Request<Bytes>,
+    limit: Duration,
+) -> Result<Reply, Error> {
+    let exchange = async {
+        let (connection, response) = send(pool, address, addressed(request, address)).await?;
+        let (head, body) = response.into_parts();
+        let body = room.read(body).await.map_err(|e| Error::Unanswered(e.to_string()))?;
+        pool.put(connection, None);
+        Ok(Reply { head, body })
+    };
+    timeout(limit, exchange).await.map_err(|_| unanswered(limit))?
+}
+
 /// Like [`call`], but is cancelled if `cancelled` completes before the response begins.
 pub(crate) async fn call_or_cancel(
     pool: &Pool,
     address: SocketAddr,
-    mut request: Request<Bytes>,
+    request: Request<Bytes>,
     wait_limit: Duration,
     cancelled: impl Future<Output = ()>,
 ) -> Result<Reply, Error> {
-    if let Ok(host) = address.to_string().parse() {
-        request.headers_mut().insert(HOST, host);
-    }
-    let unanswered = || Error::Unanswered(format!("no data for {} ms", wait_limit.as_millis()));
     let head = tokio::select! {
         biased;
-        head = timeout(wait_limit, send(pool, address, request.map(Full::new))) => head,
+        head = timeout(wait_limit, send(pool, address, addressed(request, address))) => head,
         () = cancelled => return Err(Error::Cancelled),
     };
-    let (connection, response) = head.map_err(|_| unanswered())??;
+    let (connection, response) = head.map_err(|_| unanswered(wait_limit))??;
     let body = timeout(BODY_TIMEOUT, read_body(pool, connection, response, wait_limit)).await;
     body.map_err(|_| Error::Unanswered("response body not read in time".into()))?
 }
 
+fn unanswered(limit: Duration) -> Error {
+    Error::Unanswered(format!("no data for {} ms", limit.as_millis()))
+}
+
+/// Returns the request with the address as its host.
+fn addressed(mut request: Request<Bytes>, address: SocketAddr) -> Request<Full<Bytes>> {
+    if let Ok(host) = address.to_string().parse() {
+        request.headers_mut().insert(HOST, host);
+    }
+    request.map(Full::new)
+}
+
 async fn send(
     pool: &Pool,
     address: SocketAddr,
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -2,6 +2,7 @@
 //! calls and messages.
 
 use crate::{
+    body_room::BodyRoom,
     clock::{self, Clock},
     command::{Command, RequestRefusal},
     configuration_wait::ConfigurationWait,
@@ -78,6 +79,8 @@
     pub host_lease: watch::Sender<Option<vanetally_ports::LeaseId>>,
     /// Connections to runners for report requests.
     pub control_pool: Pool,
+    /// Room for the answers of upstreams to the host's own questions.
+    pub body_room: BodyRoom,
     /// Orders that have no answer, each on a connection of its own.
     pub open_orders: OpenOrders,
     pub links: Links,
@@ -186,6 +189,7 @@
             clock,
             pool: Pool::for_callers(clock),
             control_pool: Pool::new(clock),
+            body_room: BodyRoom::new(settings.memory_bytes),
             open_orders: OpenOrders::default(),
             store: Store::new(&settings.store, bounds.contact_ms, ports.store.clone(), clock),
             stage: watch::Sender::new(Stage::Serving),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! their names.
 #![deny(missing_docs, unsafe_code, clippy::disallowed_methods)]
 
+mod body_room;
 mod bounded_stream;
 mod brittle;
 mod call;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -224,7 +224,8 @@
     }
     let requested_at = hub.clock.now();
     let request = hub.ports.engine.report_request(&runner);
-    let reply = call::call(&hub.control_pool, address, request, REPORT_TIMEOUT).await;
+    let reply =
+        call::ask(&hub.control_pool, &hub.body_room, address, request, REPORT_TIMEOUT).await;
     if let Ok(reply) = &reply {
         hub.reach_event(vanetally_reach::Event::Heard(runner.clone()));
         hub.handle_reply_head(&runner, &reply.head);
--- a/crates/gateway/src/probing.rs
+++ b/crates/gateway/src/probing.rs
@@ -6,10 +6,10 @@
 //! another host as well, and counts as failed only if that host, which reaches others, gets no answer
 //! either.
 
-use crate::{hub::Hub, pool, request_log::record_probe, tunnels::Opinion};
+use crate::{body_room, hub::Hub, pool, request_log::record_probe, tunnels::Opinion};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header::HOST};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
@@ -39,8 +39,6 @@
 const REPEAT_PAUSE: Duration = Duration::from_millis(150);
 /// Time after a request was sent in which its upstream is probed again.
 const MAX_UNKNOWN_MS: u64 = 4_000;
-/// Maximum size of a report.
-const MAX_REPORT_BYTES: usize = 1 << 20;
 
 /// An upstream that is probed.
 #[derive(Clone)]
@@ -373,11 +371,16 @@
         status if status.is_server_error() => return Asked::Unanswered(Some(CrashSign::Silent)),
         _ => {}
     }
-    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES).collect();
-    let Ok(Ok(body)) = timeout(PROBE_TIMEOUT, body).await else {
-        return Asked::Unanswered(Some(CrashSign::Silent));
+    let body = match timeout(PROBE_TIMEOUT, hub.body_room.read(response.into_body())).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(body_room::Error::Broken(_))) | Err(_) => {
+            return Asked::Unanswered(Some(CrashSign::Silent));
+        }
+        Ok(Err(body_room::Error::TooLong | body_room::Error::NoRoom)) => {
+            return Asked::Unanswered(None);
+        }
     };
-    let Ok(report) = hub.ports.engine.read_report(&body.to_bytes()) else {
+    let Ok(report) = hub.ports.engine.read_report(&body) else {
         return Asked::Unanswered(None);
     };
     let born = report.born;
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -121,8 +121,17 @@
 /// Reads the rest of a short response, so that its connection can be reused.
 async fn drain(hub: &Hub, connection: Connection, response: Response<Incoming>) {
     let keep_alive = keep_alive_timeout(response.headers());
-    let body = Limited::new(response.into_body(), MAX_DRAINED_BYTES).collect();
-    if let Ok(Ok(_)) = tokio::time::timeout(DRAIN_TIMEOUT, body).await {
+    let mut body = Limited::new(response.into_body(), MAX_DRAINED_BYTES);
+    let is_whole = async {
+        loop {
+            match body.frame().await {
+                None => break true,
+                Some(Ok(_)) => {}
+                Some(Err(_)) => break false,
+            }
+        }
+    };
+    if tokio::time::timeout(DRAIN_TIMEOUT, is_whole).await == Ok(true) {
         hub.pool.put(connection, keep_alive);
     }
 }
--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -34,6 +34,8 @@
     pub piece: usize,
     /// Whether answers are read.
     pub reads: bool,
+    /// Maximum number of bytes of an answer that are kept.
+    pub kept: usize,
 }
 
 impl Script {
@@ -47,6 +49,7 @@
             body: vec![b'x'; sent].into(),
             piece: usize::MAX,
             reads: true,
+            kept: usize::MAX,
         }
     }
 
@@ -78,6 +81,7 @@
     body: Arc<[u8]>,
     piece: usize,
     reads: bool,
+    kept: usize,
     sent: usize,
     answer: Vec<u8>,
     is_closed: bool,
@@ -96,6 +100,7 @@
             body: script.body.clone(),
             piece: script.piece,
             reads: script.reads,
+            kept: script.kept,
             sent: 0,
             answer: Vec::new(),
             is_closed: false,
@@ -178,7 +183,10 @@
         let mut buffer = [0; READ_BYTES];
         match self.stream.read(&mut buffer) {
             Ok(0) => self.is_closed = true,
-            Ok(count) => self.answer.extend_from_slice(&buffer[..count]),
+            Ok(count) => {
+                let room = self.kept.saturating_sub(self.answer.len());
+                self.answer.extend_from_slice(&buffer[..count.min(room)]);
+            }
             Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
             Err(_) => self.is_closed = true,
         }
