fix: a request that is taken in a planned stop has its answer before the process ends

Cause: what is taken was bounded by when it comes, not by when it can end; the process waited for upstreams and not for callers; and tunnels through an exit that stops went on carrying requests.

Change: a request is refused as not run if the longest recent answer of its route would not end within the grace, each open one has its final answer by 0.9 of it, the process waits for answers that callers have not taken, and an exit that stops says so on its tunnels and closes each when no answer is under way.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -92,7 +92,7 @@
             self.end_tries_of(id);
         }
         match end {
-            AttemptEnd::Served => return,
+            AttemptEnd::Served => return self.record_answer_time(now, &request),
             // The upstream's error was passed to the caller, unless the request may be retried.
             AttemptEnd::Failed if answered || !request.route.is_repeatable() => return,
             AttemptEnd::Failed => request.verdict = Verdict::Ran,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -43,6 +43,7 @@
 mod shortage;
 mod slots;
 mod startup;
+mod stop;
 mod summary;
 mod suspects;
 mod upstream;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -15,6 +15,7 @@
     queue_state::SharedQueue,
     request::{Request, Stage},
     service_pace::ServicePace,
+    stop::LongestAnswer,
     suspects::OwnTries,
     upstream::{Load, Upstream},
     versions,
@@ -67,6 +68,8 @@
     pub(crate) brittleness: Brittleness,
     /// Average time of complete answers, per plain service.
     pub(crate) answer_times: BTreeMap<Name, AnswerTimes>,
+    /// Longest recent time of complete answers, per route.
+    pub(crate) longest_answers: BTreeMap<Name, LongestAnswer>,
     pub(crate) hosts: usize,
     pub(crate) stopping_since: Option<Tick>,
     pub(crate) demand: BTreeMap<(Name, ModelRef), Demand>,
@@ -86,8 +89,6 @@
 const RETURN_SPACING_MS: u64 = 5;
 /// All hosts return within the cooldown divided by this.
 const RETURN_SPREAD_DIVISOR: u64 = 8;
-/// Share of a planned stop in which requests are accepted.
-const STOP_ACCEPT_SHARE: f64 = 0.3;
 pub(crate) const MICROS_PER_MILLI: f64 = 1_000.0;
 
 impl Dispatch {
@@ -118,6 +119,7 @@
             service_pace: ServicePace::default(),
             brittleness: Brittleness::default(),
             answer_times: BTreeMap::new(),
+            longest_answers: BTreeMap::new(),
             hosts: 1,
             stopping_since: None,
             demand: BTreeMap::new(),
@@ -209,9 +211,7 @@
                 self.attempt_ended(now, id, end, answered, &mut actions);
             }
             Event::CallerLeft { id } => self.end(id),
-            Event::Stopping => {
-                self.stopping_since.get_or_insert(now);
-            }
+            Event::Stopping => self.begin_stop(now),
             Event::StoreAnswered => self.has_store = true,
             Event::Tick => self.expire(now, &mut actions),
         }
@@ -277,6 +277,9 @@
             return;
         }
         self.routes = RouteIndex::new(&configuration);
+        let routes: BTreeSet<&Name> =
+            configuration.routes.iter().map(|route| &route.name).collect();
+        self.longest_answers.retain(|name, _| routes.contains(name));
         self.keys = KeyIndex::new(&configuration);
         for service in configuration.services.keys() {
             let (options, hosts) = (self.options.retry_budget, self.hosts);
@@ -376,10 +379,13 @@
             Err((cause, retry_ms)) => return actions.push(refuse(cause, retry_ms)),
         };
         let service = target.service.clone();
+        let mut request = Request::new(head, route, access, service.clone(), at);
+        if !self.fits_stop(now, &mut request) {
+            return actions.push(refuse(RefusalCause::Stopping, Some(STOP_RETRY_AFTER_MS)));
+        }
         if let Some(budget) = self.retry_budgets.get_mut(&service) {
             budget.record_request(now);
         }
-        let request = Request::new(head, route, access, service, at);
         let software_version = versions::version_of(&request);
         let request = Request { contents, queued_at: now, software_version, ..request };
         if let Some(subject) = &request.head.model {
@@ -392,12 +398,6 @@
         self.requests.insert(id, request);
     }
 
-    /// Whether a planned stop has reached the part in which no requests are accepted.
-    pub(crate) fn refuses_new_requests(&self, now: Tick) -> bool {
-        let accept_ms = (self.options.grace_ms as f64 * STOP_ACCEPT_SHARE) as u64;
-        self.stopping_since.is_some_and(|since| now.since(since) > accept_ms)
-    }
-
     fn first_piece(&mut self, now: Tick, id: RequestId, actions: &mut Vec<Action>) {
         let service = self.requests.get(&id).map(|request| &request.service);
         let is_engine = service.is_some_and(|service| self.is_engine(service));
--- a/crates/gateway/src/exit.rs
+++ b/crates/gateway/src/exit.rs
@@ -118,6 +118,8 @@
     counter: Arc<()>,
     /// Dropping a sender closes the tunnels to its upstream.
     upstreams: RefCell<HashMap<Incarnation, watch::Sender<()>>>,
+    /// Set when this host stops.
+    stopping: watch::Sender<bool>,
     /// Tunnels that wait until an upstream was probed.
     waiting: RefCell<HashMap<Incarnation, Vec<TunnelCall>>>,
     /// Number of the next tunnel.
@@ -136,6 +138,7 @@
             max: memory_bytes.map_or(DEFAULT_MAX_TUNNELS, by_memory),
             counter: Arc::default(),
             upstreams: RefCell::default(),
+            stopping: watch::Sender::new(false),
             waiting: RefCell::default(),
             next: Cell::default(),
             events,
@@ -157,6 +160,11 @@
         self.upstreams.borrow_mut().remove(upstream);
     }
 
+    /// Closes each tunnel once the answer that is under way on it is complete.
+    pub(crate) fn stop(&self) {
+        self.stopping.send_replace(true);
+    }
+
     /// Forgets the upstreams without a tunnel.
     pub(crate) fn sweep(&self) {
         self.upstreams.borrow_mut().retain(|_, closer| closer.receiver_count() > 0);
@@ -251,6 +259,7 @@
                 events: served.events.clone(),
             }),
             closed: served.watch(upstream),
+            stopping: served.stopping.subscribe(),
             guard: Box::new(served.counter.clone()),
         });
         self.answer_tunnel(call, target.ok_or(TunnelRefusal::Unknown));
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -56,6 +56,12 @@
         self.tunnel.as_ref().map(|tunnel| &tunnel.exit)
     }
 
+    /// Whether the connection may carry another request.
+    fn may_reuse(&self) -> bool {
+        let is_open = self.tunnel.as_ref().is_none_or(OpenTunnel::may_reuse);
+        is_open && !self.carried.is_full()
+    }
+
     /// Returns the path of the connection.
     pub(crate) fn path(&self) -> Path {
         if self.tunnel.is_some() { Path::Exit } else { Path::Direct }
@@ -223,7 +229,8 @@
             while let Some(index) = pool.idle.iter().rposition(is_wanted)
                 && let Some(idle) = pool.idle.remove(index)
             {
-                if idle.until > now && idle.connection.sender.is_ready() {
+                let may_reuse = idle.connection.may_reuse();
+                if idle.until > now && may_reuse && idle.connection.sender.is_ready() {
                     found = Some(idle.connection);
                     break;
                 }
@@ -240,9 +247,7 @@
         let keep_alive = keep_alive
             .map_or(MAX_IDLE, |keep_alive| keep_alive.saturating_sub(KEEP_ALIVE_MARGIN))
             .min(MAX_IDLE);
-        let may_reuse = connection.tunnel.as_ref().is_none_or(OpenTunnel::may_reuse);
-        let may_reuse = may_reuse && !connection.carried.is_full();
-        let may_reuse = may_reuse && connection.sender.answers.is_idle();
+        let may_reuse = connection.may_reuse() && connection.sender.answers.is_idle();
         if connection.sender.is_closed() || keep_alive.is_zero() || !may_reuse {
             return;
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -292,6 +292,7 @@
     let after = |fraction: f64| started + (hub.settings.bounds.grace_ms as f64 * fraction) as u64;
     log::info!("event=stop_begun open_requests={}", hub.open_requests());
     hub.stage.send_replace(Stage::Leaving);
+    hub.served_tunnels.stop();
     hub.request_event(vanetally_dispatch::Event::Stopping);
     hub.order_lease_event(OrderLeaseEvent::Stop);
     while hub.clock.now() < after(CLOSE_FRACTION) {
@@ -299,12 +300,17 @@
     }
     hub.stage.send_replace(Stage::Closing);
     spawn_local(end_host_lease(hub.clone()));
-    let is_in_use = || hub.open_requests() > 0 || hub.served_tunnels.open() > 0;
+    let is_in_use = || {
+        let is_asked = hub.open_requests() > 0 || hub.served_tunnels.open() > 0;
+        // Callers still take answers that are complete here.
+        is_asked || hub.callers.counts().answering > 0
+    };
     while is_in_use() && hub.clock.now() < after(EXIT_FRACTION) {
         sleep(TICK_INTERVAL).await;
     }
     let (open_requests, tunnels) = (hub.open_requests(), hub.served_tunnels.open());
-    log::info!("event=stop_ended open_requests={open_requests} tunnels={tunnels}");
+    let unread = hub.callers.counts().answering;
+    log::info!("event=stop_ended open_requests={open_requests} tunnels={tunnels} unread={unread}");
     // Let responses that were just finished reach their sockets, and queued lines the log.
     sleep(TICK_INTERVAL * 2).await;
     Ok(())
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -3,7 +3,9 @@
 use crate::{hub::Hub, telemetry};
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use std::rc::Rc;
-use vanetally_link::tunnel::{ByteStream, Tunnel, TunnelError, TunnelRefusal, TunnelRequest};
+use vanetally_link::tunnel::{
+    ByteStream, StopNotice, Tunnel, TunnelError, TunnelRefusal, TunnelRequest,
+};
 use vanetally_reach::{Event, ExitFailure};
 use vanetally_types::{Incarnation, Name};
 
@@ -43,13 +45,14 @@
 pub(crate) struct OpenTunnel {
     hub: Rc<Hub>,
     pub exit: Name,
+    notice: StopNotice,
 }
 
 impl OpenTunnel {
     /// Whether the tunnel may carry another request. An exit that stops waits until
     /// its tunnels are closed.
     pub(crate) fn may_reuse(&self) -> bool {
-        self.hub.peers.borrow().contains_key(&self.exit)
+        !self.notice.is_given() && self.hub.peers.borrow().contains_key(&self.exit)
     }
 }
 
@@ -108,9 +111,9 @@
             && let Some(exit) = self.next_exit(&mut tried, unreached.count > 0)
         {
             match self.ask_exit(&exit, &request).await {
-                Ok(Tunnel { stream }) => {
+                Ok(Tunnel { stream, notice }) => {
                     telemetry::tunnel_opened(true);
-                    let tunnel = OpenTunnel { hub: self.clone(), exit };
+                    let tunnel = OpenTunnel { hub: self.clone(), exit, notice };
                     return Ok(Opened { stream, tunnel });
                 }
                 Err(TunnelError::Refused(TunnelRefusal::Unreachable | TunnelRefusal::Ended)) => {
@@ -145,7 +148,7 @@
                 asked.push(async move {
                     let answer = hub.ask_exit(&exit, &request).await;
                     // What was opened is not needed.
-                    (answer.map(|_| drop(OpenTunnel { hub, exit: exit.clone() })), exit)
+                    (answer.map(|opened| hub.close_tunnel(&exit, opened)), exit)
                 });
             }
             let Some((answer, exit)) = asked.next().await else {
@@ -164,6 +167,12 @@
         }
     }
 
+    /// Closes a tunnel that was only opened to see whether it can be.
+    fn close_tunnel(&self, exit: &Name, opened: Tunnel) {
+        drop(opened);
+        self.reach.borrow_mut().exits.closed(exit);
+    }
+
     fn record_unreached(&self, unreached: &mut Unreached, exit: &Name) {
         unreached.count += 1;
         unreached.is_elsewhere |= self.reach.borrow().exits.is_elsewhere(exit);
@@ -175,8 +184,8 @@
         tokio::task::spawn_local(async move {
             let request = TunnelRequest { upstream, must_probe: true };
             let works = match hub.ask_exit(&exit, &request).await {
-                Ok(_) => {
-                    drop(OpenTunnel { hub: hub.clone(), exit: exit.clone() });
+                Ok(opened) => {
+                    hub.close_tunnel(&exit, opened);
                     true
                 }
                 Err(error) => exit_failure(error).is_none_or(|failure| !failure.is_silent()),
--- a/crates/link/src/tunnel.rs
+++ b/crates/link/src/tunnel.rs
@@ -18,7 +18,10 @@
     fmt, io,
     net::SocketAddr,
     pin::Pin,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -26,7 +29,7 @@
     io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, join, split},
     net::TcpStream,
     sync::{oneshot, watch},
-    time::timeout,
+    time::{sleep, timeout},
 };
 use tokio_tungstenite::tungstenite::Message;
 use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
@@ -53,6 +56,23 @@
 pub struct Tunnel {
     /// The bytes of the connection to the upstream.
     pub stream: Box<dyn ByteStream>,
+    /// Whether the exit has told that it stops.
+    pub notice: StopNotice,
+}
+
+/// Whether the exit of a tunnel stops. It then waits for the answer that is under way and carries no other request.
+#[derive(Clone, Debug, Default)]
+pub struct StopNotice(Arc<AtomicBool>);
+
+impl StopNotice {
+    /// Whether the exit has told that it stops.
+    pub fn is_given(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn give(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
 }
 
 /// Why an exit opens no tunnel. Nothing was sent to the upstream.
@@ -112,6 +132,8 @@
     pub watcher: Box<dyn TunnelWatcher>,
     /// The tunnel is closed when the sender is dropped.
     pub closed: watch::Receiver<()>,
+    /// Set when the tunnel carries no further request: it is closed once none is under way.
+    pub stopping: watch::Receiver<bool>,
     /// Dropped with the tunnel.
     pub guard: Box<dyn Any + Send>,
 }
@@ -131,6 +153,11 @@
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of bytes in a frame.
 const MAX_FRAME_BYTES: usize = 8 << 10;
+/// Time without bytes after which a tunnel of a stopping host is closed if it carries no request: the requesting host has
+/// learned of the stop by then, and sends none.
+const NOTICE_TIME: Duration = Duration::from_millis(250);
+/// The beginning of a request whose answer has no body.
+const HEAD_START: &[u8] = b"HEAD ";
 
 /// Opens a tunnel through the daemon `to`.
 pub(crate) async fn open(
@@ -148,7 +175,10 @@
     };
     let opened = timeout(OPEN_TIMEOUT, opening).await.ok().flatten();
     match opened.ok_or(TunnelError::NoExit)? {
-        (socket, Reply::Opened) => Ok(Tunnel { stream: byte_stream(socket) }),
+        (socket, Reply::Opened) => {
+            let notice = StopNotice::default();
+            Ok(Tunnel { stream: byte_stream(socket, notice.clone()), notice })
+        }
         (_, Reply::Refused(refusal)) => Err(refusal.into()),
     }
 }
@@ -173,7 +203,7 @@
     };
     let is_sent = handshake::write(&mut socket, &reply).await.is_some();
     if let (true, Ok((stream, target))) = (is_sent, connected) {
-        forward(byte_stream(socket), stream, target).await;
+        forward(byte_stream(socket, StopNotice::default()), stream, target).await;
     }
 }
 
@@ -189,14 +219,14 @@
 
 /// Copies bytes until either connection ends.
 async fn forward(near: impl AsyncRead + AsyncWrite + Unpin, far: TcpStream, target: TunnelTarget) {
-    let TunnelTarget { watcher, mut closed, guard: _guard, .. } = target;
+    let TunnelTarget { watcher, mut closed, stopping, guard: _guard, .. } = target;
     let (mut near_reader, mut near_writer) = split(near);
     let (mut far_reader, mut far_writer) = split(far);
     let far_end = FarEnd::new(watcher);
     tokio::select! {
         // The requesting host has given up, or has lost its way here.
         _ = forward_requests(&mut near_reader, &mut far_writer, &far_end) => {}
-        copied = forward_responses(&mut far_reader, &mut near_writer, &far_end) => {
+        copied = forward_responses(&mut far_reader, &mut near_writer, &far_end, stopping) => {
             // Only the regular end of a response may look like one.
             if copied.is_ok() {
                 // The requesting host may have left meanwhile.
@@ -216,49 +246,34 @@
 /// What an upstream has shown on the connection of a tunnel.
 #[derive(Debug, Default)]
 struct Seen {
-    /// Set while an answer to what was sent is awaited.
-    awaited: Option<AnswerReader>,
+    answers: AnswerReader,
     /// Whether bytes have come.
     has_sent: bool,
 }
 
-/// What bytes of an upstream show.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Shown {
-    /// It has answered.
-    Answer,
-    /// Nothing: no answer was awaited, or it is not complete, or it is none.
-    Nothing,
-}
-
 impl Seen {
     /// Records that a request, or a part of one, was sent; returns whether an answer is awaited from now on.
-    fn sent(&mut self) -> bool {
-        let is_first = self.awaited.is_none();
-        let reader = self.awaited.get_or_insert_default();
-        reader.expect(false);
+    fn sent(&mut self, bytes: &[u8]) -> bool {
+        let is_first = self.answers.is_idle();
+        if is_first {
+            self.answers.expect(bytes.starts_with(HEAD_START));
+        }
         is_first
     }
 
-    /// Records bytes of the upstream.
-    fn received(&mut self, bytes: &[u8]) -> Shown {
+    /// Records bytes of the upstream; returns whether they complete the head of an answer.
+    fn received(&mut self, bytes: &[u8]) -> bool {
         self.has_sent = true;
-        let Some(reader) = &mut self.awaited else {
-            return Shown::Nothing;
-        };
-        reader.read(bytes);
-        if reader.awaits_head() {
-            return Shown::Nothing;
-        }
-        let is_answer = matches!(reader.malformed(), None | Some(Malformed::Surplus));
-        self.awaited = None;
-        if is_answer { Shown::Answer } else { Shown::Nothing }
+        let is_awaited = self.answers.awaits_head();
+        self.answers.read(bytes);
+        let is_answer = matches!(self.answers.malformed(), None | Some(Malformed::Surplus));
+        is_awaited && is_answer && !self.answers.awaits_head()
     }
 
     /// Records the end of the connection; returns whether it broke off. An upstream may close a connection that it has
     /// served, but not a new one.
     fn ended(&mut self) -> bool {
-        self.awaited.take().is_some() || !self.has_sent
+        self.answers.awaits_head() || !self.has_sent
     }
 }
 
@@ -267,14 +282,14 @@
         Self { watcher: Mutex::new(watcher), seen: Mutex::default() }
     }
 
-    fn sent(&self) {
-        if self.seen().sent() {
+    fn sent(&self, bytes: &[u8]) {
+        if self.seen().sent(bytes) {
             self.watcher().sent();
         }
     }
 
     fn received(&self, bytes: &[u8]) {
-        if self.seen().received(bytes) == Shown::Answer {
+        if self.seen().received(bytes) {
             self.watcher().answered();
         }
     }
@@ -285,6 +300,11 @@
         }
     }
 
+    /// Whether no request is under way.
+    fn is_idle(&self) -> bool {
+        self.seen().answers.is_idle()
+    }
+
     fn watcher(&self) -> MutexGuard<'_, Box<dyn TunnelWatcher>> {
         self.watcher.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -305,20 +325,37 @@
         if length == 0 {
             return Ok(());
         }
-        far_end.sent();
+        far_end.sent(&buffer[..length]);
         let written = far.write_all(&buffer[..length]).await;
         written.inspect_err(|_| far_end.ended())?;
     }
 }
 
+/// Forwards responses until the upstream ends the connection, or until none is under way at a host that stops.
 async fn forward_responses(
     far: &mut (impl AsyncRead + Unpin),
     near: &mut (impl AsyncWrite + Unpin),
     far_end: &FarEnd,
+    mut stopping: watch::Receiver<bool>,
 ) -> io::Result<()> {
     let mut buffer = vec![0; MAX_FRAME_BYTES];
+    let mut is_told = false;
     loop {
-        let length = far.read(&mut buffer).await.inspect_err(|_| far_end.ended())?;
+        let read = tokio::select! {
+            read = far.read(&mut buffer) => read,
+            Ok(_) = stopping.wait_for(|is_stopping| *is_stopping), if !is_told => {
+                is_told = true;
+                give_notice(near).await?;
+                continue;
+            }
+            () = sleep(NOTICE_TIME), if is_told => {
+                if far_end.is_idle() {
+                    return Ok(());
+                }
+                continue;
+            }
+        };
+        let length = read.inspect_err(|_| far_end.ended())?;
         if length == 0 {
             far_end.ended();
             return Ok(());
@@ -329,11 +366,21 @@
     }
 }
 
+/// Tells the requesting host that this one stops: an empty frame, which carries nothing.
+async fn give_notice(near: &mut (impl AsyncWrite + Unpin)) -> io::Result<()> {
+    future::poll_fn(|context| Pin::new(&mut *near).poll_write(context, &[])).await?;
+    near.flush().await
+}
+
 /// Returns the bytes in the frames of `socket` as a stream.
-fn byte_stream(socket: Socket) -> Box<dyn ByteStream> {
+fn byte_stream(socket: Socket, notice: StopNotice) -> Box<dyn ByteStream> {
     let (sink, stream) = socket.split();
-    let frames = stream.filter_map(|frame| {
+    let frames = stream.filter_map(move |frame| {
         future::ready(match frame {
+            Ok(Message::Binary(bytes)) if bytes.is_empty() => {
+                notice.give();
+                None
+            }
             Ok(Message::Binary(bytes)) => Some(Ok(bytes)),
             // A connection that was closed ends the stream next.
             Ok(_) => None,
--- a/crates/link/tests/tunnel.rs
+++ b/crates/link/tests/tunnel.rs
@@ -77,6 +77,7 @@
     exit: SocketAddr,
     signs: Signs,
     closer: Arc<Mutex<Option<watch::Sender<()>>>>,
+    stopper: watch::Sender<bool>,
     _exit_links: Links,
 }
 
@@ -84,16 +85,18 @@
     fn new(upstream: SocketAddr) -> Self {
         let closer = watch::Sender::new(());
         let closed = closer.subscribe();
+        let (stopper, stopping) = watch::channel(false);
         let signs = Signs::default();
         let watched = signs.clone();
         let decide = move |_: &TunnelRequest| {
             let (closed, watcher) = (closed.clone(), Box::new(watched.clone()));
-            Ok(TunnelTarget { address: upstream, watcher, closed, guard: Box::new(()) })
+            let stopping = stopping.clone();
+            Ok(TunnelTarget { address: upstream, watcher, closed, stopping, guard: Box::new(()) })
         };
         let (exit_links, exit) = links(EXIT, "key", Box::new(decide));
         let (links, _) = links("me", "key", Box::new(|_| Err(TunnelRefusal::Leaving)));
         let closer = Arc::new(Mutex::new(Some(closer)));
-        Self { links, exit, signs, closer, _exit_links: exit_links }
+        Self { links, exit, signs, closer, stopper, _exit_links: exit_links }
     }
 
     async fn open(&self) -> Result<Tunnel, TunnelError> {
@@ -120,7 +123,7 @@
     const LENGTH: usize = 300_000;
     let (listener, address) = upstream().await;
     let site = Site::new(address);
-    let Tunnel { mut stream } = site.open().await.expect("it opens");
+    let Tunnel { mut stream, .. } = site.open().await.expect("it opens");
     let mut far = accept(&listener).await;
     let sent: Vec<u8> = (0..LENGTH).map(|number| number as u8).collect();
     let echo = async {
@@ -193,6 +196,47 @@
     site.signs.wait_for(&["sent", "answered", "sent", "answered"]).await;
 }
 
+/// An exit that stops tells so, and closes a tunnel without a request.
+#[tokio::test]
+async fn idle_at_stop() {
+    let (listener, address) = upstream().await;
+    let site = Site::new(address);
+    let Tunnel { mut stream, notice } = site.open().await.expect("it opens");
+    let _far = accept(&listener).await;
+    assert!(!notice.is_given());
+    site.stopper.send_replace(true);
+    let read = timeout(MAX_WAIT, stream.read(&mut [0])).await.expect("in time");
+    assert_eq!(read.ok(), Some(0), "it is closed");
+    assert!(notice.is_given(), "before it is closed");
+}
+
+/// An exit that stops waits for the answer that is under way, and for all of it.
+#[tokio::test]
+async fn busy_at_stop() {
+    let (listener, address) = upstream().await;
+    let site = Site::new(address);
+    let Tunnel { mut stream, notice } = site.open().await.expect("it opens");
+    let mut far = accept(&listener).await;
+    stream.write_all(b"request").await.expect("an open tunnel");
+    stream.flush().await.expect("an open tunnel");
+    far.read_exact(&mut [0; 7]).await.expect("the request");
+    site.stopper.send_replace(true);
+    let parts = [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwh".as_slice(), b"ole"];
+    let mut received = Vec::new();
+    for part in parts {
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        far.write_all(part).await.expect("an open connection");
+        let mut bytes = vec![0; part.len()];
+        let read = timeout(MAX_WAIT, stream.read_exact(&mut bytes)).await.expect("in time");
+        read.expect("an open tunnel");
+        received.extend(bytes);
+    }
+    assert!(notice.is_given());
+    assert_eq!(received, parts.concat());
+    let read = timeout(MAX_WAIT, stream.read(&mut [0])).await.expect("in time");
+    assert_eq!(read.ok(), Some(0), "it is closed after the answer");
+}
+
 /// Bytes that are no answer show neither that the upstream answers nor that it can't be reached.
 #[rstest::rstest]
 #[case(b"HTTP/1.1 200 OK\r\nno field\r\n\r\n")]
