fix: hosts that are out of step together don't take the version that they know for the only one

A stream that had begun at an upstream of a new version was taken up at a host that had been cut off while it joined, and went on at another version: the asking host and one other, which had missed the same, confirmed each other.

Cause: agreement counted as evidence without regard to how old it was. Change: that a service has only ever had one version is confirmed by a read of the store that is sent after the request came; a stream begins only at versions that the store keeps.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -23,6 +23,7 @@
     streams::Streams,
     telemetry,
     tries::TryQueries,
+    version_check::VersionChecks,
 };
 use bytes::Bytes;
 use std::{
@@ -79,6 +80,8 @@
     pub host_lease: watch::Sender<Option<vanetally_ports::LeaseId>>,
     /// Connections to runners for report requests.
     pub control_pool: Pool,
+    /// Reads of the versions that services have had.
+    pub version_checks: VersionChecks,
     /// Room for the answers of upstreams to the host's own questions.
     pub body_room: BodyRoom,
     /// Orders that have no answer, each on a connection of its own.
@@ -189,6 +192,7 @@
             clock,
             pool: Pool::for_callers(clock),
             control_pool: Pool::new(clock),
+            version_checks: VersionChecks::default(),
             body_room: BodyRoom::new(settings.memory_bytes),
             open_orders: OpenOrders::default(),
             store: Store::new(&settings.store, bounds.contact_ms, ports.store.clone(), clock),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -67,6 +67,7 @@
 mod tunnels;
 mod upkeep;
 mod upstreams;
+mod version_check;
 mod watch;
 mod wire;
 
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -39,7 +39,7 @@
 /// Maximum number of streams that are looked for at the same time; beyond it they are unknown.
 const MAX_LOOKUPS: usize = 512;
 /// Prefix of the stored keys of versions, followed by the service.
-const VERSIONS_PREFIX: &str = "vanetally/versions/";
+pub(crate) const VERSIONS_PREFIX: &str = "vanetally/versions/";
 /// Time from the start of a host before it writes versions, and more for each host: hosts that start together do not know
 /// at once which of them writes.
 const START_DELAY_MS: u64 = 500;
@@ -206,7 +206,13 @@
                 () = &mut expired => break,
             }
         }
-        lookup.unanswered()
+        let (software, found_by) = lookup.unanswered()?;
+        // All that is known may be older than the stream.
+        match self.stored_versions_now(&software.service).await {
+            Some(Versions::One(only)) if only == software.version => Ok((software, found_by)),
+            Some(_) => Err(Unknown::Lost),
+            None => Err(Unknown::NotYet),
+        }
     }
 
     fn open_lookup(self: &Rc<Self>) -> Option<OpenLookup> {
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -460,3 +460,38 @@
     site.lose_hosts();
     site.take_up(0, &second);
 }
+
+/// Hosts that were cut off from the others, or stood still, while upstreams of a second version joined don't take the first
+/// for the only one, although they confirm each other.
+#[rstest]
+fn out_of_step(#[values(true, false)] stood_still: bool) {
+    const IN_STEP: usize = 7;
+    let mut site = Site::start(IN_STEP, &VERSIONS[..1], WHOLE);
+    let links: Vec<Proxy> =
+        (0..2).map(|_| Proxy::start(&fresh_ip(), site.deployment.store.address())).collect();
+    let late = |(number, link): (usize, &Proxy)| {
+        site.deployment.spawn_at(&format!("front-late-{number}"), &fresh_ip(), link.address())
+    };
+    let late: Vec<Host> = links.iter().enumerate().map(late).collect();
+    late.iter().for_each(|host| wait_for("the host is ready", || host.is_ready()));
+    thread::sleep(Duration::from_millis(2_000));
+    links.iter().for_each(|link| link.set_mode(ProxyMode::Silent));
+    late.iter().for_each(|host| host.signal("STOP"));
+    site.add_version(0);
+    let broken = site.begin();
+    let second: Vec<Broken> = broken.into_iter().filter(|one| one.version == VERSIONS[1]).collect();
+    assert!(!second.is_empty(), "the second version is in use");
+    // From here on the two are alone.
+    site.hosts.iter().for_each(|host| host.signal("STOP"));
+    if stood_still {
+        links.iter().for_each(|link| link.set_mode(ProxyMode::Pass));
+    }
+    late.iter().for_each(|host| host.signal("CONT"));
+    site.hosts.extend(late);
+    site.take_up(IN_STEP, &second);
+    if stood_still {
+        // Once they have read what they missed, they know the version, or that there were two.
+        thread::sleep(Duration::from_millis(3_000));
+        site.take_up(IN_STEP + 1, &second);
+    }
+}
