fix: a request that waits when a planned stop begins is sent once

The change of a planned stop moved deadlines while requests stood in a queue that is ordered by them: one that waited was not found there when it was sent, and was sent again with each event.

--- a/crates/dispatch/src/stop.rs
+++ b/crates/dispatch/src/stop.rs
@@ -4,7 +4,10 @@
 //! was taken gets its final answer before the end of the grace period: its caller could not tell otherwise whether it has
 //! run.
 
-use crate::{Dispatch, request::Request};
+use crate::{
+    Dispatch,
+    request::{Request, Stage},
+};
 use vanetally_types::Tick;
 
 /// Share of the grace period in which requests are accepted: load balancers and callers learn of the stop in it.
@@ -34,9 +37,19 @@
     /// Begins a planned stop: all open requests get their final answer before it ends.
     pub(crate) fn begin_stop(&mut self, now: Tick) {
         self.stopping_since.get_or_insert(now);
-        if let Some(until) = self.answers_until() {
-            let requests = self.requests.values_mut();
-            requests.for_each(|request| request.end_before(until));
+        let Some(until) = self.answers_until() else {
+            return;
+        };
+        for (id, request) in &mut self.requests {
+            // The queue is ordered by deadlines.
+            let is_waiting = request.stage == Stage::Waiting;
+            if is_waiting {
+                self.queue.remove(*id, request);
+            }
+            request.end_before(until);
+            if is_waiting {
+                self.queue.insert(*id, request);
+            }
         }
     }
 
--- a/crates/dispatch/tests/planned_stop.rs
+++ b/crates/dispatch/tests/planned_stop.rs
@@ -89,3 +89,19 @@
         assert_eq!(refused.verdict, Verdict::MayHaveRun);
     }
 }
+
+/// A request that waited when the stop began is sent once.
+#[test]
+fn waiting_request_is_sent_once() {
+    let mut host = host();
+    host.announce("i-1", upstream("llm", 1, &["m2"]));
+    let (id, actions) = host.arrive(request("a", "offer", Some("m1")));
+    assert!(sent(&actions, id).is_empty(), "nobody holds its model");
+    host.handle(Event::Stopping);
+    let mut actions = host.announce("i-1", upstream("llm", 1, &["m1", "m2"]));
+    for _ in 0..5 {
+        actions.extend(host.advance(20));
+    }
+    assert_eq!(sent(&actions, id).len(), 1);
+    assert_eq!(refusal(&actions, id), None);
+}
