--- a/tests/gateway/mod.rs
+++ b/tests/gateway/mod.rs
@@ -289,6 +289,22 @@
         host
     }
 
+    /// Starts a host of `program` at `ip` in the failure domain `domain`, with these scheduling settings and limits.
+    pub fn spawn_machine(
+        &self,
+        program: &Path,
+        (name, ip, domain): (&str, &str, &str),
+        (scheduling, limits): (&Value, &Value),
+        is_first_start: bool,
+    ) -> Host {
+        let mut machine = settings(name, ip, self.store.address());
+        machine["zone"] = domain.into();
+        machine["limits"] = limits.clone();
+        machine["initial_start"] = is_first_start.into();
+        let settings = json!({ "scheduling": scheduling, "machine": machine });
+        self.spawn_program(program, name, ip, &settings, &[])
+    }
+
     fn spawn_with(&self, name: &str, ip: &str, settings: &Value) -> Host {
         self.spawn_program(Path::new(env!("CARGO_BIN_EXE_vanetallyd")), name, ip, settings, &[])
     }
