fix: what the system holds of reports, probes and orders is bounded

Bytes that have arrived and are not read count as a host's memory. Connections for requests have small receive buffers; those for reports, probes and orders had the system's, which grow to megabytes each. An idle connection that has brought surplus bytes does not count as ready either, also before the HTTP library has noticed.

Cause: the bound was set where callers' requests go, and not where upstreams send. Change: one kind of pool for all upstreams; the store keeps its own.

--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -190,8 +190,8 @@
         let clock = Clock::starting_at(clock::ORIGIN);
         Rc::new(Self {
             clock,
-            pool: Pool::for_callers(clock),
-            control_pool: Pool::new(clock),
+            pool: Pool::to_upstreams(clock),
+            control_pool: Pool::to_upstreams(clock),
             version_checks: VersionChecks::default(),
             body_room: BodyRoom::new(settings.memory_bytes),
             open_orders: OpenOrders::default(),
--- a/crates/gateway/src/order_call.rs
+++ b/crates/gateway/src/order_call.rs
@@ -87,7 +87,7 @@
     address: SocketAddr,
 ) -> Result<Parts, Error> {
     let connecting = allowed_life(hub, order)?;
-    let stream = socket::connect_within(address, connecting.min(socket::CONNECT_TIMEOUT)).await;
+    let stream = socket::connect_bounded(address, connecting.min(socket::CONNECT_TIMEOUT)).await;
     let stream = stream.map_err(|error| Error::NotSent(error.to_string()))?;
     // Connecting has used part of the lease, or the lease is over.
     let life = allowed_life(hub, order)?;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -86,8 +86,8 @@
 pub(crate) struct Pool {
     addresses: AddressPools,
     clock: Clock,
-    /// Whether the connections carry the requests of callers.
-    is_for_callers: bool,
+    /// Whether what the connections hold is bounded.
+    is_bounded: bool,
 }
 
 /// Guard that counts one open connection to an address.
@@ -127,14 +127,15 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
 impl Pool {
-    /// Creates an empty pool for calls of the host's own.
+    /// Creates an empty pool for calls to the store, whose answers are large.
     pub(crate) fn new(clock: Clock) -> Self {
-        Self { addresses: AddressPools::default(), clock, is_for_callers: false }
+        Self { addresses: AddressPools::default(), clock, is_bounded: false }
     }
 
-    /// Creates an empty pool for the requests of callers. What its connections hold is bounded.
-    pub(crate) fn for_callers(clock: Clock) -> Self {
-        Self { is_for_callers: true, ..Self::new(clock) }
+    /// Creates an empty pool for upstreams, of which there are many and any may be faulty: what its connections hold is
+    /// bounded.
+    pub(crate) fn to_upstreams(clock: Clock) -> Self {
+        Self { is_bounded: true, ..Self::new(clock) }
     }
 
     /// Returns a pooled connection to `address`, or opens one if fewer than `max_open` are open.
@@ -166,7 +167,7 @@
         limit: Duration,
     ) -> Result<Connection, Error> {
         let open = self.open(address, max_open)?;
-        let stream = match self.is_for_callers {
+        let stream = match self.is_bounded {
             true => socket::connect_bounded(address, limit).await?,
             false => socket::connect_within(address, limit).await?,
         };
@@ -209,7 +210,7 @@
         &self,
         stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     ) -> Result<Sender, hyper::Error> {
-        let max_read = if self.is_for_callers { CALLER_READ_BYTES } else { usize::MAX };
+        let max_read = if self.is_bounded { CALLER_READ_BYTES } else { usize::MAX };
         start_with(stream, max_read).await
     }
 
@@ -311,7 +312,7 @@
 impl Sender {
     /// Whether the connection takes a request now.
     pub(crate) fn is_ready(&self) -> bool {
-        self.inner.is_ready()
+        self.inner.is_ready() && self.answers.is_idle()
     }
 
     /// Returns why the connection brought bytes that are no answer.
@@ -343,11 +344,11 @@
     }
 }
 
-/// Starts HTTP on a connection that was just opened.
+/// Starts HTTP on a connection to an upstream that was just opened.
 pub(crate) async fn start(
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
 ) -> Result<Sender, hyper::Error> {
-    start_with(stream, usize::MAX).await
+    start_with(stream, CALLER_READ_BYTES).await
 }
 
 /// Starts HTTP on a connection that was just opened, of which at most `max_read` bytes are read at a time.
--- a/crates/gateway/src/probing.rs
+++ b/crates/gateway/src/probing.rs
@@ -288,7 +288,7 @@
 
 /// Asks an upstream on a new connection, with `limit` as timeout of each step.
 async fn ask_within(hub: &Hub, suspect: &Suspect, limit: Duration) -> Asked {
-    match socket::connect_within(suspect.address, limit).await {
+    match socket::connect_bounded(suspect.address, limit).await {
         Ok(stream) => ask(hub, suspect, stream, limit).await,
         Err(error) => Asked::Unanswered(Some(connect_error_sign(&error))),
     }
--- a/tests/endless_crowds.rs
+++ b/tests/endless_crowds.rs
@@ -9,6 +9,7 @@
     crowd::{Crowd, Script},
     crowd_site::{MEMORY_BYTES, MEMORY_MB, alone, check_bounds},
     taps::TappedDeployment,
+    usage::Usage,
     wait_for,
 };
 use rstest::rstest;
@@ -27,6 +28,8 @@
 const TIME: Duration = Duration::from_millis(1_500);
 /// Bytes of an answer that a caller keeps.
 const KEPT_BYTES: usize = 4_096;
+/// Bytes of an upstream that the system may hold before its host reads them.
+const MAX_UNREAD: u64 = 64 << 10;
 
 /// Starts engines and plain upstreams with a slot for each caller.
 fn deployment() -> Deployment {
@@ -126,8 +129,15 @@
     deployment.engines.iter().for_each(|engine| engine.set_own_endless(Some(part)));
     let machine = json!({ "memory_mb": MEMORY_MB, "max_fds": MAX_FDS });
     let mut host = deployment.limited_host("front-0", &machine);
-    thread::sleep(4 * TIME);
+    let peers: Vec<_> = deployment.engines.iter().map(Runner::address).collect();
+    let (began, mut most) = (Instant::now(), 0);
+    while began.elapsed() < 4 * TIME {
+        most = most.max(Usage::unread_from(&peers));
+        thread::sleep(Duration::from_millis(5));
+    }
+    println!("{most} bytes unread");
     check_bounds(&mut host, MAX_FDS);
+    assert!(most <= ENGINES as u64 * MAX_UNREAD, "{most} bytes of reports are not read");
 }
 
 /// Answers that pass through another host, which must bear them as well.
--- a/tests/support/usage.rs
+++ b/tests/support/usage.rs
@@ -58,6 +58,19 @@
         self.queued(|(sent, _)| sent)
     }
 
+    /// Bytes that have arrived from `peers` and are not read, at any process that is connected to them.
+    pub fn unread_from(peers: &[SocketAddr]) -> u64 {
+        let peers: Vec<String> = peers.iter().map(|peer| written(*peer)).collect();
+        let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the list of sockets");
+        let queues = sockets.lines().filter_map(|line| {
+            let mut fields = line.split_whitespace().skip(2);
+            let is_of_peer = peers.iter().any(|peer| Some(peer.as_str()) == fields.clone().next());
+            let received = fields.nth(2)?.split_once(':')?.1;
+            is_of_peer.then(|| u64::from_str_radix(received, 16).ok()).flatten()
+        });
+        queues.sum()
+    }
+
     /// Sum over the sockets of callers of a part of what the system has queued, sent and received bytes.
     fn queued(&self, part: impl Fn((u64, u64)) -> u64) -> u64 {
         let front = written(self.front);
