fix: an answer to a range or a condition that nobody asked for is none

A runner in trouble could answer 206 with a part of its body, signed, to a request without Range, and the caller took it for the whole; 304 likewise without a condition. Both count as answers to another request now: the attempt may have run, and its connection is closed.

--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -1,10 +1,10 @@
 //! Hop-by-hop headers and keep-alive parameters.
 
 use http::{
-    HeaderMap, HeaderName,
+    HeaderMap, HeaderName, StatusCode,
     header::{
-        CONNECTION, CONTENT_LENGTH, EXPECT, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
-        TRANSFER_ENCODING, UPGRADE,
+        CONNECTION, CONTENT_LENGTH, EXPECT, IF_MODIFIED_SINCE, IF_NONE_MATCH, PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION, RANGE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
     },
 };
 use std::time::Duration;
@@ -26,6 +26,9 @@
     EXPECT,
 ];
 
+/// Headers by which a caller states what it has already.
+const CONDITIONS: [HeaderName; 2] = [IF_MODIFIED_SINCE, IF_NONE_MATCH];
+
 /// Returns the end-to-end headers: all but the hop-by-hop ones and those listed in `Connection`.
 pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let mut kept = headers.clone();
@@ -44,6 +47,15 @@
     }
 }
 
+/// Whether a request with these headers may be answered with `status`: some answer a range or a condition only.
+pub(crate) fn may_answer(status: StatusCode, headers: &HeaderMap) -> bool {
+    match status {
+        StatusCode::PARTIAL_CONTENT => headers.contains_key(RANGE),
+        StatusCode::NOT_MODIFIED => CONDITIONS.iter().any(|name| headers.contains_key(name)),
+        _ => true,
+    }
+}
+
 /// Returns the names that `Connection` lists.
 fn listed(headers: &HeaderMap) -> Vec<HeaderName> {
     headers
--- a/crates/gateway/src/sending.rs
+++ b/crates/gateway/src/sending.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     connect::connect_upstream,
-    headers::{end_to_end, keep_alive_timeout, remove_listed},
+    headers::{end_to_end, keep_alive_timeout, may_answer, remove_listed},
     hub::Hub,
     pool::Connection,
 };
@@ -77,8 +77,10 @@
     };
     let (mut head, body) = response.into_parts();
     remove_listed(&mut head.headers);
-    let kind = match connection.is_used && !hub.ports.engine.names_request(&head) {
-        // It may belong to any of the requests that the connection has carried.
+    // It may belong to any of the requests that the connection has carried.
+    let is_unnamed = connection.is_used && !hub.ports.engine.names_request(&head);
+    let is_unasked = !may_answer(head.status, &context.outgoing.parts.headers);
+    let kind = match is_unnamed || is_unasked {
         true => AnswerKind::Foreign,
         false => hub.ports.engine.classify_answer(&head, name, &attempt.upstream),
     };
--- a/tests/spoilt_heads.rs
+++ b/tests/spoilt_heads.rs
@@ -26,7 +26,7 @@
     };
 }
 
-const SPOILT: [&str; 30] = [
+const SPOILT: [&str; 31] = [
     spoilt!("no field\r\n"),
     spoilt!(": no name\r\n"),
     spoilt!("X Blank: 1\r\n"),
@@ -49,6 +49,7 @@
     spoilt!(status "HTTP/1.1 200\r\n"),
     spoilt!(status "HTTP/1.1 2O0 OK\r\n"),
     spoilt!(status "HTTP/1.1 101 Switching Protocols\r\n"),
+    spoilt!(status "HTTP/1.1 206 Partial Content\r\n"),
     spoilt!(end "Content-Length: 4O\r\n\r\nspoil"),
     spoilt!(end "Content-Length: 5\r\n\r\nspoil and more"),
     spoilt!(end "Content-Length: 5, 5\r\n\r\nspoil"),
@@ -206,6 +207,27 @@
     assert_eq!(answer.status, 200, "the upstream neither rests nor leaves: {answer:?}");
 }
 
+/// A status that answers a condition or a range is no answer to a request without one, and is one to a request with one.
+#[test]
+fn conditional_statuses() {
+    const PARTIAL: &str = "HTTP/1.1 206 Partial Content\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\nContent-Range: bytes 0-4/9\r\nContent-Length: 5\r\n\r\nwhole";
+    const UNCHANGED: &str =
+        "HTTP/1.1 304 Not Modified\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\n\r\n";
+    let deployment = Deployment::start();
+    let host = deployment.host("front-1");
+    let desk = &deployment.desks[0];
+    for (text, field, status) in
+        [(PARTIAL, ("Range", "bytes=0-4"), 206), (UNCHANGED, ("If-None-Match", "\"a\""), 304)]
+    {
+        desk.set_behaviour(Behaviour::Text(text));
+        let asked =
+            request("/check/1", usize::from(status)).with(field.0, field.1).send(host.front);
+        assert_eq!((asked.status, asked.is_complete), (status, true), "{asked:?}");
+        let unasked = request("/check/2", usize::from(status)).send(host.front);
+        assert_eq!(unasked.status, 502, "{unasked:?}");
+    }
+}
+
 /// A report that is no answer says nothing of its upstream.
 #[test]
 fn report() {
