fix: an exit holds no more of a head than a tunnel is charged

The strict reader of an exit kept up to 32 KiB of a head for each tunnel, in a buffer of up to twice that, beside the 48 KiB that a tunnel is charged: the sum over all tunnels could exceed their sixteenth of the memory.

Change: an exit follows heads of up to 8 KiB (a longer one passes and shows nothing), buffers of heads grow to what they hold, and a tunnel is charged 56 KiB. How a request's first bytes tell its method stood twice and is the reader's now.

--- a/crates/answer/src/reader.rs
+++ b/crates/answer/src/reader.rs
@@ -11,10 +11,20 @@
 pub const MAX_HEAD_BYTES: usize = 32 << 10;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
+/// The beginning of a request whose answer has no body.
+const BODILESS_START: &[u8] = b"HEAD ";
+
 /// Follows the answers of one connection, each of which is due after a request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct AnswerReader {
     next: Next,
+    max_head: usize,
+}
+
+impl Default for AnswerReader {
+    fn default() -> Self {
+        Self::with_max_head(MAX_HEAD_BYTES)
+    }
 }
 
 /// What is due next.
@@ -36,22 +46,36 @@
 }
 
 /// A head as far as it was received.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct OpenHead {
     bytes: Vec<u8>,
-    /// Length of the informational answers that came before it.
-    earlier: usize,
+    /// Maximum length, less that of the informational answers that came before it.
+    left: usize,
     is_bodiless: bool,
 }
 
 impl AnswerReader {
+    /// Creates a reader of answers whose heads, with the informational answers before them, have at most `max_head` bytes.
+    pub fn with_max_head(max_head: usize) -> Self {
+        Self { next: Next::default(), max_head }
+    }
+
     /// Awaits the answer to a request that is sent now; `is_bodiless` if its method is `HEAD`.
     pub fn expect(&mut self, is_bodiless: bool) {
         if self.is_idle() {
-            self.next = Next::Head(OpenHead { is_bodiless, ..OpenHead::default() });
+            let (bytes, left) = (Vec::new(), self.max_head);
+            self.next = Next::Head(OpenHead { bytes, left, is_bodiless });
         }
     }
 
+    /// Awaits the answer to a request of which these bytes are sent now, unless they are a later part of one; returns
+    /// whether they are the first.
+    pub fn sent(&mut self, bytes: &[u8]) -> bool {
+        let is_first = self.is_idle();
+        self.expect(bytes.starts_with(BODILESS_START));
+        is_first
+    }
+
     /// Follows the next bytes of the connection. Returns the number of those that belong to the answer; if there are more,
     /// [`AnswerReader::malformed`] tells why. Nothing of a head that is malformed belongs to an answer, and not all of a
     /// body that goes on after its stated length.
@@ -149,9 +173,11 @@
 impl OpenHead {
     /// Adds bytes up to the end of the head; returns their number, and the head if it is complete.
     fn read(&mut self, bytes: &[u8]) -> Result<(usize, Option<Head>), Malformed> {
-        let room = MAX_HEAD_BYTES.saturating_sub(self.earlier + self.bytes.len());
+        let room = self.left.saturating_sub(self.bytes.len());
         let before = self.bytes.len();
         let offered = &bytes[..bytes.len().min(room)];
+        // A head without end takes no more than the maximum.
+        self.bytes.reserve_exact(offered.len());
         self.bytes.extend_from_slice(offered);
         // The end may have begun in the bytes before.
         let from = before.saturating_sub(HEAD_END.len() - 1);
@@ -185,7 +211,7 @@
 
     /// Begins another head after an informational one.
     fn restart(&mut self) {
-        self.earlier += self.bytes.len();
+        self.left -= self.bytes.len();
         self.bytes.clear();
     }
 }
--- a/crates/gateway/src/exit.rs
+++ b/crates/gateway/src/exit.rs
@@ -28,7 +28,7 @@
 /// Share of the process's memory that the tunnels of other hosts may use, as a divisor, and the
 /// memory of one tunnel.
 const MEMORY_DIVISOR: u64 = 16;
-const TUNNEL_BYTES: u64 = 48 << 10;
+const TUNNEL_BYTES: u64 = 56 << 10;
 /// Maximum number of tunnels of other hosts if the memory is not stated.
 const DEFAULT_MAX_TUNNELS: usize = 256;
 /// Time in which an upstream must answer before a tunnel to it is opened, less than the requesting
--- a/crates/link/src/checked.rs
+++ b/crates/link/src/checked.rs
@@ -7,9 +7,6 @@
 };
 use vanetally_answer::{AnswerReader, Malformed};
 
-/// The beginning of a request whose answer has no body.
-const HEAD_START: &[u8] = b"HEAD ";
-
 /// Checks the answers on the connections of another connector.
 #[derive(Debug, Default)]
 pub(crate) struct CheckedConnector;
@@ -39,10 +36,7 @@
     }
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
-        if self.answers.is_idle() {
-            let is_head = self.inner.buffers().output().starts_with(HEAD_START);
-            self.answers.expect(is_head);
-        }
+        self.answers.sent(&self.inner.buffers().output()[..amount]);
         self.inner.transmit_output(amount, timeout)
     }
 
--- a/crates/link/src/tunnel.rs
+++ b/crates/link/src/tunnel.rs
@@ -1,8 +1,8 @@
 //! Tunnels: connections to upstreams that pass through another daemon, the *exit*.
 //!
 //! The daemon that can't reach an upstream opens a tunnel to the exit, which connects to the upstream
-//! and copies bytes in both directions. The exit changes none of them, and only reads whether an answer begins. A tunnel ends when
-//! either of its connections ends, so that the end of a request reaches the upstream; a connection
+//! and copies bytes in both directions. The exit changes none of them, and follows where answers begin and end. A tunnel
+//! ends when either of its connections ends, so that the end of a request reaches the upstream; a connection
 //! that was reset is told apart from one that was closed.
 
 use crate::{
@@ -156,8 +156,8 @@
 /// Time without bytes after which a tunnel of a stopping host is closed if it carries no request: the requesting host has
 /// learned of the stop by then, and sends none.
 const NOTICE_TIME: Duration = Duration::from_millis(250);
-/// The beginning of a request whose answer has no body.
-const HEAD_START: &[u8] = b"HEAD ";
+/// Maximum size of the head of an answer that the exit follows; a longer one shows nothing. It is held for each tunnel.
+const MAX_FOLLOWED_HEAD_BYTES: usize = 8 << 10;
 
 /// Opens a tunnel through the daemon `to`.
 pub(crate) async fn open(
@@ -244,7 +244,7 @@
 }
 
 /// What an upstream has shown on the connection of a tunnel.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Seen {
     answers: AnswerReader,
     /// Whether bytes have come.
@@ -252,15 +252,6 @@
 }
 
 impl Seen {
-    /// Records that a request, or a part of one, was sent; returns whether an answer is awaited from now on.
-    fn sent(&mut self, bytes: &[u8]) -> bool {
-        let is_first = self.answers.is_idle();
-        if is_first {
-            self.answers.expect(bytes.starts_with(HEAD_START));
-        }
-        is_first
-    }
-
     /// Records bytes of the upstream; returns whether they complete the head of an answer.
     fn received(&mut self, bytes: &[u8]) -> bool {
         self.has_sent = true;
@@ -279,11 +270,13 @@
 
 impl FarEnd {
     fn new(watcher: Box<dyn TunnelWatcher>) -> Self {
-        Self { watcher: Mutex::new(watcher), seen: Mutex::default() }
+        let answers = AnswerReader::with_max_head(MAX_FOLLOWED_HEAD_BYTES);
+        let seen = Seen { answers, has_sent: false };
+        Self { watcher: Mutex::new(watcher), seen: Mutex::new(seen) }
     }
 
     fn sent(&self, bytes: &[u8]) {
-        if self.seen().sent(bytes) {
+        if self.seen().answers.sent(bytes) {
             self.watcher().sent();
         }
     }
--- a/crates/link/tests/tunnel.rs
+++ b/crates/link/tests/tunnel.rs
@@ -237,6 +237,25 @@
     assert_eq!(read.ok(), Some(0), "it is closed after the answer");
 }
 
+/// An exit holds no more of a head than it follows; a longer one passes, and shows nothing.
+#[tokio::test]
+async fn long_head() {
+    let (listener, address) = upstream().await;
+    let site = Site::new(address);
+    let mut stream = site.open().await.expect("it opens").stream;
+    let mut far = accept(&listener).await;
+    stream.write_all(b"request").await.expect("an open tunnel");
+    stream.flush().await.expect("an open tunnel");
+    far.read_exact(&mut [0; 7]).await.expect("the request");
+    let head = format!("HTTP/1.1 204 No Content\r\nX-Long: {}\r\n\r\n", "x".repeat(20_000));
+    far.write_all(head.as_bytes()).await.expect("an open connection");
+    drop(far);
+    let mut received = Vec::new();
+    timeout(MAX_WAIT, stream.read_to_end(&mut received)).await.expect("in time").expect("the end");
+    assert_eq!(received.len(), head.len());
+    site.signs.wait_for(&["sent"]).await;
+}
+
 /// Bytes that are no answer show neither that the upstream answers nor that it can't be reached.
 #[rstest::rstest]
 #[case(b"HTTP/1.1 200 OK\r\nno field\r\n\r\n")]
