fix: an engine's answer that is too long for the daemon is not cut and passed on as whole

The daemon read 32 MB of an engine's whole answer and sent what it had, as complete. Such an answer counts as failed now and may have run.

Cause: the end of what is read was taken for the end of the body. Measured (x86_64, debug): the reading has a function of its own since, which longer_body tests with 5 of 4 bytes; the cut itself was read in the code and not shown through the daemon, since a stand-in's answer of 32 MB does not exist.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -107,12 +107,11 @@
     fn forward_whole(&self, answer: call::Answer, exchange: Exchange) -> Outcome {
         let content_type = header(&answer, "content-type").unwrap_or("application/json").to_owned();
         let status = answer.status;
-        let mut body = Vec::new();
-        let read = answer.body.take(MAX_WHOLE_BYTES).read_to_end(&mut body);
-        if read.is_err() || status >= 500 {
+        let body = answer.read_whole(MAX_WHOLE_BYTES).ok().filter(|_| status < 500);
+        let Some(body) = body else {
             let end = AttemptEnd::Failed(Verdict::MayHaveRun);
             return Outcome { end, exchange: Some(exchange), answer: None };
-        }
+        };
         self.send_whole(status, &content_type, Vec::new(), body, exchange)
     }
 
--- a/crates/link/src/call.rs
+++ b/crates/link/src/call.rs
@@ -4,7 +4,10 @@
 //! is sent once and never retried.
 
 use crate::checked::CheckedConnector;
-use std::{io::Read, time::Duration};
+use std::{
+    io::{self, Read},
+    time::Duration,
+};
 use ureq::{
     Agent, Body, Timeout,
     http::{Request, Response},
@@ -49,6 +52,21 @@
     pub body: Box<dyn Read + Send>,
 }
 
+impl Answer {
+    /// Reads the whole body, of at most `max` bytes.
+    ///
+    /// # Errors
+    /// If it breaks off or is longer.
+    pub fn read_whole(self, max: u64) -> io::Result<Vec<u8>> {
+        let mut body = Vec::new();
+        self.body.take(max + 1).read_to_end(&mut body)?;
+        match body.len() as u64 <= max {
+            true => Ok(body),
+            false => Err(io::Error::new(io::ErrorKind::InvalidData, "the body is too long")),
+        }
+    }
+}
+
 /// The error of a call without an answer.
 #[derive(Clone, Debug, thiserror::Error)]
 #[error("{message}")]
--- a/crates/link/tests/client.rs
+++ b/crates/link/tests/client.rs
@@ -123,3 +123,14 @@
         assert_eq!(connections.load(Ordering::Relaxed), number, "a connection was used again");
     }
 }
+
+/// A body that is longer than what is read of it is no whole one.
+#[test]
+fn longer_body() {
+    const TEXT: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+    let (address, _) = start(|stream| answer_with(stream, TEXT));
+    let client = Client::new(OPTIONS);
+    let read = |max| client.send(&call_to(address)).expect("an answer").read_whole(max);
+    assert_eq!(read(5).expect("all of it"), b"whole");
+    assert!(read(4).is_err(), "a part looks whole");
+}
