fix: the beginnings of reports are bounded in sum as well

16 KiB of each report always had room, so that the sum grew with the fleet: 77 MB if 4,800 engines sent reports without end to one host at once. The room is a decision of crates/admission now (SharedRoom): a thirty-second of the memory for the beginnings of bodies and another for the rest, so that a few long ones leave room for many short ones.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -10,8 +10,10 @@
 mod connections;
 mod limits;
 mod machine;
+mod shared_room;
 
 pub use bodies::BodyId;
 pub use connections::ConnectionId;
 pub use limits::Limits;
 pub use machine::{Action, Admission, Counts, Event, Reason, Timeouts};
+pub use shared_room::{Share, SharedRoom};
--- a/crates/gateway/src/body_room.rs
+++ b/crates/gateway/src/body_room.rs
@@ -3,20 +3,19 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use std::{cell::Cell, rc::Rc};
+use std::{cell::RefCell, rc::Rc};
+use vanetally_admission::{Share, SharedRoom};
 
 /// Maximum size of a body.
 const MAX_BODY_BYTES: usize = 512 << 10;
-/// Size up to which a body always has room.
-const FREE_BYTES: usize = 16 << 10;
-/// Share of the process's memory that the rest of all bodies may take, as a divisor.
+/// Share of the process's memory that the beginnings of all bodies may take, and the rest of them, as a divisor.
 const MEMORY_DIVISOR: u64 = 32;
 /// The same if the memory is not stated.
 const DEFAULT_BYTES: usize = 8 << 20;
 
 /// Room for the bodies that are read at the same time.
 #[derive(Clone, Debug)]
-pub(crate) struct BodyRoom(Rc<Cell<usize>>);
+pub(crate) struct BodyRoom(Rc<RefCell<SharedRoom>>);
 
 /// Why a body was not read.
 #[derive(Debug, thiserror::Error)]
@@ -35,20 +34,21 @@
 /// A part of the room, until dropped.
 struct Part {
     room: BodyRoom,
-    bytes: usize,
+    share: Share,
 }
 
 impl BodyRoom {
     /// Creates the room of a process that may use `memory_bytes`, if stated.
     pub(crate) fn new(memory_bytes: Option<u64>) -> Self {
         let by_memory = |bytes: u64| (bytes / MEMORY_DIVISOR) as usize;
-        Self(Rc::new(Cell::new(memory_bytes.map_or(DEFAULT_BYTES, by_memory))))
+        let room = SharedRoom::new(memory_bytes.map_or(DEFAULT_BYTES, by_memory));
+        Self(Rc::new(RefCell::new(room)))
     }
 
     /// Reads a body to its end.
     pub(crate) async fn read(&self, mut body: Incoming) -> Result<Bytes, Error> {
         let mut bytes = BytesMut::new();
-        let mut part = Part { room: self.clone(), bytes: 0 };
+        let mut part = Part { room: self.clone(), share: Share::default() };
         while let Some(frame) = body.frame().await {
             let data = frame?.into_data().unwrap_or_default();
             part.grow_to(bytes.len() + data.len())?;
@@ -65,16 +65,13 @@
             return Err(Error::TooLong);
         }
         // The buffer may have twice the capacity.
-        let wanted = (2 * length.saturating_sub(FREE_BYTES)).saturating_sub(self.bytes);
-        let left = self.room.0.get().checked_sub(wanted).ok_or(Error::NoRoom)?;
-        self.room.0.set(left);
-        self.bytes += wanted;
-        Ok(())
+        let has_room = self.room.0.borrow_mut().grow(&mut self.share, 2 * length);
+        has_room.then_some(()).ok_or(Error::NoRoom)
     }
 }
 
 impl Drop for Part {
     fn drop(&mut self) {
-        self.room.0.set(self.room.0.get() + self.bytes);
+        self.room.0.borrow_mut().release(self.share);
     }
 }
