--- a/tests/support/usage.rs
+++ b/tests/support/usage.rs
@@ -1,5 +1,8 @@
 //! What a host process holds: memory, descriptors, and bytes that have arrived and are not read.
 
+// Each test binary uses only some of these helpers.
+#![allow(dead_code)]
+
 use std::net::SocketAddr;
 
 /// Returns a value of `/proc/PID/status`, in bytes.
