fix: the answers of all engines together stay within the daemon's memory

Callers would have seen: a host that runs out of memory, and all requests there end with it, while engines send whole answers that do not end.

Cause: a whole answer may have 32 MB and an event 1 MB, each for itself; with 1,000 requests at once nothing bounds the sum.

Change: what is read of answers shares a quarter of `limits.memory` (`AnswerRoom`, on `SharedRoom`); an answer without room is a failed attempt that may have run, logged as `answer-unread`. The daemon has blocks from 64 KiB on mapped on their own, so that they return when they are freed. `read_whole` asks for room as the body grows; its test has the same bounds.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     admin,
+    answer_room::AnswerRoom,
     frontend::Frontend,
     hub::{self, Executors, Input},
     platform::{self, PlatformThreads},
@@ -57,6 +58,8 @@
     /// # Errors
     /// If an address can't be bound or a thread can't be created.
     pub fn try_start(settings: Settings) -> anyhow::Result<Self> {
+        // What engines answer is held in blocks that grow; freed ones would stay with each thread.
+        vanetally_heap::return_large_blocks();
         telemetry::handle();
         let listen = Server::try_bind(settings.listen).context("settings key `listen`")?;
         let admin = Server::try_bind(settings.admin).context("settings key `admin`")?;
@@ -206,7 +209,8 @@
     client: Client,
     server: Server,
 ) -> Stopper {
-    let frontend = Arc::new(Frontend { shared: shared.clone(), hub: hub.clone(), client });
+    let room = AnswerRoom::new(shared.settings.limits.memory.0);
+    let frontend = Arc::new(Frontend { shared: shared.clone(), hub: hub.clone(), client, room });
     let (limits, timing) = (&shared.settings.limits, &shared.settings.timing);
     let options = http::Options {
         max_exchanges: limits.streams,
--- a/crates/daemon/src/frontend.rs
+++ b/crates/daemon/src/frontend.rs
@@ -3,6 +3,7 @@
 use crate::{
     admin,
     admission::{admit, authenticate, deadline, idempotency_key},
+    answer_room::AnswerRoom,
     hub::{Decision, Input},
     proxy::Attempt,
     refusal::Refusal,
@@ -92,6 +93,8 @@
     pub shared: Arc<Shared>,
     pub hub: Sender<Input>,
     pub client: Client,
+    /// Room for what upstreams answer.
+    pub room: AnswerRoom,
 }
 
 /// Maximum time after a request's deadline until the event loop has decided.
@@ -317,6 +320,7 @@
                     let attempt = Attempt {
                         request,
                         client: &self.client,
+                        room: &self.room,
                         host: &self.shared.settings.host,
                         upstream,
                         url,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admin;
 mod admission;
+mod answer_room;
 mod daemon;
 mod frontend;
 mod hub;
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -1,8 +1,14 @@
 //! One attempt to serve a request: calls an upstream and forwards its answer to the caller.
 
-use crate::{frontend::UpstreamRequest, refusal::Refusal, sse::EngineEvents, telemetry};
+use crate::{
+    answer_room::{AnswerRoom, HeldAnswer},
+    frontend::UpstreamRequest,
+    refusal::Refusal,
+    sse::EngineEvents,
+    telemetry,
+};
 use std::{
-    io::Read,
+    io::{self, Read},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -25,7 +31,7 @@
 }
 
 /// Maximum size of an engine's answer that is not an event stream.
-const MAX_WHOLE_BYTES: u64 = 32_000_000;
+const MAX_WHOLE_BYTES: usize = 32_000_000;
 /// Size from which the body of a service's answer is streamed.
 const SERVICE_STREAM_BYTES: usize = 64 * 1024;
 /// Maximum size of an event of a stream.
@@ -38,6 +44,7 @@
 pub(crate) struct Attempt<'a> {
     pub request: &'a UpstreamRequest,
     pub client: &'a Client,
+    pub room: &'a AnswerRoom,
     pub host: &'a Name,
     pub upstream: Name,
     pub url: Name,
@@ -107,8 +114,16 @@
     fn forward_whole(&self, answer: call::Answer, exchange: Exchange) -> Outcome {
         let content_type = header(&answer, "content-type").unwrap_or("application/json").to_owned();
         let status = answer.status;
-        let body = answer.read_whole(MAX_WHOLE_BYTES).ok().filter(|_| status < 500);
-        let Some(body) = body else {
+        let mut held = self.room.hold();
+        let body = answer.read_whole(MAX_WHOLE_BYTES, |bytes| held.grow(bytes));
+        let unread = |error: &io::Error| {
+            log::warn!(
+                "event=answer-unread upstream={} request={} error=\"{error}\"",
+                self.upstream,
+                self.request.id
+            );
+        };
+        let Some(body) = body.inspect_err(unread).ok().filter(|_| status < 500) else {
             let end = AttemptEnd::Failed(Verdict::MayHaveRun);
             return Outcome { end, exchange: Some(exchange), answer: None };
         };
@@ -178,8 +193,12 @@
 
     /// Forwards an engine's event stream.
     fn forward_events(&self, answer: call::Answer, exchange: Exchange) -> Outcome {
-        let mut relay =
-            Relay { attempt: self, splitter: EngineEvents::default(), copy: Vec::new() };
+        let mut relay = Relay {
+            attempt: self,
+            splitter: EngineEvents::default(),
+            copy: Vec::new(),
+            held: self.room.hold(),
+        };
         relay.run(answer, exchange)
     }
 }
@@ -281,13 +300,14 @@
     splitter: EngineEvents,
     /// The forwarded events, stored for repeats of a once-only request.
     copy: Vec<u8>,
+    held: HeldAnswer,
 }
 
 /// Why reading from the upstream stopped.
 enum ReadEnd {
     /// The end mark arrived.
     Done,
-    /// The connection broke or an event is too large.
+    /// The connection broke, an event is too large, or there is no room for it.
     Broken,
 }
 
@@ -299,7 +319,7 @@
         let mut piece = [0; PIECE_BYTES];
         while first.is_empty() {
             match answer.body.read(&mut piece) {
-                Ok(len) if len > 0 && self.splitter.pending_bytes() < MAX_EVENT_BYTES => {
+                Ok(len) if len > 0 && self.may_go_on() => {
                     first = self.splitter.push(&piece[..len]);
                 }
                 _ => {
@@ -332,6 +352,12 @@
         Outcome { end, exchange: None, answer: kept }
     }
 
+    /// Whether more of an event may be read.
+    fn may_go_on(&mut self) -> bool {
+        self.splitter.pending_bytes() < MAX_EVENT_BYTES
+            && self.held.grow(self.splitter.held_bytes() + self.copy.capacity())
+    }
+
     /// Sends events to the caller, unless it has disconnected, and adds them to the copy.
     fn forward(&mut self, stream: &mut Option<Stream>, events: &[u8]) {
         let request = self.attempt.request;
@@ -373,7 +399,7 @@
         let mut piece = [0; PIECE_BYTES];
         while !self.splitter.done {
             let len = match body.read(&mut piece) {
-                Ok(len) if len > 0 && self.splitter.pending_bytes() < MAX_EVENT_BYTES => len,
+                Ok(len) if len > 0 && self.may_go_on() => len,
                 _ => return Some(ReadEnd::Broken),
             };
             let events = self.splitter.push(&piece[..len]);
--- a/crates/daemon/src/sse.rs
+++ b/crates/daemon/src/sse.rs
@@ -48,6 +48,11 @@
         self.scanner = Scanner::default();
     }
 
+    /// Returns the memory that the incomplete event takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Returns the size of the incomplete event.
     pub fn pending_bytes(&self) -> usize {
         self.pending.len()
--- a/crates/heap/src/lib.rs
+++ b/crates/heap/src/lib.rs
@@ -14,6 +14,24 @@
     }
 }
 
+/// Has large blocks returned to the system as soon as they are freed: they are mapped on their own, whatever was freed before.
+#[cfg(all(target_os = "linux", target_env = "gnu"))]
+#[allow(unsafe_code)]
+pub fn return_large_blocks() {
+    // SAFETY: the function has no requirements and may be called at any time.
+    unsafe {
+        libc::mallopt(libc::M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
+    }
+}
+
+/// Size of a large block.
+#[cfg(all(target_os = "linux", target_env = "gnu"))]
+const LARGE_BLOCK_BYTES: libc::c_int = 64 << 10;
+
+/// Does nothing: only the allocator of the GNU C library is known to keep large blocks.
+#[cfg(not(all(target_os = "linux", target_env = "gnu")))]
+pub fn return_large_blocks() {}
+
 /// Does nothing: only the allocator of the GNU C library is known to keep free memory.
 #[cfg(not(all(target_os = "linux", target_env = "gnu")))]
 pub fn release_free() {}
--- a/crates/link/src/call.rs
+++ b/crates/link/src/call.rs
@@ -5,7 +5,7 @@
 
 use crate::checked::CheckedConnector;
 use std::{
-    io::{self, Read},
+    io::{self, ErrorKind, Read},
     time::Duration,
 };
 use ureq::{
@@ -53,16 +53,36 @@
 }
 
 impl Answer {
-    /// Reads the whole body, of at most `max` bytes.
+    /// Reads the whole body, of at most `max_bytes`. `has_room` tells whether this number of bytes may be held.
     ///
     /// # Errors
-    /// If it breaks off or is longer.
-    pub fn read_whole(self, max: u64) -> io::Result<Vec<u8>> {
-        let mut body = Vec::new();
-        self.body.take(max + 1).read_to_end(&mut body)?;
-        match body.len() as u64 <= max {
-            true => Ok(body),
-            false => Err(io::Error::new(io::ErrorKind::InvalidData, "the body is too long")),
+    /// If it breaks off, is longer, or finds no room.
+    pub fn read_whole(
+        mut self,
+        max_bytes: usize,
+        mut has_room: impl FnMut(usize) -> bool,
+    ) -> io::Result<Vec<u8>> {
+        let mut whole = Vec::new();
+        let mut piece = [0; PIECE_BYTES];
+        loop {
+            let length = match self.body.read(&mut piece) {
+                Ok(0) => return Ok(whole),
+                Ok(length) => length,
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                Err(error) => return Err(error),
+            };
+            let needed = whole.len() + length;
+            if needed > max_bytes {
+                return Err(io::Error::new(ErrorKind::InvalidData, "the body is too long"));
+            }
+            if needed > whole.capacity() {
+                let capacity = (2 * whole.capacity()).min(max_bytes).max(needed);
+                if !has_room(capacity) {
+                    return Err(io::Error::new(ErrorKind::OutOfMemory, "no room for the body"));
+                }
+                whole.reserve_exact(capacity - whole.len());
+            }
+            whole.extend_from_slice(&piece[..length]);
         }
     }
 }
@@ -85,6 +105,8 @@
     agent: Agent,
 }
 
+/// Bytes of a body that are read at a time.
+const PIECE_BYTES: usize = 8 * 1024;
 /// Maximum number of idle connections: in total, and to one upstream.
 const MAX_IDLE: (usize, usize) = (512, 64);
 /// Maximum time that an idle connection is kept; servers keep theirs longer.
--- a/crates/link/tests/client.rs
+++ b/crates/link/tests/client.rs
@@ -130,7 +130,7 @@
     const TEXT: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
     let (address, _) = start(|stream| answer_with(stream, TEXT));
     let client = Client::new(OPTIONS);
-    let read = |max| client.send(&call_to(address)).expect("an answer").read_whole(max);
+    let read = |max| client.send(&call_to(address)).expect("an answer").read_whole(max, |_| true);
     assert_eq!(read(5).expect("all of it"), b"whole");
     assert!(read(4).is_err(), "a part looks whole");
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -104,6 +104,7 @@
 const PREFILL_PER_KB: Duration = Duration::from_millis(10);
 const MAX_LOAD_TIME: Duration = Duration::from_secs(600);
 const MAX_RESUMABLE_RUNS: usize = 1_000;
+const ENDLESS_PIECE_BYTES: usize = 8 << 10;
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|e| e.into_inner())
@@ -314,9 +315,11 @@
         let prefill = self.batcher.join(priority, &run.prompt);
         thread::sleep(prefill);
         let is_chat = exchange.head().path().starts_with("/v1/chat");
-        let is_complete = match body["stream"].as_bool() {
-            Some(true) => self.send_stream(&run, 0, exchange),
-            _ => self.send_whole(&run, is_chat, exchange),
+        let is_stream = body["stream"].as_bool().unwrap_or_default();
+        let is_complete = match self.faults.current().endless_bytes {
+            0 if is_stream => self.send_stream(&run, 0, exchange),
+            0 => self.send_whole(&run, is_chat, exchange),
+            bytes => self.send_endless(bytes, is_stream, exchange),
         };
         self.batcher.leave();
         lock(&self.memory).end_request(&run.model);
@@ -408,6 +411,23 @@
         stream.send(b"data: [DONE]\n\n").is_ok() && stream.finish().is_ok()
     }
 
+    /// Sends an event or a whole answer of which the end never comes; always returns false.
+    fn send_endless(&self, bytes: usize, is_stream: bool, exchange: Exchange) -> bool {
+        let content_type = if is_stream { "text/event-stream" } else { "application/json" };
+        let headers = [("Content-Type".to_owned(), content_type.to_owned())];
+        let Ok(mut stream) = exchange.stream(200, &headers) else {
+            return false;
+        };
+        let begins = stream.send(b"data: ");
+        let piece = [b'x'; ENDLESS_PIECE_BYTES];
+        let goes_on = (0..bytes / piece.len()).all(|_| stream.send(&piece).is_ok());
+        if begins.is_ok() && goes_on {
+            self.faults.wait_for_ends();
+        }
+        stream.abort();
+        false
+    }
+
     fn handle_resume(&self, id: &str, exchange: Exchange) {
         let after = exchange.head().query("after").and_then(|v| v.parse().ok()).unwrap_or(0);
         let run = lock(&self.resumable).get(id).cloned();
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -36,6 +36,8 @@
     pub break_after: u64,
     /// Whether resuming a broken stream is refused.
     pub no_resume: bool,
+    /// Number of bytes of answers that have no end, after which nothing more follows until this is 0 again.
+    pub endless_bytes: usize,
 }
 
 /// The outcome of a write or an order under the injected faults.
@@ -97,6 +99,13 @@
         }
     }
 
+    /// Waits until answers have an end again.
+    pub fn wait_for_ends(&self) {
+        while self.current().endless_bytes > 0 {
+            thread::sleep(FREEZE_POLL_INTERVAL);
+        }
+    }
+
     /// Returns the outcome of the next write or order and uses up the fault that causes it.
     pub fn next_outcome(&self) -> Outcome {
         let mut faults = self.lock();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -161,12 +161,21 @@
     pub fenced: bool,
     pub token_ms: u64,
     pub load_ms_per_gib: u64,
+    /// Requests that it runs at once, as the catalog states them.
+    pub slots: u32,
     pub order_life: Option<&'static str>,
 }
 
 impl Default for EngineOptions {
     fn default() -> Self {
-        Self { capacity_gib: 32, fenced: true, token_ms: 2, load_ms_per_gib: 5, order_life: None }
+        Self {
+            capacity_gib: 32,
+            fenced: true,
+            token_ms: 2,
+            load_ms_per_gib: 5,
+            slots: 8,
+            order_life: None,
+        }
     }
 }
 
@@ -412,7 +421,7 @@
 fn catalog(site: &Site, options: &SiteOptions) -> Value {
     let runner = |(index, (engine, options)): (usize, (&StandIn, &EngineOptions))| {
         json!({"name": engine.name, "url": engine.url, "domain": domain(index),
-            "capacity": format!("{}GiB", options.capacity_gib), "slots": 8, "fenced": options.fenced,
+            "capacity": format!("{}GiB", options.capacity_gib), "slots": options.slots, "fenced": options.fenced,
             "order_life": options.order_life})
     };
     let runners: Vec<Value> =
