test: nothing is taken from answers of the store that are none

`spoilt_heads::store` has a host read a store whose heads are spoilt in eight ways, while the configuration changes and an upstream leaves: it keeps what it knows, serves, takes the store for away, and has the next version once the store answers again.

--- a/tests/spoilt_heads.rs
+++ b/tests/spoilt_heads.rs
@@ -5,9 +5,12 @@
 
 mod gateway;
 
-use gateway::{Deployment, Host, taps::TappedDeployment, wait_for};
+use gateway::{Deployment, Host, fresh_ip, taps::TappedDeployment, wait_for};
+use rstest::rstest;
 use std::{thread, time::Duration};
-use vanetally_platform_standin::{Behaviour, Client, ClientAnswer, Runner, TapMode};
+use vanetally_platform_standin::{
+    Behaviour, Client, ClientAnswer, Proxy, ProxyMode, Runner, TapMode,
+};
 
 /// Answers that would be complete but for the part in the middle.
 macro_rules! spoilt {
@@ -243,3 +246,39 @@
     assert!(!deployment.log("front-1").contains("event=upstream_leaving"));
     assert_eq!(engine.after_text(), 0, "a connection was used again");
 }
+
+/// Nothing is taken from answers of the store that are none: it counts as away until it answers again.
+#[rstest]
+#[case::status("HTTP/1.1 200 ", "HTTP/1.1 000 ")]
+#[case::letter("HTTP/1.1 200 ", "HTTP/1.1 2O0 ")]
+#[case::control("\r\n\r\n", "\r\nX-\x01: 1\r\n\r\n")]
+#[case::blank("\r\n\r\n", "\r\nX Blank: 1\r\n\r\n")]
+#[case::no_field("\r\n\r\n", "\r\nno field\r\n\r\n")]
+#[case::lengths("\r\n\r\n", "\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\n")]
+#[case::length_and_chunks(
+    "\r\n\r\n",
+    "\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+)]
+#[case::coding("\r\n\r\n", "\r\nTransfer-Encoding: gzip\r\n\r\n")]
+fn store(#[case] old: &'static str, #[case] new: &'static str) {
+    let deployment = Deployment::start();
+    let ip = fresh_ip();
+    let link = Proxy::start(&ip, deployment.store.address());
+    let mut host = deployment.spawn_at("front-1", &ip, link.address());
+    let version = || host.metric("vanetally_configuration_version");
+    wait_for("the first version is in force", || version() == Some(1.0));
+    link.set_mode(ProxyMode::Reset);
+    thread::sleep(Duration::from_millis(100));
+    link.set_mode(ProxyMode::Replace(old, new));
+    deployment.configure(2, &["added"]);
+    deployment.store.remove("servers/i-desk-0");
+    thread::sleep(Duration::from_secs(3));
+    assert_eq!(version(), Some(1.0), "nothing was taken from spoilt answers");
+    let answer = request("/check/1", 0).send(host.front);
+    assert_eq!(answer.status, 200, "requests are served with what is known: {answer:?}");
+    let log = deployment.log("front-1");
+    assert!(log.contains("event=store_lost"), "{log}");
+    link.set_mode(ProxyMode::Pass);
+    wait_for("the next version is in force", || version() == Some(2.0));
+    assert!(host.try_wait().is_none(), "the process lives");
+}
