fix: ends that came before their requests are held against no content

Cause: a host that has just started knows an upstream from the store alone. Where another incarnation had taken its place before, broken streams made the host ask, another one answered, and that counted as an end under the requests.

Change: an upstream that a host finds announced is doubted until it shows which incarnation it is (a live announcement, a report, a probe). The end of a doubted one is no sign against contents; failures count as before.

--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -155,6 +155,16 @@
         /// The announced state.
         state: UpstreamState,
     },
+    /// The announcement of an upstream was there before this host, and the incarnation may have ended long ago.
+    UpstreamDoubted {
+        /// The upstream.
+        id: Incarnation,
+    },
+    /// An upstream is the incarnation that is known: it announced itself just now, or said so.
+    UpstreamProven {
+        /// The upstream.
+        id: Incarnation,
+    },
     /// The announcement of an upstream can't be read; it gets no new requests until it can.
     UpstreamUnreadable {
         /// The upstream.
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -158,9 +158,12 @@
                     upstream.is_unreadable = true;
                 }
             }
+            Event::UpstreamDoubted { id } => self.set_doubted(&id, true),
+            Event::UpstreamProven { id } => self.set_doubted(&id, false),
             Event::UpstreamEnded { id } => {
+                let is_doubted = self.is_doubted(&id);
                 self.upstream_gone(now, &id);
-                self.abandon_attempts(now, &id, &mut actions);
+                self.abandon_attempts(now, &id, is_doubted, &mut actions);
             }
             Event::UpstreamGone { id } => self.upstream_gone(now, &id),
             Event::Evacuated(domains) => self.set_evacuated(now, domains),
@@ -262,6 +265,17 @@
         self.upstreams.get(upstream).map(|known| &known.state)
     }
 
+    /// Whether an upstream may have ended before this host knew it, so that its end says nothing of its requests.
+    pub fn is_doubted(&self, upstream: &Incarnation) -> bool {
+        self.upstreams.get(upstream).is_some_and(|known| known.is_doubted)
+    }
+
+    fn set_doubted(&mut self, upstream: &Incarnation, is_doubted: bool) {
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.is_doubted = is_doubted;
+        }
+    }
+
     /// Returns the known upstreams.
     pub fn upstreams(&self) -> impl Iterator<Item = &Incarnation> {
         self.upstreams.keys()
--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -123,11 +123,13 @@
         sent.flat_map(|(_, request, attempt)| self.suspects(now, request, attempt)).collect()
     }
 
-    /// Cancels the attempts at an upstream that has ended. Its end is a crash sign against their contents.
+    /// Cancels the attempts at an upstream that has ended. Its end is a crash sign against their contents, unless it may have
+    /// come before them.
     pub(crate) fn abandon_attempts(
         &self,
         now: Tick,
         upstream: &Incarnation,
+        is_doubted: bool,
         actions: &mut Vec<Action>,
     ) {
         let abandon = |(id, request, _): (RequestId, &Request, &ActiveAttempt)| Action::Abandon {
@@ -136,7 +138,7 @@
         };
         actions.extend(self.sent_to(upstream).map(abandon));
         let suspects = self.suspects_at(now, upstream);
-        if !suspects.is_empty() {
+        if !suspects.is_empty() && !is_doubted {
             let sign = CrashSign::Ended;
             actions.push(Action::ReportCrash { upstream: upstream.clone(), sign, suspects });
         }
--- a/crates/dispatch/tests/incarnations.rs
+++ b/crates/dispatch/tests/incarnations.rs
@@ -48,6 +48,24 @@
     assert_eq!(refusal.verdict, Verdict::MayHaveRun);
 }
 
+/// The end of an incarnation that may have ended before its host knew it says nothing of what was sent there, until the
+/// upstream has shown which one it is.
+#[test]
+fn doubted_end_is_no_sign() {
+    for (is_proven, reports) in [(false, 0), (true, 1)] {
+        let mut host = host(RequestKind::Once);
+        host.handle(Event::UpstreamDoubted { id: incarnation(1) });
+        if is_proven {
+            host.handle(Event::UpstreamProven { id: incarnation(1) });
+        }
+        let (id, _) = host.arrive(request("a", "offer", Some("m1")));
+        let actions = restart(&mut host);
+        assert!(actions.contains(&Action::Abandon { id, number: 1 }), "it is cancelled");
+        let is_report = |action: &&Action| matches!(action, Action::ReportCrash { .. });
+        assert_eq!(actions.iter().filter(is_report).count(), reports, "proven: {is_proven}");
+    }
+}
+
 /// Attempts elsewhere and ended attempts are not affected.
 #[test]
 fn other_attempts_continue() {
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -242,8 +242,12 @@
     };
     if let Ok(report) = &report {
         log::debug!("event=report runner={runner} report={report:?}");
-        if let Some(born) = report.born.filter(|born| Some(*born) != runner.born) {
-            log::info!("event=report_of_another runner={runner} born={born}");
+        match report.born {
+            Some(born) if runner.born != Some(born) => {
+                log::info!("event=report_of_another runner={runner} born={born}");
+            }
+            Some(_) => hub.upstream_proven(runner.clone()),
+            None => {}
         }
     }
     hub.placement_event(placement::Event::Reported { runner, requested_at, report: report.ok() });
--- a/crates/gateway/src/probing.rs
+++ b/crates/gateway/src/probing.rs
@@ -159,6 +159,9 @@
 
     fn probe_finished(self: &Rc<Self>, upstream: Incarnation, finding: Finding) {
         let suspects = self.probes.borrow_mut().remove(&upstream).unwrap_or_default();
+        if finding == Finding::Answered {
+            self.upstream_proven(upstream.clone());
+        }
         record_probe(&upstream, finding.as_str(), suspects.len());
         let result = match &finding {
             Finding::Answered => ProbeResult::Answered,
@@ -205,12 +208,18 @@
     let has_exits = !hub.reach.borrow().exits.is_empty();
     if scope == ProbeScope::Direct || !has_exits {
         let asked = direct.await;
-        return if has_exits { direct_finding(asked) } else { sole_finding(asked) };
+        return match asked {
+            Asked::Answered => Finding::Answered,
+            Asked::Ended => replaced(hub, &suspect.upstream),
+            Asked::Unanswered(_) if has_exits => Finding::Unknown,
+            // There is no other host.
+            Asked::Unanswered(sign) => Finding::Faulty(sign),
+        };
     }
     let mut asked = timeout(EXIT_DELAY, &mut direct).await.ok();
     match asked {
         Some(Asked::Answered) => return Finding::Answered,
-        Some(Asked::Ended) => return Finding::Faulty(Some(CrashSign::Ended)),
+        Some(Asked::Ended) => return replaced(hub, &suspect.upstream),
         Some(Asked::Unanswered(_)) | None => {}
     }
     let mut through = Box::pin(finding_of_exits(hub, suspect));
@@ -232,7 +241,7 @@
     };
     match (asked, found) {
         (Some(Asked::Answered), _) => Finding::Answered,
-        (Some(Asked::Ended), _) => Finding::Faulty(Some(CrashSign::Ended)),
+        (Some(Asked::Ended), _) => replaced(hub, &suspect.upstream),
         (Some(Asked::Unanswered(sign)), Finding::Faulty(_)) => Finding::Faulty(sign),
         (_, found) => found,
     }
@@ -248,21 +257,11 @@
     }
 }
 
-/// Returns the finding of a direct probe that only looks whether an upstream is reached again.
-fn direct_finding(asked: Asked) -> Finding {
-    match asked {
-        Asked::Answered => Finding::Answered,
-        Asked::Ended => Finding::Faulty(Some(CrashSign::Ended)),
-        Asked::Unanswered(_) => Finding::Unknown,
-    }
-}
-
-/// Returns the finding of a direct probe if there is no other host.
-fn sole_finding(asked: Asked) -> Finding {
-    match asked {
-        Asked::Unanswered(sign) => Finding::Faulty(sign),
-        asked => direct_finding(asked),
-    }
+/// Returns the finding where another incarnation answers: an upstream that may have ended before this host knew it has shown no
+/// crash, and what broke the attempts off lives.
+fn replaced(hub: &Hub, upstream: &Incarnation) -> Finding {
+    let is_doubted = hub.dispatch.borrow().is_doubted(upstream);
+    Finding::Faulty((!is_doubted).then_some(CrashSign::Ended))
 }
 
 /// Asks an upstream on a new connection. An answer that comes too late for the probe still shows that
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -24,6 +24,15 @@
     lapsed: Rc<RefCell<BTreeMap<Name, Tick>>>,
 }
 
+/// Where an announcement was read.
+#[derive(Clone, Copy)]
+enum Origin {
+    /// Among all that the store holds.
+    Snapshot,
+    /// In a change that was just made.
+    Change,
+}
+
 impl UpstreamFeedHandler {
     pub(crate) fn new(hub: Rc<Hub>) -> Self {
         Self { hub, roster: Rc::default(), names: RefCell::default(), lapsed: Rc::default() }
@@ -33,8 +42,8 @@
         key.strip_prefix(self.hub.ports.upstreams.prefix()).map(Name::from)
     }
 
-    /// Handles a written key; `log_level` is that of the log line about a new upstream.
-    fn key_written(&self, item: &Item, log_level: log::Level) {
+    /// Handles a key that was read with the others, or just written; `log_level` is that of the log line about a new upstream.
+    fn key_read(&self, item: &Item, origin: Origin, log_level: log::Level) {
         let Some(id) = self.id(&item.key) else {
             return;
         };
@@ -48,7 +57,7 @@
         let now = self.hub.clock.now();
         let updates = self.roster.borrow_mut().record(now, &id, item.revision, read);
         for update in updates {
-            self.apply_update(&id, item.revision, update, log_level);
+            self.apply_update(&id, item.revision, update, origin, log_level);
         }
     }
 
@@ -57,6 +66,7 @@
         id: &Name,
         revision: Revision,
         update: RosterUpdate,
+        origin: Origin,
         log_level: log::Level,
     ) {
         match update {
@@ -64,7 +74,12 @@
                 if is_new || state.draining {
                     log_seen(log_level, &incarnation, &state, revision);
                 }
-                self.hub.upstream_seen(incarnation, state);
+                self.hub.upstream_seen(incarnation.clone(), state);
+                match origin {
+                    Origin::Change => self.hub.upstream_proven(incarnation),
+                    Origin::Snapshot if is_new => self.hub.upstream_doubted(incarnation),
+                    Origin::Snapshot => {}
+                }
             }
             RosterUpdate::Unreadable { incarnation, error } => {
                 telemetry::announcement_unreadable(&error);
@@ -188,12 +203,15 @@
             snapshot.at
         );
         // One line stands for the thousands of upstreams that a read may return.
-        snapshot.items.iter().for_each(|item| self.key_written(item, log::Level::Debug));
+        let read = |item| self.key_read(item, Origin::Snapshot, log::Level::Debug);
+        snapshot.items.iter().for_each(read);
     }
 
     fn changed(&self, change: Change) {
         match change {
-            Change::Put(item) => self.key_written(&item, self.hub.relayed_log_level()),
+            Change::Put(item) => {
+                self.key_read(&item, Origin::Change, self.hub.relayed_log_level());
+            }
             Change::Deleted { key, .. } => {
                 if let Some(id) = self.id(&key) {
                     self.key_removed(&id);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -19,7 +19,7 @@
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Client, Downtime, DowntimeMode};
+use vanetally_platform_standin::{Behaviour, Client, Downtime, DowntimeMode};
 
 const CRASH_BODY: &[u8] = b"deadly draft";
 /// Every such request has the crash body.
@@ -33,6 +33,8 @@
 /// Time after the third crash from which on at most `MAX_LATE` crashes may follow.
 const DETECTION_TIME: Duration = Duration::from_secs(4);
 const MAX_LATE: usize = 3;
+/// Time after engines answer again in which a request is served.
+const RETURN_TIME: Duration = Duration::from_secs(3);
 
 struct Site {
     deployment: Deployment,
@@ -164,3 +166,35 @@
 fn silent_address() {
     check_address(DowntimeMode::Unresponsive);
 }
+
+/// Engines restarted under their ids before a host started, which reads what they announced before, and break their
+/// streams off.
+///
+/// Guards against contents that are held back for ends that came before their requests.
+#[test]
+fn engines_restarted_before() {
+    let mut deployment = Deployment::start();
+    deployment.add_engine();
+    for engine in &deployment.engines {
+        engine.restart();
+        engine.load_initial_models();
+        engine.set_behaviour(Behaviour::BreakAfter(3));
+    }
+    let host = deployment.host("front-0");
+    let send = |number: u64| {
+        let client = Client::new("POST", "/offer/1", &format!("r{number}")).with("X-Model", "m1");
+        client.body(b"usual draft").deadline(3_000).send(host.front)
+    };
+    for number in 0..10 {
+        let answer = send(number);
+        assert!(!answer.is_complete || answer.status != 200, "{answer:?}");
+        thread::sleep(Duration::from_millis(200));
+    }
+    deployment.engines.iter().for_each(|engine| engine.set_behaviour(Behaviour::Complete));
+    let healed = Instant::now();
+    let is_served = |number: u64| send(number).status == 200;
+    assert!((10..).take_while(|_| healed.elapsed() < RETURN_TIME).any(is_served), "not served");
+    let log = deployment.log("front-0");
+    assert!(log.contains("event=upstream_looked_at"), "it was looked what became of them");
+    assert!(!log.contains("event=content_quarantined"));
+}
