fix: an engine that lacked a model once is found again after 4 s

Cause: the answer "not held" for weights was recorded like the order holder's report of an unload, which overrides announcements for 30 s. Evidence: the host sent nothing to that engine from 52:24.2, when it had answered so three times, to 52:54.2.

Change: such an answer counts for 4 s, like other reports; it does not shorten the report of an unload.

Result (x86_64): absent_model_returns fails before and passes now; the other tests of choice pass.

--- a/crates/dispatch/src/ending.rs
+++ b/crates/dispatch/src/ending.rs
@@ -198,7 +198,7 @@
             AttemptEnd::Replaced => upstream.is_replaced = true,
             AttemptEnd::Absent => {
                 if let Some(subject) = request.head.model.clone() {
-                    upstream.set_presence(subject, crate::Presence::Absent, now);
+                    upstream.answered_absent(subject, now);
                 }
             }
         }
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -83,6 +83,7 @@
     /// When the upstream will be gone, if it announced that.
     pub gone_at: Option<Tick>,
     peers: BTreeMap<Name, PeerLoad>,
+    /// Reported presence, and until when it overrides the announcement.
     presence: HashMap<ModelRef, (Presence, Tick)>,
     prefix_cache: PrefixCache,
 }
@@ -92,7 +93,7 @@
 /// How long a report of the order holder that weights are being unloaded overrides the
 /// announcement, which lists the weights until their last request has ended.
 const UNLOAD_PRESENCE_MS: u64 = 30_000;
-/// How long other reports of the order holder override the announcement.
+/// How long other reports of the order holder, and answers of the upstream, override the announcement.
 const PRESENCE_MS: u64 = 4_000;
 
 /// Minimum time until the end of an upstream at which it still gets requests.
@@ -209,11 +210,25 @@
         own + others > 0 || self.health.is_suspect()
     }
 
+    /// Records what the order holder reports of a model or an adapter.
     pub(crate) fn set_presence(&mut self, subject: ModelRef, presence: Presence, now: Tick) {
-        if presence == Presence::Absent && subject.adapter.is_none() {
+        let is_unloading = presence == Presence::Absent && subject.adapter.is_none();
+        if is_unloading {
             self.prefix_cache.drop_model(&subject.model);
         }
-        self.presence.insert(subject, (presence, now));
+        let limit = if is_unloading { UNLOAD_PRESENCE_MS } else { PRESENCE_MS };
+        self.presence.insert(subject, (presence, now + limit));
+    }
+
+    /// Records that the upstream answered that it does not hold a model or an adapter. It may have it again soon, and
+    /// announces it then without a report.
+    pub(crate) fn answered_absent(&mut self, subject: ModelRef, now: Tick) {
+        if subject.adapter.is_none() {
+            self.prefix_cache.drop_model(&subject.model);
+        }
+        let known = self.presence.get(&subject).filter(|(known, _)| *known == Presence::Absent);
+        let reported = known.map_or(Tick(0), |(_, until)| *until);
+        self.presence.insert(subject, (Presence::Absent, reported.max(now + PRESENCE_MS)));
     }
 
     /// Whether the upstream holds the model of `subject`, whether or not the adapter is loaded.
@@ -235,10 +250,8 @@
     }
 
     fn reported_presence(&self, subject: &ModelRef, now: Tick) -> Option<bool> {
-        let (presence, at) = self.presence.get(subject)?;
-        let is_unloading = *presence == Presence::Absent && subject.adapter.is_none();
-        let limit = if is_unloading { UNLOAD_PRESENCE_MS } else { PRESENCE_MS };
-        (now.since(*at) <= limit).then_some(*presence == Presence::Present)
+        let (presence, until) = self.presence.get(subject)?;
+        (now <= *until).then_some(*presence == Presence::Present)
     }
 
     fn announces(&self, subject: &ModelRef) -> bool {
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -219,6 +219,27 @@
     assert_eq!(&*sent_to(&actions, id).id, "i-1", "loaded again");
 }
 
+/// Time in which an upstream that answered that it does not hold a model gets no request for it.
+const ABSENT_MS: u64 = 4_000;
+
+/// An upstream that answered once that it does not hold a model, and goes on announcing it, gets requests again.
+/// Guards against a host that finds no holder for half a minute after runners have come back.
+#[test]
+fn absent_model_returns() {
+    let mut host = host();
+    host.handle(Event::UpstreamGone { id: "i-2".into() });
+    let (id, actions) = host.arrive(request("a", "offer", Some("m1")));
+    assert_eq!(&*sent_to(&actions, id).id, "i-1");
+    host.end_attempt(id, AttemptEnd::Absent);
+    host.advance(ABSENT_MS - 1);
+    let (id, actions) = host.arrive(request("b", "offer", Some("m1")));
+    assert!(sent(&actions, id).is_empty(), "not yet");
+    host.handle(Event::CallerLeft { id });
+    host.advance(2);
+    let (id, actions) = host.arrive(request("c", "offer", Some("m1")));
+    assert_eq!(&*sent_to(&actions, id).id, "i-1");
+}
+
 fn adapter_request(id: &str) -> vanetally_ports::CallerRequest {
     let subject = ModelRef { model: "m1".into(), adapter: Some("a1".into()) };
     vanetally_ports::CallerRequest { model: Some(subject), ..request(id, "offer", None) }
