fix: an upstream is doubted for 5 s at most

Its end under requests would then count for nothing where it restarts at once.

Change: the doubt ends after 5 s; who lives has announced itself again by then.

--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -155,7 +155,7 @@
         /// The announced state.
         state: UpstreamState,
     },
-    /// The announcement of an upstream was there before this host, and the incarnation may have ended long ago.
+    /// The announcement of an upstream was there before this host, and the incarnation may have ended before.
     UpstreamDoubted {
         /// The upstream.
         id: Incarnation,
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -91,6 +91,9 @@
 const RETURN_SPREAD_DIVISOR: u64 = 8;
 pub(crate) const MICROS_PER_MILLI: f64 = 1_000.0;
 
+/// Time in which an upstream that lives has announced itself again after a store returned an old announcement of it.
+const DOUBT_MS: u64 = 5_000;
+
 impl Dispatch {
     /// Creates a dispatch without any known state for a process that starts at `now`.
     pub fn new(now: Tick, options: Options) -> Self {
@@ -158,10 +161,10 @@
                     upstream.is_unreadable = true;
                 }
             }
-            Event::UpstreamDoubted { id } => self.set_doubted(&id, true),
-            Event::UpstreamProven { id } => self.set_doubted(&id, false),
+            Event::UpstreamDoubted { id } => self.doubt_until(&id, now + DOUBT_MS),
+            Event::UpstreamProven { id } => self.doubt_until(&id, Tick(0)),
             Event::UpstreamEnded { id } => {
-                let is_doubted = self.is_doubted(&id);
+                let is_doubted = self.is_doubted(now, &id);
                 self.upstream_gone(now, &id);
                 self.abandon_attempts(now, &id, is_doubted, &mut actions);
             }
@@ -266,13 +269,13 @@
     }
 
     /// Whether an upstream may have ended before this host knew it, so that its end says nothing of its requests.
-    pub fn is_doubted(&self, upstream: &Incarnation) -> bool {
-        self.upstreams.get(upstream).is_some_and(|known| known.is_doubted)
+    pub fn is_doubted(&self, now: Tick, upstream: &Incarnation) -> bool {
+        self.upstreams.get(upstream).is_some_and(|known| now < known.doubted_until)
     }
 
-    fn set_doubted(&mut self, upstream: &Incarnation, is_doubted: bool) {
+    fn doubt_until(&mut self, upstream: &Incarnation, until: Tick) {
         if let Some(known) = self.upstreams.get_mut(upstream) {
-            known.is_doubted = is_doubted;
+            known.doubted_until = until;
         }
     }
 
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -70,8 +70,8 @@
     /// Another incarnation answers at the upstream's address: it has ended, whatever its
     /// announcement says.
     pub is_replaced: bool,
-    /// Nothing has shown since this host knows it that it is this incarnation: it may have ended before.
-    pub is_doubted: bool,
+    /// Until when it is not sure that this incarnation still lived when this host read its announcement, unless it shows so.
+    pub doubted_until: Tick,
     /// The current announcement can't be read.
     pub is_unreadable: bool,
     /// Operators evacuate the upstream's failure domain.
@@ -114,7 +114,7 @@
             paced_until: Tick(0),
             busy_slots: BusySlots::default(),
             is_replaced: false,
-            is_doubted: false,
+            doubted_until: Tick(0),
             is_unreadable: false,
             is_evacuated: false,
             is_version_stored: false,
--- a/crates/gateway/src/probing.rs
+++ b/crates/gateway/src/probing.rs
@@ -260,7 +260,7 @@
 /// Returns the finding where another incarnation answers: an upstream that may have ended before this host knew it has shown no
 /// crash, and what broke the attempts off lives.
 fn replaced(hub: &Hub, upstream: &Incarnation) -> Finding {
-    let is_doubted = hub.dispatch.borrow().is_doubted(upstream);
+    let is_doubted = hub.dispatch.borrow().is_doubted(hub.clock.now(), upstream);
     Finding::Faulty((!is_doubted).then_some(CrashSign::Ended))
 }
 
