refactor: one word for an upstream whose incarnation is not shown, and short files

Change: unidentified, identified; `Reading`; `answer-failed`; the methods lie in upstreams.rs; the benchmark has names of its own. No behaviour.

--- a/crates/bench/benches/answers.rs
+++ b/crates/bench/benches/answers.rs
@@ -4,7 +4,7 @@
 use std::hint::black_box;
 use vanetally_answer::AnswerReader;
 
-const FIELDS: &str = "X-Attempt-Id: 9c41d07be2a35f68\r\nX-Server-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
+const FIELDS: &str = "X-Request-Id: 9c41d07be2a35f68\r\nX-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\
     Content-Type: text/event-stream\r\nKeep-Alive: timeout=5\r\n";
 const EVENT: &str =
     "id: 41\ndata: {\"text\":\" some words of an answer that is being written\"}\n\n";
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -116,14 +116,14 @@
         let status = answer.status;
         let mut held = self.room.hold();
         let body = answer.read_whole(MAX_WHOLE_BYTES, |bytes| held.grow(bytes));
-        let unread = |error: &io::Error| {
+        let log_error = |error: &io::Error| {
             log::warn!(
-                "event=answer-unread upstream={} request={} error=\"{error}\"",
+                "event=answer-failed upstream={} request={} error=\"{error}\"",
                 self.upstream,
                 self.request.id
             );
         };
-        let Some(body) = body.inspect_err(unread).ok().filter(|_| status < 500) else {
+        let Some(body) = body.inspect_err(log_error).ok().filter(|_| status < 500) else {
             let end = AttemptEnd::Failed(Verdict::MayHaveRun);
             return Outcome { end, exchange: Some(exchange), answer: None };
         };
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -155,13 +155,13 @@
         /// The announced state.
         state: UpstreamState,
     },
-    /// The announcement of an upstream was there before this host, and the incarnation may have ended before.
-    UpstreamDoubted {
+    /// The announcement of an upstream was there before this host knew it: another incarnation may have taken its place.
+    UpstreamUnidentified {
         /// The upstream.
         id: Incarnation,
     },
-    /// An upstream is the incarnation that is known: it announced itself just now, or said so.
-    UpstreamProven {
+    /// An upstream has shown which incarnation it is: it announced itself just now, or stated its start time.
+    UpstreamIdentified {
         /// The upstream.
         id: Incarnation,
     },
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -91,8 +91,8 @@
 const RETURN_SPREAD_DIVISOR: u64 = 8;
 pub(crate) const MICROS_PER_MILLI: f64 = 1_000.0;
 
-/// Time in which an upstream that lives has announced itself again after a store returned an old announcement of it.
-const DOUBT_MS: u64 = 5_000;
+/// Time in which an upstream announces itself again after a store has returned an old announcement of it.
+const UNIDENTIFIED_MS: u64 = 5_000;
 
 impl Dispatch {
     /// Creates a dispatch without any known state for a process that starts at `now`.
@@ -161,12 +161,12 @@
                     upstream.is_unreadable = true;
                 }
             }
-            Event::UpstreamDoubted { id } => self.doubt_until(&id, now + DOUBT_MS),
-            Event::UpstreamProven { id } => self.doubt_until(&id, Tick(0)),
+            Event::UpstreamUnidentified { id } => self.set_unidentified(&id, now + UNIDENTIFIED_MS),
+            Event::UpstreamIdentified { id } => self.set_unidentified(&id, Tick(0)),
             Event::UpstreamEnded { id } => {
-                let is_doubted = self.is_doubted(now, &id);
+                let is_unidentified = self.is_unidentified(now, &id);
                 self.upstream_gone(now, &id);
-                self.abandon_attempts(now, &id, is_doubted, &mut actions);
+                self.abandon_attempts(now, &id, is_unidentified, &mut actions);
             }
             Event::UpstreamGone { id } => self.upstream_gone(now, &id),
             Event::Evacuated(domains) => self.set_evacuated(now, domains),
@@ -268,14 +268,15 @@
         self.upstreams.get(upstream).map(|known| &known.state)
     }
 
-    /// Whether an upstream may have ended before this host knew it, so that its end says nothing of its requests.
-    pub fn is_doubted(&self, now: Tick, upstream: &Incarnation) -> bool {
-        self.upstreams.get(upstream).is_some_and(|known| now < known.doubted_until)
+    /// Whether another incarnation may have taken the place of an upstream before this host knew it, so that its end says
+    /// nothing of its requests.
+    pub fn is_unidentified(&self, now: Tick, upstream: &Incarnation) -> bool {
+        self.upstreams.get(upstream).is_some_and(|known| now < known.unidentified_until)
     }
 
-    fn doubt_until(&mut self, upstream: &Incarnation, until: Tick) {
+    fn set_unidentified(&mut self, upstream: &Incarnation, until: Tick) {
         if let Some(known) = self.upstreams.get_mut(upstream) {
-            known.doubted_until = until;
+            known.unidentified_until = until;
         }
     }
 
--- a/crates/dispatch/src/suspects.rs
+++ b/crates/dispatch/src/suspects.rs
@@ -129,7 +129,7 @@
         &self,
         now: Tick,
         upstream: &Incarnation,
-        is_doubted: bool,
+        is_unidentified: bool,
         actions: &mut Vec<Action>,
     ) {
         let abandon = |(id, request, _): (RequestId, &Request, &ActiveAttempt)| Action::Abandon {
@@ -138,7 +138,7 @@
         };
         actions.extend(self.sent_to(upstream).map(abandon));
         let suspects = self.suspects_at(now, upstream);
-        if !suspects.is_empty() && !is_doubted {
+        if !suspects.is_empty() && !is_unidentified {
             let sign = CrashSign::Ended;
             actions.push(Action::ReportCrash { upstream: upstream.clone(), sign, suspects });
         }
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -70,8 +70,8 @@
     /// Another incarnation answers at the upstream's address: it has ended, whatever its
     /// announcement says.
     pub is_replaced: bool,
-    /// Until when it is not sure that this incarnation still lived when this host read its announcement, unless it shows so.
-    pub doubted_until: Tick,
+    /// Until when another incarnation may stand in the place of this one, unless it has shown that it is this one.
+    pub unidentified_until: Tick,
     /// The current announcement can't be read.
     pub is_unreadable: bool,
     /// Operators evacuate the upstream's failure domain.
@@ -114,7 +114,7 @@
             paced_until: Tick(0),
             busy_slots: BusySlots::default(),
             is_replaced: false,
-            doubted_until: Tick(0),
+            unidentified_until: Tick(0),
             is_unreadable: false,
             is_evacuated: false,
             is_version_stored: false,
--- a/crates/dispatch/tests/incarnations.rs
+++ b/crates/dispatch/tests/incarnations.rs
@@ -51,19 +51,23 @@
 /// The end of an incarnation that may have ended before its host knew it says nothing of what was sent there, until the
 /// upstream has shown which one it is, or would have announced another one.
 #[test]
-fn doubted_end_is_no_sign() {
-    for (is_proven, later_ms, reports) in [(false, 4_999, 0), (false, 5_000, 1), (true, 0, 1)] {
+fn unidentified_end_is_no_sign() {
+    for (is_identified, later_ms, reports) in [(false, 4_999, 0), (false, 5_000, 1), (true, 0, 1)] {
         let mut host = host(RequestKind::Once);
-        host.handle(Event::UpstreamDoubted { id: incarnation(1) });
-        if is_proven {
-            host.handle(Event::UpstreamProven { id: incarnation(1) });
+        host.handle(Event::UpstreamUnidentified { id: incarnation(1) });
+        if is_identified {
+            host.handle(Event::UpstreamIdentified { id: incarnation(1) });
         }
         host.advance(later_ms);
         let (id, _) = host.arrive(request("a", "offer", Some("m1")));
         let actions = restart(&mut host);
         assert!(actions.contains(&Action::Abandon { id, number: 1 }), "it is cancelled");
         let is_report = |action: &&Action| matches!(action, Action::ReportCrash { .. });
-        assert_eq!(actions.iter().filter(is_report).count(), reports, "proven: {is_proven}");
+        assert_eq!(
+            actions.iter().filter(is_report).count(),
+            reports,
+            "identified: {is_identified}"
+        );
     }
 }
 
--- a/crates/gateway/src/hub.rs
+++ b/crates/gateway/src/hub.rs
@@ -436,16 +436,6 @@
         self.request_event(dispatch::Event::UpstreamSeen { id, state });
     }
 
-    /// Handles that an upstream was announced before this host knew it.
-    pub(crate) fn upstream_doubted(self: &Rc<Self>, id: Incarnation) {
-        self.request_event(dispatch::Event::UpstreamDoubted { id });
-    }
-
-    /// Handles that an upstream has shown which incarnation it is.
-    pub(crate) fn upstream_proven(self: &Rc<Self>, id: Incarnation) {
-        self.request_event(dispatch::Event::UpstreamProven { id });
-    }
-
     /// Handles an unreadable announcement.
     pub(crate) fn upstream_unreadable(self: &Rc<Self>, id: Incarnation) {
         self.placement_event(placement::Event::UpstreamUnreadable { id: id.clone() });
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -246,7 +246,7 @@
             Some(born) if runner.born != Some(born) => {
                 log::info!("event=report_of_another runner={runner} born={born}");
             }
-            Some(_) => hub.upstream_proven(runner.clone()),
+            Some(_) => hub.upstream_identified(runner.clone()),
             None => {}
         }
     }
--- a/crates/gateway/src/probing.rs
+++ b/crates/gateway/src/probing.rs
@@ -160,7 +160,7 @@
     fn probe_finished(self: &Rc<Self>, upstream: Incarnation, finding: Finding) {
         let suspects = self.probes.borrow_mut().remove(&upstream).unwrap_or_default();
         if finding == Finding::Answered {
-            self.upstream_proven(upstream.clone());
+            self.upstream_identified(upstream.clone());
         }
         record_probe(&upstream, finding.as_str(), suspects.len());
         let result = match &finding {
@@ -260,8 +260,8 @@
 /// Returns the finding where another incarnation answers: an upstream that may have ended before this host knew it has shown no
 /// crash, and what broke the attempts off lives.
 fn replaced(hub: &Hub, upstream: &Incarnation) -> Finding {
-    let is_doubted = hub.dispatch.borrow().is_doubted(hub.clock.now(), upstream);
-    Finding::Faulty((!is_doubted).then_some(CrashSign::Ended))
+    let is_unidentified = hub.dispatch.borrow().is_unidentified(hub.clock.now(), upstream);
+    Finding::Faulty((!is_unidentified).then_some(CrashSign::Ended))
 }
 
 /// Asks an upstream on a new connection. An answer that comes too late for the probe still shows that
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 use tokio::time::sleep;
-use vanetally_dispatch::{Roster, RosterUpdate};
+use vanetally_dispatch::{self as dispatch, Roster, RosterUpdate};
 use vanetally_ports::{Change, Item, Revision, UpstreamState};
 use vanetally_types::{Incarnation, Name, Names, Tick};
 
@@ -24,9 +24,9 @@
     lapsed: Rc<RefCell<BTreeMap<Name, Tick>>>,
 }
 
-/// Where an announcement was read.
+/// How an announcement was read.
 #[derive(Clone, Copy)]
-enum Origin {
+enum Reading {
     /// Among all that the store holds.
     Snapshot,
     /// In a change that was just made.
@@ -43,7 +43,7 @@
     }
 
     /// Handles a key that was read with the others, or just written; `log_level` is that of the log line about a new upstream.
-    fn key_read(&self, item: &Item, origin: Origin, log_level: log::Level) {
+    fn key_read(&self, item: &Item, reading: Reading, log_level: log::Level) {
         let Some(id) = self.id(&item.key) else {
             return;
         };
@@ -57,7 +57,7 @@
         let now = self.hub.clock.now();
         let updates = self.roster.borrow_mut().record(now, &id, item.revision, read);
         for update in updates {
-            self.apply_update(&id, item.revision, update, origin, log_level);
+            self.apply_update(&id, item.revision, update, reading, log_level);
         }
     }
 
@@ -66,7 +66,7 @@
         id: &Name,
         revision: Revision,
         update: RosterUpdate,
-        origin: Origin,
+        reading: Reading,
         log_level: log::Level,
     ) {
         match update {
@@ -75,10 +75,10 @@
                     log_seen(log_level, &incarnation, &state, revision);
                 }
                 self.hub.upstream_seen(incarnation.clone(), state);
-                match origin {
-                    Origin::Change => self.hub.upstream_proven(incarnation),
-                    Origin::Snapshot if is_new => self.hub.upstream_doubted(incarnation),
-                    Origin::Snapshot => {}
+                match reading {
+                    Reading::Change => self.hub.upstream_identified(incarnation),
+                    Reading::Snapshot if is_new => self.hub.upstream_unidentified(incarnation),
+                    Reading::Snapshot => {}
                 }
             }
             RosterUpdate::Unreadable { incarnation, error } => {
@@ -146,6 +146,18 @@
     }
 }
 
+impl Hub {
+    /// Handles that an upstream was announced before this host knew it.
+    fn upstream_unidentified(self: &Rc<Self>, id: Incarnation) {
+        self.request_event(dispatch::Event::UpstreamUnidentified { id });
+    }
+
+    /// Handles that an upstream has shown which incarnation it is.
+    pub(crate) fn upstream_identified(self: &Rc<Self>, id: Incarnation) {
+        self.request_event(dispatch::Event::UpstreamIdentified { id });
+    }
+}
+
 fn forget(hub: &Rc<Hub>, roster: &RefCell<Roster>, id: &Name) {
     let incarnation = roster.borrow_mut().remove(hub.clock.now(), id);
     if let Some(incarnation) = incarnation {
@@ -203,14 +215,14 @@
             snapshot.at
         );
         // One line stands for the thousands of upstreams that a read may return.
-        let read = |item| self.key_read(item, Origin::Snapshot, log::Level::Debug);
+        let read = |item| self.key_read(item, Reading::Snapshot, log::Level::Debug);
         snapshot.items.iter().for_each(read);
     }
 
     fn changed(&self, change: Change) {
         match change {
             Change::Put(item) => {
-                self.key_read(&item, Origin::Change, self.hub.relayed_log_level());
+                self.key_read(&item, Reading::Change, self.hub.relayed_log_level());
             }
             Change::Deleted { key, .. } => {
                 if let Some(id) = self.id(&key) {
--- a/crates/heap/src/lib.rs
+++ b/crates/heap/src/lib.rs
@@ -14,6 +14,10 @@
     }
 }
 
+/// Size of a large block.
+#[cfg(all(target_os = "linux", target_env = "gnu"))]
+const LARGE_BLOCK_BYTES: libc::c_int = 64 << 10;
+
 /// Has large blocks returned to the system as soon as they are freed: they are mapped on their own, whatever was freed before.
 #[cfg(all(target_os = "linux", target_env = "gnu"))]
 #[allow(unsafe_code)]
@@ -24,10 +28,6 @@
     }
 }
 
-/// Size of a large block.
-#[cfg(all(target_os = "linux", target_env = "gnu"))]
-const LARGE_BLOCK_BYTES: libc::c_int = 64 << 10;
-
 /// Does nothing: only the allocator of the GNU C library is known to keep large blocks.
 #[cfg(not(all(target_os = "linux", target_env = "gnu")))]
 pub fn return_large_blocks() {}
