fix: what another host says of an unidentified upstream is no sign either

Callers would have seen: usual contents held back after engines had restarted, at hosts that new connections do not reach engines from.

Where another host looks and finds another incarnation, the asking host took its own failed connection for silence of the upstream, a sign of two thirds of the weight. Besides, a look that had only found a requested rest, or a report without a start time, counted as identifying the upstream.

Change: "another incarnation answers" is judged the same wherever it is found; only a stated start time identifies.

--- a/crates/gateway/src/probing.rs
+++ b/crates/gateway/src/probing.rs
@@ -137,7 +137,7 @@
     }
 
     /// Asks an upstream on a new connection, with the bounds of a probe.
-    pub(crate) async fn ask_directly(&self, upstream: &Incarnation) -> Asked {
+    pub(crate) async fn ask_directly(self: &Rc<Self>, upstream: &Incarnation) -> Asked {
         match self.suspect(upstream) {
             Some(suspect) => ask_directly(self, &suspect).await,
             None => Asked::Unanswered(None),
@@ -159,9 +159,6 @@
 
     fn probe_finished(self: &Rc<Self>, upstream: Incarnation, finding: Finding) {
         let suspects = self.probes.borrow_mut().remove(&upstream).unwrap_or_default();
-        if finding == Finding::Answered {
-            self.upstream_identified(upstream.clone());
-        }
         record_probe(&upstream, finding.as_str(), suspects.len());
         let result = match &finding {
             Finding::Answered => ProbeResult::Answered,
@@ -242,7 +239,7 @@
     match (asked, found) {
         (Some(Asked::Answered), _) => Finding::Answered,
         (Some(Asked::Ended), _) => replaced(hub, &suspect.upstream),
-        (Some(Asked::Unanswered(sign)), Finding::Faulty(_)) => Finding::Faulty(sign),
+        (Some(Asked::Unanswered(sign)), Finding::Faulty(Some(_))) => Finding::Faulty(sign),
         (_, found) => found,
     }
 }
@@ -251,7 +248,7 @@
 async fn finding_of_exits(hub: &Rc<Hub>, suspect: &Suspect) -> Finding {
     match hub.opinion_of_exits(&suspect.upstream).await {
         Opinion::Answers(exit) => Finding::Blocked(exit),
-        Opinion::Ended => Finding::Faulty(Some(CrashSign::Ended)),
+        Opinion::Ended => replaced(hub, &suspect.upstream),
         Opinion::Silent => Finding::Faulty(Some(CrashSign::Silent)),
         Opinion::Unknown => Finding::Unknown,
     }
@@ -281,12 +278,12 @@
 }
 
 /// Asks an upstream on a new connection.
-async fn ask_directly(hub: &Hub, suspect: &Suspect) -> Asked {
+async fn ask_directly(hub: &Rc<Hub>, suspect: &Suspect) -> Asked {
     ask_within(hub, suspect, PROBE_TIMEOUT).await
 }
 
 /// Asks an upstream on a new connection, with `limit` as timeout of each step.
-async fn ask_within(hub: &Hub, suspect: &Suspect, limit: Duration) -> Asked {
+async fn ask_within(hub: &Rc<Hub>, suspect: &Suspect, limit: Duration) -> Asked {
     match socket::connect_bounded(suspect.address, limit).await {
         Ok(stream) => ask(hub, suspect, stream, limit).await,
         Err(error) => Asked::Unanswered(Some(connect_error_sign(&error))),
@@ -295,7 +292,7 @@
 
 /// Asks an upstream on a connection that was just opened.
 async fn ask(
-    hub: &Hub,
+    hub: &Rc<Hub>,
     suspect: &Suspect,
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     limit: Duration,
@@ -363,7 +360,7 @@
 }
 
 /// Judges the answer to a report request.
-async fn judge_report(hub: &Hub, suspect: &Suspect, response: Response<Incoming>) -> Asked {
+async fn judge_report(hub: &Rc<Hub>, suspect: &Suspect, response: Response<Incoming>) -> Asked {
     match response.status() {
         StatusCode::MISDIRECTED_REQUEST => return Asked::Ended,
         // A front proxy may answer like this in place of an upstream that is gone.
@@ -382,10 +379,14 @@
     let Ok(report) = hub.ports.engine.read_report(&body) else {
         return Asked::Unanswered(None);
     };
-    let born = report.born;
-    let is_other = born.is_some() && suspect.upstream.born.is_some();
-    let is_ended = is_other && born != suspect.upstream.born;
-    if is_ended { Asked::Ended } else { Asked::Answered }
+    match (report.born, suspect.upstream.born) {
+        (Some(born), Some(known)) if born != known => Asked::Ended,
+        (Some(_), Some(_)) => {
+            hub.upstream_identified(suspect.upstream.clone());
+            Asked::Answered
+        }
+        _ => Asked::Answered,
+    }
 }
 
 fn connect_error_sign(error: &std::io::Error) -> CrashSign {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -13,13 +13,14 @@
     Deployment, Host, fronts,
     load::{Exchange, under_load},
     restores::LEASES_LOST,
+    taps::TappedDeployment,
     wait_for,
 };
 use std::{
     thread,
     time::{Duration, Instant},
 };
-use vanetally_platform_standin::{Behaviour, Client, Downtime, DowntimeMode};
+use vanetally_platform_standin::{Behaviour, Client, Downtime, DowntimeMode, TapMode};
 
 const CRASH_BODY: &[u8] = b"deadly draft";
 /// Every such request has the crash body.
@@ -198,3 +199,40 @@
     assert!(log.contains("event=upstream_looked_at"), "it was looked what became of them");
     assert!(!log.contains("event=content_quarantined"));
 }
+
+/// The same at a host that reaches its engines by old connections only, so that another host looks what became of them.
+#[test]
+fn engines_restarted_before_a_cut() {
+    let site = TappedDeployment::start(2, 2, 1);
+    let engines = &site.deployment.engines;
+    let send = |number: u64, body: &str| {
+        let client = Client::new("POST", "/offer/1", &format!("r{number}")).with("X-Model", "m1");
+        client.body(body.as_bytes()).deadline(1_000).send(site.hosts[0].front)
+    };
+    for number in 0.. {
+        if engines.iter().all(|engine| !engine.requests().is_empty()) {
+            break;
+        }
+        assert_eq!(send(number, &format!("draft {number}")).status, 200);
+    }
+    for engine in engines {
+        engine.restart();
+        engine.load_initial_models();
+        engine.set_behaviour(Behaviour::BreakAfter(3));
+    }
+    site.set_mode(0..1, TapMode::ResetNew);
+    for number in 100..104 {
+        send(number, "usual draft");
+        thread::sleep(Duration::from_millis(300));
+    }
+    thread::sleep(Duration::from_secs(1));
+    let log = site.deployment.log("front-0");
+    assert!(log.contains("event=upstream_looked_at"), "it was looked what became of them");
+    let is_sign =
+        |line: &str| line.contains("event=upstream_looked_at") && !line.contains("sign=none");
+    assert_eq!(
+        log.lines().filter(|line| is_sign(line)).count(),
+        0,
+        "ends came before the requests"
+    );
+}
