fix: a value of the platform that is too long is not cut and taken as whole

A host would have taken the first 2,000,000 bytes of a longer value, with its version, for the value.

Cause: the answer was read up to a limit, and the end of the limit looked like the end of the answer; the same as with engines' answers (longer_body), on the path to the product's own platform.

Change: it is read like those, and one that is too long is an error.

--- a/crates/link/src/platform.rs
+++ b/crates/link/src/platform.rs
@@ -1,7 +1,7 @@
 //! Client of the platform's key-value service and its list of hosts.
 
 use crate::call::{Call, Client, Options};
-use std::{io::Read, time::Duration};
+use std::time::Duration;
 use vanetally_types::{Name, Verdict};
 
 /// A stored value.
@@ -70,7 +70,7 @@
 }
 
 /// Maximum size of an answer; the service's own limit for values is lower.
-const MAX_ANSWER_BYTES: u64 = 2_000_000;
+const MAX_ANSWER_BYTES: usize = 2_000_000;
 
 impl HttpPlatform {
     /// Creates a client of the service at `base_url`, `http://IP:PORT`; `timeout` applies to each
@@ -107,17 +107,15 @@
             .iter()
             .find(|(name, _)| name.eq_ignore_ascii_case("x-version"))
             .and_then(|(_, value)| value.parse().ok());
-        let mut bytes = Vec::new();
-        answer
-            .body
-            .take(MAX_ANSWER_BYTES)
-            .read_to_end(&mut bytes)
+        let status = answer.status;
+        let bytes = answer
+            .read_whole(MAX_ANSWER_BYTES, |_| true)
             .map_err(|e| Error::Unavailable(e.to_string()))?;
-        match answer.status {
-            200 | 404 | 409 => Ok((answer.status, version.unwrap_or(0), bytes)),
+        match status {
+            200 | 404 | 409 => Ok((status, version.unwrap_or(0), bytes)),
             400 | 401 | 403 | 413 | 429 => {
                 let text = String::from_utf8_lossy(&bytes).trim().to_owned();
-                Err(Error::Rejected(format!("{} {text}", answer.status)))
+                Err(Error::Rejected(format!("{status} {text}")))
             }
             status => Err(Error::Unavailable(format!("status {status}"))),
         }
--- a/crates/link/tests/client.rs
+++ b/crates/link/tests/client.rs
@@ -11,7 +11,10 @@
     thread,
     time::Duration,
 };
-use vanetally_link::call::{Call, Client, Options};
+use vanetally_link::{
+    call::{Call, Client, Options},
+    platform::{HttpPlatform, Platform},
+};
 use vanetally_types::Verdict;
 
 const OPTIONS: Options =
@@ -124,6 +127,36 @@
     }
 }
 
+/// A value of the platform that is longer than what is read of it is no value.
+#[test]
+fn longer_value() {
+    let answer = |length: usize| {
+        move |mut stream: TcpStream| {
+            let head =
+                format!("HTTP/1.1 200 OK\r\nX-Version: 3\r\nContent-Length: {length}\r\n\r\n");
+            let _ = stream.read(&mut [0; 4_096]);
+            // The client may leave before the end.
+            let _ = stream.write_all(&[head.as_bytes(), &vec![b'x'; length]].concat());
+        }
+    };
+    for (length, is_value) in [(2_000_000, true), (2_000_001, false)] {
+        let (address, _) = start(answer(length));
+        let url = format!("http://{address}");
+        let platform = HttpPlatform::new(&url, "credential".into(), OPTIONS.idle_timeout);
+        let read = platform.get("config").map(|value| value.map(|value| value.bytes.len()));
+        assert_eq!(read.is_ok(), is_value, "{length} bytes: {read:?}");
+    }
+}
+
+/// A body for which there is no room is not read.
+#[test]
+fn body_without_room() {
+    const TEXT: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+    let (address, _) = start(|stream| answer_with(stream, TEXT));
+    let answer = Client::new(OPTIONS).send(&call_to(address)).expect("an answer");
+    assert!(answer.read_whole(5, |_| false).is_err());
+}
+
 /// A body that is longer than what is read of it is no whole one.
 #[test]
 fn longer_body() {
