fix: states of all runners share the room of the daemon's answers

Cause: each runner's answer to a poll, a fence or an order may have 4,000,000 bytes, each for itself: with 64 runners at fault as much as the memory of a default host. One that is longer was cut there.

Change: they are read whole or not at all, within the room that whole answers share; the first 16 KiB of each have a part of their own.

Result (x86_64): invariants and daemon_answers pass. Found by reading, no test plays that many faulty runners.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -69,12 +69,13 @@
         let links = start_links(&shared, peers, &hub)?;
         let platform = start_platform(&shared, &hub);
         let client = Client::new(call_options(&shared));
+        let room = AnswerRoom::new(shared.settings.limits.memory.0);
         let executors = Executors {
             shared: shared.clone(),
             platform: PlatformThreads::start(&platform, &hub),
             runners: RunnerThreads::new(
                 shared.clone(),
-                runner_clients(&shared, &client),
+                runner_clients(&shared, &client, &room),
                 hub.clone(),
             ),
             links,
@@ -84,7 +85,7 @@
         let core_thread = thread::Builder::new().name("core".into()).spawn(run)?;
         let addresses = (listen.address(), admin.address());
         let servers = vec![
-            serve_callers(&shared, &hub, client, listen),
+            serve_callers(&shared, &hub, (client, room), listen),
             serve_operators(&shared, &hub, admin),
         ];
         log::info!(
@@ -177,9 +178,9 @@
     }
 }
 
-fn runner_clients(shared: &Shared, polls: &Client) -> RunnerClients {
+fn runner_clients(shared: &Shared, polls: &Client, room: &AnswerRoom) -> RunnerClients {
     let orders = Client::without_reuse(call_options(shared));
-    RunnerClients { polls: polls.clone(), orders }
+    RunnerClients { polls: polls.clone(), orders, room: room.clone() }
 }
 
 fn core_options(shared: &Shared) -> Options {
@@ -206,10 +207,9 @@
 fn serve_callers(
     shared: &Arc<Shared>,
     hub: &Sender<Input>,
-    client: Client,
+    (client, room): (Client, AnswerRoom),
     server: Server,
 ) -> Stopper {
-    let room = AnswerRoom::new(shared.settings.limits.memory.0);
     let frontend = Arc::new(Frontend { shared: shared.clone(), hub: hub.clone(), client, room });
     let (limits, timing) = (&shared.settings.limits, &shared.settings.timing);
     let options = http::Options {
--- a/crates/daemon/src/runner.rs
+++ b/crates/daemon/src/runner.rs
@@ -1,11 +1,10 @@
 //! Threads that call runners: one for each runner, so that its calls stay in order.
 
-use crate::{hub::Input, shared::Shared};
+use crate::{answer_room::AnswerRoom, hub::Input, shared::Shared};
 use serde::Deserialize;
 use serde_json::json;
 use std::{
     collections::HashMap,
-    io::Read,
     sync::{
         Arc,
         mpsc::{Receiver, Sender, channel},
@@ -32,6 +31,8 @@
     pub polls: Client,
     /// For fences and orders, whose answers name no call: it keeps no connections.
     pub orders: Client,
+    /// Room for what runners answer.
+    pub room: AnswerRoom,
 }
 
 /// The threads of all runners.
@@ -46,7 +47,7 @@
 /// Timeout of a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum size of a runner's answer.
-const MAX_STATE_BYTES: u64 = 4_000_000;
+const MAX_STATE_BYTES: usize = 4_000_000;
 /// Time after which a thread without calls ends.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 const STACK_BYTES: usize = 256 * 1024;
@@ -144,7 +145,7 @@
 
     fn poll(&self) -> Event {
         let polled_at = self.shared.clock.now();
-        let answer = call(&self.clients.polls, "GET", &self.url_of("/engine/state"), Vec::new());
+        let answer = self.call(&self.clients.polls, "GET", "/engine/state", Vec::new());
         let reply = answer.ok().filter(|(status, _)| *status == 200).map(|(_, s)| PollReply {
             report: s.report,
             running: s.running + s.queued,
@@ -155,7 +156,7 @@
 
     fn fence(&self, epoch: Epoch) -> Event {
         let body = json!({"epoch": epoch}).to_string().into_bytes();
-        let reply = match call(&self.clients.orders, "POST", &self.url_of("/engine/fence"), body) {
+        let reply = match self.call(&self.clients.orders, "POST", "/engine/fence", body) {
             Ok((200, state)) => FenceReply::Accepted(state.report),
             Ok((409, state)) => FenceReply::StaleEpoch(Epoch(state.report.epoch)),
             _ => FenceReply::Unanswered,
@@ -165,7 +166,7 @@
 
     fn order(&self, order: &Order) -> Event {
         let body = serde_json::to_vec(order).unwrap_or_default();
-        let reply = match call(&self.clients.orders, "POST", &self.url_of("/engine/order"), body) {
+        let reply = match self.call(&self.clients.orders, "POST", "/engine/order", body) {
             Ok((200 | 202, state)) => OrderReply::Answered(Ok(()), state.report),
             Ok((409, state)) => match state.refusal {
                 Some(Refusal::Stale) | None => OrderReply::StaleEpoch(Epoch(state.report.epoch)),
@@ -176,21 +177,23 @@
         Event::Ordered(self.runner.clone(), order.epoch, order.seq, reply)
     }
 
-    fn url_of(&self, path: &str) -> String {
-        format!("{}{path}", self.url.trim_end_matches('/'))
+    fn call(
+        &self,
+        client: &Client,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> anyhow::Result<(u16, State)> {
+        let call = Call {
+            method: method.to_owned(),
+            url: format!("{}{path}", self.url.trim_end_matches('/')),
+            headers: vec![("Content-Type".into(), "application/json".into())],
+            body,
+            timeout: CALL_TIMEOUT,
+        };
+        let answer = client.send(&call)?;
+        let (status, mut held) = (answer.status, self.clients.room.hold());
+        let bytes = answer.read_whole(MAX_STATE_BYTES, |bytes| held.grow(bytes))?;
+        Ok((status, serde_json::from_slice(&bytes)?))
     }
 }
-
-fn call(client: &Client, method: &str, url: &str, body: Vec<u8>) -> anyhow::Result<(u16, State)> {
-    let call = Call {
-        method: method.to_owned(),
-        url: url.to_owned(),
-        headers: vec![("Content-Type".into(), "application/json".into())],
-        body,
-        timeout: CALL_TIMEOUT,
-    };
-    let answer = client.send(&call)?;
-    let mut bytes = Vec::new();
-    answer.body.take(MAX_STATE_BYTES).read_to_end(&mut bytes)?;
-    Ok((answer.status, serde_json::from_slice(&bytes)?))
-}
