fix: an answer to a range or a condition that nobody asked for is none at the daemon

Callers saw: 206 or 304 with the verdict "ran" for a request without a range or a condition, so that a part looked like the answer.

Change: such an answer is a failed attempt that may have run, logged as `answer-unasked`. With the field in the request it is passed on as before.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -81,6 +81,16 @@
                 return Outcome { end, exchange: Some(exchange), answer: None };
             }
         };
+        if !self.may_answer(answer.status) {
+            log::warn!(
+                "event=answer-unasked upstream={} request={} status={}",
+                self.upstream,
+                self.request.id,
+                answer.status
+            );
+            let end = AttemptEnd::Failed(Verdict::MayHaveRun);
+            return Outcome { end, exchange: Some(exchange), answer: None };
+        }
         let is_not_run = |verdict: &str| verdict == Verdict::NotRun.as_str();
         let states_not_run = values(&answer, "x-verdict").any(is_not_run);
         let states_other = !values(&answer, "x-verdict").all(is_not_run);
@@ -105,6 +115,19 @@
         }
     }
 
+    /// Whether the request may be answered with this status: some answer a range or a condition only.
+    fn may_answer(&self, status: u16) -> bool {
+        let asks = |names: &[&str]| {
+            let mut stated = self.request.headers.iter();
+            stated.any(|(name, _)| names.iter().any(|n| name.eq_ignore_ascii_case(n)))
+        };
+        match status {
+            206 => asks(&["range"]),
+            304 => asks(&["if-none-match", "if-modified-since"]),
+            _ => true,
+        }
+    }
+
     /// Whether the status of the answer implies that the request was not run.
     fn is_rejection(&self, answer: &call::Answer) -> bool {
         !self.request.is_service && matches!(answer.status, 404 | 429 | 503)
--- a/tests/broken_service.rs
+++ b/tests/broken_service.rs
@@ -125,3 +125,21 @@
     let broken = call("broken").expect("an answer");
     assert_eq!((broken.status, broken.verdict()), (502, Some("may-have-run")));
 }
+
+/// A status that answers a range or a condition only is no answer to a request without one.
+#[rstest]
+#[case("206 Partial Content", "Content-Length: 4\r\n\r\npart", "Range", 206)]
+#[case("304 Not Modified", "\r\n", "If-None-Match", 304)]
+fn unasked_status(
+    #[case] status: &str,
+    #[case] rest: &str,
+    #[case] field: &str,
+    #[case] expected: u16,
+) {
+    let answer = format!("HTTP/1.1 {status}\r\nConnection: close\r\n{rest}");
+    let site = start_raw_site(answer.clone(), answer);
+    let asked = site.hosts[0].service("whole/x", &[(field, "x")], "book");
+    assert_eq!(asked.status, expected);
+    let unasked = site.hosts[0].service("whole/x", &[], "book");
+    assert_eq!((unasked.status, unasked.verdict()), (502, Some("may-have-run")));
+}
