fix: what an answer lists in `Connection` is not acted on at the daemon

Callers saw: "not-run" from a service's 503 whose verdict was listed as meant for the connection only, and such fields passed on.

Change: listed fields are removed where the answer is taken in, but for those that frame the body.

--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -65,7 +65,7 @@
             timeout: self.timeout,
         };
         let answer = match self.client.send(&call) {
-            Ok(answer) => answer,
+            Ok(answer) => without_listed(answer),
             Err(e) => {
                 log::info!(
                     "event=call-failed upstream={} request={} verdict={} error=\"{e}\"",
@@ -298,6 +298,19 @@
     named.map(|(_, value)| value.as_str())
 }
 
+/// Removes the headers that `Connection` lists, since they are meant for the connection only and so must not be acted on;
+/// those that frame the body stay.
+fn without_listed(mut answer: call::Answer) -> call::Answer {
+    const KEPT: [&str; 3] = ["connection", "content-length", "transfer-encoding"];
+    let listed: Vec<String> = values(&answer, "connection")
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .filter(|name| !KEPT.contains(&name.as_str()))
+        .collect();
+    answer.headers.retain(|(name, _)| !listed.contains(&name.to_ascii_lowercase()));
+    answer
+}
+
 /// Returns the headers of a service's answer that are forwarded to the caller.
 fn forwarded_headers(headers: &[(String, String)]) -> Vec<(String, String)> {
     const DROPPED: [&str; 8] = [
--- a/tests/broken_service.rs
+++ b/tests/broken_service.rs
@@ -143,3 +143,18 @@
     let unasked = site.hosts[0].service("whole/x", &[], "book");
     assert_eq!((unasked.status, unasked.verdict()), (502, Some("may-have-run")));
 }
+
+/// What an answer lists as meant for its connection only is neither passed on nor acted on.
+#[test]
+fn listed_fields() {
+    let answer = |listed: &str| {
+        format!(
+            "HTTP/1.1 503 Full\r\nX-Verdict: not-run\r\nX-Detail: 1\r\nConnection: close{listed}\r\nContent-Length: 4\r\n\r\nfull"
+        )
+    };
+    let site = start_raw_site(answer(""), answer(", X-Detail, x-verdict"));
+    let call = |service: &str| site.hosts[0].service(&format!("{service}/x"), &[], "book");
+    assert_eq!(call("whole").verdict(), Some("not-run"));
+    let broken = call("broken");
+    assert_eq!((broken.verdict(), broken.header("x-detail")), (Some("ran"), None));
+}
