fix: a body that is stated beside 205 is no answer

Cause: RFC 9110 (15.3.6) allows no content in a 205, as in a 204; the reader took a stated length beside it for a body and passed it on.

Change: a length other than 0 beside 205 is refused like one beside 204. One without a length may still end with an empty chunk or its connection.

--- a/crates/answer/src/head.rs
+++ b/crates/answer/src/head.rs
@@ -14,6 +14,7 @@
 /// Statuses with which a body is treated in a way of its own.
 const SWITCHING_PROTOCOLS: u16 = 101;
 const NO_CONTENT: u16 = 204;
+const RESET_CONTENT: u16 = 205;
 const NOT_MODIFIED: u16 = 304;
 
 const CONTENT_LENGTH: &str = "content-length";
@@ -129,6 +130,10 @@
         100..=199 if is_empty => Ok(Head::Informational),
         NO_CONTENT if is_empty => Ok(Head::Final(BodyEnd::None)),
         100..=199 | NO_CONTENT => Err(Malformed::BodyForbidden),
+        // It may also end with an empty chunk, or with its connection.
+        RESET_CONTENT if matches!(stated, Some(BodyEnd::Length(1..))) => {
+            Err(Malformed::BodyForbidden)
+        }
         200..=599 if is_bodiless || status == NOT_MODIFIED => Ok(Head::Final(BodyEnd::None)),
         200..=599 => Ok(Head::Final(stated.unwrap_or(BodyEnd::Close))),
         _ => Err(Malformed::Status),
--- a/crates/answer/tests/heads.rs
+++ b/crates/answer/tests/heads.rs
@@ -162,6 +162,7 @@
 #[rstest]
 #[case::no_content("204", "Content-Length: 5")]
 #[case::no_content_chunked("204", "Transfer-Encoding: chunked")]
+#[case::reset_content("205", "Content-Length: 5")]
 #[case::informational("103", "Content-Length: 5")]
 #[case::informational_chunked("103", "Transfer-Encoding: chunked")]
 fn forbidden_body(#[case] status: &str, #[case] line: &str) {
@@ -213,6 +214,10 @@
 #[case::no_body("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")]
 #[case::no_content("HTTP/1.1 204 No Content\r\n\r\n")]
 #[case::no_content_with_length("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n")]
+#[case::reset_content("HTTP/1.1 205 Reset Content\r\nContent-Length: 0\r\n\r\n")]
+#[case::reset_content_in_chunks(
+    "HTTP/1.1 205 Reset Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+)]
 #[case::not_modified("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n")]
 #[case::informational("HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\nHTTP/1.1 204 None\r\n\r\n")]
 #[case::failure("HTTP/1.1 599 Own\r\nContent-Length: 5\r\n\r\nwhole")]
